--- /dev/null
+++ b/io/engine/client.go
@@ -0,0 +1,202 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"radishwell/core"
+)
+
+const (
+	// dialTimeout bounds a connection's set-up; hosts are in the same building.
+	dialTimeout = time.Second
+	// Keep-alive probes find a connection that something between the two ends
+	// has lost track of: three seconds after it went silent it is closed.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+	// idleTime is how long an unused connection is kept. It is shorter than
+	// servers usually allow, so that a request is seldom written to a
+	// connection the server is closing.
+	idleTime = 10 * time.Second
+	maxIdle  = 256
+)
+
+// Header names of work handed to an engine.
+const (
+	headerRequest  = "X-Request-Id"
+	headerPriority = "X-Priority"
+	headerTrace    = "Traceparent"
+)
+
+// Client is a core.Engine over HTTP. Set the exported fields before first use.
+type Client struct {
+	// Address is where the upstream listens.
+	Address netip.AddrPort
+	// TLS is used towards the upstream where set.
+	TLS *tls.Config
+
+	transport *http.Transport
+}
+
+// New returns a client of the upstream at address, over TLS if conf is set.
+func New(address netip.AddrPort, conf *tls.Config) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}
+	return &Client{Address: address, TLS: conf, transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		TLSClientConfig:     conf,
+		MaxIdleConnsPerHost: maxIdle,
+		IdleConnTimeout:     idleTime,
+		DisableCompression:  true,
+	}}
+}
+
+// Close closes connections that are not in use.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// State implements core.Engine.
+func (c *Client) State(ctx context.Context) (core.EngineState, error) {
+	var st core.EngineState
+	answer, err := c.do(ctx, http.MethodGet, "/state", nil, nil)
+	if err != nil {
+		return st, err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return st, &core.EngineError{Fault: core.EngineRejected, Status: answer.StatusCode}
+	}
+	if err := json.NewDecoder(answer.Body).Decode(&st); err != nil {
+		return st, &core.EngineError{Fault: core.EngineLost, Cause: err}
+	}
+	return st, nil
+}
+
+// Load implements core.Engine.
+func (c *Client) Load(ctx context.Context, o core.LoadOrder) error {
+	return c.order(ctx, "/orders/load", o)
+}
+
+// Unload implements core.Engine.
+func (c *Client) Unload(ctx context.Context, o core.UnloadOrder) error {
+	return c.order(ctx, "/orders/unload", o)
+}
+
+// Cancel implements core.Engine.
+func (c *Client) Cancel(ctx context.Context, id core.RequestID) error {
+	return c.order(ctx, "/orders/cancel", map[string]core.RequestID{"id": id})
+}
+
+func (c *Client) order(ctx context.Context, path string, order any) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return &core.EngineError{Fault: core.EngineRejected, Cause: err}
+	}
+	answer, err := c.do(ctx, http.MethodPost, path, http.Header{"Content-Type": {"application/json"}}, body)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	_, _ = io.Copy(io.Discard, answer.Body)
+	return orderError(answer.StatusCode)
+}
+
+func orderError(status int) error {
+	switch {
+	case status < http.StatusMultipleChoices:
+		return nil
+	case status == http.StatusPreconditionFailed:
+		return &core.EngineError{Fault: core.EngineStale, Status: status}
+	case status == http.StatusInsufficientStorage:
+		return &core.EngineError{Fault: core.EngineNoMemory, Status: status}
+	default:
+		return &core.EngineError{Fault: core.EngineRejected, Status: status}
+	}
+}
+
+// Run implements core.Engine.
+func (c *Client) Run(ctx context.Context, w core.EngineWork) (core.Answer, error) {
+	header := http.Header(w.Header).Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set(headerRequest, string(w.ID))
+	header.Set(headerPriority, w.Priority.String())
+	if w.Trace != "" {
+		header.Set(headerTrace, w.Trace)
+	}
+	return c.answer(c.do(ctx, w.Method, w.Path, header, w.Body))
+}
+
+// Resume implements core.Engine.
+func (c *Client) Resume(ctx context.Context, id core.RequestID, offset int64) (core.Answer, error) {
+	path := "/streams/" + url.PathEscape(string(id)) + "?offset=" + strconv.FormatInt(offset, 10)
+	answer, err := c.answer(c.do(ctx, http.MethodGet, path, nil, nil))
+	if err == nil && answer.Status != http.StatusOK {
+		answer.Body.Close()
+		return core.Answer{}, &core.EngineError{Fault: core.EngineRejected, Status: answer.Status}
+	}
+	return answer, err
+}
+
+func (c *Client) answer(answer *http.Response, err error) (core.Answer, error) {
+	if err != nil {
+		return core.Answer{}, err
+	}
+	return core.Answer{Status: answer.StatusCode, Header: answer.Header, Body: answer.Body}, nil
+}
+
+// do sends a request once. The error tells whether the upstream can have seen
+// it: EngineUnreached only where no byte of it was written.
+func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		// The hook runs before the head reaches the connection's buffer is
+		// flushed, so "not sent" is never claimed of a request that was.
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, method, c.base()+path, nil)
+	if err != nil {
+		return nil, &core.EngineError{Fault: core.EngineRejected, Cause: err}
+	}
+	if header != nil {
+		req.Header = header
+	}
+	req.Body = once{bytes.NewReader(body)}
+	req.ContentLength = int64(len(body))
+	answer, err := c.transport.RoundTrip(req)
+	if err == nil {
+		return answer, nil
+	}
+	if !sent.Load() {
+		return nil, &core.EngineError{Fault: core.EngineUnreached, Cause: err}
+	}
+	return nil, &core.EngineError{Fault: core.EngineLost, Cause: err}
+}
+
+func (c *Client) base() string {
+	if c.TLS != nil {
+		return "https://" + c.Address.String()
+	}
+	return "http://" + c.Address.String()
+}
+
+// once is a body that net/http cannot rewind, and so cannot send again. The
+// transport repeats a request on a dead connection only if its body is absent
+// or can be had anew.
+type once struct{ io.Reader }
+
+// Close implements io.Closer.
+func (once) Close() error { return nil }
--- /dev/null
+++ b/io/relay/frame.go
@@ -0,0 +1,146 @@
+package relay
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"radishwell/core"
+	"radishwell/wire"
+)
+
+const (
+	// maxHead bounds the head of a request, its header fields included.
+	maxHead = 1 << 20
+	// maxFrame bounds one frame. An agent cuts its data smaller than that.
+	maxFrame   = 1 << 20
+	readBuffer = 16 << 10
+)
+
+// FrameError reports an answer that breaks the framing or ends without an end.
+type FrameError struct{ Cause error }
+
+// Error implements error.
+func (e *FrameError) Error() string { return "broken answer: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *FrameError) Unwrap() error { return e.Cause }
+
+// WriteHead writes the head of a request.
+func WriteHead(w io.Writer, head *wire.WorkHead) error {
+	_, err := protodelim.MarshalTo(w, head)
+	return err
+}
+
+// ReadHead reads the head of a request; the body follows on the same reader.
+func ReadHead(r *bufio.Reader) (*wire.WorkHead, error) {
+	head := &wire.WorkHead{}
+	if err := (protodelim.UnmarshalOptions{MaxSize: maxHead}).UnmarshalFrom(r, head); err != nil {
+		return nil, &FrameError{Cause: err}
+	}
+	return head, nil
+}
+
+// Writer writes an answer's frames, each flushed at once so that a token is
+// not held back.
+type Writer struct {
+	to    io.Writer
+	flush *http.ResponseController
+	buf   []byte
+	frame wire.Frame
+	data  wire.Frame_Data
+}
+
+// NewWriter returns a writer of frames on an HTTP response.
+func NewWriter(w http.ResponseWriter) *Writer {
+	return &Writer{to: w, flush: http.NewResponseController(w)}
+}
+
+// Head writes the upstream's status and header.
+func (w *Writer) Head(h *wire.AnswerHead) error {
+	w.frame.Kind = &wire.Frame_Head{Head: h}
+	return w.write()
+}
+
+// Data writes a piece of the body.
+func (w *Writer) Data(p []byte) error {
+	w.data.Data = p
+	w.frame.Kind = &w.data
+	return w.write()
+}
+
+// End writes the last frame.
+func (w *Writer) End(e *wire.End) error {
+	w.frame.Kind = &wire.Frame_End{End: e}
+	return w.write()
+}
+
+func (w *Writer) write() error {
+	var err error
+	w.buf = protowire.AppendVarint(w.buf[:0], uint64(proto.Size(&w.frame)))
+	w.buf, err = proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(w.buf, &w.frame)
+	if err != nil {
+		return err
+	}
+	if _, err = w.to.Write(w.buf); err != nil {
+		return err
+	}
+	return w.flush.Flush()
+}
+
+// Reader reads an answer's frames.
+type Reader struct{ from *bufio.Reader }
+
+// NewReader returns a reader of frames.
+func NewReader(r io.Reader) *Reader { return &Reader{from: bufio.NewReaderSize(r, readBuffer)} }
+
+// Next reads the next frame into f. Its error is a FrameError; the end of the
+// stream is one too, since an answer is complete only with its end frame.
+func (r *Reader) Next(f *wire.Frame) error {
+	err := (protodelim.UnmarshalOptions{MaxSize: maxFrame}).UnmarshalFrom(r.from, f)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return &FrameError{Cause: err}
+	}
+	return nil
+}
+
+// EndOf returns the end frame of a refusal; of a whole answer where r is nil.
+func EndOf(r *core.Refusal) *wire.End {
+	if r == nil {
+		return &wire.End{Outcome: uint32(core.Done)}
+	}
+	e := &wire.End{Outcome: uint32(r.Outcome), Code: string(r.Code), Reason: r.Reason}
+	if !r.RetryAt.IsZero() {
+		e.RetryAt = r.RetryAt.UnixNano()
+	}
+	return e
+}
+
+// RefusalOf returns the refusal an end frame carries, or nil for a whole
+// answer.
+func RefusalOf(e *wire.End, host core.HostName) *core.Refusal {
+	if core.Outcome(e.GetOutcome()) == core.Done {
+		return nil
+	}
+	r := &core.Refusal{Code: core.Code(e.GetCode()), Outcome: core.Outcome(e.GetOutcome()), Reason: e.GetReason(), Host: host}
+	r.RetryAt = Time(e.GetRetryAt())
+	return r
+}
+
+// Time returns a time sent as nanoseconds since the Unix epoch; zero is the
+// zero time.
+func Time(nanos int64) time.Time {
+	if nanos == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nanos)
+}
