--- /dev/null
+++ b/io/front/parse.go
@@ -0,0 +1,192 @@
+package front
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"radishwell/core"
+)
+
+// ask is what an entry reads of an OpenAI-style request; engines read the rest.
+type ask struct {
+	Model               *string           `json:"model"`
+	Messages            []json.RawMessage `json:"messages"`
+	Prompt              json.RawMessage   `json:"prompt"`
+	Stream              bool              `json:"stream"`
+	MaxTokens           *int              `json:"max_tokens"`
+	MaxCompletionTokens *int              `json:"max_completion_tokens"`
+	Temperature         *float64          `json:"temperature"`
+	TopP                *float64          `json:"top_p"`
+	N                   *int              `json:"n"`
+	User                *string           `json:"user"`
+	StreamOptions       *streamOptions    `json:"stream_options"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// body is a checked request body.
+type body struct {
+	raw    []byte
+	model  core.ModelName
+	stream bool
+	tokens int
+	// prefixes are hashes of the prompt's ever longer beginnings.
+	prefixes []uint64
+}
+
+// maxPrefixes bounds the prefixes looked at; a longer prompt shares little more.
+const maxPrefixes = 16
+
+// readAll reads a body of at most limit bytes.
+func readAll(w http.ResponseWriter, r *http.Request, limit core.Bytes) ([]byte, *core.Refusal) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, core.Refuse(core.CodeTooLarge, "the body is larger than "+limit.String())
+	case err != nil:
+		return nil, core.Refuse(core.CodeBadRequest, "the body ended before its length")
+	}
+	return raw, nil
+}
+
+// parseAsk checks the body of a request to /v1/chat/completions (chat) or
+// /v1/completions.
+func parseAsk(h http.Header, raw []byte, chat bool) (body, *core.Refusal) {
+	if kind, _, err := mime.ParseMediaType(h.Get(headerType)); err != nil || kind != "application/json" {
+		return body{}, core.Refuse(core.CodeBadRequest, "Content-Type must be application/json")
+	}
+	var a ask
+	if err := decodeOne(raw, &a); err != nil {
+		return body{}, core.Refuse(core.CodeBadRequest, jsonReason(err))
+	}
+	if reason := a.check(chat); reason != "" {
+		return body{}, core.Refuse(core.CodeBadRequest, reason)
+	}
+	return body{
+		raw: raw, model: core.ModelName(*a.Model), stream: a.Stream,
+		tokens: a.tokens(), prefixes: a.prefixes(),
+	}, nil
+}
+
+// trailingError reports data behind the one JSON value of a body.
+type trailingError struct{}
+
+func (trailingError) Error() string { return "data follows the JSON object" }
+
+func decodeOne(raw []byte, to any) error {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	if err := d.Decode(to); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return trailingError{}
+	}
+	return nil
+}
+
+func jsonReason(err error) string {
+	var wrong *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &wrong) && wrong.Field != "":
+		return wrong.Field + " must not be a " + wrong.Value
+	case errors.Is(err, io.EOF):
+		return "the body is empty; a JSON object is expected"
+	default:
+		return "the body is no JSON object: " + err.Error()
+	}
+}
+
+func (a ask) check(chat bool) string {
+	switch {
+	case a.Model == nil || *a.Model == "":
+		return "model is missing"
+	case chat && len(a.Messages) == 0:
+		return "messages must hold at least one message"
+	case !chat && len(a.Prompt) == 0:
+		return "prompt is missing"
+	case !chat && a.Prompt[0] != '"' && a.Prompt[0] != '[':
+		return "prompt must be a string or an array"
+	case a.MaxTokens != nil && *a.MaxTokens < 1:
+		return "max_tokens must be at least 1"
+	case a.MaxCompletionTokens != nil && *a.MaxCompletionTokens < 1:
+		return "max_completion_tokens must be at least 1"
+	case a.N != nil && *a.N < 1:
+		return "n must be at least 1"
+	case a.StreamOptions != nil && !a.Stream:
+		return "stream_options goes with stream"
+	}
+	return checkMessages(a.Messages)
+}
+
+func checkMessages(messages []json.RawMessage) string {
+	for _, raw := range messages {
+		var m struct {
+			Role    *string         `json:"role"`
+			Content json.RawMessage `json:"content"`
+		}
+		if err := json.Unmarshal(raw, &m); err != nil {
+			return "messages must hold objects with role and content"
+		}
+		if m.Role == nil {
+			return "a message has no role"
+		}
+	}
+	return ""
+}
+
+func (a ask) tokens() int {
+	switch {
+	case a.MaxCompletionTokens != nil:
+		return *a.MaxCompletionTokens
+	case a.MaxTokens != nil:
+		return *a.MaxTokens
+	}
+	return 0
+}
+
+func (a ask) prefixes() []uint64 {
+	pieces := a.Messages
+	if len(pieces) == 0 {
+		pieces = []json.RawMessage{a.Prompt}
+	}
+	var out []uint64
+	h := xxhash.New()
+	for _, p := range pieces[:min(len(pieces), maxPrefixes)] {
+		_, _ = h.Write(p)
+		out = append(out, h.Sum64())
+	}
+	return out
+}
+
+// fingerprint hashes what makes two requests the same: target, method, path
+// and body, each preceded by its length so that none runs into the next.
+func fingerprint(parts ...[]byte) core.Fingerprint {
+	h := xxhash.New()
+	for _, p := range parts {
+		_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(p))))
+		_, _ = h.Write(p)
+	}
+	return core.Fingerprint(h.Sum64())
+}
+
+// splitService splits a path below /services/ into the service's name and the
+// path the upstream sees.
+func splitService(path string) (core.ServiceName, string, bool) {
+	rest, ok := strings.CutPrefix(path, "/services/")
+	if !ok {
+		return "", "", false
+	}
+	name, below, _ := strings.Cut(rest, "/")
+	return core.ServiceName(name), "/" + below, name != ""
+}
