--- /dev/null
+++ b/core/catlog/build.go
@@ -0,0 +1,157 @@
+package catlog
+
+import "radishwell/core"
+
+// snapshot builds the lookups from the records in force.
+func (v *View) snapshot(order []id) *Snapshot {
+	b := builder{
+		s: &Snapshot{
+			keys:     map[Digest]Caller{},
+			accounts: map[core.OwnerName]*Account{},
+			models:   map[core.ModelName]*Entry{},
+			services: map[core.ServiceName]*Entry{},
+			pools:    map[core.ServiceName]*Pool{},
+			revision: v.revision,
+		},
+		shared: map[Digest]bool{},
+	}
+	for _, kind := range []core.Kind{core.KindOwner, core.KindService, core.KindModel, core.KindAdapter} {
+		for _, at := range order {
+			if r := v.records[at]; at.kind == kind && r.inForce() {
+				b.add(r.good)
+			}
+		}
+	}
+	return b.s
+}
+
+type builder struct {
+	s *Snapshot
+	// shared holds digests that more than one owner lists.
+	shared map[Digest]bool
+}
+
+func (b *builder) add(g *good) {
+	switch g.spec.kind {
+	case core.KindOwner:
+		b.owner(g)
+	case core.KindService:
+		b.service(g)
+	case core.KindModel:
+		b.model(g)
+	case core.KindAdapter:
+		b.adapter(g)
+	}
+}
+
+func (b *builder) owner(g *good) {
+	o := g.spec.owner
+	a := &Account{
+		Name:         core.OwnerName(g.spec.name),
+		Limits:       o.Limits,
+		CallerLimits: o.CallerLimits,
+		Version:      g.version,
+	}
+	b.s.accounts[a.Name] = a
+	b.s.list = append(b.s.list, a)
+	for _, k := range o.Keys {
+		d, _ := ParseDigest(k.Digest)
+		if _, taken := b.s.keys[d]; taken || b.shared[d] {
+			b.shared[d] = true
+			delete(b.s.keys, d)
+			continue
+		}
+		b.s.keys[d] = Caller{Account: a, Name: k.Caller}
+	}
+}
+
+func (b *builder) service(g *good) {
+	s := g.spec.service
+	p := &Pool{
+		Name:        core.ServiceName(g.spec.name),
+		Type:        s.Type,
+		Limits:      s.Limits,
+		ChecksFence: s.ChecksFence,
+		Version:     g.version,
+	}
+	b.s.pools[p.Name] = p
+	b.s.poolList = append(b.s.poolList, p)
+	if s.Type != core.PlainService {
+		return
+	}
+	e := &Entry{
+		Kind:       core.KindService,
+		Target:     core.Target{Service: p.Name},
+		Owner:      s.Owner,
+		Class:      s.Class,
+		Limits:     s.Limits,
+		Repeatable: s.Repeatable,
+		Version:    g.version,
+	}
+	if e.Repeatable == "" {
+		e.Repeatable = core.RepeatSafe
+	}
+	share(e, s.SharedWith)
+	b.s.services[p.Name] = e
+}
+
+func (b *builder) model(g *good) {
+	m := g.spec.model
+	e := &Entry{
+		Kind:         core.KindModel,
+		Target:       core.Target{Service: m.Service, Model: core.ModelName(g.spec.name)},
+		Owner:        m.Owner,
+		Class:        m.Class,
+		Limits:       m.Limits,
+		Memory:       m.Memory,
+		Accelerators: max(m.Accelerators, 1),
+		Repeatable:   repeatRule(m.Repeatable),
+		ChecksFence:  b.s.pools[m.Service].ChecksFence,
+		Version:      g.version,
+	}
+	share(e, m.SharedWith)
+	b.item(e)
+}
+
+func (b *builder) adapter(g *good) {
+	a := g.spec.adapter
+	base := b.s.models[a.Base]
+	e := &Entry{
+		Kind:         core.KindAdapter,
+		Target:       core.Target{Service: base.Target.Service, Model: core.ModelName(g.spec.name), Base: a.Base},
+		Owner:        a.Owner,
+		Class:        a.Class,
+		Limits:       a.Limits,
+		Memory:       a.Memory,
+		Accelerators: base.Accelerators,
+		Repeatable:   repeatRule(a.Repeatable),
+		ChecksFence:  base.ChecksFence,
+		Version:      g.version,
+	}
+	share(e, a.SharedWith)
+	b.item(e)
+}
+
+func (b *builder) item(e *Entry) {
+	b.s.models[e.Target.Model] = e
+	b.s.items = append(b.s.items, e)
+}
+
+func share(e *Entry, with []core.OwnerName) {
+	for _, n := range with {
+		if n == everyone {
+			e.Shared = true
+			return
+		}
+	}
+	e.SharedWith = with
+}
+
+// repeatRule turns an entry's flag into a rule: model requests are repeatable
+// unless it says false.
+func repeatRule(flag *bool) core.RepeatRule {
+	if flag != nil && !*flag {
+		return core.RepeatNone
+	}
+	return core.RepeatAll
+}
