--- /dev/null
+++ b/io/front/front.go
@@ -0,0 +1,241 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/catlog"
+)
+
+// Call is one request that has passed the callers' interface.
+type Call struct {
+	Request core.Request
+	// Entry is the catalogue entry asked for, Account and Caller who asks.
+	Entry   *catlog.Entry
+	Account *catlog.Account
+	// Method, Path, Header and Body are what the upstream gets.
+	Method string
+	Path   string
+	Header http.Header
+	Body   []byte
+	Answer *Answer
+}
+
+// Front is the handler of the callers' interface. Set the exported fields
+// before use.
+type Front struct {
+	Clock core.Clock
+	// Snapshot returns the catalogue in force, nil before there is one.
+	Snapshot func() *catlog.Snapshot
+	// Serve answers a call: it returns once Answer has been ended.
+	Serve func(ctx context.Context, c *Call)
+	// Refused is told of each request that did not get as far as Serve.
+	Refused func(id core.RequestID, r *core.Refusal)
+	// MaxBody is the largest body taken.
+	MaxBody core.Bytes
+	// Deadline returns when a request without a deadline of its own ends.
+	Deadline func(class core.Class, arrived time.Time) time.Time
+	// NewID returns a fresh request id.
+	NewID func() core.RequestID
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := f.NewID()
+	arrived := f.Clock.Now()
+	if refusal := f.serve(w, r, id, arrived); refusal != nil {
+		f.Refused(id, refusal)
+		writeRefusal(w, refusal, id, f.Clock.Now())
+	}
+}
+
+func (f *Front) serve(w http.ResponseWriter, r *http.Request, id core.RequestID, arrived time.Time) *core.Refusal {
+	if refusal := checkSingle(r.Header); refusal != nil {
+		return refusal
+	}
+	snapshot := f.Snapshot()
+	if snapshot == nil {
+		return core.RefuseUntil(core.CodeNotReady, "the catalogue has not arrived yet", arrived.Add(time.Second))
+	}
+	caller, refusal := authenticate(snapshot, r.Header)
+	if refusal != nil {
+		return refusal
+	}
+	p := pending{front: f, w: w, r: r, id: id, arrived: arrived, snapshot: snapshot, caller: caller}
+	return p.dispatch()
+}
+
+func authenticate(s *catlog.Snapshot, h http.Header) (catlog.Caller, *core.Refusal) {
+	key, refusal := bearer(h)
+	if refusal != nil {
+		return catlog.Caller{}, refusal
+	}
+	caller, ok := s.Caller(catlog.DigestOf(key))
+	if !ok {
+		return catlog.Caller{}, core.Refuse(core.CodeBadKey, "the key is unknown")
+	}
+	return caller, nil
+}
+
+// pending is a request on its way through the checks.
+type pending struct {
+	front    *Front
+	w        http.ResponseWriter
+	r        *http.Request
+	id       core.RequestID
+	arrived  time.Time
+	snapshot *catlog.Snapshot
+	caller   catlog.Caller
+}
+
+func (p *pending) dispatch() *core.Refusal {
+	path := p.r.URL.Path
+	switch {
+	case path == "/v1/chat/completions":
+		return p.work(true)
+	case path == "/v1/completions":
+		return p.work(false)
+	case path == "/v1/models":
+		return p.listModels()
+	case strings.HasPrefix(path, "/v1/models/"):
+		return p.showModel(core.ModelName(strings.TrimPrefix(path, "/v1/models/")))
+	case strings.HasPrefix(path, "/services/"):
+		return p.service()
+	}
+	return core.Refuse(core.CodeUnknownPath, "there is nothing at "+path)
+}
+
+func (p *pending) method(want string) *core.Refusal {
+	if p.r.Method == want {
+		return nil
+	}
+	p.w.Header().Set("Allow", want)
+	return core.Refuse(core.CodeMethod, "the path takes "+want)
+}
+
+// work serves a request to a model or adapter.
+func (p *pending) work(chat bool) *core.Refusal {
+	if refusal := p.method(http.MethodPost); refusal != nil {
+		return refusal
+	}
+	raw, refusal := readAll(p.w, p.r, p.front.MaxBody)
+	if refusal != nil {
+		return refusal
+	}
+	parsed, refusal := parseAsk(p.r.Header, raw, chat)
+	if refusal != nil {
+		return refusal
+	}
+	entry, ok := p.snapshot.Model(parsed.model)
+	if !ok {
+		return core.Refuse(core.CodeUnknownModel, "no model "+string(parsed.model)+" is in force")
+	}
+	c := &Call{Entry: entry, Method: http.MethodPost, Path: p.r.URL.Path, Body: raw}
+	c.Request.Tokens, c.Request.Stream, c.Request.Prefixes = parsed.tokens, parsed.stream, parsed.prefixes
+	return p.hand(c, parsed.stream)
+}
+
+// service serves a request to a plain service.
+func (p *pending) service() *core.Refusal {
+	name, below, ok := splitService(p.r.URL.EscapedPath())
+	if !ok {
+		return core.Refuse(core.CodeUnknownPath, "name a service, as in /services/NAME/")
+	}
+	entry, ok := p.snapshot.Service(name)
+	if !ok {
+		return core.Refuse(core.CodeUnknownModel, "no service "+string(name)+" is in force")
+	}
+	if p.r.Header.Get("Upgrade") != "" || p.r.Method == http.MethodConnect {
+		return core.Refuse(core.CodeMethod, "protocol upgrades are not relayed")
+	}
+	raw, refusal := readAll(p.w, p.r, p.front.MaxBody)
+	if refusal != nil {
+		return refusal
+	}
+	if p.r.URL.RawQuery != "" {
+		below += "?" + p.r.URL.RawQuery
+	}
+	c := &Call{Entry: entry, Method: p.r.Method, Path: below, Body: raw}
+	c.Request.Stream = true
+	return p.hand(c, true)
+}
+
+// hand completes the call and passes it on.
+func (p *pending) hand(c *Call, stream bool) *core.Refusal {
+	if !c.Entry.Allows(p.caller.Account.Name) {
+		return core.Refuse(core.CodeForbidden, "the owner "+string(p.caller.Account.Name)+" may not use "+c.Entry.Target.Name())
+	}
+	key, refusal := idempotencyKey(p.r.Header)
+	if refusal != nil {
+		return refusal
+	}
+	due, refusal := deadline(p.r.Header, p.arrived, p.front.Deadline(c.Entry.Class, p.arrived))
+	if refusal != nil {
+		return refusal
+	}
+	c.Account = p.caller.Account
+	c.Header = upstreamHeader(p.r.Header)
+	q := &c.Request
+	q.ID, q.Target, q.Class, q.Key = p.id, c.Entry.Target, c.Entry.Class, key
+	q.Owner, q.Caller = p.caller.Account.Name, p.caller.Name
+	q.Arrived, q.Deadline = p.arrived, due
+	q.Repeatable = c.Entry.Repeats(c.Method)
+	q.Size = core.Bytes(len(c.Body))
+	q.Fingerprint = fingerprint([]byte(q.Target.Name()), []byte(c.Method), []byte(c.Path), c.Body)
+	c.Answer = &Answer{
+		w: p.w, flush: http.NewResponseController(p.w), id: p.id, clock: p.front.Clock,
+		stream: stream, events: q.Target.Model != "",
+	}
+	p.front.Serve(p.r.Context(), c)
+	return nil
+}
+
+type modelInfo struct {
+	ID      core.ModelName `json:"id"`
+	Object  string         `json:"object"`
+	Created int64          `json:"created"`
+	OwnedBy core.OwnerName `json:"owned_by"`
+	Class   core.Class     `json:"radishwell-class"`
+	Base    core.ModelName `json:"radishwell-base,omitempty"`
+}
+
+func infoOf(e *catlog.Entry) modelInfo {
+	return modelInfo{ID: e.Target.Model, Object: "model", OwnedBy: e.Owner, Class: e.Class, Base: e.Target.Base}
+}
+
+func (p *pending) listModels() *core.Refusal {
+	if refusal := p.method(http.MethodGet); refusal != nil {
+		return refusal
+	}
+	list := []modelInfo{}
+	for e := range p.snapshot.Usable(p.caller.Account.Name) {
+		list = append(list, infoOf(e))
+	}
+	p.writeDocument(map[string]any{"object": "list", "data": list})
+	return nil
+}
+
+func (p *pending) showModel(name core.ModelName) *core.Refusal {
+	if refusal := p.method(http.MethodGet); refusal != nil {
+		return refusal
+	}
+	e, ok := p.snapshot.Model(name)
+	if !ok || !e.Allows(p.caller.Account.Name) {
+		return core.Refuse(core.CodeUnknownModel, "no model "+string(name)+" is in force for this caller")
+	}
+	p.writeDocument(infoOf(e))
+	return nil
+}
+
+func (p *pending) writeDocument(v any) {
+	h := p.w.Header()
+	h.Set(headerType, "application/json")
+	h.Set(HeaderOutcome, core.Done.String())
+	h.Set(HeaderRequestID, string(p.id))
+	// An error here is the caller's going away; there is nobody left to tell.
+	_ = json.NewEncoder(p.w).Encode(v)
+}
--- a/io/relay/spool.go
+++ b/io/relay/spool.go
@@ -29,10 +29,6 @@
 type Spool struct {
 	// Window is the most bytes held before and after the reader's offset.
 	Window int
-	// Whole keeps the answer from its beginning, for a keyed request whose
-	// repeat gets the same answer.
-	Whole bool
-
 	mu    sync.Mutex
 	head  *wire.AnswerHead
 	data  []byte
@@ -43,9 +39,7 @@
 }
 
 // NewSpool returns a spool with the default window.
-func NewSpool(whole bool) *Spool {
-	return &Spool{Window: DefaultWindow, Whole: whole, turn: make(chan struct{})}
-}
+func NewSpool() *Spool { return &Spool{Window: DefaultWindow, turn: make(chan struct{})} }
 
 // wake tells all waiters that something changed. The caller holds the lock.
 func (s *Spool) wake() {
@@ -66,7 +60,7 @@
 func (s *Spool) Write(ctx context.Context, p []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for !s.Whole && s.first+int64(len(s.data))-s.read > int64(s.Window) {
+	for s.first+int64(len(s.data))-s.read > int64(s.Window) {
 		turn := s.turn
 		s.mu.Unlock()
 		select {
@@ -86,7 +80,7 @@
 // trim drops what lies more than a window before the reader.
 func (s *Spool) trim() {
 	drop := s.read - s.first - int64(s.Window)
-	if s.Whole || drop < int64(s.Window) {
+	if drop < int64(s.Window) {
 		return
 	}
 	s.data = append(make([]byte, 0, len(s.data)-int(drop)+s.Window), s.data[drop:]...)
@@ -119,56 +113,16 @@
 	return s.first + int64(len(s.data))
 }
 
-// Copy writes the answer from an offset to a connection until the answer ends.
-// The head is sent first where the offset is zero. Its errors are the
-// context's, the connection's, or a LostError.
-func (s *Spool) Copy(ctx context.Context, w *Writer, offset int64) error {
-	headed := offset > 0
-	for {
-		step, err := s.next(offset)
-		if err != nil {
-			return err
-		}
-		if !headed && step.head != nil {
-			if err := w.Head(step.head); err != nil {
-				return err
-			}
-			headed = true
-		}
-		if len(step.data) > 0 {
-			if err := w.Data(step.data); err != nil {
-				return err
-			}
-			offset += int64(len(step.data))
-			continue
-		}
-		if step.end != nil {
-			return w.End(step.end)
-		}
-		select {
-		case <-step.turn:
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		}
-	}
-}
-
-type step struct {
-	head *wire.AnswerHead
-	data []byte
-	end  *wire.End
-	turn <-chan struct{}
-}
-
 // maxPiece keeps a data frame well below what a reader accepts.
 const maxPiece = 64 << 10
 
-func (s *Spool) next(offset int64) (step, error) {
+// Next implements Source. Its error is a LostError.
+func (s *Spool) Next(offset int64) (Step, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := offset - s.first
 	if at < 0 || at > int64(len(s.data)) {
-		return step{}, &LostError{Offset: offset, First: s.first}
+		return Step{}, &LostError{Offset: offset, First: s.first}
 	}
 	if offset > s.read {
 		s.read = offset
@@ -180,7 +134,7 @@
 	if len(piece) > maxPiece {
 		piece = piece[:maxPiece]
 	}
-	return step{head: s.head, data: piece, end: s.end, turn: s.turn}, nil
+	return Step{Head: s.head, Data: piece, End: s.end, Turn: s.turn}, nil
 }
 
 // Refused returns the refusal the answer ended with, or nil.
