--- a/io/relay/spool.go
+++ b/io/relay/spool.go
@@ -29,13 +29,13 @@
 type Spool struct {
 	// Window is the most bytes held before and after the reader's offset.
 	Window int
-	mu    sync.Mutex
-	head  *wire.AnswerHead
-	data  []byte
-	first int64 // offset of data[0] in the answer
-	read  int64 // the reader's offset
-	end   *wire.End
-	turn  chan struct{}
+	mu     sync.Mutex
+	head   *wire.AnswerHead
+	data   []byte
+	first  int64 // offset of data[0] in the answer
+	read   int64 // the reader's offset
+	end    *wire.End
+	turn   chan struct{}
 }
 
 // NewSpool returns a spool with the default window.
