--- /dev/null
+++ b/core/dedupe/keep.go
@@ -0,0 +1,129 @@
+package dedupe
+
+import (
+	"container/heap"
+	"time"
+
+	"radishwell/core"
+)
+
+// Append adds bytes to the answer of a running attempt. The table keeps data
+// by reference; the caller must not change it afterwards.
+func (t *Table) Append(id KeyID, attempt uint64, data []byte) {
+	r := t.running(id, attempt)
+	if r == nil || r.answer == nil || len(data) == 0 {
+		return
+	}
+	r.answer.chunks = append(r.answer.chunks, data)
+	r.answer.size += int64(len(data))
+	t.bytes += int64(len(data))
+	t.evict(r)
+}
+
+// Finish ends a running attempt. A refusal that says "not run" seals it.
+func (t *Table) Finish(now time.Time, id KeyID, attempt uint64, end End) {
+	r := t.running(id, attempt)
+	if r == nil {
+		return
+	}
+	switch {
+	case end.Refusal != nil && end.Refusal.Outcome == core.NotRun:
+		t.release(r)
+		r.state = Sealed
+	case r.answer == nil:
+		r.state = Lost
+	default:
+		r.state = Done
+		r.answer.end = &end
+		t.turn++
+		r.turn = t.turn
+		t.done = append(t.done, finished{id: id, turn: t.turn})
+	}
+	if !now.Before(r.expires) {
+		heap.Push(&t.expiry, expiryItem{at: r.expires, id: id})
+	}
+	t.expire(now)
+	t.trim()
+}
+
+// trim removes ended answers whose records have been dropped from the front of
+// the eviction order, which would grow for ever on an agent that never evicts.
+func (t *Table) trim() {
+	for len(t.done) > 0 {
+		r := t.records[t.done[0].id]
+		if r != nil && r.turn == t.done[0].turn && r.state == Done {
+			return
+		}
+		t.done = t.done[1:]
+	}
+}
+
+// View is a part of an attempt's answer.
+type View struct {
+	// Chunks are the bytes from the offset asked for; they must not be changed.
+	Chunks [][]byte
+	// End is set once the answer is complete with Chunks.
+	End *End
+}
+
+// Read returns the answer of an attempt from an offset on. It is false where
+// the answer isn't kept: the reader reports CodeRanElsewhere, or, if the
+// attempt was sealed meanwhile, what Attach then says.
+func (t *Table) Read(id KeyID, attempt uint64, offset int64) (View, bool) {
+	r := t.records[id]
+	if r == nil || r.attempt != attempt || r.answer == nil {
+		return View{}, false
+	}
+	return View{Chunks: r.answer.read(offset), End: r.answer.end}, true
+}
+
+func (t *Table) running(id KeyID, attempt uint64) *record {
+	r := t.records[id]
+	if r == nil || r.attempt != attempt || r.state != Running {
+		return nil
+	}
+	return r
+}
+
+// evict makes room: the answers that ended first go first, then the answer
+// that is growing. Without the bound, a caller with many long answers would
+// take the agent's memory; the record stays, so a repeat never runs again.
+func (t *Table) evict(growing *record) {
+	for t.bytes > int64(t.MaxBytes) && len(t.done) > 0 {
+		if r := t.records[t.done[0].id]; r != nil && r.turn == t.done[0].turn && r.state == Done {
+			t.release(r)
+			r.state = Lost
+		}
+		t.done = t.done[1:]
+	}
+	if t.bytes > int64(t.MaxBytes) {
+		t.release(growing)
+	}
+}
+
+func (t *Table) release(r *record) {
+	if r.answer == nil {
+		return
+	}
+	t.bytes -= r.answer.size
+	r.answer = nil
+}
+
+type expiryItem struct {
+	at time.Time
+	id KeyID
+}
+
+// expiryHeap orders records by expiry; a prolonged one has a stale item too.
+type expiryHeap []expiryItem
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *expiryHeap) Push(x any)        { *h = append(*h, x.(expiryItem)) }
+func (h *expiryHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
