--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -10,13 +10,17 @@
 	"radishwell/core/dedupe"
 	"radishwell/core/ledger"
 	"radishwell/core/queue"
+	"radishwell/core/strike"
 	"radishwell/io/events"
+	"radishwell/io/meter"
+	"radishwell/io/spans"
 )
 
-// Bounds of what an agent keeps.
 const (
 	// maxRecords bounds the requests remembered for attaching and sealing.
 	maxRecords = 200_000
+	// maxStrikes bounds the strikes known.
+	maxStrikes = 10_000
 	// defaultConcurrency is how many requests of one model run at once where
 	// the catalogue sets no limit: engines batch about that many.
 	defaultConcurrency = 64
@@ -33,64 +37,85 @@
 	Incarnation core.Incarnation
 	Engine      core.Engine
 	Clock       core.Clock
-	// Snapshot returns the catalogue in force; nil before there is one.
+	Meter       *meter.Meter
+	Tracer      *spans.Tracer
+	// Snapshot returns the catalogue in force.
 	Snapshot func() *catlog.Snapshot
-	// Granted tells whether this host may load an item now.
-	Granted func(core.ModelName) bool
+	// Grant tells how the platform's newest known word on this host and an item
+	// stands; ok is false where the word may be older than a release that a
+	// predecessor of this process made.
+	Grant func(core.ModelName) (g core.GrantState, ok bool)
+	// Release takes this host out of an item's grant. The item is not on the
+	// host and cannot get there any more.
+	Release func(ctx context.Context, name core.ModelName) error
+	// Spread sends strikes to peers at once.
+	Spread func([]strike.Record)
 	// KeptAnswers bounds the memory for answers of keyed requests.
 	KeptAnswers core.Bytes
-	// KeyAge is how long a keyed request is remembered.
-	KeyAge time.Duration
 
 	mu      sync.Mutex
 	ledger  ledger.Ledger
 	queue   queue.Queue
 	table   dedupe.Table
+	book    strike.Book
+	gate    strike.Gate
 	runs    map[dedupe.KeyID]*run
 	byID    map[core.RequestID]*run
+	lanes   map[string]*lane
+	inWork  int
 	state   core.EngineState
 	reached bool
 	leaving bool
-	wake    chan struct{}
-	alarm   chan struct{}
-	started chan struct{}
-	base    context.Context
-	work    sync.WaitGroup
+	swept   time.Time
+	// orders wakes the goroutine that drives the engine, alarm the one that
+	// waits for deadlines.
+	orders chan struct{}
+	alarm  chan struct{}
+	base   context.Context
+	work   sync.WaitGroup
+	ready  chan struct{}
+	once   sync.Once
 }
 
-// Run drives the engine until the context ends. Requests may be handed over
-// from the moment that Ready is closed.
-func (a *Agent) Run(ctx context.Context) error {
-	a.init(ctx)
-	ended := make(chan struct{}, 2)
-	go func() { a.drive(ctx); ended <- struct{}{} }()
-	go func() { a.expire(ctx); ended <- struct{}{} }()
-	events.Log(events.Started, "role", "agent", "host", a.Host)
-	<-ended
-	<-ended
-	a.work.Wait()
-	return nil
-}
-
-func (a *Agent) init(ctx context.Context) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+// Init prepares the agent for requests; Run calls are made after it.
+func (a *Agent) Init(ctx context.Context) {
 	a.base = ctx
-	a.ledger = ledger.Ledger{ChecksFence: a.checksFence(), Started: a.Clock.Now()}
 	a.table = dedupe.Table{Incarnation: a.Incarnation, MaxBytes: a.KeptAnswers, MaxRecords: maxRecords}
+	a.book = strike.Book{Self: a.Host, MaxRecords: maxStrikes}
+	a.gate = strike.Gate{Book: &a.book}
+	a.ledger = ledger.Ledger{Started: a.Clock.Now()}
 	a.runs = map[dedupe.KeyID]*run{}
 	a.byID = map[core.RequestID]*run{}
-	a.wake = make(chan struct{}, 1)
+	a.lanes = map[string]*lane{}
+	a.orders = make(chan struct{}, 1)
 	a.alarm = make(chan struct{}, 1)
+	a.ready = make(chan struct{})
 }
 
-func (a *Agent) checksFence() bool {
-	s := a.Snapshot()
-	if s == nil {
-		return false
-	}
-	p, ok := s.Pool(a.Service)
-	return ok && p.ChecksFence
+// Ready is closed once the upstream has been reached.
+func (a *Agent) Ready() <-chan struct{} { return a.ready }
+
+// Run drives the upstream until the context ends. It returns a FencedError if
+// another agent orders the same engine.
+func (a *Agent) Run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	ended := make(chan error, 2)
+	go func() { ended <- a.drive(ctx) }()
+	go func() { ended <- a.watchDeadlines(ctx) }()
+	err := <-ended
+	stop()
+	<-ended
+	a.work.Wait()
+	return err
+}
+
+// FencedError reports that another agent orders this agent's engine.
+type FencedError struct{ Host core.HostName }
+
+// Error implements error.
+func (e *FencedError) Error() string {
+	return "another agent orders the engine of host " + string(e.Host)
 }
 
 // poke wakes a loop that waits on a channel of capacity one.
@@ -101,25 +126,68 @@
 	}
 }
 
-// expire ends waiting requests whose time has run out.
-func (a *Agent) expire(ctx context.Context) {
-	timer := time.NewTimer(time.Hour)
+// tick is the longest time between two looks at the queue.
+const tick = time.Second
+
+// watchDeadlines ends waiting requests whose time has run out, and runs whose
+// readers have gone.
+func (a *Agent) watchDeadlines(ctx context.Context) error {
+	timer := time.NewTimer(tick)
 	defer timer.Stop()
 	for {
+		now := a.Clock.Now()
 		a.mu.Lock()
-		a.schedule(a.Clock.Now())
+		a.schedule(now)
+		a.sweep(now)
 		next := a.queue.Next()
 		a.mu.Unlock()
-		wait := time.Second
+		wait := tick
 		if !next.IsZero() {
-			wait = min(wait, max(0, next.Sub(a.Clock.Now())))
+			wait = min(tick, max(time.Millisecond, next.Sub(now)))
 		}
 		timer.Reset(wait)
 		select {
 		case <-timer.C:
 		case <-a.alarm:
 		case <-ctx.Done():
-			return
+			return nil
+		}
+	}
+}
+
+// Leave stops the taking of new work: what waits is refused at once, so that
+// entries try it elsewhere, and what runs goes on.
+func (a *Agent) Leave() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving {
+		return
+	}
+	a.leaving = true
+	events.Log(events.HostLeaving, "host", a.Host)
+	now := a.Clock.Now()
+	for _, r := range a.byID {
+		if r.ended.IsZero() && !r.began {
+			a.queue.Remove(r.id)
+			a.end(r, now, a.leavingRefusal(now))
+		}
+	}
+}
+
+func (a *Agent) leavingRefusal(now time.Time) *core.Refusal {
+	r := core.RefuseUntil(core.CodeLeaving, "the host is leaving", now.Add(time.Second))
+	r.Host = a.Host
+	return r
+}
+
+// Idle reports whether no request is waiting, running or being read.
+func (a *Agent) Idle() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, r := range a.byID {
+		if r.ended.IsZero() || r.readers > 0 {
+			return false
 		}
 	}
+	return true
 }
--- /dev/null
+++ b/io/agent/sched.go
@@ -0,0 +1,245 @@
+package agent
+
+import (
+	"math"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/catlog"
+	"radishwell/core/ledger"
+	"radishwell/core/queue"
+	"radishwell/core/strike"
+	"radishwell/io/events"
+	"radishwell/io/meter"
+)
+
+// lane is the requests of one model, adapter or plain service.
+type lane struct {
+	name    string
+	target  core.Target
+	waiting int
+	running int
+	// loading is when the load that the lane waits for began.
+	loading time.Time
+	// cold tells that requests now waiting have waited for a load.
+	cold bool
+	// idle is when the last request ended.
+	idle time.Time
+}
+
+func (a *Agent) lane(t core.Target) *lane {
+	l := a.lanes[t.Name()]
+	if l == nil {
+		l = &lane{name: t.Name(), target: t}
+		a.lanes[t.Name()] = l
+	}
+	return l
+}
+
+// schedule starts what may start and asks for the loads that waiting requests
+// need. The lock is held.
+func (a *Agent) schedule(now time.Time) {
+	for _, gone := range a.queue.Expire(now) {
+		a.refused(now, gone)
+	}
+	for {
+		item, ok := a.queue.Pop(now, func(name string) bool { return a.free(now, a.lanes[name]) })
+		for _, gone := range a.queue.Expire(now) {
+			a.refused(now, gone)
+		}
+		if !ok {
+			break
+		}
+		a.start(now, a.byID[item.ID])
+	}
+	for _, l := range a.lanes {
+		if l.waiting > 0 {
+			a.want(now, l)
+		}
+	}
+}
+
+// free tells whether the lane's next request may start.
+func (a *Agent) free(now time.Time, l *lane) bool {
+	if l.running >= a.concurrency(l.target) || a.inWork >= a.serviceConcurrency() {
+		return false
+	}
+	return a.Plain || a.ledger.Item(l.target.Model).State == core.Loaded && a.baseLoaded(l.target)
+}
+
+func (a *Agent) baseLoaded(t core.Target) bool {
+	return t.Base == "" || a.ledger.Item(t.Base).State == core.Loaded
+}
+
+func (a *Agent) concurrency(t core.Target) int {
+	if e, ok := a.entry(t); ok && e.Limits.Concurrency > 0 {
+		return e.Limits.Concurrency
+	}
+	return defaultConcurrency
+}
+
+func (a *Agent) serviceConcurrency() int {
+	if p, ok := a.Snapshot().Pool(a.Service); ok && p.Limits.Concurrency > 0 {
+		return p.Limits.Concurrency
+	}
+	return math.MaxInt
+}
+
+func (a *Agent) entry(t core.Target) (*catlog.Entry, bool) {
+	if t.Model == "" {
+		return a.Snapshot().Service(t.Service)
+	}
+	return a.Snapshot().Model(t.Model)
+}
+
+// start hands a popped request to the upstream, unless what it is suspected of
+// makes it wait or be refused.
+func (a *Agent) start(now time.Time, r *run) {
+	verdict := a.gate.MayRun(now, r.call.Fingerprint, a.inFlight())
+	switch verdict.Action {
+	case strike.Deny:
+		a.queue.Finish(now, r.id, queue.Failed)
+		a.end(r, now, verdict.Refusal)
+		return
+	case strike.Wait:
+		// Back to the queue; it is popped again at the next look.
+		a.queue.Finish(now, r.id, queue.Failed)
+		a.held = append(a.held, r)
+		return
+	}
+	use, ok := a.beginUse(now, r)
+	if !ok {
+		a.queue.Finish(now, r.id, queue.Failed)
+		a.end(r, now, core.RefuseUntil(core.CodeLoadFailed, "the model was unloaded", now.Add(time.Second)))
+		return
+	}
+	l := a.lane(r.target)
+	l.waiting--
+	l.running++
+	a.inWork++
+	r.cold = l.cold
+	if l.waiting == 0 {
+		l.cold = false
+	}
+	r.use = use
+	r.alone = verdict.Alone
+	r.epoch = a.state.Epoch
+	a.Meter.Hop(meter.AgentQueue, r.arrived, now)
+	a.begin(r, now)
+}
+
+func (a *Agent) beginUse(now time.Time, r *run) (ledger.Use, bool) {
+	if a.Plain {
+		return ledger.Use{}, true
+	}
+	return a.ledger.Begin(now, r.target.Model)
+}
+
+func (a *Agent) inFlight() []core.Fingerprint {
+	var list []core.Fingerprint
+	for _, r := range a.byID {
+		if r.began && r.ended.IsZero() {
+			list = append(list, r.call.Fingerprint)
+		}
+	}
+	return list
+}
+
+// want has the lane's model loaded. A cold start needs no call of the platform:
+// the grant is there already.
+func (a *Agent) want(now time.Time, l *lane) {
+	if a.Plain || a.ledger.Item(l.target.Model).State == core.Loaded && a.baseLoaded(l.target) {
+		return
+	}
+	l.cold = true
+	verdict := ledger.NoBase
+	if l.target.Base == "" || a.baseLoaded(l.target) {
+		verdict = a.load1(now, l.target.Model, l.target.Base)
+	}
+	if verdict == ledger.NoBase {
+		verdict = a.load1(now, l.target.Base, "")
+	}
+	switch verdict {
+	case ledger.NoMemory, ledger.TooLarge:
+		a.refuseLane(now, l, core.CodeNoMemory, "no accelerator has room for "+l.name)
+	case ledger.Ready, ledger.Coming, ledger.Evicting, ledger.Parting, ledger.NotReady:
+		poke(a.orders)
+	}
+}
+
+// load1 asks the ledger for one item.
+func (a *Agent) load1(now time.Time, name, base core.ModelName) ledger.Verdict {
+	e, ok := a.Snapshot().Model(name)
+	if !ok {
+		return ledger.NotReady
+	}
+	return a.ledger.Load(now, ledger.Want{
+		Name: name, Base: base, Bytes: e.Memory, Accelerators: e.Accelerators, Source: a.tier(name),
+	}, a.keep)
+}
+
+// tier is where the engine's host finds a checkpoint.
+func (a *Agent) tier(name core.ModelName) core.Tier {
+	for _, c := range a.state.Copies {
+		if c.Name == name {
+			return c.Tier
+		}
+	}
+	return core.TierStore
+}
+
+// keep scores an item for eviction: what requests wait for stays, and among the
+// rest the one that was used last goes last.
+func (a *Agent) keep(name core.ModelName) float64 {
+	for _, l := range a.lanes {
+		if l.waiting > 0 && (l.target.Model == name || l.target.Base == name) {
+			return math.Inf(1)
+		}
+	}
+	return 0
+}
+
+// refuseLane refuses all waiting requests of a lane, so that their entries try
+// another host now and not after a deadline.
+func (a *Agent) refuseLane(now time.Time, l *lane, code core.Code, reason string) {
+	for _, r := range a.byID {
+		if r.target == l.target && !r.began && r.ended.IsZero() {
+			a.queue.Remove(r.id)
+			a.end(r, now, core.RefuseUntil(code, reason, now.Add(time.Second)))
+		}
+	}
+	l.cold = false
+}
+
+// finish takes a run's end from its goroutine.
+func (a *Agent) finish(r *run, refusal *core.Refusal) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock.Now()
+	end := queue.Served
+	switch {
+	case refusal != nil:
+		end = queue.Failed
+	case r.cold:
+		end = queue.ServedCold
+	}
+	a.queue.Finish(now, r.id, end)
+	l := a.lane(r.target)
+	l.running--
+	l.idle = now
+	a.inWork--
+	if !a.Plain {
+		a.ledger.End(now, r.use)
+	}
+	if refusal == nil {
+		if record, ok := a.gate.Ended(now, r.call.Fingerprint, r.alone); ok {
+			go a.Spread([]strike.Record{record})
+		}
+	}
+	a.end(r, now, refusal)
+	if refusal != nil && refusal.Outcome == core.MayHaveRun {
+		events.Log(events.RequestMayHaveRun, "request", r.id, "code", refusal.Code, "reason", refusal.Reason)
+	}
+	a.schedule(now)
+	poke(a.alarm)
+}
