Add settings, TLS, log events, metrics and traces

The shells need them to start: io/config reads and checks settings files, io/certs keeps TLS files and makes keys, io/events numbers the log lines, io/meter counts and io/spans traces. Metrics and traces stand in packages of their own, since each is one job.

--- a/core/strict/decode.go
+++ b/core/strict/decode.go
@@ -261,3 +261,16 @@
 	}
 	return "something else"
 }
+
+// Keys lists the top-level keys of a mapping, in the order of the text; none
+// where the document is no mapping.
+func (d *Document) Keys() []string {
+	pairs, _ := pairsOf(d.root)
+	var keys []string
+	for _, pair := range pairs {
+		if name, ok := keyText(pair.Key); ok {
+			keys = append(keys, name)
+		}
+	}
+	return keys
+}
--- /dev/null
+++ b/io/config/settings.go
@@ -0,0 +1,98 @@
+package config
+
+import (
+	"net/netip"
+	"time"
+
+	"radishwell/core"
+)
+
+// Settings are the settings of one process.
+type Settings struct {
+	Role       Role            `yaml:"role" required:"true" doc:"What the process does: entry takes callers' requests, agent runs beside an upstream."`
+	Name       core.HostName   `yaml:"name" required:"true" doc:"Name of the host, as in the platform's list of hosts."`
+	DataCentre core.DataCentre `yaml:"data-centre" required:"true" doc:"Name of the data centre the host stands in."`
+	Region     core.Region     `yaml:"region" doc:"Name of the region the data centre belongs to."`
+	Listen     Listen          `yaml:"listen"`
+	// Peers are control addresses to try before the platform has been reached.
+	Peers     []netip.AddrPort `yaml:"peers" doc:"Control addresses of a few other processes, asked for the catalogue when the platform is down at the start. The process's own may be among them."`
+	Platform  Platform         `yaml:"platform"`
+	Engine    Engine           `yaml:"engine"`
+	TLS       TLS              `yaml:"tls"`
+	Telemetry Telemetry        `yaml:"telemetry"`
+	Limits    Limits           `yaml:"limits"`
+}
+
+// Listen holds the addresses that a process takes connections on.
+type Listen struct {
+	Callers   netip.AddrPort `yaml:"callers" doc:"Where callers' HTTP requests are taken. Entry only, needed there."`
+	Work      netip.AddrPort `yaml:"work" doc:"Where entries hand requests over (HTTP/2). Agent only, needed there."`
+	Control   netip.AddrPort `yaml:"control" required:"true" doc:"Where calls of other processes are taken (net/rpc)."`
+	Operators netip.AddrPort `yaml:"operators" required:"true" doc:"Where operators find metrics, health and explanations. It has no authentication of its own: keep it off callers' networks."`
+}
+
+// Platform tells how to reach the platform's object API.
+type Platform struct {
+	URLs      []Origin `yaml:"urls" required:"true" doc:"Base addresses of the object API by IP number, as in https://10.1.0.5:6443; tried in turn."`
+	TokenFile string   `yaml:"token-file" doc:"File with the bearer token for the object API; read again when it changes."`
+	CA        string   `yaml:"ca" doc:"File with the certificates that the object API's own is checked against. Needed with https."`
+}
+
+// Engine tells an agent which upstream it stands beside.
+type Engine struct {
+	Address Origin           `yaml:"address" doc:"Base address of the upstream, as in http://127.0.0.1:9000. Agent only, needed there."`
+	Type    core.ServiceType `yaml:"type" default:"engine" doc:"Either engine, which loads models by order, or plain, a service without them. Agent only."`
+	Service core.ServiceName `yaml:"service" doc:"Name of the service in the catalogue that the upstream belongs to. Agent only, needed there."`
+}
+
+// TLS names the files for TLS. Paths that are not absolute start at the
+// directory of the settings file. Files are read again when they change.
+type TLS struct {
+	CA      string    `yaml:"ca" doc:"File with the certificates that other processes' are checked against. Needed, with cert and key, unless all addresses of listen and peers but callers' are on the loopback."`
+	Cert    string    `yaml:"cert" doc:"File with the process's own certificate, which carries its role and host name."`
+	Key     string    `yaml:"key" doc:"File with the key of cert."`
+	Callers CallerTLS `yaml:"callers"`
+}
+
+// CallerTLS names the files with which an entry serves callers over TLS.
+type CallerTLS struct {
+	Cert string `yaml:"cert" doc:"File with the certificate shown to callers; without it callers are served in plain HTTP. Entry only."`
+	Key  string `yaml:"key" doc:"File with the key of tls.callers.cert. Entry only."`
+}
+
+// Telemetry tells what a process says of itself.
+type Telemetry struct {
+	OTLP        Origin  `yaml:"otlp" doc:"Base address of an OTLP/HTTP collector; without it no traces are made."`
+	SampleRatio float64 `yaml:"sample-ratio" default:"1" min:"0" max:"1" doc:"Share of requests that are traced, where the caller does not say."`
+	Verbosity   int     `yaml:"verbosity" default:"0" min:"0" max:"10" doc:"Log verbosity; events of a higher level are left out."`
+}
+
+// Limits bound what one process takes on. Limits of owners, models and services
+// are in the catalogue.
+type Limits struct {
+	MaxBody core.Bytes `yaml:"max-body" default:"8MiB" min:"1KiB" max:"1GiB" doc:"Largest body of a request. Entry only."`
+	// Deadlines apply to requests that come without one.
+	Deadlines   Deadlines     `yaml:"deadlines"`
+	StopGrace   time.Duration `yaml:"stop-grace" default:"24h" min:"1s" max:"24h" doc:"Longest wait for requests in progress at a planned stop. A value below the longest deadline can cut requests."`
+	KeptAnswers core.Bytes    `yaml:"kept-answers" default:"64MiB" min:"1MiB" max:"64GiB" doc:"Memory for answers that are kept for repeats under the same idempotency key. Agent only."`
+	KeyAge      time.Duration `yaml:"key-age" default:"24h" min:"1m" max:"168h" doc:"How long an idempotency key is remembered. Has to be the same in the whole fleet."`
+}
+
+// Deadlines are the default deadlines of each class, from a request's arrival.
+type Deadlines struct {
+	Interactive time.Duration `yaml:"interactive" default:"30s" min:"100ms" max:"24h" doc:"Time for an interactive request that comes without a deadline. Entry only."`
+	Evening     time.Duration `yaml:"evening" default:"2m" min:"100ms" max:"24h" doc:"The same for an evening request. Entry only."`
+	Overnight   time.Duration `yaml:"overnight" default:"8h" min:"100ms" max:"24h" doc:"The same for an overnight request. Entry only."`
+}
+
+// At returns the default deadline of a request that arrived at a time.
+func (d Deadlines) At(c core.Class, arrived time.Time) time.Time {
+	switch c {
+	case core.Interactive:
+		return arrived.Add(d.Interactive)
+	case core.Evening:
+		return arrived.Add(d.Evening)
+	default:
+		return arrived.Add(d.Overnight)
+	}
+}
--- /dev/null
+++ b/io/spans/tracer.go
@@ -0,0 +1,94 @@
+package spans
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/oops"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"radishwell/core"
+	"radishwell/io/config"
+	"radishwell/io/events"
+)
+
+// Thresholds of the export. The queue holds a few seconds of spans at the
+// busiest process; a collector that is slower than that loses spans.
+const (
+	queueSize     = 8192
+	batchSize     = 512
+	exportTimeout = 5 * time.Second
+)
+
+// Tracer makes the spans of one process. Its fields are set before Start. A
+// Tracer without a Collector makes none and passes callers' context on.
+type Tracer struct {
+	// Collector is the OTLP/HTTP collector; the zero value is none.
+	Collector config.Origin
+	// Ratio is the share of requests traced where the caller does not say.
+	Ratio float64
+	Role  config.Role
+	Host  core.HostName
+	// Exporter takes the place of the Collector in tests.
+	Exporter sdk.SpanExporter
+
+	provider *sdk.TracerProvider
+	tracer   trace.Tracer
+}
+
+// Start prepares the export. It makes no connection, so that it returns at once
+// and succeeds while the collector is down.
+func (t *Tracer) Start(ctx context.Context) error {
+	exporter := t.Exporter
+	if exporter == nil {
+		if !t.Collector.Given() {
+			return nil
+		}
+		made, err := t.newExporter(ctx)
+		if err != nil {
+			return oops.In("spans").Wrapf(err, "prepare trace export")
+		}
+		exporter = made
+	}
+	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) {
+		events.Fail(events.TraceExportFailed, err)
+	}))
+	t.provider = sdk.NewTracerProvider(
+		sdk.WithBatcher(exporter,
+			sdk.WithMaxQueueSize(queueSize),
+			sdk.WithMaxExportBatchSize(batchSize),
+			sdk.WithExportTimeout(exportTimeout),
+		),
+		sdk.WithSampler(sdk.ParentBased(sdk.TraceIDRatioBased(t.Ratio))),
+		sdk.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "radishwell-"+string(t.Role)),
+			attribute.String("host.name", string(t.Host)),
+		)),
+	)
+	t.tracer = t.provider.Tracer("radishwell")
+	return nil
+}
+
+func (t *Tracer) newExporter(ctx context.Context) (sdk.SpanExporter, error) {
+	options := []otlptracehttp.Option{
+		otlptracehttp.WithEndpoint(t.Collector.Addr.String()),
+		otlptracehttp.WithTimeout(exportTimeout),
+	}
+	if !t.Collector.TLS {
+		options = append(options, otlptracehttp.WithInsecure())
+	}
+	return otlptracehttp.New(ctx, options...)
+}
+
+// Stop sends what is waiting, until the context ends.
+func (t *Tracer) Stop(ctx context.Context) error {
+	if t.provider == nil {
+		return nil
+	}
+	return oops.In("spans").Wrapf(t.provider.Shutdown(ctx), "stop trace export")
+}
