--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -48,20 +48,24 @@
 	// Release takes this host out of an item's grant. The item is not on the
 	// host and cannot get there any more.
 	Release func(ctx context.Context, name core.ModelName) error
+	// Revoked lists the items whose grant to this host was taken back.
+	Revoked func() []core.ModelName
 	// Spread sends strikes to peers at once.
 	Spread func([]strike.Record)
 	// KeptAnswers bounds the memory for answers of keyed requests.
 	KeptAnswers core.Bytes
 
-	mu      sync.Mutex
-	ledger  ledger.Ledger
-	queue   queue.Queue
-	table   dedupe.Table
-	book    strike.Book
-	gate    strike.Gate
-	runs    map[dedupe.KeyID]*run
-	byID    map[core.RequestID]*run
-	lanes   map[string]*lane
+	mu     sync.Mutex
+	ledger ledger.Ledger
+	queue  queue.Queue
+	table  dedupe.Table
+	book   strike.Book
+	gate   strike.Gate
+	runs   map[dedupe.KeyID]*run
+	byID   map[core.RequestID]*run
+	lanes  map[string]*lane
+	// held are requests taken from the queue that wait for a trial.
+	held    []*run
 	inWork  int
 	state   core.EngineState
 	reached bool
--- /dev/null
+++ b/io/agent/drive.go
@@ -0,0 +1,318 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/ledger"
+	"radishwell/core/strike"
+	"radishwell/io/events"
+)
+
+const (
+	// pollIdle is the time between two reports while nothing changes, pollWork
+	// while requests run: their progress shows which connection went silent.
+	pollIdle = time.Second
+	pollWork = 300 * time.Millisecond
+	// pollLoad is the least time between two reports while a load is under way.
+	// An adapter arrives within a handful of milliseconds; a load that has taken
+	// longer is asked for in steps of a sixteenth of its age.
+	pollLoad     = 2 * time.Millisecond
+	pollLoadMost = 100 * time.Millisecond
+	loadSteps    = 16
+	// stateTime bounds one call for a report, orderTime one order.
+	stateTime = 2 * time.Second
+	orderTime = 5 * time.Second
+	// diagnoseTime bounds the look at an engine that lost a request.
+	diagnoseTime = 500 * time.Millisecond
+)
+
+// drive asks the engine for reports and sends it the ledger's orders. It is the
+// only sender of orders, one at a time.
+func (a *Agent) drive(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-a.orders:
+		case <-ctx.Done():
+			return nil
+		}
+		a.poll(ctx)
+		if err := a.sendOrders(ctx); err != nil {
+			return err
+		}
+		a.releaseGrants(ctx)
+		timer.Reset(a.pollPause())
+	}
+}
+
+// poll takes one report.
+func (a *Agent) poll(ctx context.Context) {
+	a.mu.Lock()
+	a.ledger.ChecksFence = a.checksFence()
+	ticket := a.ledger.Ask(a.Clock.Now())
+	a.mu.Unlock()
+	call, stop := context.WithTimeout(ctx, stateTime)
+	state, err := a.Engine.State(call)
+	stop()
+	if ctx.Err() != nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock.Now()
+	a.noteReached(err)
+	if err != nil || a.Plain {
+		return
+	}
+	before := a.ledger.Items()
+	if !a.ledger.Report(now, ticket, state) {
+		return
+	}
+	if a.state.Epoch != 0 && a.state.Epoch != state.Epoch {
+		events.Log(events.EngineRestarted, "host", a.Host)
+	}
+	a.state = state
+	a.noteItems(now, before)
+	a.noteStalls(now)
+	a.schedule(now)
+}
+
+// noteReached keeps whether the upstream answers at all. A plain service that
+// answers with any status is there.
+func (a *Agent) noteReached(err error) {
+	var fault *core.EngineError
+	reached := err == nil || a.Plain && errors.As(err, &fault) && fault.Fault == core.EngineRejected
+	if reached {
+		a.once.Do(func() { close(a.ready) })
+	}
+	if reached == a.reached {
+		return
+	}
+	a.reached = reached
+	if reached {
+		events.Log(events.EngineBack, "host", a.Host)
+		return
+	}
+	events.Fail(events.EngineUnreachable, err, "host", a.Host)
+}
+
+func (a *Agent) checksFence() bool {
+	p, ok := a.Snapshot().Pool(a.Service)
+	return ok && p.ChecksFence
+}
+
+// noteItems logs and measures what a report has changed.
+func (a *Agent) noteItems(now time.Time, before []ledger.Info) {
+	old := map[core.ModelName]ledger.Info{}
+	for _, i := range before {
+		old[i.Name] = i
+	}
+	for _, i := range a.ledger.Items() {
+		was := old[i.Name]
+		delete(old, i.Name)
+		if i.State == core.Loaded && was.State != core.Loaded {
+			a.loaded(now, i, was)
+		}
+	}
+	for name, was := range old {
+		switch was.State {
+		case core.Loading:
+			a.Meter.Load(a.tier(name), false, was.Since, now)
+			events.Log(events.LoadFailed, "model", name, "host", a.Host)
+			a.loadFailed(now, name)
+		case core.Unloading:
+			events.Log(events.Unloaded, "model", name, "host", a.Host)
+		}
+	}
+}
+
+func (a *Agent) loaded(now time.Time, i, was ledger.Info) {
+	since := was.Since
+	if since.IsZero() {
+		since = now
+	}
+	a.Meter.Load(a.tier(i.Name), true, since, now)
+	events.Log(events.LoadFinished, "model", i.Name, "host", a.Host, "took", now.Sub(since).String())
+}
+
+// loadFailed refuses what waited for the load, so that entries try another
+// granted host within the callers' deadlines.
+func (a *Agent) loadFailed(now time.Time, name core.ModelName) {
+	for _, l := range a.lanes {
+		if l.target.Model == name || l.target.Base == name {
+			a.refuseLane(now, l, core.CodeLoadFailed, "the load of "+string(name)+" failed")
+		}
+	}
+}
+
+// noteStalls finds connections to the engine that have gone silent: the engine
+// has produced more of an answer than has arrived, and nothing has arrived for
+// a while. A slow model is not mistaken for one, since it has produced nothing
+// either.
+func (a *Agent) noteStalls(now time.Time) {
+	for _, e := range a.state.Runs {
+		r := a.byID[e.ID]
+		if r == nil || !r.began || !r.ended.IsZero() || e.Emitted <= r.received.Load() {
+			continue
+		}
+		if now.Sub(time.Unix(0, r.moved.Load())) < stallTime {
+			continue
+		}
+		if closing := r.redial.Swap(nil); closing != nil {
+			a.Meter.Silent()
+			events.Log(events.ConnectionSilent, "host", a.Host, "request", r.id)
+			go (*closing)()
+		}
+	}
+}
+
+// sendOrders sends the ledger's orders until it has no more at present.
+func (a *Agent) sendOrders(ctx context.Context) error {
+	if a.Plain {
+		return nil
+	}
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		order, ok := a.ledger.Next(a.Clock.Now())
+		fenced := a.ledger.Superseded()
+		a.mu.Unlock()
+		if fenced {
+			events.Log(events.OrderStale, "host", a.Host)
+			return &FencedError{Host: a.Host}
+		}
+		if !ok {
+			return nil
+		}
+		a.send(ctx, order)
+	}
+	return nil
+}
+
+func (a *Agent) send(ctx context.Context, o ledger.Order) {
+	ctx, stop := context.WithTimeout(ctx, orderTime)
+	defer stop()
+	var err error
+	if o.Kind == ledger.LoadItem {
+		events.Log(events.LoadStarted, "model", o.Load.Name, "host", a.Host, "source", o.Load.Source)
+		err = a.Engine.Load(ctx, o.Load)
+	} else {
+		err = a.Engine.Unload(ctx, o.Unload)
+	}
+	reply := ledger.Reply{}
+	if err != nil {
+		reply = ledger.Reply{Failed: true, Fault: core.EngineLost}
+		var fault *core.EngineError
+		if errors.As(err, &fault) {
+			reply.Fault = fault.Fault
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.Answer(a.Clock.Now(), reply)
+}
+
+// pollPause returns how long until the next report is wanted.
+func (a *Agent) pollPause() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock.Now()
+	pause := pollIdle
+	if a.inWork > 0 || !a.reached {
+		pause = pollWork
+	}
+	if a.Plain {
+		return pause
+	}
+	for _, i := range a.ledger.Items() {
+		if i.State == core.Loading || i.State == core.Unloading {
+			age := now.Sub(i.Since)
+			pause = min(pause, max(pollLoad, min(pollLoadMost, age/loadSteps)))
+		}
+	}
+	if !a.ledger.Rebuilt() {
+		pause = min(pause, pollLoadMost)
+	}
+	return pause
+}
+
+// releaseGrants gives up grants that were revoked, once the item has left.
+func (a *Agent) releaseGrants(ctx context.Context) {
+	if a.Plain {
+		return
+	}
+	for _, name := range a.Revoked() {
+		a.mu.Lock()
+		now := a.Clock.Now()
+		gone := a.ledger.Unload(now, name) && a.ledger.Clear(name)
+		a.mu.Unlock()
+		if !gone {
+			poke(a.orders)
+			continue
+		}
+		if err := a.Release(ctx, name); err == nil {
+			events.Log(events.GrantReleased, "model", name, "host", a.Host)
+		}
+	}
+}
+
+// mayUse tells whether this host may serve an item: it is granted, or, where
+// the newest grant is not known for certain, the engine holds it already. What
+// is loaded was granted and has not been released, since a release comes after
+// the unload.
+func (a *Agent) mayUse(name core.ModelName) bool {
+	state, ok := a.Grant(name)
+	if ok {
+		return state == core.GrantActive
+	}
+	return a.ledger.Item(name).State == core.Loaded
+}
+
+// diagnose finds out whether a request that was lost took its engine along, and
+// gives strikes to all that were in it. The strikes go out before the request
+// is answered: its caller may send it again to another entry at once.
+func (a *Agent) diagnose(ctx context.Context, r *run) {
+	call, stop := context.WithTimeout(context.WithoutCancel(ctx), diagnoseTime)
+	state, err := a.Engine.State(call)
+	stop()
+	var fault *core.EngineError
+	unreached := errors.As(err, &fault) && fault.Fault != core.EngineRejected
+	restarted := err == nil && !a.Plain && state.Epoch != r.epoch
+	if !unreached && !restarted {
+		return
+	}
+	records := a.strikeAll(r)
+	if len(records) > 0 {
+		a.Spread(records)
+	}
+}
+
+// strikeAll gives one strike for each crash of the engine to all requests that
+// were in it.
+func (a *Agent) strikeAll(r *run) []strike.Record {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.struck {
+		return nil
+	}
+	var prints []core.Fingerprint
+	var lost []*run
+	for _, o := range a.byID {
+		if o.began && o.ended.IsZero() && !o.struck && o.epoch == r.epoch {
+			o.struck = true
+			prints = append(prints, o.call.Fingerprint)
+			lost = append(lost, o)
+		}
+	}
+	records := a.book.Crashed(a.Clock.Now(), prints)
+	for _, o := range lost {
+		o.strikes = records
+	}
+	a.Meter.Strike()
+	events.Log(events.RequestStruck, "host", a.Host, "in-flight", len(prints))
+	return records
+}
--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -11,7 +12,7 @@
 	"radishwell/core"
 	"radishwell/core/dedupe"
 	"radishwell/core/ledger"
-	"radishwell/core/queue"
+	"radishwell/core/strike"
 	"radishwell/io/relay"
 	"radishwell/wire"
 )
@@ -36,17 +37,23 @@
 	head  *wire.WorkHead
 	body  []byte
 	id    core.RequestID
-	key   dedupe.KeyID
-	call  dedupe.Call
-	item  queue.Item
-	lane  string
-	spool *relay.Spool
+	// call is the request's identity in the table, target what it asks for.
+	call    dedupe.Call
+	target  core.Target
+	spool   *relay.Spool
+	arrived time.Time
 
 	// Under the agent's lock.
-	began    bool
-	use      ledger.Use
-	held     bool
+	waiting bool
+	began   bool
+	use     ledger.Use
+	// cold tells that the request waited for a load, alone that nothing else
+	// ran beside it; epoch is the engine's at its start.
 	cold     bool
+	alone    bool
+	epoch    uint64
+	struck   bool
+	strikes  []strike.Record
 	readers  int
 	detached time.Time
 	ended    time.Time
@@ -60,7 +67,7 @@
 	redial atomic.Pointer[func()]
 }
 
-// errLeft and others are the causes with which a run is ended from outside.
+// cause is why a run was ended from outside.
 type cause uint8
 
 const (
@@ -93,6 +100,9 @@
 		defer a.work.Done()
 		defer stop()
 		refusal := r.execute(ctx)
+		if refusal != nil && refusal.Code == core.CodeUpstreamLost {
+			a.diagnose(ctx, r)
+		}
 		a.finish(r, refusal)
 	}()
 }
@@ -213,10 +223,14 @@
 
 // write appends to the spool, and to the kept answer of a keyed request.
 func (r *run) write(ctx context.Context, p []byte) error {
-	if r.keyed() {
-		r.agent.keep(r, p)
+	if !r.keyed() {
+		return r.spool.Write(ctx, p)
 	}
-	return r.spool.Write(ctx, p)
+	r.agent.mu.Lock()
+	r.agent.table.Append(r.call.ID, r.call.Attempt, bytes.Clone(p))
+	r.agent.mu.Unlock()
+	r.spool.Notify()
+	return nil
 }
 
 // resume continues the answer on a new connection at the offset reached.
--- a/io/agent/sched.go
+++ b/io/agent/sched.go
@@ -11,6 +11,7 @@
 	"radishwell/core/strike"
 	"radishwell/io/events"
 	"radishwell/io/meter"
+	"radishwell/io/relay"
 )
 
 // lane is the requests of one model, adapter or plain service.
@@ -39,18 +40,14 @@
 // schedule starts what may start and asks for the loads that waiting requests
 // need. The lock is held.
 func (a *Agent) schedule(now time.Time) {
-	for _, gone := range a.queue.Expire(now) {
-		a.refused(now, gone)
-	}
+	a.expire(now)
+	a.startHeld(now)
 	for {
 		item, ok := a.queue.Pop(now, func(name string) bool { return a.free(now, a.lanes[name]) })
-		for _, gone := range a.queue.Expire(now) {
-			a.refused(now, gone)
-		}
-		if !ok {
+		a.expire(now)
+		if !ok || !a.start(now, a.byID[item.ID]) {
 			break
 		}
-		a.start(now, a.byID[item.ID])
 	}
 	for _, l := range a.lanes {
 		if l.waiting > 0 {
@@ -59,6 +56,30 @@
 	}
 }
 
+func (a *Agent) expire(now time.Time) {
+	for _, gone := range a.queue.Expire(now) {
+		a.refused(now, gone)
+	}
+}
+
+// startHeld tries again the requests that wait for a suspect's trial.
+func (a *Agent) startHeld(now time.Time) {
+	held := a.held
+	a.held = nil
+	for i, r := range held {
+		switch {
+		case !r.ended.IsZero():
+		case !now.Before(relay.Time(r.head.GetDeadline())):
+			a.end(r, now, core.Refuse(core.CodeDeadline, "the deadline passed while the request waited for a trial"))
+		case !a.free(now, a.lane(r.target)):
+			a.held = append(a.held, r)
+		case !a.start(now, r):
+			a.held = append(a.held, held[i+1:]...)
+			return
+		}
+	}
+}
+
 // free tells whether the lane's next request may start.
 func (a *Agent) free(now time.Time, l *lane) bool {
 	if l.running >= a.concurrency(l.target) || a.inWork >= a.serviceConcurrency() {
@@ -92,29 +113,30 @@
 	return a.Snapshot().Model(t.Model)
 }
 
-// start hands a popped request to the upstream, unless what it is suspected of
-// makes it wait or be refused.
-func (a *Agent) start(now time.Time, r *run) {
+// start hands a popped request to the upstream. A request that is suspected of
+// crashing engines waits until it can run alone, and others wait while it does;
+// start returns false where nothing that follows may start either.
+func (a *Agent) start(now time.Time, r *run) bool {
 	verdict := a.gate.MayRun(now, r.call.Fingerprint, a.inFlight())
 	switch verdict.Action {
 	case strike.Deny:
 		a.queue.Finish(now, r.id, queue.Failed)
 		a.end(r, now, verdict.Refusal)
-		return
+		return true
 	case strike.Wait:
-		// Back to the queue; it is popped again at the next look.
 		a.queue.Finish(now, r.id, queue.Failed)
 		a.held = append(a.held, r)
-		return
+		return a.book.Find(now, r.call.Fingerprint).Standing == strike.Suspect
 	}
 	use, ok := a.beginUse(now, r)
 	if !ok {
 		a.queue.Finish(now, r.id, queue.Failed)
 		a.end(r, now, core.RefuseUntil(core.CodeLoadFailed, "the model was unloaded", now.Add(time.Second)))
-		return
+		return true
 	}
 	l := a.lane(r.target)
 	l.waiting--
+	r.waiting = false
 	l.running++
 	a.inWork++
 	r.cold = l.cold
@@ -126,6 +148,7 @@
 	r.epoch = a.state.Epoch
 	a.Meter.Hop(meter.AgentQueue, r.arrived, now)
 	a.begin(r, now)
+	return true
 }
 
 func (a *Agent) beginUse(now time.Time, r *run) (ledger.Use, bool) {
@@ -154,10 +177,10 @@
 	l.cold = true
 	verdict := ledger.NoBase
 	if l.target.Base == "" || a.baseLoaded(l.target) {
-		verdict = a.load1(now, l.target.Model, l.target.Base)
+		verdict = a.loadItem(now, l.target.Model, l.target.Base)
 	}
 	if verdict == ledger.NoBase {
-		verdict = a.load1(now, l.target.Base, "")
+		verdict = a.loadItem(now, l.target.Base, "")
 	}
 	switch verdict {
 	case ledger.NoMemory, ledger.TooLarge:
@@ -167,8 +190,8 @@
 	}
 }
 
-// load1 asks the ledger for one item.
-func (a *Agent) load1(now time.Time, name, base core.ModelName) ledger.Verdict {
+// loadItem asks the ledger for one item.
+func (a *Agent) loadItem(now time.Time, name, base core.ModelName) ledger.Verdict {
 	e, ok := a.Snapshot().Model(name)
 	if !ok {
 		return ledger.NotReady
--- /dev/null
+++ b/io/agent/serve.go
@@ -0,0 +1,96 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"radishwell/core"
+	"radishwell/core/dedupe"
+	"radishwell/io/relay"
+	"radishwell/wire"
+)
+
+// Paths of the interface between entries and agents.
+const (
+	PathWork   = "/work"
+	PathCancel = "/cancel"
+)
+
+// maxBody bounds a body that an entry hands over; entries bound it first.
+const maxBody = 1 << 30
+
+// Handler returns the interface for entries.
+func (a *Agent) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+PathWork, a.serveWork)
+	mux.HandleFunc("POST "+PathCancel, a.serveCancel)
+	return mux
+}
+
+// serveWork takes a request, or a reader that comes back for the rest of an
+// answer, and writes the answer as frames.
+func (a *Agent) serveWork(w http.ResponseWriter, r *http.Request) {
+	in := bufio.NewReader(r.Body)
+	head, err := relay.ReadHead(in)
+	if err != nil {
+		http.Error(w, "malformed head", http.StatusBadRequest)
+		return
+	}
+	body, err := readBody(in, head.GetBodySize())
+	if err != nil {
+		http.Error(w, "body cut short", http.StatusBadRequest)
+		return
+	}
+	out := relay.NewWriter(w)
+	run, refusal := a.take(head, body)
+	if refusal != nil {
+		_ = out.End(relay.EndOf(refusal))
+		return
+	}
+	defer a.left(run)
+	err = relay.Copy(r.Context(), out, a.source(run), head.GetOffset())
+	var lost *relay.LostError
+	if errors.As(err, &lost) {
+		_ = out.End(relay.EndOf(&core.Refusal{
+			Code: core.CodeRanElsewhere, Outcome: core.MayHaveRun, Reason: lost.Error(), Host: a.Host,
+		}))
+	}
+}
+
+func readBody(in io.Reader, size int64) ([]byte, error) {
+	if size < 0 || size > maxBody {
+		return nil, &relay.FrameError{Cause: io.ErrShortBuffer}
+	}
+	body := make([]byte, size)
+	_, err := io.ReadFull(in, body)
+	return body, err
+}
+
+func (a *Agent) serveCancel(w http.ResponseWriter, r *http.Request) {
+	head, err := relay.ReadHead(bufio.NewReader(r.Body))
+	if err != nil {
+		http.Error(w, "malformed head", http.StatusBadRequest)
+		return
+	}
+	a.Cancel(core.RequestID(head.GetRequestId()))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Seal tells what became of an attempt, and forbids it where it has not come.
+func (a *Agent) Seal(_ context.Context, c *wire.SealCall) *wire.SealReply {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	call := a.callOf(&wire.WorkHead{
+		Owner: c.GetOwner(), Key: c.GetKey(), RequestId: c.GetKey(), Attempt: c.GetAttempt(), Incarnation: c.GetIncarnation(),
+		Fingerprint: c.GetFingerprint(), ClaimExpires: c.GetExpires(), Deadline: c.GetExpires(),
+	})
+	state := a.table.Seal(a.Clock.Now(), call)
+	out := &wire.SealReply{State: uint32(state)}
+	if r := a.runs[call.ID]; r != nil && state != dedupe.Sealed {
+		out.RequestId = string(r.id)
+	}
+	return out
+}
--- a/io/agent/take.go
+++ b/io/agent/take.go
@@ -95,7 +95,6 @@
 		target: core.Target{Service: core.ServiceName(h.GetService()), Model: core.ModelName(h.GetModel()), Base: core.ModelName(h.GetBase())},
 		spool:  relay.NewSpool(), arrived: now, readers: 1,
 	}
-	r.spool.Window = relay.DefaultWindow
 	a.runs[call.ID] = r
 	a.byID[r.id] = r
 	return r
@@ -131,6 +130,7 @@
 func (a *Agent) enqueue(now time.Time, r *run) {
 	l := a.lane(r.target)
 	l.waiting++
+	r.waiting = true
 	pushed := a.queue.Push(now, queue.Item{
 		ID: r.id, Lane: l.name, Owner: core.OwnerName(r.head.GetOwner()), Caller: core.CallerName(r.head.GetCaller()),
 		Class: core.Class(r.head.GetClass()), Deadline: relay.Time(r.head.GetDeadline()),
@@ -163,7 +163,8 @@
 	if refusal != nil && refusal.Host == "" {
 		refusal.Host = a.Host
 	}
-	if !r.began {
+	if r.waiting {
+		r.waiting = false
 		a.lane(r.target).waiting--
 	}
 	a.table.Finish(now, r.call.ID, r.call.Attempt, dedupe.End{Refusal: refusal})
--- a/io/relay/spool.go
+++ b/io/relay/spool.go
@@ -87,6 +87,21 @@
 	s.first += drop
 }
 
+// Notify tells the readers of an answer that is kept elsewhere that it has
+// grown.
+func (s *Spool) Notify() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wake()
+}
+
+// Peek returns the answer's head and end without its data.
+func (s *Spool) Peek() Step {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Step{Head: s.head, End: s.end, Turn: s.turn}
+}
+
 // End closes the answer. Only the first call counts.
 func (s *Spool) End(e *wire.End) {
 	s.mu.Lock()
