--- a/core/queue/insert.go
+++ b/core/queue/insert.go
@@ -42,12 +42,15 @@
 // insert makes an item wait. All checks are behind it.
 func (q *Queue) insert(now time.Time, i Item) {
 	l := q.lane(i.Lane)
+	t := l.track(i)
+	l.note(now, i, t)
+	l.used = q.seq
 	e := &entry{Item: i, seq: q.seq}
 	q.seq++
-	e.inDoubt = l.idle() && l.pace.mean > 0 && l.pace.doubted(now)
-	e.last = e.lastStart(l)
-	q.activate(now, l)
-	f := q.flowOf(l, i)
+	e.inDoubt = t.idle() && t.pace.mean > 0 && t.pace.doubted(now)
+	e.last = e.lastStart(t)
+	q.activate(now, t)
+	f := q.flowOf(t, i)
 	e.flow = f
 	f.items.add(e)
 	q.due.add(e)
@@ -55,38 +58,25 @@
 	q.count(f, i, 1)
 }
 
-// lastStart is the last moment at which a start is of use, by what is measured
-// at present.
-func (e *entry) lastStart(l *lane) time.Time {
-	if e.Deadline.IsZero() {
-		return forever
-	}
-	if e.inDoubt {
-		return e.Deadline
-	}
-	return e.Deadline.Add(-l.pace.service(e.Cost))
-}
-
-func (q *Queue) activate(now time.Time, l *lane) {
-	if l.items > 0 {
+func (q *Queue) activate(now time.Time, t *track) {
+	if t.items > 0 {
 		return
 	}
-	l.used = q.seq
-	l.place = len(q.active)
-	q.active = append(q.active, l)
-	l.pace.backlog(now, l.ready)
+	t.place = len(q.active)
+	q.active = append(q.active, t)
+	t.pace.backlog(now, t.lane.ready)
 }
 
-// flowOf returns the flow of the item's caller in the lane, with the levels
+// flowOf returns the flow of the item's caller in the track, with the levels
 // above it, all made where they are missing.
-func (q *Queue) flowOf(l *lane, i Item) *flow {
+func (q *Queue) flowOf(t *track, i Item) *flow {
 	o := q.ownerOf(i)
 	c, ok := o.callers[i.Caller]
 	if !ok {
 		c = &caller{name: i.Caller, tag: o.clock.now}
 		o.callers[i.Caller] = c
 	}
-	s := l.sections[i.Class]
+	s := t.sections[i.Class]
 	p, ok := s.parties[i.Owner]
 	if !ok {
 		p = newParty(s, o)
@@ -127,7 +117,7 @@
 	c := q.classes[i.Class]
 	for _, level := range []*load{
 		&q.load, &c.load, &p.owner.load, &f.caller.load,
-		&p.in.lane.load, &p.in.load, &p.load, &f.load,
+		&p.in.track.load, &p.in.load, &p.load, &f.load,
 	} {
 		level.add(i, sign)
 	}
@@ -144,10 +134,9 @@
 	if f.items.Len() == 0 {
 		q.cutFlow(f)
 	}
-	l := f.in.in.lane
-	if l.items == 0 {
-		q.deactivate(l)
-		l.pace.empty()
+	if t := f.in.in.track; t.items == 0 {
+		q.deactivate(t)
+		t.pace.empty()
 	}
 	q.settle(e.Class, f.in.owner)
 }
@@ -165,12 +154,12 @@
 	delete(p.in.parties, p.owner.name)
 }
 
-func (q *Queue) deactivate(l *lane) {
+func (q *Queue) deactivate(t *track) {
 	last := len(q.active) - 1
 	moved := q.active[last]
-	q.active[l.place] = moved
-	moved.place = l.place
+	q.active[t.place] = moved
+	moved.place = t.place
 	q.active[last] = nil
 	q.active = q.active[:last]
-	l.place = -1
+	t.place = -1
 }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -33,7 +33,7 @@
 	classes [core.ClassCount]*class
 	clock   clock
 	lanes   map[string]*lane
-	active  []*lane
+	active  []*track
 	entries map[core.RequestID]*entry
 	running map[core.RequestID]run
 	due     order[*entry]
@@ -45,7 +45,7 @@
 
 // run is a popped item that has not finished.
 type run struct {
-	lane    *lane
+	track   *track
 	at      time.Time
 	cost    int64
 	inDoubt bool
@@ -97,96 +97,102 @@
 		return core.Refuse(core.CodeDeadline, "The deadline passed before the request could wait.")
 	}
 	l, ok := q.lanes[i.Lane]
-	if !ok || l.idle() && l.pace.doubted(now) {
+	if !ok {
+		return nil
+	}
+	t := l.track(i)
+	if t.idle() && t.pace.doubted(now) {
 		return nil
 	}
-	end := l.start(now, i).Add(l.pace.service(i.Cost))
+	end := t.start(now, i).Add(t.pace.service(i.Cost))
 	if !end.After(i.Deadline) {
 		return nil
 	}
-	return tooLong(now, l, end.Sub(i.Deadline))
+	return tooLong(now, t, end.Sub(i.Deadline))
 }
 
 // tooLong says when the backlog has shrunk enough for a request that is as
 // patient as this one.
-func tooLong(now time.Time, l *lane, late time.Duration) *core.Refusal {
-	if l.idle() {
+func tooLong(now time.Time, t *track, late time.Duration) *core.Refusal {
+	if t.idle() {
 		// The service time alone is too long: nothing drains. The lane lets one
 		// request measure it anew after the doubt.
 		late = max(late, doubt)
 	}
 	return core.RefuseUntil(core.CodeWaitTooLong,
-		"The work waiting for "+l.name+" would not leave time before the deadline.", now.Add(late))
+		"The work waiting for "+t.lane.name+" would not leave time before the deadline.", now.Add(late))
 }
 
-// Pop returns the item that goes next among the lanes that are free; free is
-// asked once for each lane with items. The item counts as started now. Items
-// whose time has run out on the way are kept for Expire.
-func (q *Queue) Pop(now time.Time, free func(lane string) bool) (Item, bool) {
+// Pop returns the item that goes next among the lanes that are free; free tells
+// how many more requests a lane could start now. The item counts as started.
+// Items whose time has run out on the way are kept for Expire.
+func (q *Queue) Pop(now time.Time, free func(lane string) int) (Item, bool) {
 	q.init()
 	q.overdue(now)
 	for {
-		l := q.nextLane(free)
-		if l == nil {
+		t := q.first(now, q.active, free)
+		if t == nil {
 			return Item{}, false
 		}
-		if i, ok := q.take(now, l); ok {
+		if i, ok := q.take(now, t); ok {
 			return i, true
 		}
 	}
 }
 
-// PopLane is Pop for one lane.
-func (q *Queue) PopLane(now time.Time, name string) (Item, bool) {
+// PopLane is Pop for one lane, which could start free more requests.
+func (q *Queue) PopLane(now time.Time, name string, free int) (Item, bool) {
 	q.init()
 	q.overdue(now)
 	l, ok := q.lanes[name]
 	if !ok {
 		return Item{}, false
 	}
-	for l.items > 0 {
-		if i, ok := q.take(now, l); ok {
+	for {
+		t := q.first(now, l.tracks[:], func(string) int { return free })
+		if t == nil {
+			return Item{}, false
+		}
+		if i, ok := q.take(now, t); ok {
 			return i, true
 		}
 	}
-	return Item{}, false
 }
 
-// nextLane returns the free lane whose next item goes first.
-func (q *Queue) nextLane(free func(lane string) bool) *lane {
-	var found *lane
+// first returns the free track whose next item goes first, nil where none is.
+func (q *Queue) first(now time.Time, list []*track, free func(lane string) int) *track {
+	var found *track
 	var class core.Class
 	var tag, sub int64
-	for _, l := range q.active {
-		if !free(l.name) {
+	for _, t := range list {
+		if t.items == 0 || t.room(now, free(t.lane.name)) <= 0 {
 			continue
 		}
-		c, t := q.best(l)
-		o := q.classes[c].clock.start(l.sections[c].first().owner.tag)
-		better := t < tag || t == tag && (c < class || c == class && o < sub)
+		c, start := q.best(t)
+		o := q.classes[c].clock.start(t.sections[c].first().owner.tag)
+		better := start < tag || start == tag && (c < class || c == class && o < sub)
 		if found == nil || better {
-			found, class, tag, sub = l, c, t, o
+			found, class, tag, sub = t, c, start, o
 		}
 	}
 	return found
 }
 
-// take removes the lane's next item. It is false where the item could not end
+// take removes the track's next item. It is false where the item could not end
 // in time any more: that one is refused. Running it would spend the upstream on
 // an answer that comes too late, which is how goodput falls under overload.
-func (q *Queue) take(now time.Time, l *lane) (Item, bool) {
-	c, _ := q.best(l)
-	p := l.sections[c].first()
-	f := p.first()
+func (q *Queue) take(now time.Time, t *track) (Item, bool) {
+	c, _ := q.best(t)
+	f := t.sections[c].first().first()
 	e := f.items.top()
-	if e.lastStart(l).Before(now) {
+	if e.lastStart(t).Before(now) {
 		q.refuse(now, e)
 		return Item{}, false
 	}
 	q.charge(e)
 	q.drop(e)
-	l.running++
-	q.running[e.ID] = run{lane: l, at: now, cost: e.Cost, inDoubt: e.inDoubt}
+	t.running++
+	q.running[e.ID] = run{track: t, at: now, cost: e.Cost, inDoubt: e.inDoubt}
 	return e.Item, true
 }
 
@@ -208,13 +214,13 @@
 		return
 	}
 	delete(q.running, id)
-	l := r.lane
-	l.running--
+	t := r.track
+	t.running--
 	if end == Served {
-		l.pace.served(now, now.Sub(r.at), r.cost, r.inDoubt)
+		t.pace.served(now, now.Sub(r.at), r.cost, r.inDoubt)
 	}
 	if end != Failed {
-		l.pace.drained(now, r.cost)
+		t.pace.drained(now, r.cost)
 	}
 }
 
@@ -237,8 +243,10 @@
 	q.init()
 	l := q.lane(name)
 	l.ready = at
-	if l.items > 0 {
-		l.pace.backlog(now, at)
+	for _, t := range l.tracks {
+		if t.items > 0 {
+			t.pace.backlog(now, at)
+		}
 	}
 }
 
--- a/core/queue/refuse.go
+++ b/core/queue/refuse.go
@@ -37,39 +37,39 @@
 
 // refuse gives a waiting entry up and keeps its refusal for Expire.
 func (q *Queue) refuse(now time.Time, e *entry) {
-	l := e.flow.in.in.lane
+	t := e.flow.in.in.track
 	q.drop(e)
 	if len(q.out) == 0 {
 		q.outAt = now
 	}
-	q.out = append(q.out, Refused{Item: e.Item, Refusal: lateRefusal(now, l, e)})
+	q.out = append(q.out, Refused{Item: e.Item, Refusal: lateRefusal(now, t, e)})
 }
 
-func lateRefusal(now time.Time, l *lane, e *entry) *core.Refusal {
-	at := l.start(now, e.Item)
+func lateRefusal(now time.Time, t *track, e *entry) *core.Refusal {
+	at := t.start(now, e.Item)
 	if !e.Deadline.After(now) {
 		return core.RefuseUntil(core.CodeDeadline,
-			"The deadline passed while the request waited for "+l.name+".", at)
+			"The deadline passed while the request waited for "+t.lane.name+".", at)
 	}
 	return core.RefuseUntil(core.CodeWaitTooLong,
-		"The request waited for "+l.name+" until too little time was left to run.", at)
+		"The request waited for "+t.lane.name+" until too little time was left to run.", at)
 }
 
 // room makes place for an item. It displaces only where that lets the item in.
 func (q *Queue) room(now time.Time, i Item) ([]Refused, *core.Refusal) {
 	var displaced []Refused
 	if l, ok := q.lanes[i.Lane]; ok {
-		over := excess(l.load, i, q.LaneItems, q.LaneBytes)
+		over := excess(l.load(), i, q.LaneItems, q.LaneBytes)
 		gone, ok := q.shed(now, i, over, laneScope{l})
 		if !ok {
-			return nil, full(now, l, i, core.CodeQueueFull, "The queue for "+l.name+" is full.")
+			return nil, full(now, l.track(i), i, core.CodeQueueFull, "The queue for "+l.name+" is full.")
 		}
 		displaced = gone
 	}
 	over := excess(q.load, i, orDefault(q.Items, DefaultItems), orDefault(q.Bytes, DefaultBytes))
 	gone, ok := q.shed(now, i, over, wholeScope{q})
 	if !ok {
-		return displaced, full(now, q.lane(i.Lane), i, core.CodeOverload,
+		return displaced, full(now, q.lane(i.Lane).track(i), i, core.CodeOverload,
 			"The queue is full of requests that are worth at least as much.")
 	}
 	return append(displaced, gone...), nil
@@ -94,9 +94,9 @@
 	return over
 }
 
-// full says when the lane has started one more item, which frees a place.
-func full(now time.Time, l *lane, i Item, code core.Code, reason string) *core.Refusal {
-	wait := l.pace.wait(now, i.Cost, l.running)
+// full says when the track has started one more item, which frees a place.
+func full(now time.Time, t *track, i Item, code core.Code, reason string) *core.Refusal {
+	wait := t.pace.wait(now, i.Cost, t.running)
 	return core.RefuseUntil(code, reason, now.Add(max(wait, soonest)))
 }
 
--- a/core/queue/rest.go
+++ b/core/queue/rest.go
@@ -83,7 +83,8 @@
 	// Ready is when the lane can start work at the earliest.
 	Ready time.Time
 	// Service is the service time foreseen for cost one, Drain the time in which
-	// the lane gets through one unit of cost; zero while unknown.
+	// the lane gets through one unit of cost, both for its short work; zero while
+	// unknown.
 	Service, Drain time.Duration
 }
 
@@ -93,9 +94,10 @@
 	if !ok {
 		return Depth{}
 	}
+	all, short := l.load(), l.tracks[0]
 	return Depth{
-		Items: l.items, Cost: l.cost, Bytes: l.bytes, Running: l.running, Ready: l.ready,
-		Service: l.pace.service(1), Drain: l.pace.wait(now, 1, l.running),
+		Items: all.items, Cost: all.cost, Bytes: all.bytes, Running: l.running(), Ready: l.ready,
+		Service: short.pace.service(1), Drain: short.pace.wait(now, 1, short.running),
 	}
 }
 
@@ -107,8 +109,9 @@
 	if !ok {
 		return now, now
 	}
-	start = l.start(now, i)
-	return start, start.Add(l.pace.service(i.Cost))
+	t := l.track(i)
+	start = t.start(now, i)
+	return start, start.Add(t.pace.service(i.Cost))
 }
 
 // Len returns the number of items waiting, Waiting those of a class.
--- a/core/queue/shed.go
+++ b/core/queue/shed.go
@@ -70,9 +70,9 @@
 }
 
 func (q *Queue) displace(now time.Time, e *entry) Refused {
-	l := e.flow.in.in.lane
+	t := e.flow.in.in.track
 	q.drop(e)
-	return Refused{Item: e.Item, Refusal: full(now, l, e.Item, core.CodeOverload,
+	return Refused{Item: e.Item, Refusal: full(now, t, e.Item, core.CodeOverload,
 		"The queue is full and made room for more urgent work.")}
 }
 
@@ -125,35 +125,57 @@
 // laneScope is one lane.
 type laneScope struct{ l *lane }
 
-func (s laneScope) class(c core.Class) load { return s.l.sections[c].load }
+func (s laneScope) class(c core.Class) load {
+	sum := s.l.tracks[0].sections[c].load
+	long := s.l.tracks[1].sections[c].load
+	sum.items += long.items
+	sum.bytes += long.bytes
+	return sum
+}
 
 func (s laneScope) largest(c core.Class) (core.OwnerName, int) {
-	var most *party
-	for _, p := range s.l.sections[c].turns.list {
-		if most == nil || p.items > most.items || p.items == most.items && p.owner.name < most.owner.name {
-			most = p
+	var name core.OwnerName
+	most := 0
+	for _, t := range s.l.tracks {
+		for _, p := range t.sections[c].turns.list {
+			held := s.held(c, p.owner.name)
+			if held > most || held == most && p.owner.name < name {
+				name, most = p.owner.name, held
+			}
 		}
 	}
-	if most == nil {
-		return "", 0
-	}
-	return most.owner.name, most.items
+	return name, most
 }
 
 func (s laneScope) held(c core.Class, o core.OwnerName) int {
-	if p, ok := s.l.sections[c].parties[o]; ok {
-		return p.items
+	held := 0
+	for _, t := range s.l.tracks {
+		if p, ok := t.sections[c].parties[o]; ok {
+			held += p.items
+		}
 	}
-	return 0
+	return held
 }
 
 func (s laneScope) last(c core.Class, o core.OwnerName) *entry {
 	var most *flow
-	for _, f := range s.l.sections[c].parties[o].turns.list {
-		if most == nil || f.items.Len() > most.items.Len() ||
-			f.items.Len() == most.items.Len() && f.caller.name < most.caller.name {
-			most = f
+	for _, t := range s.l.tracks {
+		p, ok := t.sections[c].parties[o]
+		if !ok {
+			continue
+		}
+		for _, f := range p.turns.list {
+			if most == nil || f.outweighs(most) {
+				most = f
+			}
 		}
 	}
 	return most.late()
 }
+
+func (f *flow) outweighs(o *flow) bool {
+	if f.items.Len() != o.items.Len() {
+		return f.items.Len() > o.items.Len()
+	}
+	return f.caller.name < o.caller.name
+}
--- a/core/queue/tree.go
+++ b/core/queue/tree.go
@@ -69,22 +69,22 @@
 	load
 	name core.CallerName
 	tag  int64
-	// flows are the caller's non-empty flows, by lane in the order they came.
+	// flows are the caller's non-empty flows, by track in the order they came.
 	flows []*flow
 }
 
-// flow is what one caller has waiting in one lane, the earliest deadline first.
+// flow is what one caller has waiting in one track, the earliest deadline first.
 type flow struct {
 	in     *party
 	caller *caller
 	items  order[*entry]
 	load
-	// tag is the caller's tag as last seen by the lane's heap; place is there.
+	// tag is the caller's tag as last seen by the track's heap; place is there.
 	tag   int64
 	place int
 }
 
-// party is one owner's callers in one lane.
+// party is one owner's callers in one track.
 type party struct {
 	in    *section
 	owner *owner
@@ -95,9 +95,9 @@
 	place int
 }
 
-// section is one class in one lane.
+// section is one class in one track.
 type section struct {
-	lane    *lane
+	track   *track
 	class   core.Class
 	parties map[core.OwnerName]*party
 	turns   order[*party]
@@ -116,8 +116,8 @@
 	return c
 }
 
-func newSection(l *lane, c core.Class) *section {
-	s := &section{lane: l, class: c, parties: make(map[core.OwnerName]*party)}
+func newSection(t *track, c core.Class) *section {
+	s := &section{track: t, class: c, parties: make(map[core.OwnerName]*party)}
 	s.turns.before = func(a, b *party) bool {
 		if a.tag != b.tag {
 			return a.tag < b.tag
@@ -148,7 +148,7 @@
 }
 
 // first returns the party whose owner is furthest behind. The heap may hold an
-// older tag where the owner was served through another lane. Tags only grow, so
+// older tag where the owner was served through another track. Tags only grow, so
 // an element at the top whose tag is up to date is the least.
 func (s *section) first() *party {
 	for {
