--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -95,7 +95,7 @@
 	epoch    uint64
 	seen     bool
 
-	fence     core.Fence
+	fence core.Fence
 	// barrier is the number that the engine must show before anything is
 	// ordered; barrierAt is when it may be raised again.
 	barrier   core.Fence
--- a/core/ledger/report.go
+++ b/core/ledger/report.go
@@ -75,6 +75,7 @@
 	if l.checks() && st.Fence < l.barrier {
 		l.confirmed = false
 		l.barrier = 0
+		l.deafAt = time.Time{}
 	}
 }
 
--- a/core/spec.go
+++ b/core/spec.go
@@ -144,7 +144,10 @@
 
 // GrantHolder is one host that may hold a model.
 type GrantHolder struct {
-	Host  HostName   `json:"host"`
+	Host HostName `json:"host"`
+	// UID is that of the host's object, so that a host which is reclaimed and
+	// comes back under its old name does not hold its predecessor's grants.
+	UID   string     `json:"uid,omitempty"`
 	State GrantState `json:"state"`
 }
 
@@ -154,6 +157,10 @@
 	// Fence is the fencing number of the decider that wrote it last.
 	Fence Fence `json:"fence"`
 	// Entry is the version of the catalogue entry it was decided from.
-	Entry   Version       `json:"entry"`
+	Entry Version `json:"entry"`
+	// Owner and Memory are the owner and what one holder's replica takes, over
+	// all its accelerators, so that grants which outlive their entry count.
+	Owner   OwnerName     `json:"owner,omitempty"`
+	Memory  Bytes         `json:"memory,omitempty"`
 	Holders []GrantHolder `json:"holders"`
 }
