--- a/io/agent/load.go
+++ b/io/agent/load.go
@@ -4,12 +4,14 @@
 	"time"
 
 	"radishwell/core"
-	"radishwell/core/strike"
-	"radishwell/io/relay"
 	"radishwell/wire"
 )
 
-// load reports this host's load; names restricts the items. The lock is held.
+// maxReported bounds the items of a report; a host holds a few dozen.
+const maxReported = 64
+
+// load reports this host's load: what it holds, and the items named. The lock
+// is held.
 func (a *Agent) load(now time.Time, names []core.ModelName) *wire.HostLoad {
 	out := &wire.HostLoad{
 		Host: string(a.Host), Incarnation: uint64(a.Incarnation), At: now.UnixNano(),
@@ -18,8 +20,15 @@
 	for _, l := range a.lanes {
 		out.Queued += int32(l.waiting)
 	}
+	known := map[core.ModelName]bool{"": true}
+	for _, i := range a.ledger.Items() {
+		if len(out.Items) < maxReported {
+			known[i.Name] = true
+			out.Items = append(out.Items, a.itemLoad(i.Name))
+		}
+	}
 	for _, name := range names {
-		if name != "" {
+		if !known[name] {
 			out.Items = append(out.Items, a.itemLoad(name))
 		}
 	}
@@ -30,11 +39,6 @@
 func (a *Agent) Load(names []core.ModelName) *wire.HostLoad {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(names) == 0 {
-		for _, i := range a.ledger.Items() {
-			names = append(names, i.Name)
-		}
-	}
 	return a.load(a.Clock.Now(), names)
 }
 
@@ -55,25 +59,3 @@
 	}
 	return most
 }
-
-func strikesIn(list []*wire.Strike) []strike.Record {
-	out := make([]strike.Record, 0, len(list))
-	for _, s := range list {
-		out = append(out, strike.Record{
-			Fingerprint: core.Fingerprint(s.GetFingerprint()), Source: core.HostName(s.GetSource()),
-			Count: s.GetCount(), Alone: s.GetAlone(), Passed: s.GetPassed(), Expires: relay.Time(s.GetExpires()),
-		})
-	}
-	return out
-}
-
-func strikesOut(list []strike.Record) []*wire.Strike {
-	out := make([]*wire.Strike, 0, len(list))
-	for _, r := range list {
-		out = append(out, &wire.Strike{
-			Fingerprint: uint64(r.Fingerprint), Source: string(r.Source),
-			Count: r.Count, Alone: r.Alone, Passed: r.Passed, Expires: r.Expires.UnixNano(),
-		})
-	}
-	return out
-}
--- a/io/agent/sched.go
+++ b/io/agent/sched.go
@@ -20,8 +20,6 @@
 	target  core.Target
 	waiting int
 	running int
-	// loading is when the load that the lane waits for began.
-	loading time.Time
 	// cold tells that requests now waiting have waited for a load.
 	cold bool
 	// idle is when the last request ended.
@@ -43,7 +41,7 @@
 	a.expire(now)
 	a.startHeld(now)
 	for {
-		item, ok := a.queue.Pop(now, func(name string) bool { return a.free(now, a.lanes[name]) })
+		item, ok := a.queue.Pop(now, func(name string) int { return a.free(a.lanes[name]) })
 		a.expire(now)
 		if !ok || !a.start(now, a.byID[item.ID]) {
 			break
@@ -71,7 +69,7 @@
 		case !r.ended.IsZero():
 		case !now.Before(relay.Time(r.head.GetDeadline())):
 			a.end(r, now, core.Refuse(core.CodeDeadline, "the deadline passed while the request waited for a trial"))
-		case !a.free(now, a.lane(r.target)):
+		case a.free(a.lane(r.target)) <= 0:
 			a.held = append(a.held, r)
 		case !a.start(now, r):
 			a.held = append(a.held, held[i+1:]...)
@@ -80,12 +78,12 @@
 	}
 }
 
-// free tells whether the lane's next request may start.
-func (a *Agent) free(now time.Time, l *lane) bool {
-	if l.running >= a.concurrency(l.target) || a.inWork >= a.serviceConcurrency() {
-		return false
+// free tells how many of the lane's requests may start.
+func (a *Agent) free(l *lane) int {
+	if !a.Plain && (a.ledger.Item(l.target.Model).State != core.Loaded || !a.baseLoaded(l.target)) {
+		return 0
 	}
-	return a.Plain || a.ledger.Item(l.target.Model).State == core.Loaded && a.baseLoaded(l.target)
+	return min(a.concurrency(l.target)-l.running, a.serviceConcurrency()-a.inWork)
 }
 
 func (a *Agent) baseLoaded(t core.Target) bool {
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -87,6 +87,9 @@
 		Owner: c.GetOwner(), Key: c.GetKey(), RequestId: c.GetKey(), Attempt: c.GetAttempt(), Incarnation: c.GetIncarnation(),
 		Fingerprint: c.GetFingerprint(), ClaimExpires: c.GetExpires(), Deadline: c.GetExpires(),
 	})
+	// Without an incarnation the question may be about a predecessor, which may
+	// have run the request.
+	call.Incarnation = core.Incarnation(c.GetIncarnation())
 	state := a.table.Seal(a.Clock.Now(), call)
 	out := &wire.SealReply{State: uint32(state)}
 	if r := a.runs[call.ID]; r != nil && state != dedupe.Sealed {
--- a/io/agent/take.go
+++ b/io/agent/take.go
@@ -55,7 +55,7 @@
 	if a.leaving && a.runs[call.ID] == nil {
 		return nil, a.leavingRefusal(now)
 	}
-	a.book.Merge(now, strikesIn(h.GetStrikes()))
+	a.book.Merge(now, relay.StrikesIn(h.GetStrikes()))
 	verdict := a.table.Begin(now, call)
 	if verdict.Refusal != nil {
 		return nil, verdict.Refusal
@@ -171,7 +171,7 @@
 	e := relay.EndOf(refusal)
 	e.Cold = r.cold
 	e.Load = a.load(now, []core.ModelName{r.target.Model, r.target.Base})
-	e.Strikes = strikesOut(r.strikes)
+	e.Strikes = relay.StrikesOut(r.strikes)
 	r.spool.End(e)
 }
 
--- /dev/null
+++ b/io/entry/client.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"crypto/tls"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"radishwell/core"
+)
+
+// client is the connections to one address of a host.
+type client struct {
+	base      string
+	transport *http.Transport
+}
+
+type clientKey struct {
+	host core.HostName
+	work netip.AddrPort
+}
+
+// clientSet holds a client for each host in use.
+type clientSet struct {
+	mu   sync.Mutex
+	list map[clientKey]*client
+}
+
+func (s *clientSet) get(h Host, conf func(core.HostName) *tls.Config) *client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := clientKey{h.Name, h.Work}
+	if c := s.list[key]; c != nil {
+		return c
+	}
+	if s.list == nil {
+		s.list = map[clientKey]*client{}
+	}
+	var own *tls.Config
+	scheme := "http://"
+	if conf != nil {
+		own = conf(h.Name)
+	}
+	if own != nil {
+		scheme = "https://"
+	}
+	c := &client{base: scheme + h.Work.String(), transport: newTransport(own)}
+	s.list[key] = c
+	return c
+}
+
+// keep closes the clients of hosts that are no longer listed.
+func (s *clientSet) keep(listed func(core.HostName) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, c := range s.list {
+		if !listed(key.host) {
+			c.transport.CloseIdleConnections()
+			delete(s.list, key)
+		}
+	}
+}
+
+func (s *clientSet) close() { s.keep(func(core.HostName) bool { return false }) }
--- /dev/null
+++ b/io/entry/hosts.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/catlog"
+	"radishwell/core/route"
+	"radishwell/io/relay"
+	"radishwell/wire"
+)
+
+// hostState is what an entry knows of one host's load.
+type hostState struct {
+	load        *wire.HostLoad
+	incarnation core.Incarnation
+	inFlight    int
+	sent        int
+	probing     bool
+	// tiers is where the host last had each checkpoint.
+	tiers map[core.ModelName]core.Tier
+}
+
+// Costs of a cold start while none was measured, by tier: a guess that only
+// orders the tiers.
+var guessedCosts = [3]time.Duration{500 * time.Millisecond, 2 * time.Second, 8 * time.Second}
+
+const (
+	// costWeight is how much of a measured cost one load replaces.
+	costWeight = 4
+	// probeTime bounds a probe; a later answer would be stale.
+	probeTime = 300 * time.Millisecond
+)
+
+func (e *Entry) host(name core.HostName) *hostState {
+	h := e.hosts[name]
+	if h == nil {
+		h = &hostState{}
+		e.hosts[name] = h
+	}
+	return h
+}
+
+func (e *Entry) entryOf(t core.Target) (*catlog.Entry, bool) {
+	if t.Model == "" {
+		return e.Snapshot().Service(t.Service)
+	}
+	return e.Snapshot().Model(t.Model)
+}
+
+// plan asks the router where a request should go.
+func (e *Entry) plan(r core.Request, tried []core.HostName) ([]route.Choice, map[core.HostName]Host) {
+	hosts := e.Hosts(r.Target)
+	byName := make(map[core.HostName]Host, len(hosts))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Clock.Now()
+	q := route.Query{Request: r, Here: e.DataCentre, Tried: tried, Costs: e.costsOf(r.Target)}
+	for _, h := range hosts {
+		byName[h.Name] = h
+		q.Candidates = append(q.Candidates, e.candidate(r.Target, h))
+	}
+	plan := e.router.Plan(now, q)
+	for _, name := range plan.Probe {
+		e.probe(byName[name], r.Target)
+	}
+	return plan.Hosts, byName
+}
+
+func (e *Entry) candidate(t core.Target, h Host) route.Candidate {
+	s := e.host(h.Name)
+	return route.Candidate{
+		Host: h.Name, DataCentre: h.DataCentre, Health: h.Health,
+		Load: s.loadOf(t), InFlight: s.inFlight, Sent: s.sent,
+	}
+}
+
+// loadOf returns the host's load as the router sees it. A report lists what
+// the host holds; an item that it does not name is absent.
+func (s *hostState) loadOf(t core.Target) route.Load {
+	out := route.Load{Item: route.Item{Tier: s.tier(t.Model)}, Base: route.Item{Tier: s.tier(t.Base)}}
+	l := s.load
+	if l == nil {
+		return out
+	}
+	out.At = relay.Time(l.GetAt())
+	out.Running, out.Queued, out.Free = int(l.GetRunning()), int(l.GetQueued()), core.Bytes(l.GetFreeBytes())
+	for _, i := range l.GetItems() {
+		item := route.Item{
+			State: core.ItemState(i.GetState()), Running: int(i.GetRunning()), Queued: int(i.GetQueued()),
+			Tier: core.Tier(i.GetTier()), Ready: relay.Time(i.GetReady()),
+		}
+		switch core.ModelName(i.GetName()) {
+		case t.Model:
+			out.Item = item
+		case t.Base:
+			out.Base = item
+		}
+	}
+	return out
+}
+
+func (s *hostState) tier(name core.ModelName) core.Tier {
+	if tier, ok := s.tiers[name]; ok {
+		return tier
+	}
+	return core.TierStore
+}
+
+func (e *Entry) costsOf(t core.Target) route.Costs {
+	return route.Costs{Item: e.costOf(t.Model), Base: e.costOf(t.Base)}
+}
+
+func (e *Entry) costOf(name core.ModelName) [3]time.Duration {
+	if c := e.costs[name]; c != nil {
+		return *c
+	}
+	return guessedCosts
+}
+
+// probe asks a host for its load in the background.
+func (e *Entry) probe(h Host, t core.Target) {
+	s := e.host(h.Name)
+	if s.probing || e.closing {
+		return
+	}
+	s.probing = true
+	e.calls.Add(1)
+	go func() {
+		defer e.calls.Done()
+		ctx, stop := context.WithTimeout(context.Background(), probeTime)
+		defer stop()
+		load, err := e.Probe(ctx, h, namesOf(t))
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		s.probing = false
+		if err == nil {
+			e.noteLoad(h.Name, load)
+		}
+	}()
+}
+
+func namesOf(t core.Target) []core.ModelName {
+	names := []core.ModelName{t.Model}
+	if t.Base != "" {
+		names = append(names, t.Base)
+	}
+	return names
+}
+
+// noteLoad takes a host's load from an answer or a probe. The lock is
+// held.
+func (e *Entry) noteLoad(name core.HostName, l *wire.HostLoad) {
+	if l == nil {
+		return
+	}
+	s := e.host(name)
+	if s.load != nil && s.load.GetAt() >= l.GetAt() && s.load.GetIncarnation() == l.GetIncarnation() {
+		return
+	}
+	s.load = l
+	s.incarnation = core.Incarnation(l.GetIncarnation())
+	s.sent = 0
+	for _, i := range l.GetItems() {
+		if s.tiers == nil {
+			s.tiers = map[core.ModelName]core.Tier{}
+		}
+		s.tiers[core.ModelName(i.GetName())] = core.Tier(i.GetTier())
+	}
+}
+
+// noteCost measures a cold start: the time from hand-over to the first byte of
+// a request that waited for a load.
+func (e *Entry) noteCost(t core.Target, tier core.Tier, took time.Duration) {
+	c := e.costs[t.Model]
+	if c == nil {
+		fresh := guessedCosts
+		c = &fresh
+		e.costs[t.Model] = c
+	}
+	i := min(int(tier), len(c)-1)
+	c[i] += (took - c[i]) / costWeight
+}
--- /dev/null
+++ b/io/entry/journal.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/claims"
+	"radishwell/wire"
+)
+
+// Journals carries out what core/claims decides: it asks the entry in charge of
+// a key's journal, or writes to the platform where that is this one.
+type Journals struct {
+	Self     core.HostName
+	Clock    core.Clock
+	Platform core.Platform
+	// Entries lists the live entries, this one included.
+	Entries func() []core.HostName
+	// Ask asks another entry to record a claim.
+	Ask func(ctx context.Context, entry core.HostName, c *wire.ClaimCall) (*wire.ClaimReply, error)
+
+	books []*journal
+	ended chan struct{}
+}
+
+const (
+	// journalCount is how many journals the fleet has. Four take at most 80
+	// writes a second at one group each 50 ms, a fifth of what the platform
+	// holds, and spread the work over as many entries.
+	journalCount = 4
+	// journalSlots and segmentBytes bound a journal: at 56 bytes a claim, 1,024
+	// segments of 64 KiB hold 1.2 million claims, a day of 14 a second in each
+	// journal. A segment is written again with every group, so it is kept small.
+	journalSlots = 1024
+	segmentBytes = 64 * core.KiB
+	// maxClaims bounds the claims that wait in one journal.
+	maxClaims = 4096
+	// platformTime bounds one call of the platform for a claim.
+	platformTime = time.Second
+	// askTime bounds the question to the entry in charge.
+	askTime = time.Second
+)
+
+// journal is one journal and the goroutine that owns it.
+type journal struct {
+	in      chan func(now time.Time) claims.Effects
+	state   claims.Journal
+	waiting map[uint64]chan claims.Answer
+	token   uint64
+}
+
+// Init prepares the journals; Run serves them.
+func (s *Journals) Init() {
+	for n := range journalCount {
+		s.books = append(s.books, &journal{
+			in:      make(chan func(time.Time) claims.Effects, maxClaims),
+			waiting: map[uint64]chan claims.Answer{},
+			state:   claims.Journal{Number: n, Slots: journalSlots, SegmentBytes: segmentBytes, MaxWaiting: maxClaims},
+		})
+	}
+}
+
+// Run serves the journals until the context ends.
+func (s *Journals) Run(ctx context.Context) error {
+	ended := make(chan struct{}, len(s.books))
+	for _, b := range s.books {
+		go func() { s.serve(ctx, b); ended <- struct{}{} }()
+	}
+	for range s.books {
+		<-ended
+	}
+	return nil
+}
+
+// serve owns one journal: every event of it passes here.
+func (s *Journals) serve(ctx context.Context, b *journal) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		wait := time.Hour
+		if next := b.state.Next(); !next.IsZero() {
+			wait = max(0, next.Sub(s.Clock.Now()))
+		}
+		timer.Reset(wait)
+		var effects claims.Effects
+		select {
+		case event := <-b.in:
+			effects = event(s.Clock.Now())
+		case <-timer.C:
+			effects = b.state.Tick(s.Clock.Now())
+		case <-ctx.Done():
+			return
+		}
+		s.carryOut(ctx, b, effects)
+	}
+}
+
+func (s *Journals) carryOut(ctx context.Context, b *journal, e claims.Effects) {
+	for _, a := range e.Answers {
+		if to := b.waiting[a.Token]; to != nil {
+			delete(b.waiting, a.Token)
+			to <- a
+		}
+	}
+	for _, name := range e.Reads {
+		go s.read(ctx, b, name)
+	}
+	if e.Write != nil {
+		go s.write(ctx, b, *e.Write)
+	}
+}
+
+// send passes an event to the journal's owner.
+func (b *journal) send(ctx context.Context, event func(time.Time) claims.Effects) {
+	select {
+	case b.in <- event:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Journals) read(ctx context.Context, b *journal, name string) {
+	call, stop := context.WithTimeout(ctx, platformTime)
+	defer stop()
+	o, err := s.Platform.Get(call, core.KindClaim, name)
+	b.send(ctx, func(now time.Time) claims.Effects { return b.state.Read(now, replyOf(name, o, err)) })
+}
+
+func (s *Journals) write(ctx context.Context, b *journal, w claims.Write) {
+	call, stop := context.WithTimeout(ctx, platformTime)
+	defer stop()
+	do := s.Platform.Update
+	if w.Create {
+		do = s.Platform.Create
+	}
+	o, err := do(call, w.Object)
+	b.send(ctx, func(now time.Time) claims.Effects { return b.state.Wrote(now, replyOf(w.Object.Name, o, err)) })
+}
+
+func replyOf(name string, o core.Object, err error) claims.Reply {
+	if err == nil {
+		return claims.Reply{Name: name, Object: o, OK: true}
+	}
+	fault := core.Unknown
+	var known *core.PlatformError
+	if errors.As(err, &known) {
+		fault = known.Fault
+	}
+	return claims.Reply{Name: name, Fault: fault}
+}
+
+// Claim records a claim through the entry in charge of the key's journal, or
+// here where that one does not answer: any entry may append, since every append
+// is conditional.
+func (s *Journals) Claim(ctx context.Context, a claims.Ask) claims.Answer {
+	n := claims.JournalOf(a.Claim.ID, journalCount)
+	ranked := claims.Rank(n, s.Entries())
+	if len(ranked) == 0 || ranked[0] == s.Self {
+		return s.Local(ctx, a)
+	}
+	call, stop := context.WithTimeout(ctx, askTime)
+	reply, err := s.Ask(call, ranked[0], callOf(a))
+	stop()
+	if err != nil {
+		return s.Local(ctx, a)
+	}
+	return answerOf(reply)
+}
+
+// Local records a claim here.
+func (s *Journals) Local(ctx context.Context, a claims.Ask) claims.Answer {
+	b := s.books[claims.JournalOf(a.Claim.ID, journalCount)]
+	to := make(chan claims.Answer, 1)
+	b.send(ctx, func(now time.Time) claims.Effects {
+		b.token++
+		a.Token = b.token
+		b.waiting[a.Token] = to
+		return b.state.Ask(now, a)
+	})
+	select {
+	case answer := <-to:
+		return answer
+	case <-ctx.Done():
+		return claims.Answer{Result: claims.Unsure, RetryAt: s.Clock.Now().Add(time.Second)}
+	}
+}
+
+// Serve records a claim for another entry.
+func (s *Journals) Serve(ctx context.Context, c *wire.ClaimCall) *wire.ClaimReply {
+	return replyTo(s.Local(ctx, askOf(c, s.Clock.Now().Add(askTime))))
+}
--- /dev/null
+++ b/io/entry/keyed.go
@@ -0,0 +1,209 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/claims"
+	"radishwell/core/dedupe"
+	"radishwell/core/retry"
+	"radishwell/wire"
+)
+
+// claimTime is how long an entry waits for a claim to be recorded: ten group
+// commits, or a retry after a lost answer.
+const claimTime = 2 * time.Second
+
+// runKeyed runs a request that may not be repeated under its idempotency key.
+// core/claims decides each step; see docs/design/at-most-once.md.
+func (j *job) runKeyed(ctx context.Context) *core.Refusal {
+	r := j.call.Request
+	call := claims.Call{
+		ID: dedupe.KeyOf(r.Owner, r.Key), Fingerprint: r.Fingerprint,
+		Claimant: j.e.draw((*rand.Rand).Uint64), Deadline: r.Deadline, Expires: claims.ExpiryOf(r.Deadline, j.e.KeyAge),
+	}
+	k := keyed{j: j, call: &call}
+	step := call.Start(j.e.Clock.Now())
+	for {
+		switch step.Kind {
+		case claims.StepPick:
+			step = k.pick(ctx)
+		case claims.StepClaim:
+			step = k.claim(ctx, step.Claim)
+		case claims.StepHandOver:
+			step = k.handOver(ctx, step.Claim)
+		case claims.StepAsk:
+			step = k.ask(ctx, step)
+		case claims.StepAttach:
+			step = k.attach(ctx, step.Claim)
+		case claims.StepRefuse:
+			return step.Refusal
+		default:
+			return nil
+		}
+	}
+}
+
+// keyed drives one request's claims.Call.
+type keyed struct {
+	j     *job
+	call  *claims.Call
+	tried []core.HostName
+	// g is where the caller's answer stands, whichever connection it came over.
+	g *reading
+}
+
+func (k *keyed) now() time.Time { return k.j.e.Clock.Now() }
+
+// pick chooses a host whose incarnation is known: a claim names both.
+func (k *keyed) pick(ctx context.Context) claims.Step {
+	r := k.j.call.Request
+	choices, hosts := k.j.e.plan(r, k.tried)
+	if len(choices) == 0 && len(k.tried) > 0 {
+		k.tried = nil
+		choices, hosts = k.j.e.plan(r, nil)
+	}
+	for _, c := range choices {
+		h := hosts[c.Host]
+		if incarnation := k.j.e.incarnationOf(ctx, h, r.Target); incarnation != 0 {
+			k.tried = append(k.tried, h.Name)
+			return k.call.Picked(h.Name, incarnation)
+		}
+	}
+	return k.call.NoHost(noHost(k.now(), r.Target))
+}
+
+// incarnationOf returns a host's incarnation, asked for where it is not known;
+// zero where the host does not answer.
+func (e *Entry) incarnationOf(ctx context.Context, h Host, t core.Target) core.Incarnation {
+	e.mu.Lock()
+	known := e.host(h.Name).incarnation
+	e.mu.Unlock()
+	if known != 0 {
+		return known
+	}
+	call, stop := context.WithTimeout(ctx, probeTime)
+	defer stop()
+	load, err := e.Probe(call, h, namesOf(t))
+	if err != nil {
+		return 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.noteLoad(h.Name, load)
+	return core.Incarnation(load.GetIncarnation())
+}
+
+func (k *keyed) claim(ctx context.Context, c claims.Claim) claims.Step {
+	giveUp := k.now().Add(claimTime)
+	if k.call.Deadline.Before(giveUp) {
+		giveUp = k.call.Deadline
+	}
+	answer := k.j.e.Claim(ctx, claims.Ask{Claim: c, GiveUp: giveUp})
+	k.j.e.trail(k.j.call.Request.ID, k.now(), "claim "+claimText(answer.Result)+" for "+string(c.Host))
+	return k.call.Claimed(k.now(), answer)
+}
+
+func claimText(r claims.Result) string {
+	switch r {
+	case claims.Won:
+		return "won"
+	case claims.Held:
+		return "held by another"
+	default:
+		return "not recorded"
+	}
+}
+
+func (k *keyed) head(c claims.Claim, h Host) *wire.WorkHead {
+	head := k.j.head(h, c.Incarnation)
+	head.Attempt = c.Attempt
+	head.ClaimExpires = c.Expires.UnixNano()
+	return head
+}
+
+// handOver sends the request, once.
+func (k *keyed) handOver(ctx context.Context, c claims.Claim) claims.Step {
+	h, ok := k.j.e.Find(c.Host)
+	if !ok {
+		return k.call.Ended(k.now(), claims.EndUnsent, nil, true)
+	}
+	since := k.now()
+	k.j.e.handing(h, k.j.call.Request)
+	k.j.call.Answer.Reset()
+	k.g = &reading{to: k.j.call.Answer, clock: k.j.e.Clock}
+	refusal, lost := k.j.read(ctx, h, k.head(c, h), k.j.call.Body, k.g)
+	k.j.e.handed(h, k.j.call.Request, lossRefusal(refusal, lost), k.j.cold, since)
+	return k.over(ctx, refusal, lost)
+}
+
+func lossRefusal(r *core.Refusal, l *loss) *core.Refusal {
+	if r == nil && l != nil {
+		return &core.Refusal{Code: core.CodeUpstreamLost, Outcome: core.MayHaveRun}
+	}
+	return r
+}
+
+// over tells the call how a hand-over or an attachment ended.
+func (k *keyed) over(ctx context.Context, refusal *core.Refusal, lost *loss) claims.Step {
+	switch {
+	case lost != nil && callerGone(ctx, lost.cause):
+		return claims.Step{Kind: claims.StepRefuse, Refusal: gone(ctx, "")}
+	case lost != nil && lost.sent:
+		return k.call.Ended(k.now(), claims.EndLost, nil, false)
+	case lost != nil:
+		return k.call.Ended(k.now(), claims.EndUnsent, nil, false)
+	case refusal == nil:
+		return k.call.Ended(k.now(), claims.EndWhole, nil, false)
+	}
+	again := refusal.Outcome == core.NotRun && k.again(refusal)
+	return k.call.Ended(k.now(), claims.EndRefused, refusal, again)
+}
+
+// again asks core/retry whether a refused attempt may be made elsewhere.
+func (k *keyed) again(refusal *core.Refusal) bool {
+	d := k.j.e.decide(retry.Case{
+		Request: k.j.call.Request, Attempts: []retry.Attempt{{Host: refusal.Host, Refusal: refusal}},
+		Begun: k.j.call.Answer.Begun(), HostsLeft: 1,
+	})
+	return d.Action == retry.Again
+}
+
+// ask asks the agent of a claim what became of the attempt.
+func (k *keyed) ask(ctx context.Context, step claims.Step) claims.Step {
+	if !sleepUntil(ctx, k.j.e.Clock, step.At) {
+		return claims.Step{Kind: claims.StepRefuse, Refusal: gone(ctx, step.Claim.Host)}
+	}
+	c := step.Claim
+	h, ok := k.j.e.Find(c.Host)
+	if !ok {
+		return k.call.Asked(k.now(), claims.Standing{Gone: true})
+	}
+	call, stop := context.WithTimeout(ctx, sealTime)
+	defer stop()
+	reply, err := k.j.e.Seal(call, h, &wire.SealCall{
+		Owner: string(k.j.call.Request.Owner), Key: k.j.call.Request.Key, Attempt: c.Attempt, Incarnation: uint64(c.Incarnation),
+		Expires: c.Expires.UnixNano(), Fingerprint: uint64(c.Fingerprint),
+	})
+	if err != nil {
+		return k.call.Asked(k.now(), claims.Standing{})
+	}
+	k.j.e.trail(k.j.call.Request.ID, k.now(), "attempt at "+string(c.Host)+" is "+dedupe.State(reply.GetState()).String())
+	return k.call.Asked(k.now(), claims.Standing{Reached: true, State: dedupe.State(reply.GetState())})
+}
+
+// attach reads an attempt's answer from where the caller's stands.
+func (k *keyed) attach(ctx context.Context, c claims.Claim) claims.Step {
+	h, ok := k.j.e.Find(c.Host)
+	if !ok {
+		return k.call.Asked(k.now(), claims.Standing{Gone: true})
+	}
+	if k.g == nil {
+		k.g = &reading{to: k.j.call.Answer, clock: k.j.e.Clock}
+	}
+	head := attachHead(k.head(c, h), k.g.offset)
+	refusal, lost := k.j.read(ctx, h, head, nil, k.g)
+	return k.over(ctx, refusal, lost)
+}
--- /dev/null
+++ b/io/entry/note.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/retry"
+	"radishwell/core/route"
+	"radishwell/core/strike"
+	"radishwell/io/relay"
+	"radishwell/wire"
+)
+
+// handing notes that a request goes to a host now, and returns the host's
+// incarnation as last known, zero where it is not.
+func (e *Entry) handing(h Host, r core.Request) core.Incarnation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.host(h.Name)
+	s.inFlight++
+	s.sent++
+	e.router.Sent(e.Clock.Now(), r, h.Name)
+	if s.incarnation != 0 {
+		return s.incarnation
+	}
+	return h.Incarnation
+}
+
+// handed notes how an attempt at a host ended.
+func (e *Entry) handed(h Host, r core.Request, refusal *core.Refusal, cold bool, since time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Clock.Now()
+	e.host(h.Name).inFlight--
+	took := now.Sub(since)
+	switch {
+	case refusal == nil && cold:
+		e.noteCost(r.Target, e.host(h.Name).tier(r.Target.Model), took)
+	case refusal == nil:
+		e.router.Observe(now, route.Report{Host: h.Name, Target: r.Target, Result: route.Served, Took: took, Cost: cost(r)})
+	case refusal.Code == core.CodeUpstreamLost || refusal.Code == core.CodeUpstreamFailed:
+		e.router.Observe(now, route.Report{Host: h.Name, Target: r.Target, Result: route.Broken, Took: took, Cost: cost(r)})
+	}
+	e.Noted(h.Name, refusal == nil || refusal.Code != core.CodeUpstreamLost, e.host(h.Name).incarnation, refusal != nil && refusal.Code == core.CodeLeaving)
+}
+
+// ended takes what rides on an answer's end.
+func (e *Entry) ended(h Host, end *wire.End) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.noteLoad(h.Name, end.GetLoad())
+	if len(end.GetStrikes()) > 0 {
+		e.book.Merge(e.Clock.Now(), relay.StrikesIn(end.GetStrikes()))
+	}
+}
+
+func (e *Entry) firstAttempt(set core.ServiceName) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budgets.First(set)
+}
+
+func (e *Entry) decide(c retry.Case) retry.Decision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	d := e.budgets.Decide(e.Clock.Now(), c, e.Rand)
+	e.Meter.Retry(d.Action != retry.GiveUp)
+	return d
+}
+
+// draw returns a random number; the source is not safe for concurrent use.
+func (e *Entry) draw(from func(*rand.Rand) uint64) uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return from(e.Rand)
+}
+
+func (e *Entry) strikesAgainst(f core.Fingerprint) []*wire.Strike {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return relay.StrikesOut(e.book.Against(e.Clock.Now(), f))
+}
+
+// cancelAt tells a host in the background that a request's caller has gone.
+func (e *Entry) cancelAt(h Host, id core.RequestID) {
+	e.calls.Add(1)
+	go func() {
+		defer e.calls.Done()
+		e.Relay.cancel(h, id)
+	}()
+}
+
+// Strikes returns what this entry knows against requests, for peers.
+func (e *Entry) Strikes() []strike.Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.book.Records(e.Clock.Now())
+}
+
+// MergeStrikes takes strikes from peers.
+func (e *Entry) MergeStrikes(list []strike.Record) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.book.Merge(e.Clock.Now(), list)
+}
+
+// Quarantined lists the requests that something is held against, ClearStrikes
+// voids what is held against one. Operators call both.
+func (e *Entry) Quarantined() []strike.Finding {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.book.List(e.Clock.Now())
+}
+
+// ClearStrikes voids what is held against a request.
+func (e *Entry) ClearStrikes(f core.Fingerprint) {
+	e.mu.Lock()
+	mark := e.book.Clear(e.Clock.Now(), f)
+	e.mu.Unlock()
+	e.Spread([]strike.Record{mark})
+}
--- /dev/null
+++ b/io/entry/queue.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/admit"
+	"radishwell/core/queue"
+	"radishwell/io/front"
+	"radishwell/io/meter"
+)
+
+// await admits a request and waits for its turn. It returns nil when the
+// request may go on; release must be called then.
+func (e *Entry) await(ctx context.Context, c *front.Call) *core.Refusal {
+	t, refusal := e.enter(c)
+	if refusal != nil {
+		return refusal
+	}
+	select {
+	case <-t.given:
+		return t.refusal
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-t.given:
+		// The turn came at the same moment; it is handed back by the caller.
+		return t.refusal
+	default:
+	}
+	e.queue.Remove(t.request.ID)
+	e.drop(t, core.Refuse(core.CodeCancelled, "the caller went away"))
+	return t.refusal
+}
+
+func (e *Entry) enter(c *front.Call) (*turn, *core.Refusal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Clock.Now()
+	if refusal := e.book.Refuse(now, c.Request.Fingerprint); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := e.admit.Offer(now, c.Request, e.bounds(c)); refusal != nil {
+		return nil, refusal
+	}
+	t := &turn{request: c.Request, given: make(chan struct{})}
+	e.turns[c.Request.ID] = t
+	e.lane(c.Request.Target)
+	pushed := e.queue.Push(now, queue.Item{
+		ID: c.Request.ID, Lane: c.Request.Target.Name(), Owner: c.Request.Owner, Caller: c.Request.Caller,
+		Class: c.Request.Class, Deadline: c.Request.Deadline, Cost: cost(c.Request), Size: c.Request.Size,
+	})
+	e.refuseAll(pushed.Displaced)
+	if pushed.Refusal != nil {
+		e.drop(t, pushed.Refusal)
+		return nil, pushed.Refusal
+	}
+	e.schedule(now)
+	poke(e.alarm)
+	return t, nil
+}
+
+func cost(r core.Request) int64 { return max(1, int64(r.Tokens)) }
+
+func (e *Entry) bounds(c *front.Call) admit.Bounds {
+	b := admit.Bounds{Owner: c.Account.Limits, Caller: c.Account.CallerLimits, Target: c.Entry.Limits, Share: e.Share()}
+	if p, ok := e.Snapshot().Pool(c.Request.Target.Service); ok {
+		b.Service = p.Limits
+	}
+	return b
+}
+
+func poke(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Entry) lane(t core.Target) *lane {
+	l := e.lanes[t.Name()]
+	if l == nil {
+		l = &lane{target: t}
+		e.lanes[t.Name()] = l
+	}
+	return l
+}
+
+// schedule gives turns to the requests that may go on. The lock is held.
+func (e *Entry) schedule(now time.Time) {
+	e.refuseAll(e.queue.Expire(now))
+	held := e.held
+	e.held = nil
+	for _, t := range held {
+		e.give(now, t)
+	}
+	for {
+		item, ok := e.queue.Pop(now, e.free)
+		e.refuseAll(e.queue.Expire(now))
+		if !ok {
+			return
+		}
+		e.give(now, e.turns[item.ID])
+	}
+}
+
+// free tells how many more requests of a lane may be in progress.
+func (e *Entry) free(name string) int {
+	l := e.lanes[name]
+	per := 0
+	if entry, ok := e.entryOf(l.target); ok {
+		per = entry.Limits.Concurrency
+	}
+	window := max(leastWindow, windowFactor*per*len(e.Hosts(l.target)))
+	return window - l.running
+}
+
+// give lets a request go on unless a concurrency limit of its owner, caller or
+// target is in use; it is held back until one of them frees a place.
+func (e *Entry) give(now time.Time, t *turn) {
+	if t == nil || t.refusal != nil {
+		return
+	}
+	if !now.Before(t.request.Deadline) {
+		e.queue.Finish(now, t.request.ID, queue.Failed)
+		e.drop(t, core.Refuse(core.CodeDeadline, "the deadline passed while the owner's concurrency was in use"))
+		return
+	}
+	if !e.admit.CanStart(t.request.ID) {
+		e.held = append(e.held, t)
+		return
+	}
+	e.admit.Start(now, t.request.ID)
+	e.lane(t.request.Target).running++
+	delete(e.turns, t.request.ID)
+	e.Meter.Hop(meter.EntryQueue, t.request.Arrived, now)
+	close(t.given)
+}
+
+func (e *Entry) refuseAll(list []queue.Refused) {
+	for _, r := range list {
+		if t := e.turns[r.Item.ID]; t != nil {
+			e.drop(t, r.Refusal)
+		}
+	}
+}
+
+// drop refuses a request that waits.
+func (e *Entry) drop(t *turn, refusal *core.Refusal) {
+	if t.refusal != nil {
+		return
+	}
+	t.refusal = refusal
+	delete(e.turns, t.request.ID)
+	e.admit.Done(e.Clock.Now(), t.request.ID)
+	close(t.given)
+}
+
+// release returns a request's place after its end.
+func (e *Entry) release(c *front.Call, refusal *core.Refusal, cold bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Clock.Now()
+	end := queue.Served
+	switch {
+	case refusal != nil:
+		end = queue.Failed
+	case cold:
+		end = queue.ServedCold
+	}
+	e.queue.Finish(now, c.Request.ID, end)
+	e.admit.Done(now, c.Request.ID)
+	e.lane(c.Request.Target).running--
+	e.schedule(now)
+	poke(e.alarm)
+}
--- /dev/null
+++ b/io/entry/relay.go
@@ -0,0 +1,199 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"radishwell/core"
+	"radishwell/io/agent"
+	"radishwell/io/relay"
+	"radishwell/wire"
+)
+
+const (
+	dialTimeout = time.Second
+	// A connection on which nothing has arrived for pingAfter is asked for a
+	// sign of life, and closed if none comes within pingTimeout: a connection
+	// that something between the two hosts has lost track of is found within
+	// two seconds, however slow the model is that is answering on it.
+	pingAfter   = time.Second
+	pingTimeout = time.Second
+	// streamBuffer bounds what one answer may have on its way to a slow caller.
+	streamBuffer = 256 << 10
+	connBuffer   = 16 << 20
+	cancelTime   = time.Second
+)
+
+// Relay hands requests over to agents and reads their answers.
+type Relay struct {
+	// TLS returns the configuration towards a host; nil for none.
+	TLS func(core.HostName) *tls.Config
+
+	clients clientSet
+}
+
+// HandOver is how a hand-over ended without an answer's end.
+type handOverError struct {
+	// sent tells that the agent may have the request.
+	sent  bool
+	cause error
+}
+
+// Error implements error.
+func (e *handOverError) Error() string { return "contact with the agent was lost: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *handOverError) Unwrap() error { return e.cause }
+
+// newTransport returns a transport for one host: HTTP/2 with pings on silent
+// connections, over TLS if conf is set.
+func newTransport(conf *tls.Config) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	var protocols http.Protocols
+	protocols.SetHTTP2(conf != nil)
+	protocols.SetUnencryptedHTTP2(conf == nil)
+	return &http.Transport{
+		DialContext: dialer.DialContext, TLSClientConfig: conf, Protocols: &protocols, DisableCompression: true,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingAfter, PingTimeout: pingTimeout, WriteByteTimeout: pingAfter + pingTimeout,
+			MaxReceiveBufferPerStream: streamBuffer, MaxReceiveBufferPerConnection: connBuffer,
+		},
+	}
+}
+
+// open sends a request, or asks for the rest of its answer, and returns the
+// answer's frames. Its error is a handOverError.
+func (r *Relay) open(ctx context.Context, h Host, head *wire.WorkHead, body []byte) (io.ReadCloser, error) {
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
+	answer, err := r.post(ctx, h, agent.PathWork, head, body)
+	if err != nil {
+		return nil, &handOverError{sent: sent.Load(), cause: err}
+	}
+	if answer.StatusCode != http.StatusOK {
+		answer.Body.Close()
+		return nil, &handOverError{sent: true, cause: &StatusError{Status: answer.StatusCode}}
+	}
+	return answer.Body, nil
+}
+
+// StatusError reports an agent that does not speak the protocol as expected.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string { return "the agent answered " + http.StatusText(e.Status) }
+
+func (r *Relay) post(ctx context.Context, h Host, path string, head *wire.WorkHead, body []byte) (*http.Response, error) {
+	client := r.clients.get(h, r.TLS)
+	var buf bytes.Buffer
+	if err := relay.WriteHead(&buf, head); err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, client.base+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	// A body that cannot be rewound keeps the transport from sending the
+	// request again by itself, which could run it twice.
+	req.Body = once{io.MultiReader(&buf, bytes.NewReader(body))}
+	req.ContentLength = int64(buf.Len() + len(body))
+	return client.transport.RoundTrip(req)
+}
+
+type once struct{ io.Reader }
+
+func (once) Close() error { return nil }
+
+// cancel tells an agent that a request's caller has gone.
+func (r *Relay) cancel(h Host, id core.RequestID) {
+	ctx, stop := context.WithTimeout(context.Background(), cancelTime)
+	defer stop()
+	answer, err := r.post(ctx, h, agent.PathCancel, &wire.WorkHead{RequestId: string(id)}, nil)
+	if err == nil {
+		answer.Body.Close()
+	}
+}
+
+// Close closes all connections that are not in use.
+func (r *Relay) Close() { r.clients.close() }
+
+// sink takes an answer's frames on the way to the caller.
+type sink interface {
+	Head(status int, header http.Header)
+	Data(p []byte) error
+}
+
+// reading is one answer being read, over as many connections as it takes.
+type reading struct {
+	to     sink
+	offset int64
+	headed bool
+	first  time.Time
+	clock  core.Clock
+	end    *wire.End
+}
+
+// callerError reports that the caller's connection has ended.
+type callerError struct{ cause error }
+
+func (e *callerError) Error() string { return "the caller went away: " + e.cause.Error() }
+
+// frames copies an answer's frames until its end. Its error is a callerError or
+// a relay.FrameError.
+func (g *reading) frames(body io.Reader) error {
+	in := relay.NewReader(body)
+	var f wire.Frame
+	for {
+		if err := in.Next(&f); err != nil {
+			return err
+		}
+		switch kind := f.Kind.(type) {
+		case *wire.Frame_Head:
+			g.head(kind.Head)
+		case *wire.Frame_Data:
+			if err := g.data(kind.Data); err != nil {
+				return err
+			}
+		case *wire.Frame_End:
+			g.end = kind.End
+			return nil
+		}
+	}
+}
+
+func (g *reading) head(h *wire.AnswerHead) {
+	if g.headed {
+		return
+	}
+	g.headed = true
+	header := http.Header{}
+	for _, f := range h.GetHeader() {
+		header.Add(f.GetName(), f.GetValue())
+	}
+	g.to.Head(int(h.GetStatus()), header)
+}
+
+func (g *reading) data(p []byte) error {
+	if g.first.IsZero() {
+		g.first = g.clock.Now()
+	}
+	if err := g.to.Data(p); err != nil {
+		return &callerError{cause: err}
+	}
+	g.offset += int64(len(p))
+	return nil
+}
+
+// callerGone tells whether an error means that the caller left.
+func callerGone(ctx context.Context, err error) bool {
+	var gone *callerError
+	return ctx.Err() != nil || errors.As(err, &gone)
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -22,6 +22,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Trace is the caller's W3C traceparent.
+	Trace  string
 	Answer *Answer
 }
 
@@ -179,6 +181,7 @@
 	}
 	c.Account = p.caller.Account
 	c.Header = upstreamHeader(p.r.Header)
+	c.Trace = p.r.Header.Get(headerTraceParent)
 	q := &c.Request
 	q.ID, q.Target, q.Class, q.Key = p.id, c.Entry.Target, c.Entry.Class, key
 	q.Owner, q.Caller = p.caller.Account.Name, p.caller.Name
--- /dev/null
+++ b/io/relay/strike.go
@@ -0,0 +1,31 @@
+package relay
+
+import (
+	"radishwell/core"
+	"radishwell/core/strike"
+	"radishwell/wire"
+)
+
+// StrikesIn reads strikes from their wire form.
+func StrikesIn(list []*wire.Strike) []strike.Record {
+	out := make([]strike.Record, 0, len(list))
+	for _, s := range list {
+		out = append(out, strike.Record{
+			Fingerprint: core.Fingerprint(s.GetFingerprint()), Source: core.HostName(s.GetSource()),
+			Count: s.GetCount(), Alone: s.GetAlone(), Passed: s.GetPassed(), Expires: Time(s.GetExpires()),
+		})
+	}
+	return out
+}
+
+// StrikesOut returns the wire form of strikes.
+func StrikesOut(list []strike.Record) []*wire.Strike {
+	out := make([]*wire.Strike, 0, len(list))
+	for _, r := range list {
+		out = append(out, &wire.Strike{
+			Fingerprint: uint64(r.Fingerprint), Source: string(r.Source),
+			Count: r.Count, Alone: r.Alone, Passed: r.Passed, Expires: r.Expires.UnixNano(),
+		})
+	}
+	return out
+}
