Add a stand-in of the platform's object API

Tests and local fleets need the platform's list, watch, conditional update and its faults without the platform. The stand-in follows the Kubernetes resource conventions; its faults are switched over HTTP while it runs.

--- /dev/null
+++ b/io/fakes/apisrv/handle.go
@@ -0,0 +1,212 @@
+package apisrv
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"radishwell/core"
+)
+
+// maxBody is the largest value the platform holds.
+const maxBody = 1 << 20
+
+// readHeaderTimeout frees connections whose caller sends nothing.
+const readHeaderTimeout = 10 * time.Second
+
+type realClock struct{}
+
+// Now implements core.Clock.
+func (realClock) Now() time.Time { return time.Now() }
+
+// handle registers a verb behind the count of calls and the faults.
+func (s *Server) handle(pattern, verb string, serve http.HandlerFunc) {
+	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		watch := verb == "list" && r.URL.Query().Get("watch") == "true"
+		if watch {
+			s.switches.count("watch")
+		} else {
+			s.switches.count(verb)
+		}
+		if s.fail(w, r) {
+			return
+		}
+		if s.Token != "" && r.Header.Get("Authorization") != "Bearer "+s.Token {
+			writeStatus(w, http.StatusUnauthorized, "Unauthorized", "unknown bearer token")
+			return
+		}
+		if watch {
+			s.serveWatch(w, r)
+			return
+		}
+		serve(w, r)
+	})
+}
+
+// fail plays the faults that come before a call takes effect and tells whether
+// the call is over.
+func (s *Server) fail(w http.ResponseWriter, r *http.Request) bool {
+	f, _ := s.switches.now()
+	if f.Delay > 0 {
+		timer := time.NewTimer(time.Duration(f.Delay))
+		defer timer.Stop()
+		select {
+		case <-r.Context().Done():
+			return true
+		case <-timer.C:
+		}
+	}
+	f, _ = s.switches.now()
+	switch f.Down {
+	case Refusing:
+		panic(http.ErrAbortHandler)
+	case Failing:
+		writeStatus(w, http.StatusServiceUnavailable, "ServiceUnavailable", "the store is down")
+		return true
+	case Hanging:
+		s.hang(r)
+	}
+	return false
+}
+
+// hang blocks until the caller gives up or the fault is over, then drops the
+// connection.
+func (s *Server) hang(r *http.Request) {
+	for {
+		f, changed := s.switches.now()
+		if f.Down != Hanging {
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		case <-changed:
+		}
+	}
+}
+
+func pathOf(r *http.Request) (core.Kind, string) {
+	return core.Kind(r.PathValue("kind")), r.PathValue("name")
+}
+
+func (s *Server) serveList(w http.ResponseWriter, r *http.Request) {
+	kind, _ := pathOf(r)
+	l := s.store.list(kind, s.Clock.Now())
+	body := listJSON{
+		APIVersion: apiVersion,
+		Kind:       "List",
+		Metadata:   metaJSON{ResourceVersion: versionText(l.Version)},
+		Items:      make([]objectJSON, 0, len(l.Objects)),
+	}
+	for _, o := range l.Objects {
+		body.Items = append(body.Items, toJSON(o))
+	}
+	writeJSON(w, http.StatusOK, body)
+}
+
+func (s *Server) serveGet(w http.ResponseWriter, r *http.Request) {
+	kind, name := pathOf(r)
+	o, err := s.store.get(kind, name, s.Clock.Now())
+	s.answer(w, http.StatusOK, o, err)
+}
+
+func (s *Server) serveCreate(w http.ResponseWriter, r *http.Request) {
+	o, ok := readObject(w, r)
+	if !ok {
+		return
+	}
+	o, err := s.store.create(o, s.Clock.Now())
+	s.answerWrite(w, http.StatusCreated, o, err)
+}
+
+func (s *Server) serveUpdate(w http.ResponseWriter, r *http.Request) { s.update(w, r, false) }
+
+func (s *Server) serveUpdateStatus(w http.ResponseWriter, r *http.Request) { s.update(w, r, true) }
+
+func (s *Server) update(w http.ResponseWriter, r *http.Request, status bool) {
+	o, ok := readObject(w, r)
+	if !ok {
+		return
+	}
+	o, err := s.store.update(o, status, s.Clock.Now())
+	s.answerWrite(w, http.StatusOK, o, err)
+}
+
+func (s *Server) serveDelete(w http.ResponseWriter, r *http.Request) {
+	kind, name := pathOf(r)
+	var options deleteJSON
+	if err := json.NewDecoder(r.Body).Decode(&options); err != nil && !errors.Is(err, io.EOF) {
+		writeStatus(w, http.StatusBadRequest, "BadRequest", err.Error())
+		return
+	}
+	version, err := parseVersion(options.Preconditions.ResourceVersion)
+	if err != nil {
+		writeStatus(w, http.StatusBadRequest, "BadRequest", err.Error())
+		return
+	}
+	o, err := s.store.remove(kind, name, options.Preconditions.UID, version, s.Clock.Now())
+	s.answerWrite(w, http.StatusOK, o, err)
+}
+
+// readObject reads and checks an object in a request's body. It answers the
+// call itself where the object is no good.
+func readObject(w http.ResponseWriter, r *http.Request) (core.Object, bool) {
+	kind, name := pathOf(r)
+	var body objectJSON
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&body)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		writeStatus(w, http.StatusRequestEntityTooLarge, "RequestEntityTooLarge", "larger than a megabyte")
+		return core.Object{}, false
+	}
+	if err != nil {
+		writeStatus(w, http.StatusBadRequest, "BadRequest", err.Error())
+		return core.Object{}, false
+	}
+	version, err := parseVersion(body.Metadata.ResourceVersion)
+	if err != nil {
+		writeStatus(w, http.StatusBadRequest, "BadRequest", err.Error())
+		return core.Object{}, false
+	}
+	if body.Metadata.Name == "" || name != "" && name != body.Metadata.Name {
+		writeStatus(w, http.StatusUnprocessableEntity, "Invalid", "metadata.name is missing or not the path's")
+		return core.Object{}, false
+	}
+	return core.Object{
+		Kind:    kind,
+		Name:    body.Metadata.Name,
+		UID:     body.Metadata.UID,
+		Version: version,
+		Spec:    body.Spec,
+		Status:  body.Status,
+	}, true
+}
+
+// answerWrite is answer for verbs that change something; the answer is lost
+// where the fault says so.
+func (s *Server) answerWrite(w http.ResponseWriter, code int, o core.Object, err error) {
+	if err == nil && s.switches.loseAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	s.answer(w, code, o, err)
+}
+
+func (s *Server) answer(w http.ResponseWriter, code int, o core.Object, err error) {
+	var failed *core.PlatformError
+	if !errors.As(err, &failed) {
+		writeJSON(w, code, toJSON(o))
+		return
+	}
+	switch failed.Fault {
+	case core.NotFound:
+		writeStatus(w, http.StatusNotFound, "NotFound", err.Error())
+	case core.Exists:
+		writeStatus(w, http.StatusConflict, "AlreadyExists", err.Error())
+	case core.Conflict:
+		writeStatus(w, http.StatusConflict, "Conflict", err.Error())
+	default:
+		writeStatus(w, http.StatusInternalServerError, "InternalError", err.Error())
+	}
+}
--- /dev/null
+++ b/io/fakes/apisrv/wire.go
@@ -0,0 +1,115 @@
+package apisrv
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"radishwell/core"
+)
+
+const apiVersion = "radishwell.example/v1"
+
+// The field names below are those of the Kubernetes conventions, which this
+// stand-in has to speak; they are not our own format.
+
+type metaJSON struct {
+	Name            string `json:"name,omitempty"`
+	UID             string `json:"uid,omitempty"`
+	ResourceVersion string `json:"resourceVersion,omitempty"`
+	Generation      int64  `json:"generation,omitempty"`
+}
+
+type objectJSON struct {
+	APIVersion string          `json:"apiVersion"`
+	Kind       core.Kind       `json:"kind"`
+	Metadata   metaJSON        `json:"metadata"`
+	Spec       json.RawMessage `json:"spec,omitempty"`
+	Status     json.RawMessage `json:"status,omitempty"`
+}
+
+type listJSON struct {
+	APIVersion string       `json:"apiVersion"`
+	Kind       string       `json:"kind"`
+	Metadata   metaJSON     `json:"metadata"`
+	Items      []objectJSON `json:"items"`
+}
+
+type statusJSON struct {
+	APIVersion string `json:"apiVersion"`
+	Kind       string `json:"kind"`
+	Status     string `json:"status"`
+	Reason     string `json:"reason"`
+	Message    string `json:"message"`
+	Code       int    `json:"code"`
+}
+
+type eventJSON struct {
+	Type   string `json:"type"`
+	Object any    `json:"object"`
+}
+
+type deleteJSON struct {
+	Preconditions struct {
+		UID             string `json:"uid"`
+		ResourceVersion string `json:"resourceVersion"`
+	} `json:"preconditions"`
+}
+
+func toJSON(o core.Object) objectJSON {
+	return objectJSON{
+		APIVersion: apiVersion,
+		Kind:       o.Kind,
+		Metadata: metaJSON{
+			Name:            o.Name,
+			UID:             o.UID,
+			ResourceVersion: versionText(o.Version),
+			Generation:      o.Generation,
+		},
+		Spec:   o.Spec,
+		Status: o.Status,
+	}
+}
+
+func versionText(v core.Version) string { return strconv.FormatUint(uint64(v), 10) }
+
+// parseVersion reads a resource version; the empty text is zero.
+func parseVersion(text string) (core.Version, error) {
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	return core.Version(n), err
+}
+
+func makeStatus(code int, reason, message string) statusJSON {
+	return statusJSON{
+		APIVersion: "v1",
+		Kind:       "Status",
+		Status:     "Failure",
+		Reason:     reason,
+		Message:    message,
+		Code:       code,
+	}
+}
+
+func writeStatus(w http.ResponseWriter, code int, reason, message string) {
+	writeJSON(w, code, makeStatus(code, reason, message))
+}
+
+func writeJSON(w http.ResponseWriter, code int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func sorted(byName map[string]core.Object) []core.Object {
+	objects := make([]core.Object, 0, len(byName))
+	for _, o := range byName {
+		objects = append(objects, o)
+	}
+	slices.SortFunc(objects, func(a, b core.Object) int { return strings.Compare(a.Name, b.Name) })
+	return objects
+}
