--- a/io/entry/journal.go
+++ b/io/entry/journal.go
@@ -22,7 +22,6 @@
 	Ask func(ctx context.Context, entry core.HostName, c *wire.ClaimCall) (*wire.ClaimReply, error)
 
 	books []*journal
-	ended chan struct{}
 }
 
 const (
