Test queue order, bounds, conservation and fair shares; count goodput while load lasts

Lane.Ready was not looked at while a lane had no measures: a request was let in behind a load that ends after its deadline. It is refused now.

--- a/core/queue/load_test.go
+++ b/core/queue/load_test.go
@@ -19,10 +19,11 @@
 	return run(&fair{}, up, in, kind), run(&naive{}, up, in, kind)
 }
 
+// goodput counts the answers in time while requests came.
 func goodput(results map[string]*result) int {
 	n := 0
 	for _, r := range results {
-		n += r.good
+		n += r.during
 	}
 	return n
 }
@@ -107,6 +108,34 @@
 	return i, ok
 }
 
+// Five owners all ask for more than the engine has, with requests of different
+// cost and in different numbers. None may get more than a fifth of the work, or
+// the others would be right to ask what they pay for.
+func TestNoOwnerBeyondItsShare(t *testing.T) {
+	var loads []load
+	for i, o := range []string{"a", "b", "c", "d", "e"} {
+		loads = append(loads, load{o, "k", core.Evening, float64(20 * (i + 1)), int64(1 + i), 5 * time.Second})
+	}
+	f, n := both(eight, arrivals(9, 3*time.Minute, loads...), byOwner)
+	parts := func(results map[string]*result) (least, most float64) {
+		var all, low, high int64
+		for _, o := range []string{"a", "b", "c", "d", "e"} {
+			c := results[o].cost + 1
+			all += c
+			high = max(high, c)
+			if low == 0 || c < low {
+				low = c
+			}
+		}
+		return float64(low) / float64(all), float64(high) / float64(all)
+	}
+	least, most := parts(f)
+	naiveLeast, naiveMost := parts(n)
+	t.Logf("parts %.3f to %.3f; naive %.3f to %.3f", least, most, naiveLeast, naiveMost)
+	assert.Assert(t, least > 0.18 && most < 0.22)
+	assert.Assert(t, naiveMost > 0.3)
+}
+
 // A script of one owner sends 20 times its part. In one list, the treasurers of
 // the other owners wait behind it until their deadlines pass.
 func TestFewCallersTakeMost(t *testing.T) {
--- a/core/queue/play_test.go
+++ b/core/queue/play_test.go
@@ -133,7 +133,10 @@
 // result is what callers got of one kind of request.
 type result struct {
 	sent, good, late, refused int
-	cost                      int64
+	// cost is the work of the good ones; during counts the good ones that ended
+	// before the last request came.
+	cost   int64
+	during int
 	// waits are the times from arrival to the whole answer, of good and late.
 	waits []time.Duration
 	// answer is the longest time from arrival to a refusal, over the patience.
@@ -175,6 +178,7 @@
 	born    map[core.RequestID]time.Time
 	running ends
 	rng     *rand.Rand
+	until   time.Time
 }
 
 func byOwner(i queue.Item) string { return string(i.Owner) }
@@ -183,6 +187,7 @@
 	p := &play{line: l, up: up, kind: kind, results: make(map[string]*result)}
 	p.born = make(map[core.RequestID]time.Time)
 	p.rng = rand.New(rand.NewPCG(7, 7))
+	p.until = in[len(in)-1].at
 	l.place(func() int { return up.slots - len(p.running) })
 	for len(in) > 0 || len(p.running) > 0 || !l.next().IsZero() {
 		now := p.nextEvent(in)
@@ -260,4 +265,7 @@
 	}
 	r.good++
 	r.cost += i.Cost
+	if !now.After(p.until) {
+		r.during++
+	}
 }
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -101,10 +101,10 @@
 		return nil
 	}
 	t := l.track(i)
-	if t.idle() && t.pace.doubted(now) {
-		return nil
+	end := t.start(now, i)
+	if !t.idle() || !t.pace.doubted(now) {
+		end = end.Add(t.pace.service(i.Cost))
 	}
-	end := t.start(now, i).Add(t.pace.service(i.Cost))
 	if !end.After(i.Deadline) {
 		return nil
 	}
--- /dev/null
+++ b/core/queue/queue_test.go
@@ -0,0 +1,307 @@
+package queue_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/queue"
+)
+
+func item(id string, c core.Class, owner string, patience time.Duration) queue.Item {
+	return queue.Item{
+		ID: core.RequestID(id), Lane: "m", Owner: core.OwnerName(owner), Caller: "k",
+		Class: c, Deadline: t0.Add(patience), Cost: 1, Size: 10,
+	}
+}
+
+func always(string) int { return 1000 }
+
+func wantPops(t *testing.T, q *queue.Queue, now time.Time, ids ...string) {
+	t.Helper()
+	for _, id := range ids {
+		i, ok := q.Pop(now, always)
+		assert.Assert(t, ok, "nothing to pop, want %s", id)
+		assert.Equal(t, string(i.ID), id)
+	}
+}
+
+func mustPush(t *testing.T, q *queue.Queue, now time.Time, i queue.Item) []queue.Refused {
+	t.Helper()
+	p := q.Push(now, i)
+	assert.Assert(t, p.Refusal == nil, "%s: %v", i.ID, p.Refusal)
+	return p.Displaced
+}
+
+func wantRefusal(t *testing.T, ref *core.Refusal, code core.Code) {
+	t.Helper()
+	assert.Assert(t, ref != nil)
+	assert.Equal(t, ref.Code, code)
+	assert.Equal(t, ref.Outcome, core.NotRun)
+}
+
+func TestOrder(t *testing.T) {
+	t.Run("classes", func(t *testing.T) {
+		q := &queue.Queue{}
+		mustPush(t, q, t0, item("o", core.Overnight, "a", time.Hour))
+		mustPush(t, q, t0, item("e", core.Evening, "a", time.Hour))
+		mustPush(t, q, t0, item("i", core.Interactive, "a", time.Hour))
+		wantPops(t, q, t0, "i", "e", "o")
+	})
+	t.Run("earliest deadline of a caller", func(t *testing.T) {
+		q := &queue.Queue{}
+		mustPush(t, q, t0, item("late", core.Evening, "a", time.Hour))
+		mustPush(t, q, t0, item("soon", core.Evening, "a", time.Minute))
+		wantPops(t, q, t0, "soon", "late")
+	})
+	t.Run("owners in turn", func(t *testing.T) {
+		q := &queue.Queue{}
+		for i := range 3 {
+			mustPush(t, q, t0, item(fmt.Sprint("a", i), core.Evening, "a", time.Hour))
+		}
+		mustPush(t, q, t0, item("b0", core.Evening, "b", time.Hour))
+		mustPush(t, q, t0, item("b1", core.Evening, "b", time.Hour))
+		wantPops(t, q, t0, "a0", "b0", "a1", "b1", "a2")
+	})
+	t.Run("a blocked lane gets no credit", func(t *testing.T) {
+		q := &queue.Queue{}
+		for i := range 20 {
+			blocked := item(fmt.Sprint("x", i), core.Evening, "x", time.Hour)
+			blocked.Lane = "cold"
+			mustPush(t, q, t0, blocked)
+			mustPush(t, q, t0, item(fmt.Sprint("y", i), core.Evening, "y", time.Hour))
+		}
+		warm := func(lane string) int { return len(lane) % 2 }
+		assert.Equal(t, popOwner(t, q, 10, warm, "y"), 10)
+		half := popOwner(t, q, 10, always, "y")
+		assert.Assert(t, half >= 4 && half <= 6, "half to within one item, got %d of 10", half)
+	})
+}
+
+// popOwner pops n items and returns how many of them are the owner's.
+func popOwner(t *testing.T, q *queue.Queue, n int, free func(string) int, owner string) int {
+	t.Helper()
+	got := 0
+	for range n {
+		i, ok := q.Pop(t0, free)
+		assert.Assert(t, ok)
+		if string(i.Owner) == owner {
+			got++
+		}
+	}
+	return got
+}
+
+// A caller asks again in the moment in which its first request is refused. The
+// time it was told must be one at which it passes, if nothing else comes.
+func TestRetryAtIsHonest(t *testing.T) {
+	q := &queue.Queue{}
+	now := t0
+	for i := range 40 {
+		mustPush(t, q, now, item(fmt.Sprint("w", i), core.Interactive, "a", time.Hour))
+		wantPops(t, q, now, fmt.Sprint("w", i))
+		now = now.Add(time.Second)
+		q.Finish(now, core.RequestID(fmt.Sprint("w", i)), queue.Served)
+	}
+	for i := range 30 {
+		mustPush(t, q, now, item(fmt.Sprint("b", i), core.Interactive, "a", time.Hour))
+	}
+	ask := func(at time.Time) *core.Refusal {
+		i := item("ask", core.Interactive, "a", 0)
+		i.Deadline = at.Add(10 * time.Second)
+		return q.Push(at, i).Refusal
+	}
+	ref := ask(now)
+	wantRefusal(t, ref, core.CodeWaitTooLong)
+	running := ""
+	for now.Before(ref.RetryAt) {
+		i, ok := q.Pop(now, func(string) int { return 1 })
+		assert.Assert(t, ok, "the queue is empty before the time named")
+		running = string(i.ID)
+		now = now.Add(time.Second)
+		q.Finish(now, core.RequestID(running), queue.Served)
+	}
+	assert.Assert(t, ask(now) == nil, "refused again at the time named")
+}
+
+func TestExpiry(t *testing.T) {
+	t.Run("at the deadline", func(t *testing.T) {
+		q := &queue.Queue{}
+		mustPush(t, q, t0, item("a", core.Evening, "a", time.Second))
+		assert.Assert(t, q.Next().Equal(t0.Add(time.Second)))
+		assert.Equal(t, len(q.Expire(t0.Add(999*time.Millisecond))), 0)
+		out := q.Expire(q.Next())
+		assert.Equal(t, len(out), 1)
+		wantRefusal(t, out[0].Refusal, core.CodeDeadline)
+		assert.Assert(t, q.Next().IsZero())
+	})
+	t.Run("removed items are answered elsewhere", func(t *testing.T) {
+		q := &queue.Queue{}
+		mustPush(t, q, t0, item("a", core.Evening, "a", time.Second))
+		_, ok := q.Remove("a")
+		assert.Assert(t, ok)
+		_, ok = q.Remove("a")
+		assert.Assert(t, !ok)
+		assert.Equal(t, len(q.Expire(t0.Add(time.Hour))), 0)
+	})
+	t.Run("passed on arrival", func(t *testing.T) {
+		q := &queue.Queue{}
+		wantRefusal(t, q.Push(t0, item("a", core.Evening, "a", 0)).Refusal, core.CodeDeadline)
+	})
+	t.Run("a lane that loads past the deadline", func(t *testing.T) {
+		q := &queue.Queue{}
+		q.Ready(t0, "m", t0.Add(30*time.Second))
+		wantRefusal(t, q.Push(t0, item("a", core.Evening, "a", 20*time.Second)).Refusal, core.CodeWaitTooLong)
+		mustPush(t, q, t0, item("b", core.Evening, "a", 40*time.Second))
+	})
+}
+
+func TestFull(t *testing.T) {
+	t.Run("more urgent displaces overnight", func(t *testing.T) {
+		q := &queue.Queue{Items: 2}
+		mustPush(t, q, t0, item("o", core.Overnight, "a", time.Hour))
+		mustPush(t, q, t0, item("e", core.Evening, "a", time.Hour))
+		gone := mustPush(t, q, t0, item("i", core.Interactive, "a", time.Hour))
+		assert.Equal(t, len(gone), 1)
+		assert.Equal(t, string(gone[0].Item.ID), "o")
+		wantRefusal(t, gone[0].Refusal, core.CodeOverload)
+		wantRefusal(t, q.Push(t0, item("o2", core.Overnight, "b", time.Hour)).Refusal, core.CodeOverload)
+	})
+	t.Run("an owner who fills the queue makes room for another", func(t *testing.T) {
+		q := &queue.Queue{Items: 4}
+		for i := range 4 {
+			mustPush(t, q, t0, item(fmt.Sprint("a", i), core.Evening, "a", time.Hour))
+		}
+		assert.Equal(t, len(mustPush(t, q, t0, item("b0", core.Evening, "b", time.Hour))), 1)
+		assert.Equal(t, len(mustPush(t, q, t0, item("b1", core.Evening, "b", time.Hour))), 1)
+		wantRefusal(t, q.Push(t0, item("b2", core.Evening, "b", time.Hour)).Refusal, core.CodeOverload)
+	})
+	t.Run("bytes that can not be freed displace nothing", func(t *testing.T) {
+		q := &queue.Queue{Bytes: 100}
+		mustPush(t, q, t0, item("o", core.Overnight, "a", time.Hour))
+		mustPush(t, q, t0, item("i", core.Interactive, "a", time.Hour))
+		big := item("big", core.Interactive, "b", time.Hour)
+		big.Size = 95
+		wantRefusal(t, q.Push(t0, big).Refusal, core.CodeOverload)
+		assert.Equal(t, q.Len(), 2)
+	})
+	t.Run("lane", func(t *testing.T) {
+		q := &queue.Queue{LaneItems: 1}
+		mustPush(t, q, t0, item("a", core.Evening, "a", time.Hour))
+		wantRefusal(t, q.Push(t0, item("b", core.Evening, "a", time.Hour)).Refusal, core.CodeQueueFull)
+		other := item("c", core.Evening, "a", time.Hour)
+		other.Lane = "n"
+		mustPush(t, q, t0, other)
+	})
+}
+
+// Every request that was pushed is answered once: popped, refused at once,
+// displaced, expired or removed; none later than its deadline; and nothing of
+// any name is left when all are gone.
+func TestConservation(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { conserve(t, rand.New(rand.NewPCG(seed, 1))) })
+	}
+}
+
+// ledger counts what became of each request.
+type ledger struct {
+	t       *testing.T
+	waiting map[core.RequestID]queue.Item
+	running []core.RequestID
+}
+
+func (l *ledger) gone(i queue.Item) {
+	l.t.Helper()
+	_, ok := l.waiting[i.ID]
+	assert.Assert(l.t, ok, "%s is answered twice", i.ID)
+	delete(l.waiting, i.ID)
+}
+
+func (l *ledger) refused(list []queue.Refused) {
+	l.t.Helper()
+	for _, r := range list {
+		l.gone(r.Item)
+		assert.Equal(l.t, r.Refusal.Outcome, core.NotRun)
+	}
+}
+
+func conserve(t *testing.T, rng *rand.Rand) {
+	q := &queue.Queue{Items: 50, Bytes: 3000, LaneItems: 20}
+	l := &ledger{t: t, waiting: make(map[core.RequestID]queue.Item)}
+	now := t0
+	for n := range 3000 {
+		now = now.Add(time.Duration(rng.IntN(100)) * time.Millisecond)
+		switch rng.IntN(6) {
+		case 0, 1, 2:
+			l.push(q, now, randomItem(rng, now, n))
+		case 3:
+			l.pop(q, now, rng)
+		case 4:
+			l.finish(q, now, rng)
+		case 5:
+			l.refused(q.Expire(now))
+			l.wantNoneOverdue(now)
+		}
+		assert.Equal(t, q.Len(), len(l.waiting))
+		assert.Assert(t, q.Len() <= 50 && q.Held() <= 3000)
+	}
+	l.refused(q.Expire(now.Add(time.Hour)))
+	assert.Equal(t, len(l.waiting), 0)
+	assert.Equal(t, q.Len(), 0)
+	assert.Equal(t, q.Held(), core.Bytes(0))
+}
+
+func randomItem(rng *rand.Rand, now time.Time, n int) queue.Item {
+	return queue.Item{
+		ID: core.RequestID(fmt.Sprint(n)), Lane: fmt.Sprint("lane", rng.IntN(4)),
+		Owner:  core.OwnerName(fmt.Sprint("o", rng.IntN(5))),
+		Caller: core.CallerName(fmt.Sprint("c", rng.IntN(3))), Class: core.Class(rng.IntN(3)),
+		Deadline: now.Add(time.Duration(rng.IntN(5000)-50) * time.Millisecond),
+		Cost:     1 << rng.IntN(8), Size: core.Bytes(rng.IntN(300)),
+	}
+}
+
+func (l *ledger) push(q *queue.Queue, now time.Time, i queue.Item) {
+	p := q.Push(now, i)
+	l.refused(p.Displaced)
+	if p.Refusal == nil {
+		l.waiting[i.ID] = i
+	}
+}
+
+func (l *ledger) pop(q *queue.Queue, now time.Time, rng *rand.Rand) {
+	open := rng.IntN(4)
+	i, ok := q.Pop(now, func(lane string) int { return 2 * int((lane[4]-'0')&1) * open })
+	l.refused(q.Expire(now))
+	if ok {
+		assert.Assert(l.t, now.Before(i.Deadline), "%s starts after its deadline", i.ID)
+		l.gone(i)
+		l.running = append(l.running, i.ID)
+	}
+}
+
+func (l *ledger) finish(q *queue.Queue, now time.Time, rng *rand.Rand) {
+	if len(l.running) > 0 {
+		q.Finish(now, l.running[0], queue.End(rng.IntN(3)))
+		l.running = l.running[1:]
+		return
+	}
+	if len(l.waiting) > 0 {
+		i, ok := q.Remove(slices.Min(slices.Collect(maps.Keys(l.waiting))))
+		assert.Assert(l.t, ok)
+		l.gone(i)
+	}
+}
+
+func (l *ledger) wantNoneOverdue(now time.Time) {
+	for _, i := range l.waiting {
+		assert.Assert(l.t, i.Deadline.After(now), "%s waits past its deadline", i.ID)
+	}
+}
