--- /dev/null
+++ b/io/node/decide.go
@@ -0,0 +1,389 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/catlog"
+	"radishwell/core/lease"
+	"radishwell/core/place"
+	"radishwell/io/events"
+)
+
+const (
+	// roundTime is the time between two looks of the decider, and roundBudget
+	// the most grants it writes in one: 60 writes a second, a sixth of what the
+	// platform takes.
+	roundTime   = 500 * time.Millisecond
+	roundBudget = 30
+	// writersAtOnce bounds the decider's writes in flight.
+	writersAtOnce = 8
+	// writeTime bounds one call of the platform.
+	writeTime = 2 * time.Second
+	// statusBudget is the most catalogue statuses written in one round.
+	statusBudget = 20
+)
+
+// decider is the part of an entry that may decide for the fleet. Every entry has
+// one and keeps its view; only the holder of the lease writes.
+type decider struct {
+	self     core.HostName
+	clock    core.Clock
+	platform core.Platform
+	world    *world
+
+	mu      sync.Mutex
+	lease   lease.Lease
+	planner place.Planner
+	decides bool
+	poke    chan struct{}
+}
+
+func newDecider(self core.HostName, incarnation core.Incarnation, clock core.Clock, platform core.Platform, w *world) *decider {
+	return &decider{
+		self: self, clock: clock, platform: platform, world: w,
+		lease: lease.Lease{Host: self, Incarnation: incarnation}, poke: make(chan struct{}, 1),
+	}
+}
+
+// seen takes an object that the process has learnt of.
+func (d *decider) seen(o core.Object) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch o.Kind {
+	case core.KindLease:
+		if o.Name == lease.Name {
+			d.lease.Seen(d.clock.Now(), o)
+		}
+	case core.KindHost:
+		d.seenHost(o)
+	case core.KindGrant:
+		d.seenGrant(o)
+	}
+	poke(d.poke)
+}
+
+func (d *decider) seenHost(o core.Object) {
+	if o.Deleted {
+		d.planner.Gone(place.HostID{Host: core.HostName(o.Name), UID: o.UID})
+		return
+	}
+	var s core.HostSpec
+	if json.Unmarshal(o.Spec, &s) != nil || s.Role != core.UpstreamHost {
+		return
+	}
+	d.planner.SetHost(place.Host{
+		Name: core.HostName(o.Name), UID: o.UID, Service: s.Service, DataCentre: s.DataCentre, Rack: s.Rack,
+		Accelerators: s.Accelerators, Memory: s.Memory, State: s.State,
+	})
+}
+
+func (d *decider) seenGrant(o core.Object) {
+	name := core.ModelName(o.Name)
+	if o.Deleted {
+		d.planner.DropGrant(name, o.Version)
+		return
+	}
+	var s core.GrantSpec
+	if json.Unmarshal(o.Spec, &s) != nil {
+		return
+	}
+	d.lease.Observe(s.Fence)
+	d.planner.SetGrant(name, s, o.Version)
+}
+
+// reported takes changes of the catalogue in force.
+func (d *decider) reported(list []catlog.Report, s *catlog.Snapshot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range list {
+		switch r.Kind {
+		case core.KindModel, core.KindAdapter:
+			d.setEntry(core.ModelName(r.Name), s)
+		case core.KindOwner:
+			d.setOwner(core.OwnerName(r.Name), s)
+		}
+	}
+	poke(d.poke)
+}
+
+func (d *decider) setEntry(name core.ModelName, s *catlog.Snapshot) {
+	e, ok := s.Model(name)
+	if !ok {
+		d.planner.DropEntry(name)
+		return
+	}
+	d.planner.SetEntry(place.Entry{
+		Name: name, Version: e.Version, Owner: e.Owner, Service: e.Target.Service, Class: e.Class, Memory: e.Memory,
+		Accelerators: e.Accelerators, Replicas: e.Limits.Replicas, Base: e.Target.Base,
+	})
+}
+
+func (d *decider) setOwner(name core.OwnerName, s *catlog.Snapshot) {
+	var limit core.Bytes
+	if a, ok := s.Account(name); ok {
+		limit = a.Limits.Memory
+	}
+	d.planner.SetOwner(name, limit)
+}
+
+// holder returns which entry decides, as far as this one knows.
+func (d *decider) holder() core.HostName {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lease.Holder()
+}
+
+// run keeps the lease and, while this entry holds it, decides.
+func (d *decider) run(ctx context.Context, confirmed func() bool) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-d.poke:
+			// Changes come in bursts; the next look takes them together.
+		case <-ctx.Done():
+			d.stepDown()
+			return nil
+		}
+		d.keepLease(ctx)
+		if confirmed() {
+			d.round(ctx)
+		}
+		timer.Reset(roundTime)
+	}
+}
+
+// keepLease makes the calls that the lease asks for.
+func (d *decider) keepLease(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.mu.Lock()
+		action, _ := d.lease.Next(d.clock.Now())
+		d.mu.Unlock()
+		if action.Call == lease.None {
+			break
+		}
+		o, err := d.callLease(ctx, action)
+		d.mu.Lock()
+		d.lease.Answer(d.clock.Now(), leaseReply(o, err))
+		d.mu.Unlock()
+	}
+	d.noteLease()
+}
+
+func (d *decider) callLease(ctx context.Context, a lease.Action) (core.Object, error) {
+	ctx, stop := context.WithTimeout(ctx, writeTime)
+	defer stop()
+	switch a.Call {
+	case lease.Create:
+		return d.platform.Create(ctx, a.Object)
+	case lease.Update:
+		return d.platform.Update(ctx, a.Object)
+	default:
+		return d.platform.Get(ctx, core.KindLease, lease.Name)
+	}
+}
+
+func leaseReply(o core.Object, err error) lease.Reply {
+	if err == nil {
+		return lease.Reply{Object: o}
+	}
+	return lease.Reply{Failed: true, Fault: faultOf(err)}
+}
+
+// faultOf classes a platform's error; one that is none of its own leaves open
+// whether the call took effect.
+func faultOf(err error) core.PlatformFault {
+	var known *core.PlatformError
+	if errors.As(err, &known) {
+		return known.Fault
+	}
+	return core.Unknown
+}
+
+func (d *decider) noteLease() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	fence, decides := d.lease.Decides(d.clock.Now())
+	if decides == d.decides {
+		return
+	}
+	d.decides = decides
+	if decides {
+		events.Log(events.LeaseTaken, "host", d.self, "fence", fence)
+		return
+	}
+	events.Log(events.LeaseLost, "host", d.self)
+}
+
+// round writes the grants that are due, and the statuses of catalogue entries.
+func (d *decider) round(ctx context.Context) {
+	d.mu.Lock()
+	fence, decides := d.lease.Decides(d.clock.Now())
+	if !decides {
+		d.mu.Unlock()
+		return
+	}
+	unproven := d.planner.Unproven()
+	writes := d.planner.Round(d.clock.Now(), fence, roundBudget)
+	d.mu.Unlock()
+	for _, id := range unproven {
+		d.prove(ctx, id)
+	}
+	d.writeAll(ctx, writes)
+	d.writeStatuses(ctx)
+}
+
+// prove asks the platform whether it still lists a holder's host.
+func (d *decider) prove(ctx context.Context, id place.HostID) {
+	ctx, stop := context.WithTimeout(ctx, writeTime)
+	defer stop()
+	o, err := d.platform.Get(ctx, core.KindHost, string(id.Host))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case err == nil && o.UID == id.UID:
+		d.seenHost(o)
+	case err == nil, faultOf(err) == core.NotFound:
+		d.planner.Gone(id)
+	}
+}
+
+func (d *decider) writeAll(ctx context.Context, writes []place.Write) {
+	slots := make(chan struct{}, writersAtOnce)
+	ended := make(chan struct{}, len(writes))
+	for _, w := range writes {
+		slots <- struct{}{}
+		go func() {
+			d.write(ctx, w)
+			<-slots
+			ended <- struct{}{}
+		}()
+	}
+	for range writes {
+		<-ended
+	}
+}
+
+// write sends one grant. The lease is asked again right before: a process that
+// was paused since the round must not go on as the decider. What it sends all
+// the same is caught by the condition on the object's version.
+func (d *decider) write(ctx context.Context, w place.Write) {
+	d.mu.Lock()
+	_, decides := d.lease.Decides(d.clock.Now())
+	d.mu.Unlock()
+	outcome := place.Refused
+	var fresh core.Object
+	if decides {
+		var err error
+		if fresh, err = d.send(ctx, w); err != nil {
+			outcome = outcomeOf(err)
+			events.Fail(events.DecisionFailed, err, "model", w.Name)
+		} else {
+			outcome = place.Applied
+		}
+	}
+	d.mu.Lock()
+	d.planner.Answered(w, outcome)
+	d.mu.Unlock()
+	if outcome == place.Applied {
+		d.logGrant(w)
+		d.took(w, fresh)
+	}
+}
+
+// took feeds a write's result to this process at once; its watch brings it to
+// the others.
+func (d *decider) took(w place.Write, o core.Object) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !w.Delete {
+		d.seenGrant(o)
+	}
+}
+
+func (d *decider) send(ctx context.Context, w place.Write) (core.Object, error) {
+	ctx, stop := context.WithTimeout(ctx, writeTime)
+	defer stop()
+	if w.Delete {
+		return core.Object{}, d.platform.Delete(ctx, core.KindGrant, string(w.Name), w.Version)
+	}
+	text, err := json.Marshal(w.Spec)
+	if err != nil {
+		return core.Object{}, err
+	}
+	o := core.Object{Kind: core.KindGrant, Name: string(w.Name), Version: w.Version, Spec: text}
+	if w.Version == 0 {
+		return d.platform.Create(ctx, o)
+	}
+	return d.platform.Update(ctx, o)
+}
+
+func outcomeOf(err error) place.Outcome {
+	switch faultOf(err) {
+	case core.Unavailable, core.Invalid:
+		return place.Refused
+	case core.Conflict, core.Exists, core.NotFound:
+		return place.Overtaken
+	default:
+		return place.Unsure
+	}
+}
+
+func (d *decider) logGrant(w place.Write) {
+	for _, h := range w.Spec.Holders {
+		event := events.GrantAdded
+		if h.State == core.GrantRevoked {
+			event = events.GrantRevoked
+		}
+		events.Log(event, "model", w.Name, "host", h.Host)
+	}
+}
+
+// writeStatuses tells operators how their entries stand. One process writes
+// them: the one that decides.
+func (d *decider) writeStatuses(ctx context.Context) {
+	for _, o := range d.world.due(statusBudget) {
+		call, stop := context.WithTimeout(ctx, writeTime)
+		_, err := d.platform.UpdateStatus(call, o)
+		stop()
+		if err != nil && faultOf(err) != core.Conflict {
+			events.Fail(events.StatusNotWritten, err, "kind", o.Kind, "name", o.Name)
+			return
+		}
+	}
+}
+
+// stepDown gives the lease up at a planned stop, so that another entry need not
+// wait for its end.
+func (d *decider) stepDown() {
+	d.mu.Lock()
+	o, ok := d.lease.StepDown()
+	d.mu.Unlock()
+	if !ok {
+		return
+	}
+	ctx, stop := context.WithTimeout(context.Background(), writeTime)
+	defer stop()
+	// A lost answer leaves the lease to its term.
+	_, _ = d.platform.Update(ctx, o)
+}
+
+// setDemand takes what entries report of a model's demand.
+func (d *decider) setDemand(name core.ModelName, need float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.planner.SetDemand(d.clock.Now(), name, need)
+}
+
+func poke(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/io/node/world.go
@@ -0,0 +1,233 @@
+package node
+
+import (
+	"encoding/json"
+	"slices"
+	"sync"
+
+	"radishwell/core"
+	"radishwell/core/catlog"
+	"radishwell/core/place"
+	"radishwell/core/route"
+	"radishwell/io/entry"
+	"radishwell/io/events"
+)
+
+// listed is a host as the platform lists it.
+type listed struct {
+	uid  string
+	spec core.HostSpec
+}
+
+// granted is a grant object.
+type granted struct {
+	spec    core.GrantSpec
+	version core.Version
+}
+
+// world is what a process knows of the fleet: the catalogue in force, the hosts
+// that the platform lists, and the grants. It is fed with objects that have
+// passed a replica, so no version goes back.
+type world struct {
+	mu     sync.RWMutex
+	view   catlog.View
+	hosts  map[core.HostName]listed
+	grants map[core.ModelName]granted
+	// byTarget caches the hosts that may serve a target until something changes.
+	byTarget map[string][]entry.Host
+	// judged tells that catalogue entries changed since due was asked last.
+	judged bool
+	// changed is told of each object, after the world has taken it.
+	changed func(core.Object)
+	reports func([]catlog.Report)
+}
+
+func newWorld() *world {
+	return &world{
+		hosts: map[core.HostName]listed{}, grants: map[core.ModelName]granted{},
+		byTarget: map[string][]entry.Host{}, changed: func(core.Object) {}, reports: func([]catlog.Report) {},
+	}
+}
+
+// apply takes changed objects of any kinds.
+func (w *world) apply(objects []core.Object) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reports(w.view.Apply(objects...))
+	for _, o := range objects {
+		switch o.Kind {
+		case core.KindHost:
+			w.applyHost(o)
+		case core.KindGrant:
+			w.applyGrant(o)
+		case core.KindModel, core.KindAdapter, core.KindOwner, core.KindService:
+			w.judged = true
+		}
+		w.changed(o)
+	}
+	clear(w.byTarget)
+}
+
+func (w *world) applyHost(o core.Object) {
+	name := core.HostName(o.Name)
+	if o.Deleted {
+		delete(w.hosts, name)
+		events.Log(events.HostGone, "host", name)
+		return
+	}
+	var spec core.HostSpec
+	if json.Unmarshal(o.Spec, &spec) != nil {
+		return
+	}
+	if was := w.hosts[name]; was.spec.State != core.HostLeaving && spec.State == core.HostLeaving {
+		events.Log(events.HostLeaving, "host", name)
+	}
+	w.hosts[name] = listed{uid: o.UID, spec: spec}
+}
+
+func (w *world) applyGrant(o core.Object) {
+	name := core.ModelName(o.Name)
+	if o.Deleted {
+		delete(w.grants, name)
+		return
+	}
+	var spec core.GrantSpec
+	if json.Unmarshal(o.Spec, &spec) != nil {
+		return
+	}
+	w.grants[name] = granted{spec: spec, version: o.Version}
+}
+
+// snapshot returns the catalogue in force.
+func (w *world) snapshot() *catlog.Snapshot { return w.view.Snapshot() }
+
+// host returns a host that the platform lists.
+func (w *world) host(name core.HostName) (listed, bool) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	h, ok := w.hosts[name]
+	return h, ok
+}
+
+// entryHost returns a host in the form that the entry role takes.
+func (w *world) entryHost(name core.HostName) (entry.Host, bool) {
+	h, ok := w.host(name)
+	if !ok {
+		return entry.Host{}, false
+	}
+	return hostOf(name, h), true
+}
+
+func hostOf(name core.HostName, h listed) entry.Host {
+	out := entry.Host{Name: name, DataCentre: h.spec.DataCentre, Work: h.spec.Work, Control: h.spec.Control}
+	if h.spec.State != core.HostLive {
+		out.Health = route.Leaving
+	}
+	return out
+}
+
+// serving lists the hosts that may serve a target: the holders of its grant, or
+// all hosts of a plain service.
+func (w *world) serving(t core.Target) []entry.Host {
+	key := t.Name()
+	w.mu.RLock()
+	list, ok := w.byTarget[key]
+	w.mu.RUnlock()
+	if ok {
+		return list
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t.Model == "" {
+		list = w.ofService(t.Service)
+	} else {
+		list = w.holders(t.Model)
+	}
+	w.byTarget[key] = list
+	return list
+}
+
+func (w *world) ofService(name core.ServiceName) []entry.Host {
+	var list []entry.Host
+	for host, h := range w.hosts {
+		if h.spec.Role == core.UpstreamHost && h.spec.Service == name {
+			list = append(list, hostOf(host, h))
+		}
+	}
+	return list
+}
+
+func (w *world) holders(name core.ModelName) []entry.Host {
+	var list []entry.Host
+	for _, g := range w.grants[name].spec.Holders {
+		h, ok := w.hosts[g.Host]
+		if ok && h.uid == g.UID && g.State == core.GrantActive {
+			list = append(list, hostOf(g.Host, h))
+		}
+	}
+	return list
+}
+
+// grantOf returns how a host's grant for an item stands.
+func (w *world) grantOf(host core.HostName, name core.ModelName) (core.GrantState, bool) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	h, ok := w.hosts[host]
+	if !ok {
+		return "", false
+	}
+	return place.Held(w.grants[name].spec, place.HostID{Host: host, UID: h.uid})
+}
+
+// revokedOf lists the items whose grant to a host was taken back.
+func (w *world) revokedOf(host core.HostName) []core.ModelName {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	h, ok := w.hosts[host]
+	if !ok {
+		return nil
+	}
+	var names []core.ModelName
+	for name, g := range w.grants {
+		state, held := place.Held(g.spec, place.HostID{Host: host, UID: h.uid})
+		if held && state == core.GrantRevoked {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// grant returns a grant object as last seen.
+func (w *world) grant(name core.ModelName) (granted, bool) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	g, ok := w.grants[name]
+	return g, ok
+}
+
+// entries lists the entry hosts that the platform lists as live, by name.
+func (w *world) entries() []core.HostName {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	var list []core.HostName
+	for name, h := range w.hosts {
+		if h.spec.Role == core.EntryHost && h.spec.State == core.HostLive {
+			list = append(list, name)
+		}
+	}
+	return slices.Sorted(slices.Values(list))
+}
+
+// due returns at most limit catalogue entries whose status in the platform is
+// behind. Looking at all of them costs milliseconds, so it is done only after a
+// change, or while some were left over.
+func (w *world) due(limit int) []core.Object {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.judged {
+		return nil
+	}
+	list := w.view.Due()
+	w.judged = len(list) > 0
+	return list[:min(len(list), limit)]
+}
