Test faults on a request's way, and mend what they showed

Causes found by the tests: an innocent request was sent to an engine that had just died and was blamed for its death (the agent went on sending until its next report); a silent connection to an engine was not noticed when the engine had finished meanwhile; eight sendings of one key through two entries sealed each other's attempts until all gave up. Changes: a loss that is diagnosed as a crash stops the agent from sending and refuses what waits; a run that the engine no longer lists counts as progress; an asker peeks for a second before it has an attempt sealed. Ruled out: longer claim times, since every asker sealed at once. Conclusion: the seal stays, with patience before it.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -65,10 +65,13 @@
 	byID   map[core.RequestID]*run
 	lanes  map[string]*lane
 	// held are requests taken from the queue that wait for a trial.
-	held    []*run
-	inWork  int
-	state   core.EngineState
+	held   []*run
+	inWork int
+	state  core.EngineState
+	// reached tells that the upstream answered when it was last asked; crashed
+	// is the epoch of the engine that was last seen to die.
 	reached bool
+	crashed uint64
 	leaving bool
 	swept   time.Time
 	// orders wakes the goroutine that drives the engine, alarm the one that
--- a/io/agent/drive.go
+++ b/io/agent/drive.go
@@ -93,12 +93,34 @@
 	if reached == a.reached {
 		return
 	}
-	a.reached = reached
 	if reached {
+		a.reached = true
 		events.Log(events.EngineBack, "host", a.Host)
 		return
 	}
-	events.Fail(events.EngineUnreachable, err, "host", a.Host)
+	a.lostEngine(err)
+}
+
+// lostEngine notes that the upstream does not answer, and refuses what waits,
+// so that entries try other hosts. Without it the requests behind a crash are
+// sent to a dead engine one after the other, and each is blamed for the next.
+func (a *Agent) lostEngine(err error) {
+	if a.reached {
+		events.Fail(events.EngineUnreachable, err, "host", a.Host)
+	}
+	a.reached = false
+	now := a.Clock.Now()
+	for _, r := range a.byID {
+		if !r.began && r.ended.IsZero() {
+			a.queue.Remove(r.id)
+			a.end(r, now, a.unreached(now))
+		}
+	}
+	poke(a.orders)
+}
+
+func (a *Agent) unreached(now time.Time) *core.Refusal {
+	return core.RefuseUntil(core.CodeUpstreamLost, "the upstream does not answer", now.Add(time.Second))
 }
 
 func (a *Agent) checksFence() bool {
@@ -150,27 +172,40 @@
 	}
 }
 
-// noteStalls finds connections to the engine that have gone silent: the engine
-// has produced more of an answer than has arrived, and nothing has arrived for
-// a while. A slow model is not mistaken for one, since it has produced nothing
-// either.
+// noteStalls finds connections to the engine that have gone silent: nothing has
+// arrived for a while, though the engine has produced more of the answer, or
+// has ended a run that it listed before. A slow model is not mistaken for one:
+// it is listed and has produced nothing more either.
 func (a *Agent) noteStalls(now time.Time) {
+	listed := map[core.RequestID]int64{}
 	for _, e := range a.state.Runs {
-		r := a.byID[e.ID]
-		if r == nil || !r.began || !r.ended.IsZero() || e.Emitted <= r.received.Load() {
-			continue
-		}
-		if now.Sub(time.Unix(0, r.moved.Load())) < stallTime {
+		listed[e.ID] = e.Emitted
+	}
+	for _, r := range a.byID {
+		if !r.began || !r.ended.IsZero() {
 			continue
 		}
-		if closing := r.redial.Swap(nil); closing != nil {
-			a.Meter.Silent()
-			events.Log(events.ConnectionSilent, "host", a.Host, "request", r.id)
-			go (*closing)()
+		emitted, running := listed[r.id]
+		silent := running && emitted > r.received.Load() || !running && r.listed
+		r.listed = r.listed || running
+		if silent && now.Sub(time.Unix(0, r.moved.Load())) >= stallTime {
+			a.redial(r)
 		}
 	}
 }
 
+// redial closes a run's connection to the engine; the run then goes on over a
+// new one.
+func (a *Agent) redial(r *run) {
+	closing := r.redial.Swap(nil)
+	if closing == nil {
+		return
+	}
+	a.Meter.Silent()
+	events.Log(events.ConnectionSilent, "host", a.Host, "request", r.id)
+	go (*closing)()
+}
+
 // sendOrders sends the ledger's orders until it has no more at present.
 func (a *Agent) sendOrders(ctx context.Context) error {
 	if a.Plain {
@@ -285,7 +320,7 @@
 	if !unreached && !restarted {
 		return
 	}
-	records := a.strikeAll(r)
+	records := a.strikeAll(r, err)
 	if len(records) > 0 {
 		a.Spread(records)
 	}
@@ -293,12 +328,16 @@
 
 // strikeAll gives one strike for each crash of the engine to all requests that
 // were in it.
-func (a *Agent) strikeAll(r *run) []strike.Record {
+func (a *Agent) strikeAll(r *run, err error) []strike.Record {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if r.struck {
+	if r.struck || !a.reached && r.epoch == a.crashed {
+		// The crash has been counted, with all that were in the engine then;
+		// what was sent to the dead engine since had no part in it.
 		return nil
 	}
+	a.crashed = r.epoch
+	a.lostEngine(err)
 	var prints []core.Fingerprint
 	var lost []*run
 	for _, o := range a.byID {
--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -49,7 +49,9 @@
 	use     ledger.Use
 	// cold tells that the request waited for a load, alone that nothing else
 	// ran beside it; epoch is the engine's at its start.
-	cold     bool
+	cold bool
+	// listed tells that the engine has reported the run.
+	listed   bool
 	alone    bool
 	epoch    uint64
 	struck   bool
--- a/io/agent/sched.go
+++ b/io/agent/sched.go
@@ -80,7 +80,7 @@
 
 // free tells how many of the lane's requests may start.
 func (a *Agent) free(l *lane) int {
-	if !a.Plain && (a.ledger.Item(l.target.Model).State != core.Loaded || !a.baseLoaded(l.target)) {
+	if !a.reached || !a.Plain && (a.ledger.Item(l.target.Model).State != core.Loaded || !a.baseLoaded(l.target)) {
 		return 0
 	}
 	return min(a.concurrency(l.target)-l.running, a.serviceConcurrency()-a.inWork)
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -90,6 +90,10 @@
 	// Without an incarnation the question may be about a predecessor, which may
 	// have run the request.
 	call.Incarnation = core.Incarnation(c.GetIncarnation())
+	if c.GetPeek() {
+		state, known := a.table.Peek(a.Clock.Now(), call)
+		return &wire.SealReply{State: uint32(state), Unseen: !known}
+	}
 	state := a.table.Seal(a.Clock.Now(), call)
 	out := &wire.SealReply{State: uint32(state)}
 	if r := a.runs[call.ID]; r != nil && state != dedupe.Sealed {
--- a/io/agent/take.go
+++ b/io/agent/take.go
@@ -105,6 +105,9 @@
 	if refusal := a.book.Refuse(now, r.call.Fingerprint); refusal != nil {
 		return refusal
 	}
+	if !a.reached {
+		return a.unreached(now)
+	}
 	if a.Plain {
 		if r.target.Model != "" || r.target.Service != a.Service {
 			return a.notGranted("the host serves " + string(a.Service))
--- /dev/null
+++ b/io/entry/fault_test.go
@@ -0,0 +1,204 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"radishwell/core"
+	"radishwell/io/fakes/llmsrv"
+)
+
+var quickLoads = [3]time.Duration{time.Millisecond, time.Millisecond, time.Millisecond}
+
+func setFaults(t *testing.T, h *host, faults any) {
+	t.Helper()
+	raw, err := json.Marshal(faults)
+	assert.NilError(t, err)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPut, h.upstream+"/faults", bytes.NewReader(raw))
+	assert.NilError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+}
+
+// A fitter reads a compliance review as it is written, and in the middle of it
+// the text stands still for ever. Something between agent and engine has lost
+// track of the connection: it is open at both ends and carries nothing. The
+// engine has gone on writing, which its report shows; the agent reads the rest
+// on a new connection, and not a word is missing or doubled.
+func TestSilentEngineConnection(t *testing.T) {
+	f := newFleet(t)
+	h := f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 20 * time.Millisecond})
+	url := f.entryHost()
+	assertDone(t, chat(t, url, "alpha", "warm", false, 1))
+	go func() {
+		time.Sleep(200 * time.Millisecond)
+		setFaults(t, h, llmsrv.Faults{Silent: true})
+	}()
+	a := chat(t, url, "alpha", "a b c", true, 30)
+	assertDone(t, a)
+	assert.Equal(t, text(t, a), strings.Repeat("a b c ", 10))
+}
+
+// The connections between an entry and an agent are cut while answers stream
+// over them, as when a switch restarts. The agent still has the answers; the
+// entry reads each on at its offset, and callers notice nothing.
+func TestCutBetweenEntryAndAgent(t *testing.T) {
+	f := newFleet(t)
+	h := f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 20 * time.Millisecond, Batch: 64})
+	url := f.entryHost()
+	assertDone(t, chat(t, url, "alpha", "warm", false, 1))
+	var all sync.WaitGroup
+	for i := range 8 {
+		all.Go(func() {
+			mark := "m" + strconv.Itoa(i)
+			a := chat(t, url, "alpha", mark, true, 30)
+			assertDone(t, a)
+			assert.Equal(t, text(t, a), strings.Repeat(mark+" ", 30))
+		})
+	}
+	time.Sleep(250 * time.Millisecond)
+	h.work.CloseClientConnections()
+	all.Wait()
+}
+
+// Two treasurers get each other's lines when answers are mixed up on their way.
+// Here hundreds of marked requests share a few connections, some slow and some
+// quick, and each caller must get its own mark only.
+func TestAnswersNeverCross(t *testing.T) {
+	f := newFleet(t)
+	f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: time.Millisecond, Batch: 256})
+	f.engineHost("up-2", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 3 * time.Millisecond, Batch: 256})
+	url := f.entryHost()
+	var all sync.WaitGroup
+	for i := range 300 {
+		all.Go(func() {
+			mark := "mark-" + strconv.Itoa(i)
+			a := chat(t, url, "alpha", mark, i%2 == 0, 5+i%7)
+			assertDone(t, a)
+			assert.Equal(t, strings.Count(a.body, mark+" "), 5+i%7, a.body)
+			assert.Equal(t, strings.Count(a.body, "mark-"), 5+i%7, a.body)
+		})
+	}
+	all.Wait()
+}
+
+// A caller closes its laptop in the middle of an answer. Nobody reads it any
+// more, and an engine that goes on writing burns an accelerator for nobody.
+func TestCancelReachesEngine(t *testing.T) {
+	f := newFleet(t)
+	h := f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 50 * time.Millisecond})
+	url := f.entryHost()
+	assertDone(t, chat(t, url, "alpha", "warm", false, 1))
+	ctx, leave := context.WithCancel(t.Context())
+	body := `{"model":"alpha","stream":true,"max_tokens":2000,"messages":[{"role":"user","content":"long"}]}`
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	first := make([]byte, 10)
+	_, err = resp.Body.Read(first)
+	assert.NilError(t, err)
+	leave()
+	resp.Body.Close()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, r := range h.engine.State().Runs {
+			if r.Emitted < 2000 {
+				return poll.Continue("the engine still runs %s", r.ID)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+}
+
+// The same request takes down every engine that runs it, and its caller sends it
+// again through other entries. Engines are lost to it until it is recognised,
+// and a fleet of sixteen must not lose more than three.
+func TestCrashingRequest(t *testing.T) {
+	f := newFleet(t)
+	var crashes int
+	for i := range 16 {
+		f.engineHost(core.HostName("up-"+strconv.Itoa(i)), &llmsrv.Server{
+			LoadTimes: quickLoads, Faults: llmsrv.Faults{CrashMark: "poison", DownFor: 100},
+		})
+	}
+	urls := []string{f.entryHost(), f.entryHost(), f.entryHost()}
+	epochs := func() map[core.HostName]uint64 {
+		out := map[core.HostName]uint64{}
+		for name, h := range f.agents {
+			out[name] = h.engine.State().Epoch
+		}
+		return out
+	}
+	before := epochs()
+	var last answer
+	for i := range 12 {
+		last = chat(t, urls[i%len(urls)], "alpha", "poison", false, 3)
+		assert.Assert(t, last.status != http.StatusOK)
+	}
+	for name, e := range epochs() {
+		if e != before[name] {
+			crashes++
+		}
+	}
+	assert.Assert(t, crashes <= 3, "%d engines were lost", crashes)
+	assertRefused(t, last, core.CodeQuarantined, core.NotRun)
+	assertDone(t, chat(t, urls[0], "alpha", "innocent", false, 3))
+}
+
+// A pallet order is sent twice under one key, through two entries at once. It
+// must be run once, and both callers get the same whole answer.
+func TestKeyThroughTwoEntries(t *testing.T) {
+	f := newFleet(t)
+	h := f.plainHost("up-1")
+	setFaults(t, h, map[string]int{"delay": 100})
+	urls := []string{f.entryHost(), f.entryHost()}
+	answers := make([]answer, 8)
+	var all sync.WaitGroup
+	for i := range answers {
+		all.Go(func() {
+			answers[i] = send(t, http.MethodPost, urls[i%2]+"/services/ledger/orders", "4 pallets", "Idempotency-Key", "order-1")
+		})
+	}
+	all.Wait()
+	for _, a := range answers {
+		assertDone(t, a)
+		assert.Equal(t, a.body, answers[0].body)
+	}
+	assert.Equal(t, h.plain.Runs()["4 pallets"], 1)
+}
+
+// The upstream carries a call out and dies before its answer is through. The
+// call has no key and may not be repeated, so nobody may send it again, and the
+// caller is told that it may have run.
+func TestLostAnswerIsNotRepeated(t *testing.T) {
+	f := newFleet(t)
+	h := f.plainHost("up-1")
+	f.plainHost("up-2")
+	for _, up := range f.agents {
+		setFaults(t, up, map[string]bool{"answers-lost": true})
+	}
+	url := f.entryHost()
+	a := send(t, http.MethodPost, url+"/services/ledger/post", "amount 5")
+	assertRefused(t, a, core.CodeUpstreamLost, core.MayHaveRun)
+	assert.Equal(t, a.header.Get("X-Should-Retry"), "false")
+	total := 0
+	for _, up := range f.agents {
+		total += up.plain.Runs()["amount 5"]
+	}
+	assert.Equal(t, total, 1)
+	_ = h
+}
--- a/io/entry/fixture_test.go
+++ b/io/entry/fixture_test.go
@@ -70,7 +70,6 @@
 type fleet struct {
 	t       *testing.T
 	view    catlog.View
-	front   *httptest.Server
 	entries []*entry.Entry
 	agents  map[core.HostName]*host
 	mu      sync.Mutex
@@ -142,6 +141,7 @@
 	h.agent.Init(ctx)
 	ended := make(chan error, 1)
 	go func() { ended <- h.agent.Run(ctx) }()
+	<-h.agent.Ready()
 	h.work = httptest.NewUnstartedServer(h.agent.Handler())
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
--- a/io/entry/keyed.go
+++ b/io/entry/keyed.go
@@ -171,8 +171,20 @@
 	return d.Action == retry.Again
 }
 
+// patience is how long an entry waits for an attempt that another sending of the
+// request has claimed to reach its agent, before it has the attempt sealed: a
+// claimant hands over within milliseconds, unless it is paused or dead.
+// peekPause is the time between two looks.
+const (
+	patience  = time.Second
+	peekPause = 20 * time.Millisecond
+)
+
 // ask asks the agent of a claim what became of the attempt.
 func (k *keyed) ask(ctx context.Context, step claims.Step) claims.Step {
+	if step.Claim.Claimant != k.call.Claimant {
+		k.waitFor(ctx, step.Claim)
+	}
 	if !sleepUntil(ctx, k.j.e.Clock, step.At) {
 		return claims.Step{Kind: claims.StepRefuse, Refusal: gone(ctx, step.Claim.Host)}
 	}
@@ -181,12 +193,7 @@
 	if !ok {
 		return k.call.Asked(k.now(), claims.Standing{Gone: true})
 	}
-	call, stop := context.WithTimeout(ctx, sealTime)
-	defer stop()
-	reply, err := k.j.e.Seal(call, h, &wire.SealCall{
-		Owner: string(k.j.call.Request.Owner), Key: k.j.call.Request.Key, Attempt: c.Attempt, Incarnation: uint64(c.Incarnation),
-		Expires: c.Expires.UnixNano(), Fingerprint: uint64(c.Fingerprint),
-	})
+	reply, err := k.seal(ctx, h, c, false)
 	if err != nil {
 		return k.call.Asked(k.now(), claims.Standing{})
 	}
@@ -194,6 +201,27 @@
 	return k.call.Asked(k.now(), claims.Standing{Reached: true, State: dedupe.State(reply.GetState())})
 }
 
+// waitFor waits until another sending's attempt has reached its agent.
+func (k *keyed) waitFor(ctx context.Context, c claims.Claim) {
+	h, ok := k.j.e.Find(c.Host)
+	until := k.now().Add(patience)
+	for ok && k.now().Before(until) {
+		reply, err := k.seal(ctx, h, c, true)
+		if err == nil && !reply.GetUnseen() || !sleepUntil(ctx, k.j.e.Clock, k.now().Add(peekPause)) {
+			return
+		}
+	}
+}
+
+func (k *keyed) seal(ctx context.Context, h Host, c claims.Claim, peek bool) (*wire.SealReply, error) {
+	ctx, stop := context.WithTimeout(ctx, sealTime)
+	defer stop()
+	return k.j.e.Seal(ctx, h, &wire.SealCall{
+		Owner: string(k.j.call.Request.Owner), Key: k.j.call.Request.Key, Attempt: c.Attempt, Incarnation: uint64(c.Incarnation),
+		Expires: c.Expires.UnixNano(), Fingerprint: uint64(c.Fingerprint), Peek: peek,
+	})
+}
+
 // attach reads an attempt's answer from where the caller's stands.
 func (k *keyed) attach(ctx context.Context, c claims.Claim) claims.Step {
 	h, ok := k.j.e.Find(c.Host)
--- a/io/fakes/llmsrv/run.go
+++ b/io/fakes/llmsrv/run.go
@@ -66,6 +66,13 @@
 	return data, r.ended, r.failed, r.grown
 }
 
+// over tells whether the run has ended; its answer is kept for a while.
+func (r *run) over() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ended
+}
+
 func (r *run) emitted() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/io/fakes/llmsrv/server.go
+++ b/io/fakes/llmsrv/server.go
@@ -150,6 +150,9 @@
 		Items: slices.Clone(s.items), Queued: s.slots.waiting(),
 	}
 	for _, r := range s.runs {
+		if r.over() {
+			continue
+		}
 		st.Runs = append(st.Runs, core.EngineRun{ID: r.id, Model: r.model, Emitted: r.emitted()})
 	}
 	for name, tier := range s.copies {
