--- /dev/null
+++ b/io/peer/calls.go
@@ -0,0 +1,49 @@
+package peer
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"radishwell/wire"
+)
+
+// Sync exchanges replicas with a process.
+func (c *Client) Sync(ctx context.Context, to Target, in *wire.SyncCall) (*wire.SyncReply, error) {
+	return call[wire.SyncReply](ctx, c, to, "Sync", in)
+}
+
+// Probe asks an agent for its load.
+func (c *Client) Probe(ctx context.Context, to Target, in *wire.ProbeCall) (*wire.HostLoad, error) {
+	return call[wire.HostLoad](ctx, c, to, "Probe", in)
+}
+
+// Slot asks the decider for leave to read from the weight store.
+func (c *Client) Slot(ctx context.Context, to Target, in *wire.SlotCall) (*wire.SlotReply, error) {
+	return call[wire.SlotReply](ctx, c, to, "Slot", in)
+}
+
+// Claim asks an entry to record a claim.
+func (c *Client) Claim(ctx context.Context, to Target, in *wire.ClaimCall) (*wire.ClaimReply, error) {
+	return call[wire.ClaimReply](ctx, c, to, "Claim", in)
+}
+
+// Seal asks an agent what became of an attempt.
+func (c *Client) Seal(ctx context.Context, to Target, in *wire.SealCall) (*wire.SealReply, error) {
+	return call[wire.SealReply](ctx, c, to, "Seal", in)
+}
+
+// Explain asks a process why.
+func (c *Client) Explain(ctx context.Context, to Target, in *wire.ExplainCall) (*wire.ExplainReply, error) {
+	return call[wire.ExplainReply](ctx, c, to, "Explain", in)
+}
+
+// Demand tells the decider an entry's demand.
+func (c *Client) Demand(ctx context.Context, to Target, in *wire.DemandCall) (*wire.Empty, error) {
+	return call[wire.Empty](ctx, c, to, "Demand", in)
+}
+
+// merge copies a reply into the message that net/rpc has made for it.
+func merge(out, reply any) {
+	proto.Merge(out.(proto.Message), reply.(proto.Message))
+}
--- /dev/null
+++ b/io/peer/calls_test.go
@@ -0,0 +1,143 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/wire"
+)
+
+// serveCalls returns a process that answers calls, and how to stop it.
+func serveCalls(t *testing.T, h *Handler) (Target, context.CancelFunc) {
+	t.Helper()
+	s := &Server{Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: h}
+	assert.NilError(t, s.Listen())
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	once := func() {
+		stop()
+		<-ended
+		ended <- nil
+	}
+	t.Cleanup(once)
+	return Target{Host: "up-1", Address: s.Address}, once
+}
+
+func TestCalls(t *testing.T) {
+	to, _ := serveCalls(t, &Handler{Probe: func(c *wire.ProbeCall) (*wire.HostLoad, error) {
+		return &wire.HostLoad{Host: c.GetNames()[0], Running: 7}, nil
+	}})
+	c := &Client{}
+	defer c.Close()
+	t.Run("answered", func(t *testing.T) {
+		load, err := c.Probe(t.Context(), to, &wire.ProbeCall{Names: []string{"alpha"}})
+		assert.NilError(t, err)
+		assert.Equal(t, load.GetHost(), "alpha")
+		assert.Equal(t, load.GetRunning(), int32(7))
+	})
+	t.Run("not served by this role", func(t *testing.T) {
+		_, err := c.Seal(t.Context(), to, &wire.SealCall{})
+		var refused rpc.ServerError
+		assert.Assert(t, errors.As(err, &refused), "%v", err)
+	})
+	t.Run("after a refusal the connection goes on", func(t *testing.T) {
+		_, err := c.Probe(t.Context(), to, &wire.ProbeCall{Names: []string{"beta"}})
+		assert.NilError(t, err)
+	})
+}
+
+func TestRedial(t *testing.T) {
+	h := &Handler{Probe: func(*wire.ProbeCall) (*wire.HostLoad, error) { return &wire.HostLoad{}, nil }}
+	to, stop := serveCalls(t, h)
+	c := &Client{}
+	defer c.Close()
+	_, err := c.Probe(t.Context(), to, &wire.ProbeCall{})
+	assert.NilError(t, err)
+	stop()
+	_, err = c.Probe(t.Context(), to, &wire.ProbeCall{})
+	var lost *CallError
+	assert.Assert(t, errors.As(err, &lost), "%v", err)
+	again := &Server{Address: to.Address, Handler: h}
+	assert.NilError(t, again.Listen())
+	ctx, end := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- again.Run(ctx) }()
+	_, err = c.Probe(t.Context(), to, &wire.ProbeCall{})
+	assert.NilError(t, err)
+	end()
+	<-ended
+}
+
+// Something between two hosts forgets a connection: it is open at both ends and
+// carries nothing, while new ones work. Calls on it would wait for ever. The
+// connection is closed, and the next call goes over a new one.
+func TestSilentConnection(t *testing.T) {
+	to, _ := serveCalls(t, &Handler{Probe: func(*wire.ProbeCall) (*wire.HostLoad, error) { return &wire.HostLoad{}, nil }})
+	between, hush := forward(t, to.Address)
+	var silent atomic.Int64
+	c := &Client{Silent: func(Target) { silent.Add(1) }}
+	defer c.Close()
+	via := Target{Host: to.Host, Address: between}
+	_, err := c.Probe(t.Context(), via, &wire.ProbeCall{})
+	assert.NilError(t, err)
+	hush()
+	ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+	defer stop()
+	_, err = c.Probe(ctx, via, &wire.ProbeCall{})
+	var quiet *SilentError
+	assert.Assert(t, errors.As(err, &quiet), "%v", err)
+	assert.Equal(t, silent.Load(), int64(1))
+	_, err = c.Probe(t.Context(), via, &wire.ProbeCall{})
+	assert.NilError(t, err)
+}
+
+// forward relays connections to an address. hush makes those that are open
+// carry nothing more, without closing them.
+func forward(t *testing.T, to netip.AddrPort) (at netip.AddrPort, hush func()) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { lis.Close() })
+	var age atomic.Int64
+	go func() {
+		for {
+			in, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to.String())
+			if err != nil {
+				in.Close()
+				continue
+			}
+			born := age.Load()
+			t.Cleanup(func() { in.Close(); out.Close() })
+			go pump(in, out, func() bool { return age.Load() > born })
+			go pump(out, in, func() bool { return age.Load() > born })
+		}
+	}()
+	return lis.Addr().(*net.TCPAddr).AddrPort(), func() { age.Add(1) }
+}
+
+func pump(from, to net.Conn, hushed func() bool) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			to.Close()
+			return
+		}
+		if !hushed() {
+			_, _ = to.Write(buf[:n])
+		}
+	}
+}
--- /dev/null
+++ b/io/peer/client.go
@@ -0,0 +1,261 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"radishwell/core"
+	"radishwell/wire"
+)
+
+const (
+	dialTimeout = time.Second
+	// pingEvery is how long a call may be outstanding before the connection is
+	// asked for a sign of life, and silence how long that may take. A connection
+	// that has gone silent is closed within their sum.
+	pingEvery = time.Second
+	silence   = 1500 * time.Millisecond
+	// idleTime is how long a connection without calls is kept. Processes talk to
+	// random peers, so most connections are used once; at 1,040 processes
+	// keeping all of them would cost more memory than a handshake does time.
+	idleTime = 10 * time.Second
+)
+
+// CallError reports a call that got no answer. Sent tells that the other side
+// may have served it.
+type CallError struct {
+	Method string
+	Sent   bool
+	Cause  error
+}
+
+// Error implements error.
+func (e *CallError) Error() string { return "call " + e.Method + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
+
+// SilentError reports a connection that has gone silent.
+type SilentError struct{}
+
+// Error implements error.
+func (*SilentError) Error() string { return "the connection has gone silent" }
+
+// Target is a process to call.
+type Target struct {
+	Host    core.HostName
+	Address netip.AddrPort
+}
+
+// Client makes calls of other processes. Set the exported fields before use.
+type Client struct {
+	// TLS returns the configuration towards a host, nil for none. An empty host
+	// is any own process.
+	TLS func(core.HostName) *tls.Config
+	// Silent is told of each connection closed for its silence.
+	Silent func(Target)
+
+	mu    sync.Mutex
+	conns map[Target]*clientConn
+	count traffic
+}
+
+// clientConn is a connection, or one that is being dialled.
+type clientConn struct {
+	ready chan struct{}
+	rpc   *rpc.Client
+	err   error
+	idle  *time.Timer
+	busy  int
+}
+
+// call makes one call; the deadline is the context's. Its error is a CallError,
+// or an rpc.ServerError where the other side answered with one.
+func call[A any, P interface {
+	*A
+	proto.Message
+}](ctx context.Context, c *Client, to Target, method string, in proto.Message) (P, error) {
+	conn, err := c.connect(ctx, to)
+	if err != nil {
+		return nil, &CallError{Method: method, Cause: err}
+	}
+	defer c.release(to, conn)
+	out := P(new(A))
+	pending := conn.rpc.Go(serviceName+"."+method, in, out, make(chan *rpc.Call, 1))
+	if err := c.wait(ctx, to, conn, pending); err != nil {
+		var refused rpc.ServerError
+		if errors.As(err, &refused) {
+			return nil, refused
+		}
+		return nil, &CallError{Method: method, Sent: true, Cause: err}
+	}
+	return out, nil
+}
+
+// wait waits for a call, and finds out meanwhile whether the connection lives.
+func (c *Client) wait(ctx context.Context, to Target, conn *clientConn, pending *rpc.Call) error {
+	timer := time.NewTimer(pingEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-pending.Done:
+			if pending.Error != nil && !isServerError(pending.Error) {
+				c.discard(to, conn)
+			}
+			return pending.Error
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-timer.C:
+		}
+		if !conn.alive(ctx) {
+			c.discard(to, conn)
+			if c.Silent != nil {
+				c.Silent(to)
+			}
+			return &SilentError{}
+		}
+		timer.Reset(pingEvery)
+	}
+}
+
+func isServerError(err error) bool {
+	var refused rpc.ServerError
+	return errors.As(err, &refused)
+}
+
+// alive asks the other end for a sign of life.
+func (conn *clientConn) alive(ctx context.Context) bool {
+	ping := conn.rpc.Go(serviceName+".Ping", &wire.Empty{}, &wire.Empty{}, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(silence)
+	defer timer.Stop()
+	select {
+	case <-ping.Done:
+		return ping.Error == nil
+	case <-ctx.Done():
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// connect returns a connection in use, dialling it where there is none.
+func (c *Client) connect(ctx context.Context, to Target) (*clientConn, error) {
+	c.mu.Lock()
+	if c.conns == nil {
+		c.conns = map[Target]*clientConn{}
+	}
+	conn := c.conns[to]
+	dial := conn == nil
+	if dial {
+		conn = &clientConn{ready: make(chan struct{})}
+		c.conns[to] = conn
+	}
+	conn.busy++
+	c.mu.Unlock()
+	if dial {
+		go c.dial(to, conn)
+	}
+	select {
+	case <-conn.ready:
+	case <-ctx.Done():
+		c.release(to, conn)
+		return nil, context.Cause(ctx)
+	}
+	if conn.err != nil {
+		return nil, conn.err
+	}
+	return conn, nil
+}
+
+func (c *Client) dial(to Target, conn *clientConn) {
+	ctx, stop := context.WithTimeout(context.Background(), dialTimeout)
+	defer stop()
+	raw, err := c.open(ctx, to)
+	if err != nil {
+		c.mu.Lock()
+		conn.err = err
+		if c.conns[to] == conn {
+			delete(c.conns, to)
+		}
+		c.mu.Unlock()
+		close(conn.ready)
+		return
+	}
+	conn.rpc = rpc.NewClientWithCodec(clientCodec{newCodec(raw, &c.count)})
+	close(conn.ready)
+}
+
+func (c *Client) open(ctx context.Context, to Target) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	var conf *tls.Config
+	if c.TLS != nil {
+		conf = c.TLS(to.Host)
+	}
+	if conf == nil {
+		return dialer.DialContext(ctx, "tcp", to.Address.String())
+	}
+	return (&tls.Dialer{NetDialer: dialer, Config: conf}).DialContext(ctx, "tcp", to.Address.String())
+}
+
+// release ends one use; a connection that is not used again is closed.
+func (c *Client) release(to Target, conn *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn.busy--
+	if conn.busy > 0 || c.conns[to] != conn {
+		return
+	}
+	if conn.idle == nil {
+		conn.idle = time.AfterFunc(idleTime, func() { c.closeIdle(to, conn) })
+		return
+	}
+	conn.idle.Reset(idleTime)
+}
+
+func (c *Client) closeIdle(to Target, conn *clientConn) {
+	c.mu.Lock()
+	idle := conn.busy == 0 && c.conns[to] == conn
+	c.mu.Unlock()
+	if idle {
+		c.discard(to, conn)
+	}
+}
+
+// discard closes a connection; the next call dials a new one.
+func (c *Client) discard(to Target, conn *clientConn) {
+	c.mu.Lock()
+	if c.conns[to] == conn {
+		delete(c.conns, to)
+	}
+	c.mu.Unlock()
+	if conn.rpc != nil {
+		conn.rpc.Close()
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	list := c.conns
+	c.conns = nil
+	c.mu.Unlock()
+	for _, conn := range list {
+		<-conn.ready
+		if conn.rpc != nil {
+			conn.rpc.Close()
+		}
+	}
+}
+
+// Traffic returns the bytes sent and received so far.
+func (c *Client) Traffic() (sent, received int64) {
+	return c.count.sent.Load(), c.count.received.Load()
+}
