Keep the version served last while an edit is pending, and test the catalogue

An edit with a misspelled owner took a model out of service, and a second entry of a taken name or with another owner's digest could push the first one out. Now the version served last stays, whoever was served first keeps name and digest, and the status of the deciding process settles what two processes met in different orders. The status carries the version served last, so that a process that starts after a rejected edit serves what the others do.

--- a/core/catlog/build.go
+++ b/core/catlog/build.go
@@ -3,7 +3,7 @@
 import "radishwell/core"
 
 // snapshot builds the lookups from the records in force.
-func (v *View) snapshot(order []id) *Snapshot {
+func (v *View) snapshot() *Snapshot {
 	b := builder{
 		s: &Snapshot{
 			keys:     map[Digest]Caller{},
@@ -15,11 +15,9 @@
 		},
 		shared: map[Digest]bool{},
 	}
-	for _, kind := range []core.Kind{core.KindOwner, core.KindService, core.KindModel, core.KindAdapter} {
-		for _, at := range order {
-			if r := v.records[at]; at.kind == kind && r.inForce() {
-				b.add(r.good)
-			}
+	for _, r := range v.sorted {
+		if r.chosen != nil {
+			b.add(r.chosen)
 		}
 	}
 	return b.s
@@ -54,8 +52,8 @@
 	}
 	b.s.accounts[a.Name] = a
 	b.s.list = append(b.s.list, a)
-	for _, k := range o.Keys {
-		d, _ := ParseDigest(k.Digest)
+	for i, k := range o.Keys {
+		d := g.digests[i]
 		if _, taken := b.s.keys[d]; taken || b.shared[d] {
 			b.shared[d] = true
 			delete(b.s.keys, d)
--- a/core/catlog/check.go
+++ b/core/catlog/check.go
@@ -48,6 +48,7 @@
 	CheckReplicasFit  CheckID = "RC1110"
 	CheckSharedThere  CheckID = "RC1111"
 	CheckEntryTwice   CheckID = "RC1112"
+	CheckKeyTaken     CheckID = "RC1113"
 )
 
 var checkTable = []Check{
@@ -74,12 +75,13 @@
 	{CheckBaseThere, "an adapter's base is in the catalogue", false},
 	{CheckBaseModel, "an adapter's base is a model", false},
 	{CheckBasePending, "an adapter's base is in force itself", false},
-	{CheckNameTaken, "a name belongs to one service, model or adapter; a service goes before a model, a model before an adapter", false},
-	{CheckKeyShared, "a digest belongs to one owner; one that several list opens to none of them", true},
+	{CheckNameTaken, "a name belongs to one service, model or adapter: the one that was served first, or else a service before a model before an adapter", false},
+	{CheckKeyShared, "a digest belongs to one owner: one that several came to list at once opens to none of them", true},
 	{CheckNeverFits, "one replica fits the owner's memory limit", true},
 	{CheckReplicasFit, "all replicas of the limit fit the owner's memory limit", true},
 	{CheckSharedThere, "each owner in shared-with is in the catalogue", true},
 	{CheckEntryTwice, "files name each entry once", false},
+	{CheckKeyTaken, "an edit lists no digest that another owner had before", false},
 }
 
 // Checks returns the table of all checks.
--- a/core/catlog/fault.go
+++ b/core/catlog/fault.go
@@ -9,6 +9,12 @@
 	Key string `json:"key,omitempty"`
 	// Reason tells what is wrong, in words for an operator.
 	Reason string `json:"reason"`
+	// about is the other entry that the fault is about, if there is one.
+	about id
+}
+
+func fault(check CheckID, key, reason string) Fault {
+	return Fault{Check: check, Key: key, Reason: reason}
 }
 
 // String returns the fault as a line.
--- a/core/catlog/file.go
+++ b/core/catlog/file.go
@@ -37,36 +37,42 @@
 func Read(sources ...Source) ([]core.Object, strict.Problems) {
 	var problems strict.Problems
 	var entries []located
+	faulty := map[id]bool{}
 	for _, src := range sources {
 		docs, faults := strict.Parse(src.Name, src.Text)
 		problems = append(problems, faults...)
 		for _, doc := range docs {
 			entry, faults := readEntry(doc)
 			problems = append(problems, faults...)
-			if entry.doc != nil {
+			switch {
+			case entry.doc != nil:
 				entries = append(entries, entry)
+			case entry.object.Name != "":
+				faulty[id{entry.object.Kind, entry.object.Name}] = true
 			}
 		}
 	}
 	entries, twice := dropTwice(entries)
 	problems = append(problems, twice...)
-	problems = append(problems, crossProblems(entries)...)
+	problems = append(problems, crossProblems(entries, faulty)...)
 	problems.Sort()
 	return objectsOf(entries), problems
 }
 
+// readEntry returns an entry, or one without a doc if there are problems.
 func readEntry(doc *strict.Document) (located, strict.Problems) {
 	var head entryFile
 	problems := doc.Decode(&head)
+	bad := located{object: core.Object{Kind: head.Kind, Name: head.Name}}
 	if !head.Spec.Given() {
-		return located{}, problems
+		return bad, problems
 	}
 	s, ok := newSpec(head.Kind, head.Name)
 	if !ok {
 		if doc.Has("kind") {
 			problems = append(problems, doc.Problem("kind", "has to be one of models, adapters, owners, services"))
 		}
-		return located{}, problems
+		return bad, problems
 	}
 	part := head.Spec.Document()
 	faults := part.Decode(s.target())
@@ -77,11 +83,11 @@
 		}
 	}
 	if len(problems) > 0 {
-		return located{}, problems
+		return bad, problems
 	}
 	text, err := json.Marshal(s.target())
 	if err != nil {
-		return located{}, strict.Problems{doc.Problem("spec", err.Error())}
+		return bad, strict.Problems{doc.Problem("spec", err.Error())}
 	}
 	object := core.Object{Kind: head.Kind, Name: head.Name, Spec: text}
 	return located{object: object, doc: part, head: doc}, nil
@@ -105,15 +111,17 @@
 		twice := seen[at]
 		seen[at] = true
 		if twice {
-			problems = append(problems, placed(e.head, e.doc, Fault{CheckEntryTwice, "", "the entry is given twice"}))
+			problems = append(problems, placed(e.head, e.doc, fault(CheckEntryTwice, "", "the entry is given twice")))
 		}
 		return twice
 	})
 	return kept, problems
 }
 
-// crossProblems holds the entries against each other in a catalogue of their own.
-func crossProblems(entries []located) strict.Problems {
+// crossProblems holds the good entries against each other in a catalogue of their
+// own. Faults about entries that are in the files but have problems themselves
+// are left out: they go away with those problems.
+func crossProblems(entries []located, faulty map[id]bool) strict.Problems {
 	var v View
 	objects := objectsOf(entries)
 	for i := range objects {
@@ -121,10 +129,17 @@
 	}
 	v.Apply(objects...)
 	var problems strict.Problems
+	from := map[id]located{}
 	for _, e := range entries {
-		r := v.records[id{e.object.Kind, e.object.Name}]
+		from[id{e.object.Kind, e.object.Name}] = e
+	}
+	for _, r := range v.sorted {
 		for _, f := range r.cross {
-			problems = append(problems, placed(e.head, e.doc, f))
+			if faulty[f.about] {
+				faulty[r.at] = true
+				continue
+			}
+			problems = append(problems, placed(from[r.at].head, from[r.at].doc, f))
 		}
 	}
 	return problems
--- a/core/catlog/resolve.go
+++ b/core/catlog/resolve.go
@@ -2,220 +2,134 @@
 
 import (
 	"slices"
-	"strconv"
 
 	"radishwell/core"
 )
 
-// index finds good entries by name while they are held against each other.
-type index struct {
-	owners   map[core.OwnerName]*good
-	services map[core.ServiceName]*good
-	models   map[core.ModelName]*good
-	adapters map[core.ModelName]*good
-	// owned counts the owners that list a digest.
-	owned map[string]int
-	// bad holds the models that are not served.
-	bad map[core.ModelName]bool
-}
-
-// resolve works out anew which entries are in force. It looks at nothing but the
-// good versions, so that the order in which they came makes no difference.
-// At 3,500 entries it takes a few milliseconds, at most once per batch of changes.
-func (v *View) resolve(touched map[id]bool) []Report {
-	order := v.order()
-	x := v.index(order)
-	// Adapters depend on models and models on services; this order sees each
-	// after what it depends on.
-	for _, kind := range []core.Kind{core.KindOwner, core.KindService, core.KindModel, core.KindAdapter} {
-		for _, at := range order {
-			if at.kind == kind {
-				x.hold(v.records[at])
-			}
+// resolve works out anew which entries are in force, from nothing but the newest
+// good and the last served version of each. It runs once for each batch of changes.
+func (v *View) resolve() []Report {
+	x := newIndex()
+	for _, r := range v.sorted {
+		x.note(r)
+	}
+	owners := 0
+	for i, r := range v.sorted {
+		// Faults of owners are about other owners: they need all of them.
+		if r.at.kind == core.KindOwner {
+			owners = i + 1
+		} else if i == owners {
+			v.holdOwners(x, owners)
 		}
+		r.choose(x)
 	}
-	v.revision++
-	v.now.Store(v.snapshot(order))
-	return v.reports(order, touched)
-}
-
-func (v *View) index(order []id) *index {
-	x := &index{
-		owners:   map[core.OwnerName]*good{},
-		services: map[core.ServiceName]*good{},
-		models:   map[core.ModelName]*good{},
-		adapters: map[core.ModelName]*good{},
-		owned:    map[string]int{},
-		bad:      map[core.ModelName]bool{},
+	if owners == len(v.sorted) {
+		v.holdOwners(x, owners)
 	}
-	for _, at := range order {
-		if g := v.records[at].good; g != nil {
-			x.add(g)
-		}
+	reports := v.reports()
+	if len(reports) > 0 {
+		v.revision++
+		v.now.Store(v.snapshot())
 	}
-	return x
+	return reports
 }
 
-func (x *index) add(g *good) {
-	switch s := g.spec; s.kind {
-	case core.KindOwner:
-		x.owners[core.OwnerName(s.name)] = g
-		for _, k := range s.owner.Keys {
-			x.owned[k.Digest]++
+// choose sets which version of an entry is in force: the newest good one, or the
+// one served before while what the newest refers to is not there. A version that
+// has been replaced in force never comes back.
+func (r *record) choose(x *index) {
+	r.cross, r.chosen = nil, nil
+	if r.newest != nil {
+		r.cross = x.faults(r, r.newest)
+		switch {
+		case !blocked(r.cross):
+			r.last = r.newest
+		case rivalled(r.cross):
+			r.last = r.holder()
 		}
-	case core.KindService:
-		x.services[core.ServiceName(s.name)] = g
-	case core.KindModel:
-		x.models[core.ModelName(s.name)] = g
-	case core.KindAdapter:
-		x.adapters[core.ModelName(s.name)] = g
 	}
-}
-
-// hold sets the faults of one entry against the others.
-func (x *index) hold(r *record) {
-	r.cross = nil
-	if r.good == nil {
+	if r.last == nil {
 		return
 	}
-	switch s := r.good.spec; s.kind {
-	case core.KindOwner:
-		r.cross = x.ownerFaults(s.owner)
-	case core.KindService:
-		r.cross = x.serviceFaults(s.service)
-	case core.KindModel:
-		r.cross = x.modelFaults(s)
-		x.bad[core.ModelName(s.name)] = blocked(r.cross)
-	case core.KindAdapter:
-		r.cross = x.adapterFaults(s)
-	}
-}
-
-// ownerFaults finds digests that several owners list. A key that stood for two
-// owners would run requests in the wrong one's name, so it stands for none.
-func (x *index) ownerFaults(o *core.OwnerSpec) []Fault {
-	var faults []Fault
-	for i, k := range o.Keys {
-		if x.owned[k.Digest] > 1 {
-			key := "keys[" + strconv.Itoa(i) + "].digest"
-			faults = append(faults, Fault{CheckKeyShared, key, "another owner lists it too, so that it opens to none"})
+	if r.last != r.newest {
+		faults := x.faults(r, r.last)
+		if r.newest == nil {
+			r.cross = faults
 		}
+		if blocked(faults) {
+			return
+		}
+	} else if blocked(r.cross) {
+		return
 	}
-	return faults
-}
-
-func (x *index) serviceFaults(s *core.ServiceSpec) []Fault {
-	if s.Type == core.EngineService {
-		return nil
-	}
-	return append(x.ownerThere(s.Owner), x.sharedThere(s.SharedWith)...)
+	r.chosen = r.last
+	x.add(r.chosen)
 }
 
-func (x *index) modelFaults(s spec) []Fault {
-	m := s.model
-	faults := x.ownerThere(m.Owner)
-	if _, taken := x.services[core.ServiceName(s.name)]; taken {
-		faults = append(faults, Fault{CheckNameTaken, "", "a service has this name"})
-	}
-	switch service, ok := x.services[m.Service]; {
-	case !ok:
-		faults = append(faults, Fault{CheckServiceThere, "service", missing("service", string(m.Service))})
-	case service.spec.service.Type != core.EngineService:
-		faults = append(faults, Fault{CheckServiceKind, "service", strconv.Quote(string(m.Service)) + " is a plain service"})
-	}
-	faults = append(faults, x.fits(m.Owner, m.Memory*core.Bytes(max(m.Accelerators, 1)), m.Limits.Replicas)...)
-	return append(faults, x.sharedThere(m.SharedWith)...)
+// rivalled tells whether another entry has the name or a digest.
+func rivalled(faults []Fault) bool {
+	return slices.ContainsFunc(faults, func(f Fault) bool {
+		return f.Check == CheckNameTaken || f.Check == CheckKeyTaken
+	})
 }
 
-func (x *index) adapterFaults(s spec) []Fault {
-	a := s.adapter
-	faults := x.ownerThere(a.Owner)
-	_, service := x.services[core.ServiceName(s.name)]
-	_, model := x.models[core.ModelName(s.name)]
-	if service || model {
-		faults = append(faults, Fault{CheckNameTaken, "", "a service or model has this name"})
+func (v *View) holdOwners(x *index, owners int) {
+	for _, r := range v.sorted[:owners] {
+		// A pending edit keeps its own faults: they tell why it is pending.
+		if r.chosen != nil && (r.newest == nil || r.chosen == r.newest) {
+			r.cross = x.faults(r, r.chosen)
+		}
 	}
-	faults = append(faults, x.baseFaults(a.Base)...)
-	faults = append(faults, x.fits(a.Owner, a.Memory, a.Limits.Replicas)...)
-	return append(faults, x.sharedThere(a.SharedWith)...)
 }
 
-func (x *index) baseFaults(base core.ModelName) []Fault {
-	if _, ok := x.models[base]; ok {
-		if x.bad[base] {
-			return []Fault{{CheckBasePending, "base", "model " + strconv.Quote(string(base)) + " is not in force"}}
+// reports returns the entries whose standing has changed, remembers it, and works
+// out whose status is due.
+func (v *View) reports() []Report {
+	var out []Report
+	for _, r := range v.sorted {
+		now := r.stand()
+		changed := !now.equal(r.stood)
+		if !r.touched && !changed {
+			continue
+		}
+		r.touched, r.stood = false, now
+		r.due = r.dueStatus()
+		if changed {
+			out = append(out, r.report())
 		}
-		return nil
-	}
-	if _, ok := x.adapters[base]; ok {
-		return []Fault{{CheckBaseModel, "base", strconv.Quote(string(base)) + " is an adapter"}}
 	}
-	return []Fault{{CheckBaseThere, "base", missing("model", string(base))}}
+	return out
 }
 
-func (x *index) ownerThere(name core.OwnerName) []Fault {
-	if _, ok := x.owners[name]; ok {
-		return nil
-	}
-	return []Fault{{CheckOwnerThere, "owner", missing("owner", string(name))}}
+// standing is what a Report tells of an entry.
+type standing struct {
+	state  State
+	served core.Version
+	// spec is the version whose spec was judged.
+	spec   core.Version
+	faults []Fault
 }
 
-func (x *index) sharedThere(names []core.OwnerName) []Fault {
-	var faults []Fault
-	for i, n := range names {
-		if _, ok := x.owners[n]; !ok && n != everyone {
-			faults = append(faults, Fault{CheckSharedThere, "shared-with[" + strconv.Itoa(i) + "]", missing("owner", string(n))})
-		}
-	}
-	return faults
+func (s standing) equal(o standing) bool {
+	return s.state == o.state && s.served == o.served && s.spec == o.spec && slices.Equal(s.faults, o.faults)
 }
 
-// fits holds the memory of one replica, and of all the limit allows, against the
-// owner's limit. Both are advice: the placement keeps to the owner's limit
-// whatever the entry says, and taking a model out of service because its owner's
-// limit was lowered would be worse than running fewer replicas.
-func (x *index) fits(owner core.OwnerName, replica core.Bytes, replicas int) []Fault {
-	g, ok := x.owners[owner]
-	if !ok || g.spec.owner.Limits.Memory == 0 {
-		return nil
-	}
-	limit := g.spec.owner.Limits.Memory
-	if replica > limit {
-		return []Fault{{CheckNeverFits, "memory", "one replica takes " + replica.String() + ", the owner's limit is " + limit.String()}}
+func (r *record) stand() standing {
+	s := standing{state: r.state(), spec: r.met, faults: r.faults()}
+	if r.chosen != nil {
+		s.served = r.chosen.version
 	}
-	if core.Bytes(replicas) > limit/replica {
-		return []Fault{{CheckReplicasFit, "limits.replicas", strconv.Itoa(replicas) + " replicas of " + replica.String() + " are more than the owner's limit of " + limit.String()}}
-	}
-	return nil
+	return s
 }
 
-func missing(kind, name string) string { return "no " + kind + " " + strconv.Quote(name) }
-
-// reports returns the entries whose standing has changed, and remembers it.
-func (v *View) reports(order []id, touched map[id]bool) []Report {
-	var out []Report
-	for _, at := range order {
-		r := v.records[at]
-		state, served := r.standing(), core.Version(0)
-		if r.inForce() {
-			served = r.good.version
-		}
-		if r.object.Deleted {
-			state = ""
-		}
-		if state == r.state && served == r.served && !(touched[at] && r.met == r.object.Version) {
-			continue
-		}
-		r.state, r.served = state, served
-		out = append(out, Report{
-			Kind:    at.kind,
-			Name:    at.name,
-			State:   state,
-			Version: r.object.Version,
-			Served:  served,
-			Deleted: r.object.Deleted,
-			Faults:  slices.Clone(r.faults()),
-		})
+func (r *record) report() Report {
+	return Report{
+		Kind:    r.at.kind,
+		Name:    r.at.name,
+		State:   r.stood.state,
+		Version: r.object.Version,
+		Served:  r.stood.served,
+		Deleted: r.object.Deleted,
+		Faults:  r.stood.faults,
 	}
-	return out
 }
--- a/core/catlog/spec.go
+++ b/core/catlog/spec.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 
 	"radishwell/core"
 	"radishwell/core/strict"
@@ -50,14 +51,21 @@
 	}
 }
 
+// maxSpec bounds a spec. The status holds a copy of the last good one, and both
+// together have to stay under the megabyte that the platform holds.
+const maxSpec = 384 << 10
+
 // parseSpec decodes and checks the spec of an object of the platform.
 func parseSpec(kind core.Kind, name string, text []byte) (spec, []Fault) {
 	s, ok := newSpec(kind, name)
 	if !ok {
-		return s, []Fault{{CheckForm, "", string(kind) + " is no kind of the catalogue"}}
+		return s, []Fault{fault(CheckForm, "", string(kind)+" is no kind of the catalogue")}
+	}
+	if len(text) > maxSpec {
+		return s, []Fault{fault(CheckTooLarge, "", "the spec is larger than "+strconv.Itoa(maxSpec)+" bytes")}
 	}
 	if !json.Valid(text) {
-		return s, []Fault{{CheckForm, "", "the spec is no JSON document"}}
+		return s, []Fault{fault(CheckForm, "", "the spec is no JSON document")}
 	}
 	doc, problems := strict.DecodeObject("", text, s.target())
 	if len(problems) > 0 {
--- a/core/catlog/status.go
+++ b/core/catlog/status.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"slices"
+	"strconv"
 
 	"radishwell/core"
 )
@@ -13,8 +15,9 @@
 const (
 	// Accepted: the newest edit is in force.
 	Accepted State = "accepted"
-	// Pending: the entry is good by itself, but what it refers to is not there.
-	// It is not served until that is mended.
+	// Pending: the newest edit is good by itself, but what it refers to is not in
+	// force. The version served before stays where there is one that still can be;
+	// otherwise the entry is not served until the reference is there.
 	Pending State = "pending"
 	// Rejected: the newest edit is invalid. The last good version stays in force
 	// where there is one.
@@ -31,12 +34,11 @@
 	// Faults tell why the entry is rejected or pending. With an accepted entry
 	// they are advice.
 	Faults []Fault `json:"faults,omitempty"`
-	// InForce is the last good version; nil where there is none. For a pending
-	// entry it is the version that will be served.
+	// InForce is the version served last; nil where there was none.
 	InForce *InForce `json:"in-force,omitempty"`
 }
 
-// InForce is the last good version of an entry. UID guards against taking over
+// InForce is the version of an entry that was served last. UID guards against taking over
 // the version of a deleted object of the same name.
 type InForce struct {
 	UID        string          `json:"uid"`
@@ -57,6 +59,19 @@
 	return Status{}, false
 }
 
+// maxFaults bounds the faults in a status document, which counts against the size
+// of the object it belongs to.
+const maxFaults = 20
+
+// clipFaults leaves out what is above the bound and says so.
+func clipFaults(faults []Fault) []Fault {
+	if len(faults) <= maxFaults {
+		return faults
+	}
+	rest := strconv.Itoa(len(faults) - maxFaults)
+	return append(slices.Clone(faults[:maxFaults]), fault(faults[maxFaults].Check, "", "and "+rest+" more"))
+}
+
 // encode returns the document. Its parts always have a JSON form.
 func (s Status) encode() []byte {
 	text, err := json.Marshal(s)
--- a/core/catlog/value.go
+++ b/core/catlog/value.go
@@ -28,7 +28,7 @@
 }
 
 func (c *checker) fail(id CheckID, key, reason string) {
-	c.faults = append(c.faults, Fault{id, key, reason})
+	c.faults = append(c.faults, fault(id, key, reason))
 }
 
 // checkSpec runs the checks of a single entry.
--- a/core/catlog/view.go
+++ b/core/catlog/view.go
@@ -1,9 +1,7 @@
 package catlog
 
 import (
-	"bytes"
 	"cmp"
-	"encoding/json"
 	"slices"
 	"sync/atomic"
 
@@ -13,7 +11,10 @@
 // View is the catalogue as one process holds it. The zero value is an empty
 // catalogue. Apply and Due belong to one writer; Snapshot is for any reader.
 type View struct {
-	records  map[id]*record
+	records map[id]*record
+	// sorted holds the records in the order in which they are resolved: by kind,
+	// then by name.
+	sorted   []*record
 	revision uint64
 	now      atomic.Pointer[Snapshot]
 }
@@ -24,35 +25,12 @@
 	name string
 }
 
-func compareIDs(a, b id) int {
-	return cmp.Or(cmp.Compare(a.kind, b.kind), cmp.Compare(a.name, b.name))
-}
-
-// record is what is known of one entry.
-type record struct {
-	// object is the newest version met; a tombstone where it was deleted.
-	object core.Object
-	// met is the version at which the object's present spec was met first.
-	met core.Version
-	// own are the faults of the present spec by itself.
-	own []Fault
-	// good is the last good version, nil where there is none.
-	good *good
-	// cross are the faults against other entries, worked out by resolve.
-	cross []Fault
-	// state is how the entry stood at the last Report.
-	state State
-	// served is the version in force at the last Report, zero for none.
-	served core.Version
-}
+// resolveOrder sees each entry after those that it depends on: adapters depend on
+// models, models on services, all on owners.
+var resolveOrder = []core.Kind{core.KindOwner, core.KindService, core.KindModel, core.KindAdapter}
 
-// good is a checked spec.
-type good struct {
-	spec       spec
-	uid        string
-	version    core.Version
-	generation int64
-	text       []byte
+func compareRecords(a, b *record) int {
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.at.name, b.at.name))
 }
 
 // Report tells how an entry stands after a change. It is returned for entries
@@ -78,105 +56,52 @@
 }
 
 // Apply takes objects of the platform in any order, from watch, list or peers,
-// and returns a Report for each entry whose standing has changed, by kind and
-// name. Objects that are not newer than what is known, and kinds that are not of
+// and returns a Report for each entry whose standing has changed, in
+// their order. Objects that are not newer than what is known, and kinds that are not of
 // the catalogue, are passed over.
 func (v *View) Apply(objects ...core.Object) []Report {
 	if v.records == nil {
 		v.records = map[id]*record{}
 	}
-	touched := map[id]bool{}
+	any, added := false, false
 	for _, o := range objects {
-		if _, ok := newSpec(o.Kind, o.Name); !ok {
+		rank := slices.Index(resolveOrder, o.Kind)
+		if rank < 0 {
 			continue
 		}
-		if v.take(o) {
-			touched[id{o.Kind, o.Name}] = true
+		at := id{o.Kind, o.Name}
+		r := v.records[at]
+		if r == nil {
+			r = &record{at: at, rank: rank}
+			v.records[at] = r
+			v.sorted = append(v.sorted, r)
+			added = true
+		}
+		if r.take(o) {
+			r.touched, any = true, true
 		}
 	}
-	if len(touched) == 0 {
-		return nil
-	}
-	return v.resolve(touched)
-}
-
-// take brings one record up to an object and tells whether that was newer.
-func (v *View) take(o core.Object) bool {
-	at := id{o.Kind, o.Name}
-	r := v.records[at]
-	if r == nil {
-		r = &record{}
-		v.records[at] = r
-	} else if o.Version <= r.object.Version {
-		return false
-	}
-	old := r.object
-	r.object = o
-	switch {
-	case o.Deleted:
-		r.met, r.own, r.good = o.Version, nil, nil
-	case old.UID == o.UID && !old.Deleted && old.Version > 0 && bytes.Equal(old.Spec, o.Spec):
-		r.adopt()
-	default:
-		r.judge(old.UID)
-	}
-	return true
-}
-
-// judge checks a spec that is new to the process.
-func (r *record) judge(oldUID string) {
-	o := r.object
-	if oldUID != o.UID {
-		r.good = nil
-	}
-	r.met = o.Version
-	s, faults := parseSpec(o.Kind, o.Name, o.Spec)
-	r.own = faults
-	if len(faults) == 0 {
-		r.good = &good{spec: s, uid: o.UID, version: o.Version, generation: o.Generation, text: o.Spec}
-		return
-	}
-	r.adopt()
-}
-
-// adopt takes the last good version from the object's status, where a process
-// that saw it left it there. Without it, a process that starts after a rejected
-// edit would not know the entry that all others serve.
-func (r *record) adopt() {
-	if len(r.own) == 0 {
-		return
-	}
-	status, ok := ParseStatus(r.object.Status)
-	if !ok || status.InForce == nil || status.InForce.UID != r.object.UID {
-		return
-	}
-	f := status.InForce
-	if f.Version >= r.object.Version || r.good != nil && r.good.generation >= f.Generation {
-		return
+	if added {
+		slices.SortFunc(v.sorted, compareRecords)
 	}
-	s, faults := parseSpec(r.object.Kind, r.object.Name, f.Spec)
-	if len(faults) > 0 {
-		return
+	if !any {
+		return nil
 	}
-	r.good = &good{spec: s, uid: f.UID, version: f.Version, generation: f.Generation, text: f.Spec}
+	return v.resolve()
 }
 
 // Due returns the entries whose status in the platform does not say how they
-// stand, with the status that should be written, by kind and name. Only one
+// stand, with the status that should be written, in their
+// order: owners, services, models, adapters, each by name. Only one
 // process should write them: the one that decides for the fleet.
 func (v *View) Due() []core.Object {
 	var due []core.Object
-	for _, at := range v.order() {
-		r := v.records[at]
-		if r.object.Deleted {
-			continue
-		}
-		want := r.status()
-		if have, ok := ParseStatus(r.object.Status); ok && have.same(want) {
+	for _, r := range v.sorted {
+		if r.due == nil {
 			continue
 		}
 		o := r.object
-		o.Status = want.encode()
+		o.Status = r.due
 		due = append(due, o)
 	}
 	return due
@@ -190,65 +115,3 @@
 	}
 	return r.status(), true
 }
-
-func (r *record) status() Status {
-	s := Status{
-		State:      r.standing(),
-		Version:    r.met,
-		Generation: r.object.Generation,
-		Faults:     r.faults(),
-	}
-	if r.good != nil {
-		s.InForce = &InForce{
-			UID:        r.good.uid,
-			Version:    r.good.version,
-			Generation: r.good.generation,
-			Spec:       compact(r.good.text),
-		}
-	}
-	return s
-}
-
-// compact drops white space, so that specs compare by their content.
-func compact(text []byte) json.RawMessage {
-	var b bytes.Buffer
-	if json.Compact(&b, text) != nil {
-		return text
-	}
-	return b.Bytes()
-}
-
-func (r *record) faults() []Fault { return slices.Concat(r.own, r.cross) }
-
-// standing returns the entry's state.
-func (r *record) standing() State {
-	switch {
-	case len(r.own) > 0:
-		return Rejected
-	case blocked(r.cross):
-		return Pending
-	default:
-		return Accepted
-	}
-}
-
-// inForce tells whether the entry's good version is served.
-func (r *record) inForce() bool { return r.good != nil && !blocked(r.cross) }
-
-// blocked tells whether any fault keeps an entry out of service.
-func blocked(faults []Fault) bool {
-	return slices.ContainsFunc(faults, func(f Fault) bool {
-		c, ok := f.Check.Check()
-		return !ok || !c.Advice
-	})
-}
-
-// order lists the entries by kind and name.
-func (v *View) order() []id {
-	all := make([]id, 0, len(v.records))
-	for at := range v.records {
-		all = append(all, at)
-	}
-	slices.SortFunc(all, compareIDs)
-	return all
-}
--- a/core/catlog/view_test.go
+++ b/core/catlog/view_test.go
@@ -13,12 +13,15 @@
 	ownerText   = `{"keys":[{"caller":"amel","digest":"` + digestA + `"}],"limits":{"memory":"64GiB"},"caller-limits":{}}`
 	serviceText = `{"type":"engine","class":"interactive","limits":{}}`
 	modelText   = `{"owner":"nadi","service":"qalam","class":"evening","memory":"8GiB","limits":{"replicas":2}}`
+	modelBad    = `{"owner":"nadi","service":"qalam","class":"evening","memory":"8GB","limits":{}}`
+	modelWider  = `{"owner":"nadi","service":"qalam","class":"evening","memory":"9GiB","limits":{}}`
+	modelAstray = `{"owner":"nadii","service":"qalam","class":"evening","memory":"8GiB","limits":{}}`
 	adapterText = `{"owner":"nadi","base":"ledger","class":"evening","memory":"256MiB","limits":{}}`
 	digestA     = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 	digestB     = "ff112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 )
 
-// object returns an object whose UID is of its first life.
+// object returns an object of an entry's first life.
 func object(kind core.Kind, name string, version core.Version, spec string) core.Object {
 	return core.Object{Kind: kind, Name: name, UID: "one", Version: version, Generation: int64(version), Spec: []byte(spec)}
 }
@@ -27,7 +30,7 @@
 	return core.Object{Kind: kind, Name: name, UID: "one", Version: version, Deleted: true}
 }
 
-// small is a catalogue with one entry of each kind.
+// small is a catalogue with an entry of each kind.
 func small() []core.Object {
 	return []core.Object{
 		object(core.KindOwner, "nadi", 1, ownerText),
@@ -43,6 +46,21 @@
 	return v
 }
 
+// restarted returns the view of a process that starts with the objects as the
+// platform holds them now: the newest ones, with the statuses that are due.
+func restarted(v *catlog.View, objects ...core.Object) *catlog.View {
+	newest := map[string]core.Object{}
+	for _, o := range append(objects, v.Due()...) {
+		newest[string(o.Kind)+"/"+o.Name] = o
+	}
+	fresh := &catlog.View{}
+	for _, o := range newest {
+		o.Version += 100
+		fresh.Apply(o)
+	}
+	return fresh
+}
+
 // assertServed checks the version in force of a model or adapter; zero is none.
 func assertServed(t *testing.T, v *catlog.View, name core.ModelName, want core.Version) {
 	t.Helper()
@@ -53,26 +71,225 @@
 	assert.Equal(t, got, want, "version of %s in force", name)
 }
 
-func assertState(t *testing.T, v *catlog.View, kind core.Kind, name string, want catlog.State) {
+// assertState checks an entry's state and the check that it fails; none is "".
+func assertState(t *testing.T, v *catlog.View, kind core.Kind, name string, want catlog.State, check catlog.CheckID) {
 	t.Helper()
 	s, ok := v.Status(kind, name)
 	assert.Assert(t, ok)
 	assert.Equal(t, s.State, want, "%v", s.Faults)
+	var got catlog.CheckID
+	if len(s.Faults) > 0 {
+		got = s.Faults[0].Check
+	}
+	assert.Equal(t, got, check)
 }
 
-func TestLookups(t *testing.T) {
-	s := applied(small()...).Snapshot()
-	d, ok := catlog.ParseDigest(digestA)
-	assert.Assert(t, ok)
-	caller, ok := s.Caller(d)
-	assert.Assert(t, ok)
-	assert.Equal(t, caller.Name, core.CallerName("amel"))
-	assert.Equal(t, caller.Account.Name, core.OwnerName("nadi"))
-	e, ok := s.Model("ledger-tunis")
+// assertKey checks whose key a digest is; "" is nobody's.
+func assertKey(t *testing.T, v *catlog.View, digest string, want core.OwnerName) {
+	t.Helper()
+	d, ok := catlog.ParseDigest(digest)
 	assert.Assert(t, ok)
-	assert.Equal(t, e.Target, core.Target{Service: "qalam", Model: "ledger-tunis", Base: "ledger"})
-	assert.Assert(t, e.Allows("nadi"))
-	assert.Assert(t, !e.Allows("kopa"))
-	assert.Equal(t, len(s.Items()), 2)
-	assert.Equal(t, s.Items()[0].Target.Model, core.ModelName("ledger"))
+	var got core.OwnerName
+	if c, ok := v.Snapshot().Caller(d); ok {
+		got = c.Account.Name
+	}
+	assert.Equal(t, got, want)
+}
+
+// An operator saves a model with a wrong unit while treasurers are at work. The
+// model has to go on with its last good version, also in a process that starts
+// after the edit and never saw the good one but in the status.
+func TestInvalidEditKeepsLastGood(t *testing.T) {
+	v := applied(small()...)
+	statuses := v.Due()
+	v.Apply(statusWritten(statuses, core.KindModel, 5))
+	bad := statusWritten(statuses, core.KindModel, 6)
+	bad.Spec, bad.Generation = []byte(modelBad), 6
+	reports := v.Apply(bad)
+	assert.Equal(t, len(reports), 1)
+	assert.Equal(t, reports[0].State, catlog.Rejected)
+	assert.Equal(t, reports[0].Served, core.Version(3))
+	assertServed(t, v, "ledger", 3)
+	assertServed(t, v, "ledger-tunis", 4)
+	assertState(t, v, core.KindModel, "ledger", catlog.Rejected, catlog.CheckForm)
+	late := restarted(v, append(small()[:2], bad)...)
+	assertServed(t, late, "ledger", 3)
+	late.Apply(object(core.KindModel, "ledger", 300, modelText))
+	assertServed(t, late, "ledger", 300)
+}
+
+// statusWritten returns the object of a kind among those due, as the platform
+// holds it once its status was written at a version.
+func statusWritten(due []core.Object, kind core.Kind, version core.Version) core.Object {
+	for _, o := range due {
+		if o.Kind == kind {
+			o.Version = version
+			return o
+		}
+	}
+	return core.Object{}
+}
+
+// An operator misspells the owner in an edit. The entry is good by itself, but
+// nobody could be charged for it: the version before stays until the name is right.
+func TestEditWithMissingReferenceKeepsLastServed(t *testing.T) {
+	v := applied(small()...)
+	v.Apply(object(core.KindModel, "ledger", 5, modelAstray))
+	assertServed(t, v, "ledger", 3)
+	assertState(t, v, core.KindModel, "ledger", catlog.Pending, catlog.CheckOwnerThere)
+	assertServed(t, restarted(v, small()...), "ledger", 3)
+	v.Apply(object(core.KindOwner, "nadii", 6, `{"keys":[]}`))
+	assertServed(t, v, "ledger", 5)
+	v.Apply(tombstone(core.KindOwner, "nadii", 7))
+	assertServed(t, v, "ledger", 0)
+}
+
+// A base model is deleted while callers ask for its adapters, and created again
+// later under the same name. The adapters have to be unknown in between: loaded
+// without their base they would answer as something else.
+func TestAdapterFollowsItsBase(t *testing.T) {
+	v := applied(small()...)
+	reports := v.Apply(tombstone(core.KindModel, "ledger", 5))
+	assert.Equal(t, len(reports), 2)
+	assertServed(t, v, "ledger-tunis", 0)
+	assertState(t, v, core.KindAdapter, "ledger-tunis", catlog.Pending, catlog.CheckBaseThere)
+	again := object(core.KindModel, "ledger", 6, modelText)
+	again.UID = "two"
+	v.Apply(again)
+	assertServed(t, v, "ledger", 6)
+	assertServed(t, v, "ledger-tunis", 4)
+}
+
+// A slow watch or a peer delivers an old copy after a newer one, or after the
+// deletion. The old one must not come back into force.
+func TestOlderVersionsAreIgnored(t *testing.T) {
+	t.Run("edit", func(t *testing.T) {
+		v := applied(append(small(), object(core.KindModel, "ledger", 9, modelWider))...)
+		assert.Equal(t, len(v.Apply(small()[2])), 0)
+		assertServed(t, v, "ledger", 9)
+	})
+	t.Run("deletion", func(t *testing.T) {
+		v := applied(append(small(), tombstone(core.KindModel, "ledger", 9))...)
+		assert.Equal(t, len(v.Apply(small()[2])), 0)
+		assertServed(t, v, "ledger", 0)
+	})
+	t.Run("good version of a former life", func(t *testing.T) {
+		v := applied(small()...)
+		again := object(core.KindModel, "ledger", 9, modelBad)
+		again.UID = "two"
+		again.Status = v.Due()[1].Status
+		v.Apply(again)
+		assertServed(t, v, "ledger", 0)
+	})
+}
+
+// The operator of a second owner pastes a key that belongs to the first. Requests
+// with it must never run in the second one's name, nor may the first lose it.
+func TestDigestOfAnother(t *testing.T) {
+	other := object(core.KindOwner, "kopa", 5, ownerText)
+	t.Run("edit", func(t *testing.T) {
+		v := applied(small()...)
+		v.Apply(other)
+		assertKey(t, v, digestA, "nadi")
+		assertState(t, v, core.KindOwner, "kopa", catlog.Pending, catlog.CheckKeyTaken)
+		assertKey(t, restarted(v, append(small(), other)...), digestA, "nadi")
+	})
+	t.Run("freed", func(t *testing.T) {
+		v := applied(small()...)
+		v.Apply(other)
+		v.Apply(tombstone(core.KindOwner, "nadi", 6))
+		assertKey(t, v, digestA, "kopa")
+	})
+	t.Run("both at once", func(t *testing.T) {
+		v := applied(append(small(), other)...)
+		assertKey(t, v, digestA, "")
+		assertState(t, v, core.KindOwner, "kopa", catlog.Accepted, catlog.CheckKeyShared)
+	})
+}
+
+// Two operators create entries of one name at the same time, and processes see
+// them in different orders. The status of the deciding process settles it.
+func TestNameRaceIsSettledByStatus(t *testing.T) {
+	model := object(core.KindModel, "portal", 5, modelText)
+	service := object(core.KindService, "portal", 6, serviceText)
+	decider, other := applied(small()...), applied(small()...)
+	decider.Apply(model)
+	decider.Apply(service)
+	other.Apply(service)
+	other.Apply(model)
+	assertServed(t, decider, "portal", 5)
+	assertServed(t, other, "portal", 0)
+	for _, o := range decider.Due() {
+		o.Version += 100
+		other.Apply(o)
+	}
+	assertServed(t, other, "portal", 5)
+	assertState(t, other, core.KindService, "portal", catlog.Pending, catlog.CheckNameTaken)
+}
+
+func TestStatusIsWrittenOnce(t *testing.T) {
+	v := applied(small()...)
+	due := v.Due()
+	assert.Equal(t, len(due), 4)
+	for _, o := range due {
+		o.Version += 100
+		v.Apply(o)
+	}
+	assert.Equal(t, len(v.Due()), 0)
+}
+
+func TestStatusIsBounded(t *testing.T) {
+	text := `{"keys":[`
+	for range 300 {
+		text += `{"caller":"","digest":"x"},`
+	}
+	v := applied(object(core.KindOwner, "nadi", 1, text[:len(text)-1]+`]}`))
+	s, _ := v.Status(core.KindOwner, "nadi")
+	assert.Equal(t, s.State, catlog.Rejected)
+	assert.Equal(t, len(s.Faults), 21)
+}
+
+func TestLookups(t *testing.T) {
+	shared := `{"owner":"nadi","base":"ledger","class":"evening","memory":"1MiB","shared-with":["*"],"repeatable":false}`
+	plain := `{"type":"plain","owner":"nadi","class":"interactive"}`
+	v := applied(append(
+		small(),
+		object(core.KindAdapter, "common", 5, shared),
+		object(core.KindService, "portal", 6, plain),
+		object(core.KindOwner, "kopa", 7, `{"keys":[]}`),
+	)...)
+	s := v.Snapshot()
+	t.Run("adapter", func(t *testing.T) {
+		e, ok := s.Model("ledger-tunis")
+		assert.Assert(t, ok)
+		assert.Equal(t, e.Target, core.Target{Service: "qalam", Model: "ledger-tunis", Base: "ledger"})
+		assert.Assert(t, e.Allows("nadi") && !e.Allows("kopa"))
+		assert.Assert(t, e.Repeats("POST"))
+	})
+	t.Run("shared", func(t *testing.T) {
+		var names []core.ModelName
+		for e := range s.Usable("kopa") {
+			names = append(names, e.Target.Model)
+		}
+		assert.DeepEqual(t, names, []core.ModelName{"common"})
+	})
+	t.Run("service", func(t *testing.T) {
+		e, ok := s.Service("portal")
+		assert.Assert(t, ok)
+		assert.Assert(t, e.Repeats("GET") && !e.Repeats("POST"))
+		_, ok = s.Service("qalam")
+		assert.Assert(t, !ok, "an engine service is asked for by its models")
+		assert.Equal(t, len(s.Pools()), 2)
+	})
+	t.Run("order", func(t *testing.T) {
+		var names []core.ModelName
+		for _, e := range s.Items() {
+			names = append(names, e.Target.Model)
+		}
+		assert.DeepEqual(t, names, []core.ModelName{"ledger", "common", "ledger-tunis"})
+	})
+	t.Run("key", func(t *testing.T) {
+		assertKey(t, v, digestA, "nadi")
+		assertKey(t, v, digestB, "")
+	})
 }
--- a/core/strict/decode.go
+++ b/core/strict/decode.go
@@ -45,7 +45,7 @@
 func (d *Document) Problem(key, reason string) Problem {
 	for at := key; at != ""; at = above(at) {
 		if place, ok := d.places[at]; ok {
-			return Problem{File: d.File, Line: place.Line, Column: place.Column, Key: join(d.prefix, key), Reason: reason}
+			return Problem{File: d.File, Line: place.Line, Column: place.Column, Key: clip(join(d.prefix, key)), Reason: clip(reason)}
 		}
 	}
 	return d.problem(d.root, key, reason)
@@ -68,7 +68,17 @@
 	if at.Line > 0 {
 		at.Line += d.offset
 	}
-	return Problem{File: d.File, Line: at.Line, Column: at.Column, Key: join(d.prefix, key), Reason: reason}
+	return Problem{File: d.File, Line: at.Line, Column: at.Column, Key: clip(join(d.prefix, key)), Reason: clip(reason)}
+}
+
+// maxText bounds a key or reason: both may quote the text at fault.
+const maxText = 300
+
+func clip(s string) string {
+	if len(s) <= maxText {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxText], "") + "..."
 }
 
 func placeOf(n ast.Node) Place {
@@ -97,7 +107,14 @@
 	problems Problems
 }
 
+// maxProblems bounds what is reported of one document. Nobody mends more in one
+// go, and a text of nothing but faults would yield a report larger than itself.
+const maxProblems = 100
+
 func (r *reader) fault(n ast.Node, key, reason string) {
+	if len(r.problems) >= maxProblems {
+		return
+	}
 	r.problems = append(r.problems, r.doc.problem(n, key, reason))
 }
 
--- a/core/strict/parse.go
+++ b/core/strict/parse.go
@@ -21,6 +21,18 @@
 // brackets would end the process. Our deepest document has five levels.
 const maxDepth = 32
 
+// maxIndent bounds the spaces at the start of a line, at eight a level.
+const maxIndent = 8 * maxDepth
+
+// The parser's time grows with the square of the keys in a mapping, and of the
+// tags in a row: a megabyte of either would hold a process up for a minute, with
+// all other catalogue changes behind it. Within these bounds the worst text takes
+// under a second; an owner may still have thousands of bearer keys.
+const (
+	maxColons  = 16384
+	maxSpecial = 1024
+)
+
 // Place is a position in a file; both parts count from one.
 type Place struct{ Line, Column int }
 
@@ -45,6 +57,9 @@
 	if !utf8.Valid(text) {
 		return nil, Problems{{File: file, Reason: "not UTF-8"}}
 	}
+	if tooMany(text) {
+		return nil, Problems{{File: file, Reason: "more than " + strconv.Itoa(maxColons) + " keys"}}
+	}
 	var docs []*Document
 	var all Problems
 	for _, p := range split(text) {
@@ -57,6 +72,16 @@
 	return docs, all
 }
 
+// tooMany tells whether a text holds more keys or tags than the parser can take in
+// a reasonable time.
+func tooMany(text []byte) bool {
+	special := 0
+	for _, mark := range []string{"!", "&", "*"} {
+		special += bytes.Count(text, []byte(mark))
+	}
+	return special > maxSpecial || bytes.Count(text, []byte(":")) > maxColons
+}
+
 // part is the text of one document and how many lines are above it.
 type part struct {
 	text   []byte
@@ -152,37 +177,39 @@
 }
 
 // tooDeep returns the line at which a text opens more levels than maxDepth, or
-// zero. It counts brackets, and the marks that open a level within one line; both
-// in quoted text too, which errs on the safe side.
+// zero. It counts brackets, in quoted text too, which errs on the safe side; the
+// marks at the start of a line that open a level each; and indentation.
 func tooDeep(text []byte) int {
 	open := 0
 	for i, line := range bytes.Split(text, []byte("\n")) {
-		marks := 0
-		for at, c := range line {
+		rest := bytes.TrimLeft(line, " ")
+		if len(rest) > 0 && len(line)-len(rest) > maxIndent || leadingMarks(rest) > maxDepth {
+			return i + 1
+		}
+		for _, c := range line {
 			switch {
 			case c == '[' || c == '{':
 				open++
 			case (c == ']' || c == '}') && open > 0:
 				open--
-			case opensLevel(line, at):
-				marks++
 			}
-			if open > maxDepth || marks > maxDepth {
+			if open > maxDepth {
 				return i + 1
 			}
 		}
-		if indent := len(line) - len(bytes.TrimLeft(line, " ")); indent > 8*maxDepth && len(bytes.TrimSpace(line)) > 0 {
-			return i + 1
-		}
 	}
 	return 0
 }
 
-// opensLevel tells whether the byte is a "- ", "? " or ": " that opens a level.
-func opensLevel(line []byte, at int) bool {
-	c := line[at]
-	if c != '-' && c != '?' && c != ':' {
-		return false
+// leadingMarks counts the "- " and "? " at the start of a line, each of which
+// opens a level.
+func leadingMarks(line []byte) int {
+	n := 0
+	for len(line) > 1 && (line[0] == '-' || line[0] == '?') && isBlank(line[1]) {
+		line = bytes.TrimLeft(line[1:], " \t")
+		n++
 	}
-	return at+1 == len(line) || line[at+1] == ' ' || line[at+1] == '\t'
+	return n
 }
+
+func isBlank(c byte) bool { return c == ' ' || c == '\t' }
--- a/core/strict/scalar.go
+++ b/core/strict/scalar.go
@@ -6,9 +6,11 @@
 	"math"
 	"reflect"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
 )
 
 var durationType = reflect.TypeFor[time.Duration]()
@@ -119,6 +121,9 @@
 	if !ok {
 		return "has to be a whole number, is " + kindOf(n)
 	}
+	if !isDecimal(whole) {
+		return notDecimal
+	}
 	var number int64
 	switch x := whole.Value.(type) {
 	case int64:
@@ -141,22 +146,56 @@
 func readFloat(v reflect.Value, n ast.Node) string {
 	switch x := n.(type) {
 	case *ast.FloatNode:
+		if !isDecimal(x) {
+			return notDecimal
+		}
 		if math.IsInf(x.Value, 0) || math.IsNaN(x.Value) {
 			return "is too large"
 		}
 		v.SetFloat(x.Value)
 	case *ast.IntegerNode:
+		if !isDecimal(x) {
+			return notDecimal
+		}
 		f, err := strconv.ParseFloat(integerText(x), 64)
 		if err != nil {
 			return "is no number that can be held"
 		}
 		v.SetFloat(f)
+	case *ast.StringNode:
+		f, ok := exponent(x)
+		if !ok {
+			return "has to be a number, is text"
+		}
+		v.SetFloat(f)
 	default:
 		return "has to be a number, is " + kindOf(n)
 	}
 	return ""
 }
 
+// exponent reads a JSON number such as 1e-05, which YAML takes for text since it
+// has no point.
+func exponent(n *ast.StringNode) (float64, bool) {
+	if n.Token.Type != token.StringType || !isDecimal(n) {
+		return 0, false
+	}
+	f, err := strconv.ParseFloat(n.Value, 64)
+	return f, err == nil
+}
+
+const notDecimal = "has to be written in decimal digits, without separators or leading zeros"
+
+// isDecimal tells whether a number is written as everybody reads it. YAML also
+// takes 010 for eight, 0x10 for sixteen and 1_0 for ten.
+func isDecimal(n ast.Node) bool {
+	text := strings.TrimLeft(n.GetToken().Value, "+-")
+	if len(text) > 1 && text[0] == '0' && text[1] >= '0' && text[1] <= '9' {
+		return false
+	}
+	return strings.Trim(text, "0123456789.eE+-") == ""
+}
+
 func integerText(n *ast.IntegerNode) string {
 	switch x := n.Value.(type) {
 	case int64:
