--- a/core/strict/decode.go
+++ b/core/strict/decode.go
@@ -192,12 +192,27 @@
 		r.pair(v, shape, seen, name, pair, key)
 	}
 	for _, f := range shape {
-		if f.required && !seen[f.key] {
-			r.fault(n, join(key, f.key), "is missing")
+		if !seen[f.key] {
+			r.absent(n, v.Type().Field(f.index).Type, join(key, f.key), f.required)
 		}
 	}
 }
 
+// absent reports a key that is not there though it has to be, or the keys of a
+// part that is not there though some of them have to be.
+func (r *reader) absent(n ast.Node, t reflect.Type, key string, required bool) {
+	if required {
+		r.fault(n, key, "is missing")
+		return
+	}
+	if !isPart(t) {
+		return
+	}
+	for _, f := range shapeOf(t) {
+		r.absent(n, t.Field(f.index).Type, join(key, f.key), f.required)
+	}
+}
+
 func (r *reader) pair(v reflect.Value, shape []member, seen map[string]bool, name string, pair *ast.MappingValueNode, key string) {
 	full := join(key, name)
 	i := slices.IndexFunc(shape, func(f member) bool { return f.key == name })
--- a/core/strict/scalar.go
+++ b/core/strict/scalar.go
@@ -4,6 +4,7 @@
 	"encoding"
 	"errors"
 	"math"
+	"net/netip"
 	"reflect"
 	"strconv"
 	"strings"
@@ -13,7 +14,10 @@
 	"github.com/goccy/go-yaml/token"
 )
 
-var durationType = reflect.TypeFor[time.Duration]()
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	addressType  = reflect.TypeFor[netip.AddrPort]()
+)
 
 // scalar reads one value, then holds it to the range of its tag.
 func (r *reader) scalar(v reflect.Value, n ast.Node, key string, tag reflect.StructTag) {
@@ -71,6 +75,8 @@
 	switch {
 	case v.Type() == durationType:
 		return `write a duration with its unit, as in "30s"`
+	case v.Type() == addressType:
+		return `write an IP number and a port, as in "10.0.0.1:8080"`
 	case v.CanInt():
 		return `write an amount with its unit, as in "512MiB"`
 	default:
@@ -89,10 +95,15 @@
 		return ""
 	}
 	to := v.Addr().Interface().(encoding.TextUnmarshaler)
-	if err := to.UnmarshalText([]byte(text)); err != nil {
+	err := to.UnmarshalText([]byte(text))
+	switch {
+	case err == nil:
+		return ""
+	case v.Type() == addressType:
+		return strconv.Quote(text) + " is no address; " + hintOf(v)
+	default:
 		return err.Error()
 	}
-	return ""
 }
 
 func readString(v reflect.Value, n ast.Node) string {
--- /dev/null
+++ b/core/values_test.go
@@ -0,0 +1,42 @@
+package core_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+)
+
+// FuzzBytes: what is read as a size is never negative and reads the same again.
+func FuzzBytes(f *testing.F) {
+	for _, text := range []string{"8GiB", "512 MiB", "0B", "9223372036854775807B", "8388608TiB", "-1B", "8", "GiB", "1e3KiB"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		var b, again core.Bytes
+		if b.UnmarshalText([]byte(text)) != nil {
+			assert.Equal(t, b, core.Bytes(0))
+			return
+		}
+		assert.Assert(t, b >= 0)
+		assert.NilError(t, again.UnmarshalText([]byte(b.String())))
+		assert.Equal(t, again, b)
+	})
+}
+
+// FuzzClass: what is read as a class is one of those known and is written as it
+// was read.
+func FuzzClass(f *testing.F) {
+	for _, text := range []string{"interactive", "evening", "overnight", "", "Evening", "unknown"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		var c core.Class
+		if c.UnmarshalText([]byte(text)) != nil {
+			return
+		}
+		assert.Assert(t, c < core.ClassCount)
+		assert.Equal(t, c.String(), text)
+	})
+}
--- /dev/null
+++ b/io/certs/certs_test.go
@@ -0,0 +1,278 @@
+package certs_test
+
+import (
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/io/certs"
+)
+
+// clock is a core.Clock that tests set.
+type clock struct{ at atomic.Int64 }
+
+func (c *clock) Now() time.Time      { return time.Unix(c.at.Load(), 0) }
+func (c *clock) add(d time.Duration) { c.at.Add(int64(d / time.Second)) }
+
+func newClock() *clock {
+	c := &clock{}
+	c.at.Store(time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC).Unix())
+	return c
+}
+
+const (
+	day  = 24 * time.Hour
+	year = 365 * day
+)
+
+// makeKeys writes an authority and certificates into a directory.
+func makeKeys(t *testing.T, dir string, c core.Clock, hosts ...string) {
+	t.Helper()
+	var all []certs.Host
+	for _, text := range hosts {
+		h, err := certs.ParseHost(text)
+		assert.NilError(t, err)
+		all = append(all, h)
+	}
+	assert.NilError(t, certs.Maker{Dir: dir, Clock: c}.Make(all...))
+}
+
+func filesOf(dir, name string) certs.Files {
+	return certs.Files{
+		CA:   filepath.Join(dir, certs.AuthorityCert),
+		Cert: filepath.Join(dir, name+".crt"),
+		Key:  filepath.Join(dir, name+".key"),
+	}
+}
+
+func keeper(t *testing.T, dir, name string, role certs.Role, c core.Clock) *certs.Keeper {
+	t.Helper()
+	k := &certs.Keeper{
+		Files: filesOf(dir, name),
+		Self:  certs.Identity{Role: role, Host: core.HostName(name)},
+		Clock: c,
+	}
+	assert.NilError(t, k.Load())
+	return k
+}
+
+// shake connects a client to a server over TCP and returns both ends' errors. The
+// connections are closed with the test.
+func shake(t *testing.T, server, client *tls.Config) (srv, cli *tls.Conn, srvErr, cliErr error) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	raw, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	accepted, err := listener.Accept()
+	assert.NilError(t, err)
+	cli, srv = tls.Client(raw, client), tls.Server(accepted, server)
+	t.Cleanup(func() { cli.Close(); srv.Close() })
+	done := make(chan error, 1)
+	go func() {
+		err := srv.Handshake()
+		if err != nil {
+			accepted.Close()
+		}
+		done <- err
+	}()
+	cliErr = cli.Handshake()
+	if cliErr != nil {
+		raw.Close()
+	}
+	return srv, cli, <-done, cliErr
+}
+
+// assertFault checks that an end refused the other for a reason; "" is none.
+func assertFault(t *testing.T, err error, want certs.Fault) {
+	t.Helper()
+	var refused *certs.PeerError
+	got := certs.Fault("")
+	if errors.As(err, &refused) {
+		got = refused.Fault
+	}
+	assert.Equal(t, got, want, "%v", err)
+}
+
+func TestMutual(t *testing.T) {
+	c, dir := newClock(), t.TempDir()
+	makeKeys(t, dir, c, "entry-1=entry@127.0.0.1", "agent-1=agent@127.0.0.1", "boss=operator@127.0.0.1")
+	entry, agent := keeper(t, dir, "entry-1", certs.Entry, c), keeper(t, dir, "agent-1", certs.Agent, c)
+	boss := keeper(t, dir, "boss", certs.Operator, c)
+	server := agent.Server([]string{"h2"}, certs.Entry)
+
+	t.Run("right role", func(t *testing.T) {
+		srv, cli, srvErr, cliErr := shake(t, server, entry.Client([]string{"h2"}, certs.Agent, "agent-1"))
+		assert.NilError(t, srvErr)
+		assert.NilError(t, cliErr)
+		assert.Equal(t, cli.ConnectionState().NegotiatedProtocol, "h2")
+		id, ok := certs.PeerOf(srv.ConnectionState())
+		assert.Assert(t, ok)
+		assert.Equal(t, id, certs.Identity{Role: certs.Entry, Host: "entry-1"})
+	})
+	t.Run("wrong role of client", func(t *testing.T) {
+		_, _, srvErr, _ := shake(t, server, boss.Client(nil, certs.Agent, ""))
+		assertFault(t, srvErr, certs.WrongRole)
+	})
+	t.Run("wrong role of server", func(t *testing.T) {
+		_, _, _, cliErr := shake(t, server, entry.Client(nil, certs.Entry, ""))
+		assertFault(t, cliErr, certs.WrongRole)
+	})
+	t.Run("wrong host of server", func(t *testing.T) {
+		_, _, _, cliErr := shake(t, server, entry.Client(nil, certs.Agent, "agent-2"))
+		assertFault(t, cliErr, certs.WrongHost)
+	})
+	t.Run("no certificate", func(t *testing.T) {
+		_, _, srvErr, _ := shake(t, server, &tls.Config{InsecureSkipVerify: true})
+		assertFault(t, srvErr, certs.NoCertificate)
+	})
+	t.Run("other authority", func(t *testing.T) {
+		other := t.TempDir()
+		makeKeys(t, other, c, "entry-1=entry@127.0.0.1")
+		stranger := keeper(t, other, "entry-1", certs.Entry, c)
+		_, _, srvErr, _ := shake(t, server, &tls.Config{
+			InsecureSkipVerify:   true,
+			GetClientCertificate: stranger.Client(nil, certs.Agent, "").GetClientCertificate,
+		})
+		assertFault(t, srvErr, certs.BadChain)
+	})
+	t.Run("no role", func(t *testing.T) {
+		_, _, srvErr, _ := shake(t, server, withCert(t, dir, certs.AuthorityCert, certs.AuthorityKey))
+		assertFault(t, srvErr, certs.NoIdentity)
+	})
+}
+
+func withCert(t *testing.T, dir, cert, key string) *tls.Config {
+	t.Helper()
+	pair, err := tls.LoadX509KeyPair(filepath.Join(dir, cert), filepath.Join(dir, key))
+	assert.NilError(t, err)
+	return &tls.Config{InsecureSkipVerify: true, Certificates: []tls.Certificate{pair}}
+}
+
+// Nobody renews a host's certificate. After its last day other processes refuse
+// the host, and take it again once the files are new, without a restart.
+func TestExpired(t *testing.T) {
+	c, dir := newClock(), t.TempDir()
+	makeKeys(t, dir, c, "entry-1=entry@127.0.0.1", "agent-1=agent@127.0.0.1")
+	entry, agent := keeper(t, dir, "entry-1", certs.Entry, c), keeper(t, dir, "agent-1", certs.Agent, c)
+	c.add(year + day)
+	_, _, srvErr, _ := shake(t, agent.Server(nil, certs.Entry), entry.Client(nil, certs.Agent, ""))
+	_, _, _, cliErr := shake(t, agent.Server(nil, certs.Entry), entry.Client(nil, certs.Agent, ""))
+	assertFault(t, errors.Join(srvErr, cliErr), certs.OutOfDate)
+	makeKeys(t, dir, c, "entry-1=entry@127.0.0.1", "agent-1=agent@127.0.0.1")
+	entry.Poll()
+	agent.Poll()
+	_, _, srvErr, cliErr = shake(t, agent.Server(nil, certs.Entry), entry.Client(nil, certs.Agent, ""))
+	assert.NilError(t, errors.Join(srvErr, cliErr))
+}
+
+// Certificates are replaced while a treasurer's answer streams. The stream goes
+// on over its connection, and new connections use the new files.
+func TestReloadCutsNothing(t *testing.T) {
+	c, dir := newClock(), t.TempDir()
+	makeKeys(t, dir, c, "entry-1=entry@127.0.0.1", "agent-1=agent@127.0.0.1")
+	entry, agent := keeper(t, dir, "entry-1", certs.Entry, c), keeper(t, dir, "agent-1", certs.Agent, c)
+	server, client := agent.Server(nil, certs.Entry), entry.Client(nil, certs.Agent, "agent-1")
+	srv, cli, srvErr, cliErr := shake(t, server, client)
+	assert.NilError(t, errors.Join(srvErr, cliErr))
+	before := cli.ConnectionState().PeerCertificates[0].SerialNumber
+	makeKeys(t, dir, c, "agent-1=agent@127.0.0.1")
+	agent.Poll()
+	_, fresh, srvErr, cliErr := shake(t, server, client)
+	assert.NilError(t, errors.Join(srvErr, cliErr))
+	assert.Assert(t, fresh.ConnectionState().PeerCertificates[0].SerialNumber.Cmp(before) != 0)
+	_, err := srv.Write([]byte("token"))
+	assert.NilError(t, err)
+	got := make([]byte, len("token"))
+	_, err = io.ReadFull(cli, got)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "token")
+}
+
+// A deployment writes a new certificate and dies before it writes the key. The
+// process has to go on with the pair it has.
+func TestHalfWrittenFiles(t *testing.T) {
+	c, dir, other := newClock(), t.TempDir(), t.TempDir()
+	makeKeys(t, dir, c, "agent-1=agent@127.0.0.1", "entry-1=entry@127.0.0.1")
+	makeKeys(t, other, c, "agent-1=agent@127.0.0.1")
+	entry, agent := keeper(t, dir, "entry-1", certs.Entry, c), keeper(t, dir, "agent-1", certs.Agent, c)
+	for _, broken := range []string{"swapped", "empty", "absent"} {
+		t.Run(broken, func(t *testing.T) {
+			path := filepath.Join(dir, "agent-1.crt")
+			old, err := os.ReadFile(path)
+			assert.NilError(t, err)
+			defer func() { assert.NilError(t, os.WriteFile(path, old, 0o600)) }()
+			switch broken {
+			case "swapped":
+				text, err := os.ReadFile(filepath.Join(other, "agent-1.crt"))
+				assert.NilError(t, err)
+				assert.NilError(t, os.WriteFile(path, text, 0o600))
+			case "empty":
+				assert.NilError(t, os.Truncate(path, 0))
+			case "absent":
+				assert.NilError(t, os.Remove(path))
+			}
+			agent.Poll()
+			agent.Poll()
+			_, _, srvErr, cliErr := shake(t, agent.Server(nil, certs.Entry), entry.Client(nil, certs.Agent, ""))
+			assert.NilError(t, errors.Join(srvErr, cliErr))
+		})
+	}
+}
+
+func TestLoadRefusesWrongName(t *testing.T) {
+	c, dir := newClock(), t.TempDir()
+	makeKeys(t, dir, c, "agent-1=agent@127.0.0.1")
+	k := &certs.Keeper{
+		Files: filesOf(dir, "agent-1"),
+		Self:  certs.Identity{Role: certs.Entry, Host: "agent-1"},
+		Clock: c,
+	}
+	var wrong *certs.FileError
+	assert.Assert(t, errors.As(k.Load(), &wrong))
+}
+
+func TestCallers(t *testing.T) {
+	c, dir := newClock(), t.TempDir()
+	makeKeys(t, dir, c, "entry-1=entry@127.0.0.1,::1")
+	k := &certs.Keeper{Files: certs.Files{Cert: filesOf(dir, "entry-1").Cert, Key: filesOf(dir, "entry-1").Key}, Clock: c}
+	assert.NilError(t, k.Load())
+	_, cli, srvErr, cliErr := shake(t, k.Callers([]string{"http/1.1"}), &tls.Config{InsecureSkipVerify: true})
+	assert.NilError(t, errors.Join(srvErr, cliErr))
+	assert.NilError(t, cli.ConnectionState().PeerCertificates[0].VerifyHostname("127.0.0.1"))
+}
+
+func TestParseHost(t *testing.T) {
+	h, err := certs.ParseHost("entry-1=entry@127.0.0.1,::1")
+	assert.NilError(t, err)
+	assert.Assert(t, slices.Equal(h.Addrs, []netip.Addr{netip.MustParseAddr("127.0.0.1"), netip.MustParseAddr("::1")}))
+	for _, bad := range []string{"", "a", "a=entry", "a=clerk@127.0.0.1", "../a=entry@127.0.0.1", "ca=entry@127.0.0.1", "a=entry@host", "a=entry@"} {
+		t.Run(bad, func(t *testing.T) {
+			_, err := certs.ParseHost(bad)
+			var wrong *certs.HostError
+			assert.Assert(t, errors.As(err, &wrong))
+		})
+	}
+}
+
+func TestKeysAreSecret(t *testing.T) {
+	c, dir := newClock(), t.TempDir()
+	makeKeys(t, dir, c, "agent-1=agent@127.0.0.1")
+	for _, name := range []string{"agent-1.key", certs.AuthorityKey} {
+		info, err := os.Stat(filepath.Join(dir, name))
+		assert.NilError(t, err)
+		assert.Equal(t, info.Mode().Perm(), os.FileMode(0o600))
+	}
+}
--- a/io/config/read.go
+++ b/io/config/read.go
@@ -10,6 +10,14 @@
 	"radishwell/core/strict"
 )
 
+// Defaults returns settings with all defaults, for processes that are set up by a
+// program.
+func Defaults() Settings {
+	var s Settings
+	strict.SetDefaults(&s)
+	return s
+}
+
 // Load reads and checks a settings file. Its error wraps the file's problems, as
 // strict.Problems, or the failure to read it.
 func Load(path string) (Settings, error) {
--- a/io/config/settings.go
+++ b/io/config/settings.go
@@ -48,7 +48,7 @@
 // TLS names the files for TLS. Paths that are not absolute start at the
 // directory of the settings file. Files are read again when they change.
 type TLS struct {
-	CA      string    `yaml:"ca" doc:"File with the certificates that other processes' are checked against. Needed, with cert and key, unless all addresses of listen and peers but callers' are on the loopback."`
+	CA      string    `yaml:"ca" doc:"File with the certificates that other processes' are checked against. Needed, with cert and key, unless listen.work, listen.control and all peers are on the loopback."`
 	Cert    string    `yaml:"cert" doc:"File with the process's own certificate, which carries its role and host name."`
 	Key     string    `yaml:"key" doc:"File with the key of cert."`
 	Callers CallerTLS `yaml:"callers"`
