--- a/core/route/option.go
+++ b/core/route/option.go
@@ -12,7 +12,7 @@
 	// fresh is the age up to which a load report is taken as it is. Answers
 	// carry reports, so a busy host's is younger; 200 ms is about two round trips
 	// between data centres plus the time an engine takes for a few tokens.
-	fresh = 200 * time.Millisecond
+	fresh = 100 * time.Millisecond
 	// halving is the age by which an old report loses half of its weight.
 	halving = 2 * time.Second
 	// unknownService stands in for the service time while none was measured.
@@ -56,7 +56,7 @@
 	o.age, o.stale = reportAge(now, c.Load)
 	o.load = assumedLoad(c, o.age)
 	o.cold = coldStart(now, q, c.Load)
-	o.wait = o.cold + r.queueWait(q.Request.Target, c.Load, o.load)
+	o.wait = o.cold + r.queueWait(q.Request.Target, c, o.load)
 	o.tight = o.cold > 0 && c.Load.Free < q.Need && !c.Load.At.IsZero()
 	o.aside = c.Health == Suspect || r.setAside(now, q.Request, c.Host)
 	o.rank = score(r.Seed, string(q.Request.ID), string(c.Host))
@@ -117,21 +117,35 @@
 	}
 }
 
-// queueWait foresees how long a request waits behind others at a host. A host
-// that reports nothing queued batches the request at once.
-func (r *Router) queueWait(t core.Target, l Load, load float64) time.Duration {
-	ahead := load - float64(l.Running)
-	if l.At.IsZero() || l.Queued == 0 && ahead <= 0 {
+// queueWait foresees how long a request waits behind others at a host. While the
+// number of requests that the host runs at once is not known, one that reports
+// no queue is taken to have as much room again as it uses.
+func (r *Router) queueWait(t core.Target, c Candidate, load float64) time.Duration {
+	if c.Load.At.IsZero() {
 		return 0
 	}
-	slots := float64(max(1, l.Running))
-	if l.Queued == 0 {
-		// The host had room when it reported; what came since fits with what ran.
-		ahead -= slots
-	}
+	slots := float64(r.slots(c))
+	ahead := load - slots + 1
 	if ahead <= 0 {
 		return 0
 	}
-	rounds := (ahead + 1) / slots
-	return time.Duration(rounds * float64(r.service(t)))
+	return time.Duration(ahead / slots * float64(r.service(t)))
+}
+
+// slots returns how many requests a host runs at once: what it ran when it last
+// reported a queue, or twice what it runs now where it never did.
+func (r *Router) slots(c Candidate) int {
+	known, ok := r.widths.get(c.Host)
+	switch {
+	case c.Load.Queued > 0 && c.Load.Running > 0:
+		known = c.Load.Running
+	case c.Load.Running > known && ok:
+		known = c.Load.Running
+	case ok:
+		return known
+	default:
+		return max(1, 2*c.Load.Running)
+	}
+	r.widths.put(c.Host, known)
+	return known
 }
--- a/core/route/order.go
+++ b/core/route/order.go
@@ -11,10 +11,10 @@
 const (
 	// crowd is how far above the mean of the holders the load of the host with
 	// the cached prefix may be. A quarter keeps the longest queue near the mean
-	// (consistent hashing with bounded loads); crowdFloor lets a nearly idle set
+	// (consistent hashing with bounded loads); crowdSlack lets a nearly idle set
 	// follow the cache, where a quarter of the mean is less than one request.
 	crowd      = 1.25
-	crowdFloor = 2.0
+	crowdSlack = 2.0
 	// near is the difference in load below which two hosts count as equal, so
 	// that entries with the same report spread over both.
 	near = 1.0
@@ -62,17 +62,55 @@
 		lead(list, leastLoaded(list), LeastLoaded)
 		return
 	}
-	better, other := twoByRank(list)
-	if other < 0 {
-		lead(list, better, LeastLoaded)
-		return
+	orderStale(q, list)
+}
+
+// orderStale orders holders of which some reports are old. It takes them two by
+// two in the order of their rank, which is random for each request. A pair whose
+// loads are not known is put in front to be asked; of a pair that is known the
+// better one is taken, if it can start the request at once, and the next pair is
+// looked at otherwise. Two choices are enough while most hosts have room; near
+// saturation both are often full while another host is not.
+func orderStale(q Query, list []option) {
+	ranked := byRank(list)
+	ranked = ranked[:min(mostAsked, len(ranked))]
+	for pair := range slices.Chunk(ranked, mostProbes) {
+		best := slices.Min(pair)
+		if askable(list, pair, q.Asked) || list[best].wait == 0 {
+			leadPair(list, pair)
+			return
+		}
+	}
+	lead(list, slices.Min(ranked), OfTwo)
+}
+
+// byRank returns the indices of the options, the highest rank first.
+func byRank(list []option) []int {
+	ranked := make([]int, len(list))
+	for i := range ranked {
+		ranked[i] = i
 	}
-	if other < better {
-		// The list is in the order of load.
-		better, other = other, better
+	slices.SortFunc(ranked, func(a, b int) int { return cmp.Compare(list[b].rank, list[a].rank) })
+	return ranked
+}
+
+// askable reports whether one of the pair has an old report and was not asked.
+func askable(list []option, pair []int, asked []core.HostName) bool {
+	return slices.ContainsFunc(pair, func(i int) bool {
+		return list[i].stale && !slices.Contains(asked, list[i].Host)
+	})
+}
+
+// leadPair moves a pair to the front, the better one first. The list is in the
+// order of load.
+func leadPair(list []option, pair []int) {
+	best, other := slices.Min(pair), slices.Max(pair)
+	if best == other {
+		lead(list, best, LeastLoaded)
+		return
 	}
 	lead(list, other, OfTwo)
-	lead(list, better+1, OfTwo)
+	lead(list, best+1, OfTwo)
 }
 
 // lead moves an option to the front and keeps the order of the others.
@@ -110,21 +148,6 @@
 	return o.rank > than.rank
 }
 
-// twoByRank returns the indices of the two options with the highest rank, which
-// are a random pair for each request; the second is -1 where there is one only.
-func twoByRank(list []option) (first, second int) {
-	first, second = 0, -1
-	for i := 1; i < len(list); i++ {
-		switch {
-		case list[i].rank > list[first].rank:
-			first, second = i, first
-		case second < 0 || list[i].rank > list[second].rank:
-			second = i
-		}
-	}
-	return first, second
-}
-
 // byLoad orders by foreseen wait, load, data centre and rank.
 func byLoad(a, b option) int {
 	return cmp.Or(
@@ -222,17 +245,48 @@
 	return out
 }
 
-// mostProbes is how many hosts one request asks for their load. Two choices take
-// most of the imbalance that one leaves; each further one costs a call and
-// brings little.
-const mostProbes = 2
+const (
+	// mostProbes is how many hosts one plan asks for their load. Two choices take
+	// most of the imbalance that one leaves.
+	mostProbes = 2
+	// mostAsked is how many hosts one request asks in all when those it asked are
+	// busy. Each round costs a call, about a millisecond; when half of the hosts
+	// are full, six asked leave one request in 64 without one that has room.
+	mostAsked = 6
+	// lookAgain is the age from which the report of a host without the target is
+	// asked for anew. Another entry may have had it loaded there; until this one
+	// knows, it uses the other holders only.
+	lookAgain = 10 * time.Second
+)
+
+// probes returns the hosts whose load to ask for before the plan is followed.
+// Where the plan would start a load, they are hosts of which nothing is known:
+// one of them may hold the target, and a call costs a thousandth of a load.
+// Otherwise they are those in front whose reports are old, and beside them
+// hosts that may have come to hold the target by another entry's requests.
+func probes(list []option, asked []core.HostName) []core.HostName {
+	if list[0].cold > 0 {
+		if out := pick(nil, list, asked, option.unknown); len(out) > 0 {
+			return out
+		}
+	}
+	front := list[:min(mostProbes, len(list))]
+	out := pick(nil, front, asked, func(o option) bool { return o.stale })
+	if len(asked) < mostAsked {
+		out = pick(out, list, asked, option.changed)
+	}
+	return out
+}
+
+func (o option) unknown() bool { return o.Load.At.IsZero() }
+
+// changed reports whether a host that did not hold the target when it last
+// reported may hold it now.
+func (o option) changed() bool { return o.cold > 0 && (o.unknown() || o.age > lookAgain) }
 
-// probes returns the hosts whose old reports the plan rests on: the first of the
-// order whose load is not known.
-func probes(list []option) []core.HostName {
-	var out []core.HostName
+func pick(out []core.HostName, list []option, asked []core.HostName, want func(option) bool) []core.HostName {
 	for _, o := range list {
-		if o.stale && !o.aside && len(out) < mostProbes {
+		if want(o) && !slices.Contains(out, o.Host) && !o.aside && !slices.Contains(asked, o.Host) && len(out) < mostProbes {
 			out = append(out, o.Host)
 		}
 	}
--- a/core/route/prefix.go
+++ b/core/route/prefix.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		at := slices.IndexFunc(list, func(o option) bool { return o.Host == h.host })
-		if at >= 0 && list[at].load+1 <= limit {
+		if at >= 0 && follows(list, at, limit) {
 			return at, true
 		}
 	}
@@ -70,14 +70,20 @@
 	for _, o := range list {
 		sum += o.load
 	}
-	return max(crowdFloor, crowd*sum/float64(len(list)))
+	return crowd*sum/float64(len(list)) + crowdSlack
+}
+
+// follows reports whether a holder may be taken for its cache: a queue costs more
+// than computing a prefix again. The list is in the order of waits.
+func follows(list []option, at int, limit float64) bool {
+	return list[at].load+1 <= limit && list[at].wait <= list[0].wait
 }
 
 func byPrefix(key uint64, list []option, limit float64) (int, bool) {
 	best, found := 0, false
 	var most uint64
 	for i, o := range list {
-		if o.load+1 > limit {
+		if !follows(list, i, limit) {
 			continue
 		}
 		rank := mix(key ^ xxhash.Sum64String(string(o.Host)))
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -69,6 +69,9 @@
 	Need core.Bytes
 	// Tried are hosts that this request has been at; they are left out.
 	Tried []core.HostName
+	// Asked are hosts that were probed for this request; no plan names them for
+	// a probe again. A host that did not answer its probe is a Suspect.
+	Asked []core.HostName
 }
 
 // Reason says why a host has its place in a plan.
@@ -123,7 +126,8 @@
 type Plan struct {
 	// Hosts are in the order in which to try them; empty where none may serve.
 	Hosts []Choice
-	// Probe are hosts whose load should be asked for, two at the most.
+	// Probe are hosts whose load should be asked for, two at the most; Plan is
+	// then called again with their answers, until it names none.
 	Probe []core.HostName
 }
 
@@ -138,6 +142,8 @@
 	sets     map[core.ServiceName]*set
 	speeds   recent[string, speed]
 	prefixes recent[uint64, holder]
+	// widths are how many requests hosts run at once.
+	widths recent[core.HostName, int]
 }
 
 // Plan orders the candidates for a request. Equal inputs give equal plans.
@@ -152,5 +158,5 @@
 	orderAside(g.aside)
 	g.spill()
 	all := g.all()
-	return Plan{Hosts: choices(now, all), Probe: probes(all)}
+	return Plan{Hosts: choices(now, all), Probe: probes(all, q.Asked)}
 }
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,223 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/route"
+)
+
+// holding returns a candidate that holds the target and runs n requests.
+func holding(name string, n int) route.Candidate {
+	return route.Candidate{
+		Host: core.HostName(name), DataCentre: "lac-deux",
+		Load: route.Load{At: t0, Running: n, Item: route.Item{State: core.Loaded}},
+	}
+}
+
+// without returns a candidate that has a copy of the target in a tier.
+func without(name string, tier core.Tier) route.Candidate {
+	c := holding(name, 0)
+	c.Load.Item = route.Item{State: core.Absent, Tier: tier}
+	return c
+}
+
+func wantOrder(t *testing.T, p route.Plan, hosts ...core.HostName) {
+	t.Helper()
+	var got []core.HostName
+	for _, c := range p.Hosts {
+		got = append(got, c.Host)
+	}
+	assert.DeepEqual(t, got, hosts)
+}
+
+func planFor(candidates ...route.Candidate) route.Plan {
+	r := &route.Router{}
+	return r.Plan(t0, route.Query{Request: request(1, t0, time.Minute), Candidates: candidates, Costs: costs})
+}
+
+func TestOrder(t *testing.T) {
+	loading := without("loading", core.TierStore)
+	loading.Load.Item.State, loading.Load.Item.Ready = core.Loading, t0.Add(19*time.Second)
+	t.Run("holder, loading, cheapest load", func(t *testing.T) {
+		p := planFor(without("store", core.TierStore), without("memory", core.TierMemory),
+			without("disk", core.TierDisk), loading, holding("holder", 3))
+		wantOrder(t, p, "holder", "loading", "memory", "disk", "store")
+		assert.Equal(t, p.Hosts[1].Reason, route.Arriving)
+		assert.Equal(t, p.Hosts[0].Reason, route.LeastLoaded)
+		assert.Assert(t, p.Hosts[3].Start.Equal(t0.Add(4*time.Second)))
+	})
+	t.Run("least loaded holder", func(t *testing.T) {
+		wantOrder(t, planFor(holding("a", 9), holding("b", 2), holding("c", 5)), "b", "c", "a")
+	})
+	t.Run("leaving and tried hosts are left out, suspects last", func(t *testing.T) {
+		leaving, suspect := holding("leaving", 0), holding("suspect", 0)
+		leaving.Health, suspect.Health = route.Leaving, route.Suspect
+		r := &route.Router{}
+		p := r.Plan(t0, route.Query{
+			Request: request(1, t0, time.Minute), Tried: []core.HostName{"tried"}, Costs: costs,
+			Candidates: []route.Candidate{suspect, leaving, holding("tried", 0), without("cold", core.TierStore)},
+		})
+		wantOrder(t, p, "cold", "suspect")
+	})
+	t.Run("same data centre among equals", func(t *testing.T) {
+		for n := range 20 {
+			far, near := holding("far", 1), holding("near", 1)
+			near.DataCentre = "ariana"
+			r := &route.Router{Seed: uint64(n)}
+			p := r.Plan(t0, route.Query{
+				Request: request(n, t0, time.Minute), Here: "ariana", Candidates: []route.Candidate{far, near},
+			})
+			wantOrder(t, p, "near", "far")
+		}
+	})
+	t.Run("a load that needs another's memory comes last", func(t *testing.T) {
+		tight, roomy := without("tight", core.TierMemory), without("roomy", core.TierStore)
+		roomy.Load.Free = 10 * core.GiB
+		r := &route.Router{}
+		p := r.Plan(t0, route.Query{
+			Request: request(1, t0, time.Minute), Costs: costs, Need: core.GiB,
+			Candidates: []route.Candidate{tight, roomy},
+		})
+		wantOrder(t, p, "roomy", "tight")
+	})
+	t.Run("adapter without its base", func(t *testing.T) {
+		bare, based := without("bare", core.TierMemory), without("based", core.TierDisk)
+		based.Load.Base.State = core.Loaded
+		q := route.Query{Request: request(1, t0, time.Minute), Costs: costs, Candidates: []route.Candidate{bare, based}}
+		q.Request.Target = core.Target{Service: "qalam", Model: "dues", Base: "ledger"}
+		q.Costs.Base = [3]time.Duration{30 * time.Second, 40 * time.Second, 50 * time.Second}
+		wantOrder(t, (&route.Router{}).Plan(t0, q), "based", "bare")
+	})
+}
+
+// Cache events come late and with gaps: an eviction told by one host must not
+// undo what is known of another, and a repeated event changes nothing.
+func TestCacheEvents(t *testing.T) {
+	r := &route.Router{}
+	q := route.Query{
+		Request:    request(1, t0, time.Minute, 7, 8),
+		Candidates: []route.Candidate{holding("a", 1), holding("b", 1), holding("c", 1)},
+	}
+	first := func(now time.Time) core.HostName {
+		for i := range q.Candidates {
+			q.Candidates[i].Load.At = now
+		}
+		return r.Plan(now, q).Hosts[0].Host
+	}
+	byHash := first(t0)
+	other := q.Candidates[slices.IndexFunc(q.Candidates, func(c route.Candidate) bool { return c.Host != byHash })].Host
+	r.CacheEvent(t0, ledger, other, 8, true)
+	assert.Equal(t, first(t0), other)
+	r.CacheEvent(t0, ledger, byHash, 8, false)
+	assert.Equal(t, first(t0), other, "an eviction elsewhere")
+	assert.Equal(t, first(t0.Add(time.Hour)), byHash, "a belief of an hour ago")
+	r.CacheEvent(t0, ledger, other, 8, false)
+	assert.Equal(t, first(t0), byHash, "an eviction there")
+}
+
+// A host that fails every call answers fast, so that the least loaded is always
+// the broken one. It must be set aside, but never more than a third of a set.
+func TestFailingHosts(t *testing.T) {
+	r := &route.Router{}
+	for n := range 400 {
+		now := t0.Add(time.Duration(n) * 10 * time.Millisecond)
+		report := route.Report{Host: core.HostName(fmt.Sprint("h", n%6)), Target: ledger, Took: time.Second}
+		if n%6 < 4 {
+			report.Result = route.Broken
+		}
+		r.Observe(now, report)
+	}
+	aside := 0
+	for n := range 6 {
+		if r.AsideUntil("qalam", core.HostName(fmt.Sprint("h", n))).After(t0.Add(4 * time.Second)) {
+			aside++
+		}
+	}
+	assert.Equal(t, aside, 2)
+	r.Forget("qalam", "h0")
+	assert.Assert(t, r.AsideUntil("qalam", "h0").IsZero())
+}
+
+// Whatever is known, a plan names every candidate that may get work once and no
+// other, asks two at the most, ends after a bounded number of rounds, and is the
+// same when it is made again.
+func TestPlanProperties(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		q := route.Query{Request: request(int(seed), t0, time.Minute, 1, 2), Costs: costs, Here: "a"}
+		want := 0
+		for n := range rng.IntN(12) {
+			c := randomCandidate(rng, n)
+			q.Candidates = append(q.Candidates, c)
+			if c.Health != route.Leaving {
+				want++
+			}
+		}
+		r := &route.Router{Seed: seed}
+		p := r.Plan(t0, q)
+		assert.Assert(t, reflect.DeepEqual(p, r.Plan(t0, q)))
+		assert.Equal(t, len(p.Hosts), want)
+		assert.Equal(t, len(distinct(p)), want)
+		rounds := 0
+		for ; len(p.Probe) > 0; rounds++ {
+			assert.Assert(t, len(p.Probe) <= 2)
+			q.Asked = append(q.Asked, p.Probe...)
+			p = r.Plan(t0, q)
+		}
+		assert.Assert(t, rounds <= 12)
+	}
+}
+
+func randomCandidate(rng *rand.Rand, n int) route.Candidate {
+	c := route.Candidate{
+		Host: core.HostName(fmt.Sprint("h", n)), DataCentre: core.DataCentre(fmt.Sprint(rng.IntN(2))),
+		Health: route.Health(rng.IntN(3)), InFlight: rng.IntN(4), Sent: rng.IntN(3),
+	}
+	if rng.IntN(4) > 0 {
+		c.Load = route.Load{At: t0.Add(-time.Duration(rng.IntN(20000)) * time.Millisecond)}
+		c.Load.Running, c.Load.Queued = rng.IntN(8), rng.IntN(3)
+		c.Load.Item = route.Item{State: core.ItemState(rng.IntN(4)), Tier: core.Tier(rng.IntN(3))}
+	}
+	return c
+}
+
+func distinct(p route.Plan) map[core.HostName]bool {
+	hosts := make(map[core.HostName]bool)
+	for _, c := range p.Hosts {
+		hosts[c.Host] = true
+	}
+	return hosts
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{2, 8, 40} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := &route.Router{}
+			q := route.Query{Request: request(1, t0, time.Minute, 1, 2, 3), Costs: costs}
+			for i := range n {
+				q.Candidates = append(q.Candidates, holding(fmt.Sprint("host-", i), i%5))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Plan(t0, q)
+			}
+		})
+	}
+}
+
+func BenchmarkObserve(b *testing.B) {
+	r := &route.Router{}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now := t0.Add(time.Duration(i) * time.Millisecond)
+		r.Observe(now, route.Report{Host: "a", Target: ledger, Took: time.Second})
+	}
+}
--- a/core/route/slow.go
+++ b/core/route/slow.go
@@ -1,7 +1,7 @@
 package route
 
 import (
-	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -19,10 +19,11 @@
 	failing = 0.5
 	// sampleWeight is how much of an average one report replaces.
 	sampleWeight = 1.0 / 8
-	// asideFirst is how long a host is set aside the first time; each further
-	// time doubles it, up to asideMost.
-	asideFirst = 10 * time.Second
-	asideMost  = 5 * time.Minute
+	// asideStep is how long a host is set aside the first time; each further time
+	// adds as much, up to asideMost. Ten seconds pass a short disturbance; the
+	// growth keeps a host that stays slow from meeting callers every time.
+	asideStep = 10 * time.Second
+	asideMost = 5 * time.Minute
 	// ramp is how long a host that comes back takes to get its whole part of the
 	// requests, rampFirst the part it begins with. A host whose caches are empty
 	// would be slow again if it got all of it at once.
@@ -62,8 +63,14 @@
 	Cost int64
 }
 
-// speed is how fast a target is served over all its hosts, in seconds.
-type speed struct{ request, unit float64 }
+// speed is how fast a target is served over all its hosts.
+type speed struct {
+	// request is the mean time of a request, in seconds.
+	request float64
+	// unit is the mean logarithm of the seconds for a unit of cost. Logarithms
+	// keep one long request among short ones from looking like a slow host.
+	unit float64
+}
 
 // set is the hosts of one service.
 type set struct {
@@ -75,7 +82,8 @@
 
 // health is what was seen of one host.
 type health struct {
-	// pace is the smoothed time per unit of cost over that of the target.
+	// pace is the smoothed logarithm of the time per unit of cost over that of
+	// the target; fails is the smoothed share of failures.
 	pace    float64
 	fails   float64
 	samples int
@@ -97,7 +105,7 @@
 		h.times = 0
 	}
 	r.sample(h, p)
-	if now.Sub(s.taken) >= medianAge || s.median == 0 {
+	if now.Sub(s.taken) >= medianAge {
 		s.median, s.taken = medianPace(s.hosts), now
 	}
 	if h.bad(s.median) && s.mayLose(now) {
@@ -125,15 +133,13 @@
 		return
 	}
 	h.fails -= h.fails * sampleWeight
-	took := p.Took.Seconds()
-	unit := took / float64(max(1, p.Cost))
+	took := max(time.Microsecond, p.Took).Seconds()
+	unit := math.Log(took / float64(max(1, p.Cost)))
 	known, ok := r.speeds.get(p.Target.Name())
 	if !ok {
 		known = speed{request: took, unit: unit}
 	}
-	if known.unit > 0 {
-		h.pace = fold(h.pace, unit/known.unit)
-	}
+	h.pace += (unit - known.unit - h.pace) * sampleWeight
 	if p.Result == Served {
 		known.request += (took - known.request) * sampleWeight
 		known.unit += (unit - known.unit) * sampleWeight
@@ -141,31 +147,26 @@
 	r.speeds.put(p.Target.Name(), known)
 }
 
-func fold(old, sample float64) float64 {
-	if old == 0 {
-		return sample
-	}
-	return old + (sample-old)*sampleWeight
-}
-
 func (h *health) bad(median float64) bool {
 	if h.samples < leastSamples {
 		return false
 	}
-	return h.fails > failing || median > 0 && h.pace > slowFactor*median
+	return h.fails > failing || h.pace > median+math.Log(slowFactor)
 }
 
+// medianPace is the median over the hosts that have enough reports; zero, which
+// is the pace of the target, where there are fewer than two.
 func medianPace(hosts map[core.HostName]*health) float64 {
 	paces := make([]float64, 0, len(hosts))
 	for _, h := range hosts {
-		if h.pace > 0 {
+		if h.samples >= leastSamples {
 			paces = append(paces, h.pace)
 		}
 	}
 	if len(paces) < 2 {
 		return 0
 	}
-	slices.SortFunc(paces, cmp.Compare[float64])
+	slices.Sort(paces)
 	return paces[(len(paces)-1)/2]
 }
 
@@ -183,12 +184,8 @@
 // setAside begins a time without requests, after which the host is judged by
 // what it does then.
 func (h *health) setAside(now time.Time) {
-	out := asideMost
-	if h.times < 5 {
-		out = min(asideMost, asideFirst<<h.times)
-	}
-	h.until = now.Add(out)
 	h.times++
+	h.until = now.Add(min(asideMost, asideStep*time.Duration(h.times)))
 	h.samples, h.fails, h.pace = 0, 0, 0
 }
 
@@ -234,7 +231,7 @@
 	if !ok {
 		return time.Time{}
 	}
-	each := known.unit * float64(max(1, cost))
+	each := math.Exp(known.unit) * float64(max(1, cost))
 	return from.Add(time.Duration(slowFactor * each * float64(time.Second)))
 }
 
