--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -3,13 +3,14 @@
 import "radishwell/core"
 
 const (
-	// share is what one first attempt pays into its set's budget: retries add a
-	// tenth to the load when they go on and on. At two hops that both retry it is
-	// a fifth.
-	share = 0.1
-	// reserve is what a budget holds at the most and begins with, so that a set
-	// with few requests can still retry: ten are a burst that any set bears.
-	reserve = 10.0
+	// perRetry is how many first attempts pay for one retry: retries add a tenth
+	// to the load when they go on and on. At two hops that both retry it is a
+	// fifth.
+	perRetry = 10
+	// reserve is how many retries a budget holds at the most and begins with, so
+	// that a set with few requests can still retry: ten are a burst that any set
+	// bears.
+	reserve = 10
 	// mostSets bounds the budgets kept. A set whose budget is whole is dropped.
 	mostSets = 4096
 )
@@ -17,35 +18,37 @@
 // Budgets are the retry budgets of sets of upstream hosts. The zero value is
 // ready for use; it needs no lock of its own.
 type Budgets struct {
-	// spent is what is missing from the reserve of each set.
-	spent map[core.ServiceName]float64
+	// owed is how many first attempts each set is short of a whole reserve.
+	owed map[core.ServiceName]int
 }
 
 // First pays in for the first attempt of a request.
 func (b *Budgets) First(set core.ServiceName) {
-	missing, ok := b.spent[set]
+	owed, ok := b.owed[set]
 	if !ok {
 		return
 	}
-	if missing <= share {
-		delete(b.spent, set)
+	if owed == 1 {
+		delete(b.owed, set)
 		return
 	}
-	b.spent[set] = missing - share
+	b.owed[set] = owed - 1
 }
 
 // Left returns how many retries the set can pay for at present.
-func (b *Budgets) Left(set core.ServiceName) int { return int(reserve - b.spent[set]) }
+func (b *Budgets) Left(set core.ServiceName) int {
+	return (reserve*perRetry - b.owed[set]) / perRetry
+}
 
 // draw takes one retry out and reports whether there was one.
 func (b *Budgets) draw(set core.ServiceName) bool {
-	missing, ok := b.spent[set]
-	if missing+1 > reserve || !ok && len(b.spent) >= mostSets {
+	_, known := b.owed[set]
+	if b.Left(set) == 0 || !known && len(b.owed) >= mostSets {
 		return false
 	}
-	if b.spent == nil {
-		b.spent = make(map[core.ServiceName]float64)
+	if b.owed == nil {
+		b.owed = make(map[core.ServiceName]int)
 	}
-	b.spent[set] = missing + 1
+	b.owed[set] += perRetry
 	return true
 }
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,154 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/retry"
+)
+
+var t0 = time.Date(2030, 1, 1, 20, 0, 0, 0, time.UTC)
+
+func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
+// failed is a case with one attempt that ended so, and another host left.
+func failed(code core.Code, out core.Outcome) retry.Case {
+	return retry.Case{
+		Request: core.Request{
+			ID: "1", Target: core.Target{Service: "qalam"}, Arrived: t0, Deadline: t0.Add(10 * time.Second),
+		},
+		Attempts:  []retry.Attempt{{Host: "a", Refusal: &core.Refusal{Code: code, Outcome: out}}},
+		HostsLeft: 1,
+	}
+}
+
+func wantGiveUp(t *testing.T, d retry.Decision, out core.Outcome, why retry.Why) {
+	t.Helper()
+	assert.Equal(t, d.Why.String(), why.String())
+	assert.Equal(t, d.Action, retry.GiveUp)
+	assert.Equal(t, d.Refusal.Outcome, out)
+}
+
+func TestDecide(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*retry.Case)
+		action retry.Action
+		out    core.Outcome
+		why    retry.Why
+	}{
+		{"not run", func(*retry.Case) {}, retry.Again, 0, retry.WhyOtherHost},
+		{"may have run", func(c *retry.Case) {
+			c.Attempts[0].Refusal.Outcome = core.MayHaveRun
+		}, retry.GiveUp, core.MayHaveRun, retry.WhyMayHaveRun},
+		{"may have run but repeatable", func(c *retry.Case) {
+			c.Attempts[0].Refusal.Outcome = core.MayHaveRun
+			c.Request.Repeatable = true
+		}, retry.Again, 0, retry.WhyOtherHost},
+		{"begun", func(c *retry.Case) {
+			c.Request.Repeatable = true
+			c.Begun = true
+		}, retry.GiveUp, core.NotRun, retry.WhyBegun},
+		{"wrong request", func(c *retry.Case) {
+			c.Attempts[0].Refusal.Code = core.CodeQuarantined
+		}, retry.GiveUp, core.NotRun, retry.WhyFinal},
+		{"no time to run again", func(c *retry.Case) {
+			c.Service = 11 * time.Second
+		}, retry.GiveUp, core.NotRun, retry.WhyDeadline},
+		{"no host left", func(c *retry.Case) {
+			c.HostsLeft = 0
+		}, retry.Later, 0, retry.WhyPause},
+		{"no host left until after the deadline", func(c *retry.Case) {
+			c.HostsLeft = 0
+			c.Attempts[0].Refusal.RetryAt = t0.Add(11 * time.Second)
+		}, retry.GiveUp, core.NotRun, retry.WhyDeadline},
+		{"lost twice", func(c *retry.Case) {
+			c.Request.Repeatable = true
+			c.Attempts[0].Refusal.Outcome = core.MayHaveRun
+			c.Attempts = append(c.Attempts, c.Attempts[0])
+		}, retry.GiveUp, core.MayHaveRun, retry.WhyAttempts},
+		{"four attempts", func(c *retry.Case) {
+			c.Attempts = append(c.Attempts, c.Attempts[0], c.Attempts[0], c.Attempts[0])
+		}, retry.GiveUp, core.NotRun, retry.WhyAttempts},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			in := failed(core.CodeOverload, core.NotRun)
+			c.change(&in)
+			d := (&retry.Budgets{}).Decide(t0, in, rng())
+			if c.action == retry.GiveUp {
+				wantGiveUp(t, d, c.out, c.why)
+				return
+			}
+			assert.Equal(t, d.Why.String(), c.why.String())
+			assert.Equal(t, d.Action, c.action)
+		})
+	}
+}
+
+// The first host loses a request that may be repeated, the second says "not
+// run". The caller must not be told "not run": the first may have run it.
+func TestOutcomeCoversAllAttempts(t *testing.T) {
+	c := failed(core.CodeUpstreamLost, core.MayHaveRun)
+	c.Request.Repeatable = true
+	c.Attempts = append(c.Attempts, retry.Attempt{Host: "b", Refusal: core.Refuse(core.CodeQuarantined, "")})
+	wantGiveUp(t, (&retry.Budgets{}).Decide(t0, c, rng()), core.MayHaveRun, retry.WhyFinal)
+	assert.Equal(t, c.Attempts[1].Refusal.Outcome, core.NotRun, "the attempt's own refusal was changed")
+}
+
+func TestPauses(t *testing.T) {
+	c := failed(core.CodeNoHost, core.NotRun)
+	c.HostsLeft = 0
+	r := rng()
+	seen := make(map[time.Time]bool)
+	for range 50 {
+		d := (&retry.Budgets{}).Decide(t0, c, r)
+		assert.Assert(t, d.At.After(t0.Add(49*time.Millisecond)) && d.At.Before(t0.Add(101*time.Millisecond)))
+		seen[d.At] = true
+	}
+	assert.Assert(t, len(seen) > 40, "requests refused together come back together")
+	c.Attempts[0].Refusal.RetryAt = t0.Add(3 * time.Second)
+	assert.Assert(t, !(&retry.Budgets{}).Decide(t0, c, r).At.Before(t0.Add(3*time.Second)))
+}
+
+// A rolling stop makes one host after the other say "leaving" to whatever
+// reaches it. Those requests go elsewhere, however many they are.
+func TestLeavingIsFree(t *testing.T) {
+	b := &retry.Budgets{}
+	for range 1000 {
+		assert.Equal(t, b.Decide(t0, failed(core.CodeLeaving, core.NotRun), rng()).Action, retry.Again)
+	}
+	assert.Equal(t, b.Left("qalam"), 10)
+}
+
+func TestBudgetsAreSeparate(t *testing.T) {
+	b := &retry.Budgets{}
+	in := failed(core.CodeOverload, core.NotRun)
+	for b.Decide(t0, in, rng()).Action == retry.Again {
+	}
+	wantGiveUp(t, b.Decide(t0, in, rng()), core.NotRun, retry.WhyBudget)
+	other := failed(core.CodeOverload, core.NotRun)
+	other.Request.Target.Service = "sijill"
+	assert.Equal(t, b.Decide(t0, other, rng()).Action, retry.Again)
+	for range 10 {
+		b.First("qalam")
+	}
+	assert.Equal(t, b.Decide(t0, in, rng()).Action, retry.Again)
+	assert.Equal(t, b.Decide(t0, in, rng()).Why, retry.WhyBudget)
+}
+
+func BenchmarkDecide(b *testing.B) {
+	budgets := &retry.Budgets{}
+	in := failed(core.CodeOverload, core.NotRun)
+	r := rng()
+	b.ReportAllocs()
+	for b.Loop() {
+		for range 10 {
+			budgets.First("qalam")
+		}
+		budgets.Decide(t0, in, r)
+	}
+}
