--- a/core/admit/check.go
+++ b/core/admit/check.go
@@ -15,6 +15,10 @@
 	// longestDrain caps what a measured gap can foresee: after it the measure is
 	// older than the load it came from.
 	longestDrain = time.Minute
+	// margin is the part of a foreseen wait that is added to it. The wait is a
+	// mean: taken as it is, half of the requests let in at the edge would end
+	// after their deadlines, and what they took is lost to all.
+	margin = 8
 )
 
 // check returns the refusal that the record's limits give, nil where they have
@@ -81,8 +85,8 @@
 		return nil
 	}
 	ahead := c.held() - most + 1
-	start := now.Add(c.service * time.Duration(ahead) / time.Duration(most))
-	end := start.Add(c.service)
+	wait := c.service * time.Duration(ahead) / time.Duration(most)
+	end := now.Add(wait + wait/margin + c.service)
 	if r.Deadline.IsZero() || !end.After(r.Deadline) {
 		return nil
 	}
