Let the queue skip what limits hold, share places between lanes, keep spare ones

An owner at its concurrency limit stood at the head of the queue: its item was popped and could not start. Queue.May tells how far a limit reaches, and the queue looks past it. Admit.Blocked names the limit.

The models of one engine share its places: Queue.Shared judges long and short over all lanes. Queue.Spare keeps places from overnight work.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -92,12 +92,28 @@
 	if !ok || !h.started.IsZero() {
 		return false
 	}
-	for _, c := range h.records {
-		if c != nil && !c.mayStart() {
-			return false
+	_, held := h.blocked()
+	return !held
+}
+
+// Blocked returns the widest scope whose concurrency limit keeps a waiting
+// request from starting: all of its owner's, target's or service's requests
+// wait then, or else all of its caller's. It is false where none does.
+func (a *Admit) Blocked(id core.RequestID) (Scope, bool) {
+	h, ok := a.holds[id]
+	if !ok {
+		return 0, false
+	}
+	return h.blocked()
+}
+
+func (h *hold) blocked() (Scope, bool) {
+	for _, s := range [scopeCount]Scope{Service, Target, Owner, Caller} {
+		if c := h.records[s]; c != nil && !c.mayStart() {
+			return s, true
 		}
 	}
-	return true
+	return 0, false
 }
 
 // Start moves a waiting request to running. It reports whether the request was
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -120,6 +120,20 @@
 		assert.Assert(t, a.Offer(t0, request("2", "fasade", "k"), b) == nil)
 		assert.Assert(t, a.CanStart("2"))
 	})
+	t.Run("names the widest limit in the way", func(t *testing.T) {
+		a := &admit.Admit{}
+		b := admit.Bounds{Caller: core.Limits{Concurrency: 1}, Target: core.Limits{Concurrency: 2}}
+		wantAdmitted(t, a, t0, b, "1", "2")
+		a.Start(t0, "1")
+		scope, held := a.Blocked("2")
+		assert.Assert(t, held && scope == admit.Caller)
+		assert.Assert(t, a.Offer(t0, request("3", "fasade", "k"), b) == nil && a.Start(t0, "3"))
+		scope, held = a.Blocked("2")
+		assert.Assert(t, held && scope == admit.Target)
+		a.Done(t0, "1")
+		_, held = a.Blocked("2")
+		assert.Assert(t, !held)
+	})
 	t.Run("refused when the backlog outlasts the deadline", func(t *testing.T) {
 		a := &admit.Admit{}
 		wantAdmitted(t, a, t0, b, "1", "2", "3")
--- /dev/null
+++ b/core/queue/hold_test.go
@@ -0,0 +1,81 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/queue"
+)
+
+// One owner has as much in progress as its limit allows, and most of what waits
+// is its own. The others must not wait for it, and it goes on when one ends.
+func TestHeldOwnersAreSkipped(t *testing.T) {
+	held := map[string]queue.Hold{"a/k": queue.HoldOwner, "b/k": queue.HoldCaller}
+	q := &queue.Queue{May: func(i queue.Item) queue.Hold { return held[string(i.Owner)+"/"+string(i.Caller)] }}
+	for n := range 5 {
+		mustPush(t, q, t0, item(fmt.Sprint("a", n), core.Interactive, "a", time.Hour))
+		mustPush(t, q, t0, item(fmt.Sprint("b", n), core.Interactive, "b", time.Hour))
+	}
+	other := item("b-other", core.Interactive, "b", time.Hour)
+	other.Caller = "other"
+	mustPush(t, q, t0, other)
+	mustPush(t, q, t0, item("o", core.Overnight, "c", time.Hour))
+	wantPops(t, q, t0, "b-other", "o")
+	_, ok := q.Pop(t0, always)
+	assert.Assert(t, !ok)
+	assert.Equal(t, q.Len(), 10)
+	clear(held)
+	// Owner b has had a turn already, so a has two.
+	wantPops(t, q, t0, "a0", "a1", "b0", "a2")
+	held["a/k"], held["b/k"] = queue.HoldLane, queue.HoldLane
+	_, ok = q.Pop(t0, always)
+	assert.Assert(t, !ok, "a limit of the lane holds all owners")
+	assert.Equal(t, q.Len(), 6)
+}
+
+// Overnight reviews fill every place of an engine; a check arrives right after
+// and waits until a review ends, unless a place was kept.
+func TestSparePlaces(t *testing.T) {
+	for spare, want := range []int{4, 3} {
+		t.Run(fmt.Sprint(spare), func(t *testing.T) {
+			q := &queue.Queue{Spare: spare}
+			running := 0
+			free := func(string) int { return 4 - running }
+			for n := range 6 {
+				mustPush(t, q, t0, item(fmt.Sprint("o", n), core.Overnight, "a", time.Hour))
+			}
+			for {
+				if _, ok := q.Pop(t0, free); !ok {
+					break
+				}
+				running++
+			}
+			assert.Equal(t, running, want)
+			mustPush(t, q, t0, item("check", core.Interactive, "a", time.Hour))
+			_, ok := q.Pop(t0, free)
+			assert.Equal(t, ok, spare > 0)
+		})
+	}
+}
+
+// An engine holds an adapter for reviews and one for checks. Each lane by itself
+// has work of one length only, yet reviews must leave places to the checks.
+func TestLongAmongShortInOneEngine(t *testing.T) {
+	up := upstream{slots: 8, each: steady(50 * time.Millisecond)}
+	in := arrivals(5, time.Minute,
+		load{"short", "site", core.Interactive, 60, 1, 3 * time.Second},
+		load{"long", "office", core.Interactive, 4, 50, 30 * time.Second})
+	for n := range in {
+		in[n].Lane = string(in[n].Owner)
+	}
+	shared := run(&fair{q: queue.Queue{Shared: true}}, up, in, byOwner)
+	apart := run(&fair{}, up, in, byOwner)
+	t.Logf("short p99 %v, good %d of %d; lanes apart %v, good %d", shared["short"].p99(), shared["short"].good,
+		shared["short"].sent, apart["short"].p99(), apart["short"].good)
+	assert.Assert(t, shared["short"].good == shared["short"].sent)
+	assert.Assert(t, shared["short"].p99()*10 < apart["short"].p99()*8)
+}
--- a/core/queue/insert.go
+++ b/core/queue/insert.go
@@ -33,7 +33,11 @@
 		if len(q.lanes) >= mostLanes {
 			q.prune()
 		}
-		l = newLane(name)
+		g := &q.gauge
+		if !q.Shared {
+			g = &gauge{}
+		}
+		l = newLane(name, g)
 		q.lanes[name] = l
 	}
 	return l
@@ -43,7 +47,7 @@
 func (q *Queue) insert(now time.Time, i Item) {
 	l := q.lane(i.Lane)
 	t := l.track(i)
-	l.note(now, i, t)
+	l.gauge.note(now, i, t.long)
 	l.used = q.seq
 	e := &entry{Item: i, seq: q.seq}
 	q.seq++
--- a/core/queue/lane.go
+++ b/core/queue/lane.go
@@ -28,14 +28,22 @@
 	// ready is when the lane can start work at the earliest, such as when a load
 	// ends; zero for at once.
 	ready time.Time
+	// gauge is the lane's own, or one for all lanes where they share places.
+	gauge *gauge
+	// used orders idle lanes by when they were used last.
+	used uint64
+}
+
+// gauge tells short from long items among those that share places.
+type gauge struct {
 	// usual is the smoothed binary logarithm of the cost, seen how many items
 	// are in it.
 	usual float64
 	seen  int
 	// short is when a short item of each class came last.
 	short [core.ClassCount]time.Time
-	// used orders idle lanes by when they were used last.
-	used uint64
+	// running counts the short and the long items that run.
+	running [2]int
 }
 
 // track is the short or the long items of a lane.
@@ -48,10 +56,12 @@
 	running  int
 	// place is the track's index in Queue.active, -1 while it is empty.
 	place int
+	// skip marks classes that a Pop has found held; it is reset when it ends.
+	skip [core.ClassCount]bool
 }
 
-func newLane(name string) *lane {
-	l := &lane{name: name}
+func newLane(name string, g *gauge) *lane {
+	l := &lane{name: name, gauge: g}
 	for i := range l.tracks {
 		t := &track{lane: l, long: i == 1, place: -1}
 		for c := range t.sections {
@@ -64,42 +74,28 @@
 
 // track returns the track an item belongs to.
 func (l *lane) track(i Item) *track {
-	if l.seen >= usualSamples && math.Log2(float64(i.Cost)) >= l.usual+longFactor {
+	if l.gauge.long(i.Cost) {
 		return l.tracks[1]
 	}
 	return l.tracks[0]
 }
 
-// note learns from an item that came.
-func (l *lane) note(now time.Time, i Item, t *track) {
-	weight := max(usualWeight, 1/float64(l.seen+1))
-	l.usual += (math.Log2(float64(i.Cost)) - l.usual) * weight
-	l.seen = min(l.seen+1, usualSamples)
-	if !t.long {
-		l.short[i.Class] = now
-	}
+func (g *gauge) long(cost int64) bool {
+	return g.seen >= usualSamples && math.Log2(float64(cost)) >= g.usual+longFactor
 }
 
-// room returns how many requests of the track could start, given how many of the
-// lane could. Long ones leave a quarter of the places to short ones of their
-// class or a more urgent one, while such have come of late. Slots are not taken
-// back from what runs, so without this a few long requests hold all of them, and
-// a check that takes a moment waits for a review to end. A quarter is what long
-// work then gives up at most.
-func (t *track) room(now time.Time, free int) int {
-	if !t.long || free <= 0 {
-		return free
-	}
-	class, ok := t.urgent()
-	if !ok || !t.lane.shortSince(now.Add(-recentShort), class) {
-		return free
+// note learns from an item that came.
+func (g *gauge) note(now time.Time, i Item, long bool) {
+	weight := max(usualWeight, 1/float64(g.seen+1))
+	g.usual += (math.Log2(float64(i.Cost)) - g.usual) * weight
+	g.seen = min(g.seen+1, usualSamples)
+	if !long {
+		g.short[i.Class] = now
 	}
-	slots := t.lane.tracks[0].running + t.running + free
-	return min(free, max(1, slots*3/4)-t.running)
 }
 
-func (l *lane) shortSince(from time.Time, class core.Class) bool {
-	for _, at := range l.short[:class+1] {
+func (g *gauge) shortSince(from time.Time, class core.Class) bool {
+	for _, at := range g.short[:class+1] {
 		if at.After(from) {
 			return true
 		}
@@ -107,14 +103,14 @@
 	return false
 }
 
-// urgent returns the most urgent class that waits in the track.
-func (t *track) urgent() (core.Class, bool) {
-	for c, s := range t.sections {
-		if s.items > 0 {
-			return core.Class(c), true
-		}
+// run counts a start (1) or an end (-1) of one of the track's items.
+func (t *track) run(change int) {
+	t.running += change
+	if t.long {
+		t.lane.gauge.running[1] += change
+		return
 	}
-	return 0, false
+	t.lane.gauge.running[0] += change
 }
 
 func (l *lane) load() load {
@@ -131,20 +127,3 @@
 func (l *lane) idle() bool { return l.tracks[0].idle() && l.tracks[1].idle() }
 
 func (t *track) idle() bool { return t.items == 0 && t.running == 0 }
-
-// best returns the class that goes next in the track and its start tag.
-func (q *Queue) best(t *track) (core.Class, int64) {
-	var found core.Class
-	var least int64
-	any := false
-	for c, s := range t.sections {
-		if s.items == 0 {
-			continue
-		}
-		tag := q.clock.start(q.classes[c].tag)
-		if !any || tag < least {
-			found, least, any = core.Class(c), tag, true
-		}
-	}
-	return found, least
-}
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -28,6 +28,13 @@
 	// but the overall one.
 	LaneItems int
 	LaneBytes core.Bytes
+	// Shared tells that all lanes start work in the same places, as the models of
+	// one engine do. Otherwise each lane has places of its own.
+	Shared bool
+	// Spare is how many places overnight work leaves free.
+	Spare int
+	// May, where it is set, is asked before an item is popped.
+	May func(Item) Hold
 
 	load
 	classes [core.ClassCount]*class
@@ -38,6 +45,7 @@
 	running map[core.RequestID]run
 	due     order[*entry]
 	// out holds refusals that were decided while popping.
+	gauge gauge
 	out   []Refused
 	outAt time.Time
 	seq   uint64
@@ -68,7 +76,7 @@
 	if ref := q.checkTimes(now, i); ref != nil {
 		return Pushed{Refusal: ref}
 	}
-	displaced, ref := q.room(now, i)
+	displaced, ref := q.fit(now, i)
 	if ref != nil {
 		return Pushed{Refusal: ref}
 	}
@@ -128,72 +136,46 @@
 // Items whose time has run out on the way are kept for Expire.
 func (q *Queue) Pop(now time.Time, free func(lane string) int) (Item, bool) {
 	q.init()
-	q.overdue(now)
-	for {
-		t := q.first(now, q.active, free)
-		if t == nil {
-			return Item{}, false
-		}
-		if i, ok := q.take(now, t); ok {
-			return i, true
-		}
-	}
+	return q.pop(now, &q.active, free)
 }
 
 // PopLane is Pop for one lane, which could start free more requests.
 func (q *Queue) PopLane(now time.Time, name string, free int) (Item, bool) {
 	q.init()
-	q.overdue(now)
 	l, ok := q.lanes[name]
 	if !ok {
 		return Item{}, false
 	}
+	list := l.tracks[:]
+	return q.pop(now, &list, func(string) int { return free })
+}
+
+// pop takes the list of tracks by reference: it changes as items are refused.
+func (q *Queue) pop(now time.Time, list *[]*track, free func(lane string) int) (Item, bool) {
+	q.overdue(now)
 	for {
-		t := q.first(now, l.tracks[:], func(string) int { return free })
-		if t == nil {
+		e := q.next(now, *list, free)
+		if e == nil {
 			return Item{}, false
 		}
-		if i, ok := q.take(now, t); ok {
-			return i, true
-		}
-	}
-}
-
-// first returns the free track whose next item goes first, nil where none is.
-func (q *Queue) first(now time.Time, list []*track, free func(lane string) int) *track {
-	var found *track
-	var class core.Class
-	var tag, sub int64
-	for _, t := range list {
-		if t.items == 0 || t.room(now, free(t.lane.name)) <= 0 {
+		// Running what cannot end in time any more would spend the upstream on an
+		// answer that comes too late, which is how goodput falls under overload.
+		if e.lastStart(e.flow.in.in.track).Before(now) {
+			q.refuse(now, e)
 			continue
 		}
-		c, start := q.best(t)
-		o := q.classes[c].clock.start(t.sections[c].first().owner.tag)
-		better := start < tag || start == tag && (c < class || c == class && o < sub)
-		if found == nil || better {
-			found, class, tag, sub = t, c, start, o
-		}
+		q.begin(now, e)
+		return e.Item, true
 	}
-	return found
 }
 
-// take removes the track's next item. It is false where the item could not end
-// in time any more: that one is refused. Running it would spend the upstream on
-// an answer that comes too late, which is how goodput falls under overload.
-func (q *Queue) take(now time.Time, t *track) (Item, bool) {
-	c, _ := q.best(t)
-	f := t.sections[c].first().first()
-	e := f.items.top()
-	if e.lastStart(t).Before(now) {
-		q.refuse(now, e)
-		return Item{}, false
-	}
+// begin moves an entry from waiting to running.
+func (q *Queue) begin(now time.Time, e *entry) {
+	t := e.flow.in.in.track
 	q.charge(e)
 	q.drop(e)
-	t.running++
+	t.run(1)
 	q.running[e.ID] = run{track: t, at: now, cost: e.Cost, inDoubt: e.inDoubt}
-	return e.Item, true
 }
 
 // charge advances the virtual times of the item's class, owner and caller.
@@ -215,7 +197,7 @@
 	}
 	delete(q.running, id)
 	t := r.track
-	t.running--
+	t.run(-1)
 	if end == Served {
 		t.pace.served(now, now.Sub(r.at), r.cost, r.inDoubt)
 	}
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -233,7 +233,8 @@
 }
 
 func conserve(t *testing.T, rng *rand.Rand) {
-	q := &queue.Queue{Items: 50, Bytes: 3000, LaneItems: 20}
+	q := &queue.Queue{Items: 50, Bytes: 3000, LaneItems: 20, Spare: rng.IntN(2), Shared: rng.IntN(2) == 0}
+	q.May = func(queue.Item) queue.Hold { return queue.Hold(max(0, rng.IntN(6)-2)) }
 	l := &ledger{t: t, waiting: make(map[core.RequestID]queue.Item)}
 	now := t0
 	for n := range 2000 {
--- a/core/queue/refuse.go
+++ b/core/queue/refuse.go
@@ -55,8 +55,8 @@
 		"The request waited for "+t.lane.name+" until too little time was left to run.", at)
 }
 
-// room makes place for an item. It displaces only where that lets the item in.
-func (q *Queue) room(now time.Time, i Item) ([]Refused, *core.Refusal) {
+// fit makes place for an item. It displaces only where that lets the item in.
+func (q *Queue) fit(now time.Time, i Item) ([]Refused, *core.Refusal) {
 	var displaced []Refused
 	if l, ok := q.lanes[i.Lane]; ok {
 		over := excess(l.load(), i, q.LaneItems, q.LaneBytes)
