Add the scenario language with random schedules

Cause: lease, grants and memory must hold together through crashes, pauses, outages and late or lost messages. Change: core/script drives the three with a fake platform and engines; found-*.txt are four faults that random schedules found: holders of a deleted grant on hosts that are gone counted for ever; models that wait for their owner's room were not looked at when another model left the owner; a fresh contender took a lease deleted by hand at once; a second deletion by hand lets two believe for a term (grants hold).

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -59,11 +59,15 @@
 	Fault core.PlatformFault
 }
 
-// Lease is one contender's view of the lease. Host and Incarnation are set
-// before first use. It is not safe for concurrent use.
+// Lease is one contender's view of the lease. Its exported fields are set before
+// first use. It is not safe for concurrent use.
 type Lease struct {
 	Host        core.HostName
 	Incarnation core.Incarnation
+	// Blank tells that the platform held no grants when this process started.
+	// Then nobody has decided before, and a missing lease is created at once:
+	// the fleet's first start needs no wait for the term.
+	Blank bool
 
 	// known tells that version, spec and seenAt describe the last observation;
 	// absent that it was an observation of no object.
@@ -233,11 +237,11 @@
 	l.absent = true
 	l.spec = Spec{}
 	l.drop()
-	// Where no fencing number was ever met there is nobody to wait for: the
-	// fleet's first start needs no delay.
-	l.free = now
-	if l.floor != 0 {
-		l.free = now.Add(Term + l.delay(0))
+	// Deleted by hand, the object has left a holder behind that still believes,
+	// perhaps one that this process has never heard of.
+	l.free = now.Add(Term + l.delay(0))
+	if l.Blank && l.floor == 0 {
+		l.free = now
 	}
 	l.lookAt = l.free
 }
@@ -248,6 +252,7 @@
 	if o.Deleted {
 		if o.Version > l.version {
 			l.version = o.Version
+			l.absent = false
 			l.lost(now)
 		}
 		return
--- a/core/place/decide.go
+++ b/core/place/decide.go
@@ -136,6 +136,7 @@
 	if m.out || m.blocked || !p.mayWrite(m) {
 		return Write{}, false
 	}
+	p.forgetGone(m)
 	d := draft{p: p, m: m, holders: slices.Clone(m.spec.Holders), reason: Removed}
 	d.removeGone()
 	d.revokeUnfit()
@@ -144,6 +145,26 @@
 	return d.write()
 }
 
+// forgetGone drops hosts that are gone from what is remembered of an object
+// that was deleted: there is nothing left to remove them from.
+func (p *Planner) forgetGone(m *model) {
+	if !m.deleted {
+		return
+	}
+	n := len(m.spec.Holders)
+	m.spec.Holders = p.present(m.spec.Holders)
+	if len(m.spec.Holders) < n {
+		p.account(m)
+	}
+}
+
+// present returns the holders whose hosts are not known to be gone.
+func (p *Planner) present(holders []core.GrantHolder) []core.GrantHolder {
+	return slices.DeleteFunc(slices.Clone(holders), func(h core.GrantHolder) bool {
+		return p.gone[HostID{h.Host, h.UID}]
+	})
+}
+
 // mayWrite refuses what a decider that is behind would write: over a larger
 // fencing number, or from an older version of the entry than the object names.
 func (p *Planner) mayWrite(m *model) bool {
@@ -160,9 +181,7 @@
 
 func (d *draft) removeGone() {
 	n := len(d.holders)
-	d.holders = slices.DeleteFunc(d.holders, func(h core.GrantHolder) bool {
-		return d.p.gone[HostID{h.Host, h.UID}]
-	})
+	d.holders = d.p.present(d.holders)
 	if len(d.holders) < n {
 		d.change(Moved)
 	}
--- a/core/place/owner.go
+++ b/core/place/owner.go
@@ -44,6 +44,7 @@
 
 // account brings a model's part of the sums up to date.
 func (p *Planner) account(m *model) {
+	before := p.owner(m.use.owner)
 	p.withdraw(m)
 	m.use = p.useOf(m)
 	o := p.owner(m.use.owner)
@@ -59,13 +60,17 @@
 		}
 		p.holding[id.Host][m.name] = true
 	}
-	if o.limit > 0 && (o.sealing || o.used < o.limit) {
-		p.wake(o)
+	p.wake(o)
+	if before != o {
+		p.wake(before)
 	}
 }
 
 // wake looks again at models that wait for room within the owner's limit.
 func (p *Planner) wake(o *owner) {
+	if o.limit == 0 || !o.sealing && o.used >= o.limit {
+		return
+	}
 	for name := range o.names {
 		if p.short[name] {
 			p.dirty[name] = true
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -33,8 +33,10 @@
 
 // model is all that is known of one name.
 type model struct {
-	name    core.ModelName
+	name core.ModelName
+	// entry is the one in force, dropped the version of the last deletion.
 	entry   *Entry
+	dropped core.Version
 	spec    core.GrantSpec
 	version core.Version
 	// deleted tells that the object at version was deleted; the holders in spec
@@ -108,7 +110,7 @@
 // SetEntry takes a catalogue entry in force. Older versions are ignored.
 func (p *Planner) SetEntry(e Entry) {
 	m := p.model(e.Name)
-	if m.entry != nil && m.entry.Version >= e.Version {
+	if m.dropped >= e.Version || m.entry != nil && m.entry.Version >= e.Version {
 		return
 	}
 	p.unlink(m)
@@ -118,9 +120,13 @@
 	p.touchAdapters(e.Name)
 }
 
-// DropEntry tells that an entry is deleted in the catalogue.
-func (p *Planner) DropEntry(name core.ModelName) {
+// DropEntry tells that an entry was deleted in the catalogue at version v.
+func (p *Planner) DropEntry(name core.ModelName, v core.Version) {
 	m := p.model(name)
+	if m.dropped >= v || m.entry != nil && m.entry.Version >= v {
+		return
+	}
+	m.dropped = v
 	p.unlink(m)
 	m.entry = nil
 	p.link(m)
--- /dev/null
+++ b/core/script/check_test.go
@@ -0,0 +1,173 @@
+package script
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/place"
+)
+
+// checker holds what must always be true and the first thing that was not.
+type checker struct {
+	failed string
+	// limits has the limit of each version of a catalogue entry, memory the
+	// largest limit an owner ever had.
+	limits map[core.Version]int
+	memory map[core.OwnerName]core.Bytes
+	top    core.Fence
+	// unsure is until when two may believe, after deletions by hand.
+	unsure time.Time
+}
+
+func (c *checker) init() {
+	c.limits = map[core.Version]int{}
+	c.memory = map[core.OwnerName]core.Bytes{}
+}
+
+func (c *checker) fail(format string, args ...any) {
+	if c.failed == "" {
+		c.failed = fmt.Sprintf(format, args...)
+	}
+}
+
+// view checks that a process never takes an older version.
+func (c *checker) view(who string, have core.Version, o object) {
+	if o.version < have {
+		c.fail("version back: %s took %s/%s at %d after %d", who, o.kind, o.name, o.version, have)
+	}
+}
+
+// world checks what must hold after every directive.
+func (c *checker) world(w *world) {
+	c.lease(w)
+	for _, name := range slices.Sorted(maps.Keys(w.hosts)) {
+		if m := w.hosts[name]; m.up {
+			c.machine(w, m)
+		}
+	}
+}
+
+// lease checks that one decider at a time believes that it decides, and that
+// numbers grow with each change of holder.
+func (c *checker) lease(w *world) {
+	var who []string
+	for _, name := range slices.Sorted(maps.Keys(w.deciders)) {
+		d := w.deciders[name]
+		f, ok := d.lease.Decides(d.now())
+		if !ok {
+			continue
+		}
+		who = append(who, name)
+		if f == d.believed {
+			continue
+		}
+		d.believed = f
+		if f <= c.top {
+			c.fail("fence: %s decides under %d after %d", name, f, c.top)
+		}
+		c.top = f
+	}
+	if len(who) > 1 && !w.now.Before(c.unsure) {
+		c.fail("lease: %v both believe that they decide", who)
+	}
+}
+
+func (c *checker) machine(w *world, m *machine) {
+	for a, held := range m.engine.held() {
+		if held > m.engine.capacity[a] {
+			c.fail("memory: accelerator %d of %s holds %s of %s", a, m.host.Name, held, m.engine.capacity[a])
+		}
+	}
+	id := place.HostID{Host: m.host.Name, UID: m.host.UID}
+	for _, name := range slices.Sorted(maps.Keys(m.engine.items)) {
+		o := w.store.objects[key{core.KindGrant, string(name)}]
+		if _, ok := place.Held(o.grant, id); !ok {
+			c.fail("grant: %s has %s loaded without a grant", m.host.Name, name)
+		}
+		if base := m.engine.items[name].Base; base != "" {
+			if _, ok := m.engine.items[base]; !ok {
+				c.fail("base: %s has %s loaded without %s", m.host.Name, name, base)
+			}
+		}
+	}
+	if m.agent != nil {
+		c.agent(m)
+	}
+}
+
+func (c *checker) agent(m *machine) {
+	l := &m.agent.ledger
+	for a, p := range l.Promised() {
+		if p > l.Capacity()[a] {
+			c.fail("promise: %s promises %s of %s on accelerator %d", m.host.Name, p, l.Capacity()[a], a)
+		}
+	}
+	for _, it := range l.Items() {
+		if it.Users > 0 && m.engine.items[it.Name].State == core.Unloading {
+			c.fail("busy: %s unloads %s with requests in it", m.host.Name, it.Name)
+		}
+	}
+}
+
+// wrote checks each change of an object as it happens.
+func (w *world) wrote(by string, before, after object) {
+	switch after.kind {
+	case core.KindModel:
+		w.check.limits[after.version] = max(after.entry.Replicas, 1)
+	case core.KindOwner:
+		w.check.memory[core.OwnerName(after.name)] = max(w.check.memory[core.OwnerName(after.name)], after.owner)
+	case core.KindGrant:
+		if by != "operator" {
+			w.check.grant(w, by, before, after)
+		}
+	}
+}
+
+func (c *checker) grant(w *world, by string, before, after object) {
+	if after.deleted {
+		after.grant.Holders = nil
+	}
+	if !after.deleted && (after.grant.Fence < before.grant.Fence || after.grant.Entry < before.grant.Entry) {
+		c.fail("version back: %s wrote %s under fence %d, entry %d after %d, %d", by, after.name,
+			after.grant.Fence, after.grant.Entry, before.grant.Fence, before.grant.Entry)
+	}
+	for _, h := range before.grant.Holders {
+		id := place.HostID{Host: h.Host, UID: h.UID}
+		if _, kept := place.Held(after.grant, id); !kept || after.deleted {
+			c.removed(w, by, after.name, id)
+		}
+	}
+	if len(after.grant.Holders) > len(before.grant.Holders) {
+		c.added(w, by, after)
+	}
+}
+
+// removed checks that a holder left by its own hand, or because its host is gone.
+func (c *checker) removed(w *world, by, name string, id place.HostID) {
+	if by == string(id.Host) {
+		return
+	}
+	o, listed := w.store.objects[key{core.KindHost, string(id.Host)}]
+	if listed && o.host.UID == id.UID {
+		c.fail("proof: %s took %s from %s, which is listed", by, name, id.Host)
+	}
+}
+
+func (c *checker) added(w *world, by string, after object) {
+	if n, limit := len(after.grant.Holders), c.limits[after.grant.Entry]; n > limit {
+		c.fail("limit: %s made %d holders of %s, the limit is %d", by, n, after.name, limit)
+	}
+	limit := c.memory[after.grant.Owner]
+	sum := core.Bytes(0)
+	for k, o := range w.store.objects {
+		if k.kind == core.KindGrant && o.grant.Owner == after.grant.Owner {
+			sum += o.grant.Memory * core.Bytes(len(o.grant.Holders))
+		}
+	}
+	if limit > 0 && sum > limit {
+		c.fail("owner: %s made %s hold %s of %s", by, after.grant.Owner, sum, limit)
+	}
+}
--- /dev/null
+++ b/core/script/decider_test.go
@@ -0,0 +1,207 @@
+package script
+
+import (
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/lease"
+	"radishwell/core/place"
+)
+
+// budget is small, so that rounds end in the middle of a change.
+const budget = 3
+
+// decider is an entry that contends for the lease and, holding it, decides.
+type decider struct {
+	proc
+	w       *world
+	lease   lease.Lease
+	planner place.Planner
+	// listed is the fencing number under which everything was listed.
+	listed  core.Fence
+	listing bool
+	asking  map[place.HostID]bool
+	// seen are the versions of hosts and owners, which a replica keeps.
+	seen map[key]core.Version
+	// believed is the largest number it decided under, for the checks.
+	believed core.Fence
+}
+
+func (w *world) startDecider(name string, rate float64) {
+	d := &decider{w: w, asking: map[place.HostID]bool{}, seen: map[key]core.Version{}}
+	w.uids++
+	d.proc = proc{name: name, rate: rate, step: d.step, take: d.take}
+	d.lease = lease.Lease{Host: core.HostName(name), Incarnation: core.Incarnation(w.uids)}
+	w.deciders[name] = d
+}
+
+func (d *decider) now() time.Time { return d.w.clock(&d.proc) }
+
+func (d *decider) step() {
+	d.contend()
+	fence, ok := d.lease.Decides(d.now())
+	if !ok {
+		return
+	}
+	if d.listed != fence {
+		d.list(fence)
+		return
+	}
+	for _, id := range d.planner.Unproven() {
+		d.lookUp(id)
+	}
+	if d.w.faults["move-on-timeout"] {
+		d.presumeGone()
+	}
+	for _, wr := range d.planner.Round(d.now(), fence, budget) {
+		d.write(wr)
+	}
+}
+
+func (d *decider) contend() {
+	a, _ := d.lease.Next(d.now())
+	if a.Call == lease.None {
+		return
+	}
+	k := key{core.KindLease, lease.Name}
+	do := func() result {
+		if a.Call == lease.Read {
+			return d.w.store.get(k)
+		}
+		return d.w.store.put(d.name, object{key: k, version: a.Object.Version, lease: a.Object})
+	}
+	done := func(r result) {
+		d.lease.Answer(d.now(), lease.Reply{Object: r.object.asLease(), Failed: r.failed, Fault: r.fault})
+	}
+	fail := func() { d.lease.Answer(d.now(), lease.Reply{Failed: true, Fault: core.Unknown}) }
+	call(d.w, &d.proc, nil, "lease", do, done, fail)
+}
+
+func (o object) asLease() core.Object {
+	l := o.lease
+	l.Version = o.version
+	l.Deleted = o.deleted
+	return l
+}
+
+func (d *decider) list(fence core.Fence) {
+	if d.listing {
+		return
+	}
+	d.listing = true
+	type listing struct {
+		objects []object
+		ok      bool
+	}
+	do := func() listing {
+		objects, ok := d.w.store.list()
+		return listing{objects, ok}
+	}
+	done := func(l listing) {
+		d.listing = false
+		if !l.ok {
+			return
+		}
+		for _, o := range l.objects {
+			d.take(o)
+		}
+		d.planner.Listed()
+		d.listed = fence
+	}
+	call(d.w, &d.proc, nil, "list", do, done, func() { d.listing = false })
+}
+
+func (d *decider) lookUp(id place.HostID) {
+	if d.asking[id] {
+		return
+	}
+	d.asking[id] = true
+	do := func() result { return d.w.store.get(key{core.KindHost, string(id.Host)}) }
+	done := func(r result) {
+		delete(d.asking, id)
+		switch {
+		case !r.failed && r.object.host.UID == id.UID:
+			d.take(r.object)
+		case !r.failed || r.fault == core.NotFound:
+			d.planner.Gone(id)
+		}
+	}
+	call(d.w, &d.proc, nil, "host", do, done, func() { delete(d.asking, id) })
+}
+
+// presumeGone is a deliberate fault: a dead agent is taken for a host gone.
+func (d *decider) presumeGone() {
+	for _, m := range d.w.hosts {
+		if m.agent == nil || m.agent.paused {
+			d.planner.Gone(place.HostID{Host: m.host.Name, UID: m.host.UID})
+		}
+	}
+}
+
+func (d *decider) write(wr place.Write) {
+	k := key{core.KindGrant, string(wr.Name)}
+	do := func() result {
+		return d.w.store.put(d.name, object{key: k, version: wr.Version, grant: wr.Spec, deleted: wr.Delete})
+	}
+	done := func(r result) {
+		if !r.failed {
+			d.take(r.object)
+		}
+		d.planner.Answered(wr, outcome(r))
+	}
+	call(d.w, &d.proc, nil, "grant", do, done, func() { d.planner.Answered(wr, place.Unsure) })
+}
+
+func outcome(r result) place.Outcome {
+	switch {
+	case !r.failed:
+		return place.Applied
+	case r.fault == core.Unavailable:
+		return place.Refused
+	}
+	return place.Overtaken
+}
+
+// take gets an object from a list, a watch or a peer; it may be an old one.
+func (d *decider) take(o object) {
+	name := core.ModelName(o.name)
+	if o.kind == core.KindHost || o.kind == core.KindOwner {
+		if d.seen[o.key] >= o.version {
+			return
+		}
+		d.seen[o.key] = o.version
+	}
+	switch o.kind {
+	case core.KindLease:
+		if o.version != 0 {
+			d.lease.Seen(d.now(), o.asLease())
+		}
+	case core.KindGrant:
+		d.lease.Observe(o.grant.Fence)
+		if o.deleted {
+			d.planner.DropGrant(name, o.version)
+			return
+		}
+		d.planner.SetGrant(name, o.grant, o.version)
+	case core.KindModel:
+		if o.deleted {
+			d.planner.DropEntry(name, o.version)
+			return
+		}
+		e := o.entry
+		e.Version = o.version
+		d.planner.SetEntry(e)
+	case core.KindOwner:
+		limit := o.owner
+		if d.w.faults["owner-limit"] {
+			limit *= 2
+		}
+		d.planner.SetOwner(core.OwnerName(o.name), limit)
+	case core.KindHost:
+		if o.deleted {
+			d.planner.Gone(place.HostID{Host: o.host.Name, UID: o.host.UID})
+			return
+		}
+		d.planner.SetHost(o.host)
+	}
+}
--- /dev/null
+++ b/core/script/engine_test.go
@@ -0,0 +1,117 @@
+package script
+
+import (
+	"maps"
+	"slices"
+
+	"radishwell/core"
+	"radishwell/core/ledger"
+)
+
+// engine is a fake model engine. It takes every load without looking at its
+// memory, so that a promise too much shows.
+type engine struct {
+	epoch    uint64
+	fence    core.Fence
+	checks   bool
+	mute     bool
+	hangs    bool
+	capacity []core.Bytes
+	items    map[core.ModelName]core.EngineItem
+}
+
+func (e *engine) restart() {
+	e.epoch++
+	e.fence = 0
+	e.items = map[core.ModelName]core.EngineItem{}
+}
+
+func fault(f core.EngineFault) ledger.Reply { return ledger.Reply{Failed: true, Fault: f} }
+
+func (e *engine) order(o ledger.Order) ledger.Reply {
+	fence := o.Load.Fence
+	if o.Kind == ledger.UnloadItem {
+		fence = o.Unload.Fence
+	}
+	if e.checks && fence < e.fence {
+		return fault(core.EngineStale)
+	}
+	if !e.mute {
+		e.fence = max(e.fence, fence)
+	}
+	if o.Kind == ledger.UnloadItem {
+		return e.unload(o.Unload)
+	}
+	return e.load(o.Load)
+}
+
+func (e *engine) load(o core.LoadOrder) ledger.Reply {
+	if it, ok := e.items[o.Name]; ok {
+		if it.State == core.Unloading {
+			return fault(core.EngineRejected)
+		}
+		return ledger.Reply{}
+	}
+	if o.Base != "" && e.items[o.Base].State != core.Loaded {
+		return fault(core.EngineRejected)
+	}
+	e.items[o.Name] = core.EngineItem{
+		Name: o.Name, Base: o.Base, State: core.Loading, Fence: o.Fence,
+		Accelerators: o.Accelerators, Bytes: o.Bytes,
+	}
+	return ledger.Reply{}
+}
+
+func (e *engine) unload(o core.UnloadOrder) ledger.Reply {
+	it, ok := e.items[o.Name]
+	if !ok {
+		return ledger.Reply{}
+	}
+	for _, a := range e.items {
+		if a.Base == o.Name {
+			return fault(core.EngineRejected)
+		}
+	}
+	it.State = core.Unloading
+	e.items[o.Name] = it
+	return ledger.Reply{}
+}
+
+// work finishes the load or unload of the n-th item that has one under way.
+func (e *engine) work(n int) {
+	var busy []core.ModelName
+	for _, name := range slices.Sorted(maps.Keys(e.items)) {
+		if e.items[name].State != core.Loaded {
+			busy = append(busy, name)
+		}
+	}
+	if len(busy) == 0 || e.hangs {
+		return
+	}
+	it := e.items[busy[n%len(busy)]]
+	if it.State == core.Unloading {
+		delete(e.items, it.Name)
+		return
+	}
+	it.State = core.Loaded
+	e.items[it.Name] = it
+}
+
+func (e *engine) state() core.EngineState {
+	st := core.EngineState{Epoch: e.epoch, Fence: e.fence, Capacity: slices.Clone(e.capacity)}
+	for _, name := range slices.Sorted(maps.Keys(e.items)) {
+		st.Items = append(st.Items, e.items[name])
+	}
+	return st
+}
+
+// held returns the bytes that the engine really has on each accelerator.
+func (e *engine) held() []core.Bytes {
+	sum := make([]core.Bytes, len(e.capacity))
+	for _, it := range e.items {
+		for _, a := range it.Accelerators {
+			sum[a] += it.Bytes
+		}
+	}
+	return sum
+}
