Play the fault table and random schedules of keyed requests

Cause: the claim scheme had no proof. The schedules found that a refusal said 'not run' of a key that had run: when a claim was won after the deadline, when a sealed attempt arrived after it, and when an attempt turned out sealed by somebody else. All three now say 'may have run' or follow the later attempt. A group cut short by the end of a segment no longer waits an interval.

--- a/core/claims/call.go
+++ b/core/claims/call.go
@@ -132,6 +132,9 @@
 		c.claim, c.mine, c.met = a.Holder, true, false
 		return Step{Kind: StepHandOver, Claim: c.claim}
 	case a.Result == Won:
+		// The answer may have taken long enough for others to seal this attempt
+		// and run the next, so this is a claim met rather than one won.
+		c.met = true
 		return c.refuse(core.Refuse(core.CodeDeadline, "the deadline passed while the key was recorded"))
 	case a.Holder.Fingerprint != c.Fingerprint:
 		return Step{Kind: StepRefuse, Refusal: core.Refuse(core.CodeKeyReused, "the idempotency key was used with another request")}
@@ -169,6 +172,8 @@
 func (c *Call) Asked(now time.Time, s Standing) Step {
 	switch {
 	case s.Reached && s.State == dedupe.Sealed:
+		// It may have been somebody else who sealed it, earlier.
+		c.met = true
 		return c.next(now, nil)
 	case s.Reached && s.State == dedupe.Lost:
 		return c.refuse(mayHaveRun("the request with this key ran or may have run, and its answer is lost"))
--- a/core/claims/claim.go
+++ b/core/claims/claim.go
@@ -63,15 +63,15 @@
 // Result is the answer to a claim.
 type Result uint8
 
-// Results of claims.
+// Results of claims. The zero value grants nothing.
 const (
+	// Unsure: the platform could not be reached in time. The claim may or may
+	// not be recorded; the claimant must not hand its attempt over.
+	Unsure Result = iota
 	// Won: the claim is durable and the claimant may hand its attempt over.
-	Won Result = iota
+	Won
 	// Held: another claim is the key's latest; nothing was recorded.
 	Held
-	// Unsure: the platform could not be reached in time. The claim may or may
-	// not be recorded; the claimant must not hand its attempt over.
-	Unsure
 )
 
 // Answer is the answer to one Ask.
--- /dev/null
+++ b/core/claims/faults_test.go
@@ -0,0 +1,124 @@
+package claims
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+)
+
+// faultRow is one row of the table in docs/design/at-most-once.md: a caller
+// sends a request through entry 0 and again through entry 1.
+type faultRow struct {
+	// faults are "step: fault", each struck once, at the first chance.
+	faults string
+	// second is when the caller sends again.
+	second time.Duration
+	// first and again are what the two sendings are told.
+	first, again string
+	runs         int
+}
+
+var faultTable = []faultRow{
+	{"", 0, "done", "done", 1},
+	{"", 3 * time.Second, "done", "done", 1},
+	{"claim: ask-lost", 5 * time.Second, "done", "done", 1},
+	{"claim: answer-lost", 5 * time.Second, "done", "done", 1},
+	{"read: unavailable", time.Second, "done", "done", 1},
+	{"read: lost-after", time.Second, "done", "done", 1},
+	{"append: unavailable", time.Second, "done", "done", 1},
+	{"append: lost-before", 0, "done", "done", 1},
+	{"append: lost-after", 0, "done", "done", 1},
+	{"append: late", 0, "done", "done", 1},
+	{"hand-over: lost", time.Second, "done", "done", 1},
+	{"hand-over: late", 0, "done", "done", 1},
+	{"hand-over: entry-dies", time.Second, "entry lost", "done", 1},
+	{"hand-over: entry-pauses", time.Second, "done", "done", 1},
+	{"hand-over: agent-restarts", time.Second, "done", "done", 1},
+	{"hand-over: host-gone", time.Second, "may-have-run answer-lost", "may-have-run answer-lost", 0},
+	{"queue: refused", time.Second, "not-run queue-full", "done", 1},
+	{"run: engine-dies", time.Second, "may-have-run upstream-lost", "may-have-run upstream-lost", 1},
+	{"run: agent-restarts", time.Second, "may-have-run answer-lost", "may-have-run answer-lost", 1},
+	{"answer: lost", time.Second, "done", "done", 1},
+	{"answer: lost, attach: lost", time.Second, "done", "done", 1},
+	{"answer: lost, attach: agent-restarts", time.Second, "may-have-run answer-lost", "may-have-run answer-lost", 1},
+	{"answer: lost, ask: entry-dies", time.Second, "entry lost", "done", 1},
+	{"hand-over: lost, ask: lost", time.Second, "done", "done", 1},
+	{"hand-over: lost, ask: late", time.Second, "done", "done", 1},
+	{"hand-over: lost, ask: entry-pauses", time.Second, "done", "done", 1},
+	{"hand-over: lost, ask: agent-restarts", time.Second, "may-have-run answer-lost", "may-have-run answer-lost", 0},
+	{"hand-over: late, ask: host-gone", time.Second, "may-have-run answer-lost", "may-have-run answer-lost", 0},
+	{"hand-over: entry-dies, ask: entry-dies", time.Second, "entry lost", "entry lost", 0},
+}
+
+func TestFaultTable(t *testing.T) {
+	for _, row := range faultTable {
+		t.Run(row.faults+" again after "+row.second.String(), func(t *testing.T) {
+			w := newWorld(3, 2, 2)
+			w.fault = strikeOnce(row.faults)
+			first := w.send("first", "key0", 7, 0, 10*time.Second)
+			w.runUntil(start.Add(row.second))
+			again := w.send("again", "key0", 7, 1, 10*time.Second)
+			w.runUntil(start.Add(30 * time.Second))
+			w.check()
+			assert.DeepEqual(t, w.wrong, []string(nil))
+			assert.Equal(t, told(first), row.first, strings.Join(w.log, "\n"))
+			assert.Equal(t, told(again), row.again, strings.Join(w.log, "\n"))
+			assert.Equal(t, len(w.runs), row.runs)
+		})
+	}
+}
+
+// strikeOnce strikes each of the faults at the first step of its kind.
+func strikeOnce(faults string) func(string) string {
+	todo := make(map[string]string)
+	for _, f := range strings.Split(faults, ", ") {
+		step, fault, _ := strings.Cut(f, ": ")
+		todo[step] = fault
+	}
+	return func(step string) string {
+		f := todo[step]
+		delete(todo, step)
+		return f
+	}
+}
+
+func told(s *send) string {
+	if s.refusal == nil || s.lost {
+		return s.outcome()
+	}
+	return s.outcome() + " " + string(s.refusal.Code)
+}
+
+// A caller repeats a posting while the platform is down. Through the entry that
+// knows the claim it gets the kept answer; through one that doesn't, or with a
+// new key, it is refused before anything runs, with a time to try again.
+func TestPlatformDown(t *testing.T) {
+	w := newWorld(1, 2, 2)
+	w.fault = strikeOnce("")
+	w.send("before", "key0", 7, 0, 5*time.Second)
+	w.runUntil(start.Add(5 * time.Second))
+	w.down = true
+	sends := map[string]*send{
+		"done":                           w.send("knows", "key0", 7, 0, 5*time.Second),
+		"not-run claim-unavailable":      w.send("doesn't know", "key0", 7, 1, 5*time.Second),
+		"not-run claim-unavailable, too": w.send("new key", "key1", 7, 0, 5*time.Second),
+		"not-run key-reused":             w.send("other body", "key0", 8, 0, 5*time.Second),
+	}
+	w.runUntil(start.Add(12 * time.Second))
+	for want, s := range sends {
+		assert.Equal(t, told(s), strings.TrimSuffix(want, ", too"))
+		if s.refusal != nil && s.refusal.Code == core.CodeClaimUnknown {
+			assert.Assert(t, s.refusal.RetryAt.After(start))
+		}
+	}
+	w.down = false
+	after := w.send("after", "key1", 7, 0, 5*time.Second)
+	w.runUntil(start.Add(20 * time.Second))
+	assert.Equal(t, told(after), "done")
+	w.check()
+	assert.DeepEqual(t, w.wrong, []string(nil))
+}
--- /dev/null
+++ b/core/claims/journal_test.go
@@ -0,0 +1,212 @@
+package claims
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/dedupe"
+)
+
+// bench of a single journal whose platform answers at once.
+type direct struct {
+	j       *Journal
+	objects map[string]core.Object
+	version core.Version
+	bytes   int64
+	answers map[uint64]Answer
+	token   uint64
+}
+
+func newDirect(j *Journal) *direct {
+	return &direct{j: j, objects: make(map[string]core.Object), answers: make(map[uint64]Answer)}
+}
+
+func (d *direct) ask(now time.Time, c Claim) uint64 {
+	d.token++
+	d.carry(now, d.j.Ask(now, Ask{Token: d.token, Claim: c, GiveUp: now.Add(2 * time.Second)}))
+	return d.token
+}
+
+func (d *direct) carry(now time.Time, out Effects) {
+	for _, a := range out.Answers {
+		d.answers[a.Token] = a
+	}
+	for _, name := range out.Reads {
+		o, ok := d.objects[name]
+		d.carry(now, d.j.Read(now, Reply{Name: name, Object: o, OK: ok, Fault: core.NotFound}))
+	}
+	if out.Write != nil {
+		d.carry(now, d.j.Wrote(now, d.apply(out.Write.Object)))
+	}
+}
+
+func (d *direct) apply(o core.Object) Reply {
+	if d.objects[o.Name].Version != o.Version {
+		return Reply{Name: o.Name, Fault: core.Conflict}
+	}
+	d.version++
+	d.bytes += int64(len(o.Spec))
+	o.Version = d.version
+	d.objects[o.Name] = o
+	return Reply{Name: o.Name, Object: o, OK: true}
+}
+
+func (d *direct) tick(now time.Time) { d.carry(now, d.j.Tick(now)) }
+
+func claimOf(key int, attempt uint64, claimant uint64, now time.Time) Claim {
+	return Claim{
+		ID: dedupe.KeyOf("owner", fmt.Sprint(key)), Fingerprint: 7, Host: core.HostName(fmt.Sprintf("agent-%d", key%9)),
+		Incarnation: 1, Claimant: claimant, Attempt: attempt, Expires: ExpiryOf(now, time.Hour),
+	}
+}
+
+func small() *Journal { return &Journal{Slots: 4, SegmentBytes: 600, MaxWaiting: 100} }
+
+func TestAttemptsFollowEachOther(t *testing.T) {
+	now := start
+	d := newDirect(small())
+	step := func(attempt, claimant uint64, body core.Fingerprint, want Result, holder uint64) {
+		t.Helper()
+		now = now.Add(time.Second)
+		c := claimOf(1, attempt, claimant, start)
+		c.Fingerprint = body
+		a := d.answers[d.ask(now, c)]
+		assert.Equal(t, a.Result, want)
+		assert.Equal(t, a.Holder.Claimant, holder)
+	}
+	step(1, 10, 7, Won, 10)
+	step(1, 11, 7, Held, 10)
+	step(1, 10, 7, Won, 10) // the same claimant asks again: its answer was lost
+	step(3, 11, 7, Held, 10)
+	step(2, 11, 8, Held, 10) // another body doesn't continue a key
+	step(2, 11, 7, Won, 11)
+	step(2, 12, 7, Held, 11)
+}
+
+// Two entries both believe that a journal is theirs and claim the same attempt.
+// One of them has to lose, whichever was in charge.
+func TestTwoWritersOneWinner(t *testing.T) {
+	a, b := newDirect(small()), newDirect(small())
+	a.j.Slots, b.j.Slots = 16, 16
+	b.objects = a.objects
+	for key := range 40 {
+		now := start.Add(time.Duration(key) * time.Second)
+		first, second := a, b
+		if key%3 == 0 {
+			first, second = b, a
+		}
+		b.version = max(a.version, b.version)
+		a.version = b.version
+		won := first.answers[first.ask(now, claimOf(key%4, uint64(1+key/4), 1, start))]
+		b.version = max(a.version, b.version)
+		a.version = b.version
+		second.ask(now, claimOf(key%4, uint64(1+key/4), 2, start))
+		second.tick(now.Add(GroupInterval))
+		lost := second.answers[second.token]
+		assert.Equal(t, won.Result, Won)
+		assert.Equal(t, lost.Result, Held)
+		assert.Equal(t, lost.Holder.Claimant, uint64(1))
+	}
+}
+
+// A ring whose oldest claims have not aged out must not be overwritten: their
+// requests could run twice. Claims are refused until the oldest age out.
+func TestFullRingRefusesUntilClaimsAgeOut(t *testing.T) {
+	d := newDirect(small())
+	now := start
+	last := Answer{Result: Won}
+	key := 0
+	for ; last.Result != Unsure; key++ {
+		now = now.Add(100 * time.Millisecond)
+		last = d.answers[d.ask(now, claimOf(key, 1, 1, start))]
+		assert.Assert(t, key < 200)
+	}
+	assert.Equal(t, last.RetryAt, claimOf(0, 1, 1, start).Expires)
+	assert.Equal(t, d.j.Keys(), key-1)
+	now = last.RetryAt
+	a := d.answers[d.ask(now, claimOf(0, 1, 9, now))]
+	assert.Equal(t, a.Result, Won)
+	assert.Equal(t, a.Holder.Claimant, uint64(9))
+	assert.Equal(t, d.j.Keys(), 1) // the aged-out claims are forgotten
+}
+
+// An entry takes a journal over and reads it while it turns. It must know every
+// claim that its predecessor recorded.
+func TestReadWholeJournal(t *testing.T) {
+	d := newDirect(small())
+	d.j.Slots = 8
+	now := start
+	for key := range 300 {
+		now = now.Add(100 * time.Millisecond)
+		c := claimOf(key, 1, 1, now)
+		c.Expires = ExpiryOf(now, 2*time.Second)
+		assert.Equal(t, d.answers[d.ask(now, c)].Result, Won)
+	}
+	next := newDirect(small())
+	next.j.Slots = 8
+	next.objects, next.version = d.objects, d.version
+	next.carry(now, next.j.Warm(now))
+	for key := 285; key < 300; key++ {
+		c, ok := next.j.Latest(now, dedupe.KeyOf("owner", fmt.Sprint(key)))
+		assert.Assert(t, ok, key)
+		assert.Equal(t, c.Host, core.HostName(fmt.Sprintf("agent-%d", key%9)))
+	}
+}
+
+// An operator deletes a segment by hand. Claims are missing, so nothing may be
+// granted; without the check, their requests would run again.
+func TestMissingSegmentStopsJournal(t *testing.T) {
+	d := newDirect(small())
+	now := start
+	for key := range 25 {
+		now = now.Add(100 * time.Millisecond)
+		d.ask(now, claimOf(key, 1, 1, start))
+	}
+	delete(d.objects, SlotName(0, 2))
+	next := newDirect(small())
+	next.objects, next.version = d.objects, d.version
+	token := next.ask(now, claimOf(99, 1, 1, start))
+	for range 40 {
+		now = now.Add(100 * time.Millisecond)
+		next.tick(now)
+	}
+	assert.Equal(t, next.answers[token].Result, Unsure)
+}
+
+func TestRankMovesOnlyTheLeaversJournals(t *testing.T) {
+	all := []core.HostName{"entry-a", "entry-b", "entry-c", "entry-d"}
+	led := make(map[core.HostName]int)
+	for j := range 200 {
+		ranked := Rank(j, all)
+		led[ranked[0]]++
+		rest := Rank(j, all[1:])
+		if ranked[0] != "entry-a" {
+			assert.Equal(t, rest[0], ranked[0])
+		}
+	}
+	for _, h := range all {
+		assert.Assert(t, led[h] > 25, "%s leads %d of 200", h, led[h])
+	}
+}
+
+func FuzzDecodeSegment(f *testing.F) {
+	s := segment{Number: 3, Closed: true}
+	s.add(claimOf(1, 1, 1, start))
+	f.Add(s.encode())
+	f.Add([]byte(`{"number":1,"agents":[],"claims":"AAAA"}`))
+	f.Fuzz(func(t *testing.T, spec []byte) {
+		s, err := decodeSegment("x", spec)
+		if err != nil {
+			return
+		}
+		again, err := decodeSegment("x", s.encode())
+		assert.NilError(t, err)
+		for i := range s.count() {
+			assert.DeepEqual(t, again.claim(i), s.claim(i))
+		}
+	})
+}
--- /dev/null
+++ b/core/claims/model_test.go
@@ -0,0 +1,307 @@
+package claims
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/dedupe"
+)
+
+// world is a small model of entries, agents and the platform with fake time.
+// Everything that could go wrong between them is drawn from rng, or, where
+// fault is set, said by it.
+type world struct {
+	rng    *rand.Rand
+	now    time.Time
+	queue  eventHeap
+	seq    int
+	broken variant
+	// chance is the probability of each fault at each step.
+	chance float64
+	// fault returns the fault of a step; nil draws it.
+	fault func(step string) string
+
+	objects map[string]core.Object
+	version core.Version
+	down    bool
+	entries []*entryNode
+	agents  []*agentNode
+	sends   []*send
+	runs    []run
+	wrong   []string
+	log     []string
+}
+
+// tell adds a line to the schedule's log.
+func (w *world) tell(format string, args ...any) {
+	w.log = append(w.log, w.now.Format("05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// variant switches off one guard, to show that the checks notice.
+type variant struct {
+	noSeal, noIncarnation, noVersions, trustUnsure, forgetsRefused, earlyExpiry bool
+}
+
+type node struct {
+	epoch  int
+	paused time.Time
+}
+
+type entryNode struct {
+	node
+	id      int
+	journal *Journal
+	asks    map[uint64]func(Answer)
+	tick    time.Time
+}
+
+type agentNode struct {
+	node
+	host    core.HostName
+	table   *dedupe.Table
+	gone    bool
+	readers []*reader
+}
+
+type reader struct {
+	send  *send
+	claim Claim
+	reply func(Ending, *core.Refusal, string)
+	buf   []byte
+}
+
+// send is one sending of a request by a caller.
+type send struct {
+	name     string
+	key      string
+	entry    *entryNode
+	call     *Call
+	steps    int
+	over     bool
+	lost     bool // its entry died
+	refusal  *core.Refusal
+	answer   string
+	runsThen int // runs of the key when the refusal was made, at the agent or entry
+}
+
+type run struct {
+	key      dedupe.KeyID
+	claimant uint64
+	attempt  uint64
+	answer   string
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+var start = time.Date(2026, 3, 1, 20, 0, 0, 0, time.UTC)
+
+func newWorld(seed uint64, entries, agents int) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), now: start, objects: make(map[string]core.Object)}
+	for i := range entries {
+		e := &entryNode{id: i}
+		w.entries = append(w.entries, e)
+		w.bootEntry(e)
+	}
+	for i := range agents {
+		a := &agentNode{host: core.HostName(fmt.Sprintf("agent-%d", i))}
+		w.agents = append(w.agents, a)
+		w.bootAgent(a)
+	}
+	return w
+}
+
+func (w *world) bootEntry(e *entryNode) {
+	e.epoch++
+	e.tick = time.Time{}
+	e.asks = make(map[uint64]func(Answer))
+	e.journal = &Journal{Slots: 6, SegmentBytes: 340, MaxWaiting: 100}
+	for _, s := range w.sends {
+		if s.entry == e && !s.over {
+			s.over, s.lost = true, true
+		}
+	}
+}
+
+func (w *world) bootAgent(a *agentNode) {
+	a.epoch++
+	inc := core.Incarnation(a.epoch)
+	if w.broken.noIncarnation {
+		inc = 1
+	}
+	a.table = &dedupe.Table{Incarnation: inc, MaxBytes: 200, MaxRecords: 100}
+	for _, r := range a.readers {
+		w.after(w.latency(), func() { r.reply(EndLost, nil, "") })
+	}
+	a.readers = nil
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now.Add(d), w.seq, do})
+}
+
+// at delivers to a node, unless it has died since, after its pause.
+func (w *world) at(n *node, d time.Duration, do, lost func()) {
+	epoch := n.epoch
+	w.after(d, func() {
+		switch {
+		case n.epoch != epoch:
+			if lost != nil {
+				lost()
+			}
+		case w.now.Before(n.paused):
+			w.at(n, n.paused.Sub(w.now), do, lost)
+		default:
+			do()
+		}
+	})
+}
+
+func (w *world) latency() time.Duration {
+	if w.fault == nil && w.rng.IntN(20) == 0 {
+		return time.Duration(w.rng.Int64N(int64(4 * time.Second)))
+	}
+	return time.Duration(w.rng.Int64N(int64(5 * time.Millisecond)))
+}
+
+// pick returns the fault at a step: one of those named, or "".
+func (w *world) pick(step string, faults ...string) string {
+	if w.fault != nil {
+		f := w.fault(step)
+		if slices.Contains(faults, f) {
+			return f
+		}
+		return ""
+	}
+	if w.rng.Float64() >= w.chance {
+		return ""
+	}
+	return faults[w.rng.IntN(len(faults))]
+}
+
+func (w *world) runUntil(end time.Time) {
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+// apply carries out what a journal asks for.
+func (w *world) apply(e *entryNode, out Effects) {
+	for _, name := range out.Reads {
+		w.platform(e, "read", name, nil, e.journal.Read)
+	}
+	if out.Write != nil {
+		w.platform(e, "append", out.Write.Object.Name, out.Write, e.journal.Wrote)
+	}
+	for _, a := range out.Answers {
+		// An answer before this one may have led to the entry's death.
+		if answered := e.asks[a.Token]; answered != nil {
+			delete(e.asks, a.Token)
+			answered(a)
+		}
+	}
+	if next := e.journal.Next(); !next.IsZero() && (e.tick.IsZero() || next.Before(e.tick)) {
+		e.tick = next
+		w.at(&e.node, max(0, next.Sub(w.now)), func() {
+			e.tick = time.Time{}
+			w.apply(e, e.journal.Tick(w.now))
+		}, nil)
+	}
+}
+
+func (w *world) platform(e *entryNode, step, name string, write *Write, done func(time.Time, Reply) Effects) {
+	answer := func(d time.Duration, r Reply) {
+		w.at(&e.node, d, func() { w.apply(e, done(w.now, r)) }, nil)
+	}
+	unknown := Reply{Name: name, Fault: core.Unknown}
+	w.after(w.latency(), func() {
+		switch w.pick(step, "unavailable", "lost-before", "lost-after", "late") {
+		case "unavailable":
+			answer(w.latency(), Reply{Name: name, Fault: core.Unavailable})
+		case "lost-before":
+			answer(time.Second, unknown)
+		case "lost-after":
+			w.change(name, write)
+			answer(time.Second, unknown)
+		case "late":
+			w.after(time.Duration(w.rng.Int64N(int64(3*time.Second))), func() { w.change(name, write) })
+			answer(time.Second, unknown)
+		default:
+			answer(w.latency(), w.change(name, write))
+		}
+	})
+}
+
+// change reads an object or changes it on its condition.
+func (w *world) change(name string, write *Write) Reply {
+	have, ok := w.objects[name]
+	switch {
+	case w.down:
+		return Reply{Name: name, Fault: core.Unavailable}
+	case write == nil && !ok:
+		return Reply{Name: name, Fault: core.NotFound}
+	case write == nil:
+		return Reply{Name: name, Object: have, OK: true}
+	case write.Create && ok && !w.broken.noVersions:
+		return Reply{Name: name, Fault: core.Exists}
+	case !write.Create && have.Version != write.Object.Version && !w.broken.noVersions:
+		return Reply{Name: name, Fault: core.Conflict}
+	}
+	w.version++
+	o := write.Object
+	o.Version = w.version
+	w.objects[name] = o
+	return Reply{Name: name, Object: o, OK: true}
+}
+
+// send has a caller send a request with a key at an entry.
+func (w *world) send(name, key string, body core.Fingerprint, at int, patience time.Duration) *send {
+	deadline := w.now.Add(patience)
+	s := &send{name: name, key: key, entry: w.entries[at]}
+	s.call = &Call{
+		ID: dedupe.KeyOf("owner", key), Fingerprint: body, Claimant: w.rng.Uint64(),
+		Deadline: deadline, Expires: ExpiryOf(deadline, 10*time.Minute),
+	}
+	if w.broken.earlyExpiry {
+		s.call.Expires = ExpiryOf(w.now, 0)
+	}
+	w.sends = append(w.sends, s)
+	w.do(s, s.call.Start(w.now))
+	return s
+}
+
+// expectations of a run, for checks.
+func (w *world) runsOf(id dedupe.KeyID) []run {
+	var out []run
+	for _, r := range w.runs {
+		if r.key == id {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/claims/rate_test.go
@@ -0,0 +1,122 @@
+package claims
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/dedupe"
+)
+
+// load drives journals at a rate of claims for a time and reports what the
+// platform is asked.
+func load(journals int, interval time.Duration, segment core.Bytes, rate, seconds, agents int) (writes, bytes float64, worst time.Duration) {
+	all := make([]*direct, journals)
+	asked := make(map[uint64]time.Time)
+	for i := range all {
+		all[i] = newDirect(&Journal{Number: i, Slots: 256, SegmentBytes: segment, MaxWaiting: 100_000, interval: interval})
+		all[i].token = uint64(i) << 32
+	}
+	due := make([]time.Time, journals)
+	claim := 0
+	for now := start; now.Before(start.Add(time.Duration(seconds) * time.Second)); now = now.Add(time.Millisecond) {
+		for until := int(now.Sub(start).Seconds() * float64(rate)); claim < until; claim++ {
+			c := claimOf(claim, 1, uint64(claim), now)
+			c.Host = core.HostName(fmt.Sprintf("upstream-%04d", claim%agents))
+			d := all[JournalOf(c.ID, journals)]
+			asked[d.token+1] = now
+			d.ask(now, c)
+		}
+		for i, d := range all {
+			if !now.Before(due[i]) {
+				d.tick(now)
+				due[i] = d.j.Next()
+			}
+			for token := range d.answers {
+				worst = max(worst, now.Sub(asked[token]))
+				delete(d.answers, token)
+			}
+		}
+	}
+	for _, d := range all {
+		writes += float64(d.j.Counts().Writes) / float64(seconds)
+		bytes += float64(d.bytes) / float64(seconds)
+	}
+	return writes, bytes, worst
+}
+
+// Keyed requests arrive at 500 and then at 5,400 a second. Written one by one
+// they would take that many writes; the platform takes several hundred.
+func TestWritesDontGrowWithClaims(t *testing.T) {
+	for _, rate := range []int{50, 500, 5400} {
+		writes, bytes, worst := load(4, GroupInterval, 128*core.KiB, rate, 2, 18)
+		t.Logf("%d claims/s: %.0f writes/s, %.0f KiB/s, longest wait %v", rate, writes, bytes/1024, worst)
+		const perSegment = 1500 // claims at least, in 128 KiB
+		assert.Assert(t, writes <= 4*float64(time.Second/GroupInterval)+float64(rate)/perSegment+1)
+		assert.Assert(t, worst <= GroupInterval+time.Millisecond)
+	}
+}
+
+func BenchmarkWrites(b *testing.B) {
+	for _, journals := range []int{2, 4, 8} {
+		for _, interval := range []time.Duration{20 * time.Millisecond, GroupInterval, 100 * time.Millisecond} {
+			for _, segment := range []core.Bytes{64 * core.KiB, 128 * core.KiB, 512 * core.KiB} {
+				for _, rate := range []int{500, 5400} {
+					name := fmt.Sprintf("journals=%d/interval=%v/segment=%v/claims=%d", journals, interval, segment, rate)
+					b.Run(name, func(b *testing.B) {
+						for b.Loop() {
+							writes, bytes, worst := load(journals, interval, segment, rate, 20, 18)
+							b.ReportMetric(writes, "writes/s")
+							b.ReportMetric(bytes/1024, "KiB/s")
+							b.ReportMetric(float64(worst.Milliseconds()), "ms-wait")
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// BenchmarkClaim measures an entry's own cost of a claim, groups of 25.
+func BenchmarkClaim(b *testing.B) {
+	d := newDirect(&Journal{Slots: 256, SegmentBytes: 128 * core.KiB, MaxWaiting: 1000})
+	now := start
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		c := claimOf(i, 1, 1, now)
+		c.Expires = ExpiryOf(now, time.Minute)
+		d.ask(now, c)
+		if i%25 == 0 {
+			now = now.Add(GroupInterval)
+			d.tick(now)
+		}
+		clear(d.answers)
+	}
+}
+
+// BenchmarkKeys measures the memory that a remembered key takes at an entry.
+func BenchmarkKeys(b *testing.B) {
+	for b.Loop() {
+		var x index
+		before := heapInUse()
+		const keys = 500_000
+		for i := range keys {
+			c := claimOf(0, 1, uint64(i), start)
+			c.ID = dedupe.KeyOf("owner", fmt.Sprint(i))
+			x.apply(c, 1)
+		}
+		b.ReportMetric(float64(heapInUse()-before)/keys, "B/key")
+		runtime.KeepAlive(&x)
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- /dev/null
+++ b/core/claims/steps_test.go
@@ -0,0 +1,270 @@
+package claims
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/dedupe"
+)
+
+// do carries out the next step of a call, as an entry would.
+func (w *world) do(s *send, step Step) {
+	if s.over {
+		return
+	}
+	s.steps++
+	w.tell("send %s %s entry %d: %s", s.name, s.key, s.entry.id, step.text())
+	switch step.Kind {
+	case StepPick:
+		a := w.agents[w.rng.IntN(len(w.agents))]
+		inc := core.Incarnation(a.epoch)
+		if w.broken.noIncarnation {
+			inc = 1
+		}
+		w.do(s, s.call.Picked(a.host, inc))
+	case StepClaim:
+		w.claim(s, step.Claim, 2)
+	case StepHandOver:
+		took := w.once(s)
+		w.toAgent(s, step.Claim, "hand-over", func(a *agentNode) { w.handOver(s, a, step.Claim, took) },
+			func(*agentNode) { took(func() Step { return s.call.Ended(w.now, EndLost, nil, false) }) })
+	case StepAsk:
+		w.at(&s.entry.node, step.At.Sub(w.now), func() { w.ask(s, step.Claim) }, nil)
+	case StepAttach:
+		took := w.once(s)
+		w.toAgent(s, step.Claim, "attach", func(a *agentNode) {
+			w.stream(s, a, step.Claim, a.table.Attach(w.now, callOf(s, step.Claim)), took)
+		}, func(*agentNode) { took(func() Step { return s.call.Ended(w.now, EndLost, nil, false) }) })
+	case StepRefuse, StepDone:
+		s.over = true
+		if s.refusal != step.Refusal || s.refusal == nil {
+			s.refusal = step.Refusal
+			s.runsThen = len(w.runsOf(s.call.ID))
+		}
+	}
+}
+
+func (s Step) text() string {
+	kinds := []string{"pick", "claim", "hand-over", "ask", "attach", "refuse", "done"}
+	c := s.Claim
+	return fmt.Sprintf("%s attempt %d at %s/%d claimant %d; %v", kinds[s.Kind], c.Attempt, c.Host, c.Incarnation, c.Claimant%1000, s.Refusal)
+}
+
+func callOf(s *send, c Claim) dedupe.Call {
+	return dedupe.Call{
+		ID: c.ID, Attempt: c.Attempt, Incarnation: c.Incarnation, Fingerprint: s.call.Fingerprint,
+		Expires: c.Expires, Deadline: s.call.Deadline,
+	}
+}
+
+// claim asks a journal at any entry; an answer that is lost is asked for again.
+func (w *world) claim(s *send, c Claim, tries int) {
+	journal := s.entry
+	if w.fault == nil {
+		journal = w.entries[w.rng.IntN(len(w.entries))]
+	}
+	fault := w.pick("claim", "ask-lost", "answer-lost")
+	took := w.once(s)
+	settled := false
+	settle := func(a Answer) {
+		settled = true
+		if a.Result == Unsure && w.broken.trustUnsure {
+			a.Result, a.Holder = Won, c
+		}
+		took(func() Step { return s.call.Claimed(w.now, a) })
+	}
+	missed := func() {
+		if settled {
+			return
+		}
+		if tries > 1 {
+			settled = true
+			w.claim(s, c, tries-1)
+			return
+		}
+		settle(Answer{Result: Unsure, RetryAt: w.now.Add(time.Second)})
+	}
+	w.at(&s.entry.node, 3*time.Second, missed, nil)
+	if fault == "ask-lost" {
+		return
+	}
+	w.at(&journal.node, w.latency(), func() {
+		token := w.rng.Uint64()
+		journal.asks[token] = func(a Answer) {
+			if fault != "answer-lost" {
+				w.at(&s.entry.node, w.latency(), func() { settle(a) }, nil)
+			}
+		}
+		w.apply(journal, journal.journal.Ask(w.now, Ask{Token: token, Claim: c, GiveUp: w.now.Add(2 * time.Second)}))
+	}, nil)
+}
+
+// once returns a function that takes the outcome of the present step: an entry
+// waits for one outcome and closes the connection that another could come by.
+func (w *world) once(s *send) func(next func() Step) {
+	step := s.steps
+	return func(next func() Step) {
+		if s.steps == step && !s.over {
+			w.do(s, next())
+		}
+	}
+}
+
+// toAgent sends to a claim's agent. A message that counts as lost may arrive
+// later all the same.
+func (w *world) toAgent(s *send, c Claim, step string, do, lost func(*agentNode)) {
+	a := w.agents[slices.IndexFunc(w.agents, func(a *agentNode) bool { return a.host == c.Host })]
+	tell := func() { w.at(&s.entry.node, w.latency(), func() { lost(a) }, nil) }
+	if a.gone {
+		tell()
+		return
+	}
+	fault := w.pick(step, "lost", "late", "entry-dies", "entry-pauses", "agent-restarts", "host-gone")
+	if fault != "" {
+		w.tell("send %s: %s %s", s.name, step, fault)
+	}
+	switch fault {
+	case "lost":
+		tell()
+		return
+	case "late":
+		tell()
+		epoch := a.epoch
+		w.after(time.Duration(w.rng.Int64N(int64(3*time.Second))), func() {
+			if a.epoch == epoch || w.broken.noIncarnation {
+				do(a)
+			}
+		})
+		return
+	case "entry-dies":
+		w.bootEntry(s.entry)
+		return
+	case "entry-pauses":
+		s.entry.paused = w.now.Add(2 * time.Second)
+		w.at(&s.entry.node, 0, func() { w.at(&a.node, w.latency(), func() { do(a) }, tell) }, nil)
+		return
+	case "agent-restarts":
+		w.bootAgent(a)
+	case "host-gone":
+		a.gone = true
+		w.bootAgent(a)
+		tell()
+		return
+	}
+	w.at(&a.node, w.latency(), func() { do(a) }, tell)
+}
+
+func (w *world) ask(s *send, c Claim) {
+	took := w.once(s)
+	w.toAgent(s, c, "ask", func(a *agentNode) {
+		var state dedupe.State
+		if w.broken.noSeal {
+			state = dedupe.State(a.table.Attach(w.now, callOf(s, c)).State)
+			if v := a.table.Attach(w.now, callOf(s, c)); v.Refusal != nil && c.Incarnation == a.table.Incarnation {
+				state = dedupe.Sealed
+			}
+		} else {
+			state = a.table.Seal(w.now, callOf(s, c))
+		}
+		w.at(&s.entry.node, w.latency(), func() {
+			took(func() Step { return s.call.Asked(w.now, Standing{Reached: true, State: state}) })
+		}, nil)
+	}, func(a *agentNode) { took(func() Step { return s.call.Asked(w.now, Standing{Gone: a.gone}) }) })
+}
+
+func (w *world) handOver(s *send, a *agentNode, c Claim, took func(func() Step)) {
+	v := a.table.Begin(w.now, callOf(s, c))
+	if v.Start {
+		w.at(&a.node, w.latency(), func() { w.start(s, a, c, took) }, nil)
+	}
+	w.stream(s, a, c, v, took)
+}
+
+// start runs an attempt at the agent's engine, or refuses it from its queue.
+func (w *world) start(s *send, a *agentNode, c Claim, took func(func() Step)) {
+	if refused := w.pick("queue", "refused"); refused != "" || !w.now.Before(s.call.Deadline) {
+		if w.broken.forgetsRefused {
+			fresh := &dedupe.Table{Incarnation: a.table.Incarnation, MaxBytes: 200, MaxRecords: 100}
+			a.table = fresh
+			w.at(&a.node, w.latency(), func() { w.handOver(s, a, c, took) }, nil)
+		} else {
+			a.table.Finish(w.now, c.ID, c.Attempt, dedupe.End{Refusal: core.Refuse(core.CodeQueueFull, "full")})
+		}
+		w.wake(a)
+		return
+	}
+	r := run{key: c.ID, claimant: c.Claimant, attempt: c.Attempt, answer: fmt.Sprintf("%s/%d/%d/%d", s.key, c.Attempt, c.Claimant, len(w.runs))}
+	w.runs = append(w.runs, r)
+	w.tell("run %s at %s/%d", r.answer, a.host, a.table.Incarnation)
+	end := dedupe.End{}
+	pieces := []string{r.answer[:1], r.answer[1:4], r.answer[4:]}
+	switch w.pick("run", "engine-dies", "agent-restarts") {
+	case "engine-dies":
+		pieces = pieces[:1]
+		end.Refusal = &core.Refusal{Code: core.CodeUpstreamLost, Outcome: core.MayHaveRun}
+	case "agent-restarts":
+		w.bootAgent(a)
+		return
+	}
+	var d time.Duration
+	for _, p := range pieces {
+		d += w.latency()
+		w.at(&a.node, d, func() { a.table.Append(c.ID, c.Attempt, []byte(p)); w.wake(a) }, nil)
+	}
+	w.at(&a.node, d, func() { a.table.Finish(w.now, c.ID, c.Attempt, end); w.wake(a) }, nil)
+}
+
+// stream relays an answer, or the refusal, to an entry.
+func (w *world) stream(s *send, a *agentNode, c Claim, v dedupe.Verdict, took func(func() Step)) {
+	r := &reader{send: s, claim: c}
+	r.reply = func(e Ending, refusal *core.Refusal, text string) {
+		runs := len(w.runsOf(c.ID))
+		w.at(&s.entry.node, w.latency(), func() {
+			again := w.fault == nil && w.rng.IntN(2) == 0
+			took(func() Step {
+				s.answer, s.refusal, s.runsThen = text, refusal, runs
+				return s.call.Ended(w.now, e, refusal, again)
+			})
+		}, nil)
+	}
+	if v.Refusal != nil {
+		r.reply(EndRefused, v.Refusal, "")
+		return
+	}
+	a.readers = append(a.readers, r)
+	w.wake(a)
+}
+
+// wake lets all readers of an agent go on.
+func (w *world) wake(a *agentNode) {
+	a.readers = slices.DeleteFunc(a.readers, func(r *reader) bool { return w.readOn(a, r) })
+}
+
+func (w *world) readOn(a *agentNode, r *reader) bool {
+	v, ok := a.table.Read(r.claim.ID, r.claim.Attempt, int64(len(r.buf)))
+	if !ok {
+		again := a.table.Attach(w.now, callOf(r.send, r.claim))
+		if again.Refusal != nil {
+			r.reply(EndRefused, again.Refusal, "")
+		}
+		return again.Refusal != nil
+	}
+	for _, c := range v.Chunks {
+		r.buf = append(r.buf, c...)
+	}
+	if w.pick("answer", "lost") != "" {
+		r.reply(EndLost, nil, "")
+		return true
+	}
+	switch {
+	case v.End == nil:
+		return false
+	case v.End.Refusal != nil:
+		r.reply(EndRefused, v.End.Refusal, "")
+	default:
+		r.reply(EndWhole, nil, string(r.buf))
+	}
+	return true
+}
--- a/core/claims/store.go
+++ b/core/claims/store.go
@@ -156,6 +156,10 @@
 	w.segment.Closed = w.segment.size() >= j.SegmentBytes || len(w.claims) == 0
 	j.write = w
 	j.nextWrite = now.Add(j.groupInterval())
+	if w.segment.Closed {
+		// What didn't fit needn't wait another interval: segments close seldom.
+		j.nextWrite = now
+	}
 	j.count.Writes++
 	s := j.slots[at]
 	out.Write = &Write{Create: !s.exists, Object: core.Object{
--- a/core/dedupe/keep.go
+++ b/core/dedupe/keep.go
@@ -30,6 +30,7 @@
 	case end.Refusal != nil && end.Refusal.Outcome == core.NotRun:
 		t.release(r)
 		r.state = Sealed
+		r.refusal = end.Refusal
 	case r.answer == nil:
 		r.state = Lost
 	default:
@@ -67,8 +68,8 @@
 }
 
 // Read returns the answer of an attempt from an offset on. It is false where
-// the answer isn't kept: the reader reports CodeRanElsewhere, or, if the
-// attempt was sealed meanwhile, what Attach then says.
+// the answer isn't kept, because it was evicted or the attempt was refused:
+// Attach then says which.
 func (t *Table) Read(id KeyID, attempt uint64, offset int64) (View, bool) {
 	r := t.records[id]
 	if r == nil || r.attempt != attempt || r.answer == nil {
--- a/core/dedupe/record.go
+++ b/core/dedupe/record.go
@@ -60,6 +60,8 @@
 	state       State
 	expires     time.Time
 	answer      *answer
+	// refusal is why the attempt was sealed, where the agent itself refused it.
+	refusal *core.Refusal
 	// turn orders finished answers by age for eviction; zero while running.
 	turn uint64
 }
--- a/core/dedupe/table.go
+++ b/core/dedupe/table.go
@@ -49,19 +49,19 @@
 	if c.Incarnation != t.Incarnation {
 		return refuse(core.CodeSealed, core.NotRun, "the agent has restarted since the claim")
 	}
-	if !now.Before(c.Deadline) {
-		return refuse(core.CodeDeadline, core.NotRun, "the deadline passed before the request arrived")
-	}
 	r := t.records[c.ID]
+	if r == nil {
+		return t.beginNew(now, c)
+	}
 	switch {
-	case r == nil:
-		return t.beginNew(c)
 	case r.fingerprint != c.Fingerprint && r.state != Sealed:
 		return refuse(core.CodeKeyReused, core.NotRun, "the key was used with another request")
 	case c.Attempt < r.attempt:
 		return refuse(core.CodeSealed, core.NotRun, "a later attempt has replaced this one")
 	case r.state == Sealed && c.Attempt == r.attempt:
 		return refuse(core.CodeSealed, core.NotRun, "the attempt was sealed before it arrived")
+	case r.state == Sealed && !now.Before(c.Deadline):
+		return tooLate()
 	case r.state == Sealed:
 		t.start(r, c)
 		return Verdict{State: Running, Start: true}
@@ -74,7 +74,8 @@
 	}
 }
 
-// Attach asks for the answer of an attempt; it never starts a run.
+// Attach asks for the answer of an attempt; it never starts a run. Of an attempt
+// that the agent refused it returns that refusal.
 func (t *Table) Attach(now time.Time, c Call) Verdict {
 	t.expire(now)
 	r := t.records[c.ID]
@@ -84,6 +85,9 @@
 	if r.fingerprint != c.Fingerprint && r.state != Sealed {
 		return refuse(core.CodeKeyReused, core.NotRun, "the key was used with another request")
 	}
+	if r.state == Sealed && r.refusal != nil {
+		return Verdict{State: Sealed, Refusal: r.refusal}
+	}
 	if r.state == Sealed {
 		return refuse(core.CodeSealed, core.NotRun, "the attempt was sealed before it ran")
 	}
@@ -115,11 +119,15 @@
 		return Lost
 	}
 	r.attempt = c.Attempt
+	r.refusal = nil
 	t.prolong(c.ID, r, c.Expires)
 	return Sealed
 }
 
-func (t *Table) beginNew(c Call) Verdict {
+func (t *Table) beginNew(now time.Time, c Call) Verdict {
+	if !now.Before(c.Deadline) {
+		return tooLate()
+	}
 	// An attempt of a claim that may have had a dropped record could have run.
 	if !c.Expires.After(t.forgotten) {
 		return refuse(core.CodeRanElsewhere, core.MayHaveRun, "the agent no longer remembers keys as old as this one")
@@ -147,6 +155,7 @@
 	r.attempt = c.Attempt
 	r.fingerprint = c.Fingerprint
 	r.state = Running
+	r.refusal = nil
 	r.answer = &answer{}
 	t.prolong(c.ID, r, c.Expires)
 }
@@ -206,6 +215,12 @@
 	}
 }
 
+// tooLate refuses an attempt that nobody has sealed. Seals are looked at first:
+// of a sealed attempt one may not say just "not run", as another may have run.
+func tooLate() Verdict {
+	return refuse(core.CodeDeadline, core.NotRun, "the deadline passed before the request arrived")
+}
+
 func verdictOf(r *record) Verdict {
 	if r.standing() == Lost {
 		return refuse(core.CodeRanElsewhere, core.MayHaveRun, "the answer is no longer kept")
--- /dev/null
+++ b/core/dedupe/table_test.go
@@ -0,0 +1,241 @@
+package dedupe
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+)
+
+var start = time.Date(2026, 3, 1, 20, 0, 0, 0, time.UTC)
+
+func newTable() *Table { return &Table{Incarnation: 5, MaxBytes: 100, MaxRecords: 3} }
+
+func call(key string, attempt uint64) Call {
+	return Call{
+		ID: KeyOf("owner", key), Attempt: attempt, Incarnation: 5, Fingerprint: 7,
+		Expires: start.Add(time.Hour), Deadline: start.Add(time.Minute),
+	}
+}
+
+func assertRefused(t *testing.T, v Verdict, code core.Code, outcome core.Outcome) {
+	t.Helper()
+	assert.Assert(t, v.Refusal != nil)
+	assert.Assert(t, !v.Start)
+	assert.Equal(t, v.Refusal.Code, code)
+	assert.Equal(t, v.Refusal.Outcome, outcome)
+}
+
+func run(t *testing.T, table *Table, c Call, text string, end End) {
+	t.Helper()
+	assert.Assert(t, table.Begin(start, c).Start)
+	for _, b := range []byte(text) {
+		table.Append(c.ID, c.Attempt, []byte{b})
+	}
+	table.Finish(start, c.ID, c.Attempt, end)
+}
+
+func read(t *testing.T, table *Table, c Call, offset int64) (string, *End) {
+	t.Helper()
+	v, ok := table.Read(c.ID, c.Attempt, offset)
+	assert.Assert(t, ok)
+	return string(bytes.Join(v.Chunks, nil)), v.End
+}
+
+func TestKeysOfOwnersDiffer(t *testing.T) {
+	assert.Assert(t, KeyOf("ab", "c") != KeyOf("a", "bc"))
+	assert.Equal(t, KeyOf("ab", "c"), KeyOf("ab", "c"))
+}
+
+// The second sending arrives while the first is running. Both callers get the
+// whole answer, the second from its first byte.
+func TestLateAttacherReadsWholeAnswer(t *testing.T) {
+	table := newTable()
+	c := call("k", 1)
+	assert.Assert(t, table.Begin(start, c).Start)
+	table.Append(c.ID, 1, []byte("hel"))
+	again := table.Begin(start, c)
+	assert.Assert(t, !again.Start && again.Refusal == nil)
+	text, end := read(t, table, c, 0)
+	assert.Equal(t, text, "hel")
+	assert.Assert(t, end == nil)
+	table.Append(c.ID, 1, []byte("lo"))
+	table.Finish(start, c.ID, 1, End{})
+	text, end = read(t, table, c, 2)
+	assert.Equal(t, text, "llo")
+	assert.Assert(t, end != nil && end.Refusal == nil)
+	assert.Equal(t, table.Seal(start, c), Done)
+}
+
+// An entry is paused between claim and hand-over, its caller repeats through
+// another entry, which asks here. The paused entry's hand-over must not run.
+func TestSealedAttemptNeverRuns(t *testing.T) {
+	table := newTable()
+	assert.Equal(t, table.Seal(start, call("k", 2)), Sealed)
+	assertRefused(t, table.Begin(start, call("k", 2)), core.CodeSealed, core.NotRun)
+	assertRefused(t, table.Begin(start, call("k", 1)), core.CodeSealed, core.NotRun)
+	assert.Assert(t, table.Begin(start, call("k", 3)).Start)
+	assert.Equal(t, table.Seal(start, call("k", 3)), Running)
+	assert.Equal(t, table.Seal(start, call("k", 2)), Sealed)
+}
+
+func TestRefusedAttemptIsSealed(t *testing.T) {
+	table := newTable()
+	c := call("k", 1)
+	run(t, table, c, "", End{Refusal: core.Refuse(core.CodeQueueFull, "full")})
+	assert.Equal(t, table.Seal(start, c), Sealed)
+	assertRefused(t, table.Begin(start, c), core.CodeSealed, core.NotRun)
+	assertRefused(t, table.Attach(start, c), core.CodeQueueFull, core.NotRun)
+}
+
+func TestOtherIncarnation(t *testing.T) {
+	table := newTable()
+	c := call("k", 1)
+	c.Incarnation = 4
+	assertRefused(t, table.Begin(start, c), core.CodeSealed, core.NotRun)
+	assert.Equal(t, table.Seal(start, c), Lost)
+	assertRefused(t, table.Attach(start, c), core.CodeRanElsewhere, core.MayHaveRun)
+}
+
+func TestOtherBody(t *testing.T) {
+	table := newTable()
+	run(t, table, call("k", 1), "x", End{})
+	c := call("k", 1)
+	c.Fingerprint = 8
+	assertRefused(t, table.Begin(start, c), core.CodeKeyReused, core.NotRun)
+	assertRefused(t, table.Attach(start, c), core.CodeKeyReused, core.NotRun)
+}
+
+func TestDeadlinePassed(t *testing.T) {
+	table := newTable()
+	assertRefused(t, table.Begin(start.Add(time.Minute), call("k", 1)), core.CodeDeadline, core.NotRun)
+	assert.Equal(t, table.Len(), 0)
+}
+
+func TestAttachNeverStarts(t *testing.T) {
+	assertRefused(t, newTable().Attach(start, call("k", 1)), core.CodeRanElsewhere, core.MayHaveRun)
+}
+
+// Long answers push each other out. A repeat of one whose answer is gone must
+// be told so and not run again.
+func TestEvictedAnswersAreLostNotUnseen(t *testing.T) {
+	table := newTable()
+	run(t, table, call("a", 1), string(make([]byte, 60)), End{})
+	run(t, table, call("b", 1), string(make([]byte, 60)), End{})
+	assert.Equal(t, table.Bytes(), core.Bytes(60))
+	assert.Equal(t, table.Seal(start, call("a", 1)), Lost)
+	assertRefused(t, table.Begin(start, call("a", 1)), core.CodeRanElsewhere, core.MayHaveRun)
+	assert.Equal(t, table.Seal(start, call("b", 1)), Done)
+}
+
+func TestAnswerBeyondTheBound(t *testing.T) {
+	table := newTable()
+	c := call("a", 1)
+	run(t, table, c, string(make([]byte, 150)), End{})
+	assert.Equal(t, table.Bytes(), core.Bytes(0))
+	assert.Equal(t, table.Seal(start, c), Lost)
+	_, ok := table.Read(c.ID, 1, 0)
+	assert.Assert(t, !ok)
+}
+
+func TestFullTableRefuses(t *testing.T) {
+	table := newTable()
+	for i := range 3 {
+		run(t, table, call(fmt.Sprint(i), 1), "x", End{})
+	}
+	v := table.Begin(start, call("more", 1))
+	assertRefused(t, v, core.CodeOverload, core.NotRun)
+	assert.Equal(t, v.Refusal.RetryAt, start.Add(time.Hour))
+	assert.Equal(t, table.Seal(start, call("more", 1)), Lost)
+	assert.Assert(t, table.Begin(start.Add(time.Hour), Call{
+		ID: KeyOf("o", "later"), Attempt: 1, Incarnation: 5, Expires: start.Add(3 * time.Hour), Deadline: start.Add(2 * time.Hour),
+	}).Start)
+	assert.Equal(t, table.Len(), 1)
+}
+
+// An agent whose clock runs ahead drops a record before entries think that its
+// claim has aged out. It can't say "never seen" of such a claim any more.
+func TestDroppedRecordIsNotUnseen(t *testing.T) {
+	table := newTable()
+	run(t, table, call("k", 1), "x", End{})
+	later := start.Add(time.Hour)
+	table.Expire(later)
+	assert.Equal(t, table.Len(), 0)
+	c := call("k", 1)
+	c.Deadline = later.Add(time.Hour)
+	assert.Equal(t, table.Seal(later, c), Lost)
+	assertRefused(t, table.Begin(later, c), core.CodeRanElsewhere, core.MayHaveRun)
+	c.Expires = later.Add(2 * time.Hour)
+	assert.Assert(t, table.Begin(later, c).Start)
+}
+
+func TestRunningOutlivesItsClaim(t *testing.T) {
+	table := newTable()
+	c := call("k", 1)
+	assert.Assert(t, table.Begin(start, c).Start)
+	table.Expire(start.Add(2 * time.Hour))
+	assert.Equal(t, table.Len(), 1)
+	table.Finish(start.Add(2*time.Hour), c.ID, 1, End{})
+	assert.Equal(t, table.Len(), 0)
+}
+
+// naive keeps every answer for ever, in a plain map.
+type naive map[KeyID]map[uint64]string
+
+// The table is held against the naive one over random events: what it says is
+// kept is the same, and what it doesn't keep it calls lost.
+func TestTableAgainstNaive(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	table := &Table{Incarnation: 5, MaxBytes: 400, MaxRecords: 1000}
+	plain := make(naive)
+	ran := make(map[KeyID]int)
+	kept, lost := 0, 0
+	for step := range 20_000 {
+		c := call(fmt.Sprint(rng.IntN(200)), uint64(1+rng.IntN(3)))
+		text := fmt.Sprintf("answer-%d", step)
+		switch rng.IntN(3) {
+		case 0:
+			table.Seal(start, c)
+		case 1:
+			if table.Begin(start, c).Start {
+				ran[c.ID]++
+				table.Append(c.ID, c.Attempt, []byte(text))
+				table.Finish(start, c.ID, c.Attempt, End{})
+				plain[c.ID] = map[uint64]string{c.Attempt: text}
+			}
+		case 2:
+			want, has := plain[c.ID][c.Attempt]
+			if v := table.Attach(start, c); v.State == Done {
+				got, _ := read(t, table, c, 0)
+				assert.Equal(t, got, want)
+				kept++
+			} else if has {
+				assertRefused(t, v, core.CodeRanElsewhere, core.MayHaveRun)
+				lost++
+			}
+		}
+		assert.Assert(t, ran[c.ID] <= 1)
+		assert.Assert(t, table.Bytes() <= table.MaxBytes)
+	}
+	assert.Assert(t, kept > 100 && lost > 100, "%d kept, %d lost", kept, lost)
+}
+
+func BenchmarkBegin(b *testing.B) {
+	table := &Table{Incarnation: 5, MaxBytes: 64 * core.MiB, MaxRecords: 1 << 20}
+	b.ReportAllocs()
+	answer := make([]byte, 1000)
+	for i := 0; b.Loop(); i++ {
+		now := start.Add(time.Duration(i) * 2 * time.Millisecond)
+		c := call("k", 1)
+		c.ID = KeyOf("owner", fmt.Sprint(i))
+		c.Deadline, c.Expires = now.Add(time.Second), now.Add(time.Minute)
+		table.Begin(now, c)
+		table.Append(c.ID, 1, answer)
+		table.Finish(now, c.ID, 1, End{})
+	}
+}
