--- a/core/strict/decode.go
+++ b/core/strict/decode.go
@@ -45,7 +45,7 @@
 func (d *Document) Problem(key, reason string) Problem {
 	for at := key; at != ""; at = above(at) {
 		if place, ok := d.places[at]; ok {
-			return Problem{File: d.File, Line: place.Line, Column: place.Column, Key: join(d.prefix, key), Reason: reason}
+			return Problem{File: d.File, Line: place.Line, Column: place.Column, Key: clip(join(d.prefix, key)), Reason: clip(reason)}
 		}
 	}
 	return d.problem(d.root, key, reason)
@@ -68,7 +68,17 @@
 	if at.Line > 0 {
 		at.Line += d.offset
 	}
-	return Problem{File: d.File, Line: at.Line, Column: at.Column, Key: join(d.prefix, key), Reason: reason}
+	return Problem{File: d.File, Line: at.Line, Column: at.Column, Key: clip(join(d.prefix, key)), Reason: clip(reason)}
+}
+
+// maxText bounds a key or reason: both may quote the text at fault.
+const maxText = 300
+
+func clip(s string) string {
+	if len(s) <= maxText {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxText], "") + "..."
 }
 
 func placeOf(n ast.Node) Place {
@@ -97,7 +107,14 @@
 	problems Problems
 }
 
+// maxProblems bounds what is reported of one document. Nobody mends more in one
+// go, and a text of nothing but faults would yield a report larger than itself.
+const maxProblems = 100
+
 func (r *reader) fault(n ast.Node, key, reason string) {
+	if len(r.problems) >= maxProblems {
+		return
+	}
 	r.problems = append(r.problems, r.doc.problem(n, key, reason))
 }
 
@@ -175,12 +192,27 @@
 		r.pair(v, shape, seen, name, pair, key)
 	}
 	for _, f := range shape {
-		if f.required && !seen[f.key] {
-			r.fault(n, join(key, f.key), "is missing")
+		if !seen[f.key] {
+			r.absent(n, v.Type().Field(f.index).Type, join(key, f.key), f.required)
 		}
 	}
 }
 
+// absent reports a key that is not there though it has to be, or the keys of a
+// part that is not there though some of them have to be.
+func (r *reader) absent(n ast.Node, t reflect.Type, key string, required bool) {
+	if required {
+		r.fault(n, key, "is missing")
+		return
+	}
+	if !isPart(t) {
+		return
+	}
+	for _, f := range shapeOf(t) {
+		r.absent(n, t.Field(f.index).Type, join(key, f.key), f.required)
+	}
+}
+
 func (r *reader) pair(v reflect.Value, shape []member, seen map[string]bool, name string, pair *ast.MappingValueNode, key string) {
 	full := join(key, name)
 	i := slices.IndexFunc(shape, func(f member) bool { return f.key == name })
--- a/core/strict/scalar.go
+++ b/core/strict/scalar.go
@@ -4,14 +4,20 @@
 	"encoding"
 	"errors"
 	"math"
+	"net/netip"
 	"reflect"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
 )
 
-var durationType = reflect.TypeFor[time.Duration]()
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	addressType  = reflect.TypeFor[netip.AddrPort]()
+)
 
 // scalar reads one value, then holds it to the range of its tag.
 func (r *reader) scalar(v reflect.Value, n ast.Node, key string, tag reflect.StructTag) {
@@ -69,6 +75,8 @@
 	switch {
 	case v.Type() == durationType:
 		return `write a duration with its unit, as in "30s"`
+	case v.Type() == addressType:
+		return `write an IP number and a port, as in "10.0.0.1:8080"`
 	case v.CanInt():
 		return `write an amount with its unit, as in "512MiB"`
 	default:
@@ -87,10 +95,15 @@
 		return ""
 	}
 	to := v.Addr().Interface().(encoding.TextUnmarshaler)
-	if err := to.UnmarshalText([]byte(text)); err != nil {
+	err := to.UnmarshalText([]byte(text))
+	switch {
+	case err == nil:
+		return ""
+	case v.Type() == addressType:
+		return strconv.Quote(text) + " is no address; " + hintOf(v)
+	default:
 		return err.Error()
 	}
-	return ""
 }
 
 func readString(v reflect.Value, n ast.Node) string {
@@ -119,6 +132,9 @@
 	if !ok {
 		return "has to be a whole number, is " + kindOf(n)
 	}
+	if !isDecimal(whole) {
+		return notDecimal
+	}
 	var number int64
 	switch x := whole.Value.(type) {
 	case int64:
@@ -141,22 +157,56 @@
 func readFloat(v reflect.Value, n ast.Node) string {
 	switch x := n.(type) {
 	case *ast.FloatNode:
+		if !isDecimal(x) {
+			return notDecimal
+		}
 		if math.IsInf(x.Value, 0) || math.IsNaN(x.Value) {
 			return "is too large"
 		}
 		v.SetFloat(x.Value)
 	case *ast.IntegerNode:
+		if !isDecimal(x) {
+			return notDecimal
+		}
 		f, err := strconv.ParseFloat(integerText(x), 64)
 		if err != nil {
 			return "is no number that can be held"
 		}
 		v.SetFloat(f)
+	case *ast.StringNode:
+		f, ok := exponent(x)
+		if !ok {
+			return "has to be a number, is text"
+		}
+		v.SetFloat(f)
 	default:
 		return "has to be a number, is " + kindOf(n)
 	}
 	return ""
 }
 
+// exponent reads a JSON number such as 1e-05, which YAML takes for text since it
+// has no point.
+func exponent(n *ast.StringNode) (float64, bool) {
+	if n.Token.Type != token.StringType || !isDecimal(n) {
+		return 0, false
+	}
+	f, err := strconv.ParseFloat(n.Value, 64)
+	return f, err == nil
+}
+
+const notDecimal = "has to be written in decimal digits, without separators or leading zeros"
+
+// isDecimal tells whether a number is written as everybody reads it. YAML also
+// takes 010 for eight, 0x10 for sixteen and 1_0 for ten.
+func isDecimal(n ast.Node) bool {
+	text := strings.TrimLeft(n.GetToken().Value, "+-")
+	if len(text) > 1 && text[0] == '0' && text[1] >= '0' && text[1] <= '9' {
+		return false
+	}
+	return strings.Trim(text, "0123456789.eE+-") == ""
+}
+
 func integerText(n *ast.IntegerNode) string {
 	switch x := n.Value.(type) {
 	case int64:
