Add the client of the platform's object API

It keeps budgets of reads and writes, repeats reads and writes that certainly had no effect, and ends silent watches by missing bookmarks and silent connections by keep-alive and unacknowledged data.

The stand-in now reads a body before it waits on a fault: an unread body kept net/http from noticing that the caller had gone, and a hanging call held its connection for ever.

--- a/io/fakes/apisrv/handle.go
+++ b/io/fakes/apisrv/handle.go
@@ -1,6 +1,7 @@
 package apisrv
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -49,6 +50,9 @@
 // the call is over.
 func (s *Server) fail(w http.ResponseWriter, r *http.Request) bool {
 	f, _ := s.switches.now()
+	if f.Delay > 0 || f.Down == Hanging {
+		holdBody(r)
+	}
 	if f.Delay > 0 {
 		timer := time.NewTimer(time.Duration(f.Delay))
 		defer timer.Stop()
@@ -71,6 +75,14 @@
 	return false
 }
 
+// holdBody reads the whole body into memory. The server notices that a caller
+// has gone only after it has read the body; without this a call that waits on
+// a fault would keep its connection for ever.
+func holdBody(r *http.Request) {
+	data, _ := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+	r.Body = io.NopCloser(bytes.NewReader(data))
+}
+
 // hang blocks until the caller gives up or the fault is over, then drops the
 // connection.
 func (s *Server) hang(r *http.Request) {
--- /dev/null
+++ b/io/objapi/client.go
@@ -0,0 +1,154 @@
+package objapi
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"radishwell/core"
+)
+
+// Budgets of one process where none are set. The platform takes about 2,000
+// reads and several hundred writes a second from the whole fleet; at rest a
+// process makes less than one call a second, so these only bound a process
+// that has gone wrong. The bursts let it list all kinds at start.
+const (
+	defaultReads      = 20
+	defaultReadBurst  = 40
+	defaultWrites     = 20
+	defaultWriteBurst = 40
+)
+
+// defaultSilence is three missed bookmarks of one a second and a little more.
+const defaultSilence = 4 * time.Second
+
+// Budget bounds the rate of calls: PerSecond on average, Burst at once after a
+// pause. The zero Budget stands for the package's default.
+type Budget struct {
+	PerSecond float64
+	Burst     int
+}
+
+func (b Budget) limiter(perSecond float64, burst int) *rate.Limiter {
+	if b.PerSecond > 0 {
+		perSecond, burst = b.PerSecond, max(b.Burst, 1)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), burst)
+}
+
+// Client implements core.Platform. Its exported fields are set before first
+// use. It may be used from several goroutines.
+type Client struct {
+	// Address is where the platform listens.
+	Address netip.AddrPort
+	// TLS is the configuration of TLS connections; nil for plain HTTP.
+	TLS *tls.Config
+	// Token is sent as a bearer token, if not empty.
+	Token string
+	// Reads bounds list, get and the start of watches; Writes the rest.
+	Reads, Writes Budget
+	// WatchSilence is for how long a watch may bring neither a change nor a
+	// bookmark before it is taken for dead; zero stands for four seconds. It
+	// must be longer than the platform's period of bookmarks.
+	WatchSilence time.Duration
+	// OnRetry, if set, is told of each call that is about to be repeated.
+	OnRetry func(*core.PlatformError)
+
+	once   sync.Once
+	http   *http.Client
+	base   string
+	reads  *rate.Limiter
+	writes *rate.Limiter
+}
+
+var _ core.Platform = (*Client)(nil)
+
+func (c *Client) init() { c.once.Do(c.build) }
+
+func (c *Client) build() {
+	scheme := "http"
+	if c.TLS != nil {
+		scheme = "https"
+	}
+	c.base = scheme + "://" + c.Address.String() + "/apis/" + apiVersion + "/"
+	c.http = &http.Client{Transport: makeTransport(c.TLS)}
+	c.reads = c.Reads.limiter(defaultReads, defaultReadBurst)
+	c.writes = c.Writes.limiter(defaultWrites, defaultWriteBurst)
+	if c.WatchSilence <= 0 {
+		c.WatchSilence = defaultSilence
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.init()
+	c.http.CloseIdleConnections()
+}
+
+// List implements core.Platform.
+func (c *Client) List(ctx context.Context, kind core.Kind) (core.Listing, error) {
+	var body listJSON
+	err := c.call(ctx, &call{verb: http.MethodGet, kind: kind, read: true, into: &body})
+	if err != nil {
+		return core.Listing{}, err
+	}
+	return body.listing(kind)
+}
+
+// Get implements core.Platform.
+func (c *Client) Get(ctx context.Context, kind core.Kind, name string) (core.Object, error) {
+	return c.object(ctx, &call{verb: http.MethodGet, kind: kind, name: name, read: true})
+}
+
+// Create implements core.Platform.
+func (c *Client) Create(ctx context.Context, o core.Object) (core.Object, error) {
+	o.UID = ""
+	o.Version = 0
+	return c.object(ctx, &call{verb: http.MethodPost, kind: o.Kind, name: o.Name, body: fromObject(o)})
+}
+
+// Update implements core.Platform.
+func (c *Client) Update(ctx context.Context, o core.Object) (core.Object, error) {
+	o.Status = nil
+	return c.object(ctx, &call{verb: http.MethodPut, kind: o.Kind, name: o.Name, body: fromObject(o)})
+}
+
+// UpdateStatus implements core.Platform.
+func (c *Client) UpdateStatus(ctx context.Context, o core.Object) (core.Object, error) {
+	return c.object(ctx, &call{
+		verb: http.MethodPut,
+		kind: o.Kind,
+		name: o.Name,
+		sub:  "/status",
+		body: fromObject(o),
+	})
+}
+
+// Delete implements core.Platform.
+func (c *Client) Delete(ctx context.Context, kind core.Kind, name string, version core.Version) error {
+	var options deleteJSON
+	options.Preconditions.ResourceVersion = versionText(version)
+	return c.call(ctx, &call{verb: http.MethodDelete, kind: kind, name: name, body: options})
+}
+
+func (c *Client) object(ctx context.Context, what *call) (core.Object, error) {
+	var body objectJSON
+	what.into = &body
+	if err := c.call(ctx, what); err != nil {
+		return core.Object{}, err
+	}
+	return body.object(what.kind)
+}
+
+// backoff returns how long to wait before attempt n+1: exponential with full
+// jitter, so that a fleet that failed together does not come back together.
+func backoff(n int) time.Duration {
+	limit := min(firstBackoff<<min(n, maxDoublings), maxBackoff)
+	return time.Duration(rand.Int64N(int64(limit)) + 1)
+}
--- /dev/null
+++ b/io/objapi/format.go
@@ -0,0 +1,108 @@
+package objapi
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"radishwell/core"
+)
+
+const apiVersion = "radishwell.example/v1"
+
+// The field names below are those of the Kubernetes conventions, which the
+// platform speaks; they are not our own format.
+
+type metaJSON struct {
+	Name            string `json:"name,omitempty"`
+	UID             string `json:"uid,omitempty"`
+	ResourceVersion string `json:"resourceVersion,omitempty"`
+	Generation      int64  `json:"generation,omitempty"`
+}
+
+type objectJSON struct {
+	APIVersion string          `json:"apiVersion"`
+	Kind       core.Kind       `json:"kind"`
+	Metadata   metaJSON        `json:"metadata"`
+	Spec       json.RawMessage `json:"spec,omitempty"`
+	Status     json.RawMessage `json:"status,omitempty"`
+}
+
+type listJSON struct {
+	Metadata metaJSON     `json:"metadata"`
+	Items    []objectJSON `json:"items"`
+}
+
+type statusJSON struct {
+	Kind    string `json:"kind"`
+	Reason  string `json:"reason"`
+	Message string `json:"message"`
+	Code    int    `json:"code"`
+}
+
+type eventJSON struct {
+	Type   string          `json:"type"`
+	Object json.RawMessage `json:"object"`
+}
+
+type preconditionsJSON struct {
+	ResourceVersion string `json:"resourceVersion,omitempty"`
+}
+
+type deleteJSON struct {
+	Preconditions preconditionsJSON `json:"preconditions"`
+}
+
+func fromObject(o core.Object) objectJSON {
+	return objectJSON{
+		APIVersion: apiVersion,
+		Kind:       o.Kind,
+		Metadata:   metaJSON{Name: o.Name, UID: o.UID, ResourceVersion: versionText(o.Version)},
+		Spec:       o.Spec,
+		Status:     o.Status,
+	}
+}
+
+// object checks and converts an object of the API.
+func (o objectJSON) object(kind core.Kind) (core.Object, error) {
+	version, err := strconv.ParseUint(o.Metadata.ResourceVersion, 10, 64)
+	if err != nil {
+		return core.Object{}, malformed(kind, o.Metadata.Name, "resource version is no number")
+	}
+	return core.Object{
+		Kind:       kind,
+		Name:       o.Metadata.Name,
+		UID:        o.Metadata.UID,
+		Version:    core.Version(version),
+		Generation: o.Metadata.Generation,
+		Spec:       o.Spec,
+		Status:     o.Status,
+	}, nil
+}
+
+func (l listJSON) listing(kind core.Kind) (core.Listing, error) {
+	version, err := strconv.ParseUint(l.Metadata.ResourceVersion, 10, 64)
+	if err != nil {
+		return core.Listing{}, malformed(kind, "", "list without a resource version")
+	}
+	listing := core.Listing{Version: core.Version(version), Objects: make([]core.Object, 0, len(l.Items))}
+	for _, item := range l.Items {
+		o, err := item.object(kind)
+		if err != nil {
+			return core.Listing{}, err
+		}
+		listing.Objects = append(listing.Objects, o)
+	}
+	return listing, nil
+}
+
+func malformed(kind core.Kind, name, what string) *core.PlatformError {
+	return &core.PlatformError{Fault: core.Unknown, Kind: kind, Name: name, Cause: &FormatError{What: what}}
+}
+
+// versionText writes a version; zero, which means no precondition, is empty.
+func versionText(v core.Version) string {
+	if v == 0 {
+		return ""
+	}
+	return strconv.FormatUint(uint64(v), 10)
+}
