Run the whole path as processes: entry, agent, stand-ins, demo

Cause: the parts had no process round them. Change: io/node puts settings, TLS, replicas, control calls, the decider and the servers together; the command line runs entry, agent, check, keys, demo, explain and the stand-ins.

--- a/io/cmds/standin.go
+++ b/io/cmds/standin.go
@@ -65,6 +65,7 @@
 	LoadMemory   time.Duration  `default:"100ms" help:"Time of a load from the host's memory."`
 	LoadDisk     time.Duration  `default:"400ms" help:"Time of a load from the host's disk."`
 	LoadStore    time.Duration  `default:"1500ms" help:"Time of a load from the weight store."`
+	LoadAdapter  time.Duration  `default:"5ms" help:"Time of the load of an adapter."`
 	FirstToken   time.Duration  `default:"5ms" help:"Time before the first token."`
 	TokenTime    time.Duration  `default:"2ms" help:"Time between tokens."`
 	Batch        int            `default:"32" help:"Requests that make progress at once."`
@@ -75,7 +76,7 @@
 func (c *standinEngine) Run(ctx context.Context) error {
 	srv := &llmsrv.Server{
 		Listen: c.Listen, LoadTimes: [3]time.Duration{c.LoadMemory, c.LoadDisk, c.LoadStore},
-		FirstTime: c.FirstToken, TokenTime: c.TokenTime, Batch: c.Batch, Faults: llmsrv.Faults{IgnoreFence: c.IgnoreFence},
+		AdapterTime: c.LoadAdapter, FirstTime: c.FirstToken, TokenTime: c.TokenTime, Batch: c.Batch, Faults: llmsrv.Faults{IgnoreFence: c.IgnoreFence},
 	}
 	for range c.Accelerators {
 		srv.Capacity = append(srv.Capacity, c.Memory)
--- a/io/entry/journal.go
+++ b/io/entry/journal.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"radishwell/core"
@@ -22,6 +23,7 @@
 	Ask func(ctx context.Context, entry core.HostName, c *wire.ClaimCall) (*wire.ClaimReply, error)
 
 	books []*journal
+	slots listing
 }
 
 const (
@@ -29,10 +31,12 @@
 	// writes a second at one group each 50 ms, a fifth of what the platform
 	// holds, and spread the work over as many entries.
 	journalCount = 4
-	// journalSlots and segmentBytes bound a journal: at 56 bytes a claim, 1,024
-	// segments of 64 KiB hold 1.2 million claims, a day of 14 a second in each
-	// journal. A segment is written again with every group, so it is kept small.
-	journalSlots = 1024
+	// journalSlots and segmentBytes bound a journal: at 56 bytes a claim, 256
+	// segments of 64 KiB hold 300,000 claims, in all four journals a day of 14 a
+	// second or 40 minutes of 500 a second. A segment is written again with every
+	// group, so it is kept small; a ring is read whole by an entry that takes it
+	// over, so it has few segments.
+	journalSlots = 256
 	segmentBytes = 64 * core.KiB
 	// maxClaims bounds the claims that wait in one journal.
 	maxClaims = 4096
@@ -67,12 +71,39 @@
 	for _, b := range s.books {
 		go func() { s.serve(ctx, b); ended <- struct{}{} }()
 	}
+	s.keepWarm(ctx)
 	for range s.books {
 		<-ended
 	}
 	return nil
 }
 
+// warmTime is the time between two looks at which journals this entry leads.
+const warmTime = time.Second
+
+// keepWarm has the journals that this entry leads read before the first claim,
+// which would wait for it otherwise.
+func (s *Journals) keepWarm(ctx context.Context) {
+	tick := time.NewTicker(warmTime)
+	defer tick.Stop()
+	leads := make([]bool, len(s.books))
+	for {
+		for n, b := range s.books {
+			ranked := claims.Rank(n, s.Entries())
+			lead := len(ranked) > 0 && ranked[0] == s.Self
+			if lead && !leads[n] {
+				b.send(ctx, b.state.Warm)
+			}
+			leads[n] = lead
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // serve owns one journal: every event of it passes here.
 func (s *Journals) serve(ctx context.Context, b *journal) {
 	timer := time.NewTimer(time.Hour)
@@ -103,8 +134,12 @@
 			to <- a
 		}
 	}
-	for _, name := range e.Reads {
-		go s.read(ctx, b, name)
+	if len(e.Reads) >= listFrom {
+		go s.readMany(ctx, b, e.Reads)
+	} else {
+		for _, name := range e.Reads {
+			go s.read(ctx, b, name)
+		}
 	}
 	if e.Write != nil {
 		go s.write(ctx, b, *e.Write)
@@ -126,6 +161,57 @@
 	b.send(ctx, func(now time.Time) claims.Effects { return b.state.Read(now, replyOf(name, o, err)) })
 }
 
+const (
+	// listFrom is the number of slots from which one list is cheaper for the
+	// platform than a read of each.
+	listFrom = 8
+	// listAge is how old a list may be that slots are read from. Old content does
+	// no harm: a segment that has moved on makes the next append, which is
+	// conditional on the version read, fail and be read again.
+	listAge = 2 * time.Second
+)
+
+// listing is the latest list of all journals' slots.
+type listing struct {
+	mu      sync.Mutex
+	until   time.Time
+	objects map[string]core.Object
+}
+
+// readMany reads many slots, as when a journal is taken over, from one list.
+func (s *Journals) readMany(ctx context.Context, b *journal, names []string) {
+	objects, err := s.list(ctx)
+	for _, name := range names {
+		o, found := objects[name]
+		reply := claims.Reply{Name: name, Object: o, OK: found, Fault: core.NotFound}
+		if err != nil {
+			reply = replyOf(name, o, err)
+		}
+		b.send(ctx, func(now time.Time) claims.Effects { return b.state.Read(now, reply) })
+	}
+}
+
+func (s *Journals) list(ctx context.Context) (map[string]core.Object, error) {
+	s.slots.mu.Lock()
+	defer s.slots.mu.Unlock()
+	if s.Clock.Now().Before(s.slots.until) {
+		return s.slots.objects, nil
+	}
+	call, stop := context.WithTimeout(ctx, platformTime)
+	defer stop()
+	asked := s.Clock.Now()
+	l, err := s.Platform.List(call, core.KindClaim)
+	if err != nil {
+		return nil, err
+	}
+	s.slots.objects = make(map[string]core.Object, len(l.Objects))
+	for _, o := range l.Objects {
+		s.slots.objects[o.Name] = o
+	}
+	s.slots.until = asked.Add(listAge)
+	return s.slots.objects, nil
+}
+
 func (s *Journals) write(ctx context.Context, b *journal, w claims.Write) {
 	call, stop := context.WithTimeout(ctx, platformTime)
 	defer stop()
--- a/io/fakes/llmsrv/orders.go
+++ b/io/fakes/llmsrv/orders.go
@@ -71,10 +71,17 @@
 		Accelerators: slices.Clone(o.Accelerators), Bytes: o.Bytes,
 	})
 	epoch := s.epoch
-	time.AfterFunc(scale(s.LoadTimes[min(int(o.Source), len(s.LoadTimes)-1)], s.faults.LoadFactor), func() { s.loaded(epoch, o.Name) })
+	time.AfterFunc(scale(s.loadTime(o), s.faults.LoadFactor), func() { s.loaded(epoch, o.Name) })
 	return http.StatusAccepted
 }
 
+func (s *Server) loadTime(o core.LoadOrder) time.Duration {
+	if o.Base != "" {
+		return s.AdapterTime
+	}
+	return s.LoadTimes[min(int(o.Source), len(s.LoadTimes)-1)]
+}
+
 // held returns what lies on an accelerator. The caller holds the lock.
 func (s *Server) held(accelerator int) core.Bytes {
 	var sum core.Bytes
--- a/io/fakes/llmsrv/server.go
+++ b/io/fakes/llmsrv/server.go
@@ -34,6 +34,8 @@
 	Capacity []core.Bytes
 	// LoadTimes is how long a load takes from each tier.
 	LoadTimes [3]time.Duration
+	// AdapterTime is how long the load of an adapter takes.
+	AdapterTime time.Duration
 	// TokenTime is the time between tokens, FirstTime that before the first.
 	TokenTime, FirstTime time.Duration
 	// Batch is the most requests that make progress at once; the others wait
--- a/io/node/decide.go
+++ b/io/node/decide.go
@@ -12,6 +12,7 @@
 	"radishwell/core/lease"
 	"radishwell/core/place"
 	"radishwell/io/events"
+	"radishwell/wire"
 )
 
 const (
@@ -40,13 +41,18 @@
 	lease   lease.Lease
 	planner place.Planner
 	decides bool
-	poke    chan struct{}
+	// reports are the entries' latest demand, demanded the models the planner
+	// has been told of.
+	reports  map[string]report
+	demanded map[core.ModelName]bool
+	poke     chan struct{}
 }
 
 func newDecider(self core.HostName, incarnation core.Incarnation, clock core.Clock, platform core.Platform, w *world) *decider {
 	return &decider{
 		self: self, clock: clock, platform: platform, world: w,
 		lease: lease.Lease{Host: self, Incarnation: incarnation}, poke: make(chan struct{}, 1),
+		reports: map[string]report{}, demanded: map[core.ModelName]bool{},
 	}
 }
 
@@ -103,7 +109,7 @@
 	for _, r := range list {
 		switch r.Kind {
 		case core.KindModel, core.KindAdapter:
-			d.setEntry(core.ModelName(r.Name), s)
+			d.setEntry(r, s)
 		case core.KindOwner:
 			d.setOwner(core.OwnerName(r.Name), s)
 		}
@@ -111,10 +117,16 @@
 	poke(d.poke)
 }
 
-func (d *decider) setEntry(name core.ModelName, s *catlog.Snapshot) {
+// setEntry tells the planner of a model or adapter. One that is merely pending,
+// since what it refers to is not there yet, keeps its grants: it is not served
+// meanwhile, and comes back at the same version.
+func (d *decider) setEntry(r catlog.Report, s *catlog.Snapshot) {
+	name := core.ModelName(r.Name)
 	e, ok := s.Model(name)
+	if r.Deleted {
+		d.planner.DropEntry(name, r.Version)
+	}
 	if !ok {
-		d.planner.DropEntry(name)
 		return
 	}
 	d.planner.SetEntry(place.Entry{
@@ -151,14 +163,26 @@
 			d.stepDown()
 			return nil
 		}
-		d.keepLease(ctx)
+		// A process that has not read everything from the platform could not
+		// decide anything, so it does not ask for the lease either.
 		if confirmed() {
+			d.listed()
+			d.keepLease(ctx)
 			d.round(ctx)
 		}
 		timer.Reset(roundTime)
 	}
 }
 
+// listed tells lease and planner that the platform has been read whole.
+func (d *decider) listed() {
+	blank := d.world.blank()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lease.Blank = blank
+	d.planner.Listed()
+}
+
 // keepLease makes the calls that the lease asks for.
 func (d *decider) keepLease(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -374,13 +398,61 @@
 	_, _ = d.platform.Update(ctx, o)
 }
 
-// setDemand takes what entries report of a model's demand.
-func (d *decider) setDemand(name core.ModelName, need float64) {
+// demandAge is how long an entry's report counts; it covers two lost ones.
+const demandAge = 7 * time.Second
+
+// report is one entry's demand.
+type report struct {
+	until   time.Time
+	demands map[core.ModelName]float64
+}
+
+// takeDemand takes one entry's report and tells the planner the sums.
+func (d *decider) takeDemand(c *wire.DemandCall) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.planner.SetDemand(d.clock.Now(), name, need)
+	now := d.clock.Now()
+	r := report{until: now.Add(demandAge), demands: map[core.ModelName]float64{}}
+	for _, one := range c.GetDemands() {
+		r.demands[core.ModelName(one.GetName())] = one.GetRequests()
+	}
+	d.reports[c.GetEntry()] = r
+	sums := map[core.ModelName]float64{}
+	for name, r := range d.reports {
+		if now.After(r.until) {
+			delete(d.reports, name)
+			continue
+		}
+		for model, n := range r.demands {
+			sums[model] += n
+		}
+	}
+	d.setDemands(now, sums)
 }
 
+// setDemands tells the planner how many hosts' work each model has. Models that
+// have none any more are told once.
+func (d *decider) setDemands(now time.Time, sums map[core.ModelName]float64) {
+	for model := range d.demanded {
+		if _, ok := sums[model]; !ok {
+			d.planner.SetDemand(now, model, 0)
+			delete(d.demanded, model)
+		}
+	}
+	for model, n := range sums {
+		per := hostConcurrency
+		if e, ok := d.world.snapshot().Model(model); ok && e.Limits.Concurrency > 0 {
+			per = e.Limits.Concurrency
+		}
+		d.planner.SetDemand(now, model, n/float64(per))
+		d.demanded[model] = true
+	}
+}
+
+// hostConcurrency is how many requests of one model a host works on at once
+// where the catalogue sets no limit; agents use the same number.
+const hostConcurrency = 64
+
 func poke(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- /dev/null
+++ b/io/node/entry.go
@@ -0,0 +1,222 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/admit"
+	"radishwell/core/catlog"
+	"radishwell/io/certs"
+	"radishwell/io/entry"
+	"radishwell/io/events"
+	"radishwell/io/front"
+	"radishwell/io/peer"
+	"radishwell/wire"
+)
+
+// demandTime is the time between two reports of an entry's demand.
+const demandTime = 2 * time.Second
+
+// buildEntry builds the entry role.
+func (n *Node) buildEntry(context.Context) error {
+	s := n.Settings
+	d := newDecider(s.Name, n.incarnation, n.clock, n.Platform, n.world)
+	n.world.changed = d.seen
+	n.world.reports = func(list []catlog.Report) {
+		n.catalogueChanged(list)
+		d.reported(list, n.world.snapshot())
+	}
+	journals := &entry.Journals{Self: s.Name, Clock: n.clock, Platform: n.Platform, Entries: n.entryNames, Ask: n.askClaim}
+	journals.Init()
+	e := &entry.Entry{
+		Name: s.Name, DataCentre: s.DataCentre, Clock: n.clock, Meter: n.meter, Tracer: n.tracer,
+		Rand: rand.New(rand.NewPCG(n.rand.Uint64(), n.rand.Uint64())), Snapshot: n.world.snapshot,
+		Hosts: n.hosts, Find: n.world.entryHost, Share: n.share, Noted: n.noted,
+		Probe: n.probe, Seal: n.seal, Claim: journals.Claim, KeyAge: s.Limits.KeyAge,
+		Relay: &entry.Relay{TLS: n.tlsToAgent()}, Spread: n.spread,
+	}
+	e.Init()
+	n.handler.Claim = func(c *wire.ClaimCall) (*wire.ClaimReply, error) {
+		return journals.Serve(context.Background(), c), nil
+	}
+	n.handler.Demand = func(c *wire.DemandCall) (*wire.Empty, error) {
+		d.takeDemand(c)
+		return &wire.Empty{}, nil
+	}
+	n.strikes, n.mergeStrikes = e.Strikes, e.MergeStrikes
+	n.addPart("entry", e.Run)
+	n.addPart("journals", journals.Run)
+	n.addPart("decider", func(ctx context.Context) error { return d.run(ctx, n.catalogueConfirmed) })
+	n.addPart("demand", func(ctx context.Context) error { return n.reportDemand(ctx, e, d) })
+	n.addServer(n.callersServer(e))
+	n.role = role{
+		ready: func() bool { return n.world.snapshot().Revision() > 0 },
+		drain: func(ctx context.Context) {
+			sleep(ctx, steerTime)
+			waitIdle(ctx, e.Idle)
+		},
+		explain: func(subject, name string) []string { return n.explainEntry(e, d, subject, name) },
+		routes:  quarantineRoutes(e),
+	}
+	return nil
+}
+
+// callersServer serves the callers' interface.
+func (n *Node) callersServer(e *entry.Entry) *httpServer {
+	f := &front.Front{
+		Clock: n.clock, Serve: e.Serve, MaxBody: n.Settings.Limits.MaxBody, Deadline: n.Settings.Limits.Deadlines.At,
+		Snapshot: func() *catlog.Snapshot {
+			if !n.role.ready() {
+				return nil
+			}
+			return n.world.snapshot()
+		},
+		Refused: func(id core.RequestID, r *core.Refusal) {
+			n.meter.Request(core.Interactive, r, n.clock.Now(), time.Time{}, n.clock.Now(), false)
+			events.Log(events.RequestRefused, "request", id, "code", r.Code, "reason", r.Reason)
+		},
+		NewID: newIDs(n.Settings.Name, n.incarnation),
+	}
+	out := &httpServer{address: n.Settings.Listen.Callers, handler: n.steer(f)}
+	if n.callers != nil {
+		out.tls = n.callers.Callers([]string{"h2", "http/1.1"})
+	}
+	return out
+}
+
+// steer has callers' connections closed after their answer while the process is
+// leaving, so that their next request goes to another entry.
+func (n *Node) steer(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.state.isLeaving() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// newIDs returns a source of request ids: the host, its incarnation and a count,
+// so that none is drawn twice in the fleet.
+func newIDs(host core.HostName, life core.Incarnation) func() core.RequestID {
+	var count atomic.Uint64
+	prefix := string(host) + "-" + strconv.FormatUint(uint64(life), 36) + "-"
+	return func() core.RequestID {
+		return core.RequestID(prefix + strconv.FormatUint(count.Add(1), 36))
+	}
+}
+
+// tlsToAgent returns the configurations for streams from agents.
+func (n *Node) tlsToAgent() func(core.HostName) *tls.Config {
+	if n.keeper == nil {
+		return nil
+	}
+	return func(host core.HostName) *tls.Config { return n.tlsTo(certs.Agent, host, "h2") }
+}
+
+// entryNames lists the live entries with this one among them, by name.
+func (n *Node) entryNames() []core.HostName {
+	list := n.world.entries()
+	if !slices.Contains(list, n.Settings.Name) {
+		list = append(list, n.Settings.Name)
+		slices.Sort(list)
+	}
+	return list
+}
+
+// share is this entry's part of owners' and models' limits.
+func (n *Node) share() admit.Share {
+	list := n.entryNames()
+	return admit.Share{Entries: len(list), Rank: slices.Index(list, n.Settings.Name)}
+}
+
+func (n *Node) askClaim(ctx context.Context, host core.HostName, c *wire.ClaimCall) (*wire.ClaimReply, error) {
+	h, ok := n.world.host(host)
+	if !ok {
+		return nil, &UnknownHostError{Host: host}
+	}
+	return n.client.Claim(ctx, peer.Target{Host: host, Address: h.spec.Control}, c)
+}
+
+// UnknownHostError reports a host that the platform does not list.
+type UnknownHostError struct{ Host core.HostName }
+
+// Error implements error.
+func (e *UnknownHostError) Error() string { return "the platform lists no host " + string(e.Host) }
+
+func (n *Node) probe(ctx context.Context, h entry.Host, names []core.ModelName) (*wire.HostLoad, error) {
+	call := &wire.ProbeCall{}
+	for _, name := range names {
+		call.Names = append(call.Names, string(name))
+	}
+	return n.client.Probe(ctx, peer.Target{Host: h.Name, Address: h.Control}, call)
+}
+
+func (n *Node) seal(ctx context.Context, h entry.Host, c *wire.SealCall) (*wire.SealReply, error) {
+	return n.client.Seal(ctx, peer.Target{Host: h.Name, Address: h.Control}, c)
+}
+
+// reportDemand tells the decider how much work this entry's models have.
+func (n *Node) reportDemand(ctx context.Context, e *entry.Entry, d *decider) error {
+	tick := time.NewTicker(demandTime)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil
+		}
+		call := &wire.DemandCall{Entry: string(n.Settings.Name), Demands: e.Demand()}
+		holder := d.holder()
+		if holder == n.Settings.Name || holder == "" {
+			d.takeDemand(call)
+			continue
+		}
+		h, ok := n.world.host(holder)
+		if !ok || len(call.GetDemands()) == 0 {
+			continue
+		}
+		to, stop := context.WithTimeout(ctx, demandTime)
+		// A lost report is replaced by the next.
+		_, _ = n.client.Demand(to, peer.Target{Host: holder, Address: h.spec.Control}, call)
+		stop()
+	}
+}
+
+// quarantineRoutes let operators see and clear what is held against requests.
+func quarantineRoutes(e *entry.Entry) map[string]operatorRoute {
+	return map[string]operatorRoute{
+		"GET /quarantine": func(w http.ResponseWriter, _ *http.Request) {
+			type row struct {
+				Fingerprint string `json:"fingerprint"`
+				Standing    string `json:"standing"`
+				Engines     uint32 `json:"engines-lost"`
+				Alone       uint32 `json:"alone"`
+				Expires     string `json:"expires"`
+			}
+			rows := []row{}
+			for _, f := range e.Quarantined() {
+				rows = append(rows, row{
+					strconv.FormatUint(uint64(f.Fingerprint), 16), f.Standing.String(), f.Count, f.Alone,
+					f.Expires.UTC().Format(time.RFC3339),
+				})
+			}
+			writeJSON(w, rows)
+		},
+		"DELETE /quarantine/{fingerprint}": func(w http.ResponseWriter, r *http.Request) {
+			f, err := strconv.ParseUint(r.PathValue("fingerprint"), 16, 64)
+			if err != nil {
+				writeText(w, http.StatusBadRequest, "a fingerprint is hexadecimal, as GET /quarantine shows it")
+				return
+			}
+			e.ClearStrikes(core.Fingerprint(f))
+			writeText(w, http.StatusOK, "cleared")
+		},
+	}
+}
--- a/io/node/world.go
+++ b/io/node/world.go
@@ -231,3 +231,10 @@
 	w.judged = len(list) > 0
 	return list[:min(len(list), limit)]
 }
+
+// blank tells that no grant has ever been seen: nothing was decided yet.
+func (w *world) blank() bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return len(w.grants) == 0
+}
