--- a/io/node/mesh.go
+++ b/io/node/mesh.go
@@ -2,6 +2,10 @@
 
 import (
 	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/samber/oops"
 
 	"radishwell/core"
 	"radishwell/core/strike"
@@ -12,16 +16,59 @@
 )
 
 // prepareStore sets up the replicas and the calls of other processes.
-func (n *Node) prepareStore() {
+func (n *Node) prepareStore() error {
 	if n.Platform == nil {
-		n.Platform = &objapi.Client{
-			Address: n.Settings.Platform.URLs[0].Addr, Writes: objapi.Budget{PerSecond: platformWrites, Burst: platformWrites},
-			Reads: objapi.Budget{PerSecond: platformReads, Burst: platformReads},
+		if err := n.preparePlatform(); err != nil {
+			return err
 		}
 	}
 	n.client = &peer.Client{TLS: n.tlsToPeer()}
 	n.store = newStore(n.Platform, func(list []core.Object) { n.world.apply(list) })
 	n.addPart("store", n.store.run)
+	return nil
+}
+
+// preparePlatform makes clients of the platform's addresses.
+func (n *Node) preparePlatform() error {
+	conf, err := n.platformTLS()
+	if err != nil {
+		return err
+	}
+	tokens := &tokenFile{path: n.Settings.Platform.TokenFile, clock: n.clock}
+	links := &chain{}
+	for _, at := range n.Settings.Platform.URLs {
+		c := &objapi.Client{
+			Address: at.Addr, Writes: objapi.Budget{PerSecond: platformWrites, Burst: platformWrites},
+			Reads: objapi.Budget{PerSecond: platformReads, Burst: platformReads},
+		}
+		if at.TLS {
+			c.TLS = conf
+		}
+		if tokens.path != "" {
+			c.TokenSource = tokens.token
+		}
+		links.links = append(links.links, c)
+	}
+	n.Platform = links
+	return nil
+}
+
+// platformTLS checks the platform's certificates against the file of the
+// settings.
+func (n *Node) platformTLS() (*tls.Config, error) {
+	file := n.Settings.Platform.CA
+	if file == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, oops.In("node").Wrapf(err, "read the platform's certificates")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, &certs.FileError{File: file, Reason: "holds no certificate"}
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}, nil
 }
 
 // platformWrites and platformReads bound the calls a second of one process: a
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -131,7 +131,9 @@
 	events.Log(events.Start, "role", s.Role, "host", s.Name)
 	n.world = newWorld()
 	n.world.reports = n.catalogueChanged
-	n.prepareStore()
+	if err := n.prepareStore(); err != nil {
+		return err
+	}
 	build := n.buildAgent
 	if s.Role == config.Entry {
 		build = n.buildEntry
--- a/io/objapi/call.go
+++ b/io/objapi/call.go
@@ -151,8 +151,8 @@
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	if c.Token != "" {
-		req.Header.Set("Authorization", "Bearer "+c.Token)
+	if token := c.token(); token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
 	}
 	resp, err := c.http.Do(req)
 	switch {
--- a/io/objapi/client.go
+++ b/io/objapi/client.go
@@ -49,8 +49,10 @@
 	Address netip.AddrPort
 	// TLS is the configuration of TLS connections; nil for plain HTTP.
 	TLS *tls.Config
-	// Token is sent as a bearer token, if not empty.
-	Token string
+	// Token is sent as a bearer token, if not empty. TokenSource, if set, gives
+	// the newest one at each call instead.
+	Token       string
+	TokenSource func() string
 	// Reads bounds list, get and the start of watches; Writes the rest.
 	Reads, Writes Budget
 	// WatchSilence is for how long a watch may bring neither a change nor a
@@ -69,6 +71,13 @@
 
 var _ core.Platform = (*Client)(nil)
 
+func (c *Client) token() string {
+	if c.TokenSource != nil {
+		return c.TokenSource()
+	}
+	return c.Token
+}
+
 func (c *Client) init() { c.once.Do(c.build) }
 
 func (c *Client) build() {
