--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -13,7 +13,9 @@
 	"radishwell/core/dedupe"
 	"radishwell/core/ledger"
 	"radishwell/core/strike"
+	"radishwell/io/meter"
 	"radishwell/io/relay"
+	"radishwell/io/spans"
 	"radishwell/wire"
 )
 
@@ -42,6 +44,7 @@
 	target  core.Target
 	spool   *relay.Spool
 	arrived time.Time
+	span    spans.Span
 
 	// Under the agent's lock.
 	waiting bool
@@ -61,6 +64,13 @@
 	ended    time.Time
 	cancel   context.CancelCauseFunc
 
+	// started is when the run went to the engine, loading when the load that it
+	// waited for began.
+	started time.Time
+	loading time.Time
+	// first is when the answer's first byte came, in nanoseconds since the epoch.
+	first atomic.Int64
+
 	// received counts the answer's bytes that arrived; moved is when the last
 	// did, in nanoseconds since the epoch.
 	received atomic.Int64
@@ -144,7 +154,7 @@
 	return core.EngineWork{
 		ID: r.id, Model: core.ModelName(r.head.GetModel()), Method: r.head.GetMethod(), Path: r.head.GetPath(),
 		Header: header(r.head.GetHeader()), Body: r.body, Priority: core.Class(r.head.GetClass()),
-		Deadline: relay.Time(r.head.GetDeadline()), Trace: r.head.GetTrace(),
+		Deadline: relay.Time(r.head.GetDeadline()), Trace: r.span.Traceparent(),
 	}
 }
 
@@ -208,7 +218,9 @@
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			r.received.Add(int64(n))
+			if r.received.Add(int64(n)) == int64(n) {
+				r.first.Store(r.agent.Clock.Now().UnixNano())
+			}
 			r.moved.Store(r.agent.Clock.Now().UnixNano())
 			if err := r.write(ctx, buf[:n]); err != nil {
 				return err
@@ -257,6 +269,27 @@
 	return answer, err
 }
 
+// trace records the run's hops once it has ended.
+func (r *run) trace(refusal *core.Refusal, now time.Time) {
+	if !r.started.IsZero() {
+		r.span.Hop(meter.AgentQueue, r.arrived, r.started)
+		r.agent.Meter.Hop(meter.AgentQueue, r.arrived, r.started)
+	}
+	if r.cold && !r.loading.IsZero() {
+		r.span.Hop(meter.Load, r.loading, r.started)
+		r.agent.Meter.Hop(meter.Load, r.loading, r.started)
+	}
+	if first := r.first.Load(); first != 0 {
+		at := time.Unix(0, first)
+		r.span.Hop(meter.FirstToken, r.started, at)
+		r.span.Hop(meter.Stream, at, now)
+		r.agent.Meter.Hop(meter.FirstToken, r.started, at)
+		r.agent.Meter.Hop(meter.Stream, at, now)
+	}
+	r.span.Upstream(r.agent.Host, r.cold)
+	r.span.End(refusal, now)
+}
+
 func (r *run) keyed() bool { return r.head.GetAttempt() > 0 }
 
 func fields(h map[string][]string) []*wire.Field {
--- a/io/agent/sched.go
+++ b/io/agent/sched.go
@@ -10,7 +10,6 @@
 	"radishwell/core/queue"
 	"radishwell/core/strike"
 	"radishwell/io/events"
-	"radishwell/io/meter"
 	"radishwell/io/relay"
 )
 
@@ -22,6 +21,8 @@
 	running int
 	// cold tells that requests now waiting have waited for a load.
 	cold bool
+	// loading is when the load began that they wait for.
+	loading time.Time
 	// idle is when the last request ended.
 	idle time.Time
 }
@@ -137,14 +138,13 @@
 	r.waiting = false
 	l.running++
 	a.inWork++
-	r.cold = l.cold
+	r.cold, r.loading, r.started = l.cold, l.loading, now
 	if l.waiting == 0 {
 		l.cold = false
 	}
 	r.use = use
 	r.alone = verdict.Alone
 	r.epoch = a.state.Epoch
-	a.Meter.Hop(meter.AgentQueue, r.arrived, now)
 	a.begin(r, now)
 	return true
 }
@@ -172,7 +172,10 @@
 	if a.Plain || a.ledger.Item(l.target.Model).State == core.Loaded && a.baseLoaded(l.target) {
 		return
 	}
-	l.cold = true
+	if !l.cold {
+		l.cold = true
+		l.loading = now
+	}
 	verdict := ledger.NoBase
 	if l.target.Base == "" || a.baseLoaded(l.target) {
 		verdict = a.loadItem(now, l.target.Model, l.target.Base)
--- a/io/agent/take.go
+++ b/io/agent/take.go
@@ -95,6 +95,9 @@
 		target: core.Target{Service: core.ServiceName(h.GetService()), Model: core.ModelName(h.GetModel()), Base: core.ModelName(h.GetBase())},
 		spool:  relay.NewSpool(), arrived: now, readers: 1,
 	}
+	r.span = a.Tracer.Request(h.GetTrace(), core.Request{
+		ID: r.id, Target: r.target, Owner: core.OwnerName(h.GetOwner()), Class: core.Class(h.GetClass()),
+	}, now)
 	a.runs[call.ID] = r
 	a.byID[r.id] = r
 	return r
@@ -176,6 +179,7 @@
 	e.Load = a.load(now, []core.ModelName{r.target.Model, r.target.Base})
 	e.Strikes = relay.StrikesOut(r.strikes)
 	r.spool.End(e)
+	r.trace(refusal, now)
 }
 
 // source returns where a reader gets the run's answer from. The answer of a
