--- a/core/replic/replic.go
+++ b/core/replic/replic.go
@@ -35,6 +35,10 @@
 // Horizon returns the version below which Since returns full deltas.
 func (r *Replica) Horizon() core.Version { return r.horizon }
 
+// Newest returns the largest version of any object or tombstone ever held. It
+// grows with changes only, where Through grows with bookmarks too.
+func (r *Replica) Newest() core.Version { return r.newest }
+
 // Len returns the number of objects, tombstones not counted.
 func (r *Replica) Len() int { return len(r.byName) - r.dead }
 
--- /dev/null
+++ b/io/peer/soft.go
@@ -0,0 +1,174 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"radishwell/core"
+	"radishwell/wire"
+)
+
+// Kinds of marks.
+const (
+	MarkLeaving = "leaving"
+	MarkSlow    = "slow"
+)
+
+const (
+	// maxMarks bounds the marks held; the largest wave of leaving hosts, a data
+	// centre of 213 with a few marks each, fits well.
+	maxMarks = 2048
+	// maxMarkAge bounds how far ahead a mark may expire, so that a process with
+	// a wrong clock can't keep a host out for ever.
+	maxMarkAge = 15 * time.Minute
+	// extension is by how much a mark must be extended to be news.
+	extension = 10 * time.Second
+)
+
+// Mark is expiring soft state about a host. It only ever keeps work away from
+// a host and is lost without harm.
+type Mark struct {
+	Host core.HostName
+	// Kind is MarkLeaving or MarkSlow.
+	Kind string
+	// Incarnation is the life of the host's process that is meant.
+	Incarnation core.Incarnation
+	// Expires is when the mark is forgotten.
+	Expires time.Time
+}
+
+// markID is what is joined by the latest expiry.
+type markID struct {
+	host        core.HostName
+	kind        string
+	incarnation core.Incarnation
+}
+
+// softState holds the marks that are in force.
+type softState struct{ marks map[markID]time.Time }
+
+// add joins marks and returns those that are news.
+func (s *softState) add(marks []Mark, now time.Time) []Mark {
+	if s.marks == nil {
+		s.marks = map[markID]time.Time{}
+	}
+	var news []Mark
+	for _, m := range marks {
+		if limit := now.Add(maxMarkAge); m.Expires.After(limit) {
+			m.Expires = limit
+		}
+		id := markID{m.Host, m.Kind, m.Incarnation}
+		held, ok := s.marks[id]
+		if !m.Expires.After(now) || ok && !m.Expires.After(held) {
+			continue
+		}
+		s.marks[id] = m.Expires
+		if !ok || m.Expires.Sub(held) > extension {
+			news = append(news, m)
+		}
+	}
+	s.trim(now)
+	return news
+}
+
+// trim forgets expired marks and, beyond the bound, those that expire first.
+func (s *softState) trim(now time.Time) {
+	for id, expires := range s.marks {
+		if !expires.After(now) {
+			delete(s.marks, id)
+		}
+	}
+	if len(s.marks) <= maxMarks {
+		return
+	}
+	all := s.list(now)
+	slices.SortStableFunc(all, func(a, b Mark) int { return a.Expires.Compare(b.Expires) })
+	for _, m := range all[:len(all)-maxMarks] {
+		delete(s.marks, markID{m.Host, m.Kind, m.Incarnation})
+	}
+}
+
+// list returns the marks in force in a fixed order.
+func (s *softState) list(now time.Time) []Mark {
+	var all []Mark
+	for id, expires := range s.marks {
+		if expires.After(now) {
+			all = append(all, Mark{Host: id.host, Kind: id.kind, Incarnation: id.incarnation, Expires: expires})
+		}
+	}
+	slices.SortFunc(all, func(a, b Mark) int {
+		return cmp.Or(
+			cmp.Compare(a.Host, b.Host),
+			cmp.Compare(a.Kind, b.Kind),
+			cmp.Compare(a.Incarnation, b.Incarnation),
+		)
+	})
+	return all
+}
+
+func (s *softState) wire(now time.Time) []*wire.Mark {
+	var out []*wire.Mark
+	for _, m := range s.list(now) {
+		out = append(out, &wire.Mark{
+			Host:        string(m.Host),
+			Kind:        m.Kind,
+			Incarnation: uint64(m.Incarnation),
+			Expires:     m.Expires.UnixNano(),
+		})
+	}
+	return out
+}
+
+// Mark spreads a mark over the fleet.
+func (s *Store) Mark(m Mark) {
+	s.init()
+	s.addMarks([]Mark{m})
+}
+
+// Marks returns the marks in force.
+func (s *Store) Marks() []Mark {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.soft.list(s.Clock.Now())
+}
+
+// Kick makes the next exchange with peers come at once. It is called when
+// there are new strikes to tell.
+func (s *Store) Kick() {
+	s.init()
+	wake(s.kick)
+}
+
+func (s *Store) addMarks(marks []Mark) {
+	s.mu.Lock()
+	news := s.soft.add(marks, s.Clock.Now())
+	s.mu.Unlock()
+	if len(news) == 0 {
+		return
+	}
+	wake(s.kick)
+	if s.Marked != nil {
+		s.Marked(news)
+	}
+}
+
+// takeSoft takes in a peer's marks and strikes.
+func (s *Store) takeSoft(marks []*wire.Mark, strikes []*wire.Strike) {
+	if len(marks) > 0 {
+		list := make([]Mark, 0, len(marks))
+		for _, m := range marks {
+			list = append(list, Mark{
+				Host:        core.HostName(m.GetHost()),
+				Kind:        m.GetKind(),
+				Incarnation: core.Incarnation(m.GetIncarnation()),
+				Expires:     time.Unix(0, m.GetExpires()),
+			})
+		}
+		s.addMarks(list)
+	}
+	if len(strikes) > 0 && s.Struck != nil && s.Struck(strikes) {
+		wake(s.kick)
+	}
+}
