--- a/io/cmds/demo.go
+++ b/io/cmds/demo.go
@@ -26,7 +26,7 @@
 
 // demoCommand runs the whole path in one process.
 type demoCommand struct {
-	Listen netip.AddrPort `default:"127.0.0.1:8080" help:"Address for callers."`
+	Listen netip.AddrPort `default:"127.0.0.1:8080" help:"Address for callers; port 0 is any free one."`
 	Log    bool           `help:"Write the log events to standard error."`
 }
 
@@ -75,23 +75,22 @@
 	if !c.Log {
 		events.Discard()
 	}
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	d := &demo{ctx: ctx, stop: stop, ended: make(chan error, 16)}
-	if err := d.start(c.Listen); err != nil {
-		stop()
-		d.wait()
-		return err
+	d := newDemo(ctx)
+	err := d.start(c.Listen)
+	if err == nil {
+		err = d.awaitGrants()
 	}
-	err := d.awaitGrants()
 	if err == nil {
-		err = printReady(out, c.Listen)
+		err = printReady(out, d.callers)
 	}
 	if err == nil {
-		<-ctx.Done()
+		<-d.nodes.ctx.Done()
+	}
+	// The nodes end what is in progress, for which they need the stand-ins.
+	first := d.nodes.end()
+	if other := d.standins.end(); first == nil {
+		first = other
 	}
-	stop()
-	first := d.wait()
 	if err != nil && ctx.Err() == nil {
 		return err
 	}
@@ -107,28 +106,43 @@
 
 // demo is the running parts.
 type demo struct {
+	nodes    group
+	standins group
+	client   *objapi.Client
+	callers  netip.AddrPort
+}
+
+func newDemo(ctx context.Context) *demo {
+	d := &demo{}
+	d.nodes.ctx, d.nodes.stop = context.WithCancel(ctx)
+	d.standins.ctx, d.standins.stop = context.WithCancel(context.WithoutCancel(ctx))
+	d.nodes.ended, d.standins.ended = make(chan error), make(chan error)
+	return d
+}
+
+// group is parts that are stopped together; the first that ends stops the rest.
+type group struct {
 	ctx     context.Context
 	stop    context.CancelFunc
 	ended   chan error
 	running int
-	client  *objapi.Client
 }
 
-// run starts one part. The first that fails stops all.
-func (d *demo) run(part func(context.Context) error) {
-	d.running++
+func (g *group) run(part func(context.Context) error) {
+	g.running++
 	go func() {
-		err := part(d.ctx)
-		d.stop()
-		d.ended <- err
+		err := part(g.ctx)
+		g.stop()
+		g.ended <- err
 	}()
 }
 
-// wait waits for all parts and returns the first failure.
-func (d *demo) wait() error {
+// end stops the parts, waits for all of them, and returns the first failure.
+func (g *group) end() error {
+	g.stop()
 	var first error
-	for range d.running {
-		if err := <-d.ended; err != nil && first == nil {
+	for range g.running {
+		if err := <-g.ended; err != nil && first == nil {
 			first = err
 		}
 	}
@@ -136,7 +150,7 @@
 }
 
 func (d *demo) start(callers netip.AddrPort) error {
-	ports, err := freePorts(3 + demoEngines*4 + 4)
+	ports, err := freePorts(4 + demoEngines*4 + 4)
 	if err != nil {
 		return err
 	}
@@ -148,25 +162,29 @@
 	platform := next()
 	d.client = &objapi.Client{Address: platform}
 	entry := demoSettings(config.Entry, "entry-1", platform, next(), next())
-	entry.Listen.Callers = callers
+	d.callers = callers
+	if callers.Port() == 0 {
+		d.callers = netip.AddrPortFrom(callers.Addr(), next().Port())
+	}
+	entry.Listen.Callers = d.callers
 	nodes := []config.Settings{entry}
 	for i := range demoEngines {
 		at := next()
 		nodes = append(nodes, demoAgent(fmt.Sprintf("engine-%d", i+1), "engines", core.EngineService, at, platform, next(), next(), next()))
-		d.run((&llmsrv.Server{
+		d.standins.run((&llmsrv.Server{
 			Listen: at, Capacity: []core.Bytes{demoAccelerator}, LoadTimes: demoLoadTimes, AdapterTime: demoAdapterTime, TokenTime: demoTokenTime, FirstTime: demoTokenTime, Batch: 16,
 		}).Run)
 	}
 	at := next()
 	nodes = append(nodes, demoAgent("ledger-1", "ledger", core.PlainService, at, platform, next(), next(), next()))
-	d.run((&plain.Server{Listen: at}).Run)
+	d.standins.run((&plain.Server{Listen: at}).Run)
 	objects, err := demoObjects(nodes)
 	if err != nil {
 		return err
 	}
-	d.run((&apisrv.Server{Listen: platform, Seed: objects, History: 1000}).Run)
+	d.standins.run((&apisrv.Server{Listen: platform, Seed: objects, History: 1000}).Run)
 	for _, s := range nodes {
-		d.run((&node.Node{Settings: s}).Run)
+		d.nodes.run((&node.Node{Settings: s}).Run)
 	}
 	return nil
 }
@@ -216,7 +234,7 @@
 
 // awaitGrants waits until every model may be loaded somewhere.
 func (d *demo) awaitGrants() error {
-	ctx, stop := context.WithTimeout(d.ctx, demoReadyTime)
+	ctx, stop := context.WithTimeout(d.nodes.ctx, demoReadyTime)
 	defer stop()
 	for {
 		list, err := d.client.List(ctx, core.KindGrant)
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -65,7 +65,7 @@
 	}
 	var spec core.HostSpec
 	if json.Unmarshal(o.Spec, &spec) == nil && !o.Deleted && spec.State == core.HostLeaving {
-		n.store.Leave()
+		n.leave()
 		a.Leave()
 	}
 }
@@ -113,7 +113,7 @@
 		// again.
 		return err
 	}
-	n.store.Took(o)
+	n.store.Learn(o)
 	return nil
 }
 
--- a/io/node/decide.go
+++ b/io/node/decide.go
@@ -151,7 +151,7 @@
 }
 
 // run keeps the lease and, while this entry holds it, decides.
-func (d *decider) run(ctx context.Context, confirmed func() bool) error {
+func (d *decider) run(ctx context.Context, known, fresh func() bool) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -165,8 +165,8 @@
 		}
 		// A process that has not read everything from the platform could not
 		// decide anything, so it does not ask for the lease either.
-		if confirmed() {
-			d.listed()
+		if known() {
+			d.listed(fresh())
 			d.keepLease(ctx)
 			d.round(ctx)
 		}
@@ -174,9 +174,11 @@
 	}
 }
 
-// listed tells lease and planner that the platform has been read whole.
-func (d *decider) listed() {
-	blank := d.world.blank()
+// listed tells lease and planner that the platform has been read whole. Fresh
+// tells that this process itself has read the grants: only then does their
+// absence mean that nobody has decided before.
+func (d *decider) listed(fresh bool) {
+	blank := fresh && d.world.blank()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lease.Blank = blank
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -53,7 +53,9 @@
 	n.strikes, n.mergeStrikes = e.Strikes, e.MergeStrikes
 	n.addPart("entry", e.Run)
 	n.addPart("journals", journals.Run)
-	n.addPart("decider", func(ctx context.Context) error { return d.run(ctx, n.catalogueConfirmed) })
+	n.addPart("decider", func(ctx context.Context) error {
+		return d.run(ctx, n.catalogueKnown, func() bool { return n.store.Confirmed(core.KindGrant) })
+	})
 	n.addPart("demand", func(ctx context.Context) error { return n.reportDemand(ctx, e, d) })
 	n.addServer(n.callersServer(e))
 	n.role = role{
--- a/io/node/mesh.go
+++ b/io/node/mesh.go
@@ -3,16 +3,23 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
+	"net/netip"
 	"os"
+	"time"
 
 	"github.com/samber/oops"
 
 	"radishwell/core"
 	"radishwell/core/strike"
 	"radishwell/io/certs"
+	"radishwell/io/config"
 	"radishwell/io/entry"
+	"radishwell/io/events"
 	"radishwell/io/objapi"
 	"radishwell/io/peer"
+	"radishwell/io/relay"
+	"radishwell/wire"
 )
 
 // prepareStore sets up the replicas and the calls of other processes.
@@ -23,8 +30,15 @@
 		}
 	}
 	n.client = &peer.Client{TLS: n.tlsToPeer()}
-	n.store = newStore(n.Platform, func(list []core.Object) { n.world.apply(list) })
-	n.addPart("store", n.store.run)
+	self := peer.Target{Host: n.Settings.Name, Address: n.Settings.Listen.Control}
+	n.store = &peer.Store{
+		Self: self, Kinds: storedKinds(), Confirm: n.confirmKinds(), Platform: n.Platform, Client: n.client, Clock: n.clock,
+		Peers: n.peers, Seed: uint64(n.incarnation), Changed: n.world.apply, Marked: n.marked,
+		Strikes: func() []*wire.Strike { return relay.StrikesOut(n.strikes()) },
+		Struck:  n.struck, Failed: n.failed,
+	}
+	n.handler.Sync = n.store.Serve
+	n.addPart("store", n.store.Run)
 	return nil
 }
 
@@ -78,17 +92,52 @@
 	platformReads  = 200
 )
 
+// storedKinds are the kinds that every process keeps a replica of.
+func storedKinds() []core.Kind {
+	return append(core.CatalogueKinds(), core.KindHost, core.KindGrant, core.KindLease)
+}
+
+// confirmKinds are the kinds that this process reads from the platform itself,
+// whatever its peers have. An agent loads nothing on a peer's word; a decider
+// decides nothing on it.
+func (n *Node) confirmKinds() []core.Kind {
+	if n.Settings.Role == config.Agent {
+		return []core.Kind{core.KindGrant, core.KindHost}
+	}
+	return nil
+}
+
+// peers lists the other processes: those the platform lists, and those of the
+// settings, which are all that is known when the platform is down at the start.
+func (n *Node) peers() []peer.Target {
+	list := n.world.targets()
+	known := map[netip.AddrPort]bool{n.Settings.Listen.Control: true}
+	for _, t := range list {
+		known[t.Address] = true
+	}
+	for _, at := range n.Settings.Peers {
+		if !known[at] {
+			list = append(list, peer.Target{Address: at})
+		}
+	}
+	return list
+}
+
 // tlsToPeer returns the configurations for calls of any own process.
 func (n *Node) tlsToPeer() func(core.HostName) *tls.Config {
 	if n.keeper == nil {
 		return nil
 	}
 	return func(host core.HostName) *tls.Config {
-		role := certs.Agent
-		if h, ok := n.world.host(host); ok && h.spec.Role == core.EntryHost {
-			role = certs.Entry
+		h, ok := n.world.host(host)
+		switch {
+		case !ok:
+			return n.keeper.AnyClient(nil)
+		case h.spec.Role == core.EntryHost:
+			return n.tlsTo(certs.Entry, host)
+		default:
+			return n.tlsTo(certs.Agent, host)
 		}
-		return n.tlsTo(role, host)
 	}
 }
 
@@ -98,14 +147,45 @@
 // noted tells membership how contact with a host went.
 func (n *Node) noted(core.HostName, bool, core.Incarnation, bool) {}
 
+// marked takes marks that peers have spread.
+func (n *Node) marked([]peer.Mark) {}
+
+// markAge is how long a leaving mark counts: the platform's list, which lags by
+// less, has the host as leaving or gone by then.
+const markAge = 5 * time.Minute
+
+// leave tells peers that this process takes no new work.
+func (n *Node) leave() {
+	n.store.Mark(peer.Mark{
+		Host: n.Settings.Name, Kind: peer.MarkLeaving, Incarnation: n.incarnation, Expires: n.clock.Now().Add(markAge),
+	})
+}
+
 // spread sends strikes to peers at once.
-func (n *Node) spread([]strike.Record) {}
+func (n *Node) spread([]strike.Record) { n.store.Kick() }
+
+// struck takes peers' strikes and tells whether any was news.
+func (n *Node) struck(list []*wire.Strike) bool {
+	before := len(n.strikes())
+	n.mergeStrikes(relay.StrikesIn(list))
+	return len(n.strikes()) != before
+}
+
+// failed logs calls of platform and peers that failed.
+func (n *Node) failed(err error) {
+	var platform *core.PlatformError
+	if errors.As(err, &platform) {
+		events.Fail(events.WatchRestarted, err, "kind", platform.Kind)
+		return
+	}
+	events.Fail(events.PeerUnreachable, err)
+}
 
-// catalogueConfirmed tells that this process knows the whole catalogue, the
-// hosts and the grants from the platform itself.
-func (n *Node) catalogueConfirmed() bool {
-	for _, k := range storedKinds {
-		if !n.store.Confirmed(k) {
+// catalogueKnown tells that this process has the whole catalogue, the hosts
+// and the grants, as the platform said to it or to a peer not long ago.
+func (n *Node) catalogueKnown() bool {
+	for _, k := range storedKinds() {
+		if n.store.Status(k).Through == 0 {
 			return false
 		}
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -45,7 +45,7 @@
 	meter        *meter.Meter
 	tracer       *spans.Tracer
 	world        *world
-	store        *store
+	store        *peer.Store
 	strikes      func() []strike.Record
 	mergeStrikes func([]strike.Record)
 	client       *peer.Client
@@ -245,7 +245,7 @@
 func (n *Node) beforeStop(ctx context.Context) error {
 	events.Log(events.StopBegun, "host", n.Settings.Name)
 	n.state.leave()
-	n.store.Leave()
+	n.leave()
 	ctx, stop := context.WithTimeout(ctx, n.Settings.Limits.StopGrace)
 	defer stop()
 	n.role.drain(ctx)
--- a/io/node/server.go
+++ b/io/node/server.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"sync"
 	"time"
 
 	klog "github.com/go-kratos/kratos/v2/log"
@@ -42,8 +43,9 @@
 	server   *khttp.Server
 }
 
-// quiet keeps kratos from logging beside the numbered events.
-func quiet() { klog.SetLogger(klog.NewStdLogger(io.Discard)) }
+// quiet keeps kratos from logging beside the numbered events. Its logger is one
+// for the whole process, in which several nodes may run.
+var quiet = sync.OnceFunc(func() { klog.SetLogger(klog.NewStdLogger(io.Discard)) })
 
 // listen takes the address.
 func (s *httpServer) listen() error {
--- a/io/node/world.go
+++ b/io/node/world.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"radishwell/core/route"
 	"radishwell/io/entry"
 	"radishwell/io/events"
+	"radishwell/io/peer"
 )
 
 // listed is a host as the platform lists it.
@@ -238,3 +240,17 @@
 	defer w.mu.RUnlock()
 	return len(w.grants) == 0
 }
+
+// targets lists the control addresses of all hosts, in the order of their names.
+func (w *world) targets() []peer.Target {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	list := make([]peer.Target, 0, len(w.hosts))
+	for name, h := range w.hosts {
+		if h.spec.Control.IsValid() {
+			list = append(list, peer.Target{Host: name, Address: h.spec.Control})
+		}
+	}
+	slices.SortFunc(list, func(a, b peer.Target) int { return cmp.Compare(a.Host, b.Host) })
+	return list
+}
