--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -101,10 +101,11 @@
 	barrier   core.Fence
 	barrierAt time.Time
 	confirmed bool
-	// deaf tells that an engine said to check numbers never showed ours, found
-	// out after deafAt.
-	deaf   bool
-	deafAt time.Time
+	// deaf tells that an engine said to check numbers doesn't keep them: a
+	// report asked for after step takenAt was below the number taken then.
+	deaf    bool
+	taken   core.Fence
+	takenAt uint64
 	// fenced tells that a larger number than ours was seen.
 	fenced bool
 
--- a/core/ledger/order.go
+++ b/core/ledger/order.go
@@ -163,6 +163,10 @@
 		l.fenced = true
 		return
 	}
+	if !r.Failed {
+		l.taken = o.fence()
+		l.takenAt = l.step
+	}
 	if o.name() == barrierName {
 		l.answerBarrier(now, r)
 		return
@@ -191,9 +195,7 @@
 	l.barrierAt = now.Add(Resend)
 	if r.Failed && !l.confirmed {
 		l.barrier = 0
-		return
 	}
-	l.deafAt = now.Add(Settle)
 }
 
 func (l *Ledger) answerFailed(now time.Time, it *item, o Order, f core.EngineFault) {
--- a/core/ledger/report.go
+++ b/core/ledger/report.go
@@ -41,6 +41,7 @@
 	if restarted {
 		l.restart(st)
 	}
+	l.listen(t, st)
 	l.settle(t, st)
 	l.compare(now, t, st)
 	l.confirm(t, st)
@@ -67,6 +68,7 @@
 // compared as always; requests that were in the old one are over, and a number
 // that it has forgotten must be raised again before anything is ordered.
 func (l *Ledger) restart(st core.EngineState) {
+	l.taken = 0
 	for _, it := range l.items {
 		it.users = 0
 		l.lives++
@@ -75,7 +77,14 @@
 	if l.checks() && st.Fence < l.barrier {
 		l.confirmed = false
 		l.barrier = 0
-		l.deafAt = time.Time{}
+	}
+}
+
+// listen finds out that an engine takes orders but doesn't show their numbers.
+// It can't be relied on to check them, and is treated as one that does not.
+func (l *Ledger) listen(t Ticket, st core.EngineState) {
+	if l.takenAt < t.step && st.Fence < l.taken {
+		l.deaf = true
 	}
 }
 
@@ -103,9 +112,6 @@
 	case l.confirmed:
 	case l.checks():
 		l.confirmed = l.barrier != 0 && st.Fence >= l.barrier
-		// An engine that takes the order but never shows the number can't be
-		// relied on to check it: it is treated as one that does not.
-		l.deaf = !l.confirmed && !l.deafAt.IsZero() && !t.asked.Before(l.deafAt)
 	default:
 		l.confirmed = !t.asked.Before(l.Started.Add(Settle))
 	}
--- a/core/script/agent_test.go
+++ b/core/script/agent_test.go
@@ -133,6 +133,7 @@
 	}
 	do := func() ledger.Reply { return a.machine.engine.order(o) }
 	call(a.w, &a.proc, a.machine, label, do, done, func() { done(fault(core.EngineLost)) })
+	a.w.net[len(a.w.net)-1].order = true
 }
 
 // letGo unloads what is revoked and gives the grant up once that is proven.
@@ -198,6 +199,11 @@
 	a.uses = slices.Delete(a.uses, i, i+1)
 }
 
+func (a *agent) only(name core.ModelName) {
+	clear(a.wants)
+	a.wants[name] = true
+}
+
 func (a *agent) idle() {
 	for len(a.uses) > 0 {
 		a.done(0)
--- a/core/script/decider_test.go
+++ b/core/script/decider_test.go
@@ -47,6 +47,10 @@
 		d.list(fence)
 		return
 	}
+	d.round(fence)
+}
+
+func (d *decider) round(fence core.Fence) {
 	for _, id := range d.planner.Unproven() {
 		d.lookUp(id)
 	}
--- a/core/script/engine_test.go
+++ b/core/script/engine_test.go
@@ -9,7 +9,7 @@
 )
 
 // engine is a fake model engine. It takes every load without looking at its
-// memory, so that a promise too much shows.
+// memory, and unloads a base under its adapters, so that mistakes show.
 type engine struct {
 	epoch    uint64
 	fence    core.Fence
@@ -67,11 +67,6 @@
 	if !ok {
 		return ledger.Reply{}
 	}
-	for _, a := range e.items {
-		if a.Base == o.Name {
-			return fault(core.EngineRejected)
-		}
-	}
 	it.State = core.Unloading
 	e.items[o.Name] = it
 	return ledger.Reply{}
--- a/core/script/lang_test.go
+++ b/core/script/lang_test.go
@@ -58,11 +58,16 @@
 		"tick":    {"DURATION", func(w *world, a args) { w.tick(a.span(0)) }},
 		"settle":  {"DURATION: everything runs in order", func(w *world, a args) { w.settle(a.span(0)) }},
 		"step":    {"PROCESS: lets it act", func(w *world, a args) { w.with(a, w.run) }},
+		"turn":    {"PROCESS: it acts and gets its answers, but for those to orders", func(w *world, a args) { w.with(a, w.turn) }},
+		"overrun": {"DECIDER: decides though its term may be over, as when paused", runOverrun},
 		"sync":    {"PROCESS: brings it all objects", func(w *world, a args) { w.with(a, w.sync) }},
 		"copy":    {"PROCESS N: brings it the N-th last version of anything", runCopy},
 		"deliver": {"N or LABEL", func(w *world, a args) { w.each(a, w.deliver) }},
 		"lose":    {"N or LABEL: message is dropped, the caller gives up", func(w *world, a args) { w.each(a, w.lose) }},
 		"late":    {"N or LABEL: the caller gives up, the call stays on its way", func(w *world, a args) { w.each(a, w.late) }},
+		"strand":  {"HOST: its agent gives up the order on its way, which stays so", func(w *world, a args) { w.strand(a.word(0)) }},
+		"stray":   {"HOST: an order that was given up reaches its engine", func(w *world, a args) { w.stray(a.word(0)) }},
+		"effect":  {"HOST: the order on its way takes effect, its answer is lost", func(w *world, a args) { w.effect(a.word(0)) }},
 		// Faults.
 		"outage":  {"on|off: the platform refuses every call", func(w *world, a args) { w.store.down = a.word(0) == "on" }},
 		"pause":   {"PROCESS", func(w *world, a args) { w.with(a, func(p *proc) { p.paused = true }) }},
@@ -82,6 +87,7 @@
 		// Work.
 		"work":   {"HOST N: its engine ends a load or unload", func(w *world, a args) { w.host(a, func(m *machine) { m.engine.work(a.num(1)) }) }},
 		"want":   {"HOST MODEL", func(w *world, a args) { w.agent(a, func(g *agent) { g.wants[core.ModelName(a.word(1))] = true }) }},
+		"only":   {"HOST MODEL: wants this and nothing else", func(w *world, a args) { w.agent(a, func(g *agent) { g.only(core.ModelName(a.word(1))) }) }},
 		"unwant": {"HOST MODEL", func(w *world, a args) { w.agent(a, func(g *agent) { delete(g.wants, core.ModelName(a.word(1))) }) }},
 		"use":    {"HOST MODEL: a request begins", func(w *world, a args) { w.agent(a, func(g *agent) { g.use(core.ModelName(a.word(1))) }) }},
 		"done":   {"HOST N: a request ends", func(w *world, a args) { w.agent(a, func(g *agent) { g.done(a.num(1)) }) }},
@@ -226,6 +232,12 @@
 	w.with(a, func(p *proc) { p.tell(func() { p.take(o) }) })
 }
 
+func runOverrun(w *world, a args) {
+	if d := w.deciders[a.word(0)]; d != nil && d.believed != 0 && d.believed == d.listed {
+		d.round(d.believed)
+	}
+}
+
 func runCrash(w *world, a args) {
 	w.with(a, func(p *proc) {
 		w.crash(p, a.word(1) == "keep")
--- a/core/script/world_test.go
+++ b/core/script/world_test.go
@@ -22,6 +22,8 @@
 	// fail tells the sender that no answer came in time.
 	fail   func()
 	answer bool
+	// order tells that the call is an order to host's engine.
+	order bool
 	// host is set for calls of a host's engine.
 	host *machine
 	// until ends an abandoned order to an engine that ignores fencing numbers:
@@ -174,6 +176,32 @@
 	}
 }
 
+// orderOf returns the index of a host's first order that was given up, or not.
+func (w *world) orderOf(host string, abandoned bool) int {
+	return slices.IndexFunc(w.net, func(m *message) bool {
+		return m.order && !m.answer && string(m.host.host.Name) == host && (m.fail == nil) == abandoned
+	})
+}
+
+func (w *world) strand(host string) {
+	if i := w.orderOf(host, false); i >= 0 {
+		w.late(i)
+	}
+}
+
+func (w *world) stray(host string) {
+	if i := w.orderOf(host, true); i >= 0 {
+		w.deliver(i)
+	}
+}
+
+func (w *world) effect(host string) {
+	if i := w.orderOf(host, false); i >= 0 {
+		w.deliver(i)
+		w.lose(len(w.net) - 1)
+	}
+}
+
 func (w *world) tick(d time.Duration) {
 	w.now = w.now.Add(d)
 	w.net = slices.DeleteFunc(w.net, func(m *message) bool {
@@ -238,6 +266,22 @@
 	p.step()
 }
 
+// turn lets a process act, delivers its calls but for orders, and lets it act
+// on the answers.
+func (w *world) turn(p *proc) {
+	w.run(p)
+	for range 2 {
+		for i := 0; i < len(w.net); {
+			if m := w.net[i]; m.from != p || m.order || m.fail == nil {
+				i++
+				continue
+			}
+			w.deliver(i)
+		}
+	}
+	w.run(p)
+}
+
 // sync brings a process every object as it is, as a watch that works does.
 func (w *world) sync(p *proc) {
 	if w.store.down {
