--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -179,7 +179,7 @@
 }
 
 func (l *Lease) accept(now time.Time, call Call, o core.Object) {
-	if call == Read && o.Version < l.version {
+	if o.Version < l.version {
 		// The platform itself is never behind a copy, unless it was restored.
 		l.version = 0
 		l.known = false
--- a/core/script/decider_test.go
+++ b/core/script/decider_test.go
@@ -194,6 +194,9 @@
 		}
 		e := o.entry
 		e.Version = o.version
+		if d.w.faults["limit-plus-one"] {
+			e.Replicas++
+		}
 		d.planner.SetEntry(e)
 	case core.KindOwner:
 		limit := o.owner
--- a/core/script/lang_test.go
+++ b/core/script/lang_test.go
@@ -65,6 +65,8 @@
 		"deliver": {"N or LABEL", func(w *world, a args) { w.each(a, w.deliver) }},
 		"lose":    {"N or LABEL: message is dropped, the caller gives up", func(w *world, a args) { w.each(a, w.lose) }},
 		"late":    {"N or LABEL: the caller gives up, the call stays on its way", func(w *world, a args) { w.each(a, w.late) }},
+		"hold":    {"N or LABEL: the message doesn't arrive before free", func(w *world, a args) { w.each(a, w.hold) }},
+		"free":    {"what was held arrives next", func(w *world, _ args) { w.free() }},
 		"strand":  {"HOST: its agent gives up the order on its way, which stays so", func(w *world, a args) { w.strand(a.word(0)) }},
 		"stray":   {"HOST: an order that was given up reaches its engine", func(w *world, a args) { w.stray(a.word(0)) }},
 		"effect":  {"HOST: the order on its way takes effect, its answer is lost", func(w *world, a args) { w.effect(a.word(0)) }},
@@ -83,7 +85,7 @@
 		"delist":  {"HOST: a killed host is no longer listed", runDelist},
 		"join":    {"HOST: a new host under the name of one delisted", runJoin},
 		"unlease": {"deletes the lease by hand", func(w *world, _ args) { w.unlease() }},
-		"break":   {"FAULT: a deliberate fault, which a check must see", func(w *world, a args) { w.faults[a.word(0)] = true; w.store.careless = w.faults["careless-store"] }},
+		"break":   {"FAULT: a deliberate fault, which a check must see", runBreak},
 		// Work.
 		"work":   {"HOST N: its engine ends a load or unload", func(w *world, a args) { w.host(a, func(m *machine) { m.engine.work(a.num(1)) }) }},
 		"want":   {"HOST MODEL", func(w *world, a args) { w.agent(a, func(g *agent) { g.wants[core.ModelName(a.word(1))] = true }) }},
@@ -220,6 +222,9 @@
 	if rate == 0 {
 		rate = 1
 	}
+	if !w.faults["clocks"] {
+		rate = min(max(rate, 0.9), 1.1)
+	}
 	w.startDecider(a.word(0), rate)
 }
 
@@ -232,6 +237,15 @@
 	w.with(a, func(p *proc) { p.tell(func() { p.take(o) }) })
 }
 
+func runBreak(w *world, a args) {
+	w.faults[a.word(0)] = true
+	w.store.careless = w.faults["careless-store"]
+	if a.word(0) == "restore" {
+		w.store.version = 0
+		delete(w.store.objects, key{core.KindLease, lease.Name})
+	}
+}
+
 func runOverrun(w *world, a args) {
 	if d := w.deciders[a.word(0)]; d != nil && d.believed != 0 && d.believed == d.listed {
 		d.round(d.believed)
--- a/core/script/world_test.go
+++ b/core/script/world_test.go
@@ -67,6 +67,7 @@
 	now      time.Time
 	store    store
 	net      []*message
+	held     []*message
 	deciders map[string]*decider
 	hosts    map[core.HostName]*machine
 	sizes    map[core.ModelName]place.Entry
@@ -169,6 +170,20 @@
 	w.abandon(m)
 }
 
+// hold keeps a message from arriving until free.
+func (w *world) hold(n int) {
+	m, i := w.pick(n)
+	if m != nil {
+		w.remove(i)
+		w.held = append(w.held, m)
+	}
+}
+
+func (w *world) free() {
+	w.net = slices.Concat(w.held, w.net)
+	w.held = nil
+}
+
 func (w *world) abandon(m *message) {
 	m.fail = nil
 	if m.host != nil && !m.host.engine.checks {
@@ -204,18 +219,18 @@
 
 func (w *world) tick(d time.Duration) {
 	w.now = w.now.Add(d)
-	w.net = slices.DeleteFunc(w.net, func(m *message) bool {
-		return !m.until.IsZero() && !w.now.Before(m.until)
-	})
+	over := func(m *message) bool { return !m.until.IsZero() && !w.now.Before(m.until) }
+	w.net = slices.DeleteFunc(w.net, over)
+	w.held = slices.DeleteFunc(w.held, over)
 }
 
 // crash ends a process; calls it has sent stay on their way if keep is set.
 func (w *world) crash(p *proc, keep bool) {
 	p.dead = true
-	w.net = slices.DeleteFunc(w.net, func(m *message) bool {
-		return m.from == p && (m.answer || !keep)
-	})
-	for _, m := range w.net {
+	lost := func(m *message) bool { return m.from == p && (m.answer || !keep) }
+	w.net = slices.DeleteFunc(w.net, lost)
+	w.held = slices.DeleteFunc(w.held, lost)
+	for _, m := range slices.Concat(w.net, w.held) {
 		if m.from == p && m.fail != nil {
 			w.abandon(m)
 		}
