--- a/core/catlog/cross.go
+++ b/core/catlog/cross.go
@@ -132,7 +132,11 @@
 func (x *index) adapterFaults(a *core.AdapterSpec) []Fault {
 	faults := x.ownerThere(a.Owner)
 	faults = append(faults, x.baseFaults(a.Base)...)
-	faults = append(faults, x.fits(a.Owner, a.Memory, a.Limits.Replicas)...)
+	accelerators := 1
+	if base := x.models[a.Base]; base != nil {
+		accelerators = max(base.Accelerators, 1)
+	}
+	faults = append(faults, x.fits(a.Owner, a.Memory*core.Bytes(accelerators), a.Limits.Replicas)...)
 	return append(faults, x.sharedThere(a.SharedWith)...)
 }
 
--- a/core/catlog/value.go
+++ b/core/catlog/value.go
@@ -117,7 +117,7 @@
 	case core.EngineService:
 		// The class is not among them: the JSON form of the struct always has it.
 		c.absent("an engine service", "owner", "shared-with", "repeatable")
-		c.limits("limits", s.Limits, "concurrency", "queue", "queue-bytes")
+		c.limits("limits", s.Limits, "concurrency", "rate", "burst", "queue", "queue-bytes")
 	case core.PlainService:
 		c.absent("a plain service", "checks-fence")
 		c.need("owner", "class")
--- /dev/null
+++ b/core/stylepage_test.go
@@ -0,0 +1,25 @@
+package core_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// docs/STYLE.md has a row for each rule, in their order, and no others.
+func TestStylePage(t *testing.T) {
+	page, err := os.ReadFile("../docs/STYLE.md")
+	assert.NilError(t, err)
+	var want, got []string
+	for _, r := range styleRules {
+		want = append(want, "| "+r.id+" | "+r.text+" |")
+	}
+	for line := range strings.Lines(string(page)) {
+		if strings.HasPrefix(line, "| RS") {
+			got = append(got, strings.TrimSpace(line))
+		}
+	}
+	assert.DeepEqual(t, got, want)
+}
--- a/io/events/events_test.go
+++ b/io/events/events_test.go
@@ -99,6 +99,17 @@
 	})
 }
 
+func TestLogger(t *testing.T) {
+	line := logged(t, "1", func() { events.Logger(events.ConnectionFailed).Printf("tls: %s\n", "bad record") })
+	assert.Assert(t, strings.Contains(line, `event="RW1609" detail="tls: bad record"`), line)
+}
+
+func TestSetVerbosity(t *testing.T) {
+	assert.NilError(t, events.SetVerbosity(3))
+	assert.Assert(t, klog.V(3).Enabled() && !klog.V(4).Enabled())
+	assert.NilError(t, events.SetVerbosity(0))
+}
+
 // Ten thousand peers without a certificate knock at once. The log shows some of
 // them, not all.
 func TestFloodIsSampled(t *testing.T) {
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -64,6 +64,7 @@
 	PeerRefused
 	ConnectionSilent
 	SlotFallback
+	ConnectionFailed
 
 	CertificateLoaded
 	CertificateInvalid
@@ -157,6 +158,7 @@
 	{Event: PeerRefused, Name: "peer-refused", Severity: Warning, Sampled: true, Text: "Connection without a valid certificate for its role is refused", Advice: "Check the other side's certificate: authority, role, host name, dates. If it is none of yours, find out who knocks."},
 	{Event: ConnectionSilent, Name: "connection-silent", Severity: Warning, Sampled: true, Text: "Connection went silent and is closed", Advice: "If it recurs between the same hosts, look at what is between them."},
 	{Event: SlotFallback, Name: "slot-fallback", Severity: Info, Sampled: true, Text: "Decider does not answer; loads go on under the host's own share of the weight store", Advice: noAction},
+	{Event: ConnectionFailed, Name: "connection-failed", Severity: Info, Verbosity: 1, Sampled: true, Text: "Connection failed before a request was read", Advice: "Nothing, unless it is another process of the system: then see peer-refused on both sides."},
 
 	{Event: CertificateLoaded, Name: "certificate-loaded", Severity: Info, Text: "TLS files are in use", Advice: noAction},
 	{Event: CertificateInvalid, Name: "certificate-invalid", Severity: Error, Text: "Changed TLS files cannot be used; the former ones stay in use", Advice: "Mend the files. Replace all of them before the old certificate ends."},
--- a/io/spans/spans_test.go
+++ b/io/spans/spans_test.go
@@ -71,7 +71,7 @@
 	assert.Equal(t, whole.EndTime, began.Add(time.Second))
 	attributes := ""
 	for _, a := range whole.Attributes {
-		attributes += string(a.Key) + "=" + a.Value.Emit() + " "
+		attributes += string(a.Key) + "=" + a.Value.String() + " "
 	}
 	assert.Assert(t, strings.Contains(attributes, "radishwell.request-id=r-1"), attributes)
 	assert.Assert(t, strings.Contains(attributes, "radishwell.outcome=not-run radishwell.code=no-host"), attributes)
