--- a/io/certs/anyone.go
+++ b/io/certs/anyone.go
@@ -11,7 +11,7 @@
 func (k *Keeper) AnyClient(protocols []string) *tls.Config {
 	conf := k.Client(protocols, Entry, "")
 	conf.VerifyConnection = func(state tls.ConnectionState) error {
-		return k.verify(state, state.ServerName, []Role{Entry, Agent}, "", x509.ExtKeyUsageServerAuth)
+		return k.verify(state, "", wanted{roles: []Role{Entry, Agent}, usage: x509.ExtKeyUsageServerAuth})
 	}
 	return conf
 }
--- a/io/cmds/radishwell.go
+++ b/io/cmds/radishwell.go
@@ -78,9 +78,11 @@
 	if settings.Role != role {
 		return &RoleError{File: file, Have: settings.Role, Want: role}
 	}
-	events.Verbosity(settings.Telemetry.Verbosity)
-	n := &node.Node{Settings: settings}
-	return n.Run(ctx)
+	if err := events.SetVerbosity(settings.Telemetry.Verbosity); err != nil {
+		return err
+	}
+	defer events.Flush()
+	return (&node.Node{Settings: settings}).Run(ctx)
 }
 
 type checkCommand struct {
--- a/io/node/server.go
+++ b/io/node/server.go
@@ -67,7 +67,7 @@
 	s.server = khttp.NewServer(options...)
 	s.server.ReadHeaderTimeout = headTime
 	s.server.IdleTimeout = idleTime
-	s.server.ErrorLog = log.New(io.Discard, "", 0)
+	s.server.ErrorLog = events.Logger(events.PeerRefused)
 	if s.peers {
 		var protocols http.Protocols
 		protocols.SetHTTP1(true)
