--- a/io/node/server.go
+++ b/io/node/server.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"errors"
 	"io"
-	"log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -16,6 +15,8 @@
 	klog "github.com/go-kratos/kratos/v2/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/samber/oops"
+
+	"radishwell/io/events"
 )
 
 const (
@@ -67,7 +68,7 @@
 	s.server = khttp.NewServer(options...)
 	s.server.ReadHeaderTimeout = headTime
 	s.server.IdleTimeout = idleTime
-	s.server.ErrorLog = events.Logger(events.PeerRefused)
+	s.server.ErrorLog = events.Logger(events.ConnectionFailed)
 	if s.peers {
 		var protocols http.Protocols
 		protocols.SetHTTP1(true)
