--- /dev/null
+++ b/core/warm/warm.go
@@ -0,0 +1,308 @@
+package warm
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"radishwell/core"
+)
+
+// Worth is how many accelerator seconds a caller's second of waiting for a cold
+// start is worth, by class. A deployment scales it.
+type Worth [core.ClassCount]float64
+
+// DefaultWorth weighs a person in front of a client above one in a session,
+// and work that nobody waits for hardly at all. With a load of ten seconds an
+// interactive model is kept for ten minutes on no knowledge, an overnight one
+// for twenty seconds.
+var DefaultWorth = Worth{core.Interactive: 60, core.Evening: 60, core.Overnight: 2}
+
+const (
+	// unknownLoad stands in for the time of a load that was never measured.
+	unknownLoad = 5 * time.Second
+	// loadWeight is how much of a measured load time one load replaces.
+	loadWeight = 0.25
+	// ahead is how far the times of day are looked ahead.
+	ahead = 8
+	// lead is added to the load time for loads ahead of need, so that small
+	// errors of the foreseen time do not make callers wait.
+	lead = 30 * time.Second
+	// mostPrewarm bounds the loads ahead of need in one look. They wait behind
+	// loads that callers wait for.
+	mostPrewarm = 4
+)
+
+// Item is what the policy needs to know of a model or adapter.
+type Item struct {
+	Name  core.ModelName
+	Class core.Class
+	// Accelerators is how much of accelerators the item holds while it is
+	// loaded: a model that takes half of one counts half.
+	Accelerators float64
+}
+
+// state is one item's.
+type state struct {
+	item  Item
+	habit habit
+	// load is the measured time of a load in seconds; zero while unknown.
+	load float64
+	busy int
+	// idle is when the last use ended; used tells that there was one.
+	idle time.Time
+	used bool
+}
+
+// Policy holds what was seen of all items of one host. Its exported fields are
+// set before use. It needs no lock of its own.
+type Policy struct {
+	// Worth is the deployment's; DefaultWorth where zero.
+	Worth Worth
+
+	items map[core.ModelName]*state
+}
+
+// Set makes an item known, or changes it.
+func (p *Policy) Set(i Item) {
+	if p.items == nil {
+		p.items = map[core.ModelName]*state{}
+	}
+	s := p.items[i.Name]
+	if s == nil {
+		s = &state{}
+		p.items[i.Name] = s
+	}
+	s.item = i
+}
+
+// Drop forgets an item that has left the catalogue.
+func (p *Policy) Drop(name core.ModelName) { delete(p.items, name) }
+
+// Begin notes that a request for the item has arrived.
+func (p *Policy) Begin(now time.Time, name core.ModelName) {
+	s := p.items[name]
+	if s == nil {
+		return
+	}
+	if s.busy == 0 && s.used {
+		s.habit.sawGap(now.Sub(s.idle))
+	}
+	s.busy++
+	s.used = true
+	s.habit.sawUse(now)
+}
+
+// End notes that a request for the item has ended.
+func (p *Policy) End(now time.Time, name core.ModelName) {
+	s := p.items[name]
+	if s == nil || s.busy == 0 {
+		return
+	}
+	s.busy--
+	s.idle = now
+}
+
+// Loaded notes how long a load of the item took.
+func (p *Policy) Loaded(name core.ModelName, took time.Duration) {
+	s := p.items[name]
+	if s == nil {
+		return
+	}
+	if s.load == 0 {
+		s.load = took.Seconds()
+		return
+	}
+	s.load += (took.Seconds() - s.load) * loadWeight
+}
+
+// cold is what a cold start costs, in accelerator seconds.
+func (p *Policy) cold(s *state) float64 {
+	worth := p.Worth
+	if worth == (Worth{}) {
+		worth = DefaultWorth
+	}
+	return s.loadSeconds() * worth[min(s.item.Class, core.ClassCount-1)]
+}
+
+func (s *state) loadSeconds() float64 {
+	if s.load == 0 {
+		return unknownLoad.Seconds()
+	}
+	return s.load
+}
+
+// KeepUntil returns until when an idle loaded item is worth its accelerator's
+// time: now or earlier where it should be unloaded. An item in use is kept.
+func (p *Policy) KeepUntil(now time.Time, name core.ModelName) time.Time {
+	s := p.items[name]
+	switch {
+	case s == nil:
+		return now
+	case s.busy > 0:
+		return now.Add(slotTime)
+	}
+	until := s.idle.Add(p.hold(s))
+	if !until.After(now) {
+		if by := p.dayUntil(now, s); by.After(now) {
+			return by
+		}
+	}
+	return until
+}
+
+// hold returns how long the item is kept after a use, by the times between uses
+// seen: the time that costs least on average if the next gap is drawn from them.
+// Not knowing has the weight of priorGaps gaps; without gaps seen the answer is
+// the break-even time.
+func (p *Policy) hold(s *state) time.Duration {
+	rate := max(s.item.Accelerators, math.SmallestNonzeroFloat32)
+	even := p.cold(s) / rate
+	total := float64(s.habit.longer)
+	for _, n := range s.habit.gaps {
+		total += float64(n)
+	}
+	best, least := time.Duration(0), math.Inf(1)
+	for _, keep := range candidates(even) {
+		c := s.habit.costOf(keep, even, total) + priorGaps*priorCost(keep, even)
+		if c < least {
+			best, least = seconds(keep), c
+		}
+	}
+	return best
+}
+
+// candidates are the times to keep that are weighed: none, the ends of the bins
+// below the most that can pay, and the break-even time.
+func candidates(even float64) []float64 {
+	list := []float64{0}
+	for b := range gapBins {
+		if end := binEnd(b).Seconds(); end < 4*even {
+			list = append(list, end)
+		}
+	}
+	list = append(list, even)
+	slices.Sort(list)
+	return list
+}
+
+// costOf is the cost, in seconds of holding, of keeping the item for a time over
+// the gaps seen: a gap within it costs its own length, a longer one the time
+// kept and a cold start.
+func (h *habit) costOf(keep, even, total float64) float64 {
+	cost, within := 0.0, 0.0
+	for b, n := range h.gaps {
+		end := binEnd(b).Seconds()
+		if end > keep*1.0001 {
+			break
+		}
+		within += float64(n)
+		cost += float64(n) * end
+	}
+	return cost + (total-within)*(keep+even)
+}
+
+// priorHazard is the chance of a use, in a break-even time, that is assumed
+// where nothing is known. At one, keeping and unloading cost the same at every
+// moment; a little more makes the break-even time itself the best, which is ski
+// rental's answer.
+const priorHazard = 1.2
+
+// priorCost is the cost of keeping an item for a time where nothing is known:
+// uses come at a steady rate until the break-even time, and none after it.
+func priorCost(keep, even float64) float64 {
+	if even == 0 {
+		return keep
+	}
+	rate := priorHazard / even
+	within := min(keep, even)
+	alone := math.Exp(-rate * within)
+	return (1-alone)/rate + alone*(even+keep-within)
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, (7*24*time.Hour).Seconds()) * float64(time.Second))
+}
+
+// dayUntil returns until when the times of day speak for keeping the item
+// loaded, or loading it: the end of the stretch of slots in which what a use
+// saves, by its chance, is more than holding until then costs. It is now where
+// there is none.
+func (p *Policy) dayUntil(now time.Time, s *state) time.Time {
+	s.habit.turnDay(now)
+	rate := s.item.Accelerators
+	cold := p.cold(s)
+	slot, _, _ := slotOf(now)
+	end := time.Unix((slot+1)*int64(slotTime/time.Second), 0)
+	from := now
+	// none is the chance that no use has begun yet, spent the expected cost of
+	// holding so far, saved the expected saving.
+	none, spent, saved := 1.0, 0.0, 0.0
+	best, most := now, 0.0
+	for range ahead {
+		chance := s.habit.inSlot(from)
+		spent += none * rate * end.Sub(from).Seconds() * (1 - chance/2)
+		saved += none * chance * cold
+		none *= 1 - chance
+		if gain := saved - spent; gain > most {
+			best, most = end, gain
+		}
+		from, end = end, end.Add(slotTime)
+	}
+	return best
+}
+
+// Advice is a load ahead of need.
+type Advice struct {
+	Name core.ModelName
+	// Gain is what it should save, in accelerator seconds.
+	Gain float64
+}
+
+// Prewarm lists the items, of those not loaded, that are worth loading now: a
+// use is likely enough within the time that a load takes and the slot after it.
+// The most useful come first.
+func (p *Policy) Prewarm(now time.Time, loaded func(core.ModelName) bool) []Advice {
+	var list []Advice
+	for name, s := range p.items {
+		if s.busy > 0 || !s.used || loaded(name) {
+			continue
+		}
+		if gain := p.prewarmGain(now, s); gain > 0 {
+			list = append(list, Advice{Name: name, Gain: gain})
+		}
+	}
+	slices.SortFunc(list, func(a, b Advice) int {
+		return cmp.Or(cmp.Compare(b.Gain, a.Gain), cmp.Compare(a.Name, b.Name))
+	})
+	return list[:min(len(list), mostPrewarm)]
+}
+
+// prewarmGain is what loading an item now should save: the slot that begins
+// when the load should be over decides.
+func (p *Policy) prewarmGain(now time.Time, s *state) float64 {
+	s.habit.turnDay(now)
+	took := s.loadSeconds()
+	at := now.Add(seconds(took) + lead)
+	chance := s.habit.inSlot(at)
+	slot, _, _ := slotOf(at)
+	end := time.Unix((slot+1)*int64(slotTime/time.Second), 0)
+	held := took + end.Sub(now).Seconds()*(1-chance/2)
+	return chance*p.cold(s) - s.item.Accelerators*held
+}
+
+// Score tells how much an idle item should be kept against others when memory
+// is short: what its loss costs, by the chance that it is wanted within the
+// time it would be kept, for each accelerator second it takes.
+func (p *Policy) Score(now time.Time, name core.ModelName) float64 {
+	s := p.items[name]
+	if s == nil {
+		return 0
+	}
+	left := p.KeepUntil(now, name).Sub(now).Seconds()
+	return max(0, left) * p.cold(s) / max(s.item.Accelerators, 0.01)
+}
+
+// Len returns the number of items known.
+func (p *Policy) Len() int { return len(p.items) }
--- /dev/null
+++ b/core/warm/warm_test.go
@@ -0,0 +1,162 @@
+package warm
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+)
+
+var start = time.Date(2026, 11, 2, 0, 0, 0, 0, time.UTC) // a Monday
+
+const item = core.ModelName("ledger")
+
+// policyFor returns a policy with one item whose loads take ten seconds.
+func policyFor(class core.Class) *Policy {
+	p := &Policy{}
+	p.Set(Item{Name: item, Class: class, Accelerators: 1})
+	p.Loaded(item, 10*time.Second)
+	return p
+}
+
+// use plays one short use.
+func use(p *Policy, at time.Time) time.Time {
+	p.Begin(at, item)
+	end := at.Add(time.Second)
+	p.End(end, item)
+	return end
+}
+
+func assertKept(t *testing.T, p *Policy, end time.Time, least, most time.Duration) {
+	t.Helper()
+	kept := p.KeepUntil(end, item).Sub(end)
+	assert.Assert(t, kept >= least && kept <= most, "kept for %s", kept)
+}
+
+func TestNothingKnownIsSkiRental(t *testing.T) {
+	p := policyFor(core.Interactive)
+	assertKept(t, p, use(p, start), 10*time.Minute, 10*time.Minute)
+	p = policyFor(core.Overnight)
+	assertKept(t, p, use(p, start), 20*time.Second, 20*time.Second)
+}
+
+func TestInUseIsKept(t *testing.T) {
+	p := policyFor(core.Overnight)
+	p.Begin(start, item)
+	assert.Assert(t, p.KeepUntil(start.Add(time.Hour), item).After(start.Add(time.Hour)))
+}
+
+func TestShortPausesAreBridged(t *testing.T) {
+	p := policyFor(core.Interactive)
+	at := start
+	for range 4 {
+		for range 10 {
+			at = use(p, at).Add(100 * time.Second)
+		}
+		at = at.Add(5 * time.Hour)
+	}
+	end := use(p, at)
+	assertKept(t, p, end, 100*time.Second, 4*time.Minute)
+}
+
+func TestLongPausesAreNotHeldFor(t *testing.T) {
+	p := policyFor(core.Interactive)
+	at := start
+	for range 40 {
+		at = use(p, at).Add(3 * time.Hour)
+	}
+	assertKept(t, p, use(p, at), 0, time.Minute)
+}
+
+// playDays has a session of uses begin every day at about the same time.
+func playDays(p *Policy, from time.Time, days int, at time.Duration, rng *rand.Rand) time.Time {
+	for day := range days {
+		when := from.AddDate(0, 0, day).Add(at + time.Duration(rng.Int64N(int64(4*time.Minute))))
+		for range 5 {
+			when = use(p, when).Add(20 * time.Second)
+		}
+	}
+	return from.AddDate(0, 0, days)
+}
+
+func prewarmed(p *Policy, now time.Time) bool {
+	return len(p.Prewarm(now, func(core.ModelName) bool { return false })) > 0
+}
+
+// A treasurer's session begins at eight every evening. After a week of that the
+// model should be loaded shortly before, and not in the middle of the day.
+func TestEveningIsPrewarmed(t *testing.T) {
+	p := policyFor(core.Evening)
+	p.Worth = Worth{core.Evening: 240}
+	next := playDays(p, start, 5, 20*time.Hour, rand.New(rand.NewPCG(1, 1)))
+	next = next.AddDate(0, 0, 2) // Monday again
+	assert.Assert(t, prewarmed(p, next.Add(20*time.Hour-20*time.Second)), "not loaded before the session")
+	assert.Assert(t, !prewarmed(p, next.Add(14*time.Hour)), "loaded in the afternoon")
+}
+
+// The association closes its accounts and nobody comes any more. What was a
+// habit must not load the model for ever: after a few idle evenings it stops.
+func TestEndedHabitIsForgotten(t *testing.T) {
+	p := policyFor(core.Evening)
+	p.Worth = Worth{core.Evening: 240}
+	next := playDays(p, start, 19, 20*time.Hour, rand.New(rand.NewPCG(1, 2)))
+	vain := 0
+	for day := range 60 {
+		if prewarmed(p, next.AddDate(0, 0, day).Add(20*time.Hour-20*time.Second)) {
+			vain++
+		}
+	}
+	assert.Assert(t, vain >= 1 && vain <= 8, "loaded in vain on %d days", vain)
+}
+
+func TestPrewarmIsBounded(t *testing.T) {
+	p := &Policy{Worth: Worth{core.Evening: 240}}
+	rng := rand.New(rand.NewPCG(1, 3))
+	for i := range 20 {
+		name := core.ModelName(rune('a' + i))
+		p.Set(Item{Name: name, Class: core.Evening, Accelerators: 0.1})
+		p.Loaded(name, 10*time.Second)
+		for day := range 5 {
+			at := start.AddDate(0, 0, day).Add(20*time.Hour + time.Duration(rng.Int64N(int64(4*time.Minute))))
+			p.Begin(at, name)
+			p.End(at.Add(time.Second), name)
+		}
+	}
+	got := p.Prewarm(start.AddDate(0, 0, 7).Add(20*time.Hour-20*time.Second), func(core.ModelName) bool { return false })
+	assert.Equal(t, len(got), mostPrewarm)
+	for i := 1; i < len(got); i++ {
+		assert.Assert(t, got[i-1].Gain >= got[i].Gain)
+	}
+}
+
+func TestScoreOrdersByUse(t *testing.T) {
+	p := policyFor(core.Interactive)
+	p.Set(Item{Name: "other", Class: core.Overnight, Accelerators: 1})
+	p.Begin(start, "other")
+	p.End(start, "other")
+	end := use(p, start)
+	assert.Assert(t, p.Score(end, item) > p.Score(end, "other"))
+}
+
+func TestDropForgets(t *testing.T) {
+	p := policyFor(core.Interactive)
+	use(p, start)
+	p.Drop(item)
+	assert.Equal(t, p.Len(), 0)
+	assert.Assert(t, !p.KeepUntil(start, item).After(start))
+}
+
+func BenchmarkKeepUntil(b *testing.B) {
+	p := policyFor(core.Interactive)
+	at := start
+	for range 50 {
+		at = use(p, at).Add(100 * time.Second)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.KeepUntil(at, item)
+	}
+}
