--- /dev/null
+++ b/core/replay/replay_test.go
@@ -0,0 +1,37 @@
+package replay
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// fronts are the deployments with what they value: the treasurers' waits weigh
+// four times, the co-operative's accelerators are its members' own.
+var fronts = []struct {
+	trace Trace
+	scale float64
+}{
+	{Evenings(1), 4},
+	{WorkingDays(1), 1},
+}
+
+func TestNoFixedTimeIsBetter(t *testing.T) {
+	for _, f := range fronts {
+		t.Run(f.trace.Name, func(t *testing.T) {
+			results := Compare(f.trace, f.scale)
+			ours := results[5]
+			for _, r := range results[:5] {
+				assert.Assert(t, !r.Better(ours), "%s is better: %+v and ours %+v", r.Policy, r, ours)
+			}
+		})
+	}
+}
+
+func TestReplayIsRepeatable(t *testing.T) {
+	a, b := Compare(Evenings(7), 1), Compare(Evenings(7), 1)
+	for i := range a {
+		assert.Equal(t, fmt.Sprint(a[i]), fmt.Sprint(b[i]))
+	}
+}
--- a/core/warm/habit.go
+++ b/core/warm/habit.go
@@ -20,8 +20,9 @@
 	// forget is what a day leaves of the weight of what was seen before it.
 	forget = 0.8
 	// gapForget is what one more gap leaves of the weight of earlier ones: about
-	// the last 30 count.
-	gapForget = 0.97
+	// the last hundred count. With the last thirty, the few long gaps among them
+	// are too uneven a sample: the treasurers' week cost 6% more.
+	gapForget = 0.99
 	// priorGaps is the weight of not knowing: with so many gaps seen, half of the
 	// decision is theirs. Without it one short gap would have a model kept as if
 	// all were short.
--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -19,16 +19,23 @@
 // for twenty seconds.
 var DefaultWorth = Worth{core.Interactive: 60, core.Evening: 60, core.Overnight: 2}
 
+// Times returns the worth of a deployment that values waits by so much more.
+func (w Worth) Times(scale float64) Worth {
+	for i := range w {
+		w[i] *= scale
+	}
+	return w
+}
+
 const (
 	// unknownLoad stands in for the time of a load that was never measured.
 	unknownLoad = 5 * time.Second
 	// loadWeight is how much of a measured load time one load replaces.
 	loadWeight = 0.25
+	// sessionPause is the pause after which a use begins a new session.
+	sessionPause = 20 * time.Minute
 	// ahead is how far the times of day are looked ahead.
 	ahead = 8
-	// lead is added to the load time for loads ahead of need, so that small
-	// errors of the foreseen time do not make callers wait.
-	lead = 30 * time.Second
 	// mostPrewarm bounds the loads ahead of need in one look. They wait behind
 	// loads that callers wait for.
 	mostPrewarm = 4
@@ -86,12 +93,17 @@
 	if s == nil {
 		return
 	}
+	gap := now.Sub(s.idle)
 	if s.busy == 0 && s.used {
-		s.habit.sawGap(now.Sub(s.idle))
+		s.habit.sawGap(gap)
+	}
+	// Only beginnings count for the times of day. Uses within a session come or
+	// stay away together, and would be taken for as many chances.
+	if s.busy == 0 && (!s.used || gap > sessionPause) {
+		s.habit.sawUse(now)
 	}
 	s.busy++
 	s.used = true
-	s.habit.sawUse(now)
 }
 
 // End notes that a request for the item has ended.
@@ -145,7 +157,7 @@
 	}
 	until := s.idle.Add(p.hold(s))
 	if !until.After(now) {
-		if by := p.dayUntil(now, s); by.After(now) {
+		if by, _ := p.dayUntil(now, s); by.After(now) {
 			return by
 		}
 	}
@@ -226,31 +238,30 @@
 }
 
 // dayUntil returns until when the times of day speak for keeping the item
-// loaded, or loading it: the end of the stretch of slots in which what a use
-// saves, by its chance, is more than holding until then costs. It is now where
-// there is none.
-func (p *Policy) dayUntil(now time.Time, s *state) time.Time {
+// loaded, and what that should save: the end of the stretch of slots in which
+// what a use saves, by its chance, is more than holding until then costs. It is
+// now where there is none.
+func (p *Policy) dayUntil(now time.Time, s *state) (time.Time, float64) {
 	s.habit.turnDay(now)
 	rate := s.item.Accelerators
 	cold := p.cold(s)
 	slot, _, _ := slotOf(now)
-	end := time.Unix((slot+1)*int64(slotTime/time.Second), 0)
-	from := now
-	// none is the chance that no use has begun yet, spent the expected cost of
-	// holding so far, saved the expected saving.
-	none, spent, saved := 1.0, 0.0, 0.0
+	from, end := now, time.Unix((slot+1)*int64(slotTime/time.Second), 0)
+	// none is the chance that no use has begun yet, gain the expected saving
+	// less the expected cost of holding so far.
+	none, gain := 1.0, 0.0
 	best, most := now, 0.0
 	for range ahead {
-		chance := s.habit.inSlot(from)
-		spent += none * rate * end.Sub(from).Seconds() * (1 - chance/2)
-		saved += none * chance * cold
+		part := end.Sub(from).Seconds()
+		chance := s.habit.inSlot(from) * part / slotTime.Seconds()
+		gain += none * (chance*cold - rate*part*(1-chance/2))
 		none *= 1 - chance
-		if gain := saved - spent; gain > most {
+		if gain > most {
 			best, most = end, gain
 		}
 		from, end = end, end.Add(slotTime)
 	}
-	return best
+	return best, most
 }
 
 // Advice is a load ahead of need.
@@ -279,17 +290,13 @@
 	return list[:min(len(list), mostPrewarm)]
 }
 
-// prewarmGain is what loading an item now should save: the slot that begins
-// when the load should be over decides.
+// prewarmGain is what loading an item now should save: what keeping it from the
+// end of the load on should, less the load itself. A load ahead of need whose
+// item would not be kept afterwards gains nothing, so none is undone at once.
 func (p *Policy) prewarmGain(now time.Time, s *state) float64 {
-	s.habit.turnDay(now)
 	took := s.loadSeconds()
-	at := now.Add(seconds(took) + lead)
-	chance := s.habit.inSlot(at)
-	slot, _, _ := slotOf(at)
-	end := time.Unix((slot+1)*int64(slotTime/time.Second), 0)
-	held := took + end.Sub(now).Seconds()*(1-chance/2)
-	return chance*p.cold(s) - s.item.Accelerators*held
+	_, gain := p.dayUntil(now.Add(seconds(took)), s)
+	return gain - s.item.Accelerators*took
 }
 
 // Score tells how much an idle item should be kept against others when memory
