Wait for all processes to know each other before counting watchers

TestChangesReachAll failed once in eight runs: a process that had not asked for its peers since the last one started still thought itself a watcher. The count is now awaited; it must still come to one.

--- a/io/peer/store_test.go
+++ b/io/peer/store_test.go
@@ -176,14 +176,20 @@
 		o, _ := p.Get(core.KindModel, "qalam")
 		assert.Equal(t, o.UID, again.UID)
 	}
-	watching := 0
+	spin(func() bool { return countWatchers(all) == 1 })
+}
+
+// countWatchers counts those that think themselves watchers of the models. It
+// is one as soon as all have asked for their peers again.
+func countWatchers(all []*process) int {
+	n := 0
 	for _, p := range all {
-		feed := &feed{Store: p.Store, kind: core.KindModel}
-		if feed.watcher() {
-			watching++
+		f := &feed{Store: p.Store, kind: core.KindModel}
+		if f.watcher() {
+			n++
 		}
 	}
-	assert.Equal(t, watching, 1)
+	return n
 }
 
 // TestRelistAfterGone: an entry's watch is stalled for so long that the
