--- a/core/script/decider_test.go
+++ b/core/script/decider_test.go
@@ -47,6 +47,10 @@
 		d.list(fence)
 		return
 	}
+	d.round(fence)
+}
+
+func (d *decider) round(fence core.Fence) {
 	for _, id := range d.planner.Unproven() {
 		d.lookUp(id)
 	}
@@ -190,6 +194,9 @@
 		}
 		e := o.entry
 		e.Version = o.version
+		if d.w.faults["limit-plus-one"] {
+			e.Replicas++
+		}
 		d.planner.SetEntry(e)
 	case core.KindOwner:
 		limit := o.owner
