Bound what a silent connection or a stop can do to calls between processes

Cause: calls with deadlines under a second ended before the connection was asked for a sign of life, so that a silent connection was kept for as long as they came; a write to a full connection had no bound and held up all calls on it; the called side kept connections of vanished callers for ever; and a stop cut off the answers of calls in progress. Change: late calls with nothing read since make the next call dial anew; writes and quiet connections are bounded; a stop ends reading, answers what was read, and closes after two seconds.

--- a/io/peer/calls_test.go
+++ b/io/peer/calls_test.go
@@ -141,3 +141,68 @@
 		}
 	}
 }
+
+// TestSilentShortCalls: an entry probes a host now and then and waits for
+// 50 ms each time. The connection has gone silent. Each probe ends at its
+// deadline; were that all, the host would look dead for good although new
+// connections work.
+func TestSilentShortCalls(t *testing.T) {
+	to, _ := serveCalls(t, &Handler{Probe: func(*wire.ProbeCall) (*wire.HostLoad, error) { return &wire.HostLoad{}, nil }})
+	between, hush := forward(t, to.Address)
+	c := &Client{}
+	defer c.Close()
+	via := Target{Host: to.Host, Address: between}
+	probe := func() error {
+		ctx, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer stop()
+		_, err := c.Probe(ctx, via, &wire.ProbeCall{})
+		return err
+	}
+	assert.NilError(t, probe())
+	hush()
+	assert.Assert(t, probe() != nil)
+	// The probes' own deadlines pace the loop; it ends when one gets through.
+	for probe() != nil {
+	}
+}
+
+// TestStopAnswers: an entry is told to stop while it records a claim for
+// another. The claim must be answered: its caller would else have to say that
+// the request may have run.
+func TestStopAnswers(t *testing.T) {
+	begun, finish := make(chan struct{}), make(chan struct{})
+	to, stop := serveCalls(t, &Handler{Claim: func(*wire.ClaimCall) (*wire.ClaimReply, error) {
+		close(begun)
+		<-finish
+		return &wire.ClaimReply{Won: true}, nil
+	}})
+	c := &Client{}
+	defer c.Close()
+	type answer struct {
+		reply *wire.ClaimReply
+		err   error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		reply, err := c.Claim(t.Context(), to, &wire.ClaimCall{})
+		answers <- answer{reply, err}
+	}()
+	<-begun
+	stopped := make(chan struct{})
+	go func() {
+		stop()
+		close(stopped)
+	}()
+	spin(func() bool {
+		conn, err := net.Dial("tcp", to.Address.String())
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
+	close(finish)
+	got := <-answers
+	assert.NilError(t, got.err)
+	assert.Assert(t, got.reply.GetWon())
+	<-stopped
+}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -71,10 +71,14 @@
 // clientConn is a connection, or one that is being dialled.
 type clientConn struct {
 	ready chan struct{}
+	link  *link
 	rpc   *rpc.Client
 	err   error
 	idle  *time.Timer
 	busy  int
+	// quiet is when the first call was sent that ended late without anything
+	// being read since; zero where there is none.
+	quiet time.Time
 }
 
 // call makes one call; the deadline is the context's. Its error is a CallError,
@@ -89,8 +93,12 @@
 	}
 	defer c.release(to, conn)
 	out := P(new(A))
+	sent := time.Now()
 	pending := conn.rpc.Go(serviceName+"."+method, in, out, make(chan *rpc.Call, 1))
 	if err := c.wait(ctx, to, conn, pending); err != nil {
+		if ctx.Err() != nil {
+			c.noteLate(conn, sent)
+		}
 		var refused rpc.ServerError
 		if errors.As(err, &refused) {
 			return nil, refused
@@ -126,6 +134,23 @@
 	}
 }
 
+// noteLate notes that a call ended late. Calls with short deadlines end before
+// the connection is asked for a sign of life; without the note, a silent
+// connection would be kept for as long as such calls come.
+func (c *Client) noteLate(conn *clientConn, sent time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn.quiet.IsZero() || conn.link.heardSince(conn.quiet) {
+		conn.quiet = sent
+	}
+}
+
+// isSilent tells whether calls have ended late for too long with nothing read.
+// A slow peer at worst has a connection dialled anew. The caller holds mu.
+func (conn *clientConn) isSilent(now time.Time) bool {
+	return !conn.quiet.IsZero() && now.Sub(conn.quiet) >= pingEvery && !conn.link.heardSince(conn.quiet)
+}
+
 func isServerError(err error) bool {
 	var refused rpc.ServerError
 	return errors.As(err, &refused)
@@ -153,13 +178,20 @@
 		c.conns = map[Target]*clientConn{}
 	}
 	conn := c.conns[to]
-	dial := conn == nil
+	silent := conn != nil && conn.isSilent(time.Now())
+	if silent && conn.busy == 0 {
+		defer conn.rpc.Close()
+	}
+	dial := conn == nil || silent
 	if dial {
 		conn = &clientConn{ready: make(chan struct{})}
 		c.conns[to] = conn
 	}
 	conn.busy++
 	c.mu.Unlock()
+	if silent && c.Silent != nil {
+		c.Silent(to)
+	}
 	if dial {
 		go c.dial(to, conn)
 	}
@@ -189,7 +221,8 @@
 		close(conn.ready)
 		return
 	}
-	conn.rpc = rpc.NewClientWithCodec(clientCodec{newCodec(raw, &c.count)})
+	conn.link = &link{Conn: raw, count: &c.count}
+	conn.rpc = rpc.NewClientWithCodec(clientCodec{newCodec(conn.link)})
 	close(conn.ready)
 }
 
@@ -210,7 +243,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conn.busy--
-	if conn.busy > 0 || c.conns[to] != conn {
+	if conn.busy > 0 {
+		return
+	}
+	if c.conns[to] != conn {
+		conn.close()
 		return
 	}
 	if conn.idle == nil {
@@ -236,8 +273,18 @@
 		delete(c.conns, to)
 	}
 	c.mu.Unlock()
-	if conn.rpc != nil {
-		conn.rpc.Close()
+	conn.close()
+}
+
+// close closes a connection that has been dialled; one that is being dialled
+// is closed by whoever waits for it.
+func (conn *clientConn) close() {
+	select {
+	case <-conn.ready:
+		if conn.rpc != nil {
+			_ = conn.rpc.Close()
+		}
+	default:
 	}
 }
 
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"io"
 	"net/rpc"
 	"sync"
 
@@ -18,18 +17,15 @@
 
 // codec writes each call as two messages, a wire.CallHead and the body.
 type codec struct {
-	conn io.ReadWriteCloser
+	conn *link
 	in   *bufio.Reader
 	out  *bufio.Writer
 	// writing keeps the two messages of a call together.
 	writing sync.Mutex
-	// sent and received count bytes, for the control budget.
-	count *traffic
 }
 
-func newCodec(conn io.ReadWriteCloser, count *traffic) *codec {
-	counted := &countedConn{ReadWriteCloser: conn, count: count}
-	return &codec{conn: conn, in: bufio.NewReader(counted), out: bufio.NewWriter(counted), count: count}
+func newCodec(conn *link) *codec {
+	return &codec{conn: conn, in: bufio.NewReader(conn), out: bufio.NewWriter(conn)}
 }
 
 // BodyError reports a value that is no message of package wire.
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"radishwell/wire"
 )
@@ -93,12 +94,14 @@
 	// TLS is used where set; it lets in only own processes.
 	TLS     *tls.Config
 	Handler *Handler
+	// Refused, if set, is told of each caller whose TLS handshake failed.
+	Refused func(caller netip.AddrPort, cause error)
 
 	listener net.Listener
 	rpc      *rpc.Server
 	count    traffic
 	mu       sync.Mutex
-	conns    map[net.Conn]bool
+	conns    map[*link]bool
 	serving  sync.WaitGroup
 	closed   bool
 }
@@ -111,71 +114,109 @@
 	}
 	s.Address = lis.Addr().(*net.TCPAddr).AddrPort()
 	s.listener = lis
-	if s.TLS != nil {
-		s.listener = tls.NewListener(lis, s.TLS)
-	}
-	s.conns = map[net.Conn]bool{}
+	s.conns = map[*link]bool{}
 	s.rpc = rpc.NewServer()
 	return s.rpc.RegisterName(serviceName, &methods{handler: s.Handler})
 }
 
-// Run serves until the context ends.
+// handshakeTime frees connections whose caller does not finish the handshake.
+const handshakeTime = 2 * time.Second
+
+// stopTime bounds the answering of calls in progress at a stop.
+const stopTime = 2 * time.Second
+
+// Run serves until the context ends; then it answers the calls that it has
+// read, for stopTime at most.
 func (s *Server) Run(ctx context.Context) error {
 	ended := make(chan error, 1)
-	go func() { ended <- s.accept() }()
+	go func() { ended <- s.accept(ctx) }()
 	select {
 	case err := <-ended:
 		return err
 	case <-ctx.Done():
 	}
-	s.close()
+	s.stop()
 	<-ended
+	cut := time.AfterFunc(stopTime, s.cut)
+	defer cut.Stop()
 	s.serving.Wait()
 	return nil
 }
 
-func (s *Server) accept() error {
+func (s *Server) accept(ctx context.Context) error {
 	for {
 		conn, err := s.listener.Accept()
 		if err != nil {
 			return err
 		}
-		if !s.keep(conn) {
-			conn.Close()
-			continue
-		}
 		s.serving.Add(1)
 		go func() {
 			defer s.serving.Done()
-			defer s.drop(conn)
-			s.rpc.ServeCodec(serverCodec{newCodec(conn, &s.count)})
+			defer conn.Close()
+			s.serve(ctx, conn)
 		}()
 	}
 }
 
-func (s *Server) keep(conn net.Conn) bool {
+// serve answers calls on one connection until it ends.
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	if s.TLS != nil {
+		secured, err := s.handshake(ctx, conn)
+		if err != nil {
+			if s.Refused != nil && ctx.Err() == nil {
+				s.Refused(conn.RemoteAddr().(*net.TCPAddr).AddrPort(), err)
+			}
+			return
+		}
+		conn = secured
+	}
+	l := &link{Conn: conn, count: &s.count, readLimit: quietLimit}
+	if !s.keep(l) {
+		return
+	}
+	defer s.drop(l)
+	s.rpc.ServeCodec(serverCodec{newCodec(l)})
+}
+
+func (s *Server) handshake(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	ctx, stop := context.WithTimeout(ctx, handshakeTime)
+	defer stop()
+	secured := tls.Server(conn, s.TLS)
+	return secured, secured.HandshakeContext(ctx)
+}
+
+func (s *Server) keep(l *link) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.closed {
-		s.conns[conn] = true
+		s.conns[l] = true
 	}
 	return !s.closed
 }
 
-func (s *Server) drop(conn net.Conn) {
+func (s *Server) drop(l *link) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.conns, conn)
-	conn.Close()
+	delete(s.conns, l)
 }
 
-func (s *Server) close() {
+// stop takes no more connections and calls.
+func (s *Server) stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
 	s.listener.Close()
-	for conn := range s.conns {
-		conn.Close()
+	for l := range s.conns {
+		l.stop()
+	}
+}
+
+// cut closes what is left at the end of stopTime.
+func (s *Server) cut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for l := range s.conns {
+		l.Close()
 	}
 }
 
