Test placement alone, against a whole recomputation, and its speed

Change: tests and benchmarks. A write whose fate is unknown counts once against the owner's memory, however often it was repeated: all of its repetitions share one condition.

--- /dev/null
+++ b/core/place/bench_test.go
@@ -0,0 +1,129 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/place"
+)
+
+// Sizes of the fleet that one decider must be able to decide for.
+const (
+	benchModels   = 70
+	benchAdapters = 3400
+	benchHosts    = 640
+)
+
+// bigFleet feeds a planner with the whole fleet and the grants given so far.
+func bigFleet(grants map[core.ModelName]place.Write) *place.Planner {
+	p := &place.Planner{}
+	for i := range benchHosts {
+		p.SetHost(place.Host{
+			Name: core.HostName(fmt.Sprintf("h%03d", i)), UID: fmt.Sprint(i), Service: "qalam",
+			DataCentre: core.DataCentre(fmt.Sprint(i % 3)), Rack: fmt.Sprint(i % 16),
+			Accelerators: 4, Memory: 80 * core.GiB, State: core.HostLive,
+		})
+	}
+	for i := range 40 {
+		p.SetOwner(owner(i), 4000*core.GiB)
+	}
+	for i := range benchModels {
+		p.SetEntry(place.Entry{
+			Name: base(i), Version: core.Version(i + 1), Owner: owner(i), Service: "qalam",
+			Memory: 30 * core.GiB, Replicas: 8,
+		})
+	}
+	for i := range benchAdapters {
+		p.SetEntry(place.Entry{
+			Name: core.ModelName(fmt.Sprintf("a%04d", i)), Version: core.Version(1000 + i), Owner: owner(i),
+			Service: "qalam", Memory: core.GiB, Replicas: 4, Base: base(i),
+		})
+	}
+	for _, w := range grants {
+		p.SetGrant(w.Name, w.Spec, 1)
+	}
+	p.Listed()
+	return p
+}
+
+func base(i int) core.ModelName { return core.ModelName(fmt.Sprintf("m%02d", i%benchModels)) }
+
+func owner(i int) core.OwnerName { return core.OwnerName(fmt.Sprintf("o%02d", i%40)) }
+
+// decideAll runs rounds until nothing changes and returns the last writes.
+func decideAll(p *place.Planner, now time.Time, fence core.Fence, budget int) (map[core.ModelName]place.Write, int) {
+	all := map[core.ModelName]place.Write{}
+	count := 0
+	for version := core.Version(2); ; version++ {
+		writes := p.Round(now, fence, budget)
+		if len(writes) == 0 {
+			return all, count
+		}
+		count += len(writes)
+		for _, w := range writes {
+			p.SetGrant(w.Name, w.Spec, version)
+			p.Answered(w, place.Applied)
+			all[w.Name] = w
+		}
+	}
+}
+
+func BenchmarkFirstDecision(b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		p := bigFleet(nil)
+		b.StartTimer()
+		decideAll(p, start, 1, 1<<30)
+	}
+}
+
+func BenchmarkTakeOver(b *testing.B) {
+	all, _ := decideAll(bigFleet(nil), start, 1, 1<<30)
+	for b.Loop() {
+		b.StopTimer()
+		p := bigFleet(all)
+		b.StartTimer()
+		p.Round(start, 1, 50)
+	}
+}
+
+func BenchmarkOneEntry(b *testing.B) {
+	p := bigFleet(nil)
+	decideAll(p, start, 1, 1<<30)
+	version := core.Version(100_000)
+	for b.Loop() {
+		version++
+		p.SetEntry(place.Entry{
+			Name: "m07", Version: version, Owner: owner(7), Service: "qalam",
+			Memory: 30 * core.GiB, Replicas: 8 + int(version%2),
+		})
+		p.Round(start, 1, 50)
+	}
+}
+
+func BenchmarkOneHost(b *testing.B) {
+	p := bigFleet(nil)
+	decideAll(p, start, 1, 1<<30)
+	h := place.Host{
+		Name: "h100", UID: "100", Service: "qalam", DataCentre: "1", Rack: "4",
+		Accelerators: 4, Memory: 80 * core.GiB, State: core.HostLive,
+	}
+	for b.Loop() {
+		h.Rack += "x"
+		if len(h.Rack) > 9 {
+			h.Rack = "4"
+		}
+		p.SetHost(h)
+		p.Round(start, 1, 50)
+	}
+}
+
+func BenchmarkIdleRound(b *testing.B) {
+	p := bigFleet(nil)
+	decideAll(p, start, 1, 1<<30)
+	for b.Loop() {
+		p.Round(start, 1, 50)
+	}
+}
--- a/core/place/decide.go
+++ b/core/place/decide.go
@@ -307,24 +307,14 @@
 	if h == nil {
 		return false
 	}
-	if !d.p.room(d.m, d.m.use.each*core.Bytes(d.added()+1)) {
+	more := max(len(d.holders)+1-d.m.use.count, 0)
+	if !d.p.room(d.m, d.m.use.each*core.Bytes(more)) {
 		return false
 	}
 	d.holders = append(d.holders, core.GrantHolder{Host: h.Name, UID: h.UID, State: core.GrantActive})
 	return true
 }
 
-// added counts the holders of the draft that are not in the owner's sum yet.
-func (d *draft) added() int {
-	n := 0
-	for _, h := range d.holders {
-		if !slices.Contains(d.m.use.hosts, HostID{h.Host, h.UID}) {
-			n++
-		}
-	}
-	return n
-}
-
 func (d *draft) write() (Write, bool) {
 	m := d.m
 	w := Write{Name: m.name, Version: m.condition(), Reason: d.reason}
--- a/core/place/owner.go
+++ b/core/place/owner.go
@@ -49,12 +49,12 @@
 	m.use = p.useOf(m)
 	o := p.owner(m.use.owner)
 	o.names[m.name] = true
-	o.used += m.use.each * core.Bytes(len(m.use.hosts))
+	o.used += m.use.each * core.Bytes(m.use.count)
 	if m.use.sealed {
 		o.sealed++
 	}
 	for _, id := range m.use.hosts {
-		p.load[id.Host] += m.use.each
+		p.addLoad(id.Host, m.use.each)
 		if p.holding[id.Host] == nil {
 			p.holding[id.Host] = set{}
 		}
@@ -81,12 +81,12 @@
 func (p *Planner) withdraw(m *model) {
 	o := p.owner(m.use.owner)
 	delete(o.names, m.name)
-	o.used -= m.use.each * core.Bytes(len(m.use.hosts))
+	o.used -= m.use.each * core.Bytes(m.use.count)
 	if m.use.sealed {
 		o.sealed--
 	}
 	for _, id := range m.use.hosts {
-		p.load[id.Host] -= m.use.each
+		p.addLoad(id.Host, -m.use.each)
 		delete(p.holding[id.Host], m.name)
 	}
 }
@@ -102,8 +102,12 @@
 	}
 	u.sealed = m.version != 0 && !m.deleted && m.spec.Fence == p.fence
 	u.hosts = appendHolders(nil, m.spec.Holders)
+	u.count = len(m.spec.Holders)
+	// At most one of the pending writes can have an effect: their condition is
+	// the same version.
 	for _, s := range m.pending {
 		u.each = max(u.each, s.Memory)
+		u.count = max(u.count, len(s.Holders))
 		u.hosts = appendHolders(u.hosts, s.Holders)
 	}
 	return u
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -15,8 +15,9 @@
 	hosts  map[core.HostName]*Host
 	gone   map[HostID]bool
 	owners map[core.OwnerName]*owner
-	// load is the granted memory of each host.
+	// load is the granted memory of each host, total that of each service.
 	load     map[core.HostName]core.Bytes
+	total    map[core.ServiceName]core.Bytes
 	services map[core.ServiceName]map[core.HostName]bool
 	copies   map[core.HostName]map[core.ModelName]core.Tier
 	holding  map[core.HostName]map[core.ModelName]bool
@@ -62,8 +63,11 @@
 // use is what a model's holders, those of pending writes included, add to the
 // sums of its owner and of the hosts.
 type use struct {
-	owner  core.OwnerName
+	owner core.OwnerName
+	// each is what one holder takes, count the most holders there may be, hosts
+	// all that may be among them.
 	each   core.Bytes
+	count  int
 	hosts  []HostID
 	sealed bool
 }
@@ -79,6 +83,7 @@
 	p.gone = map[HostID]bool{}
 	p.owners = map[core.OwnerName]*owner{}
 	p.load = map[core.HostName]core.Bytes{}
+	p.total = map[core.ServiceName]core.Bytes{}
 	p.services = map[core.ServiceName]map[core.HostName]bool{}
 	p.copies = map[core.HostName]map[core.ModelName]core.Tier{}
 	p.holding = map[core.HostName]map[core.ModelName]bool{}
@@ -170,17 +175,33 @@
 		// A host's name carries one object at a time: the old life is over.
 		p.Gone(HostID{old.Name, old.UID})
 	}
-	if old != nil && old.Service != h.Service {
-		delete(p.service(old.Service), h.Name)
-	}
+	p.remove(h.Name)
 	p.hosts[h.Name] = &h
 	p.service(h.Service)[h.Name] = true
+	p.total[h.Service] += p.load[h.Name]
 	p.touchHost(h.Name)
 	for name := range p.short {
 		p.dirty[name] = true
 	}
 }
 
+func (p *Planner) remove(name core.HostName) {
+	h := p.hosts[name]
+	if h == nil {
+		return
+	}
+	delete(p.hosts, name)
+	delete(p.service(h.Service), name)
+	p.total[h.Service] -= p.load[name]
+}
+
+func (p *Planner) addLoad(name core.HostName, b core.Bytes) {
+	p.load[name] += b
+	if h := p.hosts[name]; h != nil {
+		p.total[h.Service] += b
+	}
+}
+
 // Gone tells that the platform no longer lists this life of a host: a deletion
 // was seen, or a read of the host found nothing or another UID. It is the only
 // proof other than a release on which a holder is removed. A host that is
@@ -190,8 +211,7 @@
 	p.init()
 	p.gone[id] = true
 	if h := p.hosts[id.Host]; h != nil && h.UID == id.UID {
-		delete(p.hosts, id.Host)
-		delete(p.service(h.Service), id.Host)
+		p.remove(id.Host)
 		delete(p.copies, id.Host)
 	}
 	p.touchHost(id.Host)
--- a/core/place/rank.go
+++ b/core/place/rank.go
@@ -80,10 +80,7 @@
 	if len(names) == 0 {
 		return 0
 	}
-	sum := d.p.replica(d.m.entry)
-	for name := range names {
-		sum += d.p.load[name]
-	}
+	sum := d.p.replica(d.m.entry) + d.p.total[d.m.entry.Service]
 	return core.Bytes(Bound * float64(sum) / float64(len(names)))
 }
 
