Keep a crashing request to three engines, and spare its neighbours

Change: strikes are pushed to all entries before the failed requests are answered; a suspect settles for a second and leaves queues other than that of its trial; an entry keeps unproven copies on one host; what an entry saw end well is known; each further strike needs more passes.

--- a/core/strike/book.go
+++ b/core/strike/book.go
@@ -74,6 +74,16 @@
 	return r
 }
 
+// Known notes that a fingerprint that was struck had ended well here before,
+// and returns the record to send to peers. An entry calls it once for each
+// struck fingerprint for which Copies.Take is true.
+func (b *Book) Known(now time.Time, f core.Fingerprint) Record {
+	r := Record{Fingerprint: f, Source: b.Self, Expires: b.Find(now, f).Expires}
+	b.put(r)
+	b.shrink(now)
+	return r
+}
+
 // Clear voids all strikes known against a fingerprint and returns the mark to
 // send to peers. Operators call it. Strikes of later crashes count again.
 func (b *Book) Clear(now time.Time, f core.Fingerprint) Record {
@@ -86,14 +96,30 @@
 	return mark
 }
 
-// Merge takes records of peers.
-func (b *Book) Merge(now time.Time, records []Record) {
+// Merge takes records of peers and returns the fingerprints of those that were
+// new, in the order given. For each, an entry calls Known if it knows the
+// request to end well, and sends Against on to the host where it has the request
+// in flight (Copies.At): the agent may have copies in its queue.
+func (b *Book) Merge(now time.Time, records []Record) []core.Fingerprint {
+	var changed []core.Fingerprint
 	for _, r := range records {
-		if r.Expires.After(now) {
-			b.put(r)
+		if r.Expires.After(now) && b.put(r) && !slices.Contains(changed, r.Fingerprint) {
+			changed = append(changed, r.Fingerprint)
 		}
 	}
 	b.shrink(now)
+	return changed
+}
+
+// Settled returns when a suspect may be tried. An entry holds it until then and
+// hands it over with all that is known against it by that time; a zero time
+// means that it isn't a suspect.
+func (b *Book) Settled(now time.Time, f core.Fingerprint) time.Time {
+	found := b.Find(now, f)
+	if found.Standing != Suspect {
+		return time.Time{}
+	}
+	return found.Expires.Add(settle - TTL)
 }
 
 // Records returns all records that count, in a stable order, to be sent to
@@ -139,6 +165,7 @@
 		out.Count += r.Count
 		out.Alone += r.Alone
 		out.Passed += r.Passed
+		out.Known = out.Known || r.Count == 0 && r.Passed == 0
 		out.Expires = latest(out.Expires, r.Expires)
 	}
 	out.judge()
@@ -176,7 +203,8 @@
 	return time.Time{}
 }
 
-func (b *Book) put(r Record) {
+// put joins a record and tells whether it was new.
+func (b *Book) put(r Record) bool {
 	if b.records == nil {
 		b.records = make(map[core.Fingerprint][]Record)
 	}
@@ -185,13 +213,15 @@
 		if have[i].Source != r.Source {
 			continue
 		}
-		if r.newer(have[i]) {
-			have[i] = r
+		if !r.newer(have[i]) {
+			return false
 		}
-		return
+		have[i] = r
+		return true
 	}
 	b.records[r.Fingerprint] = append(have, r)
 	b.size++
+	return true
 }
 
 // shrink drops expired records, and, beyond the bound, those that expire first.
--- /dev/null
+++ b/core/strike/book_test.go
@@ -0,0 +1,224 @@
+package strike
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+)
+
+var start = time.Date(2026, 3, 1, 20, 0, 0, 0, time.UTC)
+
+func book(name core.HostName) *Book { return &Book{Self: name, MaxRecords: 100} }
+
+func assertStanding(t *testing.T, b *Book, now time.Time, f core.Fingerprint, want Standing) {
+	t.Helper()
+	assert.Equal(t, b.Find(now, f).Standing, want)
+	assert.Equal(t, b.Refuse(now, f) != nil, want == Quarantined)
+}
+
+func TestStandings(t *testing.T) {
+	b := book("a")
+	assertStanding(t, b, start, 1, Clean)
+	b.Crashed(start, []core.Fingerprint{1, 2, 2, 3})
+	assertStanding(t, b, start, 1, Suspect)
+	assertStanding(t, b, start, 2, Suspect)
+	b.Passed(start, 2)
+	assertStanding(t, b, start, 2, Clean)
+	b.Crashed(start, []core.Fingerprint{1})
+	assertStanding(t, b, start, 1, Quarantined)
+	assert.Equal(t, len(b.List(start)), 2)
+	assertStanding(t, b, start.Add(TTL+1), 1, Clean)
+	assert.Equal(t, len(b.Records(start.Add(TTL+1))), 0)
+}
+
+// A host dies under a long request that ran alone there. One such loss isn't
+// the request's fault.
+func TestOneCrashAloneIsNoProof(t *testing.T) {
+	b := book("a")
+	b.Crashed(start, []core.Fingerprint{1})
+	assertStanding(t, b, start, 1, Suspect)
+}
+
+// A request crashes engines only together with others. It passes each trial,
+// so it has to pass ever more of them before it runs in company again.
+func TestCrashesOnlyInCompany(t *testing.T) {
+	b := book("a")
+	for i, trials := range []int{1, 2, 3, 4} {
+		now := start.Add(time.Duration(i) * time.Second)
+		b.Crashed(now, []core.Fingerprint{1, 2})
+		for range trials {
+			assertStanding(t, b, now, 1, Suspect)
+			b.Passed(now, 1)
+		}
+		assertStanding(t, b, now, 1, Clean)
+	}
+	assertStanding(t, b, start, 2, Quarantined)
+}
+
+// A prompt that many callers share was in the batch of three engines that died
+// of something else. It had ended well before, so it is not refused.
+func TestSharedPromptIsNotQuarantined(t *testing.T) {
+	b, entry := book("a"), book("entry")
+	copies := &Copies{MaxProven: 10}
+	copies.End(start, 1, true)
+	for range 3 {
+		b.Crashed(start, []core.Fingerprint{1, 2})
+	}
+	for _, f := range entry.Merge(start, b.Records(start)) {
+		if copies.Take(start, f) {
+			b.Merge(start, []Record{entry.Known(start, f)})
+		}
+	}
+	for _, each := range []*Book{b, entry} {
+		assertStanding(t, each, start, 1, Suspect)
+		assertStanding(t, each, start, 2, Quarantined)
+	}
+	assert.Assert(t, !copies.Take(start, 1))
+}
+
+func TestPassDoesntExcuseLaterCrash(t *testing.T) {
+	b := book("a")
+	b.Crashed(start, []core.Fingerprint{1, 2})
+	b.Passed(start.Add(TTL/2), 1)
+	later := start.Add(TTL + time.Second)
+	b.Crashed(later, []core.Fingerprint{1, 3})
+	assertStanding(t, b, later, 1, Suspect)
+}
+
+// An operator clears a request; a peer that hasn't heard of it still spreads
+// the old strikes. They must not count again, but a new crash must.
+func TestClearIsNotUndoneByOldRecords(t *testing.T) {
+	a, b, c := book("a"), book("b"), book("c")
+	a.Crashed(start, []core.Fingerprint{1})
+	a.Crashed(start, []core.Fingerprint{1})
+	old := a.Records(start)
+	b.Merge(start, old)
+	c.Merge(start, old)
+	mark := b.Clear(start.Add(time.Second), 1)
+	b.Merge(start.Add(time.Second), c.Records(start))
+	assertStanding(t, b, start.Add(time.Second), 1, Clean)
+	a.Merge(start, []Record{mark})
+	a.Crashed(start.Add(2*time.Second), []core.Fingerprint{1})
+	now := start.Add(3 * time.Second)
+	b.Merge(now, a.Records(now))
+	c.Merge(now, b.Records(now))
+	for _, each := range []*Book{a, b, c} {
+		assertStanding(t, each, now, 1, Suspect)
+	}
+}
+
+// Records reach processes in any order, twice and late; all must agree.
+func TestJoinIsOrderless(t *testing.T) {
+	rng := rand.New(rand.NewPCG(4, 4))
+	for range 200 {
+		sources := []*Book{book("a"), book("b"), book("c")}
+		var all []Record
+		for i := range 12 {
+			s := sources[rng.IntN(3)]
+			now := start.Add(time.Duration(i) * time.Second)
+			switch rng.IntN(5) {
+			case 0:
+				all = append(all, s.Clear(now, 1))
+			case 1:
+				all = append(all, s.Passed(now, 1))
+			default:
+				all = append(all, s.Crashed(now, []core.Fingerprint{1, core.Fingerprint(2 + rng.IntN(3))})...)
+			}
+		}
+		x, y := book("x"), book("y")
+		now := start.Add(time.Minute)
+		x.Merge(now, all)
+		rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		y.Merge(now, append(all, all[:4]...))
+		assert.DeepEqual(t, x.Records(now), y.Records(now))
+	}
+}
+
+func TestBookIsBounded(t *testing.T) {
+	b := book("a")
+	for i := range 1000 {
+		b.Crashed(start.Add(time.Duration(i)*time.Second), []core.Fingerprint{core.Fingerprint(i)})
+		assert.Assert(t, b.size <= b.MaxRecords)
+	}
+	assertStanding(t, b, start.Add(1000*time.Second), 999, Suspect)
+}
+
+// A suspect reaches a busy engine. It must run alone within bounds, and the
+// engine's other work must not be held back for long.
+func TestGateDrainsForSuspect(t *testing.T) {
+	b := book("a")
+	b.Crashed(start, []core.Fingerprint{1, 2})
+	g := &Gate{Book: b}
+	busy := []core.Fingerprint{7, 8}
+	assert.Equal(t, g.MayRun(start, 1, true, nil).At, start.Add(settle))
+	now := start.Add(settle)
+	assert.Equal(t, g.MayRun(now, 1, true, busy).Action, Wait)
+	assert.Equal(t, g.MayRun(now, 9, false, busy).Action, Run)
+	now = now.Add(patience)
+	assert.Equal(t, g.MayRun(now, 1, true, busy).Action, Wait)
+	assert.Equal(t, g.MayRun(now, 9, false, busy).Action, Wait)
+	v := g.MayRun(now.Add(time.Second), 1, true, nil)
+	assert.Assert(t, v.Action == Run && v.Alone)
+	assert.Equal(t, g.MayRun(now.Add(time.Second), 9, false, []core.Fingerprint{1}).Action, Wait)
+	_, passed := g.Ended(now.Add(2*time.Second), 1, true)
+	assert.Assert(t, passed)
+	assert.Equal(t, g.MayRun(now.Add(2*time.Second), 9, false, nil).Action, Run)
+	// The second suspect waits before it holds back others again.
+	assert.Equal(t, g.MayRun(now.Add(2*time.Second), 2, true, busy).Action, Wait)
+	assert.Equal(t, g.MayRun(now.Add(6*time.Second), 2, true, busy).Action, Wait)
+	assert.Equal(t, g.MayRun(now.Add(6*time.Second), 9, false, busy).Action, Run)
+}
+
+func TestGateDeniesQuarantined(t *testing.T) {
+	b := book("a")
+	b.Crashed(start, []core.Fingerprint{1})
+	b.Crashed(start, []core.Fingerprint{1})
+	v := (&Gate{Book: b}).MayRun(start, 1, true, nil)
+	assert.Equal(t, v.Action, Deny)
+	assert.Equal(t, v.Refusal.Code, core.CodeQuarantined)
+}
+
+// A caller sends one request many times at once. Until it has ended well once,
+// an entry keeps the copies together.
+func TestCopiesStayTogetherUntilProven(t *testing.T) {
+	c := &Copies{MaxProven: 2}
+	assert.Equal(t, c.Host(1), core.HostName(""))
+	c.Start(1, "a")
+	c.Start(1, "a")
+	c.End(start, 1, false)
+	assert.Equal(t, c.Host(1), core.HostName("a"))
+	c.End(start, 1, true)
+	c.Start(1, "b")
+	assert.Equal(t, c.Host(1), core.HostName(""))
+	for f := core.Fingerprint(2); f < 4; f++ {
+		c.Start(f, "a")
+		c.End(start, f, true)
+	}
+	assert.Equal(t, c.Host(1), core.HostName("b")) // forgotten as proven
+}
+
+// A request becomes a suspect while it waits in a queue. It must leave it: its
+// trial is on another host.
+func TestGateReturnsNewSuspects(t *testing.T) {
+	b := book("a")
+	b.Crashed(start, []core.Fingerprint{1, 2})
+	v := (&Gate{Book: b}).MayRun(start.Add(settle), 1, false, nil)
+	assert.Equal(t, v.Action, Deny)
+	assert.Equal(t, v.Refusal.Outcome, core.NotRun)
+	assert.Equal(t, v.Refusal.Code, core.CodeOverload)
+}
+
+func TestTrialIsTheSameForAll(t *testing.T) {
+	hosts := []core.HostName{"a", "b", "c", "d"}
+	turned := slices.Clone(hosts)
+	slices.Reverse(turned)
+	for f := range core.Fingerprint(100) {
+		assert.Equal(t, Trial(f, hosts), Trial(f, turned))
+	}
+	assert.Equal(t, Trial(1, nil), core.HostName(""))
+}
--- a/core/strike/gate.go
+++ b/core/strike/gate.go
@@ -7,6 +7,10 @@
 )
 
 const (
+	// settle is how long after its last strike a suspect waits for its trial.
+	// Copies of it that were running elsewhere when the first engine died have
+	// crashed theirs by then, and three such crashes are proof without a trial.
+	settle = time.Second
 	// patience is how long a suspect waits for its engine to be empty by itself
 	// before the engine takes no other work: long against most requests, so that
 	// a busy engine's batch isn't stopped for each neighbour of a crash.
@@ -53,13 +57,24 @@
 }
 
 // MayRun says whether a request may start beside those that are running, given
-// by their fingerprints.
-func (g *Gate) MayRun(now time.Time, f core.Fingerprint, running []core.Fingerprint) Verdict {
-	standing := g.Book.Find(now, f).Standing
-	if standing == Quarantined {
-		return Verdict{Action: Deny, Refusal: g.Book.Refuse(now, f)}
+// by their fingerprints. Trial tells that the entry handed it over as a suspect.
+//
+// One that became a suspect in the queue is refused, so that its entry sends it
+// to the host of its trial. Otherwise copies of it in several queues would each
+// be tried, and each kill an engine.
+func (g *Gate) MayRun(now time.Time, f core.Fingerprint, trial bool, running []core.Fingerprint) Verdict {
+	if refusal := g.Book.Refuse(now, f); refusal != nil {
+		return Verdict{Action: Deny, Refusal: refusal}
 	}
-	if standing == Suspect {
+	settled := g.Book.Settled(now, f)
+	if !settled.IsZero() && !trial {
+		refusal := core.RefuseUntil(core.CodeOverload, "the request has to run alone on another host", settled)
+		return Verdict{Action: Deny, Refusal: refusal}
+	}
+	if now.Before(settled) {
+		return Verdict{Action: Wait, At: settled}
+	}
+	if !settled.IsZero() {
 		return g.suspect(now, running)
 	}
 	if g.aloneRuns(now, running) || g.draining(now) {
--- a/core/strike/record.go
+++ b/core/strike/record.go
@@ -14,10 +14,11 @@
 
 // Record is what one agent saw against one fingerprint. A Record with an empty
 // Source is a clear mark: it voids all records of its fingerprint that expire
-// no later than it.
+// no later than it. One with neither Count nor Passed says that the fingerprint
+// ended well at its source before it was struck.
 type Record struct {
 	Fingerprint core.Fingerprint
-	// Source is the agent's host.
+	// Source is the host of the agent, or of the entry that knows it to end well.
 	Source core.HostName
 	// Count is the number of engines that died with the fingerprint in flight,
 	// Alone the number of them where nothing else was.
@@ -72,11 +73,9 @@
 
 const (
 	// quarantineAfter is the number of engines lost with a fingerprint in flight
-	// that quarantines it, if it never passed. Since a suspect runs alone, only
-	// identical requests that were in flight on several engines before the first
-	// crash was known reach it without a trial. One that has passed goes on
-	// running alone until its strikes expire: that holds the loss where a request
-	// crashes only together with others, and refuses no innocent one.
+	// that quarantines it without a trial, if it is not known to end well. Since
+	// a suspect runs alone, only identical requests that were in flight on
+	// several engines before the first crash was known get there.
 	quarantineAfter = 3
 	// quarantineAlone is the number that suffices when it was alone in one of
 	// them. A single crash doesn't suffice: hosts and engines die for other
@@ -89,17 +88,30 @@
 	Fingerprint          core.Fingerprint
 	Standing             Standing
 	Count, Alone, Passed uint32
+	// Known tells that it had ended well, by itself or in company, before it was
+	// struck. A prompt that many callers share is in every batch, so three
+	// crashes of others would else quarantine it.
+	Known bool
 	// Expires is when the last strike expires.
 	Expires time.Time
 }
 
+// passesNeeded is how often a fingerprint has to pass before it runs in company
+// again: 1 after one strike, then 3, 6, 10. It grows because a request may
+// crash engines only in company, and would pass every trial in between.
+func passesNeeded(strikes uint32) uint32 { return strikes * (strikes + 1) / 2 }
+
 func (f *Finding) judge() {
+	passes := f.Passed
+	if f.Known {
+		passes++
+	}
 	switch {
 	case f.Count >= quarantineAlone && f.Alone > 0:
 		f.Standing = Quarantined
-	case f.Count >= quarantineAfter && f.Passed == 0:
+	case f.Count >= quarantineAfter && passes == 0:
 		f.Standing = Quarantined
-	case f.Count >= quarantineAfter, f.Count > f.Passed:
+	case passes < passesNeeded(f.Count):
 		f.Standing = Suspect
 	}
 }
