Fix the number of journals and check the ring's size

Cause: entries that disagree on the number of journals or the size of a ring could claim one key twice. Change: the number of journals is a constant; a segment carries the size of its ring, and an entry with another grants nothing. Claims left out altogether are one more guard that the checks notice. Conclusion: a wrong setting refuses instead of running twice.

--- a/core/claims/claim.go
+++ b/core/claims/claim.go
@@ -38,8 +38,14 @@
 	return deadline.Add(lifetime + time.Second - 1).Truncate(time.Second)
 }
 
-// JournalOf returns the journal of a key, out of a number of journals.
-func JournalOf(id dedupe.KeyID, journals int) int {
+// Journals is the number of journals. It is no setting: two entries that
+// disagreed on it would claim one key in two journals and both win.
+const Journals = 4
+
+// JournalOf returns the journal of a key.
+func JournalOf(id dedupe.KeyID) int { return journalOf(id, Journals) }
+
+func journalOf(id dedupe.KeyID, journals int) int {
 	return int(xxhash.Sum64(id[:]) % uint64(journals))
 }
 
--- a/core/claims/journal.go
+++ b/core/claims/journal.go
@@ -37,8 +37,9 @@
 	// Number is the journal's, from 0.
 	Number int
 	// Slots is the number of segments in the ring, and SegmentBytes the size at
-	// which a segment is closed. Both bound the journal: all entries must agree
-	// on Slots. SegmentBytes must be well below the platform's limit for values.
+	// which a segment is closed. Both bound the journal. All entries must agree
+	// on Slots; one that doesn't is refused all claims. SegmentBytes must be well
+	// below the platform's limit for values.
 	Slots        int
 	SegmentBytes core.Bytes
 	// MaxWaiting bounds the claims that wait; more are refused at once.
--- a/core/claims/journal_test.go
+++ b/core/claims/journal_test.go
@@ -177,6 +177,20 @@
 	assert.Equal(t, next.answers[token].Result, Unsure)
 }
 
+// An entry is set up with another size of the ring. It would look for the newest
+// segment in the wrong place, so it must not grant anything.
+func TestOtherRingSizeGrantsNothing(t *testing.T) {
+	d := newDirect(small())
+	d.ask(start, claimOf(1, 1, 1, start))
+	other := newDirect(small())
+	other.j.Slots = 5
+	other.objects, other.version = d.objects, d.version
+	token := other.ask(start, claimOf(2, 1, 1, start))
+	other.tick(start.Add(2 * time.Second))
+	assert.Equal(t, other.answers[token].Result, Unsure)
+	assert.Equal(t, len(other.objects), 1)
+}
+
 func TestRankMovesOnlyTheLeaversJournals(t *testing.T) {
 	all := []core.HostName{"entry-a", "entry-b", "entry-c", "entry-d"}
 	led := make(map[core.HostName]int)
--- a/core/claims/model_test.go
+++ b/core/claims/model_test.go
@@ -43,7 +43,7 @@
 
 // variant switches off one guard, to show that the checks notice.
 type variant struct {
-	noSeal, noIncarnation, noVersions, trustUnsure, forgetsRefused, earlyExpiry bool
+	noClaims, noSeal, noIncarnation, noVersions, trustUnsure, forgetsRefused, earlyExpiry bool
 }
 
 type node struct {
--- a/core/claims/rate_test.go
+++ b/core/claims/rate_test.go
@@ -27,7 +27,7 @@
 		for until := int(now.Sub(start).Seconds() * float64(rate)); claim < until; claim++ {
 			c := claimOf(claim, 1, uint64(claim), now)
 			c.Host = core.HostName(fmt.Sprintf("upstream-%04d", claim%agents))
-			d := all[JournalOf(c.ID, journals)]
+			d := all[journalOf(c.ID, journals)]
 			asked[d.token+1] = now
 			d.ask(now, c)
 		}
--- a/core/claims/schedule_test.go
+++ b/core/claims/schedule_test.go
@@ -183,6 +183,7 @@
 		// from is the seed to start at, shortly before one that shows the fault.
 		from uint64
 	}{
+		"hand-over without a claim":            {variant{noClaims: true}, 0},
 		"agents answer without sealing":        {variant{noSeal: true}, 200},
 		"agents keep their incarnation":        {variant{noIncarnation: true}, 0},
 		"updates are unconditional":            {variant{noVersions: true}, 0},
--- a/core/claims/segment.go
+++ b/core/claims/segment.go
@@ -26,7 +26,9 @@
 
 // segment is the content of one slot of a journal's ring.
 type segment struct {
-	Number uint64     `json:"number"`
+	Number uint64 `json:"number"`
+	// Slots is the size of the ring it was written for.
+	Slots  int        `json:"slots"`
 	Closed bool       `json:"closed"`
 	Agents []agentRef `json:"agents"`
 	// Claims are records of recordSize bytes, in the order they were recorded.
--- a/core/claims/steps_test.go
+++ b/core/claims/steps_test.go
@@ -61,6 +61,10 @@
 
 // claim asks a journal at any entry; an answer that is lost is asked for again.
 func (w *world) claim(s *send, c Claim, tries int) {
+	if w.broken.noClaims {
+		w.do(s, s.call.Claimed(w.now, Answer{Result: Won, Holder: c}))
+		return
+	}
 	journal := s.entry
 	if w.fault == nil {
 		journal = w.entries[w.rng.IntN(len(w.entries))]
--- a/core/claims/store.go
+++ b/core/claims/store.go
@@ -105,7 +105,9 @@
 		return
 	}
 	content, err := decodeSegment(r.Name, r.Object.Spec)
-	if err != nil || j.place(content.Number) != i {
+	if err != nil || content.Slots != j.Slots || j.place(content.Number) != i {
+		// Not readable, or written by an entry whose ring has another size: what
+		// this entry would take for the newest segment might not be it.
 		j.fail(now)
 		return
 	}
@@ -172,7 +174,7 @@
 // ring is full of claims that have not aged out.
 func (j *Journal) target(now time.Time) (int, segment, bool) {
 	if j.tail < 0 {
-		return j.place(1), segment{Number: 1}, true
+		return j.place(1), segment{Number: 1, Slots: j.Slots}, true
 	}
 	t := j.slots[j.tail]
 	if !t.closed {
@@ -182,7 +184,7 @@
 	if j.slots[next].expires.After(now) {
 		return 0, segment{}, false
 	}
-	return next, segment{Number: t.number + 1}, true
+	return next, segment{Number: t.number + 1, Slots: j.Slots}, true
 }
 
 // refuseAll answers all waiting claims when the ring is full. Overwriting
