--- a/core/dedupe/table_test.go
+++ b/core/dedupe/table_test.go
@@ -111,6 +111,14 @@
 	assertRefused(t, table.Attach(start, c), core.CodeKeyReused, core.NotRun)
 }
 
+// An attempt arrives late and sealed. To call it just late would say "not run"
+// of a request that the sealer may have run meanwhile.
+func TestSealedThenLate(t *testing.T) {
+	table := newTable()
+	table.Seal(start, call("k", 1))
+	assertRefused(t, table.Begin(start.Add(time.Minute), call("k", 1)), core.CodeSealed, core.NotRun)
+}
+
 func TestDeadlinePassed(t *testing.T) {
 	table := newTable()
 	assertRefused(t, table.Begin(start.Add(time.Minute), call("k", 1)), core.CodeDeadline, core.NotRun)
