Let slow transfers lower an agent's own rate below the trickle

Cause: with 640 agents, one load in 30 s each is five times what a store of 4 loads a second starts, and the rate could not sink below it. Change: slow transfers lower the rate to a sixteenth; a play of 640 agents. The strikes' play reports how long the others' requests take.

--- a/core/dedupe/table_test.go
+++ b/core/dedupe/table_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -247,3 +248,28 @@
 		table.Finish(now, c.ID, 1, End{})
 	}
 }
+
+// BenchmarkRecords measures the memory that a remembered key takes at an agent,
+// without its answer.
+func BenchmarkRecords(b *testing.B) {
+	for b.Loop() {
+		const keys = 200_000
+		table := &Table{Incarnation: 5, MaxBytes: core.MiB, MaxRecords: keys}
+		before := heapInUse()
+		for i := range keys {
+			c := call("k", 1)
+			c.ID = KeyOf("owner", fmt.Sprint(i))
+			table.Begin(start, c)
+			table.Finish(start, c.ID, 1, End{})
+		}
+		b.ReportMetric(float64(heapInUse()-before)/keys, "B/key")
+		runtime.KeepAlive(table)
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/core/slots/local.go
+++ b/core/slots/local.go
@@ -9,9 +9,12 @@
 
 const (
 	// trickle is the longest time between two loads that an agent starts by
-	// itself, however many agents share the store: with 640 agents a plain share
-	// of 1.5 loads a second would be one load in seven minutes.
+	// itself before it has seen the store to be slow: with 640 agents a plain
+	// share of 1.5 loads a second would be one load in seven minutes.
 	trickle = 30 * time.Second
+	// least bounds how far slow transfers lower the rate. From the trickle it
+	// leaves one load in eight minutes, the plain share of 640 agents.
+	least = 1.0 / 16
 	// faster and slower change the agent's own rate: by what it sees, the store
 	// has room, or it hasn't. They are chosen so that one slow transfer undoes
 	// two good ones, as hosts that all speed up overload the store together.
@@ -88,12 +91,14 @@
 		return
 	}
 	l.began = true
-	l.factor = max(1, l.factor)
+	if l.factor == 0 {
+		l.factor = 1
+	}
 	l.next = now.Add(time.Duration(l.Random.Float64() * float64(l.pause())))
 }
 
 func (l *Local) scale(by float64) {
-	l.factor = min(max(l.factor*by, slower), float64(max(1, l.Agents)))
+	l.factor = min(max(l.factor*by, least), float64(max(1, l.Agents)))
 }
 
 // pause is the time between two starts, with jitter.
@@ -102,8 +107,8 @@
 	if l.Rate <= 0 {
 		return time.Duration(jitter * float64(time.Millisecond))
 	}
-	share := l.Rate * l.factor / float64(max(1, l.Agents))
-	return min(time.Duration(jitter/share*float64(time.Second)), trickle)
+	share := time.Duration(float64(max(1, l.Agents)) / l.Rate * float64(time.Second))
+	return time.Duration(jitter * float64(min(share, trickle)) / l.factor)
 }
 
 // parallel is the number of loads at once: at least one.
--- a/core/slots/pool_test.go
+++ b/core/slots/pool_test.go
@@ -222,6 +222,29 @@
 	assert.Assert(t, quantile(waits(lonely.done, all), 1) < 45*time.Second) // 1/18 of 4 a second would take 45 s
 }
 
+// All of 640 agents lose the decider in a rush. The trickle lets too many start
+// at first; what they see must then hold them back, and no throughput be lost.
+func TestLocalShareOfLargeFleet(t *testing.T) {
+	ours, naive := newPlay(modelStore(), nil), newPlay(modelStore(), nil)
+	for i := range 640 {
+		l := &Local{Rate: 4, Parallel: 4, Agents: 640, Random: rand.New(rand.NewPCG(uint64(i), 3))}
+		l.Learn(core.GiB, time.Second)
+		ours.locals = append(ours.locals, l)
+	}
+	for i := range 640 * 3 {
+		a := Ask{Size: core.GiB, Deadline: start.Add(time.Hour)}
+		ours.want(i%640, a)
+		naive.want(i%640, a)
+	}
+	ours.run(40 * time.Minute)
+	naive.run(40 * time.Minute)
+	report(t, "640 agents, all at once", waits(naive.done, all))
+	report(t, "640 agents, local shares", waits(ours.done, all))
+	assert.Equal(t, len(ours.done), 640*3)
+	assert.Assert(t, quantile(waits(ours.done, all), 0.5) < quantile(waits(naive.done, all), 0.5)*3/4)
+	assert.Assert(t, quantile(waits(ours.done, all), 1) < quantile(waits(naive.done, all), 1)*11/10)
+}
+
 // The line is held against a naive one that sorts all requests anew each time,
 // over random wishes, renewals with other deadlines, and withdrawals.
 func TestLineAgainstNaive(t *testing.T) {
--- a/core/strike/play_test.go
+++ b/core/strike/play_test.go
@@ -31,6 +31,7 @@
 	copies  []*Copies
 	killed  int
 	done    map[string]int
+	took    []time.Duration // from arrival to end, of the others' requests
 	repeats int
 }
 
@@ -48,6 +49,7 @@
 	finger core.Fingerprint
 	entry  int
 	tries  int
+	since  time.Time
 	trial  bool
 	alone  bool
 }
@@ -294,6 +296,7 @@
 func (f *fleet) end(j *job, outcome string) {
 	if j.finger != poison {
 		f.done[outcome]++
+		f.took = append(f.took, f.now.Sub(j.since))
 		return
 	}
 	if f.repeats > 0 {
@@ -322,7 +325,7 @@
 			if i%10 == 0 {
 				finger = 500
 			}
-			f.arrive(&job{finger: finger, entry: f.rng.IntN(3)})
+			f.arrive(&job{finger: finger, entry: f.rng.IntN(3), since: f.now})
 		})
 	}
 	return n
@@ -351,9 +354,11 @@
 		for _, loss := range []float64{0, 0.2} {
 			t.Run(fmt.Sprintf("at-once=%d loss=%v", atOnce, loss), func(t *testing.T) {
 				lost := make(map[int]int)
+				var took []time.Duration
 				for seed := range uint64(schedules(t, 2)) {
 					f, n := poisoned(seed, atOnce, loss, false)
 					lost[f.killed]++
+					took = append(took, f.took...)
 					assert.Assert(t, f.killed <= 3, "seed %d: %d engines lost", seed, f.killed)
 					assert.Equal(t, f.done["done"], n, "seed %d: %v", seed, f.done)
 					for _, e := range f.entries {
@@ -362,7 +367,9 @@
 						assert.Equal(t, e.Find(f.now.Add(TTL), 500).Standing, Clean)
 					}
 				}
-				t.Logf("engines lost: schedules %v", lost)
+				slices.Sort(took)
+				t.Logf("engines lost: schedules %v; others took p50 %v, p99 %v, max %v", lost,
+					took[len(took)/2].Round(time.Millisecond), took[len(took)*99/100].Round(time.Millisecond), took[len(took)-1].Round(time.Millisecond))
 			})
 		}
 	}
@@ -384,6 +391,7 @@
 // Without strikes the same request kills engines as long as it is repeated.
 func TestNaiveLosesEnginesWithoutEnd(t *testing.T) {
 	f, n := poisoned(1, 1, 0, true)
-	t.Logf("%d engines lost, %v of %d others", f.killed, f.done, n)
+	slices.Sort(f.took)
+	t.Logf("%d engines lost, %v of %d others; p99 %v", f.killed, f.done, n, f.took[len(f.took)*99/100].Round(time.Millisecond))
 	assert.Assert(t, f.killed > 30)
 }
