Let the status settle which version and which rival is in force

Random fleets with racing edits found two faults: an entry whose newest edit was bad held a digest that only one process had served it under; a model whose newest edit was pending stayed out of service in a process that had met the entries in another order. Reading found a third: a deleted entry held on to its name. Now names, digests and the version to fall back to are those that the deciding process's status says were served.

--- a/core/catlog/record.go
+++ b/core/catlog/record.go
@@ -26,10 +26,10 @@
 	newest *good
 	// last is the version served last, and chosen is last if it is served now.
 	last, chosen *good
-	// contested tells that the status in the platform calls the present spec
-	// pending; before is the version that it says was served last, if it is another.
-	contested bool
-	before    *good
+	// settled tells that the status in the platform is about the present spec;
+	// confirmed is then the version that it says was served last, if any.
+	settled   bool
+	confirmed *good
 	// stood is how the entry stood at the last Report.
 	stood standing
 	// due is the status to be written; nil where the platform has it.
@@ -73,6 +73,7 @@
 	}
 	if o.Deleted {
 		r.met, r.own = o.Version, nil
+		r.settled, r.confirmed = false, nil
 		return true
 	}
 	if old.UID != o.UID || old.Deleted || !bytes.Equal(old.Spec, o.Spec) {
@@ -98,12 +99,12 @@
 // rejected edit would not know the entry that all others serve, and one that
 // missed an edit in between would hold on to an older version.
 func (r *record) adopt() {
-	r.contested, r.before = false, nil
+	r.settled, r.confirmed = false, nil
 	status, ok := ParseStatus(r.object.Status)
 	if !ok {
 		return
 	}
-	r.contested = status.State == Pending && status.Generation == r.object.Generation
+	r.settled = status.Generation == r.object.Generation
 	f := status.InForce
 	if f == nil || f.UID != r.object.UID {
 		return
@@ -111,28 +112,39 @@
 	if f.Version >= r.object.Version || f.Generation > r.object.Generation {
 		return
 	}
-	if r.newest != nil && r.newest.generation == f.Generation && sameText(r.newest.text, f.Spec) {
-		r.newest.version = min(r.newest.version, f.Version)
-		r.last = r.newest
-		return
+	r.confirmed = r.goodOf(f)
+	if r.confirmed != nil && (r.last == nil || r.last.generation < f.Generation) {
+		r.last = r.confirmed
+	}
+}
+
+// goodOf returns the version that a status names, nil where it is invalid here.
+func (r *record) goodOf(f *InForce) *good {
+	for _, g := range []*good{r.newest, r.last} {
+		if g == nil || g.generation != f.Generation || !sameText(g.text, f.Spec) {
+			continue
+		}
+		// All processes name a version by the number at which the deciding one met
+		// it, but for those that have served it under another number already.
+		if g == r.newest && r.met == r.object.Version {
+			g.version = min(g.version, f.Version)
+		}
+		return g
 	}
 	s, faults := parseSpec(r.object.Kind, r.object.Name, f.Spec)
 	if len(faults) > 0 {
-		return
-	}
-	r.before = newGood(s, f.Version, f.Generation, f.Spec)
-	if r.last == nil || r.last.generation < f.Generation {
-		r.last = r.before
+		return nil
 	}
+	return newGood(s, f.Version, f.Generation, f.Spec)
 }
 
 // holder returns the version whose names and digests the entry keeps against
-// others. While the deciding process says that the newest is pending, that is the
-// one before: else a process that met two rivals in the other order than the
-// deciding one would serve the wrong one for good.
+// others: the one served last, by the word of the deciding process where there is
+// one. Else a process that met two rivals in the other order than the deciding one
+// would serve the wrong one for good.
 func (r *record) holder() *good {
-	if r.contested && r.last == r.newest {
-		return r.before
+	if r.settled {
+		return r.confirmed
 	}
 	return r.last
 }
--- a/core/catlog/resolve.go
+++ b/core/catlog/resolve.go
@@ -34,43 +34,27 @@
 	return reports
 }
 
-// choose sets which version of an entry is in force: the newest good one, or the
-// one served before while what the newest refers to is not there. A version that
-// has been replaced in force never comes back.
+// choose sets which version of an entry is in force: the newest good one, or else
+// the one served before, or else the one that the deciding process says was. The
+// last two differ only where this process met the entries in another order. So a
+// version that was replaced in force comes back only by the word of the deciding
+// process, and then in all processes.
 func (r *record) choose(x *index) {
 	r.cross, r.chosen = nil, nil
-	if r.newest != nil {
-		r.cross = x.faults(r, r.newest)
-		switch {
-		case !blocked(r.cross):
-			r.last = r.newest
-		case rivalled(r.cross):
-			r.last = r.holder()
+	for _, g := range []*good{r.newest, r.last, r.holder()} {
+		if g == nil {
+			continue
 		}
-	}
-	if r.last == nil {
-		return
-	}
-	if r.last != r.newest {
-		faults := x.faults(r, r.last)
-		if r.newest == nil {
+		faults := x.faults(r, g)
+		if r.cross == nil {
 			r.cross = faults
 		}
-		if blocked(faults) {
+		if !blocked(faults) {
+			r.last, r.chosen = g, g
+			x.add(g)
 			return
 		}
-	} else if blocked(r.cross) {
-		return
 	}
-	r.chosen = r.last
-	x.add(r.chosen)
-}
-
-// rivalled tells whether another entry has the name or a digest.
-func rivalled(faults []Fault) bool {
-	return slices.ContainsFunc(faults, func(f Fault) bool {
-		return f.Check == CheckNameTaken || f.Check == CheckKeyTaken
-	})
 }
 
 func (v *View) holdOwners(x *index, owners int) {
--- a/core/catlog/view.go
+++ b/core/catlog/view.go
@@ -55,15 +55,16 @@
 	return &Snapshot{}
 }
 
-// Apply takes objects of the platform in any order, from watch, list or peers,
-// and returns a Report for each entry whose standing has changed, in
-// their order. Objects that are not newer than what is known, and kinds that are not of
-// the catalogue, are passed over.
+// Apply takes objects of the platform in any order, from watch, list or peers, and
+// returns a Report for each entry whose standing has changed: owners, services,
+// models, adapters, each by name. Objects that are not newer than what is known,
+// and kinds that are not of the catalogue, are passed over. A process that starts
+// should apply all kinds in one call, else entries are pending in between.
 func (v *View) Apply(objects ...core.Object) []Report {
 	if v.records == nil {
 		v.records = map[id]*record{}
 	}
-	any, added := false, false
+	newer, added := false, false
 	for _, o := range objects {
 		rank := slices.Index(resolveOrder, o.Kind)
 		if rank < 0 {
@@ -78,22 +79,22 @@
 			added = true
 		}
 		if r.take(o) {
-			r.touched, any = true, true
+			r.touched, newer = true, true
 		}
 	}
 	if added {
 		slices.SortFunc(v.sorted, compareRecords)
 	}
-	if !any {
+	if !newer {
 		return nil
 	}
 	return v.resolve()
 }
 
 // Due returns the entries whose status in the platform does not say how they
-// stand, with the status that should be written, in their
-// order: owners, services, models, adapters, each by name. Only one
-// process should write them: the one that decides for the fleet.
+// stand, with the status that should be written, in the order of Apply. Only one
+// process should write them: the one that decides for the fleet, once it has all
+// kinds.
 func (v *View) Due() []core.Object {
 	var due []core.Object
 	for _, r := range v.sorted {
--- a/core/catlog/view_test.go
+++ b/core/catlog/view_test.go
@@ -227,6 +227,19 @@
 	assertState(t, other, core.KindService, "portal", catlog.Pending, catlog.CheckNameTaken)
 }
 
+// A model with a pending edit is deleted, and a service of its name created. The
+// name has to be free, though a status said that the model was served under it.
+func TestDeletedEntryFreesItsName(t *testing.T) {
+	v := applied(small()...)
+	v.Apply(statusWritten(v.Due(), core.KindModel, 5))
+	edit := object(core.KindModel, "ledger", 6, modelAstray)
+	v.Apply(edit)
+	v.Apply(statusWritten(v.Due(), core.KindModel, 7))
+	v.Apply(tombstone(core.KindModel, "ledger", 8))
+	v.Apply(object(core.KindService, "ledger", 9, serviceText))
+	assertState(t, v, core.KindService, "ledger", catlog.Accepted, "")
+}
+
 func TestStatusIsWrittenOnce(t *testing.T) {
 	v := applied(small()...)
 	due := v.Due()
