--- a/core/catlog/check.go
+++ b/core/catlog/check.go
@@ -70,7 +70,7 @@
 	{CheckTooLarge, "an amount is within what a fleet can hold", false},
 	{CheckCallerLimits, "a caller's limit is not above its owner's", false},
 	{CheckOwnerThere, "the owner is in the catalogue", false},
-	{CheckServiceThere, "the service is in the catalogue", false},
+	{CheckServiceThere, "the service is in the catalogue and in force", false},
 	{CheckServiceKind, "a model's service has the type engine", false},
 	{CheckBaseThere, "an adapter's base is in the catalogue", false},
 	{CheckBaseModel, "an adapter's base is a model", false},
--- a/core/catlog/cross.go
+++ b/core/catlog/cross.go
@@ -121,7 +121,7 @@
 	faults := x.ownerThere(m.Owner)
 	switch service := x.services[m.Service]; {
 	case service == nil:
-		faults = append(faults, absent(CheckServiceThere, "service", core.KindService, string(m.Service), isMissing))
+		faults = append(faults, absent(CheckServiceThere, "service", core.KindService, string(m.Service), x.why(core.KindService, string(m.Service))))
 	case service.Type != core.EngineService:
 		faults = append(faults, fault(CheckServiceKind, "service", strconv.Quote(string(m.Service))+" is a plain service"))
 	}
@@ -189,6 +189,14 @@
 	return nil
 }
 
+// why tells how an entry that is needed is not in force.
+func (x *index) why(kind core.Kind, name string) string {
+	if x.known[id{kind, name}] {
+		return "is not in force"
+	}
+	return isMissing
+}
+
 const isMissing = "is not in the catalogue"
 
 // absent returns a fault about another entry.
--- a/core/catlog/view_test.go
+++ b/core/catlog/view_test.go
@@ -177,7 +177,7 @@
 		v := applied(small()...)
 		again := object(core.KindModel, "ledger", 9, modelBad)
 		again.UID = "two"
-		again.Status = v.Due()[1].Status
+		again.Status = statusWritten(v.Due(), core.KindModel, 0).Status
 		v.Apply(again)
 		assertServed(t, v, "ledger", 0)
 	})
