Integrate membership, weight store slots, keep-warm and trials of suspects

Change: entries judge hosts by core/member and probe suspects; agents ask the decider for leave to read from the weight store and go by their own share without it; idle items are unloaded and loaded ahead of need by core/warm; suspects go to one host for a trial, and identical requests stay together until one has ended well.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -10,10 +11,13 @@
 	"radishwell/core/dedupe"
 	"radishwell/core/ledger"
 	"radishwell/core/queue"
+	"radishwell/core/slots"
 	"radishwell/core/strike"
+	"radishwell/core/warm"
 	"radishwell/io/events"
 	"radishwell/io/meter"
 	"radishwell/io/spans"
+	"radishwell/wire"
 )
 
 const (
@@ -52,6 +56,15 @@
 	Revoked func() []core.ModelName
 	// Spread sends strikes to peers at once.
 	Spread func([]strike.Record)
+	// Slot asks the deciding entry for leave to read from the weight store. Store
+	// holds the store's limits, Agents counts the agents that share them.
+	Slot   func(context.Context, *wire.SlotCall) (*wire.SlotReply, error)
+	Store  Store
+	Agents func() int
+	// Worth is what a caller's second of waiting is worth.
+	Worth warm.Worth
+	// Rand is the source of jitter.
+	Rand *rand.Rand
 	// KeptAnswers bounds the memory for answers of keyed requests.
 	KeptAnswers core.Bytes
 
@@ -74,6 +87,15 @@
 	crashed uint64
 	leaving bool
 	swept   time.Time
+	warm    warm.Policy
+	slots   map[core.ModelName]*slot
+	// ownModels and ownAdapters are this agent's shares of the store's limits
+	// while the decider does not answer.
+	ownModels   slots.Local
+	ownAdapters slots.Local
+	slotAlarm   chan struct{}
+	looked      time.Time
+	prewarmed   time.Time
 	// orders wakes the goroutine that drives the engine, alarm the one that
 	// waits for deadlines.
 	orders chan struct{}
@@ -97,6 +119,20 @@
 	a.orders = make(chan struct{}, 1)
 	a.alarm = make(chan struct{}, 1)
 	a.ready = make(chan struct{})
+	a.slotAlarm = make(chan struct{}, 1)
+	a.slots = map[core.ModelName]*slot{}
+	a.warm = warm.Policy{Worth: a.Worth}
+	a.ownModels = slots.Local{Rate: a.Store.Starts, Parallel: a.Store.Parallel, Random: a.Rand}
+	a.ownAdapters = slots.Local{Parallel: a.Store.Adapters, Random: a.Rand}
+}
+
+// Store holds the weight store's limits for the whole fleet.
+type Store struct {
+	// Starts is the loads of models it starts a second, Parallel the transfers at
+	// full speed, Adapters those of adapters.
+	Starts   float64
+	Parallel int
+	Adapters int
 }
 
 // Ready is closed once the upstream has been reached.
@@ -107,12 +143,16 @@
 func (a *Agent) Run(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	ended := make(chan error, 2)
-	go func() { ended <- a.drive(ctx) }()
-	go func() { ended <- a.watchDeadlines(ctx) }()
+	loops := []func(context.Context) error{a.drive, a.watchDeadlines, a.askSlots}
+	ended := make(chan error, len(loops))
+	for _, loop := range loops {
+		go func() { ended <- loop(ctx) }()
+	}
 	err := <-ended
 	stop()
-	<-ended
+	for range loops[1:] {
+		<-ended
+	}
 	a.work.Wait()
 	return err
 }
@@ -146,6 +186,7 @@
 		a.mu.Lock()
 		a.schedule(now)
 		a.sweep(now)
+		a.look(now)
 		next := a.queue.Next()
 		a.mu.Unlock()
 		wait := tick
--- a/io/agent/drive.go
+++ b/io/agent/drive.go
@@ -146,6 +146,7 @@
 		case core.Loading:
 			a.Meter.Load(a.tier(name), false, was.Since, now)
 			events.Log(events.LoadFailed, "model", name, "host", a.Host)
+			a.endSlot(now, name, false)
 			a.loadFailed(now, name)
 		case core.Unloading:
 			events.Log(events.Unloaded, "model", name, "host", a.Host)
@@ -159,6 +160,9 @@
 		since = now
 	}
 	a.Meter.Load(a.tier(i.Name), true, since, now)
+	a.learn(i.Name)
+	a.warm.Loaded(i.Name, now.Sub(since))
+	a.endSlot(now, i.Name, true)
 	events.Log(events.LoadFinished, "model", i.Name, "host", a.Host, "took", now.Sub(since).String())
 }
 
--- a/io/agent/explain.go
+++ b/io/agent/explain.go
@@ -77,9 +77,9 @@
 	return a.book.Records(a.Clock.Now())
 }
 
-// MergeStrikes takes strikes from peers.
-func (a *Agent) MergeStrikes(list []strike.Record) {
+// MergeStrikes takes strikes from peers and tells whether any was news.
+func (a *Agent) MergeStrikes(list []strike.Record) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.book.Merge(a.Clock.Now(), list)
+	return len(a.book.Merge(a.Clock.Now(), list)) > 0
 }
--- a/io/agent/sched.go
+++ b/io/agent/sched.go
@@ -116,7 +116,7 @@
 // crashing engines waits until it can run alone, and others wait while it does;
 // start returns false where nothing that follows may start either.
 func (a *Agent) start(now time.Time, r *run) bool {
-	verdict := a.gate.MayRun(now, r.call.Fingerprint, a.inFlight())
+	verdict := a.gate.MayRun(now, r.call.Fingerprint, r.head.GetTrial(), a.inFlight())
 	switch verdict.Action {
 	case strike.Deny:
 		a.queue.Finish(now, r.id, queue.Failed)
@@ -138,6 +138,7 @@
 	r.waiting = false
 	l.running++
 	a.inWork++
+	a.useBegins(now, r.target)
 	r.cold, r.loading, r.started = l.cold, l.loading, now
 	if l.waiting == 0 {
 		l.cold = false
@@ -176,12 +177,13 @@
 		l.cold = true
 		l.loading = now
 	}
+	class, deadline := a.urgency(l)
 	verdict := ledger.NoBase
 	if l.target.Base == "" || a.baseLoaded(l.target) {
-		verdict = a.loadItem(now, l.target.Model, l.target.Base)
+		verdict = a.loadItem(now, l.target.Model, l.target.Base, class, deadline)
 	}
 	if verdict == ledger.NoBase {
-		verdict = a.loadItem(now, l.target.Base, "")
+		verdict = a.loadItem(now, l.target.Base, "", class, deadline)
 	}
 	switch verdict {
 	case ledger.NoMemory, ledger.TooLarge:
@@ -191,15 +193,35 @@
 	}
 }
 
-// loadItem asks the ledger for one item.
-func (a *Agent) loadItem(now time.Time, name, base core.ModelName) ledger.Verdict {
+// urgency is the class and the earliest deadline of what waits in a lane.
+func (a *Agent) urgency(l *lane) (core.Class, time.Time) {
+	class, deadline := core.Overnight, time.Time{}
+	for _, r := range a.byID {
+		if r.target != l.target || r.began || !r.ended.IsZero() {
+			continue
+		}
+		class = min(class, core.Class(r.head.GetClass()))
+		if at := relay.Time(r.head.GetDeadline()); deadline.IsZero() || at.Before(deadline) {
+			deadline = at
+		}
+	}
+	return class, deadline
+}
+
+// loadItem asks the ledger for one item. One that comes from the weight store
+// first needs leave to read there.
+func (a *Agent) loadItem(now time.Time, name, base core.ModelName, class core.Class, deadline time.Time) ledger.Verdict {
 	e, ok := a.Snapshot().Model(name)
 	if !ok {
 		return ledger.NotReady
 	}
+	tier := a.tier(name)
+	if tier == core.TierStore && a.ledger.Rebuilt() && a.ledger.Item(name).State == core.Absent && !a.leaveTo(now, name, base, class, deadline) {
+		return ledger.Coming
+	}
 	return a.ledger.Load(now, ledger.Want{
-		Name: name, Base: base, Bytes: e.Memory, Accelerators: e.Accelerators, Source: a.tier(name),
-	}, a.keep)
+		Name: name, Base: base, Bytes: e.Memory, Accelerators: e.Accelerators, Source: tier,
+	}, func(name core.ModelName) float64 { return a.keep(now, name) })
 }
 
 // tier is where the engine's host finds a checkpoint.
@@ -213,14 +235,12 @@
 }
 
 // keep scores an item for eviction: what requests wait for stays, and among the
-// rest the one that was used last goes last.
-func (a *Agent) keep(name core.ModelName) float64 {
-	for _, l := range a.lanes {
-		if l.waiting > 0 && (l.target.Model == name || l.target.Base == name) {
-			return math.Inf(1)
-		}
+// rest the policy of keeping models loaded decides.
+func (a *Agent) keep(now time.Time, name core.ModelName) float64 {
+	if a.wanted(name) {
+		return math.Inf(1)
 	}
-	return 0
+	return a.warm.Score(now, name)
 }
 
 // refuseLane refuses all waiting requests of a lane, so that their entries try
@@ -252,6 +272,7 @@
 	l.running--
 	l.idle = now
 	a.inWork--
+	a.useEnds(now, r.target)
 	if !a.Plain {
 		a.ledger.End(now, r.use)
 	}
--- a/io/config/settings.go
+++ b/io/config/settings.go
@@ -20,6 +20,8 @@
 	Engine    Engine           `yaml:"engine"`
 	TLS       TLS              `yaml:"tls"`
 	Telemetry Telemetry        `yaml:"telemetry"`
+	Store     Store            `yaml:"weight-store"`
+	Warm      Warm             `yaml:"keep-warm"`
 	Limits    Limits           `yaml:"limits"`
 }
 
@@ -67,6 +69,19 @@
 	Verbosity   int     `yaml:"verbosity" default:"0" min:"0" max:"10" doc:"Log verbosity; events of a higher level are left out."`
 }
 
+// Store holds the weight store's limits, which the whole fleet shares. They have
+// to be the same in all processes.
+type Store struct {
+	Starts   float64 `yaml:"starts" default:"4" min:"0.01" max:"10000" doc:"Loads of models that the weight store starts a second."`
+	Parallel int     `yaml:"parallel" default:"4" min:"1" max:"10000" doc:"Transfers of models that the weight store moves at once at full speed."`
+	Adapters int     `yaml:"adapters" default:"30" min:"1" max:"100000" doc:"Transfers of adapters in flight up to which each is at full speed."`
+}
+
+// Warm says how idle models are weighed against cold starts.
+type Warm struct {
+	Worth float64 `yaml:"worth" default:"1" min:"0" max:"1000" doc:"What a caller's second of waiting for a cold start is worth, as a multiple of the class's own weight. A larger value keeps idle models loaded for longer and loads more of them ahead of need. Agent only."`
+}
+
 // Limits bound what one process takes on. Limits of owners, models and services
 // are in the catalogue.
 type Limits struct {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -11,6 +11,7 @@
 	"radishwell/core/admit"
 	"radishwell/core/catlog"
 	"radishwell/core/claims"
+	"radishwell/core/member"
 	"radishwell/core/queue"
 	"radishwell/core/retry"
 	"radishwell/core/route"
@@ -23,6 +24,8 @@
 const (
 	// maxStrikes bounds the strikes known.
 	maxStrikes = 10_000
+	// maxProven bounds the requests remembered as ending well.
+	maxProven = 50_000
 	// leastWindow is the least number of requests that an entry has in progress
 	// for one target: what waits behind it is ordered here, by all of the
 	// entry's classes and owners, and not at a single host.
@@ -59,7 +62,7 @@
 	// Share is this entry's part of the limits.
 	Share func() admit.Share
 	// Noted tells membership how contact with a host went.
-	Noted func(host core.HostName, ok bool, incarnation core.Incarnation, leaving bool)
+	Noted func(member.Contact)
 	// Probe asks a host for its load, Seal what became of an attempt.
 	Probe func(ctx context.Context, h Host, names []core.ModelName) (*wire.HostLoad, error)
 	Seal  func(ctx context.Context, h Host, c *wire.SealCall) (*wire.SealReply, error)
@@ -70,6 +73,8 @@
 	Relay  *Relay
 	// Spread sends strikes to peers at once.
 	Spread func([]strike.Record)
+	// Tell sends strikes to one host.
+	Tell func(core.HostName, []strike.Record)
 
 	mu        sync.Mutex
 	admit     admit.Admit
@@ -77,6 +82,7 @@
 	router    route.Router
 	budgets   retry.Budgets
 	book      strike.Book
+	copies    strike.Copies
 	hosts     map[core.HostName]*hostState
 	turns     map[core.RequestID]*turn
 	lanes     map[string]*lane
@@ -108,6 +114,7 @@
 func (e *Entry) Init() {
 	e.router = route.Router{Seed: e.Rand.Uint64()}
 	e.book = strike.Book{Self: e.Name, MaxRecords: maxStrikes}
+	e.copies = strike.Copies{MaxProven: maxProven}
 	e.hosts = map[core.HostName]*hostState{}
 	e.turns = map[core.RequestID]*turn{}
 	e.lanes = map[string]*lane{}
--- a/io/entry/fixture_test.go
+++ b/io/entry/fixture_test.go
@@ -24,7 +24,7 @@
 	"radishwell/core/admit"
 	"radishwell/core/catlog"
 	"radishwell/core/claims"
-	"radishwell/core/route"
+	"radishwell/core/member"
 	"radishwell/core/strike"
 	"radishwell/io/agent"
 	"radishwell/io/engine"
@@ -135,7 +135,11 @@
 		Grant:   func(core.ModelName) (core.GrantState, bool) { return core.GrantActive, true },
 		Release: func(context.Context, core.ModelName) error { return nil },
 		Revoked: func() []core.ModelName { return nil },
-		Spread:  f.spread,
+		Spread:  f.spread, Agents: func() int { return 1 }, Rand: rand.New(rand.NewPCG(2, 2)),
+		Store: agent.Store{Parallel: 100, Adapters: 100},
+		Slot: func(context.Context, *wire.SlotCall) (*wire.SlotReply, error) {
+			return &wire.SlotReply{Granted: true}, nil
+		},
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	h.agent.Init(ctx)
@@ -228,8 +232,9 @@
 		Name: core.HostName("entry-" + strconv.Itoa(len(f.entries))), DataCentre: "dc", Clock: realClock{}, Meter: meter.New(),
 		Rand: rand.New(rand.NewPCG(1, uint64(len(f.entries)))), Snapshot: f.snapshot, Hosts: f.hosts, Find: f.find,
 		Share: func() admit.Share { return admit.Share{Entries: 1} },
-		Noted: func(core.HostName, bool, core.Incarnation, bool) {}, Probe: f.probe, Seal: f.seal, Claim: f.claim,
+		Noted: func(member.Contact) {}, Probe: f.probe, Seal: f.seal, Claim: f.claim,
 		KeyAge: time.Hour, Relay: &entry.Relay{}, Spread: f.spread,
+		Tell: func(h core.HostName, list []strike.Record) { f.agents[h].agent.MergeStrikes(list) },
 	}
 	e.Init()
 	f.entries = append(f.entries, e)
@@ -342,5 +347,3 @@
 	}
 	return out.String()
 }
-
-var _ = route.Live
--- a/io/entry/hosts.go
+++ b/io/entry/hosts.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"radishwell/core"
 	"radishwell/core/catlog"
 	"radishwell/core/route"
+	"radishwell/core/strike"
 	"radishwell/io/relay"
 	"radishwell/wire"
 )
@@ -57,7 +59,7 @@
 	defer e.mu.Unlock()
 	now := e.Clock.Now()
 	q := route.Query{Request: r, Here: e.DataCentre, Tried: tried, Costs: e.costsOf(r.Target)}
-	for _, h := range hosts {
+	for _, h := range e.allowed(now, r, hosts, tried) {
 		byName[h.Name] = h
 		q.Candidates = append(q.Candidates, e.candidate(r.Target, h))
 	}
@@ -68,6 +70,28 @@
 	return plan.Hosts, byName
 }
 
+// allowed leaves out hosts where the request must not go for what it is
+// suspected of. A suspect goes to the host of its trial, the same from every
+// entry. Identical requests that nobody has seen end well stay together: if they
+// crash engines they lose one and not one each.
+func (e *Entry) allowed(now time.Time, r core.Request, hosts []Host, tried []core.HostName) []Host {
+	only := e.copies.Host(r.Fingerprint)
+	if !e.book.Settled(now, r.Fingerprint).IsZero() {
+		names := make([]core.HostName, 0, len(hosts))
+		for _, h := range hosts {
+			if h.Health == route.Live {
+				names = append(names, h.Name)
+			}
+		}
+		only = strike.Trial(r.Fingerprint, names)
+	}
+	i := slices.IndexFunc(hosts, func(h Host) bool { return h.Name == only })
+	if i < 0 || slices.Contains(tried, only) {
+		return hosts
+	}
+	return hosts[i : i+1]
+}
+
 func (e *Entry) candidate(t core.Target, h Host) route.Candidate {
 	s := e.host(h.Name)
 	return route.Candidate{
--- a/io/entry/journal.go
+++ b/io/entry/journal.go
@@ -27,10 +27,6 @@
 }
 
 const (
-	// journalCount is how many journals the fleet has. Four take at most 80
-	// writes a second at one group each 50 ms, a fifth of what the platform
-	// holds, and spread the work over as many entries.
-	journalCount = 4
 	// journalSlots and segmentBytes bound a journal: at 56 bytes a claim, 256
 	// segments of 64 KiB hold 300,000 claims, in all four journals a day of 14 a
 	// second or 40 minutes of 500 a second. A segment is written again with every
@@ -56,7 +52,7 @@
 
 // Init prepares the journals; Run serves them.
 func (s *Journals) Init() {
-	for n := range journalCount {
+	for n := range claims.Journals {
 		s.books = append(s.books, &journal{
 			in:      make(chan func(time.Time) claims.Effects, maxClaims),
 			waiting: map[uint64]chan claims.Answer{},
@@ -239,7 +235,7 @@
 // here where that one does not answer: any entry may append, since every append
 // is conditional.
 func (s *Journals) Claim(ctx context.Context, a claims.Ask) claims.Answer {
-	n := claims.JournalOf(a.Claim.ID, journalCount)
+	n := claims.JournalOf(a.Claim.ID)
 	ranked := claims.Rank(n, s.Entries())
 	if len(ranked) == 0 || ranked[0] == s.Self {
 		return s.Local(ctx, a)
@@ -255,7 +251,7 @@
 
 // Local records a claim here.
 func (s *Journals) Local(ctx context.Context, a claims.Ask) claims.Answer {
-	b := s.books[claims.JournalOf(a.Claim.ID, journalCount)]
+	b := s.books[claims.JournalOf(a.Claim.ID)]
 	to := make(chan claims.Answer, 1)
 	b.send(ctx, func(now time.Time) claims.Effects {
 		b.token++
--- a/io/entry/note.go
+++ b/io/entry/note.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/member"
 	"radishwell/core/retry"
 	"radishwell/core/route"
 	"radishwell/core/strike"
@@ -20,6 +21,7 @@
 	s := e.host(h.Name)
 	s.inFlight++
 	s.sent++
+	e.copies.Start(r.Fingerprint, h.Name)
 	e.router.Sent(e.Clock.Now(), r, h.Name)
 	if s.incarnation != 0 {
 		return s.incarnation
@@ -33,6 +35,7 @@
 	defer e.mu.Unlock()
 	now := e.Clock.Now()
 	e.host(h.Name).inFlight--
+	e.copies.End(now, r.Fingerprint, refusal == nil)
 	took := now.Sub(since)
 	switch {
 	case refusal == nil && cold:
@@ -42,7 +45,10 @@
 	case refusal.Code == core.CodeUpstreamLost || refusal.Code == core.CodeUpstreamFailed:
 		e.router.Observe(now, route.Report{Host: h.Name, Target: r.Target, Result: route.Broken, Took: took, Cost: cost(r)})
 	}
-	e.Noted(h.Name, refusal == nil || refusal.Code != core.CodeUpstreamLost, e.host(h.Name).incarnation, refusal != nil && refusal.Code == core.CodeLeaving)
+	e.Noted(member.Contact{
+		Host: h.Name, OK: refusal == nil || refusal.Code != core.CodeUpstreamLost || refusal.Host == "", Since: since,
+		Incarnation: e.host(h.Name).incarnation, Leaving: refusal != nil && refusal.Code == core.CodeLeaving,
+	})
 }
 
 // ended takes what rides on an answer's end.
@@ -51,7 +57,7 @@
 	defer e.mu.Unlock()
 	e.noteLoad(h.Name, end.GetLoad())
 	if len(end.GetStrikes()) > 0 {
-		e.book.Merge(e.Clock.Now(), relay.StrikesIn(end.GetStrikes()))
+		e.mergeStrikes(relay.StrikesIn(end.GetStrikes()))
 	}
 }
 
@@ -76,10 +82,13 @@
 	return from(e.Rand)
 }
 
-func (e *Entry) strikesAgainst(f core.Fingerprint) []*wire.Strike {
+// strikesAgainst returns what is held against a request, and whether it goes to
+// its trial.
+func (e *Entry) strikesAgainst(f core.Fingerprint) (list []*wire.Strike, trial bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return relay.StrikesOut(e.book.Against(e.Clock.Now(), f))
+	now := e.Clock.Now()
+	return relay.StrikesOut(e.book.Against(now, f)), !e.book.Settled(now, f).IsZero()
 }
 
 // cancelAt tells a host in the background that a request's caller has gone.
@@ -98,11 +107,27 @@
 	return e.book.Records(e.Clock.Now())
 }
 
-// MergeStrikes takes strikes from peers.
-func (e *Entry) MergeStrikes(list []strike.Record) {
+// MergeStrikes takes strikes from peers and tells whether any was news.
+func (e *Entry) MergeStrikes(list []strike.Record) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.book.Merge(e.Clock.Now(), list)
+	return e.mergeStrikes(list)
+}
+
+// mergeStrikes speaks for requests that have ended well here, and tells the
+// hosts that have copies of the others. The lock is held.
+func (e *Entry) mergeStrikes(list []strike.Record) bool {
+	now := e.Clock.Now()
+	news := e.book.Merge(now, list)
+	for _, f := range news {
+		if e.copies.Take(now, f) {
+			go e.Spread([]strike.Record{e.book.Known(now, f)})
+		}
+		if host := e.copies.At(f); host != "" {
+			go e.Tell(host, e.book.Against(now, f))
+		}
+	}
+	return len(news) > 0
 }
 
 // Quarantined lists the requests that something is held against, ClearStrikes
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -173,8 +173,8 @@
 		Fingerprint: uint64(r.Fingerprint), Tokens: int64(r.Tokens), Stream: r.Stream,
 		Method: j.call.Method, Path: j.call.Path, Trace: j.span.Traceparent(), BodySize: int64(len(j.call.Body)),
 		Incarnation: uint64(incarnation), Entry: string(j.e.Name), Prefixes: r.Prefixes,
-		Strikes: j.e.strikesAgainst(r.Fingerprint),
 	}
+	head.Strikes, head.Trial = j.e.strikesAgainst(r.Fingerprint)
 	for name, values := range j.call.Header {
 		for _, v := range values {
 			head.Header = append(head.Header, &wire.Field{Name: name, Value: v})
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 
 	"radishwell/core"
 	"radishwell/core/place"
+	"radishwell/core/warm"
 	"radishwell/io/agent"
 	"radishwell/io/certs"
 	"radishwell/io/engine"
@@ -20,6 +22,9 @@
 		Host: s.Name, Service: s.Engine.Service, Plain: s.Engine.Type == core.PlainService, Incarnation: n.incarnation,
 		Engine: upstream, Clock: n.clock, Meter: n.meter, Tracer: n.tracer, Snapshot: n.world.snapshot,
 		Grant: n.grant, Release: n.release, Revoked: n.revoked, Spread: n.spread, KeptAnswers: s.Limits.KeptAnswers,
+		Slot: n.slot, Agents: func() int { return n.world.agents(s.Engine.Service) }, Worth: warm.DefaultWorth.Times(s.Warm.Worth),
+		Store: agent.Store{Starts: s.Store.Starts, Parallel: s.Store.Parallel, Adapters: s.Store.Adapters},
+		Rand:  rand.New(rand.NewPCG(n.rand.Uint64(), n.rand.Uint64())),
 	}
 	a.Init(context.WithoutCancel(ctx))
 	n.handler.Probe = func(c *wire.ProbeCall) (*wire.HostLoad, error) { return a.Load(modelNames(c.GetNames())), nil }
--- a/io/node/decide.go
+++ b/io/node/decide.go
@@ -46,13 +46,16 @@
 	reports  map[string]report
 	demanded map[core.ModelName]bool
 	poke     chan struct{}
+	// took is told when this entry begins and ends to decide, and whether nobody
+	// has decided before it.
+	took func(in, fresh bool)
 }
 
 func newDecider(self core.HostName, incarnation core.Incarnation, clock core.Clock, platform core.Platform, w *world) *decider {
 	return &decider{
 		self: self, clock: clock, platform: platform, world: w,
 		lease: lease.Lease{Host: self, Incarnation: incarnation}, poke: make(chan struct{}, 1),
-		reports: map[string]report{}, demanded: map[core.ModelName]bool{},
+		reports: map[string]report{}, demanded: map[core.ModelName]bool{}, took: func(bool, bool) {},
 	}
 }
 
@@ -240,6 +243,7 @@
 		return
 	}
 	d.decides = decides
+	d.took(decides, d.lease.Blank)
 	if decides {
 		events.Log(events.LeaseTaken, "host", d.self, "fence", fence)
 		return
@@ -319,13 +323,13 @@
 	d.mu.Unlock()
 	if outcome == place.Applied {
 		d.logGrant(w)
-		d.took(w, fresh)
+		d.learn(w, fresh)
 	}
 }
 
-// took feeds a write's result to this process at once; its watch brings it to
+// learn feeds a write's result to this process at once; its watch brings it to
 // the others.
-func (d *decider) took(w place.Write, o core.Object) {
+func (d *decider) learn(w place.Write, o core.Object) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !w.Delete {
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -38,14 +38,17 @@
 	e := &entry.Entry{
 		Name: s.Name, DataCentre: s.DataCentre, Clock: n.clock, Meter: n.meter, Tracer: n.tracer,
 		Rand: rand.New(rand.NewPCG(n.rand.Uint64(), n.rand.Uint64())), Snapshot: n.world.snapshot,
-		Hosts: n.hosts, Find: n.world.entryHost, Share: n.share, Noted: n.noted,
+		Hosts: n.hosts, Find: n.find, Share: n.share, Noted: n.members.note,
 		Probe: n.probe, Seal: n.seal, Claim: journals.Claim, KeyAge: s.Limits.KeyAge,
-		Relay: &entry.Relay{TLS: n.tlsToAgent()}, Spread: n.spread,
+		Relay: &entry.Relay{TLS: n.tlsToAgent()}, Spread: n.spread, Tell: n.tell,
 	}
 	e.Init()
 	n.handler.Claim = func(c *wire.ClaimCall) (*wire.ClaimReply, error) {
 		return journals.Serve(context.Background(), c), nil
 	}
+	weights := &store{limits: s.Store, clock: n.clock}
+	d.took = weights.decides
+	n.handler.Slot = func(c *wire.SlotCall) (*wire.SlotReply, error) { return weights.serve(c), nil }
 	n.handler.Demand = func(c *wire.DemandCall) (*wire.Empty, error) {
 		d.takeDemand(c)
 		return &wire.Empty{}, nil
@@ -53,6 +56,7 @@
 	n.strikes, n.mergeStrikes = e.Strikes, e.MergeStrikes
 	n.addPart("entry", e.Run)
 	n.addPart("journals", journals.Run)
+	n.addPart("members", n.probeSuspects)
 	n.addPart("decider", func(ctx context.Context) error {
 		return d.run(ctx, n.catalogueKnown, func() bool { return n.store.Confirmed(core.KindGrant) })
 	})
--- a/io/node/mesh.go
+++ b/io/node/mesh.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -33,7 +34,7 @@
 	self := peer.Target{Host: n.Settings.Name, Address: n.Settings.Listen.Control}
 	n.store = &peer.Store{
 		Self: self, Kinds: storedKinds(), Confirm: n.confirmKinds(), Platform: n.Platform, Client: n.client, Clock: n.clock,
-		Peers: n.peers, Seed: uint64(n.incarnation), Changed: n.world.apply, Marked: n.marked,
+		Peers: n.peers, Seed: uint64(n.incarnation), Changed: n.world.apply, Marked: n.members.marked,
 		Strikes: func() []*wire.Strike { return relay.StrikesOut(n.strikes()) },
 		Struck:  n.struck, Failed: n.failed,
 	}
@@ -142,13 +143,16 @@
 }
 
 // hosts lists the hosts that may serve a target, as membership sees them.
-func (n *Node) hosts(t core.Target) []entry.Host { return n.world.serving(t) }
+func (n *Node) hosts(t core.Target) []entry.Host { return n.members.judge(n.world.serving(t)) }
 
-// noted tells membership how contact with a host went.
-func (n *Node) noted(core.HostName, bool, core.Incarnation, bool) {}
-
-// marked takes marks that peers have spread.
-func (n *Node) marked([]peer.Mark) {}
+// find returns one host as membership sees it.
+func (n *Node) find(name core.HostName) (entry.Host, bool) {
+	h, ok := n.world.entryHost(name)
+	if !ok {
+		return h, false
+	}
+	return n.members.judge([]entry.Host{h})[0], true
+}
 
 // markAge is how long a leaving mark counts: the platform's list, which lags by
 // less, has the host as leaving or gone by then.
@@ -161,16 +165,26 @@
 	})
 }
 
-// spread sends strikes to peers at once.
+// spread sends strikes to peers at once; they ride on the next exchange.
 func (n *Node) spread([]strike.Record) { n.store.Kick() }
 
-// struck takes peers' strikes and tells whether any was news.
-func (n *Node) struck(list []*wire.Strike) bool {
-	before := len(n.strikes())
-	n.mergeStrikes(relay.StrikesIn(list))
-	return len(n.strikes()) != before
+// tell sends strikes to one host.
+func (n *Node) tell(host core.HostName, list []strike.Record) {
+	h, ok := n.world.host(host)
+	if !ok {
+		return
+	}
+	ctx, stop := context.WithTimeout(context.Background(), writeTime)
+	defer stop()
+	// A lost call is made up for by the exchange between peers.
+	_, _ = n.client.Sync(ctx, peer.Target{Host: host, Address: h.spec.Control}, &wire.SyncCall{
+		From: string(n.Settings.Name), Strikes: relay.StrikesOut(list),
+	})
 }
 
+// struck takes peers' strikes and tells whether any was news.
+func (n *Node) struck(list []*wire.Strike) bool { return n.mergeStrikes(relay.StrikesIn(list)) }
+
 // failed logs calls of platform and peers that failed.
 func (n *Node) failed(err error) {
 	var platform *core.PlatformError
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -47,7 +47,8 @@
 	world        *world
 	store        *peer.Store
 	strikes      func() []strike.Record
-	mergeStrikes func([]strike.Record)
+	mergeStrikes func([]strike.Record) bool
+	members      *members
 	client       *peer.Client
 	control      *peer.Server
 	handler      peer.Handler
@@ -129,7 +130,8 @@
 		return err
 	}
 	events.Log(events.Start, "role", s.Role, "host", s.Name)
-	n.world = newWorld()
+	n.members = newMembers(n.clock, rand.New(rand.NewPCG(n.rand.Uint64(), n.rand.Uint64())))
+	n.world = newWorld(n.members)
 	n.world.reports = n.catalogueChanged
 	if err := n.prepareStore(); err != nil {
 		return err
--- a/io/node/world.go
+++ b/io/node/world.go
@@ -8,8 +8,8 @@
 
 	"radishwell/core"
 	"radishwell/core/catlog"
+	"radishwell/core/lease"
 	"radishwell/core/place"
-	"radishwell/core/route"
 	"radishwell/io/entry"
 	"radishwell/io/events"
 	"radishwell/io/peer"
@@ -37,6 +37,9 @@
 	grants map[core.ModelName]granted
 	// byTarget caches the hosts that may serve a target until something changes.
 	byTarget map[string][]entry.Host
+	members  *members
+	// holder is the entry that the lease names.
+	holder core.HostName
 	// judged tells that catalogue entries changed since due was asked last.
 	judged bool
 	// changed is told of each object, after the world has taken it.
@@ -44,10 +47,10 @@
 	reports func([]catlog.Report)
 }
 
-func newWorld() *world {
+func newWorld(m *members) *world {
 	return &world{
 		hosts: map[core.HostName]listed{}, grants: map[core.ModelName]granted{},
-		byTarget: map[string][]entry.Host{}, changed: func(core.Object) {}, reports: func([]catlog.Report) {},
+		members: m, byTarget: map[string][]entry.Host{}, changed: func(core.Object) {}, reports: func([]catlog.Report) {},
 	}
 }
 
@@ -64,6 +67,8 @@
 			w.applyGrant(o)
 		case core.KindModel, core.KindAdapter, core.KindOwner, core.KindService:
 			w.judged = true
+		case core.KindLease:
+			w.applyLease(o)
 		}
 		w.changed(o)
 	}
@@ -74,6 +79,7 @@
 	name := core.HostName(o.Name)
 	if o.Deleted {
 		delete(w.hosts, name)
+		w.members.seen(name, core.HostGone, true)
 		events.Log(events.HostGone, "host", name)
 		return
 	}
@@ -81,9 +87,7 @@
 	if json.Unmarshal(o.Spec, &spec) != nil {
 		return
 	}
-	if was := w.hosts[name]; was.spec.State != core.HostLeaving && spec.State == core.HostLeaving {
-		events.Log(events.HostLeaving, "host", name)
-	}
+	w.members.seen(name, spec.State, spec.State == core.HostGone)
 	w.hosts[name] = listed{uid: o.UID, spec: spec}
 }
 
@@ -100,6 +104,21 @@
 	w.grants[name] = granted{spec: spec, version: o.Version}
 }
 
+func (w *world) applyLease(o core.Object) {
+	spec, err := lease.Parse(o)
+	if o.Name != lease.Name || o.Deleted || err != nil {
+		return
+	}
+	w.holder = spec.Holder
+}
+
+// decider returns the entry that the lease names, empty where none is known.
+func (w *world) decider() core.HostName {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.holder
+}
+
 // snapshot returns the catalogue in force.
 func (w *world) snapshot() *catlog.Snapshot { return w.view.Snapshot() }
 
@@ -121,11 +140,7 @@
 }
 
 func hostOf(name core.HostName, h listed) entry.Host {
-	out := entry.Host{Name: name, DataCentre: h.spec.DataCentre, Work: h.spec.Work, Control: h.spec.Control}
-	if h.spec.State != core.HostLive {
-		out.Health = route.Leaving
-	}
-	return out
+	return entry.Host{Name: name, DataCentre: h.spec.DataCentre, Work: h.spec.Work, Control: h.spec.Control}
 }
 
 // serving lists the hosts that may serve a target: the holders of its grant, or
@@ -254,3 +269,16 @@
 	slices.SortFunc(list, func(a, b peer.Target) int { return cmp.Compare(a.Host, b.Host) })
 	return list
 }
+
+// agents counts the agents of a service that the platform lists.
+func (w *world) agents(service core.ServiceName) int {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	n := 0
+	for _, h := range w.hosts {
+		if h.spec.Role == core.UpstreamHost && h.spec.Service == service {
+			n++
+		}
+	}
+	return n
+}
