--- a/core/claims/journal.go
+++ b/core/claims/journal.go
@@ -198,6 +198,9 @@
 	return n
 }
 
+// Ready tells that the journal has been read whole and its segments fit.
+func (j *Journal) Ready() bool { return j.checked }
+
 // Keys returns the number of keys remembered.
 func (j *Journal) Keys() int { return len(j.index.entries) }
 
--- a/io/entry/journal.go
+++ b/io/entry/journal.go
@@ -17,6 +17,8 @@
 	Self     core.HostName
 	Clock    core.Clock
 	Platform core.Platform
+	// Known tells that the platform has answered since the start.
+	Known func() bool
 	// Entries lists the live entries, this one included.
 	Entries func() []core.HostName
 	// Ask asks another entry to record a claim.
@@ -48,6 +50,8 @@
 	state   claims.Journal
 	waiting map[uint64]chan claims.Answer
 	token   uint64
+	// ready tells that the journal has been read whole once.
+	ready bool
 }
 
 // Init prepares the journals; Run serves them.
@@ -75,7 +79,7 @@
 }
 
 // warmTime is the time between two looks at which journals this entry leads.
-const warmTime = time.Second
+const warmTime = 200 * time.Millisecond
 
 // keepWarm has the journals that this entry leads read before the first claim,
 // which would wait for it otherwise.
@@ -87,10 +91,11 @@
 		for n, b := range s.books {
 			ranked := claims.Rank(n, s.Entries())
 			lead := len(ranked) > 0 && ranked[0] == s.Self
-			if lead && !leads[n] {
+			if lead && !leads[n] && s.Known() {
 				b.send(ctx, b.state.Warm)
+				leads[n] = true
 			}
-			leads[n] = lead
+			leads[n] = leads[n] && lead
 		}
 		select {
 		case <-tick.C:
@@ -130,7 +135,8 @@
 			to <- a
 		}
 	}
-	if len(e.Reads) >= listFrom {
+	b.ready = b.ready || b.state.Ready()
+	if !b.ready && len(e.Reads) > 0 {
 		go s.readMany(ctx, b, e.Reads)
 	} else {
 		for _, name := range e.Reads {
@@ -157,15 +163,12 @@
 	b.send(ctx, func(now time.Time) claims.Effects { return b.state.Read(now, replyOf(name, o, err)) })
 }
 
-const (
-	// listFrom is the number of slots from which one list is cheaper for the
-	// platform than a read of each.
-	listFrom = 8
-	// listAge is how old a list may be that slots are read from. Old content does
-	// no harm: a segment that has moved on makes the next append, which is
-	// conditional on the version read, fail and be read again.
-	listAge = 2 * time.Second
-)
+// listAge is how old a list may be that slots are read from. While a journal is
+// read for the first time, one list serves for all of its slots, which a read
+// of each would take the platform's budget for seconds. Old content does no
+// harm: a segment that has moved on makes the next append, which is conditional
+// on the version read, fail; it is then read by itself.
+const listAge = 2 * time.Second
 
 // listing is the latest list of all journals' slots.
 type listing struct {
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -120,8 +120,15 @@
 		return
 	}
 	m.count(namePeers, "method", method.String(), "result", result(ok)).Inc()
-	m.count(namePeerBytes, "direction", "sent").Add(sent)
-	m.count(namePeerBytes, "direction", "received").Add(received)
+	m.Traffic(sent, received)
+}
+
+// Traffic adds to the bytes that calls between own processes sent and received.
+func (m *Meter) Traffic(sent, received int) {
+	if m != nil {
+		m.count(namePeerBytes, "direction", "sent").Add(sent)
+		m.count(namePeerBytes, "direction", "received").Add(received)
+	}
 }
 
 // Silent counts a connection that was closed because it went silent.
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -33,7 +33,7 @@
 		n.catalogueChanged(list)
 		d.reported(list, n.world.snapshot())
 	}
-	journals := &entry.Journals{Self: s.Name, Clock: n.clock, Platform: n.Platform, Entries: n.entryNames, Ask: n.askClaim}
+	journals := &entry.Journals{Self: s.Name, Clock: n.clock, Platform: n.Platform, Known: n.catalogueKnown, Entries: n.entryNames, Ask: n.askClaim}
 	journals.Init()
 	e := &entry.Entry{
 		Name: s.Name, DataCentre: s.DataCentre, Clock: n.clock, Meter: n.meter, Tracer: n.tracer,
--- a/io/node/mesh.go
+++ b/io/node/mesh.go
@@ -30,7 +30,8 @@
 			return err
 		}
 	}
-	n.client = &peer.Client{TLS: n.tlsToPeer()}
+	n.Platform = &measured{Platform: n.Platform, meter: n.meter, clock: n.clock}
+	n.client = &peer.Client{TLS: n.tlsToPeer(), Silent: n.silent}
 	self := peer.Target{Host: n.Settings.Name, Address: n.Settings.Listen.Control}
 	n.store = &peer.Store{
 		Self: self, Kinds: storedKinds(), Confirm: n.confirmKinds(), Platform: n.Platform, Client: n.client, Clock: n.clock,
@@ -205,3 +206,9 @@
 	}
 	return true
 }
+
+// silent notes a control connection that was closed for its silence.
+func (n *Node) silent(to peer.Target) {
+	n.meter.Silent()
+	events.Log(events.ConnectionSilent, "host", to.Host, "address", to.Address)
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -200,6 +200,7 @@
 		return oops.In("node").Wrapf(err, "listen for own processes")
 	}
 	n.addPart("control", n.control.Run)
+	n.addPart("traffic", n.countTraffic)
 	return nil
 }
 
