--- a/io/cmds/standin.go
+++ b/io/cmds/standin.go
@@ -19,6 +19,8 @@
 type standinCLI struct {
 	Platform standinPlatform `cmd:"" help:"The platform's object API, with faults at /faults and counts of calls at /calls."`
 	Engine   standinEngine   `cmd:"" help:"A model engine, with faults at /faults."`
+	Fleet    standinFleet    `cmd:"" help:"Write the files of a fleet on the loopback, for measuring."`
+	Engines  standinEngines  `cmd:"" help:"The engines of such a fleet in one process."`
 	Service  standinService  `cmd:"" help:"A plain service that echoes calls and counts them at /runs, with faults at /faults."`
 }
 
