Refuse nobody for another owner's wait; lose no displaced request; sharper tests

A lane drained as slowly as the one owner whose limit held it, so that others were refused for a wait they did not have. Where a lane had made room and the whole queue then had none, the displaced request was dropped without its answer: room is checked in both places before anything goes.

--- a/core/queue/ahead.go
+++ b/core/queue/ahead.go
@@ -47,6 +47,9 @@
 	if t.lane.ready.After(now) {
 		from = t.lane.ready
 	}
+	if _, waits := t.sections[i.Class].parties[i.Owner]; t.pace.open && !waits {
+		return from
+	}
 	return from.Add(t.pace.wait(now, t.ahead(i), t.running))
 }
 
--- a/core/queue/choose.go
+++ b/core/queue/choose.go
@@ -54,6 +54,7 @@
 		found = c.track.sections[c.class].pick(q.May)
 		if found == nil {
 			c.track.skip[c.class] = true
+			c.track.pace.held()
 			touched = append(touched, c.track)
 		}
 	}
@@ -72,6 +73,9 @@
 			continue
 		}
 		places := free(t.lane.name)
+		if places <= 0 && t.pace.open {
+			t.pace.backlog(now, t.lane.ready)
+		}
 		for class, s := range t.sections {
 			c := core.Class(class)
 			if s.items == 0 || t.skip[c] || q.room(now, t, c, places) <= 0 {
--- a/core/queue/hold_test.go
+++ b/core/queue/hold_test.go
@@ -37,6 +37,35 @@
 	assert.Equal(t, q.Len(), 6)
 }
 
+// One owner may run one request at a time and has many waiting, while the engine
+// has room. Another owner's request must not be refused for that owner's wait.
+func TestHeldOwnersDoNotSlowOthers(t *testing.T) {
+	running := 0
+	q := &queue.Queue{May: func(i queue.Item) queue.Hold {
+		if i.Owner == "a" && running > 0 {
+			return queue.HoldOwner
+		}
+		return queue.Go
+	}}
+	now := t0
+	for n := range 40 {
+		mustPush(t, q, now, item(fmt.Sprint("a", n), core.Interactive, "a", time.Hour))
+	}
+	for range 20 {
+		i, ok := q.Pop(now, always)
+		assert.Assert(t, ok)
+		running = 1
+		_, ok = q.Pop(now, always)
+		assert.Assert(t, !ok)
+		now = now.Add(time.Second)
+		q.Finish(now, i.ID, queue.Served)
+		running = 0
+	}
+	running = 1
+	mustPush(t, q, now, item("b", core.Interactive, "b", now.Sub(t0)+1500*time.Millisecond))
+	wantPops(t, q, now, "b")
+}
+
 // Overnight reviews fill every place of an engine; a check arrives right after
 // and waits until a review ends, unless a place was kept.
 func TestSparePlaces(t *testing.T) {
--- a/core/queue/lane.go
+++ b/core/queue/lane.go
@@ -106,6 +106,7 @@
 // run counts a start (1) or an end (-1) of one of the track's items.
 func (t *track) run(change int) {
 	t.running += change
+	t.pace.widest = max(t.pace.widest, t.running)
 	if t.long {
 		t.lane.gauge.running[1] += change
 		return
--- a/core/queue/pace.go
+++ b/core/queue/pace.go
@@ -31,8 +31,13 @@
 	// finishes is the decayed number of finishes in them.
 	finishes float64
 	// since is when the present interval began: the last finish, or when the
-	// backlog began. It is zero while there is no backlog.
+	// backlog began. It is zero while nothing waits for a place.
 	since time.Time
+	// open tells that there were places and yet items waited, since their owners'
+	// or callers' limits held them.
+	open bool
+	// widest is how many ran at once at the most.
+	widest int
 	// mean and dev are the smoothed service time of one unit of cost and its
 	// mean deviation.
 	mean, dev float64
@@ -42,16 +47,25 @@
 
 // backlog tells that work waits from now on; ready is when the lane can start.
 func (p *pace) backlog(now, ready time.Time) {
+	p.open = false
 	p.since = now
 	if ready.After(now) {
 		p.since = ready
 	}
 }
 
-// empty tells that nothing waits any more: the time until the next backlog says
-// nothing about how fast one drains.
+// empty tells that nothing waits for a place: the time until the next backlog
+// says nothing about how fast one drains.
 func (p *pace) empty() { p.since = time.Time{} }
 
+// held tells that there are places but limits hold all that waits. Without it a
+// lane would seem as slow as the one owner who may run one request at a time,
+// and others would be refused for a wait that they do not have.
+func (p *pace) held() {
+	p.empty()
+	p.open = true
+}
+
 // drained folds one finish into the drain rate.
 func (p *pace) drained(now time.Time, cost int64) {
 	if p.since.IsZero() {
@@ -100,7 +114,7 @@
 		return 0
 	}
 	if p.cost == 0 {
-		return seconds(p.mean * float64(cost) / float64(max(1, running)))
+		return seconds(p.mean * float64(cost) / float64(max(1, running, p.widest)))
 	}
 	each := p.seconds / p.cost
 	if !p.since.IsZero() {
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -150,6 +150,17 @@
 		assert.Assert(t, !ok)
 		assert.Equal(t, len(q.Expire(t0.Add(time.Hour))), 0)
 	})
+	t.Run("on its turn, when it would end too late", func(t *testing.T) {
+		q := &queue.Queue{}
+		mustPush(t, q, t0, item("a", core.Evening, "a", time.Minute))
+		mustPush(t, q, t0, item("b", core.Evening, "a", 2*time.Minute))
+		wantPops(t, q, t0, "a")
+		now := t0.Add(100 * time.Second)
+		q.Finish(now, "a", queue.Served)
+		_, ok := q.Pop(now, always)
+		assert.Assert(t, !ok, "it takes 100 s and has 20")
+		wantRefusal(t, q.Expire(now)[0].Refusal, core.CodeWaitTooLong)
+	})
 	t.Run("passed on arrival", func(t *testing.T) {
 		q := &queue.Queue{}
 		wantRefusal(t, q.Push(t0, item("a", core.Evening, "a", 0)).Refusal, core.CodeDeadline)
--- a/core/queue/refuse.go
+++ b/core/queue/refuse.go
@@ -55,24 +55,28 @@
 		"The request waited for "+t.lane.name+" until too little time was left to run.", at)
 }
 
-// fit makes place for an item. It displaces only where that lets the item in.
+// fit makes place for an item. It displaces only where that lets the item in,
+// so what it returns beside a refusal is empty.
 func (q *Queue) fit(now time.Time, i Item) ([]Refused, *core.Refusal) {
-	var displaced []Refused
+	whole := wholeScope{q}
+	if !sheds(i, q.excess(i), whole) {
+		return nil, full(now, q.lane(i.Lane).track(i), i, core.CodeOverload,
+			"The queue is full of requests that are worth at least as much.")
+	}
+	var gone []Refused
 	if l, ok := q.lanes[i.Lane]; ok {
 		over := excess(l.load(), i, q.LaneItems, q.LaneBytes)
-		gone, ok := q.shed(now, i, over, laneScope{l})
-		if !ok {
+		if !sheds(i, over, laneScope{l}) {
 			return nil, full(now, l.track(i), i, core.CodeQueueFull, "The queue for "+l.name+" is full.")
 		}
-		displaced = gone
-	}
-	over := excess(q.load, i, orDefault(q.Items, DefaultItems), orDefault(q.Bytes, DefaultBytes))
-	gone, ok := q.shed(now, i, over, wholeScope{q})
-	if !ok {
-		return displaced, full(now, q.lane(i.Lane).track(i), i, core.CodeOverload,
-			"The queue is full of requests that are worth at least as much.")
+		gone = q.shed(now, i, over, laneScope{l})
 	}
-	return append(displaced, gone...), nil
+	return append(gone, q.shed(now, i, q.excess(i), whole)...), nil
+}
+
+// excess is what has to go from the whole queue before the item fits.
+func (q *Queue) excess(i Item) load {
+	return excess(q.load, i, orDefault(q.Items, DefaultItems), orDefault(q.Bytes, DefaultBytes))
 }
 
 func orDefault[T int | core.Bytes](v, otherwise T) T {
--- a/core/queue/shed.go
+++ b/core/queue/shed.go
@@ -19,27 +19,32 @@
 	last(c core.Class, o core.OwnerName) *entry
 }
 
-// shed makes room for an item by giving up what is worth less: work of less
-// urgent classes, the least urgent first, or one item of an owner in the same
-// class who has at least two more waiting than the item's owner. The second rule
-// answers an owner who fills the queue: without it all others are turned away
-// until that owner's backlog is through.
-func (q *Queue) shed(now time.Time, i Item, over load, in scope) ([]Refused, bool) {
-	if over.items == 0 && over.bytes == 0 {
-		return nil, true
-	}
-	if enoughBelow(i.Class, over, in) {
-		return q.shedBelow(now, i.Class, over, in), true
+// sheds reports whether room can be made for an item by giving up what is worth
+// less: work of less urgent classes, the least urgent first, or one item of an
+// owner in the same class who has at least two more waiting than the item's
+// owner. The second rule answers an owner who fills the queue: without it all
+// others are turned away until that owner's backlog is through.
+func sheds(i Item, over load, in scope) bool {
+	if over.items == 0 && over.bytes == 0 || enoughBelow(i.Class, over, in) {
+		return true
 	}
 	name, most := in.largest(i.Class)
-	if most < in.held(i.Class, i.Owner)+2 {
-		return nil, false
+	if over.items > 1 || most < in.held(i.Class, i.Owner)+2 {
+		return false
+	}
+	return in.last(i.Class, name).Size >= over.bytes
+}
+
+// shed makes the room that sheds has found.
+func (q *Queue) shed(now time.Time, i Item, over load, in scope) []Refused {
+	if over.items == 0 && over.bytes == 0 {
+		return nil
 	}
-	e := in.last(i.Class, name)
-	if over.items > 1 || e.Size < over.bytes {
-		return nil, false
+	if enoughBelow(i.Class, over, in) {
+		return q.shedBelow(now, i.Class, over, in)
 	}
-	return []Refused{q.displace(now, e)}, true
+	name, _ := in.largest(i.Class)
+	return []Refused{q.displace(now, in.last(i.Class, name))}
 }
 
 func enoughBelow(c core.Class, over load, in scope) bool {
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -98,6 +98,46 @@
 	})
 }
 
+// Entries that know the same choose the same host to load on, whatever the
+// request, but spread requests over the holders.
+func TestEntriesAgreeOnColdHosts(t *testing.T) {
+	first := func(make func(string) route.Candidate) map[core.HostName]int {
+		chosen := map[core.HostName]int{}
+		for n := range 60 {
+			r := &route.Router{Seed: uint64(n)}
+			q := route.Query{Request: request(n, t0, time.Minute), Costs: costs}
+			for _, h := range []string{"a", "b", "c", "d"} {
+				q.Candidates = append(q.Candidates, make(h))
+			}
+			chosen[r.Plan(t0, q).Hosts[0].Host]++
+		}
+		return chosen
+	}
+	assert.Equal(t, len(first(func(h string) route.Candidate { return without(h, core.TierDisk) })), 1)
+	assert.Equal(t, len(first(func(h string) route.Candidate { return holding(h, 1) })), 4)
+}
+
+// The host with the prompt's cache runs far more than the others.
+func TestCacheDoesNotCrowd(t *testing.T) {
+	r := &route.Router{}
+	q := route.Query{Request: request(1, t0, time.Minute, 7)}
+	r.Sent(t0, q.Request, "a")
+	q.Candidates = []route.Candidate{holding("a", 4), holding("b", 1), holding("c", 1)}
+	assert.Equal(t, r.Plan(t0, q).Hosts[0].Reason, route.Cached)
+	q.Candidates[0] = holding("a", 9)
+	assert.Assert(t, r.Plan(t0, q).Hosts[0].Host != "a")
+}
+
+// Nothing was reported yet: what this process has in flight still counts.
+func TestOwnRequestsCount(t *testing.T) {
+	for n := range 20 {
+		busy := route.Candidate{Host: "busy", InFlight: 5}
+		q := route.Query{Request: request(n, t0, time.Minute), Candidates: []route.Candidate{busy, {Host: "idle"}}}
+		q.Request.Target = core.Target{Service: "sijill"}
+		wantOrder(t, (&route.Router{}).Plan(t0, q), "idle", "busy")
+	}
+}
+
 // Cache events come late and with gaps: an eviction told by one host must not
 // undo what is known of another, and a repeated event changes nothing.
 func TestCacheEvents(t *testing.T) {
