Keep loads out of a lane's measures; tell when a plan should wait for its probes

After a load of 20 s a lane that drains 20 requests a second refused a request with 3 s of patience behind 28 others: the time of the load counted as drain, and so did the open interval while nothing ran. Both are left out now; the test fails without either change.

Plan.Wait marks plans that would start a load while a host of which nothing is known may hold the target, as at an entry that has just started.

--- a/core/queue/lane.go
+++ b/core/queue/lane.go
@@ -103,6 +103,8 @@
 	return false
 }
 
+func (g *gauge) idle() bool { return g.running[0]+g.running[1] == 0 }
+
 // run counts a start (1) or an end (-1) of one of the track's items.
 func (t *track) run(change int) {
 	t.running += change
--- a/core/queue/pace.go
+++ b/core/queue/pace.go
@@ -58,6 +58,13 @@
 // says nothing about how fast one drains.
 func (p *pace) empty() { p.since = time.Time{} }
 
+// restart begins a new interval: what passed was spent on a load.
+func (p *pace) restart(now time.Time) {
+	if !p.since.IsZero() {
+		p.since = now
+	}
+}
+
 // held tells that there are places but limits hold all that waits. Without it a
 // lane would seem as slow as the one owner who may run one request at a time,
 // and others would be refused for a wait that they do not have.
@@ -108,7 +115,8 @@
 // wait foresees how long it takes to get through cost. While an upstream hangs,
 // nothing finishes and the sums stand still; so the open interval since the last
 // finish counts, as if it ended now with a request of mean cost, as soon as that
-// gives the longer wait.
+// gives the longer wait. It counts only while something runs: otherwise the lane
+// waits for a load, and Queue.Ready tells how long.
 func (p *pace) wait(now time.Time, cost int64, running int) time.Duration {
 	if cost <= 0 {
 		return 0
@@ -117,7 +125,7 @@
 		return seconds(p.mean * float64(cost) / float64(max(1, running, p.widest)))
 	}
 	each := p.seconds / p.cost
-	if !p.since.IsZero() {
+	if !p.since.IsZero() && running > 0 {
 		open := max(0, now.Sub(p.since).Seconds())
 		kept := 1 - paceWeight
 		each = max(each, (p.seconds*kept+open)/(p.cost*kept+p.cost/p.finishes))
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -172,6 +172,9 @@
 // begin moves an entry from waiting to running.
 func (q *Queue) begin(now time.Time, e *entry) {
 	t := e.flow.in.in.track
+	if t.lane.gauge.idle() {
+		t.pace.restart(now)
+	}
 	q.charge(e)
 	q.drop(e)
 	t.run(1)
@@ -188,8 +191,10 @@
 	f.caller.tag = o.clock.serve(f.caller.tag, e.Cost)
 }
 
-// Finish ends a popped item's run. Only End Served is a measure of the service
-// time; all ends count as drained. An id that is not running is ignored.
+// Finish ends a popped item's run. Only Served is a measure of how fast the lane
+// is: without that, one load of 20 s would let the lane seem a hundred times
+// slower for the next dozen requests, and callers would be refused for it. An id
+// that is not running is ignored.
 func (q *Queue) Finish(now time.Time, id core.RequestID, end End) {
 	r, ok := q.running[id]
 	if !ok {
@@ -198,11 +203,12 @@
 	delete(q.running, id)
 	t := r.track
 	t.run(-1)
-	if end == Served {
+	switch end {
+	case Served:
 		t.pace.served(now, now.Sub(r.at), r.cost, r.inDoubt)
-	}
-	if end != Failed {
 		t.pace.drained(now, r.cost)
+	case ServedCold:
+		t.pace.restart(now)
 	}
 }
 
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -173,6 +173,38 @@
 	})
 }
 
+// A lane that drains 20 requests a second loses its model and waits 20 s for a
+// load. Right after it, a request with some patience must not be refused: the
+// load is over, and the lane is as fast as before.
+func TestLoadsDoNotSlowTheLane(t *testing.T) {
+	for _, end := range []queue.End{queue.Served, queue.ServedCold} {
+		q := &queue.Queue{}
+		now, n := t0, 0
+		push := func(count int) {
+			for range count {
+				n++
+				mustPush(t, q, now, item(fmt.Sprint(n), core.Evening, "a", now.Sub(t0)+time.Minute))
+			}
+		}
+		serve := func(count int, end queue.End) {
+			for range count {
+				i, ok := q.PopLane(now, "m", 1)
+				assert.Assert(t, ok)
+				now = now.Add(50 * time.Millisecond)
+				q.Finish(now, i.ID, end)
+			}
+		}
+		push(50)
+		serve(50, queue.Served)
+		push(10)
+		now = now.Add(20 * time.Second)
+		push(10)
+		serve(2, end)
+		push(10)
+		mustPush(t, q, now, item("patient", core.Evening, "a", now.Sub(t0)+3*time.Second))
+	}
+}
+
 func TestFull(t *testing.T) {
 	t.Run("more urgent displaces overnight", func(t *testing.T) {
 		q := &queue.Queue{Items: 2}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -129,6 +129,11 @@
 	// Probe are hosts whose load should be asked for, two at the most; Plan is
 	// then called again with their answers, until it names none.
 	Probe []core.HostName
+	// Wait tells that the answers are worth waiting for before the plan is
+	// followed: it would start a load, and a host to be asked may hold the target.
+	// A new entry knows of no holder, and without the wait its first requests
+	// would load a second replica and wait for that.
+	Wait bool
 }
 
 // Router holds what was learnt about hosts and prompts. Its exported fields are
@@ -158,5 +163,6 @@
 	orderAside(g.aside)
 	g.spill()
 	all := g.all()
-	return Plan{Hosts: choices(now, all), Probe: probes(all, q.Asked)}
+	ask := probes(all, q.Asked)
+	return Plan{Hosts: choices(now, all), Probe: ask, Wait: len(ask) > 0 && all[0].cold > 0}
 }
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -117,6 +117,30 @@
 	assert.Equal(t, len(first(func(h string) route.Candidate { return holding(h, 1) })), 4)
 }
 
+// An entry that has just started knows none of the hosts. It must ask until it
+// finds the holder, or its first caller waits for a load that nobody needs.
+func TestNewEntryFindsTheHolder(t *testing.T) {
+	for holder := range 7 {
+		r := &route.Router{}
+		q := route.Query{Request: request(1, t0, time.Minute), Costs: costs}
+		for n := range 7 {
+			q.Candidates = append(q.Candidates, route.Candidate{Host: core.HostName(fmt.Sprint("h", n))})
+		}
+		p := r.Plan(t0, q)
+		for ; p.Wait; p = r.Plan(t0, q) {
+			for _, h := range p.Probe {
+				at := slices.IndexFunc(q.Candidates, func(c route.Candidate) bool { return c.Host == h })
+				q.Candidates[at] = without(string(h), core.TierStore)
+				if at == holder {
+					q.Candidates[at] = holding(string(h), 1)
+				}
+			}
+			q.Asked = append(q.Asked, p.Probe...)
+		}
+		assert.Equal(t, p.Hosts[0].Host, core.HostName(fmt.Sprint("h", holder)))
+	}
+}
+
 // The host with the prompt's cache runs far more than the others.
 func TestCacheDoesNotCrowd(t *testing.T) {
 	r := &route.Router{}
