Name lost orders and lowered grants by the field's terms; settle creates

Cause: names were metaphors; a create whose fate is unknown, for an entry deleted meanwhile, was not counted against the owner's memory. Change: names; such a create counts, and is ruled out by another one.

--- a/core/ledger/evict.go
+++ b/core/ledger/evict.go
@@ -200,7 +200,7 @@
 	}
 	u := unit{items: []*item{it}, score: p.score(it), used: it.used}
 	for _, a := range p.l.onBase(it.name) {
-		if a.phase == leaving || a.phase == haunted {
+		if a.phase == leaving || a.phase == unsettled {
 			continue
 		}
 		if !a.idle() {
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -37,9 +37,9 @@
 	loaded
 	// leaving: the unload is decided, sent or under way.
 	leaving
-	// haunted: the engine shows no such item, but an order whose answer was
+	// unsettled: the engine shows no such item, but an order whose answer was
 	// lost may still bring it.
-	haunted
+	unsettled
 )
 
 // item is one promise of memory.
@@ -70,8 +70,8 @@
 	shown bool
 }
 
-// ghost is an order whose answer was lost: it may reach the engine later.
-type ghost struct {
+// lostOrder is an order whose answer was lost: it may reach the engine later.
+type lostOrder struct {
 	name  core.ModelName
 	load  bool
 	fence core.Fence
@@ -88,8 +88,8 @@
 	// predecessor sends anything after it.
 	Started time.Time
 
-	items  map[core.ModelName]*item
-	ghosts []ghost
+	items map[core.ModelName]*item
+	lost  []lostOrder
 	// capacity and epoch are from the last report; seen is false before it.
 	capacity []core.Bytes
 	epoch    uint64
@@ -101,9 +101,9 @@
 	barrier   core.Fence
 	barrierAt time.Time
 	confirmed bool
-	// deaf tells that an engine said to check numbers doesn't keep them: a
+	// ignores tells that an engine said to check numbers doesn't keep them: a
 	// report asked for after step takenAt was below the number taken then.
-	deaf    bool
+	ignores bool
 	taken   core.Fence
 	takenAt uint64
 	// fenced tells that a larger number than ours was seen.
@@ -140,8 +140,8 @@
 	// Evicting: idle items are being unloaded to make room; ask again after the
 	// next report.
 	Evicting
-	// Parting: the item itself is being unloaded; ask again once it is gone.
-	Parting
+	// Leaving: the item itself is being unloaded; ask again once it is gone.
+	Leaving
 	// NoBase: the adapter's base isn't loaded; load that first.
 	NoBase
 	// NoMemory: everything that could make room is in use or wanted.
@@ -170,8 +170,8 @@
 	switch {
 	case !l.Rebuilt():
 		return NotReady
-	case l.ghostOf(w.Name):
-		return Parting
+	case l.isLost(w.Name):
+		return Leaving
 	}
 	p := placing{l: l, now: now, want: w, keep: keep}
 	return p.place()
@@ -186,14 +186,14 @@
 		return NoBase
 	case leaving:
 		if it.sent || !it.shown {
-			return Parting
+			return Leaving
 		}
 		// The unload was never sent, so it is simply not done.
 		it.enter(loaded, now)
 		return Ready
-	case haunted:
-		if l.unloadGhost(it.name) || !l.Rebuilt() {
-			return Parting
+	case unsettled:
+		if l.lostUnload(it.name) || !l.Rebuilt() {
+			return Leaving
 		}
 		it.source = w.Source
 		it.giveUp = w.GiveUp
@@ -217,19 +217,19 @@
 // requests or loading adapters use it. Adapters on it leave first.
 func (l *Ledger) Unload(now time.Time, name core.ModelName) bool {
 	it := l.items[name]
-	if it == nil || it.phase == leaving || it.phase == haunted {
+	if it == nil || it.phase == leaving || it.phase == unsettled {
 		return true
 	}
 	if it.users > 0 {
 		return false
 	}
-	family := l.onBase(name)
-	for _, a := range family {
-		if !a.idle() && a.phase != leaving && a.phase != haunted {
+	adapters := l.onBase(name)
+	for _, a := range adapters {
+		if !a.idle() && a.phase != leaving && a.phase != unsettled {
 			return false
 		}
 	}
-	for _, a := range family {
+	for _, a := range adapters {
 		if a.phase == loaded {
 			a.enter(leaving, now)
 		}
@@ -245,8 +245,8 @@
 // giveBack ends a promise that the engine doesn't show, unless an order that
 // may still bring the item is about.
 func (l *Ledger) giveBack(it *item, now time.Time) {
-	if l.ghostOf(it.name) || l.out.name() == it.name {
-		it.enter(haunted, now)
+	if l.isLost(it.name) || l.out.name() == it.name {
+		it.enter(unsettled, now)
 		return
 	}
 	delete(l.items, it.name)
@@ -295,59 +295,12 @@
 // Clear reports whether the host certainly neither holds the item nor will by
 // an order that is still about. It is the proof to release a grant on.
 func (l *Ledger) Clear(name core.ModelName) bool {
-	return l.Rebuilt() && l.items[name] == nil && !l.ghostOf(name) && l.out.name() != name
+	return l.Rebuilt() && l.items[name] == nil && !l.isLost(name) && l.out.name() != name
 }
 
 // Superseded reports that another agent orders this engine.
 func (l *Ledger) Superseded() bool { return l.fenced }
 
-// Info describes one promise.
-type Info struct {
-	Name         core.ModelName
-	Base         core.ModelName
-	State        core.ItemState
-	Accelerators []int
-	Bytes        core.Bytes
-	Users        int
-	// Used is the last use's end, Since when State was entered.
-	Used  time.Time
-	Since time.Time
-}
-
-// Items lists all promises by name. Absent marks one that is kept only because
-// an order that may bring the item is still about.
-func (l *Ledger) Items() []Info {
-	list := make([]Info, 0, len(l.items))
-	for _, it := range l.sorted() {
-		list = append(list, it.info())
-	}
-	return list
-}
-
-// Item returns one promise, with State Absent and no Name if there is none.
-func (l *Ledger) Item(name core.ModelName) Info {
-	if it := l.items[name]; it != nil {
-		return it.info()
-	}
-	return Info{}
-}
-
-func (it *item) info() Info {
-	state := core.Loading
-	switch it.phase {
-	case loaded:
-		state = core.Loaded
-	case leaving:
-		state = core.Unloading
-	case haunted:
-		state = core.Absent
-	}
-	return Info{
-		Name: it.name, Base: it.base, State: state, Accelerators: slices.Clone(it.accs),
-		Bytes: it.bytes, Users: it.users, Used: it.used, Since: it.since,
-	}
-}
-
 // Promised returns the bytes promised on each accelerator.
 func (l *Ledger) Promised() []core.Bytes {
 	sum := make([]core.Bytes, len(l.capacity))
@@ -391,14 +344,14 @@
 	return b != nil && b.phase == loaded
 }
 
-func (l *Ledger) checks() bool { return l.ChecksFence && !l.deaf }
+func (l *Ledger) checks() bool { return l.ChecksFence && !l.ignores }
 
-func (l *Ledger) ghostOf(name core.ModelName) bool {
-	return slices.ContainsFunc(l.ghosts, func(g ghost) bool { return g.name == name })
+func (l *Ledger) isLost(name core.ModelName) bool {
+	return slices.ContainsFunc(l.lost, func(g lostOrder) bool { return g.name == name })
 }
 
-func (l *Ledger) unloadGhost(name core.ModelName) bool {
-	return slices.ContainsFunc(l.ghosts, func(g ghost) bool { return g.name == name && !g.load })
+func (l *Ledger) lostUnload(name core.ModelName) bool {
+	return slices.ContainsFunc(l.lost, func(g lostOrder) bool { return g.name == name && !g.load })
 }
 
 // pinned is the score of an item that must stay.
--- a/core/ledger/order.go
+++ b/core/ledger/order.go
@@ -113,7 +113,7 @@
 
 // raisable reports that a lost order would be ruled out by a larger number.
 func (l *Ledger) raisable() bool {
-	for _, g := range l.ghosts {
+	for _, g := range l.lost {
 		if g.fence == l.fence {
 			return true
 		}
@@ -172,7 +172,7 @@
 		return
 	}
 	if r.Failed && r.Fault == core.EngineLost {
-		l.ghosts = append(l.ghosts, ghost{
+		l.lost = append(l.lost, lostOrder{
 			name: o.name(), load: o.Kind == LoadItem, fence: o.fence(), until: now.Add(Settle),
 		})
 	}
--- a/core/ledger/report.go
+++ b/core/ledger/report.go
@@ -84,7 +84,7 @@
 // It can't be relied on to check them, and is treated as one that does not.
 func (l *Ledger) listen(t Ticket, st core.EngineState) {
 	if l.takenAt < t.step && st.Fence < l.taken {
-		l.deaf = true
+		l.ignores = true
 	}
 }
 
@@ -93,14 +93,14 @@
 // they have done.
 func (l *Ledger) settle(t Ticket, st core.EngineState) {
 	if l.checks() {
-		l.dropGhosts(func(g ghost) bool { return st.Fence > g.fence })
+		l.dropLost(func(g lostOrder) bool { return st.Fence > g.fence })
 		return
 	}
-	l.dropGhosts(func(g ghost) bool { return !t.asked.Before(g.until) })
+	l.dropLost(func(g lostOrder) bool { return !t.asked.Before(g.until) })
 }
 
-func (l *Ledger) dropGhosts(over func(ghost) bool) {
-	l.ghosts = slices.DeleteFunc(l.ghosts, over)
+func (l *Ledger) dropLost(over func(lostOrder) bool) {
+	l.lost = slices.DeleteFunc(l.lost, over)
 }
 
 // confirm tells when orders may begin. With an engine that checks numbers: once
--- a/core/place/decide.go
+++ b/core/place/decide.go
@@ -23,7 +23,7 @@
 		return nil
 	}
 	p.takeOver(fence)
-	p.sink(now)
+	p.lower(now)
 	p.divideStale()
 	found := p.candidates()
 	slices.SortFunc(found, func(a, b Write) int {
@@ -111,7 +111,9 @@
 	m := p.models[w.Name]
 	delete(p.dirty, w.Name)
 	m.out = true
-	m.pending = append(m.pending, w.Spec)
+	if !w.Delete {
+		m.pending = append(m.pending, w.Spec)
+	}
 	p.account(m)
 }
 
@@ -232,7 +234,7 @@
 	if d.m.entry == nil {
 		return
 	}
-	reason := Sunk
+	reason := Lowered
 	if active(d.holders) > min(d.m.entry.limit(), d.m.cap) {
 		reason = Excess
 	}
@@ -317,29 +319,45 @@
 
 func (d *draft) write() (Write, bool) {
 	m := d.m
-	w := Write{Name: m.name, Version: m.condition(), Reason: d.reason}
-	if m.entry == nil {
-		if len(d.holders) == 0 {
-			w.Delete = true
-			return w, m.version != 0 && !m.deleted
-		}
-		// The last entry's owner and memory stay on record.
-		w.Spec = core.GrantSpec{Entry: m.spec.Entry, Owner: m.spec.Owner, Memory: m.spec.Memory}
-	} else {
-		w.Spec = core.GrantSpec{Entry: m.entry.Version, Owner: m.entry.Owner, Memory: m.use.each}
+	w := Write{Name: m.name, Version: m.condition()}
+	if m.entry == nil && len(d.holders) == 0 && w.Version != 0 {
+		w.Delete = true
+		w.Reason = Removed
+		return w, true
+	}
+	d.rewrite()
+	w.Spec = d.spec()
+	w.Reason = d.reason
+	return w, d.changed
+}
+
+// rewrite marks what must be written though the decision is the same.
+func (d *draft) rewrite() {
+	m := d.m
+	switch {
+	case m.deleted && len(d.holders) > 0:
+		// Deleted by hand: the holders are still there.
+		d.change(Excess)
+	case d.changed:
+	case d.p.unsealed(m):
+		d.change(Sealed)
+	case m.entry == nil && len(m.pending) > 0:
+		// A create whose fate is unknown is ruled out by another one.
+		d.change(Sealed)
 	}
-	w.Spec.Fence = d.p.fence
+}
+
+func (d *draft) spec() core.GrantSpec {
+	m := d.m
 	slices.SortFunc(d.holders, func(a, b core.GrantHolder) int {
 		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.UID, b.UID))
 	})
-	w.Spec.Holders = d.holders
-	if m.deleted && len(d.holders) > 0 {
-		// Deleted by hand: the holders are still there.
-		d.change(Excess)
-	}
-	if !d.changed && d.p.unsealed(m) {
-		d.change(Sealed)
+	s := core.GrantSpec{Fence: d.p.fence, Holders: d.holders}
+	if m.entry == nil {
+		// The last entry's owner and memory stay on record.
+		s.Entry, s.Owner, s.Memory = m.spec.Entry, m.spec.Owner, m.spec.Memory
+		return s
 	}
-	w.Reason = d.reason
-	return w, d.changed
+	s.Entry, s.Owner, s.Memory = m.entry.Version, m.entry.Owner, m.use.each
+	return s
 }
--- a/core/place/demand.go
+++ b/core/place/demand.go
@@ -31,13 +31,13 @@
 		p.relevel(m)
 	}
 	if m.level <= Idle || m.need >= float64(m.level-1)*Slack {
-		m.sinkAt = time.Time{}
-		delete(p.sinking, m.name)
+		m.lowerAt = time.Time{}
+		delete(p.lowering, m.name)
 		return
 	}
-	if m.sinkAt.IsZero() {
-		m.sinkAt = now.Add(SinkAfter)
-		p.sinking[m.name] = true
+	if m.lowerAt.IsZero() {
+		m.lowerAt = now.Add(LowerAfter)
+		p.lowering[m.name] = true
 	}
 }
 
@@ -46,19 +46,19 @@
 	p.touch(m)
 }
 
-// sink takes back one level of each model whose demand has long been low.
-func (p *Planner) sink(now time.Time) {
-	for name := range p.sinking {
+// lower takes back one level of each model whose demand has long been low.
+func (p *Planner) lower(now time.Time) {
+	for name := range p.lowering {
 		m := p.models[name]
-		if m.sinkAt.IsZero() {
+		if m.lowerAt.IsZero() {
 			p.level(now, m)
 			continue
 		}
-		if now.Before(m.sinkAt) {
+		if now.Before(m.lowerAt) {
 			continue
 		}
 		m.level--
-		m.sinkAt = time.Time{}
+		m.lowerAt = time.Time{}
 		p.relevel(m)
 		p.level(now, m)
 	}
@@ -74,7 +74,7 @@
 func (p *Planner) adopt(m *model) {
 	m.level = max(m.level, active(m.spec.Holders))
 	if m.level > Idle {
-		p.sinking[m.name] = true
+		p.lowering[m.name] = true
 	}
 }
 
--- a/core/place/owner.go
+++ b/core/place/owner.go
@@ -60,14 +60,14 @@
 		}
 		p.holding[id.Host][m.name] = true
 	}
-	p.wake(o)
+	p.recheck(o)
 	if before != o {
-		p.wake(before)
+		p.recheck(before)
 	}
 }
 
-// wake looks again at models that wait for room within the owner's limit.
-func (p *Planner) wake(o *owner) {
+// recheck looks again at models that wait for room within the owner's limit.
+func (p *Planner) recheck(o *owner) {
 	if o.limit == 0 || !o.sealing && o.used >= o.limit {
 		return
 	}
@@ -109,6 +109,7 @@
 		u.each = max(u.each, s.Memory)
 		u.count = max(u.count, len(s.Holders))
 		u.hosts = appendHolders(u.hosts, s.Holders)
+		u.owner = cmp.Or(u.owner, s.Owner)
 	}
 	return u
 }
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -26,10 +26,10 @@
 	dirty set
 	// short are models with fewer active holders than wanted: a new host may
 	// serve them.
-	short   set
-	sinking set
-	fence   core.Fence
-	listed  bool
+	short    set
+	lowering set
+	fence    core.Fence
+	listed   bool
 }
 
 // model is all that is known of one name.
@@ -51,9 +51,9 @@
 	pending []core.GrantSpec
 	out     bool
 
-	need   float64
-	level  int
-	sinkAt time.Time
+	need    float64
+	level   int
+	lowerAt time.Time
 	// cap is the most holders that the owner's memory limit leaves.
 	cap int
 	// use is what the model adds to the sums.
@@ -90,7 +90,7 @@
 	p.adapters = map[core.ModelName]map[core.ModelName]bool{}
 	p.dirty = set{}
 	p.short = set{}
-	p.sinking = set{}
+	p.lowering = set{}
 }
 
 func (p *Planner) model(name core.ModelName) *model {
@@ -280,9 +280,9 @@
 }
 
 func (p *Planner) setGrant(m *model, spec core.GrantSpec, v core.Version, deleted bool) {
-	// No write conditional on an older version can have an effect any more.
-	// A create may still, after a deletion.
-	if !deleted {
+	// No write conditional on an older version can have an effect any more; but
+	// a create may still, after a deletion that was seen before the creation.
+	if !deleted || m.condition() != 0 {
 		m.pending = nil
 	}
 	m.out = false
