--- a/core/script/lang_test.go
+++ b/core/script/lang_test.go
@@ -72,6 +72,7 @@
 		"effect":  {"HOST: the order on its way takes effect, its answer is lost", func(w *world, a args) { w.effect(a.word(0)) }},
 		// Faults.
 		"outage":  {"on|off: the platform refuses every call", func(w *world, a args) { w.store.down = a.word(0) == "on" }},
+		"part":    {"PROCESS on|off: it can't reach the platform", func(w *world, a args) { w.with(a, func(p *proc) { p.parted = a.word(1) == "on" }) }},
 		"pause":   {"PROCESS", func(w *world, a args) { w.with(a, func(p *proc) { p.paused = true }) }},
 		"resume":  {"PROCESS", func(w *world, a args) { w.with(a, w.resume) }},
 		"crash":   {"PROCESS [keep]: ends it; keep leaves its calls on their way", runCrash},
--- a/core/script/random_test.go
+++ b/core/script/random_test.go
@@ -21,6 +21,13 @@
 
 // healing ends every fault, and gives the fleet time to converge.
 const healing = `outage off
+part d1 off
+part d2 off
+part d3 off
+part h1 off
+part h2 off
+part h3 off
+part h4 off
 resume d1
 resume d2
 resume d3
--- a/core/script/world_test.go
+++ b/core/script/world_test.go
@@ -36,6 +36,8 @@
 	name   string
 	dead   bool
 	paused bool
+	// parted tells that the process can't reach the platform.
+	parted bool
 	inbox  []func()
 	// rate is how fast the process's clock runs.
 	rate float64
@@ -130,7 +132,7 @@
 		m.from.tell(func() { m.run() })
 		return
 	}
-	if m.host != nil && !m.host.up {
+	if m.host != nil && !m.host.up || m.host == nil && m.from.parted {
 		w.giveUp(m)
 		return
 	}
@@ -299,7 +301,7 @@
 
 // sync brings a process every object as it is, as a watch that works does.
 func (w *world) sync(p *proc) {
-	if w.store.down {
+	if w.store.down || p.parted {
 		return
 	}
 	latest := map[key]object{}
