--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -229,6 +229,21 @@
 		f.counts("m1", 2, 0)
 		f.counts("m2", 1, 0)
 	})
+	t.Run("an adapter takes memory on each of its base's accelerators", func(t *testing.T) {
+		f := newFleet(t, hosts(9)...)
+		f.planner.SetOwner("nadi", 120*core.GiB)
+		f.model("m1", 1)
+		f.adapter("a1", "m1", 1)
+		f.run()
+		f.counts("a1", 1, 0)
+		e := f.entry("m1", 1)
+		e.Accelerators = 2
+		f.planner.SetEntry(e)
+		f.model("m2", 1)
+		f.run()
+		f.counts("m2", 0, 0)
+		assert.Equal(t, f.grants["a1"].Memory, 60*core.GiB)
+	})
 	t.Run("and is freed for others only by a release", func(t *testing.T) {
 		f := newFleet(t, hosts(9)...)
 		f.planner.SetOwner("nadi", 60*core.GiB)
@@ -359,7 +374,7 @@
 }
 
 func TestAnswers(t *testing.T) {
-	t.Run("an unsure write counts against the owner until a newer version is seen", func(t *testing.T) {
+	t.Run("an unsure write counts against the owner until it is ruled out", func(t *testing.T) {
 		f := newFleet(t, hosts(9)...)
 		f.planner.SetOwner("nadi", 60*core.GiB)
 		f.model("m1", 1)
@@ -368,9 +383,16 @@
 				f.planner.Answered(w, place.Unsure)
 			}
 		}
+		f.version++
+		f.planner.DropEntry("m1", f.version)
 		f.model("m0", 2)
+		for _, w := range f.planner.Round(f.now, 7, 1000) {
+			assert.Assert(t, w.Name != "m0" || len(w.Spec.Holders) < 2)
+			f.apply(w)
+		}
 		f.run()
-		f.counts("m0", 1, 0)
+		f.counts("m0", 2, 0)
+		assert.Equal(t, len(f.grants), 1)
 	})
 	t.Run("an overtaken one waits for the newer version", func(t *testing.T) {
 		f := newFleet(t, hosts(9)...)
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -26,10 +26,15 @@
 	dirty set
 	// short are models with fewer active holders than wanted: a new host may
 	// serve them.
-	short   set
-	sinking set
-	fence   core.Fence
-	listed  bool
+	short    set
+	lowering set
+	fence    core.Fence
+	listed   bool
+
+	// balanced tells that nothing has changed since no grant was found to move
+	// for balance; shiftAt is when the next may.
+	balanced bool
+	shiftAt  time.Time
 }
 
 // model is all that is known of one name.
@@ -51,11 +56,13 @@
 	pending []core.GrantSpec
 	out     bool
 
-	need   float64
-	level  int
-	sinkAt time.Time
+	need    float64
+	level   int
+	lowerAt time.Time
 	// cap is the most holders that the owner's memory limit leaves.
 	cap int
+	// shift is a move for balance that is under way.
+	shift *shift
 	// use is what the model adds to the sums.
 	use use
 }
@@ -90,7 +97,7 @@
 	p.adapters = map[core.ModelName]map[core.ModelName]bool{}
 	p.dirty = set{}
 	p.short = set{}
-	p.sinking = set{}
+	p.lowering = set{}
 }
 
 func (p *Planner) model(name core.ModelName) *model {
@@ -122,7 +129,7 @@
 	m.entry = &e
 	p.link(m)
 	p.touch(m)
-	p.touchAdapters(e.Name)
+	p.accountAdapters(e.Name)
 }
 
 // DropEntry tells that an entry was deleted in the catalogue at version v.
@@ -136,7 +143,7 @@
 	m.entry = nil
 	p.link(m)
 	p.touch(m)
-	p.touchAdapters(name)
+	p.accountAdapters(name)
 }
 
 func (p *Planner) unlink(m *model) {
@@ -180,6 +187,7 @@
 	p.service(h.Service)[h.Name] = true
 	p.total[h.Service] += p.load[h.Name]
 	p.touchHost(h.Name)
+	p.balanced = false
 	for name := range p.short {
 		p.dirty[name] = true
 	}
@@ -210,6 +218,7 @@
 func (p *Planner) Gone(id HostID) {
 	p.init()
 	p.gone[id] = true
+	p.balanced = false
 	if h := p.hosts[id.Host]; h != nil && h.UID == id.UID {
 		p.remove(id.Host)
 		delete(p.copies, id.Host)
@@ -280,9 +289,9 @@
 }
 
 func (p *Planner) setGrant(m *model, spec core.GrantSpec, v core.Version, deleted bool) {
-	// No write conditional on an older version can have an effect any more.
-	// A create may still, after a deletion.
-	if !deleted {
+	// No write conditional on an older version can have an effect any more; but
+	// a create may still, after a deletion that was seen before the creation.
+	if !deleted || m.condition() != 0 {
 		m.pending = nil
 	}
 	m.out = false
@@ -334,6 +343,17 @@
 	}
 }
 
+// accountAdapters follows a change of the base's entry: an adapter takes memory
+// on as many accelerators as its base.
+func (p *Planner) accountAdapters(base core.ModelName) {
+	for name := range p.adapters[base] {
+		m := p.models[name]
+		p.account(m)
+		p.owner(m.use.owner).stale = true
+		p.touch(m)
+	}
+}
+
 func (p *Planner) touchHost(host core.HostName) {
 	for name := range p.holding[host] {
 		p.dirty[name] = true
--- a/core/script/world_test.go
+++ b/core/script/world_test.go
@@ -36,6 +36,8 @@
 	name   string
 	dead   bool
 	paused bool
+	// parted tells that the process can't reach the platform.
+	parted bool
 	inbox  []func()
 	// rate is how fast the process's clock runs.
 	rate float64
@@ -130,7 +132,7 @@
 		m.from.tell(func() { m.run() })
 		return
 	}
-	if m.host != nil && !m.host.up {
+	if m.host != nil && !m.host.up || m.host == nil && m.from.parted {
 		w.giveUp(m)
 		return
 	}
@@ -198,13 +200,13 @@
 	})
 }
 
-func (w *world) strand(host string) {
+func (w *world) abandonOrder(host string) {
 	if i := w.orderOf(host, false); i >= 0 {
 		w.late(i)
 	}
 }
 
-func (w *world) stray(host string) {
+func (w *world) arrive(host string) {
 	if i := w.orderOf(host, true); i >= 0 {
 		w.deliver(i)
 	}
@@ -299,7 +301,7 @@
 
 // sync brings a process every object as it is, as a watch that works does.
 func (w *world) sync(p *proc) {
-	if w.store.down {
+	if w.store.down || p.parted {
 		return
 	}
 	latest := map[key]object{}
