Let entries wait for probes and limits in the queue; foresee ready lanes at agents

Cause: an entry that knew no holder started a needless load; requests held by a concurrency limit left the queue and its order; refused requests used their owner's rate. Change: plans are made again with the probes' answers, the queue asks the limits before it pops, rates are taken after the push, agents tell their queue and the entries when a load should end, overdue attempts are reported while they run.

--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -129,6 +129,15 @@
 	s.load += (took.Seconds() - s.load) * loadWeight
 }
 
+// LoadTime returns how long a load of the item should take.
+func (p *Policy) LoadTime(name core.ModelName) time.Duration {
+	s := p.items[name]
+	if s == nil {
+		return unknownLoad
+	}
+	return seconds(s.loadSeconds())
+}
+
 // cold is what a cold start costs, in accelerator seconds.
 func (p *Policy) cold(s *state) float64 {
 	worth := p.Worth
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -110,6 +110,7 @@
 func (a *Agent) Init(ctx context.Context) {
 	a.base = ctx
 	a.table = dedupe.Table{Incarnation: a.Incarnation, MaxBytes: a.KeptAnswers, MaxRecords: maxRecords}
+	a.queue = queue.Queue{Shared: !a.Plain}
 	a.book = strike.Book{Self: a.Host, MaxRecords: maxStrikes}
 	a.gate = strike.Gate{Book: &a.book}
 	a.ledger = ledger.Ledger{Started: a.Clock.Now()}
--- a/io/agent/sched.go
+++ b/io/agent/sched.go
@@ -188,11 +188,32 @@
 	switch verdict {
 	case ledger.NoMemory, ledger.TooLarge:
 		a.refuseLane(now, l, core.CodeNoMemory, "no accelerator has room for "+l.name)
-	case ledger.Ready, ledger.Coming, ledger.Evicting, ledger.Parting, ledger.NotReady:
+	case ledger.Ready, ledger.Coming, ledger.Evicting, ledger.Leaving, ledger.NotReady:
+		a.queue.Ready(now, l.name, a.readyAt(now, l))
 		poke(a.orders)
 	}
 }
 
+// readyAt foresees when a lane can start work: the measured load times of what
+// is missing, from when its load began.
+func (a *Agent) readyAt(now time.Time, l *lane) time.Time {
+	at := now
+	for _, name := range itemsOf(l.target) {
+		i := a.ledger.Item(name)
+		if i.State == core.Loaded {
+			continue
+		}
+		from := now
+		if i.State == core.Loading {
+			from = i.Since
+		}
+		if end := from.Add(a.warm.LoadTime(name)); end.After(at) {
+			at = end
+		}
+	}
+	return at
+}
+
 // urgency is the class and the earliest deadline of what waits in a lane.
 func (a *Agent) urgency(l *lane) (core.Class, time.Time) {
 	class, deadline := core.Overnight, time.Time{}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -86,13 +86,11 @@
 	hosts     map[core.HostName]*hostState
 	turns     map[core.RequestID]*turn
 	lanes     map[string]*lane
-	held      []*turn
 	costs     map[core.ModelName]*[3]time.Duration
 	trails    trails
 	trailLock sync.Mutex
 	alarm     chan struct{}
 	calls     sync.WaitGroup
-	closing   bool
 }
 
 // lane is the requests of one target at this entry.
@@ -114,6 +112,7 @@
 func (e *Entry) Init() {
 	e.router = route.Router{Seed: e.Rand.Uint64()}
 	e.book = strike.Book{Self: e.Name, MaxRecords: maxStrikes}
+	e.queue = queue.Queue{May: e.may}
 	e.copies = strike.Copies{MaxProven: maxProven}
 	e.hosts = map[core.HostName]*hostState{}
 	e.turns = map[core.RequestID]*turn{}
--- a/io/entry/hosts.go
+++ b/io/entry/hosts.go
@@ -51,23 +51,80 @@
 	return e.Snapshot().Model(t.Model)
 }
 
-// plan asks the router where a request should go.
-func (e *Entry) plan(r core.Request, tried []core.HostName) ([]route.Choice, map[core.HostName]Host) {
+// plan asks the router where a request should go. Hosts whose load is old are
+// asked for it; where the router says that the answers are worth waiting for,
+// since a load would be started in vain otherwise, it is asked again with them.
+func (e *Entry) plan(ctx context.Context, r core.Request, tried []core.HostName) ([]route.Choice, map[core.HostName]Host) {
 	hosts := e.Hosts(r.Target)
 	byName := make(map[core.HostName]Host, len(hosts))
+	for _, h := range hosts {
+		byName[h.Name] = h
+	}
+	var asked []core.HostName
+	silent := map[core.HostName]bool{}
+	for {
+		plan := e.planOnce(r, hosts, tried, asked, silent)
+		if !plan.Wait || len(plan.Probe) == 0 || ctx.Err() != nil {
+			for _, name := range plan.Probe {
+				e.probeLater(byName[name], r.Target)
+			}
+			return plan.Hosts, byName
+		}
+		for name, ok := range e.probeAll(ctx, byName, plan.Probe, r.Target) {
+			silent[name] = !ok
+		}
+		asked = append(asked, plan.Probe...)
+	}
+}
+
+func (e *Entry) planOnce(r core.Request, hosts []Host, tried, asked []core.HostName, silent map[core.HostName]bool) route.Plan {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Clock.Now()
-	q := route.Query{Request: r, Here: e.DataCentre, Tried: tried, Costs: e.costsOf(r.Target)}
+	q := route.Query{Request: r, Here: e.DataCentre, Tried: tried, Asked: asked, Costs: e.costsOf(r.Target)}
+	if entry, ok := e.entryOf(r.Target); ok {
+		q.Need = entry.Memory
+	}
 	for _, h := range e.allowed(now, r, hosts, tried) {
-		byName[h.Name] = h
-		q.Candidates = append(q.Candidates, e.candidate(r.Target, h))
+		c := e.candidate(r.Target, h)
+		if silent[h.Name] && c.Health == route.Live {
+			c.Health = route.Suspect
+		}
+		q.Candidates = append(q.Candidates, c)
+	}
+	return e.router.Plan(now, q)
+}
+
+// probeAll asks hosts for their load and tells which of them answered.
+func (e *Entry) probeAll(ctx context.Context, byName map[core.HostName]Host, names []core.HostName, t core.Target) map[core.HostName]bool {
+	type outcome struct {
+		name core.HostName
+		ok   bool
 	}
-	plan := e.router.Plan(now, q)
-	for _, name := range plan.Probe {
-		e.probe(byName[name], r.Target)
+	ended := make(chan outcome, len(names))
+	for _, name := range names {
+		go func() { ended <- outcome{name, e.probe(ctx, byName[name], t)} }()
 	}
-	return plan.Hosts, byName
+	out := make(map[core.HostName]bool, len(names))
+	for range names {
+		o := <-ended
+		out[o.name] = o.ok
+	}
+	return out
+}
+
+// probe asks one host for its load and tells whether it answered.
+func (e *Entry) probe(ctx context.Context, h Host, t core.Target) bool {
+	ctx, stop := context.WithTimeout(ctx, probeTime)
+	defer stop()
+	load, err := e.Probe(ctx, h, namesOf(t))
+	if err != nil {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.noteLoad(h.Name, load)
+	return true
 }
 
 // allowed leaves out hosts where the request must not go for what it is
@@ -143,28 +200,33 @@
 	return guessedCosts
 }
 
-// probe asks a host for its load in the background.
-func (e *Entry) probe(h Host, t core.Target) {
+// probeLater asks a host for its load in the background.
+func (e *Entry) probeLater(h Host, t core.Target) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	s := e.host(h.Name)
-	if s.probing || e.closing {
+	if s.probing {
 		return
 	}
 	s.probing = true
 	e.calls.Add(1)
 	go func() {
 		defer e.calls.Done()
-		ctx, stop := context.WithTimeout(context.Background(), probeTime)
-		defer stop()
-		load, err := e.Probe(ctx, h, namesOf(t))
+		e.probe(context.Background(), h, t)
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		s.probing = false
-		if err == nil {
-			e.noteLoad(h.Name, load)
-		}
 	}()
 }
 
+// Forget drops what is known of a host that the platform no longer lists.
+func (e *Entry) Forget(service core.ServiceName, name core.HostName) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.router.Forget(service, name)
+	delete(e.hosts, name)
+}
+
 func namesOf(t core.Target) []core.ModelName {
 	names := []core.ModelName{t.Model}
 	if t.Base != "" {
--- a/io/entry/keyed.go
+++ b/io/entry/keyed.go
@@ -60,10 +60,10 @@
 // pick chooses a host whose incarnation is known: a claim names both.
 func (k *keyed) pick(ctx context.Context) claims.Step {
 	r := k.j.call.Request
-	choices, hosts := k.j.e.plan(r, k.tried)
+	choices, hosts := k.j.e.plan(ctx, r, k.tried)
 	if len(choices) == 0 && len(k.tried) > 0 {
 		k.tried = nil
-		choices, hosts = k.j.e.plan(r, nil)
+		choices, hosts = k.j.e.plan(ctx, r, nil)
 	}
 	for _, c := range choices {
 		h := hosts[c.Host]
@@ -84,16 +84,12 @@
 	if known != 0 {
 		return known
 	}
-	call, stop := context.WithTimeout(ctx, probeTime)
-	defer stop()
-	load, err := e.Probe(call, h, namesOf(t))
-	if err != nil {
+	if !e.probe(ctx, h, t) {
 		return 0
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.noteLoad(h.Name, load)
-	return core.Incarnation(load.GetIncarnation())
+	return e.host(h.Name).incarnation
 }
 
 func (k *keyed) claim(ctx context.Context, c claims.Claim) claims.Step {
--- a/io/entry/note.go
+++ b/io/entry/note.go
@@ -51,6 +51,24 @@
 	})
 }
 
+// watchOverdue tells the router when an attempt takes much longer than others
+// did. Without it a host that hangs is noticed only when its requests end.
+func (e *Entry) watchOverdue(h Host, r core.Request, since time.Time) *time.Timer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	at := e.router.Patience(since, r.Target, cost(r))
+	wait := time.Hour
+	if !at.IsZero() {
+		wait = at.Sub(since)
+	}
+	return time.AfterFunc(wait, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		now := e.Clock.Now()
+		e.router.Observe(now, route.Report{Host: h.Name, Target: r.Target, Result: route.Overdue, Took: now.Sub(since), Cost: cost(r)})
+	})
+}
+
 // ended takes what rides on an answer's end.
 func (e *Entry) ended(h Host, end *wire.End) {
 	e.mu.Lock()
--- a/io/entry/queue.go
+++ b/io/entry/queue.go
@@ -43,7 +43,8 @@
 	if refusal := e.book.Refuse(now, c.Request.Fingerprint); refusal != nil {
 		return nil, refusal
 	}
-	if refusal := e.admit.Offer(now, c.Request, e.bounds(c)); refusal != nil {
+	bounds := e.bounds(c)
+	if refusal := e.admit.Check(now, c.Request, bounds); refusal != nil {
 		return nil, refusal
 	}
 	t := &turn{request: c.Request, given: make(chan struct{})}
@@ -55,9 +56,11 @@
 	})
 	e.refuseAll(pushed.Displaced)
 	if pushed.Refusal != nil {
-		e.drop(t, pushed.Refusal)
+		delete(e.turns, c.Request.ID)
 		return nil, pushed.Refusal
 	}
+	// A request that the queue refuses has used none of its owner's rate.
+	e.admit.Take(now, c.Request, bounds)
 	e.schedule(now)
 	poke(e.alarm)
 	return t, nil
@@ -92,11 +95,6 @@
 // schedule gives turns to the requests that may go on. The lock is held.
 func (e *Entry) schedule(now time.Time) {
 	e.refuseAll(e.queue.Expire(now))
-	held := e.held
-	e.held = nil
-	for _, t := range held {
-		e.give(now, t)
-	}
 	for {
 		item, ok := e.queue.Pop(now, e.free)
 		e.refuseAll(e.queue.Expire(now))
@@ -107,6 +105,21 @@
 	}
 }
 
+// holds are how far a concurrency limit that is in use reaches in the queue.
+var holds = map[admit.Scope]queue.Hold{
+	admit.Owner: queue.HoldOwner, admit.Caller: queue.HoldCaller, admit.Target: queue.HoldLane, admit.Service: queue.HoldLane,
+}
+
+// may tells the queue whether a request may start as far as concurrency limits
+// go. One that may not keeps its place.
+func (e *Entry) may(i queue.Item) queue.Hold {
+	scope, blocked := e.admit.Blocked(i.ID)
+	if !blocked {
+		return queue.Go
+	}
+	return holds[scope]
+}
+
 // free tells how many more requests of a lane may be in progress.
 func (e *Entry) free(name string) int {
 	l := e.lanes[name]
@@ -118,21 +131,11 @@
 	return window - l.running
 }
 
-// give lets a request go on unless a concurrency limit of its owner, caller or
-// target is in use; it is held back until one of them frees a place.
+// give lets a request go on.
 func (e *Entry) give(now time.Time, t *turn) {
 	if t == nil || t.refusal != nil {
 		return
 	}
-	if !now.Before(t.request.Deadline) {
-		e.queue.Finish(now, t.request.ID, queue.Failed)
-		e.drop(t, core.Refuse(core.CodeDeadline, "the deadline passed while the owner's concurrency was in use"))
-		return
-	}
-	if !e.admit.CanStart(t.request.ID) {
-		e.held = append(e.held, t)
-		return
-	}
 	e.admit.Start(now, t.request.ID)
 	e.lane(t.request.Target).running++
 	delete(e.turns, t.request.ID)
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -79,7 +79,7 @@
 	var tried []core.HostName
 	j.e.firstAttempt(j.call.Request.Target.Service)
 	for {
-		choices, hosts := j.e.plan(j.call.Request, tried)
+		choices, hosts := j.e.plan(ctx, j.call.Request, tried)
 		refusal := noHost(j.e.Clock.Now(), j.call.Request.Target)
 		if len(choices) > 0 {
 			host := hosts[choices[0].Host]
@@ -155,6 +155,8 @@
 	j.e.trail(j.call.Request.ID, now, "handed to "+string(h.Name)+" ("+choice.Reason.String()+")")
 	incarnation := j.e.handing(h, j.call.Request)
 	head := j.head(h, incarnation)
+	overdue := j.e.watchOverdue(h, j.call.Request, now)
+	defer overdue.Stop()
 	refusal, lost := j.relay(ctx, h, head, j.call.Body)
 	if lost != nil {
 		refusal = j.afterLoss(ctx, h, head, lost)
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -28,7 +29,6 @@
 func (n *Node) buildEntry(context.Context) error {
 	s := n.Settings
 	d := newDecider(s.Name, n.incarnation, n.clock, n.Platform, n.world)
-	n.world.changed = d.seen
 	n.world.reports = func(list []catlog.Report) {
 		n.catalogueChanged(list)
 		d.reported(list, n.world.snapshot())
@@ -43,6 +43,20 @@
 		Relay: &entry.Relay{TLS: n.tlsToAgent()}, Spread: n.spread, Tell: n.tell,
 	}
 	e.Init()
+	forgotten := make(chan core.Object, maxForgotten)
+	n.world.changed = func(o core.Object) {
+		d.seen(o)
+		if o.Kind == core.KindHost && o.Deleted {
+			// The entry's lock must not be taken here: its holder may be waiting
+			// for the world's. What does not fit is forgotten later or never, which
+			// costs some memory.
+			select {
+			case forgotten <- o:
+			default:
+			}
+		}
+	}
+	n.addPart("forget", func(ctx context.Context) error { return forget(ctx, e, forgotten) })
 	n.handler.Claim = func(c *wire.ClaimCall) (*wire.ClaimReply, error) {
 		return journals.Serve(context.Background(), c), nil
 	}
@@ -74,6 +88,25 @@
 	return nil
 }
 
+// maxForgotten bounds the hosts that wait to be forgotten: a lost data centre.
+const maxForgotten = 1024
+
+// forget drops what an entry knows of hosts that the platform no longer lists.
+func forget(ctx context.Context, e *entry.Entry, gone <-chan core.Object) error {
+	for {
+		select {
+		case o := <-gone:
+			var spec core.HostSpec
+			// The last specification tells the service; without it only the load
+			// is forgotten.
+			_ = json.Unmarshal(o.Spec, &spec)
+			e.Forget(spec.Service, core.HostName(o.Name))
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // callersServer serves the callers' interface.
 func (n *Node) callersServer(e *entry.Entry) *httpServer {
 	f := &front.Front{
