--- /dev/null
+++ b/io/peer/bench_test.go
@@ -0,0 +1,166 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"radishwell/core"
+	"radishwell/io/fakes/apisrv"
+	"radishwell/io/objapi"
+)
+
+// totalTraffic returns the bytes that all processes have sent and received.
+func totalTraffic(all []*process) int64 {
+	n := int64(0)
+	for _, p := range all {
+		for _, count := range []interface{ Traffic() (int64, int64) }{p.client, p.server} {
+			sent, received := count.Traffic()
+			n += sent + received
+		}
+	}
+	return n
+}
+
+// cpuTime returns the processor time of this test program, the platform's
+// stand-in included.
+func cpuTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// benchFleet starts n processes with the kinds of a real one, and waits until
+// all have the catalogue.
+func benchFleet(b *testing.B, n int, edit func(*Store)) (*fleet, []*process) {
+	seed := []core.Object{model("qalam")}
+	for i := range 170 {
+		seed = append(seed, core.Object{Kind: core.KindAdapter, Name: fmt.Sprintf("adapter-%d", i), Spec: []byte(`{"base":"qalam"}`)})
+	}
+	f := startFleet(b, &apisrv.Server{Seed: seed})
+	var all []*process
+	for range n {
+		all = append(all, f.start(func(s *Store) {
+			s.Kinds = append(core.CatalogueKinds(), core.KindHost, core.KindGrant, core.KindLease)
+			if edit != nil {
+				edit(s)
+			}
+		}))
+	}
+	for _, p := range all {
+		p.until(func() bool { return len(p.All(core.KindAdapter)) == 170 })
+	}
+	return f, all
+}
+
+// BenchmarkRest counts the control bytes of a process while nothing changes
+// but a lease that is renewed each second, and the platform's calls. One
+// iteration is one second: use -benchtime 10x.
+func BenchmarkRest(b *testing.B) {
+	for _, n := range []int{5, 10, 25, 50, 100} {
+		b.Run(fmt.Sprintf("processes=%d", n), func(b *testing.B) {
+			f, all := benchFleet(b, n, nil)
+			platform := &objapi.Client{Address: f.addr}
+			lease, err := platform.Create(context.Background(), core.Object{Kind: core.KindLease, Name: "decider", Spec: []byte(`0`)})
+			if err != nil {
+				b.Fatal(err)
+			}
+			tick := time.NewTicker(time.Second)
+			defer tick.Stop()
+			for range 5 {
+				<-tick.C
+			}
+			calls, bytes, cpu := f.srv.Calls(), totalTraffic(all), cpuTime(b)
+			b.ResetTimer()
+			for i := range b.N {
+				lease.Spec, _ = json.Marshal(i + 1)
+				if lease, err = platform.Update(context.Background(), lease); err != nil {
+					b.Fatal(err)
+				}
+				<-tick.C
+			}
+			seconds := b.Elapsed().Seconds()
+			after := f.srv.Calls()
+			b.ReportMetric(float64(totalTraffic(all)-bytes)/seconds/float64(n), "bytes/s/process")
+			b.ReportMetric(float64((cpuTime(b)-cpu).Microseconds())/seconds/float64(n), "cpu-us/s/process")
+			b.ReportMetric(float64(after["list"]+after["watch"]-calls["list"]-calls["watch"])/seconds, "platform-reads/s")
+			b.ReportMetric(float64(after["watch"]), "watches-since-start")
+		})
+	}
+}
+
+// BenchmarkConverge measures from an edit's acceptance until it is in force in
+// all processes, and the control bytes of one edit per process beside those at
+// rest in the same time. Use -benchtime 20x.
+func BenchmarkConverge(b *testing.B) {
+	for _, n := range []int{10, 50, 100, 300} {
+		for _, watchers := range []int{1, defaultWatchers} {
+			b.Run(fmt.Sprintf("processes=%d/watchers=%d", n, watchers), func(b *testing.B) {
+				f, all := benchFleet(b, n, func(s *Store) { s.Watchers = watchers })
+				platform := &objapi.Client{Address: f.addr, Writes: objapi.Budget{PerSecond: 1000, Burst: 1000}}
+				o, err := platform.Get(context.Background(), core.KindModel, "qalam")
+				if err != nil {
+					b.Fatal(err)
+				}
+				var took []time.Duration
+				bytes := totalTraffic(all)
+				b.ResetTimer()
+				for i := range b.N {
+					o.Spec, _ = json.Marshal(map[string]int{"edit": i})
+					if o, err = platform.Update(context.Background(), o); err != nil {
+						b.Fatal(err)
+					}
+					begun := time.Now()
+					for _, p := range all {
+						p.until(func() bool {
+							got, _ := p.Get(core.KindModel, "qalam")
+							return got.Version >= o.Version
+						})
+					}
+					took = append(took, time.Since(begun))
+				}
+				slices.Sort(took)
+				b.ReportMetric(float64(took[len(took)/2].Milliseconds()), "p50-ms")
+				b.ReportMetric(float64(took[len(took)-1].Milliseconds()), "max-ms")
+				b.ReportMetric(float64(totalTraffic(all)-bytes)/float64(b.N)/float64(n), "bytes/edit/process")
+			})
+		}
+	}
+}
+
+// BenchmarkBoot measures how long a process that starts in an outage of the
+// platform takes to have 3,470 models and adapters from its peers.
+func BenchmarkBoot(b *testing.B) {
+	var seed []core.Object
+	for i := range 3470 {
+		spec := []byte(fmt.Sprintf(`{"base":"qalam","owner":"nadi","padding":"%0200d"}`, i))
+		seed = append(seed, core.Object{Kind: core.KindAdapter, Name: fmt.Sprintf("adapter-%d", i), Spec: spec})
+	}
+	f := startFleet(b, &apisrv.Server{Seed: seed})
+	kinds := func(s *Store) { s.Kinds = []core.Kind{core.KindAdapter} }
+	full := func(p *process) func() bool {
+		return func() bool { return len(p.All(core.KindAdapter)) == len(seed) }
+	}
+	for range 3 {
+		p := f.start(kinds)
+		p.until(full(p))
+	}
+	f.srv.SetFaults(apisrv.Faults{Down: apisrv.Failing})
+	b.ResetTimer()
+	for range b.N {
+		p := f.start(kinds)
+		p.until(full(p))
+		b.StopTimer()
+		p.stop()
+		f.mu.Lock()
+		f.known = f.known[:len(f.known)-1]
+		f.mu.Unlock()
+		b.StartTimer()
+	}
+}
