--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -15,6 +15,7 @@
 	"radishwell/core/strike"
 	"radishwell/core/warm"
 	"radishwell/io/events"
+	"radishwell/io/loop"
 	"radishwell/io/meter"
 	"radishwell/io/spans"
 	"radishwell/wire"
@@ -166,42 +167,20 @@
 	return "another agent orders the engine of host " + string(e.Host)
 }
 
-// poke wakes a loop that waits on a channel of capacity one.
-func poke(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
 // tick is the longest time between two looks at the queue.
 const tick = time.Second
 
 // watchDeadlines ends waiting requests whose time has run out, and runs whose
 // readers have gone.
 func (a *Agent) watchDeadlines(ctx context.Context) error {
-	timer := time.NewTimer(tick)
-	defer timer.Stop()
-	for {
-		now := a.Clock.Now()
+	return loop.Run(ctx, a.Clock, a.alarm, tick, func(now time.Time) time.Time {
 		a.mu.Lock()
+		defer a.mu.Unlock()
 		a.schedule(now)
 		a.sweep(now)
 		a.look(now)
-		next := a.queue.Next()
-		a.mu.Unlock()
-		wait := tick
-		if !next.IsZero() {
-			wait = min(tick, max(time.Millisecond, next.Sub(now)))
-		}
-		timer.Reset(wait)
-		select {
-		case <-timer.C:
-		case <-a.alarm:
-		case <-ctx.Done():
-			return nil
-		}
-	}
+		return a.queue.Next()
+	})
 }
 
 // Leave stops the taking of new work: what waits is refused at once, so that
--- a/io/agent/drive.go
+++ b/io/agent/drive.go
@@ -9,6 +9,7 @@
 	"radishwell/core/ledger"
 	"radishwell/core/strike"
 	"radishwell/io/events"
+	"radishwell/io/loop"
 )
 
 const (
@@ -116,7 +117,7 @@
 			a.end(r, now, a.unreached(now))
 		}
 	}
-	poke(a.orders)
+	loop.Poke(a.orders)
 }
 
 func (a *Agent) unreached(now time.Time) *core.Refusal {
@@ -290,7 +291,7 @@
 		gone := a.ledger.Unload(now, name) && a.ledger.Clear(name)
 		a.mu.Unlock()
 		if !gone {
-			poke(a.orders)
+			loop.Poke(a.orders)
 			continue
 		}
 		if err := a.Release(ctx, name); err == nil {
--- a/io/agent/sched.go
+++ b/io/agent/sched.go
@@ -10,6 +10,7 @@
 	"radishwell/core/queue"
 	"radishwell/core/strike"
 	"radishwell/io/events"
+	"radishwell/io/loop"
 	"radishwell/io/relay"
 )
 
@@ -190,7 +191,7 @@
 		a.refuseLane(now, l, core.CodeNoMemory, "no accelerator has room for "+l.name)
 	case ledger.Ready, ledger.Coming, ledger.Evicting, ledger.Leaving, ledger.NotReady:
 		a.queue.Ready(now, l.name, a.readyAt(now, l))
-		poke(a.orders)
+		loop.Poke(a.orders)
 	}
 }
 
@@ -307,5 +308,5 @@
 		events.Log(events.RequestMayHaveRun, "request", r.id, "code", refusal.Code, "reason", refusal.Reason)
 	}
 	a.schedule(now)
-	poke(a.alarm)
+	loop.Poke(a.alarm)
 }
--- a/io/agent/slots.go
+++ b/io/agent/slots.go
@@ -7,6 +7,7 @@
 	"radishwell/core"
 	"radishwell/core/slots"
 	"radishwell/io/events"
+	"radishwell/io/loop"
 	"radishwell/wire"
 )
 
@@ -50,7 +51,7 @@
 			s.ask.Owner, s.ask.Size = e.Owner, e.Memory
 		}
 		a.slots[name] = s
-		poke(a.slotAlarm)
+		loop.Poke(a.slotAlarm)
 	}
 	s.ask.Class = min(s.ask.Class, class)
 	if deadline.Before(s.ask.Deadline) {
--- a/io/agent/take.go
+++ b/io/agent/take.go
@@ -6,6 +6,7 @@
 	"radishwell/core"
 	"radishwell/core/dedupe"
 	"radishwell/core/queue"
+	"radishwell/io/loop"
 	"radishwell/io/relay"
 	"radishwell/wire"
 )
@@ -150,7 +151,7 @@
 		return
 	}
 	a.schedule(now)
-	poke(a.alarm)
+	loop.Poke(a.alarm)
 }
 
 // refused ends a run that the queue has given up.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -16,6 +16,7 @@
 	"radishwell/core/retry"
 	"radishwell/core/route"
 	"radishwell/core/strike"
+	"radishwell/io/loop"
 	"radishwell/io/meter"
 	"radishwell/io/spans"
 	"radishwell/wire"
@@ -123,26 +124,12 @@
 
 // Run ends waiting requests at their time until the context ends.
 func (e *Entry) Run(ctx context.Context) error {
-	timer := time.NewTimer(tick)
-	defer timer.Stop()
-	for {
-		now := e.Clock.Now()
+	return loop.Run(ctx, e.Clock, e.alarm, tick, func(now time.Time) time.Time {
 		e.mu.Lock()
+		defer e.mu.Unlock()
 		e.schedule(now)
-		next := e.queue.Next()
-		e.mu.Unlock()
-		wait := tick
-		if !next.IsZero() {
-			wait = min(tick, max(time.Millisecond, next.Sub(now)))
-		}
-		timer.Reset(wait)
-		select {
-		case <-timer.C:
-		case <-e.alarm:
-		case <-ctx.Done():
-			return nil
-		}
-	}
+		return e.queue.Next()
+	})
 }
 
 // tick is the longest time between two looks at the queue.
--- a/io/entry/queue.go
+++ b/io/entry/queue.go
@@ -8,6 +8,7 @@
 	"radishwell/core/admit"
 	"radishwell/core/queue"
 	"radishwell/io/front"
+	"radishwell/io/loop"
 	"radishwell/io/meter"
 )
 
@@ -62,7 +63,7 @@
 	// A request that the queue refuses has used none of its owner's rate.
 	e.admit.Take(now, c.Request, bounds)
 	e.schedule(now)
-	poke(e.alarm)
+	loop.Poke(e.alarm)
 	return t, nil
 }
 
@@ -76,13 +77,6 @@
 	return b
 }
 
-func poke(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
 func (e *Entry) lane(t core.Target) *lane {
 	l := e.lanes[t.Name()]
 	if l == nil {
@@ -178,5 +172,5 @@
 	e.admit.Done(now, c.Request.ID)
 	e.lane(c.Request.Target).running--
 	e.schedule(now)
-	poke(e.alarm)
+	loop.Poke(e.alarm)
 }
--- a/io/node/decide.go
+++ b/io/node/decide.go
@@ -12,7 +12,7 @@
 	"radishwell/core/lease"
 	"radishwell/core/place"
 	"radishwell/io/events"
-	"radishwell/wire"
+	"radishwell/io/loop"
 )
 
 const (
@@ -73,7 +73,7 @@
 	case core.KindGrant:
 		d.seenGrant(o)
 	}
-	poke(d.poke)
+	loop.Poke(d.poke)
 }
 
 func (d *decider) seenHost(o core.Object) {
@@ -117,7 +117,7 @@
 			d.setOwner(core.OwnerName(r.Name), s)
 		}
 	}
-	poke(d.poke)
+	loop.Poke(d.poke)
 }
 
 // setEntry tells the planner of a model or adapter. One that is merely pending,
@@ -284,97 +284,6 @@
 	}
 }
 
-func (d *decider) writeAll(ctx context.Context, writes []place.Write) {
-	slots := make(chan struct{}, writersAtOnce)
-	ended := make(chan struct{}, len(writes))
-	for _, w := range writes {
-		slots <- struct{}{}
-		go func() {
-			d.write(ctx, w)
-			<-slots
-			ended <- struct{}{}
-		}()
-	}
-	for range writes {
-		<-ended
-	}
-}
-
-// write sends one grant. The lease is asked again right before: a process that
-// was paused since the round must not go on as the decider. What it sends all
-// the same is caught by the condition on the object's version.
-func (d *decider) write(ctx context.Context, w place.Write) {
-	d.mu.Lock()
-	_, decides := d.lease.Decides(d.clock.Now())
-	d.mu.Unlock()
-	outcome := place.Refused
-	var fresh core.Object
-	if decides {
-		var err error
-		if fresh, err = d.send(ctx, w); err != nil {
-			outcome = outcomeOf(err)
-			events.Fail(events.DecisionFailed, err, "model", w.Name)
-		} else {
-			outcome = place.Applied
-		}
-	}
-	d.mu.Lock()
-	d.planner.Answered(w, outcome)
-	d.mu.Unlock()
-	if outcome == place.Applied {
-		d.logGrant(w)
-		d.learn(w, fresh)
-	}
-}
-
-// learn feeds a write's result to this process at once; its watch brings it to
-// the others.
-func (d *decider) learn(w place.Write, o core.Object) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !w.Delete {
-		d.seenGrant(o)
-	}
-}
-
-func (d *decider) send(ctx context.Context, w place.Write) (core.Object, error) {
-	ctx, stop := context.WithTimeout(ctx, writeTime)
-	defer stop()
-	if w.Delete {
-		return core.Object{}, d.platform.Delete(ctx, core.KindGrant, string(w.Name), w.Version)
-	}
-	text, err := json.Marshal(w.Spec)
-	if err != nil {
-		return core.Object{}, err
-	}
-	o := core.Object{Kind: core.KindGrant, Name: string(w.Name), Version: w.Version, Spec: text}
-	if w.Version == 0 {
-		return d.platform.Create(ctx, o)
-	}
-	return d.platform.Update(ctx, o)
-}
-
-func outcomeOf(err error) place.Outcome {
-	switch faultOf(err) {
-	case core.Unavailable, core.Invalid:
-		return place.Refused
-	case core.Conflict, core.Exists, core.NotFound:
-		return place.Overtaken
-	default:
-		return place.Unsure
-	}
-}
-
-func (d *decider) logGrant(w place.Write) {
-	for _, h := range w.Spec.Holders {
-		event := events.GrantAdded
-		if h.State == core.GrantRevoked {
-			event = events.GrantRevoked
-		}
-		events.Log(event, "model", w.Name, "host", h.Host)
-	}
-}
-
 // writeStatuses tells operators how their entries stand. One process writes
 // them: the one that decides.
 func (d *decider) writeStatuses(ctx context.Context) {
@@ -403,65 +312,3 @@
 	// A lost answer leaves the lease to its term.
 	_, _ = d.platform.Update(ctx, o)
 }
-
-// demandAge is how long an entry's report counts; it covers two lost ones.
-const demandAge = 7 * time.Second
-
-// report is one entry's demand.
-type report struct {
-	until   time.Time
-	demands map[core.ModelName]float64
-}
-
-// takeDemand takes one entry's report and tells the planner the sums.
-func (d *decider) takeDemand(c *wire.DemandCall) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.clock.Now()
-	r := report{until: now.Add(demandAge), demands: map[core.ModelName]float64{}}
-	for _, one := range c.GetDemands() {
-		r.demands[core.ModelName(one.GetName())] = one.GetRequests()
-	}
-	d.reports[c.GetEntry()] = r
-	sums := map[core.ModelName]float64{}
-	for name, r := range d.reports {
-		if now.After(r.until) {
-			delete(d.reports, name)
-			continue
-		}
-		for model, n := range r.demands {
-			sums[model] += n
-		}
-	}
-	d.setDemands(now, sums)
-}
-
-// setDemands tells the planner how many hosts' work each model has. Models that
-// have none any more are told once.
-func (d *decider) setDemands(now time.Time, sums map[core.ModelName]float64) {
-	for model := range d.demanded {
-		if _, ok := sums[model]; !ok {
-			d.planner.SetDemand(now, model, 0)
-			delete(d.demanded, model)
-		}
-	}
-	for model, n := range sums {
-		per := hostConcurrency
-		if e, ok := d.world.snapshot().Model(model); ok && e.Limits.Concurrency > 0 {
-			per = e.Limits.Concurrency
-		}
-		d.planner.SetDemand(now, model, n/float64(per))
-		d.demanded[model] = true
-	}
-}
-
-// hostConcurrency is how many requests of one model a host works on at once
-// where the catalogue sets no limit; agents use the same number.
-const hostConcurrency = 64
-
-func poke(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
