--- a/io/loop/loop_test.go
+++ b/io/loop/loop_test.go
@@ -15,29 +15,30 @@
 
 func (bubbleClock) Now() time.Time { return time.Now() }
 
+func TestPokesAreTakenTogether(t *testing.T) {
+	alarm := make(chan struct{}, 1)
+	loop.Poke(alarm)
+	loop.Poke(alarm)
+	assert.Equal(t, len(alarm), 1)
+}
+
 func TestRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		alarm := make(chan struct{}, 1)
-		var calls []time.Duration
 		began := time.Now()
-		next := time.Time{}
+		// At once; after the longest wait; at the time returned; when poked.
+		next := []time.Time{{}, began.Add(1200 * time.Millisecond), {}, {}}
+		var calls []time.Duration
 		ended := make(chan error, 1)
 		go func() {
 			ended <- loop.Run(ctx, bubbleClock{}, alarm, time.Second, func(now time.Time) time.Time {
 				calls = append(calls, now.Sub(began))
-				return next
+				return next[len(calls)-1]
 			})
 		}()
-		synctest.Wait()
-		next = began.Add(1200 * time.Millisecond)
-		time.Sleep(1100 * time.Millisecond) // at once, then after the longest wait
-		synctest.Wait()
-		next = time.Time{}
-		time.Sleep(200 * time.Millisecond) // at the time returned
-		synctest.Wait()
+		time.Sleep(1300 * time.Millisecond)
 		loop.Poke(alarm)
-		loop.Poke(alarm) // two wakes are taken together
 		synctest.Wait()
 		stop()
 		assert.NilError(t, <-ended)
