--- a/examples/local/up.sh
+++ b/examples/local/up.sh
@@ -29,6 +29,12 @@
 
 # Wait until both entries are ready and every model may be loaded somewhere.
 for _ in $(seq 200); do
+	while read -r id name; do
+		if ! kill -0 "$id" 2>/dev/null; then
+			echo "$name has ended; see run/log/$name.log (is another fleet using its ports?)" >&2
+			exit 1
+		fi
+	done <run/pids
 	if curl -sf -o /dev/null http://127.0.0.1:7201/ready && curl -sf -o /dev/null http://127.0.0.1:7202/ready &&
 		[ "$(curl -s http://127.0.0.1:7000/apis/radishwell.example/v1/grants | grep -o '"holders"' | wc -l)" -ge 5 ]; then
 		echo "the fleet is up: https://127.0.0.1:8081 and https://127.0.0.1:8082"
