--- a/io/agent/drive.go
+++ b/io/agent/drive.go
@@ -83,11 +83,9 @@
 	a.schedule(now)
 }
 
-// noteReached keeps whether the upstream answers at all. A plain service that
-// answers with any status is there.
+// noteReached keeps whether the upstream answers at all.
 func (a *Agent) noteReached(err error) {
-	var fault *core.EngineError
-	reached := err == nil || a.Plain && errors.As(err, &fault) && fault.Fault == core.EngineRejected
+	reached := err == nil
 	if reached {
 		a.once.Do(func() { close(a.ready) })
 	}
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -85,7 +85,7 @@
 	defer a.mu.Unlock()
 	call := a.callOf(&wire.WorkHead{
 		Owner: c.GetOwner(), Key: c.GetKey(), RequestId: c.GetKey(), Attempt: c.GetAttempt(), Incarnation: c.GetIncarnation(),
-		Fingerprint: c.GetFingerprint(), ClaimExpires: c.GetExpires(), Deadline: c.GetExpires(),
+		Fingerprint: c.GetFingerprint(), ClaimExpires: c.GetExpires(), Deadline: c.GetExpires(), HandOver: c.GetHandOver(),
 	})
 	// Without an incarnation the question may be about a predecessor, which may
 	// have run the request.
--- a/io/agent/take.go
+++ b/io/agent/take.go
@@ -35,7 +35,7 @@
 		return c
 	}
 	c.ID = dedupe.KeyOf("", h.GetRequestId())
-	c.Attempt = 1
+	c.Attempt = max(1, h.GetHandOver())
 	c.Expires = c.Deadline.Add(recordGrace)
 	if c.Incarnation == 0 {
 		c.Incarnation = a.Incarnation
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -46,7 +46,11 @@
 	Address netip.AddrPort
 	// TLS is used towards the upstream where set.
 	TLS *tls.Config
+	// Plain tells that the upstream is a plain service. It has no report to give,
+	// and what is asked of it is a call to it, so it is only dialled.
+	Plain bool
 
+	dialer    *net.Dialer
 	transport *http.Transport
 }
 
@@ -55,7 +59,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
-	return &Client{Address: address, TLS: conf, transport: &http.Transport{
+	return &Client{Address: address, TLS: conf, dialer: dialer, transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		TLSClientConfig:     conf,
 		MaxIdleConnsPerHost: maxIdle,
@@ -70,6 +74,9 @@
 // State implements core.Engine.
 func (c *Client) State(ctx context.Context) (core.EngineState, error) {
 	var st core.EngineState
+	if c.Plain {
+		return st, c.dial(ctx)
+	}
 	answer, err := c.do(ctx, http.MethodGet, "/state", nil, nil)
 	if err != nil {
 		return st, err
@@ -84,6 +91,15 @@
 	return st, nil
 }
 
+// dial finds out whether a plain service takes connections.
+func (c *Client) dial(ctx context.Context) error {
+	conn, err := c.dialer.DialContext(ctx, "tcp", c.Address.String())
+	if err != nil {
+		return &core.EngineError{Fault: core.EngineUnreached, Cause: err}
+	}
+	return conn.Close()
+}
+
 // Load implements core.Engine.
 func (c *Client) Load(ctx context.Context, o core.LoadOrder) error {
 	return c.order(ctx, "/orders/load", o)
--- a/io/engine/client_test.go
+++ b/io/engine/client_test.go
@@ -93,3 +93,18 @@
 		})
 	}
 }
+
+// A plain service must not be asked for a report: whatever is asked of it is a
+// call that it carries out.
+func TestPlainIsOnlyDialled(t *testing.T) {
+	var calls atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	c := engine.New(address(t, srv.Listener.Addr()), nil)
+	c.Plain = true
+	_, err := c.State(t.Context())
+	assert.NilError(t, err)
+	srv.Close()
+	_, err = c.State(t.Context())
+	assertFault(t, err, core.EngineUnreached)
+	assert.Equal(t, calls.Load(), int64(0))
+}
--- a/io/entry/fixture_test.go
+++ b/io/entry/fixture_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,7 +75,7 @@
 	agents  map[core.HostName]*host
 	mu      sync.Mutex
 	journal map[string]claims.Claim
-	cut     bool
+	cut     atomic.Bool
 }
 
 type host struct {
@@ -127,6 +128,7 @@
 	up := httptest.NewServer(upstream)
 	f.t.Cleanup(up.Close)
 	client := engine.New(addrOf(f.t, up.Listener), nil)
+	client.Plain = isPlain
 	f.t.Cleanup(client.Close)
 	h := &host{upstream: up.URL}
 	h.agent = &agent.Agent{
@@ -199,14 +201,14 @@
 func (unreachedError) Error() string { return "unreached" }
 
 func (f *fleet) probe(_ context.Context, h entry.Host, names []core.ModelName) (*wire.HostLoad, error) {
-	if f.cut {
+	if f.cut.Load() {
 		return nil, unreachedError{}
 	}
 	return f.agents[h.Name].agent.Load(names), nil
 }
 
 func (f *fleet) seal(ctx context.Context, h entry.Host, c *wire.SealCall) (*wire.SealReply, error) {
-	if f.cut {
+	if f.cut.Load() {
 		return nil, unreachedError{}
 	}
 	return f.agents[h.Name].agent.Seal(ctx, c), nil
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -22,6 +22,8 @@
 	e    *Entry
 	call *front.Call
 	span spans.Span
+	// handed counts the hand-overs.
+	handed uint64
 	// first is when the answer's first byte came, cold that it waited for a load.
 	first time.Time
 	cold  bool
@@ -154,6 +156,7 @@
 	now := j.e.Clock.Now()
 	j.e.trail(j.call.Request.ID, now, "handed to "+string(h.Name)+" ("+choice.Reason.String()+")")
 	incarnation := j.e.handing(h, j.call.Request)
+	j.handed++
 	head := j.head(h, incarnation)
 	overdue := j.e.watchOverdue(h, j.call.Request, now)
 	defer overdue.Stop()
@@ -174,7 +177,7 @@
 		Arrived: r.Arrived.UnixNano(), Deadline: r.Deadline.UnixNano(), Repeatable: r.Repeatable, Key: r.Key,
 		Fingerprint: uint64(r.Fingerprint), Tokens: int64(r.Tokens), Stream: r.Stream,
 		Method: j.call.Method, Path: j.call.Path, Trace: j.span.Traceparent(), BodySize: int64(len(j.call.Body)),
-		Incarnation: uint64(incarnation), Entry: string(j.e.Name), Prefixes: r.Prefixes,
+		Incarnation: uint64(incarnation), Entry: string(j.e.Name), Prefixes: r.Prefixes, HandOver: j.handed,
 	}
 	head.Strikes, head.Trial = j.e.strikesAgainst(r.Fingerprint)
 	for name, values := range j.call.Header {
@@ -274,6 +277,7 @@
 	call, stop := context.WithTimeout(ctx, sealTime)
 	reply, err := j.e.Seal(call, h, &wire.SealCall{
 		Key: head.GetRequestId(), Incarnation: head.GetIncarnation(), Expires: head.GetDeadline(), Fingerprint: head.GetFingerprint(),
+		HandOver: head.GetHandOver(),
 	})
 	stop()
 	if err != nil {
@@ -305,6 +309,6 @@
 	return &wire.WorkHead{
 		RequestId: head.GetRequestId(), Owner: head.GetOwner(), Key: head.GetKey(), Attempt: head.GetAttempt(),
 		Incarnation: head.GetIncarnation(), Fingerprint: head.GetFingerprint(), ClaimExpires: head.GetClaimExpires(),
-		Deadline: head.GetDeadline(), Offset: offset, Attach: true, Entry: head.GetEntry(),
+		Deadline: head.GetDeadline(), Offset: offset, Attach: true, Entry: head.GetEntry(), HandOver: head.GetHandOver(),
 	}
 }
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -18,6 +18,7 @@
 func (n *Node) buildAgent(ctx context.Context) error {
 	s := n.Settings
 	upstream := engine.New(s.Engine.Address.Addr, nil)
+	upstream.Plain = s.Engine.Type == core.PlainService
 	a := &agent.Agent{
 		Host: s.Name, Service: s.Engine.Service, Plain: s.Engine.Type == core.PlainService, Incarnation: n.incarnation,
 		Engine: upstream, Clock: n.clock, Meter: n.meter, Tracer: n.tracer, Snapshot: n.world.snapshot,
