Let the creator of the lease wait a term before it decides

Change: the wait comes after the creation; the check that one at most believes is on at all times again, without its exception.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -65,7 +65,7 @@
 	Host        core.HostName
 	Incarnation core.Incarnation
 	// Blank tells that the platform held no grants when this process started.
-	// Then nobody has decided before, and a missing lease is created at once:
+	// Then nobody has decided before, and who creates the lease decides at once:
 	// the fleet's first start needs no wait for the term.
 	Blank bool
 
@@ -83,8 +83,9 @@
 	// mine tells that the object names this process; fence is its number.
 	mine  bool
 	fence core.Fence
-	// until is when this process stops believing.
+	// until is when this process stops believing, calm when it may begin to.
 	until time.Time
+	calm  time.Time
 	// floor is the largest fencing number met anywhere.
 	floor core.Fence
 
@@ -100,7 +101,7 @@
 // Decides reports whether this process may decide at now, and its fencing
 // number. It must be asked again right before each write.
 func (l *Lease) Decides(now time.Time) (core.Fence, bool) {
-	if !l.mine || !now.Before(l.until) {
+	if !l.mine || now.Before(l.calm) || !now.Before(l.until) {
 		return 0, false
 	}
 	return l.fence, true
@@ -155,7 +156,7 @@
 	if l.absent {
 		version = 0
 	}
-	s := Spec{Holder: l.Host, Incarnation: l.Incarnation, Until: now.Add(Term - Margin)}
+	s := Spec{Holder: l.Host, Incarnation: l.Incarnation, Until: now.Add(Term - Margin), Created: l.absent}
 	return s.object(version)
 }
 
@@ -237,10 +238,8 @@
 	l.absent = true
 	l.spec = Spec{}
 	l.drop()
-	// Deleted by hand, the object has left a holder behind that still believes,
-	// perhaps one that this process has never heard of.
-	l.free = now.Add(Term + l.delay(0))
-	if l.Blank && l.floor == 0 {
+	l.free = now.Add(l.delay(0))
+	if l.Blank {
 		l.free = now
 	}
 	l.lookAt = l.free
@@ -272,7 +271,7 @@
 	l.spec = s
 	l.Observe(s.Fence)
 	if err == nil && s.Holder == l.Host && s.Incarnation == l.Incarnation && s.Holder != "" {
-		l.own(now, o.Version)
+		l.own(now, o.Version, s.Created)
 		return
 	}
 	l.drop()
@@ -297,9 +296,16 @@
 	}
 }
 
-func (l *Lease) own(now time.Time, v core.Version) {
+func (l *Lease) own(now time.Time, v core.Version, created bool) {
 	if !l.mine {
 		l.mine = true
+		if created && !l.Blank {
+			// There was no object, perhaps because it was deleted by hand a moment
+			// ago: its holder still believes, for less than a term. Waiting here and
+			// not before the creation holds also where the creation was long on its
+			// way and another one came and went meanwhile.
+			l.calm = now.Add(Term)
+		}
 		// The version of the acquiring write grows with every write of the kind,
 		// also over deletion by hand and creation anew.
 		l.fence = max(core.Fence(v), l.floor+1)
@@ -312,6 +318,7 @@
 	l.mine = false
 	l.fence = 0
 	l.until = time.Time{}
+	l.calm = time.Time{}
 }
 
 // StepDown returns the update that gives the lease up at a planned stop, so
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -139,6 +139,34 @@
 	assert.Assert(t, decides(t, b, now, true) > first)
 }
 
+// The lease is deleted by hand. A contender's creation is long on its way;
+// meanwhile another's arrives, decides, and is deleted by hand as well. The late
+// creation then takes effect. Its sender must wait for the other to stop.
+func TestLateCreation(t *testing.T) {
+	s, a, b := &store{}, contender("d1"), contender("d20")
+	late := lease.Action{}
+	now := start
+	for late.Call != lease.Create {
+		now = now.Add(time.Second)
+		late, _ = a.Next(now)
+		if late.Call == lease.Read {
+			a.Answer(now, s.do(late))
+		}
+	}
+	now = pass(s, now, 60, b)
+	decides(t, b, now, true)
+	s.delete()
+	a.Answer(now, s.do(late))
+	for range 20 {
+		now = now.Add(time.Second)
+		drive(a, s, now)
+		_, first := a.Decides(now)
+		_, second := b.Decides(now)
+		assert.Assert(t, !first || !second)
+	}
+	decides(t, a, now, true)
+}
+
 // The platform is restored from an old copy and its versions start again. The
 // next holder's number is still above those it has met in grants.
 func TestVersionsSetBack(t *testing.T) {
@@ -161,8 +189,13 @@
 	assert.Equal(t, a.Call, lease.Create)
 	s.do(a)
 	l.Answer(now, refused(core.Unknown))
+	now = now.Add(lease.Retry)
+	a, _ = l.Next(now)
+	assert.Equal(t, a.Call, lease.Read)
+	l.Answer(now, s.do(a))
+	assert.Equal(t, l.Holder(), core.HostName("d1"))
 	decides(t, l, now, false)
-	now = pass(s, now, 3, l)
+	drive(l, s, now)
 	decides(t, l, now, true)
 	assert.Equal(t, s.version, core.Version(2))
 }
--- a/core/lease/spec.go
+++ b/core/lease/spec.go
@@ -19,6 +19,8 @@
 	// Fence is the holder's fencing number, zero until the first renewal: it is
 	// the version that the acquiring write was given.
 	Fence core.Fence `json:"fence,omitempty"`
+	// Created tells that the acquiring write found no object.
+	Created bool `json:"created,omitempty"`
 	// Until is when the holder stops deciding unless it renews, by its own
 	// clock. It is for operators: contenders count from what they observe.
 	Until time.Time `json:"until"`
--- a/core/place/rank.go
+++ b/core/place/rank.go
@@ -25,7 +25,7 @@
 // over racks, near a copy of the checkpoint; and last by rendezvous hash, so
 // that a change of one host changes the choice for its share of models only.
 func (d *draft) best() *Host {
-	if s := d.m.shift; s != nil {
+	if s := d.m.shift; s != nil && !d.named(s.to) {
 		return d.p.hosts[s.to]
 	}
 	var found *candidate
--- a/core/script/check_test.go
+++ b/core/script/check_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"time"
 
 	"radishwell/core"
 	"radishwell/core/place"
@@ -18,8 +17,6 @@
 	limits map[core.Version]int
 	memory map[core.OwnerName]core.Bytes
 	top    core.Fence
-	// unsure is until when two may believe, after deletions by hand.
-	unsure time.Time
 }
 
 func (c *checker) init() {
@@ -70,7 +67,7 @@
 		}
 		c.top = f
 	}
-	if len(who) > 1 && !w.now.Before(c.unsure) {
+	if len(who) > 1 {
 		c.fail("lease: %v both believe that they decide", who)
 	}
 }
@@ -157,6 +154,11 @@
 }
 
 func (c *checker) added(w *world, by string, after object) {
+	for i, h := range after.grant.Holders {
+		if i > 0 && after.grant.Holders[i-1].Host == h.Host {
+			c.fail("twice: %s made %s a holder of %s twice", by, h.Host, after.name)
+		}
+	}
 	if n, limit := len(after.grant.Holders), c.limits[after.grant.Entry]; n > limit {
 		c.fail("limit: %s made %d holders of %s, the limit is %d", by, n, after.name, limit)
 	}
--- a/core/script/lang_test.go
+++ b/core/script/lang_test.go
@@ -293,20 +293,12 @@
 	}
 }
 
-// unlease deletes the lease by hand. A second deletion soon after another (or
-// soon after the start, when there was none yet) can follow a creation that a
-// waiting contender has never seen: for a term the two may then both believe.
-// Only the check of belief is off for that long; grants must hold all the same.
+// unlease deletes the lease by hand.
 func (w *world) unlease() {
 	k := key{core.KindLease, lease.Name}
-	if _, ok := w.store.objects[k]; !ok {
-		return
-	}
-	if w.now.Before(w.unleased.Add(3 * lease.Term)) {
-		w.check.unsure = w.now.Add(lease.Term * 5 / 4)
+	if _, ok := w.store.objects[k]; ok {
+		w.store.force(object{key: k, deleted: true})
 	}
-	w.unleased = w.now
-	w.store.force(object{key: k, deleted: true})
 }
 
 func runReclaim(w *world, a args) {
--- a/core/script/world_test.go
+++ b/core/script/world_test.go
@@ -74,7 +74,6 @@
 	hosts    map[core.HostName]*machine
 	sizes    map[core.ModelName]place.Entry
 	uids     int
-	unleased time.Time
 	// faults are deliberate breaks, to show that the checks see them.
 	faults map[string]bool
 	check  checker
@@ -82,7 +81,7 @@
 
 func newWorld() *world {
 	w := &world{
-		now: epoch, unleased: epoch, deciders: map[string]*decider{}, hosts: map[core.HostName]*machine{},
+		now: epoch, deciders: map[string]*decider{}, hosts: map[core.HostName]*machine{},
 		sizes: map[core.ModelName]place.Entry{}, faults: map[string]bool{},
 	}
 	w.store.objects = map[key]object{}
