Drive open-loop load at a running system and report every outcome

Without a load generator of its own the project could not say what callers get. radishwell bench sends an experiment's requests at times that its seed decides, counts latencies from those times, counts every outcome, compares what callers were told with what the stand-ins ran, and measures warm first bytes through entry and agent and at the engine side by side.

--- /dev/null
+++ b/io/bench/pair.go
@@ -0,0 +1,191 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+
+	"radishwell/core"
+	"radishwell/io/config"
+)
+
+// Paired is a side-by-side measurement of warm first bytes.
+type Paired struct {
+	Model    core.ModelName `json:"model"`
+	Direct   string         `json:"direct"`
+	Requests int            `json:"requests"`
+	// Through is by way of an entry and an agent, At is at the engine itself;
+	// Added are the differences of both in each pair, AddedP50 and AddedP99 the
+	// differences of the two distributions' percentiles. All in milliseconds.
+	Through  Quantiles `json:"through"`
+	At       Quantiles `json:"at-engine"`
+	Added    Quantiles `json:"added-in-pairs"`
+	AddedP50 float64   `json:"added-p50"`
+	AddedP99 float64   `json:"added-p99"`
+	// Negative counts pairs in which the direct call took longer.
+	Negative int `json:"negative-pairs"`
+}
+
+// Constants of pairs.
+const (
+	pairWarmUp   = 50
+	pairTokens   = 4
+	pairDeadline = 30 * time.Second
+)
+
+// NotLoadedError reports that no engine has a model loaded that was just used.
+type NotLoadedError struct{ Model core.ModelName }
+
+// Error implements error.
+func (e *NotLoadedError) Error() string {
+	return "none of the engines of the pair has " + string(e.Model) + " loaded"
+}
+
+// PairError reports a request of a pair that was not answered with 200.
+type PairError struct {
+	URL    string
+	Status int
+}
+
+// Error implements error.
+func (e *PairError) Error() string { return e.URL + " answered with status " + strconv.Itoa(e.Status) }
+
+// pairing measures requests one after the other, alternating between the two
+// ways in an order drawn anew for each pair.
+type pairing struct {
+	plan    *Pair
+	key     string
+	run     string
+	through string
+	direct  string
+	// The two ways have a client each, so that neither uses the other's
+	// connections.
+	entry, engine *http.Client
+	number        int
+}
+
+// pair makes the experiment's pairs through the first entry.
+func (b *Bench) pair(ctx context.Context, bal *balancer) (*Paired, error) {
+	plan := &b.Plan.Pair
+	p := &pairing{
+		plan: plan, key: b.Keys[plan.Caller], run: strconv.FormatInt(time.Now().UnixNano(), 36),
+		through: b.Entries[0].At.String(), entry: bal.clients[0], engine: newClient(nil),
+	}
+	for range pairWarmUp {
+		if _, err := p.firstByte(ctx, p.entry, p.through); err != nil {
+			return nil, err
+		}
+	}
+	direct, err := holder(ctx, plan)
+	if err != nil {
+		return nil, err
+	}
+	p.direct = direct.String()
+	for range pairWarmUp {
+		if _, err := p.firstByte(ctx, p.engine, p.direct); err != nil {
+			return nil, err
+		}
+	}
+	return p.measure(ctx, rand.New(rand.NewPCG(uint64(b.Plan.Seed), streamPicks)))
+}
+
+// holder returns the first engine that has the model loaded.
+func holder(ctx context.Context, plan *Pair) (config.Origin, error) {
+	for _, at := range plan.Direct {
+		var s core.EngineState
+		if err := getJSON(ctx, at.String()+"/state", &s); err != nil {
+			return at, err
+		}
+		if slices.ContainsFunc(s.Items, func(i core.EngineItem) bool { return i.Name == plan.Model && i.State == core.Loaded }) {
+			return at, nil
+		}
+	}
+	return config.Origin{}, oops.Wrap(&NotLoadedError{Model: plan.Model})
+}
+
+func (p *pairing) measure(ctx context.Context, r *rand.Rand) (*Paired, error) {
+	through, at, added := newHistogram(), newHistogram(), newHistogram()
+	out := &Paired{Model: p.plan.Model, Direct: p.direct, Requests: p.plan.Requests}
+	for range p.plan.Requests {
+		long, short, err := p.both(ctx, r.IntN(2) == 0)
+		if err != nil {
+			return nil, err
+		}
+		record(through, long)
+		record(at, short)
+		record(added, long-short)
+		if long < short {
+			out.Negative++
+		}
+	}
+	out.Through, out.At, out.Added = quantiles(through), quantiles(at), quantiles(added)
+	out.AddedP50, out.AddedP99 = round(out.Through.P50-out.At.P50), round(out.Through.P99-out.At.P99)
+	return out, nil
+}
+
+// both measures one pair, the engine first or the entry first.
+func (p *pairing) both(ctx context.Context, engineFirst bool) (through, at time.Duration, err error) {
+	if engineFirst {
+		at, err = p.firstByte(ctx, p.engine, p.direct)
+	}
+	if err == nil {
+		through, err = p.firstByte(ctx, p.entry, p.through)
+	}
+	if err == nil && !engineFirst {
+		at, err = p.firstByte(ctx, p.engine, p.direct)
+	}
+	return through, at, err
+}
+
+// firstByte sends one streamed request and returns the time to the first byte
+// of its body. The rest is read, so that the connection can be used again.
+func (p *pairing) firstByte(ctx context.Context, client *http.Client, base string) (time.Duration, error) {
+	p.number++
+	body := mustJSON(askBody{
+		Model: p.plan.Model, Stream: true, MaxTokens: pairTokens,
+		Messages: []message{{Role: "user", Content: fmt.Sprintf("%s-%d warm first byte", p.run, p.number)}},
+	})
+	ctx, stop := context.WithTimeout(ctx, pairDeadline)
+	defer stop()
+	url := base + "/v1/chat/completions"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, oops.Wrap(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+p.key)
+	req.Header.Set("Content-Type", "application/json")
+	start := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, oops.Wrap(err)
+	}
+	defer resp.Body.Close()
+	first := &firstByte{from: resp.Body}
+	if _, err := io.Copy(io.Discard, first); err != nil {
+		return 0, oops.Wrap(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return 0, oops.Wrap(&PairError{URL: url, Status: resp.StatusCode})
+	}
+	pause(ctx, p.plan.Pause)
+	return first.at.Sub(start), nil
+}
+
+func (p *Paired) print(w io.Writer) {
+	fmt.Fprintf(w, "\nwarm first byte of %s, %d pairs, ms\tp50\tp90\tp99\tp99.9\tmax\t\n", p.Model, p.Requests)
+	for _, row := range []struct {
+		name string
+		q    Quantiles
+	}{{"through entry and agent", p.Through}, {"at the engine " + p.Direct, p.At}, {"added in pairs", p.Added}} {
+		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t\n", row.name, row.q.P50, row.q.P90, row.q.P99, row.q.P999, row.q.Max)
+	}
+	fmt.Fprintf(w, "difference of the percentiles: p50 %.3f ms, p99 %.3f ms; pairs with a longer direct call: %d\n", p.AddedP50, p.AddedP99, p.Negative)
+}
--- /dev/null
+++ b/io/bench/report.go
@@ -0,0 +1,250 @@
+package bench
+
+import (
+	"encoding/json"
+	"math"
+	"os"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/samber/oops"
+
+	"radishwell/core"
+)
+
+// Report is what one run showed.
+type Report struct {
+	Name       string    `json:"name"`
+	Seed       int64     `json:"seed"`
+	Start      time.Time `json:"start"`
+	Seconds    float64   `json:"seconds"`
+	Processors int       `json:"processors"`
+	Entries    []string  `json:"entries"`
+
+	// Sent is the number of requests sent; Fates are what became of them, and
+	// add up to it. Unsent were left out for the tool's own bound.
+	Sent   int            `json:"sent"`
+	Fates  map[string]int `json:"outcomes"`
+	Codes  map[string]int `json:"codes"`
+	Unsent int            `json:"left-out"`
+	// Silent is how many callers were left without an outcome.
+	Silent int `json:"silent"`
+	// Late counts answers later than half a second after the deadline.
+	Late int `json:"late"`
+	// Redials counts connections that an entry refused and that went elsewhere.
+	Redials int `json:"redials"`
+	// NoID and NoRetryAfter count answers without a request id, and refusals
+	// that a later try can pass without a time for it.
+	NoID         int `json:"without-request-id"`
+	NoRetryAfter int `json:"without-retry-after"`
+	// Lag is how late the tool itself sent.
+	Lag Quantiles `json:"tool-lag"`
+
+	Lines     []Line     `json:"lines"`
+	Points    []Point    `json:"points"`
+	Switched  []Switched `json:"faults"`
+	Incidents []incident `json:"incidents"`
+	Held      Held       `json:"accelerators"`
+	Audit     Audit      `json:"audit"`
+	Pair      *Paired    `json:"pair,omitempty"`
+}
+
+// Quantiles are the percentiles of a histogram, in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P99   float64 `json:"p99"`
+	P999  float64 `json:"p99.9"`
+	Max   float64 `json:"max"`
+}
+
+// Line is what was seen of a call, or of a call to one model.
+type Line struct {
+	Call  string         `json:"call"`
+	Model core.ModelName `json:"model,omitempty"`
+	Class core.Class     `json:"class"`
+	Sent  int            `json:"sent"`
+	Late  int            `json:"late"`
+	Fates map[string]int `json:"outcomes"`
+	// Cold counts requests whose model no engine had loaded when they were due;
+	// it is known only where the engines were looked at.
+	Cold int `json:"cold"`
+	// FirstByte and Whole count from the time at which a request should have
+	// been sent, of requests that were done. ColdFirst and WarmFirst split the
+	// first.
+	FirstByte Quantiles `json:"first-byte"`
+	Whole     Quantiles `json:"whole"`
+	ColdFirst Quantiles `json:"cold-first-byte"`
+	WarmFirst Quantiles `json:"warm-first-byte"`
+	// Curve is the distribution of FirstByte, for the plot.
+	Curve []CurvePoint `json:"curve,omitempty"`
+}
+
+// CurvePoint is one point of a distribution: a percentile and its value in
+// milliseconds.
+type CurvePoint struct {
+	Percentile float64 `json:"percentile"`
+	Millis     float64 `json:"ms"`
+}
+
+// Point is a stretch of the run: requests by the time they were due.
+type Point struct {
+	// Second is the beginning, from the start of the load.
+	Second float64        `json:"second"`
+	Width  float64        `json:"width"`
+	Sent   int            `json:"sent"`
+	Fates  map[string]int `json:"outcomes"`
+	P50    float64        `json:"first-byte-p50"`
+	P99    float64        `json:"first-byte-p99"`
+	Max    float64        `json:"first-byte-max"`
+}
+
+// lagWarning is the lag of the tool, at the 99th percentile, above which its
+// figures say more of the tool's machine than of the system.
+const lagWarning = 10 * time.Millisecond
+
+// LagHigh tells that the tool could not keep its own times.
+func (r *Report) LagHigh() bool { return r.Lag.P99 > millis(lagWarning.Microseconds()) }
+
+// Faults lists what must never happen and did, a line each.
+func (r *Report) Faults() []string {
+	var out []string
+	note := func(n int, text string) {
+		if n > 0 {
+			out = append(out, plural(n)+text)
+		}
+	}
+	note(r.Silent, "left without an outcome")
+	note(r.Fates[wrong.String()], "answered with something else than their whole answer")
+	note(r.Audit.RanTwice, "ran more than once")
+	note(r.Audit.RanThoughRefused, "ran though refused as not run")
+	note(r.Audit.DoneWithoutRun, "answered done without a run")
+	note(r.NoID, "answered without a request id")
+	note(r.NoRetryAfter, "refused for the moment without a Retry-After")
+	total := 0
+	for _, n := range r.Fates {
+		total += n
+	}
+	note(r.Sent-total, "without any fate: the balance does not add up")
+	return out
+}
+
+func (r *Report) fill(t *tally, b *Bench) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range b.Entries {
+		r.Entries = append(r.Entries, e.At.String())
+	}
+	r.Sent, r.Unsent, r.Late, r.Redials, r.NoID, r.NoRetryAfter = t.sent, t.unsent, t.late, t.redials, t.noID, t.noRetry
+	r.Fates, r.Codes = fateMap(&t.fates), map[string]int{}
+	for code, n := range t.codes {
+		r.Codes[string(code)] = n
+	}
+	for f := range fateCount {
+		if f.silent() {
+			r.Silent += t.fates[f]
+		}
+	}
+	r.Lag = quantiles(t.lag)
+	for _, key := range t.lineKeys() {
+		r.Lines = append(r.Lines, newReportLine(key, t.lines[key]))
+	}
+	for i, p := range t.buckets {
+		r.Points = append(r.Points, newPoint(i, t.width, p))
+	}
+	for _, one := range t.incidents[:min(len(t.incidents), maxIncidents)] {
+		r.Incidents = append(r.Incidents, newIncident(one, r.Entries))
+	}
+}
+
+func newReportLine(key lineKey, l *line) Line {
+	out := Line{
+		Call: key.call, Model: key.model, Class: l.class, Sent: l.sent, Late: l.late, Fates: fateMap(&l.fates), Cold: l.cold,
+		FirstByte: quantiles(l.first), Whole: quantiles(l.whole), ColdFirst: quantiles(l.frozen), WarmFirst: quantiles(l.warm),
+	}
+	if key.model == "" {
+		out.Curve = curve(l.first)
+	}
+	return out
+}
+
+func newPoint(i int, width time.Duration, b *bucket) Point {
+	return Point{
+		Second: float64(i) * width.Seconds(), Width: width.Seconds(), Sent: b.sent, Fates: fateMap(&b.fates),
+		P50: millis(b.first.ValueAtQuantile(50)), P99: millis(b.first.ValueAtQuantile(99)), Max: millis(b.first.Max()),
+	}
+}
+
+func newIncident(r result, entries []string) incident {
+	out := incident{
+		At: r.shot.at, Fate: r.fate.String(), Call: r.shot.call.Name, Model: r.shot.model,
+		ID: r.id, Note: r.note, Entry: entries[r.entry], After: r.end.Sub(r.shot.at).Round(time.Millisecond).String(),
+	}
+	if r.fate <= mayHaveRun {
+		out.Note = "late " + string(r.code)
+	}
+	return out
+}
+
+func fateMap(f *[fateCount]int) map[string]int {
+	out := map[string]int{}
+	for i, n := range f {
+		if n > 0 {
+			out[fate(i).String()] = n
+		}
+	}
+	return out
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	return Quantiles{
+		Count: h.TotalCount(), Mean: round(h.Mean() / 1000), P50: millis(h.ValueAtQuantile(50)), P90: millis(h.ValueAtQuantile(90)),
+		P99: millis(h.ValueAtQuantile(99)), P999: millis(h.ValueAtQuantile(99.9)), Max: millis(h.Max()),
+	}
+}
+
+// curve samples a distribution ever more finely towards its tail.
+func curve(h *hdrhistogram.Histogram) []CurvePoint {
+	if h.TotalCount() == 0 {
+		return nil
+	}
+	var out []CurvePoint
+	for step := 0; ; step++ {
+		p := 100 * (1 - math.Pow(10, -float64(step)/8))
+		if (100-p)/100*float64(h.TotalCount()) < 1 {
+			return append(out, CurvePoint{p, millis(h.Max())})
+		}
+		out = append(out, CurvePoint{p, millis(h.ValueAtQuantile(p))})
+	}
+}
+
+func millis(micros int64) float64 { return float64(micros) / 1000 }
+
+func round(v float64) float64 { return math.Round(v*1000) / 1000 }
+
+// Write writes the report as JSON.
+func (r *Report) Write(path string) error {
+	raw, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return oops.Wrap(err)
+	}
+	return oops.In("bench").Wrapf(os.WriteFile(path, append(raw, '\n'), 0o644), "write report")
+}
+
+// Read reads a report that Write wrote.
+func Read(path string) (*Report, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, oops.In("bench").Wrapf(err, "read report")
+	}
+	var r Report
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return nil, oops.In("bench").With("file", path).Wrapf(err, "read report")
+	}
+	return &r, nil
+}
+
+// AllDone tells that every request was sent and done.
+func (r *Report) AllDone() bool { return r.Fates[done.String()] == r.Sent && r.Unsent == 0 }
--- a/io/cmds/radishwell.go
+++ b/io/cmds/radishwell.go
@@ -26,6 +26,7 @@
 	Check   checkCommand     `cmd:"" help:"Validate settings and catalogue files: file, line, key and reason of every problem."`
 	Keys    keysCommand      `cmd:"" help:"Make an authority and certificates for own processes, for trials."`
 	Demo    demoCommand      `cmd:"" help:"Run the whole path in one process on embedded stand-ins."`
+	Bench   benchCommand     `cmd:"" help:"Drive load at a running system and report what callers got."`
 	Replay  replayCommand    `cmd:"" help:"Replay generated weeks against policies of keeping models loaded: waits and idle hours."`
 	Explain explainCommand   `cmd:"" help:"Ask running processes why: a request's way, where a model is, how a host stands."`
 	Version kong.VersionFlag `help:"Print the version and exit." short:"v"`
