--- a/io/entry/fault_test.go
+++ b/io/entry/fault_test.go
@@ -38,6 +38,7 @@
 // engine has gone on writing, which its report shows; the agent reads the rest
 // on a new connection, and not a word is missing or doubled.
 func TestSilentEngineConnection(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	h := f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 20 * time.Millisecond})
 	url := f.entryHost()
@@ -55,6 +56,7 @@
 // over them, as when a switch restarts. The agent still has the answers; the
 // entry reads each on at its offset, and callers notice nothing.
 func TestCutBetweenEntryAndAgent(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	h := f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 20 * time.Millisecond, Batch: 64})
 	url := f.entryHost()
@@ -77,6 +79,7 @@
 // Here hundreds of marked requests share a few connections, some slow and some
 // quick, and each caller must get its own mark only.
 func TestAnswersNeverCross(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: time.Millisecond, Batch: 256})
 	f.engineHost("up-2", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 3 * time.Millisecond, Batch: 256})
@@ -97,6 +100,7 @@
 // A caller closes its laptop in the middle of an answer. Nobody reads it any
 // more, and an engine that goes on writing burns an accelerator for nobody.
 func TestCancelReachesEngine(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	h := f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 50 * time.Millisecond})
 	url := f.entryHost()
@@ -128,6 +132,7 @@
 // again through other entries. Engines are lost to it until it is recognised,
 // and a fleet of sixteen must not lose more than three.
 func TestCrashingRequest(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	var crashes int
 	for i := range 16 {
@@ -162,6 +167,7 @@
 // A pallet order is sent twice under one key, through two entries at once. It
 // must be run once, and both callers get the same whole answer.
 func TestKeyThroughTwoEntries(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	h := f.plainHost("up-1")
 	setFaults(t, h, map[string]int{"delay": 100})
@@ -185,6 +191,7 @@
 // call has no key and may not be repeated, so nobody may send it again, and the
 // caller is told that it may have run.
 func TestLostAnswerIsNotRepeated(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	h := f.plainHost("up-1")
 	f.plainHost("up-2")
--- a/io/entry/fixture_test.go
+++ b/io/entry/fixture_test.go
@@ -60,6 +60,14 @@
 kind: adapters
 name: alpha-dues
 spec: {owner: guild, base: alpha, class: interactive, memory: 64MiB}
+---
+kind: models
+name: large
+spec: {owner: guild, service: pool, class: interactive, memory: 4GiB, limits: {replicas: 2}}
+---
+kind: models
+name: huge
+spec: {owner: guild, service: pool, class: interactive, memory: 64GiB, limits: {replicas: 2}}
 `
 
 type realClock struct{}
@@ -83,6 +91,8 @@
 	agent  *agent.Agent
 	engine *llmsrv.Server
 	plain  *plain.Server
+	// unsure makes the host's grants uncertain, as in a platform outage.
+	unsure atomic.Bool
 	// upstream is where the stand-in's own interface is reached.
 	upstream string
 	work     *httptest.Server
@@ -134,7 +144,7 @@
 	h.agent = &agent.Agent{
 		Host: name, Service: service, Plain: isPlain, Incarnation: core.Incarnation(rand.Uint64()), Engine: client,
 		Clock: realClock{}, Meter: meter.New(), Snapshot: f.snapshot, KeptAnswers: core.MiB,
-		Grant:   func(core.ModelName) (core.GrantState, bool) { return core.GrantActive, true },
+		Grant:   func(core.ModelName) (core.GrantState, bool) { return core.GrantActive, !h.unsure.Load() },
 		Release: func(context.Context, core.ModelName) error { return nil },
 		Revoked: func() []core.ModelName { return nil },
 		Spread:  f.spread, Agents: func() int { return 1 }, Rand: rand.New(rand.NewPCG(2, 2)),
--- /dev/null
+++ b/io/entry/host_test.go
@@ -0,0 +1,113 @@
+package entry_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"radishwell/core"
+	"radishwell/io/fakes/llmsrv"
+)
+
+func loaded(h *host) map[core.ModelName]bool {
+	out := map[core.ModelName]bool{}
+	for _, i := range h.engine.State().Items {
+		out[i.Name] = i.State == core.Loaded
+	}
+	return out
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// An agent has been restarted while the platform is out. A peer's copy of the
+// grants may be older than a release that its predecessor made, so it must not
+// load on it; but what its engine holds was granted and goes on being served.
+func TestUncertainGrantsServeWhatIsLoaded(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	h := f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads})
+	url := f.entryHost()
+	assertDone(t, chat(t, url, "alpha", "before", false, 1))
+	h.unsure.Store(true)
+	assertDone(t, chat(t, url, "alpha", "after", false, 1))
+	assertRefused(t, chat(t, url, "large", "cold", false, 1), core.CodeNotGranted, core.NotRun)
+	assert.Assert(t, !loaded(h)["large"])
+}
+
+func TestIdleModelMakesRoom(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	h := f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads})
+	url := f.entryHost()
+	assertDone(t, chat(t, url, "alpha-dues", "small", false, 1))
+	assertDone(t, chat(t, url, "large", "big", false, 1))
+	assert.DeepEqual(t, loaded(h), map[core.ModelName]bool{"large": true})
+}
+
+// A fitter's check runs on a model while another model is asked for that would
+// need its memory. The running request must not lose its model; the other one is
+// told that there is no room.
+func TestModelInUseIsNotEvicted(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 30 * time.Millisecond})
+	url := f.entryHost()
+	var running sync.WaitGroup
+	running.Go(func() { assertDone(t, chat(t, url, "alpha", "long", true, 200)) })
+	time.Sleep(300 * time.Millisecond)
+	assertRefused(t, chat(t, url, "large", "big", false, 1), core.CodeNoMemory, core.NotRun)
+	running.Wait()
+	assertDone(t, chat(t, url, "large", "big", false, 1))
+}
+
+func TestModelThatNeverFits(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads})
+	assertRefused(t, chat(t, f.entryHost(), "huge", "x", false, 1), core.CodeNoMemory, core.NotRun)
+}
+
+// An operator restarts an agent in the middle of a session. What runs goes on to
+// its end, what comes meanwhile goes to another host, and no caller sees a
+// failure.
+func TestLeavingCutsNothing(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	for _, name := range []core.HostName{"up-1", "up-2"} {
+		f.engineHost(name, &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 10 * time.Millisecond, Batch: 64})
+	}
+	url := f.entryHost()
+	var all sync.WaitGroup
+	for range 10 {
+		all.Go(func() { assertDone(t, chat(t, url, "alpha", "session", true, 60)) })
+	}
+	time.Sleep(200 * time.Millisecond)
+	left := f.agents["up-1"]
+	left.agent.Leave()
+	for range 10 {
+		all.Go(func() { assertDone(t, chat(t, url, "alpha", "later", false, 5)) })
+	}
+	all.Wait()
+	waitFor(t, "the agent is not idle", left.agent.Idle)
+}
+
+func TestIdleModelIsUnloaded(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	h := f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads})
+	assertDone(t, chat(t, f.entryHost(), "alpha", "once", false, 1))
+	// The load took a millisecond, so idling for more than a fraction of a second
+	// costs more than another would.
+	waitFor(t, "the model is still loaded", func() bool { return !loaded(h)["alpha"] })
+}
--- a/io/entry/journal_test.go
+++ b/io/entry/journal_test.go
@@ -72,6 +72,7 @@
 // The same key is claimed through several entries at once. Exactly one sending
 // may win, and all others must be told whose claim it is.
 func TestOneClaimWins(t *testing.T) {
+	t.Parallel()
 	list := journals(t, 3)
 	answers := make([]claims.Answer, 24)
 	var all sync.WaitGroup
@@ -91,6 +92,7 @@
 }
 
 func TestManyClaims(t *testing.T) {
+	t.Parallel()
 	list := journals(t, 2)
 	began := time.Now()
 	var all sync.WaitGroup
--- a/io/entry/path_test.go
+++ b/io/entry/path_test.go
@@ -13,6 +13,7 @@
 )
 
 func TestColdRequest(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.engineHost("up-1", &llmsrv.Server{LoadTimes: [3]time.Duration{time.Millisecond, time.Millisecond, 20 * time.Millisecond}})
 	url := f.entryHost()
@@ -36,6 +37,7 @@
 }
 
 func TestPlainService(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	h := f.plainHost("up-1")
 	url := f.entryHost()
--- a/io/entry/steps_test.go
+++ b/io/entry/steps_test.go
@@ -122,6 +122,7 @@
 // A fault at each step of a request's way in turn: the caller must get its
 // answer or an honest refusal, and "not run" only where nothing ran.
 func TestFaultAtEachStep(t *testing.T) {
+	t.Parallel()
 	for _, w := range ways {
 		t.Run(strings.ReplaceAll(w.step+"/"+w.fault, " ", "-"), func(t *testing.T) {
 			t.Parallel()
