--- a/core/claims/journal.go
+++ b/core/claims/journal.go
@@ -37,8 +37,9 @@
 	// Number is the journal's, from 0.
 	Number int
 	// Slots is the number of segments in the ring, and SegmentBytes the size at
-	// which a segment is closed. Both bound the journal: all entries must agree
-	// on Slots. SegmentBytes must be well below the platform's limit for values.
+	// which a segment is closed. Both bound the journal. All entries must agree
+	// on Slots; one that doesn't is refused all claims. SegmentBytes must be well
+	// below the platform's limit for values.
 	Slots        int
 	SegmentBytes core.Bytes
 	// MaxWaiting bounds the claims that wait; more are refused at once.
@@ -197,6 +198,9 @@
 	return n
 }
 
+// Ready tells that the journal has been read whole and its segments fit.
+func (j *Journal) Ready() bool { return j.checked }
+
 // Keys returns the number of keys remembered.
 func (j *Journal) Keys() int { return len(j.index.entries) }
 
--- a/core/dedupe/table_test.go
+++ b/core/dedupe/table_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -111,6 +112,14 @@
 	assertRefused(t, table.Attach(start, c), core.CodeKeyReused, core.NotRun)
 }
 
+// An attempt arrives late and sealed. To call it just late would say "not run"
+// of a request that the sealer may have run meanwhile.
+func TestSealedThenLate(t *testing.T) {
+	table := newTable()
+	table.Seal(start, call("k", 1))
+	assertRefused(t, table.Begin(start.Add(time.Minute), call("k", 1)), core.CodeSealed, core.NotRun)
+}
+
 func TestDeadlinePassed(t *testing.T) {
 	table := newTable()
 	assertRefused(t, table.Begin(start.Add(time.Minute), call("k", 1)), core.CodeDeadline, core.NotRun)
@@ -239,3 +248,28 @@
 		table.Finish(now, c.ID, 1, End{})
 	}
 }
+
+// BenchmarkRecords measures the memory that a remembered key takes at an agent,
+// without its answer.
+func BenchmarkRecords(b *testing.B) {
+	for b.Loop() {
+		const keys = 200_000
+		table := &Table{Incarnation: 5, MaxBytes: core.MiB, MaxRecords: keys}
+		before := heapInUse()
+		for i := range keys {
+			c := call("k", 1)
+			c.ID = KeyOf("owner", fmt.Sprint(i))
+			table.Begin(start, c)
+			table.Finish(start, c.ID, 1, End{})
+		}
+		b.ReportMetric(float64(heapInUse()-before)/keys, "B/key")
+		runtime.KeepAlive(table)
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/core/ledger/order.go
+++ b/core/ledger/order.go
@@ -111,10 +111,11 @@
 	return Order{Kind: UnloadItem, Unload: core.UnloadOrder{Name: barrierName, Fence: l.nextFence()}}
 }
 
-// raisable reports that a lost order would be ruled out by a larger number.
+// raisable reports that a lost order would be ruled out by a larger number, and
+// that the engine hasn't taken one yet.
 func (l *Ledger) raisable() bool {
-	for _, g := range l.ghosts {
-		if g.fence == l.fence {
+	for _, g := range l.lost {
+		if l.taken <= g.fence {
 			return true
 		}
 	}
@@ -172,7 +173,7 @@
 		return
 	}
 	if r.Failed && r.Fault == core.EngineLost {
-		l.ghosts = append(l.ghosts, ghost{
+		l.lost = append(l.lost, lostOrder{
 			name: o.name(), load: o.Kind == LoadItem, fence: o.fence(), until: now.Add(Settle),
 		})
 	}
--- a/core/place/owner.go
+++ b/core/place/owner.go
@@ -47,27 +47,28 @@
 	before := p.owner(m.use.owner)
 	p.withdraw(m)
 	m.use = p.useOf(m)
+	p.balanced = false
 	o := p.owner(m.use.owner)
 	o.names[m.name] = true
-	o.used += m.use.each * core.Bytes(len(m.use.hosts))
+	o.used += m.use.each * core.Bytes(m.use.count)
 	if m.use.sealed {
 		o.sealed++
 	}
 	for _, id := range m.use.hosts {
-		p.load[id.Host] += m.use.each
+		p.addLoad(id.Host, m.use.each)
 		if p.holding[id.Host] == nil {
 			p.holding[id.Host] = set{}
 		}
 		p.holding[id.Host][m.name] = true
 	}
-	p.wake(o)
+	p.recheck(o)
 	if before != o {
-		p.wake(before)
+		p.recheck(before)
 	}
 }
 
-// wake looks again at models that wait for room within the owner's limit.
-func (p *Planner) wake(o *owner) {
+// recheck looks again at models that wait for room within the owner's limit.
+func (p *Planner) recheck(o *owner) {
 	if o.limit == 0 || !o.sealing && o.used >= o.limit {
 		return
 	}
@@ -81,12 +82,12 @@
 func (p *Planner) withdraw(m *model) {
 	o := p.owner(m.use.owner)
 	delete(o.names, m.name)
-	o.used -= m.use.each * core.Bytes(len(m.use.hosts))
+	o.used -= m.use.each * core.Bytes(m.use.count)
 	if m.use.sealed {
 		o.sealed--
 	}
 	for _, id := range m.use.hosts {
-		p.load[id.Host] -= m.use.each
+		p.addLoad(id.Host, -m.use.each)
 		delete(p.holding[id.Host], m.name)
 	}
 }
@@ -102,9 +103,14 @@
 	}
 	u.sealed = m.version != 0 && !m.deleted && m.spec.Fence == p.fence
 	u.hosts = appendHolders(nil, m.spec.Holders)
+	u.count = len(m.spec.Holders)
+	// At most one of the pending writes can have an effect: their condition is
+	// the same version.
 	for _, s := range m.pending {
 		u.each = max(u.each, s.Memory)
+		u.count = max(u.count, len(s.Holders))
 		u.hosts = appendHolders(u.hosts, s.Holders)
+		u.owner = cmp.Or(u.owner, s.Owner)
 	}
 	return u
 }
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -15,8 +15,9 @@
 	hosts  map[core.HostName]*Host
 	gone   map[HostID]bool
 	owners map[core.OwnerName]*owner
-	// load is the granted memory of each host.
+	// load is the granted memory of each host, total that of each service.
 	load     map[core.HostName]core.Bytes
+	total    map[core.ServiceName]core.Bytes
 	services map[core.ServiceName]map[core.HostName]bool
 	copies   map[core.HostName]map[core.ModelName]core.Tier
 	holding  map[core.HostName]map[core.ModelName]bool
@@ -25,10 +26,15 @@
 	dirty set
 	// short are models with fewer active holders than wanted: a new host may
 	// serve them.
-	short   set
-	sinking set
-	fence   core.Fence
-	listed  bool
+	short    set
+	lowering set
+	fence    core.Fence
+	listed   bool
+
+	// balanced tells that nothing has changed since no grant was found to move
+	// for balance; shiftAt is when the next may.
+	balanced bool
+	shiftAt  time.Time
 }
 
 // model is all that is known of one name.
@@ -50,11 +56,13 @@
 	pending []core.GrantSpec
 	out     bool
 
-	need   float64
-	level  int
-	sinkAt time.Time
+	need    float64
+	level   int
+	lowerAt time.Time
 	// cap is the most holders that the owner's memory limit leaves.
 	cap int
+	// shift is a move for balance that is under way.
+	shift *shift
 	// use is what the model adds to the sums.
 	use use
 }
@@ -62,8 +70,11 @@
 // use is what a model's holders, those of pending writes included, add to the
 // sums of its owner and of the hosts.
 type use struct {
-	owner  core.OwnerName
+	owner core.OwnerName
+	// each is what one holder takes, count the most holders there may be, hosts
+	// all that may be among them.
 	each   core.Bytes
+	count  int
 	hosts  []HostID
 	sealed bool
 }
@@ -79,13 +90,14 @@
 	p.gone = map[HostID]bool{}
 	p.owners = map[core.OwnerName]*owner{}
 	p.load = map[core.HostName]core.Bytes{}
+	p.total = map[core.ServiceName]core.Bytes{}
 	p.services = map[core.ServiceName]map[core.HostName]bool{}
 	p.copies = map[core.HostName]map[core.ModelName]core.Tier{}
 	p.holding = map[core.HostName]map[core.ModelName]bool{}
 	p.adapters = map[core.ModelName]map[core.ModelName]bool{}
 	p.dirty = set{}
 	p.short = set{}
-	p.sinking = set{}
+	p.lowering = set{}
 }
 
 func (p *Planner) model(name core.ModelName) *model {
@@ -117,7 +129,7 @@
 	m.entry = &e
 	p.link(m)
 	p.touch(m)
-	p.touchAdapters(e.Name)
+	p.accountAdapters(e.Name)
 }
 
 // DropEntry tells that an entry was deleted in the catalogue at version v.
@@ -131,7 +143,7 @@
 	m.entry = nil
 	p.link(m)
 	p.touch(m)
-	p.touchAdapters(name)
+	p.accountAdapters(name)
 }
 
 func (p *Planner) unlink(m *model) {
@@ -170,17 +182,34 @@
 		// A host's name carries one object at a time: the old life is over.
 		p.Gone(HostID{old.Name, old.UID})
 	}
-	if old != nil && old.Service != h.Service {
-		delete(p.service(old.Service), h.Name)
-	}
+	p.remove(h.Name)
 	p.hosts[h.Name] = &h
 	p.service(h.Service)[h.Name] = true
+	p.total[h.Service] += p.load[h.Name]
 	p.touchHost(h.Name)
+	p.balanced = false
 	for name := range p.short {
 		p.dirty[name] = true
 	}
 }
 
+func (p *Planner) remove(name core.HostName) {
+	h := p.hosts[name]
+	if h == nil {
+		return
+	}
+	delete(p.hosts, name)
+	delete(p.service(h.Service), name)
+	p.total[h.Service] -= p.load[name]
+}
+
+func (p *Planner) addLoad(name core.HostName, b core.Bytes) {
+	p.load[name] += b
+	if h := p.hosts[name]; h != nil {
+		p.total[h.Service] += b
+	}
+}
+
 // Gone tells that the platform no longer lists this life of a host: a deletion
 // was seen, or a read of the host found nothing or another UID. It is the only
 // proof other than a release on which a holder is removed. A host that is
@@ -189,9 +218,9 @@
 func (p *Planner) Gone(id HostID) {
 	p.init()
 	p.gone[id] = true
+	p.balanced = false
 	if h := p.hosts[id.Host]; h != nil && h.UID == id.UID {
-		delete(p.hosts, id.Host)
-		delete(p.service(h.Service), id.Host)
+		p.remove(id.Host)
 		delete(p.copies, id.Host)
 	}
 	p.touchHost(id.Host)
@@ -260,9 +289,9 @@
 }
 
 func (p *Planner) setGrant(m *model, spec core.GrantSpec, v core.Version, deleted bool) {
-	// No write conditional on an older version can have an effect any more.
-	// A create may still, after a deletion.
-	if !deleted {
+	// No write conditional on an older version can have an effect any more; but
+	// a create may still, after a deletion that was seen before the creation.
+	if !deleted || m.condition() != 0 {
 		m.pending = nil
 	}
 	m.out = false
@@ -314,6 +343,17 @@
 	}
 }
 
+// accountAdapters follows a change of the base's entry: an adapter takes memory
+// on as many accelerators as its base.
+func (p *Planner) accountAdapters(base core.ModelName) {
+	for name := range p.adapters[base] {
+		m := p.models[name]
+		p.account(m)
+		p.owner(m.use.owner).stale = true
+		p.touch(m)
+	}
+}
+
 func (p *Planner) touchHost(host core.HostName) {
 	for name := range p.holding[host] {
 		p.dirty[name] = true
--- a/core/place/rank.go
+++ b/core/place/rank.go
@@ -25,6 +25,9 @@
 // over racks, near a copy of the checkpoint; and last by rendezvous hash, so
 // that a change of one host changes the choice for its share of models only.
 func (d *draft) best() *Host {
+	if s := d.m.shift; s != nil && !d.named(s.to) {
+		return d.p.hosts[s.to]
+	}
 	var found *candidate
 	bound := d.bound()
 	for _, h := range d.hosts() {
@@ -80,10 +83,7 @@
 	if len(names) == 0 {
 		return 0
 	}
-	sum := d.p.replica(d.m.entry)
-	for name := range names {
-		sum += d.p.load[name]
-	}
+	sum := d.p.replica(d.m.entry) + d.p.total[d.m.entry.Service]
 	return core.Bytes(Bound * float64(sum) / float64(len(names)))
 }
 
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -150,6 +150,17 @@
 		assert.Assert(t, !ok)
 		assert.Equal(t, len(q.Expire(t0.Add(time.Hour))), 0)
 	})
+	t.Run("on its turn, when it would end too late", func(t *testing.T) {
+		q := &queue.Queue{}
+		mustPush(t, q, t0, item("a", core.Evening, "a", time.Minute))
+		mustPush(t, q, t0, item("b", core.Evening, "a", 2*time.Minute))
+		wantPops(t, q, t0, "a")
+		now := t0.Add(100 * time.Second)
+		q.Finish(now, "a", queue.Served)
+		_, ok := q.Pop(now, always)
+		assert.Assert(t, !ok, "it takes 100 s and has 20")
+		wantRefusal(t, q.Expire(now)[0].Refusal, core.CodeWaitTooLong)
+	})
 	t.Run("passed on arrival", func(t *testing.T) {
 		q := &queue.Queue{}
 		wantRefusal(t, q.Push(t0, item("a", core.Evening, "a", 0)).Refusal, core.CodeDeadline)
@@ -162,6 +173,38 @@
 	})
 }
 
+// A lane that drains 20 requests a second loses its model and waits 20 s for a
+// load. Right after it, a request with some patience must not be refused: the
+// load is over, and the lane is as fast as before.
+func TestLoadsDoNotSlowTheLane(t *testing.T) {
+	for _, end := range []queue.End{queue.Served, queue.ServedCold} {
+		q := &queue.Queue{}
+		now, n := t0, 0
+		push := func(count int) {
+			for range count {
+				n++
+				mustPush(t, q, now, item(fmt.Sprint(n), core.Evening, "a", now.Sub(t0)+time.Minute))
+			}
+		}
+		serve := func(count int, end queue.End) {
+			for range count {
+				i, ok := q.PopLane(now, "m", 1)
+				assert.Assert(t, ok)
+				now = now.Add(50 * time.Millisecond)
+				q.Finish(now, i.ID, end)
+			}
+		}
+		push(50)
+		serve(50, queue.Served)
+		push(10)
+		now = now.Add(20 * time.Second)
+		push(10)
+		serve(2, end)
+		push(10)
+		mustPush(t, q, now, item("patient", core.Evening, "a", now.Sub(t0)+3*time.Second))
+	}
+}
+
 func TestFull(t *testing.T) {
 	t.Run("more urgent displaces overnight", func(t *testing.T) {
 		q := &queue.Queue{Items: 2}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -10,10 +11,14 @@
 	"radishwell/core/dedupe"
 	"radishwell/core/ledger"
 	"radishwell/core/queue"
+	"radishwell/core/slots"
 	"radishwell/core/strike"
+	"radishwell/core/warm"
 	"radishwell/io/events"
+	"radishwell/io/loop"
 	"radishwell/io/meter"
 	"radishwell/io/spans"
+	"radishwell/wire"
 )
 
 const (
@@ -52,6 +57,15 @@
 	Revoked func() []core.ModelName
 	// Spread sends strikes to peers at once.
 	Spread func([]strike.Record)
+	// Slot asks the deciding entry for leave to read from the weight store. Store
+	// holds the store's limits, Agents counts the agents that share them.
+	Slot   func(context.Context, *wire.SlotCall) (*wire.SlotReply, error)
+	Store  Store
+	Agents func() int
+	// Worth is what a caller's second of waiting is worth.
+	Worth warm.Worth
+	// Rand is the source of jitter.
+	Rand *rand.Rand
 	// KeptAnswers bounds the memory for answers of keyed requests.
 	KeptAnswers core.Bytes
 
@@ -74,6 +88,15 @@
 	crashed uint64
 	leaving bool
 	swept   time.Time
+	warm    warm.Policy
+	slots   map[core.ModelName]*slot
+	// ownModels and ownAdapters are this agent's shares of the store's limits
+	// while the decider does not answer.
+	ownModels   slots.Local
+	ownAdapters slots.Local
+	slotAlarm   chan struct{}
+	looked      time.Time
+	prewarmed   time.Time
 	// orders wakes the goroutine that drives the engine, alarm the one that
 	// waits for deadlines.
 	orders chan struct{}
@@ -88,6 +111,7 @@
 func (a *Agent) Init(ctx context.Context) {
 	a.base = ctx
 	a.table = dedupe.Table{Incarnation: a.Incarnation, MaxBytes: a.KeptAnswers, MaxRecords: maxRecords}
+	a.queue = queue.Queue{Shared: !a.Plain}
 	a.book = strike.Book{Self: a.Host, MaxRecords: maxStrikes}
 	a.gate = strike.Gate{Book: &a.book}
 	a.ledger = ledger.Ledger{Started: a.Clock.Now()}
@@ -97,6 +121,20 @@
 	a.orders = make(chan struct{}, 1)
 	a.alarm = make(chan struct{}, 1)
 	a.ready = make(chan struct{})
+	a.slotAlarm = make(chan struct{}, 1)
+	a.slots = map[core.ModelName]*slot{}
+	a.warm = warm.Policy{Worth: a.Worth}
+	a.ownModels = slots.Local{Rate: a.Store.Starts, Parallel: a.Store.Parallel, Random: a.Rand}
+	a.ownAdapters = slots.Local{Parallel: a.Store.Adapters, Random: a.Rand}
+}
+
+// Store holds the weight store's limits for the whole fleet.
+type Store struct {
+	// Starts is the loads of models it starts a second, Parallel the transfers at
+	// full speed, Adapters those of adapters.
+	Starts   float64
+	Parallel int
+	Adapters int
 }
 
 // Ready is closed once the upstream has been reached.
@@ -107,12 +145,16 @@
 func (a *Agent) Run(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	ended := make(chan error, 2)
-	go func() { ended <- a.drive(ctx) }()
-	go func() { ended <- a.watchDeadlines(ctx) }()
+	loops := []func(context.Context) error{a.drive, a.watchDeadlines, a.askSlots}
+	ended := make(chan error, len(loops))
+	for _, loop := range loops {
+		go func() { ended <- loop(ctx) }()
+	}
 	err := <-ended
 	stop()
-	<-ended
+	for range loops[1:] {
+		<-ended
+	}
 	a.work.Wait()
 	return err
 }
@@ -125,41 +167,20 @@
 	return "another agent orders the engine of host " + string(e.Host)
 }
 
-// poke wakes a loop that waits on a channel of capacity one.
-func poke(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
 // tick is the longest time between two looks at the queue.
 const tick = time.Second
 
 // watchDeadlines ends waiting requests whose time has run out, and runs whose
 // readers have gone.
 func (a *Agent) watchDeadlines(ctx context.Context) error {
-	timer := time.NewTimer(tick)
-	defer timer.Stop()
-	for {
-		now := a.Clock.Now()
+	return loop.Run(ctx, a.Clock, a.alarm, tick, func(now time.Time) time.Time {
 		a.mu.Lock()
+		defer a.mu.Unlock()
 		a.schedule(now)
 		a.sweep(now)
-		next := a.queue.Next()
-		a.mu.Unlock()
-		wait := tick
-		if !next.IsZero() {
-			wait = min(tick, max(time.Millisecond, next.Sub(now)))
-		}
-		timer.Reset(wait)
-		select {
-		case <-timer.C:
-		case <-a.alarm:
-		case <-ctx.Done():
-			return nil
-		}
-	}
+		a.look(now)
+		return a.queue.Next()
+	})
 }
 
 // Leave stops the taking of new work: what waits is refused at once, so that
--- a/io/agent/drive.go
+++ b/io/agent/drive.go
@@ -9,6 +9,7 @@
 	"radishwell/core/ledger"
 	"radishwell/core/strike"
 	"radishwell/io/events"
+	"radishwell/io/loop"
 )
 
 const (
@@ -82,11 +83,9 @@
 	a.schedule(now)
 }
 
-// noteReached keeps whether the upstream answers at all. A plain service that
-// answers with any status is there.
+// noteReached keeps whether the upstream answers at all.
 func (a *Agent) noteReached(err error) {
-	var fault *core.EngineError
-	reached := err == nil || a.Plain && errors.As(err, &fault) && fault.Fault == core.EngineRejected
+	reached := err == nil
 	if reached {
 		a.once.Do(func() { close(a.ready) })
 	}
@@ -116,7 +115,7 @@
 			a.end(r, now, a.unreached(now))
 		}
 	}
-	poke(a.orders)
+	loop.Poke(a.orders)
 }
 
 func (a *Agent) unreached(now time.Time) *core.Refusal {
@@ -146,6 +145,7 @@
 		case core.Loading:
 			a.Meter.Load(a.tier(name), false, was.Since, now)
 			events.Log(events.LoadFailed, "model", name, "host", a.Host)
+			a.endSlot(now, name, false)
 			a.loadFailed(now, name)
 		case core.Unloading:
 			events.Log(events.Unloaded, "model", name, "host", a.Host)
@@ -159,6 +159,9 @@
 		since = now
 	}
 	a.Meter.Load(a.tier(i.Name), true, since, now)
+	a.learn(i.Name)
+	a.warm.Loaded(i.Name, now.Sub(since))
+	a.endSlot(now, i.Name, true)
 	events.Log(events.LoadFinished, "model", i.Name, "host", a.Host, "took", now.Sub(since).String())
 }
 
@@ -286,7 +289,7 @@
 		gone := a.ledger.Unload(now, name) && a.ledger.Clear(name)
 		a.mu.Unlock()
 		if !gone {
-			poke(a.orders)
+			loop.Poke(a.orders)
 			continue
 		}
 		if err := a.Release(ctx, name); err == nil {
--- a/io/agent/take.go
+++ b/io/agent/take.go
@@ -6,6 +6,7 @@
 	"radishwell/core"
 	"radishwell/core/dedupe"
 	"radishwell/core/queue"
+	"radishwell/io/loop"
 	"radishwell/io/relay"
 	"radishwell/wire"
 )
@@ -34,7 +35,7 @@
 		return c
 	}
 	c.ID = dedupe.KeyOf("", h.GetRequestId())
-	c.Attempt = 1
+	c.Attempt = max(1, h.GetHandOver())
 	c.Expires = c.Deadline.Add(recordGrace)
 	if c.Incarnation == 0 {
 		c.Incarnation = a.Incarnation
@@ -150,7 +151,7 @@
 		return
 	}
 	a.schedule(now)
-	poke(a.alarm)
+	loop.Poke(a.alarm)
 }
 
 // refused ends a run that the queue has given up.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -11,10 +11,12 @@
 	"radishwell/core/admit"
 	"radishwell/core/catlog"
 	"radishwell/core/claims"
+	"radishwell/core/member"
 	"radishwell/core/queue"
 	"radishwell/core/retry"
 	"radishwell/core/route"
 	"radishwell/core/strike"
+	"radishwell/io/loop"
 	"radishwell/io/meter"
 	"radishwell/io/spans"
 	"radishwell/wire"
@@ -23,6 +25,8 @@
 const (
 	// maxStrikes bounds the strikes known.
 	maxStrikes = 10_000
+	// maxProven bounds the requests remembered as ending well.
+	maxProven = 50_000
 	// leastWindow is the least number of requests that an entry has in progress
 	// for one target: what waits behind it is ordered here, by all of the
 	// entry's classes and owners, and not at a single host.
@@ -59,7 +63,7 @@
 	// Share is this entry's part of the limits.
 	Share func() admit.Share
 	// Noted tells membership how contact with a host went.
-	Noted func(host core.HostName, ok bool, incarnation core.Incarnation, leaving bool)
+	Noted func(member.Contact)
 	// Probe asks a host for its load, Seal what became of an attempt.
 	Probe func(ctx context.Context, h Host, names []core.ModelName) (*wire.HostLoad, error)
 	Seal  func(ctx context.Context, h Host, c *wire.SealCall) (*wire.SealReply, error)
@@ -70,6 +74,8 @@
 	Relay  *Relay
 	// Spread sends strikes to peers at once.
 	Spread func([]strike.Record)
+	// Tell sends strikes to one host.
+	Tell func(core.HostName, []strike.Record)
 
 	mu        sync.Mutex
 	admit     admit.Admit
@@ -77,16 +83,15 @@
 	router    route.Router
 	budgets   retry.Budgets
 	book      strike.Book
+	copies    strike.Copies
 	hosts     map[core.HostName]*hostState
 	turns     map[core.RequestID]*turn
 	lanes     map[string]*lane
-	held      []*turn
 	costs     map[core.ModelName]*[3]time.Duration
 	trails    trails
 	trailLock sync.Mutex
 	alarm     chan struct{}
 	calls     sync.WaitGroup
-	closing   bool
 }
 
 // lane is the requests of one target at this entry.
@@ -108,6 +113,8 @@
 func (e *Entry) Init() {
 	e.router = route.Router{Seed: e.Rand.Uint64()}
 	e.book = strike.Book{Self: e.Name, MaxRecords: maxStrikes}
+	e.queue = queue.Queue{May: e.may}
+	e.copies = strike.Copies{MaxProven: maxProven}
 	e.hosts = map[core.HostName]*hostState{}
 	e.turns = map[core.RequestID]*turn{}
 	e.lanes = map[string]*lane{}
@@ -117,26 +124,12 @@
 
 // Run ends waiting requests at their time until the context ends.
 func (e *Entry) Run(ctx context.Context) error {
-	timer := time.NewTimer(tick)
-	defer timer.Stop()
-	for {
-		now := e.Clock.Now()
+	return loop.Run(ctx, e.Clock, e.alarm, tick, func(now time.Time) time.Time {
 		e.mu.Lock()
+		defer e.mu.Unlock()
 		e.schedule(now)
-		next := e.queue.Next()
-		e.mu.Unlock()
-		wait := tick
-		if !next.IsZero() {
-			wait = min(tick, max(time.Millisecond, next.Sub(now)))
-		}
-		timer.Reset(wait)
-		select {
-		case <-timer.C:
-		case <-e.alarm:
-		case <-ctx.Done():
-			return nil
-		}
-	}
+		return e.queue.Next()
+	})
 }
 
 // tick is the longest time between two looks at the queue.
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -28,24 +29,40 @@
 func (n *Node) buildEntry(context.Context) error {
 	s := n.Settings
 	d := newDecider(s.Name, n.incarnation, n.clock, n.Platform, n.world)
-	n.world.changed = d.seen
 	n.world.reports = func(list []catlog.Report) {
 		n.catalogueChanged(list)
 		d.reported(list, n.world.snapshot())
 	}
-	journals := &entry.Journals{Self: s.Name, Clock: n.clock, Platform: n.Platform, Entries: n.entryNames, Ask: n.askClaim}
+	journals := &entry.Journals{Self: s.Name, Clock: n.clock, Platform: n.Platform, Known: n.catalogueKnown, Entries: n.entryNames, Ask: n.askClaim}
 	journals.Init()
 	e := &entry.Entry{
 		Name: s.Name, DataCentre: s.DataCentre, Clock: n.clock, Meter: n.meter, Tracer: n.tracer,
 		Rand: rand.New(rand.NewPCG(n.rand.Uint64(), n.rand.Uint64())), Snapshot: n.world.snapshot,
-		Hosts: n.hosts, Find: n.world.entryHost, Share: n.share, Noted: n.noted,
+		Hosts: n.hosts, Find: n.find, Share: n.share, Noted: n.members.note,
 		Probe: n.probe, Seal: n.seal, Claim: journals.Claim, KeyAge: s.Limits.KeyAge,
-		Relay: &entry.Relay{TLS: n.tlsToAgent()}, Spread: n.spread,
+		Relay: &entry.Relay{TLS: n.tlsToAgent()}, Spread: n.spread, Tell: n.tell,
 	}
 	e.Init()
+	forgotten := make(chan core.Object, maxForgotten)
+	n.world.changed = func(o core.Object) {
+		d.seen(o)
+		if o.Kind == core.KindHost && o.Deleted {
+			// The entry's lock must not be taken here: its holder may be waiting
+			// for the world's. What does not fit is forgotten later or never, which
+			// costs some memory.
+			select {
+			case forgotten <- o:
+			default:
+			}
+		}
+	}
+	n.addPart("forget", func(ctx context.Context) error { return forget(ctx, e, forgotten) })
 	n.handler.Claim = func(c *wire.ClaimCall) (*wire.ClaimReply, error) {
 		return journals.Serve(context.Background(), c), nil
 	}
+	weights := &store{limits: s.Store, clock: n.clock}
+	d.took = weights.decides
+	n.handler.Slot = func(c *wire.SlotCall) (*wire.SlotReply, error) { return weights.serve(c), nil }
 	n.handler.Demand = func(c *wire.DemandCall) (*wire.Empty, error) {
 		d.takeDemand(c)
 		return &wire.Empty{}, nil
@@ -53,6 +70,7 @@
 	n.strikes, n.mergeStrikes = e.Strikes, e.MergeStrikes
 	n.addPart("entry", e.Run)
 	n.addPart("journals", journals.Run)
+	n.addPart("members", n.probeSuspects)
 	n.addPart("decider", func(ctx context.Context) error {
 		return d.run(ctx, n.catalogueKnown, func() bool { return n.store.Confirmed(core.KindGrant) })
 	})
@@ -70,6 +88,25 @@
 	return nil
 }
 
+// maxForgotten bounds the hosts that wait to be forgotten: a lost data centre.
+const maxForgotten = 1024
+
+// forget drops what an entry knows of hosts that the platform no longer lists.
+func forget(ctx context.Context, e *entry.Entry, gone <-chan core.Object) error {
+	for {
+		select {
+		case o := <-gone:
+			var spec core.HostSpec
+			// The last specification tells the service; without it only the load
+			// is forgotten.
+			_ = json.Unmarshal(o.Spec, &spec)
+			e.Forget(spec.Service, core.HostName(o.Name))
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // callersServer serves the callers' interface.
 func (n *Node) callersServer(e *entry.Entry) *httpServer {
 	f := &front.Front{
