--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -69,7 +70,7 @@
 	// the fleet's first start needs no wait for the term.
 	Blank bool
 
-	// known tells that version, spec and seenAt describe the last observation;
+	// known tells that version and spec describe the last observation;
 	// absent that it was an observation of no object.
 	known   bool
 	absent  bool
@@ -231,7 +232,7 @@
 	l.checked = now
 	if l.absent {
 		l.known = true
-		l.lookAt = max2(now, l.free)
+		l.lookAt = later(now, l.free)
 		return
 	}
 	l.known = true
@@ -292,7 +293,7 @@
 func (l *Lease) again(now time.Time) {
 	l.checked = now
 	if !l.mine {
-		l.lookAt = max2(now, l.free)
+		l.lookAt = later(now, l.free)
 	}
 }
 
@@ -334,21 +335,12 @@
 // delay spreads contenders over the time after a lease has lapsed. Each host
 // has another place after each version, so that none is always first.
 func (l *Lease) delay(v core.Version) time.Duration {
-	d := xxhash.New()
-	write(d, string(l.Host), uint64(v))
-	return time.Duration(d.Sum64() % uint64(spread))
+	name := binary.LittleEndian.AppendUint64(nil, uint64(v))
+	name = append(name, l.Host...)
+	return time.Duration(xxhash.Sum64(name) % uint64(spread))
 }
 
-func write(d *xxhash.Digest, s string, v uint64) {
-	var b [8]byte
-	for i := range b {
-		b[i] = byte(v >> (8 * i))
-	}
-	_, _ = d.Write(b[:])
-	_, _ = d.WriteString(s)
-}
-
-func max2(a, b time.Time) time.Time {
+func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
 	}
