Let the model's answers die with their process

In both the model handed the platform's answer for a dead entry's write to its successor, which took it for the answer to its own; a restarted process gets no such answer. Change: an answer reaches only the process that asked. The check that failed is unchanged.

--- a/core/claims/model_test.go
+++ b/core/claims/model_test.go
@@ -235,8 +235,13 @@
 }
 
 func (w *world) platform(e *entryNode, step, name string, write *Write, done func(time.Time, Reply) Effects) {
+	epoch := e.epoch
 	answer := func(d time.Duration, r Reply) {
-		w.at(&e.node, d, func() { w.apply(e, done(w.now, r)) }, nil)
+		w.at(&e.node, d, func() {
+			if e.epoch == epoch { // the answer to a dead process reaches nobody
+				w.apply(e, done(w.now, r))
+			}
+		}, nil)
 	}
 	unknown := Reply{Name: name, Fault: core.Unknown}
 	w.after(w.latency(), func() {
