--- a/core/warm/habit.go
+++ b/core/warm/habit.go
@@ -56,10 +56,13 @@
 	return min(gapBins, int(2*math.Log2(gap.Seconds())))
 }
 
-// binEnd is the end of a bin.
-func binEnd(bin int) time.Duration {
-	return time.Duration(math.Exp2(float64(bin+1)/2) * float64(time.Second))
-}
+// binEnds are the ends of the bins in seconds.
+var binEnds = func() (ends [gapBins]float64) {
+	for b := range ends {
+		ends[b] = math.Exp2(float64(b+1) / 2)
+	}
+	return ends
+}()
 
 // sawGap counts a time between uses.
 func (h *habit) sawGap(gap time.Duration) {
@@ -113,8 +116,7 @@
 	h.slots[kind][place]++
 }
 
-// inSlot is the chance that a use begins in the slot of a time.
-func (h *habit) inSlot(at time.Time) float64 {
-	_, kind, place := slotOf(at)
+// chance is how likely a use begins in a slot.
+func (h *habit) chance(kind, place int) float64 {
 	return min(1, float64(h.slots[kind][place])/(float64(h.days[kind])+priorDays))
 }
--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -199,7 +199,7 @@
 func candidates(even float64) []float64 {
 	list := []float64{0}
 	for b := range gapBins {
-		if end := binEnd(b).Seconds(); end < 4*even {
+		if end := binEnds[b]; end < 4*even {
 			list = append(list, end)
 		}
 	}
@@ -214,7 +214,7 @@
 func (h *habit) costOf(keep, even, total float64) float64 {
 	cost, within := 0.0, 0.0
 	for b, n := range h.gaps {
-		end := binEnd(b).Seconds()
+		end := binEnds[b]
 		if end > keep*1.0001 {
 			break
 		}
@@ -254,23 +254,29 @@
 	s.habit.turnDay(now)
 	rate := s.item.Accelerators
 	cold := p.cold(s)
-	slot, _, _ := slotOf(now)
-	from, end := now, time.Unix((slot+1)*int64(slotTime/time.Second), 0)
+	slot, kind, place := slotOf(now)
+	end := time.Unix((slot+1)*int64(slotTime/time.Second), 0)
+	part := end.Sub(now).Seconds()
 	// none is the chance that no use has begun yet, gain the expected saving
 	// less the expected cost of holding so far.
 	none, gain := 1.0, 0.0
-	best, most := now, 0.0
-	for range ahead {
-		part := end.Sub(from).Seconds()
-		chance := s.habit.inSlot(from) * part / slotTime.Seconds()
+	best, most := -1, 0.0
+	for n := range ahead {
+		chance := s.habit.chance(kind, place) * part / slotTime.Seconds()
 		gain += none * (chance*cold - rate*part*(1-chance/2))
 		none *= 1 - chance
 		if gain > most {
-			best, most = end, gain
+			best, most = n, gain
 		}
-		from, end = end, end.Add(slotTime)
+		part = slotTime.Seconds()
+		if place++; place == daySlots {
+			_, kind, place = slotOf(end.Add(time.Duration(n) * slotTime))
+		}
+	}
+	if best < 0 {
+		return now, 0
 	}
-	return best, most
+	return end.Add(time.Duration(best) * slotTime), most
 }
 
 // Advice is a load ahead of need.
