Weigh a cold start by who waits for it

Found by printing the times kept: models of overnight reviews are also the bases of adapters used in front of clients, and were kept for 16 to 32 s by their own class. Change: an item's worth follows from the class of its uses.

--- a/core/replay/keeper.go
+++ b/core/replay/keeper.go
@@ -20,7 +20,7 @@
 }
 
 // Begin implements Keeper.
-func (*Fixed) Begin(time.Time, core.ModelName) {}
+func (*Fixed) Begin(time.Time, core.ModelName, core.Class) {}
 
 // End implements Keeper.
 func (f *Fixed) End(now time.Time, name core.ModelName) { f.ended[name] = now }
@@ -48,7 +48,9 @@
 }
 
 // Begin implements Keeper.
-func (l *Learned) Begin(now time.Time, name core.ModelName) { l.Policy.Begin(now, name) }
+func (l *Learned) Begin(now time.Time, name core.ModelName, class core.Class) {
+	l.Policy.Begin(now, name, class)
+}
 
 // End implements Keeper.
 func (l *Learned) End(now time.Time, name core.ModelName) { l.Policy.End(now, name) }
@@ -77,26 +79,33 @@
 type Informed struct {
 	worth warm.Worth
 	items map[core.ModelName]Item
-	uses  map[core.ModelName][]time.Time
+	uses  map[core.ModelName][]use
+}
+
+// use is one use of an item, and the class of who would wait for it.
+type use struct {
+	at    time.Time
+	class core.Class
 }
 
 // NewInformed returns the optimum for a trace, with the same scale of worth.
 func NewInformed(t Trace, scale float64) *Informed {
-	f := &Informed{worth: warm.DefaultWorth.Times(scale), items: map[core.ModelName]Item{}, uses: map[core.ModelName][]time.Time{}}
+	f := &Informed{worth: warm.DefaultWorth.Times(scale), items: map[core.ModelName]Item{}, uses: map[core.ModelName][]use{}}
 	for _, i := range t.Items {
 		f.items[i.Name] = i
 	}
 	for _, a := range t.Arrivals {
-		f.uses[a.Item] = append(f.uses[a.Item], a.At)
+		u := use{at: a.At, class: f.items[a.Item].Class}
+		f.uses[a.Item] = append(f.uses[a.Item], u)
 		if base := f.items[a.Item].Base; base != "" {
-			f.uses[base] = append(f.uses[base], a.At)
+			f.uses[base] = append(f.uses[base], u)
 		}
 	}
 	return f
 }
 
 // Begin implements Keeper.
-func (f *Informed) Begin(time.Time, core.ModelName) {}
+func (f *Informed) Begin(time.Time, core.ModelName, core.Class) {}
 
 // End implements Keeper.
 func (f *Informed) End(time.Time, core.ModelName) {}
@@ -107,7 +116,7 @@
 // Until implements Keeper.
 func (f *Informed) Until(now time.Time, name core.ModelName) time.Time {
 	list := f.uses[name]
-	for len(list) > 0 && !list[0].After(now) {
+	for len(list) > 0 && !list[0].at.After(now) {
 		list = list[1:]
 	}
 	f.uses[name] = list
@@ -115,10 +124,10 @@
 		return now
 	}
 	i := f.items[name]
-	if list[0].Sub(now).Seconds()*i.Accelerators > i.Load.Seconds()*f.worth[i.Class] {
+	if list[0].at.Sub(now).Seconds()*i.Accelerators > i.Load.Seconds()*f.worth[list[0].class] {
 		return now
 	}
-	return list[0].Add(time.Nanosecond)
+	return list[0].at.Add(time.Nanosecond)
 }
 
 // Prewarm implements Keeper.
--- a/core/replay/play.go
+++ b/core/replay/play.go
@@ -12,8 +12,8 @@
 
 // Keeper is a policy under test. Times are those of the trace.
 type Keeper interface {
-	// Begin and End frame a use.
-	Begin(now time.Time, name core.ModelName)
+	// Begin and End frame a use by a request of a class.
+	Begin(now time.Time, name core.ModelName, class core.Class)
 	End(now time.Time, name core.ModelName)
 	// Loaded tells how long a load took.
 	Loaded(name core.ModelName, took time.Duration)
@@ -216,9 +216,9 @@
 	h := p.items[a.Item]
 	ready := a.At
 	if base := p.items[h.item.Base]; base != nil {
-		ready = p.acquire(base, a.At)
+		ready = p.acquire(base, a.At, h.item.Class)
 	}
-	ready = later(ready, p.acquire(h, ready))
+	ready = later(ready, p.acquire(h, ready, h.item.Class))
 	end := ready.Add(a.Takes)
 	p.push(end, endOfUse, a.Item)
 	if base := h.item.Base; base != "" {
@@ -228,13 +228,13 @@
 }
 
 // acquire begins a use of an item and returns when it can run.
-func (p *player) acquire(h *held, now time.Time) time.Time {
+func (p *player) acquire(h *held, now time.Time, class core.Class) time.Time {
 	ready := p.load(h, now)
 	if h.busy == 0 {
 		p.idle(h, ready)
 	}
 	h.busy++
-	p.keeper.Begin(now, h.item.Name)
+	p.keeper.Begin(now, h.item.Name, class)
 	return ready
 }
 
--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -32,6 +32,8 @@
 	unknownLoad = 5 * time.Second
 	// loadWeight is how much of a measured load time one load replaces.
 	loadWeight = 0.25
+	// worthWeight is how much of an item's worth one more use replaces.
+	worthWeight = 0.1
 	// sessionPause is the pause after which a use begins a new session.
 	sessionPause = 20 * time.Minute
 	// ahead is how far the times of day are looked ahead.
@@ -57,6 +59,8 @@
 	// load is the measured time of a load in seconds; zero while unknown.
 	load float64
 	busy int
+	// worth is what a second of waiting for the item is worth, by its uses.
+	worth float64
 	// idle is when the last use ended; used tells that there was one.
 	idle time.Time
 	used bool
@@ -87,8 +91,9 @@
 // Drop forgets an item that has left the catalogue.
 func (p *Policy) Drop(name core.ModelName) { delete(p.items, name) }
 
-// Begin notes that a request for the item has arrived.
-func (p *Policy) Begin(now time.Time, name core.ModelName) {
+// Begin notes that a request of a class for the item has arrived. An adapter's
+// request is one for its base, too, and of the same class there.
+func (p *Policy) Begin(now time.Time, name core.ModelName, class core.Class) {
 	s := p.items[name]
 	if s == nil {
 		return
@@ -102,10 +107,24 @@
 	if s.busy == 0 && (!s.used || gap > sessionPause) {
 		s.habit.sawUse(now)
 	}
+	if s.busy == 0 {
+		s.blend(p.worthOf(class))
+	}
 	s.busy++
 	s.used = true
 }
 
+// blend takes the worth of one more use's waiting in. What a cold start costs is
+// a matter of who waits for it: a model of reviews at night is also the base of
+// an adapter that somebody uses in front of a client.
+func (s *state) blend(worth float64) {
+	if !s.used {
+		s.worth = worth
+		return
+	}
+	s.worth += (worth - s.worth) * worthWeight
+}
+
 // End notes that a request for the item has ended.
 func (p *Policy) End(now time.Time, name core.ModelName) {
 	s := p.items[name]
@@ -140,11 +159,19 @@
 
 // cold is what a cold start costs, in accelerator seconds.
 func (p *Policy) cold(s *state) float64 {
+	worth := s.worth
+	if !s.used {
+		worth = p.worthOf(s.item.Class)
+	}
+	return s.loadSeconds() * worth
+}
+
+func (p *Policy) worthOf(class core.Class) float64 {
 	worth := p.Worth
 	if worth == (Worth{}) {
 		worth = DefaultWorth
 	}
-	return s.loadSeconds() * worth[min(s.item.Class, core.ClassCount-1)]
+	return worth[min(class, core.ClassCount-1)]
 }
 
 func (s *state) loadSeconds() float64 {
--- a/core/warm/warm_test.go
+++ b/core/warm/warm_test.go
@@ -24,7 +24,7 @@
 
 // use plays one short use.
 func use(p *Policy, at time.Time) time.Time {
-	p.Begin(at, item)
+	p.Begin(at, item, p.items[item].item.Class)
 	end := at.Add(time.Second)
 	p.End(end, item)
 	return end
@@ -45,7 +45,7 @@
 
 func TestInUseIsKept(t *testing.T) {
 	p := policyFor(core.Overnight)
-	p.Begin(start, item)
+	p.Begin(start, item, core.Overnight)
 	assert.Assert(t, p.KeepUntil(start.Add(time.Hour), item).After(start.Add(time.Hour)))
 }
 
@@ -121,7 +121,7 @@
 		p.Loaded(name, 10*time.Second)
 		for day := range 5 {
 			at := start.AddDate(0, 0, day).Add(20*time.Hour + time.Duration(rng.Int64N(int64(4*time.Minute))))
-			p.Begin(at, name)
+			p.Begin(at, name, core.Evening)
 			p.End(at.Add(time.Second), name)
 		}
 	}
@@ -135,12 +135,22 @@
 func TestScoreOrdersByUse(t *testing.T) {
 	p := policyFor(core.Interactive)
 	p.Set(Item{Name: "other", Class: core.Overnight, Accelerators: 1})
-	p.Begin(start, "other")
+	p.Begin(start, "other", core.Overnight)
 	p.End(start, "other")
 	end := use(p, start)
 	assert.Assert(t, p.Score(end, item) > p.Score(end, "other"))
 }
 
+// A model of reviews at night is also the base of an adapter that fitters use in
+// front of clients. Judged by its own class it was unloaded at once after each
+// use, and every check waited for it.
+func TestBaseCountsForItsUsers(t *testing.T) {
+	p := policyFor(core.Overnight)
+	p.Begin(start, item, core.Interactive)
+	p.End(start.Add(time.Second), item)
+	assertKept(t, p, start.Add(time.Second), 10*time.Minute, 10*time.Minute)
+}
+
 func TestDropForgets(t *testing.T) {
 	p := policyFor(core.Interactive)
 	use(p, start)
--- a/io/agent/sched.go
+++ b/io/agent/sched.go
@@ -139,7 +139,7 @@
 	r.waiting = false
 	l.running++
 	a.inWork++
-	a.useBegins(now, r.target)
+	a.useBegins(now, r.target, core.Class(r.head.GetClass()))
 	r.cold, r.loading, r.started = l.cold, l.loading, now
 	if l.waiting == 0 {
 		l.cold = false
--- a/io/agent/warm.go
+++ b/io/agent/warm.go
@@ -32,10 +32,10 @@
 }
 
 // useBegins and useEnds tell the policy of uses, an adapter's base with it.
-func (a *Agent) useBegins(now time.Time, t core.Target) {
+func (a *Agent) useBegins(now time.Time, t core.Target, class core.Class) {
 	for _, name := range itemsOf(t) {
 		a.learn(name)
-		a.warm.Begin(now, name)
+		a.warm.Begin(now, name, class)
 	}
 }
 
