--- a/io/peer/bench_test.go
+++ b/io/peer/bench_test.go
@@ -75,7 +75,7 @@
 // but a lease that is renewed each second, and the platform's calls. One
 // iteration is one second: use -benchtime 10x.
 func BenchmarkRest(b *testing.B) {
-	for _, n := range []int{5, 10, 25, 50, 100} {
+	for _, n := range []int{5, 10, 25, 50, 100, 300} {
 		b.Run(fmt.Sprintf("processes=%d", n), func(b *testing.B) {
 			f, all := benchFleet(b, n, nil)
 			platform := &objapi.Client{Address: f.addr}
@@ -106,6 +106,7 @@
 			b.ReportMetric(float64(after["list"]+after["watch"]-calls["list"]-calls["watch"])/seconds, "platform-reads/s")
 			b.ReportMetric(float64(oldest.Milliseconds()), "oldest-word-ms")
 			b.ReportMetric(float64(after["watch"]), "watches-since-start")
+			b.ReportMetric(float64(after["list"]), "lists-since-start")
 		})
 	}
 }
