--- a/io/bench/fate.go
+++ b/io/bench/fate.go
@@ -76,5 +76,8 @@
 	Note  string         `json:"note,omitempty"`
 }
 
-// maxIncidents bounds what a report lists; the counts go on.
-const maxIncidents = 200
+// Bounds of what a report lists, in all and of one code; the counts go on.
+const (
+	maxIncidents = 400
+	maxOfCode    = 25
+)
--- a/io/bench/parse.go
+++ b/io/bench/parse.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -159,3 +160,18 @@
 	}
 	return out
 }
+
+// Stretch repeats the phases until their lengths add up to d, and cuts the last.
+func (p *Plan) Stretch(d time.Duration) {
+	if len(p.Phases) == 0 {
+		return
+	}
+	var out []Phase
+	for i := 0; d > 0; i++ {
+		phase := p.Phases[i%len(p.Phases)]
+		phase.For = min(phase.For, d)
+		d -= phase.For
+		out = append(out, phase)
+	}
+	p.Phases = out
+}
--- a/io/bench/print.go
+++ b/io/bench/print.go
@@ -64,9 +64,6 @@
 	if a.Engines {
 		fmt.Fprintf(w, "model requests started again by the same engine %d\n", a.Reruns)
 	}
-	for _, p := range a.Problems {
-		fmt.Fprintln(w, "not checked:", p)
-	}
 }
 
 // balance lists all outcomes, the system's own three even where zero.
--- a/io/bench/report.go
+++ b/io/bench/report.go
@@ -123,6 +123,9 @@
 	note(r.Audit.DoneWithoutRun, "answered done without a run")
 	note(r.NoID, "answered without a request id")
 	note(r.NoRetryAfter, "refused for the moment without a Retry-After")
+	for _, p := range r.Audit.Problems {
+		out = append(out, "not checked what ran: "+p)
+	}
 	total := 0
 	for _, n := range r.Fates {
 		total += n
@@ -182,8 +185,8 @@
 		At: r.shot.at, Fate: r.fate.String(), Call: r.shot.call.Name, Model: r.shot.model,
 		ID: r.id, Note: r.note, Entry: entries[r.entry], After: r.end.Sub(r.shot.at).Round(time.Millisecond).String(),
 	}
-	if r.fate <= mayHaveRun {
-		out.Note = "late " + string(r.code)
+	if r.code != "" {
+		out.Note = string(r.code)
 	}
 	return out
 }
--- a/io/bench/tally.go
+++ b/io/bench/tally.go
@@ -126,13 +126,15 @@
 	t.addBucket(r)
 }
 
-// remember keeps requests that a reader will want to trace. Those that are cut
-// are all kept until the kills of entries are known.
+// remember keeps requests that a reader will want to trace: the first few of
+// each code, and what is worse. Those that are cut are all kept until the kills
+// of entries are known.
 func (t *tally) remember(r result, late bool) {
-	if r.fate <= mayHaveRun && !late {
+	coded := r.fate == refused || r.fate == mayHaveRun
+	switch {
+	case coded && !late && t.codes[r.code] > maxOfCode, r.fate == done && !late:
 		return
-	}
-	if len(t.incidents) < maxIncidents || r.fate == cut {
+	case len(t.incidents) < maxIncidents || r.fate == cut:
 		t.incidents = append(t.incidents, r)
 	}
 }
--- a/io/cmds/bench.go
+++ b/io/cmds/bench.go
@@ -28,6 +28,7 @@
 	JSON    string          `name:"json" help:"File for the report as JSON." placeholder:"FILE"`
 	HTML    string          `name:"html" help:"File for the report as HTML." placeholder:"FILE"`
 	Kills   string          `help:"File in which a script notes kills of entries, a line each: seconds since 1970 and IP:PORT. Connections that they break are counted apart." placeholder:"FILE"`
+	For     time.Duration   `help:"Length of the load: the experiment's phases are repeated or cut to it." placeholder:"TIME"`
 	AllDone bool            `help:"Fail where any request is not done."`
 	Compare bool            `help:"Print how two reports differ."`
 }
@@ -92,6 +93,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.For > 0 {
+		plan.Stretch(c.For)
+	}
 	b := &bench.Bench{Plan: plan, Keys: map[string]string{}}
 	for i, at := range c.At {
 		e := bench.Entry{At: at}
