--- a/io/bench/charts.go
+++ b/io/bench/charts.go
@@ -153,7 +153,12 @@
 // leastMillis keeps zero off a logarithmic axis.
 const leastMillis = 0.01
 
+// logarithmic changes an axis's scale. An axis without data has no range yet,
+// and none can be drawn of it.
 func logarithmic(a *plot.Axis) {
+	if a.Min > a.Max {
+		a.Min, a.Max = leastMillis, 1
+	}
 	a.Min = max(a.Min, leastMillis)
 	a.Max = max(a.Max, a.Min*10)
 	a.Scale = plot.LogScale{}
