Let requests outlast a restart of their only host

Cause: a model with one replica was refused while its agent restarts: four attempts are used up in three and a half seconds, refused connections drew on the retry budget, and a host that had said it was leaving was believed to be until it was probed, ten seconds later. Change: attempts that met a host which did no work count apart, up to twelve, and cost no budget; a started process tells its peers; strikes go to entries directly before the lost request is answered.

--- a/core/refuse.go
+++ b/core/refuse.go
@@ -34,6 +34,7 @@
 	CodeClaimUnknown   Code = "claim-unavailable"
 	CodeRanElsewhere   Code = "answer-lost"
 	CodeSealed         Code = "attempt-sealed"
+	CodeUnreached      Code = "host-unreached"
 	CodeUpstreamFailed Code = "upstream-failed"
 	CodeUpstreamLost   Code = "upstream-lost"
 	CodeCancelled      Code = "cancelled"
@@ -78,6 +79,7 @@
 	{CodeClaimUnknown, 503, "overloaded_error", true, "The platform cannot record the idempotency key at present."},
 	{CodeRanElsewhere, 502, "api_error", false, "The request with this key ran or may have run and its answer is lost."},
 	{CodeSealed, 503, "overloaded_error", true, "This attempt was given up before it ran; another may have followed it."},
+	{CodeUnreached, 503, "overloaded_error", true, "No connection to a host that may serve the target could be made."},
 	{CodeUpstreamFailed, 502, "api_error", false, "The upstream answered with a failure."},
 	{CodeUpstreamLost, 502, "api_error", false, "Contact with the upstream was lost while the request was there."},
 	{CodeCancelled, 499, "api_error", false, "The caller went away before the answer was complete."},
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -12,6 +12,11 @@
 	// three hosts that lost it or turned it away, a fourth rarely differs, and a
 	// caller is better served by an answer.
 	mostAttempts = 4
+	// mostInAll bounds them together with those that met a host which did no work:
+	// one that is being restarted, say. At the pause that such refusals ask for it
+	// is longer than a restart takes, so that a model with one replica is there
+	// again; a host that stays away costs each request a dozen refused connections.
+	mostInAll = 12
 	// mostLost bounds the attempts of a repeatable request that may have run and
 	// were lost. A request that crashes engines takes one engine with each.
 	mostLost = 2
@@ -126,7 +131,7 @@
 		return WhyFinal, true
 	case c.outcome() != core.NotRun && !c.Request.Repeatable:
 		return WhyMayHaveRun, true
-	case len(c.Attempts) >= mostAttempts, c.lost() >= mostLost:
+	case c.worked() >= mostAttempts, len(c.Attempts) >= mostInAll, c.lost() >= mostLost:
 		return WhyAttempts, true
 	}
 	return 0, false
@@ -139,7 +144,7 @@
 	switch code {
 	case core.CodeNoHost, core.CodeNoMemory, core.CodeNotGranted, core.CodeLoadFailed,
 		core.CodeLeaving, core.CodeQueueFull, core.CodeOverload, core.CodeWaitTooLong,
-		core.CodeConcurrency, core.CodeUpstreamFailed, core.CodeUpstreamLost,
+		core.CodeConcurrency, core.CodeUnreached, core.CodeUpstreamFailed, core.CodeUpstreamLost,
 		core.CodeClaimUnknown, core.CodeNotReady:
 		return true
 	default:
@@ -151,9 +156,28 @@
 // holds no grant did no work, and says so to many requests at once when hosts
 // are stopped one after the other; a budget would fail requests there that the
 // stop must not cut. Such retries are bounded by mostAttempts.
-func (c *Case) costs() bool {
-	code := c.last().Code
-	return code != core.CodeLeaving && code != core.CodeNotGranted
+func (c *Case) costs() bool { return !idle(c.last().Code) }
+
+// idle reports whether a refusal comes of a host that did no work for the
+// request.
+func idle(code core.Code) bool {
+	switch code {
+	case core.CodeLeaving, core.CodeNotGranted, core.CodeNoHost, core.CodeUnreached:
+		return true
+	default:
+		return false
+	}
+}
+
+// worked counts the attempts that a host did work for.
+func (c *Case) worked() int {
+	n := 0
+	for _, a := range c.Attempts {
+		if !idle(a.Refusal.Code) {
+			n++
+		}
+	}
+	return n
 }
 
 // lost counts the attempts that may have run.
--- a/io/entry/note.go
+++ b/io/entry/note.go
@@ -42,15 +42,21 @@
 		e.noteCost(r.Target, e.host(h.Name).tier(r.Target.Model), took)
 	case refusal == nil:
 		e.router.Observe(now, route.Report{Host: h.Name, Target: r.Target, Result: route.Served, Took: took, Cost: cost(r)})
-	case refusal.Code == core.CodeUpstreamLost || refusal.Code == core.CodeUpstreamFailed:
+	case broken(refusal.Code) || refusal.Code == core.CodeUpstreamFailed:
 		e.router.Observe(now, route.Report{Host: h.Name, Target: r.Target, Result: route.Broken, Took: took, Cost: cost(r)})
 	}
 	e.Noted(member.Contact{
-		Host: h.Name, OK: refusal == nil || refusal.Code != core.CodeUpstreamLost || refusal.Host == "", Since: since,
+		Host: h.Name, OK: refusal == nil || !broken(refusal.Code), Since: since,
 		Incarnation: e.host(h.Name).incarnation, Leaving: refusal != nil && refusal.Code == core.CodeLeaving,
 	})
 }
 
+// broken tells whether a refusal means that contact with a host or its upstream
+// failed.
+func broken(code core.Code) bool {
+	return code == core.CodeUpstreamLost || code == core.CodeUnreached
+}
+
 // watchOverdue tells the router when an attempt takes much longer than others
 // did. Without it a host that hangs is noticed only when its requests end.
 func (e *Entry) watchOverdue(h Host, r core.Request, since time.Time) *time.Timer {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -242,7 +242,7 @@
 // reached, or has never seen it and never will run it.
 func (j *job) afterLoss(ctx context.Context, h Host, head *wire.WorkHead, l *loss) *core.Refusal {
 	if !l.sent {
-		return core.RefuseUntil(core.CodeUpstreamLost, "the host cannot be reached", j.e.Clock.Now().Add(time.Second))
+		return core.RefuseUntil(core.CodeUnreached, "the host cannot be reached", j.e.Clock.Now().Add(time.Second))
 	}
 	until := j.e.Clock.Now().Add(resumeFor)
 	for j.e.Clock.Now().Before(until) {
--- a/io/node/member.go
+++ b/io/node/member.go
@@ -66,16 +66,23 @@
 	}
 }
 
-// marked takes marks of leaving hosts from peers.
+// markStarted is the mark of a process that has just started. Without it a host
+// that said it was leaving is known to be back only when it is probed next.
+const markStarted = "started"
+
+// marked takes marks of leaving and started hosts from peers.
 func (m *members) marked(list []peer.Mark) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
 	for _, one := range list {
-		if one.Kind == peer.MarkLeaving {
+		switch one.Kind {
+		case peer.MarkLeaving:
 			m.table.Marked(now, one.Host, one.Incarnation, one.Expires)
-			m.tell(one.Host)
+		case markStarted:
+			m.table.Note(now, member.Contact{Host: one.Host, OK: true, Incarnation: one.Incarnation})
 		}
+		m.tell(one.Host)
 	}
 }
 
--- a/io/node/mesh.go
+++ b/io/node/mesh.go
@@ -160,14 +160,45 @@
 const markAge = 5 * time.Minute
 
 // leave tells peers that this process takes no new work.
-func (n *Node) leave() {
-	n.store.Mark(peer.Mark{
-		Host: n.Settings.Name, Kind: peer.MarkLeaving, Incarnation: n.incarnation, Expires: n.clock.Now().Add(markAge),
-	})
+func (n *Node) leave() { n.mark(peer.MarkLeaving, markAge) }
+
+// startedAge is how long peers pass on that a process has started: longer than a
+// mark takes to cross the fleet.
+const startedAge = 30 * time.Second
+
+// started tells peers that this process takes work now.
+func (n *Node) started() { n.mark(markStarted, startedAge) }
+
+func (n *Node) mark(kind string, age time.Duration) {
+	n.store.Mark(peer.Mark{Host: n.Settings.Name, Kind: kind, Incarnation: n.incarnation, Expires: n.clock.Now().Add(age)})
 }
 
-// spread sends strikes to peers at once; they ride on the next exchange.
-func (n *Node) spread([]strike.Record) { n.store.Kick() }
+const (
+	// mostTold bounds the entries that are told of strikes one by one. Beyond it
+	// the exchange between peers, which takes a second or two, has to do.
+	mostTold = 32
+	// tellTime bounds one such call. A request that was lost with its engine is
+	// answered after it, so that its repeat meets entries that know.
+	tellTime = 500 * time.Millisecond
+)
+
+// spread sends strikes to all entries at once, and to the others with the next
+// exchange between peers.
+func (n *Node) spread(list []strike.Record) {
+	n.store.Kick()
+	entries := n.world.entries()
+	entries = entries[:min(len(entries), mostTold)]
+	ended := make(chan struct{}, len(entries))
+	for _, name := range entries {
+		go func() {
+			n.tell(name, list)
+			ended <- struct{}{}
+		}()
+	}
+	for range entries {
+		<-ended
+	}
+}
 
 // tell sends strikes to one host.
 func (n *Node) tell(host core.HostName, list []strike.Record) {
@@ -175,7 +206,7 @@
 	if !ok {
 		return
 	}
-	ctx, stop := context.WithTimeout(context.Background(), writeTime)
+	ctx, stop := context.WithTimeout(context.Background(), tellTime)
 	defer stop()
 	// A lost call is made up for by the exchange between peers.
 	_, _ = n.client.Sync(ctx, peer.Target{Host: host, Address: h.spec.Control}, &wire.SyncCall{
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -234,6 +234,7 @@
 			return
 		}
 	}
+	n.started()
 	events.Log(events.Ready, "role", n.Settings.Role, "host", n.Settings.Name)
 	if n.Ready != nil {
 		n.Ready()
