Ask an idle connection for a sign of life before it is used again

Cause: a call on a connection that had gone silent or been closed while idle was sent, ended late, and counted as one the other side may have served. Change: after a second without use a ping goes first, bounded by half a second; a connection without an answer is replaced before anything is sent.

--- a/io/peer/calls_test.go
+++ b/io/peer/calls_test.go
@@ -206,3 +206,26 @@
 	assert.Assert(t, got.reply.GetWon())
 	<-stopped
 }
+
+// TestSilentIdle: a treasurer posts an entry after a pause. The connection to
+// the process that records the claim has gone silent meanwhile. The claim must
+// go over a new connection, and must not be sent on the old one first: it would
+// count as one that may have been recorded.
+func TestSilentIdle(t *testing.T) {
+	to, _ := serveCalls(t, &Handler{Claim: func(*wire.ClaimCall) (*wire.ClaimReply, error) { return &wire.ClaimReply{Won: true}, nil }})
+	between, hush := forward(t, to.Address)
+	var silent atomic.Int64
+	c := &Client{Silent: func(Target) { silent.Add(1) }}
+	defer c.Close()
+	via := Target{Host: to.Host, Address: between}
+	_, err := c.Claim(t.Context(), via, &wire.ClaimCall{})
+	assert.NilError(t, err)
+	hush()
+	c.mu.Lock()
+	c.conns[via].released = time.Now().Add(-idleCheck)
+	c.mu.Unlock()
+	reply, err := c.Claim(t.Context(), via, &wire.ClaimCall{})
+	assert.NilError(t, err)
+	assert.Assert(t, reply.GetWon())
+	assert.Equal(t, silent.Load(), int64(1))
+}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -27,6 +27,12 @@
 	// random peers, so most connections are used once; at 1,040 processes
 	// keeping all of them would cost more memory than a handshake does time.
 	idleTime = 10 * time.Second
+	// idleCheck is after how long without use a connection is asked for a sign
+	// of life before it is used again, and reuseTime how long that may take. It
+	// costs a round trip of a millisecond or two, where calls come further
+	// apart; pinging all idle connections would cost bytes all the time.
+	idleCheck = time.Second
+	reuseTime = 500 * time.Millisecond
 )
 
 // CallError reports a call that got no answer. Sent tells that the other side
@@ -76,6 +82,8 @@
 	err   error
 	idle  *time.Timer
 	busy  int
+	// released is when the last use ended.
+	released time.Time
 	// quiet is when the first call was sent that ended late without anything
 	// being read since; zero where there is none.
 	quiet time.Time
@@ -123,12 +131,9 @@
 			return context.Cause(ctx)
 		case <-timer.C:
 		}
-		if !conn.alive(ctx) {
-			c.discard(to, conn)
-			if c.Silent != nil {
-				c.Silent(to)
-			}
-			return &SilentError{}
+		if err := conn.alive(ctx, silence); err != nil {
+			c.giveUp(to, conn, err)
+			return err
 		}
 		timer.Reset(pingEvery)
 	}
@@ -156,37 +161,68 @@
 	return errors.As(err, &refused)
 }
 
-// alive asks the other end for a sign of life.
-func (conn *clientConn) alive(ctx context.Context) bool {
+// alive asks the other end for a sign of life and waits for it for a time. Its
+// error is a SilentError, or what ended the connection.
+func (conn *clientConn) alive(ctx context.Context, wait time.Duration) error {
 	ping := conn.rpc.Go(serviceName+".Ping", &wire.Empty{}, &wire.Empty{}, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(silence)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-ping.Done:
-		return ping.Error == nil
+		return ping.Error
 	case <-ctx.Done():
-		return true
+		return nil
 	case <-timer.C:
-		return false
+		return &SilentError{}
+	}
+}
+
+// giveUp closes a connection that showed no sign of life.
+func (c *Client) giveUp(to Target, conn *clientConn, cause error) {
+	c.discard(to, conn)
+	var silent *SilentError
+	if c.Silent != nil && errors.As(cause, &silent) {
+		c.Silent(to)
 	}
 }
 
-// connect returns a connection in use, dialling it where there is none.
+// connect returns a connection in use. One that has been idle is asked for a
+// sign of life first: it may have gone silent or been closed meanwhile, and a
+// call sent on it would count as one that the other side may have served.
 func (c *Client) connect(ctx context.Context, to Target) (*clientConn, error) {
+	conn, idle, err := c.reach(ctx, to)
+	if err != nil || !idle {
+		return conn, err
+	}
+	dead := conn.alive(ctx, reuseTime)
+	if dead == nil {
+		return conn, nil
+	}
+	c.giveUp(to, conn, dead)
+	c.release(to, conn)
+	conn, _, err = c.reach(ctx, to)
+	return conn, err
+}
+
+// reach returns a connection in use, dialling it where there is none, and
+// whether it has been idle.
+func (c *Client) reach(ctx context.Context, to Target) (conn *clientConn, idle bool, err error) {
 	c.mu.Lock()
 	if c.conns == nil {
 		c.conns = map[Target]*clientConn{}
 	}
-	conn := c.conns[to]
-	silent := conn != nil && conn.isSilent(time.Now())
+	conn = c.conns[to]
+	now := time.Now()
+	silent := conn != nil && conn.isSilent(now)
 	if silent && conn.busy == 0 {
-		defer conn.rpc.Close()
+		defer conn.close()
 	}
 	dial := conn == nil || silent
 	if dial {
 		conn = &clientConn{ready: make(chan struct{})}
 		c.conns[to] = conn
 	}
+	idle = !dial && conn.busy == 0 && !conn.released.After(now.Add(-idleCheck))
 	conn.busy++
 	c.mu.Unlock()
 	if silent && c.Silent != nil {
@@ -199,12 +235,9 @@
 	case <-conn.ready:
 	case <-ctx.Done():
 		c.release(to, conn)
-		return nil, context.Cause(ctx)
-	}
-	if conn.err != nil {
-		return nil, conn.err
+		return nil, false, context.Cause(ctx)
 	}
-	return conn, nil
+	return conn, idle, conn.err
 }
 
 func (c *Client) dial(to Target, conn *clientConn) {
@@ -246,6 +279,7 @@
 	if conn.busy > 0 {
 		return
 	}
+	conn.released = time.Now()
 	if c.conns[to] != conn {
 		conn.close()
 		return
