--- a/io/entry/fault_test.go
+++ b/io/entry/fault_test.go
@@ -16,6 +16,7 @@
 
 	"radishwell/core"
 	"radishwell/io/fakes/llmsrv"
+	"radishwell/io/fakes/midbox"
 )
 
 var quickLoads = [3]time.Duration{time.Millisecond, time.Millisecond, time.Millisecond}
@@ -38,6 +39,7 @@
 // engine has gone on writing, which its report shows; the agent reads the rest
 // on a new connection, and not a word is missing or doubled.
 func TestSilentEngineConnection(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	h := f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 20 * time.Millisecond})
 	url := f.entryHost()
@@ -51,10 +53,31 @@
 	assert.Equal(t, text(t, a), strings.Repeat("a b c ", 10))
 }
 
+// A fitter reads a review as it is written and the text stands still. Something
+// between entry and agent has lost track of their connection; it is open at both
+// ends and carries nothing. Pings on it go unanswered, it is closed, and the
+// answer is read on over a new one without a word missing or doubled.
+func TestSilentAgentConnection(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	h := f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 20 * time.Millisecond})
+	between, err := midbox.New(h.Work)
+	assert.NilError(t, err)
+	t.Cleanup(between.Close)
+	h.Work = between.At()
+	url := f.entryHost()
+	assertDone(t, chat(t, url, "alpha", "warm", false, 1))
+	time.AfterFunc(300*time.Millisecond, between.Hush)
+	a := chat(t, url, "alpha", "a b c", true, 60)
+	assertDone(t, a)
+	assert.Equal(t, text(t, a), strings.Repeat("a b c ", 20))
+}
+
 // The connections between an entry and an agent are cut while answers stream
 // over them, as when a switch restarts. The agent still has the answers; the
 // entry reads each on at its offset, and callers notice nothing.
 func TestCutBetweenEntryAndAgent(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	h := f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 20 * time.Millisecond, Batch: 64})
 	url := f.entryHost()
@@ -77,6 +100,7 @@
 // Here hundreds of marked requests share a few connections, some slow and some
 // quick, and each caller must get its own mark only.
 func TestAnswersNeverCross(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: time.Millisecond, Batch: 256})
 	f.engineHost("up-2", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 3 * time.Millisecond, Batch: 256})
@@ -97,6 +121,7 @@
 // A caller closes its laptop in the middle of an answer. Nobody reads it any
 // more, and an engine that goes on writing burns an accelerator for nobody.
 func TestCancelReachesEngine(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	h := f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 50 * time.Millisecond})
 	url := f.entryHost()
@@ -128,6 +153,7 @@
 // again through other entries. Engines are lost to it until it is recognised,
 // and a fleet of sixteen must not lose more than three.
 func TestCrashingRequest(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	var crashes int
 	for i := range 16 {
@@ -162,6 +188,7 @@
 // A pallet order is sent twice under one key, through two entries at once. It
 // must be run once, and both callers get the same whole answer.
 func TestKeyThroughTwoEntries(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	h := f.plainHost("up-1")
 	setFaults(t, h, map[string]int{"delay": 100})
@@ -185,6 +212,7 @@
 // call has no key and may not be repeated, so nobody may send it again, and the
 // caller is told that it may have run.
 func TestLostAnswerIsNotRepeated(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	h := f.plainHost("up-1")
 	f.plainHost("up-2")
