--- a/io/cmds/demo.go
+++ b/io/cmds/demo.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/netip"
 	"time"
 
@@ -20,6 +19,7 @@
 	"radishwell/io/fakes/apisrv"
 	"radishwell/io/fakes/llmsrv"
 	"radishwell/io/fakes/plain"
+	"radishwell/io/fakes/ports"
 	"radishwell/io/node"
 	"radishwell/io/objapi"
 )
@@ -150,13 +150,13 @@
 }
 
 func (d *demo) start(callers netip.AddrPort) error {
-	ports, err := freePorts(4 + demoEngines*4 + 4)
+	list, err := ports.Free(4 + demoEngines*4 + 4)
 	if err != nil {
 		return err
 	}
 	next := func() netip.AddrPort {
-		p := ports[0]
-		ports = ports[1:]
+		p := list[0]
+		list = list[1:]
 		return p
 	}
 	platform := next()
@@ -248,17 +248,3 @@
 		}
 	}
 }
-
-// freePorts returns addresses on the loopback that nothing listens on.
-func freePorts(n int) ([]netip.AddrPort, error) {
-	var list []netip.AddrPort
-	for range n {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, oops.Wrapf(err, "find a free port")
-		}
-		defer lis.Close()
-		list = append(list, lis.Addr().(*net.TCPAddr).AddrPort())
-	}
-	return list, nil
-}
--- a/io/node/member.go
+++ b/io/node/member.go
@@ -134,8 +134,13 @@
 		case <-ctx.Done():
 			return nil
 		}
-		for _, name := range n.members.due() {
-			n.probeSuspect(ctx, name)
+		due := n.members.due()
+		ended := make(chan struct{}, len(due))
+		for _, name := range due {
+			go func() { n.probeSuspect(ctx, name); ended <- struct{}{} }()
+		}
+		for range due {
+			<-ended
 		}
 	}
 }
