--- a/core/place/decide.go
+++ b/core/place/decide.go
@@ -115,9 +115,7 @@
 	m := p.models[w.Name]
 	delete(p.dirty, w.Name)
 	m.out = true
-	if !w.Delete {
-		m.pending = append(m.pending, w.Spec)
-	}
+	m.pending = append(m.pending, w.Spec)
 	p.account(m)
 }
 
@@ -143,7 +141,7 @@
 		return Write{}, false
 	}
 	p.forgetGone(m)
-	d := draft{p: p, m: m, holders: slices.Clone(m.spec.Holders), reason: Removed}
+	d := draft{p: p, m: m, holders: slices.Clone(m.spec.Holders), reason: reasonCount}
 	d.removeGone()
 	d.revokeUnfit()
 	d.follow()
@@ -323,16 +321,8 @@
 }
 
 func (d *draft) write() (Write, bool) {
-	m := d.m
-	w := Write{Name: m.name, Version: m.condition()}
-	if m.entry == nil && len(d.holders) == 0 && w.Version != 0 {
-		w.Delete = true
-		w.Reason = Removed
-		return w, true
-	}
 	d.rewrite()
-	w.Spec = d.spec()
-	w.Reason = d.reason
+	w := Write{Name: d.m.name, Spec: d.spec(), Version: d.m.condition(), Reason: d.reason}
 	return w, d.changed
 }
 
--- a/core/place/model.go
+++ b/core/place/model.go
@@ -90,19 +90,17 @@
 	Lowered
 	// Balanced: an idle model leaves a crowded host for an emptier one.
 	Balanced
-	// Removed: the entry is deleted and the last holder has let go.
-	Removed
+	reasonCount
 )
 
-// Write is a conditional write of one grant object.
+// Write is a conditional write of one grant object. Objects are never deleted:
+// without holders they stay, so that a deletion seen is always somebody's by hand.
 type Write struct {
 	Name core.ModelName
 	Spec core.GrantSpec
 	// Version is what the write is conditional on; zero creates the object.
 	Version core.Version
-	// Delete asks for the object's deletion instead of an update.
-	Delete bool
-	Reason Reason
+	Reason  Reason
 }
 
 // Outcome is what became of a write.
--- a/core/place/owner.go
+++ b/core/place/owner.go
@@ -94,7 +94,7 @@
 
 func (p *Planner) useOf(m *model) use {
 	u := use{each: m.spec.Memory}
-	if m.version != 0 && !m.deleted || len(m.spec.Holders) > 0 {
+	if len(m.spec.Holders) > 0 {
 		u.owner = m.spec.Owner
 	}
 	if m.entry != nil {
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -308,7 +308,7 @@
 }
 
 // Answered tells what became of the write for a name. After Applied the new
-// version must follow with SetGrant, or DropGrant for a deletion.
+// version must follow with SetGrant, unless it came before.
 func (p *Planner) Answered(w Write, out Outcome) {
 	m := p.model(w.Name)
 	if w.Version != m.condition() {
