--- a/core/place/decide.go
+++ b/core/place/decide.go
@@ -140,7 +140,6 @@
 	if m.out || m.blocked || !p.mayWrite(m) {
 		return Write{}, false
 	}
-	p.forgetGone(m)
 	d := draft{p: p, m: m, holders: slices.Clone(m.spec.Holders), reason: reasonCount}
 	d.removeGone()
 	d.revokeUnfit()
@@ -150,19 +149,6 @@
 	return d.write()
 }
 
-// forgetGone drops hosts that are gone from what is remembered of an object
-// that was deleted: there is nothing left to remove them from.
-func (p *Planner) forgetGone(m *model) {
-	if !m.deleted {
-		return
-	}
-	n := len(m.spec.Holders)
-	m.spec.Holders = p.present(m.spec.Holders)
-	if len(m.spec.Holders) < n {
-		p.account(m)
-	}
-}
-
 // present returns the holders whose hosts are not known to be gone.
 func (p *Planner) present(holders []core.GrantHolder) []core.GrantHolder {
 	return slices.DeleteFunc(slices.Clone(holders), func(h core.GrantHolder) bool {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -253,6 +253,40 @@
 	})
 }
 
+func TestOwnerRoom(t *testing.T) {
+	full := func(t *testing.T) *fleet {
+		f := newFleet(t, hosts(9)...)
+		f.planner.SetOwner("nadi", 30*core.GiB)
+		f.model("m1", 1)
+		f.run()
+		f.counts("m1", 1, 0)
+		return f
+	}
+	drop := func(f *fleet) {
+		f.version++
+		f.planner.DropEntry("m1", f.version)
+		f.model("m2", 1)
+		f.run()
+	}
+	t.Run("a deleted entry's holders take room until they let go", func(t *testing.T) {
+		f := full(t)
+		drop(f)
+		f.counts("m2", 0, 0)
+		f.release()
+		f.run()
+		f.counts("m2", 1, 0)
+	})
+	t.Run("so do those of a grant deleted by hand, until their host is gone", func(t *testing.T) {
+		f := full(t)
+		h := f.grants["m1"].Holders[0]
+		f.version++
+		f.planner.DropGrant("m1", f.version)
+		f.planner.Gone(place.HostID{Host: h.Host, UID: h.UID})
+		drop(f)
+		f.counts("m2", 1, 0)
+	})
+}
+
 func TestHosts(t *testing.T) {
 	t.Run("a gone host is removed and replaced", func(t *testing.T) {
 		f := newFleet(t, hosts(9)...)
