--- a/examples/capacity/converge.sh
+++ b/examples/capacity/converge.sh
@@ -4,8 +4,9 @@
 # Appends one line for each edit and process to a file:
 #   scenario,edit,process,seconds
 # Seconds run from the platform's answer that accepted the edit to the process's
-# own log of it (event RW1101 with the edit's version), both by the machine's
-# clock; an edit that a process never logged stands as "none".
+# first log of the model with the edit's version or a newer one (event RW1101; a
+# status written to the entry makes a newer one), both by the machine's clock. An
+# edit that a process never logged stands as "none".
 # Usage: converge.sh OUT.csv ENTRIES AGENTS MODELS ADAPTERS EDITS
 # shellcheck source=fleet.sh
 source "$(dirname "$0")/fleet.sh"
@@ -17,13 +18,14 @@
 sleep 15
 
 # edit changes one model's concurrency by conditional update and prints the time
-# of the answer and the new version.
+# of the answer, the new version and the model.
 edit() { # number
-	local at text version
-	at=$(api "models/$(printf 'model-%03d' $(($1 % models)))")
+	local at name text version
+	name=$(printf 'model-%03d' $(($1 % models)))
+	at=$(api "models/$name")
 	text=$(curl -s "$at" | jq -c --argjson n "$((33 + $1))" '.spec.limits.concurrency = $n | del(.status)')
 	version=$(curl -s -X PUT -H 'Content-Type: application/json' -d "$text" "$at" | jq -r .metadata.resourceVersion)
-	echo "$(now) $version"
+	echo "$(now) $version $name"
 }
 
 # collect reads all logs for the edits of a scenario.
@@ -32,15 +34,18 @@
 	midnight=$(date -d "$(date +%F)" +%s)
 	for f in "$d"/entry-*.log "$d"/agent-*.log; do
 		awk -v scenario="$1" -v process="$(basename "${f%.log}")" -v midnight="$midnight" '
-			NR == FNR { at[$2] = $1; edit[$2] = FNR; next }
-			/event="RW1101"/ && match($0, /version=[0-9]+/) {
-				v = substr($0, RSTART + 8, RLENGTH - 8)
-				if (!(v in at) || v in seen) next
-				seen[v] = 1
+			NR == FNR { at[$3] = $1; version[$3] = $2; edit[$3] = FNR; next }
+			/event="RW1101" kind="models"/ {
+				split($0, q, "\"")
+				name = q[8]
+				v = $NF
+				sub(/version=/, "", v)
+				if (!(name in at) || name in seen || v + 0 < version[name] + 0) next
+				seen[name] = 1
 				split($2, t, ":")
-				printf "%s,%d,%s,%.3f\n", scenario, edit[v], process, midnight + t[1] * 3600 + t[2] * 60 + t[3] - at[v]
+				printf "%s,%d,%s,%.3f\n", scenario, edit[name], process, midnight + t[1] * 3600 + t[2] * 60 + t[3] - at[name]
 			}
-			END { for (v in at) if (!(v in seen)) printf "%s,%d,%s,none\n", scenario, edit[v], process }
+			END { for (name in at) if (!(name in seen)) printf "%s,%d,%s,none\n", scenario, edit[name], process }
 		' "$d/edits" "$f"
 	done >>"$out"
 }
--- a/examples/capacity/fleet.sh
+++ b/examples/capacity/fleet.sh
@@ -2,6 +2,9 @@
 # processes on the loopback and end it by its ids. Sourced, not run.
 #   PORT  first port of the fleet (20000)
 #   BIN   directory with radishwell and standin; built anew where unset
+#   EXTRA "ENTRIES AGENTS" that the platform lists beside the processes that run.
+#         Their control addresses are those of running processes, so that the
+#         cost of knowing many hosts shows without as many processes.
 # shellcheck shell=bash
 set -euo pipefail
 here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
@@ -45,6 +48,43 @@
 	pids[$1]=$!
 }
 
+# list_extra adds the hosts of EXTRA to the platform's list.
+list_extra() {
+	local i name role rest spec
+	# shellcheck disable=SC2086
+	set -- ${EXTRA:-0 0}
+	for i in $(seq 0 $(($1 + $2 - 1))); do
+		name=$(printf 'listed-entry-%03d' "$i") role=entry rest=''
+		if [ "$i" -ge "$1" ]; then
+			name=$(printf 'listed-agent-%03d' "$i") role=upstream
+			rest=", service: pool, work: \"127.0.0.1:$((port + 5 * (i % agents + entries + 1) + 3))\", accelerators: 8, memory: 80GiB"
+		fi
+		spec="role: $role, state: live, data-centre: dc-$((i % 4)), control: \"127.0.0.1:$((port + 5 * (i % (entries + agents) + 1)))\"$rest"
+		printf -- '---\nkind: hosts\nname: %s\nspec: {%s}\n' "$name" "$spec" >>"$d/hosts.yaml"
+	done
+}
+
+# set_keys gives each owner a key by an operator's edit: owner-NN's is key-NN.
+set_keys() {
+	local i n digest
+	for i in $(seq 0 19); do
+		n=$(printf '%02d' "$i")
+		digest=$(printf 'key-%s' "$n" | sha256sum | cut -d' ' -f1)
+		curl -s -o /dev/null -X PUT -H 'Content-Type: application/json' "$(api "owners/owner-$n")" -d '{
+			"apiVersion": "radishwell.example/v1", "kind": "owners", "metadata": {"name": "owner-'"$n"'"},
+			"spec": {"keys": [{"caller": "caller", "digest": "'"$digest"'"}]}}'
+	done
+}
+
+# sum_of METRIC FIRST LAST sums a metric over processes.
+sum_of() {
+	local i
+	for i in $(seq "$2" "$3"); do
+		metric "$(operators "$i")" "$1"
+		echo
+	done | awk '{s += $1} END {printf "%.3f", s}'
+}
+
 # start_fleet ENTRIES AGENTS MODELS ADAPTERS starts a fleet and waits until every
 # model and adapter has its grant. It sets settled to the seconds that took, -1
 # where it took more than 300.
@@ -52,6 +92,7 @@
 	entries=$1 agents=$2 models=$3 adapters=$4
 	rm -rf "$d"
 	"$work/standin" fleet --dir "$d" --entries "$entries" --agents "$agents" --models "$models" --adapters "$adapters" --port "$port"
+	list_extra
 	"$work/standin" platform --listen "127.0.0.1:$port" --control "127.0.0.1:$((port + 1))" --seed "$d/hosts.yaml" --seed "$d/catalogue.yaml" >"$d/platform.log" 2>&1 &
 	pids[platform]=$!
 	"$work/standin" engines --entries "$entries" --agents "$agents" --port "$port" >"$d/engines.log" 2>&1 &
--- a/examples/capacity/wake.sh
+++ b/examples/capacity/wake.sh
@@ -15,21 +15,10 @@
 start_fleet "$2" "$3" "$4" "$5"
 echo "fleet of $2 entries and $3 agents settled in $settled s"
 
-# Owners' keys, by an operator's edit: owner-NN's key is key-NN.
-for i in $(seq 0 19); do
-	n=$(printf '%02d' "$i")
-	digest=$(printf 'key-%s' "$n" | sha256sum | cut -d' ' -f1)
-	curl -s -o /dev/null -X PUT -H 'Content-Type: application/json' "$(api "owners/owner-$n")" -d '{
-		"apiVersion": "radishwell.example/v1", "kind": "owners", "metadata": {"name": "owner-'"$n"'"},
-		"spec": {"keys": [{"caller": "caller", "digest": "'"$digest"'"}]}}'
-done
+set_keys
 sleep 30
 
 verb() { calls | jq ".$1 // 0"; }
-sum() { # metric, first process, last process
-	local i
-	for i in $(seq "$2" "$3"); do metric "$(operators "$i")" "$1"; echo; done | awk '{s += $1} END {printf "%.3f", s}'
-}
 last=$((entries + agents - 1))
 rest0=$(calls | total)
 sleep 20
@@ -50,18 +39,18 @@
 r0=$(($(verb list) + $(verb get)))
 w0=$(($(verb create) + $(verb update) + $(verb '"update-status"') + $(verb delete)))
 s0=$(verb watch)
-b0=$(sum radishwell_peer_bytes_total 0 "$last")
-e0=$(sum process_cpu_seconds_total 0 $((entries - 1)))
-a0=$(sum process_cpu_seconds_total "$entries" "$last")
+b0=$(sum_of radishwell_peer_bytes_total 0 "$last")
+e0=$(sum_of process_cpu_seconds_total 0 $((entries - 1)))
+a0=$(sum_of process_cpu_seconds_total "$entries" "$last")
 began=$(now)
 seq 0 $((woken - 1)) | xargs -P "$at_once" -I{} bash -c 'one {}' >"$out.requests"
 ended=$(now)
 r1=$(($(verb list) + $(verb get)))
 w1=$(($(verb create) + $(verb update) + $(verb '"update-status"') + $(verb delete)))
 s1=$(verb watch)
-b1=$(sum radishwell_peer_bytes_total 0 "$last")
-e1=$(sum process_cpu_seconds_total 0 $((entries - 1)))
-a1=$(sum process_cpu_seconds_total "$entries" "$last")
+b1=$(sum_of radishwell_peer_bytes_total 0 "$last")
+e1=$(sum_of process_cpu_seconds_total 0 $((entries - 1)))
+a1=$(sum_of process_cpu_seconds_total "$entries" "$last")
 awk -v began="$began" -v ended="$ended" -v ok="$(grep -c '^200,' "$out.requests" || true)" \
 	-v head="$entries,$agents,$models,$adapters,$woken,$at_once" -v reads=$((r1 - r0)) -v writes=$((w1 - w0)) -v watches=$((s1 - s0)) \
 	-v rest=$((rest1 - rest0)) -v b0="$b0" -v b1="$b1" -v e0="$e0" -v e1="$e1" -v a0="$a0" -v a1="$a1" 'BEGIN {
--- a/io/cmds/standin.go
+++ b/io/cmds/standin.go
@@ -22,6 +22,7 @@
 	Fleet    standinFleet    `cmd:"" help:"Write the files of a fleet on the loopback, for measuring."`
 	Engines  standinEngines  `cmd:"" help:"The engines of such a fleet in one process."`
 	Service  standinService  `cmd:"" help:"A plain service that echoes calls and counts them at /runs, with faults at /faults."`
+	Capacity capacityCommand `cmd:"" help:"Make the tables of docs/CAPACITY.md anew from the raw figures."`
 }
 
 // Standin runs the stand-ins' command line and returns the exit status.
