--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -32,6 +32,8 @@
 	unknownLoad = 5 * time.Second
 	// loadWeight is how much of a measured load time one load replaces.
 	loadWeight = 0.25
+	// worthWeight is how much of an item's worth one more use replaces.
+	worthWeight = 0.1
 	// sessionPause is the pause after which a use begins a new session.
 	sessionPause = 20 * time.Minute
 	// ahead is how far the times of day are looked ahead.
@@ -57,6 +59,8 @@
 	// load is the measured time of a load in seconds; zero while unknown.
 	load float64
 	busy int
+	// worth is what a second of waiting for the item is worth, by its uses.
+	worth float64
 	// idle is when the last use ended; used tells that there was one.
 	idle time.Time
 	used bool
@@ -87,8 +91,9 @@
 // Drop forgets an item that has left the catalogue.
 func (p *Policy) Drop(name core.ModelName) { delete(p.items, name) }
 
-// Begin notes that a request for the item has arrived.
-func (p *Policy) Begin(now time.Time, name core.ModelName) {
+// Begin notes that a request of a class for the item has arrived. An adapter's
+// request is one for its base, too, and of the same class there.
+func (p *Policy) Begin(now time.Time, name core.ModelName, class core.Class) {
 	s := p.items[name]
 	if s == nil {
 		return
@@ -102,10 +107,24 @@
 	if s.busy == 0 && (!s.used || gap > sessionPause) {
 		s.habit.sawUse(now)
 	}
+	if s.busy == 0 {
+		s.blend(p.worthOf(class))
+	}
 	s.busy++
 	s.used = true
 }
 
+// blend takes the worth of one more use's waiting in. What a cold start costs is
+// a matter of who waits for it: a model of reviews at night is also the base of
+// an adapter that somebody uses in front of a client.
+func (s *state) blend(worth float64) {
+	if !s.used {
+		s.worth = worth
+		return
+	}
+	s.worth += (worth - s.worth) * worthWeight
+}
+
 // End notes that a request for the item has ended.
 func (p *Policy) End(now time.Time, name core.ModelName) {
 	s := p.items[name]
@@ -129,13 +148,30 @@
 	s.load += (took.Seconds() - s.load) * loadWeight
 }
 
+// LoadTime returns how long a load of the item should take.
+func (p *Policy) LoadTime(name core.ModelName) time.Duration {
+	s := p.items[name]
+	if s == nil {
+		return unknownLoad
+	}
+	return seconds(s.loadSeconds())
+}
+
 // cold is what a cold start costs, in accelerator seconds.
 func (p *Policy) cold(s *state) float64 {
+	worth := s.worth
+	if !s.used {
+		worth = p.worthOf(s.item.Class)
+	}
+	return s.loadSeconds() * worth
+}
+
+func (p *Policy) worthOf(class core.Class) float64 {
 	worth := p.Worth
 	if worth == (Worth{}) {
 		worth = DefaultWorth
 	}
-	return s.loadSeconds() * worth[min(s.item.Class, core.ClassCount-1)]
+	return worth[min(class, core.ClassCount-1)]
 }
 
 func (s *state) loadSeconds() float64 {
@@ -190,7 +226,7 @@
 func candidates(even float64) []float64 {
 	list := []float64{0}
 	for b := range gapBins {
-		if end := binEnd(b).Seconds(); end < 4*even {
+		if end := binEnds[b]; end < 4*even {
 			list = append(list, end)
 		}
 	}
@@ -205,7 +241,7 @@
 func (h *habit) costOf(keep, even, total float64) float64 {
 	cost, within := 0.0, 0.0
 	for b, n := range h.gaps {
-		end := binEnd(b).Seconds()
+		end := binEnds[b]
 		if end > keep*1.0001 {
 			break
 		}
@@ -245,23 +281,29 @@
 	s.habit.turnDay(now)
 	rate := s.item.Accelerators
 	cold := p.cold(s)
-	slot, _, _ := slotOf(now)
-	from, end := now, time.Unix((slot+1)*int64(slotTime/time.Second), 0)
+	slot, kind, place := slotOf(now)
+	end := time.Unix((slot+1)*int64(slotTime/time.Second), 0)
+	part := end.Sub(now).Seconds()
 	// none is the chance that no use has begun yet, gain the expected saving
 	// less the expected cost of holding so far.
 	none, gain := 1.0, 0.0
-	best, most := now, 0.0
-	for range ahead {
-		part := end.Sub(from).Seconds()
-		chance := s.habit.inSlot(from) * part / slotTime.Seconds()
+	best, most := -1, 0.0
+	for n := range ahead {
+		chance := s.habit.chance(kind, place) * part / slotTime.Seconds()
 		gain += none * (chance*cold - rate*part*(1-chance/2))
 		none *= 1 - chance
 		if gain > most {
-			best, most = end, gain
+			best, most = n, gain
+		}
+		part = slotTime.Seconds()
+		if place++; place == daySlots {
+			_, kind, place = slotOf(end.Add(time.Duration(n) * slotTime))
 		}
-		from, end = end, end.Add(slotTime)
 	}
-	return best, most
+	if best < 0 {
+		return now, 0
+	}
+	return end.Add(time.Duration(best) * slotTime), most
 }
 
 // Advice is a load ahead of need.
--- a/io/agent/drive.go
+++ b/io/agent/drive.go
@@ -9,6 +9,7 @@
 	"radishwell/core/ledger"
 	"radishwell/core/strike"
 	"radishwell/io/events"
+	"radishwell/io/loop"
 )
 
 const (
@@ -82,11 +83,9 @@
 	a.schedule(now)
 }
 
-// noteReached keeps whether the upstream answers at all. A plain service that
-// answers with any status is there.
+// noteReached keeps whether the upstream answers at all.
 func (a *Agent) noteReached(err error) {
-	var fault *core.EngineError
-	reached := err == nil || a.Plain && errors.As(err, &fault) && fault.Fault == core.EngineRejected
+	reached := err == nil
 	if reached {
 		a.once.Do(func() { close(a.ready) })
 	}
@@ -116,7 +115,7 @@
 			a.end(r, now, a.unreached(now))
 		}
 	}
-	poke(a.orders)
+	loop.Poke(a.orders)
 }
 
 func (a *Agent) unreached(now time.Time) *core.Refusal {
@@ -290,7 +289,7 @@
 		gone := a.ledger.Unload(now, name) && a.ledger.Clear(name)
 		a.mu.Unlock()
 		if !gone {
-			poke(a.orders)
+			loop.Poke(a.orders)
 			continue
 		}
 		if err := a.Release(ctx, name); err == nil {
--- a/io/agent/sched.go
+++ b/io/agent/sched.go
@@ -10,6 +10,7 @@
 	"radishwell/core/queue"
 	"radishwell/core/strike"
 	"radishwell/io/events"
+	"radishwell/io/loop"
 	"radishwell/io/relay"
 )
 
@@ -138,7 +139,7 @@
 	r.waiting = false
 	l.running++
 	a.inWork++
-	a.useBegins(now, r.target)
+	a.useBegins(now, r.target, core.Class(r.head.GetClass()))
 	r.cold, r.loading, r.started = l.cold, l.loading, now
 	if l.waiting == 0 {
 		l.cold = false
@@ -188,11 +189,32 @@
 	switch verdict {
 	case ledger.NoMemory, ledger.TooLarge:
 		a.refuseLane(now, l, core.CodeNoMemory, "no accelerator has room for "+l.name)
-	case ledger.Ready, ledger.Coming, ledger.Evicting, ledger.Parting, ledger.NotReady:
-		poke(a.orders)
+	case ledger.Ready, ledger.Coming, ledger.Evicting, ledger.Leaving, ledger.NotReady:
+		a.queue.Ready(now, l.name, a.readyAt(now, l))
+		loop.Poke(a.orders)
 	}
 }
 
+// readyAt foresees when a lane can start work: the measured load times of what
+// is missing, from when its load began.
+func (a *Agent) readyAt(now time.Time, l *lane) time.Time {
+	at := now
+	for _, name := range itemsOf(l.target) {
+		i := a.ledger.Item(name)
+		if i.State == core.Loaded {
+			continue
+		}
+		from := now
+		if i.State == core.Loading {
+			from = i.Since
+		}
+		if end := from.Add(a.warm.LoadTime(name)); end.After(at) {
+			at = end
+		}
+	}
+	return at
+}
+
 // urgency is the class and the earliest deadline of what waits in a lane.
 func (a *Agent) urgency(l *lane) (core.Class, time.Time) {
 	class, deadline := core.Overnight, time.Time{}
@@ -286,5 +308,5 @@
 		events.Log(events.RequestMayHaveRun, "request", r.id, "code", refusal.Code, "reason", refusal.Reason)
 	}
 	a.schedule(now)
-	poke(a.alarm)
+	loop.Poke(a.alarm)
 }
--- a/io/agent/warm.go
+++ b/io/agent/warm.go
@@ -7,6 +7,7 @@
 	"radishwell/core/ledger"
 	"radishwell/core/warm"
 	"radishwell/io/events"
+	"radishwell/io/loop"
 	"radishwell/io/meter"
 )
 
@@ -31,10 +32,10 @@
 }
 
 // useBegins and useEnds tell the policy of uses, an adapter's base with it.
-func (a *Agent) useBegins(now time.Time, t core.Target) {
+func (a *Agent) useBegins(now time.Time, t core.Target, class core.Class) {
 	for _, name := range itemsOf(t) {
 		a.learn(name)
-		a.warm.Begin(now, name)
+		a.warm.Begin(now, name, class)
 	}
 }
 
@@ -73,7 +74,7 @@
 		}
 		if a.ledger.Unload(now, i.Name) {
 			a.Meter.Unload(meter.UnloadIdle)
-			poke(a.orders)
+			loop.Poke(a.orders)
 		}
 	}
 	if now.After(a.prewarmed.Add(prewarmTime)) {
@@ -154,7 +155,7 @@
 	}
 	if a.loadItem(now, name, e.Target.Base, core.Overnight, now.Add(prewarmTime)) == ledger.Coming {
 		events.Log(events.LoadStarted, "model", name, "host", a.Host, "ahead-of-need", true)
-		poke(a.orders)
+		loop.Poke(a.orders)
 	}
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -16,6 +16,7 @@
 	"radishwell/core/retry"
 	"radishwell/core/route"
 	"radishwell/core/strike"
+	"radishwell/io/loop"
 	"radishwell/io/meter"
 	"radishwell/io/spans"
 	"radishwell/wire"
@@ -86,13 +87,11 @@
 	hosts     map[core.HostName]*hostState
 	turns     map[core.RequestID]*turn
 	lanes     map[string]*lane
-	held      []*turn
 	costs     map[core.ModelName]*[3]time.Duration
 	trails    trails
 	trailLock sync.Mutex
 	alarm     chan struct{}
 	calls     sync.WaitGroup
-	closing   bool
 }
 
 // lane is the requests of one target at this entry.
@@ -114,6 +113,7 @@
 func (e *Entry) Init() {
 	e.router = route.Router{Seed: e.Rand.Uint64()}
 	e.book = strike.Book{Self: e.Name, MaxRecords: maxStrikes}
+	e.queue = queue.Queue{May: e.may}
 	e.copies = strike.Copies{MaxProven: maxProven}
 	e.hosts = map[core.HostName]*hostState{}
 	e.turns = map[core.RequestID]*turn{}
@@ -124,26 +124,12 @@
 
 // Run ends waiting requests at their time until the context ends.
 func (e *Entry) Run(ctx context.Context) error {
-	timer := time.NewTimer(tick)
-	defer timer.Stop()
-	for {
-		now := e.Clock.Now()
+	return loop.Run(ctx, e.Clock, e.alarm, tick, func(now time.Time) time.Time {
 		e.mu.Lock()
+		defer e.mu.Unlock()
 		e.schedule(now)
-		next := e.queue.Next()
-		e.mu.Unlock()
-		wait := tick
-		if !next.IsZero() {
-			wait = min(tick, max(time.Millisecond, next.Sub(now)))
-		}
-		timer.Reset(wait)
-		select {
-		case <-timer.C:
-		case <-e.alarm:
-		case <-ctx.Done():
-			return nil
-		}
-	}
+		return e.queue.Next()
+	})
 }
 
 // tick is the longest time between two looks at the queue.
--- a/io/entry/fixture_test.go
+++ b/io/entry/fixture_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,6 +60,14 @@
 kind: adapters
 name: alpha-dues
 spec: {owner: guild, base: alpha, class: interactive, memory: 64MiB}
+---
+kind: models
+name: large
+spec: {owner: guild, service: pool, class: interactive, memory: 4GiB, limits: {replicas: 2}}
+---
+kind: models
+name: huge
+spec: {owner: guild, service: pool, class: interactive, memory: 64GiB, limits: {replicas: 2}}
 `
 
 type realClock struct{}
@@ -74,7 +83,7 @@
 	agents  map[core.HostName]*host
 	mu      sync.Mutex
 	journal map[string]claims.Claim
-	cut     bool
+	cut     atomic.Bool
 }
 
 type host struct {
@@ -82,6 +91,8 @@
 	agent  *agent.Agent
 	engine *llmsrv.Server
 	plain  *plain.Server
+	// unsure makes the host's grants uncertain, as in a platform outage.
+	unsure atomic.Bool
 	// upstream is where the stand-in's own interface is reached.
 	upstream string
 	work     *httptest.Server
@@ -127,12 +138,13 @@
 	up := httptest.NewServer(upstream)
 	f.t.Cleanup(up.Close)
 	client := engine.New(addrOf(f.t, up.Listener), nil)
+	client.Plain = isPlain
 	f.t.Cleanup(client.Close)
 	h := &host{upstream: up.URL}
 	h.agent = &agent.Agent{
 		Host: name, Service: service, Plain: isPlain, Incarnation: core.Incarnation(rand.Uint64()), Engine: client,
 		Clock: realClock{}, Meter: meter.New(), Snapshot: f.snapshot, KeptAnswers: core.MiB,
-		Grant:   func(core.ModelName) (core.GrantState, bool) { return core.GrantActive, true },
+		Grant:   func(core.ModelName) (core.GrantState, bool) { return core.GrantActive, !h.unsure.Load() },
 		Release: func(context.Context, core.ModelName) error { return nil },
 		Revoked: func() []core.ModelName { return nil },
 		Spread:  f.spread, Agents: func() int { return 1 }, Rand: rand.New(rand.NewPCG(2, 2)),
@@ -199,14 +211,14 @@
 func (unreachedError) Error() string { return "unreached" }
 
 func (f *fleet) probe(_ context.Context, h entry.Host, names []core.ModelName) (*wire.HostLoad, error) {
-	if f.cut {
+	if f.cut.Load() {
 		return nil, unreachedError{}
 	}
 	return f.agents[h.Name].agent.Load(names), nil
 }
 
 func (f *fleet) seal(ctx context.Context, h entry.Host, c *wire.SealCall) (*wire.SealReply, error) {
-	if f.cut {
+	if f.cut.Load() {
 		return nil, unreachedError{}
 	}
 	return f.agents[h.Name].agent.Seal(ctx, c), nil
