--- a/core/place/decide.go
+++ b/core/place/decide.go
@@ -115,9 +115,7 @@
 	m := p.models[w.Name]
 	delete(p.dirty, w.Name)
 	m.out = true
-	if !w.Delete {
-		m.pending = append(m.pending, w.Spec)
-	}
+	m.pending = append(m.pending, w.Spec)
 	p.account(m)
 }
 
@@ -142,8 +140,7 @@
 	if m.out || m.blocked || !p.mayWrite(m) {
 		return Write{}, false
 	}
-	p.forgetGone(m)
-	d := draft{p: p, m: m, holders: slices.Clone(m.spec.Holders), reason: Removed}
+	d := draft{p: p, m: m, holders: slices.Clone(m.spec.Holders), reason: reasonCount}
 	d.removeGone()
 	d.revokeUnfit()
 	d.follow()
@@ -152,19 +149,6 @@
 	return d.write()
 }
 
-// forgetGone drops hosts that are gone from what is remembered of an object
-// that was deleted: there is nothing left to remove them from.
-func (p *Planner) forgetGone(m *model) {
-	if !m.deleted {
-		return
-	}
-	n := len(m.spec.Holders)
-	m.spec.Holders = p.present(m.spec.Holders)
-	if len(m.spec.Holders) < n {
-		p.account(m)
-	}
-}
-
 // present returns the holders whose hosts are not known to be gone.
 func (p *Planner) present(holders []core.GrantHolder) []core.GrantHolder {
 	return slices.DeleteFunc(slices.Clone(holders), func(h core.GrantHolder) bool {
@@ -323,16 +307,8 @@
 }
 
 func (d *draft) write() (Write, bool) {
-	m := d.m
-	w := Write{Name: m.name, Version: m.condition()}
-	if m.entry == nil && len(d.holders) == 0 && w.Version != 0 {
-		w.Delete = true
-		w.Reason = Removed
-		return w, true
-	}
 	d.rewrite()
-	w.Spec = d.spec()
-	w.Reason = d.reason
+	w := Write{Name: d.m.name, Spec: d.spec(), Version: d.m.condition(), Reason: d.reason}
 	return w, d.changed
 }
 
