Read the platform whole before deciding under a new fencing number

Cause: a new decider began from what peers had brought, which may be behind. Change: it lists all kinds once under each fencing number; older objects are passed over; agents count their start from when they hold the host's addresses and unload what they certainly have no grant for.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -114,7 +114,6 @@
 	a.queue = queue.Queue{Shared: !a.Plain}
 	a.book = strike.Book{Self: a.Host, MaxRecords: maxStrikes}
 	a.gate = strike.Gate{Book: &a.book}
-	a.ledger = ledger.Ledger{Started: a.Clock.Now()}
 	a.runs = map[dedupe.KeyID]*run{}
 	a.byID = map[core.RequestID]*run{}
 	a.lanes = map[string]*lane{}
@@ -143,6 +142,11 @@
 // Run drives the upstream until the context ends. It returns a FencedError if
 // another agent orders the same engine.
 func (a *Agent) Run(ctx context.Context) error {
+	// The process has its exclusive addresses by now: no predecessor that still
+	// lives could order the engine after this.
+	a.mu.Lock()
+	a.ledger.Started = a.Clock.Now()
+	a.mu.Unlock()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	loops := []func(context.Context) error{a.drive, a.watchDeadlines, a.askSlots}
--- a/io/agent/drive.go
+++ b/io/agent/drive.go
@@ -10,6 +10,7 @@
 	"radishwell/core/strike"
 	"radishwell/io/events"
 	"radishwell/io/loop"
+	"radishwell/io/meter"
 )
 
 const (
@@ -283,6 +284,7 @@
 	if a.Plain {
 		return
 	}
+	a.dropUngranted()
 	for _, name := range a.Revoked() {
 		a.mu.Lock()
 		now := a.Clock.Now()
@@ -298,6 +300,24 @@
 	}
 }
 
+// dropUngranted unloads what this host certainly has no grant for, as after it
+// was reclaimed and came back under its old name with its engine still running.
+func (a *Agent) dropUngranted() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock.Now()
+	for _, i := range a.ledger.Items() {
+		state, certain := a.Grant(i.Name)
+		if !certain || state != "" || i.State != core.Loaded || i.Users > 0 {
+			continue
+		}
+		if a.ledger.Unload(now, i.Name) {
+			a.Meter.Unload(meter.UnloadRevoked)
+			loop.Poke(a.orders)
+		}
+	}
+}
+
 // mayUse tells whether this host may serve an item: it is granted, or, where
 // the newest grant is not known for certain, the engine holds it already. What
 // is loaded was granted and has not been released, since a release comes after
--- a/io/entry/relay.go
+++ b/io/entry/relay.go
@@ -40,7 +40,7 @@
 	clients clientSet
 }
 
-// HandOver is how a hand-over ended without an answer's end.
+// handOverError reports a hand-over that ended without an answer's end.
 type handOverError struct {
 	// sent tells that the agent may have the request.
 	sent  bool
--- a/io/node/decide.go
+++ b/io/node/decide.go
@@ -23,6 +23,8 @@
 	roundBudget = 30
 	// writersAtOnce bounds the decider's writes in flight.
 	writersAtOnce = 8
+	// relistTime bounds the list of one kind.
+	relistTime = 5 * time.Second
 	// writeTime bounds one call of the platform.
 	writeTime = 2 * time.Second
 	// statusBudget is the most catalogue statuses written in one round.
@@ -46,6 +48,9 @@
 	reports  map[string]report
 	demanded map[core.ModelName]bool
 	poke     chan struct{}
+	// listedAt is the fencing number under which everything was read last. It
+	// belongs to run.
+	listedAt core.Fence
 	// took is told when this entry begins and ends to decide, and whether nobody
 	// has decided before it.
 	took func(in, fresh bool)
@@ -177,15 +182,14 @@
 	}
 }
 
-// listed tells lease and planner that the platform has been read whole. Fresh
-// tells that this process itself has read the grants: only then does their
-// absence mean that nobody has decided before.
+// listed tells the lease what the platform holds. Fresh tells that this process
+// itself has read the grants: only then does their absence mean that nobody has
+// decided before.
 func (d *decider) listed(fresh bool) {
 	blank := fresh && d.world.blank()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lease.Blank = blank
-	d.planner.Listed()
 }
 
 // keepLease makes the calls that the lease asks for.
@@ -259,6 +263,11 @@
 		d.mu.Unlock()
 		return
 	}
+	d.mu.Unlock()
+	if !d.relist(ctx, fence) {
+		return
+	}
+	d.mu.Lock()
 	unproven := d.planner.Unproven()
 	writes := d.planner.Round(d.clock.Now(), fence, roundBudget)
 	d.mu.Unlock()
@@ -269,6 +278,33 @@
 	d.writeStatuses(ctx)
 }
 
+// relist reads everything from the platform once under each fencing number. What
+// peers have brought may be behind it, and a decision made from an older entry
+// or without the newest grants would have to be taken back.
+func (d *decider) relist(ctx context.Context, fence core.Fence) bool {
+	if d.listedAt == fence {
+		return true
+	}
+	for _, kind := range storedKinds() {
+		call, stop := context.WithTimeout(ctx, relistTime)
+		l, err := d.platform.List(call, kind)
+		stop()
+		if err != nil {
+			events.Fail(events.DecisionFailed, err, "kind", kind)
+			return false
+		}
+		for i := range l.Objects {
+			l.Objects[i].Kind = kind
+		}
+		d.world.apply(l.Objects)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listedAt = fence
+	d.planner.Listed()
+	return true
+}
+
 // prove asks the platform whether it still lists a holder's host.
 func (d *decider) prove(ctx context.Context, id place.HostID) {
 	ctx, stop := context.WithTimeout(ctx, writeTime)
--- a/io/node/grants.go
+++ b/io/node/grants.go
@@ -57,17 +57,12 @@
 func (d *decider) learn(w place.Write, o core.Object) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !w.Delete {
-		d.seenGrant(o)
-	}
+	d.seenGrant(o)
 }
 
 func (d *decider) send(ctx context.Context, w place.Write) (core.Object, error) {
 	ctx, stop := context.WithTimeout(ctx, writeTime)
 	defer stop()
-	if w.Delete {
-		return core.Object{}, d.platform.Delete(ctx, core.KindGrant, string(w.Name), w.Version)
-	}
 	text, err := json.Marshal(w.Spec)
 	if err != nil {
 		return core.Object{}, err
--- a/io/node/server.go
+++ b/io/node/server.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	klog "github.com/go-kratos/kratos/v2/log"
+	kratoslog "github.com/go-kratos/kratos/v2/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/samber/oops"
 
@@ -46,7 +46,7 @@
 
 // quiet keeps kratos from logging beside the numbered events. Its logger is one
 // for the whole process, in which several nodes may run.
-var quiet = sync.OnceFunc(func() { klog.SetLogger(klog.NewStdLogger(io.Discard)) })
+var quiet = sync.OnceFunc(func() { kratoslog.SetLogger(kratoslog.NewStdLogger(io.Discard)) })
 
 // listen takes the address.
 func (s *httpServer) listen() error {
--- a/io/node/world.go
+++ b/io/node/world.go
@@ -17,8 +17,9 @@
 
 // listed is a host as the platform lists it.
 type listed struct {
-	uid  string
-	spec core.HostSpec
+	uid     string
+	version core.Version
+	spec    core.HostSpec
 }
 
 // granted is a grant object.
@@ -31,10 +32,12 @@
 // that the platform lists, and the grants. It is fed with objects that have
 // passed a replica, so no version goes back.
 type world struct {
-	mu     sync.RWMutex
-	view   catlog.View
-	hosts  map[core.HostName]listed
-	grants map[core.ModelName]granted
+	mu    sync.RWMutex
+	view  catlog.View
+	hosts map[core.HostName]listed
+	// unlisted are the versions at which hosts were deleted.
+	unlisted map[core.HostName]core.Version
+	grants   map[core.ModelName]granted
 	// byTarget caches the hosts that may serve a target until something changes.
 	byTarget map[string][]entry.Host
 	members  *members
@@ -49,59 +52,79 @@
 
 func newWorld(m *members) *world {
 	return &world{
-		hosts: map[core.HostName]listed{}, grants: map[core.ModelName]granted{},
+		hosts: map[core.HostName]listed{}, unlisted: map[core.HostName]core.Version{}, grants: map[core.ModelName]granted{},
 		members: m, byTarget: map[string][]entry.Host{}, changed: func(core.Object) {}, reports: func([]catlog.Report) {},
 	}
 }
 
-// apply takes changed objects of any kinds.
+// apply takes changed objects of any kinds. They come from the replicas and,
+// when this process begins to decide, from lists of the platform; what is older
+// than what is known is passed over.
 func (w *world) apply(objects []core.Object) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.reports(w.view.Apply(objects...))
 	for _, o := range objects {
-		switch o.Kind {
-		case core.KindHost:
-			w.applyHost(o)
-		case core.KindGrant:
-			w.applyGrant(o)
-		case core.KindModel, core.KindAdapter, core.KindOwner, core.KindService:
-			w.judged = true
-		case core.KindLease:
-			w.applyLease(o)
+		if w.take(o) {
+			w.changed(o)
 		}
-		w.changed(o)
 	}
 	clear(w.byTarget)
 }
 
-func (w *world) applyHost(o core.Object) {
+// take takes one object and tells whether it was news.
+func (w *world) take(o core.Object) bool {
+	switch o.Kind {
+	case core.KindHost:
+		return w.takeHost(o)
+	case core.KindGrant:
+		return w.takeGrant(o)
+	case core.KindLease:
+		w.applyLease(o)
+	default:
+		w.judged = true
+	}
+	return true
+}
+
+func (w *world) takeHost(o core.Object) bool {
 	name := core.HostName(o.Name)
+	if o.Version < max(w.hosts[name].version, w.unlisted[name]) {
+		return false
+	}
 	if o.Deleted {
 		delete(w.hosts, name)
+		w.unlisted[name] = o.Version
 		w.members.seen(name, core.HostGone, true)
 		events.Log(events.HostGone, "host", name)
-		return
+		return true
 	}
 	var spec core.HostSpec
 	if json.Unmarshal(o.Spec, &spec) != nil {
-		return
+		return false
 	}
+	delete(w.unlisted, name)
 	w.members.seen(name, spec.State, spec.State == core.HostGone)
-	w.hosts[name] = listed{uid: o.UID, spec: spec}
+	w.hosts[name] = listed{uid: o.UID, version: o.Version, spec: spec}
+	return true
 }
 
-func (w *world) applyGrant(o core.Object) {
+func (w *world) takeGrant(o core.Object) bool {
 	name := core.ModelName(o.Name)
+	if o.Version < w.grants[name].version {
+		return false
+	}
 	if o.Deleted {
-		delete(w.grants, name)
-		return
+		// Kept with its version, so that an older copy does not bring it back.
+		w.grants[name] = granted{version: o.Version}
+		return true
 	}
 	var spec core.GrantSpec
 	if json.Unmarshal(o.Spec, &spec) != nil {
-		return
+		return false
 	}
 	w.grants[name] = granted{spec: spec, version: o.Version}
+	return true
 }
 
 func (w *world) applyLease(o core.Object) {
