Share the agenda of replays and plays

Cause: six packages had an event queue of their own. Change: core/agenda, with what has the same time in the order it was put in. Conclusion: one piece of code serves.

--- a/core/claims/model_test.go
+++ b/core/claims/model_test.go
@@ -1,13 +1,13 @@
 package claims
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/agenda"
 	"radishwell/core/dedupe"
 )
 
@@ -17,8 +17,7 @@
 type world struct {
 	rng    *rand.Rand
 	now    time.Time
-	queue  eventHeap
-	seq    int
+	queue  agenda.Agenda[func()]
 	broken variant
 	// chance is the probability of each fault at each step.
 	chance float64
@@ -95,26 +94,6 @@
 	answer   string
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 var start = time.Date(2026, 3, 1, 20, 0, 0, 0, time.UTC)
 
 func newWorld(seed uint64, entries, agents int) *world {
@@ -158,8 +137,7 @@
 }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now.Add(d), w.seq, do})
+	w.queue.Put(w.now.Add(d), do)
 }
 
 // at delivers to a node, unless it has died since, after its pause.
@@ -202,10 +180,10 @@
 }
 
 func (w *world) runUntil(end time.Time) {
-	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+	for next, ok := w.queue.Next(); ok && !next.After(end); next, ok = w.queue.Next() {
+		var do func()
+		w.now, do = w.queue.Take()
+		do()
 	}
 	w.now = end
 }
--- a/core/replay/play.go
+++ b/core/replay/play.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/agenda"
 	"radishwell/core/warm"
 )
 
@@ -75,8 +75,6 @@
 
 // event is something that a replay has foreseen.
 type event struct {
-	at   time.Time
-	seq  int
 	kind eventKind
 	name core.ModelName
 }
@@ -88,31 +86,12 @@
 	timeToUnload
 )
 
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if c := e[i].at.Compare(e[j].at); c != 0 {
-		return c < 0
-	}
-	return e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // player replays one trace with one policy.
 type player struct {
 	trace  Trace
 	keeper Keeper
 	items  map[core.ModelName]*held
-	ahead  events
-	seq    int
+	ahead  agenda.Agenda[event]
 	result Result
 	waits  []time.Duration
 	opens  []time.Duration
@@ -142,20 +121,19 @@
 }
 
 func (p *player) push(at time.Time, kind eventKind, name core.ModelName) {
-	p.seq++
-	heap.Push(&p.ahead, event{at: at, seq: p.seq, kind: kind, name: name})
+	p.ahead.Put(at, event{kind: kind, name: name})
 }
 
 // advance plays what was foreseen up to a time.
 func (p *player) advance(now time.Time) {
-	for len(p.ahead) > 0 && !p.ahead[0].at.After(now) {
-		e := heap.Pop(&p.ahead).(event)
+	for next, ok := p.ahead.Next(); ok && !next.After(now); next, ok = p.ahead.Next() {
+		at, e := p.ahead.Take()
 		h := p.items[e.name]
 		switch {
 		case e.kind == endOfUse:
-			p.release(h, e.at)
-		case h.loaded && h.busy == 0 && !h.until.After(e.at):
-			p.reconsider(h, e.at)
+			p.release(h, at)
+		case h.loaded && h.busy == 0 && !h.until.After(at):
+			p.reconsider(h, at)
 		}
 	}
 }
--- a/core/retry/play_test.go
+++ b/core/retry/play_test.go
@@ -1,7 +1,6 @@
 package retry_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -10,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"radishwell/core"
+	"radishwell/core/agenda"
 	"radishwell/core/retry"
 )
 
@@ -74,29 +74,11 @@
 // sum is what callers got and what it took.
 type sum struct{ sent, good, late, refused, attempts int }
 
-type step struct {
-	at time.Time
-	do func(now time.Time)
-}
-
-type steps []step
-
-func (s steps) Len() int           { return len(s) }
-func (s steps) Less(i, j int) bool { return s[i].at.Before(s[j].at) }
-func (s steps) Swap(i, j int)      { s[i], s[j] = s[j], s[i] }
-func (s *steps) Push(x any)        { *s = append(*s, x.(step)) }
-func (s *steps) Pop() any {
-	last := len(*s) - 1
-	x := (*s)[last]
-	*s = (*s)[:last]
-	return x
-}
-
 type play struct {
 	up    *upstream
 	by    decider
 	rng   *rand.Rand
-	steps steps
+	steps agenda.Agenda[func(now time.Time)]
 	sum   sum
 }
 
@@ -109,15 +91,15 @@
 		c.Attempts = nil
 		c.Request.ID = core.RequestID(fmt.Sprint(at))
 		c.Request.Arrived, c.Request.Deadline = at, at.Add(time.Second)
-		heap.Push(&p.steps, step{at, func(now time.Time) {
+		p.steps.Put(at, func(now time.Time) {
 			p.sum.sent++
 			p.by.first("qalam")
 			p.try(now, c, p.rng.IntN(up.hosts))
-		}})
+		})
 	}
-	for len(p.steps) > 0 {
-		s := heap.Pop(&p.steps).(step)
-		s.do(s.at)
+	for p.steps.Len() > 0 {
+		now, do := p.steps.Take()
+		do(now)
 	}
 	return p.sum
 }
@@ -125,7 +107,7 @@
 func (p *play) try(now time.Time, c retry.Case, host int) {
 	p.sum.attempts++
 	end, ref := p.up.attempt(now, host, p.rng)
-	heap.Push(&p.steps, step{end, func(now time.Time) {
+	p.steps.Put(end, func(now time.Time) {
 		if ref == nil {
 			p.answer(now, c)
 			return
@@ -133,7 +115,7 @@
 		c.Attempts = append(c.Attempts, retry.Attempt{Refusal: ref})
 		c.HostsLeft = max(0, p.up.hosts-len(c.Attempts))
 		p.again(now, c, (host+1)%p.up.hosts)
-	}})
+	})
 }
 
 func (p *play) answer(now time.Time, c retry.Case) {
@@ -152,7 +134,7 @@
 	case retry.Again:
 		p.try(now, c, host)
 	case retry.Later:
-		heap.Push(&p.steps, step{d.At, func(now time.Time) { p.try(now, c, host) }})
+		p.steps.Put(d.At, func(now time.Time) { p.try(now, c, host) })
 	}
 }
 
--- a/core/route/play_test.go
+++ b/core/route/play_test.go
@@ -1,7 +1,6 @@
 package route_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +8,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/agenda"
 	"radishwell/core/route"
 )
 
@@ -124,33 +124,11 @@
 	sent     map[core.HostName]int
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	do  func(now time.Time)
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := len(*e) - 1
-	x := (*e)[last]
-	*e = (*e)[:last]
-	return x
-}
-
 // play is a fleet of entries and hosts in fake time.
 type play struct {
 	hosts   []*host
 	entries []*entry
-	events  events
-	seq     int
+	events  agenda.Agenda[func(now time.Time)]
 	// waits are the times to the whole answer, in the order of the answers; short
 	// those of the requests of 100 ms.
 	waits, short []time.Duration
@@ -185,14 +163,13 @@
 func oldReport(int) router { return oldest{} }
 
 func (p *play) at(t time.Time, do func(now time.Time)) {
-	p.seq++
-	heap.Push(&p.events, event{at: t, seq: p.seq, do: do})
+	p.events.Put(t, do)
 }
 
 func (p *play) run() {
-	for len(p.events) > 0 {
-		e := heap.Pop(&p.events).(event)
-		e.do(e.at)
+	for p.events.Len() > 0 {
+		now, do := p.events.Take()
+		do(now)
 	}
 }
 
--- a/core/slots/play_test.go
+++ b/core/slots/play_test.go
@@ -1,7 +1,6 @@
 package slots
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/agenda"
 )
 
 var start = time.Date(2026, 3, 1, 20, 0, 0, 0, time.UTC)
@@ -45,8 +45,7 @@
 type play struct {
 	rng    *rand.Rand
 	now    time.Time
-	queue  events
-	seq    int
+	queue  agenda.Agenda[func()]
 	store  *store
 	pool   *Pool
 	locals []*Local
@@ -66,26 +65,6 @@
 	dead    bool
 }
 
-type item struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []item
-
-func (h events) Len() int { return len(h) }
-func (h events) Less(i, j int) bool {
-	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq
-}
-func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *events) Push(x any)   { *h = append(*h, x.(item)) }
-func (h *events) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 func newPlay(s *store, p *Pool) *play {
 	s.factor, s.moved = 1, start
 	if p != nil {
@@ -95,16 +74,15 @@
 }
 
 func (p *play) after(d time.Duration, do func()) {
-	p.seq++
-	heap.Push(&p.queue, item{p.now.Add(max(0, d)), p.seq, do})
+	p.queue.Put(p.now.Add(max(0, d)), do)
 }
 
 func (p *play) run(d time.Duration) {
 	end := p.now.Add(d)
-	for len(p.queue) > 0 && !p.queue[0].at.After(end) {
-		e := heap.Pop(&p.queue).(item)
-		p.now = e.at
-		e.do()
+	for next, ok := p.queue.Next(); ok && !next.After(end); next, ok = p.queue.Next() {
+		var do func()
+		p.now, do = p.queue.Take()
+		do()
 	}
 	p.now = end
 }
--- a/core/strike/play_test.go
+++ b/core/strike/play_test.go
@@ -1,7 +1,6 @@
 package strike
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -13,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"radishwell/core"
+	"radishwell/core/agenda"
 )
 
 const poison core.Fingerprint = 1
@@ -22,8 +22,7 @@
 type fleet struct {
 	rng     *rand.Rand
 	now     time.Time
-	queue   events
-	seq     int
+	queue   agenda.Agenda[func()]
 	naive   bool    // no strikes at all
 	loss    float64 // of messages between processes
 	agents  []*upstream
@@ -54,26 +53,6 @@
 	alone  bool
 }
 
-type item struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []item
-
-func (h events) Len() int { return len(h) }
-func (h events) Less(i, j int) bool {
-	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq
-}
-func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *events) Push(x any)   { *h = append(*h, x.(item)) }
-func (h *events) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 func newFleet(seed uint64) *fleet {
 	f := &fleet{rng: rand.New(rand.NewPCG(seed, 9)), now: start, done: make(map[string]int)}
 	for i := range 16 {
@@ -89,16 +68,15 @@
 }
 
 func (f *fleet) after(d time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.queue, item{f.now.Add(d), f.seq, do})
+	f.queue.Put(f.now.Add(d), do)
 }
 
 func (f *fleet) run(d time.Duration) {
 	end := f.now.Add(d)
-	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
-		e := heap.Pop(&f.queue).(item)
-		f.now = e.at
-		e.do()
+	for next, ok := f.queue.Next(); ok && !next.After(end); next, ok = f.queue.Next() {
+		var do func()
+		f.now, do = f.queue.Take()
+		do()
 	}
 	f.now = end
 }
