Foresee no load that was never measured

Change: only measured load times are foreseen. The test fails before and passes after. Conclusion: a first request is let in and measures.

--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -148,13 +148,14 @@
 	s.load += (took.Seconds() - s.load) * loadWeight
 }
 
-// LoadTime returns how long a load of the item should take.
-func (p *Policy) LoadTime(name core.ModelName) time.Duration {
+// LoadTime returns how long a load of the item should take; false where none was
+// measured. A guess would have requests refused for a wait that nobody knows.
+func (p *Policy) LoadTime(name core.ModelName) (time.Duration, bool) {
 	s := p.items[name]
-	if s == nil {
-		return unknownLoad
+	if s == nil || s.load == 0 {
+		return 0, false
 	}
-	return seconds(s.loadSeconds())
+	return seconds(s.load), true
 }
 
 // cold is what a cold start costs, in accelerator seconds.
--- a/io/agent/load.go
+++ b/io/agent/load.go
@@ -44,8 +44,9 @@
 
 func (a *Agent) itemLoad(name core.ModelName) *wire.ItemLoad {
 	out := &wire.ItemLoad{Name: string(name), State: uint32(a.ledger.Item(name).State), Tier: uint32(a.tier(name))}
-	if i := a.ledger.Item(name); i.State == core.Loading {
-		out.Ready = i.Since.Add(a.warm.LoadTime(name)).UnixNano()
+	took, known := a.warm.LoadTime(name)
+	if i := a.ledger.Item(name); known && i.State == core.Loading {
+		out.Ready = i.Since.Add(took).UnixNano()
 	}
 	if l := a.lanes[string(name)]; l != nil {
 		out.Running, out.Queued = int32(l.running), int32(l.waiting)
--- a/io/agent/sched.go
+++ b/io/agent/sched.go
@@ -208,7 +208,8 @@
 		if i.State == core.Loading {
 			from = i.Since
 		}
-		if end := from.Add(a.warm.LoadTime(name)); end.After(at) {
+		took, known := a.warm.LoadTime(name)
+		if end := from.Add(took); known && end.After(at) {
 			at = end
 		}
 	}
--- a/io/entry/host_test.go
+++ b/io/entry/host_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -71,6 +72,25 @@
 	assertDone(t, chat(t, url, "large", "big", false, 1))
 }
 
+// On a site the first check of the day asks for an adapter that has never been
+// loaded, with five seconds to spare. Its load takes milliseconds, but the agent
+// foresaw five seconds for a load it had not measured and turned it away.
+func TestUnmeasuredLoadIsNotForeseen(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.engineHost("up-1", &llmsrv.Server{LoadTimes: [3]time.Duration{2: 500 * time.Millisecond}})
+	url := f.entryHost()
+	var all sync.WaitGroup
+	for range 5 {
+		all.Go(func() {
+			body := `{"model":"alpha-dues","max_tokens":1,"messages":[{"role":"user","content":"check"}]}`
+			assertDone(t, send(t, http.MethodPost, url+"/v1/chat/completions", body,
+				"Radishwell-Deadline", time.Now().Add(4*time.Second).Format(time.RFC3339Nano)))
+		})
+	}
+	all.Wait()
+}
+
 func TestModelThatNeverFits(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
