--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -46,19 +46,25 @@
 	arrived time.Time
 	span    spans.Span
 
-	// Under the agent's lock.
+	// What follows, up to cancel, is under the agent's lock.
+
+	// waiting tells that the run is in the queue, began that it went to the
+	// upstream, under use where that is an engine.
 	waiting bool
 	began   bool
 	use     ledger.Use
-	// cold tells that the request waited for a load, alone that nothing else
-	// ran beside it; epoch is the engine's at its start.
-	cold bool
-	// listed tells that the engine has reported the run.
-	listed   bool
-	alone    bool
-	epoch    uint64
-	struck   bool
-	strikes  []strike.Record
+	// cold tells that the request waited for a load, alone that nothing else ran
+	// beside it, listed that the engine has reported it; epoch is the engine's at
+	// the run's start.
+	cold   bool
+	alone  bool
+	listed bool
+	epoch  uint64
+	// struck tells that its engine died with it; strikes go out with its end.
+	struck  bool
+	strikes []strike.Record
+	// readers counts the connections that read the answer, the last of which
+	// ended at detached.
 	readers  int
 	detached time.Time
 	ended    time.Time
@@ -85,19 +91,14 @@
 const (
 	causeCaller cause = iota + 1
 	causeDeadline
-	causeStop
 )
 
 // Error implements error.
 func (c cause) Error() string {
-	switch c {
-	case causeCaller:
+	if c == causeCaller {
 		return "the caller went away"
-	case causeDeadline:
-		return "the deadline passed"
-	default:
-		return "the agent stops"
 	}
+	return "the deadline passed"
 }
 
 // begin starts the run on the engine. The agent's lock is held.
--- a/io/agent/sched.go
+++ b/io/agent/sched.go
@@ -24,8 +24,6 @@
 	cold bool
 	// loading is when the load began that they wait for.
 	loading time.Time
-	// idle is when the last request ended.
-	idle time.Time
 }
 
 func (a *Agent) lane(t core.Target) *lane {
@@ -293,7 +291,6 @@
 	a.queue.Finish(now, r.id, end)
 	l := a.lane(r.target)
 	l.running--
-	l.idle = now
 	a.inWork--
 	a.useEnds(now, r.target)
 	if !a.Plain {
