Recognise restarted agents, and wait for hosts and claims of keyed requests

Changes: refusals carry the host's load and so its life, and are tried again; keyed requests wait for a host as others do and ask again for three seconds with the same claim. A test restarts agents between requests. TestIdleModelIsUnloaded hung on a busy machine, where a load of a millisecond is measured as half a second: waiting is worth nothing in it now.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -143,7 +143,7 @@
 func retryable(code core.Code) bool {
 	switch code {
 	case core.CodeNoHost, core.CodeNoMemory, core.CodeNotGranted, core.CodeLoadFailed,
-		core.CodeLeaving, core.CodeQueueFull, core.CodeOverload, core.CodeWaitTooLong,
+		core.CodeLeaving, core.CodeSealed, core.CodeQueueFull, core.CodeOverload, core.CodeWaitTooLong,
 		core.CodeConcurrency, core.CodeUnreached, core.CodeUpstreamFailed, core.CodeUpstreamLost,
 		core.CodeClaimUnknown, core.CodeNotReady:
 		return true
@@ -162,7 +162,7 @@
 // request.
 func idle(code core.Code) bool {
 	switch code {
-	case core.CodeLeaving, core.CodeNotGranted, core.CodeNoHost, core.CodeUnreached:
+	case core.CodeLeaving, core.CodeNotGranted, core.CodeNoHost, core.CodeSealed, core.CodeUnreached:
 		return true
 	default:
 		return false
--- a/io/agent/serve.go
+++ b/io/agent/serve.go
@@ -47,7 +47,7 @@
 	out := relay.NewWriter(w)
 	run, refusal := a.take(head, body)
 	if refusal != nil {
-		_ = relay.Finish(out, relay.EndOf(refusal))
+		_ = relay.Finish(out, a.refusalEnd(refusal))
 		return
 	}
 	defer a.left(run)
@@ -60,6 +60,17 @@
 	}
 }
 
+// refusalEnd is the end of a request that was not let in. It carries the load
+// like others: an entry that took this process for its predecessor learns from
+// it that there is a new one.
+func (a *Agent) refusalEnd(refusal *core.Refusal) *wire.End {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	e := relay.EndOf(refusal)
+	e.Load = a.load(a.Clock.Now(), nil)
+	return e
+}
+
 func readBody(in io.Reader, size int64) ([]byte, error) {
 	if size < 0 || size > maxBody {
 		return nil, &relay.FrameError{Cause: io.ErrShortBuffer}
--- a/io/entry/host_test.go
+++ b/io/entry/host_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/poll"
 
 	"radishwell/core"
+	"radishwell/core/warm"
 	"radishwell/io/fakes/llmsrv"
 )
 
@@ -122,12 +123,32 @@
 	waitFor(t, "the agent is not idle", left.agent.Idle)
 }
 
+// An agent is restarted between two requests of a session. The entry still knows
+// the process before it and names that one in its hand-over; the new agent must
+// refuse, since it cannot tell what its predecessor did, and the entry must learn
+// from the refusal whom it is talking to and hand over once more.
+func TestRestartedAgentIsRecognised(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads})
+	f.plainHost("up-2")
+	url := f.entryHost()
+	assertDone(t, chat(t, url, "alpha", "before", false, 1))
+	assertDone(t, send(t, http.MethodPost, url+"/services/ledger/post", "one", "Idempotency-Key", "r-1"))
+	for _, name := range []core.HostName{"up-1", "up-2"} {
+		f.restartAgent(name)
+	}
+	assertDone(t, chat(t, url, "alpha", "after", false, 1))
+	assertDone(t, send(t, http.MethodPost, url+"/services/ledger/post", "two", "Idempotency-Key", "r-2"))
+}
+
 func TestIdleModelIsUnloaded(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
+	// Waiting is worth next to nothing, so that idling for a moment costs more
+	// than another load, however long loads take on a busy machine.
+	f.worth = warm.DefaultWorth.Times(1e-6)
 	h := f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads})
 	assertDone(t, chat(t, f.entryHost(), "alpha", "once", false, 1))
-	// The load took a millisecond, so idling for more than a fraction of a second
-	// costs more than another would.
 	waitFor(t, "the model is still loaded", func() bool { return !loaded(h)["alpha"] })
 }
--- a/io/entry/keyed.go
+++ b/io/entry/keyed.go
@@ -12,9 +12,16 @@
 	"radishwell/wire"
 )
 
-// claimTime is how long an entry waits for a claim to be recorded: ten group
-// commits, or a retry after a lost answer.
-const claimTime = 2 * time.Second
+const (
+	// claimTime is how long an entry waits for a claim to be recorded: ten group
+	// commits, or a retry after a lost answer.
+	claimTime = 2 * time.Second
+	// claimPatience is how long it asks again while the claim is not recorded:
+	// longer than the entry in charge takes to be replaced at a planned stop, and
+	// short enough that callers hear of a platform's outage in time to act.
+	claimPatience = 3 * time.Second
+	claimPause    = 100 * time.Millisecond
+)
 
 // runKeyed runs a request that may not be repeated under its idempotency key.
 // core/claims decides each step; see docs/design/at-most-once.md.
@@ -57,22 +64,40 @@
 
 func (k *keyed) now() time.Time { return k.j.e.Clock.Now() }
 
-// pick chooses a host whose incarnation is known: a claim names both.
+// pick chooses a host whose incarnation is known: a claim names both. Where
+// there is none it waits as long as a request without a key would, since a
+// service's only host may be restarting.
 func (k *keyed) pick(ctx context.Context) claims.Step {
 	r := k.j.call.Request
-	choices, hosts := k.j.e.plan(ctx, r, k.tried)
-	if len(choices) == 0 && len(k.tried) > 0 {
+	c := retry.Case{Request: r}
+	for {
+		if h, incarnation := k.find(ctx, r); incarnation != 0 {
+			k.tried = append(k.tried, h.Name)
+			return k.call.Picked(h.Name, incarnation)
+		}
+		c.Attempts = append(c.Attempts, retry.Attempt{Refusal: noHost(k.now(), r.Target)})
+		d := k.j.e.decide(c)
+		if d.Action == retry.GiveUp {
+			return k.call.NoHost(d.Refusal)
+		}
 		k.tried = nil
-		choices, hosts = k.j.e.plan(ctx, r, nil)
+		if !sleepUntil(ctx, k.j.e.Clock, d.At) {
+			return k.call.NoHost(k.j.over(ctx, nil, noHost(k.now(), r.Target)))
+		}
 	}
+}
+
+// find returns the first host of a plan that answers, with its incarnation;
+// zero where there is none.
+func (k *keyed) find(ctx context.Context, r core.Request) (Host, core.Incarnation) {
+	choices, hosts := k.j.e.plan(ctx, r, k.tried)
 	for _, c := range choices {
 		h := hosts[c.Host]
 		if incarnation := k.j.e.incarnationOf(ctx, h, r.Target); incarnation != 0 {
-			k.tried = append(k.tried, h.Name)
-			return k.call.Picked(h.Name, incarnation)
+			return h, incarnation
 		}
 	}
-	return k.call.NoHost(noHost(k.now(), r.Target))
+	return Host{}, 0
 }
 
 // incarnationOf returns a host's incarnation, asked for where it is not known;
@@ -92,12 +117,23 @@
 	return e.host(h.Name).incarnation
 }
 
+// claim has the claim recorded. It asks again with the same claim while it is
+// not known to be recorded: the claimant's number tells a claim that was, though
+// the answer was lost, from another's.
 func (k *keyed) claim(ctx context.Context, c claims.Claim) claims.Step {
-	giveUp := k.now().Add(claimTime)
-	if k.call.Deadline.Before(giveUp) {
-		giveUp = k.call.Deadline
+	until := k.now().Add(claimPatience)
+	var answer claims.Answer
+	for {
+		giveUp := k.now().Add(claimTime)
+		if k.call.Deadline.Before(giveUp) {
+			giveUp = k.call.Deadline
+		}
+		answer = k.j.e.Claim(ctx, claims.Ask{Claim: c, GiveUp: giveUp})
+		again := k.now().Add(claimPause)
+		if answer.Result != claims.Unsure || !again.Before(until) || !sleepUntil(ctx, k.j.e.Clock, again) {
+			break
+		}
 	}
-	answer := k.j.e.Claim(ctx, claims.Ask{Claim: c, GiveUp: giveUp})
 	k.j.e.trail(k.j.call.Request.ID, k.now(), "claim "+claimText(answer.Result)+" for "+string(c.Host))
 	return k.call.Claimed(k.now(), answer)
 }
