--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"time"
 
 	"radishwell/core"
 	"radishwell/core/place"
@@ -47,7 +48,7 @@
 		},
 		drain: func(ctx context.Context) {
 			a.Leave()
-			sleep(ctx, steerTime)
+			sleep(ctx, leaveTime)
 			waitIdle(ctx, a.Idle)
 		},
 		explain: func(subject, name string) []string { return n.explainAgent(a, subject, name) },
@@ -55,6 +56,12 @@
 	return nil
 }
 
+// leaveTime is how long an agent goes on answering that it is leaving: the time
+// in which its mark crosses the fleet. Each request that meets a closed port
+// instead costs its entry a second, and each second here is one in which a
+// service with one host has none.
+const leaveTime = time.Second
+
 func modelNames(list []string) []core.ModelName {
 	out := make([]core.ModelName, len(list))
 	for i, name := range list {
