--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -77,7 +77,10 @@
 	gate   strike.Gate
 	runs   map[dedupe.KeyID]*run
 	byID   map[core.RequestID]*run
-	lanes  map[string]*lane
+	// live are the runs that have not ended; byID has ended ones, too, for
+	// readers that come back.
+	live  map[core.RequestID]*run
+	lanes map[string]*lane
 	// held are requests taken from the queue that wait for a trial.
 	held   []*run
 	inWork int
@@ -114,9 +117,9 @@
 	a.queue = queue.Queue{Shared: !a.Plain}
 	a.book = strike.Book{Self: a.Host, MaxRecords: maxStrikes}
 	a.gate = strike.Gate{Book: &a.book}
-	a.ledger = ledger.Ledger{Started: a.Clock.Now()}
 	a.runs = map[dedupe.KeyID]*run{}
 	a.byID = map[core.RequestID]*run{}
+	a.live = map[core.RequestID]*run{}
 	a.lanes = map[string]*lane{}
 	a.orders = make(chan struct{}, 1)
 	a.alarm = make(chan struct{}, 1)
@@ -143,6 +146,11 @@
 // Run drives the upstream until the context ends. It returns a FencedError if
 // another agent orders the same engine.
 func (a *Agent) Run(ctx context.Context) error {
+	// The process has its exclusive addresses by now: no predecessor that still
+	// lives could order the engine after this.
+	a.mu.Lock()
+	a.ledger.Started = a.Clock.Now()
+	a.mu.Unlock()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	loops := []func(context.Context) error{a.drive, a.watchDeadlines, a.askSlots}
@@ -194,8 +202,8 @@
 	a.leaving = true
 	events.Log(events.HostLeaving, "host", a.Host)
 	now := a.Clock.Now()
-	for _, r := range a.byID {
-		if r.ended.IsZero() && !r.began {
+	for _, r := range a.live {
+		if !r.began {
 			a.queue.Remove(r.id)
 			a.end(r, now, a.leavingRefusal(now))
 		}
