--- a/io/cmds/captab.go
+++ b/io/cmds/captab.go
@@ -20,6 +20,7 @@
 	"rest":      restTable,
 	"slopes":    slopesTable,
 	"adapters":  adaptersTable,
+	"quiet":     quietTable,
 	"listed":    listedTable,
 	"data":      dataTable,
 	"converge":  convergeTable,
@@ -39,7 +40,6 @@
 	colMemory    = "memory-mib"
 	colCalls     = "platform-calls-per-second"
 	colSettle    = "settle-seconds"
-	colQuiet     = "quiet-seconds"
 )
 
 func number(v float64, digits int) string { return strconv.FormatFloat(v, 'f', digits, 64) }
@@ -51,6 +51,8 @@
 
 func restTable(dir string) (*grid, error) { return atRest(dir, "rest.csv") }
 
+func quietTable(dir string) (*grid, error) { return atRest(dir, "quiet.csv") }
+
 func listedTable(dir string) (*grid, error) { return atRest(dir, "listed.csv") }
 
 // atRest tells what processes of each size of fleet and each role cost.
