--- a/io/agent/drive.go
+++ b/io/agent/drive.go
@@ -36,6 +36,7 @@
 func (a *Agent) drive(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var polled time.Time
 	for {
 		select {
 		case <-timer.C:
@@ -43,11 +44,17 @@
 		case <-ctx.Done():
 			return nil
 		}
-		a.poll(ctx)
+		// A report makes this loop's own waiting requests ask for orders again:
+		// without the gap, a hundred requests that wait for a load kept a core
+		// busy with reports.
+		if now := a.Clock.Now(); !now.Before(polled.Add(pollLoad)) {
+			a.poll(ctx)
+			polled = now
+		}
+		a.releaseGrants(ctx)
 		if err := a.sendOrders(ctx); err != nil {
 			return err
 		}
-		a.releaseGrants(ctx)
 		timer.Reset(a.pollPause())
 	}
 }
@@ -291,7 +298,6 @@
 		gone := a.ledger.Unload(now, name) && a.ledger.Clear(name)
 		a.mu.Unlock()
 		if !gone {
-			loop.Poke(a.orders)
 			continue
 		}
 		if err := a.Release(ctx, name); err == nil {
--- a/io/peer/feed.go
+++ b/io/peer/feed.go
@@ -130,6 +130,7 @@
 	for {
 		change, err := w.Next(ctx)
 		if err != nil {
+			f.list = f.list || wentSilent(err)
 			return err
 		}
 		d := replic.WatchDelta(from, change)
@@ -141,6 +142,14 @@
 	}
 }
 
+// wentSilent tells whether a watch ended without a word from the platform. All
+// watches may be stalled then, while lists are answered: watching anew and no
+// more, an edit came into force only when the watches did again.
+func wentSilent(err error) bool {
+	var failed *core.PlatformError
+	return errors.As(err, &failed) && failed.Fault == core.Unknown
+}
+
 // hear takes in what the platform itself has said.
 func (f *feed) hear(d replic.Delta) {
 	f.heard = true
--- a/io/peer/store_test.go
+++ b/io/peer/store_test.go
@@ -212,6 +212,25 @@
 	p.until(func() bool { return !p.has("qalam")() && p.has("sijill")() })
 }
 
+// TestListDuringStall: the platform's watches stand still while it answers all
+// else. An operator's edit came into force only once they moved again. Now a
+// watch that went silent is followed by a list, and each further one too.
+func TestListDuringStall(t *testing.T) {
+	f := startFleet(t, &apisrv.Server{Seed: []core.Object{model("qalam")}})
+	p := f.start(func(s *Store) {
+		s.Platform = &objapi.Client{Address: f.addr, WatchSilence: 200 * time.Millisecond}
+		s.Kinds = []core.Kind{core.KindModel}
+	})
+	p.until(p.has("qalam"))
+	f.srv.SetFaults(apisrv.Faults{StallWatches: true})
+	platform := &objapi.Client{Address: f.addr}
+	for _, name := range []string{"sijill", "daftar"} {
+		_, err := platform.Create(context.Background(), model(name))
+		assert.NilError(t, err)
+		p.until(p.has(name))
+	}
+}
+
 // TestMarksSpread: an agent is about to stop and says so to the entry it
 // happens to exchange with. All others must hear of it, in an outage too.
 func TestMarksSpread(t *testing.T) {
