--- a/io/entry/journal.go
+++ b/io/entry/journal.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -86,16 +87,25 @@
 func (s *Journals) keepWarm(ctx context.Context) {
 	tick := time.NewTicker(warmTime)
 	defer tick.Stop()
+	warm := make([]bool, len(s.books))
 	leads := make([]bool, len(s.books))
+	var ranked []core.HostName
 	for {
+		// Ranking 400 entries five times a second for each journal took a third
+		// of what an entry at rest may; they seldom change.
+		if entries := s.Entries(); !slices.Equal(entries, ranked) {
+			ranked = slices.Clone(entries)
+			for n := range s.books {
+				first := claims.Rank(n, ranked)
+				leads[n] = len(first) > 0 && first[0] == s.Self
+			}
+		}
 		for n, b := range s.books {
-			ranked := claims.Rank(n, s.Entries())
-			lead := len(ranked) > 0 && ranked[0] == s.Self
-			if lead && !leads[n] && s.Known() {
+			if leads[n] && !warm[n] && s.Known() {
 				b.send(ctx, b.state.Warm)
-				leads[n] = true
+				warm[n] = true
 			}
-			leads[n] = leads[n] && lead
+			warm[n] = warm[n] && leads[n]
 		}
 		select {
 		case <-tick.C:
