--- a/io/bench/plan.go
+++ b/io/bench/plan.go
@@ -67,7 +67,7 @@
 	Models  []core.ModelName `yaml:"models" doc:"Models and adapters to ask, the most popular first."`
 	Zipf    float64          `yaml:"zipf" min:"0" max:"10" doc:"Popularity falls with the rank to this power; 0 is even."`
 	Weights []float64        `yaml:"weights" doc:"Popularity of each model, in place of zipf."`
-	Prompt  Span             `yaml:"prompt" `
+	Prompt  Span             `yaml:"prompt"`
 	Tokens  Span             `yaml:"tokens"`
 	Stream  float64          `yaml:"stream" default:"1" min:"0" max:"1" doc:"Share of the requests that are streamed."`
 
