--- a/io/agent/drive.go
+++ b/io/agent/drive.go
@@ -10,6 +10,7 @@
 	"radishwell/core/strike"
 	"radishwell/io/events"
 	"radishwell/io/loop"
+	"radishwell/io/meter"
 )
 
 const (
@@ -109,8 +110,8 @@
 	}
 	a.reached = false
 	now := a.Clock.Now()
-	for _, r := range a.byID {
-		if !r.began && r.ended.IsZero() {
+	for _, r := range a.live {
+		if !r.began {
 			a.queue.Remove(r.id)
 			a.end(r, now, a.unreached(now))
 		}
@@ -184,8 +185,8 @@
 	for _, e := range a.state.Runs {
 		listed[e.ID] = e.Emitted
 	}
-	for _, r := range a.byID {
-		if !r.began || !r.ended.IsZero() {
+	for _, r := range a.live {
+		if !r.began {
 			continue
 		}
 		emitted, running := listed[r.id]
@@ -283,6 +284,7 @@
 	if a.Plain {
 		return
 	}
+	a.dropUngranted()
 	for _, name := range a.Revoked() {
 		a.mu.Lock()
 		now := a.Clock.Now()
@@ -298,6 +300,24 @@
 	}
 }
 
+// dropUngranted unloads what this host certainly has no grant for, as after it
+// was reclaimed and came back under its old name with its engine still running.
+func (a *Agent) dropUngranted() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock.Now()
+	for _, i := range a.ledger.Items() {
+		state, certain := a.Grant(i.Name)
+		if !certain || state != "" || i.State != core.Loaded || i.Users > 0 {
+			continue
+		}
+		if a.ledger.Unload(now, i.Name) {
+			a.Meter.Unload(meter.UnloadRevoked)
+			loop.Poke(a.orders)
+		}
+	}
+}
+
 // mayUse tells whether this host may serve an item: it is granted, or, where
 // the newest grant is not known for certain, the engine holds it already. What
 // is loaded was granted and has not been released, since a release comes after
@@ -343,8 +363,8 @@
 	a.lostEngine(err)
 	var prints []core.Fingerprint
 	var lost []*run
-	for _, o := range a.byID {
-		if o.began && o.ended.IsZero() && !o.struck && o.epoch == r.epoch {
+	for _, o := range a.live {
+		if o.began && !o.struck && o.epoch == r.epoch {
 			o.struck = true
 			prints = append(prints, o.call.Fingerprint)
 			lost = append(lost, o)
--- a/io/agent/sched.go
+++ b/io/agent/sched.go
@@ -24,8 +24,6 @@
 	cold bool
 	// loading is when the load began that they wait for.
 	loading time.Time
-	// idle is when the last request ended.
-	idle time.Time
 }
 
 func (a *Agent) lane(t core.Target) *lane {
@@ -160,8 +158,8 @@
 
 func (a *Agent) inFlight() []core.Fingerprint {
 	var list []core.Fingerprint
-	for _, r := range a.byID {
-		if r.began && r.ended.IsZero() {
+	for _, r := range a.live {
+		if r.began {
 			list = append(list, r.call.Fingerprint)
 		}
 	}
@@ -208,7 +206,8 @@
 		if i.State == core.Loading {
 			from = i.Since
 		}
-		if end := from.Add(a.warm.LoadTime(name)); end.After(at) {
+		took, known := a.warm.LoadTime(name)
+		if end := from.Add(took); known && end.After(at) {
 			at = end
 		}
 	}
@@ -218,8 +217,8 @@
 // urgency is the class and the earliest deadline of what waits in a lane.
 func (a *Agent) urgency(l *lane) (core.Class, time.Time) {
 	class, deadline := core.Overnight, time.Time{}
-	for _, r := range a.byID {
-		if r.target != l.target || r.began || !r.ended.IsZero() {
+	for _, r := range a.live {
+		if r.target != l.target || r.began {
 			continue
 		}
 		class = min(class, core.Class(r.head.GetClass()))
@@ -268,8 +267,8 @@
 // refuseLane refuses all waiting requests of a lane, so that their entries try
 // another host now and not after a deadline.
 func (a *Agent) refuseLane(now time.Time, l *lane, code core.Code, reason string) {
-	for _, r := range a.byID {
-		if r.target == l.target && !r.began && r.ended.IsZero() {
+	for _, r := range a.live {
+		if r.target == l.target && !r.began {
 			a.queue.Remove(r.id)
 			a.end(r, now, core.RefuseUntil(code, reason, now.Add(time.Second)))
 		}
@@ -292,7 +291,6 @@
 	a.queue.Finish(now, r.id, end)
 	l := a.lane(r.target)
 	l.running--
-	l.idle = now
 	a.inWork--
 	a.useEnds(now, r.target)
 	if !a.Plain {
--- a/io/entry/fixture_test.go
+++ b/io/entry/fixture_test.go
@@ -27,6 +27,7 @@
 	"radishwell/core/claims"
 	"radishwell/core/member"
 	"radishwell/core/strike"
+	"radishwell/core/warm"
 	"radishwell/io/agent"
 	"radishwell/io/engine"
 	"radishwell/io/entry"
@@ -77,13 +78,15 @@
 // fleet is one entry before a few upstream hosts, in one process: real HTTP
 // between them, functions in place of the platform and of the control calls.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	view    catlog.View
 	entries []*entry.Entry
 	agents  map[core.HostName]*host
 	mu      sync.Mutex
 	journal map[string]claims.Claim
 	cut     atomic.Bool
+	// worth is the agents' weight of waiting; zero is the default.
+	worth warm.Worth
 }
 
 type host struct {
@@ -96,9 +99,13 @@
 	// upstream is where the stand-in's own interface is reached.
 	upstream string
 	work     *httptest.Server
+	// handler is the agent's, start and stop begin and end one life of it.
+	handler atomic.Value
+	start   func()
+	stop    func()
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := &fleet{t: t, agents: map[core.HostName]*host{}, journal: map[string]claims.Claim{}}
 	digest := sha256.Sum256([]byte(callerKey))
@@ -141,13 +148,35 @@
 	client.Plain = isPlain
 	f.t.Cleanup(client.Close)
 	h := &host{upstream: up.URL}
+	h.work = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.handler.Load().(http.Handler).ServeHTTP(w, r)
+	}))
+	h.start = func() { f.startAgent(h, name, service, client, isPlain) }
+	h.start()
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetHTTP1(true)
+	h.work.Config.Protocols = &protocols
+	h.work.Start()
+	f.t.Cleanup(func() {
+		h.stop()
+		h.work.CloseClientConnections()
+		h.work.Close()
+	})
+	h.Host = entry.Host{Name: name, Work: addrOf(f.t, h.work.Listener), DataCentre: "dc", Incarnation: h.agent.Incarnation}
+	f.agents[name] = h
+	return h
+}
+
+// startAgent runs a new life of a host's agent.
+func (f *fleet) startAgent(h *host, name core.HostName, service core.ServiceName, client *engine.Client, isPlain bool) {
 	h.agent = &agent.Agent{
 		Host: name, Service: service, Plain: isPlain, Incarnation: core.Incarnation(rand.Uint64()), Engine: client,
 		Clock: realClock{}, Meter: meter.New(), Snapshot: f.snapshot, KeptAnswers: core.MiB,
 		Grant:   func(core.ModelName) (core.GrantState, bool) { return core.GrantActive, !h.unsure.Load() },
 		Release: func(context.Context, core.ModelName) error { return nil },
 		Revoked: func() []core.ModelName { return nil },
-		Spread:  f.spread, Agents: func() int { return 1 }, Rand: rand.New(rand.NewPCG(2, 2)),
+		Spread:  f.spread, Agents: func() int { return 1 }, Rand: rand.New(rand.NewPCG(2, 2)), Worth: f.worth,
 		Store: agent.Store{Parallel: 100, Adapters: 100},
 		Slot: func(context.Context, *wire.SlotCall) (*wire.SlotReply, error) {
 			return &wire.SlotReply{Granted: true}, nil
@@ -156,26 +185,24 @@
 	ctx, stop := context.WithCancel(context.Background())
 	h.agent.Init(ctx)
 	ended := make(chan error, 1)
-	go func() { ended <- h.agent.Run(ctx) }()
+	run := h.agent.Run
+	go func() { ended <- run(ctx) }()
 	<-h.agent.Ready()
-	h.work = httptest.NewUnstartedServer(h.agent.Handler())
-	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
-	protocols.SetHTTP1(true)
-	h.work.Config.Protocols = &protocols
-	h.work.Start()
-	f.t.Cleanup(func() {
+	h.handler.Store(h.agent.Handler())
+	h.stop = func() {
 		stop()
-		h.work.CloseClientConnections()
-		h.work.Close()
 		<-ended
-	})
-	h.Host = entry.Host{Name: name, Work: addrOf(f.t, h.work.Listener), DataCentre: "dc", Incarnation: h.agent.Incarnation}
-	f.agents[name] = h
-	return h
+	}
+}
+
+// restartAgent ends a host's agent and starts another; the address stays.
+func (f *fleet) restartAgent(name core.HostName) {
+	h := f.agents[name]
+	h.stop()
+	h.start()
 }
 
-func addrOf(t *testing.T, l net.Listener) netip.AddrPort {
+func addrOf(t testing.TB, l net.Listener) netip.AddrPort {
 	t.Helper()
 	a, err := netip.ParseAddrPort(l.Addr().String())
 	assert.NilError(t, err)
@@ -290,7 +317,7 @@
 	return a.header.Get(front.HeaderOutcome)
 }
 
-func send(t *testing.T, method, url, body string, pairs ...string) answer {
+func send(t testing.TB, method, url, body string, pairs ...string) answer {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
 	assert.NilError(t, err)
@@ -307,7 +334,7 @@
 	return answer{status: resp.StatusCode, header: resp.Header, trailer: resp.Trailer, body: string(raw)}
 }
 
-func chat(t *testing.T, url, model, prompt string, stream bool, tokens int) answer {
+func chat(t testing.TB, url, model, prompt string, stream bool, tokens int) answer {
 	t.Helper()
 	body, err := json.Marshal(map[string]any{
 		"model": model, "stream": stream, "max_tokens": tokens,
@@ -317,7 +344,7 @@
 	return send(t, http.MethodPost, url+"/v1/chat/completions", string(body))
 }
 
-func assertDone(t *testing.T, a answer) {
+func assertDone(t testing.TB, a answer) {
 	t.Helper()
 	assert.Equal(t, a.status, http.StatusOK, a.body)
 	assert.Equal(t, a.outcome(), "done")
