--- a/io/cmds/run.go
+++ b/io/cmds/run.go
@@ -25,8 +25,13 @@
 // ends when the process is told to stop.
 func run(cli any, name, about string, args []string, out, errs io.Writer) (status int) {
 	defer func() {
-		if s, ok := recover().(exitStatus); ok {
+		switch s := recover().(type) {
+		case nil:
+		case exitStatus:
 			status = int(s)
+		default:
+			// A fault must not end the command as if it had done its work.
+			panic(s)
 		}
 	}()
 	parser, err := kong.New(cli, kong.Name(name), kong.Description(about), kong.Writers(out, errs),
