Reuse the buffers of short answers

Cause: a warm request of one token allocated 111 KB, two thirds of it buffers of the agent's copy and the entry's frame reader; the collector took a sixth of the processor time. Change: both come from pools.

--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -222,11 +223,18 @@
 	_ = r.agent.Engine.Cancel(ctx, r.id)
 }
 
+// pieces are buffers between the engine and the spool, which copies what it
+// takes. One for each short answer was a third of what a request allocated, and
+// the collector's work showed in the first byte's tail.
+var pieces = sync.Pool{New: func() any { return new([readPiece]byte) }}
+
 // copy moves the answer's bytes into the spool until the answer ends.
 func (r *run) copy(ctx context.Context, body io.ReadCloser) error {
 	closing := func() { body.Close() }
 	r.redial.Store(&closing)
-	buf := make([]byte, readPiece)
+	piece := pieces.Get().(*[readPiece]byte)
+	defer pieces.Put(piece)
+	buf := piece[:]
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
--- a/io/entry/relay.go
+++ b/io/entry/relay.go
@@ -150,6 +150,7 @@
 // a relay.FrameError.
 func (g *reading) frames(body io.Reader) error {
 	in := relay.NewReader(body)
+	defer in.Release()
 	var f wire.Frame
 	for {
 		if err := in.Next(&f); err != nil {
--- a/io/relay/frame.go
+++ b/io/relay/frame.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -110,8 +111,25 @@
 	data wire.Frame_Data
 }
 
-// NewReader returns a reader of frames.
-func NewReader(r io.Reader) *Reader { return &Reader{from: bufio.NewReaderSize(r, readBuffer)} }
+var readers = sync.Pool{New: func() any { return &Reader{from: bufio.NewReaderSize(nil, readBuffer)} }}
+
+// NewReader returns a reader of frames. Release gives its buffers back; it need
+// not be called.
+func NewReader(from io.Reader) *Reader {
+	r := readers.Get().(*Reader)
+	r.from.Reset(from)
+	return r
+}
+
+// Release ends the use of the reader and of the data it has read.
+func (r *Reader) Release() {
+	r.from.Reset(nil)
+	r.data.Data = nil
+	if cap(r.buf) > maxPiece {
+		r.buf = nil
+	}
+	readers.Put(r)
+}
 
 // Next reads the next frame into f. The bytes of a data frame are valid until
 // the next call. Its error is a FrameError; the end of the stream is one too,
