Sum demand by differences; look for unproven holders when they change

Change: running sums in whole units that a report changes by its difference; the list of unproven holders is kept until a host or grant changes.

--- a/core/place/owner.go
+++ b/core/place/owner.go
@@ -47,7 +47,7 @@
 	before := p.owner(m.use.owner)
 	p.withdraw(m)
 	m.use = p.useOf(m)
-	p.balanced = false
+	p.balanced, p.searched = false, false
 	o := p.owner(m.use.owner)
 	o.names[m.name] = true
 	o.used += m.use.each * core.Bytes(m.use.count)
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -35,6 +35,9 @@
 	// for balance; shiftAt is when the next may.
 	balanced bool
 	shiftAt  time.Time
+	// unproven is what Unproven found last, searched that it still holds.
+	unproven []HostID
+	searched bool
 }
 
 // model is all that is known of one name.
@@ -187,7 +190,7 @@
 	p.service(h.Service)[h.Name] = true
 	p.total[h.Service] += p.load[h.Name]
 	p.touchHost(h.Name)
-	p.balanced = false
+	p.balanced, p.searched = false, false
 	for name := range p.short {
 		p.dirty[name] = true
 	}
@@ -218,7 +221,7 @@
 func (p *Planner) Gone(id HostID) {
 	p.init()
 	p.gone[id] = true
-	p.balanced = false
+	p.balanced, p.searched = false, false
 	if h := p.hosts[id.Host]; h != nil && h.UID == id.UID {
 		p.remove(id.Host)
 		delete(p.copies, id.Host)
@@ -229,6 +232,15 @@
 // Unproven lists holders whose host is not known here. The shell reads each
 // from the platform and calls SetHost or Gone.
 func (p *Planner) Unproven() []HostID {
+	if !p.searched {
+		// All grants are looked through, which at each round was half of what a
+		// decider at rest took; only hosts and grants change the result.
+		p.unproven, p.searched = p.searchUnproven(), true
+	}
+	return slices.Clone(p.unproven)
+}
+
+func (p *Planner) searchUnproven() []HostID {
 	found := map[HostID]bool{}
 	for host, names := range p.holding {
 		for name := range names {
--- a/io/node/decide.go
+++ b/io/node/decide.go
@@ -43,10 +43,10 @@
 	lease   lease.Lease
 	planner place.Planner
 	decides bool
-	// reports are the entries' latest demand, demanded the models the planner
-	// has been told of.
-	reports  map[string]report
-	demanded map[core.ModelName]bool
+	// demand adds up the entries' reports; the planner hears of all sums again
+	// at retellAt.
+	demand   place.Sums
+	retellAt time.Time
 	poke     chan struct{}
 	// listedAt is the fencing number under which everything was read last. It
 	// belongs to run.
@@ -60,7 +60,7 @@
 	return &decider{
 		self: self, clock: clock, platform: platform, world: w,
 		lease: lease.Lease{Host: self, Incarnation: incarnation}, poke: make(chan struct{}, 1),
-		reports: map[string]report{}, demanded: map[core.ModelName]bool{}, took: func(bool, bool) {},
+		took: func(bool, bool) {},
 	}
 }
 
--- a/io/node/demand.go
+++ b/io/node/demand.go
@@ -7,54 +7,33 @@
 	"radishwell/wire"
 )
 
-// demandAge is how long an entry's report counts; it covers two lost ones.
-const demandAge = 7 * time.Second
-
-// report is one entry's demand.
-type report struct {
-	until   time.Time
-	demands map[core.ModelName]float64
-}
+const (
+	// demandAge is how long an entry's report counts; it covers two lost ones.
+	demandAge = 7 * time.Second
+	// retellTime bounds how late a changed limit of concurrency changes the need.
+	retellTime = 10 * time.Second
+)
 
 // takeDemand takes one entry's report and tells the planner the sums.
 func (d *decider) takeDemand(c *wire.DemandCall) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	r := report{until: now.Add(demandAge), demands: map[core.ModelName]float64{}}
+	work := make(map[core.ModelName]float64, len(c.GetDemands()))
 	for _, one := range c.GetDemands() {
-		r.demands[core.ModelName(one.GetName())] = one.GetRequests()
+		work[core.ModelName(one.GetName())] = one.GetRequests()
 	}
-	d.reports[c.GetEntry()] = r
-	sums := map[core.ModelName]float64{}
-	for name, r := range d.reports {
-		if now.After(r.until) {
-			delete(d.reports, name)
-			continue
-		}
-		for model, n := range r.demands {
-			sums[model] += n
-		}
-	}
-	d.setDemands(now, sums)
-}
-
-// setDemands tells the planner how many hosts' work each model has. Models that
-// have none any more are told once.
-func (d *decider) setDemands(now time.Time, sums map[core.ModelName]float64) {
-	for model := range d.demanded {
-		if _, ok := sums[model]; !ok {
-			d.planner.SetDemand(now, model, 0)
-			delete(d.demanded, model)
-		}
+	changed := d.demand.Take(now, now.Add(demandAge), core.HostName(c.GetEntry()), work)
+	if !now.Before(d.retellAt) {
+		d.retellAt = now.Add(retellTime)
+		changed = append(changed, d.demand.Names()...)
 	}
-	for model, n := range sums {
+	for _, model := range changed {
 		per := hostConcurrency
 		if e, ok := d.world.snapshot().Model(model); ok && e.Limits.Concurrency > 0 {
 			per = e.Limits.Concurrency
 		}
-		d.planner.SetDemand(now, model, n/float64(per))
-		d.demanded[model] = true
+		d.planner.SetDemand(now, model, d.demand.Of(model)/float64(per))
 	}
 }
 
