--- a/io/agent/drive.go
+++ b/io/agent/drive.go
@@ -78,15 +78,16 @@
 	if err != nil || a.Plain {
 		return
 	}
-	before := a.ledger.Items()
+	before, rebuilt := a.ledger.Items(), a.ledger.Rebuilt()
 	if !a.ledger.Report(now, ticket, state) {
 		return
 	}
-	if a.state.Epoch != 0 && a.state.Epoch != state.Epoch {
+	sameLife := a.state.Epoch == state.Epoch
+	if a.state.Epoch != 0 && !sameLife {
 		events.Log(events.EngineRestarted, "host", a.Host)
 	}
 	a.state = state
-	a.noteItems(now, before)
+	a.noteItems(now, before, rebuilt, sameLife)
 	a.noteStalls(now)
 	a.schedule(now)
 }
@@ -136,7 +137,7 @@
 }
 
 // noteItems logs and measures what a report has changed.
-func (a *Agent) noteItems(now time.Time, before []ledger.Info) {
+func (a *Agent) noteItems(now time.Time, before []ledger.Info, rebuilt, sameLife bool) {
 	old := map[core.ModelName]ledger.Info{}
 	for _, i := range before {
 		old[i.Name] = i
@@ -145,6 +146,7 @@
 		was := old[i.Name]
 		delete(old, i.Name)
 		if i.State == core.Loaded && was.State != core.Loaded {
+			a.corrected(i.Name, was.Name == "" && rebuilt)
 			a.loaded(now, i, was)
 		}
 	}
@@ -157,10 +159,19 @@
 			a.loadFailed(now, name)
 		case core.Unloading:
 			events.Log(events.Unloaded, "model", name, "host", a.Host)
+		case core.Loaded:
+			a.corrected(name, sameLife)
 		}
 	}
 }
 
+// corrected tells that the engine loaded or dropped an item without an order.
+func (a *Agent) corrected(name core.ModelName, unasked bool) {
+	if unasked {
+		events.Log(events.LedgerCorrected, "model", name, "host", a.Host)
+	}
+}
+
 func (a *Agent) loaded(now time.Time, i, was ledger.Info) {
 	since := was.Since
 	if since.IsZero() {
--- a/io/agent/sched.go
+++ b/io/agent/sched.go
@@ -11,6 +11,7 @@
 	"radishwell/core/strike"
 	"radishwell/io/events"
 	"radishwell/io/loop"
+	"radishwell/io/meter"
 	"radishwell/io/relay"
 )
 
@@ -240,9 +241,23 @@
 	if tier == core.TierStore && a.ledger.Rebuilt() && a.ledger.Item(name).State == core.Absent && !a.leaveTo(now, name, base, class, deadline) {
 		return ledger.Coming
 	}
-	return a.ledger.Load(now, ledger.Want{
+	verdict := a.ledger.Load(now, ledger.Want{
 		Name: name, Base: base, Bytes: e.Memory, Accelerators: e.Accelerators, Source: tier,
 	}, func(name core.ModelName) float64 { return a.keep(now, name) })
+	if verdict == ledger.Evicting {
+		a.noteEvicted(now, name)
+	}
+	return verdict
+}
+
+// noteEvicted tells of the items that leave from this moment on for another.
+func (a *Agent) noteEvicted(now time.Time, room core.ModelName) {
+	for _, i := range a.ledger.Items() {
+		if i.State == core.Unloading && i.Since.Equal(now) {
+			a.Meter.Unload(meter.UnloadEvicted)
+			events.Log(events.Evicted, "model", i.Name, "host", a.Host, "for", room)
+		}
+	}
 }
 
 // tier is where the engine's host finds a checkpoint.
--- a/io/cmds/radishwell.go
+++ b/io/cmds/radishwell.go
@@ -75,6 +75,7 @@
 func serve(ctx context.Context, file string, role config.Role) error {
 	settings, err := config.Load(file)
 	if err != nil {
+		events.Fail(events.SettingsInvalid, err, "file", file)
 		return err
 	}
 	if settings.Role != role {
--- a/io/entry/journal.go
+++ b/io/entry/journal.go
@@ -9,6 +9,7 @@
 
 	"radishwell/core"
 	"radishwell/core/claims"
+	"radishwell/io/events"
 	"radishwell/wire"
 )
 
@@ -170,6 +171,9 @@
 	call, stop := context.WithTimeout(ctx, platformTime)
 	defer stop()
 	o, err := s.Platform.Get(call, core.KindClaim, name)
+	if err == nil {
+		events.Log(events.ClaimSettled, "segment", name)
+	}
 	b.send(ctx, func(now time.Time) claims.Effects { return b.state.Read(now, replyOf(name, o, err)) })
 }
 
--- a/io/entry/keyed.go
+++ b/io/entry/keyed.go
@@ -9,6 +9,7 @@
 	"radishwell/core/claims"
 	"radishwell/core/dedupe"
 	"radishwell/core/retry"
+	"radishwell/io/events"
 	"radishwell/io/meter"
 	"radishwell/wire"
 )
@@ -136,6 +137,9 @@
 		}
 	}
 	k.j.e.Meter.Claim(claimMetric(answer.Result))
+	if answer.Result == claims.Unsure {
+		events.Log(events.ClaimsUnavailable, "request", k.j.call.Request.ID)
+	}
 	k.j.e.trail(k.j.call.Request.ID, k.now(), "claim "+claimText(answer.Result)+" for "+string(c.Host))
 	return k.call.Claimed(k.now(), answer)
 }
--- a/io/entry/note.go
+++ b/io/entry/note.go
@@ -9,6 +9,7 @@
 	"radishwell/core/retry"
 	"radishwell/core/route"
 	"radishwell/core/strike"
+	"radishwell/io/events"
 	"radishwell/io/relay"
 	"radishwell/wire"
 )
@@ -71,6 +72,7 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		now := e.Clock.Now()
+		events.Log(events.HostSlow, "host", h.Name, "request", r.ID, "after", now.Sub(since).String())
 		e.router.Observe(now, route.Report{Host: h.Name, Target: r.Target, Result: route.Overdue, Took: now.Sub(since), Cost: cost(r)})
 	})
 }
--- a/io/entry/queue.go
+++ b/io/entry/queue.go
@@ -7,6 +7,7 @@
 	"radishwell/core"
 	"radishwell/core/admit"
 	"radishwell/core/queue"
+	"radishwell/io/events"
 	"radishwell/io/front"
 	"radishwell/io/loop"
 	"radishwell/io/meter"
@@ -42,6 +43,7 @@
 	defer e.mu.Unlock()
 	now := e.Clock.Now()
 	if refusal := e.book.Refuse(now, c.Request.Fingerprint); refusal != nil {
+		events.Log(events.RequestQuarantined, "request", c.Request.ID, "fingerprint", c.Request.Fingerprint)
 		return nil, refusal
 	}
 	bounds := e.bounds(c)
--- a/io/node/server.go
+++ b/io/node/server.go
@@ -120,5 +120,11 @@
 func (p *part) begin(ctx context.Context) {
 	ctx, p.stop = context.WithCancel(ctx)
 	p.ended = make(chan error, 1)
-	go func() { p.ended <- oops.In("node").With("part", p.name).Wrap(p.run(ctx)) }()
+	go func() {
+		err := p.run(ctx)
+		if err != nil {
+			events.Fail(events.GoroutineFailed, err, "part", p.name)
+		}
+		p.ended <- oops.In("node").With("part", p.name).Wrap(err)
+	}()
 }
--- a/io/node/timed.go
+++ b/io/node/timed.go
@@ -13,6 +13,7 @@
 	core.Platform
 	meter *meter.Meter
 	clock core.Clock
+	reach reach
 }
 
 func timed[T any](m *measured, v meter.Verb, do func() (T, error)) (T, error) {
@@ -20,7 +21,9 @@
 	out, err := do()
 	var fault *core.PlatformError
 	errors.As(err, &fault)
-	m.meter.Platform(v, fault, began, m.clock.Now())
+	now := m.clock.Now()
+	m.meter.Platform(v, fault, began, now)
+	m.reach.note(now, fault)
 	return out, err
 }
 
