--- a/io/fakes/apisrv/handle.go
+++ b/io/fakes/apisrv/handle.go
@@ -14,9 +14,6 @@
 // maxBody is the largest value the platform holds.
 const maxBody = 1 << 20
 
-// readHeaderTimeout frees connections whose caller sends nothing.
-const readHeaderTimeout = 10 * time.Second
-
 type realClock struct{}
 
 // Now implements core.Clock.
--- a/io/fakes/apisrv/run.go
+++ b/io/fakes/apisrv/run.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"net/http"
-	"net/netip"
 
-	"github.com/samber/oops"
+	"radishwell/io/fakes/httpd"
 )
 
 // Run serves until ctx ends; then it closes all connections and returns nil.
@@ -22,7 +18,7 @@
 	go func() { failed <- s.runAPI(ctx) }()
 	if s.Control.IsValid() {
 		running++
-		go func() { failed <- serve(ctx, s.Control, s.control, nil) }()
+		go func() { failed <- httpd.Serve(ctx, s.Control, s.control, nil) }()
 	}
 	var first error
 	for range running {
@@ -39,7 +35,7 @@
 	for ctx.Err() == nil {
 		f, changed := s.switches.now()
 		if !s.refused(f) {
-			if err := serve(ctx, s.Listen, s, s.untilRefused); err != nil {
+			if err := httpd.Serve(ctx, s.Listen, s, s.untilRefused); err != nil {
 				return err
 			}
 			continue
@@ -67,37 +63,3 @@
 		}
 	}
 }
-
-// serve runs an HTTP server until ctx ends or until, if given, returns.
-func serve(ctx context.Context, at netip.AddrPort, h http.Handler, until func(context.Context)) error {
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
-	if err != nil {
-		return oops.Wrapf(err, "listen at %s", at)
-	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	ended := make(chan error, 1)
-	go func() { ended <- srv.Serve(l) }()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := make(chan struct{})
-	go func() {
-		defer close(stop)
-		if until != nil {
-			until(ctx)
-			return
-		}
-		<-ctx.Done()
-	}()
-	select {
-	case err = <-ended:
-		cancel()
-		<-stop
-	case <-stop:
-		_ = srv.Close()
-		err = <-ended
-	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return oops.Wrapf(err, "serve at %s", at)
-}
--- a/io/fakes/llmsrv/server.go
+++ b/io/fakes/llmsrv/server.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -14,6 +13,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/io/fakes/httpd"
 )
 
 // Header names that the agent sets on work, beside the OpenAI interface.
@@ -80,23 +80,7 @@
 
 // Run serves until the context ends.
 func (s *Server) Run(ctx context.Context) error {
-	lis, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(s.Listen))
-	if err != nil {
-		return err
-	}
-	// Requests don't get ctx: their handlers would return at its end, and half an
-	// answer would look like a whole one.
-	srv := &http.Server{Handler: s.Handler()}
-	ended := make(chan error, 1)
-	go func() { ended <- srv.Serve(lis) }()
-	select {
-	case err = <-ended:
-		return err
-	case <-ctx.Done():
-		srv.Close()
-		<-ended
-		return nil
-	}
+	return httpd.Serve(ctx, s.Listen, s.Handler(), nil)
 }
 
 // restart gives the engine a new epoch without items or runs. The caller holds
--- a/io/fakes/plain/server.go
+++ b/io/fakes/plain/server.go
@@ -4,11 +4,12 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
 	"time"
+
+	"radishwell/io/fakes/httpd"
 )
 
 // Faults are what can be made to go wrong while the stand-in runs.
@@ -55,21 +56,7 @@
 
 // Run serves until the context ends.
 func (s *Server) Run(ctx context.Context) error {
-	lis, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(s.Listen))
-	if err != nil {
-		return err
-	}
-	srv := &http.Server{Handler: s.Handler()}
-	ended := make(chan error, 1)
-	go func() { ended <- srv.Serve(lis) }()
-	select {
-	case err = <-ended:
-		return err
-	case <-ctx.Done():
-		srv.Close()
-		<-ended
-		return nil
-	}
+	return httpd.Serve(ctx, s.Listen, s.Handler(), nil)
 }
 
 func (s *Server) faults() Faults {
