Take no wait for a host for the target's pace

Cause: one of 5,047 calls under rolling restarts was refused as wait-too-long after 1 ms. Calls that had waited three seconds for the service's restarted host counted as three seconds of service, and the next caller with five seconds was told it could not be in time. Change: an answer that waited for a host, a claim or a connection is counted like one that waited for a load.

--- a/io/entry/host_test.go
+++ b/io/entry/host_test.go
@@ -12,6 +12,7 @@
 	"radishwell/core"
 	"radishwell/core/warm"
 	"radishwell/io/fakes/llmsrv"
+	"radishwell/io/front"
 )
 
 func loaded(h *host) map[core.ModelName]bool {
@@ -152,3 +153,33 @@
 	assertDone(t, chat(t, f.entryHost(), "alpha", "once", false, 1))
 	waitFor(t, "the model is still loaded", func() bool { return !loaded(h)["alpha"] })
 }
+
+// A service's only host was away for a second and a half, and the callers who
+// came meanwhile were mostly served when it was back. The next caller, with half a
+// second's patience, was refused: the entry took the wait for the host for the
+// time the service takes.
+func TestWaitForHostIsNoPace(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.worth = warm.DefaultWorth.Times(1e6)
+	h := f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, Batch: 8})
+	url := f.entryHost()
+	assertDone(t, chat(t, url, "alpha", "before", false, 1))
+	setFaults(t, h, llmsrv.Faults{Down: true})
+	brief := func(prompt string) answer {
+		deadline := time.Now().Add(700 * time.Millisecond).Format(time.RFC3339Nano)
+		body := `{"model":"alpha","max_tokens":1,"messages":[{"role":"user","content":"` + prompt + `"}]}`
+		return send(t, http.MethodPost, url+"/v1/chat/completions", body, front.HeaderDeadline, deadline)
+	}
+	waitFor(t, "the agent has not noticed", func() bool { return brief("noticed").status != http.StatusOK })
+	// The retry budget may end the wait of some of them, with nothing run.
+	var all sync.WaitGroup
+	for range 6 {
+		all.Go(func() { assert.Check(t, chat(t, url, "alpha", "meanwhile", false, 1).outcome() != "may-have-run") })
+	}
+	time.Sleep(1500 * time.Millisecond)
+	setFaults(t, h, llmsrv.Faults{})
+	all.Wait()
+	assertDone(t, chat(t, url, "alpha", "back", false, 1))
+	assertDone(t, brief("after"))
+}
--- a/io/entry/keyed.go
+++ b/io/entry/keyed.go
@@ -83,7 +83,7 @@
 			return k.call.NoHost(d.Refusal)
 		}
 		k.tried = nil
-		if !sleepUntil(ctx, k.j.e.Clock, d.At) {
+		if !k.j.waitUntil(ctx, d.At) {
 			return k.call.NoHost(k.j.over(ctx, nil, noHost(k.now(), r.Target)))
 		}
 	}
@@ -132,7 +132,7 @@
 		}
 		answer = k.j.e.Claim(ctx, claims.Ask{Claim: c, GiveUp: giveUp})
 		again := k.now().Add(claimPause)
-		if answer.Result != claims.Unsure || !again.Before(until) || !sleepUntil(ctx, k.j.e.Clock, again) {
+		if answer.Result != claims.Unsure || !again.Before(until) || !k.j.waitUntil(ctx, again) {
 			break
 		}
 	}
@@ -234,7 +234,7 @@
 	if step.Claim.Claimant != k.call.Claimant {
 		k.waitFor(ctx, step.Claim)
 	}
-	if !sleepUntil(ctx, k.j.e.Clock, step.At) {
+	if !k.j.waitUntil(ctx, step.At) {
 		return claims.Step{Kind: claims.StepRefuse, Refusal: gone(ctx, step.Claim.Host)}
 	}
 	c := step.Claim
@@ -256,7 +256,7 @@
 	until := k.now().Add(patience)
 	for ok && k.now().Before(until) {
 		reply, err := k.seal(ctx, h, c, true)
-		if err == nil && !reply.GetUnseen() || !sleepUntil(ctx, k.j.e.Clock, k.now().Add(peekPause)) {
+		if err == nil && !reply.GetUnseen() || !k.j.waitUntil(ctx, k.now().Add(peekPause)) {
 			return
 		}
 	}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -27,6 +27,8 @@
 	// first is when the answer's first byte came, cold that it waited for a load.
 	first time.Time
 	cold  bool
+	// waited tells that the request waited for something other than its turn.
+	waited bool
 }
 
 // Serve answers a call; it implements front.Front's Serve.
@@ -38,7 +40,10 @@
 	if refusal == nil {
 		j.span.Hop(meter.EntryQueue, c.Request.Arrived, e.Clock.Now())
 		refusal = j.run(ctx)
-		e.release(c, refusal, j.cold)
+		// Neither a load nor a wait for a host tells how fast the target works: an
+		// agent's restart of three seconds would have the next callers refused for
+		// a wait that they do not have.
+		e.release(c, refusal, j.cold || j.waited)
 	}
 	j.close(refusal)
 }
@@ -105,7 +110,7 @@
 			return d.Refusal
 		case retry.Later:
 			tried = nil
-			if !sleepUntil(ctx, j.e.Clock, d.At) {
+			if !j.waitUntil(ctx, d.At) {
 				return j.over(ctx, c.Attempts, refusal)
 			}
 		}
@@ -136,6 +141,12 @@
 	return &out
 }
 
+// waitUntil sleeps for want of a host, a claim or a connection.
+func (j *job) waitUntil(ctx context.Context, at time.Time) bool {
+	j.waited = true
+	return sleepUntil(ctx, j.e.Clock, at)
+}
+
 func sleepUntil(ctx context.Context, clock core.Clock, at time.Time) bool {
 	timer := time.NewTimer(max(0, at.Sub(clock.Now())))
 	defer timer.Stop()
@@ -256,7 +267,7 @@
 		if done {
 			return refusal
 		}
-		if !sleepUntil(ctx, j.e.Clock, j.e.Clock.Now().Add(resumePause)) {
+		if !j.waitUntil(ctx, j.e.Clock.Now().Add(resumePause)) {
 			continue
 		}
 	}
