--- a/io/entry/host_test.go
+++ b/io/entry/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -176,3 +177,28 @@
 	body := `{"model":"alpha","max_tokens":1,"messages":[{"role":"user","content":"after"}]}`
 	assertDone(t, send(t, http.MethodPost, url+"/v1/chat/completions", body, front.HeaderDeadline, deadline))
 }
+
+// While a model was loaded, the request that waited for it had the agent look at
+// its engine again from within each look: a core a host went into reports. The
+// looks during a load come in steps of its age, some fifty in half a second,
+// however many requests wait.
+func TestWaitForLoadLooksSeldom(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	llm := &llmsrv.Server{Capacity: []core.Bytes{4 * core.GiB}, LoadTimes: [3]time.Duration{500 * time.Millisecond, 500 * time.Millisecond, 500 * time.Millisecond}}
+	inner := llm.Handler()
+	var looks atomic.Int64
+	f.host("up-1", "pool", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/state" {
+			looks.Add(1)
+		}
+		inner.ServeHTTP(w, r)
+	}), false)
+	url := f.entryHost()
+	var all sync.WaitGroup
+	for range 10 {
+		all.Go(func() { assertDone(t, chat(t, url, "alpha", "x", false, 1)) })
+	}
+	all.Wait()
+	assert.Assert(t, looks.Load() < 300, "%d looks", looks.Load())
+}
