Count the requests that an entry has handed on

Cause: radishwell_requests_in_progress of an entry was worked out from the requests that wait for a turn, which leave that list when they get one: it was always zero. Change: a count by class, kept where the lane's is.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -77,16 +77,18 @@
 	// Tell sends strikes to one host.
 	Tell func(core.HostName, []strike.Record)
 
-	mu        sync.Mutex
-	admit     admit.Admit
-	queue     queue.Queue
-	router    route.Router
-	budgets   retry.Budgets
-	book      strike.Book
-	copies    strike.Copies
-	hosts     map[core.HostName]*hostState
-	turns     map[core.RequestID]*turn
-	lanes     map[string]*lane
+	mu      sync.Mutex
+	admit   admit.Admit
+	queue   queue.Queue
+	router  route.Router
+	budgets retry.Budgets
+	book    strike.Book
+	copies  strike.Copies
+	hosts   map[core.HostName]*hostState
+	turns   map[core.RequestID]*turn
+	lanes   map[string]*lane
+	// running counts the requests handed on and not answered yet.
+	running   [core.ClassCount]int
 	costs     map[core.ModelName]*[3]time.Duration
 	trails    trails
 	trailLock sync.Mutex
@@ -121,24 +123,19 @@
 	e.costs = map[core.ModelName]*[3]time.Duration{}
 	e.alarm = make(chan struct{}, 1)
 	for c := range core.ClassCount {
-		e.Meter.Queue(c, func() int { waiting, _ := e.counts(c); return waiting })
-		e.Meter.Running(c, func() int { _, running := e.counts(c); return running })
+		e.Meter.Queue(c, func() int {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.queue.Waiting(c)
+		})
+		e.Meter.Running(c, func() int {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.running[c]
+		})
 	}
 }
 
-// counts returns how many requests of a class wait and are handed on.
-func (e *Entry) counts(c core.Class) (waiting, running int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	waiting = e.queue.Waiting(c)
-	for _, t := range e.turns {
-		if t.request.Class == c {
-			running++
-		}
-	}
-	return waiting, running - waiting
-}
-
 // Run ends waiting requests at their time until the context ends.
 func (e *Entry) Run(ctx context.Context) error {
 	return loop.Run(ctx, e.Clock, e.alarm, tick, func(now time.Time) time.Time {
--- a/io/entry/path_test.go
+++ b/io/entry/path_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -61,3 +62,25 @@
 		assertRefused(t, a, core.CodeKeyReused, core.NotRun)
 	})
 }
+
+// An operator looked at how many requests an entry had under way and always saw
+// none: they were counted among those that wait for their turn. The gauge is one
+// while a stream flows and none once it has ended.
+func TestRunningIsShown(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.engineHost("up-1", &llmsrv.Server{LoadTimes: quickLoads, TokenTime: 20 * time.Millisecond})
+	url := f.entryHost()
+	shows := func(n int) func() bool {
+		return func() bool {
+			var b strings.Builder
+			f.entries[0].Meter.Write(&b)
+			return strings.Contains(b.String(), fmt.Sprintf("radishwell_requests_in_progress{class=\"interactive\"} %d\n", n))
+		}
+	}
+	ended := make(chan answer, 1)
+	go func() { ended <- chat(t, url, "alpha", "x", true, 50) }()
+	waitFor(t, "the request is not shown", shows(1))
+	assertDone(t, <-ended)
+	waitFor(t, "the request is shown after its end", shows(0))
+}
--- a/io/entry/queue.go
+++ b/io/entry/queue.go
@@ -134,6 +134,7 @@
 	}
 	e.admit.Start(now, t.request.ID)
 	e.lane(t.request.Target).running++
+	e.running[t.request.Class]++
 	delete(e.turns, t.request.ID)
 	e.Meter.Hop(meter.EntryQueue, t.request.Arrived, now)
 	close(t.given)
@@ -173,6 +174,7 @@
 	e.queue.Finish(now, c.Request.ID, end)
 	e.admit.Done(now, c.Request.ID)
 	e.lane(c.Request.Target).running--
+	e.running[c.Request.Class]--
 	e.schedule(now)
 	loop.Poke(e.alarm)
 }
