Let one piece of code serve where two stood

Found in a reading of the whole change; behaviour is the same. The entry of a target was looked up by the agent's and the entry's own copies, and is the catalogue's now; three stand-ins wrote JSON and two switched faults by code of their own; the agents of a service were counted by a second walk of the hosts; a wait stood in two functions, one called by the other alone; the tail of an answer is cut in one way. An entry no longer has membership judge a lane's hosts at each look at the queue where no limit asks how many there are.

Left as they are: the platform's wire format in the stand-in and in its client, which check each other only while they are written apart.

--- a/core/catlog/snap.go
+++ b/core/catlog/snap.go
@@ -115,6 +115,14 @@
 	return e, ok
 }
 
+// Entry returns what a target names: a model or adapter, or a plain service.
+func (s *Snapshot) Entry(t core.Target) (*Entry, bool) {
+	if t.Model == "" {
+		return s.Service(t.Service)
+	}
+	return s.Model(t.Model)
+}
+
 // Pool returns a service of either type as a set of upstream hosts.
 func (s *Snapshot) Pool(name core.ServiceName) (*Pool, bool) {
 	p, ok := s.pools[name]
--- a/io/agent/sched.go
+++ b/io/agent/sched.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"radishwell/core"
-	"radishwell/core/catlog"
 	"radishwell/core/ledger"
 	"radishwell/core/queue"
 	"radishwell/core/strike"
@@ -92,7 +91,7 @@
 }
 
 func (a *Agent) concurrency(t core.Target) int {
-	if e, ok := a.entry(t); ok && e.Limits.Concurrency > 0 {
+	if e, ok := a.Snapshot().Entry(t); ok && e.Limits.Concurrency > 0 {
 		return e.Limits.Concurrency
 	}
 	return defaultConcurrency
@@ -105,13 +104,6 @@
 	return math.MaxInt
 }
 
-func (a *Agent) entry(t core.Target) (*catlog.Entry, bool) {
-	if t.Model == "" {
-		return a.Snapshot().Service(t.Service)
-	}
-	return a.Snapshot().Model(t.Model)
-}
-
 // start hands a popped request to the upstream. A request that is suspected of
 // crashing engines waits until it can run alone, and others wait while it does;
 // start returns false where nothing that follows may start either.
--- a/io/agent/slots.go
+++ b/io/agent/slots.go
@@ -40,7 +40,7 @@
 	busy    bool
 }
 
-// leave asks for leave to read an item from the store. It returns false until
+// leaveTo asks for leave to read an item from the store. It returns false until
 // there is; the loop of askSlots asks the decider meanwhile. The lock is held.
 func (a *Agent) leaveTo(now time.Time, name, base core.ModelName, class core.Class, deadline time.Time) bool {
 	s := a.slots[name]
--- a/io/agent/tail.go
+++ b/io/agent/tail.go
@@ -48,14 +48,8 @@
 	if t.want == "" {
 		return
 	}
-	if len(p) >= tailSize {
-		t.last = append(t.last[:0], p[len(p)-tailSize:]...)
-		return
-	}
-	t.last = append(t.last, p...)
-	if over := len(t.last) - tailSize; over > 0 {
-		t.last = append(t.last[:0], t.last[over:]...)
-	}
+	t.last = append(t.last, p[max(0, len(p)-tailSize):]...)
+	t.last = append(t.last[:0], t.last[max(0, len(t.last)-tailSize):]...)
 }
 
 // check tells whether the answer that ended is whole; its error is an
--- a/io/entry/hosts.go
+++ b/io/entry/hosts.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"radishwell/core"
-	"radishwell/core/catlog"
 	"radishwell/core/route"
 	"radishwell/core/strike"
 	"radishwell/io/relay"
@@ -44,13 +43,6 @@
 	return h
 }
 
-func (e *Entry) entryOf(t core.Target) (*catlog.Entry, bool) {
-	if t.Model == "" {
-		return e.Snapshot().Service(t.Service)
-	}
-	return e.Snapshot().Model(t.Model)
-}
-
 // plan asks the router where a request should go. Hosts whose load is old are
 // asked for it; where the router says that the answers are worth waiting for,
 // since a load would be started in vain otherwise, it is asked again with them.
@@ -82,7 +74,7 @@
 	defer e.mu.Unlock()
 	now := e.Clock.Now()
 	q := route.Query{Request: r, Here: e.DataCentre, Tried: tried, Asked: asked, Costs: e.costsOf(r.Target)}
-	if entry, ok := e.entryOf(r.Target); ok {
+	if entry, ok := e.Snapshot().Entry(r.Target); ok {
 		q.Need = entry.Memory
 	}
 	for _, h := range e.allowed(now, r, hosts, tried) {
--- a/io/entry/queue.go
+++ b/io/entry/queue.go
@@ -119,11 +119,11 @@
 // free tells how many more requests of a lane may be in progress.
 func (e *Entry) free(name string) int {
 	l := e.lanes[name]
-	per := 0
-	if entry, ok := e.entryOf(l.target); ok {
-		per = entry.Limits.Concurrency
+	window := leastWindow
+	// Membership judges the hosts at each call; only a limit asks how many.
+	if entry, ok := e.Snapshot().Entry(l.target); ok && entry.Limits.Concurrency > 0 {
+		window = max(window, windowFactor*entry.Limits.Concurrency*len(e.Hosts(l.target)))
 	}
-	window := max(leastWindow, windowFactor*per*len(e.Hosts(l.target)))
 	return window - l.running
 }
 
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -141,14 +141,11 @@
 	return &out
 }
 
-// waitUntil sleeps for want of a host, a claim or a connection.
+// waitUntil sleeps for want of a host, a claim or a connection. It is false where
+// the request's time or its caller ends the wait.
 func (j *job) waitUntil(ctx context.Context, at time.Time) bool {
 	j.waited = true
-	return sleepUntil(ctx, j.e.Clock, at)
-}
-
-func sleepUntil(ctx context.Context, clock core.Clock, at time.Time) bool {
-	timer := time.NewTimer(max(0, at.Sub(clock.Now())))
+	timer := time.NewTimer(max(0, at.Sub(j.e.Clock.Now())))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/io/fakes/apisrv/faults.go
+++ b/io/fakes/apisrv/faults.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/io/fakes/httpd"
 )
 
 // Outage is a way of being down.
@@ -163,11 +164,11 @@
 		}
 		f = next
 	}
-	writeJSON(w, http.StatusOK, f)
+	httpd.WriteJSON(w, http.StatusOK, f)
 }
 
 func (s *Server) serveCalls(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.Calls())
+	httpd.WriteJSON(w, http.StatusOK, s.Calls())
 }
 
 // Objects returns the objects of a kind as committed, whatever reads see.
--- a/io/fakes/apisrv/handle.go
+++ b/io/fakes/apisrv/handle.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/io/fakes/httpd"
 )
 
 // maxBody is the largest value the platform holds.
@@ -112,7 +113,7 @@
 	for _, o := range l.Objects {
 		body.Items = append(body.Items, toJSON(o))
 	}
-	writeJSON(w, http.StatusOK, body)
+	httpd.WriteJSON(w, http.StatusOK, body)
 }
 
 func (s *Server) serveGet(w http.ResponseWriter, r *http.Request) {
@@ -205,7 +206,7 @@
 func (s *Server) answer(w http.ResponseWriter, code int, o core.Object, err error) {
 	var failed *core.PlatformError
 	if !errors.As(err, &failed) {
-		writeJSON(w, code, toJSON(o))
+		httpd.WriteJSON(w, code, toJSON(o))
 		return
 	}
 	switch failed.Fault {
--- a/io/fakes/apisrv/wire.go
+++ b/io/fakes/apisrv/wire.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"radishwell/core"
+	"radishwell/io/fakes/httpd"
 )
 
 const apiVersion = "radishwell.example/v1"
@@ -96,13 +97,7 @@
 }
 
 func writeStatus(w http.ResponseWriter, code int, reason, message string) {
-	writeJSON(w, code, makeStatus(code, reason, message))
-}
-
-func writeJSON(w http.ResponseWriter, code int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(code)
-	_ = json.NewEncoder(w).Encode(body)
+	httpd.WriteJSON(w, code, makeStatus(code, reason, message))
 }
 
 func sorted(byName map[string]core.Object) []core.Object {
--- a/io/fakes/llmsrv/faults.go
+++ b/io/fakes/llmsrv/faults.go
@@ -1,10 +1,11 @@
 package llmsrv
 
 import (
-	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
+
+	"radishwell/io/fakes/httpd"
 )
 
 // Faults are what can be made to go wrong while the stand-in runs. The zero
@@ -57,20 +58,7 @@
 }
 
 func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodPut {
-		var f Faults
-		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		s.mu.Lock()
-		s.faults = f
-		s.mu.Unlock()
-	}
-	s.mu.Lock()
-	f := s.faults
-	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, f)
+	httpd.ServeFaults(w, r, &s.mu, &s.faults)
 }
 
 // drop ends the connection without an answer, as a dead process would.
@@ -81,10 +69,3 @@
 	}
 	conn.Close()
 }
-
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// An error here is the client's going away; there is nobody left to tell.
-	_ = json.NewEncoder(w).Encode(v)
-}
--- a/io/fakes/llmsrv/orders.go
+++ b/io/fakes/llmsrv/orders.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/io/fakes/httpd"
 )
 
 func (s *Server) serveLoad(w http.ResponseWriter, r *http.Request) {
 	var o core.LoadOrder
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		writeJSON(w, http.StatusBadRequest, failure("order"))
+		httpd.WriteJSON(w, http.StatusBadRequest, failure("order"))
 		return
 	}
 	s.answerOrder(w, s.load(o))
@@ -21,7 +22,7 @@
 func (s *Server) serveUnload(w http.ResponseWriter, r *http.Request) {
 	var o core.UnloadOrder
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		writeJSON(w, http.StatusBadRequest, failure("order"))
+		httpd.WriteJSON(w, http.StatusBadRequest, failure("order"))
 		return
 	}
 	s.answerOrder(w, s.unload(o))
--- a/io/fakes/llmsrv/server.go
+++ b/io/fakes/llmsrv/server.go
@@ -126,7 +126,7 @@
 }
 
 func (s *Server) serveState(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.State())
+	httpd.WriteJSON(w, http.StatusOK, s.State())
 }
 
 // State returns the engine's report.
@@ -163,7 +163,7 @@
 func (s *Server) serveStarted(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writeJSON(w, http.StatusOK, s.started)
+	httpd.WriteJSON(w, http.StatusOK, s.started)
 }
 
 func (s *Server) serveWork(w http.ResponseWriter, r *http.Request) {
@@ -173,12 +173,12 @@
 	}
 	var a ask
 	if err := json.Unmarshal(body, &a); err != nil {
-		writeJSON(w, http.StatusBadRequest, failure("malformed body"))
+		httpd.WriteJSON(w, http.StatusBadRequest, failure("malformed body"))
 		return
 	}
 	name := core.ModelName(a.Model)
 	if !s.holds(name) {
-		writeJSON(w, http.StatusNotFound, failure("model is not loaded"))
+		httpd.WriteJSON(w, http.StatusNotFound, failure("model is not loaded"))
 		return
 	}
 	id := core.RequestID(r.Header.Get(HeaderRequest))
@@ -289,14 +289,14 @@
 func (s *Server) serveResume(w http.ResponseWriter, r *http.Request) {
 	offset, err := strconv.ParseInt(r.URL.Query().Get("offset"), 10, 64)
 	if err != nil || offset < 0 {
-		writeJSON(w, http.StatusBadRequest, failure("offset"))
+		httpd.WriteJSON(w, http.StatusBadRequest, failure("offset"))
 		return
 	}
 	s.mu.Lock()
 	found := s.runs[core.RequestID(r.PathValue("id"))]
 	s.mu.Unlock()
 	if found == nil {
-		writeJSON(w, http.StatusNotFound, failure("no such run"))
+		httpd.WriteJSON(w, http.StatusNotFound, failure("no such run"))
 		return
 	}
 	s.relay(w, r, found, offset, "application/octet-stream")
@@ -352,7 +352,7 @@
 		ID core.RequestID `json:"id"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
-		writeJSON(w, http.StatusBadRequest, failure("order"))
+		httpd.WriteJSON(w, http.StatusBadRequest, failure("order"))
 		return
 	}
 	s.mu.Lock()
--- a/io/fakes/plain/server.go
+++ b/io/fakes/plain/server.go
@@ -108,21 +108,9 @@
 }
 
 func (s *Server) serveRuns(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(s.Runs())
+	httpd.WriteJSON(w, http.StatusOK, s.Runs())
 }
 
 func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodPut {
-		var f Faults
-		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		s.mu.Lock()
-		s.now = f
-		s.mu.Unlock()
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(s.faults())
+	httpd.ServeFaults(w, r, &s.mu, &s.now)
 }
--- a/io/node/world.go
+++ b/io/node/world.go
@@ -297,11 +297,5 @@
 func (w *world) agents(service core.ServiceName) int {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
-	n := 0
-	for _, h := range w.hosts {
-		if h.spec.Role == core.UpstreamHost && h.spec.Service == service {
-			n++
-		}
-	}
-	return n
+	return len(w.ofService(service))
 }
