--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -18,13 +18,18 @@
 	// as if it had come in a second of its own.
 	waitingWorth = 1.0
 	// furtherWorth is the worth of each copy after the first, as a part of the
-	// one before: one copy carries the usual load of a model, a second saves a
-	// load only when its host is lost.
+	// one before, where one copy carries the load: a second then saves a load only
+	// when its host is lost.
 	furtherWorth = 0.03
-	// crowdedWorth replaces furtherWorth where the copies' hosts run more than
-	// crowded of what they can at once.
-	crowdedWorth = 0.5
-	crowded      = 0.5
+	// easyLoad and fullLoad are the parts of an engine's time from which its
+	// requests begin to be late, and at which all of them are: a prompt that is
+	// read holds up the others for a quarter of a second, so queues form well
+	// before an engine is busy all the time.
+	easyLoad = 0.3
+	fullLoad = 0.8
+	// swapWorth is the worth of a first copy to callers who bear a load from a
+	// host's disk, as a part of that to callers who do not.
+	swapWorth = 0.4
 	// hysteresis is how much of a new copy's worth the copies it displaces may
 	// have. Without it two models asked for about as often displace each other
 	// again and again.
@@ -44,11 +49,20 @@
 
 // Demand is how much a model is asked for, over all entries.
 type Demand struct {
-	// Rate is requests a second, Waiting those that wait for a copy.
-	Rate    float64
+	// Rate is requests a second, Hasty those of them whose target is shorter than
+	// a load from a host's disk takes.
+	Rate, Hasty float64
+	// Work is the part of one engine's time that the requests take.
+	Work float64
+	// Waiting counts the requests that wait for a copy.
 	Waiting int
 }
 
+// Add returns the sum of two demands.
+func (d Demand) Add(e Demand) Demand {
+	return Demand{Rate: d.Rate + e.Rate, Hasty: d.Hasty + e.Hasty, Work: d.Work + e.Work, Waiting: d.Waiting + e.Waiting}
+}
+
 // Host is an upstream host as the planner sees it.
 type Host struct {
 	ID core.HostName
@@ -66,8 +80,6 @@
 	Adapters core.Bytes
 	// Near tells where the host has a copy of a model's weights.
 	Near func(core.ModelName) core.Tier
-	// Running is the number of requests on the host.
-	Running int
 }
 
 // Move is the next change of one host: the models to give up, then the one to
@@ -102,8 +114,9 @@
 	hosts   []*Host
 	demand  map[core.ModelName]Demand
 	// copies counts, by model, the hosts that hold it or are about to.
-	copies  map[core.ModelName]int
-	running map[core.ModelName]int
+	copies map[core.ModelName]int
+	// onDisk are the models that some host can load without the weight store.
+	onDisk  map[core.ModelName]bool
 	loading int
 	moves   []Move
 }
@@ -113,7 +126,7 @@
 	p.settle(now, hosts)
 	w := &plan{
 		Planner: p, now: now, service: s, hosts: hosts, demand: demand,
-		copies: map[core.ModelName]int{}, running: map[core.ModelName]int{},
+		copies: map[core.ModelName]int{}, onDisk: map[core.ModelName]bool{},
 	}
 	w.count()
 	for _, name := range w.wanted() {
@@ -149,11 +162,15 @@
 		if h.Leaving {
 			continue
 		}
+		for name := range w.service.Models {
+			if h.Near(name) != core.TierStore {
+				w.onDisk[name] = true
+			}
+		}
 		move, moving := w.Planner.moves[h.ID]
 		for _, m := range h.Held {
 			if !moving || !slices.Contains(move.Evict, m) {
 				w.copies[m]++
-				w.running[m] += h.Running
 			}
 		}
 		switch {
@@ -172,19 +189,23 @@
 }
 
 // worth returns what the nth copy of a model is worth, in requests a second
-// that it serves better.
+// that it serves in their target.
 func (w *plan) worth(name core.ModelName, nth int) float64 {
 	d := w.demand[name]
-	first := d.Rate + silentWorth
+	first := silentWorth + d.Rate
+	if w.onDisk[name] {
+		first = silentWorth + d.Hasty + (d.Rate-d.Hasty)*swapWorth
+	}
 	if nth <= 1 {
 		return first + float64(d.Waiting)*waitingWorth
 	}
-	step := furtherWorth
-	if n := w.copies[name]; n > 0 && w.service.Batch > 0 &&
-		float64(w.running[name]) > crowded*float64(n*w.service.Batch) {
-		step = crowdedWorth
-	}
-	return first * math.Pow(step, float64(nth-1))
+	before, after := late(d.Work/float64(nth-1)), late(d.Work/float64(nth))
+	return d.Rate*(before-after) + first*math.Pow(furtherWorth, float64(nth-1))
+}
+
+// late returns the part of an engine's requests that are late at a load.
+func late(load float64) float64 {
+	return min(1, max(0, (load-easyLoad)/(fullLoad-easyLoad)))
 }
 
 // wanted returns the models whose next copy is worth most, most first.
--- a/io/deploy/planner.go
+++ b/io/deploy/planner.go
@@ -140,10 +140,7 @@
 			continue
 		}
 		for name, d := range t.demands {
-			own := sum[name]
-			own.Rate += d.Rate
-			own.Waiting += d.Waiting
-			sum[name] = own
+			sum[name] = sum[name].Add(d)
 		}
 	}
 	return sum
@@ -201,7 +198,7 @@
 func viewHost(h *fleet.Host, s *rtable.Service, now time.Time, follows bool) *copies.Host {
 	out := &copies.Host{
 		ID: h.ID, Open: follows && h.Fresh(now) && !h.Report.Busy && !h.IsLeaving(), Leaving: h.IsLeaving(),
-		Memory: s.Memory, Loading: h.Report.Loading, LoadedBy: h.Report.LoadedBy, Running: h.Report.Running + h.Report.Waiting,
+		Memory: s.Memory, Loading: h.Report.Loading, LoadedBy: h.Report.LoadedBy,
 	}
 	tiers := map[core.ModelName]core.Tier{}
 	for name := range s.Models {
@@ -285,7 +282,7 @@
 func demandsOut(demands map[core.ModelName]copies.Demand) []*wire.ModelDemand {
 	out := make([]*wire.ModelDemand, 0, len(demands))
 	for name, d := range demands {
-		out = append(out, &wire.ModelDemand{Model: string(name), Rate: d.Rate, Waiting: uint32(max(0, d.Waiting))})
+		out = append(out, &wire.ModelDemand{Model: string(name), Rate: d.Rate, Hasty: d.Hasty, Work: d.Work, Waiting: uint32(max(0, d.Waiting))})
 	}
 	return out
 }
@@ -293,7 +290,9 @@
 func demandsIn(demands []*wire.ModelDemand) map[core.ModelName]copies.Demand {
 	out := make(map[core.ModelName]copies.Demand, len(demands))
 	for _, d := range demands {
-		out[core.ModelName(d.GetModel())] = copies.Demand{Rate: d.GetRate(), Waiting: int(d.GetWaiting())}
+		out[core.ModelName(d.GetModel())] = copies.Demand{
+			Rate: d.GetRate(), Hasty: d.GetHasty(), Work: d.GetWork(), Waiting: int(d.GetWaiting()),
+		}
 	}
 	return out
 }
