Keep table and registry by the replicas that the product has

Change: io/peer's Store follows routing table and registry, with other entries as peers, whom agents name; its pause after failed reads is a setting of the type. Requests that wait are refused a second before a planned stop ends.

--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"radishwell/io/httpd"
+	"radishwell/io/peer"
 	"radishwell/io/proxy"
 )
 
@@ -22,6 +23,9 @@
 	// the platform's balancer needs two failed looks, a second apart, to send new
 	// connections elsewhere.
 	leaveTime = 2500 * time.Millisecond
+	// waitMargin is how long before the end of the process requests that still
+	// wait for a host are refused, so that their callers have the refusal.
+	waitMargin = time.Second
 )
 
 // entry is the parts of an entry process.
@@ -30,8 +34,11 @@
 	proxy   *proxy.Proxy
 	links   *links
 	planner *planner
-	basis   basis
+	state   *peer.Store
+	peers   peers
 	leaving atomic.Bool
+	// storeLost tells that the last read of the store failed.
+	storeLost atomic.Bool
 }
 
 func (p *Process) buildEntry() {
@@ -46,13 +53,22 @@
 	e.planner = &planner{entry: e, parallel: s.Store.Parallel}
 	e.planner.start()
 	p.handler.Plan = e.planner.servePlan
-	p.handler.Basis = e.basis.serve
-	p.parts = append(p.parts, e.watchTable, e.watchRegistry, e.links.run, e.planner.run, e.askPeers)
+	e.peers.clock = p.clock
+	for _, at := range s.Peers {
+		if at != s.Listen.Control {
+			e.peers.seeds = append(e.peers.seeds, at)
+		}
+	}
+	e.prepareState()
+	p.parts = append(p.parts, e.links.run, e.planner.run)
 	p.serve(&httpd.Server{Address: s.Managed.Readiness, Handler: http.HandlerFunc(e.serveReady)})
 	callers := &httpd.Server{Address: s.Listen.Callers, Handler: e.steer(e.proxy)}
 	p.serve(callers)
 	p.leave = func(ctx context.Context) {
 		e.leaving.Store(true)
+		if due, ok := ctx.Deadline(); ok {
+			e.proxy.Leave(p.clock.Now().Add(time.Until(due) - waitMargin))
+		}
 		if sleep(ctx, leaveTime) {
 			// Its error is the deadline's: what is still in progress is cut then.
 			_ = callers.Stop(ctx)
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -42,6 +42,8 @@
 	others                  []*wire.EntryDemand
 	othersAt                time.Time
 	used                    map[string]bool
+	seenEntries             uint64
+	renewEntries            time.Time
 }
 
 // links are the exchanges with all agents.
@@ -144,6 +146,12 @@
 		in.Used = append(in.Used, name)
 	}
 	clear(k.used)
+	in.SeenEntries = k.seenEntries
+	if now := l.entry.clock.Now(); now.After(k.renewEntries) {
+		// Entries that are named no more are forgotten; the others are named again.
+		k.renewEntries = now.Add(peerAge / 3)
+		in.SeenEntries = 0
+	}
 	k.mu.Unlock()
 	return l.entry.client.Upstream(ctx, l.agent(k.address), in)
 }
@@ -168,10 +176,16 @@
 	now := l.entry.clock.Now()
 	k.mu.Lock()
 	k.planner, k.plannerControl, k.heard = reply.GetPlanner(), reply.GetPlannerControl(), now
+	k.seenEntries = reply.GetEntriesVersion()
 	if len(reply.GetOthers()) > 0 {
 		k.others, k.othersAt = reply.GetOthers(), now
 	}
 	k.mu.Unlock()
+	for _, e := range reply.GetEntries() {
+		if at, err := netip.ParseAddrPort(e.GetControl()); err == nil && e.GetName() != string(l.entry.Settings.Name) {
+			l.entry.peers.add(core.HostName(e.GetName()), at)
+		}
+	}
 	report := reportIn(reply.GetReport(), now)
 	if !report.Reachable {
 		return
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -52,9 +52,11 @@
 	change   uint64
 	changed  chan struct{}
 	entries  map[string]*caller
-	planner  string
-	goal     *goal
-	loading  loading
+	// entriesVersion grows with each entry that comes or goes.
+	entriesVersion uint64
+	planner        string
+	goal           *goal
+	loading        loading
 	// used is when requests for an adapter were last seen, by MODEL/NAME.
 	used map[string]time.Time
 }
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -40,6 +40,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
+	if old := d.entries[c.GetEntry()]; old == nil || old.control != c.GetControl() {
+		d.entriesVersion++
+	}
 	d.entries[c.GetEntry()] = &caller{control: c.GetControl(), at: now, demands: c.GetDemands()}
 	if c.GetInstance() != "" && d.state.ID == "" {
 		d.instance = core.HostName(c.GetInstance())
@@ -58,6 +61,7 @@
 	for name, e := range d.entries {
 		if now.Sub(e.at) > followTime {
 			delete(d.entries, name)
+			d.entriesVersion++
 			continue
 		}
 		if planner == "" || name < planner {
@@ -79,6 +83,12 @@
 	if e := d.entries[d.planner]; e != nil {
 		out.PlannerControl = e.control
 	}
+	out.EntriesVersion = d.entriesVersion
+	if c.GetSeenEntries() != d.entriesVersion {
+		for name, e := range d.entries {
+			out.Entries = append(out.Entries, &wire.EntryAddress{Name: name, Control: e.control})
+		}
+	}
 	if !c.GetOthers() {
 		return out
 	}
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -79,7 +79,6 @@
 	GoalTaken
 	PlannerChanged
 	SettingsRead
-	BasisTaken
 	eventCount
 )
 
@@ -183,7 +182,6 @@
 	{Event: GoalTaken, Name: "goal-taken", Severity: Info, Text: "Agent follows a new goal for its upstream", Advice: noAction},
 	{Event: PlannerChanged, Name: "planner-changed", Severity: Info, Text: "Another entry plans which hosts hold which models", Advice: "Nothing, unless it changes every few seconds: then look whether entries reach the agents."},
 	{Event: SettingsRead, Name: "settings-read", Severity: Info, Text: "Settings were read again", Advice: noAction},
-	{Event: BasisTaken, Name: "basis-taken", Severity: Info, Text: "State of the platform's store was taken from another entry", Advice: "Nothing; the store itself is read as soon as it answers."},
 })
 
 // First numbers of the groups: a group starts at the next hundred, so that
--- a/io/peer/calls.go
+++ b/io/peer/calls.go
@@ -63,11 +63,6 @@
 	return call[wire.PlanReply](ctx, c, to, "Plan", in)
 }
 
-// Basis asks an entry for what it read from the platform's store.
-func (c *Client) Basis(ctx context.Context, to Target, in *wire.BasisCall) (*wire.BasisReply, error) {
-	return call[wire.BasisReply](ctx, c, to, "Basis", in)
-}
-
 // merge copies a reply into the message that net/rpc has made for it.
 func merge(out, reply any) {
 	proto.Merge(out.(proto.Message), reply.(proto.Message))
--- a/io/peer/feed.go
+++ b/io/peer/feed.go
@@ -65,7 +65,7 @@
 			f.list = true
 		}
 		pause(ctx, jitter(r, retry))
-		retry = min(2*retry, maxRetry)
+		retry = min(2*retry, s.MaxRetry)
 	}
 	return nil
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -31,7 +31,6 @@
 	Goal     func(*wire.GoalCall) (*wire.GoalReply, error)
 	Adapter  func(*wire.AdapterCall) (*wire.AdapterReply, error)
 	Plan     func(*wire.PlanCall) (*wire.PlanReply, error)
-	Basis    func(*wire.BasisCall) (*wire.BasisReply, error)
 }
 
 // UnsupportedError answers a call that this role does not serve.
@@ -99,11 +98,6 @@
 	return answer("Plan", m.handler.Plan, c, out)
 }
 
-// Basis serves a question for what an entry read from the platform's store.
-func (m *methods) Basis(c *wire.BasisCall, out *wire.BasisReply) error {
-	return answer("Basis", m.handler.Basis, c, out)
-}
-
 // Ping answers at once; it is how a silent connection is told from a slow call.
 func (m *methods) Ping(*wire.Empty, *wire.Empty) error { return nil }
 
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -34,6 +34,9 @@
 	// Watchers is how many processes watch each kind; zero stands for
 	// defaultWatchers.
 	Watchers int
+	// MaxRetry bounds the pause after a failed read of the platform; zero stands
+	// for maxRetry.
+	MaxRetry time.Duration
 	// Seed seeds the choice of peers and all jitter.
 	Seed uint64
 
@@ -94,6 +97,9 @@
 	if s.Watchers <= 0 {
 		s.Watchers = defaultWatchers
 	}
+	if s.MaxRetry <= 0 {
+		s.MaxRetry = maxRetry
+	}
 	s.kinds = map[core.Kind]*kindState{}
 	s.dirty = map[core.Kind]map[string]bool{}
 	s.booted = make(chan struct{})
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -49,6 +49,9 @@
 	// that wait.
 	changed chan struct{}
 	seen    uint64
+	// leave is until when requests may wait once the process stops; zero while it
+	// does not.
+	leave time.Time
 	// waiting is told when a request begins to wait for a model.
 	waiting chan struct{}
 }
@@ -124,6 +127,26 @@
 // Waiting is sent on when a request begins to wait for a model.
 func (p *Proxy) Waiting() <-chan struct{} { return p.waiting }
 
+// Leave has requests that wait be refused by a time, since the process stops
+// soon after it.
+func (p *Proxy) Leave(at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leave = at
+	p.wake()
+}
+
+// waitUntil returns until when a request with a deadline may wait.
+func (p *Proxy) waitUntil(deadline time.Time) (at time.Time, leaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at = deadline.Add(-answerSlack)
+	if !p.leave.IsZero() && p.leave.Before(at) {
+		return p.leave, true
+	}
+	return at, false
+}
+
 // Kick has whoever follows Waiting look at once.
 func (p *Proxy) Kick() {
 	select {
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -88,9 +88,10 @@
 		// All hosts that hold the model were tried: after a pause they may be again.
 		pause = restPause
 	}
-	left := c.deadline.Sub(c.proxy.Clock.Now()) - answerSlack
+	until, leaving := c.proxy.waitUntil(c.deadline)
+	left := until.Sub(c.proxy.Clock.Now())
 	if left <= 0 {
-		return c.giveUpWaiting()
+		return c.giveUpWaiting(leaving)
 	}
 	timer := time.NewTimer(min(pause, left))
 	defer timer.Stop()
@@ -104,9 +105,14 @@
 	return nil
 }
 
-func (c *call) giveUpWaiting() *core.Refusal {
-	if c.ran > 0 {
+// giveUpWaiting returns the answer to a request that may wait no longer. An entry
+// that stops has it come back at once, to another.
+func (c *call) giveUpWaiting(leaving bool) *core.Refusal {
+	switch {
+	case c.ran > 0:
 		return c.lost()
+	case leaving:
+		return core.RefuseUntil(core.CodeLeaving, "this entry stops", c.proxy.Clock.Now())
 	}
 	return core.Refuse(core.CodeWaitTooLong, "no upstream host could run the request in its time")
 }
