--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -24,6 +24,9 @@
 	// goalTime is how long a goal is followed: one that could not begin by then
 	// was decided on what no longer holds.
 	goalTime = 5 * time.Second
+	// evictNotice is how long entries have to learn that a model goes before its
+	// unload is ordered: from then on the upstream turns its requests away.
+	evictNotice = 60 * time.Millisecond
 	// lostAfter is how many reports in a row have to fail before the upstream
 	// counts as out of reach.
 	lostAfter = 3
@@ -73,10 +76,14 @@
 	load   core.ModelName
 	evict  []core.ModelName
 	limits *wire.UpstreamLimits
-	until  time.Time
-	takes  time.Duration
+	// evictAt is when unloads may begin, until when the goal has to have begun.
+	evictAt, until time.Time
+	takes          time.Duration
 }
 
+// gives tells whether the goal gives a model up.
+func (g *goal) gives(model core.ModelName) bool { return g != nil && slices.Contains(g.evict, model) }
+
 // loading is the load in progress.
 type loading struct {
 	model core.ModelName
--- a/io/driver/order.go
+++ b/io/driver/order.go
@@ -59,6 +59,9 @@
 		return core.UpstreamOrder{}, false
 	}
 	for _, m := range g.evict {
+		if d.holds(m) && now.Before(g.evictAt) {
+			return core.UpstreamOrder{}, false
+		}
 		if d.holds(m) {
 			o.Unload, o.Model = true, m
 			return o, true
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -113,6 +113,9 @@
 		out.LoadLeft = int64(d.loading.by.Sub(now))
 	}
 	for _, m := range s.Models {
+		if d.goal.gives(m.Model) {
+			continue // no more requests for what goes
+		}
 		out.Models = append(out.Models, &wire.HeldModel{Model: string(m.Model), Version: m.Version, Adapters: m.Adapters})
 	}
 	return out
@@ -141,12 +144,13 @@
 		return &wire.GoalReply{Reason: "another goal is under way"}, nil
 	}
 	g := &goal{
-		load: core.ModelName(c.GetLoad()), limits: c.GetLimits(), until: now.Add(goalTime), takes: time.Duration(c.GetTakes()),
+		load: core.ModelName(c.GetLoad()), limits: c.GetLimits(), until: now.Add(goalTime), evictAt: now.Add(evictNotice), takes: time.Duration(c.GetTakes()),
 	}
 	for _, m := range c.GetEvict() {
 		g.evict = append(g.evict, core.ModelName(m))
 	}
 	d.goal = g
+	d.tell()
 	events.Log(events.GoalTaken, "planner", d.planner, "load", g.load, "evict", g.evict)
 	return &wire.GoalReply{Taken: true}, nil
 }
