--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -21,6 +21,9 @@
 	// one before, where one copy carries the load: a second then saves a load only
 	// when its host is lost.
 	furtherWorth = 0.03
+	// leastFurther is the least worth of a further copy. Below it the load is not
+	// paid back, even where memory is free.
+	leastFurther = 0.02
 	// easyLoad and fullLoad are the parts of an engine's time from which its
 	// requests begin to be late, and at which all of them are: a prompt that is
 	// read holds up the others for a quarter of a second, so queues form well
@@ -231,6 +234,9 @@
 // place finds the host for one more copy of a model, if that is worth it.
 func (w *plan) place(name core.ModelName) {
 	worth := w.worth(name, w.copies[name]+1)
+	if w.copies[name] > 0 && worth < leastFurther {
+		return
+	}
 	var best choice
 	for _, h := range w.hosts {
 		c, ok := w.try(h, name, worth)
--- /dev/null
+++ b/core/copies/plan_test.go
@@ -0,0 +1,236 @@
+package copies_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/copies"
+	"radishwell/core/rtable"
+)
+
+var t0 = time.Unix(10_000, 0)
+
+const gb = core.Bytes(1e9)
+
+// service has models m-00, m-01, ... of 70 GB, and hosts of 145 GB: two each.
+func service(models int) *rtable.Service {
+	s := &rtable.Service{
+		Name: "llm", Models: map[core.ModelName]rtable.Model{}, Memory: 145 * gb, Batch: 64, LoadsPerSecond: 1.6,
+	}
+	for i := range models {
+		m := rtable.Model{
+			Name: name(i), Weights: 70 * gb, Load: 6 * time.Second, FromDisk: 800 * time.Millisecond, FromMemory: 600 * time.Millisecond,
+		}
+		s.Models[m.Name] = m
+	}
+	return s
+}
+
+func name(i int) core.ModelName { return core.ModelName(fmt.Sprintf("m-%02d", i)) }
+
+// host is a host whose disk has the models it holds and those in disk.
+func host(id string, held []core.ModelName, disk ...core.ModelName) *copies.Host {
+	return &copies.Host{
+		ID: core.HostName(id), Open: true, Held: held, Memory: 145 * gb,
+		Near: func(m core.ModelName) core.Tier {
+			if slices.Contains(disk, m) || slices.Contains(held, m) {
+				return core.TierDisk
+			}
+			return core.TierStore
+		},
+	}
+}
+
+func names(i ...int) []core.ModelName {
+	var out []core.ModelName
+	for _, n := range i {
+		out = append(out, name(n))
+	}
+	return out
+}
+
+func wantMoves(t *testing.T, got []copies.Move, want ...string) {
+	t.Helper()
+	texts := []string{}
+	for _, m := range got {
+		texts = append(texts, fmt.Sprintf("%s: %s for %v", m.Host, m.Load, m.Evict))
+	}
+	slices.Sort(texts)
+	if want == nil {
+		want = []string{}
+	}
+	assert.DeepEqual(t, texts, want)
+}
+
+func TestMissingModels(t *testing.T) {
+	t.Run("loaded ahead of need where memory is free", func(t *testing.T) {
+		p := &copies.Planner{Parallel: 4}
+		got := p.Plan(t0, service(2), []*copies.Host{host("a", names(0))}, nil)
+		wantMoves(t, got, "a: m-01 for []")
+	})
+	t.Run("in the place of a further copy, not of a last one", func(t *testing.T) {
+		p := &copies.Planner{Parallel: 4}
+		hosts := []*copies.Host{host("a", names(0, 1)), host("b", names(0, 2))}
+		wantMoves(t, p.Plan(t0, service(4), hosts, nil), "a: m-03 for [m-00]")
+	})
+	t.Run("what is waited for comes first and may displace what is asked for seldom", func(t *testing.T) {
+		p := &copies.Planner{Parallel: 4}
+		demand := map[core.ModelName]copies.Demand{name(0): {Rate: 0.1}, name(1): {Rate: 0.3}, name(2): {Rate: 0.1, Waiting: 1}}
+		got := p.Plan(t0, service(3), []*copies.Host{host("a", names(0, 1), name(2))}, demand)
+		wantMoves(t, got, "a: m-02 for [m-00]")
+	})
+	t.Run("models asked for alike do not displace each other", func(t *testing.T) {
+		// Two models are asked for as often and one place is left. Without a
+		// hysteresis each report would swap them, and neither would be there.
+		p := &copies.Planner{Parallel: 4}
+		demand := map[core.ModelName]copies.Demand{name(0): {Rate: 0.20}, name(1): {Rate: 0.20}, name(2): {Rate: 0.25}}
+		wantMoves(t, p.Plan(t0, service(3), []*copies.Host{host("a", names(0, 1), name(2))}, demand))
+	})
+}
+
+// The copy goes where the weights are near: a load from the store takes seven
+// times as long, and holds up the others.
+func TestNearestHost(t *testing.T) {
+	p := &copies.Planner{Parallel: 4}
+	hosts := []*copies.Host{host("a", nil), host("b", names(0), name(1))}
+	wantMoves(t, p.Plan(t0, service(2), hosts, nil), "b: m-01 for []")
+}
+
+func TestWeightStore(t *testing.T) {
+	many := func(n int) []*copies.Host {
+		var hosts []*copies.Host
+		for i := range n {
+			hosts = append(hosts, host(fmt.Sprintf("h-%02d", i), nil))
+		}
+		return hosts
+	}
+	t.Run("no more loads at once than it serves at full speed", func(t *testing.T) {
+		// Everything was restarted, and all models are missing. Nine loads at once
+		// take nine shares of the store's speed, and none is ready sooner.
+		p := &copies.Planner{Parallel: 4}
+		assert.Equal(t, len(p.Plan(t0, service(30), many(9), nil)), 4)
+	})
+	t.Run("loads that others began count", func(t *testing.T) {
+		p := &copies.Planner{Parallel: 4}
+		hosts := many(9)
+		for _, h := range hosts[:3] {
+			h.Loading, h.Open = name(20+int(h.ID[3]-'0')), false
+		}
+		assert.Equal(t, len(p.Plan(t0, service(30), hosts, nil)), 1)
+	})
+	t.Run("the rate over five seconds holds, also when loads are short", func(t *testing.T) {
+		p := &copies.Planner{Parallel: 100}
+		hosts := many(40)
+		started := 0
+		for step := range 10 {
+			started += len(p.Plan(t0.Add(time.Duration(step)*100*time.Millisecond), service(60), hosts, nil))
+		}
+		assert.Equal(t, started, 7) // 1.6 a second for 5 s, of which nine tenths are used
+	})
+}
+
+func TestFurtherCopies(t *testing.T) {
+	hosts := func() []*copies.Host {
+		return []*copies.Host{
+			host("a", names(0, 1)), host("b", names(2, 3), name(0)), host("c", names(4, 5), name(0)), host("d", names(6, 7), name(0)),
+		}
+	}
+	quiet := func() map[core.ModelName]copies.Demand {
+		d := map[core.ModelName]copies.Demand{}
+		for i := range 8 {
+			d[name(i)] = copies.Demand{Rate: 0.15}
+		}
+		return d
+	}
+	t.Run("none while one carries the load", func(t *testing.T) {
+		p := &copies.Planner{Parallel: 4}
+		d := quiet()
+		d[name(0)] = copies.Demand{Rate: 2, Hasty: 2, Work: 0.2}
+		wantMoves(t, p.Plan(t0, service(8), hosts(), d))
+	})
+	t.Run("more when demand moves to a model that one host holds", func(t *testing.T) {
+		// Demand moves to another model within seconds, and its one host turns a
+		// third of the arrivals away while models asked for every few seconds keep
+		// their places.
+		p := &copies.Planner{Parallel: 4}
+		d := quiet()
+		d[name(0)] = copies.Demand{Rate: 9, Hasty: 6, Work: 0.9}
+		got := p.Plan(t0, service(8), hosts(), d)
+		assert.Equal(t, len(got), 1)
+		assert.Equal(t, got[0].Load, name(0))
+		got = p.Plan(t0.Add(100*time.Millisecond), service(8), hosts(), d)
+		assert.Equal(t, len(got), 1, "a third while the second is on its way")
+	})
+}
+
+func TestMovesUnderWay(t *testing.T) {
+	p := &copies.Planner{Parallel: 4}
+	hosts := func() []*copies.Host { return []*copies.Host{host("a", names(0))} }
+	assert.Equal(t, len(p.Plan(t0, service(3), hosts(), nil)), 1)
+	t.Run("are not told twice", func(t *testing.T) {
+		wantMoves(t, p.Plan(t0.Add(200*time.Millisecond), service(3), hosts(), nil))
+	})
+	t.Run("are told again when nobody took them up", func(t *testing.T) {
+		assert.Equal(t, len(p.Plan(t0.Add(3*time.Second), service(3), hosts(), nil)), 1)
+	})
+	t.Run("tell when the model will be there", func(t *testing.T) {
+		p := &copies.Planner{Parallel: 4}
+		p.Plan(t0, service(2), hosts(), nil)
+		at, ok := p.Ready(name(1))
+		assert.Assert(t, ok)
+		assert.Equal(t, at.Sub(t0), 6*time.Second)
+		_, ok = p.Ready(name(0))
+		assert.Assert(t, !ok)
+	})
+}
+
+func TestClosedHosts(t *testing.T) {
+	leaving, busy := host("a", names(0)), host("b", nil)
+	leaving.Leaving, busy.Open = true, false
+	p := &copies.Planner{Parallel: 4}
+	wantMoves(t, p.Plan(t0, service(2), []*copies.Host{leaving, busy}, nil))
+	t.Run("copies of a leaving host do not count", func(t *testing.T) {
+		p := &copies.Planner{Parallel: 4}
+		got := p.Plan(t0, service(1), []*copies.Host{leaving, host("c", nil)}, nil)
+		wantMoves(t, got, "c: m-00 for []")
+	})
+}
+
+// Every host is full at any moment of a long play of moving demand: a move never
+// needs more memory than its host has.
+func TestMovesFit(t *testing.T) {
+	s := service(12)
+	var hosts []*copies.Host
+	for i := range 4 {
+		hosts = append(hosts, host(fmt.Sprint("h-", i), nil))
+	}
+	p := &copies.Planner{Parallel: 4}
+	for step := range 400 {
+		now := t0.Add(time.Duration(step) * 700 * time.Millisecond)
+		d := map[core.ModelName]copies.Demand{
+			name(step / 40): {Rate: 6, Hasty: 6, Work: 1.2}, name((step * 7) % 12): {Rate: 0.1, Waiting: 1},
+		}
+		for _, m := range p.Plan(now, s, hosts, d) {
+			i := slices.IndexFunc(hosts, func(h *copies.Host) bool { return h.ID == m.Host })
+			held := slices.DeleteFunc(slices.Clone(hosts[i].Held), func(n core.ModelName) bool { return slices.Contains(m.Evict, n) })
+			held = append(held, m.Load)
+			assert.Assert(t, core.Bytes(len(held))*70*gb <= 145*gb)
+			hosts[i] = host(string(m.Host), held)
+		}
+		for _, h := range hosts {
+			h.Open = true
+		}
+	}
+	seen := map[core.ModelName]bool{}
+	for _, h := range hosts {
+		for _, n := range h.Held {
+			seen[n] = true
+		}
+	}
+	assert.Assert(t, len(seen) >= 6)
+}
--- /dev/null
+++ b/core/fleet/pick_test.go
@@ -0,0 +1,188 @@
+package fleet_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/fleet"
+)
+
+func prompt(shared, own string) *fleet.Query {
+	return &fleet.Query{
+		Service: "llm", Model: "m", DataCentre: "dc-1", Tokens: 9000,
+		Parts: []core.PromptPart{{ID: shared, Tokens: 6000}, {ID: own, Tokens: 3000}},
+	}
+}
+
+func hostsOf(n int) *fleet.View {
+	v := view()
+	for i := range n {
+		e := entry(fmt.Sprintf("i-%02d", i), "m")
+		v.Apply(e)
+	}
+	return v
+}
+
+func TestPick(t *testing.T) {
+	t.Run("a host that lacks the model is no choice", func(t *testing.T) {
+		c := wantPick(t, view(entry("i-1")), t0, "")
+		assert.Assert(t, c.Listed)
+	})
+	t.Run("one that was tried is no choice", func(t *testing.T) {
+		v := view(entry("i-1", "m"), entry("i-2", "m"))
+		c := v.Pick(t0, &fleet.Query{Service: "llm", Model: "m", Tried: []core.HostName{"i-1"}})
+		assert.Equal(t, c.Host.ID, core.HostName("i-2"))
+	})
+	t.Run("one that took no connection is the last choice", func(t *testing.T) {
+		v := view(entry("i-1", "m"), entry("i-2", "m"))
+		v.Host("i-1").Unreached(t0)
+		wantPick(t, v, t0, "i-2")
+		v.Remove(t0, "i-2")
+		wantPick(t, v, t0, "i-1")
+	})
+	t.Run("adapters: the host that has it, else one that can fetch it", func(t *testing.T) {
+		a, b := entry("i-1", "m"), entry("i-2", "m")
+		b.Models[0].Adapters = []string{"a1"}
+		v := view(a, b)
+		q := &fleet.Query{Service: "llm", Model: "m", Adapter: "a1", DataCentre: "dc-1"}
+		c := v.Pick(t0, q)
+		assert.Assert(t, c.Host.ID == "i-2" && !c.Fetch)
+		v.Remove(t0, "i-2")
+		c = v.Pick(t0, q)
+		assert.Assert(t, c.Host.ID == "i-1" && c.Fetch)
+	})
+	t.Run("an adapter is not fetched where a load holds up orders", func(t *testing.T) {
+		// A host loads a model from the weight store, which takes six seconds. An
+		// adapter's request sent there waits for that long, beside idle hosts.
+		v := view(entry("i-1", "m"), entry("i-2", "m"))
+		q := &fleet.Query{Service: "llm", Model: "m", Adapter: "a1", DataCentre: "dc-1"}
+		first := v.Pick(t0, q).Host.ID
+		v.Report(fleet.Report{
+			Taken: t0, ID: first, Busy: true, Loading: "n", LoadedBy: after(5 * time.Second), Models: []core.HeldModel{{Model: "m"}},
+		})
+		assert.Assert(t, v.Pick(t0, q).Host.ID != first)
+	})
+}
+
+// Many prompts share their beginnings. Spread at random, each host would read
+// each beginning, for 160 ms of its time.
+func TestSharedPromptsGoTogether(t *testing.T) {
+	v := hostsOf(9)
+	where := map[string]map[core.HostName]bool{}
+	for i := range 400 {
+		now := after(time.Duration(i) * 300 * time.Millisecond)
+		q := prompt(fmt.Sprint("doc-", i%12), fmt.Sprint("own-", i))
+		h := v.Pick(now, q).Host
+		unread := h.Unread(now, q)
+		h.Sent(now, q)
+		h.Begun(unread)
+		h.Ended()
+		if where[q.Parts[0].ID] == nil {
+			where[q.Parts[0].ID] = map[core.HostName]bool{}
+		}
+		where[q.Parts[0].ID][h.ID] = true
+	}
+	for id, hosts := range where {
+		assert.Equal(t, len(hosts), 1, id)
+	}
+}
+
+// Five entries know nothing of each other's requests yet. They choose the same
+// host for the same prompt, so that its beginning is read once.
+func TestEntriesAgree(t *testing.T) {
+	for i := range 20 {
+		q := prompt(fmt.Sprint("doc-", i), "own")
+		first := hostsOf(9).Pick(t0, q).Host.ID
+		for range 4 {
+			assert.Equal(t, hostsOf(9).Pick(t0, q).Host.ID, first)
+		}
+	}
+}
+
+// A few prompts take most of the load: one document is asked about forty times a
+// second, more than the host that keeps it can read. The favoured host must not
+// be overrun while others stand idle.
+func TestFavouredHostIsNotOverrun(t *testing.T) {
+	v := hostsOf(9)
+	type run struct {
+		h      *fleet.Host
+		unread int
+		begins time.Time
+	}
+	var runs []run
+	free := map[core.HostName]time.Time{}
+	worst := time.Duration(0)
+	for i := range 400 {
+		now := after(time.Duration(i) * 25 * time.Millisecond)
+		for len(runs) > 0 && !runs[0].begins.After(now) {
+			runs[0].h.Begun(runs[0].unread)
+			runs[0].h.Ended()
+			runs = runs[1:]
+		}
+		q := prompt("doc", fmt.Sprint("own-", i))
+		h := v.Pick(now, q).Host
+		unread := h.Unread(now, q)
+		h.Sent(now, q)
+		begins := now
+		if free[h.ID].After(now) {
+			begins = free[h.ID]
+		}
+		begins = begins.Add(time.Duration(float64(unread) / 38 * float64(time.Millisecond)))
+		free[h.ID] = begins
+		worst = max(worst, begins.Sub(now))
+		runs = append(runs, run{h, unread, begins})
+		for j := len(runs) - 1; j > 0 && runs[j].begins.Before(runs[j-1].begins); j-- {
+			runs[j], runs[j-1] = runs[j-1], runs[j]
+		}
+	}
+	// All on one host, the last request would wait for 400 x 79 ms less the ten
+	// seconds that pass: over twenty seconds.
+	assert.Assert(t, worst < 800*time.Millisecond, "%v", worst)
+}
+
+// One host of three fails half of its requests while it calls itself well.
+// Requests have to keep away from it, and to come back once it does well again.
+func TestFailingHostIsAvoided(t *testing.T) {
+	v := hostsOf(3)
+	rng := rand.New(rand.NewPCG(1, 2))
+	bad := 0
+	for i := range 300 {
+		now := after(time.Duration(i) * 50 * time.Millisecond)
+		q := prompt(fmt.Sprint("doc-", i%30), "own")
+		h := v.Pick(now, q).Host
+		unread := h.Unread(now, q)
+		h.Sent(now, q)
+		h.Begun(unread)
+		h.Ended()
+		if h.ID == "i-00" && rng.Float64() < 0.5 {
+			bad++
+			h.Failed(now)
+		}
+	}
+	assert.Assert(t, bad < 15, "%d of 300", bad)
+	assert.Assert(t, v.Host("i-00").Failing(after(time.Minute)) < 0.01)
+}
+
+func TestPlainServiceSpreads(t *testing.T) {
+	v := view()
+	for i := range 3 {
+		e := entry(fmt.Sprint("p-", i))
+		e.Slots = 6
+		v.Apply(e)
+	}
+	q := &fleet.Query{Service: "llm", DataCentre: "dc-1"}
+	count := map[core.HostName]int{}
+	for range 18 {
+		h := v.Pick(t0, q).Host
+		h.Sent(t0, q)
+		count[h.ID]++
+	}
+	for id, n := range count {
+		assert.Equal(t, n, 6, "%s", id)
+	}
+}
--- /dev/null
+++ b/core/fleet/view_test.go
@@ -0,0 +1,178 @@
+package fleet_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/fleet"
+)
+
+var t0 = time.Unix(10_000, 0)
+
+func after(d time.Duration) time.Time { return t0.Add(d) }
+
+func entry(id string, models ...core.ModelName) fleet.Entry {
+	e := fleet.Entry{
+		ID: core.HostName(id), Service: "llm", Usable: true, DataCentre: "dc-1", Slots: 64,
+		Address: netip.MustParseAddrPort("10.0.0.1:80"),
+	}
+	for _, m := range models {
+		e.Models = append(e.Models, core.HeldModel{Model: m})
+	}
+	return e
+}
+
+func view(entries ...fleet.Entry) *fleet.View {
+	v := &fleet.View{}
+	for _, e := range entries {
+		v.Apply(e)
+	}
+	return v
+}
+
+func wantPick(t *testing.T, v *fleet.View, now time.Time, want string) fleet.Choice {
+	t.Helper()
+	c := v.Pick(now, &fleet.Query{Service: "llm", Model: "m", DataCentre: "dc-1"})
+	got := ""
+	if c.Host != nil {
+		got = string(c.Host.ID)
+	}
+	assert.Equal(t, got, want)
+	return c
+}
+
+func TestLeaving(t *testing.T) {
+	t.Run("by the registry", func(t *testing.T) {
+		v := view(entry("i-1", "m"))
+		e := entry("i-1", "m")
+		e.Leaving = true
+		v.Apply(e)
+		c := wantPick(t, v, t0, "")
+		assert.Assert(t, !c.Listed)
+	})
+	t.Run("by its agent, and an older entry does not bring it back", func(t *testing.T) {
+		// A host says at once that it leaves; the registry's word comes a second
+		// later, and a read that lags still calls it ready. New work sent on that
+		// word reaches the host after it may.
+		v := view(entry("i-1", "m"))
+		v.Report(fleet.Report{Taken: t0, ID: "i-1", Leaving: true, Models: []core.HeldModel{{Model: "m"}}})
+		wantPick(t, v, t0, "")
+		v.Apply(entry("i-1", "m"))
+		v.Report(fleet.Report{Taken: after(time.Second), ID: "i-1", Models: []core.HeldModel{{Model: "m"}}})
+		wantPick(t, v, after(time.Second), "")
+	})
+	t.Run("an entry that leaves does not come back in one life", func(t *testing.T) {
+		v := view()
+		e := entry("i-1", "m")
+		e.Leaving = true
+		v.Apply(e)
+		v.Apply(entry("i-1", "m"))
+		wantPick(t, v, t0, "")
+	})
+	t.Run("removal without a word", func(t *testing.T) {
+		v := view(entry("i-1", "m"))
+		v.Remove(t0, "i-1")
+		wantPick(t, v, t0, "")
+	})
+}
+
+// The store is out for longer than the hosts' entries live. When it is back, all
+// entries are gone, and those of living hosts return within two seconds. Without
+// the grace all callers would be refused for that time.
+func TestLapsedEntries(t *testing.T) {
+	lapse := func() *fleet.View {
+		v := view(entry("i-1", "m"))
+		v.Troubled(t0)
+		v.Replace(after(time.Second), nil)
+		return v
+	}
+	t.Run("kept for the grace", func(t *testing.T) {
+		v := lapse()
+		v.Tick(after(2900 * time.Millisecond))
+		wantPick(t, v, after(2900*time.Millisecond), "i-1")
+	})
+	t.Run("gone after it", func(t *testing.T) {
+		v := lapse()
+		v.Tick(after(3 * time.Second))
+		wantPick(t, v, after(3*time.Second), "")
+	})
+	t.Run("back within it", func(t *testing.T) {
+		v := lapse()
+		v.Apply(entry("i-1", "m"))
+		v.Tick(after(time.Minute))
+		wantPick(t, v, after(time.Minute), "i-1")
+	})
+	t.Run("a second removal does not prolong it", func(t *testing.T) {
+		v := lapse()
+		v.Remove(after(2*time.Second), "i-1")
+		v.Tick(after(3 * time.Second))
+		wantPick(t, v, after(3*time.Second), "")
+	})
+	t.Run("a host that was leaving has no grace", func(t *testing.T) {
+		v := view()
+		e := entry("i-1", "m")
+		e.Leaving = true
+		v.Apply(e)
+		v.Troubled(t0)
+		v.Remove(t0, "i-1")
+		assert.Assert(t, v.Host("i-1") == nil)
+	})
+}
+
+// A host crashes and starts again under its id. What it held and what was known
+// of it is void; an entry or report of before must not be taken for the new life.
+func TestBornAgain(t *testing.T) {
+	old := entry("i-1", "m")
+	old.Born = 1
+	v := view(old)
+	v.Report(fleet.Report{Taken: t0, ID: "i-1", Models: []core.HeldModel{{Model: "m"}}})
+	v.Host("i-1").Failed(t0)
+	again := entry("i-1")
+	again.Born = 2
+	v.Apply(again)
+	wantPick(t, v, t0, "")
+	assert.Equal(t, v.Host("i-1").Failing(t0), 0.0)
+}
+
+func TestUnusableEntry(t *testing.T) {
+	v := view(fleet.Entry{ID: "i-9", Service: "llm"}, entry("i-1", "m"))
+	wantPick(t, v, t0, "i-1")
+}
+
+func TestReports(t *testing.T) {
+	t.Run("the fresher word on what is held counts", func(t *testing.T) {
+		v := view(entry("i-1", "m"))
+		v.Report(fleet.Report{Taken: t0, ID: "i-1"})
+		wantPick(t, v, after(time.Second), "")
+		wantPick(t, v, after(3*time.Second), "i-1")
+	})
+	t.Run("an older report does not replace a newer", func(t *testing.T) {
+		v := view(entry("i-1"))
+		v.Report(fleet.Report{Taken: after(time.Second), ID: "i-1", Models: []core.HeldModel{{Model: "m"}}})
+		v.Report(fleet.Report{Taken: t0, ID: "i-1"})
+		wantPick(t, v, after(time.Second), "i-1")
+	})
+	t.Run("reports of lives that are not listed are passed over", func(t *testing.T) {
+		v := view()
+		v.Report(fleet.Report{Taken: t0, ID: "i-1", Models: []core.HeldModel{{Model: "m"}}})
+		wantPick(t, v, t0, "")
+	})
+	t.Run("a host's refusal counts above its report for a while", func(t *testing.T) {
+		v := view(entry("i-1", "m"))
+		v.Host("i-1").Lacks(t0, "m")
+		wantPick(t, v, t0, "")
+		wantPick(t, v, after(2*time.Second), "i-1")
+	})
+	t.Run("changes that matter are counted", func(t *testing.T) {
+		v := view(entry("i-1"))
+		before := v.Changes()
+		v.Report(fleet.Report{Taken: t0, ID: "i-1", Running: 3})
+		assert.Equal(t, v.Changes(), before)
+		v.Report(fleet.Report{Taken: t0, ID: "i-1", Models: []core.HeldModel{{Model: "m"}}})
+		assert.Assert(t, v.Changes() > before)
+	})
+}
--- /dev/null
+++ b/core/retry/window_test.go
@@ -0,0 +1,38 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core/retry"
+)
+
+// An upstream fails all it gets. Without an allowance each request is sent
+// again and the upstream gets twice the load that it fails under already.
+func TestWindowBoundsRepeats(t *testing.T) {
+	w := &retry.Window{Ratio: 0.2, Spare: 5, Span: 10 * time.Second}
+	start := time.Unix(5000, 0)
+	drawn := 0
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		w.First(now)
+		if w.Draw(now) {
+			drawn++
+		}
+	}
+	assert.Equal(t, drawn, 205)
+}
+
+func TestWindowSlides(t *testing.T) {
+	w := &retry.Window{Spare: 2, Span: 10 * time.Second}
+	now := time.Unix(5000, 0)
+	for _, want := range []bool{true, true, false} {
+		assert.Equal(t, w.Draw(now), want)
+	}
+	assert.Assert(t, !w.Draw(now.Add(9*time.Second)))
+	assert.Assert(t, w.Draw(now.Add(11*time.Second)))
+	assert.Equal(t, w.Left(now.Add(time.Hour)), 2.0)
+	assert.Equal(t, w.Left(now), 2.0, "a clock that went back empties nothing twice")
+}
--- /dev/null
+++ b/io/deploy/deploy_test.go
@@ -0,0 +1,277 @@
+package deploy_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/io/config"
+	"radishwell/io/deploy"
+	"radishwell/io/events"
+	"radishwell/platform/stand"
+)
+
+func TestMain(m *testing.M) {
+	events.Discard()
+	m.Run()
+}
+
+const patience = 30 * time.Second
+
+// fleet is a store, upstreams with their agents, and entries, each host with a
+// loopback address of its own.
+type fleet struct {
+	store     *stand.Store
+	storeAt   netip.AddrPort
+	agentPort int
+	peers     []netip.AddrPort
+}
+
+func serve(t *testing.T, ip string, h http.Handler) netip.AddrPort {
+	t.Helper()
+	lis, err := net.Listen("tcp", ip+":0")
+	assert.NilError(t, err)
+	srv := httptest.NewUnstartedServer(h)
+	_ = srv.Listener.Close()
+	srv.Listener = lis
+	srv.Start()
+	t.Cleanup(srv.Close)
+	return netip.MustParseAddrPort(lis.Addr().String())
+}
+
+// freePort returns a port that is free on an address now.
+func freePort(t *testing.T, ip string) netip.AddrPort {
+	t.Helper()
+	lis, err := net.Listen("tcp", ip+":0")
+	assert.NilError(t, err)
+	defer lis.Close()
+	return netip.MustParseAddrPort(lis.Addr().String())
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{store: &stand.Store{}}
+	f.storeAt = serve(t, "127.0.0.1", f.store)
+	f.agentPort = int(freePort(t, "127.1.0.1").Port())
+	f.store.Put("config", "main", `{"version":1,"routes":[
+	 {"name":"r-1","host":"a.example","path_prefix":"/chat/","route_kind":"streaming","timeout_ms":30000,"target_latency_ms":800,"service":"llm","max_attempts":2,"resumable":true}],
+	 "services":[{"name":"llm","engine":{"slots":64,"weights_mb":200,"adapter_slots":2,"loads_per_s":4,"models":[
+	  {"name":"m-1","weights_mb":70,"load_s":0.1,"warm_s":0.1,"disk_s":0.1,"adapters":2,"adapter_mb":1},
+	  {"name":"m-2","weights_mb":70,"load_s":0.1,"warm_s":0.1,"disk_s":0.1}]}}]}`)
+	return f
+}
+
+func (f *fleet) settings(role config.Role, name string) config.Settings {
+	s := config.Defaults()
+	s.Role, s.Name, s.DataCentre = role, core.HostName(name), "dc-1"
+	s.Platform.URLs = []config.Origin{{Addr: f.storeAt}}
+	s.Managed.Enabled, s.Managed.PlainPeers, s.Managed.AgentPort = true, true, f.agentPort
+	s.Managed.StopGrace = 5 * time.Second
+	return s
+}
+
+// start runs a process until the test or the returned stop ends it.
+func start(t *testing.T, s config.Settings) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- (&deploy.Process{Settings: s}).Run(ctx) }()
+	stopped := false
+	stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		assert.Check(t, <-ended == nil)
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+// addUpstream starts an upstream with its agent and registers it.
+func (f *fleet) addUpstream(t *testing.T, n int, held ...stand.Held) *stand.Worker {
+	t.Helper()
+	ip := fmt.Sprintf("127.1.0.%d", n)
+	w := &stand.Worker{ID: fmt.Sprintf("i-%d", n), Events: 5, LoadTime: 100 * time.Millisecond}
+	w.Hold(held...)
+	at := serve(t, ip, w)
+	s := f.settings(config.Agent, "side-"+w.ID)
+	s.Managed.Upstream = at
+	s.Listen.Control = netip.AddrPortFrom(at.Addr(), uint16(f.agentPort))
+	s.Listen.Operators = freePort(t, ip)
+	start(t, s)
+	f.store.Put("servers", w.ID, fmt.Sprintf(`{"service":"llm","address":%q,"zone":"dc-1","slots":64,"state":"ready","sequence":0}`, at))
+	return w
+}
+
+type running struct {
+	callers, readiness, operators netip.AddrPort
+	stop                          func()
+}
+
+func (f *fleet) addEntry(t *testing.T, name string) running {
+	t.Helper()
+	s := f.settings(config.Entry, name)
+	r := running{callers: freePort(t, "127.0.0.1"), readiness: freePort(t, "127.0.0.1"), operators: freePort(t, "127.0.0.1")}
+	s.Listen.Callers, s.Managed.Readiness, s.Listen.Operators = r.callers, r.readiness, r.operators
+	s.Listen.Control = freePort(t, "127.0.0.1")
+	s.Peers = append([]netip.AddrPort{s.Listen.Control}, f.peers...)
+	f.peers = append(f.peers, s.Listen.Control)
+	r.stop = start(t, s)
+	return r
+}
+
+func get(t *testing.T, at netip.AddrPort, path string) (int, string) {
+	t.Helper()
+	resp, err := http.Get("http://" + at.String() + path)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(body)
+}
+
+// until waits for something to hold.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", patience, what)
+}
+
+func (r running) ready(t *testing.T) {
+	t.Helper()
+	until(t, "the entry is ready", func() bool {
+		status, _ := get(t, r.readiness, "/-/readyz")
+		return status == http.StatusOK
+	})
+}
+
+func chat(t *testing.T, r running, id, model string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+r.callers.String()+"/chat/x", strings.NewReader("{}"))
+	assert.NilError(t, err)
+	req.Host = "a.example"
+	req.Header.Set("X-Radishwell-Request-Id", id)
+	req.Header.Set("X-Radishwell-Model", model)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(body)
+}
+
+func wantChat(t *testing.T, r running, id, model string) {
+	t.Helper()
+	status, body := chat(t, r, id, model)
+	assert.Equal(t, status, http.StatusOK, body)
+	assert.Equal(t, strings.Count(body, "data: event"), 5, body)
+}
+
+// A caller asks for a model that no host holds: it is loaded and the answer
+// streamed, without anybody having written down where it should be.
+func TestModelIsLoadedAndServed(t *testing.T) {
+	f := newFleet(t)
+	w := f.addUpstream(t, 1, stand.Held{Name: "m-1"})
+	e := f.addEntry(t, "edge-1")
+	e.ready(t)
+	wantChat(t, e, "q-1", "m-1")
+	wantChat(t, e, "q-2", "m-2")
+	wantChat(t, e, "q-3", "m-1/a1")
+	until(t, "orders for the model and the adapter", func() bool { return len(w.Orders()) == 2 })
+	assert.DeepEqual(t, w.Orders(), []string{"load m-2", "load m-1/a1"})
+	status, text := get(t, e.operators, "/metrics")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, strings.Contains(text, "radishwell_requests_total"), text)
+}
+
+// The store is out. Requests go on; an entry that starts meanwhile has table and
+// hosts from the other one.
+func TestStoreOutage(t *testing.T) {
+	f := newFleet(t)
+	f.addUpstream(t, 1, stand.Held{Name: "m-1"})
+	first := f.addEntry(t, "edge-1")
+	first.ready(t)
+	wantChat(t, first, "q-1", "m-1")
+	f.store.Set(stand.Down)
+	wantChat(t, first, "q-2", "m-1")
+	second := f.addEntry(t, "edge-2")
+	second.ready(t)
+	wantChat(t, second, "q-3", "m-1")
+	f.store.Set(stand.Fine)
+	f.store.Remove("servers", "i-1")
+	for _, e := range []running{first, second} {
+		until(t, "no entry is ready without hosts", func() bool {
+			status, _ := get(t, e.readiness, "/-/readyz")
+			return status == http.StatusServiceUnavailable
+		})
+	}
+}
+
+// The table changes: first to one that cannot be read, beside which the last
+// good one stays in force, then to one without the route. Both entries follow.
+func TestTableChanges(t *testing.T) {
+	f := newFleet(t)
+	f.addUpstream(t, 1, stand.Held{Name: "m-1"})
+	entries := []running{f.addEntry(t, "edge-1"), f.addEntry(t, "edge-2")}
+	for _, e := range entries {
+		e.ready(t)
+	}
+	f.store.Put("config", "main", `{"version":2,"routes":"unreadable"}`)
+	for i, e := range entries {
+		wantChat(t, e, fmt.Sprint("before-", i), "m-1")
+	}
+	f.store.Put("config", "main", `{"version":3,"routes":[],"services":[{"name":"llm"}]}`)
+	for i, e := range entries {
+		until(t, "the route is gone", func() bool {
+			status, _ := chat(t, e, fmt.Sprint("q-", i), "m-1")
+			return status == http.StatusNotFound
+		})
+	}
+}
+
+// An entry is told to stop while it answers a request. The balancer is told at
+// once, the request ends whole, and the process ends in its time.
+func TestPlannedStop(t *testing.T) {
+	f := newFleet(t)
+	w := f.addUpstream(t, 1, stand.Held{Name: "m-1"})
+	w.Gap = 100 * time.Millisecond
+	e := f.addEntry(t, "edge-1")
+	e.ready(t)
+	ended := make(chan string, 1)
+	go func() {
+		_, body := chat(t, e, "q-1", "m-1")
+		ended <- body
+	}()
+	until(t, "the request runs", func() bool { return w.Ran("q-1") == 1 })
+	stopped := make(chan struct{})
+	go func() {
+		e.stop()
+		close(stopped)
+	}()
+	until(t, "the balancer is told", func() bool {
+		status, _ := get(t, e.readiness, "/-/readyz")
+		return status != http.StatusOK
+	})
+	assert.Equal(t, strings.Count(<-ended, "data: event"), 5)
+	<-stopped
+}
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -239,6 +239,19 @@
 	return nil
 }
 
+// Used implements proxy.Adapters.
+func (l *links) Used(h fleet.Entry, model core.ModelName, adapter string) {
+	l.mu.Lock()
+	k := l.all[h.Address]
+	l.mu.Unlock()
+	if k == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.used[string(model)+"/"+adapter] = true
+}
+
 // limitsOf returns what agents need to know of a service's models.
 func limitsOf(s *rtable.Service) *wire.UpstreamLimits {
 	out := &wire.UpstreamLimits{Memory: int64(s.Memory), AdapterPlaces: uint32(s.AdapterPlaces)}
--- /dev/null
+++ b/io/driver/driver_test.go
@@ -0,0 +1,422 @@
+package driver_test
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/io/driver"
+	"radishwell/io/events"
+	"radishwell/wire"
+)
+
+func TestMain(m *testing.M) {
+	events.Discard()
+	m.Run()
+}
+
+type bubbleClock struct{}
+
+func (bubbleClock) Now() time.Time { return time.Now() }
+
+// engine is an upstream with the platform's rules of orders.
+type engine struct {
+	mu       sync.Mutex
+	state    core.UpstreamState
+	loadTime time.Duration
+	// down has reports fail, deaf has orders lost, to be carried out by replay.
+	down, deaf bool
+	lost       []core.UpstreamOrder
+	orders     []string
+	fences     []core.Fence
+	// most is the largest number of models and adapters it ever held.
+	most int
+}
+
+func newEngine(models ...core.ModelName) *engine {
+	e := &engine{loadTime: 2 * time.Second, state: core.UpstreamState{ID: "i-1", Born: 1}}
+	for _, m := range models {
+		e.state.Models = append(e.state.Models, core.HeldModel{Model: m})
+	}
+	return e
+}
+
+func (e *engine) State(context.Context) (core.UpstreamState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return core.UpstreamState{}, &core.EngineError{Fault: core.EngineUnreached}
+	}
+	s := e.state
+	s.Models = slices.Clone(s.Models)
+	return s, nil
+}
+
+func (e *engine) Order(_ context.Context, o core.UpstreamOrder) (core.OrderResult, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.deaf {
+		e.lost = append(e.lost, o)
+		return 0, &core.EngineError{Fault: core.EngineLost}
+	}
+	return e.take(o), nil
+}
+
+// replay carries out the orders that were lost, and returns what became of them.
+func (e *engine) replay() []core.OrderResult {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []core.OrderResult
+	for _, o := range e.lost {
+		out = append(out, e.take(o))
+	}
+	e.lost = nil
+	return out
+}
+
+func (e *engine) take(o core.UpstreamOrder) core.OrderResult {
+	switch {
+	case o.Instance != e.state.ID:
+		return core.OrderElsewhere
+	case e.state.Busy || o.After != e.state.Orders:
+		return core.OrderConflict
+	}
+	e.state.Orders++
+	e.fences = append(e.fences, o.Fence)
+	i := slices.IndexFunc(e.state.Models, func(m core.HeldModel) bool { return m.Model == o.Model })
+	verb := "load"
+	if o.Unload {
+		verb = "unload"
+	}
+	e.orders = append(e.orders, strings.TrimSuffix(verb+" "+string(o.Model)+"/"+o.Adapter, "/"))
+	switch {
+	case o.Adapter != "" && o.Unload:
+		e.state.Models[i].Adapters = slices.DeleteFunc(slices.Clone(e.state.Models[i].Adapters), func(a string) bool { return a == o.Adapter })
+	case o.Adapter != "":
+		e.state.Models[i].Adapters = append(slices.Clone(e.state.Models[i].Adapters), o.Adapter)
+	case o.Unload:
+		e.state.Models = slices.Delete(slices.Clone(e.state.Models), i, i+1)
+	default:
+		e.state.Busy = true
+		time.AfterFunc(e.loadTime, func() { e.loaded(o.Model) })
+	}
+	e.count()
+	return core.OrderAccepted
+}
+
+func (e *engine) loaded(m core.ModelName) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.state.Busy {
+		return // it was restarted meanwhile
+	}
+	e.state.Busy = false
+	e.state.Models = append(slices.Clone(e.state.Models), core.HeldModel{Model: m})
+	e.count()
+}
+
+func (e *engine) count() {
+	n := 0
+	for _, m := range e.state.Models {
+		n += 1 + len(m.Adapters)
+	}
+	e.most = max(e.most, n)
+}
+
+func (e *engine) set(change func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change()
+}
+
+func (e *engine) accepted() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
+// drive runs a driver of the engine in a bubble of synthetic time.
+func drive(t *testing.T, e *engine, play func(d *driver.Driver)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		d := &driver.Driver{
+			Self: "side-1", Upstream: e, Clock: bubbleClock{}, Fence: func() (core.Fence, bool) { return 7, true },
+		}
+		d.Start()
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- d.Run(ctx) }()
+		time.Sleep(500 * time.Millisecond)
+		play(d)
+		stop()
+		assert.NilError(t, <-ended)
+	})
+}
+
+// limits are those of an upstream with room for two models of ten, each with
+// two adapters of one, and three places for adapters.
+func limits() *wire.UpstreamLimits {
+	out := &wire.UpstreamLimits{Memory: 24, AdapterPlaces: 3}
+	for _, m := range []string{"a", "b", "c"} {
+		out.Sizes = append(out.Sizes, &wire.ModelSize{Model: m, Weights: 10, Adapter: 1})
+	}
+	return out
+}
+
+func call(t *testing.T, d *driver.Driver, entry string) *wire.UpstreamReply {
+	t.Helper()
+	r, err := d.ServeUpstream(&wire.UpstreamCall{Entry: entry, Control: entry + ":1"})
+	assert.NilError(t, err)
+	return r
+}
+
+func goal(t *testing.T, d *driver.Driver, entry, load string, evict ...string) *wire.GoalReply {
+	t.Helper()
+	r, err := d.ServeGoal(&wire.GoalCall{Entry: entry, Instance: "i-1", Load: load, Evict: evict, Limits: limits()})
+	assert.NilError(t, err)
+	return r
+}
+
+func models(r *wire.UpstreamReply) []string {
+	var out []string
+	for _, m := range r.GetReport().GetModels() {
+		out = append(out, m.GetModel())
+	}
+	return out
+}
+
+func TestGoal(t *testing.T) {
+	t.Run("evicts, then loads", func(t *testing.T) {
+		e := newEngine("a", "b")
+		drive(t, e, func(d *driver.Driver) {
+			call(t, d, "edge-1")
+			assert.Assert(t, goal(t, d, "edge-1", "c", "b").GetTaken())
+			assert.DeepEqual(t, models(call(t, d, "edge-1")), []string{"a"})
+			assert.Equal(t, len(e.accepted()), 0, "entries learn of it before the unload")
+			time.Sleep(4 * time.Second)
+			assert.DeepEqual(t, e.accepted(), []string{"unload b", "load c"})
+			assert.DeepEqual(t, models(call(t, d, "edge-1")), []string{"a", "c"})
+		})
+	})
+	t.Run("of an entry that is not followed is refused", func(t *testing.T) {
+		// Two entries believe that they plan. Both goals carried out, the upstream
+		// would load and unload by turns.
+		e := newEngine("a")
+		drive(t, e, func(d *driver.Driver) {
+			call(t, d, "edge-2")
+			call(t, d, "edge-1")
+			assert.Assert(t, !goal(t, d, "edge-2", "b").GetTaken())
+			assert.Assert(t, goal(t, d, "edge-1", "b").GetTaken())
+		})
+	})
+	t.Run("is followed from another entry once the first is gone", func(t *testing.T) {
+		e := newEngine("a")
+		drive(t, e, func(d *driver.Driver) {
+			call(t, d, "edge-1")
+			for range 8 {
+				time.Sleep(300 * time.Millisecond)
+				call(t, d, "edge-2")
+			}
+			assert.Equal(t, call(t, d, "edge-2").GetPlanner(), "edge-2")
+			assert.Assert(t, goal(t, d, "edge-2", "b").GetTaken())
+		})
+	})
+	t.Run("that does not fit is given up", func(t *testing.T) {
+		// The planner's view is old: the upstream holds more than it thinks. An
+		// upstream that loads more than it has room for crashes.
+		e := newEngine("a", "b")
+		drive(t, e, func(d *driver.Driver) {
+			call(t, d, "edge-1")
+			assert.Assert(t, goal(t, d, "edge-1", "c").GetTaken())
+			time.Sleep(6 * time.Second)
+			assert.Equal(t, len(e.accepted()), 0)
+			assert.Assert(t, goal(t, d, "edge-1", "c", "a").GetTaken() == false, "the caller is no longer there")
+		})
+	})
+	t.Run("of another life is refused", func(t *testing.T) {
+		e := newEngine("a")
+		drive(t, e, func(d *driver.Driver) {
+			call(t, d, "edge-1")
+			r, err := d.ServeGoal(&wire.GoalCall{Entry: "edge-1", Instance: "i-0", Load: "b", Limits: limits()})
+			assert.NilError(t, err)
+			assert.Assert(t, !r.GetTaken())
+		})
+	})
+	t.Run("waits for a fencing number", func(t *testing.T) {
+		e := newEngine("a")
+		synctest.Test(t, func(t *testing.T) {
+			var fence atomic.Uint64
+			d := &driver.Driver{
+				Self: "side-1", Upstream: e, Clock: bubbleClock{},
+				Fence: func() (core.Fence, bool) { return core.Fence(fence.Load()), fence.Load() > 0 },
+			}
+			d.Start()
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			go func() { _ = d.Run(ctx) }()
+			time.Sleep(time.Second)
+			call(t, d, "edge-1")
+			goal(t, d, "edge-1", "b")
+			time.Sleep(time.Second)
+			assert.Equal(t, len(e.accepted()), 0)
+			fence.Store(9)
+			time.Sleep(time.Second)
+			assert.DeepEqual(t, e.fences, []core.Fence{9})
+			stop()
+			synctest.Wait()
+		})
+	})
+}
+
+// Orders get no answer and are carried out seconds later, after newer ones. A
+// load that comes late on top of another would fill the upstream beyond its room.
+func TestLostOrders(t *testing.T) {
+	e := newEngine("a", "b")
+	drive(t, e, func(d *driver.Driver) {
+		e.set(func() { e.deaf = true })
+		call(t, d, "edge-1")
+		goal(t, d, "edge-1", "c", "b")
+		time.Sleep(time.Second)
+		e.set(func() { e.deaf = false })
+		time.Sleep(6 * time.Second)
+		for _, r := range e.replay() {
+			assert.Equal(t, r, core.OrderConflict)
+		}
+		assert.DeepEqual(t, e.accepted(), []string{"unload b", "load c"})
+	})
+}
+
+// The upstream crashes in the middle of a load and starts again under its id,
+// with nothing. The agent must not take the old load for one that goes on.
+func TestBornAgainDuringLoad(t *testing.T) {
+	e := newEngine("a")
+	drive(t, e, func(d *driver.Driver) {
+		call(t, d, "edge-1")
+		goal(t, d, "edge-1", "b")
+		time.Sleep(time.Second)
+		e.set(func() { e.state = core.UpstreamState{ID: "i-1", Born: 2} })
+		time.Sleep(time.Second)
+		r := call(t, d, "edge-1")
+		assert.Assert(t, !r.GetReport().GetBusy())
+		assert.Equal(t, len(models(r)), 0)
+		assert.Assert(t, goal(t, d, "edge-1", "b").GetTaken())
+		time.Sleep(4 * time.Second)
+		assert.DeepEqual(t, models(call(t, d, "edge-1")), []string{"b"})
+	})
+}
+
+func TestReport(t *testing.T) {
+	t.Run("a question is held back until something changes", func(t *testing.T) {
+		e := newEngine("a")
+		drive(t, e, func(d *driver.Driver) {
+			seen := call(t, d, "edge-1").GetChange()
+			began := time.Now()
+			e.set(func() { e.state.Leaving = true })
+			r, err := d.ServeUpstream(&wire.UpstreamCall{Entry: "edge-1", Seen: seen, Wait: int64(time.Minute)})
+			assert.NilError(t, err)
+			assert.Assert(t, r.GetReport().GetLeaving())
+			assert.Assert(t, time.Since(began) < 300*time.Millisecond)
+		})
+	})
+	t.Run("and answered without a change in time", func(t *testing.T) {
+		e := newEngine("a")
+		drive(t, e, func(d *driver.Driver) {
+			seen := call(t, d, "edge-1").GetChange()
+			r, err := d.ServeUpstream(&wire.UpstreamCall{Entry: "edge-1", Seen: seen, Wait: int64(500 * time.Millisecond)})
+			assert.NilError(t, err)
+			assert.Equal(t, r.GetChange(), seen)
+		})
+	})
+	t.Run("an upstream out of reach is said to be", func(t *testing.T) {
+		e := newEngine("a")
+		drive(t, e, func(d *driver.Driver) {
+			e.set(func() { e.down = true })
+			time.Sleep(2 * time.Second)
+			assert.Assert(t, !call(t, d, "edge-1").GetReport().GetReachable())
+			e.set(func() { e.down = false })
+			time.Sleep(time.Second)
+			assert.Assert(t, call(t, d, "edge-1").GetReport().GetReachable())
+		})
+	})
+	t.Run("entries learn of each other", func(t *testing.T) {
+		e := newEngine("a")
+		drive(t, e, func(d *driver.Driver) {
+			call(t, d, "edge-1")
+			r, err := d.ServeUpstream(&wire.UpstreamCall{
+				Entry: "edge-2", Control: "edge-2:1", Others: true, Demands: []*wire.ModelDemand{{Model: "m", Rate: 3}},
+			})
+			assert.NilError(t, err)
+			assert.Equal(t, len(r.GetEntries()), 2)
+			assert.Equal(t, r.GetPlannerControl(), "edge-1:1")
+			assert.Equal(t, r.GetOthers()[0].GetEntry(), "edge-1")
+			r, err = d.ServeUpstream(&wire.UpstreamCall{Entry: "edge-1", Control: "edge-1:1", SeenEntries: r.GetEntriesVersion(), Others: true})
+			assert.NilError(t, err)
+			assert.Equal(t, len(r.GetEntries()), 0)
+			assert.Equal(t, r.GetOthers()[0].GetDemands()[0].GetRate(), 3.0)
+		})
+	})
+}
+
+func fetch(t *testing.T, d *driver.Driver, model, adapter string) *wire.AdapterReply {
+	t.Helper()
+	r, err := d.ServeAdapter(&wire.AdapterCall{
+		Instance: "i-1", Model: model, Adapter: adapter, Wait: int64(time.Second), Limits: limits(),
+	})
+	assert.NilError(t, err)
+	return r
+}
+
+func TestAdapters(t *testing.T) {
+	t.Run("loaded once for all who ask", func(t *testing.T) {
+		e := newEngine("a")
+		drive(t, e, func(d *driver.Driver) {
+			ended := make(chan bool, 5)
+			for range 5 {
+				go func() { ended <- fetch(t, d, "a", "x").GetLoaded() }()
+			}
+			for range 5 {
+				assert.Assert(t, <-ended)
+			}
+			assert.DeepEqual(t, e.accepted(), []string{"load a/x"})
+		})
+	})
+	t.Run("the one whose last request is longest ago makes room", func(t *testing.T) {
+		e := newEngine("a", "b")
+		drive(t, e, func(d *driver.Driver) {
+			for _, name := range []string{"x", "y", "z"} {
+				assert.Assert(t, fetch(t, d, "a", name).GetLoaded())
+				time.Sleep(time.Second)
+			}
+			_, err := d.ServeUpstream(&wire.UpstreamCall{Entry: "edge-1", Used: []string{"a/x"}})
+			assert.NilError(t, err)
+			assert.Assert(t, fetch(t, d, "b", "w").GetLoaded())
+			assert.DeepEqual(t, e.accepted(), []string{"load a/x", "load a/y", "load a/z", "unload a/y", "load b/w"})
+			assert.Assert(t, e.most <= 5)
+		})
+	})
+	t.Run("not while a load holds up orders", func(t *testing.T) {
+		// Each try would be an order that the upstream refuses, for six seconds.
+		e := newEngine("a")
+		drive(t, e, func(d *driver.Driver) {
+			call(t, d, "edge-1")
+			goal(t, d, "edge-1", "b")
+			time.Sleep(time.Second)
+			r := fetch(t, d, "a", "x")
+			assert.Assert(t, !r.GetLoaded() && r.GetReason() != "")
+			assert.DeepEqual(t, e.accepted(), []string{"load b"})
+		})
+	})
+	t.Run("of a model that is not held", func(t *testing.T) {
+		drive(t, newEngine("a"), func(d *driver.Driver) {
+			assert.Assert(t, !fetch(t, d, "c", "x").GetLoaded())
+		})
+	})
+}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -21,6 +21,9 @@
 	// Fetch has the agent of a host load an adapter, and returns once it is
 	// loaded.
 	Fetch(ctx context.Context, h fleet.Entry, s *rtable.Service, model core.ModelName, adapter string) error
+	// Used notes a request for an adapter that a host has, so that its agent knows
+	// which ones are idle.
+	Used(h fleet.Entry, model core.ModelName, adapter string)
 }
 
 // Proxy takes callers' requests. Set the exported fields before use; its methods
--- /dev/null
+++ b/io/proxy/proxy_test.go
@@ -0,0 +1,494 @@
+package proxy_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/fleet"
+	"radishwell/core/rtable"
+	"radishwell/io/events"
+	"radishwell/io/proxy"
+	plat "radishwell/platform"
+	"radishwell/platform/stand"
+)
+
+func TestMain(m *testing.M) {
+	events.Discard()
+	m.Run()
+}
+
+type realClock struct{}
+
+func (realClock) Now() time.Time { return time.Now() }
+
+// fetched counts the adapters that were asked for.
+type fetched struct {
+	count atomic.Int64
+	err   error
+}
+
+func (f *fetched) Fetch(context.Context, fleet.Entry, *rtable.Service, core.ModelName, string) error {
+	f.count.Add(1)
+	return f.err
+}
+
+func (f *fetched) Used(fleet.Entry, core.ModelName, string) {}
+
+// rig is an entry before upstream stand-ins.
+type rig struct {
+	*proxy.Proxy
+	url      string
+	adapters *fetched
+}
+
+const longTime = 20 * time.Second
+
+// routes are what the rig serves: each kind, to a service of models and a plain
+// one.
+func routes(timeout time.Duration) *rtable.Table {
+	share := func(s core.ServiceName) []rtable.Share { return []rtable.Share{{Service: s, Weight: 1}} }
+	route := func(path string, kind rtable.Kind, s core.ServiceName, hosts int) *rtable.Route {
+		return &rtable.Route{
+			Name: path, Host: "a.example", Prefix: path, Kind: kind, Shares: share(s), MostHosts: hosts, Timeout: timeout,
+			Target: time.Second,
+		}
+	}
+	resumable := route("/resumed/", rtable.Stream, "llm", 2)
+	resumable.Resumable = true
+	models := map[core.ModelName]rtable.Model{"m": {Name: "m"}}
+	t, err := rtable.Build(1, rtable.Limits{}, []*rtable.Service{{Name: "plain"}, {Name: "llm", Models: models}}, []*rtable.Route{
+		route("/once/", rtable.Once, "plain", 1), route("/again/", rtable.Repeatable, "plain", 2),
+		route("/stream/", rtable.Stream, "llm", 1), resumable,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return t
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{adapters: &fetched{}}
+	r.Proxy = &proxy.Proxy{
+		Self: "edge-1", DataCentre: "dc-1", Clock: realClock{}, Protocol: plat.Headers{}, Adapters: r.adapters,
+		RetryRatio: 0.2, RetrySpare: 10, RetrySpan: 10 * time.Second,
+	}
+	r.Start()
+	srv := httptest.NewServer(r.Proxy)
+	t.Cleanup(srv.Close)
+	r.url = srv.URL
+	r.Offer(routes(longTime))
+	return r
+}
+
+// add puts an upstream stand-in into the rig's registry.
+func (r *rig) add(t *testing.T, service core.ServiceName, w *stand.Worker) *stand.Worker {
+	t.Helper()
+	srv := httptest.NewServer(w)
+	t.Cleanup(srv.Close)
+	w.Plain = service == "plain"
+	at := netip.MustParseAddrPort(srv.Listener.Addr().String())
+	e := fleet.Entry{ID: core.HostName(w.ID), Service: service, Address: at, Usable: true, DataCentre: "dc-1", Slots: 6}
+	if service == "llm" {
+		w.Hold(stand.Held{Name: "m"})
+		e.Models = []core.HeldModel{{Model: "m"}}
+	}
+	r.Update(func(v *fleet.View, _ time.Time) { v.Apply(e) })
+	return w
+}
+
+func plain(t *testing.T, r *rig, ids ...string) []*stand.Worker {
+	t.Helper()
+	var out []*stand.Worker
+	for _, id := range ids {
+		out = append(out, r.add(t, "plain", &stand.Worker{ID: id}))
+	}
+	return out
+}
+
+// ask is a caller's request.
+func (r *rig) ask(t *testing.T, method, path, id string, more ...string) *http.Request {
+	t.Helper()
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("body of " + id)
+	}
+	req, err := http.NewRequest(method, r.url+path, body)
+	assert.NilError(t, err)
+	req.Host = "a.example"
+	req.Header.Set("X-Radishwell-Request-Id", id)
+	for i := 0; i < len(more); i += 2 {
+		req.Header.Set(more[i], more[i+1])
+	}
+	return req
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// cut tells that the answer did not end as one that is complete.
+	cut bool
+}
+
+func do(t *testing.T, req *http.Request) answer {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{cut: true}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), cut: err != nil}
+}
+
+func wantStatus(t *testing.T, a answer, status int) {
+	t.Helper()
+	assert.Assert(t, !a.cut, "%+v", a)
+	assert.Equal(t, a.status, status, "%+v", a)
+}
+
+func totalRuns(workers []*stand.Worker, id string) int {
+	n := 0
+	for _, w := range workers {
+		n += w.Ran(id)
+	}
+	return n
+}
+
+func TestServed(t *testing.T) {
+	r := newRig(t)
+	w := plain(t, r, "p-1")[0]
+	a := do(t, r.ask(t, http.MethodPost, "/once/a%2Fb//c?x=%20y", "q-1", "Hold", "mine", "X-Other", "kept"))
+	wantStatus(t, a, http.StatusOK)
+	assert.Equal(t, a.body, "answer of p-1")
+	assert.Equal(t, a.header.Get("X-Radishwell-Server-Signature"), "signed-by-p-1")
+	assert.Equal(t, a.header.Get("X-Radishwell-Request-Id"), "q-1")
+	seen := w.Requests()[0]
+	assert.Equal(t, seen.Path, "/once/a%2Fb//c?x=%20y", "path and query go on as they came")
+	assert.Equal(t, seen.Host, "a.example")
+	assert.Equal(t, string(seen.Body), "body of q-1")
+	assert.Equal(t, seen.Header.Get("Hold"), "")
+	assert.Equal(t, seen.Header.Get("X-Other"), "kept")
+	assert.Equal(t, seen.Header.Get("X-Radishwell-Expected-Instance"), "p-1")
+	assert.Equal(t, seen.Header.Get("Accept-Encoding"), "gzip", "the caller's own client asked for it")
+}
+
+func TestNotServed(t *testing.T) {
+	t.Run("no table yet", func(t *testing.T) {
+		r := &rig{Proxy: &proxy.Proxy{Clock: realClock{}, Protocol: plat.Headers{}}}
+		r.Start()
+		srv := httptest.NewServer(r.Proxy)
+		defer srv.Close()
+		r.url = srv.URL
+		wantStatus(t, do(t, r.ask(t, http.MethodGet, "/again/x", "q")), http.StatusServiceUnavailable)
+	})
+	r := newRig(t)
+	w := plain(t, r, "p-1")
+	t.Run("no route", func(t *testing.T) {
+		wantStatus(t, do(t, r.ask(t, http.MethodGet, "/nowhere/x", "q-1")), http.StatusNotFound)
+	})
+	t.Run("malformed", func(t *testing.T) {
+		wantStatus(t, do(t, r.ask(t, http.MethodGet, "/again/x", "q-2", "X-Radishwell-Deadline-Ms", "soon")), http.StatusBadRequest)
+	})
+	assert.Equal(t, len(w[0].Requests()), 0)
+}
+
+// A posting reaches its upstream, which runs it; the answer is lost. The caller
+// must not hear that it did not run, and it must not run again, however often
+// the entry could send it.
+func TestLostAnswers(t *testing.T) {
+	t.Run("a request that may run once", func(t *testing.T) {
+		for _, trick := range []stand.Trick{stand.Lost, stand.Foreign, stand.Unsigned, stand.Vague, stand.Short} {
+			t.Run(fmt.Sprint(trick), func(t *testing.T) {
+				r := newRig(t)
+				ws := plain(t, r, "p-1", "p-2", "p-3")
+				for _, w := range ws {
+					w.Set(trick)
+				}
+				for _, method := range []string{http.MethodGet, http.MethodPost} {
+					id := "q-" + method
+					a := do(t, r.ask(t, method, "/once/x", id))
+					wantStatus(t, a, http.StatusBadGateway)
+					assert.Equal(t, a.header.Get("X-Radishwell-Server-Signature"), "")
+					assert.Equal(t, totalRuns(ws, id), 1)
+				}
+			})
+		}
+	})
+	t.Run("a repeatable request goes to another host", func(t *testing.T) {
+		r := newRig(t)
+		ws := plain(t, r, "p-1", "p-2")
+		ws[0].Set(stand.Lost)
+		for i := range 6 {
+			id := fmt.Sprint("q-", i)
+			wantStatus(t, do(t, r.ask(t, http.MethodGet, "/again/x", id)), http.StatusOK)
+			assert.Assert(t, ws[0].Ran(id) <= 1 && ws[1].Ran(id) == 1)
+		}
+	})
+	t.Run("and to no more hosts than its route allows", func(t *testing.T) {
+		r := newRig(t)
+		ws := plain(t, r, "p-1", "p-2", "p-3", "p-4")
+		for _, w := range ws {
+			w.Set(stand.Lost)
+		}
+		wantStatus(t, do(t, r.ask(t, http.MethodGet, "/again/x", "q")), http.StatusBadGateway)
+		assert.Equal(t, totalRuns(ws, "q"), 2)
+	})
+}
+
+func TestTurnedAway(t *testing.T) {
+	t.Run("another host takes it", func(t *testing.T) {
+		r := newRig(t)
+		ws := plain(t, r, "p-1", "p-2")
+		ws[0].Set(stand.Shed)
+		wantStatus(t, do(t, r.ask(t, http.MethodPost, "/once/x", "q")), http.StatusOK)
+		assert.Equal(t, ws[1].Ran("q"), 1)
+	})
+	t.Run("all turn it away: not run, and when to come back", func(t *testing.T) {
+		r := newRig(t)
+		ws := plain(t, r, "p-1", "p-2")
+		ws[0].Set(stand.Shed)
+		ws[1].Set(stand.Shed)
+		a := do(t, r.ask(t, http.MethodPost, "/once/x", "q", "X-Radishwell-Deadline-Ms", "900"))
+		wantStatus(t, a, http.StatusServiceUnavailable)
+		assert.Assert(t, a.header.Get("Retry-After") != "")
+		assert.Equal(t, totalRuns(ws, "q"), 0)
+	})
+	t.Run("the address has another life: 421 is no answer for the caller", func(t *testing.T) {
+		r := newRig(t)
+		ws := plain(t, r, "p-1", "p-2")
+		ws[0].ID = "p-9"
+		wantStatus(t, do(t, r.ask(t, http.MethodPost, "/once/x", "q")), http.StatusOK)
+		assert.Equal(t, ws[0].Ran("q"), 0)
+	})
+}
+
+// An upstream fails everything. Each caller's request would be sent several
+// times; the allowance bounds that over all requests.
+func TestRetriesAreBounded(t *testing.T) {
+	r := newRig(t)
+	ws := plain(t, r, "p-1", "p-2")
+	for _, w := range ws {
+		w.Set(stand.Lost)
+	}
+	const requests = 50
+	for i := range requests {
+		do(t, r.ask(t, http.MethodGet, "/again/x", fmt.Sprint("q-", i)))
+	}
+	arrivals := len(ws[0].Requests()) + len(ws[1].Requests())
+	assert.Assert(t, arrivals <= requests+10+requests/5, arrivals)
+	assert.Assert(t, arrivals > requests, arrivals)
+}
+
+// A failure of the service itself is the caller's answer, as the service gave it.
+func TestOwnFailureIsPassedOn(t *testing.T) {
+	r := newRig(t)
+	w := plain(t, r, "p-1")[0]
+	w.Set(stand.Failing)
+	a := do(t, r.ask(t, http.MethodPost, "/once/x", "q"))
+	wantStatus(t, a, http.StatusInternalServerError)
+	assert.Equal(t, a.header.Get("X-Radishwell-Server-Signature"), "signed-by-p-1")
+}
+
+// An upstream sends a second answer after the first. On a connection used again
+// the next caller would get it.
+func TestSecondAnswerIsNobodys(t *testing.T) {
+	r := newRig(t)
+	w := plain(t, r, "p-1")[0]
+	w.Set(stand.Double)
+	for i := range 10 {
+		id := fmt.Sprint("q-", i)
+		a := do(t, r.ask(t, http.MethodGet, "/again/x", id))
+		wantStatus(t, a, http.StatusOK)
+		assert.Equal(t, a.header.Get("X-Radishwell-Request-Id"), id)
+		assert.Equal(t, a.body, "answer of p-1")
+		assert.Equal(t, w.Ran(id), 1)
+	}
+}
+
+// The upstream hangs. The caller gets a final answer when the route's time is
+// over, one that does not claim the request did not run.
+func TestTimeout(t *testing.T) {
+	r := newRig(t)
+	r.Offer(func() *rtable.Table { t := routes(150 * time.Millisecond); t.Version = 2; return t }())
+	w := plain(t, r, "p-1")[0]
+	w.Set(stand.Hang)
+	left := w.Left()
+	wantStatus(t, do(t, r.ask(t, http.MethodGet, "/once/x", "q")), http.StatusGatewayTimeout)
+	<-left
+}
+
+// A caller leaves. The upstream must not go on working for nobody.
+func TestCallerLeaves(t *testing.T) {
+	r := newRig(t)
+	w := plain(t, r, "p-1")[0]
+	w.Set(stand.Hang)
+	left := w.Left()
+	ctx, leave := context.WithCancel(context.Background())
+	req := r.ask(t, http.MethodGet, "/once/x", "q").WithContext(ctx)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := http.DefaultClient.Do(req)
+		ended <- err
+	}()
+	for w.Ran("q") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	leave()
+	assert.Assert(t, <-ended != nil)
+	<-left
+}
+
+func eventsOf(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func TestStreams(t *testing.T) {
+	t.Run("whole", func(t *testing.T) {
+		r := newRig(t)
+		r.add(t, "llm", &stand.Worker{ID: "i-1", Events: 8})
+		a := do(t, r.ask(t, http.MethodPost, "/stream/x", "q", "X-Radishwell-Model", "m"))
+		wantStatus(t, a, http.StatusOK)
+		assert.Equal(t, a.body, eventsOf(8))
+		assert.Equal(t, a.header.Get("Content-Type"), "text/event-stream")
+	})
+	t.Run("one that cannot go on is cut, not ended", func(t *testing.T) {
+		// The upstream is lost in the middle of an event. An answer that ended with
+		// what there is would look complete to the caller.
+		r := newRig(t)
+		w := r.add(t, "llm", &stand.Worker{ID: "i-1", Events: 8})
+		r.add(t, "llm", &stand.Worker{ID: "i-2", Events: 8}).Set(stand.Short)
+		w.Set(stand.Short)
+		a := do(t, r.ask(t, http.MethodPost, "/stream/x", "q", "X-Radishwell-Model", "m"))
+		assert.Assert(t, a.cut)
+		assert.Equal(t, a.body, eventsOf(4), "no part of an event is passed on")
+	})
+	t.Run("one that may be resumed goes on after the last whole event", func(t *testing.T) {
+		r := newRig(t)
+		ws := []*stand.Worker{
+			r.add(t, "llm", &stand.Worker{ID: "i-1", Events: 8}), r.add(t, "llm", &stand.Worker{ID: "i-2", Events: 8}),
+		}
+		ws[0].Set(stand.Short)
+		ws[1].Set(stand.Short)
+		for i := range 2 {
+			// Both break off at the same event; the second run begins after it.
+			a := do(t, r.ask(t, http.MethodPost, "/resumed/x", fmt.Sprint("q-", i), "X-Radishwell-Model", "m"))
+			assert.Assert(t, a.cut)
+			assert.Equal(t, a.body, eventsOf(4))
+		}
+		ws[1].Set(stand.Honest)
+		a := do(t, r.ask(t, http.MethodPost, "/resumed/x", "q", "X-Radishwell-Model", "m"))
+		wantStatus(t, a, http.StatusOK)
+		assert.Equal(t, a.body, eventsOf(8))
+	})
+	t.Run("events come as they are made", func(t *testing.T) {
+		r := newRig(t)
+		r.add(t, "llm", &stand.Worker{ID: "i-1", Events: 1000, Gap: 20 * time.Millisecond})
+		resp, err := http.DefaultClient.Do(r.ask(t, http.MethodPost, "/stream/x", "q", "X-Radishwell-Model", "m"))
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		line, err := bufio.NewReader(resp.Body).ReadString('\n')
+		assert.NilError(t, err)
+		assert.Equal(t, line, "id: 1\n")
+	})
+	t.Run("a caller's own resumption", func(t *testing.T) {
+		r := newRig(t)
+		r.add(t, "llm", &stand.Worker{ID: "i-1", Events: 3})
+		a := do(t, r.ask(t, http.MethodPost, "/resumed/x", "q", "X-Radishwell-Model", "m", "Last-Event-Id", "2"))
+		wantStatus(t, a, http.StatusOK)
+		assert.Equal(t, a.body, "id: 3\ndata: event 3\n\n")
+	})
+}
+
+func TestWaiting(t *testing.T) {
+	stream := func(r *rig, id string) *http.Request {
+		return r.ask(t, http.MethodPost, "/stream/x", id, "X-Radishwell-Model", "m")
+	}
+	empty := func(t *testing.T, r *rig) *stand.Worker {
+		t.Helper()
+		w := r.add(t, "llm", &stand.Worker{ID: "i-1", Events: 2})
+		r.Update(func(v *fleet.View, now time.Time) { v.Report(fleet.Report{Taken: now, ID: "i-1"}) })
+		return w
+	}
+	t.Run("until a host holds the model", func(t *testing.T) {
+		r := newRig(t)
+		empty(t, r)
+		got := make(chan answer, 1)
+		go func() { got <- do(t, stream(r, "q")) }()
+		<-r.Waiting()
+		assert.Equal(t, r.Demands()["m"].Waiting, 1)
+		r.Update(func(v *fleet.View, now time.Time) {
+			v.Report(fleet.Report{Taken: now, ID: "i-1", Models: []core.HeldModel{{Model: "m"}}})
+		})
+		a := <-got
+		wantStatus(t, a, http.StatusOK)
+		assert.Equal(t, a.body, eventsOf(2))
+		assert.Equal(t, r.Demands()["m"].Waiting, 0)
+	})
+	t.Run("not at all where the model comes too late", func(t *testing.T) {
+		r := newRig(t)
+		w := empty(t, r)
+		r.Foresee(map[core.ModelName]time.Time{"m": time.Now().Add(time.Hour)})
+		a := do(t, stream(r, "q"))
+		wantStatus(t, a, http.StatusServiceUnavailable)
+		assert.Assert(t, a.header.Get("Retry-After") != "")
+		assert.Equal(t, w.Ran("q"), 0)
+	})
+	t.Run("not past a planned stop", func(t *testing.T) {
+		// An entry is told to stop while a request waits for a load. Cut off at the
+		// end of the stop, its caller could not tell that it did not run.
+		r := newRig(t)
+		empty(t, r)
+		got := make(chan answer, 1)
+		go func() { got <- do(t, stream(r, "q")) }()
+		<-r.Waiting()
+		r.Leave(time.Now())
+		a := <-got
+		wantStatus(t, a, http.StatusServiceUnavailable)
+		assert.Assert(t, strings.Contains(a.body, string(core.CodeLeaving)))
+	})
+	t.Run("until its time is over", func(t *testing.T) {
+		r := newRig(t)
+		empty(t, r)
+		req := stream(r, "q")
+		req.Header.Set("X-Radishwell-Deadline-Ms", "120")
+		wantStatus(t, do(t, req), http.StatusServiceUnavailable)
+	})
+}
+
+func TestAdapters(t *testing.T) {
+	ask := func(r *rig) *http.Request {
+		return r.ask(t, http.MethodPost, "/stream/x", "q", "X-Radishwell-Model", "m/a1", "X-Radishwell-Deadline-Ms", "400")
+	}
+	t.Run("loaded before the request is sent", func(t *testing.T) {
+		r := newRig(t)
+		w := r.add(t, "llm", &stand.Worker{ID: "i-1", Events: 2})
+		wantStatus(t, do(t, ask(r)), http.StatusOK)
+		assert.Equal(t, r.adapters.count.Load(), int64(1))
+		assert.Equal(t, len(w.Requests()), 1)
+	})
+	t.Run("one that cannot be loaded sends nothing", func(t *testing.T) {
+		r := newRig(t)
+		w := r.add(t, "llm", &stand.Worker{ID: "i-1", Events: 2})
+		r.adapters.err = &core.EngineError{Fault: core.EngineNoMemory}
+		wantStatus(t, do(t, ask(r)), http.StatusServiceUnavailable)
+		assert.Equal(t, len(w.Requests()), 0)
+	})
+}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -27,6 +27,10 @@
 func (c *call) stream(t *target, resp *http.Response) error {
 	in := bufio.NewReaderSize(resp.Body, 4<<10)
 	out := http.NewResponseController(c.writer)
+	// What was passed on before the upstream broke off reaches the caller: an
+	// aborted answer loses what was not flushed. A failure to flush is the caller's
+	// going away, which the next write shows.
+	defer func() { _ = out.Flush() }()
 	var pending []byte
 	id := ""
 	resumed := c.begun
@@ -62,8 +66,8 @@
 			c.event = id
 		}
 		pending, id = pending[:0], ""
-		if in.Buffered() > 0 {
-			continue
+		if hasEvent(in) {
+			continue // it is flushed with the next one, which is here already
 		}
 		if err := out.Flush(); err != nil {
 			return &GoneError{Cause: err}
@@ -71,6 +75,13 @@
 	}
 }
 
+// hasEvent tells whether another whole event has been read ahead. Part of one is
+// no reason to hold back what is there.
+func hasEvent(in *bufio.Reader) bool {
+	ahead, err := in.Peek(in.Buffered())
+	return err == nil && bytes.Contains(ahead, []byte("\n\n"))
+}
+
 // GoneError reports a caller that takes no more of its answer.
 type GoneError struct{ Cause error }
 
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -23,6 +23,9 @@
 			return nil, refusal
 		}
 		if t != nil {
+			if !fetch && c.query.Adapter != "" {
+				c.proxy.Adapters.Used(t.entry, c.query.Model, c.query.Adapter)
+			}
 			if !fetch {
 				return t, nil
 			}
