--- a/io/driver/driver_test.go
+++ b/io/driver/driver_test.go
@@ -269,7 +269,7 @@
 			assert.Equal(t, len(e.accepted()), 0)
 			fence.Store(9)
 			time.Sleep(time.Second)
-			assert.DeepEqual(t, e.fences, []core.Fence{9})
+			e.set(func() { assert.DeepEqual(t, e.fences, []core.Fence{9}) })
 			stop()
 			synctest.Wait()
 		})
