--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -92,10 +92,9 @@
 	Evict []core.ModelName
 	Load  core.ModelName
 	From  core.Tier
-	// Takes is how long the load should take, and Until is when the move counts
-	// as not taken up if no report shows it.
-	Takes time.Duration
-	Until time.Time
+	// By is when the load should be done, and Until when the move counts as not
+	// taken up if no report shows it.
+	By, Until time.Time
 }
 
 // Planner decides moves for the hosts of one service. Set the exported fields
@@ -248,11 +247,10 @@
 		return
 	}
 	took := w.duration(name, best.from)
-	move := Move{Host: best.host.ID, Evict: best.evict, Load: name, From: best.from, Takes: took, Until: w.now.Add(settle)}
+	move := Move{Host: best.host.ID, Evict: best.evict, Load: name, From: best.from, By: w.now.Add(took), Until: w.now.Add(settle)}
 	w.moves = append(w.moves, move)
 	w.Planner.moves[move.Host] = move
 	best.host.Open = false
-	best.host.LoadedBy = w.now.Add(took)
 	w.copies[name]++
 	for _, m := range best.evict {
 		w.copies[m]--
@@ -271,7 +269,7 @@
 		return choice{}, false
 	}
 	from := h.Near(name)
-	if from == core.TierStore && !w.mayRead() {
+	if from == core.TierStore && (!w.mayRead() || !w.maySpend(name)) {
 		return choice{}, false
 	}
 	evict, loss, ok := w.room(h, name)
@@ -292,6 +290,22 @@
 	return rate <= 0 || float64(len(w.starts)+1) <= max(1, rate*storeSpan.Seconds()*storeShare)
 }
 
+// maySpend tells whether a load that takes seconds may be spent on a model. Those
+// that nobody asks for leave half of the weight store's speed to the others, and
+// all of it while requests wait: on its host the load also holds up the adapters
+// and swaps that callers wait for.
+func (w *plan) maySpend(name core.ModelName) bool {
+	if w.demand[name].Rate > 0 || w.demand[name].Waiting > 0 || len(w.demand) == 0 {
+		return true
+	}
+	for _, d := range w.demand {
+		if d.Waiting > 0 {
+			return false
+		}
+	}
+	return w.loading < max(1, w.Parallel/2)
+}
+
 // room returns the models that a host gives up for another and what they are
 // worth together.
 func (w *plan) room(h *Host, name core.ModelName) (evict []core.ModelName, loss float64, ok bool) {
@@ -331,20 +345,72 @@
 	return time.Duration(float64(m.Load) * max(1, over))
 }
 
-// foresee works out when the models without a copy will have one: those on
-// their way when they should be there, the others after the loads before them.
+// foresee works out when models will have a copy: those on their way when they
+// should be there, those that are waited for after the loads before them.
 func (w *plan) foresee() {
 	w.ready = map[core.ModelName]time.Time{}
+	var store []time.Time
 	for _, h := range w.hosts {
-		name := h.Loading
-		if move, moving := w.Planner.moves[h.ID]; moving {
-			name = move.Load
-		}
+		name, by, from := w.underWay(h)
 		if name == "" {
 			continue
 		}
-		if at, ok := w.ready[name]; !ok || h.LoadedBy.Before(at) {
-			w.ready[name] = h.LoadedBy
+		if at, ok := w.ready[name]; !ok || by.Before(at) {
+			w.ready[name] = by
+		}
+		if from == core.TierStore {
+			store = append(store, by)
+		}
+	}
+	for len(store) < max(1, w.Parallel) {
+		store = append(store, w.now)
+	}
+	for _, name := range w.wanted() {
+		if _, ok := w.ready[name]; ok || w.copies[name] > 0 || w.demand[name].Waiting == 0 {
+			continue
+		}
+		slices.SortFunc(store, time.Time.Compare)
+		at, from, ok := w.soonest(name, store[0])
+		if !ok {
+			continue
+		}
+		w.ready[name] = at
+		if from == core.TierStore {
+			store[0] = at
+		}
+	}
+}
+
+// underWay returns the load that a host carries out or is about to.
+func (w *plan) underWay(h *Host) (name core.ModelName, by time.Time, from core.Tier) {
+	if move, moving := w.Planner.moves[h.ID]; moving {
+		return move.Load, move.By, move.From
+	}
+	if h.Loading == "" {
+		return "", time.Time{}, 0
+	}
+	return h.Loading, h.LoadedBy, h.Near(h.Loading)
+}
+
+// soonest returns when the first of the hosts could have a model loaded, if the
+// weight store is free from a time on.
+func (w *plan) soonest(name core.ModelName, store time.Time) (at time.Time, from core.Tier, ok bool) {
+	for _, h := range w.hosts {
+		if h.Leaving {
+			continue
+		}
+		begin := w.now
+		if _, by, _ := w.underWay(h); by.After(begin) {
+			begin = by
+		}
+		near := h.Near(name)
+		if near == core.TierStore && store.After(begin) {
+			begin = store
+		}
+		end := begin.Add(w.duration(name, near))
+		if !ok || end.Before(at) {
+			at, from, ok = end, near, true
 		}
 	}
+	return at, from, ok
 }
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -121,6 +122,21 @@
 	h.Report = r
 }
 
+// Outlived notes that the host at an address says it was born at a time: lives of
+// before have ended, though the registry lists them for some seconds more. Sent
+// there, requests are turned away and orders refused.
+func (v *View) Outlived(address netip.AddrPort, born int64) {
+	if born == 0 {
+		return
+	}
+	for _, h := range v.hosts {
+		if h.Usable && h.Address == address && h.Born != 0 && h.Born < born {
+			h.Usable = false
+			v.changes++
+		}
+	}
+}
+
 func sameModels(a, b []core.HeldModel) bool {
 	return slices.EqualFunc(a, b, func(x, y core.HeldModel) bool {
 		return x.Model == y.Model && x.Version == y.Version && slices.Equal(x.Adapters, y.Adapters)
--- a/core/fleet/view_test.go
+++ b/core/fleet/view_test.go
@@ -138,6 +138,20 @@
 	assert.Equal(t, v.Host("i-1").Failing(t0), 0.0)
 }
 
+// A host is started anew under another id, and the registry lists its old life
+// for three beats more. What is sent to that one is turned away.
+func TestOutlivedEntry(t *testing.T) {
+	old, young := entry("i-1", "m"), entry("i-2", "m")
+	old.Born, young.Born = 1, 2
+	v := view(old, young)
+	v.Outlived(old.Address, 2)
+	v.Outlived(netip.MustParseAddrPort("10.9.9.9:80"), 9)
+	for range 3 {
+		wantPick(t, v, t0, "i-2")
+		v.Host("i-2").Sent(t0, prompt("doc", "own"))
+	}
+}
+
 func TestUnusableEntry(t *testing.T) {
 	v := view(fleet.Entry{ID: "i-9", Service: "llm"}, entry("i-1", "m"))
 	wantPick(t, v, t0, "i-1")
--- a/core/object.go
+++ b/core/object.go
@@ -19,11 +19,13 @@
 )
 
 // Kinds of a managed platform: its routing table, the registry of upstream
-// hosts, and the system's own record of each agent's start.
+// hosts, and the system's own records: of each agent's start, and of how much
+// models are asked for.
 const (
 	KindTable    Kind = "config"
 	KindRegistry Kind = "servers"
 	KindAgent    Kind = "radishwell-agents"
+	KindDemand   Kind = "radishwell-demand"
 )
 
 // CatalogueKinds lists the kinds that operators edit.
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -138,9 +138,12 @@
 	defer stop()
 	in := &wire.UpstreamCall{
 		Entry: string(l.entry.Settings.Name), Control: l.entry.Settings.Listen.Control.String(),
-		Seen: seen, Wait: int64(linkWait), Instance: string(l.instance(k.address)),
+		Seen: seen, Wait: int64(linkWait),
 		Demands: demandsOut(l.entry.proxy.Demands()), Others: l.entry.planner.leads(),
 	}
+	if h := l.newest(k.address); h != nil {
+		in.Instance, in.Born = string(h.ID), h.Born
+	}
 	k.mu.Lock()
 	for name := range k.used {
 		in.Used = append(in.Used, name)
@@ -156,20 +159,17 @@
 	return l.entry.client.Upstream(ctx, l.agent(k.address), in)
 }
 
-// instance returns the newest life that the registry names at an address.
-func (l *links) instance(address netip.AddrPort) core.HostName {
-	var newest *fleet.Host
+// newest returns the newest life that the registry names at an address.
+func (l *links) newest(address netip.AddrPort) *fleet.Entry {
+	var newest *fleet.Entry
 	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) {
 		for _, h := range v.Hosts("") {
 			if h.Address == address && (newest == nil || h.Born > newest.Born) {
-				newest = h
+				newest = &h.Entry
 			}
 		}
 	})
-	if newest == nil {
-		return ""
-	}
-	return newest.ID
+	return newest
 }
 
 func (l *links) take(k *link, reply *wire.UpstreamReply) {
@@ -190,7 +190,10 @@
 	if !report.Reachable {
 		return
 	}
-	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) { v.Report(report) })
+	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) {
+		v.Outlived(k.address, reply.GetReport().GetBorn())
+		v.Report(report)
+	})
 }
 
 func reportIn(r *wire.UpstreamReport, now time.Time) fleet.Report {
--- a/io/deploy/planner.go
+++ b/io/deploy/planner.go
@@ -41,6 +41,7 @@
 	services map[core.ServiceName]*copies.Planner
 	told     map[string]told
 	leading  bool
+	past     past
 }
 
 func (p *planner) start() {
@@ -143,6 +144,7 @@
 			sum[name] = sum[name].Add(d)
 		}
 	}
+	p.past.fill(now, sum)
 	return sum
 }
 
@@ -153,6 +155,7 @@
 		return
 	}
 	demand := p.demand(now)
+	p.keep(ctx, now, demand)
 	ready := map[core.ModelName]time.Time{}
 	for _, s := range table.Services {
 		if !s.HasModels() {
@@ -217,7 +220,7 @@
 	defer stop()
 	in := &wire.GoalCall{
 		Entry: string(p.entry.Settings.Name), Instance: string(h.ID), Load: string(m.Load), Limits: limitsOf(s),
-		Takes: int64(m.Takes),
+		Takes: int64(m.By.Sub(p.entry.clock.Now())),
 	}
 	for _, e := range m.Evict {
 		in.Evict = append(in.Evict, string(e))
--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -26,9 +26,12 @@
 // out, or that the store alone turns away, has them from its peers.
 func (e *entry) prepareState() {
 	s := e.Settings
+	kinds := []core.Kind{core.KindTable, core.KindRegistry}
 	e.state = &peer.Store{
-		Self:  peer.Target{Host: s.Name, Address: s.Listen.Control},
-		Kinds: []core.Kind{core.KindTable, core.KindRegistry}, Platform: e.store, Client: e.client, Clock: e.clock,
+		Self: peer.Target{Host: s.Name, Address: s.Listen.Control},
+		// Both are listed at once, without the wait for a first exchange with peers:
+		// after all have been killed, none of these answers.
+		Kinds: kinds, Confirm: kinds, Platform: e.store, Client: e.client, Clock: e.clock,
 		Peers: e.peers.list, Seed: rand.Uint64(), MaxRetry: storeRetry,
 		Changed: e.changed, Failed: e.stateFailed,
 	}
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -21,6 +21,10 @@
 	// followTime is how long an entry counts as there after its last call. Entries
 	// call twice a second.
 	followTime = 1500 * time.Millisecond
+	// gatherTime is how long after the first call of an entry the others have to
+	// call before one is followed: entries start at about the same time, and each
+	// would plan for a moment.
+	gatherTime = 400 * time.Millisecond
 	// goalTime is how long a goal is followed: one that could not begin by then
 	// was decided on what no longer holds.
 	goalTime = 5 * time.Second
@@ -57,9 +61,11 @@
 	entries  map[string]*caller
 	// entriesVersion grows with each entry that comes or goes.
 	entriesVersion uint64
-	planner        string
-	goal           *goal
-	loading        loading
+	// gathered is when an entry may be followed; zero while none calls.
+	gathered time.Time
+	planner  string
+	goal     *goal
+	loading  loading
 	// used is when requests for an adapter were last seen, by MODEL/NAME.
 	used map[string]time.Time
 }
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -44,7 +44,9 @@
 		d.entriesVersion++
 	}
 	d.entries[c.GetEntry()] = &caller{control: c.GetControl(), at: now, demands: c.GetDemands()}
-	if c.GetInstance() != "" && d.state.ID == "" {
+	if c.GetInstance() != "" && d.state.ID == "" && c.GetBorn() == d.state.Born {
+		// The registry still lists lives that have ended; only the one that was
+		// born when the upstream says it was is its own.
 		d.instance = core.HostName(c.GetInstance())
 	}
 	for _, u := range c.GetUsed() {
@@ -58,6 +60,9 @@
 // a while, each upstream still has one planner.
 func (d *Driver) choosePlanner(now time.Time) {
 	planner := ""
+	if len(d.entries) > 0 && d.gathered.IsZero() {
+		d.gathered = now.Add(gatherTime)
+	}
 	for name, e := range d.entries {
 		if now.Sub(e.at) > followTime {
 			delete(d.entries, name)
@@ -68,6 +73,12 @@
 			planner = name
 		}
 	}
+	switch {
+	case planner == "":
+		d.gathered = time.Time{}
+	case now.Before(d.gathered):
+		return
+	}
 	if planner != d.planner {
 		events.Log(events.PlannerChanged, "planner", planner, "before", d.planner)
 		d.planner = planner
@@ -107,7 +118,7 @@
 		Instance: string(d.instance), Orders: uint64(s.Orders), Busy: s.Busy || d.loading.model != "" || d.goal != nil, Leaving: s.Leaving,
 		InMemory: texts(s.InMemory), OnDisk: texts(s.OnDisk), Waiting: uint32(s.Waiting), Running: uint32(s.Running),
 		MemoryUsed: s.MemoryUsed, Age: int64(now.Sub(d.taken)), Reachable: !d.lost && !d.taken.IsZero(),
-		Loading: string(d.loading.model),
+		Loading: string(d.loading.model), Born: s.Born,
 	}
 	if d.loading.model != "" {
 		out.LoadLeft = int64(d.loading.by.Sub(now))
