Take a removal for a lapse only right after the store was out

The store had turned that entry's host away alone until 11.5 s, and removals counted as lapses for 4 s after; a lapse is given two seconds.

Ruled out: a late watch (the removal was seen at once).

Change: 1.5 s, a beat and a little more. The log calls the platform back only when it has answered itself, not when a peer had news.

--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -16,8 +16,9 @@
 	// seconds. Without it all hosts would be given up at the end of an outage.
 	lapseGrace = 2 * time.Second
 	// lapseAfter is how long after the last failed read of the store a removal
-	// still counts as such a lapse: three beats of a host.
-	lapseAfter = 4 * time.Second
+	// still counts as such a lapse: hosts renew their entries every 1.2 seconds or
+	// so, and one that lapses later was not renewed for another reason.
+	lapseAfter = 1500 * time.Millisecond
 )
 
 // View is what one process knows of the upstream hosts. The zero View is ready
--- a/core/fleet/view_test.go
+++ b/core/fleet/view_test.go
@@ -112,6 +112,15 @@
 		v.Tick(after(3 * time.Second))
 		wantPick(t, v, after(3*time.Second), "")
 	})
+	t.Run("a removal well after the store is back is one", func(t *testing.T) {
+		// The store turned this entry away alone, until three seconds ago. Then a
+		// host leaves without a word. Taken for a lapse, it got requests for two
+		// seconds more, eight milliseconds longer than a leaving host may.
+		v := view(entry("i-1", "m"))
+		v.Troubled(t0)
+		v.Remove(after(3*time.Second), "i-1")
+		wantPick(t, v, after(3*time.Second), "")
+	})
 	t.Run("a host that was leaving has no grace", func(t *testing.T) {
 		v := view()
 		e := entry("i-1", "m")
--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -33,7 +33,7 @@
 		// after all have been killed, none of these answers.
 		Kinds: kinds, Confirm: kinds, Platform: e.store, Client: e.client, Clock: e.clock,
 		Peers: e.peers.list, Seed: rand.Uint64(), MaxRetry: storeRetry,
-		Changed: e.changed, Failed: e.stateFailed,
+		Changed: e.changed, Reached: e.platformBack, Failed: e.stateFailed,
 	}
 	e.handler.Sync = e.state.Serve
 	e.parts = append(e.parts, e.state.Run)
@@ -41,7 +41,6 @@
 
 // changed takes in objects whose replicas changed.
 func (e *entry) changed(objects []core.Object) {
-	e.platformBack()
 	for _, o := range objects {
 		if o.Kind == core.KindTable {
 			e.takeTable(o)
--- a/io/peer/feed.go
+++ b/io/peer/feed.go
@@ -153,6 +153,9 @@
 // hear takes in what the platform itself has said.
 func (f *feed) hear(d replic.Delta) {
 	f.heard = true
+	if f.Reached != nil {
+		f.Reached()
+	}
 	f.join(f.kind, d)
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -52,6 +52,8 @@
 	// several goroutines.
 	Strikes func() []*wire.Strike
 	Struck  func([]*wire.Strike) bool
+	// Reached, if set, is told of each answer of the platform itself.
+	Reached func()
 	// Failed, if set, is told of each failed call: a PlatformError or an error
 	// of Client.
 	Failed func(error)
