Give no answer of its own kind to a stream that breaks off before it began

Change: nothing is flushed before a head was written; a request whose caller is taken to be gone ends with a closed connection rather than with net/http's 200.

Test: TestStreams, with a stand-in that breaks off after its head; fails on the old code.

--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -71,9 +71,10 @@
 	if refusal == nil {
 		return
 	}
-	if c.begun {
-		// An answer that broke off must not look complete: the connection is closed
-		// without the last chunk.
+	if c.begun || refusal.Code == core.CodeCancelled {
+		// An answer that broke off must not look complete, nor one that was never
+		// written: net/http would end the one and send status 200 for the other. The
+		// connection is closed instead.
 		panic(http.ErrAbortHandler)
 	}
 	c.refuse(refusal)
@@ -232,9 +233,6 @@
 
 // refuse writes the answer to a request that is not served.
 func (c *call) refuse(r *core.Refusal) {
-	if r.Code == core.CodeCancelled {
-		return // there is nobody left to tell
-	}
 	head := c.writer.Header()
 	for name, values := range c.proxy.Protocol.Refuse(c.ask.ID, r, c.proxy.Clock.Now()) {
 		head[name] = values
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -380,6 +380,14 @@
 		assert.Assert(t, a.cut)
 		assert.Equal(t, a.body, eventsOf(4), "no part of an event is passed on")
 	})
+	t.Run("one that breaks off before its first event is no success", func(t *testing.T) {
+		// The upstream answers with 200 and crashes before the first event. The caller
+		// got a whole, empty answer with status 200 that nobody had signed.
+		r := newRig(t)
+		r.add(t, "llm", &stand.Worker{ID: "i-1", Events: 8}).Set(stand.Crash)
+		a := do(t, r.ask(t, http.MethodPost, "/stream/x", "q", "X-Radishwell-Model", "m"))
+		wantStatus(t, a, http.StatusBadGateway)
+	})
 	t.Run("one that may be resumed goes on after the last whole event", func(t *testing.T) {
 		r := newRig(t)
 		ws := []*stand.Worker{
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -27,10 +27,7 @@
 func (c *call) stream(t *target, resp *http.Response) error {
 	in := bufio.NewReaderSize(resp.Body, 4<<10)
 	out := http.NewResponseController(c.writer)
-	// What was passed on before the upstream broke off reaches the caller: an
-	// aborted answer loses what was not flushed. A failure to flush is the caller's
-	// going away, which the next write shows.
-	defer func() { _ = out.Flush() }()
+	defer c.flush(out)
 	var pending []byte
 	id := ""
 	resumed := c.begun
@@ -75,6 +72,16 @@
 	}
 }
 
+// flush sends what was passed on before the upstream broke off: an aborted answer
+// loses what was not flushed. Without a head written it does nothing, since
+// net/http would send one that calls the answer a success.
+func (c *call) flush(out *http.ResponseController) {
+	if c.begun {
+		// A failure is the caller's going away, which the next write shows.
+		_ = out.Flush()
+	}
+}
+
 // hasEvent tells whether another whole event has been read ahead. Part of one is
 // no reason to hold back what is there.
 func hasEvent(in *bufio.Reader) bool {
