--- a/io/cmds/radishwell.go
+++ b/io/cmds/radishwell.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"os"
 	"strings"
 	"time"
 
@@ -85,7 +86,11 @@
 	if err := events.SetVerbosity(settings.Telemetry.Verbosity); err != nil {
 		return err
 	}
-	defer events.Flush()
+	stop, err := (&events.Outlet{Out: os.Stdout}).Start()
+	if err != nil {
+		return err
+	}
+	defer stop()
 	if settings.Managed.Enabled {
 		return (&deploy.Process{Settings: settings, File: file}).Run(ctx)
 	}
--- a/io/events/events_test.go
+++ b/io/events/events_test.go
@@ -22,8 +22,10 @@
 A process writes its log through klog. Each line of the system's own carries the
 number of an event, as in ` + "`event=\"RW1502\"`" + `; the number stays the same for ever, the
 sentence may change. Events of a verbosity above zero are written from that
-` + "`telemetry.verbosity`" + ` on. Sampled events are written ten times a second at most; the
-next line of the event then says how many were left out (` + "`left-out`" + `).
+` + "`telemetry.verbosity`" + ` on. Sampled events are written ten times a second at most, those of
+requests that were not served a hundred times; the next line of the event then says
+how many were left out (` + "`left-out`" + `). Lines that nobody reads are left out too, and
+counted: no request waits for the log.
 
 This page is made from the table in io/events/table.go; a test holds it to that:
 ` + "`go test ./io/events -run TestPage -update`" + ` writes it anew.
--- a/io/events/log.go
+++ b/io/events/log.go
@@ -10,9 +10,14 @@
 // Sampled events are written at most sampleRate times a second, sampleBurst at
 // once. At 5,400 requests a second in the fleet a line for each refusal would
 // cost more than the refusal; ten a second still show what is going on.
+//
+// Of requests that were not served, failureRate a second are written: an entry that
+// refuses more than that is overloaded, and a line more tells nothing new.
 const (
-	sampleRate  = 10
-	sampleBurst = 20
+	sampleRate   = 10
+	sampleBurst  = 20
+	failureRate  = 100
+	failureBurst = 200
 )
 
 // sampler bounds how often one event is written.
@@ -26,7 +31,10 @@
 func newSamplers() []*sampler {
 	all := make([]*sampler, len(table))
 	for i, row := range table {
-		if row.Sampled {
+		switch {
+		case row.Sampled && row.Failure:
+			all[i] = &sampler{limit: rate.NewLimiter(failureRate, failureBurst)}
+		case row.Sampled:
 			all[i] = &sampler{limit: rate.NewLimiter(sampleRate, sampleBurst)}
 		}
 	}
--- a/io/events/setup.go
+++ b/io/events/setup.go
@@ -18,9 +18,6 @@
 	return oops.In("events").Wrapf(flags.Set("v", strconv.Itoa(level)), "set verbosity")
 }
 
-// Flush writes out what the log holds back. A process calls it last.
-func Flush() { klog.Flush() }
-
 // Logger returns a logger that writes each line as an event, for libraries that
 // take one, such as net/http for connections that fail before a request.
 func Logger(e Event) *log.Logger { return log.New(lines{e}, "", 0) }
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -79,6 +79,7 @@
 	GoalTaken
 	PlannerChanged
 	SettingsRead
+	LinesLeftOut
 	eventCount
 )
 
@@ -102,6 +103,9 @@
 	Verbosity int
 	// Sampled tells that only a few a second are written.
 	Sampled bool
+	// Failure tells that a sampled event is about a request that was not served:
+	// more of these are written.
+	Failure bool
 	// Text is the line's sentence.
 	Text string
 	// Advice tells an operator what to do.
@@ -151,8 +155,8 @@
 	{Event: HostGone, Name: "host-gone", Severity: Info, Text: "Host is no longer listed by the platform", Advice: noAction},
 	{Event: HostSlow, Name: "host-slow", Severity: Warning, Sampled: true, Text: "Upstream host is much slower than its like and gets less work", Advice: "Check the host's accelerators and network if it stays so."},
 
-	{Event: RequestRefused, Name: "request-refused", Severity: Info, Verbosity: 1, Sampled: true, Text: "Request is refused", Advice: "See the code in docs/ERRORS.md."},
-	{Event: RequestMayHaveRun, Name: "request-may-have-run", Severity: Warning, Sampled: true, Text: "Request ended without a whole answer and may have run", Advice: "The caller was told so. Look for a lost host or engine at that time."},
+	{Event: RequestRefused, Name: "request-refused", Severity: Info, Sampled: true, Failure: true, Text: "Request is refused", Advice: "See the code in docs/ERRORS.md."},
+	{Event: RequestMayHaveRun, Name: "request-may-have-run", Severity: Warning, Sampled: true, Failure: true, Text: "Request ended without a whole answer and may have run", Advice: "The caller was told so. Look for a lost host or engine at that time."},
 	{Event: RequestStruck, Name: "request-struck", Severity: Warning, Sampled: true, Text: "Engine failed with a request in it", Advice: "Nothing: after a few failures the request is quarantined."},
 	{Event: RequestQuarantined, Name: "request-quarantined", Severity: Warning, Sampled: true, Text: "Request has crashed engines and is refused everywhere", Advice: "Find the caller by the fingerprint; report the request to the engine's makers."},
 	{Event: StreamResumed, Name: "stream-resumed", Severity: Info, Sampled: true, Text: "Answer goes on over a new connection", Advice: "If it recurs, something between the hosts loses connections."},
@@ -181,6 +185,7 @@
 	{Event: OrderSent, Name: "order-sent", Severity: Info, Text: "Upstream got an order", Advice: noAction},
 	{Event: GoalTaken, Name: "goal-taken", Severity: Info, Text: "Agent follows a new goal for its upstream", Advice: noAction},
 	{Event: PlannerChanged, Name: "planner-changed", Severity: Info, Text: "Another entry plans which hosts hold which models", Advice: "Nothing, unless it changes every few seconds: then look whether entries reach the agents."},
+	{Event: LinesLeftOut, Name: "lines-left-out", Severity: Warning, Text: "Lines of the log were left out, since nobody read them", Advice: "Find out why the process's output is not read."},
 	{Event: SettingsRead, Name: "settings-read", Severity: Info, Text: "Settings were read again", Advice: noAction},
 })
 
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -49,9 +49,15 @@
 	// sends counts the hosts that got any of the request, ran those that may have
 	// run it.
 	sends, ran int
-	// last is the failure behind the last attempt, for the log.
-	last error
-	host core.HostName
+	// What follows is for the log: the failure behind the last attempt, the host
+	// of the last one with the age of its report and the cost foreseen there, the
+	// table that was in force, and the time spent waiting for a host.
+	last      error
+	host      core.HostName
+	reportAge time.Duration
+	cost      float64
+	version   int64
+	waited    time.Duration
 	// begun tells that part of an answer has gone to the caller.
 	begun bool
 	// event is the id of the last event that the caller has.
@@ -91,6 +97,7 @@
 	if c.ask, refusal = p.Protocol.Ask(c.request.Header, c.arrived); refusal != nil {
 		return refusal
 	}
+	c.version = table.Version
 	c.route = table.Match(c.request.Host, c.request.URL.EscapedPath())
 	if c.route == nil {
 		return core.Refuse(core.CodeUnknownPath, "no route has this host name and path")
@@ -250,11 +257,22 @@
 	now := c.proxy.Clock.Now()
 	c.proxy.Meter.Request(core.Interactive, r, c.arrived, time.Time{}, now, false)
 	pairs := []any{
-		"request", c.ask.ID, "took", now.Sub(c.arrived).Round(time.Millisecond), "host", c.host, "sends", c.sends, "ran", c.ran,
-		"model", c.query.Model, "adapter", c.query.Adapter,
+		"request", c.ask.ID, "took", now.Sub(c.arrived).Round(time.Millisecond), "table", c.version, "sends", c.sends, "ran", c.ran,
 	}
 	if c.route != nil {
-		pairs = append(pairs, "route", c.route.Name, "service", c.service.Name)
+		pairs = append(pairs, "route", c.route.Name)
+	}
+	if c.service != nil {
+		pairs = append(pairs, "service", c.service.Name, "left", c.deadline.Sub(now).Round(time.Millisecond))
+	}
+	if c.query.Model != "" {
+		pairs = append(pairs, "model", c.query.Model, "adapter", c.query.Adapter)
+	}
+	if c.waited > 0 {
+		pairs = append(pairs, "waited", c.waited.Round(time.Millisecond))
+	}
+	if c.host != "" {
+		pairs = append(pairs, "host", c.host, "report-age", c.reportAge.Round(time.Millisecond), "cost", int(c.cost), "event-id", c.event)
 	}
 	if c.last != nil {
 		pairs = append(pairs, "cause", c.last.Error())
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -12,9 +12,11 @@
 // holds the model, and refuses as soon as none will in time.
 func (c *call) acquire(ctx context.Context) (*target, *core.Refusal) {
 	waits := false
+	began := c.proxy.Clock.Now()
 	defer func() {
 		if waits {
 			c.setWaiting(-1)
+			c.waited += c.proxy.Clock.Now().Sub(began)
 		}
 	}()
 	for {
@@ -71,6 +73,10 @@
 	h := choice.Host
 	t = &target{id: h.ID, address: h.Address, entry: h.Entry, host: h, unread: h.Unread(now, &c.query)}
 	h.Sent(now, &c.query)
+	c.cost, c.reportAge = choice.Cost, now.Sub(h.Report.Taken)
+	if h.Report.Taken.IsZero() {
+		c.reportAge = -1 // its agent was never heard of, or it has none
+	}
 	return t, choice.Fetch, nil, nil
 }
 
