Value a further copy by the requests served in time, however many are late

Found in the planner's log lines, which now carry copies, demand, worth and loss.

Ruled out: demand of other entries missing (the sum was right), the weight store (the copies were on disks).

Change: a copy is worth the requests that it has served in time; past full load the share falls as one over the load.

The new test fails on the old code.

--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -24,12 +24,14 @@
 	// leastFurther is the least worth of a further copy. Below it the load is not
 	// paid back, even where memory is free.
 	leastFurther = 0.02
-	// easyLoad and fullLoad are the parts of an engine's time from which its
-	// requests begin to be late, and at which all of them are: a prompt that is
-	// read holds up the others for a quarter of a second, so queues form well
-	// before an engine is busy all the time.
-	easyLoad = 0.3
-	fullLoad = 0.8
+	// easyLoad is the part of an engine's time from which its requests begin to be
+	// late, and fullLoad that from which it serves no more in time, which are then
+	// fullShare of what comes at that load: a prompt that is read holds up the
+	// others for a quarter of a second, so queues form well before an engine is
+	// busy all the time.
+	easyLoad  = 0.3
+	fullLoad  = 0.8
+	fullShare = 0.6
 	// swapWorth is the worth of a first copy to callers who bear a load from a
 	// host's disk, as a part of that to callers who do not.
 	swapWorth = 0.4
@@ -92,6 +94,11 @@
 	Evict []core.ModelName
 	Load  core.ModelName
 	From  core.Tier
+	// Why the move was made, for the log: the copies there were, what the model
+	// is asked for, and what the copy is worth against those it displaces.
+	Copies      int
+	Demand      Demand
+	Worth, Loss float64
 	// By is when the load should be done, and Until when the move counts as not
 	// taken up if no report shows it.
 	By, Until time.Time
@@ -201,13 +208,22 @@
 	if nth <= 1 {
 		return first + float64(d.Waiting)*waitingWorth
 	}
-	before, after := late(d.Work/float64(nth-1)), late(d.Work/float64(nth))
-	return d.Rate*(before-after) + first*math.Pow(furtherWorth, float64(nth-1))
+	before, after := timely(d.Work/float64(nth-1)), timely(d.Work/float64(nth))
+	return d.Rate*(after-before) + first*math.Pow(furtherWorth, float64(nth-1))
 }
 
-// late returns the part of an engine's requests that are late at a load.
-func late(load float64) float64 {
-	return min(1, max(0, (load-easyLoad)/(fullLoad-easyLoad)))
+// timely returns the part of the requests of engines that each have a load that is
+// served in time. Past fullLoad they serve what they can, so that a further copy
+// is worth something however much too few there are.
+func timely(load float64) float64 {
+	switch {
+	case load <= easyLoad:
+		return 1
+	case load <= fullLoad:
+		return 1 - (1-fullShare)*(load-easyLoad)/(fullLoad-easyLoad)
+	default:
+		return fullShare * fullLoad / load
+	}
 }
 
 // wanted returns the models whose next copy is worth most, most first.
@@ -227,6 +243,7 @@
 	host  *Host
 	evict []core.ModelName
 	from  core.Tier
+	loss  float64
 	score float64
 }
 
@@ -247,7 +264,10 @@
 		return
 	}
 	took := w.duration(name, best.from)
-	move := Move{Host: best.host.ID, Evict: best.evict, Load: name, From: best.from, By: w.now.Add(took), Until: w.now.Add(settle)}
+	move := Move{
+		Copies: w.copies[name], Demand: w.demand[name], Worth: worth, Loss: best.loss,
+		Host: best.host.ID, Evict: best.evict, Load: name, From: best.from, By: w.now.Add(took), Until: w.now.Add(settle),
+	}
 	w.moves = append(w.moves, move)
 	w.Planner.moves[move.Host] = move
 	best.host.Open = false
@@ -276,7 +296,7 @@
 	if !ok || loss > worth*hysteresis {
 		return choice{}, false
 	}
-	return choice{host: h, evict: evict, from: from, score: -loss - swapPenalty*w.duration(name, from).Seconds()}, true
+	return choice{host: h, evict: evict, from: from, loss: loss, score: -loss - swapPenalty*w.duration(name, from).Seconds()}, true
 }
 
 // mayRead tells whether the weight store takes one more load. More loads at once
--- a/core/copies/plan_test.go
+++ b/core/copies/plan_test.go
@@ -168,6 +168,22 @@
 	})
 }
 
+// Everything was restarted and callers come back: a model is asked for several
+// times over what one host can do. Measured by how many requests are late, a
+// second copy seemed worth nothing, since all were late with two as with one; the
+// model stayed on one host while others loaded what is asked for seldom.
+func TestFarTooFewCopies(t *testing.T) {
+	p := &copies.Planner{Parallel: 4}
+	hosts := []*copies.Host{host("a", names(0, 1)), host("b", names(2, 3), name(0)), host("c", names(4, 5), name(0))}
+	demand := map[core.ModelName]copies.Demand{name(0): {Rate: 20, Hasty: 10, Work: 4}}
+	for i := 1; i < 6; i++ {
+		demand[name(i)] = copies.Demand{Rate: 1}
+	}
+	got := p.Plan(t0, service(6), hosts, demand)
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Load, name(0))
+}
+
 func TestMovesUnderWay(t *testing.T) {
 	p := &copies.Planner{Parallel: 4}
 	hosts := func() []*copies.Host { return []*copies.Host{host("a", names(0))} }
--- a/io/deploy/planner.go
+++ b/io/deploy/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"sync"
 	"time"
@@ -230,9 +231,16 @@
 		events.Fail(events.PeerUnreachable, err, "address", h.Address)
 		return
 	}
-	events.Log(events.GoalTaken, "host", h.ID, "load", m.Load, "evict", m.Evict, "from", m.From, "taken", reply.GetTaken(), "reason", reply.GetReason())
+	events.Log(
+		events.GoalTaken, "host", h.ID, "load", m.Load, "evict", m.Evict, "from", m.From, "taken", reply.GetTaken(),
+		"reason", reply.GetReason(), "copies", m.Copies, "rate", round(m.Demand.Rate), "work", round(m.Demand.Work),
+		"waiting", m.Demand.Waiting, "worth", round(m.Worth), "loss", round(m.Loss),
+	)
 }
 
+// round cuts a figure for the log to thousandths.
+func round(x float64) float64 { return math.Round(x*1000) / 1000 }
+
 // tell sends this entry's demand to the one that plans, while requests wait.
 func (p *planner) tell(ctx context.Context, control string) {
 	at, err := netip.ParseAddrPort(control)
