Keep the copies of busy models while nothing is known of demand

Change: up to three copies of a model are kept until demand is known.

The new test fails on the old code.

--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -14,6 +14,9 @@
 	// silentWorth is the worth of the first copy of a model that nobody has asked
 	// for lately: less than that of a model asked for once in ten minutes.
 	silentWorth = 0.001
+	// startCopies is how many copies of a model are kept while nothing is known of
+	// demand yet: a model of which hosts start with several is a busy one.
+	startCopies = 3
 	// waitingWorth is what each request that waits adds to the worth of a copy,
 	// as if it had come in a second of its own.
 	waitingWorth = 1.0
@@ -208,6 +211,9 @@
 	if nth <= 1 {
 		return first + float64(d.Waiting)*waitingWorth
 	}
+	if len(w.demand) == 0 && nth <= startCopies && nth <= w.copies[name] {
+		return first
+	}
 	before, after := timely(d.Work/float64(nth-1)), timely(d.Work/float64(nth))
 	return d.Rate*(after-before) + first*math.Pow(furtherWorth, float64(nth-1))
 }
