--- a/io/cmds/radishwell.go
+++ b/io/cmds/radishwell.go
@@ -86,7 +86,7 @@
 	if err := events.SetVerbosity(settings.Telemetry.Verbosity); err != nil {
 		return err
 	}
-	stop, err := (&events.Outlet{Out: os.Stdout}).Start()
+	stop, err := (&events.Outlet{Out: os.Stdout, LeftOut: events.LinesLeftOut}).Start()
 	if err != nil {
 		return err
 	}
--- a/io/events/outlet.go
+++ b/io/events/outlet.go
@@ -25,9 +25,11 @@
 // Outlet passes lines on to a writer without ever holding up who logs. A reader of
 // the process's output that stops reading blocks the writes to it; requests that
 // log would stand still with it. Lines beyond what is held back are left out and
-// counted. Set Out before Run.
+// counted. Set the exported fields before Run.
 type Outlet struct {
 	Out io.Writer
+	// LeftOut is the event that tells how many lines were left out.
+	LeftOut Event
 
 	mu      sync.Mutex
 	pending bytes.Buffer
@@ -89,7 +91,7 @@
 	text := bytes.Clone(o.pending.Bytes())
 	o.pending.Reset()
 	if o.left > 0 {
-		row := LinesLeftOut.Info()
+		row := o.LeftOut.Info()
 		text = append(text, `"`+row.Text+`" event="`+row.ID+`" left-out=`+strconv.Itoa(o.left)+"\n"...)
 		o.left = 0
 	}
--- a/io/events/outlet_test.go
+++ b/io/events/outlet_test.go
@@ -18,7 +18,7 @@
 // next request that logs would wait for as long as nobody reads.
 func TestStoppedReaderHoldsUpNobody(t *testing.T) {
 	r, w := io.Pipe()
-	o := &events.Outlet{Out: w}
+	o := &events.Outlet{Out: w, LeftOut: events.LinesLeftOut}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- o.Run(ctx) }()
