Have a stream wait for another copy of its model; explain from log files

Change: a stream that has begun waits as other requests do. The log of a refusal names the host and the wait that it rested on. radishwell explain reads log files.

The new test fails on the old code (it never waits).

--- /dev/null
+++ b/io/cmds/logs_test.go
@@ -0,0 +1,48 @@
+package cmds_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/io/cmds"
+)
+
+const entryLog = `I0704 21:06:30.000000   12 proxy.go:92] "Routing table is in force" event="RW1801" version=7 routes=17
+I0704 21:06:36.500000   12 planner.go:9] "Agent follows a new goal for its upstream" event="RW1806" host="i-1" load="m-2" waiting=1
+I0704 21:06:37.000000   12 call.go:9] "Request has its answer" event="RW1804" request="other" host="i-1" model="m-2"
+W0704 21:06:38.000000   12 call.go:9] "Request ended without a whole answer and may have run" event="RW1502" request="q-1" host="i-1" model="m-2"
+`
+
+const agentLog = `some other line
+ -3.2 side-1 I0704 21:06:10.000000   13 order.go:78] "Load of a model or adapter starts" event="RW1301" model="m-2" from="store"
+I0704 21:06:36.600000   13 order.go:78] "Load of a model or adapter starts" event="RW1301" model="m-2" from="disk"
+`
+
+// An on-call engineer has a request's id and the logs of the processes, which may
+// no longer run.
+func TestExplainFromLogs(t *testing.T) {
+	dir := t.TempDir()
+	entry, agent := filepath.Join(dir, "edge-1.log"), filepath.Join(dir, "side-1.log")
+	assert.NilError(t, os.WriteFile(entry, []byte(entryLog), 0o600))
+	assert.NilError(t, os.WriteFile(agent, []byte(agentLog), 0o600))
+	explain := func(want int, args ...string) string {
+		t.Helper()
+		var out, errs bytes.Buffer
+		status := cmds.Radishwell(append([]string{"explain"}, args...), &out, &errs)
+		assert.Equal(t, status, want, errs.String())
+		return out.String()
+	}
+	got := explain(0, "request", "q-1", "--logs", entry+","+agent)
+	assert.Assert(t, strings.HasPrefix(got, "the request:\nedge-1.log: W0704 21:06:38"), got)
+	assert.Assert(t, strings.Contains(got, "RW1806") && strings.Contains(got, "21:06:36.600000"), got)
+	assert.Assert(t, !strings.Contains(got, "RW1804") && !strings.Contains(got, "21:06:10") && !strings.Contains(got, "RW1801"), got)
+	assert.Equal(t, strings.Count(explain(0, "model", "m-2", "--logs", entry+","+agent), "\n"), 5)
+	explain(1, "request", "nobody", "--logs", entry)
+	explain(1, "request", "q-1", "--logs", filepath.Join(dir, "absent.log"))
+	explain(1, "request", "q-1")
+}
--- a/io/cmds/radishwell.go
+++ b/io/cmds/radishwell.go
@@ -136,15 +136,28 @@
 type explainCommand struct {
 	Subject string           `arg:"" enum:"request,model,host" help:"What to explain: request, model or host."`
 	Name    string           `arg:"" help:"A request's id, or the name of a model or host."`
-	At      []netip.AddrPort `required:"" help:"Operators' addresses of the processes to ask (listen.operators); several, with commas."`
+	At      []netip.AddrPort `help:"Operators' addresses of the processes to ask (listen.operators); several, with commas."`
+	Logs    []string         `type:"path" help:"Log files of processes to read instead; several, with commas."`
 }
 
+// nobodyError reports a question that names neither processes nor logs.
+type nobodyError struct{}
+
+// Error implements error.
+func (*nobodyError) Error() string { return "name processes with --at or log files with --logs" }
+
 // explainTime bounds the question to one process.
 const explainTime = 3 * time.Second
 
 // Run asks each process and prints what it knows.
 func (c *explainCommand) Run(ctx context.Context, out io.Writer) error {
-	known := false
+	if len(c.At) == 0 && len(c.Logs) == 0 {
+		return &nobodyError{}
+	}
+	known, err := c.read(out)
+	if err != nil {
+		return err
+	}
 	for _, at := range c.At {
 		text, err := c.ask(ctx, at)
 		if err != nil {
@@ -165,6 +178,21 @@
 	return nil
 }
 
+// read prints what the logs say, and tells whether they say anything.
+func (c *explainCommand) read(out io.Writer) (known bool, err error) {
+	lines, err := readLogs(c.Logs)
+	if err != nil {
+		return false, err
+	}
+	found := explainLogs(lines, c.Subject, c.Name)
+	for _, l := range found {
+		if _, err := fmt.Fprintln(out, l); err != nil {
+			return false, err
+		}
+	}
+	return len(found) > 0, nil
+}
+
 func (c *explainCommand) ask(ctx context.Context, at netip.AddrPort) (string, error) {
 	ctx, stop := context.WithTimeout(ctx, explainTime)
 	defer stop()
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -49,13 +49,15 @@
 	// sends counts the hosts that got any of the request, ran those that may have
 	// run it.
 	sends, ran int
-	// What follows is for the log: the failure behind the last attempt, the host
-	// of the last one with the age of its report and the cost foreseen there, the
-	// table that was in force, and the time spent waiting for a host.
+	// What follows is for the log: the failure behind the last attempt and its
+	// host; the host chosen last, with the age of its report and the cost and wait
+	// foreseen there; the table that was in force, and the time spent waiting.
 	last      error
 	host      core.HostName
+	best      core.HostName
 	reportAge time.Duration
 	cost      float64
+	foreseen  time.Duration
 	version   int64
 	waited    time.Duration
 	// begun tells that part of an answer has gone to the caller.
@@ -271,8 +273,9 @@
 	if c.waited > 0 {
 		pairs = append(pairs, "waited", c.waited.Round(time.Millisecond))
 	}
-	if c.host != "" {
-		pairs = append(pairs, "host", c.host, "report-age", c.reportAge.Round(time.Millisecond), "cost", int(c.cost), "event-id", c.event)
+	if c.best != "" {
+		pairs = append(pairs, "host", c.best, "report-age", c.reportAge.Round(time.Millisecond), "cost", int(c.cost),
+			"foreseen", c.foreseen.Round(time.Millisecond), "event-id", c.event)
 	}
 	if c.last != nil {
 		pairs = append(pairs, "cause", c.last.Error())
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -406,6 +406,21 @@
 		wantStatus(t, a, http.StatusOK)
 		assert.Equal(t, a.body, eventsOf(8))
 	})
+	t.Run("one that may be resumed waits for another copy of its model", func(t *testing.T) {
+		// The only host that holds the model crashes in the middle of an answer. Cut
+		// at once, the caller loses what it has, though the model is loaded elsewhere
+		// within a second.
+		r := newRig(t)
+		r.add(t, "llm", &stand.Worker{ID: "i-1", Events: 8}).Set(stand.Short)
+		got := make(chan answer, 1)
+		req := r.ask(t, http.MethodPost, "/resumed/x", "q", "X-Radishwell-Model", "m")
+		go func() { got <- do(t, req) }()
+		<-r.Waiting()
+		r.add(t, "llm", &stand.Worker{ID: "i-2", Events: 8})
+		a := <-got
+		wantStatus(t, a, http.StatusOK)
+		assert.Equal(t, a.body, eventsOf(8))
+	})
 	t.Run("events come as they are made", func(t *testing.T) {
 		r := newRig(t)
 		r.add(t, "llm", &stand.Worker{ID: "i-1", Events: 1000, Gap: 20 * time.Millisecond})
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -60,12 +60,10 @@
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	choice := p.view.Pick(now, &c.query)
-	if choice.Host == nil && len(c.query.Tried) > 0 && c.begun {
-		return nil, false, nil, c.lost()
-	}
 	if choice.Host == nil {
 		return nil, false, p.changed, c.hopeless(now)
 	}
+	c.foresee(now, choice)
 	if refusal := c.overloaded(now, choice); refusal != nil {
 		return nil, false, nil, refusal
 	}
@@ -79,11 +77,16 @@
 	if c.query.Model != "" {
 		p.view.Read(t.unread)
 	}
-	c.cost, c.reportAge = choice.Cost, now.Sub(h.Report.Taken)
+	return t, choice.Fetch, nil, nil
+}
+
+// foresee keeps, for the log, what a choice rested on.
+func (c *call) foresee(now time.Time, choice fleet.Choice) {
+	h := choice.Host
+	c.best, c.cost, c.foreseen, c.reportAge = h.ID, choice.Cost, choice.Wait, now.Sub(h.Report.Taken)
 	if h.Report.Taken.IsZero() {
 		c.reportAge = -1 // its agent was never heard of, or it has none
 	}
-	return t, choice.Fetch, nil, nil
 }
 
 // overloaded refuses a request that comes upon more work than its hosts can do in
@@ -102,6 +105,9 @@
 	if !ok || at.Before(c.deadline.Add(-answerSlack)) {
 		return nil
 	}
+	if c.ran > 0 {
+		return c.lost()
+	}
 	return core.RefuseUntil(core.CodeWaitTooLong, "the model is loaded only after the request's deadline", c.back(at.Sub(now)))
 }
 
