--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -12,10 +12,13 @@
 )
 
 const (
-	// retryShare is the part of the platform's spare retries that each entry may
-	// use. The platform counts all entries together, and no entry knows how many
-	// others there are that it cannot reach; a tenth suits up to ten at once.
-	retryShare = 0.1
+	// spareShare is the part of the platform's spare retries that all entries
+	// together use. The platform counts them together, and an entry may know fewer
+	// others than there are for some seconds.
+	spareShare = 0.8
+	// leastEntries is how many entries are taken to be there while no agent has
+	// said which there are.
+	leastEntries = 10
 	// ratioShare is the part of the platform's ratio of retries that is used: the
 	// platform's windows do not begin with this process's.
 	ratioShare = 0.8
@@ -47,7 +50,7 @@
 	e.links = &links{entry: e}
 	e.proxy = &proxy.Proxy{
 		Self: s.Name, DataCentre: s.DataCentre, Clock: p.clock, Protocol: protocol, Adapters: e.links, Meter: p.meter,
-		RetryRatio: s.Managed.RetryRatio * ratioShare, RetrySpare: s.Managed.RetrySpare * retryShare, RetrySpan: s.Managed.RetrySpan,
+		RetryRatio: s.Managed.RetryRatio * ratioShare, RetrySpare: spareOf(s.Managed.RetrySpare, 0), RetrySpan: s.Managed.RetrySpan,
 	}
 	e.proxy.Start()
 	e.planner = &planner{entry: e, parallel: s.Store.Parallel}
@@ -76,6 +79,15 @@
 	}
 }
 
+// spareOf returns an entry's part of the spare retries, given the number of
+// entries that agents have named, zero where none has.
+func spareOf(all float64, entries int) float64 {
+	if entries == 0 {
+		entries = leastEntries
+	}
+	return all * spareShare / float64(entries)
+}
+
 // serveReady tells the platform's balancer whether to send new connections.
 func (e *entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	status := http.StatusOK
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -58,6 +58,7 @@
 	l.all = map[netip.AddrPort]*link{}
 	for {
 		l.renew(ctx)
+		l.entry.proxy.ShareRetries(spareOf(l.entry.Settings.Managed.RetrySpare, l.entry.peers.count()))
 		if !sleep(ctx, linkRenew) {
 			return nil
 		}
--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -124,6 +124,17 @@
 	p.named[control], p.heard[control] = name, p.clock.Now()
 }
 
+// count returns the number of entries, this one included; zero while no agent has
+// named any.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.named) == 0 {
+		return 0
+	}
+	return len(p.named) + 1
+}
+
 // list returns the other entries as peers to exchange state with.
 func (p *peers) list() []peer.Target {
 	p.mu.Lock()
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -158,6 +158,17 @@
 	}
 }
 
+// ShareRetries sets this process's part of the spare retries anew, as the number
+// of entries changes.
+func (p *Proxy) ShareRetries(spare float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.RetrySpare = spare
+	for _, w := range p.retries {
+		w.Spare = spare
+	}
+}
+
 // window returns the allowance of a service. The caller holds mu.
 func (p *Proxy) window(s core.ServiceName) *retry.Window {
 	w := p.retries[s]
