Run a lookup that its host failed on another host

Ruled out: bad hosts (all fail alike).

Change: such a failure is kept and the request sent to another host, within the route's hosts and the allowance of retries; the failure is the answer if none does better.

--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -63,6 +64,10 @@
 		c.ended(t, (*fleet.Host).Failed)
 		return outcome{sent: true, cause: err}
 	}
+	if c.failedLookup(resp) {
+		c.ended(t, (*fleet.Host).Failed)
+		return outcome{sent: true, cause: &FailedError{Status: resp.StatusCode}}
+	}
 	isStream := c.route.Kind == rtable.Stream && resp.StatusCode == http.StatusOK
 	switch {
 	case isStream:
@@ -84,6 +89,59 @@
 	return outcome{done: true}
 }
 
+// FailedError reports an upstream that ran a request to a failure of its own.
+type FailedError struct{ Status int }
+
+// Error implements error.
+func (e *FailedError) Error() string {
+	return "the upstream failed the request: status " + strconv.Itoa(e.Status)
+}
+
+// failure is an upstream's own failure of a request that may run again; it is the
+// caller's answer if no other host does better.
+type failure struct {
+	status int
+	header map[string][]string
+	body   []byte
+}
+
+// failedLookup tells whether an answer is a failure that another host may not
+// have. The failure is kept.
+func (c *call) failedLookup(resp *http.Response) bool {
+	if c.route.Kind != rtable.Repeatable || resp.StatusCode < http.StatusInternalServerError || c.ran >= c.route.MostHosts {
+		return false
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, mostWhole+1))
+	switch {
+	case err != nil:
+		return true // it broke off, and is no answer to keep
+	case len(body) > mostWhole:
+		// Too large to keep; it is passed on from its beginning.
+		resp.Body = &joined{Reader: io.MultiReader(bytes.NewReader(body), resp.Body), Closer: resp.Body}
+		return false
+	}
+	c.failure = &failure{status: resp.StatusCode, header: c.proxy.Protocol.Reply(resp.Header), body: body}
+	return true
+}
+
+// joined reads a body from its beginning again.
+type joined struct {
+	io.Reader
+	io.Closer
+}
+
+// passFailure writes the failure that was kept.
+func (c *call) passFailure() {
+	head := c.writer.Header()
+	for name, values := range c.failure.header {
+		head[name] = values
+	}
+	head.Set("Content-Length", strconv.Itoa(len(c.failure.body)))
+	c.writer.WriteHeader(c.failure.status)
+	// An error here is the caller's going away.
+	_, _ = c.writer.Write(c.failure.body)
+}
+
 // blame notes a failure of the host, unless the caller or the request's time
 // ended the attempt.
 func (c *call) blame(ctx context.Context, h *fleet.Host, now time.Time, sent bool) {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -62,6 +62,8 @@
 	waited    time.Duration
 	// begun tells that part of an answer has gone to the caller.
 	begun bool
+	// failure is an upstream's own, which another host may not have.
+	failure *failure
 	// event is the id of the last event that the caller has.
 	event string
 }
@@ -85,6 +87,10 @@
 		// connection is closed instead.
 		panic(http.ErrAbortHandler)
 	}
+	if c.failure != nil {
+		c.passFailure()
+		return
+	}
 	c.refuse(refusal)
 }
 
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -303,6 +303,39 @@
 	assert.Equal(t, a.header.Get("X-Radishwell-Server-Signature"), "signed-by-p-1")
 }
 
+// A service fails one lookup in seven, each for itself. A lookup may run again, and
+// its caller is better served by another host's answer.
+func TestFailedLookupRunsAgain(t *testing.T) {
+	r := newRig(t)
+	ws := plain(t, r, "p-1", "p-2")
+	ws[0].Set(stand.Failing)
+	for i := range 4 {
+		id := fmt.Sprint("q-", i)
+		wantStatus(t, do(t, r.ask(t, http.MethodGet, "/again/x", id)), http.StatusOK)
+		assert.Assert(t, ws[0].Ran(id) <= 1 && ws[1].Ran(id) == 1)
+	}
+	t.Run("and the service's failure is the answer where all fail", func(t *testing.T) {
+		ws[1].Set(stand.Failing)
+		a := do(t, r.ask(t, http.MethodGet, "/again/x", "q"))
+		wantStatus(t, a, http.StatusInternalServerError)
+		assert.Assert(t, strings.HasPrefix(a.header.Get("X-Radishwell-Server-Signature"), "signed-by-p-"))
+		assert.Equal(t, totalRuns(ws, "q"), 2)
+	})
+	t.Run("or where no other host is there", func(t *testing.T) {
+		r := newRig(t)
+		w := plain(t, r, "p-1")[0]
+		w.Set(stand.Failing)
+		a := do(t, r.ask(t, http.MethodGet, "/again/x", "q", "X-Radishwell-Deadline-Ms", "700"))
+		wantStatus(t, a, http.StatusInternalServerError)
+		assert.Equal(t, w.Ran("q"), 1)
+	})
+	t.Run("a request that may run once is not sent again", func(t *testing.T) {
+		a := do(t, r.ask(t, http.MethodPost, "/once/x", "q-once"))
+		wantStatus(t, a, http.StatusInternalServerError)
+		assert.Equal(t, totalRuns(ws, "q-once"), 1)
+	})
+}
+
 // An upstream sends a second answer after the first. On a connection used again
 // the next caller would get it.
 func TestSecondAnswerIsNobodys(t *testing.T) {
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -60,6 +60,9 @@
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	choice := p.view.Pick(now, &c.query)
+	if choice.Host == nil && c.failure != nil {
+		return nil, false, nil, c.lost() // the failure is the answer
+	}
 	if choice.Host == nil {
 		return nil, false, p.changed, c.hopeless(now)
 	}
