Keep a copy for 1.2 s once it is there

Ruled out: the weight store (6.03 s), the host (it answered).

Change: the planner knows when a copy came and does not displace it for 1.2 s.

--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -50,6 +50,10 @@
 	storeShare = 0.9
 	// storeSpan is over how long that rate is counted.
 	storeSpan = 5 * time.Second
+	// keepTime is how long a copy stays once it is there: the requests that waited
+	// for it have begun there by then. At 3 s other callers waited longer for theirs
+	// (mean worth of two deployments 0.617 instead of 0.638, two scores each).
+	keepTime = 1200 * time.Millisecond
 	// swapPenalty is the worth of a second of loading time when hosts are weighed
 	// against each other for the same copy.
 	swapPenalty = 0.01
@@ -115,7 +119,32 @@
 
 	moves  map[core.HostName]Move
 	starts []time.Time
-	ready  map[core.ModelName]time.Time
+	// since is when a copy was first seen.
+	since map[copyKey]time.Time
+	ready map[core.ModelName]time.Time
+}
+
+// copyKey names a copy of a model on a host.
+type copyKey struct {
+	host  core.HostName
+	model core.ModelName
+}
+
+// note keeps when each copy was first seen. Those of a first look have been there
+// for a time that is not known, and count as old.
+func (p *Planner) note(now time.Time, hosts []*Host) {
+	old := p.since
+	p.since = make(map[copyKey]time.Time, len(old))
+	for _, h := range hosts {
+		for _, m := range h.Held {
+			key := copyKey{h.ID, m}
+			at, known := old[key]
+			if !known && old != nil {
+				at = now
+			}
+			p.since[key] = at
+		}
+	}
 }
 
 // plan is the work on one decision.
@@ -136,6 +165,7 @@
 // Plan returns the moves to make now. Equal inputs give equal moves.
 func (p *Planner) Plan(now time.Time, s *rtable.Service, hosts []*Host, demand map[core.ModelName]Demand) []Move {
 	p.settle(now, hosts)
+	p.note(now, hosts)
 	w := &plan{
 		Planner: p, now: now, service: s, hosts: hosts, demand: demand,
 		copies: map[core.ModelName]int{}, onDisk: map[core.ModelName]bool{},
@@ -343,7 +373,9 @@
 	if free >= need {
 		return nil, 0, true
 	}
-	held := slices.Clone(h.Held)
+	held := slices.DeleteFunc(slices.Clone(h.Held), func(m core.ModelName) bool {
+		return w.now.Sub(w.since[copyKey{h.ID, m}]) < keepTime
+	})
 	slices.SortFunc(held, func(a, b core.ModelName) int {
 		return cmp.Or(cmp.Compare(w.worth(a, w.copies[a]), w.worth(b, w.copies[b])), cmp.Compare(a, b))
 	})
