Leave a silent host after half of a lookup's time; pass a kept failure on in time

Change: an attempt at a request that may run again leaves as much time for another host as it has itself; one after a failure that is kept ends 40 ms before the deadline.

The new tests fail on the old code.

--- a/io/events/table.go
+++ b/io/events/table.go
@@ -185,8 +185,8 @@
 	{Event: OrderSent, Name: "order-sent", Severity: Info, Text: "Upstream got an order", Advice: noAction},
 	{Event: GoalTaken, Name: "goal-taken", Severity: Info, Text: "Agent follows a new goal for its upstream", Advice: noAction},
 	{Event: PlannerChanged, Name: "planner-changed", Severity: Info, Text: "Another entry plans which hosts hold which models", Advice: "Nothing, unless it changes every few seconds: then look whether entries reach the agents."},
-	{Event: LinesLeftOut, Name: "lines-left-out", Severity: Warning, Text: "Lines of the log were left out, since nobody read them", Advice: "Find out why the process's output is not read."},
 	{Event: SettingsRead, Name: "settings-read", Severity: Info, Text: "Settings were read again", Advice: noAction},
+	{Event: LinesLeftOut, Name: "lines-left-out", Severity: Warning, Text: "Lines of the log were left out, since nobody read them", Advice: "Find out why the process's output is not read."},
 })
 
 // First numbers of the groups: a group starts at the next hundred, so that
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -39,7 +39,7 @@
 
 // attempt sends the request to one host and passes its answer on.
 func (c *call) attempt(ctx context.Context, t *target) outcome {
-	ctx, stop := context.WithCancel(ctx)
+	ctx, stop := context.WithDeadline(ctx, c.leaveBy())
 	defer stop()
 	c.host = t.id
 	resp, sent, err := c.proxy.upstreams.send(ctx, c, t, c.event)
@@ -89,6 +89,21 @@
 	return outcome{done: true}
 }
 
+// leaveBy returns when an attempt is given up. One at a request that may run again
+// leaves as much time for another host as it has itself: a host that was cut off
+// takes requests and says nothing. One after a failure that is kept ends in time for
+// the caller to get that.
+func (c *call) leaveBy() time.Time {
+	switch {
+	case c.failure != nil:
+		return c.deadline.Add(-failureMargin)
+	case c.route.Kind == rtable.Repeatable && c.ran+1 < c.route.MostHosts:
+		now := c.proxy.Clock.Now()
+		return now.Add(c.deadline.Sub(now) / 2)
+	}
+	return c.deadline
+}
+
 // FailedError reports an upstream that ran a request to a failure of its own.
 type FailedError struct{ Status int }
 
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -22,6 +22,9 @@
 	// answerSlack is how long before its deadline a request that still waits is
 	// refused, so that the refusal arrives in time.
 	answerSlack = 20 * time.Millisecond
+	// failureMargin is how long before a request's deadline a failure that was kept
+	// is passed on.
+	failureMargin = 40 * time.Millisecond
 	// lookAgain is how often a request that waits looks again without a change:
 	// hosts set aside for a time come back without one.
 	lookAgain = 200 * time.Millisecond
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -321,6 +321,16 @@
 		assert.Assert(t, strings.HasPrefix(a.header.Get("X-Radishwell-Server-Signature"), "signed-by-p-"))
 		assert.Equal(t, totalRuns(ws, "q"), 2)
 	})
+	t.Run("also before the caller leaves, where the second host is silent", func(t *testing.T) {
+		// One host fails a lookup, the next takes it and says nothing. The failure that
+		// lay ready never reached the caller.
+		r := newRig(t)
+		ws := plain(t, r, "p-1", "p-2")
+		ws[0].Set(stand.Failing)
+		ws[1].Set(stand.Hang)
+		a := do(t, r.ask(t, http.MethodGet, "/again/x", "q", "X-Radishwell-Deadline-Ms", "1000"))
+		wantStatus(t, a, http.StatusInternalServerError)
+	})
 	t.Run("or where no other host is there", func(t *testing.T) {
 		r := newRig(t)
 		w := plain(t, r, "p-1")[0]
@@ -336,6 +346,21 @@
 	})
 }
 
+// A host takes a lookup and says nothing, as one that was cut off does. Its caller
+// would hear nothing for as long as it waits, beside hosts that do well.
+func TestSilentHostIsLeft(t *testing.T) {
+	r := newRig(t)
+	ws := plain(t, r, "p-1", "p-2")
+	ws[0].Set(stand.Hang)
+	ws[1].Set(stand.Honest)
+	for i := range 3 {
+		id := fmt.Sprint("q-", i)
+		a := do(t, r.ask(t, http.MethodGet, "/again/x", id, "X-Radishwell-Deadline-Ms", "1000"))
+		wantStatus(t, a, http.StatusOK)
+		assert.Equal(t, ws[1].Ran(id), 1)
+	}
+}
+
 // An upstream sends a second answer after the first. On a connection used again
 // the next caller would get it.
 func TestSecondAnswerIsNobodys(t *testing.T) {
