--- a/io/proxy/demand.go
+++ b/io/proxy/demand.go
@@ -17,6 +17,9 @@
 	// hastyTarget is the target below which a caller does not bear a load from a
 	// host's disk, which takes about a second with the order for it.
 	hastyTarget = 1500 * time.Millisecond
+	// leastShort is the short average from which it counts: three requests within
+	// it.
+	leastShort = 0.6
 	// leastRate is below what counts as demand: one request some minutes ago.
 	leastRate = 1e-4
 	// readPace is the prompt tokens that an engine reads in a second, and
@@ -78,6 +81,17 @@
 	}
 }
 
+// rate returns the requests a second. The short average counts only once several
+// have come: by one request it rises to five times the long one, and models asked
+// for alike would displace each other by turns.
+func (d *modelDemand) rate(now time.Time) float64 {
+	long, short := d.long.over(now, longSpan), d.short.over(now, shortSpan)
+	if short < leastShort {
+		return long
+	}
+	return max(long, short)
+}
+
 // workOf returns the engine's time that a request takes, in seconds.
 func workOf(ask *core.Ask) float64 {
 	shared := 0
@@ -93,7 +107,7 @@
 func (b *demandBook) all(now time.Time) map[core.ModelName]copies.Demand {
 	out := make(map[core.ModelName]copies.Demand, len(b.models))
 	for name, d := range b.models {
-		rate := max(d.long.over(now, longSpan), d.short.over(now, shortSpan))
+		rate := d.rate(now)
 		if rate < leastRate && d.waiting == 0 {
 			delete(b.models, name)
 			continue
