Begin with a goal at once

Cause: a goal waited for the agent's next look at its idle upstream, up to 150 ms of the 2.5 s in which callers want the first word.

Change: a goal wakes the agent.

The new test fails on the old code.

--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -61,7 +61,9 @@
 	instance core.HostName
 	change   uint64
 	changed  chan struct{}
-	entries  map[string]*caller
+	// kick has Run look at once.
+	kick    chan struct{}
+	entries map[string]*caller
 	// entriesVersion grows with each entry that comes or goes.
 	entriesVersion uint64
 	// gathered is when an entry may be followed; zero while none calls.
@@ -106,6 +108,7 @@
 // Start makes the driver ready for calls.
 func (d *Driver) Start() {
 	d.changed = make(chan struct{})
+	d.kick = make(chan struct{}, 1)
 	d.entries = map[string]*caller{}
 	d.used = map[string]time.Time{}
 }
@@ -121,6 +124,8 @@
 			timer.Stop()
 			return nil
 		case <-timer.C:
+		case <-d.kick:
+			timer.Stop()
 		}
 	}
 }
--- a/io/driver/driver_test.go
+++ b/io/driver/driver_test.go
@@ -212,6 +212,18 @@
 			assert.DeepEqual(t, models(call(t, d, "edge-1")), []string{"a", "c"})
 		})
 	})
+	t.Run("begins at once", func(t *testing.T) {
+		// Callers wait for the model; up to the next look at an idle upstream nothing
+		// happened, for a sixth of a second.
+		e := newEngine("a")
+		drive(t, e, func(d *driver.Driver) {
+			call(t, d, "edge-1")
+			time.Sleep(time.Second)
+			goal(t, d, "edge-1", "b")
+			synctest.Wait()
+			assert.DeepEqual(t, e.accepted(), []string{"load b"})
+		})
+	})
 	t.Run("of an entry that is not followed is refused", func(t *testing.T) {
 		// Two entries believe that they plan. Both goals carried out, the upstream
 		// would load and unload by turns.
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -162,6 +162,10 @@
 	}
 	d.goal = g
 	d.tell()
+	select {
+	case d.kick <- struct{}{}:
+	default: // it has been told already
+	}
 	events.Log(events.GoalTaken, "planner", d.planner, "load", g.load, "evict", g.evict)
 	return &wire.GoalReply{Taken: true}, nil
 }
