--- /dev/null
+++ b/core/copies/place.go
@@ -0,0 +1,138 @@
+package copies
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"radishwell/core"
+)
+
+// choice is a host for one more copy of a model.
+type choice struct {
+	host  *Host
+	evict []core.ModelName
+	from  core.Tier
+	loss  float64
+	score float64
+}
+
+// place finds the host for one more copy of a model, if that is worth it.
+func (w *plan) place(name core.ModelName) {
+	worth := w.worth(name, w.copies[name]+1)
+	if w.copies[name] > 0 && worth < leastFurther {
+		return
+	}
+	var best choice
+	for _, h := range w.hosts {
+		c, ok := w.try(h, name, worth)
+		if ok && (best.host == nil || c.score > best.score) {
+			best = c
+		}
+	}
+	if best.host == nil {
+		return
+	}
+	took := w.duration(name, best.from)
+	move := Move{
+		Copies: w.copies[name], Demand: w.demand[name], Worth: worth, Loss: best.loss,
+		Host: best.host.ID, Evict: best.evict, Load: name, From: best.from, By: w.now.Add(took), Until: w.now.Add(settle),
+	}
+	w.moves = append(w.moves, move)
+	w.Planner.moves[move.Host] = move
+	best.host.Open = false
+	w.copies[name]++
+	for _, m := range best.evict {
+		w.copies[m]--
+	}
+	if best.from == core.TierStore {
+		w.loading++
+		w.starts = append(w.starts, w.now)
+	}
+}
+
+func (w *plan) try(h *Host, name core.ModelName, worth float64) (choice, bool) {
+	if !h.Open || h.Leaving || slices.Contains(h.Held, name) || h.Loading == name {
+		return choice{}, false
+	}
+	if _, moving := w.Planner.moves[h.ID]; moving {
+		return choice{}, false
+	}
+	from := h.Near(name)
+	if from == core.TierStore && (!w.mayRead() || !w.maySpend(name)) {
+		return choice{}, false
+	}
+	evict, loss, ok := w.room(h, name)
+	if !ok || loss > worth*hysteresis {
+		return choice{}, false
+	}
+	return choice{host: h, evict: evict, from: from, loss: loss, score: -loss - swapPenalty*w.duration(name, from).Seconds()}, true
+}
+
+// mayRead tells whether the weight store takes one more load. More loads at once
+// than it serves at full speed make each of them slower, and none is ready
+// sooner.
+func (w *plan) mayRead() bool {
+	if w.loading >= max(1, w.Parallel) {
+		return false
+	}
+	rate := w.service.LoadsPerSecond
+	return rate <= 0 || float64(len(w.starts)+1) <= max(1, rate*storeSpan.Seconds()*storeShare)
+}
+
+// maySpend tells whether a load that takes seconds may be spent on a model. Those
+// that nobody asks for leave half of the weight store's speed to the others, and
+// all of it while requests wait: on its host the load also holds up the adapters
+// and swaps that callers wait for.
+func (w *plan) maySpend(name core.ModelName) bool {
+	if w.demand[name].Rate > 0 || w.demand[name].Waiting > 0 || len(w.demand) == 0 {
+		return true
+	}
+	for _, d := range w.demand {
+		if d.Waiting > 0 {
+			return false
+		}
+	}
+	return w.loading < max(1, w.Parallel/2)
+}
+
+// room returns the models that a host gives up for another and what they are
+// worth together.
+func (w *plan) room(h *Host, name core.ModelName) (evict []core.ModelName, loss float64, ok bool) {
+	free := h.Memory - h.Adapters
+	for _, m := range h.Held {
+		free -= w.service.Models[m].Weights
+	}
+	need := w.service.Models[name].Weights
+	if free >= need {
+		return nil, 0, true
+	}
+	held := slices.DeleteFunc(slices.Clone(h.Held), func(m core.ModelName) bool {
+		return w.now.Sub(w.since[copyKey{h.ID, m}]) < keepTime
+	})
+	slices.SortFunc(held, func(a, b core.ModelName) int {
+		return cmp.Or(cmp.Compare(w.worth(a, w.copies[a]), w.worth(b, w.copies[b])), cmp.Compare(a, b))
+	})
+	for _, m := range held {
+		if free >= need {
+			break
+		}
+		evict = append(evict, m)
+		loss += w.worth(m, w.copies[m])
+		free += w.service.Models[m].Weights
+	}
+	return evict, loss, free >= need
+}
+
+func (w *plan) duration(name core.ModelName, from core.Tier) time.Duration {
+	m := w.service.Models[name]
+	switch from {
+	case core.TierMemory:
+		return m.FromMemory
+	case core.TierDisk:
+		return m.FromDisk
+	}
+	// Loads beyond those served at full speed share it.
+	over := float64(w.loading+1) / float64(max(1, w.Parallel))
+	return time.Duration(float64(m.Load) * max(1, over))
+}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -120,7 +120,7 @@
 		return
 	}
 	r.Leaving = r.Leaving || h.Report.Leaving
-	if r.Leaving != h.Report.Leaving || !sameModels(r.Models, h.Report.Models) || r.Loading != h.Report.Loading {
+	if r.Leaving != h.Report.Leaving || !core.SameModels(r.Models, h.Report.Models) || r.Loading != h.Report.Loading {
 		v.changes++
 	}
 	h.Report = r
@@ -141,12 +141,6 @@
 	}
 }
 
-func sameModels(a, b []core.HeldModel) bool {
-	return slices.EqualFunc(a, b, func(x, y core.HeldModel) bool {
-		return x.Model == y.Model && x.Version == y.Version && slices.Equal(x.Adapters, y.Adapters)
-	})
-}
-
 // Host returns a host by its id, nil where it is not known.
 func (v *View) Host(id core.HostName) *Host { return v.hosts[id] }
 
--- a/core/manage.go
+++ b/core/manage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -13,6 +14,13 @@
 	Adapters []string
 }
 
+// SameModels tells whether two lists of models are equal.
+func SameModels(a, b []HeldModel) bool {
+	return slices.EqualFunc(a, b, func(x, y HeldModel) bool {
+		return x.Model == y.Model && x.Version == y.Version && slices.Equal(x.Adapters, y.Adapters)
+	})
+}
+
 // UpstreamState is a managed upstream's own word on its state.
 type UpstreamState struct {
 	// ID names one life of the upstream where it tells it; Born tells lives under
--- a/core/rtable/table.go
+++ b/core/rtable/table.go
@@ -1,7 +1,6 @@
 package rtable
 
 import (
-	"math/rand/v2"
 	"sort"
 	"strings"
 	"time"
@@ -77,14 +76,6 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
-// Draw picks the service of one request at random.
-func (r *Route) Draw(rng *rand.Rand) core.ServiceName {
-	if len(r.Shares) == 1 {
-		return r.Shares[0].Service
-	}
-	return r.Service(rng.Float64())
-}
-
 // Model is a model that a service's upstream hosts can hold.
 type Model struct {
 	Name core.ModelName
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -189,7 +189,7 @@
 		d.toldWaiting = s.Waiting
 		d.tell()
 	}
-	if s.Leaving != old.Leaving || s.Busy != old.Busy || !sameModels(s.Models, old.Models) {
+	if s.Leaving != old.Leaving || s.Busy != old.Busy || !core.SameModels(s.Models, old.Models) {
 		d.tell()
 	}
 }
@@ -215,12 +215,6 @@
 	d.tell()
 }
 
-func sameModels(a, b []core.HeldModel) bool {
-	return slices.EqualFunc(a, b, func(x, y core.HeldModel) bool {
-		return x.Model == y.Model && x.Version == y.Version && slices.Equal(x.Adapters, y.Adapters)
-	})
-}
-
 // tell has entries learn of a change at once. The caller holds mu.
 func (d *Driver) tell() {
 	d.change++
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,7 +12,6 @@
 	"radishwell/core"
 	"radishwell/core/fleet"
 	"radishwell/core/rtable"
-	"radishwell/io/events"
 )
 
 const (
@@ -113,7 +113,7 @@
 	if c.route == nil {
 		return core.Refuse(core.CodeUnknownPath, "no route has this host name and path")
 	}
-	c.service = table.Services[p.draw(c.route)]
+	c.service = table.Services[c.route.Service(rand.Float64())]
 	if refusal := c.read(table.Limits.Body); refusal != nil {
 		return refusal
 	}
@@ -262,39 +262,3 @@
 	// An error here is the caller's going away.
 	_, _ = io.WriteString(c.writer, text)
 }
-
-// log writes the line that tells what became of the request, and why.
-func (c *call) log(r *core.Refusal) {
-	now := c.proxy.Clock.Now()
-	c.proxy.Meter.Request(core.Interactive, r, c.arrived, time.Time{}, now, false)
-	pairs := []any{
-		"request", c.ask.ID, "took", now.Sub(c.arrived).Round(time.Millisecond), "table", c.version, "sends", c.sends, "ran", c.ran,
-	}
-	if c.route != nil {
-		pairs = append(pairs, "route", c.route.Name)
-	}
-	if c.service != nil {
-		pairs = append(pairs, "service", c.service.Name, "left", c.deadline.Sub(now).Round(time.Millisecond))
-	}
-	if c.query.Model != "" {
-		pairs = append(pairs, "model", c.query.Model, "adapter", c.query.Adapter)
-	}
-	if c.waited > 0 {
-		pairs = append(pairs, "waited", c.waited.Round(time.Millisecond))
-	}
-	if c.best != "" {
-		pairs = append(pairs, "host", c.best, "report-age", c.reportAge.Round(time.Millisecond), "cost", int(c.cost),
-			"foreseen", c.foreseen.Round(time.Millisecond), "event-id", c.event)
-	}
-	if c.last != nil {
-		pairs = append(pairs, "cause", c.last.Error())
-	}
-	switch {
-	case r == nil:
-		events.Log(events.RequestServed, pairs...)
-	case r.Outcome == core.NotRun:
-		events.Fail(events.RequestRefused, r, pairs...)
-	default:
-		events.Fail(events.RequestMayHaveRun, r, pairs...)
-	}
-}
--- /dev/null
+++ b/io/proxy/log.go
@@ -0,0 +1,44 @@
+package proxy
+
+import (
+	"time"
+
+	"radishwell/core"
+	"radishwell/io/events"
+)
+
+// log writes the line that tells what became of the request, and why.
+func (c *call) log(r *core.Refusal) {
+	now := c.proxy.Clock.Now()
+	c.proxy.Meter.Request(core.Interactive, r, c.arrived, time.Time{}, now, false)
+	pairs := []any{
+		"request", c.ask.ID, "took", now.Sub(c.arrived).Round(time.Millisecond), "table", c.version, "sends", c.sends, "ran", c.ran,
+	}
+	if c.route != nil {
+		pairs = append(pairs, "route", c.route.Name)
+	}
+	if c.service != nil {
+		pairs = append(pairs, "service", c.service.Name, "left", c.deadline.Sub(now).Round(time.Millisecond))
+	}
+	if c.query.Model != "" {
+		pairs = append(pairs, "model", c.query.Model, "adapter", c.query.Adapter)
+	}
+	if c.waited > 0 {
+		pairs = append(pairs, "waited", c.waited.Round(time.Millisecond))
+	}
+	if c.best != "" {
+		pairs = append(pairs, "host", c.best, "report-age", c.reportAge.Round(time.Millisecond), "cost", int(c.cost),
+			"foreseen", c.foreseen.Round(time.Millisecond), "event-id", c.event)
+	}
+	if c.last != nil {
+		pairs = append(pairs, "cause", c.last.Error())
+	}
+	switch {
+	case r == nil:
+		events.Log(events.RequestServed, pairs...)
+	case r.Outcome == core.NotRun:
+		events.Fail(events.RequestRefused, r, pairs...)
+	default:
+		events.Fail(events.RequestMayHaveRun, r, pairs...)
+	}
+}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -179,14 +178,6 @@
 	return w
 }
 
-// draw picks a route's service.
-func (p *Proxy) draw(r *rtable.Route) core.ServiceName {
-	if len(r.Shares) == 1 {
-		return r.Shares[0].Service
-	}
-	return r.Service(rand.Float64())
-}
-
 // target is the host that an attempt goes to.
 type target struct {
 	id      core.HostName
