--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -98,9 +98,11 @@
 	fence core.Fence
 	// barrier is the number that the engine must show before anything is
 	// ordered; barrierAt is when it may be raised again.
-	barrier   core.Fence
-	barrierAt time.Time
-	confirmed bool
+	barrier core.Fence
+	// barrierLost tells that the answer to the order that raises it was lost.
+	barrierLost bool
+	barrierAt   time.Time
+	confirmed   bool
 	// ignores tells that an engine said to check numbers doesn't keep them: a
 	// report asked for after step takenAt was below the number taken then.
 	ignores bool
--- a/core/ledger/order.go
+++ b/core/ledger/order.go
@@ -99,11 +99,11 @@
 // chooseBarrier raises the engine's number at the start and after its restart.
 // Engines that don't check it have nothing to gain from it.
 func (l *Ledger) chooseBarrier(now time.Time) (Order, bool) {
-	if !l.checks() || l.barrier != 0 || now.Before(l.barrierAt) {
+	if !l.checks() || l.barrier != 0 && !l.barrierLost || now.Before(l.barrierAt) {
 		return Order{}, false
 	}
 	o := l.barrierOrder()
-	l.barrier = o.Unload.Fence
+	l.barrier, l.barrierLost = o.Unload.Fence, false
 	return o, true
 }
 
@@ -194,9 +194,17 @@
 
 func (l *Ledger) answerBarrier(now time.Time, r Reply) {
 	l.barrierAt = now.Add(Resend)
-	if r.Failed && !l.confirmed {
-		l.barrier = 0
+	if !r.Failed || l.confirmed {
+		return
+	}
+	if r.Fault == core.EngineLost {
+		// It may have been taken, and then the next report shows the number. Taken
+		// for one without effect, an engine whose answers are lost would never be
+		// ordered anything.
+		l.barrierLost = true
+		return
 	}
+	l.barrier = 0
 }
 
 func (l *Ledger) answerFailed(now time.Time, it *item, o Order, f core.EngineFault) {
