Call a request late whose attempt ends with its time; let core name who loads adapters

Ruled out: the upstream stand-in (it closes nothing before its caller does).

Change: past the request's deadline an attempt's end counts as the request's. The interface that has adapters loaded stands in the root package, in the project's own types.

--- a/core/manage.go
+++ b/core/manage.go
@@ -88,6 +88,16 @@
 	return orderResultNames[r]
 }
 
+// AdapterLoader has adapters loaded on managed upstreams.
+type AdapterLoader interface {
+	// Fetch has the agent of a host load an adapter of a model that the host holds,
+	// and returns once it is loaded.
+	Fetch(ctx context.Context, host HostName, model ModelName, adapter string) error
+	// Used notes a request for an adapter that a host has, so that its agent knows
+	// which ones are idle.
+	Used(host HostName, model ModelName, adapter string)
+}
+
 // Managed is an upstream on a managed platform as its agent drives it. An error
 // of Order is an EngineError; unless it is EngineUnreached, the order may be
 // carried out now or seconds later, if its condition still holds then.
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -5,7 +5,7 @@
 // windowSlots is how finely a Window keeps its past.
 const windowSlots = 20
 
-// Window is an allowance of retries over a sliding time: a ratio of the first
+// Window is a retry budget over a sliding time: a ratio of the first
 // attempts in it and a fixed number besides. It answers the load in which many
 // requests fail together: without it each is sent several times, and what is
 // left of the upstream drowns in repeats. Platforms that count the retries of
@@ -27,7 +27,7 @@
 // First notes a first attempt.
 func (w *Window) First(now time.Time) { w.firsts[w.turn(now)]++ }
 
-// Draw takes one retry from the allowance, and tells whether it had one.
+// Draw takes one retry from the budget, and tells whether it had one.
 func (w *Window) Draw(now time.Time) bool {
 	i := w.turn(now)
 	if w.Left(now) < 1 {
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -9,7 +9,7 @@
 	"radishwell/core/retry"
 )
 
-// An upstream fails all it gets. Without an allowance each request is sent
+// An upstream fails all it gets. Without a budget each request is sent
 // again and the upstream gets twice the load that it fails under already.
 func TestWindowBoundsRepeats(t *testing.T) {
 	w := &retry.Window{Ratio: 0.2, Spare: 5, Span: 10 * time.Second}
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -227,12 +227,17 @@
 // Error implements error.
 func (e *FetchError) Error() string { return "the adapter was not loaded: " + e.Reason }
 
-// Fetch implements proxy.Adapters.
-func (l *links) Fetch(ctx context.Context, h fleet.Entry, s *rtable.Service, model core.ModelName, adapter string) error {
+// Fetch implements core.AdapterLoader.
+func (l *links) Fetch(ctx context.Context, host core.HostName, model core.ModelName, adapter string) error {
+	h, ok := l.host(host)
+	table := l.entry.proxy.Table()
+	if !ok || table == nil || table.Services[h.Service] == nil {
+		return &FetchError{Reason: "the host has left"}
+	}
 	ctx, stop := context.WithTimeout(ctx, fetchTime)
 	defer stop()
 	reply, err := l.entry.client.Adapter(ctx, l.agent(h.Address), &wire.AdapterCall{
-		Instance: string(h.ID), Model: string(model), Adapter: adapter, Wait: int64(fetchTime), Limits: limitsOf(s),
+		Instance: string(h.ID), Model: string(model), Adapter: adapter, Wait: int64(fetchTime), Limits: limitsOf(table.Services[h.Service]),
 	})
 	if err != nil {
 		return err
@@ -243,8 +248,19 @@
 	return nil
 }
 
-// Used implements proxy.Adapters.
-func (l *links) Used(h fleet.Entry, model core.ModelName, adapter string) {
+// host returns the registry's entry of a host.
+func (l *links) host(id core.HostName) (e fleet.Entry, ok bool) {
+	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) {
+		if h := v.Host(id); h != nil {
+			e, ok = h.Entry, true
+		}
+	})
+	return e, ok
+}
+
+// Used implements core.AdapterLoader.
+func (l *links) Used(host core.HostName, model core.ModelName, adapter string) {
+	h, _ := l.host(host)
 	l.mu.Lock()
 	k := l.all[h.Address]
 	l.mu.Unlock()
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -183,7 +183,8 @@
 
 // after decides what follows an attempt that brought no answer; nil to go on.
 func (c *call) after(ctx context.Context, t *target, o outcome) *core.Refusal {
-	if ctx.Err() != nil {
+	// An attempt's own deadline may fire just before the request's.
+	if ctx.Err() != nil || !c.proxy.Clock.Now().Before(c.deadline) {
 		return c.over(ctx)
 	}
 	var gone *GoneError
@@ -209,8 +210,9 @@
 
 // over returns the answer to a request whose time is over, or whose caller left.
 func (c *call) over(ctx context.Context) *core.Refusal {
+	cause := context.Cause(ctx)
 	switch {
-	case !errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case cause != nil && !errors.Is(cause, context.DeadlineExceeded):
 		return &core.Refusal{Code: core.CodeCancelled, Outcome: c.outcome(), Reason: "the caller went away"}
 	case c.ran > 0:
 		return &core.Refusal{
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"net/netip"
 	"sync"
 	"time"
@@ -15,16 +14,6 @@
 	"radishwell/io/meter"
 )
 
-// Adapters has adapters loaded.
-type Adapters interface {
-	// Fetch has the agent of a host load an adapter, and returns once it is
-	// loaded.
-	Fetch(ctx context.Context, h fleet.Entry, s *rtable.Service, model core.ModelName, adapter string) error
-	// Used notes a request for an adapter that a host has, so that its agent knows
-	// which ones are idle.
-	Used(h fleet.Entry, model core.ModelName, adapter string)
-}
-
 // Proxy takes callers' requests. Set the exported fields before use; its methods
 // may be called from several goroutines.
 type Proxy struct {
@@ -32,10 +21,10 @@
 	DataCentre core.DataCentre
 	Clock      core.Clock
 	Protocol   core.Protocol
-	Adapters   Adapters
+	Adapters   core.AdapterLoader
 	Meter      *meter.Meter
 	// RetryRatio, RetrySpare and RetrySpan are this process's part of the
-	// platform's allowance of retries, by service.
+	// platform's retry budget, by service.
 	RetryRatio, RetrySpare float64
 	RetrySpan              time.Duration
 
@@ -168,7 +157,7 @@
 	}
 }
 
-// window returns the allowance of a service. The caller holds mu.
+// window returns the retry budget of a service. The caller holds mu.
 func (p *Proxy) window(s core.ServiceName) *retry.Window {
 	w := p.retries[s]
 	if w == nil {
@@ -182,7 +171,6 @@
 type target struct {
 	id      core.HostName
 	address netip.AddrPort
-	entry   fleet.Entry
 	host    *fleet.Host
 	// unread is the prompt tokens that the host has to read for the request.
 	unread int
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -39,12 +39,12 @@
 	err   error
 }
 
-func (f *fetched) Fetch(context.Context, fleet.Entry, *rtable.Service, core.ModelName, string) error {
+func (f *fetched) Fetch(context.Context, core.HostName, core.ModelName, string) error {
 	f.count.Add(1)
 	return f.err
 }
 
-func (f *fetched) Used(fleet.Entry, core.ModelName, string) {}
+func (f *fetched) Used(core.HostName, core.ModelName, string) {}
 
 // rig is an entry before upstream stand-ins.
 type rig struct {
@@ -277,7 +277,7 @@
 }
 
 // An upstream fails everything. Each caller's request would be sent several
-// times; the allowance bounds that over all requests.
+// times; the budget bounds that over all requests.
 func TestRetriesAreBounded(t *testing.T) {
 	r := newRig(t)
 	ws := plain(t, r, "p-1", "p-2")
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -26,12 +26,12 @@
 		}
 		if t != nil {
 			if !fetch && c.query.Adapter != "" {
-				c.proxy.Adapters.Used(t.entry, c.query.Model, c.query.Adapter)
+				c.proxy.Adapters.Used(t.id, c.query.Model, c.query.Adapter)
 			}
 			if !fetch {
 				return t, nil
 			}
-			err := c.proxy.Adapters.Fetch(ctx, t.entry, c.service, c.query.Model, c.query.Adapter)
+			err := c.proxy.Adapters.Fetch(ctx, t.id, c.query.Model, c.query.Adapter)
 			if err == nil {
 				return t, nil
 			}
@@ -75,7 +75,7 @@
 		return nil, false, nil, c.giveUp()
 	}
 	h := choice.Host
-	t = &target{id: h.ID, address: h.Address, entry: h.Entry, host: h, unread: h.Unread(now, &c.query)}
+	t = &target{id: h.ID, address: h.Address, host: h, unread: h.Unread(now, &c.query)}
 	h.Sent(now, &c.query)
 	if c.query.Model != "" {
 		p.view.Read(t.unread)
