--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -25,19 +25,9 @@
 			return nil, refusal
 		}
 		if t != nil {
-			if !fetch && c.query.Adapter != "" {
-				c.proxy.Adapters.Used(t.id, c.query.Model, c.query.Adapter)
-			}
-			if !fetch {
-				return t, nil
-			}
-			err := c.proxy.Adapters.Fetch(ctx, t.id, c.query.Model, c.query.Adapter)
-			if err == nil {
+			if c.hasAdapter(ctx, t, fetch) {
 				return t, nil
 			}
-			c.last = err
-			c.abandon(t)
-			c.query.Tried = append(c.query.Tried, t.id)
 			if ctx.Err() != nil {
 				return nil, c.over(ctx)
 			}
@@ -53,6 +43,25 @@
 	}
 }
 
+// hasAdapter has the adapter loaded where the host lacks it. A host where that
+// fails is not tried again before the others.
+func (c *call) hasAdapter(ctx context.Context, t *target, fetch bool) bool {
+	if !fetch {
+		if c.query.Adapter != "" {
+			c.proxy.Adapters.Used(t.id, c.query.Model, c.query.Adapter)
+		}
+		return true
+	}
+	err := c.proxy.Adapters.Fetch(ctx, t.id, c.query.Model, c.query.Adapter)
+	if err == nil {
+		return true
+	}
+	c.last = err
+	c.abandon(t)
+	c.query.Tried = append(c.query.Tried, t.id)
+	return false
+}
+
 // choose picks a host and notes the request there; nil where none can take it.
 func (c *call) choose() (t *target, fetch bool, changed chan struct{}, refusal *core.Refusal) {
 	p := c.proxy
