Read an entry of the registry under its lock; call the limit of unacknowledged data where it stands

The newest life at an address was handed out as a pointer into the view and read after its lock was released, beside writes: it is copied now. The socket option against silent connections stood a second time, with the same three seconds. The sizes of models were sorted at each adapter and goal for nobody; a method had no caller.

--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -291,9 +291,6 @@
 // Ended notes that a request is over at the host.
 func (h *Host) Ended() { h.inFlight = max(0, h.inFlight-1) }
 
-// InFlight returns the requests that this process has at the host.
-func (h *Host) InFlight() int { return h.inFlight }
-
 // Failed notes a failure that may be the host's fault.
 func (h *Host) Failed(now time.Time) {
 	h.failing = h.Failing(now) + 1
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -142,9 +141,9 @@
 		Seen: seen, Wait: int64(linkWait),
 		Demands: demandsOut(l.entry.proxy.Demands()), Others: l.entry.planner.leads(),
 	}
-	if h := l.newest(k.address); h != nil {
-		in.Instance, in.Born = string(h.ID), h.Born
-	}
+	// The zero entry, where the registry names no life there, tells nothing.
+	life := l.newest(k.address)
+	in.Instance, in.Born = string(life.ID), life.Born
 	k.mu.Lock()
 	for name := range k.used {
 		in.Used = append(in.Used, name)
@@ -160,13 +159,14 @@
 	return l.entry.client.Upstream(ctx, l.agent(k.address), in)
 }
 
-// newest returns the newest life that the registry names at an address.
-func (l *links) newest(address netip.AddrPort) *fleet.Entry {
-	var newest *fleet.Entry
+// newest returns the newest life that the registry names at an address; the zero
+// entry where it names none.
+func (l *links) newest(address netip.AddrPort) fleet.Entry {
+	var newest fleet.Entry
 	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) {
 		for _, h := range v.Hosts("") {
-			if h.Address == address && (newest == nil || h.Born > newest.Born) {
-				newest = &h.Entry
+			if h.Address == address && (newest.ID == "" || h.Born > newest.Born) {
+				newest = h.Entry
 			}
 		}
 	})
@@ -278,11 +278,5 @@
 	for _, m := range s.Models {
 		out.Sizes = append(out.Sizes, &wire.ModelSize{Model: string(m.Name), Weights: int64(m.Weights), Adapter: int64(m.Adapter)})
 	}
-	slices.SortFunc(out.Sizes, func(a, b *wire.ModelSize) int {
-		if a.GetModel() < b.GetModel() {
-			return -1
-		}
-		return 1
-	})
 	return out
 }
--- a/io/objapi/trans.go
+++ b/io/objapi/trans.go
@@ -37,7 +37,7 @@
 			Interval: keepAliveEvery,
 			Count:    keepAliveCount,
 		},
-		Control: limitUnacked,
+		Control: LimitUnacked,
 	}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
@@ -48,9 +48,10 @@
 	}
 }
 
-// limitUnacked makes the kernel give up on unacknowledged data. Where the
-// option is not known, calls still end at their deadlines.
-func limitUnacked(_, _ string, conn syscall.RawConn) error {
+// LimitUnacked makes the kernel give up on data that nobody acknowledges within
+// three seconds; it is a dialer's Control. Where the option is not known, calls
+// still end at their deadlines.
+func LimitUnacked(_, _ string, conn syscall.RawConn) error {
 	return conn.Control(func(fd uintptr) {
 		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
 	})
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -8,10 +8,10 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"syscall"
 	"time"
 
 	"radishwell/core"
+	"radishwell/io/objapi"
 )
 
 const (
@@ -25,11 +25,6 @@
 	keepAliveIdle  = time.Second
 	keepAliveEvery = time.Second
 	keepAliveCount = 2
-	// unackedTime is when the kernel gives up on sent bytes that nobody
-	// acknowledges.
-	unackedTime = 3 * time.Second
-	// tcpUserTimeout is Linux's socket option of that name (RFC 5482).
-	tcpUserTimeout = 18
 	// mostHeader bounds the head of an upstream's answer, in bytes.
 	mostHeader = 64 << 10
 	// mostWhole is the largest answer that is read whole before it is passed on,
@@ -51,12 +46,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveEvery, Count: keepAliveCount,
 		},
-		Control: func(_, _ string, conn syscall.RawConn) error {
-			return conn.Control(func(fd uintptr) {
-				// Where the option is not known, requests still end at their deadlines.
-				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTime.Milliseconds()))
-			})
-		},
+		Control: objapi.LimitUnacked,
 	}
 	u.transport = &http.Transport{
 		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
