Tell entries which lives of a host have ended

Cause: on a platform whose reports neither name a life nor say when it was born, an agent took the old registry entry for its restarted upstream's. Its orders were refused (421) for up to 2.5 s after a power loss, and the planner gave the busiest models to such hosts, where the moves counted as under way for 1.5 s. Ruled out: the weight store (models were on disk, 0.9 s each).

Change: core/fleet.Lives; a refused order or a count of orders that begins anew ends a life; agents tell entries, which leave it out; an agent that chooses its planner says so at once; a link tells a new life at once.

--- a/core/copies/place.go
+++ b/core/copies/place.go
@@ -17,11 +17,23 @@
 	score float64
 }
 
+// placeAll places copies, those that are worth most first. It answers the moment
+// after all hosts were restarted empty: with one copy of each model a round, the
+// hosts that were left went to models asked for once in ten seconds, while the busy
+// ones had a third of the copies that they needed for a second more (TestRestart).
+func (w *plan) placeAll() {
+	names := w.wanted()
+	for len(names) > 0 {
+		w.place(names[0])
+		names = names[1:]
+	}
+}
+
 // place finds the host for one more copy of a model, if that is worth it.
-func (w *plan) place(name core.ModelName) {
+func (w *plan) place(name core.ModelName) bool {
 	worth := w.worth(name, w.copies[name]+1)
 	if w.copies[name] > 0 && worth < leastFurther {
-		return
+		return false
 	}
 	var best choice
 	for _, h := range w.hosts {
@@ -31,7 +43,7 @@
 		}
 	}
 	if best.host == nil {
-		return
+		return false
 	}
 	took := w.duration(name, best.from)
 	move := Move{
@@ -49,6 +61,7 @@
 		w.loading++
 		w.starts = append(w.starts, w.now)
 	}
+	return true
 }
 
 func (w *plan) try(h *Host, name core.ModelName, worth float64) (choice, bool) {
--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -169,9 +169,7 @@
 		copies: map[core.ModelName]int{}, onDisk: map[core.ModelName]bool{},
 	}
 	w.count()
-	for _, name := range w.wanted() {
-		w.place(name)
-	}
+	w.placeAll()
 	w.foresee()
 	return w.moves
 }
--- a/core/copies/worth.go
+++ b/core/copies/worth.go
@@ -46,8 +46,13 @@
 	for name := range w.service.Models {
 		names = append(names, name)
 	}
+	w.sort(names)
+	return names
+}
+
+// sort puts the models whose next copy is worth most first.
+func (w *plan) sort(names []core.ModelName) {
 	slices.SortFunc(names, func(a, b core.ModelName) int {
 		return cmp.Or(cmp.Compare(w.worth(b, w.copies[b]+1), w.worth(a, w.copies[a]+1)), cmp.Compare(a, b))
 	})
-	return names
 }
--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -59,6 +59,10 @@
 	// one.
 	Report Report
 
+	// outlived tells that this life has ended, though the registry lists it.
+	outlived bool
+	// listed is the view's count of changes when the registry first named it.
+	listed   uint64
 	inFlight int
 	// prefill is the prompt tokens sent to the host and not answered yet.
 	prefill  int
@@ -119,5 +123,8 @@
 	return core.TierStore
 }
 
+// Outlived tells whether the host's agent says that this life has ended.
+func (h *Host) Outlived() bool { return h.outlived }
+
 // IsLeaving tells whether either source calls the host leaving.
 func (h *Host) IsLeaving() bool { return h.Entry.Leaving || h.Report.Leaving }
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -117,7 +117,7 @@
 func (v *View) Pick(now time.Time, q *Query) Choice {
 	var best Choice
 	for _, h := range v.Hosts(q.Service) {
-		if !h.Usable || h.IsLeaving() {
+		if !h.Usable || h.outlived || h.IsLeaving() {
 			continue
 		}
 		best.Listed = true
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -57,7 +57,7 @@
 	delete(v.lapsed, e.ID)
 	h := v.hosts[e.ID]
 	if h == nil || h.Born != e.Born || h.Address != e.Address {
-		v.hosts[e.ID] = &Host{Entry: e}
+		v.hosts[e.ID] = &Host{Entry: e, listed: v.changes}
 		return
 	}
 	// A host does not come back from leaving within one life; an entry that says
@@ -126,21 +126,41 @@
 	h.Report = r
 }
 
-// Outlived notes that the host at an address says it was born at a time: lives of
-// before have ended, though the registry lists them for some seconds more. Sent
-// there, requests are turned away and orders refused.
-func (v *View) Outlived(address netip.AddrPort, born int64) {
-	if born == 0 {
-		return
-	}
+// Outlived takes in what the agent at an address says of its host's lives: when
+// the present one was born, zero where the host does not tell, and which ones
+// have ended. The registry lists those for some seconds more; sent there,
+// requests are turned away and orders refused.
+func (v *View) Outlived(address netip.AddrPort, born int64, ended []core.HostName) {
 	for _, h := range v.hosts {
-		if h.Usable && h.Address == address && h.Born != 0 && h.Born < born {
-			h.Usable = false
+		if h.Address != address {
+			continue
+		}
+		over := born != 0 && h.Born != 0 && h.Born < born || slices.Contains(ended, h.ID)
+		if over != h.outlived {
+			h.outlived = over
 			v.changes++
 		}
 	}
 }
 
+// Newest returns the newest life that the registry names at an address and that
+// is not known to have ended; the zero entry where it names none.
+func (v *View) Newest(address netip.AddrPort) Entry {
+	var best *Host
+	for _, h := range v.hosts {
+		if h.Address != address || !h.Usable || h.outlived {
+			continue
+		}
+		if best == nil || h.Born > best.Born || h.Born == best.Born && h.listed > best.listed {
+			best = h
+		}
+	}
+	if best == nil {
+		return Entry{}
+	}
+	return best.Entry
+}
+
 // Host returns a host by its id, nil where it is not known.
 func (v *View) Host(id core.HostName) *Host { return v.hosts[id] }
 
--- a/core/manage.go
+++ b/core/manage.go
@@ -44,6 +44,13 @@
 	MemoryUsed       int64
 }
 
+// Restarted tells whether a later report is of another life than this one. An
+// upstream that neither names its life nor says when it was born shows it by its
+// count of orders, which begins anew.
+func (s UpstreamState) Restarted(later UpstreamState) bool {
+	return s.ID != later.ID || s.Born != later.Born || later.Orders < s.Orders
+}
+
 // UpstreamOrder loads or unloads a model or an adapter.
 type UpstreamOrder struct {
 	Unload bool
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -43,6 +43,8 @@
 	used                    map[string]bool
 	seenEntries             uint64
 	renewEntries            time.Time
+	// life is the one that the agent was told of last.
+	life fleet.Life
 }
 
 // links are the exchanges with all agents.
@@ -71,30 +73,53 @@
 	if table == nil {
 		return
 	}
-	wanted := map[netip.AddrPort]bool{}
+	wanted := map[netip.AddrPort]fleet.Life{}
 	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) {
 		for _, h := range v.Hosts("") {
 			if s := table.Services[h.Service]; h.Usable && s != nil && s.HasModels() {
-				wanted[h.Address] = true
+				life := v.Newest(h.Address)
+				wanted[h.Address] = fleet.Life{ID: life.ID, Born: life.Born}
 			}
 		}
 	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for address, k := range l.all {
-		if !wanted[address] {
+		if _, ok := wanted[address]; !ok {
 			k.stop()
 			delete(l.all, address)
 		}
 	}
-	for address := range wanted {
-		if l.all[address] == nil {
+	for address, life := range wanted {
+		k := l.all[address]
+		if k == nil {
 			own, stop := context.WithCancel(ctx)
-			k := &link{address: address, stop: stop, used: map[string]bool{}}
+			k = &link{address: address, stop: stop, used: map[string]bool{}, life: life}
 			l.all[address] = k
 			go l.follow(own, k)
 		}
+		if k.isNews(life) {
+			go l.inform(ctx, k)
+		}
+	}
+}
+
+// isNews tells whether the agent should hear of a life before its answer to the
+// question in progress, which may be held back for half a second: until it knows
+// the life it orders nothing.
+func (k *link) isNews(life fleet.Life) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return life.ID != "" && life != k.life
+}
+
+// inform tells an agent at once what the registry names.
+func (l *links) inform(ctx context.Context, k *link) {
+	reply, err := l.ask(ctx, k, 0, 0)
+	if err != nil {
+		return // the question in progress fails too, and is logged
 	}
+	l.take(k, reply)
 }
 
 // agent returns where the agent beside an upstream takes calls.
@@ -121,7 +146,7 @@
 func (l *links) follow(ctx context.Context, k *link) {
 	seen := uint64(0)
 	for ctx.Err() == nil {
-		reply, err := l.ask(ctx, k, seen)
+		reply, err := l.ask(ctx, k, seen, linkWait)
 		if err != nil {
 			seen = 0
 			events.Fail(events.PeerUnreachable, err, "address", k.address)
@@ -133,18 +158,21 @@
 	}
 }
 
-func (l *links) ask(ctx context.Context, k *link, seen uint64) (*wire.UpstreamReply, error) {
+// ask puts one question to an agent, which may hold back its answer for wait.
+func (l *links) ask(ctx context.Context, k *link, seen uint64, wait time.Duration) (*wire.UpstreamReply, error) {
 	ctx, stop := context.WithTimeout(ctx, linkTime)
 	defer stop()
 	in := &wire.UpstreamCall{
 		Entry: string(l.entry.Settings.Name), Control: l.entry.Settings.Listen.Control.String(),
-		Seen: seen, Wait: int64(linkWait),
+		Seen: seen, Wait: int64(wait),
 		Demands: demandsOut(l.entry.proxy.Demands()), Others: l.entry.planner.leads(),
 	}
 	// The zero entry, where the registry names no life there, tells nothing.
-	life := l.newest(k.address)
+	var life fleet.Entry
+	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) { life = v.Newest(k.address) })
 	in.Instance, in.Born = string(life.ID), life.Born
 	k.mu.Lock()
+	k.life = fleet.Life{ID: life.ID, Born: life.Born}
 	for name := range k.used {
 		in.Used = append(in.Used, name)
 	}
@@ -159,20 +187,6 @@
 	return l.entry.client.Upstream(ctx, l.agent(k.address), in)
 }
 
-// newest returns the newest life that the registry names at an address; the zero
-// entry where it names none.
-func (l *links) newest(address netip.AddrPort) fleet.Entry {
-	var newest fleet.Entry
-	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) {
-		for _, h := range v.Hosts("") {
-			if h.Address == address && (newest.ID == "" || h.Born > newest.Born) {
-				newest = h.Entry
-			}
-		}
-	})
-	return newest
-}
-
 func (l *links) take(k *link, reply *wire.UpstreamReply) {
 	now := l.entry.clock.Now()
 	k.mu.Lock()
@@ -191,8 +205,12 @@
 	if !report.Reachable {
 		return
 	}
+	var ended []core.HostName
+	for _, id := range reply.GetReport().GetEnded() {
+		ended = append(ended, core.HostName(id))
+	}
 	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) {
-		v.Outlived(k.address, reply.GetReport().GetBorn())
+		v.Outlived(k.address, reply.GetReport().GetBorn(), ended)
 		v.Report(report)
 	})
 }
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/fleet"
 	"radishwell/io/events"
 	"radishwell/io/meter"
 	"radishwell/wire"
@@ -50,15 +51,17 @@
 	Fence func() (core.Fence, bool)
 
 	// ordering keeps the report that an order rests on and the order together.
-	ordering sync.Mutex
+	ordering turn
+	// reading keeps reports in the order in which they were given: one that counts
+	// fewer orders than the one before is another life's.
+	reading turn
 
 	mu       sync.Mutex
 	state    core.UpstreamState
 	taken    time.Time
 	failures int
 	lost     bool
-	// instance is the upstream's life as the registry names it.
-	instance core.HostName
+	lives    fleet.Lives
 	change   uint64
 	changed  chan struct{}
 	// kick has Run look at once.
@@ -77,6 +80,13 @@
 	used map[string]time.Time
 }
 
+// turn is held by one goroutine at a time, also across calls of the upstream. It is
+// no mutex since synthetic time stands still while a goroutine waits for one.
+type turn chan struct{}
+
+func (t turn) take() { t <- struct{}{} }
+func (t turn) give() { <-t }
+
 // caller is an entry that calls this agent.
 type caller struct {
 	control string
@@ -109,6 +119,7 @@
 func (d *Driver) Start() {
 	d.changed = make(chan struct{})
 	d.kick = make(chan struct{}, 1)
+	d.ordering, d.reading = make(turn, 1), make(turn, 1)
 	d.entries = map[string]*caller{}
 	d.used = map[string]time.Time{}
 }
@@ -141,6 +152,8 @@
 
 // poll reads the upstream's report.
 func (d *Driver) poll(ctx context.Context) {
+	d.reading.take()
+	defer d.reading.give()
 	asked := d.Clock.Now()
 	state, err := d.Upstream.State(ctx)
 	if ctx.Err() != nil {
@@ -148,6 +161,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.choosePlanner(asked)
 	if err != nil {
 		d.failed(err)
 		return
@@ -174,15 +188,13 @@
 // take takes in a report. The caller holds mu.
 func (d *Driver) take(s core.UpstreamState, at time.Time) {
 	old := d.state
-	if s.Born != old.Born && !d.taken.IsZero() {
-		// It holds and knows nothing of before, so what was under way is void.
-		events.Log(events.EngineRestarted, "born", s.Born, "before", old.Born)
-		d.goal, d.loading, d.instance = nil, loading{}, ""
-		d.tell()
+	if !d.taken.IsZero() && old.Restarted(s) {
+		events.Log(events.EngineRestarted, "born", s.Born, "before", old.Born, "orders", s.Orders, "orders-before", old.Orders, "instance", d.lives.Current())
+		d.endLife(at)
 	}
 	d.state, d.taken = s, at
 	if s.ID != "" {
-		d.instance = s.ID
+		d.lives.Said(fleet.Life{ID: s.ID, Born: s.Born})
 	}
 	d.checkLoad(s, at)
 	if s.Waiting-d.toldWaiting >= waitingStep || d.toldWaiting-s.Waiting >= waitingStep {
@@ -194,6 +206,14 @@
 	}
 }
 
+// endLife notes that the upstream's life is over: the next one holds and knows
+// nothing of before, so what was under way is void. The caller holds mu.
+func (d *Driver) endLife(now time.Time) {
+	d.lives.End(now)
+	d.goal, d.loading = nil, loading{}
+	d.tell()
+}
+
 // checkLoad notes the end of the load in progress. The caller holds mu.
 func (d *Driver) checkLoad(s core.UpstreamState, now time.Time) {
 	l := d.loading
--- a/io/driver/driver_test.go
+++ b/io/driver/driver_test.go
@@ -36,9 +36,13 @@
 	down, deaf bool
 	// elsewhere has orders met by another life.
 	elsewhere bool
-	lost      []core.UpstreamOrder
-	orders    []string
-	fences    []core.Fence
+	// nameless keeps its reports from telling its life.
+	nameless bool
+	// slow, if set, is how long its reports are on their way.
+	slow func() time.Duration
+	lost     []core.UpstreamOrder
+	orders   []string
+	fences   []core.Fence
 	// most is the largest number of models and adapters it ever held.
 	most int
 }
@@ -52,6 +56,14 @@
 }
 
 func (e *engine) State(context.Context) (core.UpstreamState, error) {
+	s, err := e.now()
+	if e.slow != nil {
+		time.Sleep(e.slow())
+	}
+	return s, err
+}
+
+func (e *engine) now() (core.UpstreamState, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.down {
@@ -59,6 +71,9 @@
 	}
 	s := e.state
 	s.Models = slices.Clone(s.Models)
+	if e.nameless {
+		s.ID, s.Born = "", 0
+	}
 	return s, nil
 }
 
@@ -372,6 +387,101 @@
 	})
 }
 
+// named is an entry's question that names the upstream's life.
+func named(t *testing.T, d *driver.Driver, life string) *wire.UpstreamReply {
+	t.Helper()
+	call(t, d, "edge-1")
+	r, err := d.ServeUpstream(&wire.UpstreamCall{Entry: "edge-1", Control: "edge-1:1", Instance: life})
+	assert.NilError(t, err)
+	return r
+}
+
+// The hosts lose power and start again under new names, and so do the agents. An
+// entry still names the old life of a host. Loads for callers who wait were ordered
+// of it again and again, each refused, until its registry entry had lapsed.
+func TestNamelessLives(t *testing.T) {
+	t.Run("a refused order tells that the life has ended", func(t *testing.T) {
+		e := newEngine()
+		e.nameless, e.state.ID = true, "i-2"
+		drive(t, e, func(d *driver.Driver) {
+			named(t, d, "i-1")
+			assert.Assert(t, goal(t, d, "edge-1", "b").GetTaken())
+			time.Sleep(300 * time.Millisecond)
+			r := named(t, d, "i-1").GetReport()
+			assert.Equal(t, r.GetInstance(), "")
+			assert.DeepEqual(t, r.GetEnded(), []string{"i-1"})
+			assert.Assert(t, !goal(t, d, "edge-1", "b").GetTaken())
+			assert.Equal(t, named(t, d, "i-2").GetReport().GetInstance(), "i-2")
+		})
+	})
+	t.Run("a count of orders that begins anew tells it", func(t *testing.T) {
+		e := newEngine("a")
+		e.nameless = true
+		e.state.Orders = 4
+		drive(t, e, func(d *driver.Driver) {
+			assert.Equal(t, named(t, d, "i-1").GetReport().GetInstance(), "i-1")
+			e.set(func() { e.state = core.UpstreamState{ID: "i-2"} })
+			time.Sleep(300 * time.Millisecond)
+			assert.DeepEqual(t, named(t, d, "i-1").GetReport().GetEnded(), []string{"i-1"})
+		})
+	})
+	t.Run("a refused order for an adapter tells it", func(t *testing.T) {
+		e := newEngine("a")
+		e.nameless, e.state.ID = true, "i-2"
+		drive(t, e, func(d *driver.Driver) {
+			named(t, d, "i-1")
+			r, err := d.ServeAdapter(&wire.AdapterCall{Instance: "i-1", Model: "a", Adapter: "x", Wait: int64(time.Second), Limits: limits()})
+			assert.NilError(t, err)
+			assert.Assert(t, !r.GetLoaded())
+			assert.DeepEqual(t, named(t, d, "i-1").GetReport().GetEnded(), []string{"i-1"})
+		})
+	})
+}
+
+// Callers wait for adapters while the agent also reads its upstream's report at its
+// own pace. A report that was overtaken by a newer one counts fewer orders; taken
+// for another life's, it made entries turn away from a host that served well.
+func TestReportsThatOvertake(t *testing.T) {
+	e := newEngine("a")
+	e.nameless = true
+	var reports atomic.Int64
+	e.slow = func() time.Duration {
+		if reports.Add(1)%3 == 0 {
+			return 30 * time.Millisecond
+		}
+		return time.Millisecond
+	}
+	drive(t, e, func(d *driver.Driver) {
+		named(t, d, "i-1")
+		for i := range 20 {
+			go func() {
+				_, _ = d.ServeAdapter(&wire.AdapterCall{Instance: "i-1", Model: "a", Adapter: string(rune('f' + i)), Wait: int64(time.Second), Limits: limits()})
+			}()
+			time.Sleep(25 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		r := named(t, d, "i-1").GetReport()
+		assert.Equal(t, len(r.GetEnded()), 0)
+		assert.Equal(t, r.GetInstance(), "i-1")
+	})
+}
+
+// Everything was restarted, and an entry's question is held back while nothing
+// changes. The agent chose its planner only at the next question, so the first
+// loads began half a second later than they could.
+func TestPlannerIsToldAtOnce(t *testing.T) {
+	e := newEngine("a")
+	drive(t, e, func(d *driver.Driver) {
+		first, err := d.ServeUpstream(&wire.UpstreamCall{Entry: "edge-1", Control: "edge-1:1"})
+		assert.NilError(t, err)
+		began := time.Now()
+		r, err := d.ServeUpstream(&wire.UpstreamCall{Entry: "edge-1", Seen: first.GetChange(), Wait: int64(2 * time.Second)})
+		assert.NilError(t, err)
+		assert.Equal(t, r.GetPlanner(), "edge-1")
+		assert.Assert(t, time.Since(began) < 600*time.Millisecond)
+	})
+}
+
 func TestReport(t *testing.T) {
 	t.Run("a question is held back until something changes", func(t *testing.T) {
 		e := newEngine("a")
--- a/io/driver/order.go
+++ b/io/driver/order.go
@@ -14,8 +14,8 @@
 
 // step carries out the next part of the goal, if the upstream takes an order.
 func (d *Driver) step(ctx context.Context) {
-	d.ordering.Lock()
-	defer d.ordering.Unlock()
+	d.ordering.take()
+	defer d.ordering.give()
 	o, ok := d.next()
 	if !ok {
 		return
@@ -27,7 +27,10 @@
 	switch {
 	case errors.As(err, &fault):
 		// It may be carried out now or later; the next report tells.
-	case result == core.OrderStale, result == core.OrderElsewhere, result == core.OrderRejected:
+	case result == core.OrderElsewhere:
+		// Another life answered; the registry names it in a moment.
+		d.endLife(d.Clock.Now())
+	case result == core.OrderStale, result == core.OrderRejected:
 		d.goal, d.loading = nil, loading{}
 		d.tell()
 	case o.Unload:
@@ -52,7 +55,7 @@
 	case !begun && !now.Before(g.until), d.state.Leaving:
 		d.goal = nil
 		return core.UpstreamOrder{}, false
-	case begun, d.state.Busy, d.lost, d.failures > 0, d.instance == "":
+	case begun, d.state.Busy, d.lost, d.failures > 0, d.lives.Current() == "":
 		return core.UpstreamOrder{}, false
 	}
 	o, ok := d.newOrder()
@@ -85,7 +88,7 @@
 // mu.
 func (d *Driver) newOrder() (core.UpstreamOrder, bool) {
 	fence, ok := d.Fence()
-	return core.UpstreamOrder{After: d.state.Orders, Instance: d.instance, Holder: d.Self, Fence: fence}, ok
+	return core.UpstreamOrder{After: d.state.Orders, Instance: d.lives.Current(), Holder: d.Self, Fence: fence}, ok
 }
 
 // order sends an order and logs its result.
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/fleet"
 	"radishwell/io/events"
 	"radishwell/wire"
 )
@@ -44,10 +45,11 @@
 		d.entriesVersion++
 	}
 	d.entries[c.GetEntry()] = &caller{control: c.GetControl(), at: now, demands: c.GetDemands()}
-	if c.GetInstance() != "" && d.state.ID == "" && c.GetBorn() == d.state.Born {
+	life := fleet.Life{ID: core.HostName(c.GetInstance()), Born: c.GetBorn()}
+	if d.state.ID == "" && life.Born == d.state.Born && d.lives.Named(now, life) {
 		// The registry still lists lives that have ended; only the one that was
 		// born when the upstream says it was is its own.
-		d.instance = core.HostName(c.GetInstance())
+		d.tell()
 	}
 	for _, u := range c.GetUsed() {
 		d.used[u] = now
@@ -82,6 +84,7 @@
 	if planner != d.planner {
 		events.Log(events.PlannerChanged, "planner", planner, "before", d.planner)
 		d.planner = planner
+		d.tell()
 	}
 }
 
@@ -115,11 +118,14 @@
 func (d *Driver) report(now time.Time) *wire.UpstreamReport {
 	s := d.state
 	out := &wire.UpstreamReport{
-		Instance: string(d.instance), Orders: uint64(s.Orders), Busy: s.Busy || d.loading.model != "" || d.goal != nil, Leaving: s.Leaving,
+		Instance: string(d.lives.Current()), Orders: uint64(s.Orders), Busy: s.Busy || d.loading.model != "" || d.goal != nil, Leaving: s.Leaving,
 		InMemory: texts(s.InMemory), OnDisk: texts(s.OnDisk), Waiting: uint32(s.Waiting), Running: uint32(s.Running),
 		MemoryUsed: s.MemoryUsed, Age: int64(now.Sub(d.taken)), Reachable: !d.lost && !d.taken.IsZero(),
 		Loading: string(d.loading.model), Born: s.Born,
 	}
+	for _, id := range d.lives.Ended(now) {
+		out.Ended = append(out.Ended, string(id))
+	}
 	if d.loading.model != "" {
 		out.LoadLeft = int64(d.loading.by.Sub(now))
 	}
@@ -149,8 +155,8 @@
 	switch {
 	case c.GetEntry() != d.planner:
 		return &wire.GoalReply{Reason: "this agent follows " + d.planner}, nil
-	case core.HostName(c.GetInstance()) != d.instance:
-		return &wire.GoalReply{Reason: "the upstream is " + string(d.instance)}, nil
+	case core.HostName(c.GetInstance()) != d.lives.Current():
+		return &wire.GoalReply{Reason: "the upstream is " + string(d.lives.Current())}, nil
 	case d.goal != nil || d.loading.model != "":
 		return &wire.GoalReply{Reason: "another goal is under way"}, nil
 	}
@@ -205,13 +211,18 @@
 
 // fetchStep sends the next order that brings the adapter nearer.
 func (d *Driver) fetchStep(ctx context.Context, c *wire.AdapterCall) (done bool, reason string) {
-	d.ordering.Lock()
-	defer d.ordering.Unlock()
+	d.ordering.take()
+	defer d.ordering.give()
 	o, done, reason := d.adapterOrder(c)
 	if done || reason != "" || o.Model == "" {
 		return done, reason
 	}
 	result, err := d.order(ctx, o)
+	if err == nil && result == core.OrderElsewhere {
+		d.mu.Lock()
+		d.endLife(d.Clock.Now())
+		d.mu.Unlock()
+	}
 	if err == nil && (result == core.OrderStale || result == core.OrderElsewhere || result == core.OrderRejected) {
 		return false, "the upstream's answer to the order is " + result.String()
 	}
@@ -229,8 +240,8 @@
 	d.used[string(model)+"/"+adapter] = d.Clock.Now()
 	i := slices.IndexFunc(d.state.Models, func(m core.HeldModel) bool { return m.Model == model })
 	switch {
-	case core.HostName(c.GetInstance()) != d.instance:
-		return o, false, "the upstream is " + string(d.instance)
+	case core.HostName(c.GetInstance()) != d.lives.Current():
+		return o, false, "the upstream is " + string(d.lives.Current())
 	case i < 0:
 		return o, false, "the model is not held"
 	case slices.Contains(d.state.Models[i].Adapters, adapter):
