Place further copies of a model in the same round

Cause: each round placed one more copy of each model, so after a restart of all hosts the places left went to models asked for once in ten seconds, and busy models had a third of their copies for a second more (worth of accounts-draft).

Two tests asserted one move a round; they now name every move.

--- a/core/copies/place.go
+++ b/core/copies/place.go
@@ -24,7 +24,10 @@
 func (w *plan) placeAll() {
 	names := w.wanted()
 	for len(names) > 0 {
-		w.place(names[0])
+		if w.place(names[0]) {
+			w.sort(names)
+			continue
+		}
 		names = names[1:]
 	}
 }
