Tell callers of silent streams when to come back before they leave

Cause: a caller leaves a stream that stays silent for four targets (at least 2 s, or eight of its pauses), long before its deadline. Requests for models that came later waited for nothing, and their callers were never told when to come back.

Change: rtable.Route.Silence; waits end, and hopeless ones are refused, by it. The log tells a stream's first event and longest pause; the time to the first byte and cold starts are measured on managed platforms too.

--- a/core/rtable/table.go
+++ b/core/rtable/table.go
@@ -49,6 +49,9 @@
 	Target time.Duration
 	// Pause is the longest gap between a stream's events that callers take well.
 	Pause time.Duration
+	// Silence is how long callers wait for a stream's first event, and for each
+	// next one, before they leave; zero where that is not known.
+	Silence time.Duration
 	// Rank orders routes by urgency; zero is the most urgent.
 	Rank int
 	// Resumable tells that a stream may go on at another upstream host after
--- a/io/driver/driver_test.go
+++ b/io/driver/driver_test.go
@@ -39,10 +39,10 @@
 	// nameless keeps its reports from telling its life.
 	nameless bool
 	// slow, if set, is how long its reports are on their way.
-	slow func() time.Duration
-	lost     []core.UpstreamOrder
-	orders   []string
-	fences   []core.Fence
+	slow   func() time.Duration
+	lost   []core.UpstreamOrder
+	orders []string
+	fences []core.Fence
 	// most is the largest number of models and adapters it ever held.
 	most int
 }
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -224,6 +224,7 @@
 		c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	c.begun = true
+	c.passed()
 	c.writer.WriteHeader(resp.StatusCode)
 	if _, err := c.writer.Write(body); err != nil {
 		return err
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -47,7 +47,9 @@
 	service  *rtable.Service
 	body     []byte
 	deadline time.Time
-	query    fleet.Query
+	// leaves is when the caller leaves if nothing has come by then.
+	leaves time.Time
+	query  fleet.Query
 
 	// sends counts the hosts that got any of the request, ran those that may have
 	// run it.
@@ -63,6 +65,10 @@
 	foreseen  time.Duration
 	version   int64
 	waited    time.Duration
+	// The times of a stream's first and last events, and the longest pause between
+	// two.
+	first, latest time.Time
+	longest       time.Duration
 	// begun tells that part of an answer has gone to the caller.
 	begun bool
 	// failure is an upstream's own, which another host may not have.
@@ -124,6 +130,10 @@
 	if !c.ask.Deadline.IsZero() && c.ask.Deadline.Before(c.deadline) {
 		c.deadline = c.ask.Deadline
 	}
+	c.leaves = c.deadline
+	if by := c.arrived.Add(c.route.Silence); c.route.Silence > 0 && by.Before(c.leaves) {
+		c.leaves = by
+	}
 	c.query = fleet.Query{Service: c.service.Name, DataCentre: p.DataCentre}
 	if c.service.HasModels() {
 		c.query.Model, c.query.Adapter = c.ask.Model, c.ask.Adapter
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -4,13 +4,14 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/rtable"
 	"radishwell/io/events"
 )
 
 // log writes the line that tells what became of the request, and why.
 func (c *call) log(r *core.Refusal) {
 	now := c.proxy.Clock.Now()
-	c.proxy.Meter.Request(core.Interactive, r, c.arrived, time.Time{}, now, false)
+	c.proxy.Meter.Request(core.Interactive, r, c.arrived, c.first, now, c.waited > 0)
 	pairs := []any{
 		"request", c.ask.ID, "took", now.Sub(c.arrived).Round(time.Millisecond), "table", c.version, "sends", c.sends, "ran", c.ran,
 	}
@@ -26,6 +27,9 @@
 	if c.waited > 0 {
 		pairs = append(pairs, "waited", c.waited.Round(time.Millisecond))
 	}
+	if c.route != nil && c.route.Kind == rtable.Stream && !c.first.IsZero() {
+		pairs = append(pairs, "first", c.first.Sub(c.arrived).Round(time.Millisecond), "longest-pause", c.longest.Round(time.Millisecond))
+	}
 	if c.best != "" {
 		pairs = append(pairs, "host", c.best, "report-age", c.reportAge.Round(time.Millisecond), "cost", int(c.cost),
 			"foreseen", c.foreseen.Round(time.Millisecond), "event-id", c.event)
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -19,6 +20,7 @@
 	"radishwell/core/fleet"
 	"radishwell/core/rtable"
 	"radishwell/io/events"
+	"radishwell/io/meter"
 	"radishwell/io/proxy"
 	plat "radishwell/platform"
 	"radishwell/platform/stand"
@@ -523,6 +525,44 @@
 		assert.Equal(t, a.body, eventsOf(2))
 		assert.Equal(t, r.Demands()["m"].Waiting, 0)
 	})
+	t.Run("and is measured as a cold start", func(t *testing.T) {
+		// On-call engineers look for slow cold starts. Entries of a managed platform
+		// counted none, and their time to the first byte was not told either.
+		r := newRig(t)
+		r.Meter = meter.New()
+		empty(t, r)
+		got := make(chan answer, 1)
+		go func() { got <- do(t, stream(r, "q")) }()
+		<-r.Waiting()
+		r.Update(func(v *fleet.View, now time.Time) {
+			v.Report(fleet.Report{Taken: now, ID: "i-1", Models: []core.HeldModel{{Model: "m"}}})
+		})
+		wantStatus(t, <-got, http.StatusOK)
+		wantStatus(t, do(t, stream(r, "q2")), http.StatusOK)
+		var text strings.Builder
+		r.Meter.Write(&text)
+		for _, want := range []string{"radishwell_cold_start_seconds_count{class=\"interactive\"} 1", "radishwell_first_byte_seconds_count{class=\"interactive\"} 2"} {
+			assert.Assert(t, strings.Contains(text.String(), want), text.String())
+		}
+	})
+	t.Run("not for a model that comes after the caller has left", func(t *testing.T) {
+		// A caller leaves a stream that stays silent for four times its target, long
+		// before the request's deadline. Kept waiting for a model that comes later, it
+		// was never told to come back, when the model would have been there.
+		r := newRig(t)
+		table := routes(longTime)
+		table.Version = 2
+		table.Match("a.example", "/stream/x").Silence = 4 * time.Second
+		r.Offer(table)
+		w := empty(t, r)
+		r.Foresee(map[core.ModelName]time.Time{"m": time.Now().Add(6 * time.Second)})
+		a := do(t, stream(r, "q"))
+		wantStatus(t, a, http.StatusServiceUnavailable)
+		back, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, back > 5 && back <= 6, "%v", back)
+		assert.Equal(t, w.Ran("q"), 0)
+	})
 	t.Run("not at all where the model comes too late", func(t *testing.T) {
 		r := newRig(t)
 		w := empty(t, r)
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -59,6 +59,7 @@
 		if err := c.write(pending); err != nil {
 			return err
 		}
+		c.passed()
 		if id != "" {
 			c.event = id
 		}
@@ -72,6 +73,17 @@
 	}
 }
 
+// passed notes that an event was passed on.
+func (c *call) passed() {
+	now := c.proxy.Clock.Now()
+	if c.first.IsZero() {
+		c.first = now
+	} else {
+		c.longest = max(c.longest, now.Sub(c.latest))
+	}
+	c.latest = now
+}
+
 // flush sends what was passed on before the upstream broke off: an aborted answer
 // loses what was not flushed. Without a head written it does nothing, since
 // net/http would send one that calls the answer a success.
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -110,11 +110,13 @@
 	return core.RefuseUntil(core.CodeOverload, "the model's hosts have more work than they can do in time", c.back(choice.Wait))
 }
 
-// hopeless refuses a request whose model will not be there in time. The caller
-// holds the proxy's mu.
+// hopeless refuses a request whose model will not be there before its caller
+// leaves, which callers of silent streams do long before their deadline. Told at
+// once when to come back, they find the model there. The caller holds the proxy's
+// mu.
 func (c *call) hopeless(now time.Time) *core.Refusal {
 	at, ok := c.proxy.ready[c.query.Model]
-	if !ok || at.Before(c.deadline.Add(-answerSlack)) {
+	if !ok || at.Before(c.leavesAt().Add(-answerSlack)) {
 		return nil
 	}
 	if c.ran > 0 {
@@ -123,6 +125,17 @@
 	return core.RefuseUntil(core.CodeWaitTooLong, "the model is loaded only after the request's deadline", c.back(at.Sub(now)))
 }
 
+// leavesAt returns when the caller leaves if it hears nothing more.
+func (c *call) leavesAt() time.Time {
+	if c.latest.IsZero() || c.route.Silence == 0 {
+		return c.leaves
+	}
+	if by := c.latest.Add(c.route.Silence); by.Before(c.deadline) {
+		return by
+	}
+	return c.deadline
+}
+
 // rest waits for a change that may let the request go on.
 func (c *call) rest(ctx context.Context, changed chan struct{}) *core.Refusal {
 	pause := lookAgain
@@ -130,7 +143,7 @@
 		// All hosts that hold the model were tried: after a pause they may be again.
 		pause = restPause
 	}
-	until, leaving := c.proxy.waitUntil(c.deadline)
+	until, leaving := c.proxy.waitUntil(c.leavesAt())
 	left := until.Sub(c.proxy.Clock.Now())
 	if left <= 0 {
 		return c.giveUpWaiting(leaving)
