Link what managed platforms run without the rest

Cause: hosts of a managed platform carried the demo, its stand-ins, load tests with charts, and the product's own platform interface, none of which is ever started there. Change: io/hosted is the command line of their binary, cmd/hosted/radishwell; io/cmds adds the rest for the full one.

--- a/io/cmds/bench.go
+++ b/io/cmds/bench.go
@@ -16,6 +16,7 @@
 
 	"radishwell/io/bench"
 	"radishwell/io/config"
+	"radishwell/io/hosted"
 )
 
 // benchCommand drives load at a running system.
@@ -54,7 +55,7 @@
 		return err
 	}
 	if len(report.Faults()) > 0 || c.AllDone && !report.AllDone() {
-		return &foundError{}
+		return &hosted.FoundError{}
 	}
 	return nil
 }
--- a/io/cmds/doc.go
+++ b/io/cmds/doc.go
@@ -1,3 +1,3 @@
-// Package cmds is the command line of radishwell and of its stand-ins: what the
-// flags are, and which part of the system each command runs.
+// Package cmds is the full command line of radishwell and that of its stand-ins:
+// what the flags are, and which part of the system each command runs.
 package cmds
--- a/io/cmds/standin.go
+++ b/io/cmds/standin.go
@@ -13,6 +13,7 @@
 	"radishwell/io/fakes/apisrv"
 	"radishwell/io/fakes/llmsrv"
 	"radishwell/io/fakes/plain"
+	"radishwell/io/hosted"
 )
 
 // standinCLI is the command line of the stand-ins.
@@ -28,7 +29,7 @@
 // Standin runs the stand-ins' command line and returns the exit status.
 func Standin(args []string, out, errs io.Writer) int {
 	var c standinCLI
-	return run(&c, "standin", "Stand-ins of the systems that radishwell meets, for trials and tests.", args, out, errs)
+	return hosted.Run(&c, "standin", "Stand-ins of the systems that radishwell meets, for trials and tests.", args, out, errs)
 }
 
 type standinPlatform struct {
--- a/io/cmds/logs.go
+++ b/io/hosted/logs.go
@@ -1,4 +1,4 @@
-package cmds
+package hosted
 
 import (
 	"bufio"
--- a/io/cmds/logs_test.go
+++ b/io/hosted/logs_test.go
@@ -1,4 +1,4 @@
-package cmds_test
+package hosted_test
 
 import (
 	"bytes"
--- a/io/cmds/run.go
+++ b/io/hosted/run.go
@@ -1,4 +1,4 @@
-package cmds
+package hosted
 
 import (
 	"context"
@@ -21,9 +21,10 @@
 // exitStatus is how kong's own exit (after --help or --version) leaves Parse.
 type exitStatus int
 
-// run parses a command line and runs the command it names, with a context that
-// ends when the process is told to stop.
-func run(cli any, name, about string, args []string, out, errs io.Writer) (status int) {
+// Run parses a command line and runs the command it names, with a context that
+// ends when the process is told to stop. More is bound to the commands' Run. It
+// returns the exit status.
+func Run(cli any, name, about string, args []string, out, errs io.Writer, more ...any) (status int) {
 	defer func() {
 		switch s := recover().(type) {
 		case nil:
@@ -37,7 +38,7 @@
 	parser, err := kong.New(cli, kong.Name(name), kong.Description(about), kong.Writers(out, errs),
 		kong.UsageOnError(), kong.Vars{"version": version()},
 		kong.Exit(func(code int) { panic(exitStatus(code)) }),
-		kong.BindTo(out, (*io.Writer)(nil)),
+		kong.BindTo(out, (*io.Writer)(nil)), kong.Bind(more...),
 	)
 	if err != nil {
 		panic(err) // the command line's own definition is wrong
@@ -51,7 +52,7 @@
 	defer stop()
 	parsed.BindTo(ctx, (*context.Context)(nil))
 	if err := parsed.Run(); err != nil {
-		var quiet *foundError
+		var quiet *FoundError
 		if !errors.As(err, &quiet) {
 			_, _ = io.WriteString(errs, name+": "+err.Error()+"\n")
 		}
@@ -60,11 +61,11 @@
 	return exitOK
 }
 
-// foundError ends a command with status 1 after it has printed what it found.
-type foundError struct{}
+// FoundError ends a command with status 1 after it has printed what it found.
+type FoundError struct{}
 
 // Error implements error.
-func (*foundError) Error() string { return "problems were found" }
+func (*FoundError) Error() string { return "problems were found" }
 
 // version returns the module's version as the toolchain recorded it.
 func version() string {
--- a/io/cmds/run_test.go
+++ b/io/hosted/run_test.go
@@ -1,4 +1,4 @@
-package cmds
+package hosted
 
 import (
 	"bytes"
@@ -23,7 +23,7 @@
 // with status 0 and no word: the recovery meant for --help took every panic.
 func TestPanicIsNoSuccess(t *testing.T) {
 	var out, errs bytes.Buffer
-	call := func(args ...string) int { return run(&brokenCLI{}, "broken", "", args, &out, &errs) }
+	call := func(args ...string) int { return Run(&brokenCLI{}, "broken", "", args, &out, &errs) }
 	assert.Equal(t, call("--help"), exitOK)
 	assert.Equal(t, call("--nonsense"), exitUsage)
 	defer func() { assert.Assert(t, recover() != nil) }()
