Soak the real programs of a managed platform under faults from outside

Entries and agents run as processes against stand-ins of the store and of upstreams, behind relays. Faults are drawn from a seed, come in series and overlap; what callers and upstreams saw is held against a table of promises, each of which a test shows to break. A short run of two seeds is part of the tests; cmd/soak runs as many as wanted and keeps the logs of those that failed.

--- /dev/null
+++ b/io/cmds/soak.go
@@ -0,0 +1,66 @@
+package cmds
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"radishwell/io/hosted"
+	"radishwell/io/soak"
+)
+
+// soakCLI is the command line of the soak.
+type soakCLI struct {
+	Program string        `default:"target/radishwell" help:"The program of entries and agents." type:"existingfile"`
+	Seed    uint64        `default:"1" help:"The first seed."`
+	Seeds   int           `default:"1" help:"How many seeds are run, one after the other."`
+	Length  time.Duration `default:"12s" help:"When the faults of a run end."`
+	Keep    string        `default:"target/soak" help:"Directory for the logs and schedules of runs that failed." type:"path"`
+}
+
+// Soak runs the soak's command line and returns the exit status.
+func Soak(args []string, out, errs io.Writer) int {
+	return hosted.Run(&soakCLI{}, "soak", "Runs of the real programs under faults from outside.", args, out, errs)
+}
+
+// Run runs the seeds and fails where one found something.
+func (c *soakCLI) Run(out io.Writer) error {
+	failed := false
+	for i := range c.Seeds {
+		found, err := c.play(out, c.Seed+uint64(i))
+		if err != nil {
+			return err
+		}
+		failed = failed || found
+	}
+	if failed {
+		return &hosted.FoundError{}
+	}
+	return nil
+}
+
+func (c *soakCLI) play(out io.Writer, seed uint64) (found bool, err error) {
+	program, err := filepath.Abs(c.Program)
+	if err != nil {
+		return false, &soak.StartError{What: c.Program, Cause: err}
+	}
+	dir := filepath.Join(c.Keep, fmt.Sprint("seed-", seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return false, &soak.StartError{What: dir, Cause: err}
+	}
+	report, err := (&soak.Run{Seed: seed, Length: c.Length, Program: []string{program}, Dir: dir}).Play()
+	if err != nil {
+		return false, err
+	}
+	_, _ = fmt.Fprintf(out, "seed %d: %d faults, %d requests, %d served, %d promises broken, entries not back %v, logs with panics %v\n",
+		seed, len(report.Steps), report.Requests, report.Served, len(report.Breaches), report.Unserved, report.Panics)
+	for _, b := range report.Breaches {
+		_, _ = fmt.Fprintln(out, "  ", b)
+	}
+	if !report.Failed() {
+		return false, os.RemoveAll(dir)
+	}
+	return true, nil
+}
--- /dev/null
+++ b/io/soak/caller.go
@@ -0,0 +1,142 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Route is a kind of request that callers send.
+type Route uint8
+
+// Routes.
+const (
+	Once Route = iota
+	Again
+	Stream
+	Resumed
+	routeCount
+)
+
+var routePaths = [routeCount]string{"/once/x", "/again/x", "/stream/x", "/resumed/x"}
+
+// Result is what a caller saw of one request.
+type Result struct {
+	ID    string
+	Route Route
+	// Entry is the index of the entry that was asked.
+	Entry int
+	// Began and Ended are times from the start of the run.
+	Began, Ended time.Duration
+	// Status is zero where no head of an answer came.
+	Status int
+	// Signer is the upstream that the answer bears the signature of.
+	Signer string
+	// Body is what came of the answer, Whole whether it ended in good order.
+	Body  []byte
+	Whole bool
+	// Unsent tells that no connection was made, so that nothing was sent.
+	Unsent bool
+}
+
+// deadline is how long callers wait.
+const deadline = 4 * time.Second
+
+// callers send requests until their context ends.
+type callers struct {
+	fronts []netip.AddrPort
+	start  time.Time
+
+	mu      sync.Mutex
+	results []Result
+	wait    sync.WaitGroup
+}
+
+func (c *callers) run(ctx context.Context, n int, seed uint64) {
+	for i := range n {
+		c.wait.Add(1)
+		go func() {
+			defer c.wait.Done()
+			c.call(ctx, i, rand.New(rand.NewPCG(seed, uint64(i))))
+		}()
+	}
+}
+
+// call is one caller: it keeps its connection to an entry while that serves it.
+func (c *callers) call(ctx context.Context, i int, rng *rand.Rand) {
+	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}
+	defer transport.CloseIdleConnections()
+	for n := 0; ctx.Err() == nil; n++ {
+		entry := (i + rng.IntN(2)*rng.IntN(len(c.fronts))) % len(c.fronts)
+		r := c.ask(transport, Result{
+			ID: fmt.Sprintf("%d-%d-%d", i, n, rng.Uint32()), Route: Route(rng.IntN(int(routeCount))), Entry: entry,
+		}, "m-"+strconv.Itoa(1+rng.IntN(2)))
+		c.mu.Lock()
+		c.results = append(c.results, r)
+		c.mu.Unlock()
+		time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
+	}
+}
+
+// onceBody is a body whose reader net/http cannot read again, so that its transport
+// never sends a request a second time by itself.
+type onceBody struct{ io.Reader }
+
+func (c *callers) ask(transport *http.Transport, r Result, model string) Result {
+	ctx, stop := context.WithTimeout(context.Background(), deadline)
+	defer stop()
+	r.Began = time.Since(c.start)
+	defer func() { r.Ended = time.Since(c.start) }()
+	text := "body of " + r.ID
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.fronts[r.Entry].String()+routePaths[r.Route], onceBody{bytes.NewReader([]byte(text))})
+	if err != nil {
+		r.Unsent = true
+		return r
+	}
+	req.ContentLength = int64(len(text))
+	req.Host = "a.example"
+	req.Header.Set("X-Radishwell-Request-Id", r.ID)
+	req.Header.Set("X-Radishwell-Deadline-Ms", strconv.Itoa(int(deadline.Milliseconds())))
+	if r.Route == Stream || r.Route == Resumed {
+		req.Header.Set("X-Radishwell-Model", model)
+		req.Header.Set("X-Radishwell-Token-Usage", "100,50")
+		req.Header.Set("X-Radishwell-Prompt-Prefix", "aa:60,"+"bb:40")
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		r.Unsent = errors.Is(err, syscall.ECONNREFUSED)
+		return r
+	}
+	defer resp.Body.Close()
+	r.Status, r.Signer = resp.StatusCode, resp.Header.Get("X-Radishwell-Server-Signature")
+	r.Body, err = io.ReadAll(resp.Body)
+	r.Whole = err == nil
+	return r
+}
+
+// served tells whether an entry serves a request of each route before a time.
+func (c *callers) served(entry int, seed uint64, until time.Time) bool {
+	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
+	for route := range routeCount {
+		for n := 0; ; n++ {
+			r := c.ask(transport, Result{ID: fmt.Sprintf("probe-%d-%d-%d-%d", seed, entry, route, n), Route: route, Entry: entry}, "m-1")
+			if r.Status == http.StatusOK && r.Whole {
+				break
+			}
+			if time.Now().After(until) {
+				return false
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/io/soak/check.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
+	"time"
+)
+
+// Breach is a promise that was broken.
+type Breach struct {
+	Promise string
+	Result  Result
+	Ran     int
+}
+
+// String tells the breach in a line.
+func (b Breach) String() string {
+	return fmt.Sprintf("%s: request %s route %s entry %d from %v to %v status %d whole %v ran %d body %.60q",
+		b.Promise, b.Result.ID, routePaths[b.Result.Route], b.Result.Entry, b.Result.Began.Round(time.Millisecond),
+		b.Result.Ended.Round(time.Millisecond), b.Result.Status, b.Result.Whole, b.Ran, b.Result.Body)
+}
+
+// promise is one thing that callers may rely on.
+type promise struct {
+	name string
+	// kept tells whether a result keeps the promise; ran counts the upstreams' runs
+	// of the request.
+	kept func(r *Result, ran int) bool
+}
+
+// promises is the table of what is checked of each request.
+var promises = []promise{
+	{"a request that may run once runs once", func(r *Result, ran int) bool {
+		return r.Route == Again || r.Route == Resumed || ran <= 1
+	}},
+	{"a repeatable request reaches two upstreams at most", func(r *Result, ran int) bool {
+		return r.Route != Again || ran <= 2
+	}},
+	{"a refusal is true", func(r *Result, ran int) bool { return !refusal(r.Status) || ran == 0 }},
+	{"a success was run", func(r *Result, ran int) bool { return r.Status != http.StatusOK || ran > 0 }},
+	{"a success is signed", func(r *Result, _ int) bool {
+		return r.Status != http.StatusOK || strings.HasPrefix(r.Signer, "signed-by-")
+	}},
+	{"an answer is one upstream's and whole", func(r *Result, _ int) bool {
+		if r.Status != http.StatusOK || r.Signer == "" || !r.Whole || isStream(r.Route) {
+			return true // or it breaks another promise
+		}
+		return string(r.Body) == "answer of "+strings.TrimPrefix(r.Signer, "signed-by-")
+	}},
+	{"a stream's events come in order and once, and end only at the last", func(r *Result, _ int) bool {
+		if r.Status != http.StatusOK || !isStream(r.Route) {
+			return true
+		}
+		n, rest := countEvents(r.Body)
+		if !r.Whole {
+			return n >= 0
+		}
+		return n == streamEvents && rest == 0
+	}},
+	{"a request that exists is not called unknown", func(r *Result, _ int) bool { return r.Status != http.StatusNotFound }},
+}
+
+func isStream(r Route) bool { return r == Stream || r == Resumed }
+
+func refusal(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+var event = regexp.MustCompile(`^id: (\d+)\ndata: event (\d+)\n\n`)
+
+// countEvents returns the number of events from the first in order, -1 where one is
+// out of order, and the bytes behind them.
+func countEvents(body []byte) (n, rest int) {
+	for {
+		m := event.FindSubmatch(body)
+		if m == nil {
+			// What is left may be the beginning of one event, not more.
+			if bytes.Contains(body, []byte("\n\n")) {
+				return -1, len(body)
+			}
+			return n, len(body)
+		}
+		n++
+		if want := fmt.Sprint(n); string(m[1]) != want || string(m[2]) != want {
+			return -1, len(body)
+		}
+		body = body[len(m[0]):]
+	}
+}
+
+// check holds results against the promises.
+func check(results []Result, ran func(id string) int) []Breach {
+	var out []Breach
+	for i := range results {
+		r := &results[i]
+		runs := ran(r.ID)
+		for _, p := range promises {
+			if !p.kept(r, runs) {
+				out = append(out, Breach{Promise: p.name, Result: *r, Ran: runs})
+			}
+		}
+	}
+	return out
+}
+
+// cutByStop finds requests that a planned stop cut off: run by an upstream and ended
+// without an answer, while nothing else went wrong from before they were sent. The
+// end of a stopped process comes within its grace.
+func cutByStop(results []Result, steps []Step, ran func(id string) int) []Breach {
+	var out []Breach
+	for _, r := range results {
+		if r.Unsent || r.Status != 0 || r.Ended-r.Began >= deadline || ran(r.ID) == 0 {
+			continue
+		}
+		if !disturbed(steps, StopEntry, r.Began-calm, r.Ended) {
+			out = append(out, Breach{Promise: "a planned stop cuts nothing", Result: r, Ran: ran(r.ID)})
+		}
+	}
+	return out
+}
+
+// calm is how long before a request nothing else may have gone wrong for a cut to
+// be the planned stop's: a process that was killed is back by then.
+const calm = 3 * time.Second
--- /dev/null
+++ b/io/soak/check_test.go
@@ -0,0 +1,102 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func stream(n int) []byte {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", i, i)
+	}
+	return []byte(b.String())
+}
+
+// Each promise is shown to be broken by what breaks it, and by nothing else.
+func TestCheck(t *testing.T) {
+	good := Result{ID: "q", Route: Once, Status: 200, Signer: "signed-by-i-1", Body: []byte("answer of i-1"), Whole: true}
+	with := func(change func(r *Result)) Result {
+		r := good
+		change(&r)
+		return r
+	}
+	streamed := with(func(r *Result) { r.Route, r.Body = Stream, stream(streamEvents) })
+	for _, row := range []struct {
+		name   string
+		result Result
+		ran    int
+		broken string
+	}{
+		{"a good answer", good, 1, ""},
+		{"run twice", good, 2, "runs once"},
+		{"a lookup may run twice", with(func(r *Result) { r.Route = Again }), 2, ""},
+		{"but not three times", with(func(r *Result) { r.Route = Again }), 3, "two upstreams"},
+		{"a refusal that had run", Result{Route: Once, Status: 503}, 1, "refusal is true"},
+		{"a refusal that had not", Result{Route: Once, Status: 503}, 0, ""},
+		{"a failure may have run", Result{Route: Once, Status: 502}, 1, ""},
+		{"a success from nowhere", good, 0, "was run"},
+		{"no signature", with(func(r *Result) { r.Signer = "" }), 1, "signed"},
+		{"half an answer that looks whole", with(func(r *Result) { r.Body = []byte("answer") }), 1, "whole"},
+		{"half an answer that broke off", with(func(r *Result) { r.Body, r.Whole = []byte("answer"), false }), 1, ""},
+		{"a whole stream", streamed, 1, ""},
+		{"a stream that ends early", with(func(r *Result) { r.Route, r.Body = Stream, stream(streamEvents-1) }), 1, "events"},
+		{"a stream that broke off", with(func(r *Result) { r.Route, r.Body, r.Whole = Stream, stream(3), false }), 1, ""},
+		{"an event twice", with(func(r *Result) { r.Route, r.Body = Resumed, append(stream(3), stream(streamEvents)...) }), 2, "events"},
+		{"an event left out", with(func(r *Result) {
+			r.Route, r.Whole = Resumed, false
+			r.Body = append(stream(3), []byte("id: 5\ndata: event 5\n\n")...)
+		}), 2, "events"},
+		{"half an event in the middle", with(func(r *Result) {
+			r.Route, r.Whole = Resumed, false
+			r.Body = append(stream(3), []byte("id: 4\ndata: haid: 4\ndata: event 4\n\n")...)
+		}), 2, "events"},
+		{"unknown", Result{Route: Once, Status: 404}, 0, "unknown"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			var names []string
+			for _, b := range check([]Result{row.result}, func(string) int { return row.ran }) {
+				names = append(names, b.Promise)
+				assert.Assert(t, b.String() != "")
+			}
+			if row.broken == "" {
+				assert.Equal(t, len(names), 0, "%v", names)
+				return
+			}
+			assert.Equal(t, len(names), 1, "%v", names)
+			assert.Assert(t, strings.Contains(names[0], row.broken), "%v", names)
+		})
+	}
+}
+
+func TestCutByStop(t *testing.T) {
+	cut := Result{ID: "q", Began: 10 * time.Second, Ended: 11 * time.Second}
+	ran := func(string) int { return 1 }
+	stop := Step{Kind: StopEntry, Begin: 10500 * time.Millisecond, End: 10500 * time.Millisecond}
+	assert.Equal(t, len(cutByStop([]Result{cut}, []Step{stop}, ran)), 1)
+	kill := Step{Kind: KillEntry, Begin: 9 * time.Second, End: 9 * time.Second}
+	assert.Equal(t, len(cutByStop([]Result{cut}, []Step{kill, stop}, ran)), 0, "something else went wrong")
+	assert.Equal(t, len(cutByStop([]Result{cut}, []Step{stop}, func(string) int { return 0 })), 0, "it was not passed on")
+	answered := cut
+	answered.Status = 502
+	assert.Equal(t, len(cutByStop([]Result{answered}, []Step{stop}, ran)), 0)
+}
+
+func TestDraw(t *testing.T) {
+	const length = 10 * time.Second
+	seen := map[Kind]bool{}
+	for seed := range uint64(200) {
+		steps := Draw(seed, length)
+		assert.DeepEqual(t, steps, Draw(seed, length))
+		for _, s := range steps {
+			seen[s.Kind] = true
+			assert.Assert(t, s.Begin >= quiet && s.Begin <= s.End && s.End <= length, "%v", s)
+			assert.Assert(t, s.String() != "" && s.Kind.String() != "unknown")
+		}
+	}
+	assert.Equal(t, len(seen), int(kindCount))
+}
--- /dev/null
+++ b/io/soak/link_test.go
@@ -0,0 +1,118 @@
+package soak
+
+import (
+	"bufio"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// echo starts a server that sends back each line, and returns a link to it with a
+// connection through it.
+func echo(t *testing.T) (*Link, net.Conn) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewScanner(c)
+				for in.Scan() {
+					if _, err := c.Write([]byte(in.Text() + "\n")); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	l, err := NewLink("127.0.0.1:0", netip.MustParseAddrPort(lis.Addr().String()))
+	assert.NilError(t, err)
+	t.Cleanup(l.Close)
+	return l, dial(t, l)
+}
+
+func dial(t *testing.T, l *Link) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", l.At().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func say(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	_, err := c.Write([]byte(text + "\n"))
+	assert.NilError(t, err)
+}
+
+func hear(t *testing.T, c net.Conn, want string) {
+	t.Helper()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(20*time.Second)))
+	got, err := bufio.NewReader(c).ReadString('\n')
+	assert.NilError(t, err)
+	assert.Equal(t, got, want+"\n")
+}
+
+// silent checks that nothing comes for a moment.
+func silent(t *testing.T, c net.Conn) {
+	t.Helper()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err := c.Read(make([]byte, 1))
+	assert.Assert(t, err != nil, "something came through")
+}
+
+func TestLink(t *testing.T) {
+	t.Run("relays", func(t *testing.T) {
+		_, c := echo(t)
+		say(t, c, "a")
+		hear(t, c, "a")
+	})
+	for way, name := range []string{"forth", "back"} {
+		t.Run("a cut "+name+" holds back what comes after it", func(t *testing.T) {
+			l, c := echo(t)
+			l.Cut(Way(way))
+			say(t, c, "a")
+			silent(t, c)
+			l.Heal()
+			hear(t, c, "a")
+		})
+	}
+	t.Run("a hushed connection carries nothing, a new one does", func(t *testing.T) {
+		l, c := echo(t)
+		say(t, c, "a")
+		hear(t, c, "a")
+		l.Hush()
+		say(t, c, "b")
+		silent(t, c)
+		c = dial(t, l)
+		say(t, c, "c")
+		hear(t, c, "c")
+	})
+	t.Run("a reset breaks off", func(t *testing.T) {
+		l, c := echo(t)
+		say(t, c, "a")
+		hear(t, c, "a")
+		l.Reset()
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(20*time.Second)))
+		_, err := c.Read(make([]byte, 1))
+		assert.Assert(t, err != nil)
+	})
+	t.Run("a delay ends with the next heal", func(t *testing.T) {
+		l, c := echo(t)
+		l.Delay(time.Millisecond)
+		say(t, c, "a")
+		hear(t, c, "a")
+		l.Heal()
+		say(t, c, "b")
+		hear(t, c, "b")
+	})
+}
--- /dev/null
+++ b/io/soak/run_test.go
@@ -0,0 +1,40 @@
+package soak_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/io/hosted"
+	"radishwell/io/soak"
+)
+
+// TestMain runs the tests, or, where a soak starts this binary, the program itself.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && (os.Args[1] == "entry" || os.Args[1] == "agent") {
+		os.Exit(hosted.Radishwell(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// Short runs with fixed seeds, and those that ever failed.
+func TestSoak(t *testing.T) {
+	self, err := os.Executable()
+	assert.NilError(t, err)
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			run := &soak.Run{Seed: seed, Length: 6 * time.Second, Program: []string{self}, Dir: t.TempDir()}
+			report, err := run.Play()
+			assert.NilError(t, err)
+			for _, b := range report.Breaches {
+				t.Error(b)
+			}
+			assert.Equal(t, len(report.Unserved), 0, "entries that do not serve again")
+			assert.Equal(t, len(report.Panics), 0)
+			assert.Assert(t, report.Served > 0)
+		})
+	}
+}
--- /dev/null
+++ b/io/soak/strike.go
@@ -0,0 +1,121 @@
+package soak
+
+import (
+	"syscall"
+	"time"
+
+	"radishwell/platform/stand"
+)
+
+// strike has a step happen, and returns what ends it, nil where nothing lasts.
+func (w *world) strike(s Step) (end func()) {
+	entry, agent := w.entries[s.Target%len(w.entries)], w.agents[s.Target%len(w.agents)]
+	link := w.storeLinks[s.Target%len(w.storeLinks)]
+	engine, any := w.upstreams[s.Target%engines], w.upstreams[s.Target%len(w.upstreams)]
+	switch s.Kind {
+	case KillEntry:
+		entry.Signal(syscall.SIGKILL)
+	case KillAgent:
+		agent.Signal(syscall.SIGKILL)
+	case KillAll:
+		for _, p := range w.procs() {
+			p.Signal(syscall.SIGKILL)
+		}
+	case StopEntry:
+		entry.Signal(syscall.SIGTERM)
+	case StopAgent:
+		agent.Signal(syscall.SIGTERM)
+	case PauseEntry:
+		return pause(entry)
+	case PauseAgent:
+		return pause(agent)
+	case Reload:
+		for _, p := range w.procs() {
+			p.Signal(syscall.SIGHUP)
+		}
+	case CutStore:
+		return cut(link, s.Variant)
+	case CutAgent:
+		return cut(engine.agentLink, s.Variant)
+	case CutUpstream:
+		return cut(any.link, s.Variant)
+	case DelayUpstream:
+		any.link.Delay(time.Duration(20+s.Variant%200) * time.Millisecond)
+		return any.link.Heal
+	case ResetAll:
+		w.eachLink((*Link).Reset)
+	case HushAll:
+		w.eachLink((*Link).Hush)
+	case StoreDown:
+		return w.failStore(stand.Down)
+	case StoreSilent:
+		return w.failStore(stand.Silent)
+	case StoreLossy:
+		return w.failStore(stand.Lossy)
+	case StoreCompact:
+		w.store.Compact()
+	case SpoilAnswers:
+		return trick(any, []stand.Trick{stand.Foreign, stand.Unsigned, stand.Short, stand.Double, stand.Crash}[s.Variant%5])
+	case LoseAnswers:
+		return trick(any, stand.Lost)
+	case FailAnswers:
+		return trick(any, []stand.Trick{stand.Failing, stand.Vague}[s.Variant%2])
+	case ShedRequests:
+		return trick(any, stand.Shed)
+	case HangRequests:
+		return trick(any, stand.Hang)
+	case RestartUpstream:
+		w.restart(any)
+	case NewTable:
+		w.newTable()
+	}
+	return nil
+}
+
+func (w *world) procs() []*Proc { return append(append([]*Proc{}, w.entries...), w.agents...) }
+
+func (w *world) eachLink(do func(*Link)) {
+	for _, l := range w.storeLinks {
+		do(l)
+	}
+	for _, u := range w.upstreams {
+		do(u.link)
+		if u.agentLink != nil {
+			do(u.agentLink)
+		}
+	}
+}
+
+func (w *world) failStore(f stand.Fault) func() {
+	w.store.Set(f)
+	return func() { w.store.Set(stand.Fine) }
+}
+
+// restart has an upstream start again under its id, with nothing.
+func (w *world) restart(u *upstream) {
+	u.link.Reset()
+	u.born++
+	u.Restart(u.born)
+	w.register(u)
+}
+
+func pause(p *Proc) func() {
+	p.Signal(syscall.SIGSTOP)
+	return func() { p.Signal(syscall.SIGCONT) }
+}
+
+// cut cuts one way, the other, or both.
+func cut(l *Link, variant int) func() {
+	if variant%3 != 1 {
+		l.Cut(Forth)
+	}
+	if variant%3 != 0 {
+		l.Cut(Back)
+	}
+	return l.Heal
+}
+
+func trick(u *upstream, t stand.Trick) func() {
+	u.Set(t)
+	return func() { u.Set(stand.Honest) }
+}
--- /dev/null
+++ b/io/soak/world.go
@@ -0,0 +1,229 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"radishwell/io/fakes/ports"
+	"radishwell/platform/stand"
+)
+
+const (
+	// entries, engines and services are the hosts of a world. Two entries and three
+	// upstreams of each kind are the fewest where any one may be lost.
+	entries  = 2
+	engines  = 3
+	services = 2
+	// streamEvents and eventGap make a stream last about as long as most faults.
+	streamEvents = 12
+	eventGap     = 40 * time.Millisecond
+	// loadTime is how long an engine takes to load a model.
+	loadTime = 200 * time.Millisecond
+)
+
+// upstream is a stand-in of an upstream host with the links to it.
+type upstream struct {
+	*stand.Worker
+
+	ip string
+	// at is where the host itself listens; the registry names the link's address.
+	at   netip.AddrPort
+	link *Link
+	born int64
+	// agentLink is where entries find the agent, nil for a plain service.
+	agentLink *Link
+}
+
+// world is all parts of a run: the store, upstreams, entries and agents.
+type world struct {
+	dir     string
+	program []string
+	store   *stand.Store
+	storeAt netip.AddrPort
+
+	upstreams []*upstream
+	entries   []*Proc
+	agents    []*Proc
+	// storeLinks are the links of the processes to the store, entries first.
+	storeLinks []*Link
+	fronts     []netip.AddrPort
+
+	mu      sync.Mutex
+	version int
+	closers []func()
+}
+
+func (w *world) close() {
+	for i := len(w.closers) - 1; i >= 0; i-- {
+		w.closers[i]()
+	}
+}
+
+func (w *world) serve(on string, h http.Handler) (netip.AddrPort, error) {
+	lis, err := net.Listen("tcp", on)
+	if err != nil {
+		return netip.AddrPort{}, &StartError{What: "a stand-in on " + on, Cause: err}
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = srv.Serve(lis) }() // it ends with Close
+	w.closers = append(w.closers, func() { _ = srv.Close() })
+	return lis.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+func (w *world) newLink(on string, to netip.AddrPort) (*Link, error) {
+	l, err := NewLink(on, to)
+	if err == nil {
+		w.closers = append(w.closers, l.Close)
+	}
+	return l, err
+}
+
+// build starts everything.
+func (w *world) build() error {
+	var err error
+	w.store = &stand.Store{}
+	if w.storeAt, err = w.serve("127.0.0.1:0", w.store); err != nil {
+		return err
+	}
+	free, err := ports.Free(3 + 4*entries)
+	if err != nil {
+		return &StartError{What: "the world", Cause: err}
+	}
+	agent := agentPorts{link: free[0].Port(), own: free[1].Port(), operators: free[2].Port()}
+	w.newTable()
+	for i := range engines + services {
+		if err := w.addUpstream(i, agent); err != nil {
+			return err
+		}
+	}
+	seeds := []string{}
+	for i := range entries {
+		seeds = append(seeds, free[3+4*i].String())
+	}
+	for i := range entries {
+		if err := w.addEntry(i, free[3+4*i:7+4*i], agent.link, seeds); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// newTable writes the next version of the routing table.
+func (w *world) newTable() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	route := func(name, kind, service string, attempts int, more string) string {
+		return fmt.Sprintf(`{"name":%q,"host":"a.example","path_prefix":"/%s/","route_kind":%q,"timeout_ms":4000,"target_latency_ms":800,"gap_aim_ms":600,"service":%q,"max_attempts":%d%s}`,
+			name, name, kind, service, attempts, more)
+	}
+	w.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],"services":[{"name":"plain"},{"name":"llm","engine":{"slots":64,"weights_mb":200,"adapter_slots":2,"loads_per_s":20,
+	 "models":[{"name":"m-1","weights_mb":70,"load_s":0.2,"warm_s":0.2,"disk_s":0.2},{"name":"m-2","weights_mb":70,"load_s":0.2,"warm_s":0.2,"disk_s":0.2}]}}]}`,
+		w.version, route("once", "non_idempotent", "plain", 1, ""), route("again", "idempotent", "plain", 2, ""),
+		route("stream", "streaming", "llm", 1, ""), route("resumed", "streaming", "llm", 2, `,"resumable":true`)))
+}
+
+// agentPorts are the same on all hosts: where entries find the agent, where it
+// listens itself, and where operators find it.
+type agentPorts struct{ link, own, operators uint16 }
+
+func (w *world) addUpstream(i int, ports agentPorts) error {
+	u := &upstream{Worker: &stand.Worker{ID: fmt.Sprintf("i-%d", i), LoadTime: loadTime, Plain: i >= engines}, ip: fmt.Sprintf("127.1.0.%d", i+1), born: 1}
+	if !u.Plain {
+		u.Events, u.Gap = streamEvents, eventGap
+		u.Hold(stand.Held{Name: fmt.Sprintf("m-%d", 1+i%2), Version: 1})
+	}
+	u.Restart(u.born)
+	if !u.Plain {
+		u.Hold(stand.Held{Name: fmt.Sprintf("m-%d", 1+i%2), Version: 1})
+	}
+	var err error
+	if u.at, err = w.serve(u.ip+":0", u.Worker); err != nil {
+		return err
+	}
+	if u.link, err = w.newLink(u.ip+":0", u.at); err != nil {
+		return err
+	}
+	w.upstreams = append(w.upstreams, u)
+	w.register(u)
+	if u.Plain {
+		return nil
+	}
+	own := netip.AddrPortFrom(u.at.Addr(), ports.own)
+	if u.agentLink, err = w.newLink(netip.AddrPortFrom(u.at.Addr(), ports.link).String(), own); err != nil {
+		return err
+	}
+	store, err := w.storeLink()
+	if err != nil {
+		return err
+	}
+	p, err := w.start("agent", fmt.Sprintf("side-%d", i), settings{
+		"listen":   map[string]string{"control": own.String(), "operators": netip.AddrPortFrom(u.at.Addr(), ports.operators).String()},
+		"platform": map[string]any{"urls": []string{"http://" + store.String()}},
+		"managed":  map[string]any{"enabled": true, "plain-peers": true, "upstream": u.at.String(), "stop-grace": "3s"},
+	})
+	w.agents = append(w.agents, p)
+	return err
+}
+
+// register writes an upstream's entry of the registry.
+func (w *world) register(u *upstream) {
+	service := "llm"
+	if u.Plain {
+		service = "plain"
+	}
+	w.store.Put("servers", u.ID, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"dc-1","slots":64,"state":"ready","sequence":0,"born":%d}`, service, u.link.At(), u.born))
+}
+
+func (w *world) addEntry(i int, at []netip.AddrPort, agentPort uint16, seeds []string) error {
+	store, err := w.storeLink()
+	if err != nil {
+		return err
+	}
+	p, err := w.start("entry", fmt.Sprintf("edge-%d", i), settings{
+		"listen":   map[string]string{"control": at[0].String(), "callers": at[1].String(), "operators": at[2].String()},
+		"platform": map[string]any{"urls": []string{"http://" + store.String()}},
+		"peers":    seeds,
+		"managed":  map[string]any{"enabled": true, "plain-peers": true, "readiness": at[3].String(), "agent-port": agentPort, "stop-grace": "3s"},
+	})
+	w.entries = append(w.entries, p)
+	w.fronts = append(w.fronts, at[1])
+	return err
+}
+
+func (w *world) storeLink() (netip.AddrPort, error) {
+	l, err := w.newLink("127.0.0.1:0", w.storeAt)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	w.storeLinks = append(w.storeLinks, l)
+	return l.At(), nil
+}
+
+// settings are a process's, as in its file; JSON is YAML too.
+type settings map[string]any
+
+func (w *world) start(role, name string, s settings) (*Proc, error) {
+	s["role"], s["name"], s["data-centre"] = role, name, "dc-1"
+	text, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return nil, &StartError{What: name, Cause: err}
+	}
+	file := filepath.Join(w.dir, name+".yaml")
+	if err := os.WriteFile(file, append(text, '\n'), 0o644); err != nil {
+		return nil, &StartError{What: name, Cause: err}
+	}
+	p := &Proc{Name: name, Args: append(append([]string{}, w.program...), role, file), Dir: w.dir}
+	if err := p.Run(); err != nil {
+		return nil, err
+	}
+	w.closers = append(w.closers, p.Close)
+	return p, nil
+}
