Leave hosts that their agents cannot reach at once

Both hosts that held the busiest model crashed; their agents saw it within half a second, but only the registry's removal 3.2 s later counted, and until then no other host loaded the model. Ruled out: that the planner could not place it (it did at once after).

Change: an agent's word that its upstream cannot be reached takes the host out of choices and plans while that word is fresh; agents look again after 40 ms when a reading failed, not after 150 ms.

--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -61,6 +61,9 @@
 
 	// outlived tells that this life has ended, though the registry lists it.
 	outlived bool
+	// lostAt is when the host's agent last said that it cannot be reached; zero where
+	// it has reached it since.
+	lostAt time.Time
 	// listed is the view's count of changes when the registry first named it.
 	listed   uint64
 	inFlight int
@@ -131,6 +134,12 @@
 	return core.TierStore
 }
 
+// Lost tells whether the host's agent says that it cannot be reached. The word
+// counts as long as a report does: an agent that is silent itself tells nothing.
+func (h *Host) Lost(now time.Time) bool {
+	return !h.lostAt.IsZero() && now.Sub(h.lostAt) < reportAge
+}
+
 // Outlived tells whether the host's agent says that this life has ended.
 func (h *Host) Outlived() bool { return h.outlived }
 
--- a/core/fleet/pick_test.go
+++ b/core/fleet/pick_test.go
@@ -315,7 +315,9 @@
 	v := hostsOf(1)
 	v.Report(fleet.Report{Taken: t0, ID: "i-00", Reading: 3800, Models: []core.HeldModel{{Model: "m"}}})
 	h := v.Host("i-00")
-	ask := func(now time.Time) time.Duration { return v.Pick(now, prompt("doc", "own")).Wait.Round(time.Millisecond) }
+	ask := func(now time.Time) time.Duration {
+		return v.Pick(now, prompt("doc", "own")).Wait.Round(time.Millisecond)
+	}
 	const own = 237 * time.Millisecond // 9,000 tokens
 	assert.Equal(t, ask(t0), 100*time.Millisecond+own)
 	h.Sent(after(10*time.Millisecond), prompt("other", "own"))
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -123,9 +123,28 @@
 	if r.Leaving != h.Report.Leaving || !core.SameModels(r.Models, h.Report.Models) || r.Loading != h.Report.Loading {
 		v.changes++
 	}
+	if !h.lostAt.IsZero() {
+		h.lostAt = time.Time{}
+		v.changes++
+	}
 	h.Report = r
 }
 
+// Lost notes that the agent at an address cannot reach its host. The registry lists
+// a host that has crashed for seconds more; what it held has to be loaded elsewhere
+// at once, and what is sent there fails.
+func (v *View) Lost(now time.Time, address netip.AddrPort) {
+	for _, h := range v.hosts {
+		if h.Address != address {
+			continue
+		}
+		if !h.Lost(now) {
+			v.changes++
+		}
+		h.lostAt = now
+	}
+}
+
 // Outlived takes in what the agent at an address says of its host's lives: when
 // the present one was born, zero where the host does not tell, and which ones
 // have ended. The registry lists those for some seconds more; sent there,
--- a/core/fleet/view_test.go
+++ b/core/fleet/view_test.go
@@ -191,6 +191,42 @@
 	})
 }
 
+// Both hosts that hold a busy model crash. Their agents see it at once, but the
+// registry lists them for three seconds more: all that time the model counted as
+// held, callers waited for hosts that took no connection, and no other host began
+// to load it.
+func TestLostHost(t *testing.T) {
+	report := func(at time.Time) fleet.Report {
+		return fleet.Report{Taken: at, ID: "i-1", Models: []core.HeldModel{{Model: "m"}}}
+	}
+	e := entry("i-1", "m")
+	t.Run("is not used while its agent says so", func(t *testing.T) {
+		v := view(e)
+		v.Report(report(t0))
+		before := v.Changes()
+		v.Lost(after(time.Second), e.Address)
+		assert.Assert(t, v.Changes() > before, "requests that wait look again")
+		wantPick(t, v, after(time.Second), "")
+		assert.Assert(t, v.Host("i-1").Lost(after(2*time.Second)))
+	})
+	t.Run("is used again once its agent reaches it", func(t *testing.T) {
+		v := view(e)
+		v.Lost(t0, e.Address)
+		v.Report(report(after(time.Second)))
+		wantPick(t, v, after(time.Second), "i-1")
+	})
+	t.Run("is used again when the agent itself is silent", func(t *testing.T) {
+		v := view(e)
+		v.Lost(t0, e.Address)
+		wantPick(t, v, after(3*time.Second), "i-1")
+	})
+	t.Run("others at other addresses are left alone", func(t *testing.T) {
+		v := view(e)
+		v.Lost(t0, netip.MustParseAddrPort("10.9.9.9:80"))
+		wantPick(t, v, t0, "i-1")
+	})
+}
+
 // Two lives are listed at one address, neither with the time of its birth. The
 // one that came later is the one that runs.
 func TestNewestLife(t *testing.T) {
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -202,6 +202,9 @@
 		}
 	}
 	report := reportIn(reply.GetReport(), now)
+	if reply.GetReport().GetLost() {
+		l.entry.proxy.Update(func(v *fleet.View, now time.Time) { v.Lost(now, k.address) })
+	}
 	if !report.Reachable {
 		return
 	}
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -15,8 +15,9 @@
 
 const (
 	// idlePoll and busyPoll are how often the upstream's report is read, which
-	// costs nothing from its own host: the second while an order is in progress,
-	// so that requests that wait learn of a load within a twentieth of a second.
+	// costs nothing from its own host: the second while an order is in progress or
+	// the last reading failed, so that requests that wait learn of a load, and of a
+	// crash, within a twentieth of a second.
 	idlePoll = 150 * time.Millisecond
 	busyPoll = 40 * time.Millisecond
 	// followTime is how long an entry counts as there after its last call. Entries
@@ -146,7 +147,7 @@
 func (d *Driver) pause() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.goal != nil || d.loading.model != "" || d.state.Busy {
+	if d.goal != nil || d.loading.model != "" || d.state.Busy || d.failures > 0 && !d.lost {
 		return busyPoll
 	}
 	return idlePoll
--- a/io/driver/driver_test.go
+++ b/io/driver/driver_test.go
@@ -508,6 +508,21 @@
 	})
 }
 
+// An upstream crashes. Its agent found out half a second later, at the third look
+// at its usual pace.
+func TestCrashIsToldSoon(t *testing.T) {
+	e := newEngine("a")
+	drive(t, e, func(d *driver.Driver) {
+		seen := call(t, d, "edge-1").GetChange()
+		e.set(func() { e.down = true })
+		began := time.Now()
+		r, err := d.ServeUpstream(&wire.UpstreamCall{Entry: "edge-1", Seen: seen, Wait: int64(2 * time.Second)})
+		assert.NilError(t, err)
+		assert.Assert(t, r.GetReport().GetLost())
+		assert.Assert(t, time.Since(began) < 300*time.Millisecond, "%v", time.Since(began))
+	})
+}
+
 func TestReport(t *testing.T) {
 	t.Run("a question is held back until something changes", func(t *testing.T) {
 		e := newEngine("a")
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -120,7 +120,7 @@
 	out := &wire.UpstreamReport{
 		Instance: string(d.lives.Current()), Orders: uint64(s.Orders), Busy: s.Busy || d.loading.model != "" || d.goal != nil, Leaving: s.Leaving,
 		InMemory: texts(s.InMemory), OnDisk: texts(s.OnDisk), Waiting: uint32(s.Waiting), Running: uint32(s.Running),
-		MemoryUsed: s.MemoryUsed, Reading: s.Reading, Age: int64(now.Sub(d.taken)), Reachable: !d.lost && !d.taken.IsZero(),
+		MemoryUsed: s.MemoryUsed, Reading: s.Reading, Age: int64(now.Sub(d.taken)), Reachable: !d.lost && !d.taken.IsZero(), Lost: d.lost,
 		Loading: string(d.loading.model), Born: s.Born,
 	}
 	for _, id := range d.lives.Ended(now) {
--- a/io/soak/caller.go
+++ b/io/soak/caller.go
@@ -91,7 +91,9 @@
 // never sends a request a second time by itself.
 type onceBody struct{ io.Reader }
 
-func (c *callers) ask(transport *http.Transport, r Result, model string) Result {
+// ask sends one request and fills in what came of it.
+func (c *callers) ask(transport *http.Transport, q Result, model string) (r Result) {
+	r = q
 	ctx, stop := context.WithTimeout(context.Background(), deadline)
 	defer stop()
 	r.Began = time.Since(c.start)
