Use only the life of a host that its registry entry was written for last

After a power loss the registry lists two lives at each address for seconds.

Change: entries keep the registry's revision; of several lives at an address the one born last, or else written last, is the only one that is used, planned for and told to the agent. The check that product code starts no process passes over the soak alone, which has to; a test keeps it out of what serves.

--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -17,6 +17,8 @@
 	Service    core.ServiceName
 	Address    netip.AddrPort
 	DataCentre core.DataCentre
+	// Revision grows with each writing of the registry.
+	Revision uint64
 	// Usable tells that the entry could be read and its state is known to take
 	// work. An entry that cannot be read names no host to use.
 	Usable  bool
@@ -64,9 +66,9 @@
 	// lostAt is when the host's agent last said that it cannot be reached; zero where
 	// it has reached it since.
 	lostAt time.Time
-	// listed is the view's count of changes when the registry first named it.
-	listed   uint64
-	inFlight int
+	// superseded tells that the registry names a newer life at the host's address.
+	superseded bool
+	inFlight   int
 	// prefill is the prompt tokens sent to the host and not answered yet, sent when
 	// they were sent, oldest first.
 	prefill  int
@@ -140,8 +142,9 @@
 	return !h.lostAt.IsZero() && now.Sub(h.lostAt) < reportAge
 }
 
-// Outlived tells whether the host's agent says that this life has ended.
-func (h *Host) Outlived() bool { return h.outlived }
+// Outlived tells whether this life has ended, by the word of the host's agent or
+// since the registry names a newer one at its address.
+func (h *Host) Outlived() bool { return h.outlived || h.superseded }
 
 // IsLeaving tells whether either source calls the host leaving.
 func (h *Host) IsLeaving() bool { return h.Entry.Leaving || h.Report.Leaving }
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -140,7 +140,7 @@
 // service has any host that may get work.
 func (v *View) able(now time.Time, q *Query) (list []candidate, listed bool) {
 	for _, h := range v.Hosts(q.Service) {
-		if !h.Usable || h.outlived || h.Lost(now) || h.IsLeaving() {
+		if !h.Usable || h.Outlived() || h.Lost(now) || h.IsLeaving() {
 			continue
 		}
 		listed = true
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"strings"
@@ -57,13 +58,15 @@
 	delete(v.lapsed, e.ID)
 	h := v.hosts[e.ID]
 	if h == nil || h.Born != e.Born || h.Address != e.Address {
-		v.hosts[e.ID] = &Host{Entry: e, listed: v.changes}
+		v.hosts[e.ID] = &Host{Entry: e}
+		v.supersede(e.Address)
 		return
 	}
 	// A host does not come back from leaving within one life; an entry that says
 	// so is an older one that was read late.
 	e.Leaving = e.Leaving || h.Entry.Leaving
 	h.Entry = e
+	v.supersede(e.Address)
 }
 
 // Remove takes in that the registry no longer has an entry.
@@ -83,8 +86,12 @@
 
 func (v *View) drop(id core.HostName) {
 	v.changes++
+	h := v.hosts[id]
 	delete(v.hosts, id)
 	delete(v.lapsed, id)
+	if h != nil {
+		v.supersede(h.Address)
+	}
 }
 
 // Replace takes in a whole list of the registry: entries that it lacks are
@@ -160,24 +167,41 @@
 			v.changes++
 		}
 	}
+	v.supersede(address)
+}
+
+// supersede marks the lives at an address that the registry lists though it names a
+// newer one there.
+func (v *View) supersede(address netip.AddrPort) {
+	best := v.newest(address)
+	for _, h := range v.hosts {
+		if h.Address == address {
+			h.superseded = best != nil && h != best
+		}
+	}
 }
 
 // Newest returns the newest life that the registry names at an address and that
-// is not known to have ended; the zero entry where it names none.
+// is not known to have ended; the zero entry where it names none. All processes
+// that have read the same registry name the same one.
 func (v *View) Newest(address netip.AddrPort) Entry {
-	var best *Host
+	if best := v.newest(address); best != nil {
+		return best.Entry
+	}
+	return Entry{}
+}
+
+func (v *View) newest(address netip.AddrPort) (best *Host) {
 	for _, h := range v.hosts {
 		if h.Address != address || !h.Usable || h.outlived {
 			continue
 		}
-		if best == nil || h.Born > best.Born || h.Born == best.Born && h.listed > best.listed {
+		// A life that has ended writes its entry no more.
+		if best == nil || cmp.Or(cmp.Compare(h.Born, best.Born), cmp.Compare(h.Revision, best.Revision), cmp.Compare(h.ID, best.ID)) > 0 {
 			best = h
 		}
 	}
-	if best == nil {
-		return Entry{}
-	}
-	return best.Entry
+	return best
 }
 
 // Host returns a host by its id, nil where it is not known.
--- a/core/style_test.go
+++ b/core/style_test.go
@@ -5,6 +5,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"path"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -99,7 +100,13 @@
 
 func findBareError(s source) []breach { return findCalls(s.file, bareErrors) }
 
+// findProcess passes over the soak alone: it is a developers' tool that has to run
+// the real programs as processes, and no part of what serves links it
+// (TestServingLinksNoTools).
 func findProcess(s source) []breach {
+	if strings.HasPrefix(s.path, "io/soak/") {
+		return nil
+	}
 	return findCalls(s.file, []string{"exec.Command", "exec.CommandContext", "os.StartProcess", "syscall.ForkExec"})
 }
 
@@ -124,6 +131,21 @@
 	return found
 }
 
+// The soak starts processes, which nothing that serves may do. Only the developers'
+// command line may link it.
+func TestServingLinksNoTools(t *testing.T) {
+	for _, s := range parseModule(t, "..") {
+		for _, spec := range s.file.Imports {
+			if spec.Path.Value == `"radishwell/io/soak"` {
+				assert.Equal(t, path.Dir(s.path), "io/cmds", s.path)
+			}
+			if spec.Path.Value == `"radishwell/io/cmds"` {
+				assert.Assert(t, strings.HasPrefix(s.path, "cmd/") && !strings.HasPrefix(s.path, "cmd/hosted/"), s.path)
+			}
+		}
+	}
+}
+
 // parseModule parses all product files: no tests, no generated code.
 func parseModule(t *testing.T, root string) []source {
 	t.Helper()
--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -76,6 +76,7 @@
 	if err != nil {
 		events.Fail(events.RegistryEntryUnusable, err, "name", o.Name, "revision", o.Version)
 	}
+	host.Revision = uint64(o.Version)
 	return host
 }
 
