--- a/io/soak/link.go
+++ b/io/soak/link.go
@@ -31,7 +31,7 @@
 	mu    sync.Mutex
 	open  map[net.Conn]bool
 	delay time.Duration
-	// shut are closed while bytes may pass in a direction.
+	// pass is closed, for each direction, while bytes may pass in it.
 	pass [wayCount]chan struct{}
 	// hushed counts the calls of Hush; connections from before carry nothing.
 	hushed int
--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -19,7 +19,7 @@
 // Run is one run of the soak. Set the exported fields before use.
 type Run struct {
 	Seed uint64
-	// Ends is when the faults end, from the start.
+	// Length is how long after the start the faults end.
 	Length time.Duration
 	// Program is the program of entries and agents with its first arguments; role
 	// and settings file are added.
--- a/io/soak/strike.go
+++ b/io/soak/strike.go
@@ -11,7 +11,7 @@
 func (w *world) strike(s Step) (end func()) {
 	entry, agent := w.entries[s.Target%len(w.entries)], w.agents[s.Target%len(w.agents)]
 	link := w.storeLinks[s.Target%len(w.storeLinks)]
-	engine, any := w.upstreams[s.Target%engines], w.upstreams[s.Target%len(w.upstreams)]
+	engine, host := w.upstreams[s.Target%engines], w.upstreams[s.Target%len(w.upstreams)]
 	switch s.Kind {
 	case KillEntry:
 		entry.Signal(syscall.SIGKILL)
@@ -38,10 +38,10 @@
 	case CutAgent:
 		return cut(engine.agentLink, s.Variant)
 	case CutUpstream:
-		return cut(any.link, s.Variant)
+		return cut(host.link, s.Variant)
 	case DelayUpstream:
-		any.link.Delay(time.Duration(20+s.Variant%200) * time.Millisecond)
-		return any.link.Heal
+		host.link.Delay(time.Duration(20+s.Variant%200) * time.Millisecond)
+		return host.link.Heal
 	case ResetAll:
 		w.eachLink((*Link).Reset)
 	case HushAll:
@@ -55,17 +55,17 @@
 	case StoreCompact:
 		w.store.Compact()
 	case SpoilAnswers:
-		return trick(any, []stand.Trick{stand.Foreign, stand.Unsigned, stand.Short, stand.Double, stand.Crash}[s.Variant%5])
+		return trick(host, []stand.Trick{stand.Foreign, stand.Unsigned, stand.Short, stand.Double, stand.Crash}[s.Variant%5])
 	case LoseAnswers:
-		return trick(any, stand.Lost)
+		return trick(host, stand.Lost)
 	case FailAnswers:
-		return trick(any, []stand.Trick{stand.Failing, stand.Vague}[s.Variant%2])
+		return trick(host, []stand.Trick{stand.Failing, stand.Vague}[s.Variant%2])
 	case ShedRequests:
-		return trick(any, stand.Shed)
+		return trick(host, stand.Shed)
 	case HangRequests:
-		return trick(any, stand.Hang)
+		return trick(host, stand.Hang)
 	case RestartUpstream:
-		w.restart(any)
+		w.restart(host)
 	case NewTable:
 		w.newTable()
 	}
