--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -117,7 +117,9 @@
 func (l *links) inform(ctx context.Context, k *link) {
 	reply, err := l.ask(ctx, k, 0, 0)
 	if err != nil {
-		return // the question in progress fails too, and is logged
+		// The agent hears of it with the next question instead.
+		events.Fail(events.PeerUnreachable, err, "address", k.address)
+		return
 	}
 	l.take(k, reply)
 }
