--- a/io/soak/proc.go
+++ b/io/soak/proc.go
@@ -55,14 +55,19 @@
 	return nil
 }
 
+// start starts the program, unless the soak has ended. Close and a start exclude
+// each other: a process that began after Close had looked for one would never end.
 func (p *Proc) start(log *os.File) (*exec.Cmd, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopping {
+		return nil, nil
+	}
 	cmd := exec.Command(p.Args[0], p.Args[1:]...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return nil, &StartError{What: p.Name, Cause: err}
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.process = cmd.Process
 	p.starts++
 	return cmd, nil
@@ -75,14 +80,10 @@
 		_ = cmd.Wait() // how it ended is in its log
 		p.mu.Lock()
 		p.process = nil
-		stopping := p.stopping
 		p.mu.Unlock()
-		if stopping {
-			return
-		}
 		time.Sleep(restartPause)
 		next, err := p.start(log)
-		if err != nil {
+		if err != nil || next == nil {
 			return
 		}
 		cmd = next
@@ -99,6 +100,13 @@
 	}
 }
 
+// running tells whether the process runs now.
+func (p *Proc) running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.process != nil
+}
+
 // Starts counts the times it was started.
 func (p *Proc) Starts() int {
 	p.mu.Lock()
