Find a host's lives by its address; pick hosts without sorting them

Newest returns a Life, which its callers made of an Entry. No behaviour changes; what it saves was not measured.

--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -146,5 +146,9 @@
 // since the registry names a newer one at its address.
 func (h *Host) Outlived() bool { return h.outlived || h.superseded }
 
+// Runs tells whether this life may be used: its entry could be read, and neither
+// the registry nor its agent says that it has ended or cannot be reached.
+func (h *Host) Runs(now time.Time) bool { return h.Usable && !h.Outlived() && !h.Lost(now) }
+
 // IsLeaving tells whether either source calls the host leaving.
 func (h *Host) IsLeaving() bool { return h.Entry.Leaving || h.Report.Leaving }
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -116,46 +116,30 @@
 // work outstanding the favoured host would be overrun.
 func (v *View) Pick(now time.Time, q *Query) Choice {
 	var best Choice
-	able, listed := v.able(now, q)
-	best.Listed = listed
-	for _, a := range able {
-		wait := a.host.wait(now, q, a.fetch, v.readTime())
-		cost := wait + a.host.cost(now, q)
-		if best.Host == nil || cost < best.Cost {
-			best.Host, best.Fetch, best.Cost = a.host, a.fetch, cost
-			best.Wait = time.Duration(wait * float64(time.Millisecond))
-		}
-	}
-	return best
-}
-
-// candidate is a host that can take a request, once it has fetched the adapter
-// where it lacks that.
-type candidate struct {
-	host  *Host
-	fetch bool
-}
-
-// able returns the hosts that can take a request, sorted by ID, and whether the
-// service has any host that may get work.
-func (v *View) able(now time.Time, q *Query) (list []candidate, listed bool) {
-	for _, h := range v.Hosts(q.Service) {
-		if !h.Usable || h.Outlived() || h.Lost(now) || h.IsLeaving() {
+	for _, h := range v.hosts {
+		if q.Service != "" && q.Service != h.Service || !h.Runs(now) || h.IsLeaving() {
 			continue
 		}
-		listed = true
+		best.Listed = true
 		if slices.Contains(q.Tried, h.ID) {
 			continue
 		}
-		if q.Model == "" {
-			list = append(list, candidate{host: h})
-			continue
+		fetch := false
+		if q.Model != "" {
+			held, ok := h.Find(now, q.Model)
+			if !ok {
+				continue
+			}
+			fetch = q.Adapter != "" && !slices.Contains(held.Adapters, q.Adapter)
 		}
-		if held, ok := h.Find(now, q.Model); ok {
-			list = append(list, candidate{host: h, fetch: q.Adapter != "" && !slices.Contains(held.Adapters, q.Adapter)})
+		wait := h.wait(now, q, fetch, v.readTime())
+		cost := wait + h.cost(now, q)
+		if best.Host == nil || cost < best.Cost || cost == best.Cost && h.ID < best.Host.ID {
+			best.Host, best.Fetch, best.Cost = h, fetch, cost
+			best.Wait = time.Duration(wait * float64(time.Millisecond))
 		}
 	}
-	return list, listed
+	return best
 }
 
 // wait returns the time until the host should give its first answer, in
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -26,6 +26,9 @@
 // for use; it is not safe for use by several goroutines.
 type View struct {
 	hosts map[core.HostName]*Host
+	// at are the lives that the registry lists at an address: one, but for the
+	// seconds after a host was started anew.
+	at map[netip.AddrPort][]*Host
 	// lapsed are hosts whose entry went away around an outage of the store, by
 	// when they are given up.
 	lapsed map[core.HostName]time.Time
@@ -40,6 +43,7 @@
 func (v *View) init() {
 	if v.hosts == nil {
 		v.hosts = map[core.HostName]*Host{}
+		v.at = map[netip.AddrPort][]*Host{}
 		v.lapsed = map[core.HostName]time.Time{}
 	}
 }
@@ -58,8 +62,8 @@
 	delete(v.lapsed, e.ID)
 	h := v.hosts[e.ID]
 	if h == nil || h.Born != e.Born || h.Address != e.Address {
-		v.hosts[e.ID] = &Host{Entry: e}
-		v.supersede(e.Address)
+		v.take(h)
+		v.put(&Host{Entry: e})
 		return
 	}
 	// A host does not come back from leaving within one life; an entry that says
@@ -86,12 +90,28 @@
 
 func (v *View) drop(id core.HostName) {
 	v.changes++
-	h := v.hosts[id]
-	delete(v.hosts, id)
 	delete(v.lapsed, id)
-	if h != nil {
-		v.supersede(h.Address)
+	v.take(v.hosts[id])
+}
+
+// put adds a host.
+func (v *View) put(h *Host) {
+	v.hosts[h.ID] = h
+	v.at[h.Address] = append(v.at[h.Address], h)
+	v.supersede(h.Address)
+}
+
+// take removes a host, if there is one.
+func (v *View) take(h *Host) {
+	if h == nil {
+		return
+	}
+	delete(v.hosts, h.ID)
+	v.at[h.Address] = slices.DeleteFunc(v.at[h.Address], func(o *Host) bool { return o == h })
+	if len(v.at[h.Address]) == 0 {
+		delete(v.at, h.Address)
 	}
+	v.supersede(h.Address)
 }
 
 // Replace takes in a whole list of the registry: entries that it lacks are
@@ -141,10 +161,7 @@
 // a host that has crashed for seconds more; what it held has to be loaded elsewhere
 // at once, and what is sent there fails.
 func (v *View) Lost(now time.Time, address netip.AddrPort) {
-	for _, h := range v.hosts {
-		if h.Address != address {
-			continue
-		}
+	for _, h := range v.at[address] {
 		if !h.Lost(now) {
 			v.changes++
 		}
@@ -157,10 +174,7 @@
 // have ended. The registry lists those for some seconds more; sent there,
 // requests are turned away and orders refused.
 func (v *View) Outlived(address netip.AddrPort, born int64, ended []core.HostName) {
-	for _, h := range v.hosts {
-		if h.Address != address {
-			continue
-		}
+	for _, h := range v.at[address] {
 		over := born != 0 && h.Born != 0 && h.Born < born || slices.Contains(ended, h.ID)
 		if over != h.outlived {
 			h.outlived = over
@@ -174,26 +188,24 @@
 // newer one there.
 func (v *View) supersede(address netip.AddrPort) {
 	best := v.newest(address)
-	for _, h := range v.hosts {
-		if h.Address == address {
-			h.superseded = best != nil && h != best
-		}
+	for _, h := range v.at[address] {
+		h.superseded = best != nil && h != best
 	}
 }
 
 // Newest returns the newest life that the registry names at an address and that
-// is not known to have ended; the zero entry where it names none. All processes
+// is not known to have ended; the zero Life where it names none. All processes
 // that have read the same registry name the same one.
-func (v *View) Newest(address netip.AddrPort) Entry {
+func (v *View) Newest(address netip.AddrPort) Life {
 	if best := v.newest(address); best != nil {
-		return best.Entry
+		return Life{ID: best.ID, Born: best.Born}
 	}
-	return Entry{}
+	return Life{}
 }
 
 func (v *View) newest(address netip.AddrPort) (best *Host) {
-	for _, h := range v.hosts {
-		if h.Address != address || !h.Usable || h.outlived {
+	for _, h := range v.at[address] {
+		if !h.Usable || h.outlived {
 			continue
 		}
 		// A life that has ended writes its entry no more.
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -77,8 +77,7 @@
 	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) {
 		for _, h := range v.Hosts("") {
 			if s := table.Services[h.Service]; h.Usable && s != nil && s.HasModels() {
-				life := v.Newest(h.Address)
-				wanted[h.Address] = fleet.Life{ID: life.ID, Born: life.Born}
+				wanted[h.Address] = v.Newest(h.Address)
 			}
 		}
 	})
@@ -169,12 +168,12 @@
 		Seen: seen, Wait: int64(wait),
 		Demands: demandsOut(l.entry.proxy.Demands()), Others: l.entry.planner.leads(),
 	}
-	// The zero entry, where the registry names no life there, tells nothing.
-	var life fleet.Entry
+	// The zero life, where the registry names none there, tells nothing.
+	var life fleet.Life
 	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) { life = v.Newest(k.address) })
 	in.Instance, in.Born = string(life.ID), life.Born
 	k.mu.Lock()
-	k.life = fleet.Life{ID: life.ID, Born: life.Born}
+	k.life = life
 	for name := range k.used {
 		in.Used = append(in.Used, name)
 	}
