--- a/core/names.go
+++ b/core/names.go
@@ -42,3 +42,20 @@
 // Fingerprint is a hash over target and body of a request, equal for a
 // repetition of the same request by the same or another caller.
 type Fingerprint uint64
+
+// Names makes names of texts; nil of none.
+func Names[N ~string](texts []string) []N { return convert[N](texts) }
+
+// Texts makes texts of names; nil of none.
+func Texts[N ~string](names []N) []string { return convert[string](names) }
+
+func convert[T, F ~string](from []F) []T {
+	if len(from) == 0 {
+		return nil
+	}
+	to := make([]T, len(from))
+	for i, s := range from {
+		to[i] = T(s)
+	}
+	return to
+}
--- a/io/deploy/agent.go
+++ b/io/deploy/agent.go
@@ -11,6 +11,7 @@
 	"radishwell/core"
 	"radishwell/io/driver"
 	"radishwell/io/events"
+	"radishwell/io/loop"
 	"radishwell/io/objapi"
 	plat "radishwell/platform"
 )
@@ -56,7 +57,7 @@
 			return nil
 		}
 		events.Fail(events.PlatformUnreachable, err, "kind", core.KindAgent)
-		if !sleep(ctx, fencePause) {
+		if !loop.Sleep(ctx, fencePause) {
 			return nil
 		}
 	}
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"radishwell/io/httpd"
+	"radishwell/io/loop"
 	"radishwell/io/peer"
 	"radishwell/io/proxy"
 )
@@ -72,7 +73,7 @@
 		if due, ok := ctx.Deadline(); ok {
 			e.proxy.Leave(p.clock.Now().Add(time.Until(due) - waitMargin))
 		}
-		if sleep(ctx, leaveTime) {
+		if loop.Sleep(ctx, leaveTime) {
 			// Its error is the deadline's: what is still in progress is cut then.
 			_ = callers.Stop(ctx)
 		}
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -10,6 +10,7 @@
 	"radishwell/core/fleet"
 	"radishwell/core/rtable"
 	"radishwell/io/events"
+	"radishwell/io/loop"
 	"radishwell/io/peer"
 	"radishwell/wire"
 )
@@ -60,7 +61,7 @@
 	for {
 		l.renew(ctx)
 		l.entry.proxy.ShareRetries(spareOf(l.entry.Settings.Managed.RetrySpare, l.entry.peers.count()))
-		if !sleep(ctx, linkRenew) {
+		if !loop.Sleep(ctx, linkRenew) {
 			return nil
 		}
 	}
@@ -151,7 +152,7 @@
 		if err != nil {
 			seen = 0
 			events.Fail(events.PeerUnreachable, err, "address", k.address)
-			sleep(ctx, linkPause)
+			loop.Sleep(ctx, linkPause)
 			continue
 		}
 		seen = reply.GetChange()
@@ -209,12 +210,8 @@
 	if !report.Reachable {
 		return
 	}
-	var ended []core.HostName
-	for _, id := range reply.GetReport().GetEnded() {
-		ended = append(ended, core.HostName(id))
-	}
 	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) {
-		v.Outlived(k.address, reply.GetReport().GetBorn(), ended)
+		v.Outlived(k.address, reply.GetReport().GetBorn(), core.Names[core.HostName](reply.GetReport().GetEnded()))
 		v.Report(report)
 	})
 }
@@ -223,7 +220,7 @@
 	out := fleet.Report{
 		Taken: now.Add(-time.Duration(r.GetAge())), ID: core.HostName(r.GetInstance()), Reachable: r.GetReachable(),
 		Leaving: r.GetLeaving(), Busy: r.GetBusy(), Orders: int64(r.GetOrders()),
-		InMemory: names(r.GetInMemory()), OnDisk: names(r.GetOnDisk()), Waiting: int(r.GetWaiting()), Running: int(r.GetRunning()),
+		InMemory: core.Names[core.ModelName](r.GetInMemory()), OnDisk: core.Names[core.ModelName](r.GetOnDisk()), Waiting: int(r.GetWaiting()), Running: int(r.GetRunning()),
 		Reading: int(r.GetReading()), Loading: core.ModelName(r.GetLoading()),
 	}
 	if out.Loading != "" {
@@ -235,14 +232,6 @@
 	return out
 }
 
-func names(texts []string) []core.ModelName {
-	out := make([]core.ModelName, len(texts))
-	for i, t := range texts {
-		out[i] = core.ModelName(t)
-	}
-	return out
-}
-
 // FetchError reports an adapter that an agent could not have loaded.
 type FetchError struct{ Reason string }
 
--- a/io/deploy/past.go
+++ b/io/deploy/past.go
@@ -10,6 +10,7 @@
 	"radishwell/core"
 	"radishwell/core/copies"
 	"radishwell/io/events"
+	"radishwell/io/loop"
 )
 
 const (
@@ -63,7 +64,7 @@
 		o, err := p.entry.store.Get(ctx, core.KindDemand, pastObject)
 		var failed *core.PlatformError
 		if errors.As(err, &failed) && failed.Fault != core.NotFound {
-			if sleep(ctx, storeRetry) {
+			if loop.Sleep(ctx, storeRetry) {
 				continue
 			}
 			return nil
--- a/io/deploy/planner.go
+++ b/io/deploy/planner.go
@@ -220,12 +220,9 @@
 	ctx, stop := context.WithTimeout(ctx, planTime)
 	defer stop()
 	in := &wire.GoalCall{
-		Entry: string(p.entry.Settings.Name), Instance: string(h.ID), Load: string(m.Load), Limits: limitsOf(s),
+		Entry: string(p.entry.Settings.Name), Instance: string(h.ID), Load: string(m.Load), Evict: core.Texts(m.Evict), Limits: limitsOf(s),
 		Takes: int64(m.By.Sub(p.entry.clock.Now())),
 	}
-	for _, e := range m.Evict {
-		in.Evict = append(in.Evict, string(e))
-	}
 	reply, err := p.entry.client.Goal(ctx, p.entry.links.agent(h.Address), in)
 	if err != nil {
 		events.Fail(events.PeerUnreachable, err, "address", h.Address)
--- a/io/deploy/process.go
+++ b/io/deploy/process.go
@@ -159,17 +159,4 @@
 	}
 }
 
-// sleep waits for a time or the context's end, and tells whether the context is
-// still running.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 var _ core.Clock = Clock{}
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -33,9 +33,6 @@
 	// evictNotice is how long entries have to learn that a model goes before its
 	// unload is ordered: from then on the upstream turns its requests away.
 	evictNotice = 60 * time.Millisecond
-	// queueStep is the change of an upstream's queue that entries are told of at
-	// once: a long prompt's reading, a quarter of a second.
-	queueStep = 1
 	// lostAfter is how many reports in a row have to fail before the upstream
 	// counts as out of reach.
 	lostAfter = 3
@@ -200,7 +197,8 @@
 		d.lives.Said(fleet.Life{ID: s.ID, Born: s.Born})
 	}
 	d.checkLoad(s, at)
-	if q := queue(s); q-d.toldQueue >= queueStep || d.toldQueue-q >= queueStep {
+	if q := queue(s); q != d.toldQueue {
+		// A long prompt's reading keeps the next one waiting for a quarter of a second.
 		d.toldQueue = q
 		d.tell()
 	}
--- a/io/driver/order.go
+++ b/io/driver/order.go
@@ -29,8 +29,7 @@
 	case errors.As(err, &fault):
 		// It may be carried out now or later; the next report tells.
 	case result == core.OrderElsewhere:
-		// Another life answered; the registry names it in a moment.
-		d.endLife(d.Clock.Now())
+		// order has ended the life, and with it the goal.
 	case result == core.OrderStale, result == core.OrderRejected:
 		d.goal, d.loading = nil, loading{}
 		d.tell()
@@ -93,7 +92,8 @@
 	return core.UpstreamOrder{After: d.state.Orders, Instance: d.lives.Current(), Holder: d.Self, Fence: fence}, ok
 }
 
-// order sends an order and logs its result.
+// order sends an order, logs its result and takes in an end of the life that it was
+// for.
 func (d *Driver) order(ctx context.Context, o core.UpstreamOrder) (core.OrderResult, error) {
 	result, err := d.Upstream.Order(ctx, o)
 	verb := "load"
@@ -106,6 +106,12 @@
 		return result, err
 	}
 	events.Log(events.OrderSent, append(pairs, "result", result)...)
+	if result == core.OrderElsewhere {
+		// Another life answered; the registry names it in a moment.
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.endLife(d.Clock.Now())
+	}
 	return result, nil
 }
 
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -8,6 +8,7 @@
 	"radishwell/core"
 	"radishwell/core/fleet"
 	"radishwell/io/events"
+	"radishwell/io/loop"
 	"radishwell/wire"
 )
 
@@ -119,13 +120,11 @@
 	s := d.state
 	out := &wire.UpstreamReport{
 		Instance: string(d.lives.Current()), Orders: uint64(s.Orders), Busy: s.Busy || d.loading.model != "" || d.goal != nil, Leaving: s.Leaving,
-		InMemory: texts(s.InMemory), OnDisk: texts(s.OnDisk), Waiting: uint32(s.Waiting), Running: uint32(s.Running),
+		InMemory: core.Texts(s.InMemory), OnDisk: core.Texts(s.OnDisk), Waiting: uint32(s.Waiting), Running: uint32(s.Running),
 		MemoryUsed: s.MemoryUsed, Reading: s.Reading, Age: int64(now.Sub(d.taken)), Reachable: !d.lost && !d.taken.IsZero(), Lost: d.lost,
+		Ended:   core.Texts(d.lives.Ended(now)),
 		Loading: string(d.loading.model), Born: s.Born,
 	}
-	for _, id := range d.lives.Ended(now) {
-		out.Ended = append(out.Ended, string(id))
-	}
 	if d.loading.model != "" {
 		out.LoadLeft = int64(d.loading.by.Sub(now))
 	}
@@ -138,14 +137,6 @@
 	return out
 }
 
-func texts(names []core.ModelName) []string {
-	out := make([]string, len(names))
-	for i, n := range names {
-		out[i] = string(n)
-	}
-	return out
-}
-
 // ServeGoal takes a goal from the planner.
 func (d *Driver) ServeGoal(c *wire.GoalCall) (*wire.GoalReply, error) {
 	d.mu.Lock()
@@ -161,17 +152,11 @@
 		return &wire.GoalReply{Reason: "another goal is under way"}, nil
 	}
 	g := &goal{
-		load: core.ModelName(c.GetLoad()), limits: c.GetLimits(), until: now.Add(goalTime), evictAt: now.Add(evictNotice), takes: time.Duration(c.GetTakes()),
-	}
-	for _, m := range c.GetEvict() {
-		g.evict = append(g.evict, core.ModelName(m))
+		load: core.ModelName(c.GetLoad()), evict: core.Names[core.ModelName](c.GetEvict()), limits: c.GetLimits(), until: now.Add(goalTime), evictAt: now.Add(evictNotice), takes: time.Duration(c.GetTakes()),
 	}
 	d.goal = g
 	d.tell()
-	select {
-	case d.kick <- struct{}{}:
-	default: // it has been told already
-	}
+	loop.Poke(d.kick)
 	events.Log(events.GoalTaken, "planner", d.planner, "load", g.load, "evict", g.evict)
 	return &wire.GoalReply{Taken: true}, nil
 }
@@ -218,11 +203,6 @@
 		return done, reason
 	}
 	result, err := d.order(ctx, o)
-	if err == nil && result == core.OrderElsewhere {
-		d.mu.Lock()
-		d.endLife(d.Clock.Now())
-		d.mu.Unlock()
-	}
 	if err == nil && (result == core.OrderStale || result == core.OrderElsewhere || result == core.OrderRejected) {
 		return false, "the upstream's answer to the order is " + result.String()
 	}
--- a/io/events/outlet.go
+++ b/io/events/outlet.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"radishwell/io/loop"
+
 	"github.com/samber/oops"
 	"k8s.io/klog/v2"
 )
@@ -50,10 +52,7 @@
 		return len(line), nil
 	}
 	o.pending.Write(line)
-	select {
-	case o.news <- struct{}{}:
-	default: // it has been told already
-	}
+	loop.Poke(o.news)
 	return len(line), nil
 }
 
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -22,6 +22,19 @@
 	}
 }
 
+// Sleep waits for a time or the context's end, and tells whether the context is
+// still running.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // Run calls step until the context ends: at the time that the last call
 // returned, when alarm fires, and at least once in longest. The zero time is "no
 // time of its own".
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -13,6 +13,7 @@
 	"radishwell/io/certs"
 	"radishwell/io/engine"
 	"radishwell/io/httpd"
+	"radishwell/io/loop"
 	"radishwell/wire"
 )
 
@@ -49,7 +50,7 @@
 		},
 		drain: func(ctx context.Context) {
 			a.Leave()
-			sleep(ctx, leaveTime)
+			loop.Sleep(ctx, leaveTime)
 			waitIdle(ctx, a.Idle)
 		},
 		explain: func(subject, name string) []string { return n.explainAgent(a, subject, name) },
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -19,6 +19,7 @@
 	"radishwell/io/events"
 	"radishwell/io/front"
 	"radishwell/io/httpd"
+	"radishwell/io/loop"
 	"radishwell/io/peer"
 	"radishwell/wire"
 )
@@ -81,7 +82,7 @@
 	n.role = role{
 		ready: func() bool { return n.world.snapshot().Revision() > 0 },
 		drain: func(ctx context.Context) {
-			sleep(ctx, steerTime)
+			loop.Sleep(ctx, steerTime)
 			waitIdle(ctx, e.Idle)
 		},
 		explain: func(subject, name string) []string { return n.explainEntry(e, d, subject, name) },
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -281,16 +281,6 @@
 	}
 }
 
-// sleep waits for a time, or for the context's end.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Operators returns where the operators' interface listens, for settings that
 // leave the port open.
 func (n *Node) Operators() netip.AddrPort { return n.servers[len(n.servers)-1].Address }
--- a/io/objapi/call.go
+++ b/io/objapi/call.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"radishwell/core"
+	"radishwell/io/loop"
 )
 
 // Limits of one call. A slow platform is still worth waiting for, so the
@@ -51,7 +52,7 @@
 		if failed == nil {
 			return nil
 		}
-		if n+1 >= maxAttempts || !what.repeatable(failed) || !sleep(ctx, backoff(n)) {
+		if n+1 >= maxAttempts || !what.repeatable(failed) || !loop.Sleep(ctx, backoff(n)) {
 			return failed
 		}
 		if c.OnRetry != nil {
@@ -73,18 +74,6 @@
 	}
 }
 
-// sleep waits and tells whether ctx is still running.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (c *Client) attempt(ctx context.Context, what *call, timeout time.Duration) *core.PlatformError {
 	if err := c.spend(ctx, what.read); err != nil {
 		return what.fail(core.Unavailable, err)
--- a/io/peer/soft.go
+++ b/io/peer/soft.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/io/loop"
 	"radishwell/wire"
 )
 
@@ -175,7 +176,7 @@
 // there are new strikes to tell.
 func (s *Store) Kick() {
 	s.init()
-	wake(s.kick)
+	loop.Poke(s.kick)
 }
 
 func (s *Store) addMarks(marks []Mark) {
@@ -185,7 +186,7 @@
 	if len(news) == 0 {
 		return
 	}
-	wake(s.kick)
+	loop.Poke(s.kick)
 	if s.Marked != nil {
 		s.Marked(news)
 	}
@@ -206,6 +207,6 @@
 		s.addMarks(list)
 	}
 	if len(strikes) > 0 && s.Struck != nil && s.Struck(strikes) {
-		wake(s.kick)
+		loop.Poke(s.kick)
 	}
 }
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -9,6 +9,7 @@
 
 	"radishwell/core"
 	"radishwell/core/replic"
+	"radishwell/io/loop"
 	"radishwell/wire"
 )
 
@@ -230,19 +231,11 @@
 	for _, o := range notes {
 		names[o.Name] = true
 	}
-	wake(s.notify)
-	wake(s.kick)
+	loop.Poke(s.notify)
+	loop.Poke(s.kick)
 	return true
 }
 
-// wake leaves a token in a channel of capacity one.
-func wake(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
 // runNotify tells Changed what changed. The joins never wait for it: changes
 // gather by name, so that what waits is bounded by the number of objects.
 func (s *Store) runNotify(ctx context.Context) error {
--- a/io/peer/store_test.go
+++ b/io/peer/store_test.go
@@ -17,6 +17,7 @@
 
 	"radishwell/core"
 	"radishwell/io/fakes/apisrv"
+	"radishwell/io/loop"
 	"radishwell/io/objapi"
 	"radishwell/wire"
 )
@@ -69,7 +70,7 @@
 		Client:   p.client,
 		Peers:    f.peers,
 		Seed:     uint64(n) + 1,
-		Changed:  func([]core.Object) { wake(p.changed) },
+		Changed:  func([]core.Object) { loop.Poke(p.changed) },
 	}
 	if edit != nil {
 		edit(p.Store)
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -47,9 +47,7 @@
 	service  *rtable.Service
 	body     []byte
 	deadline time.Time
-	// leaves is when the caller leaves if nothing has come by then.
-	leaves time.Time
-	query  fleet.Query
+	query    fleet.Query
 
 	// sends counts the hosts that got any of the request, ran those that may have
 	// run it.
@@ -130,10 +128,6 @@
 	if !c.ask.Deadline.IsZero() && c.ask.Deadline.Before(c.deadline) {
 		c.deadline = c.ask.Deadline
 	}
-	c.leaves = c.deadline
-	if by := c.arrived.Add(c.route.Silence); c.route.Silence > 0 && by.Before(c.leaves) {
-		c.leaves = by
-	}
 	c.query = fleet.Query{Service: c.service.Name, DataCentre: p.DataCentre}
 	if c.service.HasModels() {
 		c.query.Model, c.query.Adapter = c.ask.Model, c.ask.Adapter
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"radishwell/core/retry"
 	"radishwell/core/rtable"
 	"radishwell/io/events"
+	"radishwell/io/loop"
 	"radishwell/io/meter"
 )
 
@@ -139,12 +140,7 @@
 }
 
 // Kick has whoever follows Waiting look at once.
-func (p *Proxy) Kick() {
-	select {
-	case p.waiting <- struct{}{}:
-	default: // it has been told already
-	}
-}
+func (p *Proxy) Kick() { loop.Poke(p.waiting) }
 
 // ShareRetries sets this process's part of the spare retries anew, as the number
 // of entries changes.
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -127,13 +127,15 @@
 
 // leavesAt returns when the caller leaves if it hears nothing more.
 func (c *call) leavesAt() time.Time {
-	if c.latest.IsZero() || c.route.Silence == 0 {
-		return c.leaves
+	heard := c.latest
+	if heard.IsZero() {
+		heard = c.arrived
 	}
-	if by := c.latest.Add(c.route.Silence); by.Before(c.deadline) {
-		return by
+	by := heard.Add(c.route.Silence)
+	if c.route.Silence == 0 || c.deadline.Before(by) {
+		return c.deadline
 	}
-	return c.deadline
+	return by
 }
 
 // rest waits for a change that may let the request go on.
--- a/io/soak/world.go
+++ b/io/soak/world.go
@@ -136,12 +136,9 @@
 
 func (w *world) addUpstream(i int, ports agentPorts) error {
 	u := &upstream{Worker: &stand.Worker{ID: fmt.Sprintf("i-%d", i), LoadTime: loadTime, Plain: i >= engines}, ip: fmt.Sprintf("127.1.0.%d", i+1), born: 1}
-	if !u.Plain {
-		u.Events, u.Gap = streamEvents, eventGap
-		u.Hold(stand.Held{Name: fmt.Sprintf("m-%d", 1+i%2), Version: 1})
-	}
 	u.Restart(u.born)
 	if !u.Plain {
+		u.Events, u.Gap = streamEvents, eventGap
 		u.Hold(stand.Held{Name: fmt.Sprintf("m-%d", 1+i%2), Version: 1})
 	}
 	var err error
