Relay connections with one stand-in

The soak had written a second relay beside io/fakes/midbox, with cuts, delays and resets. They are the box's now, with the tests of both; its callers in io/peer and io/entry stay as they were.

--- a/io/soak/link_test.go
+++ b/io/fakes/midbox/box_test.go
@@ -1,4 +1,4 @@
-package soak
+package midbox
 
 import (
 	"bufio"
@@ -10,9 +10,9 @@
 	"gotest.tools/v3/assert"
 )
 
-// echo starts a server that sends back each line, and returns a link to it with a
+// echo starts a server that sends back each line, and returns a box to it with a
 // connection through it.
-func echo(t *testing.T) (*Link, net.Conn) {
+func echo(t *testing.T) (*Box, net.Conn) {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -34,13 +34,13 @@
 			}()
 		}
 	}()
-	l, err := NewLink("127.0.0.1:0", netip.MustParseAddrPort(lis.Addr().String()))
+	l, err := New(netip.MustParseAddrPort(lis.Addr().String()))
 	assert.NilError(t, err)
 	t.Cleanup(l.Close)
 	return l, dial(t, l)
 }
 
-func dial(t *testing.T, l *Link) net.Conn {
+func dial(t *testing.T, l *Box) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", l.At().String())
 	assert.NilError(t, err)
@@ -70,7 +70,7 @@
 	assert.Assert(t, err != nil, "something came through")
 }
 
-func TestLink(t *testing.T) {
+func TestBox(t *testing.T) {
 	t.Run("relays", func(t *testing.T) {
 		_, c := echo(t)
 		say(t, c, "a")
--- a/io/soak/strike.go
+++ b/io/soak/strike.go
@@ -4,6 +4,7 @@
 	"syscall"
 	"time"
 
+	"radishwell/io/fakes/midbox"
 	"radishwell/platform/stand"
 )
 
@@ -43,9 +44,9 @@
 		host.link.Delay(time.Duration(20+s.Variant%200) * time.Millisecond)
 		return host.link.Heal
 	case ResetAll:
-		w.eachLink((*Link).Reset)
+		w.eachLink((*midbox.Box).Reset)
 	case HushAll:
-		w.eachLink((*Link).Hush)
+		w.eachLink((*midbox.Box).Hush)
 	case StoreDown:
 		return w.failStore(stand.Down)
 	case StoreSilent:
@@ -74,7 +75,7 @@
 
 func (w *world) procs() []*Proc { return append(append([]*Proc{}, w.entries...), w.agents...) }
 
-func (w *world) eachLink(do func(*Link)) {
+func (w *world) eachLink(do func(*midbox.Box)) {
 	for _, l := range w.storeLinks {
 		do(l)
 	}
@@ -105,12 +106,12 @@
 }
 
 // cut cuts one way, the other, or both.
-func cut(l *Link, variant int) func() {
+func cut(l *midbox.Box, variant int) func() {
 	if variant%3 != 1 {
-		l.Cut(Forth)
+		l.Cut(midbox.Forth)
 	}
 	if variant%3 != 0 {
-		l.Cut(Back)
+		l.Cut(midbox.Back)
 	}
 	return l.Heal
 }
--- a/io/soak/world.go
+++ b/io/soak/world.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"radishwell/io/fakes/midbox"
 	"radishwell/io/fakes/ports"
 	"radishwell/platform/stand"
 )
@@ -35,10 +36,10 @@
 	ip string
 	// at is where the host itself listens; the registry names the link's address.
 	at   netip.AddrPort
-	link *Link
+	link *midbox.Box
 	born int64
 	// agentLink is where entries find the agent, nil for a plain service.
-	agentLink *Link
+	agentLink *midbox.Box
 }
 
 // world is all parts of a run: the store, upstreams, entries and agents.
@@ -52,7 +53,7 @@
 	entries   []*Proc
 	agents    []*Proc
 	// storeLinks are the links of the processes to the store, entries first.
-	storeLinks []*Link
+	storeLinks []*midbox.Box
 	fronts     []netip.AddrPort
 
 	mu      sync.Mutex
@@ -77,12 +78,14 @@
 	return lis.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
-func (w *world) newLink(on string, to netip.AddrPort) (*Link, error) {
-	l, err := NewLink(on, to)
-	if err == nil {
-		w.closers = append(w.closers, l.Close)
+// newLink starts the relay between two processes.
+func (w *world) newLink(on, to netip.AddrPort) (*midbox.Box, error) {
+	l, err := midbox.NewOn(on, to)
+	if err != nil {
+		return nil, &StartError{What: "a link on " + on.String(), Cause: err}
 	}
-	return l, err
+	w.closers = append(w.closers, l.Close)
+	return l, nil
 }
 
 // build starts everything.
@@ -145,7 +148,7 @@
 	if u.at, err = w.serve(u.ip+":0", u.Worker); err != nil {
 		return err
 	}
-	if u.link, err = w.newLink(u.ip+":0", u.at); err != nil {
+	if u.link, err = w.newLink(netip.AddrPortFrom(u.at.Addr(), 0), u.at); err != nil {
 		return err
 	}
 	w.upstreams = append(w.upstreams, u)
@@ -154,7 +157,7 @@
 		return nil
 	}
 	own := netip.AddrPortFrom(u.at.Addr(), ports.own)
-	if u.agentLink, err = w.newLink(netip.AddrPortFrom(u.at.Addr(), ports.link).String(), own); err != nil {
+	if u.agentLink, err = w.newLink(netip.AddrPortFrom(u.at.Addr(), ports.link), own); err != nil {
 		return err
 	}
 	store, err := w.storeLink()
@@ -196,7 +199,7 @@
 }
 
 func (w *world) storeLink() (netip.AddrPort, error) {
-	l, err := w.newLink("127.0.0.1:0", w.storeAt)
+	l, err := w.newLink(netip.AddrPortFrom(w.storeAt.Addr(), 0), w.storeAt)
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
