Send no figures of an upstream that nobody reads

The reading of engines' prompts replaced the memory that prompts take in an entry's view, and the agent alone rests orders on their count; both were still sent with each report, twice a second and on change, from each agent to each entry.

--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -41,7 +41,6 @@
 	Reachable bool
 	Leaving   bool
 	Busy      bool
-	Orders    int64
 	Models    []core.HeldModel
 	InMemory  []core.ModelName
 	OnDisk    []core.ModelName
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -219,7 +219,7 @@
 func reportIn(r *wire.UpstreamReport, now time.Time) fleet.Report {
 	out := fleet.Report{
 		Taken: now.Add(-time.Duration(r.GetAge())), ID: core.HostName(r.GetInstance()), Reachable: r.GetReachable(),
-		Leaving: r.GetLeaving(), Busy: r.GetBusy(), Orders: int64(r.GetOrders()),
+		Leaving: r.GetLeaving(), Busy: r.GetBusy(),
 		InMemory: core.Names[core.ModelName](r.GetInMemory()), OnDisk: core.Names[core.ModelName](r.GetOnDisk()), Waiting: int(r.GetWaiting()), Running: int(r.GetRunning()),
 		Reading: int(r.GetReading()), Loading: core.ModelName(r.GetLoading()),
 	}
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -119,9 +119,9 @@
 func (d *Driver) report(now time.Time) *wire.UpstreamReport {
 	s := d.state
 	out := &wire.UpstreamReport{
-		Instance: string(d.lives.Current()), Orders: uint64(s.Orders), Busy: s.Busy || d.loading.model != "" || d.goal != nil, Leaving: s.Leaving,
+		Instance: string(d.lives.Current()), Busy: s.Busy || d.loading.model != "" || d.goal != nil, Leaving: s.Leaving,
 		InMemory: core.Texts(s.InMemory), OnDisk: core.Texts(s.OnDisk), Waiting: uint32(s.Waiting), Running: uint32(s.Running),
-		MemoryUsed: s.MemoryUsed, Reading: s.Reading, Age: int64(now.Sub(d.taken)), Reachable: !d.lost && !d.taken.IsZero(), Lost: d.lost,
+		Reading: s.Reading, Age: int64(now.Sub(d.taken)), Reachable: !d.lost && !d.taken.IsZero(), Lost: d.lost,
 		Ended:   core.Texts(d.lives.Ended(now)),
 		Loading: string(d.loading.model), Born: s.Born,
 	}
