Spread prompts over hosts by the project's own hash

core/fleet had FNV with a finisher of its own, since FNV's high bits change little over short texts; xxhash, which the project uses everywhere else, needs none. Which host a prompt prefers among equal ones changes, that all entries prefer the same does not; the tests are as they were.

--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -2,11 +2,12 @@
 
 import (
 	"encoding/binary"
-	"hash/fnv"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"radishwell/core"
 )
 
@@ -71,10 +72,7 @@
 type prefixKey uint64
 
 func (q *Query) key(part string) prefixKey {
-	sum := fnv.New64a()
-	// Writes to a hash never fail.
-	_, _ = sum.Write([]byte(string(q.Model) + "/" + q.Adapter + "/" + part))
-	return prefixKey(sum.Sum64())
+	return prefixKey(xxhash.Sum64String(string(q.Model) + "/" + q.Adapter + "/" + part))
 }
 
 // Choice is the answer to a Query.
@@ -238,22 +236,8 @@
 		// Hosts have few places for adapters; their requests go together.
 		part = ""
 	}
-	sum := fnv.New64a()
-	var key [8]byte
-	binary.LittleEndian.PutUint64(key[:], uint64(q.key(part)))
-	_, _ = sum.Write([]byte(h.ID))
-	_, _ = sum.Write(key[:])
-	return float64(mix(sum.Sum64())>>11) / (1 << 53)
-}
-
-// mix spreads the low bits of a hash over all of it (the finisher of
-// SplitMix64): FNV's high bits change little over short texts.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
+	key := binary.LittleEndian.AppendUint64([]byte(h.ID), uint64(q.key(part)))
+	return float64(xxhash.Sum64(key)>>11) / (1 << 53)
 }
 
 // Failing returns the host's recent failures, each counting less as it ages.
