Count a request's work by the places of the engine's batch

Cause: the work of a generated token was a constant, found on engines whose memory holds 20 requests. On engines that run 96 at once the busiest model got four copies, though its requests take under half of one; eight other models had no place. Ruled out: reading of prompts (0.3 of one engine in all). Change: a token takes one place of those that the batch and the memory for prompts hold, for as long as the model's streams were measured to take.

--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -68,6 +68,7 @@
 		c.ended(t, (*fleet.Host).Failed)
 		return outcome{sent: true, cause: &FailedError{Status: resp.StatusCode}}
 	}
+	resumed := c.begun
 	isStream := c.route.Kind == rtable.Stream && resp.StatusCode == http.StatusOK
 	switch {
 	case isStream:
@@ -85,6 +86,9 @@
 		if resp.StatusCode >= http.StatusInternalServerError {
 			h.Failed(now)
 		}
+		if isStream && c.query.Model != "" && !resumed {
+			c.proxy.demand.made(c.query.Model, c.ask.Answer, c.latest.Sub(c.first))
+		}
 	})
 	return outcome{done: true}
 }
--- a/io/proxy/demand.go
+++ b/io/proxy/demand.go
@@ -6,6 +6,7 @@
 
 	"radishwell/core"
 	"radishwell/core/copies"
+	"radishwell/core/rtable"
 )
 
 const (
@@ -22,12 +23,18 @@
 	leastShort = 0.6
 	// leastRate is below what counts as demand: one request some minutes ago.
 	leastRate = 1e-4
-	// readPace is the prompt tokens that an engine reads in a second, and
-	// tokenWork the part of an engine's time that a generated token takes among
-	// the twenty or so requests that its memory holds: engines served so far read
-	// 38 tokens in a millisecond and make a step in 5 to 6.
-	readPace  = 38_000.0
-	tokenWork = 0.00025
+	// readPace is the prompt tokens that an engine reads in a second: engines served
+	// so far read 38 tokens in a millisecond.
+	readPace = 38_000.0
+	// firstStep is how long an engine is taken to make a token before a stream has
+	// been measured, in seconds, and stepWeight the weight of each new measure.
+	// Engines served so far take 1.4 to 5.3 ms among few requests.
+	firstStep  = 0.005
+	stepWeight = 0.1
+	// leastStep and mostStep bound what is taken over from a measure, in seconds: one
+	// stream that broke off or was held up says little of the engine.
+	leastStep = 0.0005
+	mostStep  = 0.05
 	// sharedUnread is the part of the shared tokens of prompts that engines read
 	// again.
 	sharedUnread = 0.2
@@ -59,6 +66,9 @@
 type modelDemand struct {
 	long, short, hasty, work average
 	waiting                  int
+	// step is how long the model's engines take to make a token, in seconds; zero
+	// before a stream has been measured.
+	step float64
 }
 
 func (b *demandBook) of(name core.ModelName) *modelDemand {
@@ -71,8 +81,9 @@
 }
 
 // asked notes a request for a model.
-func (b *demandBook) asked(now time.Time, name core.ModelName, target time.Duration, work float64) {
+func (b *demandBook) asked(now time.Time, name core.ModelName, target time.Duration, ask *core.Ask, s *rtable.Service) {
 	d := b.of(name)
+	work := d.workOf(ask, s)
 	d.long.add(now, 1, longSpan)
 	d.short.add(now, 1, shortSpan)
 	d.work.add(now, work, shortSpan)
@@ -92,8 +103,15 @@
 	return max(long, short)
 }
 
-// workOf returns the engine's time that a request takes, in seconds.
-func workOf(ask *core.Ask) float64 {
+// work returns the part of an engine's time that a request takes, in seconds: its
+// prompt is read alone, and while its answer is made it takes one of the places in
+// the engine's batch.
+//
+// It answers the load of models with one or two busy copies on engines of different
+// sizes. Measured as if 20 requests shared each engine, the models asked for most
+// were given four copies on engines that run 96 at once; these stood in the way of
+// eight other models.
+func (d *modelDemand) workOf(ask *core.Ask, s *rtable.Service) float64 {
 	shared := 0
 	for i, p := range ask.Parts {
 		if i < len(ask.Parts)-1 {
@@ -101,7 +119,36 @@
 		}
 	}
 	read := float64(ask.Prompt) - (1-sharedUnread)*float64(min(shared, ask.Prompt))
-	return read/readPace + float64(ask.Answer)*tokenWork
+	step := d.step
+	if step == 0 {
+		step = firstStep
+	}
+	return read/readPace + float64(ask.Answer)*step/places(ask, s)
+}
+
+// places returns how many requests of a kind an engine runs at once, by its batch
+// and by its memory for prompts.
+func places(ask *core.Ask, s *rtable.Service) float64 {
+	n := float64(s.Batch)
+	if size := ask.Prompt + ask.Answer; s.PromptMemory > 0 && size > 0 {
+		n = min(n, float64(s.PromptMemory)/float64(size))
+	}
+	return max(1, n)
+}
+
+// made notes how long a stream of so many tokens took from its first event to its
+// last.
+func (b *demandBook) made(name core.ModelName, tokens int, took time.Duration) {
+	if tokens <= 0 || took <= 0 {
+		return
+	}
+	d := b.of(name)
+	step := min(mostStep, max(leastStep, took.Seconds()/float64(tokens)))
+	if d.step == 0 {
+		d.step = step
+		return
+	}
+	d.step += stepWeight * (step - d.step)
 }
 
 func (b *demandBook) all(now time.Time) map[core.ModelName]copies.Demand {
