Drop a goal for an idle model that is in use by then

Cause: the planner's word on requests in progress is up to half a second old; a model taken for idle got a request meanwhile, and its host waited for its end. Change: an agent that finds what it gives up in use, by what entries said since the goal came, drops the goal; a report without it frees the host for another move.

--- a/core/copies/place.go
+++ b/core/copies/place.go
@@ -57,7 +57,7 @@
 	}
 	move := Move{
 		Copies: w.copies[name], Demand: w.demand[name], Worth: worth, Loss: best.loss,
-		Host: best.host.ID, Evict: best.evict, Load: name, From: best.from, By: w.now.Add(took), Until: w.now.Add(settle),
+		Host: best.host.ID, Evict: best.evict, Idle: drain(best.host, best.evict) == 0, Load: name, From: best.from, At: w.now, By: w.now.Add(took), Until: w.now.Add(settle),
 	}
 	w.moves = append(w.moves, move)
 	w.Planner.moves[move.Host] = move
--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -43,6 +43,9 @@
 	// settle is for how long a move that was told counts as under way without
 	// being seen in the host's reports: two exchanges with its agent.
 	settle = 1500 * time.Millisecond
+	// takeUp is how long a move is on its way to its agent at the most, on a sound
+	// network.
+	takeUp = 100 * time.Millisecond
 	// storeShare is the part of the weight store's rate that is used, since hosts
 	// whose loads this process cannot see load too.
 	storeShare = 0.9
@@ -90,6 +93,8 @@
 	// Open tells that the host takes an order now: it is reached, not leaving and
 	// not busy.
 	Open bool
+	// Seen is when the host gave the report that all this is from.
+	Seen time.Time
 	// Leaving hosts' copies do not count.
 	Leaving bool
 	Held    []core.ModelName
@@ -112,14 +117,17 @@
 	Evict []core.ModelName
 	Load  core.ModelName
 	From  core.Tier
+	// Idle tells that the move was chosen since no requests for what it gives up are in
+	// progress.
+	Idle bool
 	// Why the move was made, for the log: the copies there were, what the model
 	// is asked for, and what the copy is worth against those it displaces.
 	Copies      int
 	Demand      Demand
 	Worth, Loss float64
-	// By is when the load should be done, and Until when the move counts as not
+	// At is when the move was made, By when the load should be done, and Until when the move counts as not
 	// taken up if no report shows it.
-	By, Until time.Time
+	At, By, Until time.Time
 }
 
 // Planner decides moves for the hosts of one service. Set the exported fields
@@ -197,6 +205,14 @@
 	return at, ok
 }
 
+// shown tells whether a host's report shows that the move is carried out.
+func (m *Move) shown(h *Host) bool { return slices.Contains(h.Held, m.Load) || h.Loading == m.Load }
+
+// void tells whether a host that could have taken the move up takes orders without
+// it. Counted as under way until it runs out, a move that an agent dropped kept its
+// host from others for a second and a half.
+func (m *Move) void(h *Host) bool { return h.Open && h.Seen.After(m.At.Add(takeUp)) }
+
 // settle forgets moves that the hosts' reports show, or that were not taken up.
 func (p *Planner) settle(now time.Time, hosts []*Host) {
 	if p.moves == nil {
@@ -204,7 +220,7 @@
 	}
 	for id, m := range p.moves {
 		i := slices.IndexFunc(hosts, func(h *Host) bool { return h.ID == id })
-		if i < 0 || slices.Contains(hosts[i].Held, m.Load) || hosts[i].Loading == m.Load || !now.Before(m.Until) {
+		if i < 0 || m.shown(hosts[i]) || m.void(hosts[i]) || !now.Before(m.Until) {
 			delete(p.moves, id)
 		}
 	}
--- a/core/copies/plan_test.go
+++ b/core/copies/plan_test.go
@@ -323,6 +323,15 @@
 	t.Run("are not told twice", func(t *testing.T) {
 		wantMoves(t, p.Plan(t0.Add(200*time.Millisecond), service(3), hosts(), nil))
 	})
+	t.Run("end with a report of a host that takes orders without them", func(t *testing.T) {
+		p := &copies.Planner{Parallel: 4}
+		p.Plan(t0, service(3), hosts(), nil)
+		later := hosts()
+		later[0].Seen = t0.Add(50 * time.Millisecond)
+		wantMoves(t, p.Plan(t0.Add(200*time.Millisecond), service(3), later, nil))
+		later[0].Seen = t0.Add(150 * time.Millisecond)
+		assert.Equal(t, len(p.Plan(t0.Add(200*time.Millisecond), service(3), later, nil)), 1)
+	})
 	t.Run("are told again when nobody took them up", func(t *testing.T) {
 		assert.Equal(t, len(p.Plan(t0.Add(3*time.Second), service(3), hosts(), nil)), 1)
 	})
--- a/io/deploy/planner.go
+++ b/io/deploy/planner.go
@@ -201,7 +201,7 @@
 
 func viewHost(h *fleet.Host, s *rtable.Service, now time.Time, follows bool) *copies.Host {
 	out := &copies.Host{
-		ID: h.ID, Open: follows && h.Fresh(now) && !h.Report.Busy && !h.IsLeaving(), Leaving: h.IsLeaving(),
+		ID: h.ID, Open: follows && h.Fresh(now) && !h.Report.Busy && !h.IsLeaving(), Leaving: h.IsLeaving(), Seen: h.Report.Taken,
 		Memory: s.Memory, Active: map[core.ModelName]int{}, Loading: h.Report.Loading, LoadedBy: h.Report.LoadedBy,
 	}
 	tiers := map[core.ModelName]core.Tier{}
@@ -222,7 +222,7 @@
 	defer stop()
 	in := &wire.GoalCall{
 		Entry: string(p.entry.Settings.Name), Instance: string(h.ID), Load: string(m.Load), Evict: core.Texts(m.Evict), Limits: limitsOf(s),
-		Takes: int64(m.By.Sub(p.entry.clock.Now())),
+		Takes: int64(m.By.Sub(p.entry.clock.Now())), Idle: m.Idle,
 	}
 	reply, err := p.entry.client.Goal(ctx, p.entry.links.agent(h.Address), in)
 	if err != nil {
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -101,6 +101,8 @@
 	// evictAt is when unloads may begin, until when the goal has to have begun.
 	evictAt, until time.Time
 	takes          time.Duration
+	// idle tells that the goal is void if what it gives up is in use.
+	idle bool
 }
 
 // gives tells whether the goal gives a model up.
--- a/io/driver/driver_test.go
+++ b/io/driver/driver_test.go
@@ -229,6 +229,34 @@
 			assert.DeepEqual(t, models(call(t, d, "edge-1")), []string{"a", "c"})
 		})
 	})
+	t.Run("gives up nothing that is in use, where it was chosen for that", func(t *testing.T) {
+		// The planner finds a model idle by what it heard half a second ago. A request
+		// for it has come meanwhile; the upstream waited for its end, for seconds, and
+		// callers of both models waited with it.
+		e := newEngine("a", "b")
+		drive(t, e, func(d *driver.Driver) {
+			call(t, d, "edge-1")
+			use := func(count uint32) {
+				_, err := d.ServeUpstream(&wire.UpstreamCall{
+					Entry: "edge-1", Control: "edge-1:1", Active: []*wire.ModelActive{{Model: "b", Count: count}},
+				})
+				assert.NilError(t, err)
+			}
+			idle := &wire.GoalCall{Entry: "edge-1", Instance: "i-1", Load: "c", Evict: []string{"b"}, Limits: limits(), Idle: true}
+			_, err := d.ServeGoal(idle)
+			assert.NilError(t, err)
+			use(1)
+			time.Sleep(4 * time.Second)
+			assert.Equal(t, len(e.accepted()), 0)
+			use(0)
+			assert.DeepEqual(t, models(call(t, d, "edge-1")), []string{"a", "b"})
+			r, err := d.ServeGoal(idle)
+			assert.NilError(t, err)
+			assert.Assert(t, r.GetTaken())
+			time.Sleep(4 * time.Second)
+			assert.DeepEqual(t, e.accepted(), []string{"unload b", "load c"})
+		})
+	})
 	t.Run("begins at once", func(t *testing.T) {
 		// Callers wait for the model; up to the next look at an idle upstream nothing
 		// happened, for a sixth of a second.
--- a/io/driver/order.go
+++ b/io/driver/order.go
@@ -63,10 +63,20 @@
 	if !ok {
 		return core.UpstreamOrder{}, false
 	}
+	active := d.active()
 	for _, m := range g.evict {
 		if d.holds(m) && now.Before(g.evictAt) {
 			return core.UpstreamOrder{}, false
 		}
+		if g.idle && active[string(m)] > 0 {
+			// A request was on its way there when the planner decided. The upstream
+			// would end it first and load nothing meanwhile, for a second or two in which
+			// neither model's callers are served.
+			events.Log(events.LoadFailed, "model", g.load, "reason", "a model to give up is in use", "in-use", m)
+			d.goal = nil
+			d.tell()
+			return core.UpstreamOrder{}, false
+		}
 		if d.holds(m) {
 			o.Unload, o.Model = true, m
 			return o, true
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -164,7 +164,7 @@
 		return &wire.GoalReply{Reason: "another goal is under way"}, nil
 	}
 	g := &goal{
-		load: core.ModelName(c.GetLoad()), evict: core.Names[core.ModelName](c.GetEvict()), limits: c.GetLimits(), until: now.Add(goalTime), evictAt: now.Add(evictNotice), takes: time.Duration(c.GetTakes()),
+		load: core.ModelName(c.GetLoad()), evict: core.Names[core.ModelName](c.GetEvict()), limits: c.GetLimits(), until: now.Add(goalTime), evictAt: now.Add(evictNotice), takes: time.Duration(c.GetTakes()), idle: c.GetIdle(),
 	}
 	d.goal = g
 	d.tell()
