Take streams of silent hosts to others before their callers leave

Ruled out: a close that was not passed on (the entry closes within 2 ms; a frozen host cannot read it). Change: a resumable stream that has been silent for a second, on a host whose agent is silent too, goes on at another host that can take it now.

--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -156,6 +156,15 @@
 	return !h.lostAt.IsZero() && now.Sub(h.lostAt) < reportAge
 }
 
+// silentAge is how old a host's report is when its agent counts as silent: agents
+// answer every half second, so two answers are missing.
+const silentAge = time.Second
+
+// Silent tells whether the host's agent was heard of, but not lately.
+func (h *Host) Silent(now time.Time) bool {
+	return !h.Report.Taken.IsZero() && now.Sub(h.Report.Taken) >= silentAge
+}
+
 // Outlived tells whether this life has ended, by the word of the host's agent or
 // since the registry names a newer one at its address.
 func (h *Host) Outlived() bool { return h.outlived || h.superseded }
--- a/core/fleet/view_test.go
+++ b/core/fleet/view_test.go
@@ -317,6 +317,17 @@
 	})
 }
 
+// A host and its agent stand still. The agent's last word counts as fresh for two
+// seconds, but after one its streams are looked at.
+func TestSilentAgent(t *testing.T) {
+	v := view(entry("i-1", "m"))
+	h := v.Host("i-1")
+	assert.Assert(t, !h.Silent(t0), "an agent that was never heard of tells nothing")
+	v.Report(fleet.Report{Taken: t0, ID: "i-1", Reachable: true})
+	assert.Assert(t, !h.Silent(t0.Add(900*time.Millisecond)))
+	assert.Assert(t, h.Silent(t0.Add(time.Second)))
+}
+
 // A planner asks which models a host could give up at once. Requests of other entries
 // are in progress there, which only the host's agent was told of.
 func TestActiveRequests(t *testing.T) {
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -64,7 +64,7 @@
 		}
 	}
 	e.prepareState()
-	p.parts = append(p.parts, e.links.run, e.planner.run, e.planner.recall)
+	p.parts = append(p.parts, e.proxy.Run, e.links.run, e.planner.run, e.planner.recall)
 	p.serve(&httpd.Server{Address: s.Managed.Readiness, Handler: http.HandlerFunc(e.serveReady)})
 	callers := &httpd.Server{Address: s.Listen.Callers, Handler: e.steer(e.proxy)}
 	p.serve(callers)
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -41,6 +42,8 @@
 func (c *call) attempt(ctx context.Context, t *target) outcome {
 	ctx, stop := context.WithDeadline(ctx, c.leaveBy())
 	defer stop()
+	ctx, done := c.proxy.watch(ctx, c, t)
+	defer done()
 	c.host = t.id
 	resp, sent, err := c.proxy.upstreams.send(ctx, c, t, c.event)
 	if sent {
@@ -51,7 +54,7 @@
 			c.ran++
 		}
 		c.ended(t, func(h *fleet.Host, now time.Time) { c.blame(ctx, h, now, sent) })
-		return outcome{sent: sent, cause: err}
+		return outcome{sent: sent, cause: causeOf(ctx, err)}
 	}
 	defer resp.Body.Close()
 	head := c.proxy.Protocol.Answer(resp.Header)
@@ -80,7 +83,7 @@
 	}
 	if err != nil {
 		c.ended(t, func(h *fleet.Host, now time.Time) { c.blame(ctx, h, now, true) })
-		return outcome{sent: true, cause: err}
+		return outcome{sent: true, cause: causeOf(ctx, err)}
 	}
 	c.ended(t, func(h *fleet.Host, now time.Time) {
 		if resp.StatusCode >= http.StatusInternalServerError {
@@ -93,6 +96,15 @@
 	return outcome{done: true}
 }
 
+// causeOf returns why an attempt was left, where that is behind its error.
+func causeOf(ctx context.Context, err error) error {
+	var silent *SilentError
+	if errors.As(context.Cause(ctx), &silent) {
+		return silent
+	}
+	return err
+}
+
 // leaveBy returns when an attempt is given up. One at a request that may run again
 // leaves as much time for another host as it has itself: a host that was cut off
 // takes requests and says nothing. One after a failure that is kept ends in time for
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -67,6 +67,8 @@
 	// two.
 	first, latest time.Time
 	longest       time.Duration
+	// watched is the attempt in progress, if it is left when its host falls silent.
+	watched *watched
 	// begun tells that part of an answer has gone to the caller.
 	begun bool
 	// failure is an upstream's own, which another host may not have.
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -44,6 +44,8 @@
 	// leave is until when requests may wait once the process stops; zero while it
 	// does not.
 	leave time.Time
+	// streams are those in progress that may go on at another host.
+	streams map[*watched]bool
 	// waiting is told when a request begins to wait for a model.
 	waiting chan struct{}
 }
@@ -52,6 +54,7 @@
 func (p *Proxy) Start() {
 	p.changed = make(chan struct{})
 	p.waiting = make(chan struct{}, 1)
+	p.streams = map[*watched]bool{}
 	p.retries = map[core.ServiceName]*retry.Window{}
 	p.demand.models = map[core.ModelName]*modelDemand{}
 	p.upstreams.start()
--- /dev/null
+++ b/io/proxy/silent_test.go
@@ -0,0 +1,92 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/fleet"
+	"radishwell/core/rtable"
+)
+
+// stepClock stands still but for its steps.
+type stepClock struct{ now time.Time }
+
+func (c *stepClock) Now() time.Time { return c.now }
+
+// A host and its agent stand still in the middle of a stream. The connection stays
+// open and the registry lists the host; the caller hears nothing, leaves after two
+// seconds, and the host goes on with the stream when it wakes.
+func TestSilentStreams(t *testing.T) {
+	type rig struct {
+		*Proxy
+		clock *stepClock
+		call  *call
+		ctx   context.Context
+	}
+	begin := func(t *testing.T, route rtable.Route, hosts ...core.HostName) *rig {
+		t.Helper()
+		r := &rig{clock: &stepClock{now: time.Unix(1000, 0)}}
+		r.Proxy = &Proxy{Clock: r.clock}
+		r.Start()
+		for _, id := range hosts {
+			r.view.Apply(fleet.Entry{ID: id, Service: "llm", Usable: true, Models: []core.HeldModel{{Model: "m"}}})
+		}
+		r.view.Report(fleet.Report{
+			ID: "i-1", Taken: r.clock.now, Reachable: true, Models: []core.HeldModel{{Model: "m"}},
+		})
+		r.call = &call{proxy: r.Proxy, route: &route, query: fleet.Query{Service: "llm", Model: "m"}}
+		var done func()
+		r.ctx, done = r.watch(t.Context(), r.call, &target{id: "i-1", host: r.view.Host("i-1")})
+		t.Cleanup(done)
+		return r
+	}
+	left := func(r *rig) bool {
+		r.leaveSilent()
+		var silent *SilentError
+		return errors.As(context.Cause(r.ctx), &silent)
+	}
+	resumable := rtable.Route{Kind: rtable.Stream, Resumable: true, MostHosts: 2, Target: 300 * time.Millisecond, Pause: 200 * time.Millisecond}
+	t.Run("go on elsewhere", func(t *testing.T) {
+		r := begin(t, resumable, "i-1", "i-2")
+		r.clock.now = r.clock.now.Add(900 * time.Millisecond)
+		assert.Assert(t, !left(r))
+		r.clock.now = r.clock.now.Add(200 * time.Millisecond)
+		assert.Assert(t, left(r))
+	})
+	t.Run("stay while the agent is heard", func(t *testing.T) {
+		r := begin(t, resumable, "i-1", "i-2")
+		r.clock.now = r.clock.now.Add(1500 * time.Millisecond)
+		r.view.Report(fleet.Report{ID: "i-1", Taken: r.clock.now, Reachable: true})
+		assert.Assert(t, !left(r))
+	})
+	t.Run("stay while events come", func(t *testing.T) {
+		r := begin(t, resumable, "i-1", "i-2")
+		r.clock.now = r.clock.now.Add(1500 * time.Millisecond)
+		r.call.passed()
+		assert.Assert(t, !left(r))
+	})
+	t.Run("stay for twice the pause that callers take well", func(t *testing.T) {
+		slow := resumable
+		slow.Pause = time.Second
+		r := begin(t, slow, "i-1", "i-2")
+		r.clock.now = r.clock.now.Add(1500 * time.Millisecond)
+		assert.Assert(t, !left(r))
+	})
+	t.Run("stay where no other host has the model", func(t *testing.T) {
+		r := begin(t, resumable, "i-1")
+		r.clock.now = r.clock.now.Add(1500 * time.Millisecond)
+		assert.Assert(t, !left(r))
+	})
+	t.Run("stay where they may not run again", func(t *testing.T) {
+		once := resumable
+		once.Resumable = false
+		r := begin(t, once, "i-1", "i-2")
+		r.clock.now = r.clock.now.Add(1500 * time.Millisecond)
+		assert.Assert(t, !left(r))
+	})
+}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -82,6 +82,9 @@
 		c.longest = max(c.longest, now.Sub(c.latest))
 	}
 	c.latest = now
+	if c.watched != nil {
+		c.watched.heard.Store(now.UnixNano())
+	}
 }
 
 // flush sends what was passed on before the upstream broke off: an aborted answer
