--- a/io/cmds/soak.go
+++ b/io/cmds/soak.go
@@ -17,7 +17,7 @@
 	Seed    uint64        `default:"1" help:"The first seed."`
 	Seeds   int           `default:"1" help:"How many seeds are run, one after the other."`
 	Length  time.Duration `default:"12s" help:"When the faults of a run end."`
-	Keep    string        `default:"target/soak" help:"Directory for the logs and schedules of runs that failed." type:"path"`
+	Keep    string        `default:"target/soak-runs" help:"Directory for the logs and schedules of runs that failed." type:"path"`
 }
 
 // Soak runs the soak's command line and returns the exit status.
--- a/io/soak/caller.go
+++ b/io/soak/caller.go
@@ -13,6 +13,9 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"radishwell/core"
+	plat "radishwell/platform"
 )
 
 // Route is a kind of request that callers send.
@@ -106,25 +109,30 @@
 	}
 	req.ContentLength = int64(len(text))
 	req.Host = "a.example"
-	req.Header.Set("X-Radishwell-Request-Id", r.ID)
-	req.Header.Set("X-Radishwell-Deadline-Ms", strconv.Itoa(int(deadline.Milliseconds())))
-	if r.Route == Stream || r.Route == Resumed {
-		req.Header.Set("X-Radishwell-Model", model)
-		req.Header.Set("X-Radishwell-Token-Usage", "100,50")
-		req.Header.Set("X-Radishwell-Prompt-Prefix", "aa:60,"+"bb:40")
-	}
+	now := time.Now()
+	req.Header = plat.AskHeader(askOf(r, model, now.Add(deadline)), now)
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		r.Unsent = errors.Is(err, syscall.ECONNREFUSED)
 		return r
 	}
 	defer resp.Body.Close()
-	r.Status, r.Signer = resp.StatusCode, resp.Header.Get("X-Radishwell-Server-Signature")
+	r.Status, r.Signer = resp.StatusCode, plat.Signature(resp.Header)
 	r.Body, err = io.ReadAll(resp.Body)
 	r.Whole = err == nil
 	return r
 }
 
+// askOf returns what a caller asks for.
+func askOf(r Result, model string, by time.Time) core.Ask {
+	ask := core.Ask{ID: core.RequestID(r.ID), Deadline: by}
+	if r.Route == Stream || r.Route == Resumed {
+		ask.Model, ask.Prompt, ask.Answer = core.ModelName(model), 100, 50
+		ask.Parts = []core.PromptPart{{ID: "aa", Tokens: 60}, {ID: "bb", Tokens: 40}}
+	}
+	return ask
+}
+
 // served tells whether an entry serves a request of each route before a time.
 func (c *callers) served(entry int, seed uint64, until time.Time) bool {
 	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
