Account for requests that were lost or late by their causes

radishwell losses reads entries' logs and prints, by route and cause, what became of the requests in them; cut lines and lines that processes left out are counted. Entries log the route's target, the time in which an adapter was on its way, the answer's status and the pause that callers take well.

--- /dev/null
+++ b/core/losses/losses_test.go
@@ -0,0 +1,56 @@
+package losses_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/losses"
+)
+
+func TestCause(t *testing.T) {
+	const target = 2 * time.Second
+	rows := []struct {
+		name string
+		r    losses.Request
+		want losses.Cause
+	}{
+		{"in time", losses.Request{Target: target, Answered: true, Took: 5 * time.Second, First: time.Second, Waited: 900 * time.Millisecond}, losses.None},
+		{"no target known", losses.Request{Answered: true, Took: time.Minute}, losses.None},
+		{"a copy came late", losses.Request{Target: target, Answered: true, First: 3 * time.Second, Waited: 2 * time.Second}, losses.LateNoCopy},
+		{"an adapter came late", losses.Request{Target: target, Answered: true, First: 3 * time.Second, Waited: time.Second, Fetched: 1500 * time.Millisecond}, losses.LateAdapter},
+		{"the engine was late", losses.Request{Target: target, Answered: true, First: 3 * time.Second, Waited: time.Second}, losses.LateQueue},
+		{"a plain answer came late", losses.Request{Target: target, Answered: true, Took: 3 * time.Second}, losses.LateQueue},
+		{"a stream paused", losses.Request{Target: target, Answered: true, First: time.Second, Longest: time.Second, Pause: 200 * time.Millisecond}, losses.LatePauses},
+		{"the upstream's own failure", losses.Request{Target: target, Answered: true, Failed: true}, losses.FailedUpstream},
+		{"spoilt", losses.Request{Code: core.CodeUpstreamLost, Spoilt: true}, losses.FailedSpoilt},
+		{"lost", losses.Request{Code: core.CodeUpstreamLost}, losses.FailedLost},
+		{"not answered", losses.Request{Code: core.CodeUpstreamLate}, losses.FailedLate},
+		{"left without a copy", losses.Request{Code: core.CodeCancelled, Took: 2 * time.Second, Waited: 2 * time.Second}, losses.LeftNoCopy},
+		{"left without a word", losses.Request{Code: core.CodeCancelled, Took: 2 * time.Second, Sends: 1}, losses.LeftQueue},
+		{"held to the end", losses.Request{Target: target, Code: core.CodeWaitTooLong, Took: 8 * time.Second, Waited: 8 * time.Second}, losses.HeldToEnd},
+		{"refused while it waited", losses.Request{Target: target, Code: core.CodeWaitTooLong, Took: time.Second, Waited: time.Second}, losses.RefusedWaiting},
+		{"refused at once", losses.Request{Target: target, Code: core.CodeOverload}, losses.RefusedAtOnce},
+		{"the entry stops", losses.Request{Code: core.CodeLeaving}, losses.RefusedOther},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) { assert.Equal(t, row.r.Cause().String(), row.want.String()) })
+	}
+}
+
+func TestTable(t *testing.T) {
+	var table losses.Table
+	for _, code := range []core.Code{core.CodeLeaving, core.CodeUpstreamLost, core.CodeUpstreamLost} {
+		table.Add(&losses.Request{Route: "b", Code: code})
+	}
+	table.Add(&losses.Request{Route: "b", Answered: true})
+	table.Add(&losses.Request{Route: "a", Answered: true})
+	assert.DeepEqual(t, table.Routes(), []string{"a", "b"})
+	assert.DeepEqual(t, table.Rows("b"), []losses.Row{{losses.None, 1}, {losses.FailedLost, 2}, {losses.RefusedOther, 1}})
+	all, lost := table.Total("b")
+	assert.Equal(t, all, 4)
+	assert.Equal(t, lost, 3, "what is lost adds up to all but what was in time")
+	assert.Equal(t, len(table.Rows("c")), 0)
+}
--- a/io/hosted/commands.go
+++ b/io/hosted/commands.go
@@ -26,6 +26,7 @@
 	Agent   agentCommand     `cmd:"" help:"Run beside an upstream: queue requests and have models loaded."`
 	Check   checkCommand     `cmd:"" help:"Validate settings and catalogue files: file, line, key and reason of every problem."`
 	Explain explainCommand   `cmd:"" help:"Ask running processes why: a request's way, where a model is, how a host stands."`
+	Losses  lossesCommand    `cmd:"" help:"Account for requests that were lost or late, by route and cause, from entries' logs."`
 	Version kong.VersionFlag `help:"Print the version and exit." short:"v"`
 	Show    versionCommand   `cmd:"" name:"version" help:"Print the version."`
 }
--- a/io/hosted/logs.go
+++ b/io/hosted/logs.go
@@ -63,11 +63,22 @@
 
 // value returns the value of a key in a line.
 func (l logLine) value(key string) string {
-	found := regexp.MustCompile(`\b` + key + `="([^"]*)"`).FindStringSubmatch(l.text)
-	if found == nil {
+	_, text, ok := strings.Cut(l.text, " "+key+`="`)
+	if !ok {
 		return ""
 	}
-	return found[1]
+	text, _, _ = strings.Cut(text, `"`)
+	return text
+}
+
+// number returns the value of a key that is written without quotes.
+func (l logLine) number(key string) string {
+	_, text, ok := strings.Cut(l.text, " "+key+"=")
+	if !ok {
+		return ""
+	}
+	text, _, _ = strings.Cut(text, " ")
+	return text
 }
 
 func (l logLine) names(value string) bool { return strings.Contains(l.text, `"`+value+`"`) }
--- a/io/hosted/logs_test.go
+++ b/io/hosted/logs_test.go
@@ -46,3 +46,28 @@
 	explain(1, "request", "q-1", "--logs", filepath.Join(dir, "absent.log"))
 	explain(1, "request", "q-1")
 }
+
+const lossesLog = `I0704 21:06:37.000000   12 log.go:9] "Request has its answer" event="RW1804" request="q-1" took="5s" sends=1 ran=1 route="r-1" target="2s" waited="2.5s" first="3s" longest-pause="10ms" pause-target="200ms"
+I0704 21:06:38.000000   12 log.go:9] "Request has its answer" event="RW1804" request="q-2" took="60ms" sends=1 ran=1 route="r-1" target="2s" left-out=4
+W0704 21:06:39.000000   12 log.go:9] "Request is refused" event="RW1501" request="q-3" took="8.1s" sends=0 ran=0 route="r-1" target="2s" waited="8.1s" err="wait-too-long (not-run): no upstream host could run the request in its time"
+W0704 21:06:39.000000   12 log.go:9] "Request is refused" event="RW1501" request="q-4" took="0s" sends=0 ran=0 err="unknown-path (not-run): no route"
+I0704 21:06:40.000000   12 log.go:9] "Request has its answer" event="RW1804" request="q-5" to
+I0704 21:06:40.000000   12 log.go:9] "Routing table is in force" event="RW1801" version=7 routes=17
+a line of another writer
+`
+
+// Operators ask why so many requests of a route are late, and have nothing but logs,
+// the last line of which was cut when the process was killed.
+func TestLossesFromLogs(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "edge-1.log")
+	assert.NilError(t, os.WriteFile(file, []byte(lossesLog), 0o600))
+	var out, errs bytes.Buffer
+	assert.Equal(t, cmds.Radishwell([]string{"losses", file}, &out, &errs), 0, errs.String())
+	assert.Equal(t, out.String(), `route  cause                                      requests  of the route's
+r-1    in time                                    1         33.3%
+r-1    late: no copy of the model, or on its way  1         33.3%
+r-1    refused when its time was over, untried    1         33.3%
+r-1    lost or late in all                        2         66.7%
+requests without a route 1, lines that could not be read 1, lines that the processes left out 4
+`)
+}
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -163,6 +163,7 @@
 
 // passFailure writes the failure that was kept.
 func (c *call) passFailure() {
+	c.status = c.failure.status
 	head := c.writer.Header()
 	for name, values := range c.failure.header {
 		head[name] = values
@@ -253,6 +254,7 @@
 }
 
 func (c *call) copyHead(resp *http.Response) {
+	c.status = resp.StatusCode
 	head := c.writer.Header()
 	for name, values := range c.proxy.Protocol.Reply(resp.Header) {
 		head[name] = values
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -16,7 +16,7 @@
 		"request", c.ask.ID, "took", now.Sub(c.arrived).Round(time.Millisecond), "table", c.version, "sends", c.sends, "ran", c.ran,
 	}
 	if c.route != nil {
-		pairs = append(pairs, "route", c.route.Name)
+		pairs = append(pairs, "route", c.route.Name, "target", c.route.Target)
 	}
 	if c.service != nil {
 		pairs = append(pairs, "service", c.service.Name, "left", c.deadline.Sub(now).Round(time.Millisecond))
@@ -27,8 +27,17 @@
 	if c.waited > 0 {
 		pairs = append(pairs, "waited", c.waited.Round(time.Millisecond))
 	}
+	if c.fetched > 0 {
+		pairs = append(pairs, "fetched", c.fetched.Round(time.Millisecond))
+	}
+	if c.status != 0 {
+		pairs = append(pairs, "status", c.status)
+	}
 	if c.route != nil && c.route.Kind == rtable.Stream && !c.first.IsZero() {
-		pairs = append(pairs, "first", c.first.Sub(c.arrived).Round(time.Millisecond), "longest-pause", c.longest.Round(time.Millisecond))
+		pairs = append(
+			pairs, "first", c.first.Sub(c.arrived).Round(time.Millisecond), "longest-pause", c.longest.Round(time.Millisecond),
+			"pause-target", c.route.Pause,
+		)
 	}
 	if c.best != "" {
 		pairs = append(pairs, "host", c.best, "report-age", c.reportAge.Round(time.Millisecond), "cost", int(c.cost),
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -12,11 +12,11 @@
 // holds the model, and refuses as soon as none will in time.
 func (c *call) acquire(ctx context.Context) (*target, *core.Refusal) {
 	waits := false
-	began := c.proxy.Clock.Now()
+	began, fetched := c.proxy.Clock.Now(), c.fetched
 	defer func() {
 		if waits {
 			c.setWaiting(-1)
-			c.waited += c.proxy.Clock.Now().Sub(began)
+			c.waited += c.proxy.Clock.Now().Sub(began) - (c.fetched - fetched)
 		}
 	}()
 	for {
@@ -52,7 +52,9 @@
 		}
 		return true
 	}
+	began := c.proxy.Clock.Now()
 	err := c.proxy.Adapters.Fetch(ctx, t.id, c.query.Model, c.query.Adapter)
+	c.fetched += c.proxy.Clock.Now().Sub(began)
 	if err == nil {
 		return true
 	}
