--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -164,7 +164,8 @@
 		return &wire.GoalReply{Reason: "another goal is under way"}, nil
 	}
 	g := &goal{
-		load: core.ModelName(c.GetLoad()), evict: core.Names[core.ModelName](c.GetEvict()), limits: c.GetLimits(), until: now.Add(goalTime), evictAt: now.Add(evictNotice), takes: time.Duration(c.GetTakes()), idle: c.GetIdle(),
+		load: core.ModelName(c.GetLoad()), evict: core.Names[core.ModelName](c.GetEvict()), idle: c.GetIdle(), limits: c.GetLimits(),
+		until: now.Add(goalTime), evictAt: now.Add(evictNotice), takes: time.Duration(c.GetTakes()),
 	}
 	d.goal = g
 	d.tell()
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -63,7 +63,8 @@
 	foreseen  time.Duration
 	version   int64
 	waited    time.Duration
-	// fetched is the time in which an adapter was on its way, and status that of the upstream's answer, zero before it has one.
+	// fetched is the time in which an adapter was on its way, and status that of the
+	// upstream's answer, zero before it has one.
 	fetched time.Duration
 	status  int
 	// The times of a stream's first and last events, and the longest pause between
--- a/io/proxy/demand.go
+++ b/io/proxy/demand.go
@@ -66,7 +66,7 @@
 type modelDemand struct {
 	long, short, hasty, work average
 	waiting                  int
-	// step is how long the model's engines take to make a token, in seconds; zero
+	// step is how long the model's engines lately took to make a token, in seconds; zero
 	// before a stream has been measured.
 	step float64
 }
@@ -103,7 +103,7 @@
 	return max(long, short)
 }
 
-// work returns the part of an engine's time that a request takes, in seconds: its
+// workOf returns the part of an engine's time that a request takes, in seconds: its
 // prompt is read alone, and while its answer is made it takes one of the places in
 // the engine's batch.
 //
