Say once where weights are near, how long a caller heard nothing, how fast engines read

A reading of the whole change found three things that stood twice: the nearest tier of a model's weights (core/copies and io/driver), the time until the first sign of an answer (twice in core/losses) and the rate at which engines read prompts (core/fleet and io/proxy). Each stands once now; behaviour is the same, tests are untouched.

--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -112,13 +112,7 @@
 
 // Near tells where the host has a copy of a model's weights.
 func (h *Host) Near(name core.ModelName) core.Tier {
-	switch {
-	case slices.Contains(h.InMemory, name):
-		return core.TierMemory
-	case slices.Contains(h.OnDisk, name):
-		return core.TierDisk
-	}
-	return core.TierStore
+	return core.NearestTier(name, h.InMemory, h.OnDisk)
 }
 
 // Move is the next change of one host: the models to give up, then the one to
@@ -240,7 +234,8 @@
 	p.starts = slices.DeleteFunc(p.starts, func(at time.Time) bool { return now.Sub(at) >= storeSpan })
 }
 
-// noteWaits keeps since when requests wait for models without a copy.
+// noteWaits notes whether requests wait at all, and keeps since when they do for models
+// without a copy.
 func (w *plan) noteWaits() {
 	old := w.waits
 	w.waits = map[core.ModelName]time.Time{}
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -14,10 +14,10 @@
 // The weights below add up to the time, in milliseconds, after which a host
 // should give its first answer; only their ratios matter to the choice.
 const (
-	// prefillRate is the prompt tokens that an engine reads in a millisecond. The
+	// ReadRate is the prompt tokens that an engine is taken to read in a millisecond. The
 	// engines served so far read about 38; a request of 9,000 tokens then keeps
 	// the next one waiting for a quarter of a second, which outweighs the rest.
-	prefillRate = 38.0
+	ReadRate = 38.0
 	// runningCost is what each request in progress adds: a batch grows each step
 	// by under a hundredth.
 	runningCost = 2.0
@@ -145,7 +145,7 @@
 // prompt. Own requests that are outstanding are partly among those that the host
 // reported to wait, so the larger of the two counts.
 func (h *Host) wait(now time.Time, q *Query, fetch bool, readTime float64) float64 {
-	before := float64(h.prefill) / prefillRate
+	before := float64(h.prefill) / ReadRate
 	if h.Fresh(now) {
 		before = max(before, h.backlog(readTime))
 	}
@@ -155,7 +155,7 @@
 	if q.Model == "" {
 		return before
 	}
-	return before + float64(h.unread(now, q))/prefillRate
+	return before + float64(h.unread(now, q))/ReadRate
 }
 
 // backlog returns how long, in milliseconds, the host reads what it reported and
@@ -170,7 +170,7 @@
 			tokens += s.tokens
 		}
 	}
-	return float64(h.Report.Waiting)*readTime + float64(tokens)/prefillRate
+	return float64(h.Report.Waiting)*readTime + float64(tokens)/ReadRate
 }
 
 // cost returns what speaks against a host besides its wait.
@@ -258,7 +258,7 @@
 
 // Read notes the prompt tokens that an engine has to read for a request.
 func (v *View) Read(tokens int) {
-	v.read = v.readTime() + readWeight*(float64(tokens)/prefillRate-v.readTime())
+	v.read = v.readTime() + readWeight*(float64(tokens)/ReadRate-v.readTime())
 }
 
 // Sent notes that a request goes to the host.
--- a/core/losses/cause.go
+++ b/core/losses/cause.go
@@ -115,12 +115,8 @@
 
 // late tells why an answer came late.
 func (r *Request) late() Cause {
-	first := r.First
-	if first == 0 {
-		first = r.Took
-	}
 	switch {
-	case r.Target > 0 && first > r.Target:
+	case r.Target > 0 && r.silent() > r.Target:
 		return r.longest(LateNoCopy, LateAdapter, LateQueue)
 	case r.Pause > 0 && r.Longest > r.Pause:
 		return LatePauses
@@ -128,14 +124,19 @@
 	return None
 }
 
+// silent returns the time in which the caller heard nothing: until the first event of
+// a stream, and until the end of other answers and of streams that brought none.
+func (r *Request) silent() time.Duration {
+	if r.First > 0 {
+		return r.First
+	}
+	return r.Took
+}
+
 // longest returns the cause of the longest part of the time before the first sign of
 // an answer.
 func (r *Request) longest(noCopy, adapter, queue Cause) Cause {
-	until := r.First
-	if until == 0 {
-		until = r.Took
-	}
-	rest := until - r.Waited - r.Fetched
+	rest := r.silent() - r.Waited - r.Fetched
 	switch {
 	case r.Waited >= r.Fetched && r.Waited >= rest:
 		return noCopy
--- a/core/manage.go
+++ b/core/manage.go
@@ -21,6 +21,18 @@
 	})
 }
 
+// NearestTier returns where the nearest copy of a model's weights is for a host that
+// has those of some models in memory and of some on disk.
+func NearestTier(model ModelName, inMemory, onDisk []ModelName) Tier {
+	switch {
+	case slices.Contains(inMemory, model):
+		return TierMemory
+	case slices.Contains(onDisk, model):
+		return TierDisk
+	}
+	return TierStore
+}
+
 // UpstreamState is a managed upstream's own word on its state.
 type UpstreamState struct {
 	// ID names one life of the upstream where it tells it; Born tells lives under
--- a/io/driver/order.go
+++ b/io/driver/order.go
@@ -130,13 +130,7 @@
 }
 
 func (d *Driver) near(model core.ModelName) core.Tier {
-	switch {
-	case slices.Contains(d.state.InMemory, model):
-		return core.TierMemory
-	case slices.Contains(d.state.OnDisk, model):
-		return core.TierDisk
-	}
-	return core.TierStore
+	return core.NearestTier(model, d.state.InMemory, d.state.OnDisk)
 }
 
 // fits tells whether a model, or an adapter of one that is held, has room beside
--- a/io/proxy/demand.go
+++ b/io/proxy/demand.go
@@ -6,6 +6,7 @@
 
 	"radishwell/core"
 	"radishwell/core/copies"
+	"radishwell/core/fleet"
 	"radishwell/core/rtable"
 )
 
@@ -23,9 +24,8 @@
 	leastShort = 0.6
 	// leastRate is below what counts as demand: one request some minutes ago.
 	leastRate = 1e-4
-	// readPace is the prompt tokens that an engine reads in a second: engines served
-	// so far read 38 tokens in a millisecond.
-	readPace = 38_000.0
+	// readPace is the prompt tokens that an engine is taken to read in a second.
+	readPace = 1000 * fleet.ReadRate
 	// firstStep is how long an engine is taken to make a token before a stream has
 	// been measured, in seconds, and stepWeight the weight of each new measure.
 	// Engines served so far take 1.4 to 5.3 ms among few requests.
