--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -48,7 +48,7 @@
 func (p *Process) buildEntry() {
 	s := p.Settings
 	e := &entry{Process: p}
-	e.links = &links{entry: e}
+	e.buildLinks()
 	e.proxy = &proxy.Proxy{
 		Self: s.Name, DataCentre: s.DataCentre, Clock: p.clock, Protocol: protocol, Adapters: e.links, Meter: p.meter,
 		RetryRatio: s.Managed.RetryRatio * ratioShare, RetrySpare: spareOf(s.Managed.RetrySpare, 0), RetrySpan: s.Managed.RetrySpan,
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -55,9 +55,13 @@
 	all   map[netip.AddrPort]*link
 }
 
+// buildLinks makes the links before anything runs: their map is read by the planner,
+// which starts at the same time as they do. Made by run, it was written while the
+// planner read it.
+func (e *entry) buildLinks() { e.links = &links{entry: e, all: map[netip.AddrPort]*link{}} }
+
 // run holds the links against the registry until the context ends.
 func (l *links) run(ctx context.Context) error {
-	l.all = map[netip.AddrPort]*link{}
 	for {
 		l.renew(ctx)
 		l.entry.proxy.ShareRetries(spareOf(l.entry.Settings.Managed.RetrySpare, l.entry.peers.count()))
