--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -16,18 +16,12 @@
 	"radishwell/core/digest"
 	"radishwell/core/fleet"
 	"radishwell/core/follow"
-	"radishwell/io/events"
 	"radishwell/io/feed"
 	"radishwell/io/peer"
 	"radishwell/io/proxy"
 	"radishwell/wire"
 )
 
-func TestMain(m *testing.M) {
-	events.Discard()
-	m.Run()
-}
-
 type clock struct{}
 
 func (clock) Now() time.Time { return time.Now() }
--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -45,13 +45,20 @@
 // Failed tells whether anything was found.
 func (r *Report) Failed() bool { return len(r.Breaches)+len(r.Unserved)+len(r.Panics) > 0 }
 
+// smallFleet is more agents than there are, so that each entry follows all. Runs with odd
+// seeds have one entry follow them and tell the other, as in a large fleet.
+const smallFleet = 64
+
 // Play runs the schedule of the seed and returns what it found.
 func (r *Run) Play() (*Report, error) {
 	steps := Draw(r.Seed, r.Length)
 	if err := os.WriteFile(filepath.Join(r.Dir, "schedule.txt"), []byte(lines(steps)), 0o644); err != nil {
 		return nil, &StartError{What: "the run", Cause: err}
 	}
-	w := &world{dir: r.Dir, program: r.Program}
+	w := &world{dir: r.Dir, program: r.Program, mostDirect: smallFleet}
+	if r.Seed%2 == 1 {
+		w.mostDirect = 0
+	}
 	defer w.close()
 	if err := w.build(); err != nil {
 		return nil, err
--- a/io/soak/world.go
+++ b/io/soak/world.go
@@ -46,8 +46,10 @@
 type world struct {
 	dir     string
 	program []string
-	store   *stand.Store
-	storeAt netip.AddrPort
+	// mostDirect is how many agents each entry follows itself.
+	mostDirect int
+	store      *stand.Store
+	storeAt    netip.AddrPort
 
 	upstreams []*upstream
 	entries   []*Proc
@@ -191,7 +193,7 @@
 		"listen":   map[string]string{"control": at[0].String(), "callers": at[1].String(), "operators": at[2].String()},
 		"platform": map[string]any{"urls": []string{"http://" + store.String()}},
 		"peers":    seeds,
-		"managed":  map[string]any{"enabled": true, "plain-peers": true, "readiness": at[3].String(), "agent-port": agentPort, "stop-grace": "3s"},
+		"managed":  map[string]any{"enabled": true, "plain-peers": true, "readiness": at[3].String(), "agent-port": agentPort, "stop-grace": "3s", "direct-agents": w.mostDirect},
 	})
 	w.entries = append(w.entries, p)
 	w.fronts = append(w.fronts, at[1])
