--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"encoding/binary"
 	"time"
 
@@ -9,20 +10,20 @@
 	"radishwell/core"
 )
 
-// Thresholds of the lease. A decider's loss delays changes of grants only, so
+// Thresholds of the decider's lease. Its loss delays changes of grants only, so
 // the term is long enough to cost few platform calls (a contender reads at
 // most once in a term, the holder writes three times) and short enough that
 // demand which outgrows its grants waits seconds, not minutes.
 const (
 	// Term is how long an observed version of the lease keeps others out.
 	Term = 12 * time.Second
-	// Renew is when the holder writes again: two renewals may fail in a row
-	// before the lease lapses.
-	Renew = Term / 3
 	// Margin is how much earlier the holder stops believing than the soonest
 	// that others may take over. It covers clocks whose rates differ by up to
 	// a fifth, far more than an undisciplined crystal, and slow scheduling.
 	Margin = Term / 5
+	// renewals is how often the holder writes in a term: two may fail in a row
+	// before the lease lapses.
+	renewals = 3
 	// Retry is the pause after a call that failed.
 	Retry = 2 * time.Second
 	// spread is the time over which contenders spread their takeover, so that
@@ -65,6 +66,11 @@
 type Lease struct {
 	Host        core.HostName
 	Incarnation core.Incarnation
+	// Kind and Name are the lease object's; the decider's where they are empty.
+	Kind core.Kind
+	Name string
+	// Term and Margin are used instead of the decider's where they are set.
+	Term, Margin time.Duration
 	// Blank tells that the platform held no grants when this process started.
 	// Then nobody has decided before, and who creates the lease decides at once:
 	// the fleet's first start needs no wait for the term.
@@ -95,6 +101,17 @@
 	lookAt time.Time
 }
 
+func (l *Lease) term() time.Duration { return cmp.Or(l.Term, Term) }
+
+// belief is how long after a write was sent its holder believes.
+func (l *Lease) belief() time.Duration { return l.term() - cmp.Or(l.Margin, Margin) }
+
+func (l *Lease) object(s Spec, version core.Version) core.Object {
+	o := s.object(version)
+	o.Kind, o.Name = cmp.Or(l.Kind, o.Kind), cmp.Or(l.Name, o.Name)
+	return o
+}
+
 // Observe tells of a fencing number found in a grant or order. The lease's own
 // number will be larger even if the platform's versions were set back.
 func (l *Lease) Observe(f core.Fence) { l.floor = max(l.floor, f) }
@@ -157,13 +174,13 @@
 	if l.absent {
 		version = 0
 	}
-	s := Spec{Holder: l.Host, Incarnation: l.Incarnation, Until: now.Add(Term - Margin), Created: l.absent}
-	return s.object(version)
+	s := Spec{Holder: l.Host, Incarnation: l.Incarnation, Until: now.Add(l.belief()), Created: l.absent}
+	return l.object(s, version)
 }
 
 func (l *Lease) renewal(now time.Time) core.Object {
-	s := Spec{Holder: l.Host, Incarnation: l.Incarnation, Fence: l.fence, Until: now.Add(Term - Margin)}
-	return s.object(l.version)
+	s := Spec{Holder: l.Host, Incarnation: l.Incarnation, Fence: l.fence, Until: now.Add(l.belief())}
+	return l.object(s, l.version)
 }
 
 // Answer tells the outcome of the action that Next returned last.
@@ -195,8 +212,8 @@
 	// A write whose answer was lost is found by reading back, and believed only
 	// after the next renewal has been answered.
 	if l.mine && l.version == o.Version {
-		l.until = l.sent.Add(Term - Margin)
-		l.lookAt = l.sent.Add(Renew)
+		l.until = l.sent.Add(l.belief())
+		l.lookAt = l.sent.Add(l.term() / renewals)
 	}
 }
 
@@ -223,7 +240,7 @@
 	if f == core.Unavailable && !l.mine {
 		// Hundreds of contenders must not meet a platform that comes back with
 		// a call each at the same moment.
-		l.lookAt = now.Add(Term/2 + l.delay(l.version))
+		l.lookAt = now.Add(l.term()/2 + l.delay(l.version))
 	}
 }
 
@@ -281,7 +298,7 @@
 		return
 	}
 	l.checked = now
-	l.free = now.Add(Term + l.delay(o.Version))
+	l.free = now.Add(l.term() + l.delay(o.Version))
 	if err == nil && s.Holder == "" {
 		l.free = now.Add(l.delay(o.Version))
 	}
@@ -305,7 +322,7 @@
 			// ago: its holder still believes, for less than a term. Waiting here and
 			// not before the creation holds also where the creation was long on its
 			// way and another one came and went meanwhile.
-			l.calm = now.Add(Term)
+			l.calm = now.Add(l.term())
 		}
 		// The version of the acquiring write grows with every write of the kind,
 		// also over deletion by hand and creation anew.
@@ -327,7 +344,7 @@
 // at once and must not be used for anything but Decides afterwards.
 func (l *Lease) StepDown() (core.Object, bool) {
 	held := l.mine
-	o := Spec{Fence: l.fence}.object(l.version)
+	o := l.object(Spec{Fence: l.fence}, l.version)
 	l.drop()
 	return o, held
 }
--- a/core/object.go
+++ b/core/object.go
@@ -20,13 +20,15 @@
 
 // Kinds of a managed platform: its routing table, the registry of upstream
 // hosts, and the system's own records: of each agent's start, of how much models are
-// asked for, and of where each entry takes calls.
+// asked for, and of where each entry takes calls,
+// and the leases on the engines without agents of each data centre.
 const (
 	KindTable    Kind = "config"
 	KindRegistry Kind = "servers"
 	KindAgent    Kind = "radishwell-agents"
 	KindDemand   Kind = "radishwell-demand"
 	KindEntry    Kind = "radishwell-entries"
+	KindOrders   Kind = "radishwell-orders"
 )
 
 // CatalogueKinds lists the kinds that operators edit.
--- a/io/deploy/agent.go
+++ b/io/deploy/agent.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/tend"
 	"radishwell/io/driver"
 	"radishwell/io/events"
 	"radishwell/io/loop"
@@ -43,6 +45,9 @@
 // start is the record that an agent leaves in the store when it starts.
 type start struct {
 	Began time.Time `json:"began"`
+	// Upstream is the engine beside the agent. While the record is there, nobody else
+	// orders that engine.
+	Upstream netip.AddrPort `json:"upstream"`
 }
 
 // takeFence records the agent's start in the store and takes the revision of
@@ -50,6 +55,9 @@
 func (p *Process) takeFence(ctx context.Context, f *fence) error {
 	for {
 		number, err := p.recordStart(ctx)
+		if err == nil {
+			err = p.awaitEntry(ctx)
+		}
 		if err == nil {
 			f.number.Store(number)
 			events.Log(events.FenceTaken, "fence", number)
@@ -63,8 +71,23 @@
 	}
 }
 
+// awaitEntry waits until no entry orders the engine beside this agent, where one of its
+// data centre may have done so before the agent's record was there.
+func (p *Process) awaitEntry(ctx context.Context) error {
+	_, err := p.store.Get(ctx, core.KindOrders, string(p.Settings.DataCentre))
+	var failed *core.PlatformError
+	switch {
+	case errors.As(err, &failed) && failed.Fault == core.NotFound:
+		return nil
+	case err != nil:
+		return err
+	}
+	loop.Sleep(ctx, tend.AgentWait)
+	return nil
+}
+
 func (p *Process) recordStart(ctx context.Context) (uint64, error) {
-	spec, err := json.Marshal(start{Began: p.clock.Now()})
+	spec, err := json.Marshal(start{Began: p.clock.Now(), Upstream: p.Settings.Managed.Upstream})
 	if err != nil {
 		return 0, err
 	}
--- a/io/deploy/deploy_test.go
+++ b/io/deploy/deploy_test.go
@@ -102,19 +102,32 @@
 	return stop
 }
 
+// addEngine starts an upstream without an agent and registers it.
+func (f *fleet) addEngine(t *testing.T, n int, held ...stand.Held) *stand.Worker {
+	t.Helper()
+	w, _ := f.startEngine(t, n, held...)
+	return w
+}
+
+func (f *fleet) startEngine(t *testing.T, n int, held ...stand.Held) (*stand.Worker, netip.AddrPort) {
+	t.Helper()
+	w := &stand.Worker{ID: fmt.Sprintf("i-%d", n), Events: 5, LoadTime: 100 * time.Millisecond}
+	w.Hold(held...)
+	at := serve(t, fmt.Sprintf("127.1.0.%d", n), w)
+	f.store.Put("servers", w.ID, fmt.Sprintf(`{"service":"llm","address":%q,"zone":"dc-1","slots":64,"state":"ready","sequence":0}`, at))
+	return w, at
+}
+
 // addUpstream starts an upstream with its agent and registers it.
 func (f *fleet) addUpstream(t *testing.T, n int, held ...stand.Held) *stand.Worker {
 	t.Helper()
 	ip := fmt.Sprintf("127.1.0.%d", n)
-	w := &stand.Worker{ID: fmt.Sprintf("i-%d", n), Events: 5, LoadTime: 100 * time.Millisecond}
-	w.Hold(held...)
-	at := serve(t, ip, w)
+	w, at := f.startEngine(t, n, held...)
 	s := f.settings(config.Agent, "side-"+w.ID)
 	s.Managed.Upstream = at
 	s.Listen.Control = netip.AddrPortFrom(at.Addr(), uint16(f.agentPort))
 	s.Listen.Operators = freePort(t, ip)
 	start(t, s)
-	f.store.Put("servers", w.ID, fmt.Sprintf(`{"service":"llm","address":%q,"zone":"dc-1","slots":64,"state":"ready","sequence":0}`, at))
 	return w
 }
 
@@ -231,6 +244,29 @@
 	})
 }
 
+// A fleet's engines have no agents. Callers of a model that none of them holds were held
+// until they left, though the engines were sound; an entry orders them instead.
+func TestEngineWithoutAgentIsOrdered(t *testing.T) {
+	f := newFleet(t)
+	w := f.addEngine(t, 1, stand.Held{Name: "m-1"})
+	entries := []running{f.addEntry(t, "edge-1"), f.addEntry(t, "edge-2")}
+	for _, e := range entries {
+		e.ready(t)
+	}
+	served := func(e running, model string) {
+		n := 0
+		until(t, "a caller of "+model+" is served", func() bool {
+			n++
+			status, _ := chat(t, e, fmt.Sprint(model, n), model)
+			return status == http.StatusOK
+		})
+	}
+	served(entries[1], "m-1")
+	served(entries[1], "m-2")
+	served(entries[0], "m-1/a1")
+	assert.DeepEqual(t, w.Orders(), []string{"load m-2", "load m-1/a1"})
+}
+
 // The store is out. Requests go on; an entry that starts meanwhile has table and
 // hosts from the other one.
 func TestStoreOutage(t *testing.T) {
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -43,14 +43,19 @@
 	state   *peer.Store
 	members members
 	feed    *feed.Feed
-	leaving atomic.Bool
+	tender  *tender
+	// ordering tells that this entry orders engines, rewrite is sent on when that has
+	// changed.
+	ordering atomic.Bool
+	rewrite  chan struct{}
+	leaving  atomic.Bool
 	// storeLost tells that the last read of the store failed.
 	storeLost atomic.Bool
 }
 
 func (p *Process) buildEntry() {
 	s := p.Settings
-	e := &entry{Process: p}
+	e := &entry{Process: p, rewrite: make(chan struct{}, 1)}
 	e.buildLinks()
 	e.proxy = &proxy.Proxy{
 		Self: s.Name, DataCentre: s.DataCentre, Clock: p.clock, Protocol: protocol, Adapters: e.links, Meter: p.meter,
@@ -61,13 +66,16 @@
 	e.planner.start()
 	p.handler.Plan = e.planner.servePlan
 	e.buildFeed()
+	e.buildTender()
+	e.tender.serve()
 	e.prepareState()
-	p.parts = append(p.parts, e.proxy.Run, e.links.run, e.planner.run, e.planner.recall, e.feed.Run, e.record)
+	p.parts = append(p.parts, e.proxy.Run, e.links.run, e.planner.run, e.planner.recall, e.feed.Run, e.record, e.tender.run)
 	p.serve(&httpd.Server{Address: s.Managed.Readiness, Handler: http.HandlerFunc(e.serveReady)})
 	callers := &httpd.Server{Address: s.Listen.Callers, Handler: e.steer(e.proxy)}
 	p.serve(callers)
 	p.leave = func(ctx context.Context) {
 		e.leaving.Store(true)
+		e.tender.leave()
 		if due, ok := ctx.Deadline(); ok {
 			e.proxy.Leave(p.clock.Now().Add(time.Until(due) - waitMargin))
 		}
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -48,7 +48,11 @@
 	seenEntries             uint64
 	renewEntries            time.Time
 	// life is the one that the agent was told of last.
-	life fleet.Life
+	life   fleet.Life
+	centre core.DataCentre
+	// heardAgent tells that an agent has answered, tryAgent that it is asked next though an
+	// entry orders the engines without one.
+	heardAgent, tryAgent bool
 }
 
 // links are the exchanges with all agents.
@@ -77,10 +81,10 @@
 // renew starts links to agents of hosts that are new and ends those of hosts
 // that are gone.
 func (l *links) renew(ctx context.Context) {
-	wanted := map[netip.AddrPort]fleet.Life{}
-	for address, a := range l.engines() {
-		if l.entry.feed.Follows(a.centre) {
-			wanted[address] = a.life
+	wanted := l.engines()
+	for address, e := range wanted {
+		if !l.entry.feed.Follows(e.centre) {
+			delete(wanted, address)
 		}
 	}
 	l.mu.Lock()
@@ -91,11 +95,12 @@
 			delete(l.all, address)
 		}
 	}
-	for address, life := range wanted {
+	for address, e := range wanted {
+		life := e.life
 		k := l.all[address]
 		if k == nil {
 			own, stop := context.WithCancel(ctx)
-			k = &link{address: address, stop: stop, used: map[string]bool{}, life: life}
+			k = &link{address: address, centre: e.centre, stop: stop, used: map[string]bool{}, life: life}
 			l.all[address] = k
 			go l.follow(own, k)
 		}
@@ -168,9 +173,55 @@
 	l.take(k, reply)
 }
 
-// agent returns where the agent beside an upstream takes calls.
-func (l *links) agent(upstream netip.AddrPort) peer.Target {
-	return peer.Target{Address: netip.AddrPortFrom(upstream.Addr(), uint16(l.entry.Settings.Managed.AgentPort))}
+// agent returns where calls for the agent beside an upstream go. Where no agent was ever
+// heard of there, an entry may order the upstream; then upstream names it to that entry.
+func (l *links) agent(address netip.AddrPort, dc core.DataCentre) (to peer.Target, upstream []byte) {
+	beside := peer.Target{Address: netip.AddrPortFrom(address.Addr(), uint16(l.entry.Settings.Managed.AgentPort))}
+	l.mu.Lock()
+	k := l.all[address]
+	l.mu.Unlock()
+	if k != nil {
+		k.mu.Lock()
+		direct := k.heardAgent || k.tryAgent
+		k.mu.Unlock()
+		if direct {
+			return beside, nil
+		}
+	}
+	holder, ok := l.entry.members.holder(dc)
+	if !ok {
+		return beside, nil
+	}
+	upstream, err := address.MarshalBinary()
+	if err != nil {
+		events.Fail(events.DecisionFailed, err, "address", address)
+		return beside, nil
+	}
+	return holder, upstream
+}
+
+// heardAgent tells whether an agent has ever answered beside an upstream.
+func (l *links) heardAgent(address netip.AddrPort) bool {
+	l.mu.Lock()
+	k := l.all[address]
+	l.mu.Unlock()
+	if k == nil {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.heardAgent
+}
+
+// noteAnswer notes who answered a question, or that nobody did: then the other of agent
+// and entry is asked next.
+func (k *link) noteAnswer(beside, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.heardAgent = k.heardAgent || ok && beside
+	if !ok {
+		k.tryAgent = !k.tryAgent
+	}
 }
 
 // list returns the links whose agents were heard of lately.
@@ -240,7 +291,11 @@
 		in.SeenEntries = 0
 	}
 	k.mu.Unlock()
-	return l.entry.client.Upstream(ctx, l.agent(k.address), in)
+	to, upstream := l.agent(k.address, k.centre)
+	in.Upstream = upstream
+	reply, err := l.entry.client.Upstream(ctx, to, in)
+	k.noteAnswer(upstream == nil, err == nil)
+	return reply, err
 }
 
 // askAsRelay adds to a question what a relay tells an agent for other entries.
@@ -294,8 +349,9 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, fetchTime)
 	defer stop()
-	reply, err := l.entry.client.Adapter(ctx, l.agent(h.Address), &wire.AdapterCall{
-		Instance: string(h.ID), Model: string(model), Adapter: adapter, Wait: int64(fetchTime), Limits: limitsOf(table.Services[h.Service], held, model),
+	to, upstream := l.agent(h.Address, h.DataCentre)
+	reply, err := l.entry.client.Adapter(ctx, to, &wire.AdapterCall{
+		Upstream: upstream, Instance: string(h.ID), Model: string(model), Adapter: adapter, Wait: int64(fetchTime), Limits: limitsOf(table.Services[h.Service], held, model),
 	})
 	if err != nil {
 		return err
--- a/io/deploy/members.go
+++ b/io/deploy/members.go
@@ -30,6 +30,9 @@
 	Control    netip.AddrPort  `json:"control"`
 	DataCentre core.DataCentre `json:"data-centre"`
 	Capacity   float64         `json:"capacity"`
+	// Orders tells that the entry orders the engines of its data centre that have no
+	// agent.
+	Orders bool `json:"orders,omitempty"`
 }
 
 // members are the other entries: those of the settings, those that the store lists, and
@@ -42,11 +45,21 @@
 	mu     sync.Mutex
 	listed map[core.HostName]follow.Member
 	ranked follow.Ranked
-	named  map[netip.AddrPort]core.HostName
+	// ordering are the entries that order engines, by data centre, with the version of
+	// the record that says so: the latest counts.
+	ordering map[core.DataCentre]ordering
+	named    map[netip.AddrPort]core.HostName
 	// heard is when an agent last named an entry.
 	heard map[netip.AddrPort]time.Time
 }
 
+// ordering is an entry that orders engines.
+type ordering struct {
+	name    core.HostName
+	control netip.AddrPort
+	version core.Version
+}
+
 // namedAge is how long an entry counts as there after an agent named it.
 const namedAge = 10 * time.Second
 
@@ -68,6 +81,7 @@
 	if m.listed == nil {
 		m.listed = map[core.HostName]follow.Member{}
 	}
+	m.takeOrders(o)
 	if name == m.self.Name {
 		return
 	}
@@ -84,6 +98,32 @@
 	m.listed[name] = follow.Member{Name: name, Control: record.Control, DataCentre: record.DataCentre, Capacity: record.Capacity}
 }
 
+// takeOrders takes in whether an entry orders engines. The caller holds mu.
+func (m *members) takeOrders(o core.Object) {
+	var record memberJSON
+	if o.Deleted || json.Unmarshal(o.Spec, &record) != nil {
+		return // take reports what cannot be read
+	}
+	old := m.ordering[record.DataCentre]
+	switch {
+	case record.Orders && o.Version >= old.version:
+		if m.ordering == nil {
+			m.ordering = map[core.DataCentre]ordering{}
+		}
+		m.ordering[record.DataCentre] = ordering{name: core.HostName(o.Name), control: record.Control, version: o.Version}
+	case !record.Orders && old.name == core.HostName(o.Name):
+		delete(m.ordering, record.DataCentre)
+	}
+}
+
+// holder returns the entry that orders the engines without agents of a data centre.
+func (m *members) holder(dc core.DataCentre) (peer.Target, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.ordering[dc]
+	return peer.Target{Host: o.name, Address: o.control}, ok
+}
+
 // others returns the entries that the store lists, without this one.
 func (m *members) others() follow.Ranked {
 	m.mu.Lock()
@@ -140,18 +180,31 @@
 	return m.listed[t.Host].DataCentre == m.self.DataCentre
 }
 
+// setOrders notes whether this entry orders engines, for its record.
+func (e *entry) setOrders(now bool) {
+	if e.ordering.Swap(now) != now {
+		loop.Poke(e.rewrite)
+	}
+}
+
 // record writes this entry's record, so that others find it.
 func (e *entry) record(ctx context.Context) error {
 	self := e.members.self
-	spec, err := json.Marshal(memberJSON{Control: self.Control, DataCentre: self.DataCentre, Capacity: self.Capacity})
-	if err != nil {
-		return err
-	}
 	for {
-		err := e.writeRecord(ctx, core.Object{Kind: core.KindEntry, Name: string(self.Name), Spec: spec})
+		spec, err := json.Marshal(memberJSON{
+			Control: self.Control, DataCentre: self.DataCentre, Capacity: self.Capacity, Orders: e.ordering.Load(),
+		})
+		if err != nil {
+			return err
+		}
+		err = e.writeRecord(ctx, core.Object{Kind: core.KindEntry, Name: string(self.Name), Spec: spec})
 		if err == nil {
-			<-ctx.Done()
-			return nil
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-e.rewrite:
+				continue
+			}
 		}
 		events.Fail(events.PlatformUnreachable, err, "kind", core.KindEntry)
 		if !loop.Sleep(ctx, recordPause) {
--- a/io/deploy/planner.go
+++ b/io/deploy/planner.go
@@ -98,6 +98,9 @@
 		p.hear(k, now)
 		k.mu.Unlock()
 	}
+	if len(followers)+len(others) > 0 {
+		p.entry.proxy.Ordered()
+	}
 	p.lead(len(followers) > 0)
 	if len(followers) > 0 {
 		p.plan(ctx, now, followers)
@@ -111,6 +114,9 @@
 func (p *planner) decideByRelays(ctx context.Context, now time.Time) {
 	plans := p.entry.feed.Plans().Name == p.entry.Settings.Name
 	p.lead(plans)
+	if p.entry.feed.HasFollowers(linkTime) {
+		p.entry.proxy.Ordered()
+	}
 	if plans {
 		p.plan(ctx, now, p.entry.feed.Followers(linkTime))
 		return
@@ -257,7 +263,9 @@
 		Limits: limitsOf(s, held, append(slices.Clone(m.Evict), m.Load)...),
 		Takes:  int64(m.By.Sub(p.entry.clock.Now())), Idle: m.Idle,
 	}
-	reply, err := p.entry.client.Goal(ctx, p.entry.links.agent(h.Address), in)
+	to, upstream := p.entry.links.agent(h.Address, h.DataCentre)
+	in.Upstream = upstream
+	reply, err := p.entry.client.Goal(ctx, to, in)
 	if err != nil {
 		events.Fail(events.PeerUnreachable, err, "address", h.Address)
 		return
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -20,6 +20,11 @@
 	// crash, within a twentieth of a second.
 	idlePoll = 150 * time.Millisecond
 	busyPoll = 40 * time.Millisecond
+	// remoteTimes is how many times as long the pauses are where the upstream is on
+	// another host.
+	remoteTimes = 3
+	// reportLag is how old a report may be that is asked for from another host.
+	reportLag = 150 * time.Millisecond
 	// followTime is how long an entry counts as there after its last call. Entries
 	// call twice a second.
 	followTime = 1500 * time.Millisecond
@@ -44,6 +49,9 @@
 	Upstream core.Managed
 	Clock    core.Clock
 	Meter    *meter.Meter
+	// Remote tells that the upstream is on another host, so that each look at its report
+	// is paid for.
+	Remote bool
 	// Fence returns the fencing number of this agent's orders; false before it has
 	// one.
 	Fence func() (core.Fence, bool)
@@ -59,9 +67,11 @@
 	taken    time.Time
 	failures int
 	lost     bool
-	lives    fleet.Lives
-	change   uint64
-	changed  chan struct{}
+	// resting is when a report has to be asked for to know of the last order.
+	resting time.Time
+	lives   fleet.Lives
+	change  uint64
+	changed chan struct{}
 	// kick has Run look at once.
 	kick    chan struct{}
 	entries map[string]*caller
@@ -155,6 +165,10 @@
 func (d *Driver) pause() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	idlePoll, busyPoll := idlePoll, busyPoll
+	if d.Remote {
+		idlePoll, busyPoll = remoteTimes*idlePoll, remoteTimes*busyPoll
+	}
 	if d.goal != nil || d.loading.model != "" || d.state.Busy || d.failures > 0 && !d.lost {
 		return busyPoll
 	}
--- a/io/driver/driver_test.go
+++ b/io/driver/driver_test.go
@@ -42,7 +42,9 @@
 	slow   func() time.Duration
 	lost   []core.UpstreamOrder
 	orders []string
-	fences []core.Fence
+	// refused counts the orders that rested on another count.
+	refused int
+	fences  []core.Fence
 	// most is the largest number of models and adapters it ever held.
 	most int
 }
@@ -104,6 +106,7 @@
 	case o.Instance != e.state.ID, e.elsewhere:
 		return core.OrderElsewhere
 	case e.state.Busy || o.After != e.state.Orders:
+		e.refused++
 		return core.OrderConflict
 	}
 	e.state.Orders++
@@ -162,10 +165,17 @@
 
 // drive runs a driver of the engine in a bubble of synthetic time.
 func drive(t *testing.T, e *engine, play func(d *driver.Driver)) {
+	t.Helper()
+	driveFrom(t, e, false, play)
+}
+
+// driveFrom runs a driver beside the engine, or on another host.
+func driveFrom(t *testing.T, e *engine, remote bool, play func(d *driver.Driver)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		d := &driver.Driver{
-			Self: "side-1", Upstream: e, Clock: bubbleClock{}, Fence: func() (core.Fence, bool) { return 7, true },
+			Remote: remote,
+			Self:   "side-1", Upstream: e, Clock: bubbleClock{}, Fence: func() (core.Fence, bool) { return 7, true },
 		}
 		d.Start()
 		ctx, stop := context.WithCancel(t.Context())
@@ -658,3 +668,22 @@
 		})
 	})
 }
+
+// An entry orders an engine that has no agent. The engine's reports are a tenth of a
+// second old when they come; an order sent at once after another rested on one that did
+// not know of it, and was refused, or counted room that was taken.
+func TestRemoteOrdersKnowOfEachOther(t *testing.T) {
+	e := newEngine("a", "b")
+	e.slow = func() time.Duration { return 100 * time.Millisecond }
+	driveFrom(t, e, true, func(d *driver.Driver) {
+		for _, name := range []string{"x", "y", "z", "w"} {
+			assert.Assert(t, fetch(t, d, "a", name).GetLoaded(), name)
+		}
+		call(t, d, "edge-1")
+		assert.Assert(t, goal(t, d, "edge-1", "c", "b").GetTaken())
+		time.Sleep(5 * time.Second)
+		e.set(func() { assert.Equal(t, e.refused, 0) })
+		e.set(func() { assert.Assert(t, e.most <= 5) })
+		assert.DeepEqual(t, models(call(t, d, "edge-1")), []string{"a", "c"})
+	})
+}
--- a/io/driver/order.go
+++ b/io/driver/order.go
@@ -56,7 +56,7 @@
 	case !begun && !now.Before(g.until), d.state.Leaving:
 		d.goal = nil
 		return core.UpstreamOrder{}, false
-	case begun, d.state.Busy, d.lost, d.failures > 0, d.lives.Current() == "":
+	case begun, d.rests(), d.state.Busy, d.lost, d.failures > 0, d.lives.Current() == "":
 		return core.UpstreamOrder{}, false
 	}
 	o, ok := d.newOrder()
@@ -116,15 +116,23 @@
 		return result, err
 	}
 	events.Log(events.OrderSent, append(pairs, "result", result)...)
-	if result == core.OrderElsewhere {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case result == core.OrderElsewhere:
 		// Another life answered; the registry names it in a moment.
-		d.mu.Lock()
-		defer d.mu.Unlock()
 		d.endLife(d.Clock.Now())
+	case d.Remote && (result == core.OrderAccepted || result == core.OrderDone):
+		d.resting = d.Clock.Now().Add(reportLag)
 	}
 	return result, nil
 }
 
+// rests tells whether the report at hand may not know of the last order yet. Reports that
+// are asked for from another host are a tenth of a second old; an order that rests on
+// such a one would be refused, or load what there is no room for. The caller holds mu.
+func (d *Driver) rests() bool { return d.taken.Before(d.resting) }
+
 func (d *Driver) holds(model core.ModelName) bool {
 	return slices.ContainsFunc(d.state.Models, func(m core.HeldModel) bool { return m.Model == model })
 }
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -244,7 +244,7 @@
 		return o, false, "the model is not held"
 	case slices.Contains(d.state.Models[i].Adapters, adapter):
 		return o, true, ""
-	case slices.Contains(d.state.Coming, string(model)+"/"+adapter), d.failures > 0:
+	case slices.Contains(d.state.Coming, string(model)+"/"+adapter), d.failures > 0, d.rests():
 		return o, false, ""
 	case d.state.Busy, d.goal != nil, d.loading.model != "":
 		// The upstream takes one order at a time, and a load from the weight store
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -84,6 +84,8 @@
 	GoalDropped
 	RelayChanged
 	RelayAsked
+	EngineTaken
+	EngineGivenUp
 	eventCount
 )
 
@@ -195,6 +197,8 @@
 	{Event: GoalDropped, Name: "goal-dropped", Severity: Info, Text: "Agent drops its goal, since requests for a model to give up are in progress", Advice: noAction},
 	{Event: RelayChanged, Name: "relay-changed", Severity: Info, Text: "Entry follows other agents than before, as a relay or no longer as one", Advice: "Nothing, unless it changes every few seconds: then look whether entries of that data centre reach each other."},
 	{Event: RelayAsked, Name: "relay-asked", Severity: Info, Text: "Entry asks another relay for the upstream hosts' reports", Advice: noAction},
+	{Event: EngineTaken, Name: "engine-taken", Severity: Info, Text: "Entry orders an engine that has no agent", Advice: noAction},
+	{Event: EngineGivenUp, Name: "engine-given-up", Severity: Info, Text: "Entry no longer orders an engine that has no agent", Advice: "Nothing, unless no other entry takes it on within half a minute: then look whether entries reach the platform's store."},
 })
 
 // First numbers of the groups: a group starts at the next hundred, so that
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -223,6 +223,19 @@
 	return out
 }
 
+// HasFollowers tells whether any agent was heard of lately that follows a planner.
+func (f *Feed) HasFollowers(age time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	for _, h := range f.table.All() {
+		if h.Planner != "" && now.Sub(h.Report.Taken) < age {
+			return true
+		}
+	}
+	return false
+}
+
 // Put takes in what an agent said on this entry's own link.
 func (f *Feed) Put(h digest.Host) {
 	f.mu.Lock()
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -42,6 +42,8 @@
 	// that wait.
 	changed chan struct{}
 	seen    uint64
+	// ordered is when somebody was last known who can have models loaded.
+	ordered time.Time
 	// leave is until when requests may wait once the process stops; zero while it
 	// does not.
 	leave time.Time
@@ -56,6 +58,7 @@
 	p.changed = make(chan struct{})
 	p.waiting = make(chan struct{}, 1)
 	p.streams = map[*watched]bool{}
+	p.ordered = p.Clock.Now()
 	p.retries = map[core.ServiceName]*retry.Window{}
 	p.upstreams.start()
 }
@@ -112,6 +115,13 @@
 	p.wake()
 }
 
+// Ordered notes that somebody can have models loaded.
+func (p *Proxy) Ordered() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ordered = p.Clock.Now()
+}
+
 // Demands returns what this entry's models are asked for.
 func (p *Proxy) Demands() map[core.ModelName]copies.Demand {
 	p.mu.Lock()
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -8,6 +8,15 @@
 	"radishwell/core/fleet"
 )
 
+const (
+	// unorderedTime is how long nobody who can have models loaded may be unknown before
+	// requests for models that no host holds are refused: agents that restart are back
+	// within it.
+	unorderedTime = 3 * time.Second
+	// unorderedBack is after how long their callers are told to come back.
+	unorderedBack = 2 * time.Second
+)
+
 // acquire returns the host that the request goes to next. It waits while no host
 // holds the model, and refuses as soon as none will in time.
 func (c *call) acquire(ctx context.Context) (*target, *core.Refusal) {
@@ -118,6 +127,9 @@
 // mu.
 func (c *call) hopeless(now time.Time) *core.Refusal {
 	at, ok := c.proxy.ready[c.query.Model]
+	if !ok && c.unordered(now) {
+		return core.RefuseUntil(core.CodeWaitTooLong, "no host holds the model and none can be ordered to load it", c.back(unorderedBack))
+	}
 	if !ok || at.Before(c.leavesAt().Add(-answerSlack)) {
 		return nil
 	}
@@ -127,6 +139,12 @@
 	return core.RefuseUntil(core.CodeWaitTooLong, "the model is loaded only after the request's deadline", c.back(at.Sub(now)))
 }
 
+// unordered tells whether nobody can have the model loaded: no agent, and no entry in the
+// place of one, was heard of for a while. Its callers would wait until they leave.
+func (c *call) unordered(now time.Time) bool {
+	return c.query.Model != "" && c.ran == 0 && len(c.query.Tried) == 0 && now.Sub(c.proxy.ordered) >= unorderedTime
+}
+
 // leavesAt returns when the caller leaves if it hears nothing more.
 func (c *call) leavesAt() time.Time {
 	heard := c.latest
