--- a/core/copies/place.go
+++ b/core/copies/place.go
@@ -22,13 +22,12 @@
 
 // placeAll places copies, those that are worth most first. It answers the moment
 // after all hosts were restarted empty: with one copy of each model a round, the
-// hosts that were left went to models asked for once in ten seconds, while the busy
-// ones had a third of the copies that they needed for a second more (TestRestart).
+// hosts that were left went to models asked for now and then, while the busy ones lacked
+// copies for a second more.
 //
 // A copy changes the worth of the next one of the same model and of what it displaces
-// only; these take their new places among the others. To sort all anew at each copy
-// took most of a decision at 640 hosts and 3,000 models (BenchmarkPlan: 229 ms before,
-// 12 ms after, with the searches that ask only hosts that have a model near).
+// only; these take their new places among the others. Sorting all anew at each copy would
+// take most of a decision in a large fleet.
 func (w *plan) placeAll() {
 	left := w.wanted(func(core.ModelName) bool { return true })
 	for len(left) > 0 {
@@ -220,11 +219,10 @@
 //
 // It answers the load of more models in turn than the hosts hold, each asked for
 // every second or two and busy for as long with a request. A host ends the requests
-// of what it gives up before it loads anything, and has neither model meanwhile:
-// five of nine hosts were in such a wait at any moment and two fifths of their
-// memory empty. At most moments some last copies are idle; while callers have waited
-// for less than patience only those go. The mean worth of days with faults rose from
-// 0.513 to 0.536 by it, that of one without from 0.751 to 0.788 (two and six seeds).
+// of what it gives up before it loads anything, and has neither model meanwhile; most
+// hosts can be in such a wait at the same moment, their memory half empty. At most
+// moments some last copies are idle; while callers have waited for less than patience
+// only those go.
 func (w *plan) mayGiveUp(h *Host, m, name core.ModelName) bool {
 	if w.now.Sub(w.since[copyKey{h.ID, m}]) < keepTime {
 		return false
--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -56,18 +56,15 @@
 	// models that other callers wait for.
 	keepTime = 1200 * time.Millisecond
 	// drainTime is how long a host takes to give up a model, whose requests in
-	// progress it ends first: half of the loads that followed an unload waited for
-	// 0.9 seconds or longer where requests run for 1.3 to 2.6.
+	// progress it ends first.
 	drainTime = time.Second
 	// patience is how long callers wait for a model before a last copy of another
-	// that is in use is given up for it. Of 0.5, 1 and 2 seconds the last served
-	// most; without such a bound callers of a model whose hosts are all in use would
-	// wait until they leave.
+	// that is in use is given up for it. Without such a bound callers of a model whose
+	// hosts are all in use would wait until they leave.
 	patience = 2 * time.Second
 	// swapPenalty is the worth of a second of loading time when hosts are weighed
-	// against each other for the same copy: about what its callers lose by it. The
-	// mean worth of five days with faults rose from 0.465 to 0.514 by it (two seeds
-	// each), since copies went where they were in memory or on disk.
+	// against each other for the same copy: about what its callers lose by it. Copies
+	// then go where the weights are in memory or on disk.
 	swapPenalty = 0.3
 )
 
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -14,9 +14,9 @@
 // The weights below add up to the time, in milliseconds, after which a host
 // should give its first answer; only their ratios matter to the choice.
 const (
-	// ReadRate is the prompt tokens that an engine is taken to read in a millisecond. The
-	// engines served so far read about 38; a request of 9,000 tokens then keeps
-	// the next one waiting for a quarter of a second, which outweighs the rest.
+	// ReadRate is the prompt tokens that an engine is taken to read in a millisecond. A
+	// long prompt then keeps the next request waiting for so long that it outweighs the
+	// rest.
 	ReadRate = 38.0
 	// runningCost is what each request in progress adds: a batch grows each step
 	// by under a hundredth.
@@ -101,9 +101,7 @@
 // requests wait until all of them are late, and many are read for callers who have
 // left. So much is let in as is served in its target, which keeps the engines busy
 // all the same; the rest is told at once when to come back. The threshold is the
-// target since an answer after it is of little use, and its work delays others. In
-// a play at twice what a host can do (TestOverload) half of the requests are
-// served in time instead of a tenth.
+// target since an answer after it is of little use, and its work delays others.
 func (c Choice) Overloaded(target time.Duration) bool {
 	return c.Wait > max(target, leastQueue)
 }
@@ -160,9 +158,8 @@
 
 // backlog returns how long, in milliseconds, the host reads what it reported and
 // what was sent since. It answers the load of several entries that send to the same
-// hosts: each knows its own requests only, so it foresaw a quarter of the wait that
-// it sent requests into (0.2 to 0.4 s where the first word came after 1.0 to 1.6 s,
-// measured on a model that was asked for more than its two hosts could read).
+// hosts: each knows its own requests only, and by these alone foresees a part of the
+// wait that it sends requests into.
 func (h *Host) backlog(readTime float64) float64 {
 	tokens := h.Report.Reading
 	for _, s := range h.sent {
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"radishwell/core"
-	"radishwell/core/copies"
 	"radishwell/core/demand"
 	"radishwell/core/digest"
 	"radishwell/core/fleet"
@@ -77,14 +76,6 @@
 	kick                   chan struct{}
 }
 
-// use is the requests in progress by host and model that one teller knows of.
-type use struct {
-	at time.Time
-	// relayed tells that the teller is a relay, whose word goes no further.
-	relayed bool
-	active  map[netip.AddrPort]map[core.ModelName]int
-}
-
 // Start makes the feed ready for calls.
 func (f *Feed) Start() {
 	now := f.Clock.Now()
@@ -159,25 +150,6 @@
 	}
 }
 
-// choosePlanner has a relay see who plans. The caller holds mu.
-func (f *Feed) choosePlanner(now time.Time) {
-	if !f.choice.Relay() {
-		return
-	}
-	f.follows(f.chooser.Planner(now, f.choice.Relays))
-}
-
-// follows takes in who plans. The caller holds mu.
-func (f *Feed) follows(planner follow.Member) {
-	if planner.Name == f.planner.Name {
-		return
-	}
-	f.planner = planner
-	if f.Planner != nil {
-		go f.Planner()
-	}
-}
-
 // Direct tells whether this entry follows all agents itself.
 func (f *Feed) Direct() bool {
 	f.mu.Lock()
@@ -192,50 +164,6 @@
 	return f.choice.Follows(dc)
 }
 
-// Plans returns the entry that plans as this one sees it; the zero Member where it
-// sees none.
-func (f *Feed) Plans() follow.Member {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.planner
-}
-
-// Demand returns what the models of all entries are asked for.
-func (f *Feed) Demand() map[core.ModelName]copies.Demand {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.Clock.Now()
-	f.gather(now)
-	return f.demand.All(now)
-}
-
-// Followers returns the upstream hosts whose agents follow this entry's plans.
-func (f *Feed) Followers(age time.Duration) map[netip.AddrPort]bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.Clock.Now()
-	out := map[netip.AddrPort]bool{}
-	for _, h := range f.table.All() {
-		if h.Planner == f.Self.Name && now.Sub(h.Report.Taken) < age {
-			out[h.Address] = true
-		}
-	}
-	return out
-}
-
-// HasFollowers tells whether any agent was heard of lately that follows a planner.
-func (f *Feed) HasFollowers(age time.Duration) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.Clock.Now()
-	for _, h := range f.table.All() {
-		if h.Planner != "" && now.Sub(h.Report.Taken) < age {
-			return true
-		}
-	}
-	return false
-}
-
 // Put takes in what an agent said on this entry's own link.
 func (f *Feed) Put(h digest.Host) {
 	f.mu.Lock()
@@ -247,124 +175,6 @@
 	f.wake()
 }
 
-// Active returns the requests in progress at a host by model, of all entries whose
-// word comes to this one, for the host's agent.
-func (f *Feed) Active(address netip.AddrPort) map[core.ModelName]int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.Clock.Now()
-	f.noteOwnUse(now)
-	return f.active(now, address, true)
-}
-
-// active sums the word of tellers on a host, with or without relays. The caller holds
-// mu.
-func (f *Feed) active(now time.Time, address netip.AddrPort, relayed bool) map[core.ModelName]int {
-	sum := map[core.ModelName]int{}
-	for _, u := range f.uses {
-		if now.Sub(u.at) > useAge || u.relayed && !relayed {
-			continue
-		}
-		for model, n := range u.active[address] {
-			sum[model] += n
-		}
-	}
-	return sum
-}
-
-// noteOwnUse takes in this entry's own requests in progress. The caller holds mu.
-func (f *Feed) noteOwnUse(now time.Time) {
-	own := use{at: now, active: map[netip.AddrPort]map[core.ModelName]int{}}
-	f.Proxy.Update(func(v *fleet.View, _ time.Time) { own.active = v.OwnActive() })
-	f.uses[f.Self.Name] = own
-}
-
-// Used notes that a request for an adapter, as MODEL/NAME, was sent to a host.
-func (f *Feed) Used(address netip.AddrPort, adapter string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.noteUsed(address, []string{adapter}, false)
-}
-
-// noteUsed keeps the use of adapters for whoever asks the host's agent. The caller
-// holds mu.
-func (f *Feed) noteUsed(address netip.AddrPort, adapters []string, relayed bool) {
-	to := f.ownUsed
-	if source, ok := f.table.Source(address); ok && source != "" {
-		r := f.asked[source]
-		if relayed || r == nil {
-			return
-		}
-		to = r.used
-	}
-	if to[address] == nil {
-		to[address] = map[string]bool{}
-	}
-	for _, a := range adapters {
-		to[address][a] = true
-	}
-}
-
-// TakeUsed returns the adapters of a host that requests were sent for since it was last
-// called.
-func (f *Feed) TakeUsed(address netip.AddrPort) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []string
-	for a := range f.ownUsed[address] {
-		out = append(out, a)
-	}
-	delete(f.ownUsed, address)
-	return out
-}
-
-// Foresee takes in the planner's forecasts, where this entry plans.
-func (f *Feed) Foresee(ready map[core.ModelName]time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if sameReady(f.ready, ready) {
-		return
-	}
-	f.ready = ready
-	f.noteReady()
-}
-
-// noteReady numbers a change of the forecasts. The caller holds mu.
-func (f *Feed) noteReady() {
-	f.readyChange++
-	f.wake()
-}
-
-func sameReady(a, b map[core.ModelName]time.Time) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for name, at := range a {
-		if other, ok := b[name]; !ok || at.Sub(other).Abs() >= readySlack {
-			return false
-		}
-	}
-	return true
-}
-
-// gather takes in what this entry's own callers asked for. The caller holds mu.
-func (f *Feed) gather(now time.Time) {
-	arrivals := f.Proxy.TakeArrivals()
-	f.demand.Wait(now, f.Self.Name, f.Proxy.WaitingFor())
-	f.addArrivals(now, arrivals)
-}
-
-// addArrivals counts arrivals and keeps them for the relays that are asked. The caller
-// holds mu.
-func (f *Feed) addArrivals(now time.Time, arrivals map[core.ModelName]demand.Arrivals) {
-	if f.choice.Relay() {
-		f.demand.Add(now, arrivals)
-	}
-	for _, r := range f.asked {
-		r.add(arrivals)
-	}
-}
-
 // wake has those that wait for an answer look again. The caller holds mu.
 func (f *Feed) wake() {
 	urgent := f.table.Urgent() != f.seenUrgent || f.readyChange != f.seenReady
@@ -380,25 +190,4 @@
 	}
 }
 
-// Hurry tells at once what is waited for here.
-func (f *Feed) Hurry(ctx context.Context) {
-	f.mu.Lock()
-	now := f.Clock.Now()
-	var to *relay
-	switch {
-	case now.Sub(f.hurried) < hurryGap:
-	case f.choice.Relay():
-		to = f.asked[f.planner.Name]
-	case len(f.choice.Relays) > 0:
-		to = f.asked[f.choice.Relays[0].Name]
-	}
-	if to != nil {
-		f.hurried = now
-	}
-	f.mu.Unlock()
-	if to != nil {
-		go f.exchange(ctx, to, hurryWait)
-	}
-}
-
 func (f *Feed) pokeChoose() { loop.Poke(f.kick) }
