--- a/io/deploy/agent.go
+++ b/io/deploy/agent.go
@@ -91,11 +91,6 @@
 	if err != nil {
 		return 0, err
 	}
-	o := core.Object{Kind: core.KindAgent, Name: string(p.Settings.Name), Spec: spec}
-	made, err := p.store.Create(ctx, o)
-	var failed *core.PlatformError
-	if errors.As(err, &failed) && failed.Fault == core.Exists {
-		made, err = p.store.Update(ctx, o)
-	}
+	made, err := p.put(ctx, core.Object{Kind: core.KindAgent, Name: string(p.Settings.Name), Spec: spec})
 	return uint64(made.Version), err
 }
--- a/io/deploy/members.go
+++ b/io/deploy/members.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"maps"
 	"net/netip"
 	"slices"
@@ -21,6 +20,9 @@
 // out, and whoever does not read of this entry finds it when it calls.
 const recordPause = 2 * time.Second
 
+// recordLook is how often an entry looks whether the records have been listed.
+const recordLook = 50 * time.Millisecond
+
 // recordWait is how long a watch of the records waits. They change when an entry is added
 // or moved, and other entries tell of that too.
 const recordWait = 15 * time.Second
@@ -45,6 +47,8 @@
 	mu     sync.Mutex
 	listed map[core.HostName]follow.Member
 	ranked follow.Ranked
+	// own is this entry's record as the store lists it.
+	own []byte
 	// ordering are the entries that order engines, by data centre, with the version of
 	// the record that says so: the latest counts.
 	ordering map[core.DataCentre]ordering
@@ -83,6 +87,7 @@
 	}
 	m.takeOrders(o)
 	if name == m.self.Name {
+		m.own = o.Spec
 		return
 	}
 	defer func() { m.ranked = follow.Rank(slices.Collect(maps.Values(m.listed))) }()
@@ -116,6 +121,14 @@
 	}
 }
 
+// says tells whether the store has this record of this entry.
+func (m *members) says(spec []byte) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var old, now memberJSON
+	return json.Unmarshal(m.own, &old) == nil && json.Unmarshal(spec, &now) == nil && old == now
+}
+
 // holder returns the entry that orders the engines without agents of a data centre.
 func (m *members) holder(dc core.DataCentre) (peer.Target, bool) {
 	m.mu.Lock()
@@ -187,9 +200,15 @@
 	}
 }
 
-// record writes this entry's record, so that others find it.
+// record writes this entry's record, so that others find it. After a restart the store
+// has it already, as the list of all records shows.
 func (e *entry) record(ctx context.Context) error {
 	self := e.members.self
+	for !e.state.Confirmed(core.KindEntry) {
+		if !loop.Sleep(ctx, recordLook) {
+			return nil
+		}
+	}
 	for {
 		spec, err := json.Marshal(memberJSON{
 			Control: self.Control, DataCentre: self.DataCentre, Capacity: self.Capacity, Orders: e.ordering.Load(),
@@ -197,7 +216,9 @@
 		if err != nil {
 			return err
 		}
-		err = e.writeRecord(ctx, core.Object{Kind: core.KindEntry, Name: string(self.Name), Spec: spec})
+		if !e.members.says(spec) {
+			_, err = e.put(ctx, core.Object{Kind: core.KindEntry, Name: string(self.Name), Spec: spec})
+		}
 		if err == nil {
 			select {
 			case <-ctx.Done():
@@ -212,13 +233,3 @@
 		}
 	}
 }
-
-func (e *entry) writeRecord(ctx context.Context, o core.Object) error {
-	_, err := e.store.Create(ctx, o)
-	var failed *core.PlatformError
-	if errors.As(err, &failed) && failed.Fault == core.Exists {
-		// A record that says the same already is no change to the store.
-		_, err = e.store.Update(ctx, o)
-	}
-	return err
-}
--- a/io/deploy/past.go
+++ b/io/deploy/past.go
@@ -114,12 +114,7 @@
 }
 
 func (p *planner) write(ctx context.Context, o core.Object) {
-	_, err := p.entry.store.Update(ctx, o)
-	var failed *core.PlatformError
-	if errors.As(err, &failed) && failed.Fault == core.NotFound {
-		_, err = p.entry.store.Create(ctx, o)
-	}
-	if err != nil {
+	if _, err := p.entry.put(ctx, o); err != nil {
 		// The next record takes its place.
 		events.Fail(events.DecisionFailed, err, "kind", core.KindDemand)
 	}
--- a/io/deploy/process.go
+++ b/io/deploy/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"os"
 	"os/signal"
@@ -93,6 +94,18 @@
 	}
 }
 
+// put writes an object whether it is there or not. It is tried as an update first: when
+// all processes have been killed, their records are there, and each writes at the same
+// moment to a store that takes a few hundred writes a second.
+func (p *Process) put(ctx context.Context, o core.Object) (core.Object, error) {
+	made, err := p.store.Update(ctx, o)
+	var failed *core.PlatformError
+	if errors.As(err, &failed) && failed.Fault == core.NotFound {
+		return p.store.Create(ctx, o)
+	}
+	return made, err
+}
+
 func (p *Process) serve(s *httpd.Server) { p.servers = append(p.servers, s) }
 
 func (p *Process) operators() http.Handler {
