--- a/io/deploy/planner.go
+++ b/io/deploy/planner.go
@@ -42,6 +42,8 @@
 type planner struct {
 	entry    *entry
 	parallel int
+	// took is how long the last decision took; it belongs to run.
+	took time.Duration
 
 	mu       sync.Mutex
 	services map[core.ServiceName]*copies.Planner
@@ -72,13 +74,18 @@
 		case <-ticker.C:
 		case <-p.entry.proxy.Waiting():
 		}
-		began := time.Now()
 		p.decide(ctx)
 		// In a large fleet some request begins to wait at any moment.
-		loop.Sleep(ctx, planRest*time.Since(began))
+		loop.Sleep(ctx, restAfter(p.took))
+		p.took = 0
 	}
 }
 
+// restAfter returns the pause after a decision that took a time. The work alone counts,
+// not the time that a call to another entry takes: one that has died takes a second to
+// find out, and the entry that takes its place would rest before it plans.
+func restAfter(took time.Duration) time.Duration { return min(planEvery, planRest*took) }
+
 // decide plans, or tells the entry that does.
 func (p *planner) decide(ctx context.Context) {
 	now := p.entry.clock.Now()
@@ -194,6 +201,8 @@
 	if table == nil {
 		return
 	}
+	began := time.Now()
+	defer func() { p.took = time.Since(began) }()
 	demand := p.demand(now)
 	p.keep(ctx, now, demand)
 	ready := map[core.ModelName]time.Time{}
--- a/io/deploy/share_test.go
+++ b/io/deploy/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -16,3 +17,11 @@
 	}
 	assert.Assert(t, spareOf(96, 0) < 10, "few while nothing is known of others")
 }
+
+// The planner dies. The entry that takes its place finds that out by a call that takes a
+// second; resting for a multiple of that, it would have no model loaded for seconds.
+func TestPlannerRestsForItsWorkOnly(t *testing.T) {
+	assert.Equal(t, restAfter(0), time.Duration(0))
+	assert.Equal(t, restAfter(10*time.Millisecond), 50*time.Millisecond)
+	assert.Equal(t, restAfter(time.Second), planEvery)
+}
