--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -101,7 +101,7 @@
 	}
 	e.feed = &feed.Feed{
 		Self: self, MostDirect: s.Managed.DirectAgents, Clock: e.clock, Proxy: e.proxy, Ask: e.client.Digest, Ping: e.client.Ping,
-		Members: e.members.others, Agents: e.links.agents, Planner: e.links.informAll,
+		Members: e.members.others, Engines: e.links.centres, Planner: e.links.informAll,
 	}
 	e.feed.Start()
 	e.handler.Digest = e.feed.Serve
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -108,11 +108,11 @@
 	return out
 }
 
-// agents returns the number of agents in each data centre.
-func (l *links) agents() map[core.DataCentre]int {
-	out := map[core.DataCentre]int{}
-	for _, e := range l.engines() {
-		out[e.centre]++
+// centres returns the model engines' data centres by their addresses.
+func (l *links) centres() map[netip.AddrPort]core.DataCentre {
+	out := map[netip.AddrPort]core.DataCentre{}
+	for address, e := range l.engines() {
+		out[address] = e.centre
 	}
 	return out
 }
--- a/io/feed/ask.go
+++ b/io/feed/ask.go
@@ -178,7 +178,9 @@
 		fresh = f.table.All()
 	}
 	f.Proxy.Update(func(v *fleet.View, _ time.Time) {
-		v.Heard(now)
+		if f.choice.Scope == follow.None {
+			v.Heard(now)
+		}
 		for i := range fresh {
 			Apply(v, &fresh[i])
 		}
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -42,10 +43,10 @@
 	// Ask and Ping make calls of other entries.
 	Ask  func(ctx context.Context, to peer.Target, in *wire.DigestCall) (*wire.DigestReply, error)
 	Ping func(ctx context.Context, to peer.Target) error
-	// Members returns all other entries that are listed, Agents the number of agents in
-	// each data centre.
+	// Members returns all other entries that are listed, Engines the listed upstream hosts
+	// that have agents, with their data centres.
 	Members func() follow.Ranked
-	Agents  func() map[core.DataCentre]int
+	Engines func() map[netip.AddrPort]core.DataCentre
 	// Planner, if set, is told when another entry plans.
 	Planner func()
 
@@ -108,7 +109,11 @@
 
 // choose decides whom to ask, and starts and ends the exchanges with relays.
 func (f *Feed) choose(ctx context.Context) {
-	members, agents := f.Members(), f.Agents()
+	members, engines := f.Members(), f.Engines()
+	agents := map[core.DataCentre]int{}
+	for _, dc := range engines {
+		agents[dc]++
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
@@ -117,8 +122,11 @@
 	if f.choice.Scope != old.Scope {
 		events.Log(events.RelayChanged, "scope", f.choice.Scope, "centres", f.choice.Centres, "before", old.Scope)
 	}
-	if f.choice.Scope == follow.All {
+	f.forget(engines)
+	if f.choice.Scope != follow.None {
 		f.Proxy.Update(func(v *fleet.View, _ time.Time) { v.Heard(time.Time{}) })
+	}
+	if f.choice.Scope == follow.All {
 		// What came while nobody is told is of no use later.
 		f.Proxy.TakeArrivals()
 	}
@@ -129,6 +137,19 @@
 	f.choosePlanner(now)
 }
 
+// forget drops what is known of hosts that are not listed any more: they would be told to
+// all askers as hosts that were not heard of, for good. The caller holds mu.
+func (f *Feed) forget(listed map[netip.AddrPort]core.DataCentre) {
+	f.table.Keep(func(a netip.AddrPort) bool {
+		_, ok := listed[a]
+		return ok
+	})
+	maps.DeleteFunc(f.ownUsed, func(a netip.AddrPort, _ map[string]bool) bool {
+		_, ok := listed[a]
+		return !ok
+	})
+}
+
 // startRelays starts the exchanges with the relays that were chosen and ends the
 // others. The caller holds mu.
 func (f *Feed) startRelays(ctx context.Context) {
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -41,10 +42,12 @@
 	stop    context.CancelFunc
 	ended   chan error
 	calls   atomic.Int64
+	// gone tells that the second host is not listed any more.
+	gone atomic.Bool
 }
 
-// agentsThere are more than each entry follows itself here.
-var agentsThere = map[core.DataCentre]int{"dc-0": 1, "dc-1": 1}
+// enginesThere are more than each entry follows itself here.
+var enginesThere = map[netip.AddrPort]core.DataCentre{hostAt(0): "dc-0", hostAt(1): "dc-1"}
 
 // newWorld runs entries that take turns over two data centres.
 func newWorld(t *testing.T, entries int) *world {
@@ -86,7 +89,7 @@
 	f := &feed.Feed{
 		Self: m, MostDirect: 1, Clock: clock{}, Proxy: p,
 		Members: func() follow.Ranked { return follow.Rank(others) },
-		Agents:  func() map[core.DataCentre]int { return agentsThere },
+		Engines: func() map[netip.AddrPort]core.DataCentre { return w.listed() },
 		Ask: func(ctx context.Context, to peer.Target, in *wire.DigestCall) (*wire.DigestReply, error) {
 			return w.ask(ctx, m.Name, to.Host, in)
 		},
@@ -96,6 +99,15 @@
 	w.feeds[m.Name], w.views[m.Name] = f, p
 }
 
+// listed returns the hosts that the registry lists.
+func (w *world) listed() map[netip.AddrPort]core.DataCentre {
+	out := maps.Clone(enginesThere)
+	if w.gone.Load() {
+		delete(out, hostAt(1))
+	}
+	return out
+}
+
 func hostID(i int) core.HostName { return core.HostName(fmt.Sprintf("i-%d", i)) }
 func hostAt(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 80)
@@ -251,6 +263,25 @@
 	})
 }
 
+// A host is removed for good. Each answer went on to name it among those that were not
+// heard of, with all others that ever left.
+func TestHostThatLeftIsForgotten(t *testing.T) {
+	run(t, 4, func(w *world) {
+		w.say("e-0", 0, 0, "e-0")
+		w.say("e-1", 1, 0, "e-0")
+		time.Sleep(3 * time.Second)
+		stale := func() int {
+			reply, err := w.feeds["e-1"].Serve(&wire.DigestCall{Entry: "asker"})
+			assert.NilError(t, err)
+			return len(reply.GetStale())
+		}
+		assert.Equal(t, stale(), 2)
+		w.gone.Store(true)
+		time.Sleep(time.Second)
+		assert.Equal(t, stale(), 1)
+	})
+}
+
 // Nothing happens for a while. Questions are held back, so that an entry at rest makes
 // a few calls a second.
 func TestRestCostsFewCalls(t *testing.T) {
