--- a/core/follow/choose.go
+++ b/core/follow/choose.go
@@ -171,6 +171,11 @@
 // Choose returns from whom to hear, given all other entries and the number of agents in
 // each data centre.
 func (c *Chooser) Choose(now time.Time, others Ranked, agents map[core.DataCentre]int) Choice {
+	if len(agents) == 0 {
+		// Nothing is listed yet. Called direct until then, each entry of a large fleet would
+		// begin to follow all agents with the first list.
+		return Choice{Scope: None}
+	}
 	if !c.leavesDirect(agents) {
 		return Choice{Scope: All}
 	}
--- a/core/follow/choose_test.go
+++ b/core/follow/choose_test.go
@@ -284,6 +284,9 @@
 		return c.Choose(t0.Add(time.Minute), nil, map[core.DataCentre]int{"dc-1": agents}).Scope
 	}
 	t.Run("each entry follows all agents", func(t *testing.T) { assert.Equal(t, choose(64), follow.All) })
+	t.Run("but none before any is listed", func(t *testing.T) {
+		assert.Equal(t, c.Choose(t0, nil, nil).Scope, follow.None)
+	})
 	t.Run("beyond the limit it leads its data centre", func(t *testing.T) { assert.Equal(t, choose(65), follow.Centres) })
 	t.Run("a few hosts less change nothing", func(t *testing.T) { assert.Equal(t, choose(50), follow.Centres) })
 	t.Run("many less do", func(t *testing.T) { assert.Equal(t, choose(47), follow.All) })
--- a/io/deploy/adapters.go
+++ b/io/deploy/adapters.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"net/rpc"
 	"slices"
 	"time"
 
 	"radishwell/core"
 	"radishwell/core/fleet"
 	"radishwell/core/rtable"
+	"radishwell/io/peer"
 	"radishwell/wire"
 )
 
@@ -26,9 +29,13 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, fetchTime)
 	defer stop()
-	to, upstream := l.agent(h.Address, h.DataCentre)
-	reply, err := l.entry.client.Adapter(ctx, to, &wire.AdapterCall{
-		Upstream: upstream, Instance: string(h.ID), Model: string(model), Adapter: adapter, Wait: int64(fetchTime), Limits: limitsOf(table.Services[h.Service], held, model),
+	in := &wire.AdapterCall{
+		Instance: string(h.ID), Model: string(model), Adapter: adapter, Wait: int64(fetchTime),
+		Limits: limitsOf(table.Services[h.Service], held, model),
+	}
+	reply, err := ordered(l, h, func(to peer.Target, upstream []byte) (*wire.AdapterReply, error) {
+		in.Upstream = upstream
+		return l.entry.client.Adapter(ctx, to, in)
 	})
 	if err != nil {
 		return err
@@ -39,6 +46,19 @@
 	return nil
 }
 
+// ordered calls whoever orders a host. An entry that orders some engines of a data centre
+// may not order this one, which has an agent that this process does not follow; the agent
+// is called then.
+func ordered[R any](l *links, h fleet.Entry, call func(to peer.Target, upstream []byte) (R, error)) (R, error) {
+	to, upstream := l.agent(h.Address, h.DataCentre)
+	reply, err := call(to, upstream)
+	var refused rpc.ServerError
+	if upstream != nil && errors.As(err, &refused) {
+		return call(l.beside(h.Address), nil)
+	}
+	return reply, err
+}
+
 // host returns the registry's entry of a host and what it holds.
 func (l *links) host(id core.HostName) (e fleet.Entry, held []core.HeldModel, ok bool) {
 	l.entry.proxy.Update(func(v *fleet.View, now time.Time) {
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -128,10 +128,15 @@
 	}
 }
 
+// beside returns where the agent beside an upstream takes calls.
+func (l *links) beside(address netip.AddrPort) peer.Target {
+	return peer.Target{Address: netip.AddrPortFrom(address.Addr(), uint16(l.entry.Settings.Managed.AgentPort))}
+}
+
 // agent returns where calls for the agent beside an upstream go. Where no agent was ever
 // heard of there, an entry may order the upstream; then upstream names it to that entry.
 func (l *links) agent(address netip.AddrPort, dc core.DataCentre) (to peer.Target, upstream []byte) {
-	beside := peer.Target{Address: netip.AddrPortFrom(address.Addr(), uint16(l.entry.Settings.Managed.AgentPort))}
+	beside := l.beside(address)
 	l.mu.Lock()
 	k := l.all[address]
 	l.mu.Unlock()
--- a/io/deploy/links_test.go
+++ b/io/deploy/links_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"radishwell/core"
+	"radishwell/core/fleet"
+	"radishwell/io/peer"
 	"radishwell/io/proxy"
+	"radishwell/wire"
 )
 
 // An entry starts on a busy machine. Its planner asks for the links while their own
@@ -26,3 +31,39 @@
 	stop()
 	assert.NilError(t, <-ended)
 }
+
+// serveCalls takes calls on the loopback until the test ends.
+func serveCalls(t *testing.T, h *peer.Handler) netip.AddrPort {
+	t.Helper()
+	s := &peer.Server{Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: h}
+	assert.NilError(t, s.Listen())
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		assert.NilError(t, <-ended)
+	})
+	return s.Address
+}
+
+// In a large fleet one engine of a data centre has no agent, and an entry orders it. The
+// entries that follow no agent themselves asked that entry for the adapters of all engines
+// there, and had none loaded where agents are.
+func TestAgentIsCalledBesideEngineOfAnEntry(t *testing.T) {
+	holder := serveCalls(t, &peer.Handler{Adapter: func(*wire.AdapterCall) (*wire.AdapterReply, error) { return nil, &NotHeldError{} }})
+	agent := serveCalls(t, &peer.Handler{Adapter: func(c *wire.AdapterCall) (*wire.AdapterReply, error) {
+		return &wire.AdapterReply{Loaded: c.GetUpstream() == nil}, nil
+	}})
+	e := &entry{Process: &Process{client: &peer.Client{}}}
+	e.Settings.Managed.AgentPort = int(agent.Port())
+	e.buildLinks()
+	e.members.ordering = map[core.DataCentre]ordering{"dc-1": {name: "edge-1", control: holder}}
+	host := fleet.Entry{Address: netip.AddrPortFrom(agent.Addr(), 9), DataCentre: "dc-1"}
+	reply, err := ordered(e.links, host, func(to peer.Target, upstream []byte) (*wire.AdapterReply, error) {
+		return e.client.Adapter(t.Context(), to, &wire.AdapterCall{Upstream: upstream})
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, reply.GetLoaded())
+	e.client.Close()
+}
--- a/io/deploy/planner.go
+++ b/io/deploy/planner.go
@@ -272,9 +272,10 @@
 		Limits: limitsOf(s, held, append(slices.Clone(m.Evict), m.Load)...),
 		Takes:  int64(m.By.Sub(p.entry.clock.Now())), Idle: m.Idle,
 	}
-	to, upstream := p.entry.links.agent(h.Address, h.DataCentre)
-	in.Upstream = upstream
-	reply, err := p.entry.client.Goal(ctx, to, in)
+	reply, err := ordered(p.entry.links, h, func(to peer.Target, upstream []byte) (*wire.GoalReply, error) {
+		in.Upstream = upstream
+		return p.entry.client.Goal(ctx, to, in)
+	})
 	if err != nil {
 		events.Fail(events.PeerUnreachable, err, "address", h.Address)
 		return
--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -63,6 +63,7 @@
 			}
 		}
 	})
+	e.feed.Listed()
 }
 
 func (e *entry) takeTable(o core.Object) {
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -89,6 +89,7 @@
 	f.ownUsed = map[netip.AddrPort]map[string]bool{}
 	f.changed, f.urgent = make(chan struct{}), make(chan struct{})
 	f.kick = make(chan struct{}, 1)
+	f.choice.Scope = follow.None
 }
 
 // Run chooses whom to ask again and again until the context ends.
@@ -212,3 +213,13 @@
 }
 
 func (f *Feed) pokeChoose() { loop.Poke(f.kick) }
+
+// Listed notes that the registry has changed. The first list tells whether this entry
+// follows agents.
+func (f *Feed) Listed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.choice.Scope == follow.None && len(f.choice.Relays) == 0 {
+		f.pokeChoose()
+	}
+}
