--- a/core/demand/fleet.go
+++ b/core/demand/fleet.go
@@ -18,7 +18,7 @@
 	waits  map[core.HostName]waits
 }
 
-// waits are the requests that wait at one teller, by model.
+// waits are the requests that wait at one entry, by model.
 type waits struct {
 	at     time.Time
 	models map[core.ModelName]int
@@ -41,26 +41,26 @@
 
 // Wait takes in the requests that wait at an entry, or at all that tell it, and tells
 // whether there are models among them for which none waited there before.
-func (f *Fleet) Wait(now time.Time, teller core.HostName, models map[core.ModelName]int) (news bool) {
+func (f *Fleet) Wait(now time.Time, entry core.HostName, models map[core.ModelName]int) (news bool) {
 	if f.waits == nil {
 		f.waits = map[core.HostName]waits{}
 	}
 	for name := range models {
-		news = news || f.waits[teller].models[name] == 0
+		news = news || f.waits[entry].models[name] == 0
 	}
-	f.waits[teller] = waits{at: now, models: models}
+	f.waits[entry] = waits{at: now, models: models}
 	return news
 }
 
-// Waiting returns how many requests wait for each model, by the word of some tellers.
-func (f *Fleet) Waiting(now time.Time, counts func(teller core.HostName) bool) map[core.ModelName]int {
+// Waiting returns how many requests wait for each model, by the word of some entries.
+func (f *Fleet) Waiting(now time.Time, counts func(entry core.HostName) bool) map[core.ModelName]int {
 	out := map[core.ModelName]int{}
-	for teller, w := range f.waits {
+	for entry, w := range f.waits {
 		if now.Sub(w.at) > waitingAge {
-			delete(f.waits, teller)
+			delete(f.waits, entry)
 			continue
 		}
-		if !counts(teller) {
+		if !counts(entry) {
 			continue
 		}
 		for name, n := range w.models {
--- a/io/feed/ask.go
+++ b/io/feed/ask.go
@@ -111,9 +111,9 @@
 // waiting returns what is waited for here and at the entries that ask this one. The
 // caller holds mu.
 func (f *Feed) waiting(now time.Time) map[core.ModelName]int {
-	return f.demand.Waiting(now, func(teller core.HostName) bool {
-		t := f.tellers[teller]
-		return teller == f.Self.Name || t != nil && !t.relay
+	return f.demand.Waiting(now, func(name core.HostName) bool {
+		a := f.askers[name]
+		return name == f.Self.Name || a != nil && !a.relay
 	})
 }
 
@@ -137,7 +137,7 @@
 
 // take takes in a relay's answer. The caller holds mu.
 func (f *Feed) take(now time.Time, r *relay, in *wire.DigestCall, reply *wire.DigestReply) {
-	if f.asked[r.member.Name] != r {
+	if f.relays[r.member.Name] != r {
 		return // another relay was chosen meanwhile
 	}
 	if reply.GetEpoch() != r.epoch {
--- a/io/feed/bench_test.go
+++ b/io/feed/bench_test.go
@@ -69,7 +69,7 @@
 			entry := benchFeed(0)
 			entry.choice = follow.Choice{Scope: follow.None}
 			r := &relay{member: f.Self}
-			entry.asked[f.Self.Name] = r
+			entry.relays[f.Self.Name] = r
 			call := &wire.DigestCall{Entry: "asker"}
 			f.note(call)
 			bytes := 0
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -50,6 +50,7 @@
 	// Planner, if set, is told when another entry plans.
 	Planner func()
 
+	// epoch tells this process's change numbers from those of the one before.
 	epoch uint64
 
 	mu      sync.Mutex
@@ -57,24 +58,30 @@
 	choice  follow.Choice
 	table   digest.Table
 	demand  demand.Fleet
-	// asked are the relays that this entry asks, by name.
-	asked map[core.HostName]*relay
-	// tellers are the entries that ask this one.
-	tellers map[core.HostName]*teller
-	uses    map[core.HostName]use
+	// relays are those that this entry asks, by name.
+	relays map[core.HostName]*relay
+	// askers are the entries that ask this one.
+	askers map[core.HostName]*asker
+	// uses are the requests in progress by the word of each entry.
+	uses map[core.HostName]use
+	// planner is the entry that plans, the zero Member where none is known.
 	planner follow.Member
 	// ready are forecasts, readyChange the number of their last change.
 	ready       map[core.ModelName]time.Time
 	readyChange uint64
-	applied     time.Time
+	// applied is when all hosts were told to the view last, hurried when a relay was last
+	// asked out of turn.
+	applied, hurried time.Time
 	// changed is closed and replaced at each change, urgent at each that is more than
 	// one of figures.
 	changed, urgent        chan struct{}
 	seenChange, seenUrgent uint64
 	seenReady              uint64
-	hurried                time.Time
-	ownUsed                map[netip.AddrPort]map[string]bool
-	kick                   chan struct{}
+	// ownUsed are the adapters that requests were sent for, by host, for the agents that
+	// this entry follows.
+	ownUsed map[netip.AddrPort]map[string]bool
+	// kick has Run choose at once.
+	kick chan struct{}
 }
 
 // Start makes the feed ready for calls.
@@ -82,8 +89,8 @@
 	now := f.Clock.Now()
 	f.epoch = uint64(now.UnixNano())
 	f.chooser = follow.Chooser{Self: f.Self, MostDirect: f.MostDirect, Started: now}
-	f.asked = map[core.HostName]*relay{}
-	f.tellers = map[core.HostName]*teller{}
+	f.relays = map[core.HostName]*relay{}
+	f.askers = map[core.HostName]*asker{}
 	f.uses = map[core.HostName]use{}
 	f.ready = map[core.ModelName]time.Time{}
 	f.ownUsed = map[netip.AddrPort]map[string]bool{}
@@ -154,19 +161,19 @@
 // startRelays starts the exchanges with the relays that were chosen and ends the
 // others. The caller holds mu.
 func (f *Feed) startRelays(ctx context.Context) {
-	for name, r := range f.asked {
+	for name, r := range f.relays {
 		if !slices.Contains(f.choice.Relays, r.member) {
 			r.stop()
-			delete(f.asked, name)
+			delete(f.relays, name)
 		}
 	}
 	for _, m := range f.choice.Relays {
-		if f.asked[m.Name] != nil {
+		if f.relays[m.Name] != nil {
 			continue
 		}
 		own, stop := context.WithCancel(ctx)
 		r := &relay{member: m, stop: stop, pending: map[core.ModelName]demand.Arrivals{}, used: map[netip.AddrPort]map[string]bool{}}
-		f.asked[m.Name] = r
+		f.relays[m.Name] = r
 		events.Log(events.RelayAsked, "relay", m.Name, "address", m.Control, "data-centre", m.DataCentre)
 		go f.follow(own, r)
 	}
--- a/io/feed/plan.go
+++ b/io/feed/plan.go
@@ -116,7 +116,7 @@
 	if f.choice.Relay() {
 		f.demand.Add(now, arrivals)
 	}
-	for _, r := range f.asked {
+	for _, r := range f.relays {
 		r.add(arrivals)
 	}
 }
@@ -129,9 +129,9 @@
 	switch {
 	case now.Sub(f.hurried) < hurryGap:
 	case f.choice.Relay():
-		to = f.asked[f.planner.Name]
+		to = f.relays[f.planner.Name]
 	case len(f.choice.Relays) > 0:
-		to = f.asked[f.choice.Relays[0].Name]
+		to = f.relays[f.choice.Relays[0].Name]
 	}
 	if to != nil {
 		f.hurried = now
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -24,8 +24,8 @@
 	mostWait = 2 * time.Second
 )
 
-// teller is an entry that asks this one. Its fields are guarded by the feed's mu.
-type teller struct {
+// asker is an entry that asks this one. Its fields are guarded by the feed's mu.
+type asker struct {
 	relay bool
 	// answered is when it last had an answer.
 	answered time.Time
@@ -44,10 +44,10 @@
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
 	name := core.HostName(c.GetEntry())
-	t := f.tellers[name]
+	t := f.askers[name]
 	if t == nil {
-		t = &teller{}
-		f.tellers[name] = t
+		t = &asker{}
+		f.askers[name] = t
 	}
 	t.relay = c.GetRelay()
 	if !t.relay {
@@ -104,7 +104,7 @@
 	defer f.mu.Unlock()
 	at := f.Clock.Now()
 	seen := f.seenBy(c)
-	last := f.tellers[core.HostName(c.GetEntry())].answered
+	last := f.askers[core.HostName(c.GetEntry())].answered
 	early, late := last.Add(urgentGap), last.Add(f.gap())
 	urgent := f.table.Urgent() > seen || len(c.GetWaiting()) > 0 && f.readyChange != c.GetSeenReady()
 	switch {
@@ -148,7 +148,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
-	f.tellers[core.HostName(c.GetEntry())].answered = now
+	f.askers[core.HostName(c.GetEntry())].answered = now
 	at, stale := f.table.Ages(now, c.GetRelay())
 	out := &wire.DigestReply{
 		Epoch: f.epoch, Change: f.table.Change(), ReadyChange: f.readyChange,
--- a/io/feed/use.go
+++ b/io/feed/use.go
@@ -8,10 +8,10 @@
 	"radishwell/core/fleet"
 )
 
-// use is the requests in progress by host and model that one teller knows of.
+// use is the requests in progress by host and model that one entry knows of.
 type use struct {
 	at time.Time
-	// relayed tells that the teller is a relay, whose word goes no further.
+	// relayed tells that the entry is a relay, whose word goes no further.
 	relayed bool
 	active  map[netip.AddrPort]map[core.ModelName]int
 }
@@ -26,7 +26,7 @@
 	return f.active(now, address, true)
 }
 
-// active sums the word of tellers on a host, with or without relays. The caller holds
+// active sums the word of entries on a host, with or without relays. The caller holds
 // mu.
 func (f *Feed) active(now time.Time, address netip.AddrPort, relayed bool) map[core.ModelName]int {
 	sum := map[core.ModelName]int{}
@@ -60,7 +60,7 @@
 func (f *Feed) noteUsed(address netip.AddrPort, adapters []string, relayed bool) {
 	to := f.ownUsed
 	if source, ok := f.table.Source(address); ok && source != "" {
-		r := f.asked[source]
+		r := f.relays[source]
 		if relayed || r == nil {
 			return
 		}
