--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -42,24 +42,29 @@
 func (f *Feed) note(c *wire.DigestCall) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.Clock.Now()
-	name := core.HostName(c.GetEntry())
-	t := f.askers[name]
-	if t == nil {
-		t = &asker{}
-		f.askers[name] = t
-	}
-	t.relay = c.GetRelay()
-	if !t.relay {
-		f.chooser.Asked(now)
-		if !f.choice.Relay() {
-			f.pokeChoose()
-		}
-	} else {
+	now, name := f.Clock.Now(), core.HostName(c.GetEntry())
+	a := f.askers[name]
+	if a == nil {
+		a = &asker{}
+		f.askers[name] = a
+	}
+	a.relay = c.GetRelay()
+	if a.relay {
 		f.chooser.Heard(now, name)
+	} else {
+		f.chooser.Asked(now)
 	}
+	if !a.relay && !f.choice.Relay() {
+		f.pokeChoose() // being asked makes this entry a relay
+	}
+	f.noteDemand(now, name, c)
+	f.noteUses(now, name, c)
+}
+
+// noteDemand takes in what another entry's callers ask for. The caller holds mu.
+func (f *Feed) noteDemand(now time.Time, name core.HostName, c *wire.DigestCall) {
 	arrivals := arrivalsIn(c.GetArrivals())
-	if t.relay {
+	if c.GetRelay() {
 		f.demand.Add(now, arrivals) // relays tell all relays themselves
 	} else {
 		f.addArrivals(now, arrivals)
@@ -67,14 +72,18 @@
 	if f.demand.Wait(now, name, countsIn(c.GetWaiting())) {
 		f.Proxy.Kick()
 	}
-	u := use{at: now, relayed: t.relay, active: map[netip.AddrPort]map[core.ModelName]int{}}
+}
+
+// noteUses takes in another entry's use of hosts. The caller holds mu.
+func (f *Feed) noteUses(now time.Time, name core.HostName, c *wire.DigestCall) {
+	u := use{at: now, relayed: c.GetRelay(), active: map[netip.AddrPort]map[core.ModelName]int{}}
 	for _, h := range c.GetUses() {
 		address, ok := addressIn(h.GetAddress())
 		if !ok {
 			continue
 		}
 		u.active[address] = countsIn(h.GetActive())
-		f.noteUsed(address, h.GetUsed(), t.relay)
+		f.noteUsed(address, h.GetUsed(), c.GetRelay())
 	}
 	f.uses[name] = u
 }
