--- a/io/deploy/link.go
+++ b/io/deploy/link.go
@@ -102,7 +102,7 @@
 	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) {
 		life = v.Newest(k.address)
 		if h := v.Host(life.ID); h != nil && direct {
-			in.Active = activeOut(h.OwnActive())
+			in.Active = feed.CountsOut(h.OwnActive())
 		}
 	})
 	in.Instance, in.Born = string(life.ID), life.Born
@@ -130,7 +130,7 @@
 func (l *links) askAsRelay(k *link, in *wire.UpstreamCall) {
 	planner := l.entry.feed.Plans()
 	in.Planner, in.PlannerControl = string(planner.Name), planner.Control.String()
-	in.Active = activeOut(l.entry.feed.Active(k.address))
+	in.Active = feed.CountsOut(l.entry.feed.Active(k.address))
 	in.Used = l.entry.feed.TakeUsed(k.address)
 }
 
@@ -153,11 +153,3 @@
 	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) { feed.Apply(v, &h) })
 	l.entry.feed.Put(h)
 }
-
-func activeOut(counts map[core.ModelName]int) []*wire.ModelActive {
-	var out []*wire.ModelActive
-	for name, n := range counts {
-		out = append(out, &wire.ModelActive{Model: string(name), Count: uint32(n)})
-	}
-	return out
-}
--- a/io/feed/ask.go
+++ b/io/feed/ask.go
@@ -103,7 +103,7 @@
 	told, r.pending = r.pending, map[core.ModelName]demand.Arrivals{}
 	in = &wire.DigestCall{
 		Entry: string(f.Self.Name), Relay: asRelay, Epoch: r.epoch, Seen: r.seen, SeenReady: r.seenReady, Wait: int64(wait),
-		Arrivals: arrivalsOut(told), Waiting: countsOut(f.waiting(now)), Uses: f.usesOut(now, r),
+		Arrivals: arrivalsOut(told), Waiting: CountsOut(f.waiting(now)), Uses: f.usesOut(now, r),
 	}
 	return in, told
 }
@@ -125,7 +125,7 @@
 		if len(active) == 0 && len(used) == 0 {
 			continue
 		}
-		u := &wire.HostUse{Address: addressOut(h), Active: countsOut(active)}
+		u := &wire.HostUse{Address: addressOut(h), Active: CountsOut(active)}
 		for name := range used {
 			u.Used = append(u.Used, name)
 		}
--- a/io/feed/encode.go
+++ b/io/feed/encode.go
@@ -79,7 +79,8 @@
 	return out
 }
 
-func countsOut(counts map[core.ModelName]int) []*wire.ModelActive {
+// CountsOut encodes counts by model.
+func CountsOut(counts map[core.ModelName]int) []*wire.ModelActive {
 	out := make([]*wire.ModelActive, 0, len(counts))
 	for name, n := range counts {
 		out = append(out, &wire.ModelActive{Model: string(name), Count: uint32(n)})
