--- a/core/digest/table.go
+++ b/core/digest/table.go
@@ -37,7 +37,7 @@
 	Active map[core.ModelName]int
 }
 
-// Update is a host that an asker does not know as it is.
+// Update is a host that has changed since an asker's last answer.
 type Update struct {
 	Host
 	// Whole tells that more than the figures has changed.
@@ -50,6 +50,7 @@
 	Taken   time.Time
 }
 
+// row is a host with where it was heard of and when it changed.
 type row struct {
 	Host
 	// source is the relay that told of the host, empty for this entry's own link.
@@ -61,9 +62,9 @@
 // Table holds the hosts. The zero Table is ready for use; it is not safe for use by
 // several goroutines.
 type Table struct {
-	rows   map[netip.AddrPort]*row
-	change uint64
-	urgent uint64
+	rows map[netip.AddrPort]*row
+	// change counts the changes; urgent is the number of the last one that cannot wait.
+	change, urgent uint64
 }
 
 // Change is the number of the last change.
--- a/io/deploy/tend.go
+++ b/io/deploy/tend.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -58,14 +59,14 @@
 func bootTime() time.Time {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		// The zero time is before the end of no lease that was taken, and taken at it none
-		// is believed in.
+		// Without the clock no lease is believed in: this is after the end of each.
 		events.Fail(events.DecisionFailed, err, "clock", "boottime")
-		return time.Time{}
+		return time.Unix(math.MaxInt32, 0)
 	}
 	return time.Unix(ts.Unix())
 }
 
+// buildTender sets up what may order engines without agents.
 func (e *entry) buildTender() {
 	s := e.Settings
 	e.tender = &tender{
@@ -90,6 +91,7 @@
 	return <-ended
 }
 
+// step looks once after the engines without agents.
 func (t *tender) step(ctx context.Context) {
 	now := bootTime()
 	engines := t.engines()
