--- a/io/deploy/members.go
+++ b/io/deploy/members.go
@@ -47,8 +47,8 @@
 	mu     sync.Mutex
 	listed map[core.HostName]follow.Member
 	ranked follow.Ranked
-	// own is this entry's record as the store lists it.
-	own []byte
+	// own is this entry's record as the store lists it, zero where there is none.
+	own memberJSON
 	// ordering are the entries that order engines, by data centre, with the version of
 	// the record that says so: the latest counts.
 	ordering map[core.DataCentre]ordering
@@ -82,51 +82,49 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	name := core.HostName(o.Name)
-	if m.listed == nil {
-		m.listed = map[core.HostName]follow.Member{}
+	var record memberJSON
+	if !o.Deleted {
+		if err := json.Unmarshal(o.Spec, &record); err != nil {
+			events.Fail(events.RegistryEntryUnusable, err, "name", o.Name, "revision", o.Version)
+			o.Deleted = true // it names no entry
+		}
+	}
+	if !o.Deleted {
+		m.takeOrders(name, record, o.Version)
 	}
-	m.takeOrders(o)
 	if name == m.self.Name {
-		m.own = o.Spec
+		m.own = record
 		return
 	}
-	defer func() { m.ranked = follow.Rank(slices.Collect(maps.Values(m.listed))) }()
-	delete(m.listed, name)
-	if o.Deleted {
-		return
+	if m.listed == nil {
+		m.listed = map[core.HostName]follow.Member{}
 	}
-	var record memberJSON
-	if err := json.Unmarshal(o.Spec, &record); err != nil {
-		events.Fail(events.RegistryEntryUnusable, err, "name", o.Name, "revision", o.Version)
-		return
+	delete(m.listed, name)
+	if !o.Deleted {
+		m.listed[name] = follow.Member{Name: name, Control: record.Control, DataCentre: record.DataCentre, Capacity: record.Capacity}
 	}
-	m.listed[name] = follow.Member{Name: name, Control: record.Control, DataCentre: record.DataCentre, Capacity: record.Capacity}
+	m.ranked = follow.Rank(slices.Collect(maps.Values(m.listed)))
 }
 
 // takeOrders takes in whether an entry orders engines. The caller holds mu.
-func (m *members) takeOrders(o core.Object) {
-	var record memberJSON
-	if o.Deleted || json.Unmarshal(o.Spec, &record) != nil {
-		return // take reports what cannot be read
-	}
+func (m *members) takeOrders(name core.HostName, record memberJSON, version core.Version) {
 	old := m.ordering[record.DataCentre]
 	switch {
-	case record.Orders && o.Version >= old.version:
+	case record.Orders && version >= old.version:
 		if m.ordering == nil {
 			m.ordering = map[core.DataCentre]ordering{}
 		}
-		m.ordering[record.DataCentre] = ordering{name: core.HostName(o.Name), control: record.Control, version: o.Version}
-	case !record.Orders && old.name == core.HostName(o.Name):
+		m.ordering[record.DataCentre] = ordering{name: name, control: record.Control, version: version}
+	case !record.Orders && old.name == name:
 		delete(m.ordering, record.DataCentre)
 	}
 }
 
-// says tells whether the store has this record of this entry.
-func (m *members) says(spec []byte) bool {
+// says tells whether the store listed this record of this entry.
+func (m *members) says(record memberJSON) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var old, now memberJSON
-	return json.Unmarshal(m.own, &old) == nil && json.Unmarshal(spec, &now) == nil && old == now
+	return m.own == record
 }
 
 // holder returns the entry that orders the engines without agents of a data centre.
@@ -201,35 +199,47 @@
 }
 
 // record writes this entry's record, so that others find it. After a restart the store
-// has it already, as the list of all records shows.
+// has it already, as the list of all records shows. A change is always written: the list
+// may not have shown the one before yet.
 func (e *entry) record(ctx context.Context) error {
-	self := e.members.self
 	for !e.state.Confirmed(core.KindEntry) {
 		if !loop.Sleep(ctx, recordLook) {
 			return nil
 		}
 	}
+	listed := e.members.says(e.ownRecord())
 	for {
-		spec, err := json.Marshal(memberJSON{
-			Control: self.Control, DataCentre: self.DataCentre, Capacity: self.Capacity, Orders: e.ordering.Load(),
-		})
-		if err != nil {
-			return err
-		}
-		if !e.members.says(spec) {
-			_, err = e.put(ctx, core.Object{Kind: core.KindEntry, Name: string(self.Name), Spec: spec})
-		}
-		if err == nil {
-			select {
-			case <-ctx.Done():
+		if err := e.writeRecord(ctx, listed); err != nil {
+			events.Fail(events.PlatformUnreachable, err, "kind", core.KindEntry)
+			if !loop.Sleep(ctx, recordPause) {
 				return nil
-			case <-e.rewrite:
-				continue
 			}
+			continue
 		}
-		events.Fail(events.PlatformUnreachable, err, "kind", core.KindEntry)
-		if !loop.Sleep(ctx, recordPause) {
+		listed = false
+		select {
+		case <-ctx.Done():
 			return nil
+		case <-e.rewrite:
 		}
 	}
 }
+
+// ownRecord returns what this entry's record has to say.
+func (e *entry) ownRecord() memberJSON {
+	self := e.members.self
+	return memberJSON{Control: self.Control, DataCentre: self.DataCentre, Capacity: self.Capacity, Orders: e.ordering.Load()}
+}
+
+// writeRecord writes this entry's record, unless it is listed as it is.
+func (e *entry) writeRecord(ctx context.Context, listed bool) error {
+	if listed {
+		return nil
+	}
+	spec, err := json.Marshal(e.ownRecord())
+	if err != nil {
+		return err
+	}
+	_, err = e.put(ctx, core.Object{Kind: core.KindEntry, Name: string(e.members.self.Name), Spec: spec})
+	return err
+}
