--- a/io/deploy/adapters.go
+++ b/io/deploy/adapters.go
@@ -76,9 +76,7 @@
 		l.entry.feed.Used(h.Address, string(model)+"/"+adapter)
 		return
 	}
-	l.mu.Lock()
-	k := l.all[h.Address]
-	l.mu.Unlock()
+	k := l.at(h.Address)
 	if k == nil {
 		return
 	}
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -128,6 +128,13 @@
 	}
 }
 
+// at returns the link to an upstream's agent, nil where this entry follows none there.
+func (l *links) at(address netip.AddrPort) *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all[address]
+}
+
 // beside returns where the agent beside an upstream takes calls.
 func (l *links) beside(address netip.AddrPort) peer.Target {
 	return peer.Target{Address: netip.AddrPortFrom(address.Addr(), uint16(l.entry.Settings.Managed.AgentPort))}
@@ -137,10 +144,7 @@
 // heard of there, an entry may order the upstream; then upstream names it to that entry.
 func (l *links) agent(address netip.AddrPort, dc core.DataCentre) (to peer.Target, upstream []byte) {
 	beside := l.beside(address)
-	l.mu.Lock()
-	k := l.all[address]
-	l.mu.Unlock()
-	if k != nil {
+	if k := l.at(address); k != nil {
 		k.mu.Lock()
 		direct := k.heardAgent || k.tryAgent
 		k.mu.Unlock()
@@ -162,9 +166,7 @@
 
 // heardAgent tells whether an agent has ever answered beside an upstream.
 func (l *links) heardAgent(address netip.AddrPort) bool {
-	l.mu.Lock()
-	k := l.all[address]
-	l.mu.Unlock()
+	k := l.at(address)
 	if k == nil {
 		return false
 	}
--- a/io/deploy/tend.go
+++ b/io/deploy/tend.go
@@ -21,7 +21,6 @@
 	"radishwell/io/loop"
 	"radishwell/io/objapi"
 	plat "radishwell/platform"
-	"radishwell/wire"
 )
 
 const (
@@ -232,26 +231,19 @@
 // serve has calls about the engines that this entry orders answered like an agent's.
 func (t *tender) serve() {
 	h := &t.entry.handler
-	h.Upstream = func(c *wire.UpstreamCall) (*wire.UpstreamReply, error) {
-		d, err := t.driver(c.GetUpstream())
-		if err != nil {
-			return nil, err
-		}
-		return d.ServeUpstream(c)
-	}
-	h.Goal = func(c *wire.GoalCall) (*wire.GoalReply, error) {
-		d, err := t.driver(c.GetUpstream())
-		if err != nil {
-			return nil, err
-		}
-		return d.ServeGoal(c)
-	}
-	h.Adapter = func(c *wire.AdapterCall) (*wire.AdapterReply, error) {
+	h.Upstream = serveHeld(t, (*driver.Driver).ServeUpstream)
+	h.Goal = serveHeld(t, (*driver.Driver).ServeGoal)
+	h.Adapter = serveHeld(t, (*driver.Driver).ServeAdapter)
+}
+
+// serveHeld has a kind of call served by the driver of the engine that it names.
+func serveHeld[C interface{ GetUpstream() []byte }, R any](t *tender, serve func(*driver.Driver, C) (*R, error)) func(C) (*R, error) {
+	return func(c C) (*R, error) {
 		d, err := t.driver(c.GetUpstream())
 		if err != nil {
 			return nil, err
 		}
-		return d.ServeAdapter(c)
+		return serve(d, c)
 	}
 }
 
--- a/io/feed/ask.go
+++ b/io/feed/ask.go
@@ -36,8 +36,8 @@
 type relay struct {
 	member follow.Member
 	stop   context.CancelFunc
-	// epoch is the relay's life that seen is of; planned is whether this entry was a
-	// relay itself by then, which is told more.
+	// epoch is the relay's life that seen and seenReady are of; asRelay is whether this
+	// entry was a relay itself by then, which is told more.
 	epoch, seen, seenReady uint64
 	asRelay                bool
 	// pending are arrivals that it has not been told, used the adapters of its hosts that
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -101,18 +101,10 @@
 
 // Run chooses whom to ask again and again until the context ends.
 func (f *Feed) Run(ctx context.Context) error {
-	for {
+	return loop.Run(ctx, f.Clock, f.kick, chooseEvery, func(time.Time) time.Time {
 		f.choose(ctx)
-		timer := time.NewTimer(chooseEvery)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return nil
-		case <-timer.C:
-		case <-f.kick:
-			timer.Stop()
-		}
-	}
+		return time.Time{}
+	})
 }
 
 // choose decides whom to ask, and starts and ends the exchanges with relays.
