Know customers by their keys on managed platforms, and count their use over all entries

Cause: the hosted programs knew nothing of customers. Keys were passed on to upstreams, unknown and removed keys ran, allowances were not counted.

Change: the routing table brings customers (rtable.Customer; keys as digests, decoded in platform/ alone). A request is identified as it arrives; an entry that may be behind says not-ready in place of an unknown key. Allowances are counted by one keeper that all entries choose alike (core/admit.Keeper, io/quota): each entry leaves its equal parts there until a deadline and has them back when it reaches no keeper.

Ruled out: equal parts alone (a burst at one entry finds 1/24 of it), and taking units on arrival of requests that wait (all would be used at once when their model is there).

--- a/core/catlog/value.go
+++ b/core/catlog/value.go
@@ -274,7 +274,7 @@
 }
 
 // Digest is the SHA-256 of a bearer key.
-type Digest [32]byte
+type Digest = core.KeyDigest
 
 // ParseDigest reads 64 lower-case hexadecimal digits.
 func ParseDigest(text string) (Digest, bool) {
--- a/core/proto.go
+++ b/core/proto.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // PromptPart is one part of a prompt. Requests whose prompts begin with the same
 // parts share the work of reading them.
@@ -21,7 +24,13 @@
 	// Parts is the prompt in order; the last part is the request's own.
 	Parts []PromptPart
 	// Prompt and Answer are tokens: the prompt's and the most to be generated.
+	// Counted tells that the caller sent them.
 	Prompt, Answer int
+	Counted        bool
+	// Key is the digest of the caller's key where KeyFault is nil, which otherwise
+	// says why none could be read.
+	Key      KeyDigest
+	KeyFault *Refusal
 	// After is the id of the last event that the caller has of an answer which
 	// broke off; empty for a new one.
 	After string
@@ -38,6 +47,20 @@
 	// After is the id of the event after which a stream goes on; empty for one
 	// that starts.
 	After string
+	// Customer is whom the request is from; empty where that is not known.
+	Customer OwnerName
+}
+
+// Ranks is the number of urgencies that upstreams tell apart.
+const Ranks = 10
+
+// Quotas counts what customers use over all entries.
+type Quotas interface {
+	// Take takes units of a customer's allowance. Its refusal says when they should be
+	// there.
+	Take(ctx context.Context, customer OwnerName, units float64) *Refusal
+	// Put gives back units that were taken for a request which did not run.
+	Put(customer OwnerName, units float64)
 }
 
 // AnswerHead is what an upstream says of its answer beside status and body.
@@ -56,7 +79,8 @@
 	// Ask reads a caller's request, which arrived at a time.
 	Ask(header map[string][]string, arrived time.Time) (Ask, *Refusal)
 	// Forward returns the fields for the upstream: the caller's own without those
-	// that concern only its connection or that callers may not set.
+	// that concern only its connection or that callers may not set, and without
+	// credentials.
 	Forward(header map[string][]string, h Hop) map[string][]string
 	// Answer reads the head of an upstream's answer.
 	Answer(header map[string][]string) AnswerHead
--- /dev/null
+++ b/core/rtable/customer.go
@@ -0,0 +1,122 @@
+package rtable
+
+import (
+	"cmp"
+	"slices"
+
+	"radishwell/core"
+	"radishwell/core/admit"
+)
+
+// Customer is one who calls with keys.
+type Customer struct {
+	Name core.OwnerName
+	Keys []core.KeyDigest
+	// Rank is the urgency of its requests, which goes before that of their routes; zero
+	// is the most urgent, and nil leaves the route's alone.
+	Rank      *int
+	Allowance admit.Allowance
+}
+
+// CustomerError reports a customer that can't be used.
+type CustomerError struct {
+	Customer core.OwnerName
+	Reason   string
+}
+
+// Error implements error.
+func (e *CustomerError) Error() string { return "customer " + string(e.Customer) + ": " + e.Reason }
+
+// addCustomers checks the customers and takes them in. Its error is a CustomerError.
+func (t *Table) addCustomers(customers []*Customer) error {
+	if customers == nil {
+		return nil
+	}
+	t.keys, t.byName = map[core.KeyDigest]*Customer{}, map[core.OwnerName]*Customer{}
+	for _, c := range customers {
+		a := c.Allowance
+		switch {
+		case c.Name == "":
+			return &CustomerError{Customer: c.Name, Reason: "it has no name"}
+		case t.byName[c.Name] != nil:
+			return &CustomerError{Customer: c.Name, Reason: "it is listed twice"}
+		case a.Rate < 0 || a.Burst < 0 || a.Plain < 0:
+			return &CustomerError{Customer: c.Name, Reason: "its allowance is negative"}
+		}
+		t.byName[c.Name] = c
+		for _, key := range c.Keys {
+			if other := t.keys[key]; other != nil && other != c {
+				return &CustomerError{Customer: c.Name, Reason: "it has a key of customer " + string(other.Name)}
+			}
+			t.keys[key] = c
+		}
+	}
+	return nil
+}
+
+// Keyed tells whether callers need keys, but on routes that are open.
+func (t *Table) Keyed() bool { return t.keys != nil }
+
+// Holder returns the customer that holds a key, nil where none does.
+func (t *Table) Holder(key core.KeyDigest) *Customer { return t.keys[key] }
+
+// Customer returns a customer by its name, nil where there is none. A nil table has none.
+func (t *Table) Customer(name core.OwnerName) *Customer {
+	if t == nil {
+		return nil
+	}
+	return t.byName[name]
+}
+
+// Limited tells whether the use of any customer is limited. A nil table limits nothing.
+func (t *Table) Limited() bool {
+	if t == nil {
+		return false
+	}
+	for _, c := range t.byName {
+		if c.Allowance.Limited() {
+			return true
+		}
+	}
+	return false
+}
+
+// urgency is the rank of a customer and that of a route; the first goes before.
+type urgency struct{ customer, route int }
+
+func urgencyOf(c *Customer, r *Route) urgency {
+	if c == nil || c.Rank == nil {
+		return urgency{r.Rank, r.Rank}
+	}
+	return urgency{*c.Rank, r.Rank}
+}
+
+// ranks are all urgencies of a table, the most urgent first.
+type ranks []urgency
+
+func newRanks(routes []*Route, customers []*Customer) ranks {
+	var out ranks
+	for _, r := range routes {
+		out = append(out, urgencyOf(nil, r))
+		for _, c := range customers {
+			out = append(out, urgencyOf(c, r))
+		}
+	}
+	slices.SortFunc(out, compareUrgency)
+	return slices.Compact(out)
+}
+
+func compareUrgency(a, b urgency) int {
+	return cmp.Or(cmp.Compare(a.customer, b.customer), cmp.Compare(a.route, b.route))
+}
+
+// Rank returns the urgency of a customer's requests on a route, from 0, the most
+// urgent, up to below count. Where the table has more urgencies than that, neighbours
+// share a rank. The customer may be nil.
+func (t *Table) Rank(c *Customer, r *Route, count int) int {
+	at, _ := slices.BinarySearchFunc(t.ranks, urgencyOf(c, r), compareUrgency)
+	if n := len(t.ranks); n > count {
+		return at * count / n
+	}
+	return min(at, count-1)
+}
--- a/core/rtable/table.go
+++ b/core/rtable/table.go
@@ -57,6 +57,8 @@
 	// Resumable tells that a stream may go on at another upstream host after
 	// the last event that the caller has.
 	Resumable bool
+	// Open tells that callers need no key.
+	Open bool
 }
 
 // Repeats tells whether a request may run more than once.
@@ -127,6 +129,12 @@
 	Services map[core.ServiceName]*Service
 	hosts    map[string][]*Route
 	count    int
+	// customers are found by their keys and by their names; keys is nil where callers
+	// need none.
+	keys   map[core.KeyDigest]*Customer
+	byName map[core.OwnerName]*Customer
+	// ranks are the urgencies of customers and routes together.
+	ranks ranks
 }
 
 // ServiceError reports a route to a service that the table does not have.
@@ -149,9 +157,9 @@
 // Error implements error.
 func (e *RouteError) Error() string { return "route " + e.Route + ": " + e.Reason }
 
-// Build checks the routes and returns the table. Its error is a RouteError or a
-// ServiceError.
-func Build(version int64, limits Limits, services []*Service, routes []*Route) (*Table, error) {
+// Build checks the routes and customers and returns the table. Callers need no keys
+// where customers is nil. Its error is a RouteError, ServiceError or CustomerError.
+func Build(version int64, limits Limits, services []*Service, routes []*Route, customers []*Customer) (*Table, error) {
 	t := &Table{
 		Version: version, Limits: limits,
 		Services: make(map[core.ServiceName]*Service, len(services)), hosts: map[string][]*Route{},
@@ -170,6 +178,10 @@
 	for _, list := range t.hosts {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
 	}
+	if err := t.addCustomers(customers); err != nil {
+		return nil, err
+	}
+	t.ranks = newRanks(routes, customers)
 	return t, nil
 }
 
@@ -210,8 +222,13 @@
 // use by several goroutines.
 type Keeper struct {
 	table *Table
+	// removed are keys that a table had and a later one has not.
+	removed map[core.KeyDigest]bool
 }
 
+// mostRemoved bounds the removed keys that are remembered.
+const mostRemoved = 4096
+
 // Offer takes a table in if it is newer than the one in force, and tells
 // whether it did. A copy from a peer or from a read that lags may be older than
 // what was in force before; taking it would send requests to services that a
@@ -220,9 +237,29 @@
 	if k.table != nil && t.Version <= k.table.Version {
 		return false
 	}
+	k.noteRemoved(t)
 	k.table = t
 	return true
 }
 
+// noteRemoved remembers the keys that a new table lacks, so that their callers can be told
+// apart from those whose keys never were.
+func (k *Keeper) noteRemoved(t *Table) {
+	if k.table == nil {
+		return
+	}
+	if k.removed == nil {
+		k.removed = map[core.KeyDigest]bool{}
+	}
+	for key := range k.table.keys {
+		if t.Holder(key) == nil && len(k.removed) < mostRemoved {
+			k.removed[key] = true
+		}
+	}
+}
+
+// Removed tells whether a key was in a table before the one in force.
+func (k *Keeper) Removed(key core.KeyDigest) bool { return k.removed[key] }
+
 // Table returns the table in force, nil before there is one.
 func (k *Keeper) Table() *Table { return k.table }
--- a/core/rtable/table_test.go
+++ b/core/rtable/table_test.go
@@ -20,7 +20,7 @@
 
 func build(t *testing.T, version int64, routes ...*rtable.Route) *rtable.Table {
 	t.Helper()
-	table, err := rtable.Build(version, rtable.Limits{}, []*rtable.Service{{Name: "s"}, {Name: "t"}}, routes)
+	table, err := rtable.Build(version, rtable.Limits{}, []*rtable.Service{{Name: "s"}, {Name: "t"}}, routes, nil)
 	assert.NilError(t, err)
 	return table
 }
@@ -56,10 +56,10 @@
 }
 
 func TestBuildErrors(t *testing.T) {
-	_, err := rtable.Build(1, rtable.Limits{}, nil, []*rtable.Route{route("r", "a", "/x", "s")})
+	_, err := rtable.Build(1, rtable.Limits{}, nil, []*rtable.Route{route("r", "a", "/x", "s")}, nil)
 	var bad *rtable.RouteError
 	assert.Assert(t, errors.As(err, &bad) && bad.Route == "r")
-	_, err = rtable.Build(1, rtable.Limits{}, nil, []*rtable.Route{route("r", "a", "/x/", "s")})
+	_, err = rtable.Build(1, rtable.Limits{}, nil, []*rtable.Route{route("r", "a", "/x/", "s")}, nil)
 	var missing *rtable.ServiceError
 	assert.Assert(t, errors.As(err, &missing) && missing.Service == "s")
 }
--- a/io/config/settings.go
+++ b/io/config/settings.go
@@ -44,6 +44,9 @@
 	RetryRatio   float64       `yaml:"retry-ratio" default:"0.2" min:"0" max:"10" doc:"Retries that the platform allows for each request to a service, over all entries."`
 	RetrySpare   float64       `yaml:"retry-spare" default:"56" min:"0" max:"1000000" doc:"Retries that it allows besides, over all entries."`
 	RetrySpan    time.Duration `yaml:"retry-span" default:"10s" min:"1s" max:"1h" doc:"Time over which it counts them."`
+	QuotaWindow  time.Duration `yaml:"quota-window" default:"8s" min:"1s" max:"1h" doc:"Time over which the platform counts what customers use of their allowances."`
+	QuotaRatio   float64       `yaml:"quota-ratio" default:"0.1" min:"0" max:"10" doc:"Part of the allowance of that time by which it lets customers exceed it, over all entries."`
+	QuotaSlack   float64       `yaml:"quota-slack" default:"0" min:"0" max:"1000000000" doc:"Units by which it lets customers exceed their allowance besides."`
 }
 
 // Listen holds the addresses that a process takes connections on.
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -1,17 +1,22 @@
 package deploy
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"radishwell/core"
+	"radishwell/core/admit"
 	"radishwell/core/follow"
 	"radishwell/io/feed"
 	"radishwell/io/httpd"
 	"radishwell/io/loop"
 	"radishwell/io/peer"
 	"radishwell/io/proxy"
+	"radishwell/io/quota"
 )
 
 const (
@@ -43,6 +48,7 @@
 	state   *peer.Store
 	members members
 	feed    *feed.Feed
+	quota   *quota.Quota
 	tender  *tender
 	// ordering tells that this entry orders engines, rewrite is sent on when that has
 	// changed.
@@ -66,10 +72,11 @@
 	e.planner.start()
 	p.handler.Plan = e.planner.servePlan
 	e.buildFeed()
+	e.buildQuota()
 	e.buildTender()
 	e.tender.serve()
 	e.prepareState()
-	p.parts = append(p.parts, e.proxy.Run, e.links.run, e.planner.run, e.planner.recall, e.feed.Run, e.record, e.tender.run)
+	p.parts = append(p.parts, e.proxy.Run, e.links.run, e.planner.run, e.planner.recall, e.feed.Run, e.quota.Run, e.record, e.tender.run)
 	p.serve(&httpd.Server{Address: s.Managed.Readiness, Handler: http.HandlerFunc(e.serveReady)})
 	callers := &httpd.Server{Address: s.Listen.Callers, Handler: e.steer(e.proxy)}
 	p.serve(callers)
@@ -107,6 +114,38 @@
 	e.handler.Digest = e.feed.Serve
 }
 
+// tableAge is how old the word may be that there is no newer routing table for the one in
+// force to count as the newest.
+const tableAge = 5 * time.Second
+
+// buildQuota sets up the counting of customers' use.
+func (e *entry) buildQuota() {
+	m := e.Settings.Managed
+	e.quota = &quota.Quota{
+		Self: e.members.self, Clock: e.clock, Seed: rand.Uint64(),
+		Tolerance: admit.Tolerance{Window: m.QuotaWindow, Ratio: m.QuotaRatio, Slack: m.QuotaSlack},
+		Ask:       e.client.Allow, Before: e.members.before, Entries: e.entries,
+		Allowance: e.allowance, Limited: func() bool { return e.proxy.Table().Limited() },
+	}
+	e.quota.Start()
+	e.handler.Allow = e.quota.Serve
+	e.proxy.Quotas = e.quota
+	e.proxy.Behind = func() bool {
+		return e.clock.Now().Sub(e.state.Status(core.KindTable).Fresh) > tableAge
+	}
+}
+
+// entries returns the number of entries, a guess while no other is known.
+func (e *entry) entries() int { return cmp.Or(e.members.count(), leastEntries) }
+
+func (e *entry) allowance(customer core.OwnerName) (admit.Allowance, bool) {
+	c := e.proxy.Table().Customer(customer)
+	if c == nil {
+		return admit.Allowance{}, false
+	}
+	return c.Allowance, true
+}
+
 // spareOf returns an entry's part of the spare retries, given the number of
 // entries that agents have named, zero where none has.
 func spareOf(all float64, entries int) float64 {
--- a/io/deploy/members.go
+++ b/io/deploy/members.go
@@ -142,6 +142,25 @@
 	return m.ranked
 }
 
+// before returns the other entries that go before this one by rank, the first first.
+func (m *members) before() []follow.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []follow.Member
+	for _, other := range m.listed {
+		if other.Before(m.self) {
+			out = append(out, other)
+		}
+	}
+	slices.SortFunc(out, func(a, b follow.Member) int {
+		if a.Before(b) {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
 // count returns the number of entries, this one included; zero while no other is known.
 func (m *members) count() int {
 	m.mu.Lock()
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -86,6 +86,7 @@
 	RelayAsked
 	EngineTaken
 	EngineGivenUp
+	KeeperChanged
 	eventCount
 )
 
@@ -199,6 +200,7 @@
 	{Event: RelayAsked, Name: "relay-asked", Severity: Info, Text: "Entry asks another relay for the upstream hosts' reports", Advice: noAction},
 	{Event: EngineTaken, Name: "engine-taken", Severity: Info, Text: "Entry orders an engine that has no agent", Advice: noAction},
 	{Event: EngineGivenUp, Name: "engine-given-up", Severity: Info, Text: "Entry no longer orders an engine that has no agent", Advice: "Nothing, unless no other entry takes it on within half a minute: then look whether entries reach the platform's store."},
+	{Event: KeeperChanged, Name: "keeper-changed", Severity: Info, Text: "Another entry counts what customers use of their allowances", Advice: "Nothing, unless it changes every few seconds: then look whether entries reach each other."},
 })
 
 // First numbers of the groups: a group starts at the next hundred, so that
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -72,11 +72,11 @@
 }
 
 func authenticate(s *catlog.Snapshot, h http.Header) (catlog.Caller, *core.Refusal) {
-	key, refusal := bearer(h)
+	digest, refusal := core.ReadBearer(h.Values(headerAuth))
 	if refusal != nil {
 		return catlog.Caller{}, refusal
 	}
-	caller, ok := s.Caller(catlog.DigestOf(key))
+	caller, ok := s.Caller(digest)
 	if !ok {
 		return catlog.Caller{}, core.Refuse(core.CodeBadKey, "the key is unknown")
 	}
--- a/io/front/header.go
+++ b/io/front/header.go
@@ -43,15 +43,6 @@
 	return nil
 }
 
-// bearer returns the key of an Authorization field.
-func bearer(h http.Header) (string, *core.Refusal) {
-	scheme, key, ok := strings.Cut(h.Get(headerAuth), " ")
-	if !ok || !strings.EqualFold(scheme, "Bearer") || strings.TrimSpace(key) == "" {
-		return "", core.Refuse(core.CodeBadKey, "send a key as Authorization: Bearer KEY")
-	}
-	return strings.TrimSpace(key), nil
-}
-
 // idempotencyKey returns the caller's key, empty where there is none.
 func idempotencyKey(h http.Header) (string, *core.Refusal) {
 	if len(h.Values(HeaderKey)) == 0 {
--- a/io/peer/calls.go
+++ b/io/peer/calls.go
@@ -68,6 +68,11 @@
 	return call[wire.DigestReply](ctx, c, to, "Digest", in)
 }
 
+// Allow asks the entry that counts customers' use.
+func (c *Client) Allow(ctx context.Context, to Target, in *wire.AllowanceCall) (*wire.AllowanceReply, error) {
+	return call[wire.AllowanceReply](ctx, c, to, "Allow", in)
+}
+
 // Ping asks a process for a sign of life.
 func (c *Client) Ping(ctx context.Context, to Target) error {
 	_, err := call[wire.Empty](ctx, c, to, "Ping", &wire.Empty{})
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -32,6 +32,7 @@
 	Adapter  func(*wire.AdapterCall) (*wire.AdapterReply, error)
 	Plan     func(*wire.PlanCall) (*wire.PlanReply, error)
 	Digest   func(*wire.DigestCall) (*wire.DigestReply, error)
+	Allow    func(*wire.AllowanceCall) (*wire.AllowanceReply, error)
 }
 
 // UnsupportedError answers a call that this role does not serve.
@@ -104,6 +105,11 @@
 	return answer("Digest", m.handler.Digest, c, out)
 }
 
+// Allow serves another entry's use of customers' allowances.
+func (m *methods) Allow(c *wire.AllowanceCall, out *wire.AllowanceReply) error {
+	return answer("Allow", m.handler.Allow, c, out)
+}
+
 // Ping answers at once; it is how a silent connection is told from a slow call.
 func (m *methods) Ping(*wire.Empty, *wire.Empty) error { return nil }
 
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -44,11 +44,18 @@
 
 	ask      core.Ask
 	route    *rtable.Route
+	customer *rtable.Customer
+	rank     int
 	service  *rtable.Service
 	body     []byte
 	deadline time.Time
 	query    fleet.Query
 
+	// units are what the request counts against its customer's allowance, and charged is
+	// when they were taken; zero while they are not.
+	units   float64
+	charged time.Time
+
 	// sends counts the hosts that got any of the request, ran those that may have
 	// run it.
 	sends, ran int
@@ -89,6 +96,9 @@
 		ctx, stop := context.WithDeadline(r.Context(), c.deadline)
 		defer stop()
 		refusal = c.serve(ctx)
+		if c.ran == 0 {
+			c.refund()
+		}
 	}
 	c.log(refusal)
 	if refusal == nil {
@@ -123,6 +133,10 @@
 	if c.route == nil {
 		return core.Refuse(core.CodeUnknownPath, "no route has this host name and path")
 	}
+	if refusal := c.identify(table); refusal != nil {
+		return refusal
+	}
+	c.rank = table.Rank(c.customer, c.route, core.Ranks)
 	c.service = table.Services[c.route.Service(rand.Float64())]
 	if refusal := c.read(table.Limits.Body); refusal != nil {
 		return refusal
@@ -162,6 +176,9 @@
 
 // serve has the request run. It returns nil once the caller has its answer.
 func (c *call) serve(ctx context.Context) *core.Refusal {
+	if refusal := c.charge(ctx); refusal != nil {
+		return refusal
+	}
 	c.begin()
 	for {
 		t, refusal := c.acquire(ctx)
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -18,6 +18,12 @@
 	if c.route != nil {
 		pairs = append(pairs, "route", c.route.Name, "target", c.route.Target)
 	}
+	if c.customer != nil {
+		pairs = append(pairs, "customer", c.customer.Name, "rank", c.rank)
+	}
+	if c.units > 0 {
+		pairs = append(pairs, "units", c.units)
+	}
 	if c.service != nil {
 		pairs = append(pairs, "service", c.service.Name, "left", c.deadline.Sub(now).Round(time.Millisecond))
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -25,6 +25,10 @@
 	Protocol   core.Protocol
 	Adapters   core.AdapterLoader
 	Meter      *meter.Meter
+	// Quotas counts customers' use; nil where nothing is counted.
+	Quotas core.Quotas
+	// Behind, if set, tells that the routing table in force may not be the newest.
+	Behind func() bool
 	// RetryRatio, RetrySpare and RetrySpan are this process's part of the
 	// platform's retry budget, by service.
 	RetryRatio, RetrySpare float64
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -73,7 +73,7 @@
 	t, err := rtable.Build(1, rtable.Limits{}, []*rtable.Service{{Name: "plain"}, {Name: "llm", Models: models}}, []*rtable.Route{
 		route("/once/", rtable.Once, "plain", 1), route("/again/", rtable.Repeatable, "plain", 2),
 		route("/stream/", rtable.Stream, "llm", 1), resumable,
-	})
+	}, nil)
 	if err != nil {
 		panic(err)
 	}
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -59,7 +59,10 @@
 func (u *upstreams) send(ctx context.Context, c *call, t *target, after string) (resp *http.Response, sent bool, err error) {
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
-	hop := core.Hop{Instance: t.id, Left: c.deadline.Sub(c.proxy.Clock.Now()), Rank: c.route.Rank, After: after}
+	hop := core.Hop{Instance: t.id, Left: c.deadline.Sub(c.proxy.Clock.Now()), Rank: c.rank, After: after}
+	if c.customer != nil {
+		hop.Customer = c.customer.Name
+	}
 	req := (&http.Request{
 		Method: c.request.Method, Host: c.request.Host,
 		// Opaque keeps the path and query as the caller wrote them.
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -35,7 +35,7 @@
 		}
 		if t != nil {
 			if c.hasAdapter(ctx, t, fetch) {
-				return t, nil
+				return t, c.chargeAgain(ctx, t)
 			}
 			if ctx.Err() != nil {
 				return nil, c.over(ctx)
@@ -44,6 +44,7 @@
 		}
 		if !waits {
 			waits = true
+			c.refund()
 			c.setWaiting(1)
 		}
 		if refusal := c.rest(ctx, changed); refusal != nil {
