Let in, over each window, the whole allowance that the platform counts

A customer that presses was let in at its rate, 8 s of it in each window of 8 s, while its allowance is 9 s of it; what is refused below the allowance is lost to the customer.

--- a/core/admit/allow.go
+++ b/core/admit/allow.go
@@ -48,9 +48,25 @@
 	Ratio, Slack float64
 }
 
-// of returns the units by which an allowance may be exceeded in one window.
-func (t Tolerance) of(a Allowance) float64 {
-	return t.Ratio*(a.Rate*t.Window.Seconds()+a.Burst) + t.Slack
+const (
+	// steadyPart is the part of the tolerance that customers may use beside the allowance
+	// of a window: requests that come together by chance are let in.
+	steadyPart = 0.5
+	// startPart is the part of the tolerance that is there when counting begins. What
+	// entries let in before that is not known, and may have been all.
+	startPart = 0.1
+)
+
+// shape returns the rate and depth of a bucket that lets in, over any window, the whole
+// allowance of the window and a part of the tolerance, and its level when counting begins.
+// A bucket of the allowance's own rate and burst would let in that much only after a
+// pause, and less in each window in which a customer presses.
+func (t Tolerance) shape(a Allowance) (rate, depth, start float64) {
+	span := t.Window.Seconds()
+	whole := a.Rate*span + a.Burst
+	extra := t.Ratio*whole + t.Slack
+	depth = max(a.Burst, steadyPart*extra)
+	return (whole + steadyPart*extra - depth) / span, depth, startPart * extra
 }
 
 // bucket holds units that may be used. Its level rises by rate, up to depth.
--- a/core/admit/keeper.go
+++ b/core/admit/keeper.go
@@ -9,17 +9,9 @@
 	"radishwell/core"
 )
 
-const (
-	// depthPart is the part of the tolerance that customers may use at once beside their
-	// burst: requests that come together by chance are let in.
-	depthPart = 0.15
-	// startPart is the part of the tolerance that is there when counting begins. What
-	// entries let in before that is not known, and may have been all.
-	startPart = 0.1
-	// owePart is the part of the allowances from which a keeper may let in a request that
-	// is larger than what it holds at once: no two keepers have as much.
-	owePart = 0.6
-)
+// owePart is the part of the allowances from which a keeper may let in a request that is
+// larger than what it holds at once: no two keepers have as much.
+const owePart = 0.6
 
 // Keeper counts what customers use at the entries that have left their parts of the
 // allowances with it.
@@ -109,7 +101,8 @@
 }
 
 func (k *Keeper) bucket(now time.Time, customer core.OwnerName, a Allowance, entries int) *bucket {
-	part, extra := k.part(now, entries), k.Tolerance.of(a)
+	part := k.part(now, entries)
+	rate, depth, start := k.Tolerance.shape(a)
 	b := k.buckets[customer]
 	if b == nil {
 		if k.buckets == nil {
@@ -117,12 +110,12 @@
 		}
 		counted := max(0, now.Sub(k.Since).Seconds())
 		b = &bucket{
-			at: now, level: (startPart*extra + a.Rate*counted) * part,
+			at: now, level: (start + rate*counted) * part,
 			draw: rand.New(rand.NewPCG(k.Seed, xxhash.Sum64String(string(customer)))),
 		}
 		k.buckets[customer] = b
 	}
 	b.owes = part >= owePart
-	b.set(now, a.Rate*part, (a.Burst+depthPart*extra)*part)
+	b.set(now, rate*part, depth*part)
 	return b
 }
