Take streams without an event to hosts that answer before their callers leave

Their callers leave after two seconds; the entry closes at that moment, and the frozen host reads the close when it wakes, seconds later. The entry knew the host to be silent in time for most of them, but left a silent host only where another would answer within the route's target. A late answer within the caller's patience is better than none.

--- a/io/proxy/silent.go
+++ b/io/proxy/silent.go
@@ -40,6 +40,10 @@
 	// allowed is how long it may bring nothing.
 	allowed time.Duration
 	target  time.Duration
+	// leaves is when its caller leaves if no first event comes.
+	leaves time.Time
+	// begun tells that an event has come.
+	begun atomic.Bool
 	// heard is when it last brought something, in nanoseconds of the Unix epoch.
 	heard atomic.Int64
 	leave context.CancelCauseFunc
@@ -60,8 +64,9 @@
 	ctx, leave := context.WithCancelCause(ctx)
 	w := &watched{
 		host: t.host, query: c.query, target: c.route.Target, leave: leave,
-		allowed: max(silentTime, silentPauses*c.route.Pause),
+		allowed: max(silentTime, silentPauses*c.route.Pause), leaves: c.leavesAt(),
 	}
+	w.begun.Store(c.begun)
 	w.query.Tried = append(slices.Clone(c.query.Tried), t.id)
 	w.heard.Store(p.Clock.Now().UnixNano())
 	p.mu.Lock()
@@ -89,6 +94,18 @@
 	return nil
 }
 
+// takes tells whether another host can take the stream. One without an event is better
+// late than not answered at all; one whose caller has events may go on where it is.
+func (w *watched) takes(now time.Time, next fleet.Choice) bool {
+	switch {
+	case next.Host == nil:
+		return false
+	case !w.begun.Load() && now.Add(next.Wait).Before(w.leaves):
+		return true
+	}
+	return !next.Overloaded(w.target)
+}
+
 // leaveSilent has streams of silent hosts go on elsewhere. Those that no other host
 // can take now stay where they are.
 func (p *Proxy) leaveSilent() {
@@ -100,7 +117,7 @@
 		if !silent || !w.host.Silent(p.view.Known(now)) {
 			continue
 		}
-		if next := p.view.Pick(now, &w.query); next.Host == nil || next.Overloaded(w.target) {
+		if !w.takes(now, p.view.Pick(now, &w.query)) {
 			continue
 		}
 		w.leave(&SilentError{Host: w.host.ID})
--- a/io/proxy/silent_test.go
+++ b/io/proxy/silent_test.go
@@ -39,7 +39,10 @@
 		r.view.Report(fleet.Report{
 			ID: "i-1", Taken: r.clock.now, Reachable: true, Models: []core.HeldModel{{Model: "m"}},
 		})
-		r.call = &call{proxy: r.Proxy, route: &route, query: fleet.Query{Service: "llm", Model: "m"}}
+		r.call = &call{
+			proxy: r.Proxy, route: &route, query: fleet.Query{Service: "llm", Model: "m"},
+			arrived: r.clock.now, deadline: r.clock.now.Add(route.Timeout),
+		}
 		var done func()
 		r.ctx, done = r.watch(t.Context(), r.call, &target{id: "i-1", host: r.view.Host("i-1")})
 		t.Cleanup(done)
@@ -58,6 +61,34 @@
 		r.clock.now = r.clock.now.Add(200 * time.Millisecond)
 		assert.Assert(t, left(r))
 	})
+	// overload has a host that should answer after its target, within the time in which
+	// callers stay.
+	overload := func(r *rig) {
+		r.view.Report(fleet.Report{
+			ID: "i-2", Taken: r.clock.now, Reachable: true, Models: []core.HeldModel{{Model: "m"}}, Reading: 20_000,
+		})
+	}
+	t.Run("go on at a host that answers late but before the caller leaves", func(t *testing.T) {
+		patient := resumable
+		patient.Timeout, patient.Silence = time.Minute, 2*time.Second
+		r := begin(t, patient, "i-1", "i-2")
+		r.clock.now = r.clock.now.Add(1100 * time.Millisecond)
+		overload(r)
+		assert.Assert(t, left(r))
+	})
+	t.Run("stay where the caller would have left by then, or has events", func(t *testing.T) {
+		patient := resumable
+		patient.Timeout, patient.Silence = time.Minute, 2*time.Second
+		r := begin(t, patient, "i-1", "i-2")
+		r.clock.now = r.clock.now.Add(1600 * time.Millisecond)
+		overload(r)
+		assert.Assert(t, !left(r))
+		r = begin(t, patient, "i-1", "i-2")
+		r.call.passed()
+		r.clock.now = r.clock.now.Add(1100 * time.Millisecond)
+		overload(r)
+		assert.Assert(t, !left(r))
+	})
 	t.Run("stay while the agent is heard", func(t *testing.T) {
 		r := begin(t, resumable, "i-1", "i-2")
 		r.clock.now = r.clock.now.Add(1500 * time.Millisecond)
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -84,6 +84,7 @@
 	c.latest = now
 	if c.watched != nil {
 		c.watched.heard.Store(now.UnixNano())
+		c.watched.begun.Store(true)
 	}
 }
 
