--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -69,7 +69,7 @@
 func (q *Quota) Run(ctx context.Context) error {
 	for loop.Sleep(ctx, renewEvery) {
 		if q.Limited() {
-			q.renew(ctx)
+			q.Renew(ctx)
 		}
 	}
 	return nil
@@ -84,7 +84,7 @@
 	for range mostTries {
 		reply, err := q.call(ctx, q.keeperNow(), use)
 		if err != nil {
-			q.renew(ctx)
+			q.Renew(ctx)
 			continue
 		}
 		return q.refusal(customer, reply.GetAnswers()[0])
@@ -125,9 +125,9 @@
 	return q.current
 }
 
-// renew leaves this entry's parts with the first keeper that answers, and gives it the
+// Renew leaves this entry's parts with the first keeper that answers, and gives it the
 // units back that were not used. Units are lost where the call fails: it may have arrived.
-func (q *Quota) renew(ctx context.Context) {
+func (q *Quota) Renew(ctx context.Context) {
 	for {
 		before := q.Before()
 		to := q.choose(before)
