Find the keeper of allowances at once after a start

After all entries were killed each had its own part of the allowances until its first renewal, a quarter of a second later. An entry now looks every 20 ms, and asks before it lets the first request in by its own part alone.

--- a/core/admit/allow.go
+++ b/core/admit/allow.go
@@ -73,6 +73,8 @@
 type bucket struct {
 	level, rate, depth float64
 	at                 time.Time
+	// part is the part of the allowance that rate and depth are of.
+	part float64
 	// owes tells that more units than depth may be taken from a full bucket, which then
 	// owes them. Where it does not, a draw decides: several entries that each hold a
 	// small part would together let in many times the whole.
--- a/core/admit/keeper.go
+++ b/core/admit/keeper.go
@@ -44,6 +44,10 @@
 // they come over from another keeper, whose counts are not known.
 const takeover = 1.5
 
+// gatherTime is for how long after a takeover entries that come over bring their part of
+// the level at which counting begins.
+const gatherTime = time.Second
+
 // Elsewhere notes that this entry has left its own parts with another until a deadline.
 func (k *Keeper) Elsewhere(now, until time.Time) {
 	if k.count(now) > 1 {
@@ -110,12 +114,16 @@
 		}
 		counted := max(0, now.Sub(k.Since).Seconds())
 		b = &bucket{
-			at: now, level: (start + rate*counted) * part,
+			at: now, level: (start + rate*counted) * part, part: part,
 			draw: rand.New(rand.NewPCG(k.Seed, xxhash.Sum64String(string(customer)))),
 		}
 		k.buckets[customer] = b
 	}
 	b.owes = part >= owePart
+	if part > b.part && now.Sub(k.Since) < gatherTime {
+		b.level += start * (part - b.part)
+	}
+	b.part = part
 	b.set(now, rate*part, depth*part)
 	return b
 }
--- a/io/deploy/members.go
+++ b/io/deploy/members.go
@@ -142,8 +142,9 @@
 	return m.ranked
 }
 
-// before returns the other entries that go before this one by rank, the first first.
-func (m *members) before() []follow.Member {
+// before returns the other entries that go before this one by rank, the first first;
+// false while none is listed.
+func (m *members) before() ([]follow.Member, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []follow.Member
@@ -158,7 +159,7 @@
 		}
 		return 1
 	})
-	return out
+	return out, m.listed != nil
 }
 
 // count returns the number of entries, this one included; zero while no other is known.
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -19,6 +19,8 @@
 	// leaveFor until when it leaves it each time: two renewals may be lost.
 	renewEvery = 250 * time.Millisecond
 	leaveFor   = 650 * time.Millisecond
+	// findEvery is how often an entry that has just started looks for its keeper.
+	findEvery = 20 * time.Millisecond
 	// askTime bounds a call of a keeper. Entries are a few milliseconds apart.
 	askTime = 150 * time.Millisecond
 	// unknownLeft is when to come back where a keeper does not know the customer yet.
@@ -38,8 +40,8 @@
 	// Ask calls another entry.
 	Ask func(ctx context.Context, to peer.Target, in *wire.AllowanceCall) (*wire.AllowanceReply, error)
 	// Before returns the entries that are asked before this one, in the order that all
-	// entries share.
-	Before func() []follow.Member
+	// entries share; false while the entries are not known.
+	Before func() ([]follow.Member, bool)
 	// Entries returns the number of entries.
 	Entries func() int
 	// Allowance returns a customer's allowance, false where it is not known. Limited
@@ -52,6 +54,8 @@
 	chooser admit.Chooser
 	// current is the entry that this one's parts are left with.
 	current follow.Member
+	// found tells that a keeper has been found since the start.
+	found bool
 	// held are units that were given back and are told with the next renewal.
 	held map[core.OwnerName]float64
 }
@@ -67,7 +71,7 @@
 
 // Run renews again and again until the context ends.
 func (q *Quota) Run(ctx context.Context) error {
-	for loop.Sleep(ctx, renewEvery) {
+	for loop.Sleep(ctx, q.pause()) {
 		if q.Limited() {
 			q.Renew(ctx)
 		}
@@ -75,11 +79,29 @@
 	return nil
 }
 
+// pause returns the time until the next renewal. Before the first keeper is found an
+// entry has its own parts only, and its callers are refused for it.
+func (q *Quota) pause() time.Duration {
+	if q.hasFound() {
+		return renewEvery
+	}
+	return findEvery
+}
+
+func (q *Quota) hasFound() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.found
+}
+
 // Take implements core.Quotas.
 func (q *Quota) Take(ctx context.Context, customer core.OwnerName, units float64) *core.Refusal {
 	if q.takeHeld(customer, units) {
 		return nil
 	}
+	if !q.hasFound() {
+		q.Renew(ctx)
+	}
 	use := []*wire.AllowanceUse{{Customer: string(customer), Take: units}}
 	for range mostTries {
 		reply, err := q.call(ctx, q.keeperNow(), use)
@@ -129,7 +151,10 @@
 // units back that were not used. Units are lost where the call fails: it may have arrived.
 func (q *Quota) Renew(ctx context.Context) {
 	for {
-		before := q.Before()
+		before, known := q.Before()
+		if !known {
+			return
+		}
 		to := q.choose(before)
 		_, err := q.call(ctx, to, q.takeBack())
 		if err == nil {
@@ -177,7 +202,7 @@
 func (q *Quota) follow(ctx context.Context, to follow.Member) {
 	q.mu.Lock()
 	old := q.current
-	q.current = to
+	q.current, q.found = to, true
 	q.mu.Unlock()
 	if old.Name == to.Name {
 		return
--- a/io/quota/quota_test.go
+++ b/io/quota/quota_test.go
@@ -45,7 +45,7 @@
 		f.members = append(f.members, self)
 		q := &quota.Quota{
 			Self: self, Clock: &f.clock, Tolerance: admit.Tolerance{Window: 8 * time.Second}, Ask: f.ask,
-			Before:  func() []follow.Member { return f.members[:i] },
+			Before:  func() ([]follow.Member, bool) { return f.members[:i], true },
 			Entries: func() int { return len(names) }, Limited: func() bool { return true },
 			Allowance: func(c core.OwnerName) (admit.Allowance, bool) {
 				return admit.Allowance{Rate: 100, Burst: 100}, c == "c"
