Play customers in the soak; account for refused keys and allowances; tell how they are counted

The soak's callers have keys: one customer without a limit, one that sends more than its allowance, and a key in no table. Checked from what upstreams see: the customer's name and no key, no run for an unknown key, no more runs in a window than the allowance.

--- a/core/losses/cause.go
+++ b/core/losses/cause.go
@@ -49,28 +49,32 @@
 	HeldToEnd
 	RefusedAtOnce
 	RefusedWaiting
+	RefusedKey
+	RefusedAllowance
 	RefusedOther
 	causeCount
 )
 
 // texts name the causes as the table prints them.
 var texts = [causeCount]string{
-	None:           "in time",
-	LateNoCopy:     "late: no copy of the model, or on its way",
-	LateAdapter:    "late: adapter on its way",
-	LateQueue:      "late: queue and reading in the engine",
-	LatePauses:     "late: pauses within the stream",
-	FailedUpstream: "failed by the upstream",
-	FailedSpoilt:   "failed: the upstream's answer was spoilt",
-	FailedLost:     "failed: contact with the upstream was lost",
-	FailedLate:     "failed: not answered within its time",
-	LeftNoCopy:     "caller left: no copy of the model, or on its way",
-	LeftAdapter:    "caller left: adapter on its way",
-	LeftQueue:      "caller left: nothing from the engine",
-	HeldToEnd:      "refused when its time was over, untried",
-	RefusedAtOnce:  "refused at once: overload or copy too late",
-	RefusedWaiting: "refused while it waited",
-	RefusedOther:   "refused: other reasons",
+	None:             "in time",
+	LateNoCopy:       "late: no copy of the model, or on its way",
+	LateAdapter:      "late: adapter on its way",
+	LateQueue:        "late: queue and reading in the engine",
+	LatePauses:       "late: pauses within the stream",
+	FailedUpstream:   "failed by the upstream",
+	FailedSpoilt:     "failed: the upstream's answer was spoilt",
+	FailedLost:       "failed: contact with the upstream was lost",
+	FailedLate:       "failed: not answered within its time",
+	LeftNoCopy:       "caller left: no copy of the model, or on its way",
+	LeftAdapter:      "caller left: adapter on its way",
+	LeftQueue:        "caller left: nothing from the engine",
+	HeldToEnd:        "refused when its time was over, untried",
+	RefusedAtOnce:    "refused at once: overload or copy too late",
+	RefusedWaiting:   "refused while it waited",
+	RefusedKey:       "refused: key unknown or taken away",
+	RefusedAllowance: "refused: over its customer's allowance",
+	RefusedOther:     "refused: other reasons",
 }
 
 // String implements fmt.Stringer.
@@ -95,6 +99,10 @@
 		return FailedLate
 	case core.CodeWaitTooLong, core.CodeOverload:
 		return r.refused()
+	case core.CodeBadKey:
+		return RefusedKey
+	case core.CodeRateLimit:
+		return RefusedAllowance
 	}
 	return RefusedOther
 }
--- a/io/soak/caller.go
+++ b/io/soak/caller.go
@@ -36,6 +36,8 @@
 type Result struct {
 	ID    string
 	Route Route
+	// Key is the caller's, and Customer who holds it; none for a key in no table.
+	Key, Customer string
 	// Entry is the index of the entry that was asked.
 	Entry int
 	// Began and Ended are times from the start of the run.
@@ -51,6 +53,11 @@
 	Unsent bool
 }
 
+// customers are who calls: mostly one without a limit, so that enough is served.
+var customers = []struct{ key, name string }{
+	{"key-free", "free"}, {"key-free", "free"}, {"key-free", "free"}, {"key-free", "free"}, {"key-limited", "limited"}, {"key-nobody", ""},
+}
+
 // deadline is how long callers wait.
 const deadline = 4 * time.Second
 
@@ -80,8 +87,10 @@
 	defer transport.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		entry := (i + rng.IntN(2)*rng.IntN(len(c.fronts))) % len(c.fronts)
+		who := customers[rng.IntN(len(customers))]
 		r := c.ask(transport, Result{
 			ID: fmt.Sprintf("%d-%d-%d", i, n, rng.Uint32()), Route: Route(rng.IntN(int(routeCount))), Entry: entry,
+			Key: who.key, Customer: who.name,
 		}, "m-"+strconv.Itoa(1+rng.IntN(2)))
 		c.mu.Lock()
 		c.results = append(c.results, r)
@@ -111,6 +120,7 @@
 	req.Host = "a.example"
 	now := time.Now()
 	req.Header = plat.AskHeader(askOf(r, model, now.Add(deadline)), now)
+	req.Header.Set("Authorization", "Bearer "+r.Key)
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		r.Unsent = errors.Is(err, syscall.ECONNREFUSED)
@@ -138,7 +148,7 @@
 	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
 	for route := range routeCount {
 		for n := 0; ; n++ {
-			r := c.ask(transport, Result{ID: fmt.Sprintf("probe-%d-%d-%d-%d", seed, entry, route, n), Route: route, Entry: entry}, "m-1")
+			r := c.ask(transport, Result{ID: fmt.Sprintf("probe-%d-%d-%d-%d", seed, entry, route, n), Route: route, Entry: entry, Key: "key-free", Customer: "free"}, "m-1")
 			if r.Status == http.StatusOK && r.Whole {
 				break
 			}
--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"net/http"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
+
+	"radishwell/platform/stand"
 )
 
 // Breach is a promise that was broken.
@@ -60,6 +64,12 @@
 		}
 		return n == streamEvents && rest == 0
 	}},
+	{"a key in no table is refused, one that is there is not", func(r *Result, ran int) bool {
+		if r.Customer == "" {
+			return ran == 0 && r.Status != http.StatusOK
+		}
+		return r.Status != http.StatusUnauthorized
+	}},
 	{"a request that exists is not called unknown", func(r *Result, _ int) bool { return r.Status != http.StatusNotFound }},
 }
 
@@ -110,6 +120,61 @@
 	return out
 }
 
+// misnamed finds requests that upstreams got with a key, or in another customer's name
+// than their key's.
+func misnamed(results []Result, seen []stand.Seen) []Breach {
+	holders := map[string]string{}
+	for _, r := range results {
+		holders[r.ID] = r.Customer
+	}
+	var out []Breach
+	for _, s := range seen {
+		id := s.Header.Get("X-Radishwell-Request-Id")
+		holder, ok := holders[id]
+		if s.Header.Get("Authorization") != "" || ok && s.Header.Get("X-Radishwell-Tenant") != holder {
+			out = append(out, Breach{Promise: "an upstream learns the customer and no key", Result: Result{ID: id, Customer: holder}})
+		}
+	}
+	return out
+}
+
+// limitedSlack is what the limited customer may run in a window beyond its allowance, as
+// the entries' settings say.
+const (
+	limitedWindow = 8 * time.Second
+	limitedSlack  = 16
+)
+
+// overAllowance finds a window in which the limited customer's requests ran more often
+// than its allowance lets them.
+func overAllowance(results []Result, ran func(id string) int) []Breach {
+	var sent []Result
+	for _, r := range results {
+		if r.Customer == "limited" && ran(r.ID) > 0 {
+			sent = append(sent, r)
+		}
+	}
+	slices.SortFunc(sent, func(a, b Result) int { return cmp.Compare(a.Began, b.Began) })
+	most := limitedRate*int(limitedWindow.Seconds()) + limitedRate + limitedSlack
+	for i := range sent {
+		last := i + most
+		// A request runs between its beginning and its end; the window is the shortest that
+		// surely holds all of them.
+		if last < len(sent) && latest(sent[i:last+1])-sent[i].Began < limitedWindow {
+			return []Breach{{Promise: "a customer runs no more than its allowance", Result: sent[i], Ran: last - i + 1}}
+		}
+	}
+	return nil
+}
+
+func latest(list []Result) time.Duration {
+	end := time.Duration(0)
+	for _, r := range list {
+		end = max(end, r.Ended)
+	}
+	return end
+}
+
 // cutByStop finds requests that a planned stop cut off: run by an upstream and ended
 // without an answer, while nothing else went wrong from before they were sent. The
 // end of a stopped process comes within its grace.
--- a/io/soak/check_test.go
+++ b/io/soak/check_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"radishwell/platform/stand"
 )
 
 func stream(n int) []byte {
@@ -19,7 +22,7 @@
 
 // Each promise is shown to be broken by what breaks it, and by nothing else.
 func TestCheck(t *testing.T) {
-	good := Result{ID: "q", Route: Once, Status: 200, Signer: "signed-by-i-1", Body: []byte("answer of i-1"), Whole: true}
+	good := Result{ID: "q", Customer: "free", Route: Once, Status: 200, Signer: "signed-by-i-1", Body: []byte("answer of i-1"), Whole: true}
 	with := func(change func(r *Result)) Result {
 		r := good
 		change(&r)
@@ -36,9 +39,9 @@
 		{"run twice", good, 2, "runs once"},
 		{"a lookup may run twice", with(func(r *Result) { r.Route = Again }), 2, ""},
 		{"but not three times", with(func(r *Result) { r.Route = Again }), 3, "two upstreams"},
-		{"a refusal that had run", Result{Route: Once, Status: 503}, 1, "refusal is true"},
-		{"a refusal that had not", Result{Route: Once, Status: 503}, 0, ""},
-		{"a failure may have run", Result{Route: Once, Status: 502}, 1, ""},
+		{"a refusal that had run", Result{Customer: "free", Route: Once, Status: 503}, 1, "refusal is true"},
+		{"a refusal that had not", Result{Customer: "free", Route: Once, Status: 503}, 0, ""},
+		{"a failure may have run", Result{Customer: "free", Route: Once, Status: 502}, 1, ""},
 		{"a success from nowhere", good, 0, "was run"},
 		{"no signature", with(func(r *Result) { r.Signer = "" }), 1, "signed"},
 		{"half an answer that looks whole", with(func(r *Result) { r.Body = []byte("answer") }), 1, "whole"},
@@ -55,7 +58,9 @@
 			r.Route, r.Whole = Resumed, false
 			r.Body = append(stream(3), []byte("id: 4\ndata: haid: 4\ndata: event 4\n\n")...)
 		}), 2, "events"},
-		{"unknown", Result{Route: Once, Status: 404}, 0, "unknown"},
+		{"unknown", Result{Customer: "free", Route: Once, Status: 404}, 0, "called unknown"},
+		{"a key in no table that ran", with(func(r *Result) { r.Customer = "" }), 1, "key in no table"},
+		{"a good key that is refused", Result{Customer: "free", Route: Once, Status: 401}, 0, "key in no table"},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			var names []string
@@ -100,3 +105,46 @@
 	}
 	assert.Equal(t, len(seen), int(kindCount))
 }
+
+func TestMisnamed(t *testing.T) {
+	results := []Result{{ID: "q", Customer: "free"}, {ID: "n"}}
+	seen := func(id, customer, key string) stand.Seen {
+		h := http.Header{"X-Radishwell-Request-Id": {id}}
+		if customer != "" {
+			h.Set("X-Radishwell-Tenant", customer)
+		}
+		if key != "" {
+			h.Set("Authorization", key)
+		}
+		return stand.Seen{Header: h}
+	}
+	for name, c := range map[string]struct {
+		seen   stand.Seen
+		broken int
+	}{
+		"in its customer's name":  {seen("q", "free", ""), 0},
+		"in another's":            {seen("q", "limited", ""), 1},
+		"in nobody's":             {seen("q", "", ""), 1},
+		"with the key":            {seen("q", "free", "Bearer k"), 1},
+		"a probe, whose is known": {seen("probe-1", "free", ""), 0},
+		"one without key or name": {seen("n", "", ""), 0},
+		"one that took on a name": {seen("n", "free", ""), 1},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, len(misnamed(results, []stand.Seen{c.seen})), c.broken) })
+	}
+}
+
+func TestOverAllowance(t *testing.T) {
+	run := func(n int, within time.Duration) []Breach {
+		var results []Result
+		for i := range n {
+			at := time.Duration(i) * within / time.Duration(n)
+			results = append(results, Result{ID: fmt.Sprint(i), Customer: "limited", Began: at, Ended: at + time.Millisecond})
+		}
+		return overAllowance(results, func(string) int { return 1 })
+	}
+	most := limitedRate*8 + limitedRate + limitedSlack
+	assert.Equal(t, len(run(most, time.Second)), 0)
+	assert.Equal(t, len(run(most+1, time.Second)), 1)
+	assert.Equal(t, len(run(most+1, 9*time.Second)), 0)
+}
--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -84,6 +84,10 @@
 		}
 	}
 	report.Breaches = append(check(c.results, ran), cutByStop(c.results, steps, ran)...)
+	report.Breaches = append(report.Breaches, overAllowance(c.results, ran)...)
+	for _, u := range w.upstreams {
+		report.Breaches = append(report.Breaches, misnamed(c.results, u.Requests())...)
+	}
 	var err error
 	report.Panics, err = panics(r.Dir)
 	return report, err
--- a/io/soak/world.go
+++ b/io/soak/world.go
@@ -25,6 +25,9 @@
 	// streamEvents and eventGap make a stream last about as long as most faults.
 	streamEvents = 12
 	eventGap     = 40 * time.Millisecond
+	// limitedRate is the requests a second that one of the customers may send: fewer than
+	// it does.
+	limitedRate = 4
 	// loadTime is how long an engine takes to load a model.
 	loadTime = 200 * time.Millisecond
 )
@@ -130,9 +133,10 @@
 			name, name, kind, service, attempts, more)
 	}
 	w.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],"services":[{"name":"plain"},{"name":"llm","engine":{"slots":64,"weights_mb":200,"adapter_slots":2,"loads_per_s":20,
-	 "models":[{"name":"m-1","weights_mb":70,"load_s":0.2,"warm_s":0.2,"disk_s":0.2},{"name":"m-2","weights_mb":70,"load_s":0.2,"warm_s":0.2,"disk_s":0.2}]}}]}`,
+	 "models":[{"name":"m-1","weights_mb":70,"load_s":0.2,"warm_s":0.2,"disk_s":0.2},{"name":"m-2","weights_mb":70,"load_s":0.2,"warm_s":0.2,"disk_s":0.2}]}}],
+	 "tenants":[{"name":"free","api_keys":["key-free"]},{"name":"limited","api_keys":["key-limited"],"rate_per_s":%d,"burst":%d}]}`,
 		w.version, route("once", "non_idempotent", "plain", 1, ""), route("again", "idempotent", "plain", 2, ""),
-		route("stream", "streaming", "llm", 1, ""), route("resumed", "streaming", "llm", 2, `,"resumable":true`)))
+		route("stream", "streaming", "llm", 1, ""), route("resumed", "streaming", "llm", 2, `,"resumable":true`), limitedRate, limitedRate))
 }
 
 // agentPorts are the same on all hosts: where entries find the agent, where it
@@ -193,7 +197,7 @@
 		"listen":   map[string]string{"control": at[0].String(), "callers": at[1].String(), "operators": at[2].String()},
 		"platform": map[string]any{"urls": []string{"http://" + store.String()}},
 		"peers":    seeds,
-		"managed":  map[string]any{"enabled": true, "plain-peers": true, "readiness": at[3].String(), "agent-port": agentPort, "stop-grace": "3s", "direct-agents": w.mostDirect},
+		"managed":  map[string]any{"enabled": true, "plain-peers": true, "readiness": at[3].String(), "agent-port": agentPort, "stop-grace": "3s", "direct-agents": w.mostDirect, "quota-ratio": 0, "quota-slack": limitedSlack},
 	})
 	w.entries = append(w.entries, p)
 	w.fronts = append(w.fronts, at[1])
