--- /dev/null
+++ b/core/admit/bench_test.go
@@ -0,0 +1,29 @@
+package admit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/admit"
+)
+
+// BenchmarkTake is the admission of one request at a keeper with the parts of all entries.
+func BenchmarkTake(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n, " entries"), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			k := &admit.Keeper{Self: "e-000", Tolerance: tolerance, Since: now}
+			for i := range n {
+				k.Renew(now, core.HostName(fmt.Sprintf("e-%03d", i)), now.Add(time.Hour))
+			}
+			limit := limitOf(1e12)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				k.Take(now, "c", limit, n, 100)
+			}
+		})
+	}
+}
--- a/core/admit/keeper.go
+++ b/core/admit/keeper.go
@@ -36,14 +36,19 @@
 	// until is by when each entry's parts are left here.
 	until   map[core.HostName]time.Time
 	buckets map[core.OwnerName]*bucket
-	// kept is how many entries' parts were kept here last.
-	kept int
+	// kept is how many entries' parts were kept here last, and check when that has to be
+	// counted again.
+	kept  int
+	check time.Time
 }
 
 // takeover is by how many times the entries that leave their parts here become more when
 // they come over from another keeper, whose counts are not known.
 const takeover = 1.5
 
+// mostUnchecked is how long the number of parts kept here counts at the most.
+const mostUnchecked = time.Second
+
 // gatherTime is for how long after a takeover entries that come over bring their part of
 // the level at which counting begins.
 const gatherTime = time.Second
@@ -62,23 +67,37 @@
 	if k.until == nil {
 		k.until = map[core.HostName]time.Time{}
 	}
+	if k.until[from].Before(now) {
+		k.check = time.Time{}
+	}
 	k.until[from] = until
 	k.count(now)
 }
 
 // Leave gives an entry's parts back to it.
-func (k *Keeper) Leave(from core.HostName) { delete(k.until, from) }
+func (k *Keeper) Leave(from core.HostName) {
+	delete(k.until, from)
+	k.check = time.Time{}
+}
 
 // count returns how many entries' parts are kept here, this one's included.
 func (k *Keeper) count(now time.Time) int {
+	if now.Before(k.check) {
+		return k.kept
+	}
 	here := 1
+	k.check = now.Add(mostUnchecked)
 	for name, until := range k.until {
 		switch {
 		case !now.Before(until):
 			delete(k.until, name)
+			continue
 		case name != k.Self:
 			here++
 		}
+		if until.Before(k.check) {
+			k.check = until
+		}
 	}
 	if float64(here) > takeover*float64(max(1, k.kept)) && now.After(k.Since) {
 		k.Since = now
