--- /dev/null
+++ b/core/admit/choose_test.go
@@ -0,0 +1,29 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/admit"
+)
+
+// Guards against an entry that asks one keeper again and again that does not answer.
+func TestChooser(t *testing.T) {
+	now := time.Unix(1000, 0)
+	order := []core.HostName{"a", "b", "self"}
+	var c admit.Chooser
+	assert.Equal(t, c.Choose(now, order), core.HostName("a"))
+	c.Failed(now, "a")
+	assert.Equal(t, c.Choose(now, order), core.HostName("b"))
+	c.Failed(now, "b")
+	assert.Equal(t, c.Choose(now, order), core.HostName("self"))
+	now = now.Add(1100 * time.Millisecond)
+	assert.Equal(t, c.Choose(now, order), core.HostName("a"), "it is tried again after a second")
+	c.Failed(now, "a")
+	assert.Equal(t, c.Choose(now.Add(1100*time.Millisecond), order), core.HostName("b"), "and later after each failure")
+	c.Heard("a")
+	assert.Equal(t, c.Choose(now, order), core.HostName("a"))
+}
--- /dev/null
+++ b/core/rtable/customer_test.go
@@ -0,0 +1,66 @@
+package rtable_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/rtable"
+)
+
+func ranked(name string, rank int) *rtable.Route {
+	r := route(name, "a.example", "/"+name+"/", "s")
+	r.Rank = rank
+	return r
+}
+
+func customer(name core.OwnerName, rank int, keys ...string) *rtable.Customer {
+	c := &rtable.Customer{Name: name, Rank: &rank}
+	for _, k := range keys {
+		c.Keys = append(c.Keys, core.DigestOf(k))
+	}
+	return c
+}
+
+func buildFor(t *testing.T, version int64, routes []*rtable.Route, customers ...*rtable.Customer) *rtable.Table {
+	t.Helper()
+	table, err := rtable.Build(version, rtable.Limits{}, []*rtable.Service{{Name: "s"}}, routes, customers)
+	assert.NilError(t, err)
+	return table
+}
+
+// Guards against a route's rank that goes before its customer's.
+func TestRankOfCustomerGoesFirst(t *testing.T) {
+	high, low := ranked("high", 0), ranked("low", 2)
+	first, last := customer("first", 0), customer("last", 1)
+	unranked := &rtable.Customer{Name: "unranked"}
+	table := buildFor(t, 1, []*rtable.Route{high, low}, first, last, unranked)
+	rank := func(c *rtable.Customer, r *rtable.Route) int { return table.Rank(c, r, core.Ranks) }
+	order := []int{rank(first, high), rank(first, low), rank(last, high), rank(last, low)}
+	assert.DeepEqual(t, order, []int{0, 1, 2, 3})
+	t.Run("the route's alone counts where the customer has none", func(t *testing.T) {
+		assert.Equal(t, rank(unranked, high), rank(nil, high))
+		assert.Assert(t, rank(unranked, high) < rank(unranked, low))
+	})
+	t.Run("neighbours share a rank where there are too many", func(t *testing.T) {
+		assert.Equal(t, table.Rank(first, high, 2), 0)
+		assert.Equal(t, table.Rank(unranked, low, 2), 1)
+	})
+	t.Run("routes alone keep their order", func(t *testing.T) {
+		table := buildFor(t, 1, []*rtable.Route{high, low})
+		assert.Assert(t, table.Rank(nil, high, core.Ranks) < table.Rank(nil, low, core.Ranks))
+	})
+}
+
+// Guards against a key that comes back by an older table after it was taken away.
+func TestRemovedKeysStayRemoved(t *testing.T) {
+	routes := []*rtable.Route{ranked("r", 0)}
+	var k rtable.Keeper
+	k.Offer(buildFor(t, 1, routes, customer("c", 0, "old", "kept")))
+	k.Offer(buildFor(t, 2, routes, customer("c", 0, "kept", "new")))
+	assert.Assert(t, !k.Offer(buildFor(t, 1, routes, customer("c", 0, "old", "kept"))))
+	assert.Assert(t, k.Table().Holder(core.DigestOf("old")) == nil)
+	assert.Assert(t, k.Removed(core.DigestOf("old")))
+	assert.Assert(t, !k.Removed(core.DigestOf("kept")) && !k.Removed(core.DigestOf("never")))
+}
