--- a/core/admit/keeper_test.go
+++ b/core/admit/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	now     time.Time
 	limit   admit.Allowance
 	entries []*member
+	// names are the entries' in the order in which they are chosen.
+	names []core.HostName
 	// cut are entries that reach no other.
 	cut map[int]bool
 	// shares has every entry count alone.
@@ -52,7 +55,8 @@
 func newFleet(n int, limit admit.Allowance) *fleet {
 	f := &fleet{now: time.Unix(1000, 0), limit: limit, cut: map[int]bool{}}
 	for i := range n {
-		f.entries = append(f.entries, &member{name: core.HostName(fmt.Sprintf("e-%03d", i))})
+		f.names = append(f.names, core.HostName(fmt.Sprintf("e-%03d", i)))
+		f.entries = append(f.entries, &member{name: f.names[i]})
 		f.restart(i, f.now)
 	}
 	return f
@@ -82,15 +86,7 @@
 			continue
 		}
 		m.renew = f.now.Add(renewEvery)
-		var order []core.HostName
-		for _, e := range f.entries[:i+1] {
-			order = append(order, e.name)
-		}
-		var j int
-		_, err := fmt.Sscanf(string(m.chooser.Choose(f.now, order)), "e-%d", &j)
-		if err != nil {
-			panic(err)
-		}
+		j, _ := slices.BinarySearch(f.names, m.chooser.Choose(f.now, f.names[:i+1]))
 		if old := m.current; old != j && old != i && f.reaches(i, old) && (j == i || f.reaches(i, j)) {
 			f.entries[old].keeper.Leave(m.name)
 		}
