--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -10,7 +10,11 @@
 // again when it could start (CanStart, Start), and released once (Done). What
 // is held for it is found by its id, so that a second Done does nothing.
 //
-// There is no counter shared between entries. Each entry holds its own part of
-// a limit (Share); the parts of all entries add up to the limit, or to one for
-// each entry where the limit is smaller than their number.
+// The limits of the catalogue have no counter shared between entries. Each entry holds
+// its own part of a limit (Share); the parts of all entries add up to the limit, or to
+// one for each entry where the limit is smaller than their number.
+//
+// The allowances of a managed platform's customers are counted over all entries: each
+// leaves its parts with one Keeper, which all choose alike (Chooser), and has them back
+// when it reaches none.
 package admit
--- a/core/admit/keeper_test.go
+++ b/core/admit/keeper_test.go
@@ -35,6 +35,8 @@
 	used   []use
 	asked  float64
 	let    float64
+	// due is what is still to be asked for by the load so far.
+	due float64
 }
 
 type use struct {
@@ -143,10 +145,10 @@
 func (f *fleet) run(r *rand.Rand, d time.Duration, perSecond float64, where func() int) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
 		f.renewAll()
-		for due := perSecond * tick.Seconds() * 2 * r.Float64(); due > 0; {
+		for f.due += perSecond * tick.Seconds() * 2 * r.Float64(); f.due > 0; {
 			units := []float64{200, 1100, 9200, 9200, 40_000 * r.Float64()}[r.IntN(5)]
 			f.ask(where(), units)
-			due -= units
+			f.due -= units
 		}
 	}
 }
@@ -183,6 +185,19 @@
 	}
 }
 
+// Guards against a customer within its allowance that is refused since its requests come
+// unevenly.
+func TestUsualLoadIsLetIn(t *testing.T) {
+	for _, n := range sizes {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			r, f := source(2), newFleet(n, limitOf(60_000))
+			f.run(r, 3*time.Second, 0, nil)
+			f.run(r, time.Minute, f.limit.Rate/1.8, func() int { return r.IntN(n) })
+			assert.Assert(t, f.let/f.asked >= 0.97, f.let/f.asked)
+		})
+	}
+}
+
 // Guards against more being let in than the platform allows while entries die, freeze,
 // are cut off and start again, and one customer presses all the while.
 func TestWindowHoldsUnderFaults(t *testing.T) {
