Keep the units of a request that ran while it waits for another host

Cause: a resumable stream whose host failed, and which then waits for another host with the model, gave its units back as any request that begins to wait does, and did not take them again since it had run. Its customer's use went uncounted. Found by reading.

--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -96,9 +96,7 @@
 		ctx, stop := context.WithDeadline(r.Context(), c.deadline)
 		defer stop()
 		refusal = c.serve(ctx)
-		if c.ran == 0 {
-			c.refund()
-		}
+		c.refund()
 	}
 	c.log(refusal)
 	if refusal == nil {
--- a/io/proxy/customer.go
+++ b/io/proxy/customer.go
@@ -80,9 +80,9 @@
 	return refusal
 }
 
-// refund gives the units of a request back that has not run.
+// refund gives the units of a request back unless it may have run.
 func (c *call) refund() {
-	if c.charged.IsZero() {
+	if c.charged.IsZero() || c.ran > 0 {
 		return
 	}
 	c.charged = time.Time{}
