Find out how many loads the weight store serves at once

Cause: loads ran four at once everywhere (weight-store.parallel, default 4), while stores serve 1, 2 or 4 at once at full speed.

Ruled out: a setting for each deployment; the template that the platform fills in has no such figure, and what changes midway would not be followed. Doubling the number while loads are at full speed: overshoots by too many loads, which then all are slow.

Change: copies.Width follows loads from their beginning, lowers the number while a load takes too long and raises it by one after rounds at full speed.

--- a/core/copies/place.go
+++ b/core/copies/place.go
@@ -144,7 +144,7 @@
 // than it serves at full speed make each of them slower, and none is ready
 // sooner.
 func (w *plan) mayRead() bool {
-	if w.loading >= max(1, w.Parallel) {
+	if w.loading >= w.width.Value() {
 		return false
 	}
 	rate := w.service.LoadsPerSecond
@@ -159,7 +159,7 @@
 	if w.demand[name].Rate > 0 || w.demand[name].Waiting > 0 || len(w.demand) == 0 {
 		return true
 	}
-	return !w.waited && w.loading < max(1, w.Parallel/2)
+	return !w.waited && w.loading < max(1, w.width.Value()/2)
 }
 
 // room returns the models that a host gives up for another and what they are
@@ -249,6 +249,6 @@
 		return m.FromDisk
 	}
 	// Loads beyond those served at full speed share it.
-	over := float64(w.loading+1) / float64(max(1, w.Parallel))
+	over := float64(w.loading+1) / float64(w.width.Value())
 	return time.Duration(float64(m.Load) * max(1, over))
 }
--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -135,9 +135,12 @@
 // Planner decides moves for the hosts of one service. Set the exported fields
 // before use. It is not safe for use by several goroutines.
 type Planner struct {
-	// Parallel is how many loads the weight store serves at once at full speed.
+	// Parallel is how many loads the weight store is taken to serve at once at full speed
+	// before any was seen.
 	Parallel int
 
+	width Width
+
 	moves  map[core.HostName]Move
 	starts []time.Time
 	// since is when a copy was first seen.
@@ -191,6 +194,8 @@
 func (p *Planner) Plan(now time.Time, s *rtable.Service, hosts []*Host, demand map[core.ModelName]Demand) []Move {
 	p.settle(now, hosts)
 	p.note(now, hosts)
+	p.width.First = float64(p.Parallel)
+	p.width.Note(now, hosts, func(m core.ModelName) time.Duration { return s.Models[m].Load })
 	w := &plan{
 		Planner: p, now: now, service: s, hosts: hosts, demand: demand,
 		copies: map[core.ModelName]int{}, near: make(map[core.ModelName][]*Host, len(s.Models)),
@@ -209,6 +214,13 @@
 	return at, ok
 }
 
+// Width returns how many loads the weight store is taken to serve at once, and Learn takes
+// over what another process found out.
+func (p *Planner) Width() float64 { return p.width.value }
+
+// Learn takes over how many loads the weight store serves at once.
+func (p *Planner) Learn(width float64) { p.width.Learn(width) }
+
 // shown tells whether a host's report shows that the move is carried out.
 func (m *Move) shown(h *Host) bool { return slices.Contains(h.Held, m.Load) || h.Loading == m.Load }
 
--- a/core/copies/ready.go
+++ b/core/copies/ready.go
@@ -24,7 +24,7 @@
 			store = append(store, by)
 		}
 	}
-	for len(store) < max(1, w.Parallel) {
+	for len(store) < w.width.Value() {
 		store = append(store, w.now)
 	}
 	missing := func(name core.ModelName) bool {
@@ -53,7 +53,11 @@
 	if h.Loading == "" {
 		return "", time.Time{}, 0
 	}
-	return h.Loading, h.LoadedBy, h.Near(h.Loading)
+	by = h.LoadedBy
+	if seen := w.width.due(w.now, h.ID); seen.After(by) {
+		by = seen
+	}
+	return h.Loading, by, h.Near(h.Loading)
 }
 
 // soonest returns when the first of the hosts could have a model loaded, if the
--- /dev/null
+++ b/core/copies/width_test.go
@@ -0,0 +1,102 @@
+package copies_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/copies"
+)
+
+// loader plays a weight store that serves some loads at once at full speed, and hosts
+// that begin a load whenever the width allows one more.
+type loader struct {
+	now   time.Time
+	speed float64
+	width copies.Width
+	hosts []*copies.Host
+	// left is what each host's load still takes alone.
+	left []time.Duration
+	done int
+}
+
+const (
+	loadAlone = 10 * time.Second
+	look      = 250 * time.Millisecond
+)
+
+func newLoader(speed float64, first float64) *loader {
+	l := &loader{now: time.Unix(1000, 0), speed: speed, width: copies.Width{First: first}, left: make([]time.Duration, 40)}
+	for i := range l.left {
+		l.hosts = append(l.hosts, &copies.Host{ID: core.HostName(fmt.Sprint("h-", i))})
+	}
+	return l
+}
+
+func (l *loader) run(d time.Duration) {
+	for end := l.now.Add(d); l.now.Before(end); l.now = l.now.Add(look) {
+		l.width.Note(l.now, l.hosts, func(core.ModelName) time.Duration { return loadAlone })
+		running := 0
+		for _, h := range l.hosts {
+			if h.Loading != "" {
+				running++
+			}
+		}
+		for i, h := range l.hosts {
+			if h.Loading == "" && running < l.width.Value() {
+				l.done++
+				h.Held, h.Loading, l.left[i] = nil, core.ModelName(fmt.Sprint("m-", l.done)), loadAlone
+				running++
+			}
+		}
+		for i, h := range l.hosts {
+			if h.Loading == "" {
+				continue
+			}
+			l.left[i] -= time.Duration(float64(look) * min(1, l.speed/float64(running)))
+			if l.left[i] <= 0 {
+				h.Held, h.Loading = []core.ModelName{h.Loading}, ""
+			}
+		}
+	}
+}
+
+// Guards against loads that all take several times as long since the store serves fewer
+// at once, and against a store that stands half idle.
+func TestWidthFindsTheStore(t *testing.T) {
+	for _, speed := range []float64{1, 2, 4, 9} {
+		t.Run(fmt.Sprint(speed, " at once"), func(t *testing.T) {
+			l := newLoader(speed, 2)
+			l.run(2 * time.Minute)
+			got := float64(l.width.Value())
+			assert.Assert(t, got >= speed && got <= speed+2, got)
+		})
+	}
+}
+
+// Guards against a width that was right before the store changed.
+func TestWidthFollowsTheStore(t *testing.T) {
+	l := newLoader(6, 2)
+	l.run(time.Minute)
+	assert.Assert(t, l.width.Value() >= 5, l.width.Value())
+	l.speed = 2
+	l.run(40 * time.Second)
+	assert.Assert(t, l.width.Value() <= 3, l.width.Value())
+	l.speed = 6
+	l.run(4 * time.Minute)
+	assert.Assert(t, l.width.Value() >= 5, l.width.Value())
+}
+
+// Guards against loads of a process before this one, whose beginning is not known, that
+// are taken for quick ones.
+func TestWidthPassesOverLoadsItDidNotSeeBegin(t *testing.T) {
+	w := copies.Width{First: 2}
+	now := time.Unix(1000, 0)
+	alone := func(core.ModelName) time.Duration { return loadAlone }
+	w.Note(now, []*copies.Host{{ID: "h", Loading: "m"}, {ID: "i", Loading: "n"}}, alone)
+	w.Note(now.Add(time.Second), []*copies.Host{{ID: "h", Held: []core.ModelName{"m"}}, {ID: "i", Held: []core.ModelName{"n"}}}, alone)
+	assert.Equal(t, w.Value(), 2)
+}
--- a/io/config/settings.go
+++ b/io/config/settings.go
@@ -97,7 +97,7 @@
 // to be the same in all processes.
 type Store struct {
 	Starts   float64 `yaml:"starts" default:"4" min:"0.01" max:"10000" doc:"Loads of models that the weight store starts a second."`
-	Parallel int     `yaml:"parallel" default:"4" min:"1" max:"10000" doc:"Transfers of models that the weight store moves at once at full speed."`
+	Parallel int     `yaml:"parallel" default:"4" min:"1" max:"10000" doc:"Transfers of models that the weight store is taken to move at once at full speed. On a managed platform entries find out by themselves and begin with this."`
 	Adapters int     `yaml:"adapters" default:"30" min:"1" max:"100000" doc:"Transfers of adapters in flight up to which each is at full speed."`
 }
 
--- a/io/deploy/past.go
+++ b/io/deploy/past.go
@@ -30,6 +30,8 @@
 type past struct {
 	demands map[core.ModelName]copies.Demand
 	read    time.Time
+	// width is what the planner of then took the weight store's width for.
+	width   float64
 	kept    time.Time
 	writing bool
 }
@@ -37,6 +39,9 @@
 // pastJSON is the record in the store.
 type pastJSON struct {
 	Models map[core.ModelName]pastDemand `json:"models"`
+	// Width is how many loads at once the weight store serves at full speed, zero where it
+	// is not known.
+	Width float64 `json:"width,omitempty"`
 }
 
 type pastDemand struct {
@@ -89,7 +94,10 @@
 	for name, d := range record.Models {
 		p.past.demands[name] = copies.Demand{Rate: d.Rate, Hasty: d.Hasty, Work: d.Work}
 	}
-	p.past.read = p.entry.clock.Now()
+	p.past.read, p.past.width = p.entry.clock.Now(), record.Width
+	for _, s := range p.services {
+		s.Learn(record.Width)
+	}
 	p.entry.proxy.Kick()
 }
 
@@ -101,6 +109,9 @@
 		return
 	}
 	record := pastJSON{Models: map[core.ModelName]pastDemand{}}
+	for _, s := range p.services {
+		record.Width = max(record.Width, s.Width())
+	}
 	for name, d := range demand {
 		record.Models[name] = pastDemand{Rate: d.Rate, Hasty: d.Hasty, Work: d.Work}
 	}
--- a/io/deploy/planner.go
+++ b/io/deploy/planner.go
@@ -215,6 +215,7 @@
 		c := p.services[s.Name]
 		if c == nil {
 			c = &copies.Planner{Parallel: p.parallel}
+			c.Learn(p.past.width)
 			p.services[s.Name] = c
 		}
 		moves := c.Plan(now, s, hosts, demand)
