--- a/core/admit/keeper.go
+++ b/core/admit/keeper.go
@@ -9,9 +9,19 @@
 	"radishwell/core"
 )
 
-// owePart is the part of the allowances from which a keeper may let in a request that is
-// larger than what it holds at once: no two keepers have as much.
-const owePart = 0.6
+const (
+	// owePart is the part of the allowances from which a keeper may let in a request that
+	// is larger than what it holds at once: no two keepers have as much.
+	owePart = 0.6
+	// takeover is by how many times the entries that leave their parts here become more
+	// when they come over from another keeper, whose counts are not known.
+	takeover = 1.5
+	// mostUnchecked is how long the number of parts kept here counts at the most.
+	mostUnchecked = time.Second
+	// gatherTime is for how long after a takeover entries that come over bring their part
+	// of the level at which counting begins.
+	gatherTime = time.Second
+)
 
 // Keeper counts what customers use at the entries that have left their parts of the
 // allowances with it.
@@ -30,7 +40,8 @@
 
 	// Seed seeds the draws for requests that are larger than what is kept here.
 	Seed uint64
-	// Since is when this process started: until then others may have let in anything.
+	// Since is when counting began here, at first the process's start. What was let in
+	// before is not known.
 	Since time.Time
 
 	// until is by when each entry's parts are left here.
@@ -42,17 +53,6 @@
 	check time.Time
 }
 
-// takeover is by how many times the entries that leave their parts here become more when
-// they come over from another keeper, whose counts are not known.
-const takeover = 1.5
-
-// mostUnchecked is how long the number of parts kept here counts at the most.
-const mostUnchecked = time.Second
-
-// gatherTime is for how long after a takeover entries that come over bring their part of
-// the level at which counting begins.
-const gatherTime = time.Second
-
 // Elsewhere notes that this entry has left its own parts with another until a deadline.
 func (k *Keeper) Elsewhere(now, until time.Time) {
 	if k.count(now) > 1 {
@@ -123,20 +123,14 @@
 	k.bucket(now, customer, a, entries).put(now, units)
 }
 
+// bucket returns a customer's bucket, filled and shaped for the part that is kept here.
 func (k *Keeper) bucket(now time.Time, customer core.OwnerName, a Allowance, entries int) *bucket {
 	part := k.part(now, entries)
 	rate, depth, start := k.Tolerance.shape(a)
 	b := k.buckets[customer]
 	if b == nil {
-		if k.buckets == nil {
-			k.buckets = map[core.OwnerName]*bucket{}
-		}
 		counted := max(0, now.Sub(k.Since).Seconds())
-		b = &bucket{
-			at: now, level: (start + rate*counted) * part, part: part,
-			draw: rand.New(rand.NewPCG(k.Seed, xxhash.Sum64String(string(customer)))),
-		}
-		k.buckets[customer] = b
+		b = k.newBucket(now, customer, (start+rate*counted)*part, part)
 	}
 	b.owes = part >= owePart
 	if part > b.part && now.Sub(k.Since) < gatherTime {
@@ -146,3 +140,15 @@
 	b.set(now, rate*part, depth*part)
 	return b
 }
+
+func (k *Keeper) newBucket(now time.Time, customer core.OwnerName, level, part float64) *bucket {
+	if k.buckets == nil {
+		k.buckets = map[core.OwnerName]*bucket{}
+	}
+	b := &bucket{
+		at: now, level: level, part: part,
+		draw: rand.New(rand.NewPCG(k.Seed, xxhash.Sum64String(string(customer)))),
+	}
+	k.buckets[customer] = b
+	return b
+}
--- a/core/copies/width.go
+++ b/core/copies/width.go
@@ -76,7 +76,7 @@
 		case h.Loading != "" && h.Near(h.Loading) == core.TierStore:
 			if l == nil || l.model != h.Loading {
 				l = &seenLoad{model: h.Loading, alone: alone(h.Loading)}
-				if !first {
+				if !first && l.alone > 0 {
 					l.began = now
 				}
 			}
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -109,18 +109,21 @@
 			q.Renew(ctx)
 			continue
 		}
-		return q.refusal(customer, reply.GetAnswers()[0])
+		return q.refusal(customer, reply)
 	}
-	reply := q.serve(use)
-	return q.refusal(customer, reply.GetAnswers()[0])
+	return q.refusal(customer, q.serve(use))
 }
 
-// refusal returns why units may not be used; nil where they may.
-func (q *Quota) refusal(customer core.OwnerName, a *wire.AllowanceAnswer) *core.Refusal {
-	if a.GetTaken() {
-		return nil
+// refusal returns why the one use that was asked for may not be made; nil where it may.
+func (q *Quota) refusal(customer core.OwnerName, reply *wire.AllowanceReply) *core.Refusal {
+	left := unknownLeft
+	if answers := reply.GetAnswers(); len(answers) > 0 {
+		if answers[0].GetTaken() {
+			return nil
+		}
+		left = time.Duration(answers[0].GetLeft())
 	}
-	at := q.Clock.Now().Add(time.Duration(a.GetLeft()))
+	at := q.Clock.Now().Add(left)
 	return core.RefuseUntil(core.CodeRateLimit, "the customer "+string(customer)+" has used up its allowance", at)
 }
 
