--- a/core/rtable/customer.go
+++ b/core/rtable/customer.go
@@ -95,11 +95,21 @@
 type ranks []urgency
 
 func newRanks(routes []*Route, customers []*Customer) ranks {
-	var out ranks
+	// Thousands of routes and customers have a few ranks.
+	ofRoutes, ofCustomers := map[int]bool{}, map[int]bool{}
 	for _, r := range routes {
-		out = append(out, urgencyOf(nil, r))
-		for _, c := range customers {
-			out = append(out, urgencyOf(c, r))
+		ofRoutes[r.Rank] = true
+	}
+	for _, c := range customers {
+		if c.Rank != nil {
+			ofCustomers[*c.Rank] = true
+		}
+	}
+	var out ranks
+	for route := range ofRoutes {
+		out = append(out, urgency{route, route})
+		for customer := range ofCustomers {
+			out = append(out, urgency{customer, route})
 		}
 	}
 	slices.SortFunc(out, compareUrgency)
