Double the loads at once while none was seen to share the store

Hypothesis: raised by one a round, the number is too small for the first seconds of a store that serves four.

--- a/core/copies/width.go
+++ b/core/copies/width.go
@@ -134,12 +134,11 @@
 		return
 	}
 	w.full++
-	rounds := 1.0
-	if w.shared {
-		rounds = sharedRounds
-	}
-	if w.full >= rounds*w.value {
+	switch {
+	case w.shared && w.full >= sharedRounds*w.value:
 		w.set(w.value + 1)
+	case !w.shared && w.full >= w.value:
+		w.set(2 * w.value)
 	}
 }
 
