--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -138,11 +138,12 @@
 	return out
 }
 
-// limitedSlack is what the limited customer may run in a window beyond its allowance, as
-// the entries' settings say.
 const (
+	// limitedWindow is the time over which the limited customer's runs are counted.
 	limitedWindow = 8 * time.Second
-	limitedSlack  = 16
+	// limitedSlack is the requests that it may run beyond its allowance, as the entries'
+	// settings say.
+	limitedSlack = 16
 )
 
 // overAllowance finds a window in which the limited customer's requests ran more often
