--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"radishwell/core"
+	plat "radishwell/platform"
 	"radishwell/platform/stand"
 )
 
@@ -123,16 +125,16 @@
 // misnamed finds requests that upstreams got with a key, or in another customer's name
 // than their key's.
 func misnamed(results []Result, seen []stand.Seen) []Breach {
-	holders := map[string]string{}
+	holders := map[core.RequestID]string{}
 	for _, r := range results {
-		holders[r.ID] = r.Customer
+		holders[core.RequestID(r.ID)] = r.Customer
 	}
 	var out []Breach
 	for _, s := range seen {
-		id := s.Header.Get("X-Radishwell-Request-Id")
+		id, customer, hasKey := plat.Origin(s.Header)
 		holder, ok := holders[id]
-		if s.Header.Get("Authorization") != "" || ok && s.Header.Get("X-Radishwell-Tenant") != holder {
-			out = append(out, Breach{Promise: "an upstream learns the customer and no key", Result: Result{ID: id, Customer: holder}})
+		if hasKey || ok && string(customer) != holder {
+			out = append(out, Breach{Promise: "an upstream learns the customer and no key", Result: Result{ID: string(id), Customer: holder}})
 		}
 	}
 	return out
