Use one backoff, one order of entries and no name that a keeper never meets

Found in reading the change again: - core/admit wrote the doubling pause of core/follow and core/claims again; all three call retry.Pause. - an entry sorted the members before it by rank at each renewal, with an order of its own beside follow's: they are sorted when a record changes, by follow.Sort. - a keeper knew its own name to leave it out, but no entry renews with itself.

--- a/core/admit/bench_test.go
+++ b/core/admit/bench_test.go
@@ -14,8 +14,8 @@
 	for _, n := range sizes {
 		b.Run(fmt.Sprint(n, " entries"), func(b *testing.B) {
 			now := time.Unix(1000, 0)
-			k := &admit.Keeper{Self: "e-000", Tolerance: tolerance, Since: now}
-			for i := range n {
+			k := &admit.Keeper{Tolerance: tolerance, Since: now}
+			for i := 1; i < n; i++ {
 				k.Renew(now, core.HostName(fmt.Sprintf("e-%03d", i)), now.Add(time.Hour))
 			}
 			limit := limitOf(1e12)
--- a/core/admit/choose.go
+++ b/core/admit/choose.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/retry"
 )
 
 const (
@@ -50,6 +51,6 @@
 		a = &aside{}
 		c.aside[name] = a
 	}
-	a.until = now.Add(min(mostAside, firstAside<<min(a.failures, 10)))
+	a.until = now.Add(retry.Pause(firstAside, mostAside, a.failures))
 	a.failures++
 }
--- a/core/admit/keeper.go
+++ b/core/admit/keeper.go
@@ -35,9 +35,7 @@
 //
 // Set the exported fields before use. It is not safe for use by several goroutines.
 type Keeper struct {
-	Self      core.HostName
 	Tolerance Tolerance
-
 	// Seed seeds the draws for requests that are larger than what is kept here.
 	Seed uint64
 	// Since is when counting began here, at first the process's start. What was let in
@@ -62,7 +60,7 @@
 	clear(k.buckets)
 }
 
-// Renew has an entry's parts left here until a deadline.
+// Renew has another entry's parts left here until a deadline.
 func (k *Keeper) Renew(now time.Time, from core.HostName, until time.Time) {
 	if k.until == nil {
 		k.until = map[core.HostName]time.Time{}
@@ -85,20 +83,16 @@
 	if now.Before(k.check) {
 		return k.kept
 	}
-	here := 1
 	k.check = now.Add(mostUnchecked)
 	for name, until := range k.until {
 		switch {
 		case !now.Before(until):
 			delete(k.until, name)
-			continue
-		case name != k.Self:
-			here++
-		}
-		if until.Before(k.check) {
+		case until.Before(k.check):
 			k.check = until
 		}
 	}
+	here := 1 + len(k.until)
 	if float64(here) > takeover*float64(max(1, k.kept)) && now.After(k.Since) {
 		k.Since = now
 	}
--- a/core/admit/keeper_test.go
+++ b/core/admit/keeper_test.go
@@ -67,7 +67,7 @@
 // restart has an entry start anew, at once or later.
 func (f *fleet) restart(i int, at time.Time) {
 	m := f.entries[i]
-	*m = member{name: m.name, current: i, dead: at, keeper: &admit.Keeper{Self: m.name, Tolerance: tolerance, Since: at, Seed: uint64(i)}}
+	*m = member{name: m.name, current: i, dead: at, keeper: &admit.Keeper{Tolerance: tolerance, Since: at, Seed: uint64(i)}}
 }
 
 func (f *fleet) runs(i int) bool {
--- a/core/claims/journal.go
+++ b/core/claims/journal.go
@@ -6,6 +6,7 @@
 
 	"radishwell/core"
 	"radishwell/core/dedupe"
+	"radishwell/core/retry"
 )
 
 // GroupInterval is the least time between two writes to one journal.
@@ -307,7 +308,7 @@
 	if j.failing.IsZero() {
 		j.failing = now
 	}
-	j.retryAt = now.Add(min(firstBackoff<<min(j.failed, 10), maxBackoff))
+	j.retryAt = now.Add(retry.Pause(firstBackoff, maxBackoff, j.failed))
 	j.failed++
 }
 
--- a/core/follow/choose.go
+++ b/core/follow/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/retry"
 )
 
 const (
@@ -116,7 +117,7 @@
 // Failed notes that a member did not answer.
 func (c *Chooser) Failed(now time.Time, name core.HostName) {
 	o := c.other(name)
-	o.until = now.Add(min(mostAside, firstAside<<min(o.failures, 10)))
+	o.until = now.Add(retry.Pause(firstAside, mostAside, o.failures))
 	o.failures++
 }
 
--- a/core/follow/rank.go
+++ b/core/follow/rank.go
@@ -21,6 +21,9 @@
 // since a relay has several times the work of other entries.
 func (m Member) Before(other Member) bool { return compareRank(m, other) < 0 }
 
+// Sort puts members in the order of their rank.
+func Sort(members []Member) { slices.SortFunc(members, compareRank) }
+
 func compareRank(a, b Member) int {
 	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Name, b.Name))
 }
@@ -35,7 +38,7 @@
 		out[m.DataCentre] = append(out[m.DataCentre], m)
 	}
 	for _, list := range out {
-		slices.SortFunc(list, compareRank)
+		Sort(list)
 	}
 	return out
 }
--- /dev/null
+++ b/core/retry/pause_test.go
@@ -0,0 +1,18 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core/retry"
+)
+
+func TestPause(t *testing.T) {
+	for before, want := range map[int]time.Duration{
+		0: time.Second, 1: 2 * time.Second, 2: 4 * time.Second, 3: 5 * time.Second, 1000: 5 * time.Second,
+	} {
+		assert.Equal(t, retry.Pause(time.Second, 5*time.Second, before), want, "after %d", before)
+	}
+}
--- a/io/deploy/deploy_test.go
+++ b/io/deploy/deploy_test.go
@@ -96,7 +96,8 @@
 		}
 		stopped = true
 		cancel()
-		assert.Check(t, <-ended == nil)
+		err := <-ended
+		assert.Check(t, err == nil, "the process ended with %v", err)
 	}
 	t.Cleanup(stop)
 	return stop
--- a/io/deploy/members.go
+++ b/io/deploy/members.go
@@ -47,6 +47,8 @@
 	mu     sync.Mutex
 	listed map[core.HostName]follow.Member
 	ranked follow.Ranked
+	// ahead are those that go before this entry by rank, the first first.
+	ahead []follow.Member
 	// own is this entry's record as the store lists it, zero where there is none.
 	own memberJSON
 	// ordering are the entries that order engines, by data centre, with the version of
@@ -103,7 +105,10 @@
 	if !o.Deleted {
 		m.listed[name] = follow.Member{Name: name, Control: record.Control, DataCentre: record.DataCentre, Capacity: record.Capacity}
 	}
-	m.ranked = follow.Rank(slices.Collect(maps.Values(m.listed)))
+	all := slices.Collect(maps.Values(m.listed))
+	m.ranked = follow.Rank(all)
+	m.ahead = slices.DeleteFunc(all, func(o follow.Member) bool { return !o.Before(m.self) })
+	follow.Sort(m.ahead)
 }
 
 // takeOrders takes in whether an entry orders engines. The caller holds mu.
@@ -147,19 +152,7 @@
 func (m *members) before() ([]follow.Member, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []follow.Member
-	for _, other := range m.listed {
-		if other.Before(m.self) {
-			out = append(out, other)
-		}
-	}
-	slices.SortFunc(out, func(a, b follow.Member) int {
-		if a.Before(b) {
-			return -1
-		}
-		return 1
-	})
-	return out, m.listed != nil
+	return m.ahead, m.listed != nil
 }
 
 // count returns the number of entries, this one included; zero while no other is known.
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -65,7 +65,7 @@
 // Start makes the quota ready for calls.
 func (q *Quota) Start() {
 	q.current = q.Self
-	q.keeper = admit.Keeper{Self: q.Self.Name, Tolerance: q.Tolerance, Seed: q.Seed, Since: q.Clock.Now()}
+	q.keeper = admit.Keeper{Tolerance: q.Tolerance, Seed: q.Seed, Since: q.Clock.Now()}
 	q.held = map[core.OwnerName]float64{}
 }
 
