--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -87,6 +87,9 @@
 	// absent are the models that the host said it does not hold, and till when
 	// that counts above what it reported.
 	absent map[core.ModelName]time.Time
+	// limit is the rate that the host names, and limitAt when it last named one.
+	limit   core.RateLimit
+	limitAt time.Time
 }
 
 // sending is prompt tokens that were sent to a host.
--- a/core/proto.go
+++ b/core/proto.go
@@ -71,6 +71,15 @@
 	Signed bool
 	// NotRun tells that the upstream says it did not run the request.
 	NotRun bool
+	// Limit is the rate that the upstream names.
+	Limit RateLimit
+}
+
+// RateLimit is the requests a second that an upstream takes from all entries together.
+// The zero RateLimit is that of an upstream which names none.
+type RateLimit struct {
+	Named bool
+	Rate  float64
 }
 
 // Protocol is how callers and upstreams of a managed platform name these things
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -93,6 +93,13 @@
 	m.count(nameRetries, "result", text).Inc()
 }
 
+// Limited counts a request sent to an upstream that had named a rate.
+func (m *Meter) Limited() {
+	if m != nil {
+		m.count(nameLimited).Inc()
+	}
+}
+
 // AnswerBytes counts bytes of answers' bodies.
 func (m *Meter) AnswerBytes(n int) {
 	if m != nil && n > 0 {
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -58,6 +58,7 @@
 	m.Accelerators(2, true, began, after(30*time.Second))
 	m.Retry(true)
 	m.Retry(false)
+	m.Limited()
 	m.AnswerBytes(120)
 	m.Platform(meter.UpdateStatus, &core.PlatformError{Fault: core.Conflict}, began, after(5*time.Millisecond))
 	m.Peer("Sync", true)
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -51,6 +51,7 @@
 	nameSilent      = "radishwell_silent_connections_total"
 	nameStrikes     = "radishwell_strikes_total"
 	nameClaims      = "radishwell_claims_total"
+	nameLimited     = "radishwell_limited_sends_total"
 )
 
 var table = []Row{
@@ -79,6 +80,7 @@
 	{nameSilent, Counter, nil, "", "Connections closed because they went silent."},
 	{nameStrikes, Counter, nil, "", "Requests struck because an engine failed with them in it."},
 	{nameClaims, Counter, []string{"result"}, "", "Claims of idempotency keys."},
+	{nameLimited, Counter, nil, "", "Requests sent to upstreams that had named the rate of requests that they take."},
 }
 
 // Rows returns the table of all metrics.
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -45,6 +45,7 @@
 	ctx, done := c.proxy.watch(ctx, c, t)
 	defer done()
 	c.host = t.id
+	sentAt := c.sending(t)
 	resp, sent, err := c.proxy.upstreams.send(ctx, c, t, c.event)
 	if sent {
 		c.sends++
@@ -58,6 +59,7 @@
 	}
 	defer resp.Body.Close()
 	head := c.proxy.Protocol.Answer(resp.Header)
+	c.hear(t, head, sentAt)
 	if head.ID == c.ask.ID && (head.NotRun || resp.StatusCode == http.StatusMisdirectedRequest) {
 		c.ended(t, func(h *fleet.Host, now time.Time) { c.turnedAway(h, now, resp.StatusCode) })
 		return outcome{sent: true, rejected: true, cause: &RejectedError{Status: resp.StatusCode}}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -60,14 +60,15 @@
 	// run it.
 	sends, ran int
 	// What follows is for the log: the failure behind the last attempt and its
-	// host; the host chosen last, with the age of its report and the cost and wait
-	// foreseen there; the table that was in force, and the time spent waiting.
+	// host; the host chosen last, with the age of its report, the cost and wait
+	// foreseen there and the rate that it had named when the request was sent; the table that was in force, and the time spent waiting.
 	last      error
 	host      core.HostName
 	best      core.HostName
 	reportAge time.Duration
 	cost      float64
 	foreseen  time.Duration
+	limit     core.RateLimit
 	version   int64
 	waited    time.Duration
 	// fetched is the time in which an adapter was on its way, and status that of the
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -49,6 +49,9 @@
 		pairs = append(pairs, "host", c.best, "report-age", c.reportAge.Round(time.Millisecond), "cost", int(c.cost),
 			"foreseen", c.foreseen.Round(time.Millisecond), "event-id", c.event)
 	}
+	if c.limit.Named {
+		pairs = append(pairs, "limit", c.limit.Rate)
+	}
 	if c.last != nil {
 		pairs = append(pairs, "cause", c.last.Error())
 	}
