--- /dev/null
+++ b/io/deploy/limit_test.go
@@ -0,0 +1,94 @@
+package deploy_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/platform/stand"
+)
+
+// press has every entry asked for a model at a pace, until a time, and returns how many
+// requests were served.
+func press(t *testing.T, entries []running, model string, pace time.Duration, until time.Time) (served int) {
+	t.Helper()
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	ticker := time.NewTicker(pace)
+	defer ticker.Stop()
+	for n := 0; time.Now().Before(until); n++ {
+		<-ticker.C
+		all.Go(func() {
+			status, body := chat(t, entries[n%len(entries)], fmt.Sprint("pressed-", n), model)
+			mu.Lock()
+			defer mu.Unlock()
+			if status == http.StatusOK {
+				served++
+				return
+			}
+			assert.Check(t, status == http.StatusServiceUnavailable, "status %d: %s", status, body)
+		})
+	}
+	all.Wait()
+	return served
+}
+
+// mostWithin returns the most of the times, which are in order, that lie within a span.
+func mostWithin(times []time.Time, span time.Duration) (most int) {
+	first := 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Guards against an upstream that gets more than the rate that it names, summed over all
+// entries.
+func TestLimitHoldsOverEntries(t *testing.T) {
+	const (
+		rate = 1.0
+		span = 4 * time.Second
+		most = 1.5*rate*4 + 5
+	)
+	f := newFleet(t)
+	w := f.addUpstream(t, 1, stand.Held{Name: "m-1"})
+	var entries []running
+	for _, name := range []string{"edge-1", "edge-2", "edge-3"} {
+		e := f.addEntry(t, name)
+		e.ready(t)
+		entries = append(entries, e)
+	}
+	limit := rate
+	w.NameLimit(&limit)
+	for i, e := range entries {
+		until(t, "the entry was told", func() bool {
+			status, _ := chat(t, e, fmt.Sprint("told-", i), "m-1")
+			return status == http.StatusOK
+		})
+	}
+	before := len(w.Arrivals())
+	served := press(t, entries, "m-1", 80*time.Millisecond, time.Now().Add(span+time.Second))
+	got := mostWithin(w.Arrivals()[before:], span)
+	assert.Assert(t, got <= most, "%d requests in %v", got, span)
+	assert.Assert(t, served >= 2, "%d were served", served)
+	t.Run("until it names none", func(t *testing.T) {
+		w.NameLimit(nil)
+		for i, e := range entries {
+			until(t, "the entry knows that the limit is gone", func() bool {
+				for n := range 5 {
+					if status, _ := chat(t, e, fmt.Sprint("free-", i, "-", n), "m-1"); status != http.StatusOK {
+						return false
+					}
+				}
+				return true
+			})
+		}
+	})
+}
