Hold the rate that an upstream names, over all entries together

Now each entry takes a turn for every request to such an upstream. Turns are counted by the keeper of allowances, with whom entries leave their parts, so the rate is one for all; an entry that reaches no keeper has its own part. Turns are given at most 300 ms ahead and a new keeper begins as if these were taken. Requests go to other copies by the wait foreseen; where there is none, they are refused at once with the time of the next turn, unless the wait is within their target or their model is on its way.

--- a/core/admit/allow.go
+++ b/core/admit/allow.go
@@ -119,6 +119,24 @@
 	return now.Add(min(longestDrain, time.Duration(wait*float64(time.Second))+1)), false
 }
 
+// reserve takes one unit for the moment at which it is there, if that comes by a time. The
+// level may fall below zero by what is reserved ahead.
+func (b *bucket) reserve(now, by time.Time) (at time.Time, ok bool) {
+	b.fill(now)
+	at = now
+	if lacks := 1 - b.level; lacks > 0 {
+		if lacks > b.rate*longestDrain.Seconds() {
+			return now.Add(longestDrain), false
+		}
+		at = now.Add(time.Duration(lacks/b.rate*float64(time.Second)) + 1)
+	}
+	if at.After(by) {
+		return at, false
+	}
+	b.level--
+	return at, true
+}
+
 // put gives units back.
 func (b *bucket) put(now time.Time, units float64) {
 	b.fill(now)
--- a/core/admit/keeper.go
+++ b/core/admit/keeper.go
@@ -45,6 +45,8 @@
 	// until is by when each entry's parts are left here.
 	until   map[core.HostName]time.Time
 	buckets map[core.OwnerName]*bucket
+	// paces are the upstreams that name a rate.
+	paces map[core.HostName]*bucket
 	// kept is how many entries' parts were kept here last, and check when that has to be
 	// counted again.
 	kept  int
@@ -58,6 +60,7 @@
 	}
 	k.Since = until
 	clear(k.buckets)
+	clear(k.paces)
 }
 
 // Renew has another entry's parts left here until a deadline.
--- /dev/null
+++ b/core/admit/pace.go
@@ -0,0 +1,58 @@
+package admit
+
+import (
+	"time"
+
+	"radishwell/core"
+)
+
+const (
+	// paceIdle is how long after its last use the count of an upstream is forgotten.
+	paceIdle = time.Minute
+	// MostAhead is how long before its turn a request may take it. Turns that are taken
+	// are lost with callers who leave, and are not known to the next keeper.
+	MostAhead = 300 * time.Millisecond
+)
+
+// Reserve takes the next turn at an upstream that takes rate requests a second from all
+// entries together, if that comes by a time. It returns when the turn is.
+//
+// It answers the load of an upstream in need that many entries send to. Each entry alone
+// would hold the rate and all together would send many times as much; divided, the parts
+// of entries without requests would lie idle.
+func (k *Keeper) Reserve(now time.Time, upstream core.HostName, rate float64, entries int, by time.Time) (at time.Time, ok bool) {
+	if most := now.Add(MostAhead); by.After(most) {
+		by = most
+	}
+	return k.pace(now, upstream, rate, entries).reserve(now, by)
+}
+
+// Release gives back turns in which nothing was sent.
+func (k *Keeper) Release(now time.Time, upstream core.HostName, rate float64, entries int, turns float64) {
+	k.pace(now, upstream, rate, entries).put(now, turns)
+}
+
+// pace returns the count of an upstream, shaped for the part of its rate that is kept
+// here. It begins with all turns taken that another keeper may have given away ahead.
+func (k *Keeper) pace(now time.Time, upstream core.HostName, rate float64, entries int) *bucket {
+	b := k.paces[upstream]
+	if b == nil {
+		k.forgetPaces(now)
+		b = &bucket{at: now, level: -rate * MostAhead.Seconds()}
+		k.paces[upstream] = b
+	}
+	rate *= k.part(now, entries)
+	b.set(now, rate, max(1, rate))
+	return b
+}
+
+func (k *Keeper) forgetPaces(now time.Time) {
+	if k.paces == nil {
+		k.paces = map[core.HostName]*bucket{}
+	}
+	for name, b := range k.paces {
+		if now.Sub(b.at) > paceIdle {
+			delete(k.paces, name)
+		}
+	}
+}
--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -90,6 +90,9 @@
 	// limit is the rate that the host names, and limitAt when it last named one.
 	limit   core.RateLimit
 	limitAt time.Time
+	// turn is when the host takes this process's next request, as far as is known of a
+	// host that names a rate.
+	turn time.Time
 }
 
 // sending is prompt tokens that were sent to a host.
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -88,6 +88,8 @@
 	Cost float64
 	// Wait is when the host should give its first answer, from now.
 	Wait time.Duration
+	// Turn is the part of Wait that is for the rate that the host names.
+	Turn time.Duration
 }
 
 // leastQueue is the wait that is allowed whatever a route's target.
@@ -132,7 +134,7 @@
 		cost := wait + h.cost(now, q)
 		if best.Host == nil || cost < best.Cost || cost == best.Cost && h.ID < best.Host.ID {
 			best.Host, best.Fetch, best.Cost = h, fetch, cost
-			best.Wait = time.Duration(wait * float64(time.Millisecond))
+			best.Wait, best.Turn = time.Duration(wait*float64(time.Millisecond)), h.untilTurn(now)
 		}
 	}
 	return best
@@ -147,6 +149,7 @@
 	if h.Fresh(now) {
 		before = max(before, h.backlog(readTime))
 	}
+	before += float64(h.untilTurn(now)) / float64(time.Millisecond)
 	if fetch {
 		before += adapterCost + h.untilOrders(now)
 	}
--- a/core/proto.go
+++ b/core/proto.go
@@ -63,6 +63,15 @@
 	Put(customer OwnerName, units float64)
 }
 
+// Pacer spaces the requests of all entries to upstreams that name a rate.
+type Pacer interface {
+	// Reserve takes the next turn at an upstream that takes rate requests a second, if
+	// that comes by a time, and returns when it is.
+	Reserve(ctx context.Context, upstream HostName, rate float64, by time.Time) (at time.Time, ok bool)
+	// Release gives back a turn in which nothing was sent.
+	Release(upstream HostName, rate float64)
+}
+
 // AnswerHead is what an upstream says of its answer beside status and body.
 type AnswerHead struct {
 	// ID is the request that is answered.
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -125,11 +125,11 @@
 		Self: e.members.self, Clock: e.clock, Seed: rand.Uint64(),
 		Tolerance: admit.Tolerance{Window: m.QuotaWindow, Ratio: m.QuotaRatio, Slack: m.QuotaSlack},
 		Ask:       e.client.Allow, Before: e.members.before, Entries: e.entries,
-		Allowance: e.allowance, Limited: func() bool { return e.proxy.Table().Limited() },
+		Allowance: e.allowance, Limited: func() bool { return e.proxy.Table().Limited() || e.proxy.Paced() },
 	}
 	e.quota.Start()
 	e.handler.Allow = e.quota.Serve
-	e.proxy.Quotas = e.quota
+	e.proxy.Quotas, e.proxy.Pacer = e.quota, e.quota
 	e.proxy.Behind = func() bool {
 		return e.clock.Now().Sub(e.state.Status(core.KindTable).Fresh) > tableAge
 	}
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -53,6 +53,8 @@
 	if err != nil {
 		if sent {
 			c.ran++
+		} else {
+			c.releaseTurn(t)
 		}
 		c.ended(t, func(h *fleet.Host, now time.Time) { c.blame(ctx, h, now, sent) })
 		return outcome{sent: sent, cause: causeOf(ctx, err)}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -71,6 +71,8 @@
 	limit     core.RateLimit
 	version   int64
 	waited    time.Duration
+	// paced is the time spent on turns at hosts that name a rate.
+	paced time.Duration
 	// fetched is the time in which an adapter was on its way, and status that of the
 	// upstream's answer, zero before it has one.
 	fetched time.Duration
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -33,6 +33,9 @@
 	if c.waited > 0 {
 		pairs = append(pairs, "waited", c.waited.Round(time.Millisecond))
 	}
+	if c.paced > 0 {
+		pairs = append(pairs, "paced", c.paced.Round(time.Millisecond))
+	}
 	if c.fetched > 0 {
 		pairs = append(pairs, "fetched", c.fetched.Round(time.Millisecond))
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -27,6 +27,8 @@
 	Meter      *meter.Meter
 	// Quotas counts customers' use; nil where nothing is counted.
 	Quotas core.Quotas
+	// Pacer spaces requests to upstreams that name a rate; nil where nothing is counted.
+	Pacer core.Pacer
 	// Behind, if set, tells that the routing table in force may not be the newest.
 	Behind func() bool
 	// RetryRatio, RetrySpare and RetrySpan are this process's part of the
@@ -105,6 +107,13 @@
 	}
 }
 
+// Paced tells whether any host names the rate of requests that it takes.
+func (p *Proxy) Paced() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Limited()
+}
+
 // wake has the requests that wait look again. The caller holds mu.
 func (p *Proxy) wake() {
 	close(p.changed)
@@ -220,4 +229,6 @@
 	// unread is the prompt tokens that the host has to read for the request.
 	unread int
 	begun  bool
+	// rate is what the host names where a turn was taken there, zero otherwise.
+	rate float64
 }
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -34,7 +34,7 @@
 			return nil, refusal
 		}
 		if t != nil {
-			if c.hasAdapter(ctx, t, fetch) {
+			if c.takeTurn(ctx, t) && c.hasAdapter(ctx, t, fetch) {
 				return t, c.chargeAgain(ctx, t)
 			}
 			if ctx.Err() != nil {
@@ -88,6 +88,9 @@
 		return nil, false, p.changed, c.hopeless(now)
 	}
 	c.foresee(now, choice)
+	if c.awaits(choice) {
+		return nil, false, p.changed, nil
+	}
 	if refusal := c.overloaded(choice); refusal != nil {
 		return nil, false, nil, refusal
 	}
@@ -116,9 +119,12 @@
 // overloaded refuses a request that comes upon more work than its hosts can do in
 // time. One of which a host may have run a part already is not turned away.
 func (c *call) overloaded(choice fleet.Choice) *core.Refusal {
-	if c.query.Model == "" || c.begun || c.ran > 0 || !choice.Overloaded(c.route.Target) {
+	if c.query.Model == "" && choice.Turn == 0 || c.begun || c.ran > 0 || !choice.Overloaded(c.route.Target) {
 		return nil
 	}
+	if choice.Turn > 0 {
+		return core.RefuseUntil(core.CodeOverload, "the hosts take no more requests a second", c.back(choice.Wait))
+	}
 	return core.RefuseUntil(core.CodeOverload, "the model's hosts have more work than they can do in time", c.back(choice.Wait))
 }
 
@@ -211,6 +217,7 @@
 
 // abandon takes back what choose noted.
 func (c *call) abandon(t *target) {
+	c.releaseTurn(t)
 	c.proxy.Update(func(*fleet.View, time.Time) {
 		t.host.Begun(t.unread)
 		t.host.Ended(c.query.Model)
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -58,15 +58,21 @@
 	found bool
 	// held are units that were given back and are told with the next renewal.
 	held map[core.OwnerName]float64
+	// unsent are turns at upstreams that were given back, to be told likewise.
+	unsent map[core.HostName]*wire.AllowanceUse
 }
 
-var _ core.Quotas = (*Quota)(nil)
+var (
+	_ core.Quotas = (*Quota)(nil)
+	_ core.Pacer  = (*Quota)(nil)
+)
 
 // Start makes the quota ready for calls.
 func (q *Quota) Start() {
 	q.current = q.Self
 	q.keeper = admit.Keeper{Tolerance: q.Tolerance, Seed: q.Seed, Since: q.Clock.Now()}
 	q.held = map[core.OwnerName]float64{}
+	q.unsent = map[core.HostName]*wire.AllowanceUse{}
 }
 
 // Run renews again and again until the context ends.
@@ -99,19 +105,45 @@
 	if q.takeHeld(customer, units) {
 		return nil
 	}
+	return q.refusal(customer, q.ask(ctx, &wire.AllowanceUse{Customer: string(customer), Take: units}))
+}
+
+// ask has the keeper decide on one use, or this entry by its own part where none answers.
+func (q *Quota) ask(ctx context.Context, use *wire.AllowanceUse) *wire.AllowanceReply {
 	if !q.hasFound() {
 		q.Renew(ctx)
 	}
-	use := []*wire.AllowanceUse{{Customer: string(customer), Take: units}}
+	uses := []*wire.AllowanceUse{use}
 	for range mostTries {
-		reply, err := q.call(ctx, q.keeperNow(), use)
-		if err != nil {
-			q.Renew(ctx)
-			continue
+		if reply, err := q.call(ctx, q.keeperNow(), uses); err == nil {
+			return reply
 		}
-		return q.refusal(customer, reply)
+		q.Renew(ctx)
+	}
+	return q.serve(uses)
+}
+
+// Reserve implements core.Pacer.
+func (q *Quota) Reserve(ctx context.Context, upstream core.HostName, rate float64, by time.Time) (at time.Time, ok bool) {
+	use := &wire.AllowanceUse{Upstream: string(upstream), Rate: rate, Take: 1, Ahead: int64(by.Sub(q.Clock.Now()))}
+	answers := q.ask(ctx, use).GetAnswers()
+	now := q.Clock.Now()
+	if len(answers) == 0 {
+		return now.Add(unknownLeft), false
+	}
+	return now.Add(time.Duration(answers[0].GetLeft())), answers[0].GetTaken()
+}
+
+// Release implements core.Pacer.
+func (q *Quota) Release(upstream core.HostName, rate float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	u := q.unsent[upstream]
+	if u == nil {
+		u = &wire.AllowanceUse{Upstream: string(upstream)}
+		q.unsent[upstream] = u
 	}
-	return q.refusal(customer, q.serve(use))
+	u.Rate, u.Back = rate, u.GetBack()+1
 }
 
 // refusal returns why the one use that was asked for may not be made; nil where it may.
@@ -198,6 +230,10 @@
 		}
 	}
 	clear(q.held)
+	for _, u := range q.unsent {
+		out = append(out, u)
+	}
+	clear(q.unsent)
 	return out
 }
 
@@ -268,11 +304,30 @@
 	entries := q.Entries()
 	out := &wire.AllowanceReply{}
 	for _, u := range uses {
+		if u.GetUpstream() != "" {
+			out.Answers = append(out.Answers, q.turn(u, entries))
+			continue
+		}
 		out.Answers = append(out.Answers, q.use(u, entries))
 	}
 	return out
 }
 
+// turn answers the use of an upstream that names a rate.
+func (q *Quota) turn(u *wire.AllowanceUse, entries int) *wire.AllowanceAnswer {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now, upstream := q.Clock.Now(), core.HostName(u.GetUpstream())
+	if back := u.GetBack(); back > 0 {
+		q.keeper.Release(now, upstream, u.GetRate(), entries, back)
+	}
+	if u.GetTake() <= 0 {
+		return &wire.AllowanceAnswer{Taken: true}
+	}
+	at, taken := q.keeper.Reserve(now, upstream, u.GetRate(), entries, now.Add(time.Duration(u.GetAhead())))
+	return &wire.AllowanceAnswer{Taken: taken, Left: int64(at.Sub(now))}
+}
+
 func (q *Quota) use(u *wire.AllowanceUse, entries int) *wire.AllowanceAnswer {
 	customer := core.OwnerName(u.GetCustomer())
 	allowance, ok := q.Allowance(customer)
--- a/io/quota/quota_test.go
+++ b/io/quota/quota_test.go
@@ -72,11 +72,16 @@
 // settle has all entries find their keeper and the allowance fill up.
 func (f *fleet) settle(ctx context.Context) {
 	for range 30 {
-		f.clock.now = f.clock.now.Add(100 * time.Millisecond)
-		for _, m := range f.members {
-			if !f.down[m.Name] {
-				f.quotas[m.Name].Renew(ctx)
-			}
+		f.step(ctx)
+	}
+}
+
+// step lets time pass and has all entries renew their standing.
+func (f *fleet) step(ctx context.Context) {
+	f.clock.now = f.clock.now.Add(100 * time.Millisecond)
+	for _, m := range f.members {
+		if !f.down[m.Name] {
+			f.quotas[m.Name].Renew(ctx)
 		}
 	}
 }
@@ -136,3 +141,44 @@
 	f.quotas["e-2"].Renew(t.Context())
 	assert.Equal(t, f.take(t.Context(), "e-1"), 40)
 }
+
+// turns returns how many requests entries may send to an upstream within a second, all
+// asking again and again.
+func (f *fleet) turns(ctx context.Context, rate float64, names ...core.HostName) int {
+	n := 0
+	for range 10 {
+		f.step(ctx)
+		for _, name := range names {
+			if _, ok := f.quotas[name].Reserve(ctx, "u", rate, f.clock.now); ok {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Guards against each entry applying the whole of the rate that an upstream names.
+func TestRateIsSharedByEntries(t *testing.T) {
+	f := newFleet(t, "e-1", "e-2", "e-3")
+	f.settle(t.Context())
+	f.turns(t.Context(), 5, "e-1", "e-2", "e-3")
+	assert.Equal(t, f.turns(t.Context(), 5, "e-1", "e-2", "e-3"), 5)
+	assert.Equal(t, f.turns(t.Context(), 5, "e-3"), 5, "the whole rate at one entry")
+	at, ok := f.quotas["e-2"].Reserve(t.Context(), "u", 5, f.clock.now)
+	assert.Assert(t, !ok && at.Sub(f.clock.now).Round(10*time.Millisecond) == 200*time.Millisecond, at.Sub(f.clock.now))
+	t.Run("a turn that was given back is there again", func(t *testing.T) {
+		f.quotas["e-2"].Release("u", 5)
+		f.quotas["e-2"].Renew(t.Context())
+		_, ok := f.quotas["e-3"].Reserve(t.Context(), "u", 5, f.clock.now)
+		assert.Assert(t, ok)
+	})
+	t.Run("an entry that reaches no other has its own part", func(t *testing.T) {
+		f.down["e-3"] = true
+		f.settle(t.Context())
+		f.down["e-3"] = false
+		f.down["e-1"], f.down["e-2"] = true, true
+		f.settle(t.Context())
+		f.turns(t.Context(), 6, "e-3")
+		assert.Equal(t, f.turns(t.Context(), 6, "e-3"), 2)
+	})
+}
