Count copies at upstreams that name a rate for what these take

A copy at such an upstream counts now for the part of the model's requests that is taken there, and new copies go to other upstreams first.

--- a/core/copies/place.go
+++ b/core/copies/place.go
@@ -87,7 +87,7 @@
 	best.host.Open = false
 	w.copies[name]++
 	for _, m := range best.evict {
-		w.copies[m]--
+		w.copies[m] = max(0, w.copies[m]-1)
 	}
 	if best.from == core.TierStore {
 		w.loading++
@@ -137,7 +137,11 @@
 		return choice{}, false
 	}
 	took := drain(h, evict) + w.duration(name, from)
-	return choice{host: h, evict: evict, from: from, loss: loss, took: took, score: -loss - swapPenalty*took.Seconds()}, true
+	score := -loss - swapPenalty*took.Seconds()
+	if h.Limit.Named {
+		score -= limitPenalty
+	}
+	return choice{host: h, evict: evict, from: from, loss: loss, took: took, score: score}, true
 }
 
 // mayRead tells whether the weight store takes one more load. More loads at once
--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -1,6 +1,7 @@
 package copies
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -66,6 +67,8 @@
 	// against each other for the same copy: about what its callers lose by it. Copies
 	// then go where the weights are in memory or on disk.
 	swapPenalty = 0.3
+	// limitPenalty is that of a host which names a rate: it takes less work than others.
+	limitPenalty = 1.0
 )
 
 // Demand is how much a model is asked for, over all entries.
@@ -94,7 +97,9 @@
 	Seen time.Time
 	// Leaving hosts' copies do not count.
 	Leaving bool
-	Held    []core.ModelName
+	// Limit is the rate of requests that the host takes.
+	Limit core.RateLimit
+	Held  []core.ModelName
 	// Active counts the requests in progress by model.
 	Active map[core.ModelName]int
 	// Loading is the model on its way, there at LoadedBy.
@@ -180,8 +185,11 @@
 	service *rtable.Service
 	hosts   []*Host
 	demand  map[core.ModelName]Demand
-	// copies counts, by model, the hosts that hold it or are about to.
+	// copies counts, by model, the hosts that hold it or are about to, but for those that
+	// lacks says are too slow.
 	copies map[core.ModelName]int
+	// lacks is, by model, what the copies on hosts that name a rate lack of whole ones.
+	lacks map[core.ModelName]float64
 	// near are the hosts that can load a model without the weight store.
 	near    map[core.ModelName][]*Host
 	loading int
@@ -198,7 +206,7 @@
 	p.width.Note(now, hosts, func(m core.ModelName) time.Duration { return s.Models[m].Load })
 	w := &plan{
 		Planner: p, now: now, service: s, hosts: hosts, demand: demand,
-		copies: map[core.ModelName]int{}, near: make(map[core.ModelName][]*Host, len(s.Models)),
+		copies: map[core.ModelName]int{}, lacks: map[core.ModelName]float64{}, near: make(map[core.ModelName][]*Host, len(s.Models)),
 	}
 	w.count()
 	w.noteWaits()
@@ -277,20 +285,35 @@
 		move, moving := w.Planner.moves[h.ID]
 		for _, m := range h.Held {
 			if !moving || !slices.Contains(move.Evict, m) {
-				w.copies[m]++
+				w.addCopy(h, m)
 			}
 		}
 		switch {
 		case h.Loading != "" && !slices.Contains(h.Held, h.Loading):
-			w.copies[h.Loading]++
+			w.addCopy(h, h.Loading)
 			if h.Near(h.Loading) == core.TierStore {
 				w.loading++
 			}
 		case moving:
-			w.copies[move.Load]++
+			w.addCopy(h, move.Load)
 			if move.From == core.TierStore {
 				w.loading++
 			}
 		}
 	}
+	for name, part := range w.lacks {
+		w.copies[name] = max(0, w.copies[name]-int(math.Round(part)))
+	}
+}
+
+// addCopy counts a copy. Those on hosts that name a rate count for the part of the model's
+// requests that these take.
+//
+// It answers the load of a model whose hosts are in need all at once: its callers are
+// refused there, and its copies, few for the work, seem to be enough.
+func (w *plan) addCopy(h *Host, name core.ModelName) {
+	w.copies[name]++
+	if rate := w.demand[name].Rate; h.Limit.Named && rate > h.Limit.Rate {
+		w.lacks[name] += 1 - h.Limit.Rate/rate
+	}
 }
