Tell other entries of the rates that upstreams name

An entry that sends an upstream little learned of its rate, or that it names none any more, by its own next answer only; a stream's comes seconds after it was sent. Entries now spread both as marks, as they do with leaving hosts, and a rate that nobody has heard for a minute is forgotten. Parts of a rate that come to a keeper one by one owe their turns one by one: before, an entry that did not know its peers yet began three seconds behind.

TestOthersHearOfLimit could not be run before: it looks at the new gauge of limited upstreams.

--- a/core/admit/pace.go
+++ b/core/admit/pace.go
@@ -33,16 +33,18 @@
 }
 
 // pace returns the count of an upstream, shaped for the part of its rate that is kept
-// here. It begins with all turns taken that another keeper may have given away ahead.
+// here. Each part comes with all turns taken that another keeper may have given ahead.
 func (k *Keeper) pace(now time.Time, upstream core.HostName, rate float64, entries int) *bucket {
 	b := k.paces[upstream]
 	if b == nil {
 		k.forgetPaces(now)
-		b = &bucket{at: now, level: -rate * MostAhead.Seconds()}
+		b = &bucket{at: now}
 		k.paces[upstream] = b
 	}
-	rate *= k.part(now, entries)
-	b.set(now, rate, max(1, rate))
+	part := k.part(now, entries)
+	b.set(now, rate*part, max(1, rate*part))
+	b.level -= rate * MostAhead.Seconds() * max(0, part-b.part)
+	b.part = part
 	return b
 }
 
--- a/core/fleet/limit.go
+++ b/core/fleet/limit.go
@@ -10,8 +10,16 @@
 // answers tell when a limit has ended.
 const leastRate = 0.1
 
+// LimitAge is how long a rate counts after it was last named.
+const LimitAge = time.Minute
+
 // Limit returns the rate that the host takes from all entries together.
-func (h *Host) Limit() core.RateLimit { return h.limit }
+func (h *Host) Limit(now time.Time) core.RateLimit {
+	if now.Sub(h.limitAt) >= LimitAge {
+		return core.RateLimit{}
+	}
+	return h.limit
+}
 
 // Named takes in the rate that an answer names to a request that was sent at a time, and
 // tells whether it is another than before. Answers overtake each other: one to a request
@@ -42,18 +50,25 @@
 
 // untilTurn returns how long requests wait for the host's next turn.
 func (h *Host) untilTurn(now time.Time) time.Duration {
-	if !h.limit.Named {
+	if !h.Limit(now).Named {
 		return 0
 	}
 	return max(0, h.turn.Sub(now))
 }
 
-// Limited tells whether any host names a rate.
-func (v *View) Limited() bool {
+// Limited returns the number of hosts that name a rate.
+func (v *View) Limited(now time.Time) (n int) {
 	for _, h := range v.hosts {
-		if h.limit.Named {
-			return true
+		if h.Limit(now).Named {
+			n++
 		}
 	}
-	return false
+	return n
+}
+
+// NamedElsewhere takes in the rate that a host named to another process.
+func (v *View) NamedElsewhere(now time.Time, life Life, limit core.RateLimit) {
+	if h := v.hosts[life.ID]; h != nil && h.Born == life.Born {
+		h.Named(now, now, limit)
+	}
 }
--- a/core/fleet/limit_test.go
+++ b/core/fleet/limit_test.go
@@ -17,10 +17,27 @@
 	h := &fleet.Host{}
 	assert.Assert(t, !h.Named(at(0), at(10), core.RateLimit{}), "nothing has changed")
 	assert.Assert(t, h.Named(at(20), at(30), one))
-	assert.Equal(t, h.Limit(), one)
+	assert.Equal(t, h.Limit(at(50)), one)
 	// Guards against a limit that an answer lifts which the one that named it overtook.
 	assert.Assert(t, !h.Named(at(25), at(40), core.RateLimit{}))
-	assert.Equal(t, h.Limit(), one)
+	assert.Equal(t, h.Limit(at(50)), one)
 	assert.Assert(t, h.Named(at(35), at(50), core.RateLimit{}))
-	assert.Equal(t, h.Limit(), core.RateLimit{})
+	assert.Equal(t, h.Limit(at(50)), core.RateLimit{})
+	assert.Assert(t, h.Named(at(60), at(70), one))
+	assert.Equal(t, h.Limit(at(70).Add(fleet.LimitAge)), core.RateLimit{}, "an old one counts no more")
+}
+
+func TestNamedElsewhere(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	one := core.RateLimit{Named: true, Rate: 1}
+	var v fleet.View
+	v.Apply(fleet.Entry{ID: "i-1", Born: 5, Usable: true})
+	v.NamedElsewhere(t0, fleet.Life{ID: "i-2"}, one)
+	// Guards against a host that was born anew and is held to what it named before.
+	v.NamedElsewhere(t0, fleet.Life{ID: "i-1", Born: 4}, one)
+	assert.Equal(t, v.Limited(t0), 0)
+	v.NamedElsewhere(t0, fleet.Life{ID: "i-1", Born: 5}, one)
+	assert.Equal(t, v.Host("i-1").Limit(t0), one)
+	v.Apply(fleet.Entry{ID: "i-1", Born: 6, Usable: true})
+	assert.Equal(t, v.Limited(t0), 0)
 }
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -76,6 +76,7 @@
 	e.buildTender()
 	e.tender.serve()
 	e.prepareState()
+	e.shareHeard()
 	p.parts = append(p.parts, e.proxy.Run, e.links.run, e.planner.run, e.planner.recall, e.feed.Run, e.quota.Run, e.record, e.tender.run)
 	p.serve(&httpd.Server{Address: s.Managed.Readiness, Handler: http.HandlerFunc(e.serveReady)})
 	callers := &httpd.Server{Address: s.Listen.Callers, Handler: e.steer(e.proxy)}
@@ -125,7 +126,7 @@
 		Self: e.members.self, Clock: e.clock, Seed: rand.Uint64(),
 		Tolerance: admit.Tolerance{Window: m.QuotaWindow, Ratio: m.QuotaRatio, Slack: m.QuotaSlack},
 		Ask:       e.client.Allow, Before: e.members.before, Entries: e.entries,
-		Allowance: e.allowance, Limited: func() bool { return e.proxy.Table().Limited() || e.proxy.Paced() },
+		Allowance: e.allowance, Limited: func() bool { return e.proxy.Table().Limited() || e.proxy.Limited() > 0 },
 	}
 	e.quota.Start()
 	e.handler.Allow = e.quota.Serve
--- /dev/null
+++ b/io/deploy/heard.go
@@ -0,0 +1,38 @@
+package deploy
+
+import (
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/fleet"
+	"radishwell/io/peer"
+)
+
+// shareHeard has this entry and the others tell each other what upstreams say of
+// themselves in answers. One that sends an upstream little hears of it late, and what all
+// entries send counts there.
+func (e *entry) shareHeard() {
+	e.proxy.Heard = e.spreadLimit
+	e.state.Marked = e.takeMarks
+	e.meter.LimitedUpstreams(e.proxy.Limited)
+}
+
+// spreadLimit tells other entries of the rate that an upstream names.
+func (e *entry) spreadLimit(life fleet.Life, limit core.RateLimit) {
+	e.state.Mark(peer.Mark{
+		Host: life.ID, Incarnation: core.Incarnation(life.Born), Kind: peer.MarkLimited, Rate: limit.Rate,
+		Expires: e.clock.Now().Add(fleet.LimitAge),
+	})
+}
+
+// takeMarks takes in what other entries have heard.
+func (e *entry) takeMarks(marks []peer.Mark) {
+	e.proxy.Update(func(v *fleet.View, now time.Time) {
+		for _, m := range marks {
+			if m.Kind == peer.MarkLimited {
+				limit := core.RateLimit{Named: m.Rate > 0, Rate: m.Rate}
+				v.NamedElsewhere(now, fleet.Life{ID: m.Host, Born: int64(m.Incarnation)}, limit)
+			}
+		}
+	})
+}
--- a/io/deploy/limit_test.go
+++ b/io/deploy/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -92,3 +93,26 @@
 		}
 	})
 }
+
+// Guards against an entry that learns of a limit by its own requests alone, while others
+// know it.
+func TestOthersHearOfLimit(t *testing.T) {
+	f := newFleet(t)
+	w := f.addUpstream(t, 1, stand.Held{Name: "m-1"})
+	first, second := f.addEntry(t, "edge-1"), f.addEntry(t, "edge-2")
+	first.ready(t)
+	second.ready(t)
+	knows := func(e running, n int) {
+		until(t, fmt.Sprint("the entry knows of limited upstreams: ", n), func() bool {
+			_, text := get(t, e.operators, "/metrics")
+			return strings.Contains(text, fmt.Sprint("radishwell_limited_upstreams ", n))
+		})
+	}
+	limit := 100.0
+	w.NameLimit(&limit)
+	wantChat(t, first, "q-1", "m-1")
+	knows(second, 1)
+	w.NameLimit(nil)
+	wantChat(t, first, "q-2", "m-1")
+	knows(second, 0)
+}
--- a/io/deploy/planner.go
+++ b/io/deploy/planner.go
@@ -253,7 +253,7 @@
 	out := &copies.Host{
 		ID: h.ID, Open: follows && h.Fresh(now) && !h.Report.Busy && !h.IsLeaving(), Leaving: h.IsLeaving(),
 		Seen: h.Report.Taken, Memory: s.Memory, Active: map[core.ModelName]int{},
-		Loading: h.Report.Loading, LoadedBy: h.Report.LoadedBy, Limit: h.Limit(),
+		Loading: h.Report.Loading, LoadedBy: h.Report.LoadedBy, Limit: h.Limit(now),
 	}
 	out.InMemory, out.OnDisk = h.AtHand(now)
 	for _, m := range h.Holds(now) {
--- a/io/meter/gauge.go
+++ b/io/meter/gauge.go
@@ -42,6 +42,11 @@
 	m.gauge(nameEntries, func() float64 { return float64(read()) }, "state", state)
 }
 
+// LimitedUpstreams shows how many upstreams name the rate of requests that they take.
+func (m *Meter) LimitedUpstreams(read func() int) {
+	m.gauge(nameLimitedUps, func() float64 { return float64(read()) })
+}
+
 // Revision shows the revision of the catalogue in force.
 func (m *Meter) Revision(read func() uint64) {
 	m.gauge(nameRevision, func() float64 { return float64(read()) })
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -52,6 +52,7 @@
 	nameStrikes     = "radishwell_strikes_total"
 	nameClaims      = "radishwell_claims_total"
 	nameLimited     = "radishwell_limited_sends_total"
+	nameLimitedUps  = "radishwell_limited_upstreams"
 )
 
 var table = []Row{
@@ -81,6 +82,7 @@
 	{nameStrikes, Counter, nil, "", "Requests struck because an engine failed with them in it."},
 	{nameClaims, Counter, []string{"result"}, "", "Claims of idempotency keys."},
 	{nameLimited, Counter, nil, "", "Requests sent to upstreams that had named the rate of requests that they take."},
+	{nameLimitedUps, Gauge, nil, "", "Upstreams that name the rate of requests that they take, as this process has heard."},
 }
 
 // Rows returns the table of all metrics.
--- a/io/peer/soft.go
+++ b/io/peer/soft.go
@@ -14,6 +14,8 @@
 const (
 	MarkLeaving = "leaving"
 	MarkSlow    = "slow"
+	// MarkLimited is the rate that an upstream names, or that it names none any more.
+	MarkLimited = "limited"
 )
 
 const (
@@ -35,15 +37,17 @@
 )
 
 // Mark is expiring soft state about a host. It only ever keeps work away from
-// a host and is lost without harm.
+// a host, or ends that, and is lost without harm.
 type Mark struct {
 	Host core.HostName
-	// Kind is MarkLeaving or MarkSlow.
+	// Kind is MarkLeaving, MarkSlow or MarkLimited.
 	Kind string
 	// Incarnation is the life of the host's process that is meant.
 	Incarnation core.Incarnation
 	// Expires is when the mark is forgotten.
 	Expires time.Time
+	// Rate is requests a second for MarkLimited, zero where the upstream names none.
+	Rate float64
 }
 
 // markID is what is joined by the latest expiry.
@@ -53,9 +57,15 @@
 	incarnation core.Incarnation
 }
 
+// markValue is what marks of one identity differ in.
+type markValue struct {
+	expires time.Time
+	rate    float64
+}
+
 // softState holds the marks that are in force.
 type softState struct {
-	marks map[markID]time.Time
+	marks map[markID]markValue
 	// young are the marks that are still news, and until when.
 	young map[markID]time.Time
 	// turn counts the messages, to tell the other marks in turn.
@@ -65,7 +75,7 @@
 // add joins marks and returns those that are news.
 func (s *softState) add(marks []Mark, now time.Time) []Mark {
 	if s.marks == nil {
-		s.marks = map[markID]time.Time{}
+		s.marks = map[markID]markValue{}
 		s.young = map[markID]time.Time{}
 	}
 	var news []Mark
@@ -75,11 +85,11 @@
 		}
 		id := markID{m.Host, m.Kind, m.Incarnation}
 		held, ok := s.marks[id]
-		if !m.Expires.After(now) || ok && !m.Expires.After(held) {
+		if !m.Expires.After(now) || ok && !m.Expires.After(held.expires) {
 			continue
 		}
-		s.marks[id] = m.Expires
-		if !ok || m.Expires.Sub(held) > extension {
+		s.marks[id] = markValue{expires: m.Expires, rate: m.Rate}
+		if !ok || m.Expires.Sub(held.expires) > extension || m.Rate != held.rate {
 			s.young[id] = now.Add(youngTime)
 			news = append(news, m)
 		}
@@ -95,8 +105,8 @@
 			delete(s.young, id)
 		}
 	}
-	for id, expires := range s.marks {
-		if !expires.After(now) {
+	for id, v := range s.marks {
+		if !v.expires.After(now) {
 			delete(s.marks, id)
 		}
 	}
@@ -113,9 +123,9 @@
 // list returns the marks in force in a fixed order.
 func (s *softState) list(now time.Time) []Mark {
 	var all []Mark
-	for id, expires := range s.marks {
-		if expires.After(now) {
-			all = append(all, Mark{Host: id.host, Kind: id.kind, Incarnation: id.incarnation, Expires: expires})
+	for id, v := range s.marks {
+		if v.expires.After(now) {
+			all = append(all, Mark{Host: id.host, Kind: id.kind, Incarnation: id.incarnation, Expires: v.expires, Rate: v.rate})
 		}
 	}
 	slices.SortFunc(all, func(a, b Mark) int {
@@ -153,6 +163,7 @@
 			Kind:        m.Kind,
 			Incarnation: uint64(m.Incarnation),
 			Expires:     m.Expires.UnixNano(),
+			Rate:        m.Rate,
 		})
 	}
 	return out
@@ -202,6 +213,7 @@
 				Kind:        m.GetKind(),
 				Incarnation: core.Incarnation(m.GetIncarnation()),
 				Expires:     time.Unix(0, m.GetExpires()),
+				Rate:        m.GetRate(),
 			})
 		}
 		s.addMarks(list)
--- a/io/proxy/hear.go
+++ b/io/proxy/hear.go
@@ -13,10 +13,11 @@
 	p := c.proxy
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.limit = t.host.Limit(); c.limit.Named {
+	now := p.Clock.Now()
+	if c.limit = t.host.Limit(now); c.limit.Named {
 		p.Meter.Limited()
 	}
-	return p.Clock.Now()
+	return now
 }
 
 // hear takes in what a host says of itself in the head of an answer to a request that was
@@ -25,9 +26,17 @@
 	if head.ID != c.ask.ID {
 		return // it belongs to no request of this connection
 	}
+	p := c.proxy
 	var changed bool
-	c.proxy.Update(func(_ *fleet.View, now time.Time) { changed = t.host.Named(sent, now, head.Limit) })
+	var limit core.RateLimit
+	p.Update(func(_ *fleet.View, now time.Time) {
+		changed = t.host.Named(sent, now, head.Limit)
+		limit = t.host.Limit(now)
+	})
+	if p.Heard != nil && (changed || head.Limit.Named) {
+		p.Heard(fleet.Life{ID: t.id, Born: t.born}, limit)
+	}
 	if changed {
-		events.Log(events.UpstreamLimited, "host", t.id, "address", t.address, "limited", head.Limit.Named, "rate", head.Limit.Rate, "request", c.ask.ID)
+		events.Log(events.UpstreamLimited, "host", t.id, "address", t.address, "limited", limit.Named, "rate", limit.Rate, "request", c.ask.ID)
 	}
 }
--- a/io/proxy/pace.go
+++ b/io/proxy/pace.go
@@ -28,7 +28,7 @@
 func (c *call) takeTurn(ctx context.Context, t *target) bool {
 	p := c.proxy
 	p.mu.Lock()
-	limit := t.host.Limit()
+	limit := t.host.Limit(p.Clock.Now())
 	p.mu.Unlock()
 	if !limit.Named || p.Pacer == nil {
 		return true
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -29,6 +29,9 @@
 	Quotas core.Quotas
 	// Pacer spaces requests to upstreams that name a rate; nil where nothing is counted.
 	Pacer core.Pacer
+	// Heard, if set, is told of the rate that an upstream names in an answer, and once it
+	// names none any more.
+	Heard func(life fleet.Life, limit core.RateLimit)
 	// Behind, if set, tells that the routing table in force may not be the newest.
 	Behind func() bool
 	// RetryRatio, RetrySpare and RetrySpan are this process's part of the
@@ -107,11 +110,11 @@
 	}
 }
 
-// Paced tells whether any host names the rate of requests that it takes.
-func (p *Proxy) Paced() bool {
+// Limited returns the number of hosts that name the rate of requests that they take.
+func (p *Proxy) Limited() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.view.Limited()
+	return p.view.Limited(p.Clock.Now())
 }
 
 // wake has the requests that wait look again. The caller holds mu.
@@ -224,6 +227,7 @@
 // target is the host that an attempt goes to.
 type target struct {
 	id      core.HostName
+	born    int64
 	address netip.AddrPort
 	host    *fleet.Host
 	// unread is the prompt tokens that the host has to read for the request.
