Hear the rate that an upstream names from its agent too

Entries learned of it by their own requests and from each other only. The agent beside a model engine reads its report seven times a second: what the engine names there now reaches all entries with the report, at once. A report that names nothing lifts nothing: whether reports carry the field is not said.

--- a/core/digest/table.go
+++ b/core/digest/table.go
@@ -233,7 +233,7 @@
 func sameButAdapters(a, b *Host) bool {
 	r, s := a.Report, b.Report
 	return a.Lost == b.Lost && a.Born == b.Born && a.Planner == b.Planner && slices.Equal(a.Ended, b.Ended) &&
-		r.ID == s.ID && r.Reachable == s.Reachable && r.Leaving == s.Leaving && r.Busy == s.Busy &&
+		r.ID == s.ID && r.Reachable == s.Reachable && r.Leaving == s.Leaving && r.Limit == s.Limit && r.Busy == s.Busy &&
 		r.Loading == s.Loading && r.LoadedBy.Sub(s.LoadedBy).Abs() < loadSlack && slices.EqualFunc(r.Models, s.Models, sameModel) &&
 		slices.Equal(r.InMemory, s.InMemory) && slices.Equal(r.OnDisk, s.OnDisk)
 }
--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -41,7 +41,10 @@
 	// Reachable tells that the agent reaches the host.
 	Reachable bool
 	Leaving   bool
-	Busy      bool
+	// Limit is the rate that the host named. One that names none in a report may all the
+	// same do so in answers to requests.
+	Limit core.RateLimit
+	Busy  bool
 	Models    []core.HeldModel
 	InMemory  []core.ModelName
 	OnDisk    []core.ModelName
--- a/core/fleet/limit.go
+++ b/core/fleet/limit.go
@@ -30,7 +30,9 @@
 	}
 	if limit.Named {
 		limit.Rate = max(limit.Rate, leastRate)
-		h.limitAt = now
+		if now.After(h.limitAt) {
+			h.limitAt = now
+		}
 	} else {
 		h.turn = time.Time{}
 	}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -183,6 +183,9 @@
 		h.lostAt = time.Time{}
 		v.changes++
 	}
+	if r.Limit.Named && h.Named(r.Taken, r.Taken, r.Limit) {
+		v.changes++
+	}
 	h.Report = r
 }
 
--- a/core/manage.go
+++ b/core/manage.go
@@ -44,6 +44,8 @@
 	// Busy tells that an order is in progress, so that no other is taken.
 	Busy    bool
 	Leaving bool
+	// Limit is the rate that the upstream names.
+	Limit RateLimit
 	// Left is how long the upstream will still run, where it tells.
 	Left   time.Duration
 	Models []HeldModel
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -227,7 +227,7 @@
 		d.toldQueue = q
 		d.tell()
 	}
-	if s.Leaving != old.Leaving || s.Busy != old.Busy || !core.SameModels(s.Models, old.Models) {
+	if s.Leaving != old.Leaving || s.Limit != old.Limit || s.Busy != old.Busy || !core.SameModels(s.Models, old.Models) {
 		d.tell()
 	}
 }
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -128,7 +128,7 @@
 		InMemory: core.Texts(s.InMemory), OnDisk: core.Texts(s.OnDisk), Waiting: uint32(s.Waiting), Running: uint32(s.Running),
 		Reading: s.Reading, Age: int64(now.Sub(d.taken)), Reachable: !d.lost && !d.taken.IsZero(), Lost: d.lost,
 		Ended:   core.Texts(d.lives.Ended(now)),
-		Loading: string(d.loading.model), Born: s.Born,
+		Loading: string(d.loading.model), Born: s.Born, Limited: s.Limit.Named, Rate: s.Limit.Rate,
 	}
 	if d.loading.model != "" {
 		out.LoadLeft = int64(d.loading.by.Sub(now))
