--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -43,11 +43,11 @@
 	Leaving   bool
 	// Limit is the rate that the host named. One that names none in a report may all the
 	// same do so in answers to requests.
-	Limit core.RateLimit
-	Busy  bool
-	Models    []core.HeldModel
-	InMemory  []core.ModelName
-	OnDisk    []core.ModelName
+	Limit    core.RateLimit
+	Busy     bool
+	Models   []core.HeldModel
+	InMemory []core.ModelName
+	OnDisk   []core.ModelName
 	// Waiting and Running count requests; Reading is the prompt tokens of those that
 	// are being read.
 	Waiting, Running, Reading int
