Ask again for a host's next turn after half a second

An entry that had just started counted ten entries and was told of a turn ten seconds away; it refused callers by that word though it knew its peers, and the whole rate, a moment later.

--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -94,8 +94,8 @@
 	limit   core.RateLimit
 	limitAt time.Time
 	// turn is when the host takes this process's next request, as far as is known of a
-	// host that names a rate.
-	turn time.Time
+	// host that names a rate, and turnAt when that was known.
+	turn, turnAt time.Time
 }
 
 // sending is prompt tokens that were sent to a host.
--- a/core/fleet/limit.go
+++ b/core/fleet/limit.go
@@ -13,6 +13,10 @@
 // LimitAge is how long a rate counts after it was last named.
 const LimitAge = time.Minute
 
+// turnAge is how long what is known of a host's next turn counts: others give turns back,
+// and the part of the rate that is counted here grows.
+const turnAge = 500 * time.Millisecond
+
 // Limit returns the rate that the host takes from all entries together.
 func (h *Host) Limit(now time.Time) core.RateLimit {
 	if now.Sub(h.limitAt) >= LimitAge {
@@ -47,12 +51,12 @@
 	if taken && at.After(now) {
 		at = at.Add(time.Duration(float64(time.Second) / h.limit.Rate))
 	}
-	h.turn = at
+	h.turn, h.turnAt = at, now
 }
 
 // untilTurn returns how long requests wait for the host's next turn.
 func (h *Host) untilTurn(now time.Time) time.Duration {
-	if !h.Limit(now).Named {
+	if !h.Limit(now).Named || now.Sub(h.turnAt) >= turnAge {
 		return 0
 	}
 	return max(0, h.turn.Sub(now))
--- a/core/fleet/limit_test.go
+++ b/core/fleet/limit_test.go
@@ -41,3 +41,21 @@
 	v.Apply(fleet.Entry{ID: "i-1", Born: 6, Usable: true})
 	assert.Equal(t, v.Limited(t0), 0)
 }
+
+// Guards against requests that are refused by a word on the next turn that holds no more.
+func TestTurn(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	var v fleet.View
+	v.Apply(fleet.Entry{ID: "i-1", Service: "s", Usable: true})
+	h := v.Host("i-1")
+	h.Named(t0, t0, core.RateLimit{Named: true, Rate: 2})
+	wait := func(after time.Duration) time.Duration {
+		return v.Pick(t0.Add(after), &fleet.Query{Service: "s"}).Turn
+	}
+	assert.Equal(t, wait(0), time.Duration(0))
+	h.Turn(t0, t0.Add(10*time.Second), false)
+	assert.Equal(t, wait(100*time.Millisecond), 9900*time.Millisecond)
+	assert.Equal(t, wait(600*time.Millisecond), time.Duration(0), "it is asked for again")
+	h.Turn(t0, t0.Add(100*time.Millisecond), true)
+	assert.Equal(t, wait(0), 600*time.Millisecond, "the one after the turn that was taken")
+}
