Keep what an upstream names over the lapse of its registry entry

A host's entry lapses while the store is out; when it came back, in the same life, the host was taken for one that had named nothing, and a rate that other entries told of before the entry was read was dropped. What a life of a host says now belongs to the life, listed or not.

TestLimitOutlastsEntry failed before.

--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -90,14 +90,11 @@
 	// absent are the models that the host said it does not hold, and till when
 	// that counts above what it reported.
 	absent map[core.ModelName]time.Time
-	// limit is the rate that the host names, and limitAt when it last named one.
-	limit   core.RateLimit
-	limitAt time.Time
-	// turn is when the host takes this process's next request, as far as is known of a
-	// host that names a rate, and turnAt when that was known.
-	turn, turnAt time.Time
+	*word
 }
 
+func (h *Host) life() Life { return Life{ID: h.ID, Born: h.Born} }
+
 // sending is prompt tokens that were sent to a host.
 type sending struct {
 	at     time.Time
--- a/core/fleet/limit.go
+++ b/core/fleet/limit.go
@@ -18,48 +18,48 @@
 const turnAge = 500 * time.Millisecond
 
 // Limit returns the rate that the host takes from all entries together.
-func (h *Host) Limit(now time.Time) core.RateLimit {
-	if now.Sub(h.limitAt) >= LimitAge {
+func (w *word) Limit(now time.Time) core.RateLimit {
+	if now.Sub(w.limitAt) >= LimitAge {
 		return core.RateLimit{}
 	}
-	return h.limit
+	return w.limit
 }
 
 // Named takes in the rate that an answer names to a request that was sent at a time, and
 // tells whether it is another than before. Answers overtake each other: one to a request
 // that was sent before the host last named a rate does not lift it.
-func (h *Host) Named(sent, now time.Time, limit core.RateLimit) bool {
-	if !limit.Named && !sent.After(h.limitAt) {
+func (w *word) Named(sent, now time.Time, limit core.RateLimit) bool {
+	if !limit.Named && !sent.After(w.limitAt) {
 		return false
 	}
 	if limit.Named {
 		limit.Rate = max(limit.Rate, leastRate)
-		if now.After(h.limitAt) {
-			h.limitAt = now
+		if now.After(w.limitAt) {
+			w.limitAt = now
 		}
 	} else {
-		h.turn = time.Time{}
+		w.turn = time.Time{}
 	}
-	changed := limit != h.limit
-	h.limit = limit
+	changed := limit != w.limit
+	w.limit = limit
 	return changed
 }
 
 // Turn takes in when the host, which names a rate, takes a request, and whether that turn
 // was taken.
-func (h *Host) Turn(now, at time.Time, taken bool) {
-	if taken && at.After(now) {
-		at = at.Add(time.Duration(float64(time.Second) / h.limit.Rate))
+func (w *word) Turn(now, at time.Time, taken bool) {
+	if taken && at.After(now) && w.limit.Named {
+		at = at.Add(time.Duration(float64(time.Second) / w.limit.Rate))
 	}
-	h.turn, h.turnAt = at, now
+	w.turn, w.turnAt = at, now
 }
 
 // untilTurn returns how long requests wait for the host's next turn.
-func (h *Host) untilTurn(now time.Time) time.Duration {
-	if !h.Limit(now).Named || now.Sub(h.turnAt) >= turnAge {
+func (w *word) untilTurn(now time.Time) time.Duration {
+	if !w.Limit(now).Named || now.Sub(w.turnAt) >= turnAge {
 		return 0
 	}
-	return max(0, h.turn.Sub(now))
+	return max(0, w.turn.Sub(now))
 }
 
 // Limited returns the number of hosts that name a rate.
@@ -72,9 +72,7 @@
 	return n
 }
 
-// NamedElsewhere takes in the rate that a host named to another process.
+// NamedElsewhere takes in the rate that a life of a host named to another process.
 func (v *View) NamedElsewhere(now time.Time, life Life, limit core.RateLimit) {
-	if h := v.hosts[life.ID]; h != nil && h.Born == life.Born {
-		h.Named(now, now, limit)
-	}
+	v.wordOf(life).Named(now, now, limit)
 }
--- a/core/fleet/limit_test.go
+++ b/core/fleet/limit_test.go
@@ -14,7 +14,9 @@
 	t0 := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
 	one := core.RateLimit{Named: true, Rate: 1}
-	h := &fleet.Host{}
+	var v fleet.View
+	v.Apply(fleet.Entry{ID: "i-1"})
+	h := v.Host("i-1")
 	assert.Assert(t, !h.Named(at(0), at(10), core.RateLimit{}), "nothing has changed")
 	assert.Assert(t, h.Named(at(20), at(30), one))
 	assert.Equal(t, h.Limit(at(50)), one)
@@ -40,6 +42,11 @@
 	assert.Equal(t, v.Host("i-1").Limit(t0), one)
 	v.Apply(fleet.Entry{ID: "i-1", Born: 6, Usable: true})
 	assert.Equal(t, v.Limited(t0), 0)
+	t.Run("of a life that is listed later", func(t *testing.T) {
+		v.NamedElsewhere(t0, fleet.Life{ID: "i-3", Born: 1}, one)
+		v.Apply(fleet.Entry{ID: "i-3", Born: 1})
+		assert.Equal(t, v.Host("i-3").Limit(t0), one)
+	})
 }
 
 // Guards against requests that are refused by a word on the next turn that holds no more.
@@ -59,3 +66,21 @@
 	h.Turn(t0, t0.Add(100*time.Millisecond), true)
 	assert.Equal(t, wait(0), 600*time.Millisecond, "the one after the turn that was taken")
 }
+
+// Guards against a host that is sent more than the rate that it names since its entry lapsed
+// with the store and came back.
+func TestLimitOutlastsEntry(t *testing.T) {
+	one := core.RateLimit{Named: true, Rate: 1}
+	v := view(entry("i-1", "m"))
+	h := v.Host("i-1")
+	v.Remove(t0, "i-1")
+	h.Named(t0, t0, one) // the answer to a request that was in progress
+	v.Apply(entry("i-1", "m"))
+	assert.Equal(t, v.Host("i-1").Limit(after(time.Second)), one)
+	// Guards against words on lives that are gone which are kept for good.
+	for i := range 1000 {
+		v.NamedElsewhere(t0, fleet.Life{ID: "i-9", Born: int64(i)}, one)
+	}
+	assert.Assert(t, fleet.Words(v) < 300)
+	assert.Equal(t, v.Host("i-1").Limit(after(time.Second)), one)
+}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -33,6 +33,10 @@
 	// lapsed are hosts whose entry went away around an outage of the store, by
 	// when they are given up.
 	lapsed map[core.HostName]time.Time
+	// words are what the lives of hosts say of themselves, and unlisted those that the
+	// registry did not list at some time, the oldest first.
+	words    map[Life]*word
+	unlisted []Life
 	// troubled is when the store last failed.
 	troubled time.Time
 	changes  uint64
@@ -49,6 +53,7 @@
 		v.hosts = map[core.HostName]*Host{}
 		v.at = map[netip.AddrPort][]*Host{}
 		v.lapsed = map[core.HostName]time.Time{}
+		v.words = map[Life]*word{}
 	}
 }
 
@@ -125,6 +130,7 @@
 
 // put adds a host.
 func (v *View) put(h *Host) {
+	h.word = v.wordOf(h.life())
 	v.hosts[h.ID] = h
 	v.at[h.Address] = append(v.at[h.Address], h)
 	v.supersede(h.Address)
@@ -136,6 +142,7 @@
 		return
 	}
 	delete(v.hosts, h.ID)
+	v.gone(h.life())
 	v.at[h.Address] = slices.DeleteFunc(v.at[h.Address], func(o *Host) bool { return o == h })
 	if len(v.at[h.Address]) == 0 {
 		delete(v.at, h.Address)
