Tell in logs and metrics which upstreams say that they leave, and what they get since

The field is read now, kept with the upstream's life and told: an event when it is first said (RW1820), for how long it had been said in each request's line, a count of requests sent all the same. No decision rests on it yet.

--- a/core/fleet/word.go
+++ b/core/fleet/word.go
@@ -18,6 +18,26 @@
 	// turn is when the host takes this process's next request, as far as is known of a
 	// host that names a rate, and turnAt when that was known.
 	turn, turnAt time.Time
+	// leftAt is when the host first said that it leaves, zero while it has not.
+	leftAt time.Time
+}
+
+// Left returns for how long the host is known to say, in its answers, that it leaves;
+// false where it does not.
+func (w *word) Left(now time.Time) (since time.Duration, ok bool) {
+	if w.leftAt.IsZero() {
+		return 0, false
+	}
+	return now.Sub(w.leftAt), true
+}
+
+// Leaves takes in that the host says it leaves, and tells whether that is news.
+func (w *word) Leaves(now time.Time) bool {
+	if !w.leftAt.IsZero() {
+		return false
+	}
+	w.leftAt = now
+	return true
 }
 
 // wordOf returns the word of a life, whether the registry lists it or not.
--- a/core/proto.go
+++ b/core/proto.go
@@ -82,6 +82,8 @@
 	NotRun bool
 	// Limit is the rate that the upstream names.
 	Limit RateLimit
+	// Leaving tells that the upstream says it leaves.
+	Leaving bool
 }
 
 // RateLimit is the requests a second that an upstream takes from all entries together.
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -88,6 +88,7 @@
 	EngineGivenUp
 	KeeperChanged
 	UpstreamLimited
+	UpstreamLeaving
 	eventCount
 )
 
@@ -203,6 +204,7 @@
 	{Event: EngineGivenUp, Name: "engine-given-up", Severity: Info, Text: "Entry no longer orders an engine that has no agent", Advice: "Nothing, unless no other entry takes it on within half a minute: then look whether entries reach the platform's store."},
 	{Event: KeeperChanged, Name: "keeper-changed", Severity: Info, Text: "Another entry counts what customers use of their allowances", Advice: "Nothing, unless it changes every few seconds: then look whether entries reach each other."},
 	{Event: UpstreamLimited, Name: "upstream-limited", Severity: Warning, Text: "Upstream names another rate of requests than before", Advice: "If it lasts, the service needs more hosts, or its models more copies."},
+	{Event: UpstreamLeaving, Name: "upstream-leaving", Severity: Info, Text: "Upstream says in an answer that it leaves", Advice: noAction},
 })
 
 // First numbers of the groups: a group starts at the next hundred, so that
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -100,6 +100,13 @@
 	}
 }
 
+// SentLeaving counts a request sent to an upstream that had said that it leaves.
+func (m *Meter) SentLeaving() {
+	if m != nil {
+		m.count(nameSentLeaving).Inc()
+	}
+}
+
 // AnswerBytes counts bytes of answers' bodies.
 func (m *Meter) AnswerBytes(n int) {
 	if m != nil && n > 0 {
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -59,6 +59,7 @@
 	m.Retry(true)
 	m.Retry(false)
 	m.Limited()
+	m.SentLeaving()
 	m.LimitedUpstreams(func() int { return 1 })
 	m.AnswerBytes(120)
 	m.Platform(meter.UpdateStatus, &core.PlatformError{Fault: core.Conflict}, began, after(5*time.Millisecond))
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -53,6 +53,7 @@
 	nameClaims      = "radishwell_claims_total"
 	nameLimited     = "radishwell_limited_sends_total"
 	nameLimitedUps  = "radishwell_limited_upstreams"
+	nameSentLeaving = "radishwell_leaving_sends_total"
 )
 
 var table = []Row{
@@ -82,6 +83,7 @@
 	{nameStrikes, Counter, nil, "", "Requests struck because an engine failed with them in it."},
 	{nameClaims, Counter, []string{"result"}, "", "Claims of idempotency keys."},
 	{nameLimited, Counter, nil, "", "Requests sent to upstreams that had named the rate of requests that they take."},
+	{nameSentLeaving, Counter, nil, "", "Requests sent to upstreams that had said in an answer that they leave."},
 	{nameLimitedUps, Gauge, nil, "", "Upstreams that name the rate of requests that they take, as this process has heard."},
 }
 
--- a/io/proxy/hear.go
+++ b/io/proxy/hear.go
@@ -17,6 +17,9 @@
 	if c.limit = t.host.Limit(now); c.limit.Named {
 		p.Meter.Limited()
 	}
+	if c.left, c.leaving = t.host.Left(now); c.leaving {
+		p.Meter.SentLeaving()
+	}
 	return now
 }
 
@@ -27,11 +30,12 @@
 		return // it belongs to no request of this connection
 	}
 	p := c.proxy
-	var changed bool
+	var changed, leaves bool
 	var limit core.RateLimit
 	p.Update(func(_ *fleet.View, now time.Time) {
 		changed = t.host.Named(sent, now, head.Limit)
 		limit = t.host.Limit(now)
+		leaves = head.Leaving && t.host.Leaves(now)
 	})
 	if p.Heard != nil && (changed || head.Limit.Named) {
 		p.Heard(fleet.Life{ID: t.id, Born: t.born}, limit)
@@ -39,4 +43,7 @@
 	if changed {
 		events.Log(events.UpstreamLimited, "host", t.id, "address", t.address, "limited", limit.Named, "rate", limit.Rate, "request", c.ask.ID)
 	}
+	if leaves {
+		events.Log(events.UpstreamLeaving, "host", t.id, "address", t.address, "request", c.ask.ID)
+	}
 }
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -55,6 +55,9 @@
 	if c.limit.Named {
 		pairs = append(pairs, "limit", c.limit.Rate)
 	}
+	if c.leaving {
+		pairs = append(pairs, "leaving-for", c.left.Round(time.Millisecond))
+	}
 	if c.last != nil {
 		pairs = append(pairs, "cause", c.last.Error())
 	}
