Show that an upstream which says that it leaves gets further requests

Eight of eight requests after the answer that says so reach it, and on all four kinds of routes, where the answer was passed on whole. Where it was turned away, failed or cut, the upstream was left for its failure.

--- /dev/null
+++ b/io/proxy/leave_test.go
@@ -0,0 +1,61 @@
+package proxy_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/platform/stand"
+)
+
+// Guards against requests that reach an upstream after it has said in an answer that it
+// leaves, whatever became of that answer.
+func TestLeavingUpstreamGetsNoMore(t *testing.T) {
+	// settled has p-1 say that it leaves in the answer to a first request, which meets a
+	// trick, and returns the rig with another upstream.
+	settled := func(t *testing.T, trick stand.Trick, path string) (*rig, *stand.Worker) {
+		t.Helper()
+		r := newRig(t)
+		service, more := "plain", []string{}
+		if path == "/stream/" || path == "/resumed/" {
+			service, more = "llm", []string{"X-Radishwell-Model", "m"}
+		}
+		w := r.add(t, core.ServiceName(service), &stand.Worker{ID: "p-1", Events: 4})
+		w.Set(trick)
+		w.Leave()
+		r.add(t, core.ServiceName(service), &stand.Worker{ID: "p-2", Events: 4})
+		for n := 0; len(w.Requests()) == 0; n++ {
+			do(t, r.ask(t, http.MethodPost, path+"x", fmt.Sprint("first-", n), more...))
+		}
+		w.Set(stand.Honest)
+		return r, w
+	}
+	for _, path := range []string{"/once/", "/again/", "/stream/", "/resumed/"} {
+		for name, trick := range map[string]stand.Trick{
+			"whole": stand.Honest, "turned away": stand.Shed, "failed": stand.Failing, "not signed": stand.Unsigned,
+			"without a word on whether it ran": stand.Vague, "cut after its head": stand.Crash, "cut in the middle": stand.Short,
+		} {
+			t.Run(path+" "+name, func(t *testing.T) {
+				r, w := settled(t, trick, path)
+				for i := range 8 {
+					a := do(t, r.ask(t, http.MethodPost, path+"x", fmt.Sprint("q-", i), "X-Radishwell-Model", "m"))
+					wantStatus(t, a, http.StatusOK)
+				}
+				assert.Equal(t, len(w.Requests()), 1)
+			})
+		}
+	}
+	t.Run("without another its callers are refused at once", func(t *testing.T) {
+		r := newRig(t)
+		w := plain(t, r, "p-1")[0]
+		w.Leave()
+		wantStatus(t, do(t, r.ask(t, http.MethodPost, "/once/x", "first")), http.StatusOK)
+		a := do(t, r.ask(t, http.MethodPost, "/once/x", "q"))
+		wantStatus(t, a, http.StatusServiceUnavailable)
+		assert.Assert(t, a.header.Get("Retry-After") != "")
+		assert.Equal(t, len(w.Requests()), 1)
+	})
+}
