Send nothing more to an upstream that says in an answer that it leaves

Cause: nothing read the field. That an upstream leaves was known from the registry and from agents only; a plain service has no agents, and the registry could not be written.

Ruled out: knowledge that was lost (there was none), and late sends: the request at 38.377 s was sent 4 ms after its caller sent it. The first would have come next, though: an entry that lapses with the store and comes back was taken for a new host.

The word now counts from the answer's head on, whatever becomes of the answer, belongs to the life of the upstream, and goes to other entries as a mark. Agents read it in reports. What was chosen before and has waited since is checked again before it is sent. A plain service whose hosts all leave refuses at once and says when to come back; models are loaded elsewhere.

--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -172,5 +172,9 @@
 // the registry nor its agent says that it has ended or cannot be reached.
 func (h *Host) Runs(now time.Time) bool { return h.Usable && !h.Outlived() && !h.Lost(now) }
 
-// IsLeaving tells whether either source calls the host leaving.
-func (h *Host) IsLeaving() bool { return h.Entry.Leaving || h.Report.Leaving }
+// IsLeaving tells whether the registry, the host's agent or the host itself says that it
+// leaves.
+func (h *Host) IsLeaving(now time.Time) bool {
+	_, left := h.Left(now)
+	return left || h.Entry.Leaving || h.Report.Leaving
+}
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -84,6 +84,8 @@
 	// Listed tells that the service has hosts that may get work, whatever they
 	// hold.
 	Listed bool
+	// Leaving tells that the service has hosts that run and leave.
+	Leaving bool
 	// Cost is what the host was weighed by, in milliseconds.
 	Cost float64
 	// Wait is when the host should give its first answer, from now.
@@ -115,7 +117,11 @@
 func (v *View) Pick(now time.Time, q *Query) Choice {
 	var best Choice
 	for _, h := range v.hosts {
-		if q.Service != "" && q.Service != h.Service || !h.Runs(now) || h.IsLeaving() {
+		if q.Service != "" && q.Service != h.Service || !h.Runs(now) {
+			continue
+		}
+		if h.IsLeaving(now) {
+			best.Leaving = true
 			continue
 		}
 		best.Listed = true
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -113,7 +113,7 @@
 	if v.hosts[id] == nil {
 		return
 	}
-	if !v.troubled.IsZero() && now.Sub(v.troubled) < lapseAfter && !v.hosts[id].IsLeaving() {
+	if !v.troubled.IsZero() && now.Sub(v.troubled) < lapseAfter && !v.hosts[id].IsLeaving(now) {
 		if _, waiting := v.lapsed[id]; !waiting {
 			v.lapsed[id] = now.Add(lapseGrace)
 		}
--- a/core/fleet/view_test.go
+++ b/core/fleet/view_test.go
@@ -76,6 +76,30 @@
 		v.Apply(entry("i-1", "m"))
 		wantPick(t, v, t0, "")
 	})
+	t.Run("by its own word, which the lapse of its entry does not end", func(t *testing.T) {
+		v := view(entry("i-1", "m"))
+		assert.Assert(t, v.Leaves(t0, fleet.Life{ID: "i-1"}))
+		assert.Assert(t, !v.Leaves(t0, fleet.Life{ID: "i-1"}), "it is no news twice")
+		c := wantPick(t, v, t0, "")
+		assert.Assert(t, c.Leaving && !c.Listed)
+		v.Remove(t0, "i-1")
+		v.Apply(entry("i-1", "m"))
+		wantPick(t, v, after(time.Second), "")
+	})
+	t.Run("by its own word, which holds for its life only", func(t *testing.T) {
+		v := view(entry("i-1", "m"))
+		v.Leaves(t0, fleet.Life{ID: "i-1"})
+		again := entry("i-1", "m")
+		again.Born = 7
+		v.Apply(again)
+		wantPick(t, v, t0, "i-1")
+	})
+	t.Run("by a word from elsewhere that comes before its entry", func(t *testing.T) {
+		v := view()
+		v.Leaves(t0, fleet.Life{ID: "i-1"})
+		v.Apply(entry("i-1", "m"))
+		wantPick(t, v, t0, "")
+	})
 	t.Run("removal without a word", func(t *testing.T) {
 		v := view(entry("i-1", "m"))
 		v.Remove(t0, "i-1")
--- a/core/fleet/word.go
+++ b/core/fleet/word.go
@@ -9,6 +9,9 @@
 // mostGone is how many lives that the registry does not list are remembered by their word.
 const mostGone = 256
 
+// LeaveAge is how long a host's word that it leaves counts: by then it has left.
+const LeaveAge = 10 * time.Minute
+
 // word is what one life of a host says of itself in its answers. It outlasts the host's
 // entry in the registry, which lapses while the store is out and comes back.
 type word struct {
@@ -25,18 +28,21 @@
 // Left returns for how long the host is known to say, in its answers, that it leaves;
 // false where it does not.
 func (w *word) Left(now time.Time) (since time.Duration, ok bool) {
-	if w.leftAt.IsZero() {
+	since = now.Sub(w.leftAt)
+	if w.leftAt.IsZero() || since >= LeaveAge {
 		return 0, false
 	}
-	return now.Sub(w.leftAt), true
+	return since, true
 }
 
-// Leaves takes in that the host says it leaves, and tells whether that is news.
-func (w *word) Leaves(now time.Time) bool {
-	if !w.leftAt.IsZero() {
+// Leaves takes in that a life of a host says it leaves, and tells whether that is news.
+func (v *View) Leaves(now time.Time, life Life) bool {
+	w := v.wordOf(life)
+	if _, ok := w.Left(now); ok {
 		return false
 	}
 	w.leftAt = now
+	v.changes++
 	return true
 }
 
--- a/io/deploy/heard.go
+++ b/io/deploy/heard.go
@@ -12,7 +12,7 @@
 // themselves in answers. One that sends an upstream little hears of it late, and what all
 // entries send counts there.
 func (e *entry) shareHeard() {
-	e.proxy.Heard = e.spreadLimit
+	e.proxy.Heard, e.proxy.HeardLeaving = e.spreadLimit, e.spreadLeaving
 	e.state.Marked = e.takeMarks
 	e.meter.LimitedUpstreams(e.proxy.Limited)
 }
@@ -25,13 +25,24 @@
 	})
 }
 
+// spreadLeaving tells other entries of an upstream that leaves.
+func (e *entry) spreadLeaving(life fleet.Life) {
+	e.state.Mark(peer.Mark{
+		Host: life.ID, Incarnation: core.Incarnation(life.Born), Kind: peer.MarkLeaving,
+		Expires: e.clock.Now().Add(fleet.LeaveAge),
+	})
+}
+
 // takeMarks takes in what other entries have heard.
 func (e *entry) takeMarks(marks []peer.Mark) {
 	e.proxy.Update(func(v *fleet.View, now time.Time) {
 		for _, m := range marks {
-			if m.Kind == peer.MarkLimited {
-				limit := core.RateLimit{Named: m.Rate > 0, Rate: m.Rate}
-				v.NamedElsewhere(now, fleet.Life{ID: m.Host, Born: int64(m.Incarnation)}, limit)
+			life := fleet.Life{ID: m.Host, Born: int64(m.Incarnation)}
+			switch m.Kind {
+			case peer.MarkLimited:
+				v.NamedElsewhere(now, life, core.RateLimit{Named: m.Rate > 0, Rate: m.Rate})
+			case peer.MarkLeaving:
+				v.Leaves(now, life)
 			}
 		}
 	})
--- a/io/deploy/planner.go
+++ b/io/deploy/planner.go
@@ -251,7 +251,7 @@
 
 func viewHost(h *fleet.Host, s *rtable.Service, now time.Time, follows bool) *copies.Host {
 	out := &copies.Host{
-		ID: h.ID, Open: follows && h.Fresh(now) && !h.Report.Busy && !h.IsLeaving(), Leaving: h.IsLeaving(),
+		ID: h.ID, Open: follows && h.Fresh(now) && !h.Report.Busy && !h.IsLeaving(now), Leaving: h.IsLeaving(now),
 		Seen: h.Report.Taken, Memory: s.Memory, Active: map[core.ModelName]int{},
 		Loading: h.Report.Loading, LoadedBy: h.Report.LoadedBy, Limit: h.Limit(now),
 	}
--- a/io/proxy/hear.go
+++ b/io/proxy/hear.go
@@ -32,13 +32,17 @@
 	p := c.proxy
 	var changed, leaves bool
 	var limit core.RateLimit
-	p.Update(func(_ *fleet.View, now time.Time) {
+	life := fleet.Life{ID: t.id, Born: t.born}
+	p.Update(func(v *fleet.View, now time.Time) {
 		changed = t.host.Named(sent, now, head.Limit)
 		limit = t.host.Limit(now)
-		leaves = head.Leaving && t.host.Leaves(now)
+		leaves = head.Leaving && v.Leaves(now, life)
 	})
 	if p.Heard != nil && (changed || head.Limit.Named) {
-		p.Heard(fleet.Life{ID: t.id, Born: t.born}, limit)
+		p.Heard(life, limit)
+	}
+	if p.HeardLeaving != nil && leaves {
+		p.HeardLeaving(life)
 	}
 	if changed {
 		events.Log(events.UpstreamLimited, "host", t.id, "address", t.address, "limited", limit.Named, "rate", limit.Rate, "request", c.ask.ID)
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -32,6 +32,8 @@
 	// Heard, if set, is told of the rate that an upstream names in an answer, and once it
 	// names none any more.
 	Heard func(life fleet.Life, limit core.RateLimit)
+	// HeardLeaving, if set, is told once an upstream says in an answer that it leaves.
+	HeardLeaving func(life fleet.Life)
 	// Behind, if set, tells that the routing table in force may not be the newest.
 	Behind func() bool
 	// RetryRatio, RetrySpare and RetrySpan are this process's part of the
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -15,6 +15,9 @@
 	unorderedTime = 3 * time.Second
 	// unorderedBack is after how long their callers are told to come back.
 	unorderedBack = 2 * time.Second
+	// replacedBack is after how long callers are told to come back whose service has only
+	// hosts that leave: others are listed by then if they have started.
+	replacedBack = time.Second
 )
 
 // acquire returns the host that the request goes to next. It waits while no host
@@ -34,7 +37,7 @@
 			return nil, refusal
 		}
 		if t != nil {
-			if c.takeTurn(ctx, t) && c.hasAdapter(ctx, t, fetch) {
+			if c.takeTurn(ctx, t) && c.hasAdapter(ctx, t, fetch) && c.stillTakes(t) {
 				return t, c.chargeAgain(ctx, t)
 			}
 			if ctx.Err() != nil {
@@ -74,6 +77,20 @@
 	return false
 }
 
+// stillTakes tells whether the host that was chosen takes work after the time that was
+// spent on the request since. Where it does not, it is abandoned.
+func (c *call) stillTakes(t *target) bool {
+	p := c.proxy
+	p.mu.Lock()
+	now := p.Clock.Now()
+	ok := t.host.Runs(now) && !t.host.IsLeaving(now)
+	p.mu.Unlock()
+	if !ok {
+		c.abandon(t)
+	}
+	return ok
+}
+
 // choose picks a host and notes the request there; nil where none can take it.
 func (c *call) choose() (t *target, fetch bool, changed chan struct{}, refusal *core.Refusal) {
 	p := c.proxy
@@ -85,7 +102,7 @@
 		return nil, false, nil, c.lost() // the failure is the answer
 	}
 	if choice.Host == nil {
-		return nil, false, p.changed, c.hopeless(now)
+		return nil, false, p.changed, c.hopeless(now, choice)
 	}
 	c.foresee(now, choice)
 	if c.awaits(choice) {
@@ -132,7 +149,10 @@
 // leaves, which callers of silent streams do long before their deadline. Told at
 // once when to come back, they find the model there. The caller holds the proxy's
 // mu.
-func (c *call) hopeless(now time.Time) *core.Refusal {
+func (c *call) hopeless(now time.Time, choice fleet.Choice) *core.Refusal {
+	if c.query.Model == "" && choice.Leaving && !choice.Listed && c.ran == 0 {
+		return core.RefuseUntil(core.CodeNoHost, "all hosts of the service leave", c.back(replacedBack))
+	}
 	at, ok := c.proxy.ready[c.query.Model]
 	if !ok && c.unordered(now) {
 		return core.RefuseUntil(core.CodeWaitTooLong, "no host holds the model and none can be ordered to load it", c.back(unorderedBack))
