--- a/io/meter/labels.go
+++ b/io/meter/labels.go
@@ -57,6 +57,23 @@
 // String returns the cause's name.
 func (c UnloadCause) String() string { return nameOf(unloadCauseNames[:], int(c)) }
 
+// UpstreamWord is what an upstream says of itself in its answers.
+type UpstreamWord int
+
+// Words of upstreams.
+const (
+	// WordLimited: it takes so many requests a second.
+	WordLimited UpstreamWord = iota
+	// WordLeaving: it leaves.
+	WordLeaving
+	upstreamWordCount
+)
+
+var upstreamWordNames = [upstreamWordCount]string{"limited", "leaving"}
+
+// String returns the word's name.
+func (w UpstreamWord) String() string { return nameOf(upstreamWordNames[:], int(w)) }
+
 // ClaimResult is how a claim of an idempotency key ended.
 type ClaimResult int
 
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -93,17 +93,10 @@
 	m.count(nameRetries, "result", text).Inc()
 }
 
-// Limited counts a request sent to an upstream that had named a rate.
-func (m *Meter) Limited() {
+// SentOnWord counts a request sent to an upstream that had said something of itself.
+func (m *Meter) SentOnWord(w UpstreamWord) {
 	if m != nil {
-		m.count(nameLimited).Inc()
-	}
-}
-
-// SentLeaving counts a request sent to an upstream that had said that it leaves.
-func (m *Meter) SentLeaving() {
-	if m != nil {
-		m.count(nameSentLeaving).Inc()
+		m.count(nameWordSends, "word", w.String()).Inc()
 	}
 }
 
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -51,9 +51,8 @@
 	nameSilent      = "radishwell_silent_connections_total"
 	nameStrikes     = "radishwell_strikes_total"
 	nameClaims      = "radishwell_claims_total"
-	nameLimited     = "radishwell_limited_sends_total"
+	nameWordSends   = "radishwell_upstream_word_sends_total"
 	nameLimitedUps  = "radishwell_limited_upstreams"
-	nameSentLeaving = "radishwell_leaving_sends_total"
 )
 
 var table = []Row{
@@ -82,8 +81,7 @@
 	{nameSilent, Counter, nil, "", "Connections closed because they went silent."},
 	{nameStrikes, Counter, nil, "", "Requests struck because an engine failed with them in it."},
 	{nameClaims, Counter, []string{"result"}, "", "Claims of idempotency keys."},
-	{nameLimited, Counter, nil, "", "Requests sent to upstreams that had named the rate of requests that they take."},
-	{nameSentLeaving, Counter, nil, "", "Requests sent to upstreams that had said in an answer that they leave."},
+	{nameWordSends, Counter, []string{"word"}, "", "Requests sent to upstreams that had said something of themselves: that they leave, or the rate of requests that they take."},
 	{nameLimitedUps, Gauge, nil, "", "Upstreams that name the rate of requests that they take, as this process has heard."},
 }
 
--- a/io/proxy/hear.go
+++ b/io/proxy/hear.go
@@ -6,6 +6,7 @@
 	"radishwell/core"
 	"radishwell/core/fleet"
 	"radishwell/io/events"
+	"radishwell/io/meter"
 )
 
 // sending notes what is known of a host as a request is sent there, and returns when.
@@ -15,10 +16,10 @@
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	if c.limit = t.host.Limit(now); c.limit.Named {
-		p.Meter.Limited()
+		p.Meter.SentOnWord(meter.WordLimited)
 	}
 	if c.left, c.leaving = t.host.Left(now); c.leaving {
-		p.Meter.SentLeaving()
+		p.Meter.SentOnWord(meter.WordLeaving)
 	}
 	return now
 }
