Tell in logs and metrics which upstreams want no requests for a time, and what they get

An upstream that turns a request away with 503 may say for how long it wants nothing from that entry. The word is read now, kept with the upstream's life and told: an event when it begins (RW1821), a pair in the line of each request sent all the same, a count of these. No decision rests on it yet.

--- a/core/fleet/word.go
+++ b/core/fleet/word.go
@@ -23,6 +23,25 @@
 	turn, turnAt time.Time
 	// leftAt is when the host first said that it leaves, zero while it has not.
 	leftAt time.Time
+	// restTill is until when the host wants no requests of this process, having turned
+	// one away.
+	restTill time.Time
+}
+
+// Resting returns until when the host wants no requests of this process; false where it
+// takes them.
+func (w *word) Resting(now time.Time) (till time.Time, ok bool) {
+	return w.restTill, now.Before(w.restTill)
+}
+
+// Rests takes in until when the host wants no requests of this process, and tells whether
+// it took them until now.
+func (w *word) Rests(now, till time.Time) bool {
+	_, resting := w.Resting(now)
+	if till.After(w.restTill) {
+		w.restTill = till
+	}
+	return !resting && now.Before(till)
 }
 
 // Left returns for how long the host is known to say, in its answers, that it leaves;
--- a/core/proto.go
+++ b/core/proto.go
@@ -84,6 +84,9 @@
 	Limit RateLimit
 	// Leaving tells that the upstream says it leaves.
 	Leaving bool
+	// RestTill is when this process may send to the upstream again, which has turned the
+	// request away; zero where it does not say.
+	RestTill time.Time
 }
 
 // RateLimit is the requests a second that an upstream takes from all entries together.
@@ -102,8 +105,9 @@
 	// that concern only its connection or that callers may not set, and without
 	// credentials.
 	Forward(header map[string][]string, h Hop) map[string][]string
-	// Answer reads the head of an upstream's answer.
-	Answer(header map[string][]string) AnswerHead
+	// Answer reads the head of an upstream's answer, with its HTTP status, which came at
+	// a time.
+	Answer(header map[string][]string, status int, now time.Time) AnswerHead
 	// Reply returns the fields of an upstream's answer that callers get.
 	Reply(header map[string][]string) map[string][]string
 	// Refuse returns the fields of a refusal to a request: when to come back,
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -89,6 +89,7 @@
 	KeeperChanged
 	UpstreamLimited
 	UpstreamLeaving
+	UpstreamRests
 	eventCount
 )
 
@@ -205,6 +206,7 @@
 	{Event: KeeperChanged, Name: "keeper-changed", Severity: Info, Text: "Another entry counts what customers use of their allowances", Advice: "Nothing, unless it changes every few seconds: then look whether entries reach each other."},
 	{Event: UpstreamLimited, Name: "upstream-limited", Severity: Warning, Text: "Upstream names another rate of requests than before", Advice: "If it lasts, the service needs more hosts, or its models more copies."},
 	{Event: UpstreamLeaving, Name: "upstream-leaving", Severity: Info, Text: "Upstream says in an answer that it leaves", Advice: noAction},
+	{Event: UpstreamRests, Name: "upstream-rests", Severity: Info, Text: "Upstream turns requests of this entry away and says for how long", Advice: "If it recurs, the service needs more hosts."},
 })
 
 // First numbers of the groups: a group starts at the next hundred, so that
--- a/io/meter/labels.go
+++ b/io/meter/labels.go
@@ -66,10 +66,12 @@
 	WordLimited UpstreamWord = iota
 	// WordLeaving: it leaves.
 	WordLeaving
+	// WordResting: it wants no requests of this process for a time.
+	WordResting
 	upstreamWordCount
 )
 
-var upstreamWordNames = [upstreamWordCount]string{"limited", "leaving"}
+var upstreamWordNames = [upstreamWordCount]string{"limited", "leaving", "resting"}
 
 // String returns the word's name.
 func (w UpstreamWord) String() string { return nameOf(upstreamWordNames[:], int(w)) }
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -81,7 +81,7 @@
 	{nameSilent, Counter, nil, "", "Connections closed because they went silent."},
 	{nameStrikes, Counter, nil, "", "Requests struck because an engine failed with them in it."},
 	{nameClaims, Counter, []string{"result"}, "", "Claims of idempotency keys."},
-	{nameWordSends, Counter, []string{"word"}, "", "Requests sent to upstreams that had said something of themselves: that they leave, or the rate of requests that they take."},
+	{nameWordSends, Counter, []string{"word"}, "", "Requests sent to upstreams that had said something of themselves: that they leave, want nothing for a time, or the rate of requests that they take."},
 	{nameLimitedUps, Gauge, nil, "", "Upstreams that name the rate of requests that they take, as this process has heard."},
 }
 
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -60,7 +60,7 @@
 		return outcome{sent: sent, cause: causeOf(ctx, err)}
 	}
 	defer resp.Body.Close()
-	head := c.proxy.Protocol.Answer(resp.Header)
+	head := c.proxy.Protocol.Answer(resp.Header, resp.StatusCode, c.proxy.Clock.Now())
 	c.hear(t, head, sentAt)
 	if head.ID == c.ask.ID && (head.NotRun || resp.StatusCode == http.StatusMisdirectedRequest) {
 		c.ended(t, func(h *fleet.Host, now time.Time) { c.turnedAway(h, now, resp.StatusCode) })
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -61,8 +61,8 @@
 	sends, ran int
 	// What follows is for the log: the failure behind the last attempt and its
 	// host; the host chosen last, with the age of its report, the cost and wait
-	// foreseen there, the rate that it had named when the request was sent, and for how
-	// long it had said by then that it leaves; the table that was in force, and the time spent waiting.
+	// foreseen there, the rate that it had named when the request was sent, for how long
+	// it had said by then that it leaves, and whether it wanted no requests then; the table that was in force, and the time spent waiting.
 	last      error
 	host      core.HostName
 	best      core.HostName
@@ -72,6 +72,7 @@
 	limit     core.RateLimit
 	left      time.Duration
 	leaving   bool
+	resting   bool
 	version   int64
 	waited    time.Duration
 	// paced is the time spent on turns at hosts that name a rate.
--- a/io/proxy/hear.go
+++ b/io/proxy/hear.go
@@ -21,6 +21,9 @@
 	if c.left, c.leaving = t.host.Left(now); c.leaving {
 		p.Meter.SentOnWord(meter.WordLeaving)
 	}
+	if _, c.resting = t.host.Resting(now); c.resting {
+		p.Meter.SentOnWord(meter.WordResting)
+	}
 	return now
 }
 
@@ -31,12 +34,13 @@
 		return // it belongs to no request of this connection
 	}
 	p := c.proxy
-	var changed, leaves bool
+	var changed, leaves, rests bool
 	var limit core.RateLimit
 	life := fleet.Life{ID: t.id, Born: t.born}
 	p.Update(func(v *fleet.View, now time.Time) {
 		changed = t.host.Named(sent, now, head.Limit)
 		limit = t.host.Limit(now)
+		rests = t.host.Rests(now, head.RestTill)
 		leaves = head.Leaving && v.Leaves(now, life)
 	})
 	if p.Heard != nil && (changed || head.Limit.Named) {
@@ -48,6 +52,9 @@
 	if changed {
 		events.Log(events.UpstreamLimited, "host", t.id, "address", t.address, "limited", limit.Named, "rate", limit.Rate, "request", c.ask.ID)
 	}
+	if rests {
+		events.Log(events.UpstreamRests, "host", t.id, "address", t.address, "left", head.RestTill.Sub(p.Clock.Now()).Round(time.Millisecond), "request", c.ask.ID)
+	}
 	if leaves {
 		events.Log(events.UpstreamLeaving, "host", t.id, "address", t.address, "request", c.ask.ID)
 	}
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -58,6 +58,9 @@
 	if c.leaving {
 		pairs = append(pairs, "leaving-for", c.left.Round(time.Millisecond))
 	}
+	if c.resting {
+		pairs = append(pairs, "resting", true)
+	}
 	if c.last != nil {
 		pairs = append(pairs, "cause", c.last.Error())
 	}
