--- /dev/null
+++ b/io/proxy/rest_test.go
@@ -0,0 +1,68 @@
+package proxy_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/platform/stand"
+)
+
+// Guards against requests that reach an upstream which has turned one away and said for
+// how long it wants no other.
+func TestRestingUpstreamGetsNoMore(t *testing.T) {
+	// shed has p-1 turn a first request away for a time.
+	shed := func(t *testing.T, rest time.Duration) (*rig, *stand.Worker) {
+		t.Helper()
+		r := newRig(t)
+		w := plain(t, r, "p-1")[0]
+		w.Set(stand.Shed)
+		w.Rest(rest)
+		wantStatus(t, do(t, r.ask(t, http.MethodPost, "/once/x", "first")), http.StatusServiceUnavailable)
+		return r, w
+	}
+	t.Run("its callers are refused at once and told when", func(t *testing.T) {
+		r, w := shed(t, 5*time.Second)
+		for i := range 5 {
+			a := do(t, r.ask(t, http.MethodPost, "/once/x", fmt.Sprint("q-", i)))
+			wantStatus(t, a, http.StatusServiceUnavailable)
+			back, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+			assert.NilError(t, err)
+			assert.Assert(t, back > 3 && back <= 5, "%v", back)
+		}
+		assert.Equal(t, len(w.Requests()), 1)
+	})
+	t.Run("its callers are served by another", func(t *testing.T) {
+		r, w := shed(t, time.Hour)
+		other := plain(t, r, "p-2")[0]
+		for i := range 5 {
+			wantStatus(t, do(t, r.ask(t, http.MethodPost, "/once/x", fmt.Sprint("q-", i))), http.StatusOK)
+		}
+		assert.Equal(t, len(w.Requests()), 1)
+		assert.Equal(t, len(other.Requests()), 5)
+	})
+	t.Run("a request waits for a short rest", func(t *testing.T) {
+		r, w := shed(t, 300*time.Millisecond)
+		w.Set(stand.Honest)
+		wantStatus(t, do(t, r.ask(t, http.MethodPost, "/once/x", "q")), http.StatusOK)
+		came := w.Arrivals()
+		assert.Equal(t, len(came), 2)
+		assert.Assert(t, came[1].Sub(came[0]) >= 300*time.Millisecond)
+	})
+	t.Run("and of a model too", func(t *testing.T) {
+		r := newRig(t)
+		w := r.add(t, "llm", &stand.Worker{ID: "i-1", Events: 2})
+		w.Set(stand.Shed)
+		w.Rest(time.Hour)
+		for i := range 5 {
+			a := do(t, r.ask(t, http.MethodPost, "/stream/x", fmt.Sprint("q-", i), "X-Radishwell-Model", "m"))
+			wantStatus(t, a, http.StatusServiceUnavailable)
+			assert.Assert(t, a.header.Get("Retry-After") != "")
+		}
+		assert.Equal(t, len(w.Requests()), 1)
+	})
+}
