Send an upstream nothing while it wants no requests of this entry

What callers and upstreams saw: an upstream that turned a request away with 503 and said when to come back got the same request up to five times within half a second, and each one that followed likewise; its callers were refused after that with a time of a tenth of a second.

The refusal counted as a failure, which only weighs against a host.

Ruled out: the pause between two tries of one request, which is 0.1 s and knows nothing of the upstream.

The host is passed over until that time, also by what was chosen for it before and has waited since. Where all hosts rest, a request waits within its target and is otherwise refused at once, with the time at which the first of them takes requests again. The word is for one entry, so others are not told.

The subtest of a short rest asserted that the second request alone came in the rest's end; the first one waits as well, rightly. It asserts the same of one request now.

--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -90,6 +90,9 @@
 	Cost float64
 	// Wait is when the host should give its first answer, from now.
 	Wait time.Duration
+	// RestTill is when the first of the hosts takes requests again, zero where some host
+	// does, or none holds the model.
+	RestTill time.Time
 	// Turn is the part of Wait that is for the rate that the host names.
 	Turn time.Duration
 }
@@ -106,16 +109,24 @@
 // left. So much is let in as is served in its target, which keeps the engines busy
 // all the same; the rest is told at once when to come back. The threshold is the
 // target since an answer after it is of little use, and its work delays others.
-func (c Choice) Overloaded(target time.Duration) bool {
-	return c.Wait > max(target, leastQueue)
+func (c Choice) Overloaded(target time.Duration) bool { return tooLong(c.Wait, target) }
+
+// Rests tells whether all hosts want no requests for longer than a request waits that has
+// a target, which is told at once when to come back.
+func (c Choice) Rests(now time.Time, target time.Duration) bool {
+	return tooLong(c.RestTill.Sub(now), target)
 }
 
+func tooLong(wait, target time.Duration) bool { return wait > max(target, leastQueue) }
+
 // Pick chooses the host that should answer first. It answers the load of many
 // prompts that share their beginnings among hosts of uneven load: without the
 // memory of prompts each host would read every shared beginning, without the
 // work outstanding the favoured host would be overrun.
 func (v *View) Pick(now time.Time, q *Query) Choice {
 	var best Choice
+	var rests time.Time
+	takes := false
 	for _, h := range v.hosts {
 		if q.Service != "" && q.Service != h.Service || !h.Runs(now) {
 			continue
@@ -125,9 +136,6 @@
 			continue
 		}
 		best.Listed = true
-		if slices.Contains(q.Tried, h.ID) {
-			continue
-		}
 		fetch := false
 		if q.Model != "" {
 			held, ok := h.Find(now, q.Model)
@@ -136,6 +144,16 @@
 			}
 			fetch = q.Adapter != "" && !slices.Contains(held.Adapters, q.Adapter)
 		}
+		if till, resting := h.Resting(now); resting {
+			if rests.IsZero() || till.Before(rests) {
+				rests = till
+			}
+			continue
+		}
+		takes = true
+		if slices.Contains(q.Tried, h.ID) {
+			continue
+		}
 		wait := h.wait(now, q, fetch, v.readTime())
 		cost := wait + h.cost(now, q)
 		if best.Host == nil || cost < best.Cost || cost == best.Cost && h.ID < best.Host.ID {
@@ -143,6 +161,9 @@
 			best.Wait, best.Turn = time.Duration(wait*float64(time.Millisecond)), h.untilTurn(now)
 		}
 	}
+	if !takes {
+		best.RestTill = rests
+	}
 	return best
 }
 
--- a/core/fleet/view_test.go
+++ b/core/fleet/view_test.go
@@ -373,3 +373,26 @@
 	assert.Equal(t, h.Active("m"), 1)
 	assert.Equal(t, len(h.OwnActive()), 0)
 }
+
+// Guards against hosts that are sent requests which they have said they do not want, and
+// against requests that wait for one while another takes them.
+func TestResting(t *testing.T) {
+	v := view(entry("i-1", "m"), entry("i-2", "m"))
+	h := v.Host("i-1")
+	assert.Assert(t, h.Rests(t0, after(time.Second)))
+	assert.Assert(t, !h.Rests(t0, after(500*time.Millisecond)), "it is no news")
+	c := wantPick(t, v, t0, "i-2")
+	assert.Assert(t, c.RestTill.IsZero())
+	v.Host("i-2").Rests(t0, after(3*time.Second))
+	c = wantPick(t, v, t0, "")
+	assert.Equal(t, c.RestTill, after(time.Second), "the first to take requests again")
+	assert.Assert(t, c.Rests(t0, 800*time.Millisecond) && !c.Rests(t0, time.Second))
+	wantPick(t, v, after(time.Second), "i-1")
+	assert.Assert(t, h.Rests(after(time.Second), after(2*time.Second)))
+	t.Run("one that was tried still takes requests", func(t *testing.T) {
+		v := view(entry("i-1", "m"), entry("i-2", "m"))
+		v.Host("i-1").Rests(t0, after(time.Hour))
+		c := v.Pick(t0, &fleet.Query{Service: "llm", Model: "m", Tried: []core.HostName{"i-2"}})
+		assert.Assert(t, c.Host == nil && c.RestTill.IsZero())
+	})
+}
--- a/io/proxy/rest_test.go
+++ b/io/proxy/rest_test.go
@@ -46,9 +46,17 @@
 		assert.Equal(t, len(other.Requests()), 5)
 	})
 	t.Run("a request waits for a short rest", func(t *testing.T) {
-		r, w := shed(t, 300*time.Millisecond)
+		r := newRig(t)
+		w := plain(t, r, "p-1")[0]
+		w.Set(stand.Shed)
+		w.Rest(300 * time.Millisecond)
+		got := make(chan answer, 1)
+		go func() { got <- do(t, r.ask(t, http.MethodPost, "/once/x", "q")) }()
+		for len(w.Arrivals()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
 		w.Set(stand.Honest)
-		wantStatus(t, do(t, r.ask(t, http.MethodPost, "/once/x", "q")), http.StatusOK)
+		wantStatus(t, <-got, http.StatusOK)
 		came := w.Arrivals()
 		assert.Equal(t, len(came), 2)
 		assert.Assert(t, came[1].Sub(came[0]) >= 300*time.Millisecond)
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -83,7 +83,8 @@
 	p := c.proxy
 	p.mu.Lock()
 	now := p.Clock.Now()
-	ok := t.host.Runs(now) && !t.host.IsLeaving(now)
+	_, resting := t.host.Resting(now)
+	ok := t.host.Runs(now) && !t.host.IsLeaving(now) && !resting
 	p.mu.Unlock()
 	if !ok {
 		c.abandon(t)
@@ -154,6 +155,12 @@
 		return core.RefuseUntil(core.CodeNoHost, "all hosts of the service leave", c.back(replacedBack))
 	}
 	at, ok := c.proxy.ready[c.query.Model]
+	if till := choice.RestTill; !till.IsZero() && (!ok || till.Before(at)) {
+		at, ok = till, true
+		if c.ran == 0 && choice.Rests(now, c.route.Target) {
+			return core.RefuseUntil(core.CodeOverload, "the hosts want no requests for now", c.back(at.Sub(now)))
+		}
+	}
 	if !ok && c.unordered(now) {
 		return core.RefuseUntil(core.CodeWaitTooLong, "no host holds the model and none can be ordered to load it", c.back(unorderedBack))
 	}
@@ -163,7 +170,7 @@
 	if c.ran > 0 {
 		return c.lost()
 	}
-	return core.RefuseUntil(core.CodeWaitTooLong, "the model is loaded only after the request's deadline", c.back(at.Sub(now)))
+	return core.RefuseUntil(core.CodeWaitTooLong, "no host takes the request before its deadline", c.back(at.Sub(now)))
 }
 
 // unordered tells whether nobody can have the model loaded: no agent, and no entry in the
