--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -38,6 +38,9 @@
 	HangRequests
 	RestartUpstream
 	NewTable
+	LimitUpstream
+	LeaveUpstream
+	RestUpstream
 	kindCount
 )
 
@@ -78,6 +81,9 @@
 	HangRequests:    {"hang-requests", 2, time.Second},
 	RestartUpstream: {"restart-upstream", 3, 0},
 	NewTable:        {"new-table", 2, 0},
+	LimitUpstream:   {"limit-upstream", 3, 8 * time.Second},
+	LeaveUpstream:   {"leave-upstream", 2, 5 * time.Second},
+	RestUpstream:    {"rest-upstream", 2, 2 * time.Second},
 }
 
 // String returns the fault's name.
--- a/io/soak/strike.go
+++ b/io/soak/strike.go
@@ -69,6 +69,16 @@
 		w.restart(host)
 	case NewTable:
 		w.newTable()
+	case LimitUpstream:
+		rate := []float64{0.5, 1, 2, 4}[s.Variant%4]
+		host.NameLimit(&rate)
+		return func() { host.NameLimit(nil) }
+	case LeaveUpstream:
+		host.Leave()
+		return func() { w.restart(host) }
+	case RestUpstream:
+		host.Rest(time.Duration(500+s.Variant%2500) * time.Millisecond)
+		return trick(host, stand.Shed)
 	}
 	return nil
 }
--- /dev/null
+++ b/io/soak/words_test.go
@@ -0,0 +1,106 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/platform/stand"
+)
+
+// heard is a run in which one upstream was sent requests.
+type heard struct {
+	words
+	seen []stand.Seen
+}
+
+func newHeard(steps ...Step) *heard {
+	return &heard{words: words{start: time.Unix(1000, 0), results: map[string]*Result{}, steps: steps}}
+}
+
+// add has a request that its caller sent at a time come from an entry, and be answered.
+func (h *heard) add(entry int, at time.Duration, said stand.Said) {
+	id := fmt.Sprint(len(h.seen))
+	h.results[id] = &Result{
+		ID: id, Entry: entry, Began: at, Ended: at + 10*time.Millisecond, Status: 200, Whole: true, Signer: "signed-by-i-1",
+	}
+	h.seen = append(h.seen, stand.Seen{Header: http.Header{"X-Radishwell-Request-Id": {id}}, At: h.start.Add(at), Said: said})
+}
+
+func (h *heard) breaches() int { return len(h.check("i-1", h.seen)) }
+
+// Each promise is shown to be broken by what breaks it, and by nothing else.
+func TestWords(t *testing.T) {
+	leaves := stand.Said{Leaving: true}
+	one := 1.0
+	limited := stand.Said{Limit: &one}
+	for name, c := range map[string]struct {
+		play   func(h *heard)
+		broken int
+	}{
+		"a new request after it was told": {func(h *heard) {
+			h.add(0, time.Second, leaves)
+			h.add(0, 3500*time.Millisecond, leaves)
+		}, 1},
+		"one soon after": {func(h *heard) {
+			h.add(0, time.Second, leaves)
+			h.add(0, 2500*time.Millisecond, leaves)
+		}, 0},
+		"one of an entry that was not told": {func(h *heard) {
+			h.add(0, time.Second, leaves)
+			h.add(1, 3500*time.Millisecond, leaves)
+		}, 0},
+		"one of an entry that has started again": {func(h *heard) {
+			h.steps = []Step{{Kind: KillEntry, Target: 0, Begin: 2 * time.Second, End: 2 * time.Second}}
+			h.add(0, time.Second, leaves)
+			h.add(0, 3500*time.Millisecond, leaves)
+		}, 0},
+		"three that were not wanted": {func(h *heard) {
+			h.add(0, time.Second, stand.Said{RestTill: h.start.Add(4 * time.Second)})
+			for i := range 3 {
+				h.add(0, time.Duration(1600+i)*time.Millisecond, stand.Said{})
+			}
+		}, 1},
+		"two that were not, and others after the time or of another entry": {func(h *heard) {
+			h.add(0, time.Second, stand.Said{RestTill: h.start.Add(4 * time.Second)})
+			for i := range 2 {
+				h.add(0, time.Duration(1600+i)*time.Millisecond, stand.Said{})
+				h.add(0, time.Duration(4100+i)*time.Millisecond, stand.Said{})
+				h.add(1, time.Duration(1600+i)*time.Millisecond, stand.Said{})
+			}
+		}, 0},
+		"more than the rate over two entries": {func(h *heard) {
+			h.add(0, time.Second, limited)
+			h.add(1, time.Second, limited)
+			for i := range 12 {
+				h.add(i%2, time.Duration(2000+300*i)*time.Millisecond, limited)
+			}
+		}, 1},
+		"as much over a longer time": {func(h *heard) {
+			h.add(0, time.Second, limited)
+			h.add(1, time.Second, limited)
+			for i := range 12 {
+				h.add(i%2, time.Duration(2000+400*i)*time.Millisecond, limited)
+			}
+		}, 0},
+		"as much of which half came before it was named again": {func(h *heard) {
+			h.add(0, time.Second, limited)
+			for i := range 12 {
+				said := limited
+				if i == 5 {
+					said = stand.Said{}
+				}
+				h.add(0, time.Duration(2000+300*i)*time.Millisecond, said)
+			}
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHeard()
+			c.play(h)
+			assert.Equal(t, h.breaches(), c.broken)
+		})
+	}
+}
