Let an older report bring no ended limit back

An agent's report is told to the view again and again until the next comes. One that was given before an answer ended the limit named it anew each time. The added lines of TestNamed failed before.

--- a/core/fleet/limit.go
+++ b/core/fleet/limit.go
@@ -29,7 +29,7 @@
 // tells whether it is another than before. Answers overtake each other: one to a request
 // that was sent before the host last named a rate does not lift it.
 func (w *word) Named(sent, now time.Time, limit core.RateLimit) bool {
-	if !limit.Named && !sent.After(w.limitAt) {
+	if !limit.Named && !sent.After(w.limitAt) || limit.Named && now.Before(w.liftedAt) {
 		return false
 	}
 	if limit.Named {
@@ -38,7 +38,7 @@
 			w.limitAt = now
 		}
 	} else {
-		w.turn = time.Time{}
+		w.liftedAt, w.turn = sent, time.Time{}
 	}
 	changed := limit != w.limit
 	w.limit = limit
--- a/core/fleet/limit_test.go
+++ b/core/fleet/limit_test.go
@@ -25,6 +25,9 @@
 	assert.Equal(t, h.Limit(at(50)), one)
 	assert.Assert(t, h.Named(at(35), at(50), core.RateLimit{}))
 	assert.Equal(t, h.Limit(at(50)), core.RateLimit{})
+	// Guards against a limit that a report brings back which was given before it ended.
+	assert.Assert(t, !h.Named(at(20), at(20), one))
+	assert.Equal(t, h.Limit(at(50)), core.RateLimit{})
 	assert.Assert(t, h.Named(at(60), at(70), one))
 	assert.Equal(t, h.Limit(at(70).Add(fleet.LimitAge)), core.RateLimit{}, "an old one counts no more")
 }
--- a/core/fleet/word.go
+++ b/core/fleet/word.go
@@ -18,6 +18,8 @@
 	// limit is the rate that the host names, and limitAt when it last named one.
 	limit   core.RateLimit
 	limitAt time.Time
+	// liftedAt is when it surely named none for the last time.
+	liftedAt time.Time
 	// turn is when the host takes this process's next request, as far as is known of a
 	// host that names a rate, and turnAt when that was known.
 	turn, turnAt time.Time
