Look for a keeper of allowances every 20 ms only while there is something to count

An entry of a deployment without customers woke fifty times a second for as long as it ran: no keeper is looked for there, so none was ever found.

--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -77,23 +77,21 @@
 
 // Run renews again and again until the context ends.
 func (q *Quota) Run(ctx context.Context) error {
-	for loop.Sleep(ctx, q.pause()) {
-		if q.Limited() {
-			q.Renew(ctx)
+	pause := findEvery
+	for loop.Sleep(ctx, pause) {
+		pause = renewEvery
+		if !q.Limited() {
+			continue
+		}
+		q.Renew(ctx)
+		if !q.hasFound() {
+			// An entry has its own parts only, and its callers are refused for it.
+			pause = findEvery
 		}
 	}
 	return nil
 }
 
-// pause returns the time until the next renewal. Before the first keeper is found an
-// entry has its own parts only, and its callers are refused for it.
-func (q *Quota) pause() time.Duration {
-	if q.hasFound() {
-		return renewEvery
-	}
-	return findEvery
-}
-
 func (q *Quota) hasFound() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
