--- a/core/admit/pace.go
+++ b/core/admit/pace.go
@@ -9,13 +9,13 @@
 const (
 	// paceIdle is how long after its last use the count of an upstream is forgotten.
 	paceIdle = time.Minute
-	// MostAhead is how long before its turn a request may take it. Turns that are taken
-	// are lost with callers who leave, and are not known to the next keeper.
+	// MostAhead is how far ahead reservations are made. They are lost with callers who
+	// leave, and are not known to the next keeper.
 	MostAhead = 300 * time.Millisecond
 )
 
-// Reserve takes the next turn at an upstream that takes rate requests a second from all
-// entries together, if that comes by a time. It returns when the turn is.
+// Reserve makes the next reservation at an upstream that takes rate requests a second from
+// all entries together, if its time comes by a time. It returns that time.
 //
 // It answers the load of an upstream in need that many entries send to. Each entry alone
 // would hold the rate and all together would send many times as much; divided, the parts
@@ -27,13 +27,13 @@
 	return k.pace(now, upstream, rate, entries).reserve(now, by)
 }
 
-// Release gives back turns in which nothing was sent.
-func (k *Keeper) Release(now time.Time, upstream core.HostName, rate float64, entries int, turns float64) {
-	k.pace(now, upstream, rate, entries).put(now, turns)
+// Release gives back reservations with which nothing was sent.
+func (k *Keeper) Release(now time.Time, upstream core.HostName, rate float64, entries int, n float64) {
+	k.pace(now, upstream, rate, entries).put(now, n)
 }
 
 // pace returns the count of an upstream, shaped for the part of its rate that is kept
-// here. Each part comes with all turns taken that another keeper may have given ahead.
+// here. Each part comes with all reservations that another keeper may have made ahead.
 func (k *Keeper) pace(now time.Time, upstream core.HostName, rate float64, entries int) *bucket {
 	b := k.paces[upstream]
 	if b == nil {
--- a/core/fleet/export_test.go
+++ b/core/fleet/export_test.go
@@ -1,4 +1,4 @@
 package fleet
 
-// Words returns the number of lives whose word a View holds.
-func Words(v *View) int { return len(v.words) }
+// Remembered returns the number of lives whose signals a View holds.
+func Remembered(v *View) int { return len(v.signals) }
--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -90,7 +90,7 @@
 	// absent are the models that the host said it does not hold, and till when
 	// that counts above what it reported.
 	absent map[core.ModelName]time.Time
-	*word
+	*signals
 }
 
 func (h *Host) life() Life { return Life{ID: h.ID, Born: h.Born} }
@@ -175,6 +175,6 @@
 // IsLeaving tells whether the registry, the host's agent or the host itself says that it
 // leaves.
 func (h *Host) IsLeaving(now time.Time) bool {
-	_, left := h.Left(now)
-	return left || h.Entry.Leaving || h.Report.Leaving
+	_, says := h.LeavingFor(now)
+	return says || h.Entry.Leaving || h.Report.Leaving
 }
--- a/core/fleet/limit.go
+++ b/core/fleet/limit.go
@@ -6,63 +6,74 @@
 	"radishwell/core"
 )
 
-// leastRate is the requests a second that a host is sent whatever it names: only its
-// answers tell when a limit has ended.
-const leastRate = 0.1
-
-// LimitAge is how long a rate counts after it was last named.
-const LimitAge = time.Minute
+const (
+	// LimitAge is how long a rate limit counts after it was last named.
+	LimitAge = time.Minute
+	// leastRate is the requests a second that a host is sent whatever it names: only its
+	// answers tell when a limit has ended.
+	leastRate = 0.1
+	// nextAge is how long what is known of the next free reservation counts: others
+	// release theirs, and the part of the rate that is counted here grows.
+	nextAge = 500 * time.Millisecond
+)
 
-// turnAge is how long what is known of a host's next turn counts: others give turns back,
-// and the part of the rate that is counted here grows.
-const turnAge = 500 * time.Millisecond
+// rateLimit is the rate limit that one life of a host names.
+type rateLimit struct {
+	limit core.RateLimit
+	// namedAt is when the host last named a limit, endedAt when it surely named none for
+	// the last time.
+	namedAt, endedAt time.Time
+	// next is when the host takes this process's next request, as far as is known, and
+	// nextAt when that was known.
+	next, nextAt time.Time
+}
 
 // Limit returns the rate that the host takes from all entries together.
-func (w *word) Limit(now time.Time) core.RateLimit {
-	if now.Sub(w.limitAt) >= LimitAge {
+func (r *rateLimit) Limit(now time.Time) core.RateLimit {
+	if now.Sub(r.namedAt) >= LimitAge {
 		return core.RateLimit{}
 	}
-	return w.limit
+	return r.limit
 }
 
-// Named takes in the rate that an answer names to a request that was sent at a time, and
-// tells whether it is another than before. Answers overtake each other: one to a request
-// that was sent before the host last named a rate does not lift it.
-func (w *word) Named(sent, now time.Time, limit core.RateLimit) bool {
-	if !limit.Named && !sent.After(w.limitAt) || limit.Named && now.Before(w.liftedAt) {
+// NoteLimit takes in the limit that an answer names to a request that was sent at a time,
+// and tells whether it is another than before. Answers overtake each other: one to a
+// request that was sent before the host last named a limit does not end it.
+func (r *rateLimit) NoteLimit(sent, now time.Time, limit core.RateLimit) bool {
+	switch {
+	case limit.Named && now.Before(r.endedAt), !limit.Named && !sent.After(r.namedAt):
 		return false
-	}
-	if limit.Named {
+	case limit.Named:
 		limit.Rate = max(limit.Rate, leastRate)
-		if now.After(w.limitAt) {
-			w.limitAt = now
+		if now.After(r.namedAt) {
+			r.namedAt = now
 		}
-	} else {
-		w.liftedAt, w.turn = sent, time.Time{}
+	default:
+		r.endedAt, r.next = sent, time.Time{}
 	}
-	changed := limit != w.limit
-	w.limit = limit
+	changed := limit != r.limit
+	r.limit = limit
 	return changed
 }
 
-// Turn takes in when the host, which names a rate, takes a request, and whether that turn
-// was taken.
-func (w *word) Turn(now, at time.Time, taken bool) {
-	if taken && at.After(now) && w.limit.Named {
-		at = at.Add(time.Duration(float64(time.Second) / w.limit.Rate))
+// NoteReservation takes in when a request may be sent to the host, and whether that
+// reservation was made for one; otherwise it is the next that is free.
+func (r *rateLimit) NoteReservation(now, at time.Time, made bool) {
+	if made && at.After(now) && r.limit.Named {
+		at = at.Add(time.Duration(float64(time.Second) / r.limit.Rate))
 	}
-	w.turn, w.turnAt = at, now
+	r.next, r.nextAt = at, now
 }
 
-// untilTurn returns how long requests wait for the host's next turn.
-func (w *word) untilTurn(now time.Time) time.Duration {
-	if !w.Limit(now).Named || now.Sub(w.turnAt) >= turnAge {
+// untilNext returns how long a request waits for the next free reservation.
+func (r *rateLimit) untilNext(now time.Time) time.Duration {
+	if !r.Limit(now).Named || now.Sub(r.nextAt) >= nextAge {
 		return 0
 	}
-	return max(0, w.turn.Sub(now))
+	return max(0, r.next.Sub(now))
 }
 
-// Limited returns the number of hosts that name a rate.
+// Limited returns the number of hosts that name a rate limit.
 func (v *View) Limited(now time.Time) (n int) {
 	for _, h := range v.hosts {
 		if h.Limit(now).Named {
@@ -72,7 +83,7 @@
 	return n
 }
 
-// NamedElsewhere takes in the rate that a life of a host named to another process.
-func (v *View) NamedElsewhere(now time.Time, life Life, limit core.RateLimit) {
-	v.wordOf(life).Named(now, now, limit)
+// NotePeerLimit takes in the limit that a life of a host named to another process.
+func (v *View) NotePeerLimit(now time.Time, life Life, limit core.RateLimit) {
+	v.signalsOf(life).NoteLimit(now, now, limit)
 }
--- a/core/fleet/limit_test.go
+++ b/core/fleet/limit_test.go
@@ -17,18 +17,18 @@
 	var v fleet.View
 	v.Apply(fleet.Entry{ID: "i-1"})
 	h := v.Host("i-1")
-	assert.Assert(t, !h.Named(at(0), at(10), core.RateLimit{}), "nothing has changed")
-	assert.Assert(t, h.Named(at(20), at(30), one))
+	assert.Assert(t, !h.NoteLimit(at(0), at(10), core.RateLimit{}), "nothing has changed")
+	assert.Assert(t, h.NoteLimit(at(20), at(30), one))
 	assert.Equal(t, h.Limit(at(50)), one)
 	// Guards against a limit that an answer lifts which the one that named it overtook.
-	assert.Assert(t, !h.Named(at(25), at(40), core.RateLimit{}))
+	assert.Assert(t, !h.NoteLimit(at(25), at(40), core.RateLimit{}))
 	assert.Equal(t, h.Limit(at(50)), one)
-	assert.Assert(t, h.Named(at(35), at(50), core.RateLimit{}))
+	assert.Assert(t, h.NoteLimit(at(35), at(50), core.RateLimit{}))
 	assert.Equal(t, h.Limit(at(50)), core.RateLimit{})
 	// Guards against a limit that a report brings back which was given before it ended.
-	assert.Assert(t, !h.Named(at(20), at(20), one))
+	assert.Assert(t, !h.NoteLimit(at(20), at(20), one))
 	assert.Equal(t, h.Limit(at(50)), core.RateLimit{})
-	assert.Assert(t, h.Named(at(60), at(70), one))
+	assert.Assert(t, h.NoteLimit(at(60), at(70), one))
 	assert.Equal(t, h.Limit(at(70).Add(fleet.LimitAge)), core.RateLimit{}, "an old one counts no more")
 }
 
@@ -37,16 +37,16 @@
 	one := core.RateLimit{Named: true, Rate: 1}
 	var v fleet.View
 	v.Apply(fleet.Entry{ID: "i-1", Born: 5, Usable: true})
-	v.NamedElsewhere(t0, fleet.Life{ID: "i-2"}, one)
+	v.NotePeerLimit(t0, fleet.Life{ID: "i-2"}, one)
 	// Guards against a host that was born anew and is held to what it named before.
-	v.NamedElsewhere(t0, fleet.Life{ID: "i-1", Born: 4}, one)
+	v.NotePeerLimit(t0, fleet.Life{ID: "i-1", Born: 4}, one)
 	assert.Equal(t, v.Limited(t0), 0)
-	v.NamedElsewhere(t0, fleet.Life{ID: "i-1", Born: 5}, one)
+	v.NotePeerLimit(t0, fleet.Life{ID: "i-1", Born: 5}, one)
 	assert.Equal(t, v.Host("i-1").Limit(t0), one)
 	v.Apply(fleet.Entry{ID: "i-1", Born: 6, Usable: true})
 	assert.Equal(t, v.Limited(t0), 0)
 	t.Run("of a life that is listed later", func(t *testing.T) {
-		v.NamedElsewhere(t0, fleet.Life{ID: "i-3", Born: 1}, one)
+		v.NotePeerLimit(t0, fleet.Life{ID: "i-3", Born: 1}, one)
 		v.Apply(fleet.Entry{ID: "i-3", Born: 1})
 		assert.Equal(t, v.Host("i-3").Limit(t0), one)
 	})
@@ -58,15 +58,15 @@
 	var v fleet.View
 	v.Apply(fleet.Entry{ID: "i-1", Service: "s", Usable: true})
 	h := v.Host("i-1")
-	h.Named(t0, t0, core.RateLimit{Named: true, Rate: 2})
+	h.NoteLimit(t0, t0, core.RateLimit{Named: true, Rate: 2})
 	wait := func(after time.Duration) time.Duration {
-		return v.Pick(t0.Add(after), &fleet.Query{Service: "s"}).Turn
+		return v.Pick(t0.Add(after), &fleet.Query{Service: "s"}).Paced
 	}
 	assert.Equal(t, wait(0), time.Duration(0))
-	h.Turn(t0, t0.Add(10*time.Second), false)
+	h.NoteReservation(t0, t0.Add(10*time.Second), false)
 	assert.Equal(t, wait(100*time.Millisecond), 9900*time.Millisecond)
 	assert.Equal(t, wait(600*time.Millisecond), time.Duration(0), "it is asked for again")
-	h.Turn(t0, t0.Add(100*time.Millisecond), true)
+	h.NoteReservation(t0, t0.Add(100*time.Millisecond), true)
 	assert.Equal(t, wait(0), 600*time.Millisecond, "the one after the turn that was taken")
 }
 
@@ -77,13 +77,13 @@
 	v := view(entry("i-1", "m"))
 	h := v.Host("i-1")
 	v.Remove(t0, "i-1")
-	h.Named(t0, t0, one) // the answer to a request that was in progress
+	h.NoteLimit(t0, t0, one) // the answer to a request that was in progress
 	v.Apply(entry("i-1", "m"))
 	assert.Equal(t, v.Host("i-1").Limit(after(time.Second)), one)
 	// Guards against words on lives that are gone which are kept for good.
 	for i := range 1000 {
-		v.NamedElsewhere(t0, fleet.Life{ID: "i-9", Born: int64(i)}, one)
+		v.NotePeerLimit(t0, fleet.Life{ID: "i-9", Born: int64(i)}, one)
 	}
-	assert.Assert(t, fleet.Words(v) < 300)
+	assert.Assert(t, fleet.Remembered(v) < 300)
 	assert.Equal(t, v.Host("i-1").Limit(after(time.Second)), one)
 }
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -90,11 +90,11 @@
 	Cost float64
 	// Wait is when the host should give its first answer, from now.
 	Wait time.Duration
-	// RestTill is when the first of the hosts takes requests again, zero where some host
+	// RetryAt is when the first of the hosts takes requests again, zero where some host
 	// does, or none holds the model.
-	RestTill time.Time
-	// Turn is the part of Wait that is for the rate that the host names.
-	Turn time.Duration
+	RetryAt time.Time
+	// Paced is the part of Wait that is for the rate limit that the host names.
+	Paced time.Duration
 }
 
 // leastQueue is the wait that is allowed whatever a route's target.
@@ -111,10 +111,10 @@
 // target since an answer after it is of little use, and its work delays others.
 func (c Choice) Overloaded(target time.Duration) bool { return tooLong(c.Wait, target) }
 
-// Rests tells whether all hosts want no requests for longer than a request waits that has
-// a target, which is told at once when to come back.
-func (c Choice) Rests(now time.Time, target time.Duration) bool {
-	return tooLong(c.RestTill.Sub(now), target)
+// BacksOff tells whether all hosts want no requests for longer than a request with a
+// target waits. It is told at once when to come back.
+func (c Choice) BacksOff(now time.Time, target time.Duration) bool {
+	return tooLong(c.RetryAt.Sub(now), target)
 }
 
 func tooLong(wait, target time.Duration) bool { return wait > max(target, leastQueue) }
@@ -125,7 +125,7 @@
 // work outstanding the favoured host would be overrun.
 func (v *View) Pick(now time.Time, q *Query) Choice {
 	var best Choice
-	var rests time.Time
+	var retryAt time.Time
 	takes := false
 	for _, h := range v.hosts {
 		if q.Service != "" && q.Service != h.Service || !h.Runs(now) {
@@ -144,9 +144,9 @@
 			}
 			fetch = q.Adapter != "" && !slices.Contains(held.Adapters, q.Adapter)
 		}
-		if till, resting := h.Resting(now); resting {
-			if rests.IsZero() || till.Before(rests) {
-				rests = till
+		if until, ok := h.BackingOff(now); ok {
+			if retryAt.IsZero() || until.Before(retryAt) {
+				retryAt = until
 			}
 			continue
 		}
@@ -158,11 +158,11 @@
 		cost := wait + h.cost(now, q)
 		if best.Host == nil || cost < best.Cost || cost == best.Cost && h.ID < best.Host.ID {
 			best.Host, best.Fetch, best.Cost = h, fetch, cost
-			best.Wait, best.Turn = time.Duration(wait*float64(time.Millisecond)), h.untilTurn(now)
+			best.Wait, best.Paced = time.Duration(wait*float64(time.Millisecond)), h.untilNext(now)
 		}
 	}
 	if !takes {
-		best.RestTill = rests
+		best.RetryAt = retryAt
 	}
 	return best
 }
@@ -176,7 +176,7 @@
 	if h.Fresh(now) {
 		before = max(before, h.backlog(readTime))
 	}
-	before += float64(h.untilTurn(now)) / float64(time.Millisecond)
+	before += float64(h.untilNext(now)) / float64(time.Millisecond)
 	if fetch {
 		before += adapterCost + h.untilOrders(now)
 	}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -33,9 +33,9 @@
 	// lapsed are hosts whose entry went away around an outage of the store, by
 	// when they are given up.
 	lapsed map[core.HostName]time.Time
-	// words are what the lives of hosts say of themselves, and unlisted those that the
+	// signals are what the lives of hosts say of themselves, and unlisted those that the
 	// registry did not list at some time, the oldest first.
-	words    map[Life]*word
+	signals  map[Life]*signals
 	unlisted []Life
 	// troubled is when the store last failed.
 	troubled time.Time
@@ -53,7 +53,7 @@
 		v.hosts = map[core.HostName]*Host{}
 		v.at = map[netip.AddrPort][]*Host{}
 		v.lapsed = map[core.HostName]time.Time{}
-		v.words = map[Life]*word{}
+		v.signals = map[Life]*signals{}
 	}
 }
 
@@ -130,7 +130,7 @@
 
 // put adds a host.
 func (v *View) put(h *Host) {
-	h.word = v.wordOf(h.life())
+	h.signals = v.signalsOf(h.life())
 	v.hosts[h.ID] = h
 	v.at[h.Address] = append(v.at[h.Address], h)
 	v.supersede(h.Address)
@@ -142,7 +142,7 @@
 		return
 	}
 	delete(v.hosts, h.ID)
-	v.gone(h.life())
+	v.noteUnlisted(h.life())
 	v.at[h.Address] = slices.DeleteFunc(v.at[h.Address], func(o *Host) bool { return o == h })
 	if len(v.at[h.Address]) == 0 {
 		delete(v.at, h.Address)
@@ -190,7 +190,7 @@
 		h.lostAt = time.Time{}
 		v.changes++
 	}
-	if r.Limit.Named && h.Named(r.Taken, r.Taken, r.Limit) {
+	if r.Limit.Named && h.NoteLimit(r.Taken, r.Taken, r.Limit) {
 		v.changes++
 	}
 	h.Report = r
--- a/core/proto.go
+++ b/core/proto.go
@@ -63,12 +63,12 @@
 	Put(customer OwnerName, units float64)
 }
 
-// Pacer spaces the requests of all entries to upstreams that name a rate.
+// Pacer spaces the requests of all entries to upstreams that name a rate limit.
 type Pacer interface {
-	// Reserve takes the next turn at an upstream that takes rate requests a second, if
-	// that comes by a time, and returns when it is.
+	// Reserve makes the next reservation at an upstream that takes rate requests a second,
+	// if its time comes by a time, and returns that time.
 	Reserve(ctx context.Context, upstream HostName, rate float64, by time.Time) (at time.Time, ok bool)
-	// Release gives back a turn in which nothing was sent.
+	// Release gives back a reservation with which nothing was sent.
 	Release(upstream HostName, rate float64)
 }
 
@@ -84,9 +84,9 @@
 	Limit RateLimit
 	// Leaving tells that the upstream says it leaves.
 	Leaving bool
-	// RestTill is when this process may send to the upstream again, which has turned the
+	// RetryAt is when this process may send to the upstream again, which has turned the
 	// request away; zero where it does not say.
-	RestTill time.Time
+	RetryAt time.Time
 }
 
 // RateLimit is the requests a second that an upstream takes from all entries together.
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -76,7 +76,7 @@
 	e.buildTender()
 	e.tender.serve()
 	e.prepareState()
-	e.shareHeard()
+	e.shareSignals()
 	p.parts = append(p.parts, e.proxy.Run, e.links.run, e.planner.run, e.planner.recall, e.feed.Run, e.quota.Run, e.record, e.tender.run)
 	p.serve(&httpd.Server{Address: s.Managed.Readiness, Handler: http.HandlerFunc(e.serveReady)})
 	callers := &httpd.Server{Address: s.Listen.Callers, Handler: e.steer(e.proxy)}
--- a/io/deploy/heard.go
+++ b/io/deploy/signal.go
@@ -8,16 +8,16 @@
 	"radishwell/io/peer"
 )
 
-// shareHeard has this entry and the others tell each other what upstreams say of
+// shareSignals has this entry and the others tell each other what upstreams say of
 // themselves in answers. One that sends an upstream little hears of it late, and what all
 // entries send counts there.
-func (e *entry) shareHeard() {
-	e.proxy.Heard, e.proxy.HeardLeaving = e.spreadLimit, e.spreadLeaving
+func (e *entry) shareSignals() {
+	e.proxy.HeardLimit, e.proxy.HeardLeaving = e.spreadLimit, e.spreadLeaving
 	e.state.Marked = e.takeMarks
 	e.meter.LimitedUpstreams(e.proxy.Limited)
 }
 
-// spreadLimit tells other entries of the rate that an upstream names.
+// spreadLimit tells other entries of the rate limit that an upstream names.
 func (e *entry) spreadLimit(life fleet.Life, limit core.RateLimit) {
 	e.state.Mark(peer.Mark{
 		Host: life.ID, Incarnation: core.Incarnation(life.Born), Kind: peer.MarkLimited, Rate: limit.Rate,
@@ -40,9 +40,9 @@
 			life := fleet.Life{ID: m.Host, Born: int64(m.Incarnation)}
 			switch m.Kind {
 			case peer.MarkLimited:
-				v.NamedElsewhere(now, life, core.RateLimit{Named: m.Rate > 0, Rate: m.Rate})
+				v.NotePeerLimit(now, life, core.RateLimit{Named: m.Rate > 0, Rate: m.Rate})
 			case peer.MarkLeaving:
-				v.Leaves(now, life)
+				v.NoteLeaving(now, life)
 			}
 		}
 	})
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -89,7 +89,7 @@
 	KeeperChanged
 	UpstreamLimited
 	UpstreamLeaving
-	UpstreamRests
+	UpstreamBackoff
 	eventCount
 )
 
@@ -204,9 +204,9 @@
 	{Event: EngineTaken, Name: "engine-taken", Severity: Info, Text: "Entry orders an engine that has no agent", Advice: noAction},
 	{Event: EngineGivenUp, Name: "engine-given-up", Severity: Info, Text: "Entry no longer orders an engine that has no agent", Advice: "Nothing, unless no other entry takes it on within half a minute: then look whether entries reach the platform's store."},
 	{Event: KeeperChanged, Name: "keeper-changed", Severity: Info, Text: "Another entry counts what customers use of their allowances", Advice: "Nothing, unless it changes every few seconds: then look whether entries reach each other."},
-	{Event: UpstreamLimited, Name: "upstream-limited", Severity: Warning, Text: "Upstream names another rate of requests than before", Advice: "If it lasts, the service needs more hosts, or its models more copies."},
+	{Event: UpstreamLimited, Name: "upstream-limited", Severity: Warning, Text: "Upstream names another rate limit than before", Advice: "If it lasts, the service needs more hosts, or its models more copies."},
 	{Event: UpstreamLeaving, Name: "upstream-leaving", Severity: Info, Text: "Upstream says in an answer that it leaves", Advice: noAction},
-	{Event: UpstreamRests, Name: "upstream-rests", Severity: Info, Text: "Upstream turns requests of this entry away and says for how long", Advice: "If it recurs, the service needs more hosts."},
+	{Event: UpstreamBackoff, Name: "upstream-backoff", Severity: Info, Text: "Upstream turns requests of this entry away and says when to retry", Advice: "If it recurs, the service needs more hosts."},
 })
 
 // First numbers of the groups: a group starts at the next hundred, so that
--- a/io/meter/labels.go
+++ b/io/meter/labels.go
@@ -57,24 +57,24 @@
 // String returns the cause's name.
 func (c UnloadCause) String() string { return nameOf(unloadCauseNames[:], int(c)) }
 
-// UpstreamWord is what an upstream says of itself in its answers.
-type UpstreamWord int
+// UpstreamSignal is what an upstream says of itself in its answers.
+type UpstreamSignal int
 
-// Words of upstreams.
+// Signals of upstreams.
 const (
-	// WordLimited: it takes so many requests a second.
-	WordLimited UpstreamWord = iota
-	// WordLeaving: it leaves.
-	WordLeaving
-	// WordResting: it wants no requests of this process for a time.
-	WordResting
-	upstreamWordCount
+	// SignalLimited: it takes so many requests a second.
+	SignalLimited UpstreamSignal = iota
+	// SignalLeaving: it leaves.
+	SignalLeaving
+	// SignalBackoff: it wants no requests of this process for a time.
+	SignalBackoff
+	upstreamSignalCount
 )
 
-var upstreamWordNames = [upstreamWordCount]string{"limited", "leaving", "resting"}
+var upstreamSignalNames = [upstreamSignalCount]string{"limited", "leaving", "backoff"}
 
-// String returns the word's name.
-func (w UpstreamWord) String() string { return nameOf(upstreamWordNames[:], int(w)) }
+// String returns the signal's name.
+func (s UpstreamSignal) String() string { return nameOf(upstreamSignalNames[:], int(s)) }
 
 // ClaimResult is how a claim of an idempotency key ended.
 type ClaimResult int
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -93,10 +93,10 @@
 	m.count(nameRetries, "result", text).Inc()
 }
 
-// SentOnWord counts a request sent to an upstream that had said something of itself.
-func (m *Meter) SentOnWord(w UpstreamWord) {
+// SentDespite counts a request sent to an upstream that had given a signal.
+func (m *Meter) SentDespite(s UpstreamSignal) {
 	if m != nil {
-		m.count(nameWordSends, "word", w.String()).Inc()
+		m.count(nameSignalSends, "signal", s.String()).Inc()
 	}
 }
 
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -58,7 +58,7 @@
 	m.Accelerators(2, true, began, after(30*time.Second))
 	m.Retry(true)
 	m.Retry(false)
-	m.SentOnWord(meter.WordLimited)
+	m.SentDespite(meter.SignalLimited)
 	m.LimitedUpstreams(func() int { return 1 })
 	m.AnswerBytes(120)
 	m.Platform(meter.UpdateStatus, &core.PlatformError{Fault: core.Conflict}, began, after(5*time.Millisecond))
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -51,7 +51,7 @@
 	nameSilent      = "radishwell_silent_connections_total"
 	nameStrikes     = "radishwell_strikes_total"
 	nameClaims      = "radishwell_claims_total"
-	nameWordSends   = "radishwell_upstream_word_sends_total"
+	nameSignalSends = "radishwell_upstream_signal_sends_total"
 	nameLimitedUps  = "radishwell_limited_upstreams"
 )
 
@@ -81,8 +81,8 @@
 	{nameSilent, Counter, nil, "", "Connections closed because they went silent."},
 	{nameStrikes, Counter, nil, "", "Requests struck because an engine failed with them in it."},
 	{nameClaims, Counter, []string{"result"}, "", "Claims of idempotency keys."},
-	{nameWordSends, Counter, []string{"word"}, "", "Requests sent to upstreams that had said something of themselves: that they leave, want nothing for a time, or the rate of requests that they take."},
-	{nameLimitedUps, Gauge, nil, "", "Upstreams that name the rate of requests that they take, as this process has heard."},
+	{nameSignalSends, Counter, []string{"signal"}, "", "Requests sent to upstreams that had said in an answer that they leave, want none for a time, or name a rate limit."},
+	{nameLimitedUps, Gauge, nil, "", "Upstreams that name a rate limit, as this process has heard."},
 }
 
 // Rows returns the table of all metrics.
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -45,7 +45,7 @@
 	ctx, done := c.proxy.watch(ctx, c, t)
 	defer done()
 	c.host = t.id
-	sentAt := c.sending(t)
+	sentAt := c.noteSend(t)
 	resp, sent, err := c.proxy.upstreams.send(ctx, c, t, c.event)
 	if sent {
 		c.sends++
@@ -54,14 +54,14 @@
 		if sent {
 			c.ran++
 		} else {
-			c.releaseTurn(t)
+			c.release(t)
 		}
 		c.ended(t, func(h *fleet.Host, now time.Time) { c.blame(ctx, h, now, sent) })
 		return outcome{sent: sent, cause: causeOf(ctx, err)}
 	}
 	defer resp.Body.Close()
 	head := c.proxy.Protocol.Answer(resp.Header, resp.StatusCode, c.proxy.Clock.Now())
-	c.hear(t, head, sentAt)
+	c.noteSignals(t, head, sentAt)
 	if head.ID == c.ask.ID && (head.NotRun || resp.StatusCode == http.StatusMisdirectedRequest) {
 		c.ended(t, func(h *fleet.Host, now time.Time) { c.turnedAway(h, now, resp.StatusCode) })
 		return outcome{sent: true, rejected: true, cause: &RejectedError{Status: resp.StatusCode}}
--- a/io/proxy/rest_test.go
+++ b/io/proxy/backoff_test.go
@@ -14,14 +14,14 @@
 
 // Guards against requests that reach an upstream which has turned one away and said for
 // how long it wants no other.
-func TestRestingUpstreamGetsNoMore(t *testing.T) {
+func TestUpstreamInBackoffGetsNoMore(t *testing.T) {
 	// shed has p-1 turn a first request away for a time.
-	shed := func(t *testing.T, rest time.Duration) (*rig, *stand.Worker) {
+	shed := func(t *testing.T, backoff time.Duration) (*rig, *stand.Worker) {
 		t.Helper()
 		r := newRig(t)
 		w := plain(t, r, "p-1")[0]
 		w.Set(stand.Shed)
-		w.Rest(rest)
+		w.BackOff(backoff)
 		wantStatus(t, do(t, r.ask(t, http.MethodPost, "/once/x", "first")), http.StatusServiceUnavailable)
 		return r, w
 	}
@@ -45,11 +45,11 @@
 		assert.Equal(t, len(w.Requests()), 1)
 		assert.Equal(t, len(other.Requests()), 5)
 	})
-	t.Run("a request waits for a short rest", func(t *testing.T) {
+	t.Run("a request waits for the end of a short time", func(t *testing.T) {
 		r := newRig(t)
 		w := plain(t, r, "p-1")[0]
 		w.Set(stand.Shed)
-		w.Rest(300 * time.Millisecond)
+		w.BackOff(300 * time.Millisecond)
 		got := make(chan answer, 1)
 		go func() { got <- do(t, r.ask(t, http.MethodPost, "/once/x", "q")) }()
 		for len(w.Arrivals()) == 0 {
@@ -65,7 +65,7 @@
 		r := newRig(t)
 		w := r.add(t, "llm", &stand.Worker{ID: "i-1", Events: 2})
 		w.Set(stand.Shed)
-		w.Rest(time.Hour)
+		w.BackOff(time.Hour)
 		for i := range 5 {
 			a := do(t, r.ask(t, http.MethodPost, "/stream/x", fmt.Sprint("q-", i), "X-Radishwell-Model", "m"))
 			wantStatus(t, a, http.StatusServiceUnavailable)
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -61,21 +61,18 @@
 	sends, ran int
 	// What follows is for the log: the failure behind the last attempt and its
 	// host; the host chosen last, with the age of its report, the cost and wait
-	// foreseen there, the rate that it had named when the request was sent, for how long
-	// it had said by then that it leaves, and whether it wanted no requests then; the table that was in force, and the time spent waiting.
+	// foreseen there and what it had said of itself by then; the table that was in
+	// force, and the time spent waiting.
 	last      error
 	host      core.HostName
 	best      core.HostName
 	reportAge time.Duration
 	cost      float64
 	foreseen  time.Duration
-	limit     core.RateLimit
-	left      time.Duration
-	leaving   bool
-	resting   bool
+	known     signals
 	version   int64
 	waited    time.Duration
-	// paced is the time spent on turns at hosts that name a rate.
+	// paced is the time spent on reservations at hosts that name a rate limit.
 	paced time.Duration
 	// fetched is the time in which an adapter was on its way, and status that of the
 	// upstream's answer, zero before it has one.
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -52,14 +52,14 @@
 		pairs = append(pairs, "host", c.best, "report-age", c.reportAge.Round(time.Millisecond), "cost", int(c.cost),
 			"foreseen", c.foreseen.Round(time.Millisecond), "event-id", c.event)
 	}
-	if c.limit.Named {
-		pairs = append(pairs, "limit", c.limit.Rate)
+	if c.known.limit.Named {
+		pairs = append(pairs, "limit", c.known.limit.Rate)
 	}
-	if c.leaving {
-		pairs = append(pairs, "leaving-for", c.left.Round(time.Millisecond))
+	if c.known.leaving {
+		pairs = append(pairs, "leaving-for", c.known.leavingFor.Round(time.Millisecond))
 	}
-	if c.resting {
-		pairs = append(pairs, "resting", true)
+	if c.known.backoff {
+		pairs = append(pairs, "backoff", true)
 	}
 	if c.last != nil {
 		pairs = append(pairs, "cause", c.last.Error())
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -27,11 +27,12 @@
 	Meter      *meter.Meter
 	// Quotas counts customers' use; nil where nothing is counted.
 	Quotas core.Quotas
-	// Pacer spaces requests to upstreams that name a rate; nil where nothing is counted.
+	// Pacer spaces requests to upstreams that name a rate limit; nil where nothing is
+	// counted.
 	Pacer core.Pacer
-	// Heard, if set, is told of the rate that an upstream names in an answer, and once it
-	// names none any more.
-	Heard func(life fleet.Life, limit core.RateLimit)
+	// HeardLimit, if set, is told of the rate limit that an upstream names in an answer,
+	// and once it names none any more.
+	HeardLimit func(life fleet.Life, limit core.RateLimit)
 	// HeardLeaving, if set, is told once an upstream says in an answer that it leaves.
 	HeardLeaving func(life fleet.Life)
 	// Behind, if set, tells that the routing table in force may not be the newest.
@@ -112,7 +113,7 @@
 	}
 }
 
-// Limited returns the number of hosts that name the rate of requests that they take.
+// Limited returns the number of hosts that name a rate limit.
 func (p *Proxy) Limited() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -235,6 +236,7 @@
 	// unread is the prompt tokens that the host has to read for the request.
 	unread int
 	begun  bool
-	// rate is what the host names where a turn was taken there, zero otherwise.
-	rate float64
+	// reserved is the rate limit under which a reservation was made at the host, zero
+	// where none was.
+	reserved float64
 }
--- a/io/proxy/pace.go
+++ b/io/proxy/reserve.go
@@ -9,12 +9,12 @@
 	"radishwell/io/loop"
 )
 
-// awaits tells whether a request stays without a host for now, since the next turn at the
-// best one is far off: it has been sent already and may not be turned away, its caller
-// bears the wait, or the model will be at another host before.
+// awaits tells whether a request stays without a host for now, since the next reservation
+// at the best one is far off: it has been sent already and may not be turned away, its
+// caller bears the wait, or the model will be at another host before.
 func (c *call) awaits(choice fleet.Choice) bool {
 	switch {
-	case choice.Turn <= admit.MostAhead:
+	case choice.Paced <= admit.MostAhead:
 		return false
 	case c.begun || c.ran > 0 || !choice.Overloaded(c.route.Target):
 		return true
@@ -23,9 +23,9 @@
 	return ok && at.Before(c.leavesAt().Add(-answerSlack))
 }
 
-// takeTurn takes the next turn at a host that names a rate, and waits for it. It is false
-// where that is too far off or the caller has left; the host is abandoned then.
-func (c *call) takeTurn(ctx context.Context, t *target) bool {
+// reserve makes a reservation at a host that names a rate limit, and waits for its time.
+// It is false where that is too far off or the caller has left; the host is abandoned then.
+func (c *call) reserve(ctx context.Context, t *target) bool {
 	p := c.proxy
 	p.mu.Lock()
 	limit := t.host.Limit(p.Clock.Now())
@@ -35,9 +35,9 @@
 	}
 	began := p.Clock.Now()
 	at, ok := p.Pacer.Reserve(ctx, t.id, limit.Rate, began.Add(admit.MostAhead))
-	p.Update(func(_ *fleet.View, now time.Time) { t.host.Turn(now, at, ok) })
+	p.Update(func(_ *fleet.View, now time.Time) { t.host.NoteReservation(now, at, ok) })
 	if ok {
-		t.rate = limit.Rate
+		t.reserved = limit.Rate
 		ok = loop.Sleep(ctx, max(0, at.Sub(p.Clock.Now())))
 	}
 	c.paced += p.Clock.Now().Sub(began)
@@ -47,10 +47,10 @@
 	return ok
 }
 
-// releaseTurn gives back the turn of a request that was not sent.
-func (c *call) releaseTurn(t *target) {
-	if t.rate > 0 {
-		c.proxy.Pacer.Release(t.id, t.rate)
-		t.rate = 0
+// release gives back the reservation of a request that was not sent.
+func (c *call) release(t *target) {
+	if t.reserved > 0 {
+		c.proxy.Pacer.Release(t.id, t.reserved)
+		t.reserved = 0
 	}
 }
--- a/io/proxy/pace_test.go
+++ b/io/proxy/reserve_test.go
@@ -16,14 +16,14 @@
 	"radishwell/platform/stand"
 )
 
-// pacer lets a number of requests through at each upstream; the others are told of a turn
-// that is next away.
+// pacer lets a number of requests through at each upstream; the others are told of a
+// reservation that is next away.
 type pacer struct {
 	mu       sync.Mutex
 	left     map[core.HostName]int
 	next     time.Duration
 	released int
-	// refused counts the requests that were told of a later turn.
+	// refused counts the requests that were told of a later one.
 	refused int
 }
 
@@ -81,7 +81,7 @@
 	assert.Equal(t, len(other.Requests()), 5)
 }
 
-// Guards against callers who wait for a turn that comes too late for them, and against a
+// Guards against callers who wait for a reservation that comes too late for them, and against a
 // refusal of what then runs.
 func TestLimitedUpstreamWithoutAnother(t *testing.T) {
 	t.Run("refuses at once and says when", func(t *testing.T) {
@@ -95,7 +95,7 @@
 		assert.Assert(t, back > 1 && back <= 2, "%v", back)
 		assert.Equal(t, w.Ran("q-2"), 0)
 	})
-	t.Run("serves in the turn where it is near", func(t *testing.T) {
+	t.Run("waits for a reservation that is near", func(t *testing.T) {
 		r, p, w := limitedRig(t, 0)
 		p.next = 50 * time.Millisecond
 		got := make(chan answer, 1)
@@ -118,8 +118,8 @@
 	})
 }
 
-// Guards against turns that are lost to all callers when their request is not sent.
-func TestUnsentTurnIsGivenBack(t *testing.T) {
+// Guards against reservations that are lost to all callers when their request is not sent.
+func TestUnsentReservationIsReleased(t *testing.T) {
 	r, p, _ := limitedRig(t, 1)
 	r.Update(func(v *fleet.View, _ time.Time) { v.Host("p-1").Address = netip.MustParseAddrPort("127.0.0.1:1") })
 	wantStatus(t, do(t, r.ask(t, http.MethodPost, "/once/x", "q")), http.StatusServiceUnavailable)
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -37,7 +37,7 @@
 			return nil, refusal
 		}
 		if t != nil {
-			if c.takeTurn(ctx, t) && c.hasAdapter(ctx, t, fetch) && c.stillTakes(t) {
+			if c.reserve(ctx, t) && c.hasAdapter(ctx, t, fetch) && c.stillTakes(t) {
 				return t, c.chargeAgain(ctx, t)
 			}
 			if ctx.Err() != nil {
@@ -83,8 +83,8 @@
 	p := c.proxy
 	p.mu.Lock()
 	now := p.Clock.Now()
-	_, resting := t.host.Resting(now)
-	ok := t.host.Runs(now) && !t.host.IsLeaving(now) && !resting
+	_, backoff := t.host.BackingOff(now)
+	ok := t.host.Runs(now) && !t.host.IsLeaving(now) && !backoff
 	p.mu.Unlock()
 	if !ok {
 		c.abandon(t)
@@ -137,10 +137,10 @@
 // overloaded refuses a request that comes upon more work than its hosts can do in
 // time. One of which a host may have run a part already is not turned away.
 func (c *call) overloaded(choice fleet.Choice) *core.Refusal {
-	if c.query.Model == "" && choice.Turn == 0 || c.begun || c.ran > 0 || !choice.Overloaded(c.route.Target) {
+	if c.query.Model == "" && choice.Paced == 0 || c.begun || c.ran > 0 || !choice.Overloaded(c.route.Target) {
 		return nil
 	}
-	if choice.Turn > 0 {
+	if choice.Paced > 0 {
 		return core.RefuseUntil(core.CodeOverload, "the hosts take no more requests a second", c.back(choice.Wait))
 	}
 	return core.RefuseUntil(core.CodeOverload, "the model's hosts have more work than they can do in time", c.back(choice.Wait))
@@ -155,9 +155,9 @@
 		return core.RefuseUntil(core.CodeNoHost, "all hosts of the service leave", c.back(replacedBack))
 	}
 	at, ok := c.proxy.ready[c.query.Model]
-	if till := choice.RestTill; !till.IsZero() && (!ok || till.Before(at)) {
-		at, ok = till, true
-		if c.ran == 0 && choice.Rests(now, c.route.Target) {
+	if retry := choice.RetryAt; !retry.IsZero() && (!ok || retry.Before(at)) {
+		at, ok = retry, true
+		if c.ran == 0 && choice.BacksOff(now, c.route.Target) {
 			return core.RefuseUntil(core.CodeOverload, "the hosts want no requests for now", c.back(at.Sub(now)))
 		}
 	}
@@ -244,7 +244,7 @@
 
 // abandon takes back what choose noted.
 func (c *call) abandon(t *target) {
-	c.releaseTurn(t)
+	c.release(t)
 	c.proxy.Update(func(*fleet.View, time.Time) {
 		t.host.Begun(t.unread)
 		t.host.Ended(c.query.Model)
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -58,7 +58,7 @@
 	found bool
 	// held are units that were given back and are told with the next renewal.
 	held map[core.OwnerName]float64
-	// unsent are turns at upstreams that were given back, to be told likewise.
+	// unsent are reservations at upstreams that were released, to be told likewise.
 	unsent map[core.HostName]*wire.AllowanceUse
 }
 
@@ -303,7 +303,7 @@
 	out := &wire.AllowanceReply{}
 	for _, u := range uses {
 		if u.GetUpstream() != "" {
-			out.Answers = append(out.Answers, q.turn(u, entries))
+			out.Answers = append(out.Answers, q.reserve(u, entries))
 			continue
 		}
 		out.Answers = append(out.Answers, q.use(u, entries))
@@ -311,8 +311,8 @@
 	return out
 }
 
-// turn answers the use of an upstream that names a rate.
-func (q *Quota) turn(u *wire.AllowanceUse, entries int) *wire.AllowanceAnswer {
+// reserve answers the use of an upstream that names a rate limit.
+func (q *Quota) reserve(u *wire.AllowanceUse, entries int) *wire.AllowanceAnswer {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now, upstream := q.Clock.Now(), core.HostName(u.GetUpstream())
--- a/io/quota/quota_test.go
+++ b/io/quota/quota_test.go
@@ -142,9 +142,9 @@
 	assert.Equal(t, f.take(t.Context(), "e-1"), 40)
 }
 
-// turns returns how many requests entries may send to an upstream within a second, all
+// reservations returns how many requests entries may send to an upstream within a second, all
 // asking again and again.
-func (f *fleet) turns(ctx context.Context, rate float64, names ...core.HostName) int {
+func (f *fleet) reservations(ctx context.Context, rate float64, names ...core.HostName) int {
 	n := 0
 	for range 10 {
 		f.step(ctx)
@@ -161,12 +161,12 @@
 func TestRateIsSharedByEntries(t *testing.T) {
 	f := newFleet(t, "e-1", "e-2", "e-3")
 	f.settle(t.Context())
-	f.turns(t.Context(), 5, "e-1", "e-2", "e-3")
-	assert.Equal(t, f.turns(t.Context(), 5, "e-1", "e-2", "e-3"), 5)
-	assert.Equal(t, f.turns(t.Context(), 5, "e-3"), 5, "the whole rate at one entry")
+	f.reservations(t.Context(), 5, "e-1", "e-2", "e-3")
+	assert.Equal(t, f.reservations(t.Context(), 5, "e-1", "e-2", "e-3"), 5)
+	assert.Equal(t, f.reservations(t.Context(), 5, "e-3"), 5, "the whole rate at one entry")
 	at, ok := f.quotas["e-2"].Reserve(t.Context(), "u", 5, f.clock.now)
 	assert.Assert(t, !ok && at.Sub(f.clock.now).Round(10*time.Millisecond) == 200*time.Millisecond, at.Sub(f.clock.now))
-	t.Run("a turn that was given back is there again", func(t *testing.T) {
+	t.Run("a reservation that was released is free again", func(t *testing.T) {
 		f.quotas["e-2"].Release("u", 5)
 		f.quotas["e-2"].Renew(t.Context())
 		_, ok := f.quotas["e-3"].Reserve(t.Context(), "u", 5, f.clock.now)
@@ -178,7 +178,7 @@
 		f.down["e-3"] = false
 		f.down["e-1"], f.down["e-2"] = true, true
 		f.settle(t.Context())
-		f.turns(t.Context(), 6, "e-3")
-		assert.Equal(t, f.turns(t.Context(), 6, "e-3"), 2)
+		f.reservations(t.Context(), 6, "e-3")
+		assert.Equal(t, f.reservations(t.Context(), 6, "e-3"), 2)
 	})
 }
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -40,7 +40,7 @@
 	NewTable
 	LimitUpstream
 	LeaveUpstream
-	RestUpstream
+	BackoffUpstream
 	kindCount
 )
 
@@ -83,7 +83,7 @@
 	NewTable:        {"new-table", 2, 0},
 	LimitUpstream:   {"limit-upstream", 3, 8 * time.Second},
 	LeaveUpstream:   {"leave-upstream", 2, 5 * time.Second},
-	RestUpstream:    {"rest-upstream", 2, 2 * time.Second},
+	BackoffUpstream: {"backoff-upstream", 2, 2 * time.Second},
 }
 
 // String returns the fault's name.
--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -85,13 +85,13 @@
 	}
 	report.Breaches = append(check(c.results, ran), cutByStop(c.results, steps, ran)...)
 	report.Breaches = append(report.Breaches, overAllowance(c.results, ran)...)
-	said := &words{start: c.start, steps: steps, results: map[string]*Result{}}
+	given := &signals{start: c.start, steps: steps, results: map[string]*Result{}}
 	for i := range c.results {
-		said.results[c.results[i].ID] = &c.results[i]
+		given.results[c.results[i].ID] = &c.results[i]
 	}
 	for _, u := range w.upstreams {
 		report.Breaches = append(report.Breaches, misnamed(c.results, u.Requests())...)
-		report.Breaches = append(report.Breaches, said.check(u.ID, u.Requests())...)
+		report.Breaches = append(report.Breaches, given.check(u.ID, u.Requests())...)
 	}
 	var err error
 	report.Panics, err = panics(r.Dir)
--- a/io/soak/words.go
+++ b/io/soak/signal.go
@@ -15,8 +15,8 @@
 	leaveTime = 2 * time.Second
 	// hearTime is how long after an answer what it says may not yet count.
 	hearTime = 500 * time.Millisecond
-	// mostResting is how many requests may reach an upstream that wants none.
-	mostResting = 2
+	// mostInBackoff is how many requests may reach an upstream that wants none.
+	mostInBackoff = 2
 	// paceWindow is the time over which the requests to an upstream that names a rate are
 	// counted; paceRatio of that rate and paceSlack besides may reach it.
 	paceWindow = 4 * time.Second
@@ -34,15 +34,15 @@
 	told time.Duration
 }
 
-// words holds what upstreams said of themselves against what they got afterwards.
-type words struct {
+// signals holds what upstreams said of themselves against what they got afterwards.
+type signals struct {
 	start   time.Time
 	results map[string]*Result
 	steps   []Step
 }
 
 // check finds the requests that one upstream got against its word.
-func (w *words) check(upstream string, seen []stand.Seen) []Breach {
+func (w *signals) check(upstream string, seen []stand.Seen) []Breach {
 	lives := map[int64][]*arrival{}
 	for i := range seen {
 		s := &seen[i]
@@ -55,7 +55,7 @@
 	for _, life := range lives {
 		slices.SortFunc(life, func(a, b *arrival) int { return cmp.Compare(a.at, b.at) })
 		out = append(out, w.leaving(life)...)
-		out = append(out, w.resting(life)...)
+		out = append(out, w.inBackoff(life)...)
 		for _, span := range limitedSpans(life) {
 			out = append(out, w.limited(span)...)
 		}
@@ -68,7 +68,7 @@
 	open := false
 	for _, a := range life {
 		switch {
-		case a.Said.Limit == nil:
+		case a.Signals.Limit == nil:
 			open = false
 		case open:
 			out[len(out)-1] = append(out[len(out)-1], a)
@@ -79,7 +79,7 @@
 	return out
 }
 
-func (w *words) arrival(upstream string, s *stand.Seen, r *Result) *arrival {
+func (w *signals) arrival(upstream string, s *stand.Seen, r *Result) *arrival {
 	a := &arrival{Seen: s, result: r, at: s.At.Sub(w.start), told: -1}
 	if r.Status == 200 && r.Whole && r.Signer == "signed-by-"+upstream {
 		a.told = r.Ended
@@ -88,8 +88,8 @@
 }
 
 // leaving finds requests to an upstream that had said it leaves.
-func (w *words) leaving(life []*arrival) (out []Breach) {
-	told := w.tellings(life, func(s stand.Said) bool { return s.Leaving })
+func (w *signals) leaving(life []*arrival) (out []Breach) {
+	told := w.tellings(life, func(s stand.Signals) bool { return s.Leaving })
 	for _, a := range life {
 		at, ok := told[a.result.Entry]
 		if ok && a.result.Began > at+leaveTime && !w.excused(a.result.Entry, at, a.at) {
@@ -100,10 +100,10 @@
 }
 
 // tellings returns when each entry first surely knew a word.
-func (w *words) tellings(life []*arrival, says func(stand.Said) bool) map[int]time.Duration {
+func (w *signals) tellings(life []*arrival, says func(stand.Signals) bool) map[int]time.Duration {
 	told := map[int]time.Duration{}
 	for _, a := range life {
-		if a.told < 0 || !says(a.Said) {
+		if a.told < 0 || !says(a.Signals) {
 			continue
 		}
 		if at, ok := told[a.result.Entry]; !ok || a.told < at {
@@ -113,21 +113,21 @@
 	return told
 }
 
-// resting finds requests to an upstream that had turned one of the entry's away and said
+// inBackoff finds requests to an upstream that had turned one of the entry's away and said
 // for how long it wants no other.
-func (w *words) resting(life []*arrival) (out []Breach) {
+func (w *signals) inBackoff(life []*arrival) (out []Breach) {
 	for _, first := range life {
-		if first.Said.RestTill.IsZero() || w.disturbed(first.at, first.at+hearTime) {
+		if first.Signals.RetryAt.IsZero() || w.disturbed(first.at, first.at+hearTime) {
 			continue
 		}
-		entry, from, till := first.result.Entry, first.at+hearTime, first.Said.RestTill.Sub(w.start)
+		entry, from, till := first.result.Entry, first.at+hearTime, first.Signals.RetryAt.Sub(w.start)
 		n := 0
 		for _, a := range life {
 			if a.result.Entry == entry && a.at >= from && a.at < till && !w.excused(entry, first.at, a.at) {
 				n++
 			}
 		}
-		if n > mostResting {
+		if n > mostInBackoff {
 			out = append(out, Breach{Promise: "an upstream that wants no requests for a time gets none", Result: *first.result, Ran: n})
 		}
 	}
@@ -136,8 +136,8 @@
 
 // limited finds a window in which an upstream got more than the rate that it names, from
 // entries that knew it.
-func (w *words) limited(span []*arrival) []Breach {
-	told := w.tellings(span, func(s stand.Said) bool { return s.Limit != nil })
+func (w *signals) limited(span []*arrival) []Breach {
+	told := w.tellings(span, func(s stand.Signals) bool { return s.Limit != nil })
 	var sent []*arrival
 	for _, a := range span {
 		at, ok := told[a.result.Entry]
@@ -152,7 +152,7 @@
 				break
 			}
 			n++
-			rate = max(rate, *b.Said.Limit)
+			rate = max(rate, *b.Signals.Limit)
 		}
 		if float64(n) > paceRatio*paceWindow.Seconds()*rate+paceSlack {
 			return []Breach{{Promise: "an upstream gets no more than the rate that it names", Result: *a.result, Ran: n}}
@@ -163,7 +163,7 @@
 
 // excused tells whether an entry may have forgotten what it was told, or could not act on
 // it: it was restarted or stood still.
-func (w *words) excused(entry int, from, to time.Duration) bool {
+func (w *signals) excused(entry int, from, to time.Duration) bool {
 	return slices.ContainsFunc(w.steps, func(s Step) bool {
 		switch s.Kind {
 		case KillEntry, StopEntry, PauseEntry:
@@ -176,7 +176,7 @@
 }
 
 // disturbed tells whether answers of upstreams may have been lost in a span of time.
-func (w *words) disturbed(from, to time.Duration) bool {
+func (w *signals) disturbed(from, to time.Duration) bool {
 	return slices.ContainsFunc(w.steps, func(s Step) bool {
 		switch s.Kind {
 		case CutUpstream, DelayUpstream, ResetAll, HushAll, RestartUpstream, LeaveUpstream:
--- a/io/soak/words_test.go
+++ b/io/soak/signal_test.go
@@ -13,30 +13,30 @@
 
 // heard is a run in which one upstream was sent requests.
 type heard struct {
-	words
+	signals
 	seen []stand.Seen
 }
 
 func newHeard(steps ...Step) *heard {
-	return &heard{words: words{start: time.Unix(1000, 0), results: map[string]*Result{}, steps: steps}}
+	return &heard{signals: signals{start: time.Unix(1000, 0), results: map[string]*Result{}, steps: steps}}
 }
 
 // add has a request that its caller sent at a time come from an entry, and be answered.
-func (h *heard) add(entry int, at time.Duration, said stand.Said) {
+func (h *heard) add(entry int, at time.Duration, given stand.Signals) {
 	id := fmt.Sprint(len(h.seen))
 	h.results[id] = &Result{
 		ID: id, Entry: entry, Began: at, Ended: at + 10*time.Millisecond, Status: 200, Whole: true, Signer: "signed-by-i-1",
 	}
-	h.seen = append(h.seen, stand.Seen{Header: http.Header{"X-Radishwell-Request-Id": {id}}, At: h.start.Add(at), Said: said})
+	h.seen = append(h.seen, stand.Seen{Header: http.Header{"X-Radishwell-Request-Id": {id}}, At: h.start.Add(at), Signals: given})
 }
 
 func (h *heard) breaches() int { return len(h.check("i-1", h.seen)) }
 
 // Each promise is shown to be broken by what breaks it, and by nothing else.
-func TestWords(t *testing.T) {
-	leaves := stand.Said{Leaving: true}
+func TestSignals(t *testing.T) {
+	leaves := stand.Signals{Leaving: true}
 	one := 1.0
-	limited := stand.Said{Limit: &one}
+	limited := stand.Signals{Limit: &one}
 	for name, c := range map[string]struct {
 		play   func(h *heard)
 		broken int
@@ -59,17 +59,17 @@
 			h.add(0, 3500*time.Millisecond, leaves)
 		}, 0},
 		"three that were not wanted": {func(h *heard) {
-			h.add(0, time.Second, stand.Said{RestTill: h.start.Add(4 * time.Second)})
+			h.add(0, time.Second, stand.Signals{RetryAt: h.start.Add(4 * time.Second)})
 			for i := range 3 {
-				h.add(0, time.Duration(1600+i)*time.Millisecond, stand.Said{})
+				h.add(0, time.Duration(1600+i)*time.Millisecond, stand.Signals{})
 			}
 		}, 1},
 		"two that were not, and others after the time or of another entry": {func(h *heard) {
-			h.add(0, time.Second, stand.Said{RestTill: h.start.Add(4 * time.Second)})
+			h.add(0, time.Second, stand.Signals{RetryAt: h.start.Add(4 * time.Second)})
 			for i := range 2 {
-				h.add(0, time.Duration(1600+i)*time.Millisecond, stand.Said{})
-				h.add(0, time.Duration(4100+i)*time.Millisecond, stand.Said{})
-				h.add(1, time.Duration(1600+i)*time.Millisecond, stand.Said{})
+				h.add(0, time.Duration(1600+i)*time.Millisecond, stand.Signals{})
+				h.add(0, time.Duration(4100+i)*time.Millisecond, stand.Signals{})
+				h.add(1, time.Duration(1600+i)*time.Millisecond, stand.Signals{})
 			}
 		}, 0},
 		"more than the rate over two entries": {func(h *heard) {
@@ -89,11 +89,11 @@
 		"as much of which half came before it was named again": {func(h *heard) {
 			h.add(0, time.Second, limited)
 			for i := range 12 {
-				said := limited
+				given := limited
 				if i == 5 {
-					said = stand.Said{}
+					given = stand.Signals{}
 				}
-				h.add(0, time.Duration(2000+300*i)*time.Millisecond, said)
+				h.add(0, time.Duration(2000+300*i)*time.Millisecond, given)
 			}
 		}, 0},
 	} {
--- a/io/soak/strike.go
+++ b/io/soak/strike.go
@@ -76,8 +76,8 @@
 	case LeaveUpstream:
 		host.Leave()
 		return func() { w.restart(host) }
-	case RestUpstream:
-		host.Rest(time.Duration(500+s.Variant%2500) * time.Millisecond)
+	case BackoffUpstream:
+		host.BackOff(time.Duration(500+s.Variant%2500) * time.Millisecond)
 		return trick(host, stand.Shed)
 	}
 	return nil
