--- a/io/proxy/reserve_test.go
+++ b/io/proxy/reserve_test.go
@@ -127,3 +127,14 @@
 	defer p.mu.Unlock()
 	assert.Equal(t, p.released, 1)
 }
+
+// Guards against a lookup that is sent to the upstream which has failed it once more, since
+// the other one takes no request for long.
+func TestFailureIsNotHeldForLimitedUpstream(t *testing.T) {
+	r, p, _ := limitedRig(t, 0)
+	w := plain(t, r, "p-2")[0]
+	w.Set(stand.Failing)
+	wantStatus(t, do(t, r.ask(t, http.MethodGet, "/again/x", "q", "X-Radishwell-Deadline-Ms", "3000")), http.StatusInternalServerError)
+	assert.Equal(t, p.told(), 1)
+	assert.Equal(t, len(w.Requests()), 1)
+}
