Remember the signals of a life only if it gave any, and for many more lives

Of a fleet with more than 256 upstreams whose entries lapse with the store at once, the first would have been taken for hosts that said nothing. What an answer says of a life that is not listed goes to the life too, not to a host that was dropped.

--- a/core/admit/keeper.go
+++ b/core/admit/keeper.go
@@ -45,7 +45,7 @@
 	// until is by when each entry's parts are left here.
 	until   map[core.HostName]time.Time
 	buckets map[core.OwnerName]*bucket
-	// paces are the upstreams that name a rate.
+	// paces count the requests to upstreams that name a rate limit.
 	paces map[core.HostName]*bucket
 	// kept is how many entries' parts were kept here last, and check when that has to be
 	// counted again.
--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -67,7 +67,7 @@
 	// against each other for the same copy: about what its callers lose by it. Copies
 	// then go where the weights are in memory or on disk.
 	swapPenalty = 0.3
-	// limitPenalty is that of a host which names a rate: it takes less work than others.
+	// limitPenalty is that of a host which names a rate limit.
 	limitPenalty = 1.0
 )
 
@@ -185,10 +185,11 @@
 	service *rtable.Service
 	hosts   []*Host
 	demand  map[core.ModelName]Demand
-	// copies counts, by model, the hosts that hold it or are about to, but for those that
-	// lacks says are too slow.
+	// copies counts, by model, the hosts that hold it or are about to, less what lacks
+	// adds up to.
 	copies map[core.ModelName]int
-	// lacks is, by model, what the copies on hosts that name a rate lack of whole ones.
+	// lacks is, by model, what the copies on hosts that name a rate limit lack of whole
+	// ones.
 	lacks map[core.ModelName]float64
 	// near are the hosts that can load a model without the weight store.
 	near    map[core.ModelName][]*Host
@@ -306,7 +307,7 @@
 	}
 }
 
-// addCopy counts a copy. Those on hosts that name a rate count for the part of the model's
+// addCopy counts a copy. Those on hosts that name a rate limit count for the part of the model's
 // requests that these take.
 //
 // It answers the load of a model whose hosts are in need all at once: its callers are
--- a/core/fleet/limit.go
+++ b/core/fleet/limit.go
@@ -36,10 +36,8 @@
 	return r.limit
 }
 
-// NoteLimit takes in the limit that an answer names to a request that was sent at a time,
-// and tells whether it is another than before. Answers overtake each other: one to a
-// request that was sent before the host last named a limit does not end it.
-func (r *rateLimit) NoteLimit(sent, now time.Time, limit core.RateLimit) bool {
+// noteLimit takes in what NoteLimit does.
+func (r *rateLimit) noteLimit(sent, now time.Time, limit core.RateLimit) bool {
 	switch {
 	case limit.Named && now.Before(r.endedAt), !limit.Named && !sent.After(r.namedAt):
 		return false
@@ -83,7 +81,9 @@
 	return n
 }
 
-// NotePeerLimit takes in the limit that a life of a host named to another process.
-func (v *View) NotePeerLimit(now time.Time, life Life, limit core.RateLimit) {
-	v.signalsOf(life).NoteLimit(now, now, limit)
+// NoteLimit takes in the limit that a life of a host names in an answer to a request that
+// was sent at a time, and tells whether it is another than before. Answers overtake each
+// other: one to a request that was sent before the host last named a limit does not end it.
+func (v *View) NoteLimit(life Life, sent, now time.Time, limit core.RateLimit) bool {
+	return v.signalsOf(life).noteLimit(sent, now, limit)
 }
--- a/core/fleet/signal.go
+++ b/core/fleet/signal.go
@@ -4,7 +4,7 @@
 
 // mostUnlisted is how many lives that the registry does not list are remembered by their
 // signals.
-const mostUnlisted = 256
+const mostUnlisted = 1024
 
 // LeaveAge is how long a host's signal that it leaves counts: by then it has left.
 const LeaveAge = 10 * time.Minute
@@ -25,14 +25,18 @@
 	return s.backoffUntil, now.Before(s.backoffUntil)
 }
 
-// NoteBackoff takes in until when the host wants no requests of this process, and tells
-// whether it took them until now.
-func (s *signals) NoteBackoff(now, until time.Time) bool {
+// NoteBackoff takes in until when a life of a host wants no requests of this process, and
+// tells whether it took them until now.
+func (v *View) NoteBackoff(life Life, now, until time.Time) bool {
+	if !now.Before(until) {
+		return false
+	}
+	s := v.signalsOf(life)
 	_, already := s.BackingOff(now)
 	if until.After(s.backoffUntil) {
 		s.backoffUntil = until
 	}
-	return !already && now.Before(until)
+	return !already
 }
 
 // LeavingFor returns for how long the host is known to say, in its answers, that it
@@ -47,7 +51,7 @@
 
 // NoteLeaving takes in that a life of a host says it leaves, and tells whether that is
 // news.
-func (v *View) NoteLeaving(now time.Time, life Life) bool {
+func (v *View) NoteLeaving(life Life, now time.Time) bool {
 	s := v.signalsOf(life)
 	if _, ok := s.LeavingFor(now); ok {
 		return false
@@ -64,14 +68,24 @@
 	if s == nil {
 		s = &signals{}
 		v.signals[life] = s
-		v.noteUnlisted(life)
+		v.remember(life)
 	}
 	return s
 }
 
-// noteUnlisted remembers the signals of a life that the registry does not list, for some
-// time more.
-func (v *View) noteUnlisted(life Life) {
+// unlist forgets a life that the registry does not list any more, unless it has given
+// signals: it may come back.
+func (v *View) unlist(life Life) {
+	if *v.signals[life] == (signals{}) {
+		delete(v.signals, life)
+		return
+	}
+	v.remember(life)
+}
+
+// remember keeps the signals of a life as long as it is among the last that were not
+// listed.
+func (v *View) remember(life Life) {
 	v.unlisted = append(v.unlisted, life)
 	if len(v.unlisted) <= mostUnlisted {
 		return
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -142,7 +142,7 @@
 		return
 	}
 	delete(v.hosts, h.ID)
-	v.noteUnlisted(h.life())
+	v.unlist(h.life())
 	v.at[h.Address] = slices.DeleteFunc(v.at[h.Address], func(o *Host) bool { return o == h })
 	if len(v.at[h.Address]) == 0 {
 		delete(v.at, h.Address)
@@ -190,7 +190,7 @@
 		h.lostAt = time.Time{}
 		v.changes++
 	}
-	if r.Limit.Named && h.NoteLimit(r.Taken, r.Taken, r.Limit) {
+	if r.Limit.Named && h.noteLimit(r.Taken, r.Taken, r.Limit) {
 		v.changes++
 	}
 	h.Report = r
--- a/io/deploy/signal.go
+++ b/io/deploy/signal.go
@@ -40,9 +40,9 @@
 			life := fleet.Life{ID: m.Host, Born: int64(m.Incarnation)}
 			switch m.Kind {
 			case peer.MarkLimited:
-				v.NotePeerLimit(now, life, core.RateLimit{Named: m.Rate > 0, Rate: m.Rate})
+				v.NoteLimit(life, now, now, core.RateLimit{Named: m.Rate > 0, Rate: m.Rate})
 			case peer.MarkLeaving:
-				v.NoteLeaving(now, life)
+				v.NoteLeaving(life, now)
 			}
 		}
 	})
--- a/io/meter/gauge.go
+++ b/io/meter/gauge.go
@@ -42,7 +42,7 @@
 	m.gauge(nameEntries, func() float64 { return float64(read()) }, "state", state)
 }
 
-// LimitedUpstreams shows how many upstreams name the rate of requests that they take.
+// LimitedUpstreams shows how many upstreams name a rate limit.
 func (m *Meter) LimitedUpstreams(read func() int) {
 	m.gauge(nameLimitedUps, func() float64 { return float64(read()) })
 }
--- a/io/proxy/signal.go
+++ b/io/proxy/signal.go
@@ -52,10 +52,10 @@
 	var limited, leaving, backoff bool
 	var limit core.RateLimit
 	p.Update(func(v *fleet.View, now time.Time) {
-		limited = t.host.NoteLimit(sent, now, head.Limit)
+		limited = v.NoteLimit(life, sent, now, head.Limit)
 		limit = t.host.Limit(now)
-		backoff = t.host.NoteBackoff(now, head.RetryAt)
-		leaving = head.Leaving && v.NoteLeaving(now, life)
+		backoff = v.NoteBackoff(life, now, head.RetryAt)
+		leaving = head.Leaving && v.NoteLeaving(life, now)
 	})
 	if p.HeardLimit != nil && (limited || head.Limit.Named) {
 		p.HeardLimit(life, limit)
