--- a/core/fleet/view_test.go
+++ b/core/fleet/view_test.go
@@ -376,7 +376,7 @@
 
 // Guards against hosts that are sent requests which they have said they do not want, and
 // against requests that wait for one while another takes them.
-func TestResting(t *testing.T) {
+func TestBackoff(t *testing.T) {
 	v := view(entry("i-1", "m"), entry("i-2", "m"))
 	assert.Assert(t, v.NoteBackoff(fleet.Life{ID: "i-1"}, t0, after(time.Second)))
 	assert.Assert(t, !v.NoteBackoff(fleet.Life{ID: "i-1"}, t0, after(500*time.Millisecond)), "it is no news")
