--- a/core/proto.go
+++ b/core/proto.go
@@ -87,6 +87,8 @@
 	// RetryAt is when this process may send to the upstream again, which has turned the
 	// request away; zero where it does not say.
 	RetryAt time.Time
+	// Unknown are the names of fields that are the platform's and not known here, sorted.
+	Unknown []string
 }
 
 // RateLimit is the requests a second that an upstream takes from all entries together.
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -90,6 +90,7 @@
 	UpstreamLimited
 	UpstreamLeaving
 	UpstreamBackoff
+	UpstreamFieldUnknown
 	eventCount
 )
 
@@ -207,6 +208,7 @@
 	{Event: UpstreamLimited, Name: "upstream-limited", Severity: Warning, Text: "Upstream names another rate limit than before", Advice: "If it lasts, the service needs more hosts, or its models more copies."},
 	{Event: UpstreamLeaving, Name: "upstream-leaving", Severity: Info, Text: "Upstream says in an answer that it leaves", Advice: noAction},
 	{Event: UpstreamBackoff, Name: "upstream-backoff", Severity: Info, Text: "Upstream turns requests of this entry away and says when to retry", Advice: "If it recurs, the service needs more hosts."},
+	{Event: UpstreamFieldUnknown, Name: "upstream-field-unknown", Severity: Warning, Text: "Upstream's answer has a field of the platform's that is not known here", Advice: "The platform's protocol has grown: find out what the field asks for. Each name is told once."},
 })
 
 // First numbers of the groups: a group starts at the next hundred, so that
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -61,6 +61,8 @@
 	leave time.Time
 	// streams are those in progress that may go on at another host.
 	streams map[*watched]bool
+	// unknown are the fields of upstreams' answers that are not known, by name.
+	unknown map[string]bool
 	// waiting is told when a request begins to wait for a model.
 	waiting chan struct{}
 }
@@ -70,6 +72,7 @@
 	p.changed = make(chan struct{})
 	p.waiting = make(chan struct{}, 1)
 	p.streams = map[*watched]bool{}
+	p.unknown = map[string]bool{}
 	p.ordered = p.Clock.Now()
 	p.retries = map[core.ServiceName]*retry.Window{}
 	p.upstreams.start()
--- a/io/proxy/signal.go
+++ b/io/proxy/signal.go
@@ -42,6 +42,25 @@
 	return now
 }
 
+// mostUnknown bounds the names of unknown fields that are remembered.
+const mostUnknown = 64
+
+// firstSeen returns those of the names of unknown fields that were not seen before.
+func (p *Proxy) firstSeen(names []string) (out []string) {
+	if len(names) == 0 {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, name := range names {
+		if !p.unknown[name] && len(p.unknown) < mostUnknown {
+			p.unknown[name] = true
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // noteSignals takes in what a host says of itself in the head of an answer to a request
 // that was sent at a time. It counts whatever becomes of the answer.
 func (c *call) noteSignals(t *target, head core.AnswerHead, sent time.Time) {
@@ -49,6 +68,9 @@
 		return // it belongs to no request of this connection
 	}
 	p, life := c.proxy, fleet.Life{ID: t.id, Born: t.born}
+	for _, name := range p.firstSeen(head.Unknown) {
+		events.Log(events.UpstreamFieldUnknown, "field", name, "host", t.id, "address", t.address, "request", c.ask.ID)
+	}
 	var limited, leaving, backoff bool
 	var limit core.RateLimit
 	p.Update(func(v *fleet.View, now time.Time) {
