Take the ports of processes in deployment tests from outside the range of outgoing connections

A listed failure of TestEngineWithoutAgentIsOrdered left an address that could not be taken as the cause. freePort took ports that an outgoing connection may take before the process listens. The entry stays on the list.

--- a/io/deploy/deploy_test.go
+++ b/io/deploy/deploy_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"radishwell/io/config"
 	"radishwell/io/deploy"
 	"radishwell/io/events"
+	"radishwell/io/fakes/ports"
 	"radishwell/platform/stand"
 )
 
@@ -51,13 +53,21 @@
 	return netip.MustParseAddrPort(lis.Addr().String())
 }
 
-// freePort returns a port that is free on an address now.
+// given are the ports that freePort has returned.
+var given sync.Map
+
+// freePort returns an address with a port of its own that no outgoing connection takes
+// before a process listens on it.
 func freePort(t *testing.T, ip string) netip.AddrPort {
 	t.Helper()
-	lis, err := net.Listen("tcp", ip+":0")
-	assert.NilError(t, err)
-	defer lis.Close()
-	return netip.MustParseAddrPort(lis.Addr().String())
+	for {
+		free, err := ports.Free(1)
+		assert.NilError(t, err)
+		port := free[0].Port()
+		if _, taken := given.LoadOrStore(port, true); !taken {
+			return netip.AddrPortFrom(netip.MustParseAddr(ip), port)
+		}
+	}
 }
 
 func newFleet(t *testing.T) *fleet {
