--- a/io/soak/signal.go
+++ b/io/soak/signal.go
@@ -41,7 +41,7 @@
 	steps   []Step
 }
 
-// check finds the requests that one upstream got against its word.
+// check finds the requests that one upstream got against its signals.
 func (w *signals) check(upstream string, seen []stand.Seen) []Breach {
 	lives := map[int64][]*arrival{}
 	for i := range seen {
@@ -99,7 +99,7 @@
 	return out
 }
 
-// tellings returns when each entry first surely knew a word.
+// tellings returns when each entry first surely knew a signal.
 func (w *signals) tellings(life []*arrival, says func(stand.Signals) bool) map[int]time.Duration {
 	told := map[int]time.Duration{}
 	for _, a := range life {
