Tell other entries the limit of a life, not of a host that was dropped

Found in reading the change again: where a host's entry lapsed while a request was in progress, the limit that its answer named was kept with the life, but what others were told was read from the dropped host: no limit, which came back as a mark and ended the one that was kept.

TestLimitOfUnlistedHostIsTold failed before.

--- a/core/fleet/limit.go
+++ b/core/fleet/limit.go
@@ -71,6 +71,10 @@
 	return max(0, r.next.Sub(now))
 }
 
+// Limit returns the rate that a life of a host takes from all entries together, whether the
+// registry lists it or not.
+func (v *View) Limit(life Life, now time.Time) core.RateLimit { return v.signalsOf(life).Limit(now) }
+
 // Limited returns the number of hosts that name a rate limit.
 func (v *View) Limited(now time.Time) (n int) {
 	for _, h := range v.hosts {
--- a/io/proxy/signal.go
+++ b/io/proxy/signal.go
@@ -75,7 +75,7 @@
 	var limit core.RateLimit
 	p.Update(func(v *fleet.View, now time.Time) {
 		limited = v.NoteLimit(life, sent, now, head.Limit)
-		limit = t.host.Limit(now)
+		limit = v.Limit(life, now)
 		backoff = v.NoteBackoff(life, now, head.RetryAt)
 		leaving = head.Leaving && v.NoteLeaving(life, now)
 	})
