--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -239,7 +239,8 @@
 	// unread is the prompt tokens that the host has to read for the request.
 	unread int
 	begun  bool
-	// reserved is the rate limit under which a reservation was made at the host, zero
-	// where none was.
-	reserved float64
+	// limit is what the host named when it was chosen, and reserved tells that a
+	// reservation was made under it.
+	limit    core.RateLimit
+	reserved bool
 }
--- a/io/proxy/reserve.go
+++ b/io/proxy/reserve.go
@@ -27,17 +27,14 @@
 // It is false where that is too far off or the caller has left; the host is abandoned then.
 func (c *call) reserve(ctx context.Context, t *target) bool {
 	p := c.proxy
-	p.mu.Lock()
-	limit := t.host.Limit(p.Clock.Now())
-	p.mu.Unlock()
-	if !limit.Named || p.Pacer == nil {
+	if !t.limit.Named || p.Pacer == nil {
 		return true
 	}
 	began := p.Clock.Now()
-	at, ok := p.Pacer.Reserve(ctx, t.id, limit.Rate, began.Add(admit.MostAhead))
+	at, ok := p.Pacer.Reserve(ctx, t.id, t.limit.Rate, began.Add(admit.MostAhead))
 	p.Update(func(_ *fleet.View, now time.Time) { t.host.NoteReservation(now, at, ok) })
 	if ok {
-		t.reserved = limit.Rate
+		t.reserved = true
 		ok = loop.Sleep(ctx, max(0, at.Sub(p.Clock.Now())))
 	}
 	c.paced += p.Clock.Now().Sub(began)
@@ -49,8 +46,8 @@
 
 // release gives back the reservation of a request that was not sent.
 func (c *call) release(t *target) {
-	if t.reserved > 0 {
-		c.proxy.Pacer.Release(t.id, t.reserved)
-		t.reserved = 0
+	if t.reserved {
+		c.proxy.Pacer.Release(t.id, t.limit.Rate)
+		t.reserved = false
 	}
 }
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -118,7 +118,7 @@
 		return nil, false, nil, c.giveUp()
 	}
 	h := choice.Host
-	t = &target{id: h.ID, born: h.Born, address: h.Address, host: h, unread: h.Unread(now, &c.query)}
+	t = &target{id: h.ID, born: h.Born, address: h.Address, host: h, unread: h.Unread(now, &c.query), limit: h.Limit(now)}
 	h.Sent(now, &c.query)
 	if c.query.Model != "" {
 		p.view.Read(t.unread)
