--- a/io/node/fleet_test.go
+++ b/io/node/fleet_test.go
@@ -131,7 +131,8 @@
 	go func() { ended <- run(ctx) }()
 	f.t.Cleanup(func() {
 		stop()
-		assert.Check(f.t, <-ended == nil)
+		err := <-ended
+		assert.Check(f.t, err == nil, "the stand-in ended with %v", err)
 	})
 }
 
