Tell in logs and metrics how far behind replicas are, and which exchanges are cut

- RW1610 transfer-cut: an exchange ended by its deadline while bytes arrived, and how many.
- RW1611 replica-behind, RW1612 replica-caught-up: which version is held, which another process named, since when, and how old the platform's word is.
- RW1821 table-decoded: size and time of reading a routing table, beside RW1801.
- radishwell_replica_lag_seconds, radishwell_replica_age_seconds by kind.

--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -36,7 +36,11 @@
 		// after all have been killed, none of these answers.
 		Kinds: kinds, Confirm: kinds, Platform: e.store, Client: e.client, Clock: e.clock,
 		Peers: e.members.peers, Near: e.members.isNear, Watchers: watchers, Seed: rand.Uint64(), MaxRetry: storeRetry,
-		Changed: e.changed, Reached: e.platformBack, Failed: e.stateFailed,
+		Changed: e.changed, Reached: e.platformBack, Failed: e.stateFailed, Behind: e.tellLag,
+	}
+	for _, kind := range kinds {
+		e.meter.ReplicaLag(kind, func() time.Duration { return e.state.Lag(kind) })
+		e.meter.ReplicaAge(kind, func() time.Duration { return e.replicaAge(kind) })
 	}
 	e.handler.Sync = e.state.Serve
 	e.parts = append(e.parts, e.state.Run)
@@ -70,7 +74,9 @@
 	if o.Name != plat.MainTable || o.Deleted {
 		return
 	}
+	began := e.clock.Now()
 	table, err := plat.Table(o.Spec)
+	events.Log(events.TableDecoded, "revision", o.Version, "bytes", len(o.Spec), "took", e.clock.Now().Sub(began))
 	if err != nil {
 		events.Fail(events.TableRejected, err, "revision", o.Version)
 		return
@@ -90,7 +96,10 @@
 // stateFailed notes a failed read of the store or of a peer.
 func (e *entry) stateFailed(err error) {
 	var failed *core.PlatformError
+	var cut *peer.CallError
 	switch {
+	case errors.As(err, &cut) && cut.Read > 0:
+		events.Fail(events.TransferCut, err, "bytes", cut.Read)
 	case !errors.As(err, &failed):
 		events.Fail(events.PeerUnreachable, err)
 	case failed.Fault == core.Gone:
@@ -103,6 +112,30 @@
 	}
 }
 
+// tellLag logs a replica that lacks a change for long, and one that has it again.
+func (e *entry) tellLag(l peer.Lag) {
+	now := e.clock.Now()
+	if l.Over {
+		events.Log(events.ReplicaCaughtUp, "kind", l.Kind, "revision", l.Held, "after", now.Sub(l.Since))
+		return
+	}
+	events.Log(events.ReplicaBehind, "kind", l.Kind, "revision", l.Held, "named", l.Named, "since", now.Sub(l.Since),
+		"platform-word-age", ageOf(l.Fresh, now))
+}
+
+// replicaAge returns the age of the platform's last word that a replica lacks nothing,
+// negative where there was none.
+func (e *entry) replicaAge(kind core.Kind) time.Duration {
+	return ageOf(e.state.Status(kind).Fresh, e.clock.Now())
+}
+
+func ageOf(at, now time.Time) time.Duration {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at)
+}
+
 func (e *entry) platformBack() {
 	if e.storeLost.CompareAndSwap(true, false) {
 		events.Log(events.PlatformBack)
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -65,6 +65,9 @@
 	ConnectionSilent
 	SlotFallback
 	ConnectionFailed
+	TransferCut
+	ReplicaBehind
+	ReplicaCaughtUp
 
 	CertificateLoaded
 	CertificateInvalid
@@ -91,6 +94,7 @@
 	UpstreamLeaving
 	UpstreamBackoff
 	UpstreamFieldUnknown
+	TableDecoded
 	eventCount
 )
 
@@ -183,6 +187,9 @@
 	{Event: ConnectionSilent, Name: "connection-silent", Severity: Warning, Sampled: true, Text: "Connection went silent and is closed", Advice: "If it recurs between the same hosts, look at what is between them."},
 	{Event: SlotFallback, Name: "slot-fallback", Severity: Info, Sampled: true, Text: "Decider does not answer; loads go on under the host's own share of the weight store", Advice: noAction},
 	{Event: ConnectionFailed, Name: "connection-failed", Severity: Info, Verbosity: 1, Sampled: true, Text: "Connection failed before a request was read", Advice: "Nothing, unless it is another process of the system: then see peer-refused on both sides."},
+	{Event: TransferCut, Name: "transfer-cut", Severity: Warning, Sampled: true, Text: "Exchange with another process ended by its deadline while its answer arrived", Advice: "If it recurs, the link of one of the two hosts is full: look which, and with what."},
+	{Event: ReplicaBehind, Name: "replica-behind", Severity: Warning, Text: "Replica lacks a change that another process has named", Advice: "If replica-caught-up does not follow within seconds, look for transfer-cut and platform-unreachable of this host."},
+	{Event: ReplicaCaughtUp, Name: "replica-caught-up", Severity: Info, Text: "Replica has the change that it lacked", Advice: noAction},
 
 	{Event: CertificateLoaded, Name: "certificate-loaded", Severity: Info, Text: "TLS files are in use", Advice: noAction},
 	{Event: CertificateInvalid, Name: "certificate-invalid", Severity: Error, Text: "Changed TLS files cannot be used; the former ones stay in use", Advice: "Mend the files. Replace all of them before the old certificate ends."},
@@ -209,6 +216,7 @@
 	{Event: UpstreamLeaving, Name: "upstream-leaving", Severity: Info, Text: "Upstream says in an answer that it leaves", Advice: noAction},
 	{Event: UpstreamBackoff, Name: "upstream-backoff", Severity: Info, Text: "Upstream turns requests of this entry away and says when to retry", Advice: "If it recurs, the service needs more hosts."},
 	{Event: UpstreamFieldUnknown, Name: "upstream-field-unknown", Severity: Warning, Text: "Upstream's answer has a field of the platform's that is not known here", Advice: "The platform's protocol has grown: find out what the field asks for. Each name is told once."},
+	{Event: TableDecoded, Name: "table-decoded", Severity: Info, Text: "Routing table was read from its document", Advice: noAction},
 })
 
 // First numbers of the groups: a group starts at the next hundred, so that
--- a/io/meter/gauge.go
+++ b/io/meter/gauge.go
@@ -1,6 +1,10 @@
 package meter
 
-import "radishwell/core"
+import (
+	"time"
+
+	"radishwell/core"
+)
 
 // MemoryState tells parts of the accelerators' memory apart.
 type MemoryState int
@@ -47,6 +51,18 @@
 	m.gauge(nameLimitedUps, func() float64 { return float64(read()) })
 }
 
+// ReplicaLag shows how long the replica of a kind has lacked a change that another
+// process named.
+func (m *Meter) ReplicaLag(k core.Kind, read func() time.Duration) {
+	m.gauge(nameReplicaLag, func() float64 { return read().Seconds() }, "kind", string(k))
+}
+
+// ReplicaAge shows the age of the platform's last word that the replica of a kind lacks
+// nothing, negative where there was none.
+func (m *Meter) ReplicaAge(k core.Kind, read func() time.Duration) {
+	m.gauge(nameReplicaAge, func() float64 { return read().Seconds() }, "kind", string(k))
+}
+
 // Revision shows the revision of the catalogue in force.
 func (m *Meter) Revision(read func() uint64) {
 	m.gauge(nameRevision, func() float64 { return float64(read()) })
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -35,12 +35,15 @@
 	reuseTime = 500 * time.Millisecond
 )
 
-// CallError reports a call that got no answer. Sent tells that the other side
-// may have served it.
+// CallError reports a call that got no answer.
 type CallError struct {
 	Method string
-	Sent   bool
-	Cause  error
+	// Sent tells that the other side may have served the call.
+	Sent bool
+	// Read is how many bytes were read from the connection during the call, those of other
+	// calls included.
+	Read  int64
+	Cause error
 }
 
 // Error implements error.
@@ -114,7 +117,7 @@
 	}
 	defer c.release(to, conn)
 	out := P(new(A))
-	sent := time.Now()
+	sent, read := time.Now(), conn.link.read.Load()
 	pending := conn.rpc.Go(serviceName+"."+method, in, out, make(chan *rpc.Call, 1))
 	if err := c.wait(ctx, to, conn, pending); err != nil {
 		if ctx.Err() != nil {
@@ -124,7 +127,7 @@
 		if errors.As(err, &refused) {
 			return nil, refused
 		}
-		return nil, &CallError{Method: method, Sent: true, Cause: err}
+		return nil, &CallError{Method: method, Sent: true, Read: conn.link.read.Load() - read, Cause: err}
 	}
 	return out, nil
 }
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -30,6 +30,8 @@
 	readLimit time.Duration
 	// readAt is when something was last read, in nanoseconds since the epoch.
 	readAt atomic.Int64
+	// read counts the bytes read.
+	read atomic.Int64
 	// stopped makes reading fail, for a stop that still answers calls.
 	stopped atomic.Bool
 }
@@ -50,6 +52,7 @@
 	if n > 0 {
 		l.readAt.Store(time.Now().UnixNano())
 	}
+	l.read.Add(int64(n))
 	l.count.received.Add(int64(n))
 	return n, err
 }
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -61,6 +61,9 @@
 	// Failed, if set, is told of each failed call: a PlatformError or an error
 	// of Client.
 	Failed func(error)
+	// Behind, if set, is told of each replica that has lacked a change for lagTime, and
+	// again, with a Lag that is over, when it has the change. It must not call back.
+	Behind func(Lag)
 
 	once  sync.Once
 	mu    sync.Mutex
@@ -87,6 +90,7 @@
 	// patience is how old fresh may be before this process watches the kind
 	// though it is not among the kind's watchers.
 	patience time.Duration
+	lag      lagState
 }
 
 type realClock struct{}
@@ -223,6 +227,7 @@
 		return false
 	}
 	notes := k.Join(d)
+	s.noteLag(kind, k)
 	if len(notes) == 0 {
 		return false
 	}
--- a/io/peer/sync.go
+++ b/io/peer/sync.go
@@ -174,7 +174,12 @@
 	defer s.mu.Unlock()
 	for _, t := range digest {
 		k := s.kinds[core.Kind(t.GetKind())]
-		if k == nil || t.GetAge() < 0 || uint64(k.Through()) < t.GetVersion() {
+		if k == nil {
+			continue
+		}
+		k.lag.name(core.Version(t.GetNewest()), k.Newest(), now)
+		s.noteLag(core.Kind(t.GetKind()), k)
+		if t.GetAge() < 0 || uint64(k.Through()) < t.GetVersion() {
 			continue
 		}
 		if at := now.Add(-time.Duration(t.GetAge())); at.After(k.fresh) {
