--- a/io/fakes/midbox/box.go
+++ b/io/fakes/midbox/box.go
@@ -1,7 +1,7 @@
 // Package midbox is a stand-in for what lies between two processes: it relays TCP
-// connections, and can delay them, cut them in one way or both, break them off, or
-// make those that are open go silent, as when something on the way has lost track of
-// them, while new ones work.
+// connections, and can delay them, limit their rate, cut them in one way or both, break
+// them off, or make those that are open go silent, as when something on the way has lost
+// track of them, while new ones work.
 package midbox
 
 import (
@@ -35,6 +35,8 @@
 	mu    sync.Mutex
 	open  map[net.Conn]bool
 	delay time.Duration
+	// links limit the rate in each direction; nil is no limit.
+	links [wayCount]*Link
 	// pass is closed, for each direction, while bytes may pass in it.
 	pass [wayCount]chan struct{}
 	// hushed counts the calls of Hush; connections from before carry nothing.
@@ -85,6 +87,34 @@
 	b.delay = d
 }
 
+// Link is a link of a limited rate, which the connections of several boxes may share.
+type Link struct {
+	// Rate is in bytes a second.
+	Rate float64
+
+	mu   sync.Mutex
+	free time.Time
+}
+
+// carry waits until the link has carried so many bytes more.
+func (l *Link) carry(bytes int) {
+	l.mu.Lock()
+	if now := time.Now(); l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(bytes) / l.Rate * float64(time.Second)))
+	wait := time.Until(l.free)
+	l.mu.Unlock()
+	time.Sleep(wait)
+}
+
+// Limit has a direction pass through a link.
+func (b *Box) Limit(way Way, l *Link) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.links[way] = l
+}
+
 // Heal ends cuts and delays.
 func (b *Box) Heal() {
 	b.mu.Lock()
@@ -180,6 +210,7 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
+		b.carry(way, n)
 		if !b.mayPass(way, born) {
 			_, _ = io.Copy(io.Discard, from) // swallowed until somebody closes
 			return
@@ -207,6 +238,16 @@
 
 // mayPass waits out a cut and a delay, and tells whether the connection carries
 // anything.
+// carry waits for the direction's link to carry some bytes.
+func (b *Box) carry(way Way, bytes int) {
+	b.mu.Lock()
+	link := b.links[way]
+	b.mu.Unlock()
+	if link != nil && bytes > 0 {
+		link.carry(bytes)
+	}
+}
+
 func (b *Box) mayPass(way Way, born int) bool {
 	b.mu.Lock()
 	pass, delay := b.pass[way], b.delay
--- a/io/peer/store_test.go
+++ b/io/peer/store_test.go
@@ -33,6 +33,7 @@
 
 // process is one process's store with its client and server.
 type process struct {
+	t testing.TB
 	*Store
 	client  *Client
 	server  *Server
@@ -62,7 +63,7 @@
 	f.mu.Lock()
 	n := len(f.known)
 	f.mu.Unlock()
-	p := &process{client: &Client{}, changed: make(chan struct{}, 1)}
+	p := &process{t: f.t, client: &Client{}, changed: make(chan struct{}, 1)}
 	p.Store = &Store{
 		Self:     Target{Host: core.HostName(fmt.Sprintf("entry-%d", n))},
 		Kinds:    []core.Kind{core.KindModel, core.KindGrant},
