Fetch large objects apart from the exchange between processes, once each

What callers saw: for seconds after a change of a large routing table was acknowledged, some entries refused a route with 404 or sent requests to the service of an older version.

Cause: an exchange carried whole objects and ended after one second, whatever had arrived. An entry that lacked a table of 0.4 MB was sent it by up to ten peers in one round; on a link of 10 Mbit/s no copy was whole in time. The answers went on arriving and filled the link for the next round, so that it could last for as long as peers had news, with the entry's requests and answers behind them. All else in the exchange was lost with it. The class: a transfer that is bounded by a fixed time for the whole, repeated in full and by several at once.

Ruled out: replicas that count as fresh (the age of the platform's word grew with the lag), and the time of decoding alone (the objects were not there).

Specifications of 16 KiB or more are now named in the exchange and fetched in compressed parts, from one peer at a time, going on at another where that one does not answer.

--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -42,7 +42,7 @@
 		e.meter.ReplicaLag(kind, func() time.Duration { return e.state.Lag(kind) })
 		e.meter.ReplicaAge(kind, func() time.Duration { return e.replicaAge(kind) })
 	}
-	e.handler.Sync = e.state.Serve
+	e.handler.Sync, e.handler.Fetch = e.state.Serve, e.state.ServeFetch
 	e.parts = append(e.parts, e.state.Run)
 }
 
--- a/io/node/mesh.go
+++ b/io/node/mesh.go
@@ -39,7 +39,7 @@
 		Strikes: func() []*wire.Strike { return relay.StrikesOut(n.strikes()) },
 		Struck:  n.struck, Failed: n.failed,
 	}
-	n.handler.Sync = n.store.Serve
+	n.handler.Sync, n.handler.Fetch = n.store.Serve, n.store.ServeFetch
 	n.addPart("store", n.store.Run)
 	return nil
 }
--- a/io/peer/calls.go
+++ b/io/peer/calls.go
@@ -13,6 +13,11 @@
 	return call[wire.SyncReply](ctx, c, to, "Sync", in)
 }
 
+// Fetch asks a process for a part of an object's specification.
+func (c *Client) Fetch(ctx context.Context, to Target, in *wire.FetchCall) (*wire.FetchReply, error) {
+	return call[wire.FetchReply](ctx, c, to, "Fetch", in)
+}
+
 // Probe asks an agent for its load.
 func (c *Client) Probe(ctx context.Context, to Target, in *wire.ProbeCall) (*wire.HostLoad, error) {
 	return call[wire.HostLoad](ctx, c, to, "Probe", in)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -19,6 +19,7 @@
 // an UnsupportedError.
 type Handler struct {
 	Sync    func(*wire.SyncCall) (*wire.SyncReply, error)
+	Fetch   func(*wire.FetchCall) (*wire.FetchReply, error)
 	Probe   func(*wire.ProbeCall) (*wire.HostLoad, error)
 	Slot    func(*wire.SlotCall) (*wire.SlotReply, error)
 	Claim   func(*wire.ClaimCall) (*wire.ClaimReply, error)
@@ -50,6 +51,11 @@
 	return answer("Sync", m.handler.Sync, c, out)
 }
 
+// Fetch serves a part of an object's specification.
+func (m *methods) Fetch(c *wire.FetchCall, out *wire.FetchReply) error {
+	return answer("Fetch", m.handler.Fetch, c, out)
+}
+
 // Probe serves a question for this host's load.
 func (m *methods) Probe(c *wire.ProbeCall, out *wire.HostLoad) error {
 	return answer("Probe", m.handler.Probe, c, out)
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -77,6 +77,13 @@
 	notify chan struct{}
 	kick   chan struct{}
 	pull   chan Target
+	// downloads are the large specifications that are lacking; fetch wakes the goroutine
+	// that fetches them.
+	downloads map[objectID]*download
+	fetch     chan struct{}
+	// packs are compressed specifications kept for peers, uses counts their uses.
+	packs map[objectID]*packed
+	uses  uint64
 }
 
 // kindState is the replica of one kind and what is known of its age.
@@ -116,6 +123,8 @@
 	s.notify = make(chan struct{}, 1)
 	s.kick = make(chan struct{}, 1)
 	s.pull = make(chan Target, maxPulls)
+	s.fetch = make(chan struct{}, 1)
+	s.downloads, s.packs = map[objectID]*download{}, map[objectID]*packed{}
 	r := s.rand(0)
 	s.peers = peerView{rand: r, near: s.Near}
 	for _, kind := range s.Kinds {
@@ -134,8 +143,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ended := make(chan error)
-	running := 2
+	running := 3
 	go func() { ended <- s.runNotify(ctx) }()
+	go func() { ended <- s.runFetch(ctx) }()
 	go func() { ended <- s.runSync(ctx) }()
 	for i, kind := range s.Kinds {
 		running++
--- a/io/peer/store_test.go
+++ b/io/peer/store_test.go
@@ -76,7 +76,7 @@
 	if edit != nil {
 		edit(p.Store)
 	}
-	p.server = &Server{Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: &Handler{Sync: p.Serve}}
+	p.server = &Server{Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: &Handler{Sync: p.Serve, Fetch: p.ServeFetch}}
 	assert.NilError(f.t, p.server.Listen())
 	p.Self.Address = p.server.Address
 	f.mu.Lock()
--- a/io/peer/sync.go
+++ b/io/peer/sync.go
@@ -116,7 +116,7 @@
 		return
 	}
 	for _, d := range reply.GetDeltas() {
-		s.join(core.Kind(d.GetKind()), fromWire(d))
+		s.takeDelta(p, d)
 	}
 	s.refresh(reply.GetThrough())
 	s.takeSoft(reply.GetMarks(), reply.GetStrikes())
@@ -132,6 +132,7 @@
 		Through: s.digest(),
 		Strikes: strikes,
 		Marks:   s.soft.wire(s.Clock.Now()),
+		Apart:   true,
 	}
 }
 
@@ -215,8 +216,9 @@
 		if d.Empty() || room <= 0 {
 			continue
 		}
-		reply.Deltas = append(reply.Deltas, toWire(t.GetKind(), d))
-		room -= size(d)
+		out := toWire(t.GetKind(), d, call.GetApart())
+		reply.Deltas = append(reply.Deltas, out)
+		room -= size(out)
 	}
 	if p, ok := s.peers.find(call.GetFrom()); ok && ahead {
 		s.requeue(p)
@@ -224,15 +226,17 @@
 	return reply, nil
 }
 
-func size(d replic.Delta) int {
+func size(d *wire.KindDelta) int {
 	n := 0
-	for _, o := range d.Objects {
-		n += len(o.Name) + len(o.UID) + len(o.Spec) + len(o.Status)
+	for _, i := range d.GetItems() {
+		n += len(i.GetName()) + len(i.GetUid()) + len(i.GetSpec()) + len(i.GetStatus())
 	}
 	return n
 }
 
-func toWire(kind string, d replic.Delta) *wire.KindDelta {
+// toWire returns a delta's message, without large specifications where the caller fetches
+// these apart.
+func toWire(kind string, d replic.Delta, apart bool) *wire.KindDelta {
 	out := &wire.KindDelta{
 		Kind:    kind,
 		From:    uint64(d.From),
@@ -241,7 +245,7 @@
 		Items:   make([]*wire.Item, 0, len(d.Objects)),
 	}
 	for _, o := range d.Objects {
-		out.Items = append(out.Items, &wire.Item{
+		item := &wire.Item{
 			Name:       o.Name,
 			Uid:        o.UID,
 			Version:    uint64(o.Version),
@@ -249,7 +253,11 @@
 			Spec:       o.Spec,
 			Status:     o.Status,
 			Deleted:    o.Deleted,
-		})
+		}
+		if apart && len(o.Spec) >= largeSize {
+			item.Spec, item.Size = nil, uint64(len(o.Spec))
+		}
+		out.Items = append(out.Items, item)
 	}
 	return out
 }
