Bound the store's answers by silence, not by a time for the whole

Cause, the same class in another place: a list had 1.5 s and a watch 2.5 s, 2 s of which are the wait for a change, body included. A change late in the wait left 0.5 s for 0.4 MB; on a link of 10 Mbit/s that takes 0.33 s of the whole link. The answer was given up and asked for anew.

Now the time of a call is that until its answer begins and of each pause in it, with a bound of 15 s more for the whole (io/steady). The product's own client of the object API does the same.

--- a/io/objapi/call.go
+++ b/io/objapi/call.go
@@ -15,6 +15,7 @@
 
 	"radishwell/core"
 	"radishwell/io/loop"
+	"radishwell/io/steady"
 )
 
 // Limits of one call. A slow platform is still worth waiting for, so the
@@ -78,9 +79,9 @@
 	if err := c.spend(ctx, what.read); err != nil {
 		return what.fail(core.Unavailable, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	resp, failed := c.send(ctx, what, nil)
+	answer := steady.Start(ctx, timeout)
+	defer answer.Stop()
+	resp, failed := c.send(answer.Context, what, nil)
 	if failed != nil {
 		return failed
 	}
@@ -88,7 +89,7 @@
 	if resp.StatusCode >= http.StatusBadRequest {
 		return what.refused(resp)
 	}
-	data, err := io.ReadAll(resp.Body)
+	data, err := answer.ReadAll(resp.Body, callTimeout)
 	if err != nil {
 		return what.fail(core.Unknown, err)
 	}
--- /dev/null
+++ b/io/steady/steady.go
@@ -0,0 +1,70 @@
+package steady
+
+import (
+	"context"
+	"io"
+	"time"
+)
+
+// mostTime bounds an answer that arrives all the time.
+const mostTime = 15 * time.Second
+
+// SilenceError reports an answer that did not begin, or did not go on, in time.
+type SilenceError struct{}
+
+// Error implements error.
+func (*SilenceError) Error() string { return "the other side has gone silent" }
+
+// Call is a call that is in progress.
+type Call struct {
+	// Context is the call's; it ends when the other side has been silent for too long.
+	Context context.Context
+
+	giveUp context.CancelCauseFunc
+	stop   context.CancelFunc
+	timer  *time.Timer
+}
+
+// Start begins a call whose answer has to begin within a time. The caller calls Stop in the
+// end.
+func Start(ctx context.Context, within time.Duration) *Call {
+	c := &Call{}
+	ctx, c.stop = context.WithTimeout(ctx, within+mostTime)
+	c.Context, c.giveUp = context.WithCancelCause(ctx)
+	c.timer = time.AfterFunc(within, func() { c.giveUp(&SilenceError{}) })
+	return c
+}
+
+// Stop ends the call.
+func (c *Call) Stop() {
+	c.timer.Stop()
+	c.giveUp(nil)
+	c.stop()
+}
+
+// ReadAll reads the answer, each pause of which may take some time. Its error is a
+// SilenceError after a longer one.
+func (c *Call) ReadAll(from io.Reader, pause time.Duration) ([]byte, error) {
+	c.timer.Reset(pause)
+	data, err := io.ReadAll(&Reader{From: from, Timer: c.timer, Pause: pause})
+	if err != nil && context.Cause(c.Context) != nil {
+		err = context.Cause(c.Context)
+	}
+	return data, err
+}
+
+// Reader puts off a timer with each piece that it reads.
+type Reader struct {
+	From  io.Reader
+	Timer *time.Timer
+	Pause time.Duration
+}
+
+// Read implements io.Reader.
+func (r *Reader) Read(p []byte) (int, error) {
+	n, err := r.From.Read(p)
+	if n > 0 {
+		r.Timer.Reset(r.Pause)
+	}
+	return n, err
+}
