Count a replica's lag from the oldest change that it lacks

radishwell_replica_lag_seconds and RW1611 counted from the first change named since the replica had all that others had. TestLag holds it.

--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -85,7 +85,7 @@
 	{nameClaims, Counter, []string{"result"}, "", "Claims of idempotency keys."},
 	{nameSignalSends, Counter, []string{"signal"}, "", "Requests sent to upstreams that had said in an answer that they leave, want none for a time, or name a rate limit."},
 	{nameLimitedUps, Gauge, nil, "", "Upstreams that name a rate limit, as this process has heard."},
-	{nameReplicaLag, Gauge, []string{"kind"}, "seconds", "How long the replica of a kind has lacked a change that another process named; zero where it lacks none."},
+	{nameReplicaLag, Gauge, []string{"kind"}, "seconds", "How long the replica of a kind has lacked the oldest change that another process named and that it has not; zero where it lacks none."},
 	{nameReplicaAge, Gauge, []string{"kind"}, "seconds", "Age of the platform's last word that the replica of a kind lacks nothing; negative where there was none."},
 }
 
--- a/io/peer/lag.go
+++ b/io/peer/lag.go
@@ -13,10 +13,10 @@
 // Lag is a replica that lacks a change which another process has named.
 type Lag struct {
 	Kind core.Kind
-	// Held is the newest version held, Named the newest that was named.
+	// Held is the newest version held, Named the one that is lacking.
 	Held, Named core.Version
-	// Since is when the first version that is lacking was named, Fresh when the platform
-	// said last that the replica lacked nothing.
+	// Since is when that was named, Fresh when the platform said last that the replica
+	// lacked nothing.
 	Since, Fresh time.Time
 	// Over tells that the change is there now.
 	Over bool
@@ -24,39 +24,37 @@
 
 // lagState is what is known of the changes that a replica lacks.
 type lagState struct {
-	named core.Version
-	// since is when the first of the versions that are lacking was named, zero where none is.
+	// named is the version that is lacking and was named first, newest the newest of all.
+	named, newest core.Version
+	// since is when named was named, zero where nothing is lacking.
 	since time.Time
 	told  bool
 }
 
 // name takes in the newest version that another process has.
-func (l *lagState) name(named, held core.Version, now time.Time) {
-	l.named = max(l.named, named)
-	if l.named > held && l.since.IsZero() {
-		l.since = now
+func (l *lagState) name(version, held core.Version, now time.Time) {
+	l.newest = max(l.newest, version)
+	if l.since.IsZero() && l.newest > held {
+		l.named, l.since = l.newest, now
 	}
 }
 
 // noteLag tells of a replica that has lacked a change for lagTime, and of one that has
-// it again. The caller holds mu.
+// it now. The caller holds mu.
 func (s *Store) noteLag(kind core.Kind, k *kindState) {
-	if k.lag.since.IsZero() {
+	l := &k.lag
+	if l.since.IsZero() {
 		return
 	}
-	now := s.Clock.Now()
-	lag := Lag{Kind: kind, Held: k.Newest(), Named: k.lag.named, Since: k.lag.since, Fresh: k.fresh}
-	lag.Over = lag.Held >= lag.Named
-	tell := k.lag.told
-	switch {
-	case lag.Over:
-		k.lag.since, k.lag.told = time.Time{}, false
-	case !tell && now.Sub(lag.Since) >= lagTime:
-		tell, k.lag.told = true, true
-	default:
-		tell = false
+	now, held, told := s.Clock.Now(), k.Newest(), l.told
+	lag := Lag{Kind: kind, Held: held, Named: l.named, Since: l.since, Fresh: k.fresh, Over: held >= l.named}
+	if lag.Over {
+		l.since, l.told = time.Time{}, false
+		l.name(l.newest, held, now)
+	} else {
+		l.told = told || now.Sub(l.since) >= lagTime
 	}
-	if tell && s.Behind != nil {
+	if s.Behind != nil && (lag.Over && told || l.told && !told) {
 		s.Behind(lag)
 	}
 }
