Fetch large deltas apart from the exchange, too

The same cause sought elsewhere: many small changes are as large as one large one. A process that starts, or that is older than its peers' horizon, is sent a whole kind by each peer that it exchanges with; 640 upstreams are some 0.4 MB (worked out from 0.7 KB each).

A process that starts now waits for what its first exchange named, for up to 2 s, before kinds that peers bring are listed from the platform: else each of a wave of restarts would list them. FuzzPart takes in parts as a peer may send them; FuzzServe knows the call.

--- a/io/peer/fuzz_test.go
+++ b/io/peer/fuzz_test.go
@@ -20,10 +20,13 @@
 	whole = append(append(whole, byte(len(body))), body...)
 	f.Add(whole)
 	f.Add(whole[:len(whole)-3])
+	head, _ = proto.Marshal(&wire.CallHead{Method: "Peer.Fetch", Sequence: 2})
+	body, _ = proto.Marshal(&wire.FetchCall{Kind: "models", Version: 3, Offset: 1 << 63})
+	f.Add(append(append(append([]byte{byte(len(head))}, head...), byte(len(body))), body...))
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f})
 	s := &Store{Kinds: []core.Kind{core.KindModel}}
 	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &methods{handler: &Handler{Sync: s.Serve}}); err != nil {
+	if err := server.RegisterName(serviceName, &methods{handler: &Handler{Sync: s.Serve, Fetch: s.ServeFetch}}); err != nil {
 		f.Fatal(err)
 	}
 	f.Fuzz(func(_ *testing.T, data []byte) {
@@ -70,3 +73,22 @@
 		}
 	})
 }
+
+// FuzzPart takes in whatever a peer may send as parts of something large.
+func FuzzPart(f *testing.F) {
+	p := &packed{build: func() []byte { return []byte(`{"text":"qalam"}`) }}
+	p.compress()
+	f.Add(p.data, p.size, p.sum, uint64(0))
+	f.Add(p.data[:3], p.size, p.sum, uint64(2))
+	f.Add([]byte{1, 2, 3}, uint64(3), uint64(0), uint64(1<<63))
+	f.Fuzz(func(t *testing.T, data []byte, unpacked, sum, offset uint64) {
+		d := &download{}
+		part := &wire.FetchReply{Data: data, Size: uint64(len(data)), Sum: sum, Unpacked: unpacked}
+		if d.take(offset, part) != (uint64(len(d.data)) == d.total) {
+			t.Error("a part is said to be the last and is not")
+		}
+		if out, err := unpack(data, min(unpacked, 1<<16)); err == nil && uint64(len(out)) != min(unpacked, 1<<16) {
+			t.Errorf("unpacked %d bytes of %d", len(out), unpacked)
+		}
+	})
+}
--- a/io/peer/large.go
+++ b/io/peer/large.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"radishwell/core"
 	"radishwell/core/replic"
@@ -19,88 +20,105 @@
 	"radishwell/wire"
 )
 
-// Large specifications are left out of exchanges, which so stay short and reach all peers
-// whatever else is on its way. A process fetches each of them once, in parts, from one
-// peer at a time, and goes on at another where one does not answer.
+// What is large is left out of exchanges, which so stay short and reach all peers whatever
+// else is on its way. A process fetches it once, in parts, from one peer at a time, and goes
+// on at another where one does not answer.
 const (
-	// largeSize is the size in bytes from which a specification counts as large.
-	largeSize = 16 << 10
+	// largeSpec is the size in bytes from which a specification counts as large, largeDelta
+	// that of all items of a delta.
+	largeSpec  = 16 << 10
+	largeDelta = 64 << 10
 	// partSize bounds the compressed bytes in one answer.
 	partSize = 32 << 10
 	// partTimeout bounds one call for a part.
 	partTimeout = 1500 * time.Millisecond
-	// maxSources bounds the peers that are remembered as having an object.
+	// maxSources bounds the peers that are remembered as having something.
 	maxSources = 8
-	// maxPacked bounds the compressed specifications kept for peers, the version before
-	// the present one among them: some may be half way through it.
-	maxPacked = 4
+	// maxPacked bounds what is kept in compressed form for peers. Some may be half way
+	// through an older version.
+	maxPacked = 8
+	// packedAge is how long a delta that is kept in compressed form is sent to peers that
+	// have none of it yet.
+	packedAge = 2 * time.Second
 	// downloadAge is how long a download is kept that no peer names any more.
 	downloadAge = 30 * time.Second
-	// maxSize bounds a specification.
-	maxSize = 64 << 20
+	// maxSize bounds what is fetched, in bytes before compression.
+	maxSize = maxMessage
+	// bootFetch bounds how long a process that starts waits for what peers have.
+	bootFetch = 2 * time.Second
 )
 
-// objectID names one version of an object.
-type objectID struct {
+// blobID names what is fetched: the specification of one version of an object, or, without
+// a name, the changes of a kind after a version.
+type blobID struct {
 	kind    core.Kind
 	name    string
 	version core.Version
 }
 
-// download is a large specification on its way.
+// download is something large on its way.
 type download struct {
-	// object has no specification yet.
+	id blobID
+	// object is the one whose specification is fetched.
 	object core.Object
-	// size is that of the specification.
-	size uint64
-	// data is what has been received of the compressed specification of total bytes; sum
-	// tells whether another peer's compression is the same.
-	data  []byte
-	total uint64
-	sum   uint64
+	// data is what has been received of total bytes; sum tells whether another peer's
+	// compression is the same.
+	data       []byte
+	total, sum uint64
 	// sources are the peers that have it, the one to ask next first.
 	sources []Target
 	// until is when it is forgotten, unless a peer names it again.
 	until time.Time
 }
 
-func (d *download) id() objectID {
-	return objectID{kind: d.object.Kind, name: d.object.Name, version: d.object.Version}
+// before tells which of two downloads goes first: what has begun does, so that versions
+// which follow each other closely do not keep all of them from arriving.
+func (d *download) before(other *download) bool {
+	if begun := len(d.data) > 0; begun != (len(other.data) > 0) {
+		return begun
+	}
+	return d.id.version > other.id.version
 }
 
-// complete tells whether everything was received.
-func (d *download) complete() bool { return d.total > 0 && uint64(len(d.data)) == d.total }
-
-// take adds a part. One of another compression replaces what is there.
-func (d *download) take(offset uint64, part *wire.FetchReply) {
+// take adds a part and tells whether everything is there. A part of another compression
+// replaces what is there.
+func (d *download) take(offset uint64, part *wire.FetchReply) bool {
 	if d.total != part.GetSize() || d.sum != part.GetSum() {
 		d.data, d.total, d.sum = nil, part.GetSize(), part.GetSum()
 	}
 	if offset == uint64(len(d.data)) {
 		d.data = append(d.data, part.GetData()...)
 	}
+	return uint64(len(d.data)) == d.total
 }
 
-// CorruptError reports a specification that peers sent and that cannot be unpacked.
+// CorruptError reports something from peers that cannot be unpacked.
 type CorruptError struct {
-	Kind  core.Kind
+	Kind core.Kind
+	// Name is the object's; empty for changes of the kind.
 	Name  string
 	Cause error
 }
 
 // Error implements error.
 func (e *CorruptError) Error() string {
-	return "specification of " + string(e.Kind) + "/" + e.Name + " from peers: " + e.Cause.Error()
+	return string(e.Kind) + "/" + e.Name + " from peers cannot be unpacked: " + e.Cause.Error()
 }
 
 // Unwrap returns the cause.
 func (e *CorruptError) Unwrap() error { return e.Cause }
 
-// takeDelta takes in a peer's delta. Where it leaves out specifications that are not held
-// here, they are fetched; until then the replica has the rest of the delta and the same
-// through mark as before.
+// takeDelta takes in a peer's delta. What is left out of it is fetched; until then the
+// replica has the rest and the same through mark as before, so that peers go on naming
+// what is lacking.
 func (s *Store) takeDelta(from Target, d *wire.KindDelta) {
 	kind, delta := core.Kind(d.GetKind()), fromWire(d)
+	if d.GetApart() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.want(from, blobID{kind: kind, version: delta.From}, core.Object{})
+		return
+	}
 	if s.fill(from, kind, delta.Objects, d.GetItems()) {
 		s.join(kind, delta)
 		return
@@ -125,28 +143,28 @@
 	}
 	whole := true
 	for i, item := range items {
-		size := item.GetSize()
-		if size == 0 {
+		if item.GetSize() == 0 {
 			continue
 		}
-		if held, _ := k.Get(objects[i].Name); held.Version >= objects[i].Version {
+		o := objects[i]
+		if held, _ := k.Get(o.Name); held.Version >= o.Version {
 			objects[i] = held
 			continue
 		}
 		whole = false
-		if size <= maxSize {
-			s.want(from, objects[i], size)
-		}
+		s.want(from, blobID{kind: kind, name: o.Name, version: o.Version}, o)
 	}
 	return whole
 }
 
-// want notes that a peer has an object whose specification is lacking. The caller holds mu.
-func (s *Store) want(from Target, o core.Object, size uint64) {
-	id := objectID{kind: o.Kind, name: o.Name, version: o.Version}
+// want notes that a peer has something that is lacking here. The caller holds mu.
+func (s *Store) want(from Target, id blobID, o core.Object) {
+	if s.kinds[id.kind] == nil {
+		return
+	}
 	d := s.downloads[id]
 	if d == nil {
-		d = &download{object: o, size: size}
+		d = &download{id: id, object: o}
 		s.downloads[id] = d
 	}
 	d.until = s.Clock.Now().Add(downloadAge)
@@ -156,34 +174,36 @@
 	loop.Poke(s.fetch)
 }
 
-// runFetch fetches what is lacking, one part after the other.
+// runFetch fetches what is lacking. What peers have at the start is fetched by runSync.
 func (s *Store) runFetch(ctx context.Context) error {
+	s.awaitBoot(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-s.fetch:
 		}
-		for ctx.Err() == nil {
-			d, from, ok := s.nextDownload()
-			if !ok {
-				break
-			}
-			s.fetchPart(ctx, d, from)
+		s.fetchAll(ctx)
+	}
+}
+
+// fetchAll fetches what is lacking, one part after the other, while there are peers to ask.
+func (s *Store) fetchAll(ctx context.Context) {
+	for ctx.Err() == nil {
+		d, from, ok := s.nextDownload()
+		if !ok {
+			return
 		}
+		s.fetchPart(ctx, d, from)
 	}
 }
 
-// nextDownload returns what to fetch next and from whom: what has begun goes first, so
-// that versions which follow each other closely do not keep all of them from arriving.
+// nextDownload returns what to fetch next and from whom.
 func (s *Store) nextDownload() (*download, Target, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Clock.Now()
-	maps.DeleteFunc(s.downloads, func(id objectID, d *download) bool {
-		held, _ := s.kinds[id.kind].Get(id.name)
-		return held.Version >= id.version || !now.Before(d.until)
-	})
+	maps.DeleteFunc(s.downloads, func(id blobID, d *download) bool { return s.has(id) || !now.Before(d.until) })
 	var next *download
 	for _, d := range s.downloads {
 		if len(d.sources) > 0 && (next == nil || d.before(next)) {
@@ -196,47 +216,65 @@
 	return next, next.sources[0], true
 }
 
-// before tells which of two downloads goes first.
-func (d *download) before(other *download) bool {
-	if begun := len(d.data) > 0; begun != (len(other.data) > 0) {
-		return begun
+// has tells whether the replica has what was to be fetched, or something newer. The caller
+// holds mu.
+func (s *Store) has(id blobID) bool {
+	k := s.kinds[id.kind]
+	if id.name == "" {
+		return k.Through() > id.version
 	}
-	return d.object.Version > other.object.Version
+	held, _ := k.Get(id.name)
+	return held.Version >= id.version
 }
 
-// fetchPart fetches one part of a download. Only runFetch changes a download's data.
+// fetchPart fetches one part of a download. Only its goroutine changes a download's data.
 func (s *Store) fetchPart(ctx context.Context, d *download, from Target) {
-	ctx, stop := context.WithTimeout(ctx, partTimeout)
+	call, stop := context.WithTimeout(ctx, partTimeout)
 	defer stop()
 	offset := uint64(len(d.data))
-	part, err := s.Client.Fetch(ctx, from, &wire.FetchCall{
-		Kind: string(d.object.Kind), Name: d.object.Name, Version: uint64(d.object.Version), Offset: offset,
+	part, err := s.Client.Fetch(call, from, &wire.FetchCall{
+		Kind: string(d.id.kind), Name: d.id.name, Version: uint64(d.id.version), Offset: offset,
 	})
-	if err != nil && s.Failed != nil && ctx.Err() != context.Canceled {
+	if err != nil && ctx.Err() == nil && s.Failed != nil {
 		s.Failed(err)
 	}
-	if err != nil || len(part.GetData()) == 0 || part.GetSize() > maxSize {
+	if err != nil || len(part.GetData()) == 0 || max(part.GetSize(), part.GetUnpacked()) > maxSize {
 		s.dropSource(d, from)
 		return
 	}
-	d.take(offset, part)
-	if !d.complete() {
+	if !d.take(offset, part) {
 		return
 	}
-	spec, err := unpack(d.data, d.size)
-	if err != nil {
+	if err := s.finish(d, from, part.GetUnpacked()); err != nil {
 		d.data, d.total = nil, 0
 		s.dropSource(d, from)
 		if s.Failed != nil {
-			s.Failed(&CorruptError{Kind: d.object.Kind, Name: d.object.Name, Cause: err})
+			s.Failed(&CorruptError{Kind: d.id.kind, Name: d.id.name, Cause: err})
 		}
-		return
 	}
-	d.object.Spec = spec
-	s.join(d.object.Kind, replic.Delta{Objects: []core.Object{d.object}})
+}
+
+// finish takes in what has been received whole. Its error is one of packages flate, io or
+// proto.
+func (s *Store) finish(d *download, from Target, size uint64) error {
+	data, err := unpack(d.data, size)
+	if err != nil {
+		return err
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.downloads, d.id())
+	delete(s.downloads, d.id)
+	s.mu.Unlock()
+	if d.id.name != "" {
+		d.object.Spec = data
+		s.join(d.id.kind, replic.Delta{Objects: []core.Object{d.object}})
+		return nil
+	}
+	delta := &wire.KindDelta{}
+	if err := proto.Unmarshal(data, delta); err != nil {
+		return err
+	}
+	s.takeDelta(from, delta)
+	return nil
 }
 
 func (s *Store) dropSource(d *download, from Target) {
@@ -245,22 +283,35 @@
 	d.sources = slices.DeleteFunc(d.sources, func(t Target) bool { return t == from })
 }
 
-// packed is a compressed specification, for peers that fetch it.
+// packed is something in compressed form, for peers that fetch it.
 type packed struct {
 	once sync.Once
-	// spec is what to compress, nil once that is done.
-	spec []byte
-	data []byte
-	sum  uint64
+	// build returns what to compress.
+	build func() []byte
+	// data is the compressed form of size bytes; sum is its hash.
+	data      []byte
+	size, sum uint64
+	made      time.Time
 	// used numbers the last use, over all that are kept.
 	used uint64
 }
 
+func (p *packed) compress() {
+	data := p.build()
+	p.size, p.build = uint64(len(data)), nil
+	var out bytes.Buffer
+	// The level is valid, and a buffer takes everything.
+	w, _ := flate.NewWriter(&out, flate.BestSpeed)
+	_, _ = w.Write(data)
+	_ = w.Close()
+	p.data, p.sum = out.Bytes(), xxhash.Sum64(out.Bytes())
+}
+
 // ServeFetch answers a peer's call for a part; it is the server's handler of Fetch.
 func (s *Store) ServeFetch(call *wire.FetchCall) (*wire.FetchReply, error) {
 	s.init()
-	id := objectID{kind: core.Kind(call.GetKind()), name: call.GetName(), version: core.Version(call.GetVersion())}
-	p := s.pack(id)
+	id := blobID{kind: core.Kind(call.GetKind()), name: call.GetName(), version: core.Version(call.GetVersion())}
+	p := s.pack(id, call.GetOffset() == 0)
 	if p == nil {
 		return &wire.FetchReply{}, nil
 	}
@@ -268,58 +319,67 @@
 	total := uint64(len(p.data))
 	begin := min(call.GetOffset(), total)
 	end := min(begin+partSize, total)
-	return &wire.FetchReply{Data: p.data[begin:end], Size: total, Sum: p.sum}, nil
+	return &wire.FetchReply{Data: p.data[begin:end], Size: total, Sum: p.sum, Unpacked: p.size}, nil
 }
 
-// pack returns the place of a compressed specification; nil where that version is neither
-// held nor kept.
-func (s *Store) pack(id objectID) *packed {
+// pack returns something in compressed form; nil where it is neither held nor kept. A delta
+// is built anew for a peer that begins, if it is old.
+func (s *Store) pack(id blobID, begins bool) *packed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.uses++
-	if p := s.packs[id]; p != nil {
+	now := s.Clock.Now()
+	if p := s.packs[id]; p != nil && (id.name != "" || !begins || now.Sub(p.made) < packedAge) {
 		p.used = s.uses
 		return p
 	}
-	k := s.kinds[id.kind]
-	if k == nil {
-		return nil
-	}
-	o, ok := k.Get(id.name)
-	if !ok || o.Version != id.version {
+	build := s.builder(id)
+	if build == nil {
 		return nil
 	}
 	if len(s.packs) >= maxPacked {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(s.packs)), func(a, b objectID) int {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(s.packs)), func(a, b blobID) int {
 			return cmp.Compare(s.packs[a].used, s.packs[b].used)
 		})
 		delete(s.packs, oldest)
 	}
-	p := &packed{spec: o.Spec, used: s.uses}
+	p := &packed{build: build, made: now, used: s.uses}
 	s.packs[id] = p
 	return p
 }
 
-func (p *packed) compress() {
-	var out bytes.Buffer
-	// The level is valid, and a buffer takes everything.
-	w, _ := flate.NewWriter(&out, flate.BestSpeed)
-	_, _ = w.Write(p.spec)
-	_ = w.Close()
-	p.data, p.spec = out.Bytes(), nil
-	p.sum = xxhash.Sum64(p.data)
+// builder returns what builds something that peers fetch; nil where it is not held. The
+// caller holds mu.
+func (s *Store) builder(id blobID) func() []byte {
+	k := s.kinds[id.kind]
+	if k == nil {
+		return nil
+	}
+	if id.name == "" {
+		delta := k.Since(id.version)
+		return func() []byte {
+			// A message of strings and numbers can be marshalled.
+			data, _ := proto.Marshal(toWire(string(id.kind), delta, true))
+			return data
+		}
+	}
+	o, ok := k.Get(id.name)
+	if !ok || o.Version != id.version {
+		return nil
+	}
+	return func() []byte { return o.Spec }
 }
 
-// unpack returns the specification, whose size is known. Its error is one of package flate
+// unpack returns what was compressed, whose size is known. Its error is one of package flate
 // or io.
 func unpack(data []byte, size uint64) ([]byte, error) {
-	spec := make([]byte, size)
+	out := make([]byte, size)
 	r := flate.NewReader(bytes.NewReader(data))
-	if _, err := io.ReadFull(r, spec); err != nil {
+	if _, err := io.ReadFull(r, out); err != nil {
 		return nil, err
 	}
 	if n, _ := r.Read(make([]byte, 1)); n > 0 {
 		return nil, io.ErrShortBuffer
 	}
-	return spec, nil
+	return out, nil
 }
--- a/io/peer/large_test.go
+++ b/io/peer/large_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -17,8 +18,8 @@
 	"radishwell/io/objapi"
 )
 
-// largeSpec returns a document of about so many bytes that does not compress well.
-func largeSpec(bytes int) []byte {
+// largeDocument returns a document of about so many bytes that does not compress well.
+func largeDocument(bytes int) []byte {
 	raw := make([]byte, bytes*3/4)
 	r := rand.New(rand.NewPCG(1, 2))
 	for i := range raw {
@@ -95,7 +96,7 @@
 // therefore never arrives.
 func TestLargeObjectArrivesOverSlowLink(t *testing.T) {
 	large := model("qalam")
-	large.Spec = largeSpec(800 << 10)
+	large.Spec = largeDocument(800 << 10)
 	f := startFleet(t, &apisrv.Server{Seed: []core.Object{large}})
 	near := f.start(nil)
 	near.until(near.has("qalam"))
@@ -108,7 +109,7 @@
 // Guards against a process that has several others send it the same large object at once.
 func TestLargeObjectIsSentOnce(t *testing.T) {
 	large := model("qalam")
-	large.Spec = largeSpec(800 << 10)
+	large.Spec = largeDocument(800 << 10)
 	f := startFleet(t, &apisrv.Server{Seed: []core.Object{large}})
 	var all []*process
 	for range 8 {
@@ -135,7 +136,7 @@
 	ctx := context.Background()
 	large, ok := near.Get(core.KindModel, "qalam")
 	assert.Assert(t, ok)
-	large.Spec = largeSpec(800 << 10)
+	large.Spec = largeDocument(800 << 10)
 	large, err := f.platform().Update(ctx, large)
 	assert.NilError(t, err)
 	holds := func(p *process) func() bool {
@@ -151,3 +152,22 @@
 	assert.Assert(t, !holds(far.process)(), "the large object came before the small change")
 	far.wait("the large object", holds(far.process))
 }
+
+// Guards against changes that are small but so many that no exchange can carry them, and
+// that therefore never arrive.
+func TestManyChangesArriveOverSlowLink(t *testing.T) {
+	const objects = 4000
+	text := largeDocument(objects * 256)
+	var seed []core.Object
+	for i := range objects {
+		o := model(fmt.Sprintf("qalam-%d", i))
+		o.Spec = []byte(`{"text":"` + string(text[9+i*256:][:220]) + `"}`)
+		seed = append(seed, o)
+	}
+	f := startFleet(t, &apisrv.Server{Seed: seed})
+	near := f.start(nil)
+	near.until(func() bool { return len(near.All(core.KindModel)) == objects })
+	far := f.startRemote(400 << 10)
+	far.wait("all objects", func() bool { return len(far.All(core.KindModel)) == objects })
+	assert.Assert(t, far.Status(core.KindModel).Through > 0)
+}
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -77,12 +77,11 @@
 	notify chan struct{}
 	kick   chan struct{}
 	pull   chan Target
-	// downloads are the large specifications that are lacking; fetch wakes the goroutine
-	// that fetches them.
-	downloads map[objectID]*download
+	// downloads are what is lacking and large; fetch wakes the goroutine that fetches them.
+	downloads map[blobID]*download
 	fetch     chan struct{}
-	// packs are compressed specifications kept for peers, uses counts their uses.
-	packs map[objectID]*packed
+	// packs are kept in compressed form for peers, uses counts their uses.
+	packs map[blobID]*packed
 	uses  uint64
 }
 
@@ -124,7 +123,7 @@
 	s.kick = make(chan struct{}, 1)
 	s.pull = make(chan Target, maxPulls)
 	s.fetch = make(chan struct{}, 1)
-	s.downloads, s.packs = map[objectID]*download{}, map[objectID]*packed{}
+	s.downloads, s.packs = map[blobID]*download{}, map[blobID]*packed{}
 	r := s.rand(0)
 	s.peers = peerView{rand: r, near: s.Near}
 	for _, kind := range s.Kinds {
--- a/io/peer/sync.go
+++ b/io/peer/sync.go
@@ -32,6 +32,9 @@
 func (s *Store) runSync(ctx context.Context) error {
 	r := s.rand(1)
 	s.round(ctx, s.chooseTargets())
+	boot, stop := context.WithTimeout(ctx, bootFetch)
+	s.fetchAll(boot)
+	stop()
 	close(s.booted)
 	for s.waitNews(ctx, jitter(r, syncPeriod)) {
 		s.round(ctx, s.chooseTargets())
@@ -217,8 +220,12 @@
 			continue
 		}
 		out := toWire(t.GetKind(), d, call.GetApart())
+		if n := size(out); call.GetApart() && n >= largeDelta {
+			out.Items, out.Apart = nil, true
+		} else {
+			room -= n
+		}
 		reply.Deltas = append(reply.Deltas, out)
-		room -= size(out)
 	}
 	if p, ok := s.peers.find(call.GetFrom()); ok && ahead {
 		s.requeue(p)
@@ -234,8 +241,8 @@
 	return n
 }
 
-// toWire returns a delta's message, without large specifications where the caller fetches
-// these apart.
+// toWire returns a delta's message, without large specifications where these are fetched
+// apart.
 func toWire(kind string, d replic.Delta, apart bool) *wire.KindDelta {
 	out := &wire.KindDelta{
 		Kind:    kind,
@@ -254,7 +261,7 @@
 			Status:     o.Status,
 			Deleted:    o.Deleted,
 		}
-		if apart && len(o.Spec) >= largeSize {
+		if apart && len(o.Spec) >= largeSpec {
 			item.Spec, item.Size = nil, uint64(len(o.Spec))
 		}
 		out.Items = append(out.Items, item)
