Log when an entry learns from the registry that a host leaves or is gone

RW1403 and RW1404 now come from entries of a managed platform too; RW1406 says that a host whose registry entry is gone still counts for a moment.

--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -58,18 +58,37 @@
 	}
 	e.proxy.Update(func(v *fleet.View, now time.Time) {
 		for _, o := range objects {
-			switch {
-			case o.Kind != core.KindRegistry:
-			case o.Deleted:
-				v.Remove(now, core.HostName(o.Name))
-			default:
-				v.Apply(readHost(o))
+			if o.Kind == core.KindRegistry {
+				takeHost(v, now, o)
 			}
 		}
 	})
 	e.feed.Listed()
 }
 
+// takeHost takes in a registry entry, and logs one that ends new work at its host.
+func takeHost(v *fleet.View, now time.Time, o core.Object) {
+	id := core.HostName(o.Name)
+	known := v.Host(id)
+	open := known != nil && !known.IsLeaving(now)
+	if o.Deleted {
+		v.Remove(now, id)
+	} else {
+		v.Apply(readHost(o))
+	}
+	if !open {
+		return
+	}
+	switch left := v.Host(id); {
+	case left == nil:
+		events.Log(events.HostGone, "host", id, "revision", o.Version)
+	case o.Deleted:
+		events.Log(events.HostLapsed, "host", id, "revision", o.Version)
+	case left.IsLeaving(now):
+		events.Log(events.HostLeaving, "host", id, "revision", o.Version)
+	}
+}
+
 func (e *entry) takeTable(o core.Object) {
 	if o.Name != plat.MainTable || o.Deleted {
 		return
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -47,6 +47,7 @@
 	HostLeaving
 	HostGone
 	HostSlow
+	HostLapsed
 
 	RequestRefused
 	RequestMayHaveRun
@@ -169,6 +170,7 @@
 	{Event: HostLeaving, Name: "host-leaving", Severity: Info, Text: "Host is leaving and gets no new work", Advice: noAction},
 	{Event: HostGone, Name: "host-gone", Severity: Info, Text: "Host is no longer listed by the platform", Advice: noAction},
 	{Event: HostSlow, Name: "host-slow", Severity: Warning, Sampled: true, Text: "Upstream host is much slower than its like and gets less work", Advice: "Check the host's accelerators and network if it stays so."},
+	{Event: HostLapsed, Name: "host-lapsed", Severity: Info, Text: "Host's registry entry is gone; it counts as there for a moment, since the platform could not be reached just before", Advice: noAction},
 
 	{Event: RequestRefused, Name: "request-refused", Severity: Info, Sampled: true, Failure: true, Text: "Request is refused", Advice: "See the code in docs/ERRORS.md."},
 	{Event: RequestMayHaveRun, Name: "request-may-have-run", Severity: Warning, Sampled: true, Failure: true, Text: "Request ended without a whole answer and may have run", Advice: "The caller was told so. Look for a lost host or engine at that time."},
