Have the soak resize the routing table and narrow ways to the store

The soak's table had four routes and its links any rate, so that no run could show an entry that does not get a large table. Two faults more: a table of 1,400 routes more, or of as many less, and a way to the store that carries 100 to 400 KiB a second. One promise more: at the end every entry serves a route that only the newest table has.

--- a/io/soak/caller.go
+++ b/io/soak/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -36,6 +37,8 @@
 type Result struct {
 	ID    string
 	Route Route
+	// Path is what is asked for, the route's own where it is empty.
+	Path string
 	// Key is the caller's, and Customer who holds it; none for a key in no table.
 	Key, Customer string
 	// Entry is the index of the entry that was asked.
@@ -111,7 +114,7 @@
 	r.Began = time.Since(c.start)
 	defer func() { r.Ended = time.Since(c.start) }()
 	text := "body of " + r.ID
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.fronts[r.Entry].String()+routePaths[r.Route], onceBody{bytes.NewReader([]byte(text))})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.fronts[r.Entry].String()+cmp.Or(r.Path, routePaths[r.Route]), onceBody{bytes.NewReader([]byte(text))})
 	if err != nil {
 		r.Unsent = true
 		return r
@@ -143,13 +146,19 @@
 	return ask
 }
 
-// served tells whether an entry serves a request of each route before a time.
-func (c *callers) served(entry int, seed uint64, until time.Time) bool {
-	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
+// served tells whether an entry serves a request of each route, and one of a route that only the
+// newest table has, before a time.
+func (c *callers) served(entry int, seed uint64, newest string, until time.Time) bool {
+	asked := []Result{{Route: Again, Path: newest}}
 	for route := range routeCount {
+		asked = append(asked, Result{Route: route})
+	}
+	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
+	for i, q := range asked {
+		q.Entry, q.Key, q.Customer = entry, "key-free", "free"
 		for n := 0; ; n++ {
-			r := c.ask(transport, Result{ID: fmt.Sprintf("probe-%d-%d-%d-%d", seed, entry, route, n), Route: route, Entry: entry, Key: "key-free", Customer: "free"}, "m-1")
-			if r.Status == http.StatusOK && r.Whole {
+			q.ID = fmt.Sprintf("probe-%d-%d-%d-%d", seed, entry, i, n)
+			if r := c.ask(transport, q, "m-1"); r.Status == http.StatusOK && r.Whole {
 				break
 			}
 			if time.Now().After(until) {
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -41,6 +41,8 @@
 	LimitUpstream
 	LeaveUpstream
 	BackoffUpstream
+	ResizeTable
+	NarrowStore
 	kindCount
 )
 
@@ -84,6 +86,8 @@
 	LimitUpstream:   {"limit-upstream", 3, 8 * time.Second},
 	LeaveUpstream:   {"leave-upstream", 2, 5 * time.Second},
 	BackoffUpstream: {"backoff-upstream", 2, 2 * time.Second},
+	ResizeTable:     {"resize-table", 2, 0},
+	NarrowStore:     {"narrow-store", 2, 5 * time.Second},
 }
 
 // String returns the fault's name.
--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -36,7 +36,7 @@
 	// Served counts the requests that were answered whole with success.
 	Served   int
 	Breaches []Breach
-	// Unserved are entries that did not serve every route again in time.
+	// Unserved are entries that did not serve every route of the newest table in time.
 	Unserved []int
 	// Panics are the logs that tell of a panic.
 	Panics []string
@@ -67,7 +67,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	c.run(ctx, callerCount, r.Seed)
 	w.play(c.start, steps)
-	report := &Report{Seed: r.Seed, Steps: steps, Unserved: unserved(c, r.Seed)}
+	report := &Report{Seed: r.Seed, Steps: steps, Unserved: unserved(c, r.Seed, w.newestPath())}
 	stop()
 	c.wait.Wait()
 	ran := func(id string) int {
@@ -125,14 +125,14 @@
 	lasting.Wait()
 }
 
-// unserved returns the entries that do not serve each route within the recovery
-// time.
-func unserved(c *callers, seed uint64) []int {
+// unserved returns the entries that do not serve each route of the newest table within the
+// recovery time.
+func unserved(c *callers, seed uint64, newest string) []int {
 	var out []int
 	until := time.Now().Add(recovery)
 	probes := &callers{fronts: c.fronts, start: c.start}
 	for entry := range c.fronts {
-		if !probes.served(entry, seed, until) {
+		if !probes.served(entry, seed, newest, until) {
 			out = append(out, entry)
 		}
 	}
--- a/io/soak/strike.go
+++ b/io/soak/strike.go
@@ -79,6 +79,11 @@
 	case BackoffUpstream:
 		host.BackOff(time.Duration(500+s.Variant%2500) * time.Millisecond)
 		return trick(host, stand.Shed)
+	case ResizeTable:
+		w.resizeTable()
+	case NarrowStore:
+		link.Limit(midbox.Back, &midbox.Link{Rate: float64(int(100+s.Variant%300) << 10)})
+		return func() { link.Limit(midbox.Back, nil) }
 	}
 	return nil
 }
--- a/io/soak/world.go
+++ b/io/soak/world.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +30,8 @@
 	// limitedRate is the requests a second that one of the customers may send: fewer than
 	// it does.
 	limitedRate = 4
+	// moreRoutes is how many routes a large table has beside those that callers use.
+	moreRoutes = 1400
 	// loadTime is how long an engine takes to load a model.
 	loadTime = 200 * time.Millisecond
 )
@@ -63,6 +67,8 @@
 
 	mu      sync.Mutex
 	version int
+	// more is how many routes the table has beside those that callers use.
+	more    int
 	closers []func()
 }
 
@@ -123,6 +129,22 @@
 	return nil
 }
 
+// newestPath is a path of a route that only the newest table has.
+func (w *world) newestPath() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return fmt.Sprintf("/version-%d/x", w.version)
+}
+
+// resizeTable writes the next version of the routing table, a large one after a small one
+// and the other way round.
+func (w *world) resizeTable() {
+	w.mu.Lock()
+	w.more = moreRoutes - w.more
+	w.mu.Unlock()
+	w.newTable()
+}
+
 // newTable writes the next version of the routing table.
 func (w *world) newTable() {
 	w.mu.Lock()
@@ -132,11 +154,18 @@
 		return fmt.Sprintf(`{"name":%q,"host":"a.example","path_prefix":"/%s/","route_kind":%q,"timeout_ms":4000,"target_latency_ms":800,"gap_aim_ms":600,"service":%q,"max_attempts":%d%s}`,
 			name, name, kind, service, attempts, more)
 	}
-	w.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],"services":[{"name":"plain"},{"name":"llm","engine":{"slots":64,"weights_mb":200,"adapter_slots":2,"loads_per_s":20,
+	routes := []string{
+		route("once", "non_idempotent", "plain", 1, ""), route("again", "idempotent", "plain", 2, ""),
+		route("stream", "streaming", "llm", 1, ""), route("resumed", "streaming", "llm", 2, `,"resumable":true`),
+		route(fmt.Sprintf("version-%d", w.version), "idempotent", "plain", 2, ""),
+	}
+	for i := range w.more {
+		routes = append(routes, route(fmt.Sprintf("more-%d-%x", i, rand.Uint64()), "idempotent", "plain", 2, ""))
+	}
+	w.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"plain"},{"name":"llm","engine":{"slots":64,"weights_mb":200,"adapter_slots":2,"loads_per_s":20,
 	 "models":[{"name":"m-1","weights_mb":70,"load_s":0.2,"warm_s":0.2,"disk_s":0.2},{"name":"m-2","weights_mb":70,"load_s":0.2,"warm_s":0.2,"disk_s":0.2}]}}],
 	 "tenants":[{"name":"free","api_keys":["key-free"]},{"name":"limited","api_keys":["key-limited"],"rate_per_s":%d,"burst":%d}]}`,
-		w.version, route("once", "non_idempotent", "plain", 1, ""), route("again", "idempotent", "plain", 2, ""),
-		route("stream", "streaming", "llm", 1, ""), route("resumed", "streaming", "llm", 2, `,"resumable":true`), limitedRate, limitedRate))
+		w.version, strings.Join(routes, ","), limitedRate, limitedRate))
 }
 
 // agentPorts are the same on all hosts: where entries find the agent, where it
