Take a failed read for an outage of the store only while nobody hears it

What callers saw: requests that reach a host for longer than they should after it is gone (DRAIN).

Cause: hosts whose registry entries end within 1.5 s of a failed read of the store count as there for 2 s more, since entries lapse in an outage while hosts live. Any failed read counted, one of an entry's own link or processor too. Together with a change of the registry that came late, a host was kept beyond the bound.

A failed read now counts only if the store's word, to any entry, is older than 2 s.

TestOwnFailedReadIsNoOutage failed before (the host was kept) and passes; its second part, that hosts are kept where nobody hears the store, held before too.

--- /dev/null
+++ b/io/deploy/outage_test.go
@@ -0,0 +1,51 @@
+package deploy
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/fleet"
+	"radishwell/io/peer"
+	"radishwell/io/proxy"
+	"radishwell/wire"
+)
+
+// afterFailedRead returns the host that an entry still counts on after a failed read of the
+// store and the end of the host's registry entry, nil for none. Heard tells whether another
+// entry has just had word of the store.
+func afterFailedRead(t *testing.T, heard bool) *fleet.Host {
+	t.Helper()
+	clock := Clock{start: time.Now()}
+	e := &entry{
+		Process: &Process{clock: clock}, proxy: &proxy.Proxy{Clock: clock},
+		state: &peer.Store{Kinds: []core.Kind{core.KindRegistry}, Clock: clock},
+	}
+	e.proxy.Start()
+	if heard {
+		_, err := e.state.Serve(&wire.SyncCall{Through: []*wire.Through{{Kind: string(core.KindRegistry)}}})
+		assert.NilError(t, err)
+	}
+	host := core.Object{
+		Kind: core.KindRegistry, Name: "i-1", Version: 1,
+		Spec: []byte(`{"service":"plain","address":"127.1.0.1:80","zone":"dc-1","slots":6,"state":"ready","sequence":0}`),
+	}
+	gone := core.Object{Kind: core.KindRegistry, Name: "i-1", Version: 2, Deleted: true}
+	var left *fleet.Host
+	e.proxy.Update(func(v *fleet.View, now time.Time) { takeHost(v, now, host) })
+	e.stateFailed(&core.PlatformError{Fault: core.Unknown})
+	e.proxy.Update(func(v *fleet.View, now time.Time) {
+		takeHost(v, now, gone)
+		left = v.Host("i-1")
+	})
+	return left
+}
+
+// Guards against an entry that takes a failed read of its own for an outage of the store, and
+// goes on sending requests to a host that is gone.
+func TestOwnFailedReadIsNoOutage(t *testing.T) {
+	t.Run("others hear the store", func(t *testing.T) { assert.Assert(t, afterFailedRead(t, true) == nil) })
+	t.Run("nobody does", func(t *testing.T) { assert.Assert(t, afterFailedRead(t, false) != nil) })
+}
--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -127,10 +127,24 @@
 		if e.storeLost.CompareAndSwap(false, true) {
 			events.Fail(events.PlatformUnreachable, err)
 		}
-		e.proxy.Update(func(v *fleet.View, now time.Time) { v.Troubled(now) })
+		if e.storeOut() {
+			e.proxy.Update(func(v *fleet.View, now time.Time) { v.Troubled(now) })
+		}
 	}
 }
 
+// wordAge is how old the store's word to any entry has to be for a failed read to count as
+// an outage of the store.
+const wordAge = 2 * time.Second
+
+// storeOut tells whether the store may be out for all, upstreams among them. A read also
+// fails for reasons of this entry's own, such as a link that is full; the registry goes on
+// telling the truth then.
+func (e *entry) storeOut() bool {
+	age := e.replicaAge(core.KindRegistry)
+	return age < 0 || age > wordAge
+}
+
 // tellLag logs a replica that lacks a change for long, and one that has it again.
 func (e *entry) tellLag(l peer.Lag) {
 	now := e.clock.Now()
