--- /dev/null
+++ b/io/peer/pack.go
@@ -0,0 +1,120 @@
+package peer
+
+import (
+	"bytes"
+	"cmp"
+	"compress/flate"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"radishwell/core"
+	"radishwell/wire"
+)
+
+// What is large is left out of exchanges, which so stay short and reach all peers whatever
+// else is on its way. Peers fetch it in compressed parts.
+const (
+	// largeSpec is the size in bytes from which a specification counts as large, largeDelta
+	// that of all items of a delta.
+	largeSpec  = 16 << 10
+	largeDelta = 64 << 10
+	// partSize bounds the compressed bytes in one answer.
+	partSize = 32 << 10
+	// maxPacked bounds what is kept in compressed form. Some peers may be half way through
+	// an older version.
+	maxPacked = 8
+	// packedAge is how long a delta that is kept is sent to peers that have none of it yet.
+	packedAge = 2 * time.Second
+)
+
+// packed is something in compressed form, for peers that fetch it.
+type packed struct {
+	once sync.Once
+	// build returns what to compress.
+	build func() []byte
+	// data is the compressed form of size bytes; sum is its hash.
+	data      []byte
+	size, sum uint64
+	made      time.Time
+	// used numbers the last use, over all that are kept.
+	used uint64
+}
+
+func (p *packed) compress() {
+	data := p.build()
+	p.size, p.build = uint64(len(data)), nil
+	var out bytes.Buffer
+	// The level is valid, and a buffer takes everything.
+	w, _ := flate.NewWriter(&out, flate.BestSpeed)
+	_, _ = w.Write(data)
+	_ = w.Close()
+	p.data, p.sum = out.Bytes(), xxhash.Sum64(out.Bytes())
+}
+
+// ServeFetch answers a peer's call for a part; it is the server's handler of Fetch.
+func (s *Store) ServeFetch(call *wire.FetchCall) (*wire.FetchReply, error) {
+	s.init()
+	id := blobID{kind: core.Kind(call.GetKind()), name: call.GetName(), version: core.Version(call.GetVersion())}
+	p := s.pack(id, call.GetOffset() == 0)
+	if p == nil {
+		return &wire.FetchReply{}, nil
+	}
+	p.once.Do(p.compress)
+	total := uint64(len(p.data))
+	begin := min(call.GetOffset(), total)
+	end := min(begin+partSize, total)
+	return &wire.FetchReply{Data: p.data[begin:end], Size: total, Sum: p.sum, Unpacked: p.size}, nil
+}
+
+// pack returns something in compressed form; nil where it is neither held nor kept. A delta
+// is built anew for a peer that begins, if it is old.
+func (s *Store) pack(id blobID, begins bool) *packed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.uses++
+	now := s.Clock.Now()
+	if p := s.packs[id]; p != nil && (id.name != "" || !begins || now.Sub(p.made) < packedAge) {
+		p.used = s.uses
+		return p
+	}
+	build := s.builder(id)
+	if build == nil {
+		return nil
+	}
+	if len(s.packs) >= maxPacked {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(s.packs)), func(a, b blobID) int {
+			return cmp.Compare(s.packs[a].used, s.packs[b].used)
+		})
+		delete(s.packs, oldest)
+	}
+	p := &packed{build: build, made: now, used: s.uses}
+	s.packs[id] = p
+	return p
+}
+
+// builder returns what builds something that peers fetch; nil where it is not held. The
+// caller holds mu.
+func (s *Store) builder(id blobID) func() []byte {
+	k := s.kinds[id.kind]
+	if k == nil {
+		return nil
+	}
+	if id.name == "" {
+		delta := k.Since(id.version)
+		return func() []byte {
+			// A message of strings and numbers can be marshalled.
+			data, _ := proto.Marshal(toWire(string(id.kind), delta, true))
+			return data
+		}
+	}
+	o, ok := k.Get(id.name)
+	if !ok || o.Version != id.version {
+		return nil
+	}
+	return func() []byte { return o.Spec }
+}
