--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -9,6 +9,7 @@
 	"radishwell/core/fleet"
 	"radishwell/io/events"
 	"radishwell/io/peer"
+	"radishwell/io/stale"
 	plat "radishwell/platform"
 )
 
@@ -36,12 +37,9 @@
 		// after all have been killed, none of these answers.
 		Kinds: kinds, Confirm: kinds, Platform: e.store, Client: e.client, Clock: e.clock,
 		Peers: e.members.peers, Near: e.members.isNear, Watchers: watchers, Seed: rand.Uint64(), MaxRetry: storeRetry,
-		Changed: e.changed, Reached: e.platformBack, Failed: e.stateFailed, Behind: e.tellLag,
-	}
-	for _, kind := range kinds {
-		e.meter.ReplicaLag(kind, func() time.Duration { return e.state.Lag(kind) })
-		e.meter.ReplicaAge(kind, func() time.Duration { return e.replicaAge(kind) })
+		Changed: e.changed, Reached: e.platformBack, Failed: e.stateFailed,
 	}
+	stale.Feed(e.meter, e.state)
 	e.handler.Sync, e.handler.Fetch = e.state.Serve, e.state.ServeFetch
 	e.parts = append(e.parts, e.state.Run)
 }
@@ -115,12 +113,9 @@
 // stateFailed notes a failed read of the store or of a peer.
 func (e *entry) stateFailed(err error) {
 	var failed *core.PlatformError
-	var cut *peer.CallError
 	switch {
-	case errors.As(err, &cut) && cut.Read > 0:
-		events.Fail(events.TransferCut, err, "bytes", cut.Read)
 	case !errors.As(err, &failed):
-		events.Fail(events.PeerUnreachable, err)
+		stale.Failed(err)
 	case failed.Fault == core.Gone:
 		events.Log(events.WatchRestarted, "kind", failed.Kind, "cause", "history dropped")
 	default:
@@ -141,34 +136,10 @@
 // fails for reasons of this entry's own, such as a link that is full; the registry goes on
 // telling the truth then.
 func (e *entry) storeOut() bool {
-	age := e.replicaAge(core.KindRegistry)
+	age := stale.Age(e.state, core.KindRegistry)
 	return age < 0 || age > wordAge
 }
 
-// tellLag logs a replica that lacks a change for long, and one that has it again.
-func (e *entry) tellLag(l peer.Lag) {
-	now := e.clock.Now()
-	if l.Over {
-		events.Log(events.ReplicaCaughtUp, "kind", l.Kind, "revision", l.Held, "after", now.Sub(l.Since))
-		return
-	}
-	events.Log(events.ReplicaBehind, "kind", l.Kind, "revision", l.Held, "named", l.Named, "since", now.Sub(l.Since),
-		"platform-word-age", ageOf(l.Fresh, now))
-}
-
-// replicaAge returns the age of the platform's last word that a replica lacks nothing,
-// negative where there was none.
-func (e *entry) replicaAge(kind core.Kind) time.Duration {
-	return ageOf(e.state.Status(kind).Fresh, e.clock.Now())
-}
-
-func ageOf(at, now time.Time) time.Duration {
-	if at.IsZero() {
-		return -1
-	}
-	return now.Sub(at)
-}
-
 func (e *entry) platformBack() {
 	if e.storeLost.CompareAndSwap(true, false) {
 		events.Log(events.PlatformBack)
--- a/io/node/mesh.go
+++ b/io/node/mesh.go
@@ -20,6 +20,7 @@
 	"radishwell/io/objapi"
 	"radishwell/io/peer"
 	"radishwell/io/relay"
+	"radishwell/io/stale"
 	"radishwell/wire"
 )
 
@@ -39,6 +40,7 @@
 		Strikes: func() []*wire.Strike { return relay.StrikesOut(n.strikes()) },
 		Struck:  n.struck, Failed: n.failed,
 	}
+	stale.Feed(n.meter, n.store)
 	n.handler.Sync, n.handler.Fetch = n.store.Serve, n.store.ServeFetch
 	n.addPart("store", n.store.Run)
 	return nil
@@ -224,7 +226,7 @@
 		events.Fail(events.WatchRestarted, err, "kind", platform.Kind)
 		return
 	}
-	events.Fail(events.PeerUnreachable, err)
+	stale.Failed(err)
 }
 
 // catalogueKnown tells that this process has the whole catalogue, the hosts
