--- a/io/peer/bench_test.go
+++ b/io/peer/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"syscall"
 	"testing"
@@ -115,39 +116,63 @@
 // all processes, and the control bytes of one edit per process beside those at
 // rest in the same time. Use -benchtime 20x.
 func BenchmarkConverge(b *testing.B) {
+	small := func(edit int) []byte { return fmt.Appendf(nil, `{"edit":%d}`, edit) }
 	for _, n := range []int{10, 50, 100, 300} {
 		for _, watchers := range []int{1, defaultWatchers} {
 			b.Run(fmt.Sprintf("processes=%d/watchers=%d", n, watchers), func(b *testing.B) {
-				f, all := benchFleet(b, n, func(s *Store) { s.Watchers = watchers })
-				platform := &objapi.Client{Address: f.addr, Writes: objapi.Budget{PerSecond: 1000, Burst: 1000}}
-				o, err := platform.Get(context.Background(), core.KindModel, "qalam")
-				if err != nil {
-					b.Fatal(err)
-				}
-				var took []time.Duration
-				bytes := totalTraffic(all)
-				b.ResetTimer()
-				for i := range b.N {
-					o.Spec, _ = json.Marshal(map[string]int{"edit": i})
-					if o, err = platform.Update(context.Background(), o); err != nil {
-						b.Fatal(err)
-					}
-					begun := time.Now()
-					for _, p := range all {
-						p.until(func() bool {
-							got, _ := p.Get(core.KindModel, "qalam")
-							return got.Version >= o.Version
-						})
-					}
-					took = append(took, time.Since(begun))
-				}
-				slices.Sort(took)
-				b.ReportMetric(float64(took[len(took)/2].Milliseconds()), "p50-ms")
-				b.ReportMetric(float64(took[len(took)-1].Milliseconds()), "max-ms")
-				b.ReportMetric(float64(totalTraffic(all)-bytes)/float64(b.N)/float64(n), "bytes/edit/process")
+				benchConverge(b, n, watchers, small)
+			})
+		}
+	}
+}
+
+// BenchmarkConvergeLarge is BenchmarkConverge with a document as large as a routing table of
+// 1,450 routes.
+func BenchmarkConvergeLarge(b *testing.B) {
+	for _, n := range []int{24, 103, 400} {
+		b.Run(fmt.Sprintf("processes=%d", n), func(b *testing.B) { benchConverge(b, n, 8, routes) })
+	}
+}
+
+// routes returns a document that is as large and as compressible as a routing table.
+func routes(edit int) []byte {
+	r := rand.New(rand.NewPCG(1, uint64(edit)))
+	var out []byte
+	for i := range 1450 {
+		out = fmt.Appendf(out, `,{"name":"r-%06x","host":"%05x.example","path_prefix":"/%07x/","route_kind":"idempotent","service":"sijill","timeout_ms":800,"target_latency_ms":300,"max_attempts":2,"priority":2,"gap_aim_ms":0,"resumable":false,"weighted_services":[]}`,
+			i, r.Uint32()>>12, r.Uint32()>>4)
+	}
+	return append(append([]byte(`{"routes":[`), out[1:]...), "]}"...)
+}
+
+func benchConverge(b *testing.B, n, watchers int, spec func(edit int) []byte) {
+	f, all := benchFleet(b, n, func(s *Store) { s.Watchers = watchers })
+	platform := &objapi.Client{Address: f.addr, Writes: objapi.Budget{PerSecond: 1000, Burst: 1000}}
+	o, err := platform.Get(context.Background(), core.KindModel, "qalam")
+	if err != nil {
+		b.Fatal(err)
+	}
+	var took []time.Duration
+	bytes := totalTraffic(all)
+	b.ResetTimer()
+	for i := range b.N {
+		o.Spec = spec(i)
+		if o, err = platform.Update(context.Background(), o); err != nil {
+			b.Fatal(err)
+		}
+		begun := time.Now()
+		for _, p := range all {
+			p.until(func() bool {
+				got, _ := p.Get(core.KindModel, "qalam")
+				return got.Version >= o.Version
 			})
 		}
+		took = append(took, time.Since(begun))
 	}
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Milliseconds()), "p50-ms")
+	b.ReportMetric(float64(took[len(took)-1].Milliseconds()), "max-ms")
+	b.ReportMetric(float64(totalTraffic(all)-bytes)/float64(b.N)/float64(n), "bytes/edit/process")
 }
 
 // BenchmarkBoot measures how long a process that starts in an outage of the
