Ask another peer for a part while the first is silent, and give up neither too soon

A part of a large object had 1.5 s at one peer, then the next was asked.

After 0.6 s the next peer is asked as well; what comes first counts, and the peer that sent it is asked first for the next part. All calls for a part end after 5 s.

--- a/io/peer/fetch.go
+++ b/io/peer/fetch.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"context"
+	"errors"
 	"io"
 	"maps"
 	"slices"
@@ -20,8 +21,11 @@
 // What exchanges leave out is fetched once, in parts, from one peer at a time, and from
 // another where that one does not answer.
 const (
-	// partTimeout bounds one call for a part.
-	partTimeout = 1500 * time.Millisecond
+	// partPatience is after how long without an answer another peer is asked for a part as
+	// well. The first is not given up for that: its answer may be half way over a slow link.
+	partPatience = 600 * time.Millisecond
+	// partTimeout bounds all calls for a part together.
+	partTimeout = 5 * time.Second
 	// maxSources bounds the peers that are remembered as having something.
 	maxSources = 8
 	// downloadAge is how long a download is kept that no peer names any more.
@@ -174,16 +178,16 @@
 // fetchAll fetches what is lacking, one part after the other, while there are peers to ask.
 func (s *Store) fetchAll(ctx context.Context) {
 	for ctx.Err() == nil {
-		d, from, ok := s.nextDownload()
-		if !ok {
+		d, sources := s.nextDownload()
+		if d == nil {
 			return
 		}
-		s.fetchPart(ctx, d, from)
+		s.fetchPart(ctx, d, sources)
 	}
 }
 
-// nextDownload returns what to fetch next and from whom.
-func (s *Store) nextDownload() (*download, Target, bool) {
+// nextDownload returns what to fetch next and from whom; nil for nothing.
+func (s *Store) nextDownload() (*download, []Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Clock.Now()
@@ -195,9 +199,9 @@
 		}
 	}
 	if next == nil {
-		return nil, Target{}, false
+		return nil, nil
 	}
-	return next, next.sources[0], true
+	return next, slices.Clone(next.sources)
 }
 
 // has tells whether the replica has what was to be fetched, or something newer. The caller
@@ -212,32 +216,77 @@
 }
 
 // fetchPart fetches one part of a download. Only its goroutine changes a download's data.
-func (s *Store) fetchPart(ctx context.Context, d *download, from Target) {
-	call, stop := context.WithTimeout(ctx, partTimeout)
-	defer stop()
+func (s *Store) fetchPart(ctx context.Context, d *download, sources []Target) {
 	offset := uint64(len(d.data))
-	part, err := s.Client.Fetch(call, from, &wire.FetchCall{
+	a := s.askPart(ctx, &wire.FetchCall{
 		Kind: string(d.id.kind), Name: d.id.name, Version: uint64(d.id.version), Offset: offset,
-	})
-	if err != nil && ctx.Err() == nil && s.Failed != nil {
-		s.Failed(err)
-	}
-	if err != nil || len(part.GetData()) == 0 || max(part.GetSize(), part.GetUnpacked()) > maxSize {
-		s.dropSource(d, from)
+	}, d, sources)
+	if a.part == nil {
 		return
 	}
-	if !d.take(offset, part) {
+	s.prefer(d, a.from)
+	if !d.take(offset, a.part) {
 		return
 	}
-	if err := s.finish(d, from, part.GetUnpacked()); err != nil {
+	if err := s.finish(d, a.from, a.part.GetUnpacked()); err != nil {
 		d.data, d.total = nil, 0
-		s.dropSource(d, from)
+		s.dropSource(d, a.from)
 		if s.Failed != nil {
 			s.Failed(&CorruptError{Kind: d.id.kind, Name: d.id.name, Cause: err})
 		}
 	}
 }
 
+// partAnswer is what a peer answered to a call for a part; nil where it had nothing.
+type partAnswer struct {
+	from Target
+	part *wire.FetchReply
+}
+
+// askPart asks one peer after the other for a part until one has answered with it. Those
+// that have it not, or do not answer in time, are no longer sources of the download.
+func (s *Store) askPart(ctx context.Context, call *wire.FetchCall, d *download, sources []Target) partAnswer {
+	ctx, stop := context.WithTimeout(ctx, partTimeout)
+	defer stop()
+	answers := make(chan partAnswer, len(sources))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for asked, ended := 0, 0; ended < len(sources); {
+		select {
+		case <-next.C:
+			if asked < len(sources) {
+				from := sources[asked]
+				asked++
+				go func() { answers <- s.ask(ctx, call, from) }()
+				next.Reset(partPatience)
+			}
+		case a := <-answers:
+			if a.part != nil {
+				return a
+			}
+			ended++
+			s.dropSource(d, a.from)
+			next.Reset(0)
+		}
+	}
+	return partAnswer{}
+}
+
+// ask asks a peer for a part.
+func (s *Store) ask(ctx context.Context, call *wire.FetchCall, from Target) partAnswer {
+	part, err := s.Client.Fetch(ctx, from, call)
+	switch {
+	case err != nil:
+		if s.Failed != nil && !errors.Is(context.Cause(ctx), context.Canceled) {
+			s.Failed(err)
+		}
+		return partAnswer{from: from}
+	case len(part.GetData()) == 0 || max(part.GetSize(), part.GetUnpacked()) > maxSize:
+		return partAnswer{from: from}
+	}
+	return partAnswer{from: from, part: part}
+}
+
 // finish takes in what has been received whole. Its error is one of packages flate, io or
 // proto.
 func (s *Store) finish(d *download, from Target, size uint64) error {
@@ -261,6 +310,15 @@
 	return nil
 }
 
+// prefer has a source of a download asked first.
+func (s *Store) prefer(d *download, from Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(d.sources, from); i > 0 {
+		d.sources[0], d.sources[i] = d.sources[i], d.sources[0]
+	}
+}
+
 func (s *Store) dropSource(d *download, from Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/peer/fetch_test.go
+++ b/io/peer/fetch_test.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"slices"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -13,6 +15,7 @@
 // and notes from where it was asked.
 type holder struct {
 	Target
+	mu      sync.Mutex
 	offsets []uint64
 }
 
@@ -20,7 +23,9 @@
 	t.Helper()
 	h := &holder{}
 	h.Target, _ = serveCalls(t, &Handler{Fetch: func(c *wire.FetchCall) (*wire.FetchReply, error) {
+		h.mu.Lock()
 		h.offsets = append(h.offsets, c.GetOffset())
+		h.mu.Unlock()
 		if !answers(c) {
 			return &wire.FetchReply{}, nil
 		}
@@ -30,6 +35,13 @@
 	return h
 }
 
+// asked returns from where the peer was asked so far.
+func (h *holder) asked() []uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.offsets)
+}
+
 // fetching is a store that lacks an object which peers have named.
 func fetching(t *testing.T, size int, peers ...*holder) *Store {
 	t.Helper()
@@ -57,8 +69,8 @@
 	t.Run("goes on at another peer from where it had got to", func(t *testing.T) {
 		first, second := startHolder(t, p, once), startHolder(t, p, always)
 		assert.Equal(t, held(fetching(t, len(spec), first, second)), string(spec))
-		assert.DeepEqual(t, first.offsets, []uint64{0, partSize})
-		assert.Equal(t, second.offsets[0], uint64(partSize))
+		assert.DeepEqual(t, first.asked(), []uint64{0, partSize})
+		assert.Equal(t, second.asked()[0], uint64(partSize))
 	})
 	t.Run("goes on where it had got to after no peer had it", func(t *testing.T) {
 		first, second := startHolder(t, p, once), startHolder(t, p, always)
@@ -67,13 +79,20 @@
 		s.takeDelta(second.Target, &wire.KindDelta{Kind: "models", Through: 9, Full: true, Items: []*wire.Item{{Name: "qalam", Version: 7, Size: uint64(len(spec))}}})
 		s.fetchAll(t.Context())
 		assert.Equal(t, held(s), string(spec))
-		assert.Equal(t, second.offsets[0], uint64(partSize))
+		assert.Equal(t, second.asked()[0], uint64(partSize))
+	})
+	t.Run("asks another peer where one is silent", func(t *testing.T) {
+		silent := make(chan struct{})
+		defer close(silent)
+		first, second := startHolder(t, p, func(*wire.FetchCall) bool { <-silent; return false }), startHolder(t, p, always)
+		assert.Equal(t, held(fetching(t, len(spec), first, second)), string(spec))
+		assert.Equal(t, len(first.asked()), 1, "asked again though another answers")
 	})
 	t.Run("begins anew where another peer's compression differs", func(t *testing.T) {
 		other := &packed{data: p.data, size: p.size, sum: p.sum + 1}
 		first, second := startHolder(t, other, once), startHolder(t, p, always)
 		assert.Equal(t, held(fetching(t, len(spec), first, second)), string(spec))
-		assert.DeepEqual(t, second.offsets[:2], []uint64{partSize, 0})
+		assert.DeepEqual(t, second.asked()[:2], []uint64{partSize, 0})
 	})
 	t.Run("passes over a peer that sends something else", func(t *testing.T) {
 		spoilt := &packed{data: p.data, size: p.size - 1, sum: p.sum}
--- a/io/peer/large_test.go
+++ b/io/peer/large_test.go
@@ -171,3 +171,14 @@
 	far.wait("all objects", func() bool { return len(far.All(core.KindModel)) == objects })
 	assert.Assert(t, far.Status(core.KindModel).Through > 0)
 }
+
+// Guards against a part that takes longer than a call for it may, each time.
+func TestPartArrivesOverVerySlowLink(t *testing.T) {
+	large := model("qalam")
+	large.Spec = largeDocument(64 << 10)
+	f := startFleet(t, &apisrv.Server{Seed: []core.Object{large}})
+	near := f.start(nil)
+	near.until(near.has("qalam"))
+	far := f.startRemote(16 << 10)
+	far.wait("the object", far.has("qalam"))
+}
