Look for peers to ask for a part while one is silent, and leave it for a newer version

Sources that come meanwhile are asked after 0.6 s; where only something else can be fetched, the silent ones are dropped after 1.2 s. TestFetch asks a peer that has named it while another is silent, and leaves a silent peer's version for a newer one.

--- a/io/peer/fetch.go
+++ b/io/peer/fetch.go
@@ -26,8 +26,10 @@
 	partPatience = 600 * time.Millisecond
 	// partTimeout bounds all calls for a part together.
 	partTimeout = 5 * time.Second
-	// maxSources bounds the peers that are remembered as having something.
+	// maxSources bounds the peers that are remembered as having something, maxAsked those
+	// that are asked for the same part.
 	maxSources = 8
+	maxAsked   = 8
 	// downloadAge is how long a download is kept that no peer names any more.
 	downloadAge = 30 * time.Second
 	// maxSize bounds what is fetched, in bytes before compression.
@@ -178,16 +180,16 @@
 // fetchAll fetches what is lacking, one part after the other, while there are peers to ask.
 func (s *Store) fetchAll(ctx context.Context) {
 	for ctx.Err() == nil {
-		d, sources := s.nextDownload()
+		d := s.nextDownload()
 		if d == nil {
 			return
 		}
-		s.fetchPart(ctx, d, sources)
+		s.fetchPart(ctx, d)
 	}
 }
 
-// nextDownload returns what to fetch next and from whom; nil for nothing.
-func (s *Store) nextDownload() (*download, []Target) {
+// nextDownload returns what to fetch next, nil for nothing.
+func (s *Store) nextDownload() *download {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Clock.Now()
@@ -198,10 +200,7 @@
 			next = d
 		}
 	}
-	if next == nil {
-		return nil, nil
-	}
-	return next, slices.Clone(next.sources)
+	return next
 }
 
 // has tells whether the replica has what was to be fetched, or something newer. The caller
@@ -216,11 +215,11 @@
 }
 
 // fetchPart fetches one part of a download. Only its goroutine changes a download's data.
-func (s *Store) fetchPart(ctx context.Context, d *download, sources []Target) {
+func (s *Store) fetchPart(ctx context.Context, d *download) {
 	offset := uint64(len(d.data))
-	a := s.askPart(ctx, &wire.FetchCall{
+	a := s.askPart(ctx, d, &wire.FetchCall{
 		Kind: string(d.id.kind), Name: d.id.name, Version: uint64(d.id.version), Offset: offset,
-	}, d, sources)
+	})
 	if a.part == nil {
 		return
 	}
@@ -230,7 +229,7 @@
 	}
 	if err := s.finish(d, a.from, a.part.GetUnpacked()); err != nil {
 		d.data, d.total = nil, 0
-		s.dropSource(d, a.from)
+		s.dropSources(d, a.from)
 		if s.Failed != nil {
 			s.Failed(&CorruptError{Kind: d.id.kind, Name: d.id.name, Cause: err})
 		}
@@ -243,33 +242,64 @@
 	part *wire.FetchReply
 }
 
-// askPart asks one peer after the other for a part until one has answered with it. Those
-// that have it not, or do not answer in time, are no longer sources of the download.
-func (s *Store) askPart(ctx context.Context, call *wire.FetchCall, d *download, sources []Target) partAnswer {
+// askPart asks one source of a download after the other for a part until one has answered
+// with it. Those that have it not are no longer sources.
+func (s *Store) askPart(ctx context.Context, d *download, call *wire.FetchCall) partAnswer {
 	ctx, stop := context.WithTimeout(ctx, partTimeout)
 	defer stop()
-	answers := make(chan partAnswer, len(sources))
+	answers := make(chan partAnswer, maxAsked)
 	next := time.NewTimer(0)
 	defer next.Stop()
-	for asked, ended := 0, 0; ended < len(sources); {
+	var asked []Target
+	for pending, ticks := 0, 0; ; {
 		select {
 		case <-next.C:
-			if asked < len(sources) {
-				from := sources[asked]
-				asked++
+			ticks++
+			from, ok := s.nextSource(d, asked)
+			switch {
+			case ok && len(asked) < maxAsked:
+				asked = append(asked, from)
+				pending++
 				go func() { answers <- s.ask(ctx, call, from) }()
-				next.Reset(partPatience)
+			case pending == 0:
+				return partAnswer{}
+			case ticks > len(asked)+1 && s.othersWait(d):
+				s.dropSources(d, asked...)
+				return partAnswer{}
 			}
+			next.Reset(partPatience)
 		case a := <-answers:
 			if a.part != nil {
 				return a
 			}
-			ended++
-			s.dropSource(d, a.from)
+			pending--
+			s.dropSources(d, a.from)
 			next.Reset(0)
 		}
 	}
-	return partAnswer{}
+}
+
+// nextSource returns a source of a download that was not asked yet; false for none.
+func (s *Store) nextSource(d *download, asked []Target) (Target, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.IndexFunc(d.sources, func(t Target) bool { return !slices.Contains(asked, t) })
+	if i < 0 {
+		return Target{}, false
+	}
+	return d.sources[i], true
+}
+
+// othersWait tells whether something else could be fetched.
+func (s *Store) othersWait(d *download) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, other := range s.downloads {
+		if other != d && len(other.sources) > 0 && !s.has(id) {
+			return true
+		}
+	}
+	return false
 }
 
 // ask asks a peer for a part.
@@ -319,10 +349,10 @@
 	}
 }
 
-func (s *Store) dropSource(d *download, from Target) {
+func (s *Store) dropSources(d *download, from ...Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d.sources = slices.DeleteFunc(d.sources, func(t Target) bool { return t == from })
+	d.sources = slices.DeleteFunc(d.sources, func(t Target) bool { return slices.Contains(from, t) })
 }
 
 // unpack returns what was compressed, whose size is known. Its error is one of package flate
--- a/io/peer/fetch_test.go
+++ b/io/peer/fetch_test.go
@@ -42,14 +42,26 @@
 	return slices.Clone(h.offsets)
 }
 
-// fetching is a store that lacks an object which peers have named.
-func fetching(t *testing.T, size int, peers ...*holder) *Store {
+// naming is a delta that names a version of the large object.
+func naming(size int, v uint64) *wire.KindDelta {
+	return &wire.KindDelta{Kind: "models", Through: v, Full: true, Items: []*wire.Item{{Name: "qalam", Version: v, Size: uint64(size)}}}
+}
+
+func makeFetching(t *testing.T) *Store {
 	t.Helper()
 	s := &Store{Kinds: []core.Kind{core.KindModel}, Client: &Client{}}
 	s.init()
 	t.Cleanup(s.Client.Close)
+	return s
+}
+
+// fetching is a store that lacks an object which peers have named, after it has fetched what
+// it could.
+func fetching(t *testing.T, size int, peers ...*holder) *Store {
+	t.Helper()
+	s := makeFetching(t)
 	for _, p := range peers {
-		s.takeDelta(p.Target, &wire.KindDelta{Kind: "models", Through: 9, Full: true, Items: []*wire.Item{{Name: "qalam", Version: 7, Size: uint64(size)}}})
+		s.takeDelta(p.Target, naming(size, 7))
 	}
 	s.fetchAll(t.Context())
 	return s
@@ -76,7 +88,7 @@
 		first, second := startHolder(t, p, once), startHolder(t, p, always)
 		s := fetching(t, len(spec), first)
 		assert.Equal(t, held(s), "")
-		s.takeDelta(second.Target, &wire.KindDelta{Kind: "models", Through: 9, Full: true, Items: []*wire.Item{{Name: "qalam", Version: 7, Size: uint64(len(spec))}}})
+		s.takeDelta(second.Target, naming(len(spec), 7))
 		s.fetchAll(t.Context())
 		assert.Equal(t, held(s), string(spec))
 		assert.Equal(t, second.asked()[0], uint64(partSize))
@@ -88,6 +100,42 @@
 		assert.Equal(t, held(fetching(t, len(spec), first, second)), string(spec))
 		assert.Equal(t, len(first.asked()), 1, "asked again though another answers")
 	})
+	t.Run("asks a peer that has named it while another is silent", func(t *testing.T) {
+		silent := make(chan struct{})
+		defer close(silent)
+		asked := make(chan struct{}, 1)
+		first, second := startHolder(t, p, func(*wire.FetchCall) bool { asked <- struct{}{}; <-silent; return false }), startHolder(t, p, always)
+		s := makeFetching(t)
+		s.takeDelta(first.Target, naming(len(spec), 7))
+		fetched := make(chan struct{})
+		go func() {
+			s.fetchAll(t.Context())
+			close(fetched)
+		}()
+		<-asked
+		s.takeDelta(second.Target, naming(len(spec), 7))
+		<-fetched
+		assert.Equal(t, held(s), string(spec))
+	})
+	t.Run("leaves a silent peer's version for a newer one", func(t *testing.T) {
+		silent := make(chan struct{})
+		defer close(silent)
+		asked := make(chan struct{}, 1)
+		first, second := startHolder(t, p, func(*wire.FetchCall) bool { asked <- struct{}{}; <-silent; return false }), startHolder(t, p, always)
+		s := makeFetching(t)
+		s.takeDelta(first.Target, naming(len(spec), 7))
+		fetched := make(chan struct{})
+		go func() {
+			s.fetchAll(t.Context())
+			close(fetched)
+		}()
+		<-asked
+		s.takeDelta(second.Target, naming(len(spec), 8))
+		<-fetched
+		assert.Equal(t, held(s), string(spec))
+		o, _ := s.Get(core.KindModel, "qalam")
+		assert.Equal(t, o.Version, core.Version(8))
+	})
 	t.Run("begins anew where another peer's compression differs", func(t *testing.T) {
 		other := &packed{data: p.data, size: p.size, sum: p.sum + 1}
 		first, second := startHolder(t, other, once), startHolder(t, p, always)
