Give fleets of stand-ins and trial processes loopback networks of their own

Traced: all soaks had their agents at 127.1.0.1 to 127.1.0.3, at ports that were found free on 127.0.0.1. Two soaks drew blocks of ports that overlap; the agents of one could not listen (10 starts each, "address already in use" at 127.1.0.1:16152), since the other's link to its agent was there. So its entries asked the other's agents, heard of the other's entries (edge-0 at port 16155, their own has 16154) and took over their routing table, 2, which has no route of table 1. No fault of the product: addresses of other fleets' processes are not handed out in one deployment.

Each process now has a network of its own, 127.x.y.0/24 by its id, and ports are looked for on the address on which they are used. The tests of io/deploy and io/node, which run beside the soak's, do the same.

--- a/io/deploy/deploy_test.go
+++ b/io/deploy/deploy_test.go
@@ -53,19 +53,21 @@
 	return netip.MustParseAddrPort(lis.Addr().String())
 }
 
+// entryHost is where entries listen, each with ports of its own.
+var entryHost = ports.Host(200)
+
 // given are the ports that freePort has returned.
 var given sync.Map
 
 // freePort returns an address with a port of its own that no outgoing connection takes
 // before a process listens on it.
-func freePort(t *testing.T, ip string) netip.AddrPort {
+func freePort(t *testing.T, host netip.Addr) netip.AddrPort {
 	t.Helper()
 	for {
-		free, err := ports.Free(1)
+		free, err := ports.FreeOn(host, 1)
 		assert.NilError(t, err)
-		port := free[0].Port()
-		if _, taken := given.LoadOrStore(port, true); !taken {
-			return netip.AddrPortFrom(netip.MustParseAddr(ip), port)
+		if _, taken := given.LoadOrStore(free[0].Port(), true); !taken {
+			return free[0]
 		}
 	}
 }
@@ -74,7 +76,7 @@
 	t.Helper()
 	f := &fleet{store: &stand.Store{}, mostDirect: 64}
 	f.storeAt = serve(t, "127.0.0.1", f.store)
-	f.agentPort = int(freePort(t, "127.1.0.1").Port())
+	f.agentPort = int(freePort(t, ports.Host(1)).Port())
 	f.store.Put("config", "main", `{"version":1,"routes":[
 	 {"name":"r-1","host":"a.example","path_prefix":"/chat/","route_kind":"streaming","timeout_ms":30000,"target_latency_ms":800,"service":"llm","max_attempts":2,"resumable":true}],
 	 "services":[{"name":"llm","engine":{"slots":64,"weights_mb":200,"adapter_slots":2,"loads_per_s":4,"models":[
@@ -124,7 +126,7 @@
 	t.Helper()
 	w := &stand.Worker{ID: fmt.Sprintf("i-%d", n), Events: 5, LoadTime: 100 * time.Millisecond}
 	w.Hold(held...)
-	at := serve(t, fmt.Sprintf("127.1.0.%d", n), w)
+	at := serve(t, ports.Host(n).String(), w)
 	f.store.Put("servers", w.ID, fmt.Sprintf(`{"service":"llm","address":%q,"zone":"dc-1","slots":64,"state":"ready","sequence":0}`, at))
 	return w, at
 }
@@ -132,12 +134,11 @@
 // addUpstream starts an upstream with its agent and registers it.
 func (f *fleet) addUpstream(t *testing.T, n int, held ...stand.Held) *stand.Worker {
 	t.Helper()
-	ip := fmt.Sprintf("127.1.0.%d", n)
 	w, at := f.startEngine(t, n, held...)
 	s := f.settings(config.Agent, "side-"+w.ID)
 	s.Managed.Upstream = at
 	s.Listen.Control = netip.AddrPortFrom(at.Addr(), uint16(f.agentPort))
-	s.Listen.Operators = freePort(t, ip)
+	s.Listen.Operators = freePort(t, ports.Host(n))
 	start(t, s)
 	return w
 }
@@ -150,9 +151,9 @@
 func (f *fleet) addEntry(t *testing.T, name string) running {
 	t.Helper()
 	s := f.settings(config.Entry, name)
-	r := running{callers: freePort(t, "127.0.0.1"), readiness: freePort(t, "127.0.0.1"), operators: freePort(t, "127.0.0.1")}
+	r := running{callers: freePort(t, entryHost), readiness: freePort(t, entryHost), operators: freePort(t, entryHost)}
 	s.Listen.Callers, s.Managed.Readiness, s.Listen.Operators = r.callers, r.readiness, r.operators
-	s.Listen.Control = freePort(t, "127.0.0.1")
+	s.Listen.Control = freePort(t, entryHost)
 	s.Peers = append([]netip.AddrPort{s.Listen.Control}, f.peers...)
 	f.peers = append(f.peers, s.Listen.Control)
 	r.stop = start(t, s)
--- a/io/deploy/leave_test.go
+++ b/io/deploy/leave_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"radishwell/io/fakes/ports"
 	"radishwell/platform/stand"
 )
 
@@ -15,7 +16,7 @@
 func (f *fleet) addPlain(t *testing.T, n int) *stand.Worker {
 	t.Helper()
 	w := &stand.Worker{ID: fmt.Sprintf("i-%d", n), Plain: true}
-	at := serve(t, fmt.Sprintf("127.1.0.%d", n), w)
+	at := serve(t, ports.Host(n).String(), w)
 	f.store.Put("servers", w.ID, fmt.Sprintf(`{"service":"plain","address":%q,"zone":"dc-1","slots":6,"state":"ready","sequence":0}`, at))
 	f.store.Put("config", "main", `{"version":2,"routes":[
 	 {"name":"r-1","host":"a.example","path_prefix":"/chat/","route_kind":"non_idempotent","timeout_ms":30000,"target_latency_ms":800,"service":"plain","max_attempts":1}],
--- a/io/node/fleet_test.go
+++ b/io/node/fleet_test.go
@@ -68,7 +68,7 @@
 func start(t *testing.T) *fleet {
 	t.Helper()
 	events.Discard()
-	list, err := ports.Free(2 + 2*3 + 3*4)
+	list, err := ports.FreeOn(ports.Host(1), 2+2*3+3*4)
 	assert.NilError(t, err)
 	next := func() netip.AddrPort {
 		p := list[0]
--- a/io/soak/world.go
+++ b/io/soak/world.go
@@ -24,6 +24,8 @@
 	entries  = 2
 	engines  = 3
 	services = 2
+	// entryHost numbers the address at which entries listen; upstreams have the first ones.
+	entryHost = 200
 	// streamEvents and eventGap make a stream last about as long as most faults.
 	streamEvents = 12
 	eventGap     = 40 * time.Millisecond
@@ -106,7 +108,7 @@
 	if w.storeAt, err = w.serve("127.0.0.1:0", w.store); err != nil {
 		return err
 	}
-	free, err := ports.Free(3 + 4*entries)
+	free, err := ports.FreeOn(ports.Host(entryHost), 3+4*entries)
 	if err != nil {
 		return &StartError{What: "the world", Cause: err}
 	}
@@ -172,8 +174,8 @@
 // listens itself, and where operators find it.
 type agentPorts struct{ link, own, operators uint16 }
 
-func (w *world) addUpstream(i int, ports agentPorts) error {
-	u := &upstream{Worker: &stand.Worker{ID: fmt.Sprintf("i-%d", i), LoadTime: loadTime, Plain: i >= engines}, ip: fmt.Sprintf("127.1.0.%d", i+1), born: 1}
+func (w *world) addUpstream(i int, agent agentPorts) error {
+	u := &upstream{Worker: &stand.Worker{ID: fmt.Sprintf("i-%d", i), LoadTime: loadTime, Plain: i >= engines}, ip: ports.Host(i + 1).String(), born: 1}
 	u.Restart(u.born)
 	if !u.Plain {
 		u.Events, u.Gap = streamEvents, eventGap
@@ -191,8 +193,8 @@
 	if u.Plain {
 		return nil
 	}
-	own := netip.AddrPortFrom(u.at.Addr(), ports.own)
-	if u.agentLink, err = w.newLink(netip.AddrPortFrom(u.at.Addr(), ports.link), own); err != nil {
+	own := netip.AddrPortFrom(u.at.Addr(), agent.own)
+	if u.agentLink, err = w.newLink(netip.AddrPortFrom(u.at.Addr(), agent.link), own); err != nil {
 		return err
 	}
 	store, err := w.storeLink()
@@ -200,7 +202,7 @@
 		return err
 	}
 	p, err := w.start("agent", fmt.Sprintf("side-%d", i), settings{
-		"listen":   map[string]string{"control": own.String(), "operators": netip.AddrPortFrom(u.at.Addr(), ports.operators).String()},
+		"listen":   map[string]string{"control": own.String(), "operators": netip.AddrPortFrom(u.at.Addr(), agent.operators).String()},
 		"platform": map[string]any{"urls": []string{"http://" + store.String()}},
 		"managed":  map[string]any{"enabled": true, "plain-peers": true, "upstream": u.at.String(), "stop-grace": "3s"},
 	})
