--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -64,7 +64,7 @@
 	e.feed.Listed()
 }
 
-// takeHost takes in a registry entry, and logs one that ends new work at its host.
+// takeHost applies a registry entry, and logs one after which its host gets no new work.
 func takeHost(v *fleet.View, now time.Time, o core.Object) {
 	id := core.HostName(o.Name)
 	known := v.Host(id)
@@ -128,13 +128,12 @@
 	}
 }
 
-// wordAge is how old the store's word to any entry has to be for a failed read to count as
-// an outage of the store.
+// wordAge is the age of the store's last answer to any entry from which on a failed read
+// counts as an outage.
 const wordAge = 2 * time.Second
 
-// storeOut tells whether the store may be out for all, upstreams among them. A read also
-// fails for reasons of this entry's own, such as a link that is full; the registry goes on
-// telling the truth then.
+// storeOut reports whether the store may be out for upstreams too. A single entry's reads also
+// fail for local reasons, such as a full link, and the registry stays reliable then.
 func (e *entry) storeOut() bool {
 	age := stale.Age(e.state, core.KindRegistry)
 	return age < 0 || age > wordAge
--- a/io/peer/fetch.go
+++ b/io/peer/fetch.go
@@ -18,51 +18,51 @@
 	"radishwell/wire"
 )
 
-// What exchanges leave out is fetched once, in parts, from one peer at a time, and from
-// another where that one does not answer.
+// Large payloads are downloaded outside exchanges: once each, in parts, from one peer at a
+// time as long as that peer answers.
 const (
-	// partPatience is after how long without an answer another peer is asked for a part as
-	// well. The first is not given up for that: its answer may be half way over a slow link.
+	// partPatience is the time without an answer after which a second peer is asked for the
+	// same part. The first call stays open: its answer may be in transit on a slow link.
 	partPatience = 600 * time.Millisecond
-	// partTimeout bounds all calls for a part together.
+	// partTimeout bounds all calls for one part together.
 	partTimeout = 5 * time.Second
-	// maxSources bounds the peers that are remembered as having something, maxAsked those
-	// that are asked for the same part.
+	// maxSources bounds the peers remembered as sources of a download, maxAsked those asked
+	// for the same part.
 	maxSources = 8
 	maxAsked   = 8
-	// downloadAge is how long a download is kept that no peer names any more.
+	// downloadAge is how long a download is kept after a peer last offered it.
 	downloadAge = 30 * time.Second
-	// maxSize bounds what is fetched, in bytes before compression.
+	// maxSize bounds a payload, in bytes before compression.
 	maxSize = maxMessage
-	// bootFetch bounds how long a process that starts waits for what peers have.
+	// bootFetch bounds how long a starting process waits for downloads.
 	bootFetch = 2 * time.Second
 )
 
-// blobID names what is fetched: the specification of one version of an object, or, without
-// a name, the changes of a kind after a version.
+// blobID identifies a payload: the specification of one version of an object, or, if name
+// is empty, the delta of a kind from a version.
 type blobID struct {
 	kind    core.Kind
 	name    string
 	version core.Version
 }
 
-// download is something large on its way.
+// download is a payload that is being downloaded.
 type download struct {
 	id blobID
-	// object is the one whose specification is fetched.
+	// object is the object whose specification is downloaded; unused for deltas.
 	object core.Object
-	// data is what has been received of total bytes; sum tells whether another peer's
-	// compression is the same.
+	// data is the received prefix of the compressed payload, total its size in bytes and sum
+	// its hash. Data of different sums cannot be combined.
 	data       []byte
 	total, sum uint64
-	// sources are the peers that have it, the one to ask next first.
+	// sources are the peers that offered the payload, in the order in which they are asked.
 	sources []Target
-	// until is when it is forgotten, unless a peer names it again.
+	// until is when the download expires.
 	until time.Time
 }
 
-// before tells which of two downloads goes first: what has begun does, so that versions
-// which follow each other closely do not keep all of them from arriving.
+// before orders downloads. Started ones go first: otherwise a fast series of versions could
+// keep every one of them from completing.
 func (d *download) before(other *download) bool {
 	if begun := len(d.data) > 0; begun != (len(other.data) > 0) {
 		return begun
@@ -70,8 +70,8 @@
 	return d.id.version > other.id.version
 }
 
-// take adds a part and tells whether everything is there. A part of another compression
-// replaces what is there.
+// take appends a part and reports whether the payload is complete. A part with another sum
+// discards the data received so far.
 func (d *download) take(offset uint64, part *wire.FetchReply) bool {
 	if d.total != part.GetSize() || d.sum != part.GetSum() {
 		d.data, d.total, d.sum = nil, part.GetSize(), part.GetSum()
@@ -82,25 +82,25 @@
 	return uint64(len(d.data)) == d.total
 }
 
-// CorruptError reports something from peers that cannot be unpacked.
+// CorruptError reports a payload that cannot be decompressed or decoded.
 type CorruptError struct {
 	Kind core.Kind
-	// Name is the object's; empty for changes of the kind.
+	// Name is the object's; empty for a delta of the kind.
 	Name  string
 	Cause error
 }
 
 // Error implements error.
 func (e *CorruptError) Error() string {
-	return string(e.Kind) + "/" + e.Name + " from peers cannot be unpacked: " + e.Cause.Error()
+	return "corrupt payload of " + string(e.Kind) + "/" + e.Name + ": " + e.Cause.Error()
 }
 
 // Unwrap returns the cause.
 func (e *CorruptError) Unwrap() error { return e.Cause }
 
-// takeDelta takes in a peer's delta. What is left out of it is fetched; until then the
-// replica has the rest and the same through mark as before, so that peers go on naming
-// what is lacking.
+// takeDelta joins a peer's delta. If payloads are omitted from it, their download starts, and
+// the objects that are present are joined without advancing the through mark, so that later
+// exchanges offer the rest again.
 func (s *Store) takeDelta(from Target, d *wire.KindDelta) {
 	kind, delta := core.Kind(d.GetKind()), fromWire(d)
 	if d.GetApart() {
@@ -122,8 +122,8 @@
 	s.join(kind, replic.Delta{Objects: there})
 }
 
-// fill puts specifications that are held into objects that came without, and has the others
-// fetched. It tells whether none is lacking.
+// fill completes objects whose specifications were omitted from the replica, and starts the
+// download of those it lacks. It reports whether all objects are complete.
 func (s *Store) fill(from Target, kind core.Kind, objects []core.Object, items []*wire.Item) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -147,7 +147,7 @@
 	return whole
 }
 
-// want notes that a peer has something that is lacking here. The caller holds mu.
+// want adds a peer as a source of a download. The caller holds mu.
 func (s *Store) want(from Target, id blobID, o core.Object) {
 	if s.kinds[id.kind] == nil {
 		return
@@ -164,7 +164,7 @@
 	loop.Poke(s.fetch)
 }
 
-// runFetch fetches what is lacking. What peers have at the start is fetched by runSync.
+// runFetch runs downloads. Those of the first exchange are run by runSync.
 func (s *Store) runFetch(ctx context.Context) error {
 	s.awaitBoot(ctx)
 	for {
@@ -177,7 +177,7 @@
 	}
 }
 
-// fetchAll fetches what is lacking, one part after the other, while there are peers to ask.
+// fetchAll runs downloads, one part after the other, until none has a source left.
 func (s *Store) fetchAll(ctx context.Context) {
 	for ctx.Err() == nil {
 		d := s.nextDownload()
@@ -188,7 +188,7 @@
 	}
 }
 
-// nextDownload returns what to fetch next, nil for nothing.
+// nextDownload returns the download to continue, nil if none has a source.
 func (s *Store) nextDownload() *download {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -203,8 +203,7 @@
 	return next
 }
 
-// has tells whether the replica has what was to be fetched, or something newer. The caller
-// holds mu.
+// has reports whether the replica holds a payload or a newer one. The caller holds mu.
 func (s *Store) has(id blobID) bool {
 	k := s.kinds[id.kind]
 	if id.name == "" {
@@ -214,7 +213,7 @@
 	return held.Version >= id.version
 }
 
-// fetchPart fetches one part of a download. Only its goroutine changes a download's data.
+// fetchPart downloads one part. Only its goroutine accesses a download's data.
 func (s *Store) fetchPart(ctx context.Context, d *download) {
 	offset := uint64(len(d.data))
 	a := s.askPart(ctx, d, &wire.FetchCall{
@@ -236,14 +235,14 @@
 	}
 }
 
-// partAnswer is what a peer answered to a call for a part; nil where it had nothing.
+// partAnswer is a peer's answer to a call for a part; part is nil if the peer had none.
 type partAnswer struct {
 	from Target
 	part *wire.FetchReply
 }
 
-// askPart asks one source of a download after the other for a part until one has answered
-// with it. Those that have it not are no longer sources.
+// askPart asks the sources of a download, one after the other, until one returns the part.
+// Peers without it are removed from the sources.
 func (s *Store) askPart(ctx context.Context, d *download, call *wire.FetchCall) partAnswer {
 	ctx, stop := context.WithTimeout(ctx, partTimeout)
 	defer stop()
@@ -279,7 +278,7 @@
 	}
 }
 
-// nextSource returns a source of a download that was not asked yet; false for none.
+// nextSource returns a source that was not asked yet; false if there is none.
 func (s *Store) nextSource(d *download, asked []Target) (Target, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -290,7 +289,7 @@
 	return d.sources[i], true
 }
 
-// othersWait tells whether something else could be fetched.
+// othersWait reports whether another download has sources.
 func (s *Store) othersWait(d *download) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -317,8 +316,7 @@
 	return partAnswer{from: from, part: part}
 }
 
-// finish takes in what has been received whole. Its error is one of packages flate, io or
-// proto.
+// finish joins a complete payload. Its error is one of packages flate, io or proto.
 func (s *Store) finish(d *download, from Target, size uint64) error {
 	data, err := unpack(d.data, size)
 	if err != nil {
@@ -340,7 +338,7 @@
 	return nil
 }
 
-// prefer has a source of a download asked first.
+// prefer moves a source to the front.
 func (s *Store) prefer(d *download, from Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -355,8 +353,7 @@
 	d.sources = slices.DeleteFunc(d.sources, func(t Target) bool { return slices.Contains(from, t) })
 }
 
-// unpack returns what was compressed, whose size is known. Its error is one of package flate
-// or io.
+// unpack decompresses data of a known size. Its error is one of package flate or io.
 func unpack(data []byte, size uint64) ([]byte, error) {
 	out := make([]byte, size)
 	r := flate.NewReader(bytes.NewReader(data))
--- a/io/peer/lag.go
+++ b/io/peer/lag.go
@@ -6,8 +6,7 @@
 	"radishwell/core"
 )
 
-// lagTime is how long a replica lacks a change before that is told: most changes are on
-// their way for some hundred milliseconds.
+// lagTime is how long a replica has to lack a change to be reported.
 const lagTime = time.Second
 
 // Lag is a replica that lacks a change which another process has named.
@@ -39,8 +38,8 @@
 	}
 }
 
-// noteLag tells of a replica that has lacked a change for lagTime, and of one that has
-// it now. The caller holds mu.
+// noteLag reports a replica that has lacked a change for lagTime, and again when it has
+// caught up. The caller holds mu.
 func (s *Store) noteLag(kind core.Kind, k *kindState) {
 	l := &k.lag
 	if l.since.IsZero() {
--- a/io/peer/pack.go
+++ b/io/peer/pack.go
@@ -16,32 +16,31 @@
 	"radishwell/wire"
 )
 
-// What is large is left out of exchanges, which so stay short and reach all peers whatever
-// else is on its way. Peers fetch it in compressed parts.
+// Large payloads are omitted from exchanges, so that these stay short, and served to peers in
+// compressed parts.
 const (
-	// largeSpec is the size in bytes from which a specification counts as large, largeDelta
-	// that of all items of a delta.
+	// largeSpec is the size in bytes from which a specification is omitted, largeDelta the
+	// size from which all items of a delta are.
 	largeSpec  = 16 << 10
 	largeDelta = 64 << 10
 	// partSize bounds the compressed bytes in one answer.
 	partSize = 32 << 10
-	// maxPacked bounds what is kept in compressed form. Some peers may be half way through
-	// an older version.
+	// maxPacked bounds the cached payloads. Peers may still be downloading older versions.
 	maxPacked = 8
-	// packedAge is how long a delta that is kept is sent to peers that have none of it yet.
+	// packedAge is how long a cached delta is offered to new downloads.
 	packedAge = 2 * time.Second
 )
 
-// packed is something in compressed form, for peers that fetch it.
+// packed is a cached payload.
 type packed struct {
 	once sync.Once
-	// build returns what to compress.
+	// build returns the payload before compression; nil once it is compressed.
 	build func() []byte
-	// data is the compressed form of size bytes; sum is its hash.
+	// data is the compressed payload, sum its hash and size its size before compression.
 	data      []byte
 	size, sum uint64
 	made      time.Time
-	// used numbers the last use, over all that are kept.
+	// used is the sequence number of the last use, for eviction.
 	used uint64
 }
 
@@ -71,8 +70,8 @@
 	return &wire.FetchReply{Data: p.data[begin:end], Size: total, Sum: p.sum, Unpacked: p.size}, nil
 }
 
-// pack returns something in compressed form; nil where it is neither held nor kept. A delta
-// is built anew for a peer that begins, if it is old.
+// pack returns a payload from the cache or the replica; nil if neither holds it. An old
+// delta is rebuilt if the peer begins its download.
 func (s *Store) pack(id blobID, begins bool) *packed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -97,8 +96,8 @@
 	return p
 }
 
-// builder returns what builds something that peers fetch; nil where it is not held. The
-// caller holds mu.
+// builder returns a function that returns a payload; nil if the replica does not hold it.
+// The caller holds mu.
 func (s *Store) builder(id blobID) func() []byte {
 	k := s.kinds[id.kind]
 	if k == nil {
@@ -107,7 +106,7 @@
 	if id.name == "" {
 		delta := k.Since(id.version)
 		return func() []byte {
-			// A message of strings and numbers can be marshalled.
+			// Marshalling fails only for invalid UTF-8, which the platform's names exclude.
 			data, _ := proto.Marshal(toWire(string(id.kind), delta, true))
 			return data
 		}
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -77,10 +77,10 @@
 	notify chan struct{}
 	kick   chan struct{}
 	pull   chan Target
-	// downloads are what is lacking and large; fetch wakes the goroutine that fetches them.
+	// downloads are the payloads in transit; fetch wakes the goroutine that downloads them.
 	downloads map[blobID]*download
 	fetch     chan struct{}
-	// packs are kept in compressed form for peers, uses counts their uses.
+	// packs caches payloads served to peers; uses numbers accesses to it.
 	packs map[blobID]*packed
 	uses  uint64
 }
--- a/io/stale/doc.go
+++ b/io/stale/doc.go
@@ -1,3 +1,3 @@
-// Package stale tells operators how far a process's replicas are behind, and which exchanges with
-// peers failed, in logs and metrics.
+// Package stale reports how far a process's replicas are behind, and which exchanges with
+// peers fail, in logs and metrics.
 package stale
--- a/io/stale/stale.go
+++ b/io/stale/stale.go
@@ -10,8 +10,8 @@
 	"radishwell/io/peer"
 )
 
-// Feed has the meter show the replicas of a store and logs those that lack a change for long.
-// It is called before the store is used.
+// Feed exports the lag and age of a store's replicas to the meter, and logs replicas that are
+// behind. It has to be called before the store is used.
 func Feed(m *meter.Meter, s *peer.Store) {
 	s.Behind = func(l peer.Lag) { tell(s.Clock.Now(), l) }
 	for _, kind := range s.Kinds {
@@ -29,7 +29,8 @@
 		"platform-word-age", ageOf(l.Fresh, now))
 }
 
-// Failed logs a failed call of a peer: apart, one that was cut while its answer arrived.
+// Failed logs a failed call of a peer. One that ended while its answer arrived has an event of
+// its own.
 func Failed(err error) {
 	var cut *peer.CallError
 	if errors.As(err, &cut) && cut.Read > 0 {
--- a/io/steady/doc.go
+++ b/io/steady/doc.go
@@ -1,4 +1,3 @@
-// Package steady bounds calls by silence: an answer may take as long as it arrives all the
-// time. A fixed time for the whole would end each try of a long answer over a slow link at
-// the same place.
+// Package steady bounds calls by inactivity instead of by total duration. A fixed total
+// would end every attempt to read a long answer over a slow link at the same point.
 package steady
--- a/io/steady/steady.go
+++ b/io/steady/steady.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// mostTime bounds an answer that arrives all the time.
+// mostTime bounds the total duration of an answer.
 const mostTime = 15 * time.Second
 
 // SilenceError reports an answer that did not begin, or did not go on, in time.
@@ -25,8 +25,8 @@
 	timer  *time.Timer
 }
 
-// Start begins a call whose answer has to begin within a time. The caller calls Stop in the
-// end.
+// Start begins a call whose answer has to begin within the given time. The caller has to
+// call Stop.
 func Start(ctx context.Context, within time.Duration) *Call {
 	c := &Call{}
 	ctx, c.stop = context.WithTimeout(ctx, within+mostTime)
@@ -42,8 +42,8 @@
 	c.stop()
 }
 
-// ReadAll reads the answer, each pause of which may take some time. Its error is a
-// SilenceError after a longer one.
+// ReadAll reads the answer. Its error is a SilenceError if nothing arrives for longer than
+// pause.
 func (c *Call) ReadAll(from io.Reader, pause time.Duration) ([]byte, error) {
 	c.timer.Reset(pause)
 	data, err := io.ReadAll(&Reader{From: from, Timer: c.timer, Pause: pause})
@@ -53,7 +53,7 @@
 	return data, err
 }
 
-// Reader puts off a timer with each piece that it reads.
+// Reader resets a timer on each read that returns data.
 type Reader struct {
 	From  io.Reader
 	Timer *time.Timer
