Share the set-up of tests of large objects and downloads

Two parts of TestFetch had the same goroutine and channels, and three tests the same processes that hold a large object. fetchBesideSilent and startLarge serve them; each assertion stands as it was.

--- a/io/peer/fetch_test.go
+++ b/io/peer/fetch_test.go
@@ -67,6 +67,28 @@
 	return s
 }
 
+// fetchBesideSilent has a store fetch version 7 from a peer that does not answer, while
+// another peer names a version and answers.
+func fetchBesideSilent(t *testing.T, p *packed, named uint64) *Store {
+	t.Helper()
+	silent := make(chan struct{})
+	defer close(silent)
+	asked := make(chan struct{}, 1)
+	first := startHolder(t, p, func(*wire.FetchCall) bool { asked <- struct{}{}; <-silent; return false })
+	second := startHolder(t, p, func(*wire.FetchCall) bool { return true })
+	s := makeFetching(t)
+	s.takeDelta(first.Target, naming(int(p.size), 7))
+	fetched := make(chan struct{})
+	go func() {
+		s.fetchAll(t.Context())
+		close(fetched)
+	}()
+	<-asked
+	s.takeDelta(second.Target, naming(int(p.size), named))
+	<-fetched
+	return s
+}
+
 func held(s *Store) string {
 	o, _ := s.Get(core.KindModel, "qalam")
 	return string(o.Spec)
@@ -101,37 +123,10 @@
 		assert.Equal(t, len(first.asked()), 1, "asked again though another answers")
 	})
 	t.Run("asks a peer that has named it while another is silent", func(t *testing.T) {
-		silent := make(chan struct{})
-		defer close(silent)
-		asked := make(chan struct{}, 1)
-		first, second := startHolder(t, p, func(*wire.FetchCall) bool { asked <- struct{}{}; <-silent; return false }), startHolder(t, p, always)
-		s := makeFetching(t)
-		s.takeDelta(first.Target, naming(len(spec), 7))
-		fetched := make(chan struct{})
-		go func() {
-			s.fetchAll(t.Context())
-			close(fetched)
-		}()
-		<-asked
-		s.takeDelta(second.Target, naming(len(spec), 7))
-		<-fetched
-		assert.Equal(t, held(s), string(spec))
+		assert.Equal(t, held(fetchBesideSilent(t, p, 7)), string(spec))
 	})
 	t.Run("leaves a silent peer's version for a newer one", func(t *testing.T) {
-		silent := make(chan struct{})
-		defer close(silent)
-		asked := make(chan struct{}, 1)
-		first, second := startHolder(t, p, func(*wire.FetchCall) bool { asked <- struct{}{}; <-silent; return false }), startHolder(t, p, always)
-		s := makeFetching(t)
-		s.takeDelta(first.Target, naming(len(spec), 7))
-		fetched := make(chan struct{})
-		go func() {
-			s.fetchAll(t.Context())
-			close(fetched)
-		}()
-		<-asked
-		s.takeDelta(second.Target, naming(len(spec), 8))
-		<-fetched
+		s := fetchBesideSilent(t, p, 8)
 		assert.Equal(t, held(s), string(spec))
 		o, _ := s.Get(core.KindModel, "qalam")
 		assert.Equal(t, o.Version, core.Version(8))
--- a/io/peer/large_test.go
+++ b/io/peer/large_test.go
@@ -79,6 +79,23 @@
 	}
 }
 
+// startLarge starts processes that hold an object of about so many bytes, and returns its
+// specification.
+func startLarge(t *testing.T, bytes, processes int) (*fleet, []byte) {
+	t.Helper()
+	large := model("qalam")
+	large.Spec = largeDocument(bytes)
+	f := startFleet(t, &apisrv.Server{Seed: []core.Object{large}})
+	var all []*process
+	for range processes {
+		all = append(all, f.start(nil))
+	}
+	for _, p := range all {
+		p.until(p.has("qalam"))
+	}
+	return f, large.Spec
+}
+
 func (f *fleet) platform() *objapi.Client { return &objapi.Client{Address: f.addr} }
 
 func grant(name string) core.Object {
@@ -95,33 +112,20 @@
 // Guards against an object that no exchange can carry within its deadline and that
 // therefore never arrives.
 func TestLargeObjectArrivesOverSlowLink(t *testing.T) {
-	large := model("qalam")
-	large.Spec = largeDocument(800 << 10)
-	f := startFleet(t, &apisrv.Server{Seed: []core.Object{large}})
-	near := f.start(nil)
-	near.until(near.has("qalam"))
+	f, spec := startLarge(t, 800<<10, 1)
 	far := f.startRemote(400 << 10)
 	far.wait("the object", far.has("qalam"))
 	got, _ := far.Get(core.KindModel, "qalam")
-	assert.Equal(t, string(got.Spec), string(large.Spec))
+	assert.Equal(t, string(got.Spec), string(spec))
 }
 
 // Guards against a process that has several others send it the same large object at once.
 func TestLargeObjectIsSentOnce(t *testing.T) {
-	large := model("qalam")
-	large.Spec = largeDocument(800 << 10)
-	f := startFleet(t, &apisrv.Server{Seed: []core.Object{large}})
-	var all []*process
-	for range 8 {
-		all = append(all, f.start(nil))
-	}
-	for _, p := range all {
-		p.until(p.has("qalam"))
-	}
+	f, spec := startLarge(t, 800<<10, 8)
 	far := f.startRemote(4 << 20)
 	far.wait("the object", far.has("qalam"))
 	_, received := far.client.Traffic()
-	assert.Assert(t, received < int64(len(large.Spec))*3/2, "received %d bytes of an object of %d", received, len(large.Spec))
+	assert.Assert(t, received < int64(len(spec))*3/2, "received %d bytes of an object of %d", received, len(spec))
 }
 
 // Guards against a host that leaves, or another small change, being held up or lost
@@ -174,11 +178,7 @@
 
 // Guards against a part that takes longer than a call for it may, each time.
 func TestPartArrivesOverVerySlowLink(t *testing.T) {
-	large := model("qalam")
-	large.Spec = largeDocument(64 << 10)
-	f := startFleet(t, &apisrv.Server{Seed: []core.Object{large}})
-	near := f.start(nil)
-	near.until(near.has("qalam"))
+	f, _ := startLarge(t, 64<<10, 1)
 	far := f.startRemote(16 << 10)
 	far.wait("the object", far.has("qalam"))
 }
