Keep less state for the cache of payloads; say what Fetch serves

The cache's order of eviction had a counter of its own beside the clock: the time of the last use does. maxAsked had the value and the reason of maxSources. Nothing outside io/steady used its Reader. The comments on Fetch were those from before deltas came by it.

The order of eviction may differ only for payloads served in the same instant.

--- a/io/peer/calls.go
+++ b/io/peer/calls.go
@@ -13,7 +13,7 @@
 	return call[wire.SyncReply](ctx, c, to, "Sync", in)
 }
 
-// Fetch asks a process for a part of an object's specification.
+// Fetch asks a process for a part of a payload.
 func (c *Client) Fetch(ctx context.Context, to Target, in *wire.FetchCall) (*wire.FetchReply, error) {
 	return call[wire.FetchReply](ctx, c, to, "Fetch", in)
 }
--- a/io/peer/fetch.go
+++ b/io/peer/fetch.go
@@ -26,10 +26,9 @@
 	partPatience = 600 * time.Millisecond
 	// partTimeout bounds all calls for one part together.
 	partTimeout = 5 * time.Second
-	// maxSources bounds the peers remembered as sources of a download, maxAsked those asked
-	// for the same part.
+	// maxSources bounds the peers remembered as sources of a download, and those asked for
+	// the same part.
 	maxSources = 8
-	maxAsked   = 8
 	// downloadAge is how long a download is kept after a peer last offered it.
 	downloadAge = 30 * time.Second
 	// maxSize bounds a payload, in bytes before compression.
@@ -246,7 +245,7 @@
 func (s *Store) askPart(ctx context.Context, d *download, call *wire.FetchCall) partAnswer {
 	ctx, stop := context.WithTimeout(ctx, partTimeout)
 	defer stop()
-	answers := make(chan partAnswer, maxAsked)
+	answers := make(chan partAnswer, maxSources)
 	next := time.NewTimer(0)
 	defer next.Stop()
 	var asked []Target
@@ -256,7 +255,7 @@
 			ticks++
 			from, ok := s.nextSource(d, asked)
 			switch {
-			case ok && len(asked) < maxAsked:
+			case ok && len(asked) < maxSources:
 				asked = append(asked, from)
 				pending++
 				go func() { answers <- s.ask(ctx, call, from) }()
--- a/io/peer/pack.go
+++ b/io/peer/pack.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"compress/flate"
 	"maps"
 	"slices"
@@ -39,9 +38,8 @@
 	// data is the compressed payload, sum its hash and size its size before compression.
 	data      []byte
 	size, sum uint64
-	made      time.Time
-	// used is the sequence number of the last use, for eviction.
-	used uint64
+	// made is when it was cached, used when it was last served.
+	made, used time.Time
 }
 
 func (p *packed) compress() {
@@ -75,10 +73,9 @@
 func (s *Store) pack(id blobID, begins bool) *packed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.uses++
 	now := s.Clock.Now()
 	if p := s.packs[id]; p != nil && (id.name != "" || !begins || now.Sub(p.made) < packedAge) {
-		p.used = s.uses
+		p.used = now
 		return p
 	}
 	build := s.builder(id)
@@ -87,11 +84,11 @@
 	}
 	if len(s.packs) >= maxPacked {
 		oldest := slices.MinFunc(slices.Collect(maps.Keys(s.packs)), func(a, b blobID) int {
-			return cmp.Compare(s.packs[a].used, s.packs[b].used)
+			return s.packs[a].used.Compare(s.packs[b].used)
 		})
 		delete(s.packs, oldest)
 	}
-	p := &packed{build: build, made: now, used: s.uses}
+	p := &packed{build: build, made: now, used: now}
 	s.packs[id] = p
 	return p
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -51,7 +51,7 @@
 	return answer("Sync", m.handler.Sync, c, out)
 }
 
-// Fetch serves a part of an object's specification.
+// Fetch serves a part of a payload.
 func (m *methods) Fetch(c *wire.FetchCall, out *wire.FetchReply) error {
 	return answer("Fetch", m.handler.Fetch, c, out)
 }
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -80,9 +80,8 @@
 	// downloads are the payloads in transit; fetch wakes the goroutine that downloads them.
 	downloads map[blobID]*download
 	fetch     chan struct{}
-	// packs caches payloads served to peers; uses numbers accesses to it.
+	// packs caches payloads served to peers.
 	packs map[blobID]*packed
-	uses  uint64
 }
 
 // kindState is the replica of one kind and what is known of its age.
--- a/io/steady/steady.go
+++ b/io/steady/steady.go
@@ -46,25 +46,25 @@
 // pause.
 func (c *Call) ReadAll(from io.Reader, pause time.Duration) ([]byte, error) {
 	c.timer.Reset(pause)
-	data, err := io.ReadAll(&Reader{From: from, Timer: c.timer, Pause: pause})
+	data, err := io.ReadAll(&reader{from: from, timer: c.timer, pause: pause})
 	if err != nil && context.Cause(c.Context) != nil {
 		err = context.Cause(c.Context)
 	}
 	return data, err
 }
 
-// Reader resets a timer on each read that returns data.
-type Reader struct {
-	From  io.Reader
-	Timer *time.Timer
-	Pause time.Duration
+// reader resets a timer on each read that returns data.
+type reader struct {
+	from  io.Reader
+	timer *time.Timer
+	pause time.Duration
 }
 
 // Read implements io.Reader.
-func (r *Reader) Read(p []byte) (int, error) {
-	n, err := r.From.Read(p)
+func (r *reader) Read(p []byte) (int, error) {
+	n, err := r.from.Read(p)
 	if n > 0 {
-		r.Timer.Reset(r.Pause)
+		r.timer.Reset(r.pause)
 	}
 	return n, err
 }
