Log how an answer of an upstream shows its end

Neither logs nor metrics told how the upstreams' answers were framed, so the hypotheses could not be told apart. A request's line now has the framing and the bytes of an unfinished event, and a counter has both by result, in the product's own stack as well.

--- a/core/engine.go
+++ b/core/engine.go
@@ -143,9 +143,10 @@
 // Answer is an upstream's answer whose body is still being read. Closing Body
 // before its end cancels the request at the upstream.
 type Answer struct {
-	Status int
-	Header map[string][]string
-	Body   io.ReadCloser
+	Status  int
+	Header  map[string][]string
+	Framing Framing
+	Body    io.ReadCloser
 }
 
 // Engine is one upstream: a model engine, or a plain service, which takes no
--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -153,6 +153,7 @@
 		if err == nil {
 			err = r.tail.check()
 		}
+		r.agent.Meter.UpstreamAnswer(answer.Framing, err == nil)
 		if err == nil {
 			return nil
 		}
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/io/reply"
 )
 
 const (
@@ -175,7 +176,7 @@
 	if err != nil {
 		return core.Answer{}, err
 	}
-	return core.Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
+	return core.Answer{Status: resp.StatusCode, Header: resp.Header, Framing: reply.Framing(resp), Body: resp.Body}, nil
 }
 
 // do sends a request once. Its error is an EngineError. The fault is
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -98,6 +98,19 @@
 	}
 }
 
+// UpstreamAnswer counts an answer of an upstream by its framing and by whether it arrived
+// whole.
+func (m *Meter) UpstreamAnswer(f core.Framing, whole bool) {
+	if m == nil {
+		return
+	}
+	label := "broken-off"
+	if whole {
+		label = "whole"
+	}
+	m.count(nameAnswers, "framing", f.String(), "end", label).Inc()
+}
+
 // AnswerBytes adds n to the bytes of answers' bodies.
 func (m *Meter) AnswerBytes(n int) {
 	if m != nil && n > 0 {
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -37,6 +37,7 @@
 	nameIdle             = "radishwell_accelerator_idle_seconds_total"
 	nameBusy             = "radishwell_accelerator_busy_seconds_total"
 	nameRetries          = "radishwell_retries_total"
+	nameAnswers          = "radishwell_upstream_answers_total"
 	nameAnswerBytes      = "radishwell_answer_bytes_total"
 	nameQueue            = "radishwell_queue_length"
 	nameRunning          = "radishwell_requests_in_progress"
@@ -69,6 +70,7 @@
 	{nameIdle, Counter, nil, "seconds", "Accelerator time with a model loaded and no request running."},
 	{nameBusy, Counter, nil, "seconds", "Accelerator time with requests running."},
 	{nameRetries, Counter, []string{"result"}, "", "Retries that were made or that the retry budget refused."},
+	{nameAnswers, Counter, []string{"framing", "end"}, "", "Answers of upstreams, by how they show their end (length, chunks, or none but that of the connection) and by whether they arrived whole."},
 	{nameAnswerBytes, Counter, nil, "bytes", "Bytes of answers' bodies that were passed on."},
 	{nameQueue, Gauge, []string{"class"}, "", "Requests waiting in this process."},
 	{nameRunning, Gauge, []string{"class"}, "", "Requests forwarded and not answered yet."},
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -12,6 +12,7 @@
 	"radishwell/core"
 	"radishwell/core/fleet"
 	"radishwell/core/rtable"
+	"radishwell/io/reply"
 )
 
 // outcome is the result of one attempt.
@@ -63,6 +64,7 @@
 		return outcome{sent: sent, cause: causeOf(ctx, err)}
 	}
 	defer resp.Body.Close()
+	c.framing, c.partialEvent = reply.Framing(resp), 0
 	head := c.proxy.Protocol.ParseAnswer(resp.Header, resp.StatusCode, c.proxy.Clock.Now())
 	c.applySignals(t, head, sentAt)
 	if head.ID == c.ask.ID && (head.NotRun || resp.StatusCode == http.StatusMisdirectedRequest) {
@@ -88,6 +90,7 @@
 	default:
 		err = c.forwardWhole(resp)
 	}
+	c.proxy.Meter.UpstreamAnswer(c.framing, err == nil)
 	if err != nil {
 		c.recordEnd(t, func(h *fleet.Host, now time.Time) { c.recordFailure(ctx, h, now, true) })
 		c.noteError(ctx, t, true, err)
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -86,6 +86,10 @@
 	// answer, zero before there is one.
 	fetchTime time.Duration
 	status    int
+	// framing is that of the upstream's last answer, and partialEvent the number of bytes
+	// of an unfinished event at the end of its stream.
+	framing      core.Framing
+	partialEvent int
 	// firstEvent and lastEvent are when the first and the latest event of a stream, or
 	// a whole answer, were forwarded. longestPause is the longest pause between two
 	// events.
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -45,6 +45,12 @@
 	if c.status != 0 {
 		pairs = append(pairs, "status", c.status)
 	}
+	if c.framing != core.FramingUnknown {
+		pairs = append(pairs, "framing", c.framing)
+	}
+	if c.partialEvent > 0 {
+		pairs = append(pairs, "partial-event", c.partialEvent)
+	}
 	if c.route != nil && c.route.Kind == rtable.Stream && !c.firstEvent.IsZero() {
 		pairs = append(
 			pairs, "first", c.firstEvent.Sub(c.arrived).Round(time.Millisecond), "longest-pause", c.longestPause.Round(time.Millisecond),
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -34,6 +34,7 @@
 	for {
 		line, err := in.ReadSlice('\n')
 		pending = append(pending, line...)
+		c.partialEvent = len(pending)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			if len(pending) > maxEvent {
@@ -64,6 +65,7 @@
 			c.lastEventID = id
 		}
 		pending, id = pending[:0], ""
+		c.partialEvent = 0
 		if hasEvent(in) {
 			continue // the event is flushed with the next one, which is buffered
 		}
