--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -22,6 +22,7 @@
 	"radishwell/io/events"
 	"radishwell/io/meter"
 	"radishwell/io/proxy"
+	"radishwell/io/reply"
 	plat "radishwell/platform"
 	"radishwell/platform/stand"
 )
@@ -141,6 +142,8 @@
 	status int
 	header http.Header
 	body   string
+	// framing tells how the answer showed its end.
+	framing core.Framing
 	// cut is set if the answer did not end as a complete one does.
 	cut bool
 }
@@ -153,7 +156,7 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), cut: err != nil}
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), framing: reply.Framing(resp), cut: err != nil}
 }
 
 func wantStatus(t *testing.T, a answer, status int) {
