Take a stream that ends inside an event as broken off

An answer without length and chunks ends with its connection, and the entry took that end for the end of the message; it passed the partial event on and ended its own chunks properly. The same held for a stream whose chunks ended properly inside an event.

core/stream tells whether a stream ends between two events. One that does not is an error like a connection that breaks off: the partial event is held back, another host continues the stream where its route allows that, else the caller's answer is broken off; before the first event it is 502. It counts as a failure of the host and, if the host turns out to have crashed, against the request.

Ruled out by the log of the cases: an error that is lost on the way (the lines have no cause).

--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"radishwell/core/fleet"
+	"radishwell/core/stream"
 )
 
 // maxEvent bounds one event of a stream, in bytes.
@@ -21,6 +22,20 @@
 // Error implements error.
 func (e *OrderError) Error() string { return "event " + e.Got + " follows event " + e.After }
 
+// UnfinishedError reports a stream that ended inside an event.
+type UnfinishedError struct {
+	// Bytes is the size of the part of the event that arrived.
+	Bytes int
+}
+
+// Error implements error.
+func (e *UnfinishedError) Error() string {
+	return "the stream ended inside an event, after " + strconv.Itoa(e.Bytes) + " bytes of it"
+}
+
+// Unwrap returns the error of a connection that ended too early.
+func (e *UnfinishedError) Unwrap() error { return io.ErrUnexpectedEOF }
+
 // forwardStream forwards events as they arrive. It forwards whole events only: an
 // upstream may break off in the middle of an event, and what another upstream continues
 // with has to follow a whole one.
@@ -42,6 +57,10 @@
 			}
 			continue
 		case errors.Is(err, io.EOF):
+			var end stream.Position
+			if end.Add(pending); end.InsideEvent() {
+				return &UnfinishedError{Bytes: len(pending)}
+			}
 			c.openStream(t, resp)
 			return c.write(pending)
 		case err != nil:
