Promise callers no more of an answer's end than the upstream did

An answer with neither length nor chunks ends with its connection.

The entry now answers such an answer without framing as well: first tries, second tries, kept failures, streams and whole answers alike. Whole ones are still delivered. A stream without framing that ends before its first event is no success. A caller whose answer began with chunks and was continued without framing sees it broken off, or continued once more. Since an unframed answer ends properly when its connection closes, one that broke off is ended by a reset (httpd.Abort), also towards callers of HTTP/1.0, whose streams were cut by an orderly close until now.

Weighed: to keep chunks and end them (claims too much), to break off all of them (loses whole answers).

--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -92,7 +92,11 @@
 	}
 	c.proxy.Meter.UpstreamAnswer(c.framing, err == nil)
 	if err != nil {
-		c.recordEnd(t, func(h *fleet.Host, now time.Time) { c.recordFailure(ctx, h, now, true) })
+		c.recordEnd(t, func(h *fleet.Host, now time.Time) {
+			if !isUnconfirmed(err) {
+				c.recordFailure(ctx, h, now, true)
+			}
+		})
 		c.noteError(ctx, t, true, err)
 		return outcome{sent: true, cause: causeOf(ctx, err)}
 	}
@@ -147,9 +151,10 @@
 // failure is the failed answer of an upstream to a request that may run again. The
 // caller receives it if no other host answers better.
 type failure struct {
-	status int
-	header map[string][]string
-	body   []byte
+	status  int
+	header  map[string][]string
+	body    []byte
+	framing core.Framing
 }
 
 // keepFailure reports whether an answer is a failure after which another host is tried.
@@ -168,7 +173,7 @@
 		resp.Body = &replayedBody{Reader: io.MultiReader(bytes.NewReader(body), resp.Body), Closer: resp.Body}
 		return false
 	}
-	c.failure = &failure{status: resp.StatusCode, header: c.proxy.Protocol.ReplyHeader(resp.Header), body: body}
+	c.failure = &failure{status: resp.StatusCode, header: c.proxy.Protocol.ReplyHeader(resp.Header), body: body, framing: c.framing}
 	return true
 }
 
@@ -180,13 +185,7 @@
 
 // writeFailure answers the caller with the kept failure.
 func (c *call) writeFailure() {
-	c.status = c.failure.status
-	head := c.writer.Header()
-	for name, values := range c.failure.header {
-		head[name] = values
-	}
-	head.Set("Content-Length", strconv.Itoa(len(c.failure.body)))
-	c.writer.WriteHeader(c.failure.status)
+	c.writeHead(c.failure.status, c.failure.header, c.failure.framing, len(c.failure.body))
 	// An error means that the caller has left.
 	_, _ = c.writer.Write(c.failure.body)
 }
@@ -254,13 +253,13 @@
 	if err != nil {
 		return err
 	}
-	c.copyHead(resp)
-	if len(body) <= maxBufferedAnswer {
-		c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	length := len(body)
+	if length > maxBufferedAnswer {
+		length = unknownLength
 	}
 	c.started = true
 	c.recordEvent()
-	c.writer.WriteHeader(resp.StatusCode)
+	c.writeHead(resp.StatusCode, c.proxy.Protocol.ReplyHeader(resp.Header), c.framing, length)
 	if _, err := c.writer.Write(body); err != nil {
 		return err
 	}
@@ -271,10 +270,26 @@
 	return err
 }
 
-func (c *call) copyHead(resp *http.Response) {
-	c.status = resp.StatusCode
+// unknownLength is the length of a body that is forwarded as it arrives.
+const unknownLength = -1
+
+// writeHead writes the header of the answer, whose body has a length in bytes or
+// unknownLength. An upstream's answer without framing has none towards the caller either:
+// whether its end is that of the whole answer is not known.
+func (c *call) writeHead(status int, header map[string][]string, framing core.Framing, length int) {
+	c.status = status
 	head := c.writer.Header()
-	for name, values := range c.proxy.Protocol.ReplyHeader(resp.Header) {
+	for name, values := range header {
 		head[name] = values
 	}
+	switch {
+	case framing == core.Unframed:
+		head.Set("Transfer-Encoding", "identity") // net/http then closes the connection after the body
+		c.unframed = true
+	case length != unknownLength:
+		head.Set("Content-Length", strconv.Itoa(length))
+	default:
+		c.unframed = !c.request.ProtoAtLeast(1, 1)
+	}
+	c.writer.WriteHeader(status)
 }
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -12,6 +12,7 @@
 	"radishwell/core"
 	"radishwell/core/fleet"
 	"radishwell/core/rtable"
+	"radishwell/io/httpd"
 )
 
 const (
@@ -98,8 +99,9 @@
 	// watched is the attempt in progress if its stream may move to another host, nil
 	// otherwise.
 	watched *watchedStream
-	// started is set once part of an answer has been sent to the caller.
-	started bool
+	// started is set once part of an answer has been sent to the caller. unframed is set if
+	// that answer has neither a length nor chunks.
+	started, unframed bool
 	// failure is an upstream's failed answer, kept in case no other host answers
 	// better.
 	failure *failure
@@ -125,7 +127,8 @@
 		// A partial answer must not look complete, and a missing one must not look
 		// successful: net/http would terminate the former properly and send status 200
 		// for the latter. Aborting closes the connection instead.
-		panic(http.ErrAbortHandler)
+		httpd.Abort(w, c.unframed)
+		return
 	}
 	if c.failure != nil {
 		c.writeFailure()
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"radishwell/core"
 	"radishwell/core/fleet"
 	"radishwell/core/stream"
 )
@@ -22,7 +23,8 @@
 // Error implements error.
 func (e *OrderError) Error() string { return "event " + e.Got + " follows event " + e.After }
 
-// UnfinishedError reports a stream that ended inside an event.
+// UnfinishedError reports a stream that ended inside an event, or without framing before its
+// first.
 type UnfinishedError struct {
 	// Bytes is the size of the part of the event that arrived.
 	Bytes int
@@ -30,12 +32,26 @@
 
 // Error implements error.
 func (e *UnfinishedError) Error() string {
-	return "the stream ended inside an event, after " + strconv.Itoa(e.Bytes) + " bytes of it"
+	return "the stream ended after " + strconv.Itoa(e.Bytes) + " bytes of an event"
 }
 
 // Unwrap returns the error of a connection that ended too early.
 func (e *UnfinishedError) Unwrap() error { return io.ErrUnexpectedEOF }
 
+// UnconfirmedEndError reports a stream that ended between two events with its connection, while
+// the caller's answer, which began at another host, can end only as a complete one.
+type UnconfirmedEndError struct{}
+
+// Error implements error.
+func (*UnconfirmedEndError) Error() string {
+	return "the connection ended, and nothing tells whether the stream was complete"
+}
+
+func isUnconfirmed(err error) bool {
+	var unconfirmed *UnconfirmedEndError
+	return errors.As(err, &unconfirmed)
+}
+
 // forwardStream forwards events as they arrive. It forwards whole events only: an
 // upstream may break off in the middle of an event, and what another upstream continues
 // with has to follow a whole one.
@@ -57,9 +73,8 @@
 			}
 			continue
 		case errors.Is(err, io.EOF):
-			var end stream.Position
-			if end.Add(pending); end.InsideEvent() {
-				return &UnfinishedError{Bytes: len(pending)}
+			if err := c.checkEnd(pending); err != nil {
+				return err
 			}
 			c.openStream(t, resp)
 			return c.write(pending)
@@ -94,6 +109,20 @@
 	}
 }
 
+// checkEnd returns an error if a stream that has ended may not be passed on as complete. rest is
+// what came after its last whole event.
+func (c *call) checkEnd(rest []byte) error {
+	var end stream.Position
+	end.Add(rest)
+	switch {
+	case end.InsideEvent(), c.framing == core.Unframed && c.lastEventID == "" && !c.started:
+		return &UnfinishedError{Bytes: len(rest)}
+	case c.framing == core.Unframed && c.started && !c.unframed:
+		return &UnconfirmedEndError{}
+	}
+	return nil
+}
+
 // recordEvent records that an event, or a whole answer, was forwarded.
 func (c *call) recordEvent() {
 	now := c.proxy.Clock.Now()
@@ -155,8 +184,7 @@
 		return
 	}
 	c.started = true
-	c.copyHead(resp)
-	c.writer.WriteHeader(resp.StatusCode)
+	c.writeHead(resp.StatusCode, c.proxy.Protocol.ReplyHeader(resp.Header), c.framing, unknownLength)
 }
 
 // follows reports whether one event directly follows another, by their ids. It accepts
