Notice a crash that ends an answer without framing

Where the process of an upstream ends, its system closes its connections in order. An answer with neither length nor chunks then ends as a complete one does, between two events or within a body: its caller took it for whole, no other host continued it, and the request that had crashed the upstream counted as served, which cleared the strikes against it.

After such an end the entry asks whether the host still accepts connections. One that refuses them has crashed in the middle of the answer, unless it was leaving; the answer is then broken off like any other, with its strike. Complete ones cost one connection more.

TestCrashEndsUnframedAnswer failed before, in both subtests.

--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -84,11 +84,11 @@
 	isStream := c.route.Kind == rtable.Stream && resp.StatusCode == http.StatusOK
 	switch {
 	case isStream:
-		err = c.forwardStream(t, resp)
+		err = c.forwardStream(ctx, t, resp)
 	case c.started:
 		err = &SpoiltError{Reason: "a stream goes on with status " + strconv.Itoa(resp.StatusCode)}
 	default:
-		err = c.forwardWhole(resp)
+		err = c.forwardWhole(ctx, t, resp)
 	}
 	c.proxy.Meter.UpstreamAnswer(c.framing, err == nil)
 	if err != nil {
@@ -248,7 +248,7 @@
 
 // forwardWhole reads an answer to its end and then forwards it. An answer that breaks
 // off is not forwarded at all, unless it is larger than maxBufferedAnswer.
-func (c *call) forwardWhole(resp *http.Response) error {
+func (c *call) forwardWhole(ctx context.Context, t *target, resp *http.Response) error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer+1))
 	if err != nil {
 		return err
@@ -256,6 +256,8 @@
 	length := len(body)
 	if length > maxBufferedAnswer {
 		length = unknownLength
+	} else if err := c.checkCrash(ctx, t); err != nil {
+		return err
 	}
 	c.started = true
 	c.recordEvent()
@@ -266,8 +268,10 @@
 	if len(body) <= maxBufferedAnswer {
 		return nil
 	}
-	_, err = io.Copy(c.writer, resp.Body)
-	return err
+	if _, err = io.Copy(c.writer, resp.Body); err != nil {
+		return err
+	}
+	return c.checkCrash(ctx, t)
 }
 
 // unknownLength is the length of a body that is forwarded as it arrives.
--- a/io/proxy/crash.go
+++ b/io/proxy/crash.go
@@ -141,6 +141,34 @@
 	}
 }
 
+// CrashedError reports an upstream that crashed while it sent an answer without framing.
+type CrashedError struct{ Host core.HostName }
+
+// Error implements error.
+func (e *CrashedError) Error() string {
+	return "the host " + string(e.Host) + " refuses connections since its answer ended"
+}
+
+// Unwrap returns the error of a connection that ended too early.
+func (e *CrashedError) Unwrap() error { return io.ErrUnexpectedEOF }
+
+// checkCrash returns a CrashedError if an answer without framing has ended because its host
+// crashed: the system of a process that has ended closes its connections in order. A host that
+// is leaving may end after a complete answer.
+func (c *call) checkCrash(ctx context.Context, t *target) error {
+	if c.framing != core.Unframed {
+		return nil
+	}
+	p := c.proxy
+	p.mu.Lock()
+	leaving := t.host.IsLeaving(p.Clock.Now())
+	p.mu.Unlock()
+	if leaving || !p.upstreams.refuses(ctx, t.address) {
+		return nil
+	}
+	return &CrashedError{Host: t.id}
+}
+
 // refuses reports whether a host refuses a connection, as its system does if the process has
 // ended.
 func (u *upstreams) refuses(ctx context.Context, at netip.AddrPort) bool {
--- a/io/proxy/crash_test.go
+++ b/io/proxy/crash_test.go
@@ -19,16 +19,26 @@
 // addCrashing starts an upstream without an agent that crashes when it runs a request with
 // the body "crash", so many times. It is listed under a new id as soon as it is started again.
 func (r *rig) addCrashing(t *testing.T, name string, times int) *stand.Process {
+	t.Helper()
+	return r.addProcess(t, name, times, func() *stand.Worker { return &stand.Worker{Plain: true} })
+}
+
+// addProcess is addCrashing for an upstream of any kind. start returns the worker of a start.
+func (r *rig) addProcess(t *testing.T, name string, times int, start func() *stand.Worker) *stand.Process {
 	t.Helper()
 	p := &stand.Process{Downtime: 50 * time.Millisecond}
 	p.Start = func(n int, at netip.AddrPort) *stand.Worker {
-		w := &stand.Worker{ID: fmt.Sprint(name, "-", n), Plain: true}
+		w := start()
+		w.ID = fmt.Sprint(name, "-", n)
 		if n <= times {
 			w.Poison = "crash"
 		}
-		r.Update(func(v *fleet.View, _ time.Time) {
-			v.Apply(fleet.Entry{ID: core.HostName(w.ID), Service: "plain", Address: at, Usable: true, DataCentre: "dc-1", Slots: 6, Revision: uint64(n)})
-		})
+		e := fleet.Entry{ID: core.HostName(w.ID), Service: "plain", Address: at, Usable: true, DataCentre: "dc-1", Slots: 6, Revision: uint64(n)}
+		if !w.Plain {
+			w.SetModels(stand.Held{Name: "m"})
+			e.Service, e.Models = "llm", []core.HeldModel{{Model: "m"}}
+		}
+		r.Update(func(v *fleet.View, _ time.Time) { v.Apply(e) })
 		return w
 	}
 	assert.NilError(t, p.Listen(netip.MustParseAddr("127.0.0.1")))
@@ -118,3 +128,38 @@
 	r.strikeThrice(core.FingerprintOf(nil, []byte(http.MethodGet), []byte("a.example"), []byte("/stream/x"), nil))
 	wantStatus(t, <-ended, http.StatusUnprocessableEntity)
 }
+
+// Guards against an answer without framing that is taken as complete, and as a sign that its
+// request is harmless, although its upstream crashed in the middle of it.
+func TestCrashEndsUnframedAnswer(t *testing.T) {
+	start := func(events int) func() *stand.Worker {
+		return func() *stand.Worker {
+			w := &stand.Worker{Plain: events == 0, Events: events, LateCrash: true}
+			w.SetUnframed(true)
+			return w
+		}
+	}
+	t.Run("a whole answer", func(t *testing.T) {
+		r := newRig(t)
+		p := r.addProcess(t, "p-a", 9, start(0))
+		status := 0
+		for n := 0; status != http.StatusUnprocessableEntity; n++ {
+			assert.Assert(t, n < 20, "the request is not refused: status %d", status)
+			status = do(t, r.post(t, "/once/x", fmt.Sprint("q-", n), "crash")).status
+			assert.Assert(t, status != http.StatusOK)
+		}
+		assert.Equal(t, p.Crashes(), 3)
+	})
+	t.Run("a stream is continued", func(t *testing.T) {
+		r := newRig(t)
+		p := r.addProcess(t, "i-a", 1, start(8))
+		r.add(t, "llm", &stand.Worker{ID: "i-b", Events: 8})
+		for n := 0; p.Crashes() == 0; n++ {
+			req := r.post(t, "/resumed/x", fmt.Sprint("q-", n), "crash")
+			req.Header.Set("X-Radishwell-Model", "m")
+			a := do(t, req)
+			wantStatus(t, a, http.StatusOK)
+			assert.Equal(t, a.body, eventsOf(8))
+		}
+	})
+}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -55,7 +56,7 @@
 // forwardStream forwards events as they arrive. It forwards whole events only: an
 // upstream may break off in the middle of an event, and what another upstream continues
 // with has to follow a whole one.
-func (c *call) forwardStream(t *target, resp *http.Response) error {
+func (c *call) forwardStream(ctx context.Context, t *target, resp *http.Response) error {
 	in := bufio.NewReaderSize(resp.Body, 4<<10)
 	out := http.NewResponseController(c.writer)
 	defer c.flush(out)
@@ -73,11 +74,7 @@
 			}
 			continue
 		case errors.Is(err, io.EOF):
-			if err := c.checkEnd(pending); err != nil {
-				return err
-			}
-			c.openStream(t, resp)
-			return c.write(pending)
+			return c.endStream(ctx, t, resp, pending)
 		case err != nil:
 			return err
 		}
@@ -109,18 +106,23 @@
 	}
 }
 
-// checkEnd returns an error if a stream that has ended may not be passed on as complete. rest is
-// what came after its last whole event.
-func (c *call) checkEnd(rest []byte) error {
+// endStream ends a stream that the upstream has ended. rest is what came after its last whole
+// event. It returns an error if the stream may not be passed on as complete.
+func (c *call) endStream(ctx context.Context, t *target, resp *http.Response, rest []byte) error {
 	var end stream.Position
 	end.Add(rest)
-	switch {
-	case end.InsideEvent(), c.framing == core.Unframed && c.lastEventID == "" && !c.started:
+	empty := c.lastEventID == "" && !c.started
+	if end.InsideEvent() || empty && c.framing == core.Unframed {
 		return &UnfinishedError{Bytes: len(rest)}
-	case c.framing == core.Unframed && c.started && !c.unframed:
+	}
+	if err := c.checkCrash(ctx, t); err != nil {
+		return err
+	}
+	if c.framing == core.Unframed && c.started && !c.unframed {
 		return &UnconfirmedEndError{}
 	}
-	return nil
+	c.openStream(t, resp)
+	return c.write(rest)
 }
 
 // recordEvent records that an event, or a whole answer, was forwarded.
