Mark no plain service's answer done whose end shows nothing

Engines' answers have been checked for their format's last bytes before.

The agent now checks that a plain service's stream ends between two events, and after an answer without framing whether the service still accepts connections. What stays unknown is said: the caller's answer has no framing and the outcome may-have-run. One that breaks off without framing is ended by a reset, as is one to a caller of HTTP/1.0.

Looked at and found sound: the platform's lists, reports and peers' downloads (single documents or counted bytes, so that a part does not decode), orders (the status alone counts), frames between entry and agent (an end frame).

--- a/core/refuse_test.go
+++ b/core/refuse_test.go
@@ -25,7 +25,7 @@
 | --- | --- |
 | ` + "`done`" + ` | The whole answer was relayed. |
 | ` + "`not-run`" + ` | The request did not run and will not run; sending it again runs it once. |
-| ` + "`may-have-run`" + ` | An upstream may have run all or part of it. |
+| ` + "`may-have-run`" + ` | An upstream may have run all or part of it. With status 200 it has run, and nothing shows whether all of its answer came. |
 
 Where "again" is yes, a later try can pass, and ` + "`Retry-After`" + ` says when.
 
--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"radishwell/core"
@@ -140,12 +141,13 @@
 		return refusal
 	}
 	r.tail = tailOf(answer, r.agent.Plain)
+	unframed := answer.Framing == core.Unframed && !r.tail.ends()
 	if !r.agent.Plain {
 		// Content-Length describes one connection's response, but the answer may
 		// continue over another connection.
 		http.Header(answer.Header).Del("Content-Length")
 	}
-	r.spool.Head(&wire.AnswerHead{Status: int32(answer.Status), Header: toFields(answer.Header)})
+	r.spool.Head(&wire.AnswerHead{Status: int32(answer.Status), Header: toFields(answer.Header), Unframed: unframed})
 	for try := 0; ; try++ {
 		before := r.received.Load()
 		err = r.copy(ctx, answer.Body)
@@ -153,6 +155,9 @@
 		if err == nil {
 			err = r.tail.check()
 		}
+		if err == nil && unframed {
+			err = r.checkCrash(ctx)
+		}
 		r.agent.Meter.UpstreamAnswer(answer.Framing, err == nil)
 		if err == nil {
 			return nil
@@ -169,6 +174,15 @@
 	}
 }
 
+// checkCrash returns an error if an answer without framing has ended because the upstream's
+// process did: its system closes connections in order, and refuses new ones.
+func (r *run) checkCrash(ctx context.Context) error {
+	if _, err := r.agent.Engine.State(ctx); errors.Is(err, syscall.ECONNREFUSED) {
+		return err
+	}
+	return nil
+}
+
 func (r *run) engineWork() core.EngineWork {
 	return core.EngineWork{
 		ID: r.id, Model: core.ModelName(r.head.GetModel()), Method: r.head.GetMethod(), Path: r.head.GetPath(),
--- a/io/agent/tail.go
+++ b/io/agent/tail.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"radishwell/core"
+	"radishwell/core/stream"
 )
 
 const (
@@ -23,29 +24,42 @@
 // through an answer. HTTP then shows a regular end, and the caller would get half
 // an answer marked as complete. Answers in the OpenAI formats have their own
 // terminator: the last event of a stream, the closing brace of an object. Answers
-// of a plain service have none besides HTTP's.
+// of a plain service have none besides HTTP's, but its streams end between two events.
 type tail struct {
 	want string
 	last []byte
+	// events is set if the answer is a stream of a plain service, and position where its
+	// events have been read to.
+	events   bool
+	position stream.Position
 }
 
 // tailOf returns a tail that checks for the terminator of the answer's format.
 func tailOf(answer core.Answer, plain bool) tail {
-	if plain || answer.Status != http.StatusOK {
+	if answer.Status != http.StatusOK {
 		return tail{}
 	}
 	kind, _, _ := mime.ParseMediaType(http.Header(answer.Header).Get("Content-Type"))
-	switch kind {
-	case "text/event-stream":
+	switch {
+	case kind == "text/event-stream":
+		if plain {
+			return tail{events: true}
+		}
 		return tail{want: doneMark}
-	case "application/json":
+	case kind == "application/json" && !plain:
 		return tail{want: bodyEnd}
 	}
 	return tail{}
 }
 
+// ends reports whether the answer's format has a terminator.
+func (t *tail) ends() bool { return t.want != "" }
+
 // add appends the answer's next bytes.
 func (t *tail) add(p []byte) {
+	if t.events {
+		t.position.Add(p)
+	}
 	if t.want == "" {
 		return
 	}
@@ -55,7 +69,10 @@
 
 // check returns an UnfinishedError if the answer that ended is not complete.
 func (t *tail) check() error {
-	if bytes.HasSuffix(bytes.TrimSpace(t.last), []byte(t.want)) {
+	switch {
+	case t.events && t.position.InsideEvent():
+		return &UnfinishedError{Want: "the end of its last event"}
+	case bytes.HasSuffix(bytes.TrimSpace(t.last), []byte(t.want)):
 		return nil
 	}
 	return &UnfinishedError{Want: t.want}
--- a/io/entry/fixture_test.go
+++ b/io/entry/fixture_test.go
@@ -35,6 +35,7 @@
 	"radishwell/io/fakes/plain"
 	"radishwell/io/front"
 	"radishwell/io/meter"
+	"radishwell/io/reply"
 	"radishwell/wire"
 )
 
@@ -100,7 +101,9 @@
 	unsure atomic.Bool
 	// upstream is the URL of the fake upstream's own interface.
 	upstream string
-	work     *httptest.Server
+	// crash closes the upstream's connections and its address, as the end of its process does.
+	crash func()
+	work  *httptest.Server
 	// handler is the handler of the current agent. start starts an agent, stop stops
 	// it.
 	handler atomic.Value
@@ -139,7 +142,7 @@
 	f.t.Helper()
 	srv := &plain.Server{}
 	h := f.host(name, "ledger", srv.Handler(), true)
-	h.plain = srv
+	h.plain, srv.Crash = srv, h.crash
 	return h
 }
 
@@ -150,7 +153,7 @@
 	client := engine.New(addrOf(f.t, up.Listener), nil)
 	client.Plain = isPlain
 	f.t.Cleanup(client.Close)
-	h := &host{upstream: up.URL}
+	h := &host{upstream: up.URL, crash: func() { _ = up.Config.Close() }}
 	h.work = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.handler.Load().(http.Handler).ServeHTTP(w, r)
 	}))
@@ -313,6 +316,7 @@
 	status  int
 	header  http.Header
 	trailer http.Header
+	framing core.Framing
 	body    string
 }
 
@@ -337,7 +341,7 @@
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
 	assert.NilError(t, err)
-	return answer{status: resp.StatusCode, header: resp.Header, trailer: resp.Trailer, body: string(raw)}
+	return answer{status: resp.StatusCode, header: resp.Header, trailer: resp.Trailer, framing: reply.Framing(resp), body: string(raw)}
 }
 
 func chat(t testing.TB, url, model, prompt string, stream bool, tokens int) answer {
--- a/io/entry/relay.go
+++ b/io/entry/relay.go
@@ -130,7 +130,7 @@
 
 // sink receives an answer's header and data on their way to the caller.
 type sink interface {
-	Head(status int, header http.Header)
+	Head(status int, header http.Header, unframed bool)
 	Data(p []byte) error
 }
 
@@ -182,7 +182,7 @@
 	for _, f := range h.GetHeader() {
 		header.Add(f.GetName(), f.GetValue())
 	}
-	g.to.Head(int(h.GetStatus()), header)
+	g.to.Head(int(h.GetStatus()), header, h.GetUnframed())
 }
 
 func (g *reading) writeData(p []byte) error {
--- a/io/fakes/plain/server.go
+++ b/io/fakes/plain/server.go
@@ -20,6 +20,13 @@
 	Down bool `json:"down"`
 	// AnswersLost makes the service drop each connection after it has run the call.
 	AnswersLost bool `json:"answers-lost"`
+	// Events makes the service answer with a stream of two events.
+	Events bool `json:"events"`
+	// Unframed makes it answer without a length or chunks. EndsEarly makes it end its answers
+	// before their last bytes as if they were complete, and Crashes makes it crash there.
+	Unframed  bool `json:"unframed"`
+	EndsEarly bool `json:"ends-early"`
+	Crashes   bool `json:"crashes"`
 }
 
 // Server is a stand-in service. The exported fields have to be set before Run or
@@ -27,6 +34,8 @@
 type Server struct {
 	Listen netip.AddrPort
 	Faults Faults
+	// Crash ends the service's process.
+	Crash func()
 
 	mu      sync.Mutex
 	once    sync.Once
@@ -82,11 +91,30 @@
 	if f.AnswersLost {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	// A write fails only if the client has disconnected, so the error is ignored.
-	_ = json.NewEncoder(w).Encode(echo{
+	if f.Unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
+	text, err := json.Marshal(echo{
 		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Header: r.Header, Body: string(body), Run: run,
 	})
+	if err != nil {
+		panic(err) // a struct of strings always encodes
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if f.Events {
+		w.Header().Set("Content-Type", "text/event-stream")
+		text = []byte("data: first\n\ndata: second\n\n")
+	}
+	if f.EndsEarly || f.Crashes {
+		text = text[:len(text)-3]
+	}
+	// A write fails only if the client has disconnected, so the error is ignored.
+	_, _ = w.Write(text)
+	if f.Crashes {
+		_ = http.NewResponseController(w).Flush()
+		s.Crash()
+		<-r.Context().Done()
+	}
 }
 
 // count records a call and returns the number of calls with this body so far.
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/io/httpd"
 )
 
 // errorDocument is an error document in the format of the OpenAI API.
@@ -81,10 +82,13 @@
 	// events.
 	events      bool
 	headWritten bool
-	ended       bool
-	buffered    []byte
-	status      int
-	header      http.Header
+	// unframed is set if the upstream's answer has no framing, and chunks if the caller
+	// knows chunks, which HTTP/1.0 does not.
+	unframed, chunks bool
+	ended            bool
+	buffered         []byte
+	status           int
+	header           http.Header
 }
 
 // Begun reports whether any part of the answer has been written to the caller,
@@ -92,9 +96,11 @@
 func (a *Answer) Begun() bool { return a.headWritten }
 
 // Head sets the status and header received from the upstream. It writes them at
-// once if the answer is streamed.
-func (a *Answer) Head(status int, header http.Header) {
-	a.status = status
+// once if the answer is streamed. unframed is set if nothing but its connection ends the
+// upstream's answer. The caller's then ends in the same way, and its outcome is
+// core.MayHaveRun, since the end does not tell whether the whole answer came.
+func (a *Answer) Head(status int, header http.Header, unframed bool) {
+	a.status, a.unframed = status, unframed
 	a.header = endToEnd(header)
 	if a.stream {
 		a.writeHead(true)
@@ -126,7 +132,7 @@
 const maxBuffered = 1 << 20
 
 // Reset discards the buffered answer before another attempt. Begun must be false.
-func (a *Answer) Reset() { a.buffered, a.status, a.header = nil, 0, nil }
+func (a *Answer) Reset() { a.buffered, a.status, a.header, a.unframed = nil, 0, nil, false }
 
 // writeHead writes the status and header. If open is set, the answer is
 // streamed: its outcome isn't known yet and follows in a trailer.
@@ -140,10 +146,14 @@
 		h[name] = values
 	}
 	h.Set(HeaderRequestID, string(a.id))
-	if open {
+	switch {
+	case a.unframed:
+		h.Set(HeaderOutcome, core.MayHaveRun.String())
+		h.Set("Transfer-Encoding", "identity") // net/http then closes the connection after the body
+	case open:
 		h.Del("Content-Length")
 		h.Set("Trailer", HeaderOutcome)
-	} else {
+	default:
 		h.Set(HeaderOutcome, core.Done.String())
 		if len(a.buffered) > 0 {
 			h.Set("Content-Length", strconv.Itoa(len(a.buffered)))
@@ -159,7 +169,9 @@
 	}
 	a.ended = true
 	if a.headWritten {
-		a.w.Header().Set(HeaderOutcome, core.Done.String())
+		if !a.unframed {
+			a.w.Header().Set(HeaderOutcome, core.Done.String())
+		}
 		return
 	}
 	a.writeHead(false)
@@ -182,7 +194,8 @@
 	}
 	a.w.Header().Set(HeaderOutcome, r.Outcome.String())
 	if !a.events {
-		panic(http.ErrAbortHandler)
+		httpd.Abort(a.w, a.unframed || !a.chunks)
+		return
 	}
 	_, _ = a.w.Write(append(append([]byte("data: "), encodeRefusal(r, a.id)...), "\n\n"...))
 }
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -200,7 +200,7 @@
 // must carry the outcome.
 func TestStreamFailsMidway(t *testing.T) {
 	url := serveWith(t, func(c *front.Call) {
-		c.Answer.Head(http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}})
+		c.Answer.Head(http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}}, false)
 		_ = c.Answer.Data([]byte("data: {\"choices\":[]}\n\n"))
 		c.Answer.Fail(&core.Refusal{Code: core.CodeUpstreamLost, Outcome: core.MayHaveRun, Reason: "the host is gone"})
 	})
@@ -215,7 +215,7 @@
 	var got http.Header
 	url := serveWith(t, func(c *front.Call) {
 		got = c.Header
-		c.Answer.Head(http.StatusOK, http.Header{"Connection": {"X-Inner"}, "X-Inner": {"1"}, "X-Outer": {"2"}})
+		c.Answer.Head(http.StatusOK, http.Header{"Connection": {"X-Inner"}, "X-Inner": {"1"}, "X-Outer": {"2"}}, false)
 		c.Answer.Done()
 	})
 	resp := call(t, url, "POST", "/services/parts/x", "body", "Connection", "X-Mine", "X-Mine", "1", "X-Kept", "2", "Te", "trailers")
@@ -231,12 +231,12 @@
 // expects.
 func answerChat(c *front.Call) {
 	if !c.Request.Stream {
-		c.Answer.Head(http.StatusOK, http.Header{"Content-Type": {"application/json"}})
+		c.Answer.Head(http.StatusOK, http.Header{"Content-Type": {"application/json"}}, false)
 		_ = c.Answer.Data([]byte(`{"id":"1","object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":"hi there"},"finish_reason":"stop"}]}`))
 		c.Answer.Done()
 		return
 	}
-	c.Answer.Head(http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}})
+	c.Answer.Head(http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}}, false)
 	for _, word := range []string{"hi ", "there"} {
 		_ = c.Answer.Data(fmt.Appendf(nil, "data: {\"id\":\"1\",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", word))
 	}
