Have the soak's upstreams answer without framing, and its callers check framing

The soak's upstreams can now answer with neither a length nor chunks, whole, closed inside an event or a body, after an event, or reset. Its callers count an answer as complete only if its framing says so; one without framing has to be a whole number of events, or the beginning of its upstream's body, and may come only where an upstream gave one.

--- a/io/soak/caller.go
+++ b/io/soak/caller.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/io/reply"
 	plat "radishwell/platform"
 )
 
@@ -53,10 +54,12 @@
 	Status int
 	// Signer is the server signature of the answer, which names the upstream.
 	Signer string
-	// Body is the part of the body that arrived. Complete reports whether the answer
-	// ended without an error of the connection.
+	// Body is the part of the body that arrived. Complete reports whether the framing of the
+	// answer said that it was complete. Unframed reports whether it had no framing and ended
+	// without an error of the connection.
 	Body     []byte
 	Complete bool
+	Unframed bool
 	// Unsent is set if the connection was refused, so that nothing was sent.
 	Unsent bool
 }
@@ -143,7 +146,8 @@
 	defer resp.Body.Close()
 	r.Status, r.Signer = resp.StatusCode, plat.Signature(resp.Header)
 	r.Body, err = io.ReadAll(resp.Body)
-	r.Complete = err == nil
+	hasEnd := reply.Framing(resp) != core.Unframed
+	r.Complete, r.Unframed = err == nil && hasEnd, err == nil && !hasEnd
 	return r
 }
 
--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -67,6 +67,16 @@
 		}
 		return n == streamEvents && rest == 0
 	}},
+	{"an answer without framing has no part of an event and nothing of its own", func(r *Result, _ int) bool {
+		if !r.Unframed || r.Status != http.StatusOK {
+			return true
+		}
+		if isStream(r.Route) {
+			n, rest := countEvents(r.Body)
+			return n > 0 && rest == 0
+		}
+		return strings.HasPrefix("answer of "+strings.TrimPrefix(r.Signer, "signed-by-"), string(r.Body))
+	}},
 	{"a key in no table is refused, a key in a table is not", func(r *Result, ran int) bool {
 		if r.Customer == "" {
 			return ran == 0 && r.Status != http.StatusOK
@@ -141,6 +151,23 @@
 	return out
 }
 
+// unframedByEntry finds answers without framing to requests that every upstream answered with
+// framing.
+func unframedByEntry(results []Result, seen []stand.ReceivedRequest) []Breach {
+	dropped := map[string]bool{}
+	for _, s := range seen {
+		id, _, _ := plat.Origin(s.Header)
+		dropped[string(id)] = dropped[string(id)] || s.Unframed
+	}
+	var out []Breach
+	for _, r := range results {
+		if r.Unframed && !dropped[r.ID] {
+			out = append(out, Breach{Promise: "an answer keeps its framing", Result: r})
+		}
+	}
+	return out
+}
+
 const (
 	// limitedWindow is the time over which the runs of the limited customer are counted.
 	limitedWindow = 8 * time.Second
--- a/io/soak/check_test.go
+++ b/io/soak/check_test.go
@@ -59,6 +59,16 @@
 			r.Route, r.Complete = Resumed, false
 			r.Body = append(stream(3), []byte("id: 4\ndata: haid: 4\ndata: event 4\n\n")...)
 		}), 2, "events"},
+		{"a stream without framing that ends early", with(func(r *Result) {
+			r.Route, r.Body, r.Complete, r.Unframed = Stream, stream(3), false, true
+		}), 1, ""},
+		{"a stream without framing that ends inside an event", with(func(r *Result) {
+			r.Route, r.Body, r.Complete, r.Unframed = Stream, append(stream(3), "id: 4\n"...), false, true
+		}), 1, "part of an event"},
+		{"an answer without framing that ends early", with(func(r *Result) { r.Body, r.Complete, r.Unframed = []byte("answ"), false, true }), 1, ""},
+		{"an answer without framing of another upstream", with(func(r *Result) {
+			r.Body, r.Complete, r.Unframed = []byte("answer of i-2"), false, true
+		}), 1, "nothing of its own"},
 		{"unknown", Result{Customer: "free", Route: Once, Status: 404}, 0, "called unknown"},
 		{"a key in no table that ran", with(func(r *Result) { r.Customer = "" }), 1, "key in no table"},
 		{"a good key that is refused", Result{Customer: "free", Route: Once, Status: 401}, 0, "key in no table"},
--- a/io/soak/inject.go
+++ b/io/soak/inject.go
@@ -88,6 +88,8 @@
 		return func() { storeBox.Limit(midbox.ToClient, nil) }
 	case CrashingRequest:
 		t.startCrashing(s)
+	case DropFraming:
+		return dropFraming(host, []stand.WorkerFault{stand.NoFault, stand.EndsInsideEvent, stand.EndsAfterEvent, stand.ResetMidway}[s.Variant%4])
 	case RestoreStore:
 		held := t.store.Copy()
 		return func() { t.restoreStore(held) }
@@ -173,3 +175,14 @@
 	u.SetFault(f)
 	return func() { u.SetFault(stand.NoFault) }
 }
+
+// dropFraming makes an upstream answer without a length or chunks, with a fault. The fault ends
+// first, since one that ends answers early cannot be noticed in answers with framing.
+func dropFraming(u *upstream, f stand.WorkerFault) func() {
+	u.SetUnframed(true)
+	u.SetFault(f)
+	return func() {
+		u.SetFault(stand.NoFault)
+		u.SetUnframed(false)
+	}
+}
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -45,6 +45,7 @@
 	NarrowStore
 	CrashingRequest
 	RestoreStore
+	DropFraming
 	kindCount
 )
 
@@ -93,6 +94,7 @@
 	NarrowStore:     {"narrow-store", 2, 5 * time.Second},
 	CrashingRequest: {"crashing-request", 2, 0},
 	RestoreStore:    {"restore-store", 2, 3 * time.Second},
+	DropFraming:     {"drop-framing", 4, 2 * time.Second},
 }
 
 // String returns the name of the kind as in schedules.
--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"radishwell/platform/stand"
 )
 
 const (
@@ -98,10 +100,13 @@
 	for i := range c.results {
 		checker.results[c.results[i].ID] = &c.results[i]
 	}
+	var seen []stand.ReceivedRequest
 	for _, u := range t.upstreams {
+		seen = append(seen, u.Requests()...)
 		report.Breaches = append(report.Breaches, misattributed(c.results, u.Requests())...)
 		report.Breaches = append(report.Breaches, checker.check(u.ID, u.Requests())...)
 	}
+	report.Breaches = append(report.Breaches, unframedByEntry(c.results, seen)...)
 	report.Breaches = append(report.Breaches, crashing(checker, t.upstreams)...)
 	var err error
 	report.Panics, err = panics(r.Dir)
