Log why a request could not be sent to its engine

Callers got 502 "the upstream does not answer" (TestAnswersNeverCross, listed as known to fail) and neither the answer nor a log line had the cause. RW1311 has it now, and a strike (RW1503) names the request that was lost and why its engine counts as crashed.

--- a/io/agent/drive.go
+++ b/io/agent/drive.go
@@ -398,6 +398,6 @@
 		o.strikes = records
 	}
 	a.Meter.Strike()
-	events.Log(events.RequestStruck, "host", a.Host, "in-flight", len(fingerprints))
+	events.Log(events.RequestStruck, "host", a.Host, "in-flight", len(fingerprints), "lost", r.id, "cause", err)
 	return records
 }
--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -15,6 +15,7 @@
 	"radishwell/core/dedupe"
 	"radishwell/core/ledger"
 	"radishwell/core/strike"
+	"radishwell/io/events"
 	"radishwell/io/meter"
 	"radishwell/io/relay"
 	"radishwell/io/spans"
@@ -195,6 +196,7 @@
 func (r *run) dispatchRefusal(ctx context.Context, err error) *core.Refusal {
 	var fault *core.EngineError
 	if errors.As(err, &fault) && fault.Fault == core.EngineUnreached {
+		events.Fail(events.RequestUnsent, err, "request", r.id, "host", r.agent.Host, "took", r.agent.Clock.Now().Sub(time.Unix(0, r.lastByte.Load())))
 		return core.RefuseUntil(core.CodeUpstreamLost, "the upstream does not answer", r.agent.Clock.Now().Add(time.Second))
 	}
 	return r.interruptedRefusal(ctx, err)
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -43,6 +43,7 @@
 	EngineBack
 	LedgerCorrected
 	OrderStale
+	RequestUnsent
 
 	HostSuspected
 	HostBack
@@ -169,6 +170,7 @@
 	{Event: EngineBack, Name: "engine-back", Severity: Info, Text: "Engine can be reached again", Advice: noAction},
 	{Event: LedgerCorrected, Name: "ledger-corrected", Severity: Warning, Text: "Engine's loaded models differ from the ledger; the ledger is corrected", Advice: "Find out what else sends orders to the engine."},
 	{Event: OrderStale, Name: "order-stale", Severity: Warning, Text: "Engine refused an order because of its old fencing number", Advice: "Nothing if an agent was replaced. If it recurs, two agents are running for one engine."},
+	{Event: RequestUnsent, Name: "request-unsent", Severity: Warning, Sampled: true, Failure: true, Text: "Request could not be sent to the engine", Advice: "Nothing if it is rare: the request has not run and may go to another host. The cause tells whether the engine refuses connections or takes too long."},
 
 	{Event: HostSuspected, Name: "host-suspected", Severity: Warning, Text: "Upstream host does not respond; requests are routed to other hosts", Advice: "Check the host if it does not recover."},
 	{Event: HostBack, Name: "host-back", Severity: Info, Text: "Upstream host responds again", Advice: noAction},
