Do not count a standstill of one's own as an engine's silence

The agent's process had not run for longer than the limit of a connection, one second: when it ran again, the limits of all connections that were being made had passed, though the engine had accepted them. Beyond ten retries these became final answers.

io/awake bounds a call by the time in which the process ran; connections to engines, reports and diagnoses use it. Ruled out: overflows of the listen queue (the system's counters stayed at zero), descriptors and ports (the cause is a timeout).

--- a/io/agent/drive.go
+++ b/io/agent/drive.go
@@ -8,6 +8,7 @@
 	"radishwell/core"
 	"radishwell/core/ledger"
 	"radishwell/core/strike"
+	"radishwell/io/awake"
 	"radishwell/io/events"
 	"radishwell/io/loop"
 	"radishwell/io/meter"
@@ -67,7 +68,7 @@
 	a.ledger.ChecksFence = a.checksFence()
 	ticket := a.ledger.NewTicket(a.Clock.Now())
 	a.mu.Unlock()
-	call, stop := context.WithTimeout(ctx, stateTimeout)
+	call, stop := awake.WithTimeout(ctx, stateTimeout)
 	state, err := a.Engine.State(call)
 	stop()
 	if ctx.Err() != nil {
@@ -357,7 +358,7 @@
 // peers before the request is answered, since its caller may send it to another
 // entry at once.
 func (a *Agent) diagnose(ctx context.Context, r *run) {
-	call, stop := context.WithTimeout(context.WithoutCancel(ctx), diagnoseTimeout)
+	call, stop := awake.WithTimeout(context.WithoutCancel(ctx), diagnoseTimeout)
 	state, err := a.Engine.State(call)
 	stop()
 	var fault *core.EngineError
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/io/awake"
 	"radishwell/io/reply"
 )
 
@@ -53,17 +54,17 @@
 	// any request to it is a call that it carries out, so State only dials it.
 	Plain bool
 
-	dialer    *net.Dialer
+	dialer    *dialer
 	transport *http.Transport
 }
 
 // New returns a client of the upstream at address. It uses TLS if conf is not nil.
 func New(address netip.AddrPort, conf *tls.Config) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+	dialer := &dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
 	return &Client{Address: address, TLS: conf, dialer: dialer, transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dialer.dial,
 		TLSClientConfig:     conf,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
@@ -71,6 +72,19 @@
 	}}
 }
 
+// dialer makes connections, each within dialTimeout.
+type dialer net.Dialer
+
+func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, stop := awake.WithTimeout(ctx, dialTimeout)
+	defer stop()
+	conn, err := (*net.Dialer)(d).DialContext(ctx, network, address)
+	if err != nil && ctx.Err() != nil {
+		err = context.Cause(ctx)
+	}
+	return conn, err
+}
+
 // Close closes connections that are not in use.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
@@ -97,7 +111,7 @@
 
 // dial checks whether a plain service accepts connections.
 func (c *Client) dial(ctx context.Context) error {
-	conn, err := c.dialer.DialContext(ctx, "tcp", c.Address.String())
+	conn, err := c.dialer.dial(ctx, "tcp", c.Address.String())
 	if err != nil {
 		return &core.EngineError{Fault: core.EngineUnreached, Cause: err}
 	}
