Do not take an engine's latency for its rate when foreseeing a wait

Callers with 20 s to go got 503 wait-too-long in a burst of 300 that took 3 s in all (TestAnswersNeverCross beside load, or where its process stands still for 1.3 s). The queue took the time until the first of 64 requests in progress had finished for the time between two finishes, and foresaw up to 64 times the wait; its memory of 16 finishes is shorter than such a round, so that pauses within a round counted alike.

The memory now is two rounds of the requests that run at once, and what the first round lacks is filled in from the mean service time. Narrow engines keep their estimate (16 finishes up to eight at once).

Ruled out: the deadline (20 s) and limits of owners (none set).

--- a/core/queue/pace.go
+++ b/core/queue/pace.go
@@ -5,11 +5,14 @@
 )
 
 const (
-	// drainWeight and serviceWeight are the weights of a new sample in an
-	// estimate. With a weight of one sixteenth, the drain rate follows a change
-	// of speed within two rounds of an engine that runs eight requests at once.
-	// Service times need fewer samples because each is a whole measurement.
-	drainWeight   = 1.0 / 16
+	// minFinishes and roundsKept bound the number of finishes that the drain rate
+	// remembers: two rounds of the requests that run at once, so that it follows a
+	// change of speed. Within a round finishes come in groups, and a shorter memory
+	// takes the pauses between them for the rate.
+	minFinishes = 16
+	roundsKept  = 2
+	// serviceWeight is the weight of a new sample in the estimate of service times,
+	// which need few samples because each is a whole measurement.
 	serviceWeight = 1.0 / 8
 	// deviations is how many mean deviations above the mean an estimated
 	// service time lies. With two, some 5% of the work that starts at the last
@@ -84,14 +87,32 @@
 		return
 	}
 	elapsed := max(0, now.Sub(d.intervalStart).Seconds())
-	d.drainSeconds += elapsed - d.drainSeconds*drainWeight
-	d.drainCost += float64(cost) - d.drainCost*drainWeight
-	d.finishes += 1 - d.finishes*drainWeight
+	keep := d.keep()
+	d.drainSeconds = d.drainSeconds*keep + elapsed
+	d.drainCost = d.drainCost*keep + float64(cost)
+	d.finishes = d.finishes*keep + 1
 	if now.After(d.intervalStart) {
 		d.intervalStart = now
 	}
 }
 
+// keep returns the weight of the sums when a finish is added to them.
+func (d *drainEstimator) keep() float64 {
+	return 1 - 1/float64(max(minFinishes, roundsKept*d.maxRunning))
+}
+
+// firstRound returns what the sums lack of one round of the requests that run at once, as if
+// these took the mean service time side by side: the time until the first of them ends tells how
+// long each takes, and not how many end in it.
+func (d *drainEstimator) firstRound() (seconds, cost float64) {
+	missing := float64(d.maxRunning) - d.finishes
+	if missing <= 0 {
+		return 0, 0
+	}
+	cost = missing * d.drainCost / d.finishes
+	return cost * d.serviceMean / float64(d.maxRunning), cost
+}
+
 // recordService adds one service time. The sample of a probe replaces the
 // estimate.
 func (d *drainEstimator) recordService(now time.Time, took time.Duration, cost int64, probe bool) {
@@ -132,11 +153,13 @@
 	if d.drainCost == 0 {
 		return seconds(d.serviceMean * float64(cost) / float64(max(1, running, d.maxRunning)))
 	}
-	each := d.drainSeconds / d.drainCost
+	moreSeconds, moreCost := d.firstRound()
+	total, of := d.drainSeconds+moreSeconds, d.drainCost+moreCost
+	each := total / of
 	if !d.intervalStart.IsZero() && running > 0 {
 		elapsed := max(0, now.Sub(d.intervalStart).Seconds())
-		keep := 1 - drainWeight
-		each = max(each, (d.drainSeconds*keep+elapsed)/(d.drainCost*keep+d.drainCost/d.finishes))
+		keep := d.keep()
+		each = max(each, (total*keep+elapsed)/(of*keep+d.drainCost/d.finishes))
 	}
 	return seconds(each * float64(cost))
 }
