Deliver unframed answers of hosts that ended as planned

An answer with neither length nor chunks whose host refuses connections after it counted as broken off by a crash also where the registry had removed the host before, as it does for those that leave without a word; a complete answer was then thrown away. Such an end is planned, like that of a host that is leaving. TestPlannedEndIsNoCrash failed before for the removed host. Found while reading the change again.

--- a/io/proxy/crash.go
+++ b/io/proxy/crash.go
@@ -154,16 +154,16 @@
 
 // checkCrash returns a CrashedError if an answer without framing has ended because its host
 // crashed: the system of a process that has ended closes its connections in order. A host that
-// is leaving may end after a complete answer.
+// is leaving, or that the registry has removed already, may end after a complete answer.
 func (c *call) checkCrash(ctx context.Context, t *target) error {
 	if c.framing != core.Unframed {
 		return nil
 	}
 	p := c.proxy
 	p.mu.Lock()
-	leaving := t.host.IsLeaving(p.Clock.Now())
+	ends := p.view.Host(t.id) == nil || t.host.IsLeaving(p.Clock.Now())
 	p.mu.Unlock()
-	if leaving || !p.upstreams.refuses(ctx, t.address) {
+	if ends || !p.upstreams.refuses(ctx, t.address) {
 		return nil
 	}
 	return &CrashedError{Host: t.id}
--- a/io/proxy/crash_test.go
+++ b/io/proxy/crash_test.go
@@ -163,3 +163,26 @@
 		}
 	})
 }
+
+// Guards against a complete answer without framing that is thrown away since its host, which was
+// leaving or had been removed from the registry, ended after it.
+func TestPlannedEndIsNoCrash(t *testing.T) {
+	for name, prepare := range map[string]func(r *rig, p *stand.Process){
+		"leaving": func(_ *rig, p *stand.Process) { p.Workers()[0].AnnounceLeaving() },
+		"removed": func(r *rig, p *stand.Process) {
+			p.BeforeCrash = func() { r.Update(func(v *fleet.View, now time.Time) { v.Remove(now, "p-a-1") }) }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			p := r.addProcess(t, "p-a", 1, func() *stand.Worker {
+				w := &stand.Worker{Plain: true, LateCrash: true}
+				w.SetUnframed(true)
+				return w
+			})
+			prepare(r, p)
+			wantUnframed(t, do(t, r.post(t, "/once/x", "q", "crash")), http.StatusOK, "answe")
+			assert.Equal(t, len(r.Strikes()), 0)
+		})
+	}
+}
