Bound the check for a crash after an answer without framing

The agent asked for the upstream's state without a limit but the request's deadline, so that the end of a whole answer would have waited for an engine that hangs.

--- a/io/agent/drive.go
+++ b/io/agent/drive.go
@@ -30,7 +30,8 @@
 	// stateTimeout bounds one call for a report, orderTimeout one order.
 	stateTimeout = 2 * time.Second
 	orderTimeout = 5 * time.Second
-	// diagnoseTimeout bounds the state call to an engine that lost a request.
+	// diagnoseTimeout bounds the state call to an upstream that lost a request or whose
+	// answer ended without framing.
 	diagnoseTimeout = 500 * time.Millisecond
 )
 
--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -15,6 +15,7 @@
 	"radishwell/core/dedupe"
 	"radishwell/core/ledger"
 	"radishwell/core/strike"
+	"radishwell/io/awake"
 	"radishwell/io/events"
 	"radishwell/io/meter"
 	"radishwell/io/relay"
@@ -178,6 +179,8 @@
 // checkCrash returns an error if an answer without framing has ended because the upstream's
 // process did: its system closes connections in order, and refuses new ones.
 func (r *run) checkCrash(ctx context.Context) error {
+	ctx, stop := awake.WithTimeout(ctx, diagnoseTimeout)
+	defer stop()
 	if _, err := r.agent.Engine.State(ctx); errors.Is(err, syscall.ECONNREFUSED) {
 		return err
 	}
