Log and count at which software versions streams go on

The version of an upstream's software and the caller's field that names the attempt which brought the first event are decoded now, and used for the log line and a counter only.

--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -18,6 +18,7 @@
 	Service    core.ServiceName
 	Address    netip.AddrPort
 	DataCentre core.DataCentre
+	Software   core.SoftwareVersion
 	// Revision increases with each write to the registry.
 	Revision uint64
 	// Usable is set if the entry could be read and its state is one that takes requests. An
--- /dev/null
+++ b/core/origin.go
@@ -0,0 +1,40 @@
+package core
+
+// SoftwareVersion is the version of an upstream's software, which is not that of the
+// weights it holds; empty if the platform does not state it.
+type SoftwareVersion string
+
+// StreamOrigin identifies the software that made the first event of a stream. What two
+// versions write does not fit together, so only this version can continue the stream.
+type StreamOrigin struct {
+	Service  ServiceName
+	Software SoftwareVersion
+	// Host is the incarnation that made the event, by its ID.
+	Host HostName
+}
+
+// SoftwareMatch tells how the version of a host relates to that which began a stream.
+type SoftwareMatch uint8
+
+// Relations of versions.
+const (
+	SoftwareUnknown SoftwareMatch = iota
+	SoftwareSame
+	SoftwareOther
+)
+
+// String returns the relation's name.
+func (m SoftwareMatch) String() string {
+	return [...]string{"unknown", "same", "other"}[m]
+}
+
+// Match returns how the version at which another stream begins relates to that of o.
+func (o StreamOrigin) Match(other StreamOrigin) SoftwareMatch {
+	switch {
+	case o == (StreamOrigin{}):
+		return SoftwareUnknown
+	case o.Service == other.Service && o.Software == other.Software:
+		return SoftwareSame
+	}
+	return SoftwareOther
+}
--- a/core/proto.go
+++ b/core/proto.go
@@ -34,6 +34,9 @@
 	// LastEventID is the ID of the last event received of an interrupted stream that the
 	// caller resumes; empty for a new stream.
 	LastEventID string
+	// FirstAttempt is the caller's attempt that brought the first event of that stream;
+	// empty if the caller names none.
+	FirstAttempt RequestID
 }
 
 // Hop is the metadata that an entry sends to an upstream with a request.
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -111,6 +111,19 @@
 	m.count(nameAnswers, "framing", f.String(), "end", label).Inc()
 }
 
+// StreamContinued counts a stream that goes on at an upstream host, at the caller's request
+// or at the entry's. match tells whether the host has the version that began the stream.
+func (m *Meter) StreamContinued(byCaller bool, match core.SoftwareMatch) {
+	if m == nil {
+		return
+	}
+	by := "entry"
+	if byCaller {
+		by = "caller"
+	}
+	m.count(nameContinued, "by", by, "software", match.String()).Inc()
+}
+
 // AnswerBytes adds n to the bytes of answers' bodies.
 func (m *Meter) AnswerBytes(n int) {
 	if m != nil && n > 0 {
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -64,6 +64,7 @@
 	m.ReplicaLag(core.KindTable, func() time.Duration { return 2 * time.Second })
 	m.ReplicaAge(core.KindTable, func() time.Duration { return time.Second })
 	m.UpstreamAnswer(core.Unframed, false)
+	m.StreamContinued(true, core.SoftwareSame)
 	m.AnswerBytes(120)
 	m.Platform(meter.UpdateStatus, &core.PlatformError{Fault: core.Conflict}, began, after(5*time.Millisecond))
 	m.Peer("Sync", true)
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -38,6 +38,7 @@
 	nameBusy             = "radishwell_accelerator_busy_seconds_total"
 	nameRetries          = "radishwell_retries_total"
 	nameAnswers          = "radishwell_upstream_answers_total"
+	nameContinued        = "radishwell_streams_continued_total"
 	nameAnswerBytes      = "radishwell_answer_bytes_total"
 	nameQueue            = "radishwell_queue_length"
 	nameRunning          = "radishwell_requests_in_progress"
@@ -71,6 +72,7 @@
 	{nameBusy, Counter, nil, "seconds", "Accelerator time with requests running."},
 	{nameRetries, Counter, []string{"result"}, "", "Retries that were made or that the retry budget refused."},
 	{nameAnswers, Counter, []string{"framing", "end"}, "", "Answers of upstreams, by how they show their end (length, chunks, or none but that of the connection) and by whether they arrived whole."},
+	{nameContinued, Counter, []string{"by", "software"}, "", "Streams that went on at an upstream host, by who asked for it (the entry or the caller) and by whether the host has the software version that began the stream: same, other or unknown."},
 	{nameAnswerBytes, Counter, nil, "bytes", "Bytes of answers' bodies that were passed on."},
 	{nameQueue, Gauge, []string{"class"}, "", "Requests waiting in this process."},
 	{nameRunning, Gauge, []string{"class"}, "", "Requests forwarded and not answered yet."},
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -107,6 +107,10 @@
 	failure *failure
 	// lastEventID is the id of the last event that the caller has received.
 	lastEventID string
+	// origin is where the stream began whose events are in the answer, and software the
+	// version at the host chosen last.
+	origin   core.StreamOrigin
+	software core.SoftwareVersion
 }
 
 // ServeHTTP implements http.Handler.
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -61,6 +61,15 @@
 		pairs = append(pairs, "host", c.chosen, "report-age", c.reportAge.Round(time.Millisecond), "cost", int(c.cost),
 			"foreseen", c.expectedWait.Round(time.Millisecond), "event-id", c.lastEventID)
 	}
+	if c.software != "" {
+		pairs = append(pairs, "software", c.software)
+	}
+	if c.origin.Software != "" {
+		pairs = append(pairs, "began-at", c.origin.Software)
+	}
+	if c.ask.LastEventID != "" {
+		pairs = append(pairs, "resumes-after", c.ask.LastEventID, "first-attempt", c.ask.FirstAttempt)
+	}
 	if c.signals.limit.Limited {
 		pairs = append(pairs, "limit", c.signals.limit.Rate)
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -259,6 +259,8 @@
 	born    int64
 	address netip.AddrPort
 	host    *fleet.Host
+	// origin is that of a stream that begins at the host.
+	origin core.StreamOrigin
 	// prefillTokens is the number of prompt tokens that the host has to process for the
 	// request.
 	prefillTokens int
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -181,11 +181,13 @@
 	if !t.started {
 		t.started = true
 		c.proxy.Update(func(_ *fleet.View, _ time.Time) { t.host.NoteAnswerStart(t.prefillTokens) })
+		c.recordContinuation(t)
 	}
 	if c.started {
 		return
 	}
 	c.started = true
+	c.origin = t.origin
 	c.writeHead(resp.StatusCode, c.proxy.Protocol.ReplyHeader(resp.Header), c.framing, unknownLength)
 }
 
@@ -202,3 +204,10 @@
 	now, err := strconv.ParseInt(id, 10, 64)
 	return err == nil && now == before+1
 }
+
+// recordContinuation counts a stream that goes on at a host.
+func (c *call) recordContinuation(t *target) {
+	if c.started || c.ask.LastEventID != "" {
+		c.proxy.Meter.StreamContinued(!c.started, c.origin.Match(t.origin))
+	}
+}
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -124,7 +124,10 @@
 		return nil, false, nil, c.giveUp()
 	}
 	h := choice.Host
-	t = &target{id: h.ID, born: h.Born, address: h.Address, host: h, prefillTokens: h.PrefillTokens(now, &c.query), limit: h.Limit(now)}
+	t = &target{
+		id: h.ID, born: h.Born, address: h.Address, host: h, prefillTokens: h.PrefillTokens(now, &c.query), limit: h.Limit(now),
+		origin: core.StreamOrigin{Service: h.Service, Software: h.Software, Host: h.ID},
+	}
 	h.NoteSent(now, &c.query)
 	if c.query.Model != "" {
 		p.view.NotePrompt(t.prefillTokens)
@@ -135,6 +138,7 @@
 // recordChoice records, for the log, the figures behind a choice.
 func (c *call) recordChoice(now time.Time, choice fleet.Choice) {
 	h := choice.Host
+	c.software = h.Software
 	c.chosen, c.cost, c.expectedWait, c.reportAge = h.ID, choice.Cost, choice.Wait, now.Sub(h.Report.Taken)
 	if h.Report.Taken.IsZero() {
 		c.reportAge = -1 // the host has no agent, or the agent has never reported
