Add failing tests of streams that go on at another software version

TestStreamGoesOnOnlyAtItsVersion fails in all subtests: a host of another version continues a stream in one answer, in a caller's next attempt, after the host of its version has turned it away or left, and where nobody knows its version. TestOneVersionContinuesAnyStream and TestNewStreamsUseAllVersions pass, and hold what must not suffer.

--- /dev/null
+++ b/io/proxy/version_test.go
@@ -0,0 +1,175 @@
+package proxy_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/fleet"
+	"radishwell/platform/stand"
+)
+
+// addVersion starts an engine of a software version that streams eight events, with a fault.
+func (r *rig) addVersion(t *testing.T, id string, version core.SoftwareVersion, fault stand.WorkerFault) *stand.Worker {
+	t.Helper()
+	w := r.addStream(t, id, false, fault)
+	r.Update(func(v *fleet.View, _ time.Time) {
+		e := v.Host(core.HostName(id)).Entry
+		e.Software = version
+		v.Apply(e)
+	})
+	return w
+}
+
+// askPrompt is askStream with a prompt of its own, so that requests differ in the host that they
+// prefer.
+func (r *rig) askPrompt(t *testing.T, id string) *http.Request {
+	t.Helper()
+	req := r.askStream(t, "/resumed/x", id)
+	req.Header.Set("X-Radishwell-Prompt-Prefix", "shared-"+id+":100,own-"+id+":10")
+	return req
+}
+
+// begun sends requests until one was begun by a host, and returns its answer and id.
+func (r *rig) begun(t *testing.T, host *stand.Worker) (a answer, id string) {
+	t.Helper()
+	for i := range 20 {
+		id := fmt.Sprintf("q-%s-%d", host.ID, i)
+		a := do(t, r.askPrompt(t, id))
+		if a.header.Get("X-Radishwell-Server-Signature") == "signed-by-"+host.ID {
+			return a, id
+		}
+	}
+	t.Fatal("no stream began at " + host.ID)
+	return answer{}, ""
+}
+
+// takeUp sends a caller's request for the events after the fourth of a stream.
+func (r *rig) takeUp(t *testing.T, id, first string) answer {
+	t.Helper()
+	req := r.askPrompt(t, id)
+	req.Header.Set("Last-Event-Id", "4")
+	req.Header.Set("Resumes", first)
+	return do(t, req)
+}
+
+// Guards against streams that hold events of two software versions, whose parts do not fit
+// together: the version did not count when a host was chosen to continue a stream.
+func TestStreamGoesOnOnlyAtItsVersion(t *testing.T) {
+	t.Run("in one answer", func(t *testing.T) {
+		r := newRig(t)
+		first, other := r.addVersion(t, "i-1", "v1", stand.Truncated), r.addVersion(t, "i-2", "v2", stand.NoFault)
+		a, id := r.begun(t, first)
+		wantCut(t, a, 4)
+		assert.Equal(t, other.Ran(id), 0)
+	})
+	t.Run("in one answer, at another host of the version", func(t *testing.T) {
+		r := newRig(t)
+		first, other := r.addVersion(t, "i-1", "v1", stand.Truncated), r.addVersion(t, "i-2", "v2", stand.NoFault)
+		same := r.addVersion(t, "i-3", "v1", stand.NoFault)
+		a, id := r.begun(t, first)
+		wantStatus(t, a, http.StatusOK)
+		assert.Equal(t, a.body, eventsOf(8))
+		assert.Assert(t, same.Ran(id) == 1 && other.Ran(id) == 0)
+	})
+	t.Run("in a caller's next attempt", func(t *testing.T) {
+		r := newRig(t)
+		first, other := r.addVersion(t, "i-1", "v1", stand.Truncated), r.addVersion(t, "i-2", "v2", stand.NoFault)
+		_, id := r.begun(t, first)
+		first.SetFault(stand.NoFault)
+		for i := range 6 {
+			next := fmt.Sprint("next-", i)
+			a := r.takeUp(t, next, id)
+			wantStatus(t, a, http.StatusOK)
+			assert.Equal(t, eventsOf(4)+a.body, eventsOf(8))
+			assert.Assert(t, first.Ran(next) == 1 && other.Ran(next) == 0)
+		}
+	})
+	t.Run("not elsewhere where the host of its version turns it away", func(t *testing.T) {
+		r := newRig(t)
+		first, other := r.addVersion(t, "i-1", "v1", stand.Truncated), r.addVersion(t, "i-2", "v2", stand.NoFault)
+		_, id := r.begun(t, first)
+		first.SetFault(stand.Shed)
+		wantStatus(t, r.takeUp(t, "next", id), http.StatusServiceUnavailable)
+		assert.Equal(t, other.Ran("next"), 0)
+	})
+	t.Run("nor where no host of its version is left", func(t *testing.T) {
+		r := newRig(t)
+		first, other := r.addVersion(t, "i-1", "v1", stand.Truncated), r.addVersion(t, "i-2", "v2", stand.NoFault)
+		_, id := r.begun(t, first)
+		r.Update(func(v *fleet.View, now time.Time) { v.Remove(now, "i-1") })
+		a := r.takeUp(t, "next", id)
+		wantStatus(t, a, http.StatusServiceUnavailable)
+		assert.Assert(t, strings.Contains(a.body, string(core.CodeNoHost)), a.body)
+		assert.Equal(t, other.Ran("next"), 0)
+	})
+	t.Run("nor where its version is not known", func(t *testing.T) {
+		r := newRig(t)
+		first, other := r.addVersion(t, "i-1", "v1", stand.NoFault), r.addVersion(t, "i-2", "v2", stand.NoFault)
+		for _, named := range []string{"unheard-of", ""} {
+			wantStatus(t, r.takeUp(t, "next", named), http.StatusServiceUnavailable)
+		}
+		assert.Equal(t, first.Ran("next")+other.Ran("next"), 0)
+	})
+	t.Run("also where its host starts again under its id at another version", func(t *testing.T) {
+		r := newRig(t)
+		first, same := r.addVersion(t, "i-1", "v1", stand.Truncated), r.addVersion(t, "i-2", "v1", stand.NoFault)
+		_, id := r.begun(t, first)
+		first.SetFault(stand.NoFault)
+		r.Update(func(v *fleet.View, _ time.Time) {
+			e := v.Host("i-1").Entry
+			e.Born, e.Software = 2, "v2"
+			v.Apply(e)
+		})
+		for i := range 6 {
+			next := fmt.Sprint("next-", i)
+			wantStatus(t, r.takeUp(t, next, id), http.StatusOK)
+			assert.Assert(t, first.Ran(next) == 0 && same.Ran(next) == 1)
+		}
+	})
+	t.Run("also where the host's entry states no version", func(t *testing.T) {
+		r := newRig(t)
+		first, other := r.addVersion(t, "i-1", "", stand.Truncated), r.addVersion(t, "i-2", "", stand.NoFault)
+		r.addVersion(t, "i-3", "v1", stand.NoFault)
+		a, id := r.begun(t, first)
+		wantCut(t, a, 4)
+		first.SetFault(stand.NoFault)
+		for i := range 6 {
+			next := fmt.Sprint("next-", i)
+			wantStatus(t, r.takeUp(t, next, id), http.StatusOK)
+			assert.Assert(t, first.Ran(next) == 1 && other.Ran(next) == 0)
+		}
+	})
+}
+
+// Guards against losing streams of services whose hosts all have one version, or state none.
+func TestOneVersionContinuesAnyStream(t *testing.T) {
+	for _, version := range []core.SoftwareVersion{"", "v1"} {
+		t.Run(fmt.Sprintf("version %q", version), func(t *testing.T) {
+			r := newRig(t)
+			r.addVersion(t, "i-1", version, stand.Truncated)
+			r.addVersion(t, "i-2", version, stand.NoFault)
+			for i := range 4 {
+				a := do(t, r.askPrompt(t, fmt.Sprint("q-", i)))
+				wantStatus(t, a, http.StatusOK)
+				assert.Equal(t, a.body, eventsOf(8))
+				for j, named := range []string{"unheard-of", ""} {
+					wantStatus(t, r.takeUp(t, fmt.Sprint("next-", i, j), named), http.StatusOK)
+				}
+			}
+		})
+	}
+}
+
+// Guards against new streams that keep to one version.
+func TestNewStreamsUseAllVersions(t *testing.T) {
+	r := newRig(t)
+	first, other := r.addVersion(t, "i-1", "v1", stand.NoFault), r.addVersion(t, "i-2", "v2", stand.NoFault)
+	r.begun(t, first)
+	r.begun(t, other)
+}
