Continue a stream only at the software version that began it

What callers saw: streams whose events came from hosts of two software versions, in one answer after a host had crashed, and in a next attempt after the host of the first version had shed it.

Cause: a host's version was not part of what an entry knew of it, so any host that held the model was as good as another. Now the registry's version is kept with each host's run, the first event of a stream restricts all later choices to it (second tries, silent hosts, waits, a caller's next attempt), and a stream that no host of its version can continue is refused or broken off at once instead of waiting for a host that may not have it. A stream whose version is not known is refused while the service has several versions, also versions whose last host has gone in the last five minutes. With one version everywhere nothing changes.

--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -29,6 +29,7 @@
 	Slots int
 	// Orders counts the orders that the host has accepted.
 	Orders int64
+	// Models are the models that the host holds; nil if the entry does not state them.
 	Models []core.HeldModel
 	// InMemory and OnDisk are the models whose weights are in the host's memory or on its
 	// disk.
@@ -137,6 +138,12 @@
 	return list[i], true
 }
 
+// mayHold reports whether a host that is not known to hold a model may do so soon: its agent
+// reports that it loads the model, or it is not known yet what the host holds.
+func (h *Host) mayHold(now time.Time, model core.ModelName) bool {
+	return h.Fresh(now) && h.Report.Loading == model || h.Report.Taken.IsZero() && h.Models == nil
+}
+
 // AtHand returns the models whose weights are in the host's memory and on its disk.
 func (h *Host) AtHand(now time.Time) (memory, disk []core.ModelName) {
 	if h.Fresh(now) {
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -67,6 +67,8 @@
 	DataCentre core.DataCentre
 	// Tried lists the hosts that are not to be chosen.
 	Tried []core.HostName
+	// Origin is where the stream began that the request continues; nil for a new request.
+	Origin *core.StreamOrigin
 }
 
 type prefixKey uint64
@@ -93,6 +95,10 @@
 	// RetryAt is when the first of the hosts takes requests again, zero if some host takes
 	// them now or none holds the model.
 	RetryAt time.Time
+	// Discontinued is set if no host can continue the stream: all that have its software
+	// version leave, or neither hold nor load the model. It is never set while all hosts of the
+	// service have that version, since the model may then be loaded at any of them.
+	Discontinued bool
 	// RateLimitDelay is the part of Wait that is due to the host's rate limit.
 	RateLimitDelay time.Duration
 }
@@ -129,6 +135,8 @@
 	var best Choice
 	var retryAt time.Time
 	takes := false
+	oneVersion := q.Origin == nil || v.hasOnly(now, q.Service, q.Origin.Software)
+	best.Discontinued = q.Origin != nil && v.listsOther(q.Service, q.Origin.Software)
 	for _, h := range v.hosts {
 		if q.Service != "" && q.Service != h.Service || !h.IsAvailable(now) {
 			continue
@@ -138,14 +146,19 @@
 			continue
 		}
 		best.Listed = true
+		if q.Origin != nil && !h.continues(q.Origin, oneVersion) {
+			continue
+		}
 		fetch := false
 		if q.Model != "" {
 			held, ok := h.Find(now, q.Model)
 			if !ok {
+				best.Discontinued = best.Discontinued && !h.mayHold(now, q.Model)
 				continue
 			}
 			fetch = q.Adapter != "" && !slices.Contains(held.Adapters, q.Adapter)
 		}
+		best.Discontinued = false
 		if until, ok := h.BackingOff(now); ok {
 			if retryAt.IsZero() || until.Before(retryAt) {
 				retryAt = until
--- /dev/null
+++ b/core/fleet/software.go
@@ -0,0 +1,108 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"radishwell/core"
+)
+
+// SoftwareTTL is how long a software version counts as one at which a stream may have begun
+// after its last host has gone.
+const SoftwareTTL = 5 * time.Minute
+
+// Software is a software version of a service's hosts.
+type Software struct {
+	Service core.ServiceName
+	Version core.SoftwareVersion
+}
+
+func (h *Host) softwareID() Software { return Software{Service: h.Service, Version: h.Software} }
+
+// noteDeparture records that a host with a version has gone. The version may be that of other
+// hosts still.
+func (v *View) noteDeparture(h *Host) {
+	if h.Service != "" {
+		v.departures = append(v.departures, h.softwareID())
+	}
+}
+
+// keepDepartures keeps the versions of the hosts that have gone since the last call.
+func (v *View) keepDepartures(now time.Time) {
+	for _, s := range v.departures {
+		v.NoteDeparted(s, now.Add(SoftwareTTL))
+	}
+	v.departures = nil
+}
+
+// NoteDeparted records a version of hosts that have gone, at which streams may have begun
+// that are in progress until the given time.
+func (v *View) NoteDeparted(s Software, until time.Time) {
+	v.init()
+	if until.After(v.departed[s]) {
+		v.departed[s] = until
+	}
+}
+
+// Departed returns the versions that no listed host has and at which streams may have begun,
+// with the time until which that is so.
+func (v *View) Departed(now time.Time) map[Software]time.Time {
+	out := map[Software]time.Time{}
+	for s, until := range v.departed {
+		if !now.Before(until) {
+			delete(v.departed, s)
+			continue
+		}
+		out[s] = until
+	}
+	for _, h := range v.hosts {
+		delete(out, h.softwareID())
+	}
+	return out
+}
+
+// Versions returns the software versions at which a stream of a service may have begun, sorted.
+func (v *View) Versions(now time.Time, service core.ServiceName) (out []core.SoftwareVersion) {
+	for _, h := range v.hosts {
+		if h.Service == service {
+			out = append(out, h.Software)
+		}
+	}
+	for s, until := range v.departed {
+		if s.Service == service && now.Before(until) {
+			out = append(out, s.Version)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// hasOnly reports whether no stream of a service began at another version than the given one.
+func (v *View) hasOnly(now time.Time, service core.ServiceName, version core.SoftwareVersion) bool {
+	if v.listsOther(service, version) {
+		return false
+	}
+	for s, until := range v.departed {
+		if s.Service == service && s.Version != version && now.Before(until) {
+			return false
+		}
+	}
+	return true
+}
+
+// listsOther reports whether the registry lists a host of a service with another version than
+// the given one.
+func (v *View) listsOther(service core.ServiceName, version core.SoftwareVersion) bool {
+	for _, h := range v.hosts {
+		if h.Service == service && h.Software != version {
+			return true
+		}
+	}
+	return false
+}
+
+// continues reports whether a host has the version that began a stream. Hosts whose versions
+// are not known may differ, so among several versions only the host that began it does then.
+func (h *Host) continues(o *core.StreamOrigin, oneVersion bool) bool {
+	return h.Software == o.Software && (o.Software != "" || oneVersion || h.ID == o.Host)
+}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -47,6 +47,10 @@
 	restoredAt time.Time
 	gone       map[Incarnation]goneHost
 	changes    uint64
+	// departed holds the software versions of hosts that have gone, with the time until which
+	// streams may be in progress that began there. departures are those to be added.
+	departed   map[Software]time.Time
+	departures []Software
 	// lastRelayReport is when the relay that forwards the agents' reports last sent one,
 	// zero if the agents report to this process directly.
 	lastRelayReport time.Time
@@ -63,6 +67,7 @@
 		v.signals = map[Incarnation]*signals{}
 		v.brokenOff = map[Incarnation]*brokenOff{}
 		v.gone = map[Incarnation]goneHost{}
+		v.departed = map[Software]time.Time{}
 	}
 }
 
@@ -104,7 +109,7 @@
 	v.changes++
 	delete(v.lapsed, e.ID)
 	h := v.hosts[e.ID]
-	if h == nil || h.Born != e.Born || h.Address != e.Address {
+	if h == nil || !h.isSameRun(e) {
 		v.remove(h)
 		h = &Host{Entry: e}
 		if v.isRevived(e) {
@@ -119,10 +124,21 @@
 	// A host does not return from leaving within one incarnation; an entry that says so is
 	// an outdated read.
 	e.Leaving = e.Leaving || h.Entry.Leaving
+	e.Software = cmp.Or(e.Software, h.Software) // an entry without it does not undo it
+	if h.Service != e.Service {
+		v.noteDeparture(h)
+	}
 	h.Entry = e
 	v.supersede(e.Address)
 }
 
+// isSameRun reports whether a registry entry is of the same run of the host. A run has one
+// software version, though not each of its entries may state it.
+func (h *Host) isSameRun(e Entry) bool {
+	sameSoftware := h.Software == e.Software || h.Software == "" || e.Software == ""
+	return h.Born == e.Born && h.Address == e.Address && sameSoftware
+}
+
 // Remove records that the registry no longer has an entry.
 func (v *View) Remove(now time.Time, id core.HostName) {
 	v.init()
@@ -159,6 +175,7 @@
 		return
 	}
 	delete(v.hosts, h.ID)
+	v.noteDeparture(h)
 	v.unlist(h.incarnation())
 	v.byAddress[h.Address] = slices.DeleteFunc(v.byAddress[h.Address], func(o *Host) bool { return o == h })
 	if len(v.byAddress[h.Address]) == 0 {
@@ -182,8 +199,10 @@
 	}
 }
 
-// Tick drops the hosts whose lapsed entries have not come back in time.
+// Tick drops the hosts whose lapsed entries have not come back in time, and keeps the versions
+// of the hosts that have gone. It is called after each change.
 func (v *View) Tick(now time.Time) {
+	v.keepDepartures(now)
 	for id, until := range v.lapsed {
 		if !now.Before(until) {
 			v.drop(now, id)
--- a/core/origin.go
+++ b/core/origin.go
@@ -1,5 +1,7 @@
 package core
 
+import "context"
+
 // SoftwareVersion is the version of an upstream's software, which is not that of the
 // weights it holds; empty if the platform does not state it.
 type SoftwareVersion string
@@ -38,3 +40,24 @@
 	}
 	return SoftwareOther
 }
+
+// OriginAnswer is what other entries know of where a stream began.
+type OriginAnswer struct {
+	// Origin is valid if Found is set.
+	Origin StreamOrigin
+	Found  bool
+	// Versions are the software versions at which streams of the service may have begun, as
+	// far as the entries asked know.
+	Versions []SoftwareVersion
+	// Complete is set if all entries that were asked have answered, or there are none.
+	Complete bool
+}
+
+// StreamOrigins exchanges with other entries where streams began.
+type StreamOrigins interface {
+	// Share has the new records of this entry sent to others at once.
+	Share()
+	// Find asks other entries where the stream of a service began whose first event an
+	// attempt brought.
+	Find(ctx context.Context, attempt RequestID, service ServiceName) OriginAnswer
+}
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -101,6 +101,7 @@
 	UpstreamBackoff
 	UpstreamFieldUnknown
 	TableDecoded
+	StreamOriginUnknown
 	eventCount
 )
 
@@ -228,6 +229,7 @@
 	{Event: UpstreamBackoff, Name: "upstream-backoff", Severity: Info, Text: "Upstream refuses requests of this entry until a given time", Advice: "If it recurs, the service needs more hosts."},
 	{Event: UpstreamFieldUnknown, Name: "upstream-field-unknown", Severity: Warning, Text: "Upstream's answer contains an unknown header field of the platform", Advice: "The platform's protocol was extended: find out what the field means. Each name is logged once."},
 	{Event: TableDecoded, Name: "table-decoded", Severity: Info, Text: "Routing table was decoded from its document", Advice: noAction},
+	{Event: StreamOriginUnknown, Name: "stream-origin-unknown", Severity: Warning, Sampled: true, Text: "Caller resumes a stream of which no entry knows the software version that began it", Advice: "Nothing just after entries were lost. If it recurs, check that entries can reach each other, and that callers name the attempt that brought the first event."},
 })
 
 // groups maps the first event of each group to its number. Each group starts at the next
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -111,6 +111,9 @@
 	if resp.StatusCode < http.StatusInternalServerError {
 		c.noteServed()
 	}
+	if isStream {
+		c.noteStreamEnd()
+	}
 	return outcome{done: true}
 }
 
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -107,8 +107,8 @@
 	failure *failure
 	// lastEventID is the id of the last event that the caller has received.
 	lastEventID string
-	// origin is where the stream began whose events are in the answer, and software the
-	// version at the host chosen last.
+	// origin is where the stream began whose events are in the answer or that the caller
+	// resumes, and software the version at the host chosen last.
 	origin   core.StreamOrigin
 	software core.SoftwareVersion
 }
@@ -215,6 +215,9 @@
 	if refusal := c.checkQuarantine(); refusal != nil {
 		return refusal
 	}
+	if refusal := c.findOrigin(ctx); refusal != nil {
+		return refusal
+	}
 	if refusal := c.charge(ctx); refusal != nil {
 		return refusal
 	}
--- /dev/null
+++ b/io/proxy/origin.go
@@ -0,0 +1,179 @@
+package proxy
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/fleet"
+	"radishwell/core/origin"
+	"radishwell/core/rtable"
+	"radishwell/io/events"
+)
+
+const (
+	// maxOrigins bounds the records of where streams began, this entry's and others'.
+	maxOrigins = 1 << 16
+	// minOriginTime is the least time for which such a record is kept, and originMargin is
+	// how long it is kept after the caller should have left.
+	minOriginTime = 30 * time.Second
+	originMargin  = 10 * time.Second
+	// unknownOriginRetry is the time after which a caller may ask again if some of the
+	// entries that may know where its stream began have not answered.
+	unknownOriginRetry = 200 * time.Millisecond
+)
+
+// findOrigin finds at which software version the stream began that the caller resumes, and
+// restricts the request to hosts that have it. It refuses a stream whose version is not known
+// while there are several: what two versions write does not fit together.
+func (c *call) findOrigin(ctx context.Context) *core.Refusal {
+	if c.route.Kind != rtable.Stream || c.ask.LastEventID == "" {
+		return nil
+	}
+	p := c.proxy
+	stale := p.RegistryStale != nil && p.RegistryStale()
+	p.mu.Lock()
+	now := p.Clock.Now()
+	versions := p.view.Versions(now, c.service.Name)
+	found, ok := p.origins.Find(now, origin.KeyOf(c.ask.FirstAttempt))
+	p.mu.Unlock()
+	if ok && c.ask.FirstAttempt != "" {
+		c.continueAt(found)
+		return nil
+	}
+	if len(versions) == 1 && !stale {
+		c.continueAt(core.StreamOrigin{Service: c.service.Name, Software: versions[0]})
+		return nil
+	}
+	var asked core.OriginAnswer
+	if p.Origins != nil {
+		asked = p.Origins.Find(ctx, c.ask.FirstAttempt, c.service.Name)
+	}
+	versions = slices.Compact(slices.Sorted(slices.Values(append(versions, asked.Versions...))))
+	switch {
+	case asked.Found:
+		c.continueAt(asked.Origin)
+		return nil
+	case len(versions) == 1 && asked.Complete:
+		c.continueAt(core.StreamOrigin{Service: c.service.Name, Software: versions[0]})
+		return nil
+	}
+	events.Log(events.StreamOriginUnknown, "request", c.ask.ID, "first-attempt", c.ask.FirstAttempt, "service", c.service.Name,
+		"versions", versions, "registry-stale", stale, "all-answered", asked.Complete)
+	refusal := core.Refuse(core.CodeNoHost, "the software version at which the stream began is not known")
+	if !asked.Complete {
+		refusal.RetryAt = c.retryAt(unknownOriginRetry)
+	}
+	return refusal
+}
+
+// continueAt restricts the request to hosts that can continue a stream. Of the services of
+// the route, the one where the stream began is used.
+func (c *call) continueAt(o core.StreamOrigin) {
+	c.origin = o
+	c.query.Origin = &c.origin
+	table := c.proxy.Table()
+	begun := table.Services[o.Service]
+	inShares := func(s rtable.Share) bool { return s.Service == o.Service }
+	if begun == nil || c.service.Name == o.Service || !slices.ContainsFunc(c.route.Shares, inShares) {
+		return
+	}
+	c.service = begun
+	c.query.Service = begun.Name
+}
+
+// refuseDiscontinued refuses a stream that no host can continue, since its callers would wait
+// in vain.
+func (c *call) refuseDiscontinued() *core.Refusal {
+	if c.ran > 0 || c.started {
+		return c.lost()
+	}
+	return core.RefuseUntil(
+		core.CodeNoHost, "no host with the software version at which the stream began can continue it", c.retryAt(allLeavingRetry),
+	)
+}
+
+// beginStream records where a stream begins, or that it continues at a host, before its first
+// event from there is forwarded.
+func (c *call) beginStream(t *target) {
+	c.origin = t.origin
+	c.query.Origin = &c.origin
+	attempt := c.firstAttempt()
+	if attempt == "" {
+		return
+	}
+	p := c.proxy
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	until := c.deadline
+	for _, at := range []time.Time{c.ask.Deadline, now.Add(minOriginTime)} {
+		if at.After(until) {
+			until = at
+		}
+	}
+	p.origins.PutOwn(now, origin.Record{Key: origin.KeyOf(attempt), Origin: c.origin, Until: until.Add(originMargin)})
+	if p.Origins != nil && len(p.view.Versions(now, t.origin.Service)) > 1 {
+		p.Origins.Share()
+	}
+}
+
+// noteStreamEnd records that a stream was forwarded whole.
+func (c *call) noteStreamEnd() {
+	p := c.proxy
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.origins.MarkEnded(origin.KeyOf(c.firstAttempt()))
+}
+
+// firstAttempt returns the caller's attempt that brought the first event of the stream; empty
+// if the caller resumes a stream and does not name it.
+func (c *call) firstAttempt() core.RequestID {
+	if c.ask.LastEventID != "" {
+		return c.ask.FirstAttempt
+	}
+	return c.ask.ID
+}
+
+// TakeUnsharedOrigins returns the records of where streams began at this entry that other
+// entries have not been told, of the services that have several software versions.
+func (p *Proxy) TakeUnsharedOrigins() []origin.Record {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	several := map[core.ServiceName]bool{}
+	return p.origins.TakeUnshared(now, func(s core.ServiceName) bool {
+		if _, known := several[s]; !known {
+			several[s] = len(p.view.Versions(now, s)) > 1
+		}
+		return several[s]
+	})
+}
+
+// KeepOrigins stores records that another entry sends.
+func (p *Proxy) KeepOrigins(records []origin.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	for _, r := range records {
+		p.origins.Put(now, r)
+	}
+}
+
+// FindOrigin returns what this entry knows of where a stream began, for another entry.
+func (p *Proxy) FindOrigin(key core.Fingerprint, service core.ServiceName) core.OriginAnswer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	o, ok := p.origins.Find(now, key)
+	return core.OriginAnswer{Origin: o, Found: ok, Versions: p.view.Versions(now, service), Complete: true}
+}
+
+// Departed returns the software versions of hosts that have gone, at which streams may have
+// begun that are in progress.
+func (p *Proxy) Departed() map[fleet.Software]time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.Departed(p.Clock.Now())
+}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"radishwell/core/copies"
 	"radishwell/core/demand"
 	"radishwell/core/fleet"
+	"radishwell/core/origin"
 	"radishwell/core/retry"
 	"radishwell/core/rtable"
 	"radishwell/core/strike"
@@ -39,6 +40,11 @@
 	OnLeaving func(inc fleet.Incarnation)
 	// OnStrikes, if set, is called when there are new strikes to send to other entries.
 	OnStrikes func()
+	// Origins exchanges with other entries where streams began; nil if there are none.
+	Origins core.StreamOrigins
+	// RegistryStale, if set, reports whether the registry may list hosts that this entry does
+	// not know.
+	RegistryStale func() bool
 	// Behind, if set, reports whether the routing table in force may be outdated.
 	Behind func() bool
 	// RetryRatio, RetrySpare and RetrySpan are this process's share of the platform's
@@ -57,6 +63,9 @@
 	book      strike.Book
 	sharer    strike.Sharer
 	forecasts map[core.ModelName]time.Time
+	// origins has the records of where streams began: those of this entry and those that it
+	// holds for others.
+	origins origin.Table
 	// changed is closed and replaced at each change that may matter to waiting
 	// requests.
 	changed     chan struct{}
@@ -85,6 +94,7 @@
 	p.loaderSeen = p.Clock.Now()
 	p.retries = map[core.ServiceName]*retry.Window{}
 	p.upstreams.start()
+	p.origins = origin.Table{MaxRecords: maxOrigins}
 	p.book = strike.Book{Self: p.Self, MaxRecords: maxStrikes}
 }
 
--- a/io/proxy/silent.go
+++ b/io/proxy/silent.go
@@ -36,6 +36,8 @@
 type watchedStream struct {
 	host  *fleet.Host
 	query fleet.Query
+	// origin is that of the stream once it has started.
+	origin core.StreamOrigin
 	// timeout is how long the stream may be silent.
 	timeout       time.Duration
 	latencyTarget time.Duration
@@ -64,7 +66,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watchedStream{
-		host: t.host, query: c.query, latencyTarget: c.route.Target, cancel: cancel,
+		host: t.host, query: c.query, origin: t.origin, latencyTarget: c.route.Target, cancel: cancel,
 		timeout: max(silenceTimeout, silencePauses*c.route.Pause), callerLeaves: c.callerLeavesAt(),
 	}
 	w.started.Store(c.started)
@@ -119,6 +121,9 @@
 		if !silent || !w.host.Silent(p.view.ReferenceTime(now)) {
 			continue
 		}
+		if w.started.Load() {
+			w.query.Origin = &w.origin
+		}
 		if !w.canMove(now, p.view.Pick(now, &w.query)) {
 			continue
 		}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -187,7 +187,7 @@
 		return
 	}
 	c.started = true
-	c.origin = t.origin
+	c.beginStream(t)
 	c.writeHead(resp.StatusCode, c.proxy.Protocol.ReplyHeader(resp.Header), c.framing, unknownLength)
 }
 
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -109,6 +109,9 @@
 	if c.failure != nil && (choice.Host == nil || choice.RateLimitDelay > admit.MaxAhead) {
 		return nil, false, nil, c.lost() // the kept failure is written instead
 	}
+	if choice.Host == nil && choice.Discontinued {
+		return nil, false, nil, c.refuseDiscontinued()
+	}
 	if choice.Host == nil {
 		return nil, false, p.changed, c.refuseLate(now, choice)
 	}
