Let entries know at which version a stream began elsewhere

What callers saw: streams that went on at another software version after they had come back to another entry, as after their entry was killed.

Cause: callers name the attempt that brought the first event (Resumes), but only the entry where the stream began knew its version. Now that entry sends a record to four others, which rendezvous hashing chooses from the attempt, as it forwards the first event; an entry that does not know a stream asks those. Records are sent only while a service has several versions; when a second one appears, those of the streams in progress follow. Versions whose last host has gone pass between entries with their exchanges, for entries that have just started. An entry whose registry is old asks others for the versions that they know before it concludes that there is only one.

TestRecordOutlivesEntries loses the first entry and three of four copies.

--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -17,6 +17,7 @@
 	"radishwell/io/peer"
 	"radishwell/io/proxy"
 	"radishwell/io/quota"
+	"radishwell/io/resume"
 )
 
 const (
@@ -49,6 +50,8 @@
 	feed    *feed.Feed
 	quota   *quota.Quota
 	orderer *orderer
+	// origins exchanges with other entries where streams began.
+	origins *resume.Exchange
 	// quarantine keeps the requests that crash upstreams in the store.
 	quarantine *quarantine
 	// ordersEngines is set while this entry orders engines. A value is sent on recordChanged
@@ -81,6 +84,7 @@
 	e.buildState()
 	e.quarantine = &quarantine{entry: e, changed: make(chan struct{}, 1)}
 	e.shareSignals()
+	e.shareOrigins()
 	p.parts = append(
 		p.parts, e.proxy.Run, e.links.run, e.planner.run, e.planner.loadDemand, e.feed.Run, e.quota.Run, e.maintainRecord, e.orderer.run,
 		e.quarantine.run,
--- a/io/peer/calls.go
+++ b/io/peer/calls.go
@@ -82,6 +82,16 @@
 	return call[wire.AllowanceReply](ctx, c, to, "Allow", in)
 }
 
+// Keep sends records of where streams began to an entry that is to hold copies.
+func (c *Client) Keep(ctx context.Context, to Target, in *wire.KeepCall) (*wire.Empty, error) {
+	return call[wire.Empty](ctx, c, to, "Keep", in)
+}
+
+// Find asks an entry where a stream began.
+func (c *Client) Find(ctx context.Context, to Target, in *wire.FindCall) (*wire.FindReply, error) {
+	return call[wire.FindReply](ctx, c, to, "Find", in)
+}
+
 // Ping checks that a process responds to calls.
 func (c *Client) Ping(ctx context.Context, to Target) error {
 	_, err := call[wire.Empty](ctx, c, to, "Ping", &wire.Empty{})
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -34,6 +34,8 @@
 	Plan     func(*wire.PlanCall) (*wire.PlanReply, error)
 	Digest   func(*wire.DigestCall) (*wire.DigestReply, error)
 	Allow    func(*wire.AllowanceCall) (*wire.AllowanceReply, error)
+	Keep     func(*wire.KeepCall) (*wire.Empty, error)
+	Find     func(*wire.FindCall) (*wire.FindReply, error)
 }
 
 // UnsupportedError is the response to a call that this process's role does not serve.
@@ -119,6 +121,16 @@
 	return handle("Allow", s.handler.Allow, c, out)
 }
 
+// Keep serves another entry's records of where streams began.
+func (s *service) Keep(c *wire.KeepCall, out *wire.Empty) error {
+	return handle("Keep", s.handler.Keep, c, out)
+}
+
+// Find serves another entry's question where a stream began.
+func (s *service) Find(c *wire.FindCall, out *wire.FindReply) error {
+	return handle("Find", s.handler.Find, c, out)
+}
+
 // Ping returns at once. Clients call it to distinguish a silent connection from a slow
 // call.
 func (s *service) Ping(*wire.Empty, *wire.Empty) error { return nil }
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -56,6 +56,11 @@
 	// called from several goroutines.
 	Strikes     func() []*wire.Strike
 	JoinStrikes func([]*wire.Strike) bool
+	// Departed returns the software versions of hosts that have gone, to send to peers.
+	// JoinDeparted is called with those of a peer. Both may be nil and are called from
+	// several goroutines.
+	Departed     func() []*wire.DepartedSoftware
+	JoinDeparted func([]*wire.DepartedSoftware)
 	// OnReceived, if set, is called for each list and each change of a watch that this
 	// process receives from the platform.
 	OnReceived func()
--- a/io/peer/sync.go
+++ b/io/peer/sync.go
@@ -123,20 +123,35 @@
 	}
 	s.joinDigest(reply.GetThrough())
 	s.joinSoft(reply.GetMarks(), reply.GetStrikes())
+	s.joinDeparted(reply.GetDeparted())
 }
 
 // syncCall returns the call that sends this process's digest, marks and strikes to a
 // peer.
 func (s *Store) syncCall() *wire.SyncCall {
-	strikes := s.strikes()
+	strikes, departed := s.strikes(), s.departed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return &wire.SyncCall{
-		From:    string(s.Self.Host),
-		Through: s.digest(),
-		Strikes: strikes,
-		Marks:   s.soft.wire(s.Clock.Now()),
-		Apart:   true,
+		From:     string(s.Self.Host),
+		Through:  s.digest(),
+		Strikes:  strikes,
+		Marks:    s.soft.wire(s.Clock.Now()),
+		Departed: departed,
+		Apart:    true,
+	}
+}
+
+func (s *Store) departed() []*wire.DepartedSoftware {
+	if s.Departed == nil {
+		return nil
+	}
+	return s.Departed()
+}
+
+func (s *Store) joinDeparted(list []*wire.DepartedSoftware) {
+	if s.JoinDeparted != nil && len(list) > 0 {
+		s.JoinDeparted(list)
 	}
 }
 
@@ -200,14 +215,16 @@
 func (s *Store) ServeSync(call *wire.SyncCall) (*wire.SyncReply, error) {
 	s.init()
 	s.joinSoft(call.GetMarks(), call.GetStrikes())
-	strikes := s.strikes()
+	s.joinDeparted(call.GetDeparted())
+	strikes, departed := s.strikes(), s.departed()
 	s.joinDigest(call.GetThrough())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reply := &wire.SyncReply{
-		Strikes: strikes,
-		Marks:   s.soft.wire(s.Clock.Now()),
-		Through: s.digest(),
+		Strikes:  strikes,
+		Marks:    s.soft.wire(s.Clock.Now()),
+		Departed: departed,
+		Through:  s.digest(),
 	}
 	left := maxReplySize
 	callerAhead := false
--- /dev/null
+++ b/io/resume/resume_test.go
@@ -0,0 +1,218 @@
+package resume_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/follow"
+	"radishwell/core/origin"
+	"radishwell/io/events"
+	"radishwell/io/peer"
+	"radishwell/io/resume"
+	"radishwell/wire"
+)
+
+func TestMain(m *testing.M) {
+	events.Discard()
+	m.Run()
+}
+
+type realClock struct{}
+
+func (realClock) Now() time.Time { return time.Now() }
+
+// records is an entry's table of records.
+type records struct {
+	mu       sync.Mutex
+	table    origin.Table
+	versions []core.SoftwareVersion
+}
+
+func (r *records) TakeUnsharedOrigins() []origin.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.TakeUnshared(time.Now(), func(core.ServiceName) bool { return true })
+}
+
+func (r *records) KeepOrigins(list []origin.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, o := range list {
+		r.table.Put(time.Now(), o)
+	}
+}
+
+func (r *records) FindOrigin(key core.Fingerprint, _ core.ServiceName) core.OriginAnswer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o, ok := r.table.Find(time.Now(), key)
+	return core.OriginAnswer{Origin: o, Found: ok, Versions: r.versions}
+}
+
+func (r *records) has(attempt core.RequestID) bool {
+	return r.FindOrigin(origin.KeyOf(attempt), "").Found
+}
+
+var errDown = errors.New("the entry is down")
+
+// net connects entries by their names.
+type net struct {
+	mu      sync.Mutex
+	entries map[core.HostName]*entry
+	down    map[core.HostName]bool
+}
+
+type entry struct {
+	records
+	*resume.Exchange
+}
+
+func newNet(t *testing.T, n int) *net {
+	t.Helper()
+	net := &net{entries: map[core.HostName]*entry{}, down: map[core.HostName]bool{}}
+	for i := range n {
+		name := core.HostName(fmt.Sprint("edge-", i))
+		e := &entry{}
+		others := func() (out []follow.Member) {
+			for other := range net.entries {
+				if other != name {
+					out = append(out, follow.Member{Name: other, Control: netip.MustParseAddrPort("127.0.0.1:1")})
+				}
+			}
+			return out
+		}
+		e.Exchange = &resume.Exchange{Clock: realClock{}, Caller: net, Records: &e.records, Members: others}
+		e.Start()
+		net.entries[name] = e
+	}
+	return net
+}
+
+func (n *net) target(to peer.Target) (*entry, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.down[to.Host] {
+		return nil, errDown
+	}
+	return n.entries[to.Host], nil
+}
+
+func (n *net) setDown(name core.HostName) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[name] = true
+}
+
+// Keep implements resume.Caller.
+func (n *net) Keep(_ context.Context, to peer.Target, in *wire.KeepCall) (*wire.Empty, error) {
+	e, err := n.target(to)
+	if err != nil {
+		return nil, err
+	}
+	return e.ServeKeep(in)
+}
+
+// Find implements resume.Caller.
+func (n *net) Find(_ context.Context, to peer.Target, in *wire.FindCall) (*wire.FindReply, error) {
+	e, err := n.target(to)
+	if err != nil {
+		return nil, err
+	}
+	return e.ServeFind(in)
+}
+
+var began = core.StreamOrigin{Service: "llm", Software: "v1", Host: "i-1"}
+
+// begin records a stream that begins at an entry and waits until n others hold a copy.
+func (n *net) begin(t *testing.T, at *entry, attempt core.RequestID, copies int) {
+	t.Helper()
+	at.mu.Lock()
+	at.table.PutOwn(time.Now(), origin.Record{Key: origin.KeyOf(attempt), Origin: began, Until: time.Now().Add(time.Minute)})
+	at.mu.Unlock()
+	at.Share()
+	held := 0
+	for end := time.Now().Add(10 * time.Second); held < copies && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		held = 0
+		for _, e := range n.entries {
+			if e != at && e.has(attempt) {
+				held++
+			}
+		}
+	}
+	assert.Equal(t, held, copies)
+}
+
+// run runs an entry's exchange until the test ends.
+func (e *entry) run(t *testing.T) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		assert.NilError(t, <-ended)
+	})
+}
+
+// Guards against losing a stream's version with the entry at which the stream began, and with
+// some of the entries that hold copies.
+func TestRecordOutlivesEntries(t *testing.T) {
+	n := newNet(t, 12)
+	first := n.entries["edge-0"]
+	first.run(t)
+	n.begin(t, first, "q", 4)
+	n.setDown("edge-0")
+	asking := n.entries["edge-1"]
+	for round := range 4 {
+		a := asking.Find(t.Context(), "q", "llm")
+		assert.Assert(t, a.Found && a.Origin == began, "%d copies lost: %+v", round, a)
+		for _, name := range slices.Sorted(maps.Keys(n.entries)) {
+			if e := n.entries[name]; e != asking && e.has("q") && !n.down[name] {
+				n.setDown(name)
+				break
+			}
+		}
+	}
+}
+
+func TestHoldersThatDoNotAnswerAreReplaced(t *testing.T) {
+	n := newNet(t, 12)
+	first := n.entries["edge-0"]
+	first.run(t)
+	for _, name := range []core.HostName{"edge-3", "edge-5", "edge-7", "edge-9"} {
+		n.setDown(name)
+	}
+	for i := range 20 {
+		n.begin(t, first, core.RequestID(fmt.Sprint("q-", i)), 4)
+	}
+}
+
+func TestFindWithoutRecord(t *testing.T) {
+	t.Run("tells the versions that others know", func(t *testing.T) {
+		n := newNet(t, 3)
+		n.entries["edge-1"].versions = []core.SoftwareVersion{"v1"}
+		n.entries["edge-2"].versions = []core.SoftwareVersion{"v1", "v2"}
+		a := n.entries["edge-0"].Find(t.Context(), "q", "llm")
+		slices.Sort(a.Versions)
+		assert.Assert(t, !a.Found && a.Complete)
+		assert.DeepEqual(t, slices.Compact(a.Versions), []core.SoftwareVersion{"v1", "v2"})
+	})
+	t.Run("tells that some have not answered", func(t *testing.T) {
+		n := newNet(t, 3)
+		n.setDown("edge-1")
+		assert.Assert(t, !n.entries["edge-0"].Find(t.Context(), "q", "llm").Complete)
+	})
+	t.Run("is complete where there are no others", func(t *testing.T) {
+		assert.Assert(t, newNet(t, 1).entries["edge-0"].Find(t.Context(), "q", "llm").Complete)
+	})
+}
