Have the soak run several software versions, and its callers take streams up elsewhere

The soak's engines serve two versions side by side and are released one by one, overlapping, to the next of three; registry entries state no version or one that is not text for a time. Each event names the version that made it. Callers leave half of the streams that may be resumed and take these, and those that broke off, up at other entries, naming the attempt that brought the first event. The soak checks ORDER and LOST as the users word them. There are three entries and four engines now, so that an entry's record has holders besides those at both ends.

--- a/io/cmds/soak.go
+++ b/io/cmds/soak.go
@@ -58,6 +58,9 @@
 	}
 	_, _ = fmt.Fprintf(out, "seed %d: %d faults, %d requests, %d served, %d promises broken, entries not back %v, logs with panics %v\n",
 		seed, len(report.Steps), report.Requests, report.Served, len(report.Breaches), report.Unserved, report.Panics)
+	n := report.Resumptions
+	_, _ = fmt.Fprintf(out, "   of %d streams taken up again %d went on, of %d new ones %d began; %d hold events of several versions\n",
+		n.TakenUp, n.WentOn, n.New, n.Begun, report.Mixed)
 	for _, b := range report.Breaches {
 		_, _ = fmt.Fprintln(out, "  ", b)
 	}
--- a/io/soak/caller.go
+++ b/io/soak/caller.go
@@ -43,6 +43,11 @@
 	Path string
 	// Text is the body of the request; if it is empty, it depends on the ID.
 	Text string
+	// After is the number of the last event of a stream that the caller resumes, and First
+	// the ID of the attempt that brought its first event. If LeaveAfter is not zero, the caller
+	// leaves after so many events.
+	After, LeaveAfter int
+	First             string
 	// Key is the caller's key and Customer its owner, which is empty for a key that
 	// no routing table has.
 	Key, Customer string
@@ -101,11 +106,17 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		entry := (i + rng.IntN(2)*rng.IntN(len(c.entryAddrs))) % len(c.entryAddrs)
 		customer := customers[rng.IntN(len(customers))]
-		r := c.send(transport, Result{
+		q := Result{
 			ID: fmt.Sprintf("%d-%d-%d", i, n, rng.Uint32()), Route: Route(rng.IntN(int(routeCount))), Entry: entry,
 			Key: customer.key, Customer: customer.name,
-		}, "m-"+strconv.Itoa(1+rng.IntN(2)))
+		}
+		if q.Route == Resumed && rng.Float64() < leaveShare {
+			q.LeaveAfter = 1 + rng.IntN(streamEvents-1)
+		}
+		model := "m-" + strconv.Itoa(1+rng.IntN(2))
+		r := c.send(transport, q, model)
 		c.add(r)
+		c.takeUp(ctx, transport, r, model, rng)
 		time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
 	}
 }
@@ -145,7 +156,7 @@
 	}
 	defer resp.Body.Close()
 	r.Status, r.Signer = resp.StatusCode, plat.Signature(resp.Header)
-	r.Body, err = io.ReadAll(resp.Body)
+	r.Body, err = readEvents(resp.Body, r.LeaveAfter)
 	hasEnd := reply.Framing(resp) != core.Unframed
 	r.Complete, r.Unframed = err == nil && hasEnd, err == nil && !hasEnd
 	return r
@@ -153,7 +164,10 @@
 
 // requestHead returns the head of a request, which describes its prompt and answer.
 func requestHead(r Result, model string, by time.Time) core.RequestHead {
-	head := core.RequestHead{ID: core.RequestID(r.ID), Deadline: by}
+	head := core.RequestHead{ID: core.RequestID(r.ID), Deadline: by, FirstAttempt: core.RequestID(r.First)}
+	if r.After > 0 {
+		head.LastEventID = strconv.Itoa(r.After)
+	}
 	if r.Route == Stream || r.Route == Resumed {
 		head.Model, head.Prompt, head.Answer = core.ModelName(model), 100, 50
 		head.Parts = []core.PromptPart{{ID: "aa", Tokens: 60}, {ID: "bb", Tokens: 40}}
--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -61,7 +61,7 @@
 		if r.Status != http.StatusOK || !isStream(r.Route) {
 			return true
 		}
-		n, rest := countEvents(r.Body)
+		n, rest := countEvents(r.Body, r.After)
 		if !r.Complete {
 			return n >= 0
 		}
@@ -72,7 +72,7 @@
 			return true
 		}
 		if isStream(r.Route) {
-			n, rest := countEvents(r.Body)
+			n, rest := countEvents(r.Body, r.After)
 			return n > 0 && rest == 0
 		}
 		return strings.HasPrefix("answer of "+strings.TrimPrefix(r.Signer, "signed-by-"), string(r.Body))
@@ -96,11 +96,17 @@
 	return false
 }
 
-var eventPattern = regexp.MustCompile(`^id: (\d+)\ndata: event (\d+)\n\n`)
+// eventPattern matches an event, and eventVersion the version that made it.
+var (
+	eventPattern = regexp.MustCompile(`^id: (\d+)\ndata: event (\d+)( at \S+)?\n\n`)
+	eventVersion = regexp.MustCompile(`\ndata: event \d+ at (\S+)\n\n`)
+)
 
-// countEvents returns the number of events of a stream and the number of bytes after
-// the last complete one. n is -1 if the events aren't numbered in order from 1.
-func countEvents(body []byte) (n, rest int) {
+// countEvents returns the number of the last complete event of a stream whose first events, up
+// to after, came in earlier answers, and the number of bytes behind it. n is -1 if the events
+// aren't numbered in order.
+func countEvents(body []byte, after int) (n, rest int) {
+	n = after
 	for {
 		m := eventPattern.FindSubmatch(body)
 		if m == nil {
--- a/io/soak/inject.go
+++ b/io/soak/inject.go
@@ -90,6 +90,10 @@
 		t.startCrashing(s)
 	case DropFraming:
 		return dropFraming(host, []stand.WorkerFault{stand.NoFault, stand.EndsInsideEvent, stand.EndsAfterEvent, stand.ResetMidway}[s.Variant%4])
+	case ReleaseUpstream:
+		t.release(engine)
+	case MisstateVersion:
+		return t.misstateVersion(engine, s.Variant)
 	case RestoreStore:
 		held := t.store.Copy()
 		return func() { t.restoreStore(held) }
@@ -146,12 +150,18 @@
 }
 
 // restart starts a new incarnation of an upstream under the same id, without any state.
-func (t *testbed) restart(u *upstream) {
+func (t *testbed) restart(u *upstream) { t.restartAs(u, "") }
+
+// restartAs is restart, and changes the version of the upstream's software unless it is empty.
+func (t *testbed) restartAs(u *upstream, version string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u.box.Reset()
 	u.started++
 	u.Restart(u.started)
+	if version != "" {
+		u.setVersion(version)
+	}
 	t.register(u)
 }
 
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -46,6 +46,8 @@
 	CrashingRequest
 	RestoreStore
 	DropFraming
+	ReleaseUpstream
+	MisstateVersion
 	kindCount
 )
 
@@ -95,6 +97,8 @@
 	CrashingRequest: {"crashing-request", 2, 0},
 	RestoreStore:    {"restore-store", 2, 3 * time.Second},
 	DropFraming:     {"drop-framing", 4, 2 * time.Second},
+	ReleaseUpstream: {"release-upstream", 5, 0},
+	MisstateVersion: {"misstate-version", 2, 2 * time.Second},
 }
 
 // String returns the name of the kind as in schedules.
--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -39,6 +39,10 @@
 	// Served counts the requests with a complete and successful answer.
 	Served   int
 	Breaches []Breach
+	// Resumptions are the streams that callers took up again, and Mixed counts those that hold
+	// events of several versions.
+	Resumptions Resumptions
+	Mixed       int
 	// Unserved lists the indexes of the entries that didn't serve all routes of the
 	// newest table within the recovery time.
 	Unserved []int
@@ -106,6 +110,10 @@
 		report.Breaches = append(report.Breaches, misattributed(c.results, u.Requests())...)
 		report.Breaches = append(report.Breaches, checker.check(u.ID, u.Requests())...)
 	}
+	report.Mixed = len(mixed(c.results))
+	report.Resumptions = checker.resumptions(c.results, t.upstreams)
+	report.Breaches = append(report.Breaches, mixedVersions(c.results)...)
+	report.Breaches = append(report.Breaches, report.Resumptions.lost()...)
 	report.Breaches = append(report.Breaches, unframedByEntry(c.results, seen)...)
 	report.Breaches = append(report.Breaches, crashing(checker, t.upstreams)...)
 	var err error
--- a/io/soak/testbed.go
+++ b/io/soak/testbed.go
@@ -21,8 +21,8 @@
 const (
 	// entries, engines and services are the numbers of hosts of a run. They are small,
 	// but leave other hosts of each kind if any one is lost.
-	entries  = 2
-	engines  = 3
+	entries  = 3
+	engines  = 4
 	services = 2
 	// entryHost is the number of the loopback address at which entries listen. Upstreams
 	// use the addresses from 1.
@@ -50,6 +50,10 @@
 	// of box instead.
 	at  netip.AddrPort
 	box *midbox.Box
+	// versions are the starts of its runs at software versions. statedVersion is what the
+	// registry entry states instead of the version, in JSON; empty if it states the version.
+	versions      []versionChange
+	statedVersion string
 	// started is the start time of the current incarnation, as in the registry.
 	started int64
 	// agentBox is the box through which entries reach the agent. It is nil for a plain
@@ -197,6 +201,7 @@
 	if !u.Plain {
 		u.Events, u.Gap = streamEvents, eventGap
 		u.SetModels(stand.Held{Name: fmt.Sprintf("m-%d", 1+i%2), Version: 1})
+		u.setVersion(softwareVersions[i*2/engines])
 	}
 	var err error
 	if u.at, err = t.serve(u.ip+":0", u.Worker); err != nil {
@@ -233,7 +238,7 @@
 	if u.Plain {
 		service = "plain"
 	}
-	t.store.Put("servers", u.ID, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"dc-1","slots":64,"state":"ready","sequence":0,"born":%d}`, service, u.box.At(), u.started))
+	t.store.Put("servers", u.ID, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"dc-1","slots":64,"state":"ready","sequence":0,"born":%d,"version":%s}`, service, u.box.At(), u.started, u.quoted()))
 }
 
 func (t *testbed) addEntry(i int, at []netip.AddrPort, agentPort uint16, seeds []string) error {
