Send records of streams that began while their entry was cut off

An entry that reached no other one dropped the records of where its streams began; callers who resumed these streams after the cut were refused. They are kept now and sent once an entry answers.

--- a/io/resume/resume.go
+++ b/io/resume/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,6 +57,8 @@
 	wake   chan struct{}
 	mu     sync.Mutex
 	queues map[core.HostName]*queue
+	// unsent are the records that no entry could be sent.
+	unsent []origin.Record
 	// avoided holds the entries that did not answer, with the time until which they are
 	// passed over.
 	avoided map[core.HostName]time.Time
@@ -105,6 +108,7 @@
 			return nil
 		case <-x.wake:
 		case <-ticker.C:
+			x.distribute(x.takeUnsent())
 		case <-ended:
 			calls--
 		}
@@ -120,12 +124,34 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, r := range records {
-		for _, name := range x.holders(r.Key, members, copies) {
+		holders := x.holders(r.Key, members, copies)
+		for _, name := range holders {
 			x.add(r, members[name])
 		}
+		if len(holders) == 0 {
+			x.keepUnsent(r)
+		}
+	}
+}
+
+// keepUnsent keeps a record that no entry can be sent now, as while this one is cut off. The
+// caller holds mu.
+func (x *Exchange) keepUnsent(r origin.Record) {
+	if len(x.unsent) < maxQueued {
+		x.unsent = append(x.unsent, r)
 	}
 }
 
+// takeUnsent returns the records that no entry could be sent and that are still needed.
+func (x *Exchange) takeUnsent() []origin.Record {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.Clock.Now()
+	out := slices.DeleteFunc(x.unsent, func(r origin.Record) bool { return !now.Before(r.Until) })
+	x.unsent = nil
+	return out
+}
+
 // add queues a record for an entry. The caller holds mu.
 func (x *Exchange) add(r origin.Record, to peer.Target) {
 	q := x.queues[to.Host]
@@ -198,9 +224,11 @@
 	x.noteFailure(q.to, err)
 	members := x.members()
 	for _, r := range append(sent, q.waiting...) {
-		if next := x.holders(r.Key, members, copies); len(next) == copies {
-			name := next[copies-1]
-			x.add(r, members[name])
+		switch next := x.holders(r.Key, members, copies); len(next) {
+		case 0:
+			x.keepUnsent(r)
+		case copies:
+			x.add(r, members[next[copies-1]])
 		}
 	}
 	q.waiting = nil
--- a/io/resume/resume_test.go
+++ b/io/resume/resume_test.go
@@ -140,6 +140,12 @@
 	at.table.PutOwn(time.Now(), origin.Record{Key: origin.KeyOf(attempt), Origin: began, Until: time.Now().Add(time.Minute)})
 	at.mu.Unlock()
 	at.Share()
+	n.waitCopies(t, at, attempt, copies)
+}
+
+// waitCopies waits until so many other entries hold a copy.
+func (n *net) waitCopies(t *testing.T, at *entry, attempt core.RequestID, copies int) {
+	t.Helper()
 	held := 0
 	for end := time.Now().Add(10 * time.Second); held < copies && time.Now().Before(end); time.Sleep(time.Millisecond) {
 		held = 0
@@ -197,6 +203,23 @@
 	}
 }
 
+// Guards against losing the records of streams that begin while their entry is cut off.
+func TestRecordsAreSentAfterACut(t *testing.T) {
+	n := newNet(t, 5)
+	first := n.entries["edge-0"]
+	first.run(t)
+	for i := 1; i < 5; i++ {
+		n.setDown(core.HostName(fmt.Sprint("edge-", i)))
+	}
+	n.begin(t, first, "q", 0)
+	time.Sleep(50 * time.Millisecond)
+	n.mu.Lock()
+	n.down = map[core.HostName]bool{}
+	n.mu.Unlock()
+	n.begin(t, first, "q-2", 4)
+	n.waitCopies(t, first, "q", 4)
+}
+
 func TestFindWithoutRecord(t *testing.T) {
 	t.Run("tells the versions that others know", func(t *testing.T) {
 		n := newNet(t, 3)
