Place the second copy of a model on a host of the first one's software version

Callers' streams could not go on when their host crashed and each version had one copy of the model, as with few copies on hosts of several versions. Where hosts are about equal, a host whose version has a single copy is chosen now for the next one. With one version all hosts gain the same, so that nothing changes.

--- a/core/copies/place.go
+++ b/core/copies/place.go
@@ -86,8 +86,10 @@
 	w.Planner.moves[move.Host] = move
 	best.host.TakesOrders = false
 	w.copies[name]++
+	w.byVersion[versionKey{name, best.host.Software}]++
 	for _, m := range best.evict {
 		w.copies[m] = max(0, w.copies[m]-1)
+		w.byVersion[versionKey{m, best.host.Software}]--
 	}
 	if best.from == core.TierStore {
 		w.storeLoads++
@@ -141,6 +143,9 @@
 	if h.Limit.Limited {
 		score -= limitPenalty
 	}
+	if w.byVersion[versionKey{name, h.Software}] == 1 {
+		score += pairBonus
+	}
 	return candidate{host: h, evict: evict, from: from, loss: loss, took: took, score: score}, true
 }
 
--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -68,6 +68,9 @@
 	loadTimePenalty = 0.3
 	// limitPenalty is the cost of a host with a rate limit in that choice.
 	limitPenalty = 1.0
+	// pairBonus is the advantage in that choice of a host whose software version has a single
+	// copy of the model: streams of that copy can then continue at the new one.
+	pairBonus = 0.1
 )
 
 // Demand is the demand for a model over all entries.
@@ -97,8 +100,9 @@
 	// Leaving is set if the host is leaving. Its copies are not counted.
 	Leaving bool
 	// Limit is the host's rate limit.
-	Limit core.RateLimit
-	Held  []core.ModelName
+	Limit    core.RateLimit
+	Software core.SoftwareVersion
+	Held     []core.ModelName
 	// Active counts the requests in progress by model.
 	Active map[core.ModelName]int
 	// Loading is the model that is being loaded, and LoadedBy is when the load should be
@@ -160,6 +164,12 @@
 	model core.ModelName
 }
 
+// versionKey identifies the copies of a model on hosts of a software version.
+type versionKey struct {
+	model   core.ModelName
+	version core.SoftwareVersion
+}
+
 // noteCopies records when each copy was first seen. The age of the copies in the first call
 // is unknown, and they count as old.
 func (p *Planner) noteCopies(now time.Time, hosts []*Host) {
@@ -191,7 +201,10 @@
 	// limit serve only part of the load.
 	shortfall map[core.ModelName]float64
 	// near lists the hosts that can load a model without the weight store.
-	near       map[core.ModelName][]*Host
+	near map[core.ModelName][]*Host
+	// byVersion counts, by model and software version, the hosts that hold the model or are
+	// about to.
+	byVersion  map[versionKey]int
 	storeLoads int
 	// waiting is set if requests wait for any model.
 	waiting bool
@@ -207,6 +220,7 @@
 	w := &plan{
 		Planner: p, now: now, service: s, hosts: hosts, demand: demand,
 		copies: map[core.ModelName]int{}, shortfall: map[core.ModelName]float64{}, near: make(map[core.ModelName][]*Host, len(s.Models)),
+		byVersion: map[versionKey]int{},
 	}
 	w.countCopies()
 	w.recordWaits()
@@ -315,6 +329,7 @@
 // while its callers are refused.
 func (w *plan) addCopy(h *Host, name core.ModelName) {
 	w.copies[name]++
+	w.byVersion[versionKey{name, h.Software}]++
 	if rate := w.demand[name].Rate; h.Limit.Limited && rate > h.Limit.Rate {
 		w.shortfall[name] += 1 - h.Limit.Rate/rate
 	}
--- a/io/deploy/planner.go
+++ b/io/deploy/planner.go
@@ -268,7 +268,7 @@
 	out := &copies.Host{
 		ID: h.ID, TakesOrders: follows && h.Fresh(now) && !h.Report.Busy && !h.IsLeaving(now), Leaving: h.IsLeaving(now),
 		ReportedAt: h.Report.Taken, Memory: s.Memory, Active: map[core.ModelName]int{},
-		Loading: h.Report.Loading, LoadedBy: h.Report.LoadedBy, Limit: h.Limit(now),
+		Loading: h.Report.Loading, LoadedBy: h.Report.LoadedBy, Limit: h.Limit(now), Software: h.Software,
 	}
 	out.InMemory, out.OnDisk = h.AtHand(now)
 	for _, m := range h.Holds(now) {
