Let one answer settle whether a service has several versions

An entry whose registry is old asked others for the versions that they know and refused the stream if any of them did not answer, as a killed one does: on deployments with one version, callers would have lost streams in outages of the store for no reason. One answer is enough now. A caller that names no attempt is not asked about, as nobody can know its stream.

--- a/core/origin.go
+++ b/core/origin.go
@@ -49,8 +49,9 @@
 	// Versions are the software versions at which streams of the service may have begun, as
 	// far as the entries asked know.
 	Versions []SoftwareVersion
-	// Complete is set if all entries that were asked have answered, or there are none.
-	Complete bool
+	// Answered is set if any entry that was asked has answered, and Complete if all have; both
+	// are set if there are no other entries.
+	Answered, Complete bool
 }
 
 // StreamOrigins exchanges with other entries where streams began.
--- a/io/proxy/origin.go
+++ b/io/proxy/origin.go
@@ -47,7 +47,7 @@
 		return nil
 	}
 	var asked core.OriginAnswer
-	if p.Origins != nil {
+	if p.Origins != nil && (c.ask.FirstAttempt != "" || len(versions) == 1) {
 		asked = p.Origins.Find(ctx, c.ask.FirstAttempt, c.service.Name)
 	}
 	versions = slices.Compact(slices.Sorted(slices.Values(append(versions, asked.Versions...))))
@@ -55,14 +55,14 @@
 	case asked.Found:
 		c.continueAt(asked.Origin)
 		return nil
-	case len(versions) == 1 && asked.Complete:
+	case len(versions) == 1 && asked.Answered:
 		c.continueAt(core.StreamOrigin{Service: c.service.Name, Software: versions[0]})
 		return nil
 	}
 	events.Log(events.StreamOriginUnknown, "request", c.ask.ID, "first-attempt", c.ask.FirstAttempt, "service", c.service.Name,
 		"versions", versions, "registry-stale", stale, "all-answered", asked.Complete)
 	refusal := core.Refuse(core.CodeNoHost, "the software version at which the stream began is not known")
-	if !asked.Complete {
+	if c.ask.FirstAttempt != "" && !asked.Complete {
 		refusal.RetryAt = c.retryAt(unknownOriginRetry)
 	}
 	return refusal
@@ -167,7 +167,7 @@
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	o, ok := p.origins.Find(now, key)
-	return core.OriginAnswer{Origin: o, Found: ok, Versions: p.view.Versions(now, service), Complete: true}
+	return core.OriginAnswer{Origin: o, Found: ok, Versions: p.view.Versions(now, service), Answered: true, Complete: true}
 }
 
 // Departed returns the software versions of hosts that have gone, at which streams may have
--- a/io/proxy/version_test.go
+++ b/io/proxy/version_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -173,3 +174,45 @@
 	r.begun(t, first)
 	r.begun(t, other)
 }
+
+// otherEntries is what other entries answer.
+type otherEntries struct {
+	core.OriginAnswer
+	asked int
+}
+
+func (o *otherEntries) Share() {}
+
+func (o *otherEntries) Find(context.Context, core.RequestID, core.ServiceName) core.OriginAnswer {
+	o.asked++
+	return o.OriginAnswer
+}
+
+// Guards against an entry whose registry is old, and which takes the only version that it knows
+// for that of every stream.
+func TestOldRegistryIsNotTrustedWithVersions(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer core.OriginAnswer
+		status int
+	}{
+		{"no other entry answers", core.OriginAnswer{}, http.StatusServiceUnavailable},
+		{"others know another version", core.OriginAnswer{Versions: []core.SoftwareVersion{"v1", "v2"}, Answered: true}, http.StatusServiceUnavailable},
+		{"others know the same", core.OriginAnswer{Versions: []core.SoftwareVersion{"v1"}, Answered: true}, http.StatusOK},
+		{"others know where it began", core.OriginAnswer{
+			Origin: core.StreamOrigin{Service: "llm", Software: "v1"}, Found: true, Versions: []core.SoftwareVersion{"v1", "v2"}, Answered: true,
+		}, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t)
+			others := &otherEntries{OriginAnswer: c.answer}
+			r.Origins, r.RegistryStale = others, func() bool { return true }
+			w := r.addVersion(t, "i-1", "v1", stand.NoFault)
+			wantStatus(t, r.takeUp(t, "next", "elsewhere"), c.status)
+			assert.Equal(t, w.Ran("next") == 1, c.status == http.StatusOK)
+			r.RegistryStale = func() bool { return false }
+			wantStatus(t, r.takeUp(t, "later", "elsewhere"), http.StatusOK)
+			assert.Equal(t, others.asked, 1)
+		})
+	}
+}
--- a/io/resume/resume.go
+++ b/io/resume/resume.go
@@ -259,13 +259,14 @@
 	for _, name := range holders {
 		go func() { answers <- x.ask(ctx, members[name], key, service) }()
 	}
-	out := core.OriginAnswer{Complete: len(holders) > 0 || len(members) == 0}
+	out := core.OriginAnswer{Answered: len(members) == 0, Complete: len(holders) > 0 || len(members) == 0}
 	for range holders {
 		reply := <-answers
 		if reply == nil {
 			out.Complete = false
 			continue
 		}
+		out.Answered = true
 		out.Versions = append(out.Versions, core.Names[core.SoftwareVersion](reply.GetVersions())...)
 		if o := reply.GetOrigin(); o != nil {
 			out.Origin, out.Found = decodeOrigin(o), true
--- a/io/resume/resume_test.go
+++ b/io/resume/resume_test.go
@@ -233,9 +233,14 @@
 	t.Run("tells that some have not answered", func(t *testing.T) {
 		n := newNet(t, 3)
 		n.setDown("edge-1")
-		assert.Assert(t, !n.entries["edge-0"].Find(t.Context(), "q", "llm").Complete)
+		a := n.entries["edge-0"].Find(t.Context(), "q", "llm")
+		assert.Assert(t, a.Answered && !a.Complete)
+		n.setDown("edge-2")
+		a = n.entries["edge-0"].Find(t.Context(), "q", "llm")
+		assert.Assert(t, !a.Answered && !a.Complete)
 	})
 	t.Run("is complete where there are no others", func(t *testing.T) {
-		assert.Assert(t, newNet(t, 1).entries["edge-0"].Find(t.Context(), "q", "llm").Complete)
+		a := newNet(t, 1).entries["edge-0"].Find(t.Context(), "q", "llm")
+		assert.Assert(t, a.Answered && a.Complete)
 	})
 }
