Load the model at the version of streams that wait for it

Callers whose host had crashed were refused although another host of their stream's version could have loaded the model within their patience: the planner counts copies of any version, and the entry refused as soon as no host of the version held the model. Now such a request waits as long as a load takes there and 1.5 s more, if its caller stays so long; the demand that entries report names the versions at which such requests wait, and the planner places a copy on a host of each that has none. Where no host of the version can load it, or only after the caller has left, the refusal comes at once as before.

TestStreamGoesOnWhereItsVersionLoadsTheModel and TestStreamWaitsForItsModelAtItsVersion fail without it.

--- a/core/copies/place.go
+++ b/core/copies/place.go
@@ -44,6 +44,31 @@
 	}
 }
 
+// placeContinuing places copies for requests that continue streams and wait for a model on a
+// host of their software version, if the version has no copy. Copies on other hosts are of no
+// use to them.
+func (w *plan) placeContinuing() {
+	var names []core.ModelName
+	for name, d := range w.demand {
+		if len(d.Continuing) > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		for _, version := range w.demand[name].Continuing {
+			if w.byVersion[versionKey{name, version}] > 0 {
+				continue
+			}
+			next := rankedModel{name: name, worth: w.worth(name, 1)}
+			best := w.best(next, func(h *Host) bool { return h.Software == version })
+			if best.host != nil {
+				w.move(next, best)
+			}
+		}
+	}
+}
+
 // insert adds a model to a ranked list.
 func (w *plan) insert(list []rankedModel, name core.ModelName) []rankedModel {
 	r := rankedModel{name: name, worth: w.worth(name, w.copies[name]+1)}
@@ -58,29 +83,44 @@
 	if w.copies[name] > 0 && worth < minExtraWorth {
 		return false
 	}
-	var best candidate
-	canRead := w.storeFree() && w.mayUseStore(name)
+	best := w.best(next, func(*Host) bool { return true })
+	if best.host == nil {
+		return false
+	}
+	if best.from == core.TierStore && w.nearHostIsSooner(name, w.now.Add(best.took)) {
+		return false
+	}
+	w.move(next, best)
+	return true
+}
+
+// best returns the best of the accepted hosts for one more copy of a model. Its host is nil if
+// there is none.
+func (w *plan) best(next rankedModel, accept func(*Host) bool) (best candidate) {
+	canRead := w.storeFree() && w.mayUseStore(next.name)
 	hosts := w.hosts
 	if !canRead {
-		hosts = w.near[name]
+		hosts = w.near[next.name]
 	}
 	for _, h := range hosts {
+		if !accept(h) {
+			continue
+		}
 		c, ok := w.evaluate(h, next, canRead)
 		if ok && (best.host == nil || c.score > best.score) {
 			best = c
 		}
 	}
-	if best.host == nil {
-		return false
-	}
-	took := best.took
-	if best.from == core.TierStore && w.nearHostIsSooner(name, w.now.Add(took)) {
-		return false
-	}
+	return best
+}
+
+// move decides on a move that places a copy of a model.
+func (w *plan) move(next rankedModel, best candidate) {
+	name := next.name
 	move := Move{
-		Copies: w.copies[name], Demand: w.demand[name], Worth: worth, Loss: best.loss,
+		Copies: w.copies[name], Demand: w.demand[name], Worth: next.worth, Loss: best.loss,
 		Host: best.host.ID, Evict: best.evict, Load: name, From: best.from, Idle: drainDelay(best.host, best.evict) == 0,
-		At: w.now, By: w.now.Add(took), Until: w.now.Add(moveTTL),
+		At: w.now, By: w.now.Add(best.took), Until: w.now.Add(moveTTL),
 	}
 	w.moves = append(w.moves, move)
 	w.Planner.moves[move.Host] = move
@@ -95,7 +135,6 @@
 		w.storeLoads++
 		w.storeStarts = append(w.storeStarts, w.now)
 	}
-	return true
 }
 
 // nearHostIsSooner reports whether a host that has a model's weights near will have loaded
--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -82,11 +82,19 @@
 	Work float64
 	// Waiting is the number of requests that wait for a copy.
 	Waiting int
+	// Continuing lists, sorted, the software versions at which requests wait that continue
+	// streams.
+	Continuing []core.SoftwareVersion
 }
 
 // Add returns the sum of two demands.
 func (d Demand) Add(e Demand) Demand {
-	return Demand{Rate: d.Rate + e.Rate, Hasty: d.Hasty + e.Hasty, Work: d.Work + e.Work, Waiting: d.Waiting + e.Waiting}
+	out := Demand{Rate: d.Rate + e.Rate, Hasty: d.Hasty + e.Hasty, Work: d.Work + e.Work, Waiting: d.Waiting + e.Waiting}
+	if len(d.Continuing)+len(e.Continuing) == 0 {
+		return out
+	}
+	out.Continuing = slices.Compact(slices.Sorted(slices.Values(slices.Concat(d.Continuing, e.Continuing))))
+	return out
 }
 
 // Host is the planner's view of an upstream host.
@@ -224,6 +232,7 @@
 	}
 	w.countCopies()
 	w.recordWaits()
+	w.placeContinuing()
 	w.placeAll()
 	w.predictReady()
 	return w.moves
--- a/core/demand/tracker.go
+++ b/core/demand/tracker.go
@@ -1,6 +1,8 @@
 package demand
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"radishwell/core"
@@ -40,6 +42,8 @@
 type modelDemand struct {
 	rates
 	waiting int
+	// continuing counts the waiting requests that continue streams, by software version.
+	continuing map[core.SoftwareVersion]int
 	// tokenTime is the average time in which the model's engines generate a token, in
 	// seconds, zero before a stream has been measured.
 	tokenTime float64
@@ -121,6 +125,18 @@
 // AddWaiting adds change to the number of requests that wait for a model.
 func (t *Tracker) AddWaiting(name core.ModelName, change int) { t.model(name).waiting += change }
 
+// AddContinuing adds change to the number of requests that wait for a model on a host of a
+// software version, since they continue streams. They are among those of AddWaiting.
+func (t *Tracker) AddContinuing(name core.ModelName, version core.SoftwareVersion, change int) {
+	m := t.model(name)
+	if m.continuing == nil {
+		m.continuing = map[core.SoftwareVersion]int{}
+	}
+	if m.continuing[version] += change; m.continuing[version] <= 0 {
+		delete(m.continuing, version)
+	}
+}
+
 // Waiting returns the number of waiting requests by model.
 func (t *Tracker) Waiting() map[core.ModelName]int {
 	out := map[core.ModelName]int{}
@@ -144,6 +160,7 @@
 	out := make(map[core.ModelName]copies.Demand, len(t.models))
 	for name, m := range t.models {
 		d, ok := m.demand(now, m.waiting)
+		d.Continuing = slices.Sorted(maps.Keys(m.continuing))
 		if !ok {
 			delete(t.models, name)
 			continue
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -95,10 +95,14 @@
 	// RetryAt is when the first of the hosts takes requests again, zero if some host takes
 	// them now or none holds the model.
 	RetryAt time.Time
-	// Discontinued is set if no host can continue the stream: all that have its software
+	// Discontinued is set if no host can continue the stream now: all that have its software
 	// version leave, or neither hold nor load the model. It is never set while all hosts of the
 	// service have that version, since the model may then be loaded at any of them.
 	Discontinued bool
+	// Loadable is set if Discontinued is and a host of that version may load the model, at best
+	// from the tier From.
+	Loadable bool
+	From     core.Tier
 	// RateLimitDelay is the part of Wait that is due to the host's rate limit.
 	RateLimitDelay time.Duration
 }
@@ -154,6 +158,7 @@
 			held, ok := h.Find(now, q.Model)
 			if !ok {
 				best.Discontinued = best.Discontinued && !h.mayHold(now, q.Model)
+				best.noteLoadable(now, h, q.Model)
 				continue
 			}
 			fetch = q.Adapter != "" && !slices.Contains(held.Adapters, q.Adapter)
@@ -182,6 +187,15 @@
 	return best
 }
 
+// noteLoadable records that a host may load a model.
+func (c *Choice) noteLoadable(now time.Time, h *Host, model core.ModelName) {
+	memory, disk := h.AtHand(now)
+	from := core.NearestTier(model, memory, disk)
+	if !c.Loadable || from < c.From {
+		c.Loadable, c.From = true, from
+	}
+}
+
 // wait returns the time until the host should give its first answer, in milliseconds: the
 // prefill queued before the request and that of its own prompt. Some of this process's
 // outstanding requests are among those that the host reports as waiting, so the larger of
--- a/io/deploy/planner.go
+++ b/io/deploy/planner.go
@@ -361,7 +361,9 @@
 func encodeDemands(demands map[core.ModelName]copies.Demand) []*wire.ModelDemand {
 	out := make([]*wire.ModelDemand, 0, len(demands))
 	for name, d := range demands {
-		out = append(out, &wire.ModelDemand{Model: string(name), Rate: d.Rate, Hasty: d.Hasty, Work: d.Work, Waiting: uint32(max(0, d.Waiting))})
+		out = append(out, &wire.ModelDemand{
+			Model: string(name), Rate: d.Rate, Hasty: d.Hasty, Work: d.Work, Waiting: uint32(max(0, d.Waiting)), Continuing: core.Strings(d.Continuing),
+		})
 	}
 	return out
 }
@@ -372,6 +374,7 @@
 	for _, d := range demands {
 		out[core.ModelName(d.GetModel())] = copies.Demand{
 			Rate: d.GetRate(), Hasty: d.GetHasty(), Work: d.GetWork(), Waiting: int(d.GetWaiting()),
+			Continuing: core.Names[core.SoftwareVersion](d.GetContinuing()),
 		}
 	}
 	return out
--- a/io/deploy/version_test.go
+++ b/io/deploy/version_test.go
@@ -112,3 +112,32 @@
 		goOn(t, e)
 	})
 }
+
+// Guards against streams that are lost with the only host of their version that held the model,
+// although another host of that version could load it in time.
+func TestStreamGoesOnWhereItsVersionLoadsTheModel(t *testing.T) {
+	f := newFleet(t)
+	first := f.addVersion(t, 1, "v1")
+	f.addVersion(t, 2, "v2")
+	spare := f.addVersion(t, 3, "v1")
+	spare.SetModels()
+	entries := []running{f.addEntry(t, "edge-1"), f.addEntry(t, "edge-2")}
+	for _, e := range entries {
+		e.waitReady(t)
+	}
+	began, n := "", 0
+	until(t, "a stream begins at the first upstream", func() bool {
+		n++
+		began = fmt.Sprint("q-", n)
+		return leaveAfterFirst(t, entries[0], began) == first.ID
+	})
+	spare.SetModels()
+	f.store.Remove("servers", first.ID)
+	first.SetModels()
+	time.Sleep(time.Second)
+	resp := chat(t.Context(), t, entries[1], "next", "1", began)
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK, string(body))
+	assert.Equal(t, host(resp), spare.ID)
+}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -111,6 +111,10 @@
 	// resumes, and software the version at the host chosen last.
 	origin   core.StreamOrigin
 	software core.SoftwareVersion
+	// loadBy is when the model should be loaded on a host of the stream's version, zero unless
+	// the request waits for that. continuing is set while it counts as doing so.
+	loadBy     time.Time
+	continuing bool
 }
 
 // ServeHTTP implements http.Handler.
--- a/io/proxy/origin.go
+++ b/io/proxy/origin.go
@@ -83,9 +83,22 @@
 	c.query.Service = begun.Name
 }
 
-// refuseDiscontinued refuses a stream that no host can continue, since its callers would wait
-// in vain.
-func (c *call) refuseDiscontinued() *core.Refusal {
+// loadMargin is the time beyond that of a load after which a request that waits for a model on a
+// host of its stream's version is refused. The planner and the agent have to take it up first,
+// and other loads may share the host.
+const loadMargin = 1500 * time.Millisecond
+
+// refuseDiscontinued refuses a stream that no host can continue, unless a host of its version
+// can load the model before its caller leaves, and planned says that the planner is told. Callers
+// would otherwise wait in vain. The caller of refuseDiscontinued holds the proxy's mu.
+func (c *call) refuseDiscontinued(now time.Time, choice fleet.Choice, planned bool) *core.Refusal {
+	if c.loadBy.IsZero() && choice.Loadable && planned {
+		c.loadBy = now.Add(c.loadTime(choice.From) + loadMargin)
+	}
+	if now.Before(c.loadBy) && c.loadBy.Before(c.callerLeavesAt()) {
+		c.setContinuing(true)
+		return nil
+	}
 	if c.ran > 0 || c.started {
 		return c.lost()
 	}
@@ -94,6 +107,33 @@
 	)
 }
 
+// loadTime returns how long a host takes to load the model from a tier.
+func (c *call) loadTime(from core.Tier) time.Duration {
+	m := c.service.Models[c.query.Model]
+	switch from {
+	case core.TierMemory:
+		return m.FromMemory
+	case core.TierDisk:
+		return m.FromDisk
+	}
+	return m.Load
+}
+
+// setContinuing sets whether the request counts as one that waits for the model on a host of its
+// stream's version. The caller holds the proxy's mu.
+func (c *call) setContinuing(on bool) {
+	if on == c.continuing {
+		return
+	}
+	c.continuing = on
+	change := 1
+	if !on {
+		change = -1
+	}
+	c.proxy.demand.AddContinuing(c.query.Model, c.query.Origin.Software, change)
+	c.proxy.Kick()
+}
+
 // beginStream records where a stream begins, or that it continues at a host, before its first
 // event from there is forwarded.
 func (c *call) beginStream(t *target) {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -45,6 +45,9 @@
 	// RegistryStale, if set, reports whether the registry may list hosts that this entry does
 	// not know.
 	RegistryStale func() bool
+	// PlansContinuing, if set, reports whether the planner is told of requests that continue
+	// streams, so that it has a model loaded on a host of their software version.
+	PlansContinuing func() bool
 	// Behind, if set, reports whether the routing table in force may be outdated.
 	Behind func() bool
 	// RetryRatio, RetrySpare and RetrySpan are this process's share of the platform's
--- a/io/proxy/version_test.go
+++ b/io/proxy/version_test.go
@@ -12,6 +12,7 @@
 
 	"radishwell/core"
 	"radishwell/core/fleet"
+	"radishwell/core/rtable"
 	"radishwell/platform/stand"
 )
 
@@ -216,3 +217,61 @@
 		})
 	}
 }
+
+// Guards against streams that are refused although a host of their version can load the model in
+// time, and against callers who wait for a load that comes too late.
+func TestStreamWaitsForItsModelAtItsVersion(t *testing.T) {
+	begin := func(t *testing.T, load time.Duration) (r *rig, id string, other *stand.Worker) {
+		t.Helper()
+		r = newRig(t)
+		table := routes(longTimeout)
+		table.Version = 2
+		table.Services["llm"].Models["m"] = rtable.Model{Name: "m", Load: load, FromDisk: load, FromMemory: load}
+		table.Match("a.example", "/resumed/x").SilenceTimeout = 4 * time.Second
+		r.Offer(table)
+		r.PlansContinuing = func() bool { return true }
+		first := r.addVersion(t, "i-1", "v1", stand.Truncated)
+		other = r.addVersion(t, "i-2", "v2", stand.NoFault)
+		_, id = r.begun(t, first)
+		r.addVersion(t, "i-3", "v1", stand.NoFault)
+		r.Update(func(v *fleet.View, now time.Time) {
+			v.Remove(now, "i-1")
+			v.Report(fleet.Report{ID: "i-3", Taken: now, Models: []core.HeldModel{}})
+		})
+		return r, id, other
+	}
+	t.Run("until a host of its version has loaded the model", func(t *testing.T) {
+		r, id, other := begin(t, 500*time.Millisecond)
+		for len(r.Waiting()) > 0 {
+			<-r.Waiting()
+		}
+		got := make(chan answer, 1)
+		go func() { got <- r.takeUp(t, "next", id) }()
+		<-r.Waiting()
+		assert.DeepEqual(t, r.Demands()["m"].Continuing, []core.SoftwareVersion{"v1"})
+		r.Update(func(v *fleet.View, now time.Time) {
+			v.Report(fleet.Report{ID: "i-3", Taken: now, Models: []core.HeldModel{{Model: "m"}}})
+		})
+		a := <-got
+		wantStatus(t, a, http.StatusOK)
+		assert.Equal(t, eventsOf(4)+a.body, eventsOf(8))
+		assert.Equal(t, other.Ran("next"), 0)
+		assert.Equal(t, len(r.Demands()["m"].Continuing), 0)
+	})
+	t.Run("not for a load that ends after its caller has left", func(t *testing.T) {
+		r, id, _ := begin(t, 6*time.Second)
+		began := time.Now()
+		wantStatus(t, r.takeUp(t, "next", id), http.StatusServiceUnavailable)
+		assert.Assert(t, time.Since(began) < 2*time.Second, "refused at once")
+	})
+	t.Run("not where the planner is not told", func(t *testing.T) {
+		r, id, _ := begin(t, 500*time.Millisecond)
+		r.PlansContinuing = nil
+		wantStatus(t, r.takeUp(t, "next", id), http.StatusServiceUnavailable)
+	})
+	t.Run("and no longer than the load should take", func(t *testing.T) {
+		r, id, _ := begin(t, 100*time.Millisecond)
+		wantStatus(t, r.takeUp(t, "next", id), http.StatusServiceUnavailable)
+		assert.Equal(t, len(r.Demands()["m"].Continuing), 0)
+	})
+}
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -99,6 +99,7 @@
 // adapter has to be loaded at the host first.
 func (c *call) choose() (t *target, fetch bool, changed chan struct{}, refusal *core.Refusal) {
 	p := c.proxy
+	planned := c.query.Origin != nil && p.PlansContinuing != nil && p.PlansContinuing()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
@@ -110,7 +111,7 @@
 		return nil, false, nil, c.lost() // the kept failure is written instead
 	}
 	if choice.Host == nil && choice.Discontinued {
-		return nil, false, nil, c.refuseDiscontinued()
+		return nil, false, p.changed, c.refuseDiscontinued(now, choice, planned)
 	}
 	if choice.Host == nil {
 		return nil, false, p.changed, c.refuseLate(now, choice)
@@ -253,6 +254,9 @@
 		return
 	}
 	p.demand.AddWaiting(c.query.Model, change)
+	if change < 0 {
+		c.setContinuing(false)
+	}
 	if change > 0 {
 		p.Kick()
 	}
