Pass the versions of streams that wait for their model on between relays

In large fleets entries report waiting requests to a relay by model alone, so the planner placed no copy at the version of a stream that waited for one, and its caller waited in vain. Reports of waiting requests name these versions now.

--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -89,12 +89,18 @@
 
 // Add returns the sum of two demands.
 func (d Demand) Add(e Demand) Demand {
-	out := Demand{Rate: d.Rate + e.Rate, Hasty: d.Hasty + e.Hasty, Work: d.Work + e.Work, Waiting: d.Waiting + e.Waiting}
-	if len(d.Continuing)+len(e.Continuing) == 0 {
-		return out
+	return Demand{
+		Rate: d.Rate + e.Rate, Hasty: d.Hasty + e.Hasty, Work: d.Work + e.Work, Waiting: d.Waiting + e.Waiting,
+		Continuing: MergeVersions(d.Continuing, e.Continuing),
 	}
-	out.Continuing = slices.Compact(slices.Sorted(slices.Values(slices.Concat(d.Continuing, e.Continuing))))
-	return out
+}
+
+// MergeVersions returns the versions of two sorted lists, sorted, each once.
+func MergeVersions(a, b []core.SoftwareVersion) []core.SoftwareVersion {
+	if len(a)+len(b) == 0 {
+		return nil
+	}
+	return slices.Compact(slices.Sorted(slices.Values(slices.Concat(a, b))))
 }
 
 // Host is the planner's view of an upstream host.
--- a/core/demand/fleet.go
+++ b/core/demand/fleet.go
@@ -1,6 +1,7 @@
 package demand
 
 import (
+	"slices"
 	"time"
 
 	"radishwell/core"
@@ -18,10 +19,22 @@
 	waits  map[core.HostName]waitCounts
 }
 
-// waitCounts holds the numbers of waiting requests at one entry, by model.
+// Waits are the requests that wait for a model.
+type Waits struct {
+	Count int
+	// Continuing lists, sorted, the software versions at which those wait that continue streams.
+	Continuing []core.SoftwareVersion
+}
+
+// add returns the sum of two numbers of requests that wait for the same model.
+func (w Waits) add(other Waits) Waits {
+	return Waits{Count: w.Count + other.Count, Continuing: copies.MergeVersions(w.Continuing, other.Continuing)}
+}
+
+// waitCounts holds the waiting requests at one entry, by model.
 type waitCounts struct {
 	at     time.Time
-	models map[core.ModelName]int
+	models map[core.ModelName]Waits
 }
 
 // Add records arrivals.
@@ -39,23 +52,24 @@
 	}
 }
 
-// SetWaiting records the numbers of waiting requests at an entry, or at all entries that
-// report to it. It reports whether any of the models had no waiting requests there before.
-func (f *Fleet) SetWaiting(now time.Time, entry core.HostName, models map[core.ModelName]int) (news bool) {
+// SetWaiting records the waiting requests at an entry, or at all entries that report to it. It
+// reports whether any of the models had none there before, or none at a software version.
+func (f *Fleet) SetWaiting(now time.Time, entry core.HostName, models map[core.ModelName]Waits) (news bool) {
 	if f.waits == nil {
 		f.waits = map[core.HostName]waitCounts{}
 	}
-	for name := range models {
-		news = news || f.waits[entry].models[name] == 0
+	for name, w := range models {
+		before := f.waits[entry].models[name]
+		isNew := func(v core.SoftwareVersion) bool { return !slices.Contains(before.Continuing, v) }
+		news = news || before.Count == 0 || slices.ContainsFunc(w.Continuing, isNew)
 	}
 	f.waits[entry] = waitCounts{at: now, models: models}
 	return news
 }
 
-// Waiting returns the number of waiting requests by model, summed over the entries that
-// counts accepts.
-func (f *Fleet) Waiting(now time.Time, counts func(entry core.HostName) bool) map[core.ModelName]int {
-	out := map[core.ModelName]int{}
+// Waiting returns the waiting requests by model, summed over the entries that counts accepts.
+func (f *Fleet) Waiting(now time.Time, counts func(entry core.HostName) bool) map[core.ModelName]Waits {
+	out := map[core.ModelName]Waits{}
 	for entry, w := range f.waits {
 		if now.Sub(w.at) > waitingTTL {
 			delete(f.waits, entry)
@@ -65,7 +79,7 @@
 			continue
 		}
 		for name, n := range w.models {
-			out[name] += n
+			out[name] = out[name].add(n)
 		}
 	}
 	return out
@@ -76,16 +90,17 @@
 	waiting := f.Waiting(now, func(core.HostName) bool { return true })
 	out := make(map[core.ModelName]copies.Demand, len(f.models))
 	for name, r := range f.models {
-		d, ok := r.demand(now, waiting[name])
+		d, ok := r.demand(now, waiting[name].Count)
 		if !ok {
 			delete(f.models, name)
 			continue
 		}
+		d.Continuing = waiting[name].Continuing
 		out[name] = d
 	}
-	for name, n := range waiting {
+	for name, w := range waiting {
 		if _, known := out[name]; !known {
-			out[name] = copies.Demand{Waiting: n}
+			out[name] = copies.Demand{Waiting: w.Count, Continuing: w.Continuing}
 		}
 	}
 	return out
--- a/core/demand/fleet_test.go
+++ b/core/demand/fleet_test.go
@@ -46,16 +46,27 @@
 	})
 	t.Run("waiting requests are summed, and new only once", func(t *testing.T) {
 		var f Fleet
-		assert.Assert(t, f.SetWaiting(t0, "a", map[core.ModelName]int{"m": 2}))
-		assert.Assert(t, !f.SetWaiting(t0, "a", map[core.ModelName]int{"m": 3}))
-		assert.Assert(t, f.SetWaiting(t0, "b", map[core.ModelName]int{"m": 1}))
-		assert.Equal(t, f.Waiting(t0, everybody)["m"], 4)
+		assert.Assert(t, f.SetWaiting(t0, "a", map[core.ModelName]Waits{"m": {Count: 2}}))
+		assert.Assert(t, !f.SetWaiting(t0, "a", map[core.ModelName]Waits{"m": {Count: 3}}))
+		assert.Assert(t, f.SetWaiting(t0, "b", map[core.ModelName]Waits{"m": {Count: 1}}))
+		assert.Equal(t, f.Waiting(t0, everybody)["m"].Count, 4)
 		assert.Equal(t, f.All(t0)["m"].Waiting, 4)
-		assert.Equal(t, f.Waiting(t0, func(n core.HostName) bool { return n == "b" })["m"], 1)
+		assert.Equal(t, f.Waiting(t0, func(n core.HostName) bool { return n == "b" })["m"].Count, 1)
+	})
+	t.Run("versions at which streams wait to continue are merged, and new only once", func(t *testing.T) {
+		var f Fleet
+		waits := func(versions ...core.SoftwareVersion) map[core.ModelName]Waits {
+			return map[core.ModelName]Waits{"m": {Count: 1, Continuing: versions}}
+		}
+		assert.Assert(t, f.SetWaiting(t0, "a", waits()))
+		assert.Assert(t, f.SetWaiting(t0, "a", waits("v2")))
+		assert.Assert(t, !f.SetWaiting(t0, "a", waits("v2")))
+		assert.Assert(t, f.SetWaiting(t0, "b", waits("v1", "v2")))
+		assert.DeepEqual(t, f.All(t0)["m"].Continuing, []core.SoftwareVersion{"v1", "v2"})
 	})
 	t.Run("waiting requests of a lost entry are forgotten", func(t *testing.T) {
 		var f Fleet
-		f.SetWaiting(t0, "a", map[core.ModelName]int{"m": 2})
+		f.SetWaiting(t0, "a", map[core.ModelName]Waits{"m": {Count: 2}})
 		assert.Equal(t, len(f.Waiting(t0.Add(2*time.Second), everybody)), 0)
 	})
 	t.Run("a model without demand is forgotten", func(t *testing.T) {
--- a/core/demand/tracker.go
+++ b/core/demand/tracker.go
@@ -49,6 +49,11 @@
 	tokenTime float64
 }
 
+// versions returns the software versions at which requests wait that continue streams, sorted.
+func (m *modelDemand) versions() []core.SoftwareVersion {
+	return slices.Sorted(maps.Keys(m.continuing))
+}
+
 func (t *Tracker) model(name core.ModelName) *modelDemand {
 	if t.models == nil {
 		t.models = map[core.ModelName]*modelDemand{}
@@ -137,12 +142,12 @@
 	}
 }
 
-// Waiting returns the number of waiting requests by model.
-func (t *Tracker) Waiting() map[core.ModelName]int {
-	out := map[core.ModelName]int{}
+// Waiting returns the waiting requests by model.
+func (t *Tracker) Waiting() map[core.ModelName]Waits {
+	out := map[core.ModelName]Waits{}
 	for name, m := range t.models {
 		if m.waiting > 0 {
-			out[name] = m.waiting
+			out[name] = Waits{Count: m.waiting, Continuing: m.versions()}
 		}
 	}
 	return out
@@ -160,7 +165,7 @@
 	out := make(map[core.ModelName]copies.Demand, len(t.models))
 	for name, m := range t.models {
 		d, ok := m.demand(now, m.waiting)
-		d.Continuing = slices.Sorted(maps.Keys(m.continuing))
+		d.Continuing = m.versions()
 		if !ok {
 			delete(t.models, name)
 			continue
--- a/io/deploy/origin.go
+++ b/io/deploy/origin.go
@@ -25,7 +25,6 @@
 		age := stale.Age(e.state, core.KindRegistry)
 		return age < 0 || age > maxRegistryAge
 	}
-	e.proxy.PlansContinuing = e.feed.Direct
 	e.handler.Keep, e.handler.Find = e.origins.ServeKeep, e.origins.ServeFind
 	e.state.Departed, e.state.JoinDeparted = e.departedSoftware, e.joinDeparted
 	e.parts = append(e.parts, e.origins.Run)
--- a/io/deploy/version_test.go
+++ b/io/deploy/version_test.go
@@ -116,7 +116,16 @@
 // Guards against streams that are lost with the only host of their version that held the model,
 // although another host of that version could load it in time.
 func TestStreamGoesOnWhereItsVersionLoadsTheModel(t *testing.T) {
+	t.Run("entries that poll all agents", func(t *testing.T) { loadsAtVersion(t, 64) })
+	t.Run("entries that poll a relay", func(t *testing.T) { loadsAtVersion(t, 0) })
+}
+
+// loadsAtVersion has a stream go on at a host that has to load its model first, in a fleet whose
+// entries poll so many agents themselves.
+func loadsAtVersion(t *testing.T, maxDirect int) {
+	t.Helper()
 	f := newFleet(t)
+	f.maxDirect = maxDirect
 	first := f.addVersion(t, 1, "v1")
 	f.addVersion(t, 2, "v2")
 	spare := f.addVersion(t, 3, "v1")
--- a/io/feed/encode.go
+++ b/io/feed/encode.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/demand"
 	"radishwell/core/digest"
 	"radishwell/core/fleet"
 	"radishwell/io/events"
@@ -82,6 +83,22 @@
 	return out
 }
 
+func encodeWaits(waits map[core.ModelName]demand.Waits) []*wire.ModelWaiting {
+	out := make([]*wire.ModelWaiting, 0, len(waits))
+	for name, w := range waits {
+		out = append(out, &wire.ModelWaiting{Model: string(name), Count: uint32(max(0, w.Count)), Continuing: core.Strings(w.Continuing)})
+	}
+	return out
+}
+
+func decodeWaits(list []*wire.ModelWaiting) map[core.ModelName]demand.Waits {
+	out := make(map[core.ModelName]demand.Waits, len(list))
+	for _, w := range list {
+		out[core.ModelName(w.GetModel())] = demand.Waits{Count: int(w.GetCount()), Continuing: core.Names[core.SoftwareVersion](w.GetContinuing())}
+	}
+	return out
+}
+
 // EncodeCounts encodes counts by model.
 func EncodeCounts(counts map[core.ModelName]int) []*wire.ModelActive {
 	out := make([]*wire.ModelActive, 0, len(counts))
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -221,7 +221,7 @@
 	run(t, 4, func(c *cluster) {
 		call := &wire.DigestCall{
 			Entry: "poller", Arrivals: []*wire.ModelArrivals{{Model: "m", Count: 3, Work: 0.5}},
-			Waiting: []*wire.ModelActive{{Model: "m", Count: 1}}, Wait: int64(time.Second),
+			Waiting: []*wire.ModelWaiting{{Model: "m", Count: 1}}, Wait: int64(time.Second),
 		}
 		_, err := c.feeds["e-1"].Serve(call)
 		assert.NilError(t, err)
--- a/io/feed/poll.go
+++ b/io/feed/poll.go
@@ -103,14 +103,14 @@
 	sent, r.pending = r.pending, map[core.ModelName]demand.Arrivals{}
 	in = &wire.DigestCall{
 		Entry: string(f.Self.Name), Relay: asRelay, Epoch: r.epoch, Seen: r.seen, SeenReady: r.seenReady, Wait: int64(wait),
-		Arrivals: encodeArrivals(sent), Waiting: EncodeCounts(f.waiting(now)), Uses: f.encodeUses(now, r),
+		Arrivals: encodeArrivals(sent), Waiting: encodeWaits(f.waiting(now)), Uses: f.encodeUses(now, r),
 	}
 	return in, sent
 }
 
-// waiting returns the number of waiting requests by model, here and at the entries that
-// poll this one. The caller holds mu.
-func (f *Feed) waiting(now time.Time) map[core.ModelName]int {
+// waiting returns the waiting requests by model, here and at the entries that poll this one.
+// The caller holds mu.
+func (f *Feed) waiting(now time.Time) map[core.ModelName]demand.Waits {
 	return f.demand.Waiting(now, func(name core.HostName) bool {
 		p := f.pollers[name]
 		return name == f.Self.Name || p != nil && !p.relay
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -70,7 +70,7 @@
 	} else {
 		f.addArrivals(now, arrivals)
 	}
-	if f.demand.SetWaiting(now, name, decodeCounts(c.GetWaiting())) {
+	if f.demand.SetWaiting(now, name, decodeWaits(c.GetWaiting())) {
 		f.Proxy.Kick()
 	}
 }
--- a/io/proxy/crash_test.go
+++ b/io/proxy/crash_test.go
@@ -122,7 +122,7 @@
 	req := r.ask(t, http.MethodGet, "/stream/x", "q-1", "X-Radishwell-Model", "absent")
 	ended := make(chan answer, 1)
 	go func() { ended <- do(t, req) }()
-	for r.WaitingFor()["absent"] == 0 {
+	for r.WaitingFor()["absent"].Count == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	r.strikeThrice(core.FingerprintOf(nil, []byte(http.MethodGet), []byte("a.example"), []byte("/stream/x"), nil))
--- a/io/proxy/origin.go
+++ b/io/proxy/origin.go
@@ -89,10 +89,10 @@
 const loadMargin = 1500 * time.Millisecond
 
 // refuseDiscontinued refuses a stream that no host can continue, unless a host of its version
-// can load the model before its caller leaves, and planned says that the planner is told. Callers
-// would otherwise wait in vain. The caller of refuseDiscontinued holds the proxy's mu.
-func (c *call) refuseDiscontinued(now time.Time, choice fleet.Choice, planned bool) *core.Refusal {
-	if c.loadBy.IsZero() && choice.Loadable && planned {
+// can load the model before its caller leaves. Callers would otherwise wait in vain. The caller
+// of refuseDiscontinued holds the proxy's mu.
+func (c *call) refuseDiscontinued(now time.Time, choice fleet.Choice) *core.Refusal {
+	if c.loadBy.IsZero() && choice.Loadable {
 		c.loadBy = now.Add(c.loadTime(choice.From) + loadMargin)
 	}
 	if now.Before(c.loadBy) && c.loadBy.Before(c.callerLeavesAt()) {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -45,9 +45,6 @@
 	// RegistryStale, if set, reports whether the registry may list hosts that this entry does
 	// not know.
 	RegistryStale func() bool
-	// PlansContinuing, if set, reports whether the planner is told of requests that continue
-	// streams, so that it has a model loaded on a host of their software version.
-	PlansContinuing func() bool
 	// Behind, if set, reports whether the routing table in force may be outdated.
 	Behind func() bool
 	// RetryRatio, RetrySpare and RetrySpan are this process's share of the platform's
@@ -209,8 +206,8 @@
 	return p.demand.TakeArrivals()
 }
 
-// WaitingFor returns the number of requests that wait for each model.
-func (p *Proxy) WaitingFor() map[core.ModelName]int {
+// WaitingFor returns the requests that wait for each model.
+func (p *Proxy) WaitingFor() map[core.ModelName]demand.Waits {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.demand.Waiting()
--- a/io/proxy/version_test.go
+++ b/io/proxy/version_test.go
@@ -229,7 +229,6 @@
 		table.Services["llm"].Models["m"] = rtable.Model{Name: "m", Load: load, FromDisk: load, FromMemory: load}
 		table.Match("a.example", "/resumed/x").SilenceTimeout = 4 * time.Second
 		r.Offer(table)
-		r.PlansContinuing = func() bool { return true }
 		first := r.addVersion(t, "i-1", "v1", stand.Truncated)
 		other = r.addVersion(t, "i-2", "v2", stand.NoFault)
 		_, id = r.begun(t, first)
@@ -264,11 +263,6 @@
 		wantStatus(t, r.takeUp(t, "next", id), http.StatusServiceUnavailable)
 		assert.Assert(t, time.Since(began) < 2*time.Second, "refused at once")
 	})
-	t.Run("not where the planner is not told", func(t *testing.T) {
-		r, id, _ := begin(t, 500*time.Millisecond)
-		r.PlansContinuing = nil
-		wantStatus(t, r.takeUp(t, "next", id), http.StatusServiceUnavailable)
-	})
 	t.Run("and no longer than the load should take", func(t *testing.T) {
 		r, id, _ := begin(t, 100*time.Millisecond)
 		wantStatus(t, r.takeUp(t, "next", id), http.StatusServiceUnavailable)
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -99,7 +99,6 @@
 // adapter has to be loaded at the host first.
 func (c *call) choose() (t *target, fetch bool, changed chan struct{}, refusal *core.Refusal) {
 	p := c.proxy
-	planned := c.query.Origin != nil && p.PlansContinuing != nil && p.PlansContinuing()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
@@ -111,7 +110,7 @@
 		return nil, false, nil, c.lost() // the kept failure is written instead
 	}
 	if choice.Host == nil && choice.Discontinued {
-		return nil, false, p.changed, c.refuseDiscontinued(now, choice, planned)
+		return nil, false, p.changed, c.refuseDiscontinued(now, choice)
 	}
 	if choice.Host == nil {
 		return nil, false, p.changed, c.refuseLate(now, choice)
