Let queues order by rank, and tell a lack of room from a limit

Entries on a managed platform have ten ranks where the product's own callers have three classes, and a rank goes before the next whole. A queue can be strict now: nothing starts while a more urgent item may, customers and their sessions share within a rank, and only what is as urgent counts as ahead. Classes of a lane are made when they are first used, so that ten ranks cost no memory for models without waiting requests.

HoldRoom says that the resource has no room for an item now.

--- a/core/queue/ahead.go
+++ b/core/queue/ahead.go
@@ -14,17 +14,20 @@
 	cost := t.classes[i.Class].costAhead(i)
 	total := cost
 	for c, other := range t.classes {
-		if core.Class(c) == i.Class || other.items == 0 {
-			continue
+		switch class := core.Class(c); {
+		case class == i.Class || other == nil || other.items == 0:
+		case t.lane.strict && class < i.Class:
+			total += other.cost
+		case !t.lane.strict:
+			part := (cost + i.Cost) * Weights[class] / Weights[i.Class]
+			total += min(other.cost, part)
 		}
-		part := (cost + i.Cost) * Weights[c] / Weights[i.Class]
-		total += min(other.cost, part)
 	}
 	return total
 }
 
 func (s *classQueue) costAhead(i Item) int64 {
-	if s.items == 0 {
+	if s == nil || s.items == 0 {
 		return 0
 	}
 	p, ok := s.owners[i.Owner]
@@ -49,7 +52,7 @@
 	if t.lane.ready.After(now) {
 		from = t.lane.ready
 	}
-	if _, waits := t.classes[i.Class].owners[i.Owner]; t.drain.heldByLimits && !waits {
+	if t.drain.heldByLimits && !t.waits(i.Class, i.Owner) {
 		return from
 	}
 	return from.Add(t.drain.drainTime(now, t.costAhead(i), t.running))
--- a/core/queue/choose.go
+++ b/core/queue/choose.go
@@ -21,6 +21,9 @@
 	HoldOwner
 	// HoldLane means that no item in this lane may start.
 	HoldLane
+	// HoldRoom means that the resource has no room for the item now, though it may have some
+	// for items of other owners. Unlike a limit, this shows how fast the lane drains.
+	HoldRoom
 )
 
 // candidate is a class of a track that may provide the next item.
@@ -35,6 +38,9 @@
 // less orders candidates by the start tag of the class, the class and the start
 // tag of the owner.
 func (c candidate) less(o candidate) bool {
+	if c.track.lane.strict && c.class != o.class {
+		return c.class < o.class
+	}
 	if c.classTag != o.classTag {
 		return c.classTag < o.classTag
 	}
@@ -54,15 +60,20 @@
 		if !ok {
 			break
 		}
-		found = c.track.classes[c.class].pick(q.CheckHold)
+		var noRoom bool
+		found, noRoom = c.track.classes[c.class].pick(q.CheckHold)
 		if found == nil {
 			c.track.blocked[c.class] = true
-			c.track.drain.markHeld()
+			if noRoom {
+				c.track.drain.lacksRoom = true
+			} else {
+				c.track.drain.markHeld()
+			}
 			blocked = append(blocked, c.track)
 		}
 	}
 	for _, t := range blocked {
-		t.blocked = [core.ClassCount]bool{}
+		t.blocked = [levels]bool{}
 	}
 	return found
 }
@@ -82,7 +93,7 @@
 		}
 		for class, s := range t.classes {
 			c := core.Class(class)
-			if s.items == 0 || t.blocked[c] || q.available(now, t, c, slots) <= 0 {
+			if s == nil || s.items == 0 || t.blocked[c] || q.available(now, t, c, slots) <= 0 {
 				continue
 			}
 			in := q.classes[c]
@@ -110,7 +121,7 @@
 // requests hold all slots, because the class does not separate long requests
 // from short ones. Long items lose at most that quarter.
 func (q *Queue) available(now time.Time, t *track, class core.Class, slots int) int {
-	if class == core.Overnight {
+	if class == core.Overnight && !q.Strict {
 		slots -= q.Spare
 	}
 	g := t.lane.sizes
@@ -121,17 +132,18 @@
 	return min(slots, max(1, all*3/4)-g.running[1])
 }
 
-// pick returns the next entry of the class that may start. Owners that are held
-// are removed from the heap during the search, so each is examined once.
-func (s *classQueue) pick(checkHold func(Item) Hold) *entry {
+// pick returns the next entry of the class that may start. noRoom is set if there is none for
+// lack of room. Owners that are held are removed from the heap during the search, so each is
+// examined once.
+func (s *classQueue) pick(checkHold func(Item) Hold) (found *entry, noRoom bool) {
 	if checkHold == nil {
-		return s.first().first().entries.top()
+		return s.first().first().entries.top(), false
 	}
 	var held []*ownerQueue
-	var found *entry
 	for found == nil && s.byTag.Len() > 0 {
 		p := s.first()
 		e, hold := p.pick(checkHold)
+		noRoom = noRoom || hold == HoldRoom
 		if hold == HoldLane {
 			break
 		}
@@ -143,7 +155,7 @@
 	for _, p := range held {
 		s.byTag.insert(p)
 	}
-	return found
+	return found, noRoom
 }
 
 func (p *ownerQueue) pick(checkHold func(Item) Hold) (found *entry, hold Hold) {
@@ -156,7 +168,7 @@
 			found = e
 		}
 		if hold != HoldCaller {
-			break
+			break // HoldRoom: what the owner sends next would overtake its own
 		}
 		held = append(held, f)
 		p.byTag.remove(f.index)
--- a/core/queue/doc.go
+++ b/core/queue/doc.go
@@ -10,6 +10,10 @@
 // until it has been served, and overnight work would stand in front of
 // interactive requests.
 //
+// A strict queue, as that of an entry on a managed platform, starts nothing while a more
+// urgent item may start, and shares only within a class. It answers the load in which
+// urgent and patient requests compete for the engines of the same models.
+//
 // Lanes. A request waits in the lane of the resource it needs, such as a model.
 // A lane that cannot start work does not block the others.
 //
--- a/core/queue/insert.go
+++ b/core/queue/insert.go
@@ -37,7 +37,7 @@
 		if !q.Shared {
 			g = &sizeClassifier{}
 		}
-		l = newLane(name, g)
+		l = newLane(name, g, q.Strict)
 		q.lanes[name] = l
 	}
 	return l
@@ -80,7 +80,7 @@
 		c = &callerState{name: i.Caller, tag: o.clock.now}
 		o.callers[i.Caller] = c
 	}
-	s := t.classes[i.Class]
+	s := t.class(i.Class)
 	p, ok := s.owners[i.Owner]
 	if !ok {
 		p = newOwnerQueue(s, o)
--- a/core/queue/item.go
+++ b/core/queue/item.go
@@ -14,7 +14,9 @@
 	Lane   string
 	Owner  core.OwnerName
 	Caller core.CallerName
-	Class  core.Class
+	// Class is the item's urgency, zero first. Queues by weight know the classes of
+	// package core, strict ones as many as upstreams have priorities.
+	Class core.Class
 	// Deadline is when the caller stops waiting; the zero time means never.
 	Deadline time.Time
 	// Cost is the estimated work of the request, such as its tokens. Values
@@ -32,6 +34,9 @@
 	Refusal *core.Refusal
 }
 
+// levels is the number of classes that a queue distinguishes.
+const levels = core.PriorityLevels
+
 // Weights are the shares of the classes while all of them have work waiting: 64
 // to 8 to 1, which is 87.7, 11.0 and 1.4 per cent of the cost served.
 // Interactive work is then delayed by at most one part in eight, evening
--- a/core/queue/lane.go
+++ b/core/queue/lane.go
@@ -30,6 +30,8 @@
 	// ready is the earliest time at which the lane can start work, such as the
 	// expected end of a load. The zero time means now.
 	ready time.Time
+	// strict is that of the queue.
+	strict bool
 	// sizes belongs to the lane alone, or to all lanes if they share slots.
 	sizes *sizeClassifier
 	// lastUsed orders idle lanes by their last use. It holds a sequence number.
@@ -43,7 +45,7 @@
 	meanLog2Cost float64
 	samples      int
 	// lastShort is when the last short item of each class arrived.
-	lastShort [core.ClassCount]time.Time
+	lastShort [levels]time.Time
 	// running counts the short and the long items that run.
 	running [2]int
 }
@@ -51,9 +53,10 @@
 // track holds either the short or the long items of a lane.
 type track struct {
 	load
-	lane    *lane
-	long    bool
-	classes [core.ClassCount]*classQueue
+	lane *lane
+	long bool
+	// classes holds the classes that have had items, nil for the others.
+	classes [levels]*classQueue
 	drain   drainEstimator
 	running int
 	// activeIndex is the track's index in Queue.active, or -1 while the track
@@ -61,17 +64,34 @@
 	activeIndex int
 	// blocked marks the classes of which CheckHold let no item start. It is
 	// valid during one call of nextEntry.
-	blocked [core.ClassCount]bool
+	blocked [levels]bool
 }
 
-func newLane(name string, g *sizeClassifier) *lane {
-	l := &lane{name: name, sizes: g}
+// class returns a class of the track and creates it if necessary.
+func (t *track) class(c core.Class) *classQueue {
+	if t.classes[c] == nil {
+		t.classes[c] = newClassQueue(t, c)
+	}
+	return t.classes[c]
+}
+
+// waits reports whether an owner has items of a class waiting in the track.
+func (t *track) waits(c core.Class, o core.OwnerName) bool {
+	return t.classes[c] != nil && t.classes[c].owners[o] != nil
+}
+
+// loadOf returns the load of a class.
+func (t *track) loadOf(c core.Class) load {
+	if t.classes[c] == nil {
+		return load{}
+	}
+	return t.classes[c].load
+}
+
+func newLane(name string, g *sizeClassifier, strict bool) *lane {
+	l := &lane{name: name, sizes: g, strict: strict}
 	for i := range l.tracks {
-		t := &track{lane: l, long: i == 1, activeIndex: -1}
-		for c := range t.classes {
-			t.classes[c] = newClassQueue(t, core.Class(c))
-		}
-		l.tracks[i] = t
+		l.tracks[i] = &track{lane: l, long: i == 1, activeIndex: -1}
 	}
 	return l
 }
--- a/core/queue/pace.go
+++ b/core/queue/pace.go
@@ -41,6 +41,10 @@
 	// heldByLimits is set if slots are free and items wait only because of
 	// limits of their owners or callers.
 	heldByLimits bool
+	// lacksRoom is set if the resource had no room for a waiting item since the last start. The
+	// time until it has some counts towards the drain rate, also while none of the lane's own
+	// items runs.
+	lacksRoom bool
 	// maxRunning is the largest number of items that ran at once.
 	maxRunning int
 	// serviceMean and serviceDev are the smoothed service time of one unit of
@@ -156,7 +160,7 @@
 	moreSeconds, moreCost := d.firstRound()
 	total, of := d.drainSeconds+moreSeconds, d.drainCost+moreCost
 	each := total / of
-	if !d.intervalStart.IsZero() && running > 0 {
+	if !d.intervalStart.IsZero() && (running > 0 || d.lacksRoom) {
 		elapsed := max(0, now.Sub(d.intervalStart).Seconds())
 		keep := d.keep()
 		each = max(each, (total*keep+elapsed)/(of*keep+d.drainCost/d.finishes))
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -35,12 +35,15 @@
 	Shared bool
 	// Spare is how many slots overnight work leaves free.
 	Spare int
+	// Strict is set if no item starts while a more urgent one may. Otherwise the classes
+	// share by Weights.
+	Strict bool
 	// CheckHold, if not nil, is called before an item is popped and returns how
 	// far a limit holds it back.
 	CheckHold func(Item) Hold
 
 	load
-	classes [core.ClassCount]*classState
+	classes [levels]*classState
 	clock   virtualClock
 	lanes   map[string]*lane
 	active  []*track
@@ -77,7 +80,7 @@
 // deadline, or the queue is full of items that are worth at least as much.
 func (q *Queue) Push(now time.Time, i Item) PushResult {
 	q.init()
-	i = normalize(i)
+	i = q.normalize(i)
 	if ref := q.checkDeadline(now, i); ref != nil {
 		return PushResult{Refusal: ref}
 	}
@@ -89,12 +92,14 @@
 	return PushResult{Displaced: displaced}
 }
 
-func normalize(i Item) Item {
+func (q *Queue) normalize(i Item) Item {
 	i.Cost = min(max(1, i.Cost), maxCost)
 	i.Size = max(0, i.Size)
-	if i.Class >= core.ClassCount {
-		i.Class = core.Overnight
+	last := core.Overnight
+	if q.Strict {
+		last = levels - 1
 	}
+	i.Class = min(i.Class, last)
 	return i
 }
 
@@ -179,9 +184,10 @@
 // startRun moves an entry from waiting to running.
 func (q *Queue) startRun(now time.Time, e *entry) {
 	t := e.queue.parent.parent.track
-	if t.lane.sizes.idle() {
+	if t.lane.sizes.idle() && !t.drain.lacksRoom {
 		t.drain.restartInterval(now)
 	}
+	t.drain.lacksRoom = false
 	q.charge(e)
 	q.removeEntry(e)
 	t.addRunning(1)
@@ -193,7 +199,9 @@
 	f := e.queue
 	c := q.classes[e.Class]
 	o := f.parent.owner
-	c.tag = q.clock.advance(c.tag, e.Cost*virtualUnit/Weights[e.Class])
+	if !q.Strict {
+		c.tag = q.clock.advance(c.tag, e.Cost*virtualUnit/Weights[e.Class])
+	}
 	o.tag = c.clock.advance(o.tag, e.Cost)
 	f.caller.tag = o.clock.advance(f.caller.tag, e.Cost)
 }
--- a/core/queue/rest.go
+++ b/core/queue/rest.go
@@ -107,7 +107,7 @@
 // Estimate returns when an item pushed now is expected to start and to end,
 // according to the current estimates.
 func (q *Queue) Estimate(now time.Time, i Item) (start, end time.Time) {
-	i = normalize(i)
+	i = q.normalize(i)
 	l, ok := q.lanes[i.Lane]
 	if !ok {
 		return now, now
@@ -122,7 +122,7 @@
 
 // Waiting returns the number of waiting items of a class.
 func (q *Queue) Waiting(c core.Class) int {
-	if q.lanes == nil || c >= core.ClassCount {
+	if q.lanes == nil || c >= levels {
 		return 0
 	}
 	return q.classes[c].items
--- a/core/queue/shed.go
+++ b/core/queue/shed.go
@@ -50,7 +50,7 @@
 
 func lowerClassesSuffice(c core.Class, over load, in scope) bool {
 	var below load
-	for lower := c + 1; lower < core.ClassCount; lower++ {
+	for lower := c + 1; lower < levels; lower++ {
 		l := in.classLoad(lower)
 		below.items += l.items
 		below.bytes += l.bytes
@@ -60,7 +60,7 @@
 
 func (q *Queue) shedLowerClasses(now time.Time, c core.Class, over load, in scope) []Refused {
 	var displaced []Refused
-	lower := core.ClassCount - 1
+	lower := core.Class(levels - 1)
 	for lower > c && (over.items > 0 || over.bytes > 0) {
 		name, most := in.largestOwner(lower)
 		if most == 0 {
@@ -133,8 +133,7 @@
 type laneScope struct{ l *lane }
 
 func (s laneScope) classLoad(c core.Class) load {
-	sum := s.l.tracks[0].classes[c].load
-	long := s.l.tracks[1].classes[c].load
+	sum, long := s.l.tracks[0].loadOf(c), s.l.tracks[1].loadOf(c)
 	sum.items += long.items
 	sum.bytes += long.bytes
 	return sum
@@ -144,6 +143,9 @@
 	var name core.OwnerName
 	count := 0
 	for _, t := range s.l.tracks {
+		if t.classes[c] == nil {
+			continue
+		}
 		for _, p := range t.classes[c].byTag.elems {
 			items := s.ownerItems(c, p.owner.name)
 			if items > count || items == count && p.owner.name < name {
@@ -157,8 +159,8 @@
 func (s laneScope) ownerItems(c core.Class, o core.OwnerName) int {
 	items := 0
 	for _, t := range s.l.tracks {
-		if p, ok := t.classes[c].owners[o]; ok {
-			items += p.items
+		if t.waits(c, o) {
+			items += t.classes[c].owners[o].items
 		}
 	}
 	return items
@@ -167,10 +169,10 @@
 func (s laneScope) victim(c core.Class, o core.OwnerName) *entry {
 	var most *callerQueue
 	for _, t := range s.l.tracks {
-		p, ok := t.classes[c].owners[o]
-		if !ok {
+		if !t.waits(c, o) {
 			continue
 		}
+		p := t.classes[c].owners[o]
 		for _, f := range p.byTag.elems {
 			if most == nil || f.largerThan(most) {
 				most = f
