Measure the pace of engines, and keep prompts away from where streams pause

Of 310 such streams 196 ran on 12 of 93 host incarnations, with slots and memory free.

Cause: an engine reads prompts in pieces between the tokens of its streams. A quarter of the engines there runs at half speed; with six tokens an event, an event takes 0.6 s there while prompts are read. The choice of host took one rate of reading for all, and knew nothing of streams.

Ruled out: preemption (none was seen), full slots, adapters.

Change: the agent measures, from the numbers of events that streams have made in consecutive reports, how long an event takes with and without reading (core/pace); entries get both with the reports, compare the hosts of a service, and add to the cost of a host what it holds up there and the chance that the answer itself pauses (core/room). A pace belongs to one incarnation.

--- a/core/digest/table.go
+++ b/core/digest/table.go
@@ -72,8 +72,8 @@
 // LastChange returns the number of the last change.
 func (t *Table) LastChange() uint64 { return t.change }
 
-// LastUrgent returns the number of the last urgent change: one of more than figures and
-// adapters, which change tens of times a second in a large fleet.
+// LastUrgent returns the number of the last urgent change: one of more than figures,
+// adapters and paces, which change tens of times a second in a large fleet.
 func (t *Table) LastUrgent() uint64 { return t.urgent }
 
 // Put records an agent's report. The source is the relay that sent it, or empty if it came
@@ -229,10 +229,10 @@
 
 // sameHost reports whether two hosts differ at most in their figures.
 func sameHost(a, b *Host) bool {
-	return sameButAdapters(a, b) && core.EqualModels(a.Report.Models, b.Report.Models)
+	return sameButAdapters(a, b) && core.EqualModels(a.Report.Models, b.Report.Models) && a.Report.Pace == b.Report.Pace
 }
 
-// sameButAdapters reports whether two hosts differ at most in their figures and adapters.
+// sameButAdapters reports whether two hosts differ at most in their figures, adapters and paces.
 func sameButAdapters(a, b *Host) bool {
 	r, s := a.Report, b.Report
 	return a.Unreachable == b.Unreachable && a.Born == b.Born && a.Planner == b.Planner && slices.Equal(a.Ended, b.Ended) &&
--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -54,6 +54,8 @@
 	// Waiting and Running count requests. Reading is the number of prompt tokens in
 	// prefill.
 	Waiting, Running, Reading int
+	// Pace is the pace of the host's streams, as its agent measures it.
+	Pace core.Pace
 	// Active counts the requests in progress by model over all entries, as of the last call
 	// of each entry to the agent.
 	Active map[core.ModelName]int
@@ -97,6 +99,7 @@
 	// overrides its reports.
 	missing map[core.ModelName]time.Time
 	*signals
+	enginePace
 }
 
 func (h *Host) incarnation() Incarnation { return Incarnation{ID: h.ID, Born: h.Born} }
--- /dev/null
+++ b/core/fleet/pace.go
@@ -0,0 +1,152 @@
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/room"
+)
+
+const (
+	// paceInterval is the time after which the hosts of a service are compared again.
+	paceInterval = 500 * time.Millisecond
+	// minPaced is the least number of hosts of known pace that give a usual pace.
+	minPaced = 4
+	// minSpeed and maxSpeed bound the speed of a host against the usual one.
+	minSpeed, maxSpeed = 0.3, 2.5
+	// readingHalfLife is the time after which past reading counts half.
+	readingHalfLife = 1500 * time.Millisecond
+)
+
+// enginePace is what is known of the pace of one incarnation of a host.
+type enginePace struct {
+	// pace is the reported pace. A part that has not been measured is inferred from the other
+	// one, if both are known of enough hosts.
+	pace core.Pace
+	// speed is the rate at which the host reads prompts, as a multiple of the usual one; zero
+	// if unknown.
+	speed float64
+	// reading is the decayed fraction of time in which the host read prompts, as of readingAt.
+	reading   float64
+	readingAt time.Time
+}
+
+// noteReading records whether the host was reading prompts from its last report until now.
+func (p *enginePace) noteReading(until time.Time, was bool) {
+	elapsed := until.Sub(p.readingAt)
+	if p.readingAt.IsZero() || elapsed <= 0 {
+		p.readingAt = until
+		return
+	}
+	keep := math.Exp2(-float64(elapsed) / float64(readingHalfLife))
+	p.reading *= keep
+	if was {
+		p.reading += 1 - keep
+	}
+	p.readingAt = until
+}
+
+// rate returns the number of prompt tokens that the host reads in a millisecond.
+func (h *Host) rate() float64 {
+	if h.speed == 0 {
+		return PrefillRate
+	}
+	return PrefillRate * h.speed
+}
+
+// readingTime returns the time by which an event is later while the host reads prompts. It is
+// inversely proportional to the rate of reading, since engines read a piece of the same size
+// with each token.
+func readingTime(p core.Pace) time.Duration {
+	if p.Event == 0 || p.ReadingEvent == 0 {
+		return 0
+	}
+	return p.ReadingEvent - p.Event
+}
+
+// UsePaces sets whether the measured paces of hosts affect the choice, as they do in a new View.
+func (v *View) UsePaces(use bool) {
+	v.ignorePace = !use
+	for _, h := range v.hosts {
+		if v.ignorePace {
+			h.pace, h.speed = core.Pace{}, 0
+		}
+	}
+}
+
+// usualPace is the pace of the hosts of a service in the middle.
+type usualPace struct {
+	// readingTime is the time by which reading delays an event, and ratio the quotient of the
+	// two gaps of a pace.
+	readingTime time.Duration
+	ratio       float64
+}
+
+// usualPaces returns the usual pace of each service with enough measured hosts.
+func (v *View) usualPaces(now time.Time) map[core.ServiceName]usualPace {
+	times, ratios := map[core.ServiceName][]time.Duration{}, map[core.ServiceName][]float64{}
+	for _, h := range v.hosts {
+		if t := readingTime(h.Report.Pace); t > 0 && h.IsAvailable(now) {
+			times[h.Service] = append(times[h.Service], t)
+			ratios[h.Service] = append(ratios[h.Service], float64(h.Report.Pace.ReadingEvent)/float64(h.Report.Pace.Event))
+		}
+	}
+	out := map[core.ServiceName]usualPace{}
+	for name, list := range times {
+		if len(list) >= minPaced {
+			out[name] = usualPace{readingTime: median(list), ratio: median(ratios[name])}
+		}
+	}
+	return out
+}
+
+func median[T cmp.Ordered](list []T) T {
+	slices.Sort(list)
+	return list[len(list)/2]
+}
+
+// comparePaces compares the paces of each service's hosts, which yields their speeds and the
+// parts of their paces that were not measured.
+func (v *View) comparePaces(now time.Time) {
+	if now.Before(v.comparePacesAt) || v.ignorePace {
+		return
+	}
+	v.comparePacesAt = now.Add(paceInterval)
+	usual := v.usualPaces(now)
+	for _, h := range v.hosts {
+		u, ok := usual[h.Service]
+		h.pace, h.speed = h.Report.Pace, 0
+		switch {
+		case !ok:
+			continue
+		case h.pace.ReadingEvent == 0:
+			h.pace.ReadingEvent = time.Duration(float64(h.pace.Event) * u.ratio)
+		case h.pace.Event == 0:
+			h.pace.Event = time.Duration(float64(h.pace.ReadingEvent) / u.ratio)
+		}
+		if own := readingTime(h.pace); own > 0 {
+			h.speed = min(maxSpeed, max(minSpeed, float64(u.readingTime)/float64(own)))
+		}
+	}
+}
+
+// engine returns what the view knows of the host's engine.
+func (h *Host) engine(prefillTime float64) room.Engine {
+	return room.Engine{
+		Pace: h.pace, Rate: h.rate(), Ahead: int(h.backlog(prefillTime) * h.rate()), Streams: h.Report.Running, Reading: h.reading,
+	}
+}
+
+// pauses returns the expected number of running streams that the request's prompt holds up for
+// longer than callers accept, and the chance that its own answer pauses for longer.
+func (v *View) pauses(now time.Time, h *Host, q *Query) (heldUp, own float64) {
+	if q.Model == "" || q.Pause == 0 || !h.Fresh(now) || h.pace == (core.Pace{}) {
+		return 0, 0
+	}
+	e := h.engine(v.prefillTime())
+	r := room.Request{Prompt: h.uncachedTokens(now, q), Answer: q.Answer, Pause: q.Pause}
+	return e.HeldUp(r), e.PauseChance(r)
+}
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -14,7 +14,8 @@
 // The weights below add up to the time, in milliseconds, until a host should give its first
 // answer. Only their ratios affect the choice.
 const (
-	// PrefillRate is the assumed prefill rate of an engine in prompt tokens per millisecond.
+	// PrefillRate is the assumed prefill rate of a usual engine in prompt tokens per
+	// millisecond. Engines of known pace are compared with each other (see Host.rate).
 	// The prefill of a long prompt delays the next request by so much that it outweighs the
 	// other weights.
 	PrefillRate = 38.0
@@ -62,9 +63,13 @@
 	Adapter string
 	// Parts is the prompt in order. The last part belongs to this request alone.
 	Parts []core.PromptPart
-	// Tokens is the length of the prompt in tokens.
-	Tokens     int
-	DataCentre core.DataCentre
+	// Tokens is the length of the prompt in tokens, and Answer the foreseen length of the
+	// answer.
+	Tokens, Answer int
+	// Target is the time within which callers get the full use of an answer, and Pause the
+	// longest pause within a stream that they accept; zero if the route has none.
+	Target, Pause time.Duration
+	DataCentre    core.DataCentre
 	// Tried lists the hosts that are not to be chosen.
 	Tried []core.HostName
 	// Origin is where the stream began that the request continues; nil for a new request.
@@ -105,6 +110,10 @@
 	From     core.Tier
 	// RateLimitDelay is the part of Wait that is due to the host's rate limit.
 	RateLimitDelay time.Duration
+	// HeldUp is the expected number of streams of the host that the prompt holds up for longer
+	// than callers accept, and PauseChance the chance that the request's own answer pauses for
+	// longer.
+	HeldUp, PauseChance float64
 }
 
 // minWait is the wait that is allowed even if the target is shorter.
@@ -175,10 +184,12 @@
 			continue
 		}
 		wait := h.wait(now, q, fetch, v.prefillTime())
-		cost := wait + h.cost(now, q)
+		heldUp, pauses := v.pauses(now, h, q)
+		cost := wait + h.cost(now, q) + (heldUp+pauses)*lateCost(q)
 		if best.Host == nil || cost < best.Cost || cost == best.Cost && h.ID < best.Host.ID {
 			best.Host, best.Fetch, best.Cost = h, fetch, cost
 			best.Wait, best.RateLimitDelay = time.Duration(wait*float64(time.Millisecond)), h.reservationDelay(now)
+			best.HeldUp, best.PauseChance = heldUp, pauses
 		}
 	}
 	if !takes {
@@ -187,6 +198,10 @@
 	return best
 }
 
+// lateCost returns the cost of an answer that is late by its pauses, in milliseconds: that of
+// one whose beginning is as late as it may be.
+func lateCost(q *Query) float64 { return float64(q.Target) / float64(time.Millisecond) }
+
 // noteLoadable records that a host may load a model.
 func (c *Choice) noteLoadable(now time.Time, h *Host, model core.ModelName) {
 	memory, disk := h.AtHand(now)
@@ -201,7 +216,7 @@
 // outstanding requests are among those that the host reports as waiting, so the larger of
 // the two counts is used.
 func (h *Host) wait(now time.Time, q *Query, fetch bool, prefillTime float64) float64 {
-	before := float64(h.pendingPrefill) / PrefillRate
+	before := float64(h.pendingPrefill) / h.rate()
 	if h.Fresh(now) {
 		before = max(before, h.backlog(prefillTime))
 	}
@@ -212,7 +227,7 @@
 	if q.Model == "" {
 		return before
 	}
-	return before + float64(h.uncachedTokens(now, q))/PrefillRate
+	return before + float64(h.uncachedTokens(now, q))/h.rate()
 }
 
 // backlog returns the time, in milliseconds, for the prefill of what the host reported and
@@ -225,7 +240,7 @@
 			tokens += s.tokens
 		}
 	}
-	return float64(h.Report.Waiting)*prefillTime + float64(tokens)/PrefillRate
+	return (float64(h.Report.Waiting)*prefillTime*PrefillRate + float64(tokens)) / h.rate()
 }
 
 // cost returns the cost of a host besides its wait, in milliseconds.
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -57,6 +57,10 @@
 	// meanPrefill is the average prefill time of a prompt, in milliseconds, zero before the
 	// first prompt.
 	meanPrefill float64
+	// ignorePace is set if the measured paces of hosts do not affect the choice.
+	ignorePace bool
+	// comparePacesAt is when the paces of the hosts are compared again.
+	comparePacesAt time.Time
 }
 
 func (v *View) init() {
@@ -199,10 +203,11 @@
 	}
 }
 
-// Tick drops the hosts whose lapsed entries have not come back in time, and keeps the versions
-// of the hosts that have gone. It is called after each change.
+// Tick drops the hosts whose lapsed entries have not come back in time, keeps the versions
+// of the hosts that have gone, and compares the hosts' paces. It is called after each change.
 func (v *View) Tick(now time.Time) {
 	v.keepDepartures(now)
+	v.comparePaces(now)
 	for id, until := range v.lapsed {
 		if !now.Before(until) {
 			v.drop(now, id)
@@ -228,6 +233,7 @@
 	if r.Limit.Limited && h.noteLimit(r.Taken, r.Taken, r.Limit) {
 		v.changes++
 	}
+	h.noteReading(r.Taken, h.Report.Reading > 0)
 	h.Report = r
 }
 
--- a/core/manage.go
+++ b/core/manage.go
@@ -64,6 +64,27 @@
 	// PrefillTokens is the number of prompt tokens of the requests in the prefill
 	// phase, which have no first token yet.
 	PrefillTokens int64
+	// Streams are the requests in the batch that have their first token; nil if the upstream
+	// does not list them.
+	Streams []UpstreamStream
+}
+
+// UpstreamStream is a request in an engine's batch that has its first token.
+type UpstreamStream struct {
+	ID RequestID
+	// Tokens is the number of tokens that it holds in the engine's memory, and Events the
+	// number of events made.
+	Tokens, Events int64
+}
+
+// Pace is the speed at which an engine advances each of its streams, as measured beside it.
+// The zero Pace is unknown.
+type Pace struct {
+	// Event is the time between two events of a stream while the engine reads no prompts, and
+	// ReadingEvent the time while it reads prompts without a break; zero if not measured.
+	Event, ReadingEvent time.Duration
+	// EventTokens is the number of tokens in an event, zero if not measured.
+	EventTokens int
 }
 
 // Restarted reports whether later is a report of another incarnation than s. An
--- a/core/proto.go
+++ b/core/proto.go
@@ -27,6 +27,9 @@
 	// tokens to generate. TokensSent is set if the caller sent both.
 	Prompt, Answer int
 	TokensSent     bool
+	// Expected is the caller's estimate of the number of tokens that will be generated, zero
+	// if there is none. It may be far off.
+	Expected int
 	// Key is the digest of the caller's key. It is valid only if KeyRefusal, the
 	// refusal of a request without a readable key, is nil.
 	Key        KeyDigest
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -8,6 +8,7 @@
 
 	"radishwell/core"
 	"radishwell/core/fleet"
+	"radishwell/core/pace"
 	"radishwell/io/events"
 	"radishwell/io/meter"
 	"radishwell/wire"
@@ -18,8 +19,12 @@
 	// upstream's report, which cost nothing on the upstream's own host. The second
 	// applies while an order is in progress or after a failed read, so that waiting
 	// requests learn of a finished load, or of a crash, within 50 ms.
-	idlePollInterval = 150 * time.Millisecond
-	busyPollInterval = 40 * time.Millisecond
+	//
+	// readingPollInterval applies while the upstream reads prompts beside streams: what these
+	// do in that time is its pace, and most prompts are read in less than a tenth of a second.
+	idlePollInterval    = 150 * time.Millisecond
+	readingPollInterval = 60 * time.Millisecond
+	busyPollInterval    = 40 * time.Millisecond
 	// remotePollFactor multiplies the poll intervals if the upstream is on another
 	// host.
 	remotePollFactor = 3
@@ -101,6 +106,8 @@
 	plannerControl string
 	goal           *goal
 	loading        loading
+	// pace measures the upstream's current incarnation.
+	pace pace.Meter
 	// notifiedQueue is the length of the upstream's queue that entries were last
 	// notified of.
 	notifiedQueue int
@@ -196,6 +203,9 @@
 	if d.goal != nil || d.loading.model != "" || d.state.Busy || d.failures > 0 && !d.lost {
 		return busy
 	}
+	if d.state.PrefillTokens > 0 && len(d.state.Streams) > 0 && !d.Remote {
+		return readingPollInterval
+	}
 	return idle
 }
 
@@ -246,6 +256,7 @@
 	if s.ID != "" {
 		d.incarnations.NoteReported(fleet.Incarnation{ID: s.ID, Born: s.Born})
 	}
+	d.pace.Observe(at, s.Streams, s.PrefillTokens > 0)
 	d.checkLoad(s, at)
 	if q := queueLength(s); q != d.notifiedQueue {
 		// Entries should learn of this at once: while the upstream reads a long prompt,
@@ -271,7 +282,7 @@
 // empty, so the goal and the load in progress are dropped. The caller holds mu.
 func (d *Driver) endIncarnation(now time.Time) {
 	d.incarnations.End(now)
-	d.goal, d.loading = nil, loading{}
+	d.goal, d.loading, d.pace = nil, loading{}, pace.Meter{}
 	d.notify()
 }
 
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -9,6 +9,7 @@
 	"radishwell/core/fleet"
 	"radishwell/io/events"
 	"radishwell/io/loop"
+	"radishwell/io/peer"
 	"radishwell/wire"
 )
 
@@ -136,6 +137,7 @@
 		InMemory: core.Strings(s.InMemory), OnDisk: core.Strings(s.OnDisk), Waiting: uint32(s.Waiting), Running: uint32(s.Running),
 		Reading: s.PrefillTokens, Age: int64(now.Sub(d.reportedAt)), Reachable: !d.lost && !d.reportedAt.IsZero(), Lost: d.lost,
 		Ended:   core.Strings(d.incarnations.Ended(now)),
+		Pace:    peer.EncodePace(d.pace.Pace()),
 		Loading: string(d.loading.model), Born: s.Born, Limited: s.Limit.Limited, Rate: s.Limit.Rate,
 	}
 	if d.loading.model != "" {
--- a/io/feed/encode.go
+++ b/io/feed/encode.go
@@ -9,6 +9,7 @@
 	"radishwell/core/digest"
 	"radishwell/core/fleet"
 	"radishwell/io/events"
+	"radishwell/io/peer"
 	"radishwell/wire"
 )
 
@@ -33,6 +34,7 @@
 			Leaving: r.GetLeaving(), Busy: r.GetBusy(), Limit: core.RateLimit{Limited: r.GetLimited(), Rate: r.GetRate()},
 			InMemory: core.Names[core.ModelName](r.GetInMemory()), OnDisk: core.Names[core.ModelName](r.GetOnDisk()),
 			Waiting: int(r.GetWaiting()), Running: int(r.GetRunning()), Reading: int(r.GetReading()),
+			Pace:    peer.DecodePace(r.GetPace()),
 			Loading: core.ModelName(r.GetLoading()), Active: make(map[core.ModelName]int, len(r.GetModels())),
 		},
 	}
@@ -57,7 +59,7 @@
 	r := h.Report
 	out := &wire.UpstreamReport{
 		Instance: string(r.ID), Busy: r.Busy, Leaving: r.Leaving, Reachable: r.Reachable, Lost: h.Unreachable,
-		Limited: r.Limit.Limited, Rate: r.Limit.Rate,
+		Limited: r.Limit.Limited, Rate: r.Limit.Rate, Pace: peer.EncodePace(r.Pace),
 		Ended: core.Strings(h.Ended), Born: h.Born, Loading: string(r.Loading),
 	}
 	if r.Loading != "" {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -75,13 +75,15 @@
 	lastErr  error
 	lastHost core.HostName
 	// chosen is the host chosen last; reportAge is the age of its agent's report, -1 if
-	// there is none; cost and expectedWait are the estimates for the request there; and
-	// signals is what the host had stated about itself when the request was sent.
-	chosen       core.HostName
-	reportAge    time.Duration
-	cost         float64
-	expectedWait time.Duration
-	signals      signals
+	// there is none; cost and expectedWait are the estimates for the request there, and heldUp
+	// and pauseChance those of pauses that are too long (see fleet.Choice); and signals is what
+	// the host had stated about itself when the request was sent.
+	chosen              core.HostName
+	reportAge           time.Duration
+	cost                float64
+	expectedWait        time.Duration
+	heldUp, pauseChance float64
+	signals             signals
 	// tableVersion is the version of the routing table in force, and waitTime the time
 	// spent waiting for a host.
 	tableVersion int64
@@ -187,7 +189,11 @@
 	c.query = fleet.Query{Service: c.service.Name, DataCentre: p.DataCentre}
 	if c.service.HasModels() {
 		c.query.Model, c.query.Adapter = c.ask.Model, c.ask.Adapter
-		c.query.Parts, c.query.Tokens = c.ask.Parts, c.ask.Prompt
+		c.query.Parts, c.query.Tokens, c.query.Answer = c.ask.Parts, c.ask.Prompt, c.ask.Answer
+		if c.ask.Expected > 0 {
+			c.query.Answer = min(c.ask.Expected, c.ask.Answer)
+		}
+		c.query.Target, c.query.Pause = c.route.Target, c.route.Pause
 		c.shared = parts.Shared(c.service.Name, c.ask.Parts)
 	}
 	c.lastEventID = c.ask.LastEventID
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"strings"
 	"time"
 
@@ -69,6 +70,9 @@
 		pairs = append(pairs, "host", c.chosen, "report-age", c.reportAge.Round(time.Millisecond), "cost", int(c.cost),
 			"foreseen", c.expectedWait.Round(time.Millisecond), "event-id", c.lastEventID)
 	}
+	if c.heldUp > 0 || c.pauseChance > 0 {
+		pairs = append(pairs, "held-up", round(c.heldUp), "pause-chance", round(c.pauseChance))
+	}
 	if c.software != "" {
 		pairs = append(pairs, "software", c.software)
 	}
@@ -100,6 +104,9 @@
 	}
 }
 
+// round rounds a number for the log.
+func round(x float64) float64 { return math.Round(x*100) / 100 }
+
 // sharedParts returns the IDs of the parts of a prompt that other requests may share, separated
 // by commas.
 func sharedParts(parts []core.PromptPart) string {
