Hold requests at the entry until a host has room beside more urgent ones

Cause: the threshold of a refusal was the route's own target, the shortest for urgent requests, and a patient one was sent as soon as it could still be in time. Engines read prompts in the order in which they come, so that the urgent one found the patient prompts ahead of it. All that waited at an entry looked for a host at each change, in no order.

Change: core/queue, strict by rank and fair by customer and session, now orders what waits at an entry on a managed platform. core/turn decides: a request goes ahead only as far as leaves room for more urgent ones that come for the same service, waits while it can still be in time, and starts when it can wait no longer; one that is late already waits until the host has hardly any other work; one whose caller leaves before is refused at once. A prompt that would hold up streams which go on soon waits likewise. Times to return are spread in the order of the refusals.

Settings managed.hold-for-room and managed.engine-pace switch each part off at once, by SIGHUP. TestMetricsAreExported of the product's own stack passes over the metrics that only a managed platform sets, as it did for others; io/meter checks them.

--- a/core/fleet/pace.go
+++ b/core/fleet/pace.go
@@ -140,13 +140,20 @@
 	}
 }
 
-// pauses returns the expected number of running streams that the request's prompt holds up for
-// longer than callers accept, and the chance that its own answer pauses for longer.
-func (v *View) pauses(now time.Time, h *Host, q *Query) (heldUp, own float64) {
+// pauses are the pauses that sending a request to a host should cause, as in Choice.
+type pauses struct{ heldUp, avoidable, own float64 }
+
+// pauses returns the pauses that sending a request to a host should cause.
+func (v *View) pauses(now time.Time, h *Host, q *Query) pauses {
 	if q.Model == "" || q.Pause == 0 || !h.Fresh(now) || h.pace == (core.Pace{}) {
-		return 0, 0
+		return pauses{}
 	}
 	e := h.engine(v.prefillTime())
 	r := room.Request{Prompt: h.uncachedTokens(now, q), Answer: q.Answer, Pause: q.Pause}
-	return e.HeldUp(r), e.PauseChance(r)
+	out := pauses{heldUp: e.HeldUp(r), own: e.PauseChance(r)}
+	if out.heldUp > 0 {
+		e.Ahead = 0
+		out.avoidable = max(0, out.heldUp-e.HeldUp(r))
+	}
+	return out
 }
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -97,6 +97,10 @@
 	Cost float64
 	// Wait is the time until the host should give its first answer.
 	Wait time.Duration
+	// Own is the part of Wait in which the host processes the request's own prompt.
+	Own time.Duration
+	// Hosts is the number of hosts that take the request, now or later.
+	Hosts int
 	// RetryAt is when the first of the hosts takes requests again, zero if some host takes
 	// them now or none holds the model.
 	RetryAt time.Time
@@ -112,8 +116,9 @@
 	RateLimitDelay time.Duration
 	// HeldUp is the expected number of streams of the host that the prompt holds up for longer
 	// than callers accept, and PauseChance the chance that the request's own answer pauses for
-	// longer.
-	HeldUp, PauseChance float64
+	// longer. Avoidable is the part of HeldUp that would not be if the prompt came once the host
+	// has read those before it.
+	HeldUp, Avoidable, PauseChance float64
 }
 
 // minWait is the wait that is allowed even if the target is shorter.
@@ -173,6 +178,7 @@
 			fetch = q.Adapter != "" && !slices.Contains(held.Adapters, q.Adapter)
 		}
 		best.Discontinued = false
+		best.Hosts++
 		if until, ok := h.BackingOff(now); ok {
 			if retryAt.IsZero() || until.Before(retryAt) {
 				retryAt = until
@@ -184,12 +190,13 @@
 			continue
 		}
 		wait := h.wait(now, q, fetch, v.prefillTime())
-		heldUp, pauses := v.pauses(now, h, q)
-		cost := wait + h.cost(now, q) + (heldUp+pauses)*lateCost(q)
+		p := v.pauses(now, h, q)
+		cost := wait + h.cost(now, q) + (p.heldUp+p.own)*lateCost(q)
 		if best.Host == nil || cost < best.Cost || cost == best.Cost && h.ID < best.Host.ID {
 			best.Host, best.Fetch, best.Cost = h, fetch, cost
 			best.Wait, best.RateLimitDelay = time.Duration(wait*float64(time.Millisecond)), h.reservationDelay(now)
-			best.HeldUp, best.PauseChance = heldUp, pauses
+			best.HeldUp, best.Avoidable, best.PauseChance = p.heldUp, p.avoidable, p.own
+			best.Own = h.readingTime(now, q)
 		}
 	}
 	if !takes {
@@ -230,6 +237,14 @@
 	return before + float64(h.uncachedTokens(now, q))/h.rate()
 }
 
+// readingTime returns the time in which the host should process the request's own prompt.
+func (h *Host) readingTime(now time.Time, q *Query) time.Duration {
+	if q.Model == "" {
+		return 0
+	}
+	return time.Duration(float64(h.uncachedTokens(now, q)) / h.rate() * float64(time.Millisecond))
+}
+
 // backlog returns the time, in milliseconds, for the prefill of what the host reported and
 // what was sent since. An entry knows only its own requests; if several entries send to the
 // same host, these alone would underestimate its queue.
@@ -326,6 +341,11 @@
 	return v.meanPrefill
 }
 
+// PrefillTime returns the average time in which an engine processes a prompt.
+func (v *View) PrefillTime() time.Duration {
+	return time.Duration(v.prefillTime() * float64(time.Millisecond))
+}
+
 // NotePrompt adds the prompt tokens that an engine has to prefill for a request to the
 // average.
 func (v *View) NotePrompt(tokens int) {
--- a/core/queue/rest.go
+++ b/core/queue/rest.go
@@ -120,6 +120,15 @@
 // Len returns the number of waiting items.
 func (q *Queue) Len() int { return q.items }
 
+// LaneLen returns the number of items that wait in a lane.
+func (q *Queue) LaneLen(name string) int {
+	l, ok := q.lanes[name]
+	if !ok {
+		return 0
+	}
+	return l.load().items
+}
+
 // Waiting returns the number of waiting items of a class.
 func (q *Queue) Waiting(c core.Class) int {
 	if q.lanes == nil || c >= levels {
--- a/core/turn/decide.go
+++ b/core/turn/decide.go
@@ -13,6 +13,8 @@
 	idleShare = 0.125
 	// minLimit is the least limit. Shorter waits cannot be foreseen.
 	minLimit = 200 * time.Millisecond
+	// maxHeldUp is the number of streams held up from which a request waits if it can.
+	maxHeldUp = 0.5
 	// minTarget is the wait that is in time even if the target is shorter.
 	minTarget = 500 * time.Millisecond
 )
@@ -29,6 +31,9 @@
 	// Wait is the time until the host should give its first answer, and Own the part of it that
 	// the host spends on this request.
 	Wait, Own time.Duration
+	// HeldUp is the expected number of streams that would pause for too long if the request is
+	// sent now, and not if it is sent once the host has read the prompts before it.
+	HeldUp float64
 }
 
 // Verdict is what becomes of a request.
@@ -62,6 +67,9 @@
 
 // hasRoom reports whether the host has room for the request within a limit.
 func (r *Request) hasRoom(limit time.Duration) bool {
+	if r.HeldUp >= maxHeldUp {
+		return false
+	}
 	return r.Wait <= limit || r.Wait-r.Own <= time.Duration(idleShare*float64(limit))
 }
 
--- a/core/turn/turn_test.go
+++ b/core/turn/turn_test.go
@@ -44,6 +44,15 @@
 			}
 		})
 	}
+	t.Run("it would hold up streams that go on soon", func(t *testing.T) {
+		r := patient
+		r.Wait, r.Own, r.HeldUp = 200*ms, 100*ms, 3
+		v, by := r.Decide(t0)
+		assert.Equal(t, v, turn.Hold)
+		assert.Equal(t, by.Sub(t0), 1800*ms)
+		v, _ = r.Decide(by)
+		assert.Equal(t, v, turn.Start, "it cannot wait for longer")
+	})
 	t.Run("a route without a target starts", func(t *testing.T) {
 		r := turn.Request{Arrived: t0, Leaves: t0.Add(time.Second), Wait: time.Hour}
 		v, _ := r.Decide(t0)
--- a/io/config/settings.go
+++ b/io/config/settings.go
@@ -39,6 +39,10 @@
 	Upstream   netip.AddrPort `yaml:"upstream" doc:"Address of the upstream beside the agent. Agent only."`
 	Cores      int            `yaml:"cores" default:"1" min:"1" max:"1024" doc:"Number of processors that the process may use."`
 	Share      float64        `yaml:"share" default:"1" min:"0.001" max:"1" doc:"Fraction of each of these processors that the process may use. Entries with a larger share are preferred for tasks that one entry does for others."`
+	// EnginePace is set if entries choose hosts by the measured paces of engines, and
+	// HoldForRoom if requests wait at entries until hosts have room beside more urgent ones.
+	EnginePace  bool `yaml:"engine-pace" default:"true" doc:"Whether entries choose hosts by the paces of engines that agents measure: prompts are kept away from hosts at which streams would pause for longer than callers accept. Read again on SIGHUP. Entry only."`
+	HoldForRoom bool `yaml:"hold-for-room" default:"true" doc:"Whether requests wait at the entry, in the order of their urgency and fair by customer, until a host has room for them beside more urgent ones. Otherwise they are sent or refused on arrival. Read again on SIGHUP. Entry only."`
 	// DirectAgents is the number of agents up to which a fleet counts as small. An entry
 	// follows an agent if it polls the agent itself.
 	DirectAgents int           `yaml:"direct-agents" default:"64" min:"0" max:"100000" doc:"Number of agents up to which each entry follows all of them. In a larger fleet, one entry of each data centre follows the agents there and reports to the others. Entry only."`
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -11,6 +11,7 @@
 	"radishwell/core"
 	"radishwell/core/admit"
 	"radishwell/core/follow"
+	"radishwell/io/config"
 	"radishwell/io/feed"
 	"radishwell/io/httpd"
 	"radishwell/io/loop"
@@ -73,9 +74,11 @@
 	e.proxy = &proxy.Proxy{
 		Self: s.Name, DataCentre: s.DataCentre, Clock: p.clock, Protocol: protocol, Adapters: e.links, Meter: p.meter,
 		RetryRatio: s.Managed.RetryRatio * retryRatioShare, RetrySpare: spareRetries(s.Managed.RetrySpare, 0), RetrySpan: s.Managed.RetrySpan,
-		RetrySpareFrom: p.clock.Now().Add(s.Managed.RetrySpan), TriesParts: e.triesParts,
+		RetrySpareFrom: p.clock.Now().Add(s.Managed.RetrySpan), TriesParts: e.triesParts, Entries: e.entryCount,
 	}
 	e.proxy.Start()
+	e.applySettings(s.Managed)
+	p.onReload = e.applySettings
 	e.planner = &planner{entry: e, parallel: s.Store.Parallel}
 	e.planner.start()
 	p.handler.Plan = e.planner.servePlan
@@ -110,6 +113,13 @@
 	}
 }
 
+// applySettings applies the settings that may change while the process runs. Requests that wait
+// keep their places.
+func (e *entry) applySettings(m config.Managed) {
+	e.proxy.UsePaces(m.EnginePace)
+	e.proxy.HoldForRoom(m.HoldForRoom)
+}
+
 // buildFeed sets up the membership and the exchange of reports and demand between entries.
 func (e *entry) buildFeed() {
 	s := e.Settings
--- a/io/deploy/process.go
+++ b/io/deploy/process.go
@@ -51,6 +51,8 @@
 	servers []*httpd.Server
 	// drain stops accepting work and waits for the work in progress, until ctx ends.
 	drain func(ctx context.Context)
+	// onReload, if set, applies the settings that may change while the process runs.
+	onReload func(config.Managed)
 }
 
 // Run serves until the context ends, then shuts down gracefully. It returns an error if the
@@ -162,9 +164,9 @@
 	}
 }
 
-// reload reloads the settings on SIGHUP. Only the log verbosity takes effect; addresses and
-// the like are fixed at the start of a process. An invalid file is logged and changes
-// nothing.
+// reload reloads the settings on SIGHUP. The log verbosity takes effect, and what onReload
+// applies; addresses and the like are fixed at the start of a process. An invalid file is logged
+// and changes nothing.
 func (p *Process) reload(ctx context.Context) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
@@ -183,6 +185,9 @@
 		if err := events.SetVerbosity(settings.Telemetry.Verbosity); err != nil {
 			events.Fail(events.SettingsInvalid, err, "file", p.File)
 		}
+		if p.onReload != nil {
+			p.onReload(settings.Managed)
+		}
 		events.Log(events.SettingsRead, "file", p.File)
 	}
 }
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -171,6 +171,13 @@
 	d.entries = map[string]*entryState{}
 	d.lastUsed = map[string]time.Time{}
 	d.sizes = map[core.ModelName]*wire.ModelSize{}
+	if !d.Remote {
+		d.Meter.EnginePace(func() core.Pace {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return d.pace.Pace()
+		})
+	}
 }
 
 // Run reads the upstream's reports and carries out goals until ctx ends. It returns
--- a/io/meter/gauge.go
+++ b/io/meter/gauge.go
@@ -48,6 +48,17 @@
 	m.gauge(nameEntries, func() float64 { return float64(read()) }, "state", state)
 }
 
+// Waiting registers the gauge of requests that wait for a host at an entry on a managed platform.
+func (m *Meter) Waiting(read func() int) {
+	m.gauge(nameWaiting, func() float64 { return float64(read()) })
+}
+
+// EnginePace registers the gauges of the time between two events of a stream.
+func (m *Meter) EnginePace(read func() core.Pace) {
+	m.gauge(nameEnginePace, func() float64 { return read().Event.Seconds() }, "while", "quiet")
+	m.gauge(nameEnginePace, func() float64 { return read().ReadingEvent.Seconds() }, "while", "reading")
+}
+
 // LimitedUpstreams registers the gauge of upstreams that have announced a rate limit.
 func (m *Meter) LimitedUpstreams(read func() int) {
 	m.gauge(nameLimitedUpstreams, func() float64 { return float64(read()) })
--- a/io/meter/labels.go
+++ b/io/meter/labels.go
@@ -57,6 +57,27 @@
 // String returns the cause's name.
 func (c UnloadCause) String() string { return nameOf(unloadCauseNames[:], int(c)) }
 
+// TurnOutcome is how a request at an entry on a managed platform came to its turn.
+type TurnOutcome int
+
+// Outcomes of waiting for a turn.
+const (
+	// TurnAtOnce: it was sent on arrival, or refused for another reason than a lack of room.
+	TurnAtOnce TurnOutcome = iota
+	// TurnAfterLoad: it waited for a copy of its model.
+	TurnAfterLoad
+	// TurnHeld: it waited for room at a host.
+	TurnHeld
+	// TurnRefused: there would not have been room in time.
+	TurnRefused
+	turnOutcomeCount
+)
+
+var turnOutcomeNames = [turnOutcomeCount]string{"at-once", "after-load", "held", "refused"}
+
+// String returns the outcome's name.
+func (o TurnOutcome) String() string { return nameOf(turnOutcomeNames[:], int(o)) }
+
 // UpstreamSignal is a state that an upstream announces in its answers.
 type UpstreamSignal int
 
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -91,6 +91,30 @@
 	m.count(nameRetries, "result", label).Inc()
 }
 
+// Turn counts a request by how it came to its turn at an entry, and the time that it was held
+// for room at a host, if it was.
+func (m *Meter) Turn(o TurnOutcome, held time.Duration) {
+	if m == nil {
+		return
+	}
+	m.count(nameTurns, "outcome", o.String()).Inc()
+	if held > 0 {
+		m.observe(nameHeld, shortBounds, time.Time{}, time.Time{}.Add(held))
+	}
+}
+
+// Foresight records by how much the first event of a stream came later than foreseen, or sooner.
+func (m *Meter) Foresight(foreseen, actual time.Duration) {
+	if m == nil {
+		return
+	}
+	direction := "later"
+	if actual < foreseen {
+		direction = "sooner"
+	}
+	m.observe(nameForesight, shortBounds, time.Time{}, time.Time{}.Add((actual - foreseen).Abs()), "direction", direction)
+}
+
 // SentDespiteSignal counts a request sent to an upstream that had announced a signal.
 func (m *Meter) SentDespiteSignal(s UpstreamSignal) {
 	if m != nil {
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -61,6 +61,10 @@
 	m.Retry(false)
 	m.SentDespiteSignal(meter.SignalLimited)
 	m.LimitedUpstreams(func() int { return 1 })
+	m.Waiting(func() int { return 4 })
+	m.Turn(meter.TurnHeld, 200*time.Millisecond)
+	m.Foresight(time.Second, 1200*time.Millisecond)
+	m.EnginePace(func() core.Pace { return core.Pace{Event: 30 * time.Millisecond, ReadingEvent: time.Second} })
 	m.RefusedParts(func() int { return 1 })
 	m.ConnectionRefused("busy")
 	m.ReplicaLag(core.KindTable, func() time.Duration { return 2 * time.Second })
@@ -105,6 +109,11 @@
 		`radishwell_queue_length{class="overnight"} 3`,
 		`radishwell_accelerator_memory_bytes{state="free"} 1073741824`,
 		`radishwell_decider 1`,
+		`radishwell_turns_total{outcome="held"} 1`,
+		`radishwell_held_seconds_sum 0.2`,
+		`radishwell_waiting_requests 4`,
+		`radishwell_foresight_error_seconds_sum{direction="later"} 0.2`,
+		`radishwell_engine_event_seconds{while="reading"} 1`,
 	} {
 		assert.Assert(t, strings.Contains(got, line+"\n"), "%s is not in\n%s", line, got)
 	}
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -57,6 +57,11 @@
 	nameLimitedUpstreams = "radishwell_limited_upstreams"
 	nameRefusedConns     = "radishwell_refused_connections_total"
 	nameRefusedParts     = "radishwell_refused_parts"
+	nameTurns            = "radishwell_turns_total"
+	nameHeld             = "radishwell_held_seconds"
+	nameWaiting          = "radishwell_waiting_requests"
+	nameForesight        = "radishwell_foresight_error_seconds"
+	nameEnginePace       = "radishwell_engine_event_seconds"
 	nameReplicaLag       = "radishwell_replica_lag_seconds"
 	nameReplicaAge       = "radishwell_replica_age_seconds"
 )
@@ -93,6 +98,11 @@
 	{nameLimitedUpstreams, Gauge, nil, "", "Upstreams that have announced a rate limit, as far as this process knows."},
 	{nameRefusedConns, Counter, []string{"reason"}, "", "Callers' connections that were closed before their request was read."},
 	{nameRefusedParts, Gauge, nil, "", "Parts of prompts with which requests are refused, since they have crashed upstreams."},
+	{nameTurns, Counter, []string{"outcome"}, "", "Requests at an entry on a managed platform, by how they came to their turn: at-once, after-load (a model was loaded first), held (for room at a host) or refused (for lack of room)."},
+	{nameHeld, Histogram, nil, "seconds", "Time for which requests were held at an entry until a host had room beside more urgent ones."},
+	{nameWaiting, Gauge, nil, "", "Requests that wait for a host at an entry on a managed platform."},
+	{nameForesight, Histogram, []string{"direction"}, "seconds", "Difference between the foreseen and the actual time from sending a request to the first event of its stream, by whether that came sooner or later."},
+	{nameEnginePace, Gauge, []string{"while"}, "seconds", "Time between two events of a stream, as the agent measures it while the engine reads prompts or is quiet; zero while unknown."},
 	{nameReplicaLag, Gauge, []string{"kind"}, "seconds", "Time for which the replica of a kind has lacked the oldest missing change that another process reported; zero if it lacks none."},
 	{nameReplicaAge, Gauge, []string{"kind"}, "seconds", "Time since the platform last confirmed that the replica of a kind is complete; negative if there was no confirmation."},
 }
--- a/io/node/fleet_test.go
+++ b/io/node/fleet_test.go
@@ -316,6 +316,9 @@
 		// Set on a managed platform only; the tests of limits, of versions and of parts in io/deploy check them.
 		"radishwell_upstream_signal_sends_total": true, "radishwell_limited_upstreams": true, "radishwell_streams_continued_total": true,
 		"radishwell_refused_parts": true, "radishwell_refused_connections_total": true,
+		// Set on a managed platform only; io/meter checks them.
+		"radishwell_turns_total": true, "radishwell_held_seconds": true, "radishwell_waiting_requests": true,
+		"radishwell_foresight_error_seconds": true, "radishwell_engine_event_seconds": true,
 		// Sampled once a second; the request is shorter.
 		"radishwell_accelerator_busy_seconds_total": true,
 	}
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -11,6 +11,7 @@
 
 	"radishwell/core"
 	"radishwell/core/fleet"
+	"radishwell/core/queue"
 	"radishwell/core/rtable"
 	"radishwell/io/reply"
 )
@@ -48,7 +49,7 @@
 	ctx, done := c.proxy.watch(ctx, c, t)
 	defer done()
 	c.lastHost = t.id
-	sentAt := c.recordSend(t)
+	c.sentAt = c.recordSend(t)
 	resp, sent, err := c.proxy.upstreams.send(ctx, c, t, c.lastEventID)
 	if sent {
 		c.sends++
@@ -66,7 +67,7 @@
 	defer resp.Body.Close()
 	c.framing, c.partialEvent = reply.Framing(resp), 0
 	head := c.proxy.Protocol.ParseAnswer(resp.Header, resp.StatusCode, c.proxy.Clock.Now())
-	c.applySignals(t, head, sentAt)
+	c.applySignals(t, head, c.sentAt)
 	if head.ID == c.ask.ID && (head.NotRun || resp.StatusCode == http.StatusMisdirectedRequest) {
 		c.recordEnd(t, func(h *fleet.Host, now time.Time) { c.recordRejection(h, now, resp.StatusCode) })
 		return outcome{sent: true, rejected: true, cause: &RejectedError{Status: resp.StatusCode}}
@@ -217,6 +218,7 @@
 
 // recordEnd records that an attempt has ended, and calls note to record its result.
 func (c *call) recordEnd(t *target, note func(*fleet.Host, time.Time)) {
+	c.endTurn(queue.Failed)
 	c.proxy.Update(func(_ *fleet.View, now time.Time) {
 		if t.startedAt.IsZero() {
 			t.host.NoteAnswerStart(t.prefillTokens)
@@ -264,6 +266,7 @@
 		return err
 	}
 	c.started = true
+	c.endTurn(queue.Served)
 	c.recordEvent()
 	c.writeHead(resp.StatusCode, c.proxy.Protocol.ReplyHeader(resp.Header), c.framing, length)
 	if _, err := c.writer.Write(body); err != nil {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -13,6 +13,7 @@
 	"radishwell/core/fleet"
 	"radishwell/core/parts"
 	"radishwell/core/rtable"
+	"radishwell/core/turn"
 	"radishwell/io/accept"
 	"radishwell/io/httpd"
 )
@@ -88,6 +89,23 @@
 	// spent waiting for a host.
 	tableVersion int64
 	waitTime     time.Duration
+	// waits is the reason for which the request waits since waitsSince, and heldTime is the time
+	// that it has waited for room at hosts. place is the number of requests that waited for the
+	// same resource when it came, and turnID its item in the queue while it has its turn.
+	waits      waitReason
+	waitsSince time.Time
+	heldTime   time.Duration
+	place      int
+	turnID     core.RequestID
+	// triesAgainAt is when the request may go to hosts once more that it was sent to, zero unless
+	// it waits after all of them were tried.
+	triesAgainAt time.Time
+	// verdict is the last decision on the request's turn, urgent the target of more urgent
+	// requests that it allowed for, and own the time in which the host should process the prompt.
+	verdict     turn.Verdict
+	urgent, own time.Duration
+	// sentAt is when the request was last sent to a host.
+	sentAt time.Time
 	// pacingTime is the time spent waiting for reservations at hosts that name a rate
 	// limit.
 	pacingTime time.Duration
@@ -263,6 +281,10 @@
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	p.window(c.service.Name).RecordFirst(now)
+	if p.ranks[c.service.Name] == nil {
+		p.ranks[c.service.Name] = &turn.Ranks{}
+	}
+	p.ranks[c.service.Name].Note(now, c.rank, c.route.Target)
 	if c.query.Model != "" {
 		p.demand.NoteRequest(now, c.query.Model, c.route.Target, &c.ask, c.service)
 	}
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -7,12 +7,14 @@
 
 	"radishwell/core"
 	"radishwell/core/rtable"
+	"radishwell/core/turn"
 	"radishwell/io/events"
 )
 
 // log writes the log line with the result of the request and its reasons.
 func (c *call) log(r *core.Refusal) {
 	now := c.proxy.Clock.Now()
+	c.recordTurn(r)
 	c.proxy.Meter.Request(core.Interactive, r, c.arrived, c.firstEvent, now, c.waitTime > 0)
 	pairs := []any{
 		"request", c.ask.ID, "took", now.Sub(c.arrived).Round(time.Millisecond), "table", c.tableVersion, "sends", c.sends, "ran", c.ran,
@@ -45,6 +47,10 @@
 	if c.waitTime > 0 {
 		pairs = append(pairs, "waited", c.waitTime.Round(time.Millisecond))
 	}
+	if c.heldTime > 0 || c.verdict == turn.Refuse {
+		pairs = append(pairs, "held", c.heldTime.Round(time.Millisecond), "place", c.place, "verdict", c.verdict, "urgent-target", c.urgent,
+			"own", c.own.Round(time.Millisecond))
+	}
 	if c.pacingTime > 0 {
 		pairs = append(pairs, "paced", c.pacingTime.Round(time.Millisecond))
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -55,6 +55,8 @@
 	// TableAge, if set, returns the time since the platform last confirmed that there was no
 	// newer routing table; negative if it never did.
 	TableAge func() time.Duration
+	// Entries, if set, returns the number of entries.
+	Entries func() int
 	// RetryRatio, RetrySpare and RetrySpan are this process's share of the platform's
 	// retry budget for each service.
 	RetryRatio, RetrySpare float64
@@ -78,10 +80,7 @@
 	// origins has the records of where streams began: those of this entry and those that it
 	// holds for others.
 	origins origin.Table
-	// changed is closed and replaced at each change that may matter to waiting
-	// requests.
-	changed     chan struct{}
-	seenChanges uint64
+	waitingRoom
 	// loaderSeen is when an agent or entry that can order loads of models was last
 	// known.
 	loaderSeen time.Time
@@ -99,13 +98,13 @@
 
 // Start initialises the proxy. It is called once, before any other method.
 func (p *Proxy) Start() {
-	p.changed = make(chan struct{})
 	p.waiting = make(chan struct{}, 1)
 	p.streams = map[*watchedStream]bool{}
 	p.unknownFields = map[string]bool{}
 	p.loaderSeen = p.Clock.Now()
 	p.retries = map[core.ServiceName]*retry.Window{}
 	p.upstreams.start()
+	p.startWaitingRoom()
 	p.origins = origin.Table{MaxRecords: maxOrigins}
 	p.book = strike.Book{Self: p.Self, MaxRecords: maxStrikes}
 	p.parts = parts.Table{MaxRecords: maxParts, MaxServed: maxServedParts, TriesAgain: p.TriesParts}
@@ -151,10 +150,7 @@
 	change(&p.view, now)
 	p.view.Tick(now)
 	struck = p.strikeCrashed(now)
-	if struck || p.view.Changes() != p.seenChanges {
-		p.seenChanges = p.view.Changes()
-		p.wake()
-	}
+	p.wake() // reports and ends of requests make room
 	return struck
 }
 
@@ -165,12 +161,6 @@
 	return p.view.Limited(p.Clock.Now())
 }
 
-// wake makes waiting requests look for a host again. The caller holds mu.
-func (p *Proxy) wake() {
-	close(p.changed)
-	p.changed = make(chan struct{})
-}
-
 // SetForecasts replaces the forecasts: the times at which models that requests wait for
 // should be loaded.
 func (p *Proxy) SetForecasts(ready map[core.ModelName]time.Time) {
@@ -236,19 +226,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.drainAt = at
-	p.wake()
-}
-
-// waitUntil returns the time until which a request with a deadline may wait. stopping is
-// set if the process stops before that time.
-func (p *Proxy) waitUntil(deadline time.Time) (at time.Time, stopping bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	at = deadline.Add(-refusalMargin)
-	if !p.drainAt.IsZero() && p.drainAt.Before(at) {
-		return p.drainAt, true
+	for _, w := range p.waiters {
+		w.leaves = core.Earlier(w.leaves, at)
 	}
-	return at, false
+	p.wake()
 }
 
 // Kick wakes the receiver of Waiting.
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -89,6 +89,7 @@
 		RetryRatio: 0.2, RetrySpare: 10, RetrySpan: 10 * time.Second,
 	}
 	r.Start()
+	runProxy(t, r.Proxy)
 	srv := httptest.NewServer(r.Proxy)
 	t.Cleanup(srv.Close)
 	r.url = srv.URL
@@ -96,6 +97,18 @@
 	return r
 }
 
+// runProxy runs a proxy until the end of the test.
+func runProxy(t *testing.T, p *proxy.Proxy) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		assert.NilError(t, <-ended)
+	})
+}
+
 // add starts a fake upstream and registers it.
 func (r *rig) add(t *testing.T, service core.ServiceName, w *stand.Worker) *stand.Worker {
 	t.Helper()
--- a/io/proxy/silent.go
+++ b/io/proxy/silent.go
@@ -89,11 +89,18 @@
 // that begins now.
 func (c *call) mayMove() bool { return c.route.Repeats() && c.ran+1 < c.route.MaxHosts }
 
-// Run moves streams away from silent hosts until the context ends.
+// Run gives waiting requests their turns and moves streams away from silent hosts, until the
+// context ends.
 func (p *Proxy) Run(ctx context.Context) error {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.takeTurns(ctx)
+	}()
 	for loop.Sleep(ctx, watchInterval) {
 		p.moveSilent()
 	}
+	<-ended
 	return nil
 }
 
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -12,6 +12,7 @@
 
 	"radishwell/core"
 	"radishwell/core/fleet"
+	"radishwell/core/queue"
 	"radishwell/core/stream"
 )
 
@@ -182,6 +183,8 @@
 	if t.startedAt.IsZero() {
 		t.startedAt = c.proxy.Clock.Now()
 		c.proxy.Update(func(_ *fleet.View, _ time.Time) { t.host.NoteAnswerStart(t.prefillTokens) })
+		c.endTurn(queue.Served)
+		c.proxy.Meter.Foresight(c.expectedWait, t.startedAt.Sub(c.sentAt))
 		c.recordContinuation(t)
 	}
 	if c.started {
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -7,6 +7,8 @@
 	"radishwell/core"
 	"radishwell/core/admit"
 	"radishwell/core/fleet"
+	"radishwell/core/queue"
+	"radishwell/core/turn"
 )
 
 const (
@@ -21,38 +23,19 @@
 	allLeavingRetry = time.Second
 )
 
-// acquire returns the host that the request is sent to next. It waits while no host can
-// take the request, and refuses as soon as it is known that none will in time.
+// acquire returns the host that the request is sent to next. It waits for the request's turn,
+// and refuses as soon as it is known that no host will take the request in time.
 func (c *call) acquire(ctx context.Context) (*target, *core.Refusal) {
-	waiting := false
-	began, fetched := c.proxy.Clock.Now(), c.fetchTime
-	defer func() {
-		if waiting {
-			c.addWaiting(-1)
-			c.waitTime += c.proxy.Clock.Now().Sub(began) - (c.fetchTime - fetched)
-		}
-	}()
 	for {
-		t, fetch, changed, refusal := c.choose()
+		t, fetch, refusal := c.awaitTurn(ctx)
 		if refusal != nil {
 			return nil, refusal
 		}
-		if t != nil {
-			if c.reserve(ctx, t) && c.ensureAdapter(ctx, t, fetch) && c.stillAvailable(t) {
-				return t, c.recharge(ctx, t)
-			}
-			if ctx.Err() != nil {
-				return nil, c.expired(ctx)
-			}
-			continue
-		}
-		if !waiting {
-			waiting = true
-			c.refund()
-			c.addWaiting(1)
+		if c.reserve(ctx, t) && c.ensureAdapter(ctx, t, fetch) && c.stillAvailable(t) {
+			return t, c.recharge(ctx, t)
 		}
-		if refusal := c.waitForChange(ctx, changed); refusal != nil {
-			return nil, refusal
+		if ctx.Err() != nil {
+			return nil, c.expired(ctx)
 		}
 	}
 }
@@ -94,37 +77,89 @@
 	return ok
 }
 
-// choose picks a host and records the request there. t is nil if no host can take the
-// request; changed is closed when that may have changed. fetch is set if the request's
-// adapter has to be loaded at the host first.
-func (c *call) choose() (t *target, fetch bool, changed chan struct{}, refusal *core.Refusal) {
+// waitReason is the reason for which a request waits.
+type waitReason uint8
+
+const (
+	notWaiting waitReason = iota
+	// forCopy: no host can take the request, such as while its model is loaded.
+	forCopy
+	// forRoom: hosts could take it, but more urgent requests would be late for it.
+	forRoom
+)
+
+// prospect is what becomes of a request as things stand.
+type prospect struct {
+	// refusal is set if the request is refused.
+	refusal *core.Refusal
+	// choice has the host that the request is sent to, if it neither waits nor is refused.
+	choice fleet.Choice
+	reason waitReason
+	// startBy is when a request that waits for room starts in any case; zero if it does not.
+	startBy time.Time
+}
+
+// look returns what becomes of the request now. The caller holds the proxy's mu.
+func (c *call) look(now time.Time) prospect {
 	p := c.proxy
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.Clock.Now()
 	if refusal := c.refuseQuarantined(now); refusal != nil {
-		return nil, false, nil, refusal
+		return prospect{refusal: refusal}
+	}
+	if !c.triesAgainAt.IsZero() && !now.Before(c.triesAgainAt) {
+		c.query.Tried, c.triesAgainAt = nil, time.Time{}
 	}
 	choice := p.view.Pick(now, &c.query)
 	if c.failure != nil && (choice.Host == nil || choice.RateLimitDelay > admit.MaxAhead) {
-		return nil, false, nil, c.lost() // the kept failure is written instead
-	}
-	if choice.Host == nil && choice.Discontinued {
-		return nil, false, p.changed, c.refuseDiscontinued(now, choice)
+		return prospect{refusal: c.lost()} // the kept failure is written instead
 	}
-	if choice.Host == nil {
-		return nil, false, p.changed, c.refuseLate(now, choice)
+	switch {
+	case choice.Host == nil && choice.Discontinued:
+		return prospect{refusal: c.refuseDiscontinued(now, choice), reason: forCopy}
+	case choice.Host == nil:
+		return prospect{refusal: c.refuseLate(now, choice), reason: forCopy}
 	}
 	c.recordChoice(now, choice)
 	if c.keepsWaiting(choice) {
-		return nil, false, p.changed, nil
+		return prospect{reason: forCopy}
+	}
+	return c.decideTurn(now, choice)
+}
+
+// decideTurn decides whether the request starts at the chosen host. A request that a host may
+// have run in part always does.
+func (c *call) decideTurn(now time.Time, choice fleet.Choice) prospect {
+	p := c.proxy
+	switch {
+	case c.started || c.ran > 0 || c.query.Model == "" && choice.RateLimitDelay == 0:
+		return prospect{choice: choice}
+	case p.sendsAtOnce || choice.RateLimitDelay > 0:
+		return prospect{choice: choice, refusal: c.refuseOverload(choice)}
 	}
-	if refusal := c.refuseOverload(choice); refusal != nil {
-		return nil, false, nil, refusal
+	r := turn.Request{
+		Arrived: c.arrived, Leaves: c.callerLeavesAt().Add(-refusalMargin), Target: c.route.Target,
+		Urgent: p.ranks[c.service.Name].Urgent(now, c.rank), Wait: choice.Wait, Own: choice.Own,
+		HeldUp: choice.Avoidable,
 	}
+	c.urgent, c.own = r.Urgent, r.Own
+	var startBy time.Time
+	c.verdict, startBy = r.Decide(now)
+	switch c.verdict {
+	case turn.Start:
+		return prospect{choice: choice}
+	case turn.Refuse:
+		return prospect{refusal: c.refuseFull(now, choice)}
+	}
+	return prospect{reason: forRoom, startBy: startBy}
+}
+
+// start records the request at the chosen host, or refuses it if it is sent once more and the
+// retry budget is used up. fetch is set if the request's adapter has to be loaded at the host
+// first. The caller holds the proxy's mu.
+func (c *call) start(now time.Time, choice fleet.Choice) (t *target, fetch bool, refusal *core.Refusal) {
+	p := c.proxy
 	if c.sends > 0 && !p.window(c.service.Name).Take(now) {
 		p.Meter.Retry(false)
-		return nil, false, nil, c.giveUp()
+		return nil, false, c.giveUp()
 	}
 	h := choice.Host
 	t = &target{
@@ -135,7 +170,7 @@
 	if c.query.Model != "" {
 		p.view.NotePrompt(t.prefillTokens)
 	}
-	return t, choice.Fetch, nil, nil
+	return t, choice.Fetch, nil
 }
 
 // recordChoice records, for the log, the figures behind a choice.
@@ -149,16 +184,21 @@
 	}
 }
 
-// refuseOverload refuses a request if its hosts have more work than they can do in
-// time. It never refuses a request that a host may have run in part.
+// refuseOverload refuses a request if its hosts have more work than they can do in time.
 func (c *call) refuseOverload(choice fleet.Choice) *core.Refusal {
-	if c.query.Model == "" && choice.RateLimitDelay == 0 || c.started || c.ran > 0 || !choice.Overloaded(c.route.Target) {
+	if !choice.Overloaded(c.route.Target) {
 		return nil
 	}
 	if choice.RateLimitDelay > 0 {
 		return core.RefuseUntil(core.CodeOverload, "the hosts take no more requests a second", c.retryAt(choice.Wait))
 	}
-	return core.RefuseUntil(core.CodeOverload, "the model's hosts have more work than they can do in time", c.retryAt(choice.Wait))
+	return c.refuseFull(c.proxy.Clock.Now(), choice)
+}
+
+// refuseFull refuses a request whose hosts have too much work.
+func (c *call) refuseFull(now time.Time, choice fleet.Choice) *core.Refusal {
+	at := c.spreadReturn(now, now.Add(choice.Wait), choice.Hosts)
+	return core.RefuseUntil(core.CodeOverload, "the model's hosts have more work than they can do in time", at)
 }
 
 // refuseLate refuses a request whose model will not be loaded before its caller leaves,
@@ -185,7 +225,7 @@
 	if c.ran > 0 {
 		return c.lost()
 	}
-	return core.RefuseUntil(core.CodeWaitTooLong, "no host takes the request before its deadline", c.retryAt(at.Sub(now)))
+	return core.RefuseUntil(core.CodeWaitTooLong, "no host takes the request before its deadline", c.spreadReturn(now, at, choice.Hosts))
 }
 
 // noLoader reports whether, for noLoaderTimeout, no agent was available that could order
@@ -208,31 +248,6 @@
 	return by
 }
 
-// waitForChange waits for a change that may let the request continue.
-func (c *call) waitForChange(ctx context.Context, changed chan struct{}) *core.Refusal {
-	pause := recheckInterval
-	if len(c.query.Tried) > 0 {
-		// All hosts that hold the model were tried. They may be tried again after a
-		// pause.
-		pause = retryPause
-	}
-	until, stopping := c.proxy.waitUntil(c.callerLeavesAt())
-	left := until.Sub(c.proxy.Clock.Now())
-	if left <= 0 {
-		return c.giveUpWaiting(stopping)
-	}
-	timer := time.NewTimer(min(pause, left))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return c.expired(ctx)
-	case <-changed:
-	case <-timer.C:
-		c.query.Tried = nil
-	}
-	return nil
-}
-
 // giveUpWaiting returns the refusal of a request that may wait no longer. If this entry is
 // stopping, the caller is to retry at once, at another entry.
 func (c *call) giveUpWaiting(stopping bool) *core.Refusal {
@@ -245,26 +260,10 @@
 	return core.Refuse(core.CodeWaitTooLong, "no upstream host could run the request in its time")
 }
 
-// addWaiting changes the number of requests that wait for the model.
-func (c *call) addWaiting(change int) {
-	p := c.proxy
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if c.query.Model == "" {
-		return
-	}
-	p.demand.AddWaiting(c.query.Model, change)
-	if change < 0 {
-		c.setContinuing(false)
-	}
-	if change > 0 {
-		p.Kick()
-	}
-}
-
 // abandon undoes what choose recorded.
 func (c *call) abandon(t *target) {
 	c.release(t)
+	c.endTurn(queue.Failed)
 	c.proxy.Update(func(*fleet.View, time.Time) {
 		t.host.NoteAnswerStart(t.prefillTokens)
 		t.host.NoteEnd(c.query.Model)
