Tell demand to few agents instead of all

Cause: in a fleet without relays each entry sent its whole demand with each call to each agent, and each agent returned the demands of all entries to the planner: with 27 entries, 49 agents and some fifty models each a few kilobytes, several times a second.

Change: an entry's demand goes to three agents, two in its own data centre and one beyond (demand.Carriers); the planner, which asks all agents, gets it from these. When one is lost the next by address takes its place. Entries that do not tell an agent their demand are left out of what it forwards, so that an older demand is not replaced by none.

--- a/io/deploy/link.go
+++ b/io/deploy/link.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/demand"
 	"radishwell/core/fleet"
 	"radishwell/io/events"
 	"radishwell/io/feed"
@@ -102,7 +103,10 @@
 	}
 	direct := l.entry.feed.Direct()
 	if direct {
-		in.Demands, in.Others = encodeDemands(l.entry.proxy.Demands()), l.entry.planner.leads()
+		in.Others, in.TellsDemands = l.entry.planner.leads(), l.carriesDemand(k)
+		if in.TellsDemands {
+			in.Demands = encodeDemands(l.entry.proxy.Demands())
+		}
 	} else {
 		l.addRelayed(k, in)
 	}
@@ -135,6 +139,16 @@
 	return reply, err
 }
 
+// carriesDemand reports whether the agent is one of those that carry this entry's demand to the
+// planner.
+func (l *links) carriesDemand(k *link) bool {
+	var agents []demand.Agent
+	for _, other := range l.active(l.entry.clock.Now()) {
+		agents = append(agents, demand.Agent{Address: other.address, DataCentre: other.centre})
+	}
+	return len(agents) == 0 || demand.Carriers(agents, l.entry.Settings.DataCentre)[k.address]
+}
+
 // addRelayed adds to a relay's call what the other entries do not send to the agent
 // themselves: the planner, and all entries' use of the upstream.
 func (l *links) addRelayed(k *link, in *wire.UpstreamCall) {
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -135,7 +135,9 @@
 	// plannerControl is the planner's control address.
 	planner, plannerControl string
 	demands                 []*wire.ModelDemand
-	active                  []*wire.ModelActive
+	// tellsDemands is set if demands is the entry's whole demand.
+	tellsDemands bool
+	active       []*wire.ModelActive
 }
 
 // goal is the planner's next step for the upstream: unload the models in evict,
--- a/io/driver/driver_test.go
+++ b/io/driver/driver_test.go
@@ -602,13 +602,16 @@
 	t.Run("entries learn of each other", func(t *testing.T) {
 		e := newUpstream("a")
 		runDriver(t, e, func(d *driver.Driver) {
-			call(t, d, "entry-1")
+			_, err := d.ServeUpstream(&wire.UpstreamCall{Entry: "entry-1", Control: "entry-1:1", TellsDemands: true})
+			assert.NilError(t, err)
+			call(t, d, "entry-3")
 			r, err := d.ServeUpstream(&wire.UpstreamCall{
-				Entry: "entry-2", Control: "entry-2:1", Others: true, Demands: []*wire.ModelDemand{{Model: "m", Rate: 3}},
+				Entry: "entry-2", Control: "entry-2:1", Others: true, TellsDemands: true, Demands: []*wire.ModelDemand{{Model: "m", Rate: 3}},
 			})
 			assert.NilError(t, err)
-			assert.Equal(t, len(r.GetEntries()), 2)
+			assert.Equal(t, len(r.GetEntries()), 3)
 			assert.Equal(t, r.GetPlannerControl(), "entry-1:1")
+			assert.Equal(t, len(r.GetOthers()), 1, "entry-3 tells its demand to other agents")
 			assert.Equal(t, r.GetOthers()[0].GetEntry(), "entry-1")
 			r, err = d.ServeUpstream(&wire.UpstreamCall{Entry: "entry-1", Control: "entry-1:1", SeenEntries: r.GetEntriesVersion(), Others: true})
 			assert.NilError(t, err)
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -48,7 +48,7 @@
 		d.entriesVersion++
 	}
 	e := &entryState{
-		control: c.GetControl(), lastCall: now, demands: c.GetDemands(), active: c.GetActive(),
+		control: c.GetControl(), lastCall: now, demands: c.GetDemands(), tellsDemands: c.GetTellsDemands() || len(c.GetDemands()) > 0, active: c.GetActive(),
 		planner: c.GetPlanner(), plannerControl: c.GetPlannerControl(),
 	}
 	if e.planner == "" {
@@ -122,7 +122,7 @@
 		return out
 	}
 	for name, e := range d.entries {
-		if name != c.GetEntry() {
+		if name != c.GetEntry() && e.tellsDemands {
 			out.Others = append(out.Others, &wire.EntryDemand{Entry: name, Age: int64(now.Sub(e.lastCall)), Demands: e.demands})
 		}
 	}
