Account for the bytes that an entry holds, and end callers that take nothing when memory is short

New on the wire: callers and upstreams may read slowly, and what is held for them counts towards the memory of the process, which the platform ends when it has too much. Nothing bounded it: each request holds its body, each whole answer up to 1 MiB.

core/buffer holds bodies, answers and events against one bound, a part of managed.memory (managed.buffer-share). Bytes held and callers ended are metrics.

--- a/io/config/settings.go
+++ b/io/config/settings.go
@@ -43,6 +43,8 @@
 	// HoldForRoom if requests wait at entries until hosts have room beside more urgent ones.
 	EnginePace  bool `yaml:"engine-pace" default:"true" doc:"Whether entries choose hosts by the paces of engines that agents measure: prompts are kept away from hosts at which streams would pause for longer than callers accept. Read again on SIGHUP. Entry only."`
 	HoldForRoom bool `yaml:"hold-for-room" default:"true" doc:"Whether requests wait at the entry, in the order of their urgency and fair by customer, until a host has room for them beside more urgent ones. Otherwise they are sent or refused on arrival. Read again on SIGHUP. Entry only."`
+	// BufferShare is the fraction of Memory for what an entry holds for callers and upstreams.
+	BufferShare float64 `yaml:"buffer-share" default:"0.3" min:"0.02" max:"0.9" doc:"Fraction of managed.memory for what the entry holds for callers and upstreams: bodies, answers and events. As it fills, answers are passed on as they arrive, then new requests are refused, then callers that take nothing are ended. Entry only."`
 	// DirectAgents is the number of agents up to which a fleet counts as small. An entry
 	// follows an agent if it polls the agent itself.
 	DirectAgents int           `yaml:"direct-agents" default:"64" min:"0" max:"100000" doc:"Number of agents up to which each entry follows all of them. In a larger fleet, one entry of each data centre follows the agents there and reports to the others. Entry only."`
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -75,6 +75,7 @@
 		Self: s.Name, DataCentre: s.DataCentre, Clock: p.clock, Protocol: protocol, Adapters: e.links, Rooms: rooms{e.links}, Meter: p.meter,
 		RetryRatio: s.Managed.RetryRatio * retryRatioShare, RetrySpare: spareRetries(s.Managed.RetrySpare, 0), RetrySpan: s.Managed.RetrySpan,
 		RetrySpareFrom: p.clock.Now().Add(s.Managed.RetrySpan), TriesParts: e.triesParts, Entries: e.entryCount,
+		MaxHeld: core.Bytes(float64(s.Managed.Memory) * s.Managed.BufferShare),
 	}
 	e.proxy.Start()
 	e.applySettings(s.Managed)
--- a/io/meter/gauge.go
+++ b/io/meter/gauge.go
@@ -59,6 +59,11 @@
 	m.gauge(nameEnginePace, func() float64 { return read().ReadingEvent.Seconds() }, "while", "reading")
 }
 
+// HeldBytes registers the gauge of the bytes held for callers and upstreams.
+func (m *Meter) HeldBytes(read func() core.Bytes) {
+	m.gauge(nameHeldBytes, func() float64 { return float64(read()) })
+}
+
 // LimitedUpstreams registers the gauge of upstreams that have announced a rate limit.
 func (m *Meter) LimitedUpstreams(read func() int) {
 	m.gauge(nameLimitedUpstreams, func() float64 { return float64(read()) })
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -115,6 +115,13 @@
 	m.count(nameRoomAsks, "result", label).Inc()
 }
 
+// SlowCallerEnded counts a caller that was ended since it took nothing while memory was short.
+func (m *Meter) SlowCallerEnded() {
+	if m != nil {
+		m.count(nameSlowEnded).Inc()
+	}
+}
+
 // Foresight records by how much the first event of a stream came later than foreseen, or sooner.
 func (m *Meter) Foresight(foreseen, actual time.Duration) {
 	if m == nil {
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -63,6 +63,8 @@
 	m.LimitedUpstreams(func() int { return 1 })
 	m.Waiting(func() int { return 4 })
 	m.RoomAsked(true)
+	m.HeldBytes(func() core.Bytes { return 5 })
+	m.SlowCallerEnded()
 	m.Turn(meter.TurnHeld, 200*time.Millisecond)
 	m.Foresight(time.Second, 1200*time.Millisecond)
 	m.EnginePace(func() core.Pace { return core.Pace{Event: 30 * time.Millisecond, ReadingEvent: time.Second} })
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -60,6 +60,8 @@
 	nameTurns            = "radishwell_turns_total"
 	nameHeld             = "radishwell_held_seconds"
 	nameRoomAsks         = "radishwell_room_asks_total"
+	nameHeldBytes        = "radishwell_held_bytes"
+	nameSlowEnded        = "radishwell_slow_callers_ended_total"
 	nameWaiting          = "radishwell_waiting_requests"
 	nameForesight        = "radishwell_foresight_error_seconds"
 	nameEnginePace       = "radishwell_engine_event_seconds"
@@ -102,6 +104,8 @@
 	{nameTurns, Counter, []string{"outcome"}, "", "Requests at an entry on a managed platform, by how they came to their turn: at-once, after-load (a model was loaded first), held (for room at a host) or refused (for lack of room)."},
 	{nameHeld, Histogram, nil, "seconds", "Time for which requests were held at an entry until a host had room beside more urgent ones."},
 	{nameRoomAsks, Counter, []string{"result"}, "", "Asks of entries for room at a host, by whether the host's agent granted it in time."},
+	{nameHeldBytes, Gauge, nil, "bytes", "Bytes that an entry on a managed platform holds for callers and upstreams: bodies, answers and events."},
+	{nameSlowEnded, Counter, nil, "", "Callers that were ended since they had taken nothing for seconds while the entry held more than its bound."},
 	{nameWaiting, Gauge, nil, "", "Requests that wait for a host at an entry on a managed platform."},
 	{nameForesight, Histogram, []string{"direction"}, "seconds", "Difference between the foreseen and the actual time from sending a request to the first event of its stream, by whether that came sooner or later."},
 	{nameEnginePace, Gauge, []string{"while"}, "seconds", "Time between two events of a stream, as the agent measures it while the engine reads prompts or is quiet; zero while unknown."},
--- a/io/node/fleet_test.go
+++ b/io/node/fleet_test.go
@@ -318,7 +318,8 @@
 		"radishwell_refused_parts": true, "radishwell_refused_connections_total": true,
 		// Set on a managed platform only; io/meter checks them.
 		"radishwell_turns_total": true, "radishwell_held_seconds": true, "radishwell_waiting_requests": true,
-		"radishwell_foresight_error_seconds": true, "radishwell_room_asks_total": true, "radishwell_engine_event_seconds": true,
+		"radishwell_foresight_error_seconds": true, "radishwell_room_asks_total": true,
+		"radishwell_held_bytes": true, "radishwell_slow_callers_ended_total": true, "radishwell_engine_event_seconds": true,
 		// Sampled once a second; the request is shorter.
 		"radishwell_accelerator_busy_seconds_total": true,
 	}
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -253,14 +253,14 @@
 }
 
 // forwardWhole reads an answer to its end and then forwards it. An answer that breaks
-// off is not forwarded at all, unless it is larger than maxBufferedAnswer.
+// off is not forwarded at all, unless it is larger than what is buffered.
 func (c *call) forwardWhole(ctx context.Context, t *target, resp *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer+1))
+	body, whole, err := c.readAnswer(resp.Body)
 	if err != nil {
 		return err
 	}
 	length := len(body)
-	if length > maxBufferedAnswer {
+	if !whole {
 		length = unknownLength
 	} else if err := c.checkCrash(ctx, t); err != nil {
 		return err
@@ -269,13 +269,13 @@
 	c.endTurn(queue.Served)
 	c.recordEvent()
 	c.writeHead(resp.StatusCode, c.proxy.Protocol.ReplyHeader(resp.Header), c.framing, length)
-	if _, err := c.writer.Write(body); err != nil {
+	if _, err := (heldWriter{c}).Write(body); err != nil {
 		return err
 	}
-	if len(body) <= maxBufferedAnswer {
+	if whole {
 		return nil
 	}
-	if _, err = io.Copy(c.writer, resp.Body); err != nil {
+	if _, err = io.Copy(heldWriter{c}, resp.Body); err != nil {
 		return err
 	}
 	return c.checkCrash(ctx, t)
--- /dev/null
+++ b/io/proxy/buffer.go
@@ -0,0 +1,180 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/buffer"
+	"radishwell/io/events"
+)
+
+// buffers is the account of the bytes that this entry holds for its callers and upstreams. It is
+// safe for concurrent use.
+type buffers struct {
+	mu      sync.Mutex
+	account buffer.Account
+	// writers are the responses to the requests in the account.
+	writers map[uint64]http.ResponseWriter
+}
+
+// open begins the account of a request.
+func (b *buffers) open(w http.ResponseWriter) uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.writers == nil {
+		b.writers = map[uint64]http.ResponseWriter{}
+	}
+	id := b.account.Open()
+	b.writers[id] = w
+	return id
+}
+
+func (b *buffers) close(id uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account.Close(id)
+	delete(b.writers, id)
+}
+
+func (b *buffers) add(id uint64, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account.Add(id, core.Bytes(n))
+}
+
+func (b *buffers) admits(now time.Time, n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.account.Admits(now, core.Bytes(n))
+}
+
+func (b *buffers) mayBuffer(n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.account.Buffers(core.Bytes(n))
+}
+
+// isFull reports whether more than the bound is held.
+func (b *buffers) isFull() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.account.Bound > 0 && b.account.Used() > b.account.Bound
+}
+
+// used returns the bytes held.
+func (b *buffers) used() core.Bytes {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.account.Used()
+}
+
+// block records that a write to the caller of a request begins. The function that it returns
+// records that it has ended.
+func (b *buffers) block(now time.Time, id uint64, n int) (unblock func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account.Add(id, core.Bytes(n))
+	b.account.Block(now, id)
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.account.Add(id, -core.Bytes(n))
+		b.account.Unblock(id)
+	}
+}
+
+// HeldBytes returns the bytes that this entry holds for callers and upstreams.
+func (p *Proxy) HeldBytes() core.Bytes { return p.held.used() }
+
+// endSlowest ends the slow caller that holds most, if memory is short.
+func (p *Proxy) endSlowest() {
+	b := &p.held
+	b.mu.Lock()
+	id, held, ok := b.account.Victim(p.Clock.Now())
+	w, used := b.writers[id], b.account.Used()
+	b.mu.Unlock()
+	if !ok || w == nil {
+		return
+	}
+	events.Log(events.SlowCallerEnded, "held", held, "held-by-all", used, "bound", p.MaxHeld)
+	p.Meter.SlowCallerEnded()
+	// The write in progress fails, which ends the request. A writer without deadlines is left to
+	// the platform's own timeouts.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(-time.Second))
+}
+
+// FullError reports a body that is not read on, since this entry holds too much already.
+type FullError struct{}
+
+// Error implements error.
+func (*FullError) Error() string { return "the entry holds too many bytes" }
+
+// heldReader counts what is read towards a request's account.
+type heldReader struct {
+	from io.Reader
+	held *buffers
+	id   uint64
+}
+
+// Read implements io.Reader. Its error is a FullError if more than the bound is held.
+func (r *heldReader) Read(p []byte) (int, error) {
+	if r.held.isFull() {
+		return 0, &FullError{}
+	}
+	n, err := r.from.Read(p)
+	r.held.add(r.id, n)
+	return n, err
+}
+
+// refuseFullEntry refuses a request for whose body there is no memory.
+func (c *call) refuseFullEntry() *core.Refusal {
+	return core.RefuseUntil(core.CodeOverload, "this entry holds too much for other callers", c.arrived.Add(fullRetry))
+}
+
+// fullRetry is the time after which callers are to retry if an entry has no memory for their
+// requests: another entry may have some at once.
+const fullRetry = 250 * time.Millisecond
+
+// answerChunk is the size of the pieces in which an answer is read, in bytes.
+const answerChunk = 16 << 10
+
+// readAnswer reads an answer to its end, or until it is larger than what is buffered of one. whole
+// is set in the former case. As the entry's memory fills, less is buffered, so that the upstream
+// waits until the caller has taken what came before.
+func (c *call) readAnswer(from io.Reader) (body []byte, whole bool, err error) {
+	held := &c.proxy.held
+	for len(body) <= maxBufferedAnswer && held.mayBuffer(answerChunk) {
+		at := len(body)
+		body = append(body, make([]byte, answerChunk)...)
+		n, err := from.Read(body[at:])
+		body = body[:at+n]
+		held.add(c.heldID, n)
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, true, nil
+		case err != nil:
+			return nil, false, err
+		}
+	}
+	return body, false, nil
+}
+
+// heldWriter writes to the caller and records while it takes nothing.
+type heldWriter struct{ c *call }
+
+// Write implements io.Writer.
+func (w heldWriter) Write(data []byte) (int, error) {
+	c := w.c
+	defer c.proxy.held.block(c.proxy.Clock.Now(), c.heldID, len(data))()
+	return c.writer.Write(data)
+}
+
+// flushEvents sends the caller what was written.
+func (c *call) flushEvents(out *http.ResponseController) error {
+	defer c.proxy.held.block(c.proxy.Clock.Now(), c.heldID, 0)()
+	return out.Flush()
+}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -53,6 +53,8 @@
 	rank    int
 	service *rtable.Service
 	body    []byte
+	// heldID is the request's account of the bytes held for it.
+	heldID uint64
 	// fingerprint is equal for repetitions of the request by the same customer.
 	fingerprint core.Fingerprint
 	// shared are the parts of the prompt that other requests may share. trial is set if the
@@ -148,6 +150,8 @@
 // ServeHTTP implements http.Handler.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{proxy: p, writer: w, request: r, arrived: p.Clock.Now()}
+	c.heldID = p.held.open(w)
+	defer p.held.close(c.heldID)
 	refusal := c.prepare()
 	accept.Understood(r.Context())
 	if refusal == nil {
@@ -235,9 +239,16 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, int64(limit)))
+	if !c.proxy.held.admits(c.arrived, max(0, c.request.ContentLength)) {
+		return c.refuseFullEntry()
+	}
+	from := &heldReader{from: http.MaxBytesReader(c.writer, c.request.Body, int64(limit)), held: &c.proxy.held, id: c.heldID}
+	body, err := io.ReadAll(from)
 	var large *http.MaxBytesError
+	var full *FullError
 	switch {
+	case errors.As(err, &full):
+		return c.refuseFullEntry()
 	case errors.As(err, &large):
 		return core.Refuse(core.CodeTooLarge, "the body is larger than "+limit.String())
 	case err != nil:
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -67,7 +67,11 @@
 	// RetrySpareFrom is when RetrySpare begins to apply.
 	RetrySpareFrom time.Time
 
+	// MaxHeld bounds the bytes that are held for callers and upstreams; zero means no bound.
+	MaxHeld core.Bytes
+
 	upstreams upstreams
+	held      buffers
 
 	mu      sync.Mutex
 	view    fleet.View
@@ -108,6 +112,8 @@
 	p.retries = map[core.ServiceName]*retry.Window{}
 	p.upstreams.start()
 	p.startWaitingRoom()
+	p.held.account.Bound = p.MaxHeld
+	p.Meter.HeldBytes(p.HeldBytes)
 	p.origins = origin.Table{MaxRecords: maxOrigins}
 	p.book = strike.Book{Self: p.Self, MaxRecords: maxStrikes}
 	p.parts = parts.Table{MaxRecords: maxParts, MaxServed: maxServedParts, TriesAgain: p.TriesParts}
--- a/io/proxy/silent.go
+++ b/io/proxy/silent.go
@@ -89,8 +89,8 @@
 // that begins now.
 func (c *call) mayMove() bool { return c.route.Repeats() && c.ran+1 < c.route.MaxHosts }
 
-// Run gives waiting requests their turns and moves streams away from silent hosts, until the
-// context ends.
+// Run gives waiting requests their turns, moves streams away from silent hosts and ends callers
+// that are too slow, until the context ends.
 func (p *Proxy) Run(ctx context.Context) error {
 	ended := make(chan struct{})
 	go func() {
@@ -99,6 +99,7 @@
 	}()
 	for loop.Sleep(ctx, watchInterval) {
 		p.moveSilent()
+		p.endSlowest()
 	}
 	<-ended
 	return nil
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -102,7 +102,7 @@
 		if hasEvent(in) {
 			continue // the event is flushed with the next one, which is buffered
 		}
-		if err := out.Flush(); err != nil {
+		if err := c.flushEvents(out); err != nil {
 			return &GoneError{Cause: err}
 		}
 	}
@@ -171,7 +171,7 @@
 	if len(data) == 0 {
 		return nil
 	}
-	if _, err := c.writer.Write(data); err != nil {
+	if _, err := (heldWriter{c}).Write(data); err != nil {
 		return &GoneError{Cause: err}
 	}
 	return nil
