Let long prompts start with little work ahead instead of at idle hosts

Cause: a prompt that takes longer than the limit of a host's work waited for a host without any, while shorter ones went on filling it.

Change: a prompt counts with three quarters of the limit at most.

--- a/core/credit/account.go
+++ b/core/credit/account.go
@@ -22,9 +22,6 @@
 	maxTokens = 1 << 24
 	// contention is how long after an ask entries have to ask for requests as urgent.
 	contention = time.Second
-	// idleShare is the fraction of an ask's limit below which the work ahead counts as none, so
-	// that a prompt that takes longer than the limit gets its turn.
-	idleShare = 0.125
 )
 
 // Ask is a request for a credit.
@@ -38,8 +35,8 @@
 	// take at the engine.
 	Tokens  int
 	Reading time.Duration
-	// Limit is how much work the engine may have, this request's included.
-	Limit time.Duration
+	// Ahead is how much work the engine may have before this request.
+	Ahead time.Duration
 	// Until is when the ask ends.
 	Until time.Time
 }
@@ -130,8 +127,7 @@
 	for len(a.asks) > 0 {
 		i := a.first(now)
 		q := a.asks[i]
-		busy := a.Busy(now)
-		if busy+q.Reading > q.Limit && busy > time.Duration(idleShare*float64(q.Limit)) {
+		if a.Busy(now) > q.Ahead {
 			return granted // what is less urgent must not overtake it
 		}
 		a.asks = slices.Delete(a.asks, i, i+1)
--- a/core/credit/account_test.go
+++ b/core/credit/account_test.go
@@ -23,7 +23,7 @@
 
 func ask(id uint64, rank int, customer string) credit.Ask {
 	return credit.Ask{
-		ID: id, Rank: rank, Customer: core.OwnerName(customer), Tokens: 3800, Reading: 100 * ms, Limit: limit, Until: after(time.Minute),
+		ID: id, Rank: rank, Customer: core.OwnerName(customer), Tokens: 3800, Reading: 100 * ms, Ahead: limit - 100*ms, Until: after(time.Minute),
 	}
 }
 
@@ -58,14 +58,14 @@
 	t.Run("a prompt longer than the limit gets its turn at an idle engine", func(t *testing.T) {
 		var a credit.Account
 		long := ask(1, 0, "")
-		long.Reading = time.Second
+		long.Reading, long.Ahead = time.Second, 0
 		put(t, &a, long)
 		assert.DeepEqual(t, a.Grant(t0), []uint64{1})
 	})
 	t.Run("and is not overtaken by what comes after it", func(t *testing.T) {
 		var a credit.Account
 		long := ask(2, 1, "")
-		long.Reading = time.Second
+		long.Reading, long.Ahead = time.Second, 0
 		put(t, &a, ask(1, 1, ""), long, ask(3, 2, ""))
 		assert.DeepEqual(t, a.Grant(t0), []uint64{1})
 	})
@@ -120,6 +120,7 @@
 				q := ask(i, rng.IntN(3), fmt.Sprint("c-", rng.IntN(4)))
 				q.Reading = time.Duration(20+rng.IntN(200)) * ms
 				q.Tokens = int(q.Reading.Milliseconds()) * 38
+				q.Ahead = limit - q.Reading
 				readings[i] = time.Duration((0.9 + 0.2*rng.Float64()) * float64(q.Reading))
 				put(t, &a, q)
 			}
@@ -149,7 +150,7 @@
 	var a credit.Account
 	for i := range uint64(200) {
 		q := ask(i, int(i%3), fmt.Sprint("c-", i%16))
-		q.Limit = 0
+		q.Ahead = 0
 		a.Put(t0, q)
 	}
 	a.Observe(t0, 1_000_000)
--- a/core/manage.go
+++ b/core/manage.go
@@ -158,8 +158,8 @@
 	// that this should take.
 	Tokens  int
 	Reading time.Duration
-	// Limit is how much work the engine may have, this request's included.
-	Limit time.Duration
+	// Ahead is how much work the engine may have before this request.
+	Ahead time.Duration
 }
 
 // Rooms hands out the time that engines have for prompts to all entries.
--- a/core/turn/decide.go
+++ b/core/turn/decide.go
@@ -6,9 +6,10 @@
 	// urgentShare is the fraction of the most urgent callers' target that less urgent work may
 	// take up at a host. The rest is for reading the urgent prompt itself.
 	urgentShare = 0.75
-	// idleShare is the fraction of the limit below which the work ahead counts as none. A prompt
-	// that alone takes longer than the limit gets its turn then, and a request that is late
-	// already: any earlier it would make others late.
+	// longShare is the fraction of the limit that a prompt counts with at most.
+	longShare = 0.75
+	// idleShare is the fraction of the limit below which the work ahead counts as none. A request
+	// that is late already starts then: any earlier it would make others late.
 	idleShare = 0.125
 	// minLimit is the least limit. Shorter waits cannot be foreseen.
 	minLimit = 200 * time.Millisecond
@@ -72,23 +73,17 @@
 	return max(limit, minLimit)
 }
 
-// Room returns how much work, including the request, a host may have so that the request starts
-// there now. late is set if the request is late already.
-func (r *Request) Room(late bool) time.Duration {
+// Ahead returns how much work a host may have before the request so that it starts there now.
+// late is set if the request is late already.
+//
+// A long prompt counts with a part of the limit at most. Otherwise it would wait for a host that is
+// idle, while shorter ones go on filling it.
+func (r *Request) Ahead(late bool) time.Duration {
+	limit := r.limit()
 	if late {
-		return r.Own + r.idleLimit()
+		return time.Duration(idleShare * float64(limit))
 	}
-	return r.limit()
-}
-
-// idleLimit returns how much work a host may have ahead of the request to count as idle.
-func (r *Request) idleLimit() time.Duration {
-	return time.Duration(idleShare * float64(r.limit()))
-}
-
-// hasRoom reports whether the host has room for the request. late is as in Room.
-func (r *Request) hasRoom(late bool) bool {
-	return r.Wait-r.Own <= r.idleLimit() || !late && r.Wait <= r.limit()
+	return limit - min(r.Own, time.Duration(longShare*float64(limit)))
 }
 
 // Decide decides on a request. If the verdict is Hold, the request has to be decided on again at
@@ -98,7 +93,7 @@
 	last := r.Arrived.Add(max(r.Target, minTarget) - r.Wait)
 	inTime := !now.After(last.Add(lateMargin))
 	switch {
-	case r.Target <= 0 || r.hasRoom(!inTime) && !r.Contended && r.HeldUp < maxHeldUp:
+	case r.Target <= 0 || r.Wait-r.Own <= r.Ahead(!inTime) && !r.Contended && r.HeldUp < maxHeldUp:
 		return Start, now
 	case inTime && r.Contended:
 		return Hold, last.Add(lateMargin + 1)
--- a/core/turn/load_test.go
+++ b/core/turn/load_test.go
@@ -205,7 +205,7 @@
 			rank = lateClass
 		}
 		r.engines[q.asked].account.Put(r.now, credit.Ask{
-			ID: id, Rank: rank, Customer: q.customer, Tokens: int(q.own.Milliseconds()) * 38, Reading: q.own, Limit: t.Room(q.late), Until: q.askEnds,
+			ID: id, Rank: rank, Customer: q.customer, Tokens: int(q.own.Milliseconds()) * 38, Reading: q.own, Ahead: t.Ahead(q.late), Until: q.askEnds,
 		})
 	}
 }
--- a/core/turn/turn_test.go
+++ b/core/turn/turn_test.go
@@ -29,6 +29,7 @@
 		{"it can wait no longer", 900 * ms, 200 * ms, 1080 * ms, 500 * ms, turn.Start, 0},
 		{"nor when the decision comes a little late", 900 * ms, 200 * ms, 1120 * ms, 500 * ms, turn.Start, 0},
 		{"a long prompt at an idle host", 1200 * ms, 1190 * ms, 0, 500 * ms, turn.Start, 0},
+		{"a long prompt with little work ahead", 1280 * ms, 1190 * ms, 0, 500 * ms, turn.Start, 0},
 		{"late, and the host is busy", 900 * ms, 200 * ms, 1500 * ms, 500 * ms, turn.HoldLate, 0},
 		{"late, and the host is nearly idle", 210 * ms, 200 * ms, 3 * time.Second, 500 * ms, turn.Start, 0},
 		{"late on arrival", 3 * time.Second, 200 * ms, 0, 0, turn.HoldLate, 0},
--- a/io/deploy/rooms.go
+++ b/io/deploy/rooms.go
@@ -26,7 +26,7 @@
 	}
 	reply, err := l.entry.client.Room(ctx, to, &wire.RoomCall{
 		Instance: string(host), Rank: uint32(max(0, ask.Rank)), Customer: string(ask.Customer), Tokens: uint32(max(0, ask.Tokens)),
-		Reading: int64(ask.Reading), Limit: int64(ask.Limit), Wait: int64(time.Until(deadline) - roomMargin),
+		Reading: int64(ask.Reading), Ahead: int64(ask.Ahead), Wait: int64(time.Until(deadline) - roomMargin),
 	})
 	if err != nil {
 		if ctx.Err() == nil {
--- a/io/driver/room.go
+++ b/io/driver/room.go
@@ -76,7 +76,7 @@
 	urgent := d.room.account.MostUrgent(now)
 	ask := credit.Ask{
 		ID: id, Rank: int(c.GetRank()), Customer: core.OwnerName(c.GetCustomer()), Tokens: int(c.GetTokens()),
-		Reading: time.Duration(c.GetReading()), Limit: time.Duration(c.GetLimit()), Until: now.Add(wait),
+		Reading: time.Duration(c.GetReading()), Ahead: time.Duration(c.GetAhead()), Until: now.Add(wait),
 	}
 	if !d.room.account.Put(now, ask) {
 		return 0, nil, false
--- a/io/driver/room_test.go
+++ b/io/driver/room_test.go
@@ -18,7 +18,7 @@
 // askRoom asks for a credit for a tenth of a second of the engine's time, and waits for wait.
 func askRoom(d *driver.Driver, instance string, wait time.Duration) bool {
 	r, err := d.ServeRoom(&wire.RoomCall{
-		Instance: instance, Tokens: perSecond / 10, Reading: int64(100 * time.Millisecond), Limit: int64(375 * time.Millisecond), Wait: int64(wait),
+		Instance: instance, Tokens: perSecond / 10, Reading: int64(100 * time.Millisecond), Ahead: int64(275 * time.Millisecond), Wait: int64(wait),
 	})
 	return err == nil && r.GetGranted()
 }
--- a/io/proxy/room.go
+++ b/io/proxy/room.go
@@ -32,7 +32,7 @@
 	}
 	c := w.call
 	ask := roomAsk{host: next.choice.Host.ID, RoomAsk: core.RoomAsk{
-		Rank: c.rank, Tokens: next.choice.Host.PrefillTokens(now, &c.query), Reading: next.choice.Own, Limit: next.room,
+		Rank: c.rank, Tokens: next.choice.Host.PrefillTokens(now, &c.query), Reading: next.choice.Own, Ahead: next.ahead,
 	}}
 	if w.late {
 		ask.Rank = int(lateClass)
--- a/io/proxy/room_test.go
+++ b/io/proxy/room_test.go
@@ -56,7 +56,7 @@
 	f.grant <- true
 	wantStatus(t, <-out, http.StatusOK)
 	assert.Equal(t, h.worker.Ran("q"), 1)
-	assert.Assert(t, f.asks[0].Rank == 1 && f.asks[0].Tokens == 100 && f.asks[0].Limit > 0, "%+v", f.asks[0])
+	assert.Assert(t, f.asks[0].Rank == 1 && f.asks[0].Tokens == 100 && f.asks[0].Ahead > 0, "%+v", f.asks[0])
 }
 
 // Guards against an agent that grants nothing, since it is silent or frozen, and requests that wait
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -95,10 +95,10 @@
 	// choice has the host that the request is sent to, if it neither waits nor is refused.
 	choice fleet.Choice
 	reason waitReason
-	// startBy is when a request that waits for room starts in any case; zero if it does not. room
-	// is how much work its host may have when it starts.
+	// startBy is when a request that waits for room starts in any case; zero if it does not. ahead
+	// is how much work its host may have before it when it starts.
 	startBy time.Time
-	room    time.Duration
+	ahead   time.Duration
 }
 
 // look returns what becomes of the request now. The caller holds the proxy's mu.
@@ -151,7 +151,7 @@
 	case turn.Refuse:
 		return prospect{refusal: c.refuseFull(now, choice)}
 	}
-	return prospect{choice: choice, reason: forRoom, startBy: startBy, room: r.Room(c.verdict == turn.HoldLate)}
+	return prospect{choice: choice, reason: forRoom, startBy: startBy, ahead: r.Ahead(c.verdict == turn.HoldLate)}
 }
 
 // start records the request at the chosen host, or refuses it if it is sent once more and the
