--- a/io/soak/caller.go
+++ b/io/soak/caller.go
@@ -67,6 +67,8 @@
 	Body     []byte
 	Complete bool
 	Unframed bool
+	// released, if not nil, is closed when the caller begins to read the body of the answer.
+	released <-chan struct{}
 	// Unsent is set if the connection was refused, so that nothing was sent.
 	Unsent bool
 }
@@ -176,6 +178,9 @@
 	}
 	defer resp.Body.Close()
 	r.Status, r.Signer = resp.StatusCode, plat.Signature(resp.Header)
+	if r.released != nil {
+		<-r.released
+	}
 	r.Body, err = readEvents(resp.Body, r.LeaveAfter)
 	hasEnd := reply.Framing(resp) != core.Unframed
 	r.Complete, r.Unframed = err == nil && hasEnd, err == nil && !hasEnd
--- a/io/soak/inject.go
+++ b/io/soak/inject.go
@@ -92,6 +92,11 @@
 		t.startCrashingPart(s)
 	case PreferEntry:
 		return t.preferEntry(s)
+	case BusyEngine:
+		engine.SetReading(10_000 + s.Variant%60_000)
+		return func() { engine.SetReading(0) }
+	case SlowReaders:
+		return t.readSlowly(s)
 	case DropFraming:
 		return dropFraming(host, []stand.WorkerFault{stand.NoFault, stand.EndsInsideEvent, stand.EndsAfterEvent, stand.ResetMidway}[s.Variant%4])
 	case ReleaseUpstream:
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -50,6 +50,8 @@
 	MisstateVersion
 	CrashingPart
 	PreferEntry
+	BusyEngine
+	SlowReaders
 	kindCount
 )
 
@@ -103,6 +105,8 @@
 	MisstateVersion: {"misstate-version", 2, 2 * time.Second},
 	CrashingPart:    {"crashing-part", 2, 0},
 	PreferEntry:     {"prefer-entry", 2, 6 * time.Second},
+	BusyEngine:      {"busy-engine", 4, 2 * time.Second},
+	SlowReaders:     {"slow-readers", 2, 3 * time.Second},
 }
 
 // String returns the name of the kind as in schedules.
--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -84,7 +84,7 @@
 	c.run(ctx, callerCount, r.Seed)
 	t.startCrashing = func(s Step) { c.repeatPoison(ctx, s) }
 	t.startCrashingPart = func(s Step) { c.sendPoisonParts(ctx, s) }
-	t.preferEntry = c.preferEntry
+	t.preferEntry, t.readSlowly = c.preferEntry, c.readSlowly
 	t.runSteps(c.start, steps)
 	report := &Report{Seed: r.Seed, Steps: steps, Unserved: unserved(c, r.Seed, t.newestPath())}
 	if hasKind(steps, CrashingRequest) {
--- a/io/soak/testbed.go
+++ b/io/soak/testbed.go
@@ -37,6 +37,10 @@
 	// extraRoutes is the number of routes that a large table has in addition to those that
 	// callers use.
 	extraRoutes = 1400
+	// entryMemory and bufferShare give an entry less memory for what it holds than the slow
+	// readers' requests take.
+	entryMemory = "32MiB"
+	bufferShare = 0.03
 	// loadTime is the time that an engine takes to load a model.
 	loadTime = 200 * time.Millisecond
 )
@@ -86,6 +90,9 @@
 	// called.
 	startCrashingPart func(Step)
 	preferEntry       func(Step) (end func())
+	// readSlowly has callers send large requests and read nothing until the returned function is
+	// called.
+	readSlowly func(Step) (end func())
 
 	mu      sync.Mutex
 	version int
@@ -255,7 +262,7 @@
 		"listen":   map[string]string{"control": at[0].String(), "callers": at[1].String(), "operators": at[2].String()},
 		"platform": map[string]any{"urls": []string{"http://" + store.String()}},
 		"peers":    seeds,
-		"managed":  map[string]any{"enabled": true, "plain-peers": true, "readiness": at[3].String(), "agent-port": agentPort, "stop-grace": "3s", "direct-agents": t.maxDirect, "quota-ratio": 0, "quota-slack": limitedSlack},
+		"managed":  map[string]any{"enabled": true, "plain-peers": true, "readiness": at[3].String(), "agent-port": agentPort, "stop-grace": "3s", "direct-agents": t.maxDirect, "quota-ratio": 0, "quota-slack": limitedSlack, "memory": entryMemory, "buffer-share": bufferShare},
 	})
 	t.entries = append(t.entries, p)
 	t.entryAddrs = append(t.entryAddrs, at[1])
