Read an engine's report freshly when entries ask for its room

The agent's report was up to 0.15 s old, and requests that waited in the engine did not count.

Agents now read the report when an ask comes, and every 30 ms while asks wait; requests that wait in the engine count as long as those that are asked for.

--- a/core/credit/account.go
+++ b/core/credit/account.go
@@ -20,6 +20,8 @@
 	maxReading = time.Minute
 	// maxTokens bounds the reported number of tokens.
 	maxTokens = 1 << 24
+	// meanWeight is the weight of each new sample in the average length of prompts.
+	meanWeight = 0.1
 	// contention is how long after an ask entries have to ask for requests as urgent.
 	contention = time.Second
 )
@@ -56,6 +58,8 @@
 	reported   int64
 	reportedAt time.Time
 	perToken   time.Duration
+	// meanTokens is a moving average of the asks' tokens.
+	meanTokens float64
 	grants     []grant
 	// askedAt is when an ask of each rank last came.
 	askedAt [core.PriorityLevels]time.Time
@@ -68,10 +72,12 @@
 	at     time.Time
 }
 
-// Observe records the prompt tokens that the engine reads, by a report that was requested at the
-// given time.
-func (a *Account) Observe(at time.Time, tokens int64) {
-	a.reported, a.reportedAt = min(max(0, tokens), maxTokens), at
+// Observe records the prompt tokens that the engine reads and the number of requests that wait in
+// it, by a report that was requested at the given time. Those are assumed to be as long as the
+// ones that entries ask for.
+func (a *Account) Observe(at time.Time, tokens, waiting int64) {
+	tokens = min(max(0, tokens), maxTokens) + min(max(0, waiting), maxAsks)*int64(a.meanTokens)
+	a.reported, a.reportedAt = min(tokens, maxTokens), at
 	a.grants = slices.DeleteFunc(a.grants, func(g grant) bool { return g.at.Add(transit).Before(at) })
 }
 
@@ -83,6 +89,7 @@
 	ask.Reading = min(max(0, ask.Reading), maxReading)
 	if ask.Tokens > 0 && ask.Reading > 0 {
 		a.perToken = ask.Reading / time.Duration(ask.Tokens)
+		a.meanTokens += meanWeight * (float64(min(ask.Tokens, maxTokens)) - a.meanTokens)
 	}
 	ask.Rank = min(max(0, ask.Rank), core.PriorityLevels-1)
 	a.askedAt[ask.Rank] = now
--- a/core/credit/account_test.go
+++ b/core/credit/account_test.go
@@ -45,9 +45,9 @@
 		var a credit.Account
 		put(t, &a, ask(1, 0, ""), ask(2, 0, ""), ask(3, 0, ""), ask(4, 0, ""))
 		a.Grant(t0)
-		a.Observe(after(200*ms), 3*3800)
+		a.Observe(after(200*ms), 3*3800, 0)
 		assert.Equal(t, len(a.Grant(after(200*ms))), 0)
-		a.Observe(after(300*ms), 3800)
+		a.Observe(after(300*ms), 3800, 0)
 		assert.DeepEqual(t, a.Grant(after(300*ms)), []uint64{4})
 	})
 	t.Run("urgent asks first, customers in turn", func(t *testing.T) {
@@ -76,7 +76,7 @@
 	var a credit.Account
 	put(t, &a, ask(1, 0, ""), ask(2, 0, ""), ask(3, 0, ""), ask(4, 0, ""))
 	a.Grant(t0)
-	a.Observe(after(200*ms), 0)
+	a.Observe(after(200*ms), 0, 0)
 	assert.DeepEqual(t, a.Grant(after(200*ms)), []uint64{4})
 }
 
@@ -99,7 +99,7 @@
 		q.Reading, q.Tokens = d, int(d)
 		put(t, &a, q)
 	}
-	a.Observe(after(ms), -5)
+	a.Observe(after(ms), -5, -5)
 	a.Grant(after(ms))
 	assert.Assert(t, a.Busy(after(ms)) >= 0 && a.Busy(after(ms)) <= 3*time.Minute)
 }
@@ -128,7 +128,7 @@
 				assert.Assert(t, step < 10_000)
 				now = now.Add(10 * ms)
 				if rng.IntN(6) == 0 || step%15 == 0 {
-					a.Observe(now, int64(max(0, free.Sub(now)).Milliseconds())*38)
+					a.Observe(now, int64(max(0, free.Sub(now)).Milliseconds())*38, 0)
 				}
 				for _, id := range a.Grant(now) {
 					granted++
@@ -153,7 +153,7 @@
 		q.Ahead = 0
 		a.Put(t0, q)
 	}
-	a.Observe(t0, 1_000_000)
+	a.Observe(t0, 1_000_000, 0)
 	b.ReportAllocs()
 	for b.Loop() {
 		a.Grant(t0)
--- a/core/turn/load_test.go
+++ b/core/turn/load_test.go
@@ -229,7 +229,7 @@
 		r.now = r.now.Add(step)
 		if n%int(reportInterval/step) == 0 {
 			for _, h := range r.engines {
-				h.account.Observe(r.now, max(0, h.free.Sub(r.now)).Milliseconds()*38)
+				h.account.Observe(r.now, max(0, h.free.Sub(r.now)).Milliseconds()*38, 0)
 			}
 			for _, e := range r.entries {
 				e.seenAt = r.now
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -23,8 +23,10 @@
 	//
 	// readingPollInterval applies while the upstream reads prompts beside streams: what these
 	// do in that time is its pace, and most prompts are read in less than a tenth of a second.
+	// askedPollInterval applies while entries wait for its room.
 	idlePollInterval    = 150 * time.Millisecond
 	readingPollInterval = 60 * time.Millisecond
+	askedPollInterval   = 30 * time.Millisecond
 	busyPollInterval    = 40 * time.Millisecond
 	// remotePollFactor multiplies the poll intervals if the upstream is on another
 	// host.
@@ -214,7 +216,11 @@
 	if d.goal != nil || d.loading.model != "" || d.state.Busy || d.failures > 0 && !d.lost {
 		return busy
 	}
-	if d.state.PrefillTokens > 0 && len(d.state.Streams) > 0 && !d.Remote {
+	switch {
+	case d.Remote:
+	case d.room.account.Len() > 0:
+		return askedPollInterval
+	case d.state.PrefillTokens > 0 && len(d.state.Streams) > 0:
 		return readingPollInterval
 	}
 	return idle
@@ -268,7 +274,7 @@
 		d.incarnations.NoteReported(fleet.Incarnation{ID: s.ID, Born: s.Born})
 	}
 	d.pace.Observe(at, s.Streams, s.PrefillTokens > 0)
-	d.room.account.Observe(at, s.PrefillTokens)
+	d.room.account.Observe(at, s.PrefillTokens, int64(s.Waiting))
 	d.grantRoom(at)
 	d.checkLoad(s, at)
 	if q := queueLength(s); q != d.notifiedQueue {
--- a/io/driver/room.go
+++ b/io/driver/room.go
@@ -5,12 +5,15 @@
 
 	"radishwell/core"
 	"radishwell/core/credit"
+	"radishwell/io/loop"
 	"radishwell/wire"
 )
 
 const (
 	// maxRoomWait bounds how long a request for a credit is held.
 	maxRoomWait = 400 * time.Millisecond
+	// freshReport is the age of a report up to which room is granted by it.
+	freshReport = 30 * time.Millisecond
 	// roomInterval is the interval at which credits are granted while requests for them wait.
 	// Between two reports the room is estimated.
 	roomInterval = 15 * time.Millisecond
@@ -56,7 +59,9 @@
 			return &wire.RoomReply{}, nil
 		case <-tick.C:
 			d.mu.Lock()
-			d.grantRoom(d.Clock.Now())
+			if now := d.Clock.Now(); now.Sub(d.reportedAt) < 2*freshReport {
+				d.grantRoom(now)
+			}
 			d.mu.Unlock()
 		}
 	}
@@ -89,7 +94,11 @@
 	}
 	granted = make(chan struct{})
 	d.room.granted[id] = granted
-	d.grantRoom(now)
+	if now.Sub(d.reportedAt) < freshReport {
+		d.grantRoom(now)
+		return id, granted, true
+	}
+	loop.Wake(d.wake) // the report that follows grants
 	return id, granted, true
 }
 
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -104,6 +104,7 @@
 // look returns what becomes of the request now. The caller holds the proxy's mu.
 func (c *call) look(now time.Time) prospect {
 	p := c.proxy
+	c.verdict = turn.Start
 	if refusal := c.refuseQuarantined(now); refusal != nil {
 		return prospect{refusal: refusal}
 	}
