Keep prompts away from clearly slow hosts and clear pauses only

Causes: a host that ran a small model beside a large one seemed three times as quick or slow as others; and gaps of 0.42 s, common there while prompts are read, counted as too long for callers who accept 0.5 s in a tenth of the cases, times the streams of the host, times a target of up to 4 s.

Change: a host counts as slow below three quarters of the usual speed and never as quick; a gap counts from 0.95 times the accepted pause on; an answer late by pauses costs as much as one second at most.

--- a/core/fleet/pace.go
+++ b/core/fleet/pace.go
@@ -15,8 +15,10 @@
 	paceInterval = 500 * time.Millisecond
 	// minPaced is the least number of hosts of known pace that give a usual pace.
 	minPaced = 4
-	// minSpeed and maxSpeed bound the speed of a host against the usual one.
-	minSpeed, maxSpeed = 0.3, 2.5
+	// minSpeed bounds the speed of a host against the usual one. A host above slowSpeed counts as
+	// usual: engines run models of different sizes, and one that runs a small one beside a large
+	// one seems quick or slow by turns.
+	minSpeed, slowSpeed = 0.3, 0.75
 	// readingHalfLife is the time after which past reading counts half.
 	readingHalfLife = 1500 * time.Millisecond
 )
@@ -26,8 +28,8 @@
 	// pace is the reported pace. A part that has not been measured is inferred from the other
 	// one, if both are known of enough hosts.
 	pace core.Pace
-	// speed is the rate at which the host reads prompts, as a multiple of the usual one; zero
-	// if unknown.
+	// speed is the rate at which the host reads prompts, as a fraction of the usual one; zero
+	// if it is unknown or about the usual one.
 	speed float64
 	// reading is the decayed fraction of time in which the host read prompts, as of readingAt.
 	reading   float64
@@ -64,7 +66,7 @@
 	if p.Event == 0 || p.ReadingEvent == 0 {
 		return 0
 	}
-	return p.ReadingEvent - p.Event
+	return max(0, p.ReadingEvent-p.Event)
 }
 
 // UsePaces sets whether the measured paces of hosts affect the choice, as they do in a new View.
@@ -127,8 +129,9 @@
 		case h.pace.Event == 0:
 			h.pace.Event = time.Duration(float64(h.pace.ReadingEvent) / u.ratio)
 		}
-		if own := readingTime(h.pace); own > 0 {
-			h.speed = min(maxSpeed, max(minSpeed, float64(u.readingTime)/float64(own)))
+		own := readingTime(h.pace)
+		if speed := float64(u.readingTime) / float64(own); own > 0 && speed < slowSpeed {
+			h.speed = max(minSpeed, speed)
 		}
 	}
 }
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -43,6 +43,9 @@
 	affinityCost = 60.0
 	// overloadCost is added for each request beyond the number that a host runs at once.
 	overloadCost = 60.0
+	// maxLateCost bounds the cost of an answer that is late by its pauses. A patient request would
+	// otherwise wait for seconds at one host to spare a stream at another.
+	maxLateCost = time.Second
 	// connectBackoff is how long a host that accepted no connection is used only if there
 	// is no other. By then the agent or the registry reports its state.
 	connectBackoff = time.Second
@@ -207,8 +210,10 @@
 }
 
 // lateCost returns the cost of an answer that is late by its pauses, in milliseconds: that of
-// one whose beginning is as late as it may be.
-func lateCost(q *Query) float64 { return float64(q.Target) / float64(time.Millisecond) }
+// one whose beginning is as late as it may be, up to maxLateCost.
+func lateCost(q *Query) float64 {
+	return float64(min(q.Target, maxLateCost)) / float64(time.Millisecond)
+}
 
 // noteLoadable records that a host may load a model.
 func (c *Choice) noteLoadable(now time.Time, h *Host, model core.ModelName) {
--- a/core/room/room.go
+++ b/core/room/room.go
@@ -29,10 +29,11 @@
 	Pause time.Duration
 }
 
-// Estimates are means, so that a gap near the accepted pause is too long in part of the cases.
+// Estimates are means, so that a gap near the accepted pause is too long in part of the cases. Below
+// it too long ones are too rare to keep prompts away from a host.
 const (
-	surelyShort = 0.8
-	surelyLong  = 1.2
+	surelyShort = 0.95
+	surelyLong  = 1.25
 )
 
 // chance returns the chance that a gap with the given mean is longer than the accepted pause.
