--- a/core/fleet/pace_test.go
+++ b/core/fleet/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -149,3 +150,28 @@
 	}
 	assert.Equal(t, v.Pick(after(time.Second), q).Wait, 100*time.Millisecond)
 }
+
+// A choice among the hosts of a model in a fleet of 640 hosts, all of known pace.
+func BenchmarkPick(b *testing.B) {
+	v := &fleet.View{}
+	for i := range 640 {
+		model := core.ModelName(fmt.Sprint("m-", i%40))
+		e := entry(fmt.Sprintf("i-%04d", i), model)
+		e.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
+		v.Apply(e)
+		v.Report(fleet.Report{
+			Taken: t0, ID: e.ID, Models: e.Models, Running: 10, Reading: i * 10, Pace: paceOf(speeds[i%len(speeds)]),
+		})
+	}
+	v.Tick(t0)
+	q := &fleet.Query{
+		Service: "llm", Model: "m-7", DataCentre: "dc-1", Tokens: 9000, Answer: 50, Target: time.Second, Pause: pauseTarget,
+		Parts: []core.PromptPart{{ID: "doc", Tokens: 6000}, {ID: "own", Tokens: 3000}},
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if v.Pick(t0, q).Host == nil {
+			b.Fatal("no host")
+		}
+	}
+}
