--- a/core/queue/pace.go
+++ b/core/queue/pace.go
@@ -148,8 +148,8 @@
 // upstream hangs, nothing finishes and the sums do not change, so the open
 // interval since the last finish is counted as if a request of mean cost ended
 // now, once that gives the longer time. It is counted only while something
-// runs; otherwise the lane waits for a load, whose end is set by
-// Queue.SetReady.
+// runs or the resource lacks room; otherwise the lane waits for a load, whose
+// end is set by Queue.SetReady.
 func (d *drainEstimator) drainTime(now time.Time, cost int64, running int) time.Duration {
 	if cost <= 0 {
 		return 0
