Count a prompt's unread tokens once per host in a choice

Pick counted the tokens that a host has not cached in the wait, again for the pauses, and a third time for the reading time of the best host. uncachedTokens was PrefillTokens without its check for plain services, which wait and readingTime repeated. It is counted once now, by PrefillTokens alone.

The choice among 640 hosts still looks at all of them.

--- a/core/fleet/pace.go
+++ b/core/fleet/pace.go
@@ -146,13 +146,14 @@
 // pauses are the pauses that sending a request to a host should cause, as in Choice.
 type pauses struct{ heldUp, avoidable, own float64 }
 
-// pauses returns the pauses that sending a request to a host should cause.
-func (v *View) pauses(now time.Time, h *Host, q *Query) pauses {
+// pauses returns the pauses that sending a request to a host should cause, which has the given
+// number of its prompt tokens to process.
+func (v *View) pauses(now time.Time, h *Host, q *Query, tokens int) pauses {
 	if q.Model == "" || q.Pause == 0 || !h.Fresh(now) || h.pace == (core.Pace{}) {
 		return pauses{}
 	}
 	e := h.engine(v.prefillTime())
-	r := room.Request{Prompt: h.uncachedTokens(now, q), Answer: q.Answer, Pause: q.Pause}
+	r := room.Request{Prompt: tokens, Answer: q.Answer, Pause: q.Pause}
 	out := pauses{heldUp: e.HeldUp(r), own: e.PauseChance(r)}
 	if out.heldUp > 0 {
 		e.Ahead = 0
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -193,14 +193,15 @@
 		if slices.Contains(q.Tried, h.ID) {
 			continue
 		}
-		wait := h.wait(now, q, fetch, v.prefillTime())
-		p := v.pauses(now, h, q)
+		tokens := h.PrefillTokens(now, q)
+		wait := h.wait(now, tokens, fetch, v.prefillTime())
+		p := v.pauses(now, h, q, tokens)
 		cost := wait + h.cost(now, q) + (p.heldUp+p.own)*lateCost(q)
 		if best.Host == nil || cost < best.Cost || cost == best.Cost && h.ID < best.Host.ID {
 			best.Host, best.Fetch, best.Cost = h, fetch, cost
 			best.Wait, best.RateLimitDelay = time.Duration(wait*float64(time.Millisecond)), h.reservationDelay(now)
 			best.HeldUp, best.Avoidable, best.PauseChance = p.heldUp, p.avoidable, p.own
-			best.Own = h.readingTime(now, q)
+			best.Own = time.Duration(float64(tokens) / h.rate() * float64(time.Millisecond))
 		}
 	}
 	if !takes {
@@ -225,10 +226,11 @@
 }
 
 // wait returns the time until the host should give its first answer, in milliseconds: the
-// prefill queued before the request and that of its own prompt. Some of this process's
+// prefill queued before the request and that of its own prompt, which has the given number of
+// tokens left to process. Some of this process's
 // outstanding requests are among those that the host reports as waiting, so the larger of
 // the two counts is used.
-func (h *Host) wait(now time.Time, q *Query, fetch bool, prefillTime float64) float64 {
+func (h *Host) wait(now time.Time, tokens int, fetch bool, prefillTime float64) float64 {
 	before := float64(h.pendingPrefill) / h.rate()
 	if h.Fresh(now) {
 		before = max(before, h.backlog(prefillTime))
@@ -237,18 +239,7 @@
 	if fetch {
 		before += adapterCost + h.orderDelay(now)
 	}
-	if q.Model == "" {
-		return before
-	}
-	return before + float64(h.uncachedTokens(now, q))/h.rate()
-}
-
-// readingTime returns the time in which the host should process the request's own prompt.
-func (h *Host) readingTime(now time.Time, q *Query) time.Duration {
-	if q.Model == "" {
-		return 0
-	}
-	return time.Duration(float64(h.uncachedTokens(now, q)) / h.rate() * float64(time.Millisecond))
+	return before + float64(tokens)/h.rate()
 }
 
 // backlog returns the time, in milliseconds, for the prefill of what the host reported and
@@ -294,9 +285,12 @@
 	return max(busyCost, float64(h.Report.LoadedBy.Sub(now))/float64(time.Millisecond))
 }
 
-// uncachedTokens returns the number of the prompt's tokens that the host is not known to
-// have cached.
-func (h *Host) uncachedTokens(now time.Time, q *Query) int {
+// PrefillTokens returns the number of the prompt's tokens that the host is not known to have
+// cached, which NoteSent will count for a request. It is zero for a plain service.
+func (h *Host) PrefillTokens(now time.Time, q *Query) int {
+	if q.Model == "" {
+		return 0
+	}
 	left := q.Tokens
 	for _, p := range q.shared() {
 		at, ok := h.prefixes[q.key(p.ID)]
@@ -368,7 +362,7 @@
 		h.active = map[core.ModelName]int{}
 	}
 	h.active[q.Model]++
-	tokens := h.uncachedTokens(now, q)
+	tokens := h.PrefillTokens(now, q)
 	h.pendingPrefill += tokens
 	h.sentPrompts = slices.DeleteFunc(h.sentPrompts, func(s sentPrompt) bool { return !s.at.After(h.Report.Taken) || now.Sub(s.at) > reportTTL })
 	h.sentPrompts = append(h.sentPrompts, sentPrompt{at: now, tokens: tokens})
@@ -384,14 +378,6 @@
 // PrefillTokens before NoteSent.
 func (h *Host) NoteAnswerStart(prefill int) { h.pendingPrefill = max(0, h.pendingPrefill-prefill) }
 
-// PrefillTokens returns the number of prompt tokens that NoteSent will count for a request.
-func (h *Host) PrefillTokens(now time.Time, q *Query) int {
-	if q.Model == "" {
-		return 0
-	}
-	return h.uncachedTokens(now, q)
-}
-
 // NoteEnd records that a request to the host is over. The model is empty for a plain
 // service.
 func (h *Host) NoteEnd(model core.ModelName) {
