Say once what time a request is allowed whatever its target

core/fleet, core/turn and the waiting room each had half a second under a name of its own, and each took the maximum of it and the target. core.TimeAllowed says it once; a change in one of them would have made requests in time for the turn and late for the queue. No value changes.

--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -125,9 +125,6 @@
 	HeldUp, Avoidable, PauseChance float64
 }
 
-// minWait is the wait that is allowed even if the target is shorter.
-const minWait = 500 * time.Millisecond
-
 // Overloaded reports whether a request would wait longer than its target even at the host
 // that should answer first.
 //
@@ -146,7 +143,7 @@
 	return exceeds(c.RetryAt.Sub(now), target)
 }
 
-func exceeds(wait, target time.Duration) bool { return wait > max(target, minWait) }
+func exceeds(wait, target time.Duration) bool { return wait > core.TimeAllowed(target) }
 
 // Pick chooses the host that should answer first.
 //
--- a/core/turn/decide.go
+++ b/core/turn/decide.go
@@ -1,6 +1,10 @@
 package turn
 
-import "time"
+import (
+	"time"
+
+	"radishwell/core"
+)
 
 const (
 	// urgentShare is the fraction of the most urgent callers' target that less urgent work may
@@ -20,8 +24,6 @@
 	// long after that moment it counts as late.
 	startMargin = 30 * time.Millisecond
 	lateMargin  = 50 * time.Millisecond
-	// minTarget is the wait that is in time even if the target is shorter.
-	minTarget = 500 * time.Millisecond
 )
 
 // Request is a request for which a host is known.
@@ -66,9 +68,9 @@
 
 // limit returns how much work, including the request, a host may have once it is sent there.
 func (r *Request) limit() time.Duration {
-	limit := max(r.Target, minTarget)
+	limit := core.TimeAllowed(r.Target)
 	if r.Urgent > 0 {
-		limit = min(limit, time.Duration(urgentShare*float64(max(r.Urgent, minTarget))))
+		limit = min(limit, time.Duration(urgentShare*float64(core.TimeAllowed(r.Urgent))))
 	}
 	return max(limit, minLimit)
 }
@@ -90,7 +92,7 @@
 // the returned time: while none as urgent wait for the host, it starts then, whatever room there
 // is, since later it would be late.
 func (r *Request) Decide(now time.Time) (v Verdict, again time.Time) {
-	last := r.Arrived.Add(max(r.Target, minTarget) - r.Wait)
+	last := r.Arrived.Add(core.TimeAllowed(r.Target) - r.Wait)
 	inTime := !now.After(last.Add(lateMargin))
 	switch {
 	case r.Target <= 0 || r.Wait-r.Own <= r.Ahead(!inTime) && !r.Contended && r.HeldUp < maxHeldUp:
--- a/io/proxy/turn.go
+++ b/io/proxy/turn.go
@@ -15,9 +15,6 @@
 const (
 	// maxReturns bounds the lanes whose callers' returns are spread.
 	maxReturns = 4096
-	// minTimely is the time within which an answer counts as in time even if the route's target
-	// is shorter.
-	minTimely = 500 * time.Millisecond
 	// minReturnGap is the least time between the returns of two callers.
 	minReturnGap = time.Millisecond
 )
@@ -204,7 +201,7 @@
 	case w.late:
 		i.Class, i.Deadline = lateClass, time.Time{}
 	case c.route.Target > 0 && !c.proxy.sendsAtOnce:
-		i.Deadline = core.Earlier(w.leaves, c.arrived.Add(max(c.route.Target, minTimely)))
+		i.Deadline = core.Earlier(w.leaves, c.arrived.Add(core.TimeAllowed(c.route.Target)))
 	}
 	if c.customer != nil {
 		i.Owner = c.customer.Name
