Decay by half-lives in one place, and keep a stream's last report whole

Five places raised two to a negative quotient of times (paces twice, reading, failures of hosts, age of reports); core.Decay does. The meter kept a stream's events and tokens in two maps with the same keys; it keeps the reported streams in one. UsePaces walked all hosts also when there was nothing to forget.

--- a/core/compare.go
+++ b/core/compare.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Later returns the later of two times.
 func Later(a, b time.Time) time.Time {
@@ -28,3 +31,9 @@
 	}
 	return 1
 }
+
+// Decay returns the fraction that is left of a quantity after a time if it falls to half in each
+// half-life.
+func Decay(elapsed, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(elapsed) / float64(halfLife))
+}
--- a/core/fleet/pace.go
+++ b/core/fleet/pace.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -43,7 +42,7 @@
 		p.readingAt = until
 		return
 	}
-	keep := math.Exp2(-float64(elapsed) / float64(readingHalfLife))
+	keep := core.Decay(elapsed, readingHalfLife)
 	p.reading *= keep
 	if was {
 		p.reading += 1 - keep
@@ -72,10 +71,11 @@
 // UsePaces sets whether the measured paces of hosts affect the choice, as they do in a new View.
 func (v *View) UsePaces(use bool) {
 	v.ignorePace = !use
+	if use {
+		return
+	}
 	for _, h := range v.hosts {
-		if v.ignorePace {
-			h.pace, h.speed = core.Pace{}, 0
-		}
+		h.pace, h.speed = core.Pace{}, 0
 	}
 }
 
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"math"
 	"slices"
 	"time"
 
@@ -327,7 +326,7 @@
 	if h.failures == 0 {
 		return 0
 	}
-	return h.failures * math.Exp2(-now.Sub(h.failedAt).Seconds()/failureHalfLife.Seconds())
+	return h.failures * core.Decay(now.Sub(h.failedAt), failureHalfLife)
 }
 
 // prefillTime returns the average prefill time of a prompt, in milliseconds.
--- a/core/pace/meter.go
+++ b/core/pace/meter.go
@@ -26,11 +26,10 @@
 // Meter measures the pace of one incarnation of an engine. The zero Meter is ready for use.
 // It is not safe for concurrent use.
 type Meter struct {
-	// events are the numbers of events of the streams in the last report, which was taken at
-	// lastAt. tokens are the numbers of tokens that they held.
-	events, tokens map[core.RequestID]int64
-	lastAt         time.Time
-	lastReading    bool
+	// last are the streams in the last report, which was taken at lastAt.
+	last        map[core.RequestID]core.UpstreamStream
+	lastAt      time.Time
+	lastReading bool
 
 	quiet, reading gapEstimate
 	// eventsSeen and tokensSeen are decayed sums over all streams.
@@ -46,7 +45,7 @@
 }
 
 func (g *gapEstimate) add(elapsed time.Duration, events float64) {
-	keep := math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
+	keep := core.Decay(elapsed, halfLife)
 	g.observed = g.observed*keep + elapsed.Seconds()
 	g.events = g.events*keep + events
 }
@@ -70,9 +69,9 @@
 		m.compare(elapsed, streams, reading)
 	}
 	m.lastAt, m.lastReading = at, reading
-	m.events, m.tokens = make(map[core.RequestID]int64, len(streams)), make(map[core.RequestID]int64, len(streams))
+	m.last = make(map[core.RequestID]core.UpstreamStream, len(streams))
 	for _, s := range streams {
-		m.events[s.ID], m.tokens[s.ID] = s.Events, s.Tokens
+		m.last[s.ID] = s
 	}
 }
 
@@ -80,18 +79,18 @@
 func (m *Meter) compare(elapsed time.Duration, streams []core.UpstreamStream, reading bool) {
 	count, events, tokens := 0, int64(0), int64(0)
 	for _, s := range streams {
-		before, ok := m.events[s.ID]
-		if !ok || s.Events < before || s.Tokens < m.tokens[s.ID] {
+		before, ok := m.last[s.ID]
+		if !ok || s.Events < before.Events || s.Tokens < before.Tokens {
 			continue // the stream began since, or began anew after the engine put it back
 		}
 		count++
-		events += s.Events - before
-		tokens += s.Tokens - m.tokens[s.ID]
+		events += s.Events - before.Events
+		tokens += s.Tokens - before.Tokens
 	}
 	if count == 0 {
 		return
 	}
-	keep := math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
+	keep := core.Decay(elapsed, halfLife)
 	m.eventsSeen = m.eventsSeen*keep + float64(events)
 	m.tokensSeen = m.tokensSeen*keep + float64(tokens)
 	each := float64(events) / float64(count)
--- a/core/route/option.go
+++ b/core/route/option.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -89,7 +88,7 @@
 	reported := float64(c.Load.Running + c.Load.Queued)
 	weight := 1.0
 	if age > maxFreshAge {
-		weight = math.Exp2(-float64(age-maxFreshAge) / float64(reportHalfLife))
+		weight = core.Decay(age-maxFreshAge, reportHalfLife)
 	}
 	return max(own, reported*weight+float64(c.Sent))
 }
