Decode a host's figures in one place

applyHost decoded the figures of a relay's message once into digest.Figures and once, field by field, into the report, and the new rank that entries ask for had its bound written three times. decodeFigures decodes them, and Figures.Set puts them into a report, as PutFigures did by hand.

--- a/core/digest/table.go
+++ b/core/digest/table.go
@@ -40,6 +40,12 @@
 	Active map[core.ModelName]int
 }
 
+// Set replaces the figures of a report.
+func (f *Figures) Set(r *fleet.Report) {
+	r.Taken, r.Active = f.Taken, f.Active
+	r.Waiting, r.Running, r.Reading, r.Asking = f.Waiting, f.Running, f.Reading, f.Asking
+}
+
 // Update is a host that has changed since the last response to an entry.
 type Update struct {
 	Host
@@ -115,8 +121,7 @@
 		return false
 	}
 	h := r.Host
-	h.Report.Taken, h.Report.Active = f.Taken, f.Active
-	h.Report.Waiting, h.Report.Running, h.Report.Reading, h.Report.Asking = f.Waiting, f.Running, f.Reading, f.Asking
+	f.Set(&h.Report)
 	t.Put(source, h)
 	return true
 }
--- a/io/feed/encode.go
+++ b/io/feed/encode.go
@@ -34,7 +34,7 @@
 			Leaving: r.GetLeaving(), Busy: r.GetBusy(), Limit: core.RateLimit{Limited: r.GetLimited(), Rate: r.GetRate()},
 			InMemory: core.Names[core.ModelName](r.GetInMemory()), OnDisk: core.Names[core.ModelName](r.GetOnDisk()),
 			Waiting: int(r.GetWaiting()), Running: int(r.GetRunning()), Reading: int(r.GetReading()),
-			Pace: peer.DecodePace(r.GetPace()), Asking: int(min(r.GetAsking(), core.PriorityLevels)),
+			Pace: peer.DecodePace(r.GetPace()), Asking: decodeAsking(r.GetAsking()),
 			Loading: core.ModelName(r.GetLoading()), Active: make(map[core.ModelName]int, len(r.GetModels())),
 		},
 	}
@@ -85,6 +85,17 @@
 	return out
 }
 
+// decodeFigures decodes the figures of a host that has the given models.
+func decodeFigures(taken time.Time, s *wire.HostState, models []core.HeldModel) digest.Figures {
+	return digest.Figures{
+		Taken: taken, Waiting: int(s.GetWaiting()), Running: int(s.GetRunning()), Reading: int(s.GetReading()),
+		Asking: decodeAsking(s.GetAsking()), Active: decodeActive(models, s.GetActive()),
+	}
+}
+
+// decodeAsking decodes fleet.Report.Asking.
+func decodeAsking(n uint32) int { return int(min(n, core.PriorityLevels)) }
+
 func encodeWaits(waits map[core.ModelName]demand.Waits) []*wire.ModelWaiting {
 	out := make([]*wire.ModelWaiting, 0, len(waits))
 	for name, w := range waits {
--- a/io/feed/poll.go
+++ b/io/feed/poll.go
@@ -196,18 +196,12 @@
 		if !ok {
 			return false
 		}
-		return f.table.PutFigures(source, address, digest.Figures{
-			Taken: taken, Waiting: int(s.GetWaiting()), Running: int(s.GetRunning()), Reading: int(s.GetReading()),
-			Asking: int(min(s.GetAsking(), core.PriorityLevels)),
-			Active: decodeActive(old.Report.Models, s.GetActive()),
-		})
+		return f.table.PutFigures(source, address, decodeFigures(taken, s, old.Report.Models))
 	}
 	h := DecodeHost(address, s.GetReport(), now)
 	h.Planner = core.HostName(s.GetPlanner())
-	h.Report.Taken = taken
-	h.Report.Waiting, h.Report.Running, h.Report.Reading = int(s.GetWaiting()), int(s.GetRunning()), int(s.GetReading())
-	h.Report.Asking = int(min(s.GetAsking(), core.PriorityLevels))
-	h.Report.Active = decodeActive(h.Report.Models, s.GetActive())
+	figures := decodeFigures(taken, s, h.Report.Models)
+	figures.Set(&h.Report)
 	f.table.Put(source, h)
 	return true
 }
