Use what is there already in the waiting room, the buffers and the soak

Comments are put right: abandon names start, which choose has become, and the time granted to a customer does not fall by half-lives, as was said. It stays as it is: with core.Decay the order between customers would change, which wants a measurement.

--- a/core/buffer/account.go
+++ b/core/buffer/account.go
@@ -67,6 +67,9 @@
 	a.used += n
 }
 
+// IsFull reports whether more than the bound is held.
+func (a *Account) IsFull() bool { return a.Bound > 0 && a.used > a.Bound }
+
 // Used returns the bytes that are held.
 func (a *Account) Used() core.Bytes { return a.used }
 
@@ -102,12 +105,11 @@
 }
 
 // Victim returns the request to end if more is held than the bound, or a request was not admitted
-// of late: of those whose callers have
-// taken nothing for slowAfter the one that holds most, the oldest among equals. It returns false
-// if nothing has to end or no caller is slow.
+// of late: of those whose callers have taken nothing for slowAfter the one that holds most, the
+// oldest among equals. It returns false if nothing has to end or no caller is slow.
 func (a *Account) Victim(now time.Time) (id uint64, held core.Bytes, ok bool) {
 	short := !a.shortAt.IsZero() && now.Sub(a.shortAt) < shortFor
-	if a.Bound <= 0 || a.used <= a.Bound && !short {
+	if a.Bound <= 0 || !a.IsFull() && !short {
 		return 0, 0, false
 	}
 	for other, h := range a.holders {
--- a/core/credit/account.go
+++ b/core/credit/account.go
@@ -11,7 +11,8 @@
 const (
 	// transit is how long after its grant a prompt may not yet be in the engine's reports.
 	transit = 80 * time.Millisecond
-	// servedHalfLife is the time after which the time granted to a customer counts half.
+	// servedHalfLife is the time after which the time granted to a customer counts half; after
+	// twice as long it counts a third.
 	servedHalfLife = 5 * time.Second
 	// maxAsks bounds the asks that wait. Those beyond are refused, and entries go by what they
 	// know themselves.
@@ -157,8 +158,8 @@
 	return best
 }
 
-// amount returns the decayed time granted to a customer, in seconds. It falls to half in each
-// servedHalfLife.
+// amount returns the decayed time granted to a customer, in seconds. It falls more slowly the
+// older it is: a customer that was granted much stays behind for longer than with core.Decay.
 func (a *Account) amount(now time.Time, customer core.OwnerName) float64 {
 	s := a.served[customer]
 	age := float64(now.Sub(s.at)) / float64(servedHalfLife)
--- a/io/deploy/signal.go
+++ b/io/deploy/signal.go
@@ -11,9 +11,9 @@
 )
 
 // shareSignals sets up the exchange between entries of rate limits and announcements of
-// leaving in upstreams' responses, and of strikes against requests and parts of prompts. An entry with few requests
-// for an upstream would learn of them late, and the limits apply to the requests of all entries
-// together.
+// leaving in upstreams' responses, and of strikes against requests and parts of prompts. An entry
+// with few requests for an upstream would learn of them late, and the limits apply to the requests
+// of all entries together.
 func (e *entry) shareSignals() {
 	e.proxy.OnRateLimit, e.proxy.OnLeaving = e.broadcastLimit, e.broadcastLeaving
 	e.proxy.OnStrikes = e.broadcastStrikes
--- a/io/proxy/buffer.go
+++ b/io/proxy/buffer.go
@@ -62,7 +62,7 @@
 func (b *buffers) isFull() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.account.Bound > 0 && b.account.Used() > b.account.Bound
+	return b.account.IsFull()
 }
 
 // used returns the bytes held.
--- a/io/proxy/room.go
+++ b/io/proxy/room.go
@@ -89,7 +89,7 @@
 	}
 	p.roundBy(w.askAgain)
 	c := w.call
-	c.proxy.Meter.RoomAsked(granted)
+	p.Meter.RoomAsked(granted)
 	if !granted || c.refuseQuarantined(now) != nil {
 		return
 	}
@@ -100,8 +100,7 @@
 		return
 	}
 	c.recordChoice(now, choice)
-	c.turnID = w.id
 	c.granted = true
-	delete(p.waiters, w.id)
+	p.takeTurn(w)
 	p.settle(now, w, prospect{choice: choice})
 }
--- a/io/proxy/round.go
+++ b/io/proxy/round.go
@@ -91,10 +91,16 @@
 	}
 }
 
-// startWaiter starts a request whose turn it is.
-func (p *Proxy) startWaiter(now time.Time, w *waiter) {
+// takeTurn gives a request that the queue has started its turn, which endTurn or refuse ends. The
+// caller holds mu.
+func (p *Proxy) takeTurn(w *waiter) {
 	delete(p.waiters, w.id)
 	w.call.turnID = w.id
+}
+
+// startWaiter starts a request whose turn it is.
+func (p *Proxy) startWaiter(now time.Time, w *waiter) {
+	p.takeTurn(w)
 	if !p.settle(now, w, w.call.look(now)) {
 		// Nothing changed since the queue was told that it may start.
 		p.refuse(w, w.call.giveUpWaiting(false))
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -263,7 +263,7 @@
 	return core.Refuse(core.CodeWaitTooLong, "no upstream host could run the request in its time")
 }
 
-// abandon undoes what choose recorded.
+// abandon undoes what start recorded.
 func (c *call) abandon(t *target) {
 	c.release(t)
 	c.endTurn(queue.Failed)
--- a/io/soak/slow.go
+++ b/io/soak/slow.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"strings"
 	"sync"
 )
@@ -24,12 +23,11 @@
 		reading.Add(1)
 		go func() {
 			defer reading.Done()
-			transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
 			q := Result{
 				ID: fmt.Sprintf("slow-%d-%d-%d", s.Variant, i, rand.Uint32()), Route: Route(i % int(routeCount)), Entry: s.Target % len(c.entryAddrs),
 				Key: "key-free", Customer: "free", Text: strings.Repeat("x", slowBody), released: released,
 			}
-			c.add(c.send(transport, q, "m-1"))
+			c.add(c.sendNew(q, "m-1"))
 		}()
 	}
 	return func() {
