Take a call's response although the ping beside it fails

What callers saw: an entry that waited for another entry's record of a claim for more than a second, while that other entry shut down, was told that the claim may or may not be recorded, although it was and the response had arrived. A caller would have been told that its request may have run.

Cause: after a second the client pings beside the call and waits for the ping alone. A server that shuts down answers the call, does not read the ping, and closes; the ping fails with the reset, and its error was returned without a look at the call, whose response had been read just before.

Ruled out: that the reset itself takes the response away. A server that half closes and waits for the client (tried, taken out again) still failed, with "unexpected EOF" in place of the reset, and without it nothing fails once the client looks at the call: the kernel hands out what came before the reset.

--- a/io/peer/calls_test.go
+++ b/io/peer/calls_test.go
@@ -139,6 +139,24 @@
 // call must get its response; otherwise the other entry would have to report that the
 // request may have run.
 func TestStopAnswers(t *testing.T) {
+	assertAnsweredAtStop(t, 0)
+}
+
+// TestStopAnswersPinged: as in TestStopAnswers, and the other entry pings meanwhile. The
+// ping, which is never read, must not reset the connection and with it the response.
+func TestStopAnswersPinged(t *testing.T) {
+	for range 8 {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			assertAnsweredAtStop(t, pingInterval+100*time.Millisecond)
+		})
+	}
+}
+
+// assertAnsweredAtStop stops a server while it serves a claim, ends the claim after a
+// further time, and asserts that the caller gets its response.
+func assertAnsweredAtStop(t *testing.T, further time.Duration) {
+	t.Helper()
 	begun, finish := make(chan struct{}), make(chan struct{})
 	to, stop := serveCalls(t, &Handler{Claim: func(*wire.ClaimCall) (*wire.ClaimReply, error) {
 		close(begun)
@@ -169,6 +187,7 @@
 		}
 		return err != nil
 	})
+	time.Sleep(further)
 	close(finish)
 	got := <-responses
 	assert.NilError(t, got.err)
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -141,18 +141,27 @@
 func (c *Client) wait(ctx context.Context, to Target, conn *clientConn, pending *rpc.Call) error {
 	timer := time.NewTimer(pingInterval)
 	defer timer.Stop()
+	ended := func() error {
+		if pending.Error != nil && !isServerError(pending.Error) {
+			c.discard(to, conn)
+		}
+		return pending.Error
+	}
 	for {
 		select {
 		case <-pending.Done:
-			if pending.Error != nil && !isServerError(pending.Error) {
-				c.discard(to, conn)
-			}
-			return pending.Error
+			return ended()
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		case <-timer.C:
 		}
 		if err := conn.ping(ctx, silenceTimeout); err != nil {
+			// A server that shuts down responds to the call and not to the ping.
+			select {
+			case <-pending.Done:
+				return ended()
+			default:
+			}
 			c.discardDead(to, conn, err)
 			return err
 		}
