Find the hosts of a model by an index, not by a look at all hosts

Under load each waiting request decides again in each round.

Now the view keeps the hosts by service and by the models that their entry or report lists; which of the two counts is still decided at the decision, since it depends on the report's age. Keys of prompt parts and of the order of hosts are computed once a decision instead of once a host. Continued streams still look at all hosts of the service: those without the model may load it. Choice.Leaving now means what its one reader asked for: all running hosts leave.

The hash values are the same, so that entries of two releases order hosts alike.

--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -101,6 +101,7 @@
 	// missing holds the models that the host denied holding, with the time until which that
 	// overrides its reports.
 	missing map[core.ModelName]time.Time
+	indexed indexed
 	*signals
 	enginePace
 }
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -82,7 +82,29 @@
 type prefixKey uint64
 
 func (q *Query) key(part string) prefixKey {
-	return prefixKey(xxhash.Sum64String(string(q.Model) + "/" + q.Adapter + "/" + part))
+	var room [128]byte
+	key := append(append(room[:0], q.Model...), '/')
+	key = append(append(key, q.Adapter...), '/')
+	return prefixKey(xxhash.Sum64(append(key, part...)))
+}
+
+// appendKeys appends the keys of the shared parts of the prompt.
+func (q *Query) appendKeys(keys []prefixKey) []prefixKey {
+	for _, p := range q.shared() {
+		keys = append(keys, q.key(p.ID))
+	}
+	return keys
+}
+
+// affinityKey returns the key of what hosts are ordered by for a request: the prompt that it
+// shares with others, its adapter, or its model.
+func (q *Query) affinityKey() prefixKey {
+	part := ""
+	if shared := q.shared(); len(shared) > 0 && q.Adapter == "" {
+		// Hosts have few adapter slots, so requests for one adapter are kept together.
+		part = shared[len(shared)-1].ID
+	}
+	return q.key(part)
 }
 
 // Choice is the result of Pick.
@@ -94,7 +116,7 @@
 	// Listed is set if the service has hosts that may get requests, whichever models they
 	// hold.
 	Listed bool
-	// Leaving is set if the service has running hosts that are leaving.
+	// Leaving is set if the service has running hosts and all of them are leaving.
 	Leaving bool
 	// Cost is the total weight of the host, in milliseconds.
 	Cost float64
@@ -155,15 +177,12 @@
 	takes := false
 	oneVersion := q.Origin == nil || v.hasOnly(now, q.Service, q.Origin.Software)
 	best.Discontinued = q.Origin != nil && v.listsOther(q.Service, q.Origin.Software)
-	for _, h := range v.hosts {
-		if q.Service != "" && q.Service != h.Service || q.Only != "" && q.Only != h.ID || !h.IsAvailable(now) {
-			continue
-		}
-		if h.IsLeaving(now) {
-			best.Leaving = true
+	v.keys = q.appendKeys(v.keys[:0])
+	affinityKey := q.affinityKey()
+	for _, h := range v.candidates(q) {
+		if q.Service != "" && q.Service != h.Service || !h.IsAvailable(now) || h.IsLeaving(now) {
 			continue
 		}
-		best.Listed = true
 		if q.Origin != nil && !h.continues(q.Origin, oneVersion) {
 			continue
 		}
@@ -171,8 +190,7 @@
 		if q.Model != "" {
 			held, ok := h.Find(now, q.Model)
 			if !ok {
-				best.Discontinued = best.Discontinued && !h.mayHold(now, q.Model)
-				best.noteLoadable(now, h, q.Model)
+				best.noteWithout(now, h, q)
 				continue
 			}
 			fetch = q.Adapter != "" && !slices.Contains(held.Adapters, q.Adapter)
@@ -189,10 +207,10 @@
 		if slices.Contains(q.Tried, h.ID) {
 			continue
 		}
-		tokens := h.PrefillTokens(now, q)
+		tokens := h.prefillTokens(now, q, v.keys)
 		wait := h.wait(now, tokens, fetch, v.prefillTime())
 		p := v.pauses(now, h, q, tokens)
-		cost := wait + h.cost(now, q) + (p.heldUp+p.own)*lateCost(q)
+		cost := wait + h.cost(now, q, affinityKey) + (p.heldUp+p.own)*lateCost(q)
 		if best.Host == nil || cost < best.Cost || cost == best.Cost && h.ID < best.Host.ID {
 			best.Host, best.Fetch, best.Cost = h, fetch, cost
 			best.Wait, best.RateLimitDelay = time.Duration(wait*float64(time.Millisecond)), h.reservationDelay(now)
@@ -203,19 +221,58 @@
 	if !takes {
 		best.RetryAt = retryAt
 	}
+	best.Listed, best.Leaving = best.Hosts > 0, false
+	if !best.Listed {
+		best.Listed, best.Leaving = v.listed(now, q)
+	}
 	return best
 }
 
+// candidates returns the hosts that may be chosen. Continued streams need all hosts, since those
+// that do not hold the model may load it.
+func (v *View) candidates(q *Query) []*Host {
+	switch {
+	case q.Only != "":
+		if h := v.hosts[q.Only]; h != nil {
+			return []*Host{h}
+		}
+		return nil
+	case q.Origin != nil || q.Model == "":
+		return v.index.services[q.Service]
+	}
+	return v.index.holders[q.Model]
+}
+
+// listed reports whether any host of a request's service may get requests, or else whether there
+// are some that are leaving.
+func (v *View) listed(now time.Time, q *Query) (listed, leaving bool) {
+	for _, h := range v.index.services[q.Service] {
+		switch {
+		case q.Only != "" && q.Only != h.ID || !h.IsAvailable(now):
+		case !h.IsLeaving(now):
+			return true, false
+		default:
+			leaving = true
+		}
+	}
+	return false, leaving
+}
+
 // lateCost returns the cost of an answer that is late by its pauses, in milliseconds: that of
 // one whose beginning is as late as it may be, up to maxLateCost.
 func lateCost(q *Query) float64 {
 	return float64(min(q.Target, maxLateCost)) / float64(time.Millisecond)
 }
 
-// noteLoadable records that a host may load a model.
-func (c *Choice) noteLoadable(now time.Time, h *Host, model core.ModelName) {
+// noteWithout records a host that does not hold the model of a request, which matters if the
+// request continues a stream.
+func (c *Choice) noteWithout(now time.Time, h *Host, q *Query) {
+	if q.Origin == nil {
+		return
+	}
+	c.Discontinued = c.Discontinued && !h.mayHold(now, q.Model)
 	memory, disk := h.AtHand(now)
-	from := core.NearestTier(model, memory, disk)
+	from := core.NearestTier(q.Model, memory, disk)
 	if !c.Loadable || from < c.From {
 		c.Loadable, c.From = true, from
 	}
@@ -252,7 +309,7 @@
 }
 
 // cost returns the cost of a host besides its wait, in milliseconds.
-func (h *Host) cost(now time.Time, q *Query) float64 {
+func (h *Host) cost(now time.Time, q *Query, affinityKey prefixKey) float64 {
 	cost := float64(h.inFlight)*runningCost + h.FailureCount(now)*failureCost
 	if h.Fresh(now) {
 		cost += float64(h.Report.Running) * runningCost / 2
@@ -267,7 +324,7 @@
 		cost += overloadCost * float64(h.inFlight-h.Slots+1)
 	}
 	if q.Model != "" {
-		cost += h.affinity(q) * affinityCost
+		cost += h.affinity(affinityKey) * affinityCost
 	}
 	return cost
 }
@@ -284,16 +341,21 @@
 // PrefillTokens returns the number of the prompt's tokens that the host is not known to have
 // cached, which NoteSent will count for a request. It is zero for a plain service.
 func (h *Host) PrefillTokens(now time.Time, q *Query) int {
+	return h.prefillTokens(now, q, q.appendKeys(nil))
+}
+
+// prefillTokens is PrefillTokens for the keys of the query's shared parts.
+func (h *Host) prefillTokens(now time.Time, q *Query, keys []prefixKey) int {
 	if q.Model == "" {
 		return 0
 	}
 	left := q.Tokens
-	for _, p := range q.shared() {
-		at, ok := h.prefixes[q.key(p.ID)]
+	for i, key := range keys {
+		at, ok := h.prefixes[key]
 		if !ok || now.Sub(at) > prefixTTL {
 			break
 		}
-		left -= p.Tokens
+		left -= q.Parts[i].Tokens
 	}
 	return max(left, 0)
 }
@@ -307,18 +369,11 @@
 }
 
 // affinity returns the host's position, at least 0 and below 1, in an order of hosts that
-// is the same in all processes for requests that share a prompt, an adapter or a model.
-func (h *Host) affinity(q *Query) float64 {
-	part := ""
-	if shared := q.shared(); len(shared) > 0 {
-		part = shared[len(shared)-1].ID
-	}
-	if q.Adapter != "" {
-		// Hosts have few adapter slots, so requests for one adapter are kept together.
-		part = ""
-	}
-	key := binary.LittleEndian.AppendUint64([]byte(h.ID), uint64(q.key(part)))
-	return float64(xxhash.Sum64(key)>>11) / (1 << 53)
+// is the same in all processes for requests with the same affinityKey.
+func (h *Host) affinity(key prefixKey) float64 {
+	var room [64]byte
+	text := binary.LittleEndian.AppendUint64(append(room[:0], h.ID...), uint64(key))
+	return float64(xxhash.Sum64(text)>>11) / (1 << 53)
 }
 
 // FailureCount returns the exponentially decayed count of the host's failures.
@@ -358,15 +413,16 @@
 		h.active = map[core.ModelName]int{}
 	}
 	h.active[q.Model]++
-	tokens := h.PrefillTokens(now, q)
+	keys := q.appendKeys(nil)
+	tokens := h.prefillTokens(now, q, keys)
 	h.pendingPrefill += tokens
 	h.sentPrompts = slices.DeleteFunc(h.sentPrompts, func(s sentPrompt) bool { return !s.at.After(h.Report.Taken) || now.Sub(s.at) > reportTTL })
 	h.sentPrompts = append(h.sentPrompts, sentPrompt{at: now, tokens: tokens})
 	if h.prefixes == nil || len(h.prefixes) >= maxPrefixes {
 		h.prefixes = map[prefixKey]time.Time{}
 	}
-	for _, p := range q.shared() {
-		h.prefixes[q.key(p.ID)] = now
+	for _, key := range keys {
+		h.prefixes[key] = now
 	}
 }
 
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -27,6 +27,9 @@
 // not safe for concurrent use.
 type View struct {
 	hosts map[core.HostName]*Host
+	index index
+	// keys is reused by each decision.
+	keys []prefixKey
 	// byAddress holds the incarnations that the registry lists at an address: one, except
 	// in the seconds after a restart.
 	byAddress map[netip.AddrPort][]*Host
@@ -66,6 +69,7 @@
 func (v *View) init() {
 	if v.hosts == nil {
 		v.hosts = map[core.HostName]*Host{}
+		v.index = index{services: map[core.ServiceName][]*Host{}, holders: map[core.ModelName][]*Host{}}
 		v.byAddress = map[netip.AddrPort][]*Host{}
 		v.lapsed = map[core.HostName]time.Time{}
 		v.signals = map[Incarnation]*signals{}
@@ -133,6 +137,7 @@
 		v.noteDeparture(h)
 	}
 	h.Entry = e
+	v.index.update(h)
 	v.supersede(e.Address)
 }
 
@@ -170,6 +175,7 @@
 func (v *View) add(h *Host) {
 	h.signals = v.signalsOf(h.incarnation())
 	v.hosts[h.ID] = h
+	v.index.add(h)
 	v.byAddress[h.Address] = append(v.byAddress[h.Address], h)
 	v.supersede(h.Address)
 }
@@ -179,6 +185,7 @@
 		return
 	}
 	delete(v.hosts, h.ID)
+	v.index.remove(h)
 	v.noteDeparture(h)
 	v.unlist(h.incarnation())
 	v.byAddress[h.Address] = slices.DeleteFunc(v.byAddress[h.Address], func(o *Host) bool { return o == h })
@@ -235,6 +242,7 @@
 	}
 	h.noteReading(r.Taken, h.Report.Reading > 0)
 	h.Report = r
+	v.index.update(h)
 }
 
 // NoteUnreachable records that the agent at an address cannot reach its host. The registry
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -209,7 +209,7 @@
 // at once, with the time at which to retry, finds the model loaded at that time. The caller
 // of refuseLate holds the proxy's mu.
 func (c *call) refuseLate(now time.Time, choice fleet.Choice) *core.Refusal {
-	if c.query.Model == "" && choice.Leaving && !choice.Listed && c.ran == 0 {
+	if c.query.Model == "" && choice.Leaving && c.ran == 0 {
 		return core.RefuseUntil(core.CodeNoHost, "all hosts of the service leave", c.retryAt(allLeavingRetry))
 	}
 	at, ok := c.proxy.forecasts[c.query.Model]
