Place copies by the speed of the hosts' engines

What callers saw: on fleets with engines of uneven speed, streams of busy models pause at slow engines that hold the only copy. The planner counted every copy as one, whatever its engine does in a second, so that a model whose copy stood on an engine of half the speed seemed as well served as any.

Now a copy counts by the speed of its host, as the entries compare the paces that agents measure: in the worth of a further copy, in what is displaced, and in the choice of host. The log line of a goal has the speed.

Ruled out that nothing is decided by it: the tests fail with all speeds taken as one.

--- a/core/copies/place.go
+++ b/core/copies/place.go
@@ -60,7 +60,7 @@
 			if w.byVersion[versionKey{name, version}] > 0 {
 				continue
 			}
-			next := rankedModel{name: name, worth: w.worth(name, 1)}
+			next := rankedModel{name: name, worth: w.worth(name, 1, 0, 1)}
 			best := w.best(next, func(h *Host) bool { return h.Software == version })
 			if best.host != nil {
 				w.move(next, best)
@@ -71,7 +71,7 @@
 
 // insert adds a model to a ranked list.
 func (w *plan) insert(list []rankedModel, name core.ModelName) []rankedModel {
-	r := rankedModel{name: name, worth: w.worth(name, w.copies[name]+1)}
+	r := rankedModel{name: name, worth: w.nextWorth(name)}
 	at, _ := slices.BinarySearchFunc(list, r, compareWorth)
 	return slices.Insert(list, at, r)
 }
@@ -118,7 +118,7 @@
 func (w *plan) move(next rankedModel, best candidate) {
 	name := next.name
 	move := Move{
-		Copies: w.copies[name], Demand: w.demand[name], Worth: next.worth, Loss: best.loss,
+		Copies: w.copies[name], Demand: w.demand[name], Worth: next.worth, Loss: best.loss, Speed: best.host.speed(),
 		Host: best.host.ID, Evict: best.evict, Load: name, From: best.from, Idle: drainDelay(best.host, best.evict) == 0,
 		At: w.now, By: w.now.Add(best.took), Until: w.now.Add(moveTTL),
 	}
@@ -126,9 +126,11 @@
 	w.Planner.moves[move.Host] = move
 	best.host.TakesOrders = false
 	w.copies[name]++
+	w.capacity[name] += best.host.speed()
 	w.byVersion[versionKey{name, best.host.Software}]++
 	for _, m := range best.evict {
 		w.copies[m] = max(0, w.copies[m]-1)
+		w.capacity[m] = max(0, w.capacity[m]-best.host.speed())
 		w.byVersion[versionKey{m, best.host.Software}]--
 	}
 	if best.from == core.TierStore {
@@ -174,11 +176,14 @@
 		return candidate{}, false
 	}
 	evict, loss, ok := w.makeRoom(h, name)
-	if !ok || loss > next.worth*hysteresis {
+	slower := w.slowness(h, name)
+	worth := next.worth - slower
+	if !ok || loss > worth*hysteresis || w.copies[name] > 0 && worth < minExtraWorth {
 		return candidate{}, false
 	}
 	took := drainDelay(h, evict) + w.loadDuration(name, from)
-	score := -loss - loadTimePenalty*took.Seconds()
+	score := -loss - slower - loadTimePenalty*took.Seconds()
+	score -= slowPenalty * (1 - h.speed()) * min(1, w.demand[name].Work)
 	if h.Limit.Limited {
 		score -= limitPenalty
 	}
@@ -221,7 +226,7 @@
 	}
 	held := slices.DeleteFunc(slices.Clone(h.Held), func(m core.ModelName) bool { return !w.mayEvict(h, m, name) })
 	keep := func(m core.ModelName) float64 {
-		return w.worth(m, w.copies[m]) + loadTimePenalty*drainDelay(h, []core.ModelName{m}).Seconds()
+		return w.heldWorth(h, m) + loadTimePenalty*drainDelay(h, []core.ModelName{m}).Seconds()
 	}
 	slices.SortFunc(held, func(a, b core.ModelName) int {
 		return cmp.Or(cmp.Compare(keep(a), keep(b)), cmp.Compare(a, b))
@@ -245,7 +250,7 @@
 		return true
 	})
 	for _, m := range evict {
-		loss += w.worth(m, w.copies[m])
+		loss += w.heldWorth(h, m)
 	}
 	return evict, loss, true
 }
--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -66,6 +66,10 @@
 	// the same copy: about what its callers lose by it. Copies then go where the weights
 	// are in memory or on disk.
 	loadTimePenalty = 0.3
+	// slowPenalty is the cost in that choice of an engine that stands still against one of usual
+	// speed, for a model that takes an engine's whole time. Busy models go to quick engines and
+	// leave the slow ones to rare models.
+	slowPenalty = 0.5
 	// limitPenalty is the cost of a host with a rate limit in that choice.
 	limitPenalty = 1.0
 	// pairBonus is the advantage in that choice of a host whose software version has a single
@@ -114,7 +118,10 @@
 	// Leaving is set if the host is leaving. Its copies are not counted.
 	Leaving bool
 	// Limit is the host's rate limit.
-	Limit    core.RateLimit
+	Limit core.RateLimit
+	// Speed is the speed of the host's engine as a fraction of the usual one; zero if it is
+	// unknown or usual.
+	Speed    float64
 	Software core.SoftwareVersion
 	Held     []core.ModelName
 	// Active counts the requests in progress by model.
@@ -131,6 +138,14 @@
 	InMemory, OnDisk []core.ModelName
 }
 
+// speed returns the host's speed as a fraction of the usual one.
+func (h *Host) speed() float64 {
+	if h.Speed <= 0 {
+		return 1
+	}
+	return min(1, h.Speed)
+}
+
 // Near returns the nearest tier from which the host can load a model.
 func (h *Host) Near(name core.ModelName) core.Tier {
 	return core.NearestTier(name, h.InMemory, h.OnDisk)
@@ -149,6 +164,8 @@
 	Copies      int
 	Demand      Demand
 	Worth, Loss float64
+	// Speed is the speed of the host as in Host, one if it is usual.
+	Speed float64
 	// At is when the move was decided, By when the load should be done, and Until when the
 	// move is given up if no report shows it.
 	At, By, Until time.Time
@@ -211,6 +228,8 @@
 	// copies is the number of hosts, by model, that hold it or are about to, less the
 	// shortfall.
 	copies map[core.ModelName]int
+	// capacity is the sum of the speeds of these hosts, by model.
+	capacity map[core.ModelName]float64
 	// shortfall is, by model, how many whole copies are missing because hosts with a rate
 	// limit serve only part of the load.
 	shortfall map[core.ModelName]float64
@@ -233,7 +252,7 @@
 	p.width.Note(now, hosts, func(m core.ModelName) time.Duration { return s.Models[m].Load })
 	w := &plan{
 		Planner: p, now: now, service: s, hosts: hosts, demand: demand,
-		copies: map[core.ModelName]int{}, shortfall: map[core.ModelName]float64{}, near: make(map[core.ModelName][]*Host, len(s.Models)),
+		copies: map[core.ModelName]int{}, capacity: map[core.ModelName]float64{}, shortfall: map[core.ModelName]float64{}, near: make(map[core.ModelName][]*Host, len(s.Models)),
 		byVersion: map[versionKey]int{},
 	}
 	w.countCopies()
@@ -333,7 +352,9 @@
 		}
 	}
 	for name, part := range w.shortfall {
-		w.copies[name] = max(0, w.copies[name]-int(math.Round(part)))
+		missing := math.Round(part)
+		w.copies[name] = max(0, w.copies[name]-int(missing))
+		w.capacity[name] = max(0, w.capacity[name]-missing)
 	}
 }
 
@@ -344,6 +365,7 @@
 // while its callers are refused.
 func (w *plan) addCopy(h *Host, name core.ModelName) {
 	w.copies[name]++
+	w.capacity[name] += h.speed()
 	w.byVersion[versionKey{name, h.Software}]++
 	if rate := w.demand[name].Rate; h.Limit.Limited && rate > h.Limit.Rate {
 		w.shortfall[name] += 1 - h.Limit.Rate/rate
--- a/core/fleet/pace.go
+++ b/core/fleet/pace.go
@@ -58,6 +58,10 @@
 	return PrefillRate * h.speed
 }
 
+// Speed returns the rate at which the host reads prompts as a fraction of the usual one, zero if
+// it is unknown or about the usual one.
+func (h *Host) Speed() float64 { return h.speed }
+
 // readingTime returns the time by which an event is later while the host reads prompts. It is
 // inversely proportional to the rate of reading, since engines read a piece of the same size
 // with each token.
--- a/io/deploy/planner.go
+++ b/io/deploy/planner.go
@@ -268,7 +268,7 @@
 	out := &copies.Host{
 		ID: h.ID, TakesOrders: follows && h.Fresh(now) && !h.Report.Busy && !h.IsLeaving(now), Leaving: h.IsLeaving(now),
 		ReportedAt: h.Report.Taken, Memory: s.Memory, Active: map[core.ModelName]int{},
-		Loading: h.Report.Loading, LoadedBy: h.Report.LoadedBy, Limit: h.Limit(now), Software: h.Software,
+		Loading: h.Report.Loading, LoadedBy: h.Report.LoadedBy, Limit: h.Limit(now), Speed: h.Speed(), Software: h.Software,
 	}
 	out.InMemory, out.OnDisk = h.AtHand(now)
 	for _, m := range h.Holds(now) {
@@ -300,7 +300,7 @@
 	events.Log(
 		events.GoalTaken, "host", h.ID, "load", m.Load, "evict", m.Evict, "from", m.From, "taken", reply.GetTaken(),
 		"reason", reply.GetReason(), "copies", m.Copies, "rate", round(m.Demand.Rate), "work", round(m.Demand.Work),
-		"waiting", m.Demand.Waiting, "worth", round(m.Worth), "loss", round(m.Loss),
+		"waiting", m.Demand.Waiting, "speed", round(m.Speed), "worth", round(m.Worth), "loss", round(m.Loss),
 	)
 }
 
