Foresee answers' lengths from earlier ones, and send requests where they fit

What callers saw: the foreseen length of an answer was the caller's estimate or the maximum that it names. Few answers reach the maximum, and estimates are far off with some callers, so the chance that a stream pauses was too high for some hosts and too low for others. How much prompt memory an engine has free was reported and in no decision; an engine that runs out puts requests back in the middle of their streams and reads them again.

The chance that a request does not fit costs as much in the choice of host as an answer that is late. engine-pace: false takes the memory out of the choice as it does the paces.

Ruled out: holding a request in the entry until some host has memory: when that will be depends on the length of others' answers, which no entry knows.

--- a/core/digest/table.go
+++ b/core/digest/table.go
@@ -34,8 +34,9 @@
 type Figures struct {
 	Taken                     time.Time
 	Waiting, Running, Reading int
-	// Asking is as in fleet.Report.
+	// Asking and Free are as in fleet.Report.
 	Asking int
+	Free   core.FreeMemory
 	// Active counts the requests in progress by model.
 	Active map[core.ModelName]int
 }
@@ -43,7 +44,7 @@
 // Set replaces the figures of a report.
 func (f *Figures) Set(r *fleet.Report) {
 	r.Taken, r.Active = f.Taken, f.Active
-	r.Waiting, r.Running, r.Reading, r.Asking = f.Waiting, f.Running, f.Reading, f.Asking
+	r.Waiting, r.Running, r.Reading, r.Asking, r.Free = f.Waiting, f.Running, f.Reading, f.Asking, f.Free
 }
 
 // Update is a host that has changed since the last response to an entry.
--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -57,6 +57,8 @@
 	// Asking is one more than the most urgent rank of the requests for which entries have asked
 	// the agent for room of late; zero if there are none.
 	Asking int
+	// Free is the host's free prompt memory.
+	Free core.FreeMemory
 	// Pace is the pace of the host's streams, as its agent measures it.
 	Pace core.Pace
 	// Active counts the requests in progress by model over all entries, as of the last call
@@ -110,8 +112,10 @@
 
 // sentPrompt is a prompt that was sent to a host.
 type sentPrompt struct {
-	at     time.Time
-	tokens int
+	at time.Time
+	// tokens are those that the host has to process, and memory those that the request holds
+	// there at its end.
+	tokens, memory int
 }
 
 // reportTTL is how long a report takes precedence over the registry on what a host holds.
--- a/core/fleet/pace.go
+++ b/core/fleet/pace.go
@@ -72,7 +72,8 @@
 	return max(0, p.ReadingEvent-p.Event)
 }
 
-// UsePaces sets whether the measured paces of hosts affect the choice, as they do in a new View.
+// UsePaces sets whether the measured paces and free memory of hosts affect the choice, as they do
+// in a new View.
 func (v *View) UsePaces(use bool) {
 	v.ignorePace = !use
 	if use {
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"radishwell/core"
+	"radishwell/core/room"
 )
 
 // The weights below add up to the time, in milliseconds, until a host should give its first
@@ -66,8 +67,8 @@
 	// Parts is the prompt in order. The last part belongs to this request alone.
 	Parts []core.PromptPart
 	// Tokens is the length of the prompt in tokens, and Answer the foreseen length of the
-	// answer.
-	Tokens, Answer int
+	// answer. One answer in ten is longer than LongAnswer.
+	Tokens, Answer, LongAnswer int
 	// Target is the time within which callers get the full use of an answer, and Pause the
 	// longest pause within a stream that they accept; zero if the route has none.
 	Target, Pause time.Duration
@@ -144,6 +145,8 @@
 	// longer. Avoidable is the part of HeldUp that would not be if the prompt came once the host
 	// has read those before it.
 	HeldUp, Avoidable, PauseChance float64
+	// FullChance is the chance that the host's prompt memory is too small for the request.
+	FullChance float64
 }
 
 // Overloaded reports whether a request would wait longer than its target even at the host
@@ -210,11 +213,12 @@
 		tokens := h.prefillTokens(now, q, v.keys)
 		wait := h.wait(now, tokens, fetch, v.prefillTime())
 		p := v.pauses(now, h, q, tokens)
-		cost := wait + h.cost(now, q, affinityKey) + (p.heldUp+p.own)*lateCost(q)
+		full := v.fullChance(now, h, q)
+		cost := wait + h.cost(now, q, affinityKey) + (p.heldUp+p.own+full)*lateCost(q)
 		if best.Host == nil || cost < best.Cost || cost == best.Cost && h.ID < best.Host.ID {
 			best.Host, best.Fetch, best.Cost = h, fetch, cost
 			best.Wait, best.RateLimitDelay = time.Duration(wait*float64(time.Millisecond)), h.reservationDelay(now)
-			best.HeldUp, best.Avoidable, best.PauseChance = p.heldUp, p.avoidable, p.own
+			best.HeldUp, best.Avoidable, best.PauseChance, best.FullChance = p.heldUp, p.avoidable, p.own, full
 			best.Own = time.Duration(float64(tokens) / h.rate() * float64(time.Millisecond))
 		}
 	}
@@ -329,6 +333,25 @@
 	return cost
 }
 
+// fullChance returns the chance that the host's prompt memory is too small for a request. An
+// engine then puts a request back that it has begun, whose prompt has to be read again.
+func (v *View) fullChance(now time.Time, h *Host, q *Query) float64 {
+	if v.ignorePace || q.Model == "" || !h.Report.Free.Known || !h.Fresh(now) {
+		return 0
+	}
+	free := h.Report.Free.Tokens
+	for _, s := range h.sentPrompts {
+		if s.at.After(h.Report.Taken) {
+			free -= int64(s.memory)
+		}
+	}
+	return room.FullChance(q.memory(), int(free))
+}
+
+// memory returns the number of tokens that the request holds in an engine's prompt memory at its
+// end, at most.
+func (q *Query) memory() int { return q.Tokens + max(q.Answer, q.LongAnswer) }
+
 // orderDelay returns the time, in milliseconds, until the host takes an order again. Until
 // then no adapter can be loaded there.
 func (h *Host) orderDelay(now time.Time) float64 {
@@ -417,7 +440,7 @@
 	tokens := h.prefillTokens(now, q, keys)
 	h.pendingPrefill += tokens
 	h.sentPrompts = slices.DeleteFunc(h.sentPrompts, func(s sentPrompt) bool { return !s.at.After(h.Report.Taken) || now.Sub(s.at) > reportTTL })
-	h.sentPrompts = append(h.sentPrompts, sentPrompt{at: now, tokens: tokens})
+	h.sentPrompts = append(h.sentPrompts, sentPrompt{at: now, tokens: tokens, memory: q.memory()})
 	if h.prefixes == nil || len(h.prefixes) >= maxPrefixes {
 		h.prefixes = map[prefixKey]time.Time{}
 	}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -60,7 +60,7 @@
 	// meanPrefill is the average prefill time of a prompt, in milliseconds, zero before the
 	// first prompt.
 	meanPrefill float64
-	// ignorePace is set if the measured paces of hosts do not affect the choice.
+	// ignorePace is set if the measured paces and free memory of hosts do not affect the choice.
 	ignorePace bool
 	// comparePacesAt is when the paces of the hosts are compared again.
 	comparePacesAt time.Time
--- a/core/manage.go
+++ b/core/manage.go
@@ -58,9 +58,9 @@
 	IncomingAdapters []string
 	InMemory, OnDisk []ModelName
 	// Waiting and Running are numbers of requests. MemoryUsed is the prompt memory
-	// that cannot be freed, in tokens.
-	Waiting, Running int
-	MemoryUsed       int64
+	// that cannot be freed, in tokens, and MemorySize all of it, zero if not reported.
+	Waiting, Running       int
+	MemoryUsed, MemorySize int64
 	// PrefillTokens is the number of prompt tokens of the requests in the prefill
 	// phase, which have no first token yet.
 	PrefillTokens int64
@@ -77,6 +77,20 @@
 	Tokens, Events int64
 }
 
+// FreeMemory returns the prompt memory that requests can have.
+func (s *UpstreamState) FreeMemory() FreeMemory {
+	if s.MemorySize <= 0 {
+		return FreeMemory{}
+	}
+	return FreeMemory{Known: true, Tokens: max(0, s.MemorySize-max(0, s.MemoryUsed))}
+}
+
+// FreeMemory is the free prompt memory of an engine in tokens. The zero FreeMemory is unknown.
+type FreeMemory struct {
+	Known  bool
+	Tokens int64
+}
+
 // Pace is the speed at which an engine advances each of its streams, as measured beside it.
 // The zero Pace is unknown.
 type Pace struct {
--- a/core/room/doc.go
+++ b/core/room/doc.go
@@ -6,5 +6,8 @@
 // if it reads for less than the accepted pause without a break. Slots and memory are free
 // all the while, so counts of requests show nothing.
 //
+// An engine whose prompt memory runs out puts requests back that it has begun, and reads their
+// prompts again, so a request goes where it fits at its foreseen length (see core/length).
+//
 // The pace of each engine is measured beside it (see core/pace).
 package room
--- a/core/room/room.go
+++ b/core/room/room.go
@@ -36,6 +36,26 @@
 	surelyLong  = 1.25
 )
 
+// surelyFits and surelyFull bound what a request needs, as fractions of the free memory, between
+// which it may or may not fit: the streams that run grow, and reports are some hundred
+// milliseconds old.
+const (
+	surelyFits = 0.8
+	surelyFull = 1.1
+)
+
+// FullChance returns the chance that a request does not fit into an engine's free prompt memory,
+// both in tokens.
+func FullChance(need, free int) float64 {
+	if need <= 0 {
+		return 0
+	}
+	if free <= 0 {
+		return 1
+	}
+	return min(1, max(0, (float64(need)/float64(free)-surelyFits)/(surelyFull-surelyFits)))
+}
+
 // chance returns the chance that a gap with the given mean is longer than the accepted pause.
 func chance(gap, pause time.Duration) float64 {
 	if pause <= 0 {
--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -1,6 +1,7 @@
 package room_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -81,3 +82,13 @@
 		}
 	}
 }
+
+func TestFullChance(t *testing.T) {
+	for _, c := range []struct {
+		need, free int
+		want       float64
+	}{{1000, 10_000, 0}, {8000, 10_000, 0}, {9500, 10_000, 0.5}, {12_000, 10_000, 1}, {1, 0, 1}, {1, -5, 1}, {0, 0, 0}, {-3, 10, 0}} {
+		got := room.FullChance(c.need, c.free)
+		assert.Assert(t, math.Abs(got-c.want) < 1e-9, "%d of %d: %v", c.need, c.free, got)
+	}
+}
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -137,7 +137,7 @@
 		InMemory: core.Strings(s.InMemory), OnDisk: core.Strings(s.OnDisk), Waiting: uint32(s.Waiting), Running: uint32(s.Running),
 		Reading: s.PrefillTokens, Age: int64(now.Sub(d.reportedAt)), Reachable: !d.lost && !d.reportedAt.IsZero(), Lost: d.lost,
 		Ended: core.Strings(d.incarnations.Ended(now)),
-		Pace:  peer.EncodePace(d.pace.Pace()), Asking: d.room.asking(now),
+		Pace:  peer.EncodePace(d.pace.Pace()), Asking: d.room.asking(now), Free: peer.EncodeFree(s.FreeMemory()),
 		Loading: string(d.loading.model), Born: s.Born, Limited: s.Limit.Limited, Rate: s.Limit.Rate,
 	}
 	if d.loading.model != "" {
--- a/io/feed/encode.go
+++ b/io/feed/encode.go
@@ -34,7 +34,7 @@
 			Leaving: r.GetLeaving(), Busy: r.GetBusy(), Limit: core.RateLimit{Limited: r.GetLimited(), Rate: r.GetRate()},
 			InMemory: core.Names[core.ModelName](r.GetInMemory()), OnDisk: core.Names[core.ModelName](r.GetOnDisk()),
 			Waiting: int(r.GetWaiting()), Running: int(r.GetRunning()), Reading: int(r.GetReading()),
-			Pace: peer.DecodePace(r.GetPace()), Asking: decodeAsking(r.GetAsking()),
+			Pace: peer.DecodePace(r.GetPace()), Asking: decodeAsking(r.GetAsking()), Free: peer.DecodeFree(r.GetFree()),
 			Loading: core.ModelName(r.GetLoading()), Active: make(map[core.ModelName]int, len(r.GetModels())),
 		},
 	}
@@ -89,7 +89,7 @@
 func decodeFigures(taken time.Time, s *wire.HostState, models []core.HeldModel) digest.Figures {
 	return digest.Figures{
 		Taken: taken, Waiting: int(s.GetWaiting()), Running: int(s.GetRunning()), Reading: int(s.GetReading()),
-		Asking: decodeAsking(s.GetAsking()), Active: decodeActive(models, s.GetActive()),
+		Asking: decodeAsking(s.GetAsking()), Free: peer.DecodeFree(s.GetFree()), Active: decodeActive(models, s.GetActive()),
 	}
 }
 
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -7,6 +7,7 @@
 	"radishwell/core"
 	"radishwell/core/demand"
 	"radishwell/core/digest"
+	"radishwell/io/peer"
 	"radishwell/wire"
 )
 
@@ -176,7 +177,7 @@
 	r := u.Report
 	out := &wire.HostState{
 		Address: encodeAddress(u.Address), Age: age(now, r.Taken),
-		Waiting: uint32(r.Waiting), Running: uint32(r.Running), Reading: int64(r.Reading), Asking: uint32(r.Asking),
+		Waiting: uint32(r.Waiting), Running: uint32(r.Running), Reading: int64(r.Reading), Asking: uint32(r.Asking), Free: peer.EncodeFree(r.Free),
 	}
 	if relay {
 		for _, m := range r.Models {
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -122,6 +122,15 @@
 	}
 }
 
+// AnswerLength counts the foreseen and the actual number of tokens of an answer.
+func (m *Meter) AnswerLength(foreseen, actual int) {
+	if m == nil {
+		return
+	}
+	m.count(nameAnswerTokens, "kind", "foreseen").Add(foreseen)
+	m.count(nameAnswerTokens, "kind", "generated").Add(actual)
+}
+
 // Foresight records by how much the first event of a stream came later than foreseen, or sooner.
 func (m *Meter) Foresight(foreseen, actual time.Duration) {
 	if m == nil {
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -67,6 +67,7 @@
 	m.SlowCallerEnded()
 	m.Turn(meter.TurnHeld, 200*time.Millisecond)
 	m.Foresight(time.Second, 1200*time.Millisecond)
+	m.AnswerLength(200, 150)
 	m.EnginePace(func() core.Pace { return core.Pace{Event: 30 * time.Millisecond, ReadingEvent: time.Second} })
 	m.RefusedParts(func() int { return 1 })
 	m.ConnectionRefused("busy")
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -64,6 +64,7 @@
 	nameSlowEnded        = "radishwell_slow_callers_ended_total"
 	nameWaiting          = "radishwell_waiting_requests"
 	nameForesight        = "radishwell_foresight_error_seconds"
+	nameAnswerTokens     = "radishwell_answer_tokens_total"
 	nameEnginePace       = "radishwell_engine_event_seconds"
 	nameReplicaLag       = "radishwell_replica_lag_seconds"
 	nameReplicaAge       = "radishwell_replica_age_seconds"
@@ -108,6 +109,7 @@
 	{nameSlowEnded, Counter, nil, "", "Callers that were ended since they had taken nothing for seconds while the entry held more than its bound."},
 	{nameWaiting, Gauge, nil, "", "Requests that wait for a host at an entry on a managed platform."},
 	{nameForesight, Histogram, []string{"direction"}, "seconds", "Difference between the foreseen and the actual time from sending a request to the first event of its stream, by whether that came sooner or later."},
+	{nameAnswerTokens, Counter, []string{"kind"}, "", "Foreseen and actual tokens of the streams that were served whole."},
 	{nameEnginePace, Gauge, []string{"while"}, "seconds", "Time between two events of a stream, as the agent measures it while the engine reads prompts or is quiet; zero while unknown."},
 	{nameReplicaLag, Gauge, []string{"kind"}, "seconds", "Time for which the replica of a kind has lacked the oldest missing change that another process reported; zero if it lacks none."},
 	{nameReplicaAge, Gauge, []string{"kind"}, "seconds", "Time since the platform last confirmed that the replica of a kind is complete; negative if there was no confirmation."},
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -107,6 +107,7 @@
 		}
 		if isStream && c.query.Model != "" && !resumed {
 			c.proxy.demand.NoteStream(c.query.Model, c.ask.Answer, c.lastEvent.Sub(c.firstEvent))
+			c.noteLength(h)
 		}
 	})
 	if resp.StatusCode < http.StatusInternalServerError {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -79,14 +79,15 @@
 	lastHost core.HostName
 	// chosen is the host chosen last; reportAge is the age of its agent's report, -1 if
 	// there is none; cost and expectedWait are the estimates for the request there, and heldUp
-	// and pauseChance those of pauses that are too long (see fleet.Choice); and signals is what
-	// the host had stated about itself when the request was sent.
-	chosen              core.HostName
-	reportAge           time.Duration
-	cost                float64
-	expectedWait        time.Duration
-	heldUp, pauseChance float64
-	signals             signals
+	// and pauseChance those of pauses that are too long, and fullChance that of too little
+	// memory (see fleet.Choice); and signals is what the host had stated about itself when the
+	// request was sent.
+	chosen                          core.HostName
+	reportAge                       time.Duration
+	cost                            float64
+	expectedWait                    time.Duration
+	heldUp, pauseChance, fullChance float64
+	signals                         signals
 	// tableVersion is the version of the routing table in force, and waitTime the time
 	// spent waiting for a host.
 	tableVersion int64
@@ -121,9 +122,10 @@
 	// of an unfinished event at the end of its stream.
 	framing      core.Framing
 	partialEvent int
-	// firstEvent and lastEvent are when the first and the latest event of a stream, or
-	// a whole answer, were forwarded. longestPause is the longest pause between two
-	// events.
+	// events counts the events, or whole answers, that were forwarded, and firstEvent and
+	// lastEvent are when the first and the latest were. longestPause is the longest pause
+	// between two of them.
+	events                int
 	firstEvent, lastEvent time.Time
 	longestPause          time.Duration
 	// watched is the attempt in progress if its stream may move to another host, nil
@@ -213,10 +215,8 @@
 	c.query = fleet.Query{Service: c.service.Name, DataCentre: p.DataCentre}
 	if c.service.HasModels() {
 		c.query.Model, c.query.Adapter = c.ask.Model, c.ask.Adapter
-		c.query.Parts, c.query.Tokens, c.query.Answer = c.ask.Parts, c.ask.Prompt, c.ask.Answer
-		if c.ask.Expected > 0 {
-			c.query.Answer = min(c.ask.Expected, c.ask.Answer)
-		}
+		c.query.Parts, c.query.Tokens = c.ask.Parts, c.ask.Prompt
+		c.foreseeLength()
 		c.query.Target, c.query.Pause = c.route.Target, c.route.Pause
 		c.shared = parts.Shared(c.service.Name, c.ask.Parts)
 	}
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -79,6 +79,12 @@
 	if c.heldUp > 0 || c.pauseChance > 0 {
 		pairs = append(pairs, "held-up", round(c.heldUp), "pause-chance", round(c.pauseChance))
 	}
+	if c.query.Answer > 0 {
+		pairs = append(pairs, "answer-foreseen", c.query.Answer, "events", c.events)
+	}
+	if c.fullChance > 0 {
+		pairs = append(pairs, "full-chance", round(c.fullChance))
+	}
 	if c.software != "" {
 		pairs = append(pairs, "software", c.software)
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"radishwell/core/copies"
 	"radishwell/core/demand"
 	"radishwell/core/fleet"
+	"radishwell/core/length"
 	"radishwell/core/origin"
 	"radishwell/core/parts"
 	"radishwell/core/retry"
@@ -78,6 +79,7 @@
 	keeper  rtable.Keeper
 	retries map[core.ServiceName]*retry.Window
 	demand  demand.Tracker
+	lengths length.Tracker
 	// book has the strikes against requests, and sharer chooses those for messages.
 	book   strike.Book
 	sharer strike.Sharer
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -130,6 +130,7 @@
 // recordEvent records that an event, or a whole answer, was forwarded.
 func (c *call) recordEvent() {
 	now := c.proxy.Clock.Now()
+	c.events++
 	if c.firstEvent.IsZero() {
 		c.firstEvent = now
 	} else {
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -181,7 +181,7 @@
 	h := choice.Host
 	c.software = h.Software
 	c.chosen, c.cost, c.expectedWait, c.reportAge = h.ID, choice.Cost, choice.Wait, now.Sub(h.Report.Taken)
-	c.heldUp, c.pauseChance = choice.HeldUp, choice.PauseChance
+	c.heldUp, c.pauseChance, c.fullChance = choice.HeldUp, choice.PauseChance, choice.FullChance
 	if h.Report.Taken.IsZero() {
 		c.reportAge = -1 // the host has no agent, or the agent has never reported
 	}
