--- a/core/turn/load_test.go
+++ b/core/turn/load_test.go
@@ -54,6 +54,8 @@
 // loadRun is one play.
 type loadRun struct {
 	atOnce  bool // no request waits; those that would be late are refused
+	alone   bool // entries go by reports and their own requests, and ask for no credits
+	asks    int
 	entries []*loadEntry
 	engines []*loadEngine
 	now     time.Time
@@ -193,9 +195,10 @@
 		if q.asked >= 0 && !r.now.Before(q.askEnds) {
 			q.asked = -1
 		}
-		if q.asked >= 0 {
+		if q.asked >= 0 || r.alone {
 			continue
 		}
+		r.asks++
 		t := turn.Request{Target: q.target, Own: q.own}
 		if q.rank > 0 {
 			t.Urgent = 500 * ms
@@ -262,7 +265,11 @@
 
 // mixed plays patient and urgent requests at load times what the engines can read.
 func mixed(entries, engines int, atOnce bool, load float64) *loadRun {
-	r := newLoadRun(entries, engines, atOnce)
+	return playMixed(newLoadRun(entries, engines, atOnce), load)
+}
+
+func playMixed(r *loadRun, load float64) *loadRun {
+	entries, engines := len(r.entries), len(r.engines)
 	rng := rand.New(rand.NewPCG(1, 2))
 	// A pair takes 260 ms of an engine's time.
 	pairs := load * float64(engines) * float64(step) / float64(260*ms) / float64(entries)
@@ -291,6 +298,26 @@
 	}
 }
 
+// TestEntriesAlone: every entry learns by the same report that an engine has room, and each sends what
+// it holds. The more entries there are, the more urgent requests come behind long prompts, unless the
+// engines' agents hand out the room.
+func TestEntriesAlone(t *testing.T) {
+	for _, entries := range []int{28, 100, 400} {
+		t.Run(fmt.Sprint(entries, " entries"), func(t *testing.T) {
+			alone := newLoadRun(entries, 4, false)
+			alone.alone = true
+			playMixed(alone, 1.2)
+			credits := mixed(entries, 4, false, 1.2)
+			t.Logf("in time: urgent %.3f alone, %.3f with credits; patient %.3f and %.3f; %.2f asks a second an entry",
+				alone.share("rank-0"), credits.share("rank-0"), alone.share("rank-2"), credits.share("rank-2"),
+				float64(credits.asks)/float64(entries)/loadTime.Seconds())
+			assert.Assert(t, credits.share("rank-0") > 0.9)
+			assert.Assert(t, credits.share("rank-0") > alone.share("rank-0"))
+			assert.Assert(t, credits.share("rank-2") > alone.share("rank-2"))
+		})
+	}
+}
+
 // pressed plays four customers of one rank, of which the first sends times as much as the others,
 // at one entry or at all.
 func pressed(entries int, times float64, oneEntry bool) *loadRun {
--- a/io/peer/bench_test.go
+++ b/io/peer/bench_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"syscall"
 	"testing"
@@ -13,6 +14,7 @@
 	"radishwell/core"
 	"radishwell/io/fakes/apisrv"
 	"radishwell/io/objapi"
+	"radishwell/wire"
 )
 
 // totalTraffic returns the number of bytes that all processes have sent and received.
@@ -203,3 +205,30 @@
 		b.StartTimer()
 	}
 }
+
+// BenchmarkRoomCall is the cost of one ask for room, at both ends together.
+func BenchmarkRoomCall(b *testing.B) {
+	s := &Server{Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: &Handler{
+		Room: func(*wire.RoomCall) (*wire.RoomReply, error) { return &wire.RoomReply{Granted: true}, nil },
+	}}
+	if err := s.Listen(); err != nil {
+		b.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	c := &Client{}
+	ask := &wire.RoomCall{Rank: 2, Customer: "customer-12", Tokens: 9000, Reading: 240e6, Ahead: 500e6, Wait: 300e6}
+	before := cpuTime(b)
+	for b.Loop() {
+		if _, err := c.Room(context.Background(), Target{Address: s.Address}, ask); err != nil {
+			b.Fatal(err)
+		}
+	}
+	sent, received := c.Traffic()
+	b.ReportMetric(float64(sent+received)/float64(b.N), "bytes/op")
+	b.ReportMetric(float64(cpuTime(b)-before)/float64(b.N), "cpu-ns/op")
+	c.Close()
+	stop()
+	<-ended
+}
--- a/io/proxy/room.go
+++ b/io/proxy/room.go
@@ -13,6 +13,9 @@
 	askTime = 300 * time.Millisecond
 	// askPause is the least time between an ask that was not granted and the next one.
 	askPause = 50 * time.Millisecond
+	// maxAsks bounds the asks that wait at a time, and with askTime and askPause the messages that
+	// an entry sends for room, however many requests wait at however many hosts.
+	maxAsks = 24
 )
 
 // roomAsk is an ask for room at a host.
@@ -27,7 +30,7 @@
 // All entries learn by the same report that a host has room. If each started what it holds, the
 // host would get many times what it has room for.
 func (p *Proxy) askForRoom(now time.Time, w *waiter, next prospect) {
-	if p.Rooms == nil || w.askedAt != "" || now.Before(w.askAgain) {
+	if p.Rooms == nil || p.asking >= maxAsks || w.askedAt != "" || now.Before(w.askAgain) {
 		return
 	}
 	c := w.call
@@ -43,6 +46,7 @@
 	select {
 	case w.asks <- ask:
 		w.askedAt = ask.host
+		p.asking++
 	default: // the request's goroutine has not taken the one before yet
 	}
 }
@@ -83,7 +87,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, host := p.Clock.Now(), w.askedAt
-	w.askedAt, w.askAgain = "", now.Add(askPause)
+	p.endAsk(w)
+	w.askAgain = now.Add(askPause)
 	if w.done() {
 		return
 	}
@@ -104,3 +109,12 @@
 	p.takeTurn(w)
 	p.settle(now, w, prospect{choice: choice})
 }
+
+// endAsk records that a request's ask for room, if there is one, waits no longer. The caller holds
+// mu.
+func (p *Proxy) endAsk(w *waiter) {
+	if w.askedAt != "" {
+		w.askedAt = ""
+		p.asking--
+	}
+}
--- a/io/proxy/turn.go
+++ b/io/proxy/turn.go
@@ -48,6 +48,8 @@
 	queue   queue.Queue
 	waiters map[core.RequestID]*waiter
 	lastID  uint64
+	// asking counts the asks for room that wait.
+	asking int
 	// sendsAtOnce is set if no request waits for room at hosts.
 	sendsAtOnce bool
 	// ranks remembers which requests come for each service, and returns when refused callers
@@ -107,15 +109,17 @@
 func (c *call) awaitTurn(ctx context.Context) (t *target, fetch bool, refusal *core.Refusal) {
 	p := c.proxy
 	w := p.enqueue(c)
-	if c.awaitDecision(ctx, w) {
-		return w.target, w.fetch, w.refusal
-	}
+	decided := c.awaitDecision(ctx, w)
 	p.mu.Lock()
 	if !w.done() {
 		p.remove(w)
 		w.refusal = c.expired(ctx)
 	}
+	p.endAsk(w) // nothing asks for it any more
 	p.mu.Unlock()
+	if decided {
+		return w.target, w.fetch, w.refusal
+	}
 	if w.target != nil {
 		c.abandon(w.target) // it was its turn at the same moment
 		return nil, false, c.expired(ctx)
