--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -94,7 +94,7 @@
 	// begun. sentPrompts are the recent prompts with their send times, oldest first.
 	pendingPrefill int
 	sentPrompts    []sentPrompt
-	prefixes       map[prefixKey]time.Time
+	prefixes       map[uint64]time.Time
 	// failures is a decaying count of failures as of failedAt.
 	failures float64
 	failedAt time.Time
@@ -104,6 +104,8 @@
 	// overrides its reports.
 	missing map[core.ModelName]time.Time
 	indexed indexed
+	// view is the View that the host is in.
+	view *View
 	*signals
 	enginePace
 }
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"radishwell/core"
+	"radishwell/core/kept"
 	"radishwell/core/room"
 )
 
@@ -52,9 +53,11 @@
 	// missingTTL is how long a host's refusal overrides the models that it reported to
 	// hold: reports are half a second old, registry entries one or two seconds.
 	missingTTL = 1500 * time.Millisecond
-	// prefixTTL is how long a host is assumed to cache a shared part of a prompt, and
-	// maxPrefixes is the number of parts remembered per host.
+	// prefixTTL is how long a host is assumed to cache a shared part of a prompt that was sent to
+	// it, and sentTTL how long if the host reports what it keeps: its report of the part is late by
+	// less. maxPrefixes is the number of parts remembered per host.
 	prefixTTL   = time.Minute
+	sentTTL     = 3 * time.Second
 	maxPrefixes = 2048
 )
 
@@ -80,17 +83,10 @@
 	Origin *core.StreamOrigin
 }
 
-type prefixKey uint64
-
-func (q *Query) key(part string) prefixKey {
-	var room [128]byte
-	key := append(append(room[:0], q.Model...), '/')
-	key = append(append(key, q.Adapter...), '/')
-	return prefixKey(xxhash.Sum64(append(key, part...)))
-}
+func (q *Query) key(part string) uint64 { return kept.Hash(q.Model, q.Adapter, part) }
 
 // appendKeys appends the keys of the shared parts of the prompt.
-func (q *Query) appendKeys(keys []prefixKey) []prefixKey {
+func (q *Query) appendKeys(keys []uint64) []uint64 {
 	for _, p := range q.shared() {
 		keys = append(keys, q.key(p.ID))
 	}
@@ -99,7 +95,7 @@
 
 // affinityKey returns the key of what hosts are ordered by for a request: the prompt that it
 // shares with others, its adapter, or its model.
-func (q *Query) affinityKey() prefixKey {
+func (q *Query) affinityKey() uint64 {
 	part := ""
 	if shared := q.shared(); len(shared) > 0 && q.Adapter == "" {
 		// Hosts have few adapter slots, so requests for one adapter are kept together.
@@ -313,7 +309,7 @@
 }
 
 // cost returns the cost of a host besides its wait, in milliseconds.
-func (h *Host) cost(now time.Time, q *Query, affinityKey prefixKey) float64 {
+func (h *Host) cost(now time.Time, q *Query, affinityKey uint64) float64 {
 	cost := float64(h.inFlight)*runningCost + h.FailureCount(now)*failureCost
 	if h.Fresh(now) {
 		cost += float64(h.Report.Running) * runningCost / 2
@@ -367,16 +363,22 @@
 	return h.prefillTokens(now, q, q.appendKeys(nil))
 }
 
-// prefillTokens is PrefillTokens for the keys of the query's shared parts.
-func (h *Host) prefillTokens(now time.Time, q *Query, keys []prefixKey) int {
+// prefillTokens is PrefillTokens for the keys of the query's shared parts. What was sent to a host
+// that reports what it keeps counts until its reports can tell.
+func (h *Host) prefillTokens(now time.Time, q *Query, keys []uint64) int {
 	if q.Model == "" {
 		return 0
 	}
+	reported, ttl := 0, prefixTTL
+	if n, known := h.view.kept.Leading(kept.Engine{Address: h.Address, ID: h.ID, Born: h.Born}, keys); known && h.Fresh(now) {
+		reported, ttl = n, sentTTL
+	}
 	left := q.Tokens
 	for i, key := range keys {
-		at, ok := h.prefixes[key]
-		if !ok || now.Sub(at) > prefixTTL {
-			break
+		if i >= reported {
+			if at, sent := h.prefixes[key]; !sent || now.Sub(at) > ttl {
+				break
+			}
 		}
 		left -= q.Parts[i].Tokens
 	}
@@ -393,7 +395,7 @@
 
 // affinity returns the host's position, at least 0 and below 1, in an order of hosts that
 // is the same in all processes for requests with the same affinityKey.
-func (h *Host) affinity(key prefixKey) float64 {
+func (h *Host) affinity(key uint64) float64 {
 	var room [64]byte
 	text := binary.LittleEndian.AppendUint64(append(room[:0], h.ID...), uint64(key))
 	return float64(xxhash.Sum64(text)>>11) / (1 << 53)
@@ -442,11 +444,12 @@
 	h.sentPrompts = slices.DeleteFunc(h.sentPrompts, func(s sentPrompt) bool { return !s.at.After(h.Report.Taken) || now.Sub(s.at) > reportTTL })
 	h.sentPrompts = append(h.sentPrompts, sentPrompt{at: now, tokens: tokens, memory: q.memory()})
 	if h.prefixes == nil || len(h.prefixes) >= maxPrefixes {
-		h.prefixes = map[prefixKey]time.Time{}
+		h.prefixes = map[uint64]time.Time{}
 	}
 	for _, key := range keys {
 		h.prefixes[key] = now
 	}
+	h.view.Wants.Note(keys)
 }
 
 // NoteAnswerStart records the start of an answer, where prefill is the value of
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/kept"
 )
 
 const (
@@ -29,7 +30,7 @@
 	hosts map[core.HostName]*Host
 	index index
 	// keys is reused by each decision.
-	keys []prefixKey
+	keys []uint64
 	// byAddress holds the incarnations that the registry lists at an address: one, except
 	// in the seconds after a restart.
 	byAddress map[netip.AddrPort][]*Host
@@ -62,6 +63,10 @@
 	meanPrefill float64
 	// ignorePace is set if the measured paces and free memory of hosts do not affect the choice.
 	ignorePace bool
+	// kept holds which parts of prompts the hosts report to keep, nil if that is not used.
+	kept *kept.Book
+	// Wants are the parts that requests begin with.
+	Wants kept.Wants
 	// comparePacesAt is when the paces of the hosts are compared again.
 	comparePacesAt time.Time
 }
@@ -79,6 +84,10 @@
 	}
 }
 
+// UseKept sets the book of which parts of prompts the hosts report to keep. With nil, the choice goes
+// by what this process has sent.
+func (v *View) UseKept(book *kept.Book) { v.kept = book }
+
 // Changes counts the changes after which waiting requests should look for a host again.
 func (v *View) Changes() uint64 { return v.changes }
 
@@ -174,6 +183,7 @@
 
 func (v *View) add(h *Host) {
 	h.signals = v.signalsOf(h.incarnation())
+	h.view = v
 	v.hosts[h.ID] = h
 	v.index.add(h)
 	v.byAddress[h.Address] = append(v.byAddress[h.Address], h)
--- a/io/deploy/link.go
+++ b/io/deploy/link.go
@@ -35,6 +35,11 @@
 	// entriesExpire when it next requests the whole list.
 	entriesVersion uint64
 	entriesExpire  time.Time
+	// keptSeen is the number of the last change of what the upstream keeps that this entry has
+	// from the agent, in the agent's life keptEpoch.
+	keptSeen, keptEpoch uint64
+	// wantsSeen is the number of the last wanted part that the agent has been told in that life.
+	wantsSeen uint64
 	// incarnation is the upstream's incarnation that was last sent to the agent.
 	incarnation fleet.Incarnation
 	centre      core.DataCentre
@@ -126,6 +131,9 @@
 	}
 	clear(k.used)
 	in.SeenEntries = k.entriesVersion
+	in.SeenKept, in.KeptEpoch = k.keptSeen, k.keptEpoch
+	wants := uint64(0)
+	wants, in.Wanted = l.entry.wants().Since(k.wantsSeen)
 	if now := l.entry.clock.Now(); now.After(k.entriesExpire) {
 		// Names of entries expire after maxNamedAge unless the agent sends them again.
 		k.entriesExpire = now.Add(maxNamedAge / 3)
@@ -136,6 +144,9 @@
 	in.Upstream = upstream
 	reply, err := l.entry.client.Upstream(ctx, to, in)
 	k.recordResult(upstream == nil, err == nil)
+	if err == nil {
+		k.noteWantsTold(wants, reply.GetKeptEpoch())
+	}
 	return reply, err
 }
 
@@ -168,6 +179,7 @@
 		k.others, k.othersReceived = reply.GetOthers(), now
 	}
 	k.mu.Unlock()
+	l.applyKept(k, reply)
 	for _, e := range reply.GetEntries() {
 		if at, err := netip.ParseAddrPort(e.GetControl()); err == nil && e.GetName() != string(l.entry.Settings.Name) {
 			l.entry.members.addNamed(core.HostName(e.GetName()), at)
@@ -178,3 +190,30 @@
 	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) { feed.Apply(v, &h) })
 	l.entry.feed.Put(h)
 }
+
+// noteWantsTold records that the agent has been told which parts are wanted, up to a number. Another
+// life of the agent has not been told those before.
+func (k *link) noteWantsTold(wants, epoch uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if epoch != k.keptEpoch {
+		k.wantsSeen = 0
+		return
+	}
+	k.wantsSeen = max(k.wantsSeen, wants)
+}
+
+// applyKept applies what has changed of what the upstream keeps. If changes are missing, the next
+// reply brings all. Replies of two calls that overlap may come in either order: applying a change
+// twice does nothing, and one that is older than what is known is caught up with the next whole one.
+func (l *links) applyKept(k *link, reply *wire.UpstreamReply) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if reply.GetKeptEpoch() == k.keptEpoch && reply.GetKeptChange() < k.keptSeen {
+		return
+	}
+	k.keptSeen, k.keptEpoch = reply.GetKeptChange(), reply.GetKeptEpoch()
+	if reply.GetKept() != nil && !l.entry.kept.Apply(feed.DecodeKept(k.address, reply.GetKept())) {
+		k.keptSeen = 0
+	}
+}
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -112,6 +112,9 @@
 	// pace measures the upstream's current incarnation.
 	pace pace.Meter
 	room roomKeeper
+	kept keptParts
+	// epoch distinguishes the numbers of this process's changes from those of the one before.
+	epoch uint64
 	// notifiedQueue is the length of the upstream's queue that entries were last
 	// notified of.
 	notifiedQueue int
@@ -177,7 +180,9 @@
 	d.entries = map[string]*entryState{}
 	d.lastUsed = map[string]time.Time{}
 	d.sizes = map[core.ModelName]*wire.ModelSize{}
+	d.epoch = uint64(d.Clock.Now().UnixNano())
 	if !d.Remote {
+		d.Meter.KeptParts(d.KeptLen)
 		d.Meter.EnginePace(func() core.Pace {
 			d.mu.Lock()
 			defer d.mu.Unlock()
@@ -189,6 +194,12 @@
 // Run reads the upstream's reports and carries out goals until ctx ends. It returns
 // nil.
 func (d *Driver) Run(ctx context.Context) error {
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		d.followKept(ctx)
+	}()
+	defer func() { <-followed }()
 	for {
 		d.poll(ctx)
 		if d.advanceGoal(ctx) {
@@ -302,6 +313,7 @@
 func (d *Driver) endIncarnation(now time.Time) {
 	d.incarnations.End(now)
 	d.goal, d.loading, d.pace, d.room.account = nil, loading{}, pace.Meter{}, credit.Account{}
+	d.kept.end()
 	d.notify()
 }
 
--- a/io/driver/driver_test.go
+++ b/io/driver/driver_test.go
@@ -172,7 +172,7 @@
 
 // runDriverAt runs a driver on the upstream's host or, if remote is set, on another host,
 // in a synctest bubble.
-func runDriverAt(t *testing.T, e *fakeUpstream, remote bool, test func(d *driver.Driver)) {
+func runDriverAt(t *testing.T, e core.Managed, remote bool, test func(d *driver.Driver)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		d := &driver.Driver{
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -61,6 +61,7 @@
 		// one whose start time matches the upstream's report.
 		d.notify()
 	}
+	d.recordWanted(c)
 	for _, u := range c.GetUsed() {
 		d.lastUsed[u] = now
 	}
@@ -112,6 +113,7 @@
 	now := d.Clock.Now()
 	d.choosePlanner(now)
 	out := &wire.UpstreamReply{Change: d.change, Report: d.report(now), Planner: d.planner, PlannerControl: d.plannerControl}
+	d.addKept(c, out)
 	out.EntriesVersion = d.entriesVersion
 	if c.GetSeenEntries() != d.entriesVersion {
 		for name, e := range d.entries {
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -13,6 +13,7 @@
 	"radishwell/core/digest"
 	"radishwell/core/fleet"
 	"radishwell/core/follow"
+	"radishwell/core/kept"
 	"radishwell/io/events"
 	"radishwell/io/loop"
 	"radishwell/io/peer"
@@ -50,6 +51,8 @@
 	// the registry that have agents, with their data centres.
 	Members func() follow.Ranked
 	Engines func() map[netip.AddrPort]core.DataCentre
+	// Kept holds which parts of prompts the upstreams keep. It may be nil.
+	Kept *kept.Book
 	// OnPlanner, if set, is called when the planner, which is the entry that places
 	// models, has changed. Each call has its own goroutine.
 	OnPlanner func()
@@ -84,6 +87,8 @@
 	changed, urgent                chan struct{}
 	notifiedChange, notifiedUrgent uint64
 	notifiedReady                  uint64
+	// engines are the upstream hosts in the registry that have agents.
+	engines map[netip.AddrPort]core.DataCentre
 	// directUsed holds, by host, the adapters for which requests were sent, for the
 	// agents that this entry follows.
 	directUsed map[netip.AddrPort]map[string]bool
@@ -95,6 +100,9 @@
 func (f *Feed) Start() {
 	now := f.Clock.Now()
 	f.epoch = uint64(now.UnixNano())
+	if f.Kept == nil {
+		f.Kept = &kept.Book{}
+	}
 	f.chooser = follow.Chooser{Self: f.Self, MaxDirect: f.MaxDirect, Started: now}
 	f.relays = map[core.HostName]*relay{}
 	f.pollers = map[core.HostName]*poller{}
@@ -129,6 +137,7 @@
 	if f.choice.Scope != old.Scope {
 		events.Log(events.RelayChanged, "scope", f.choice.Scope, "centres", f.choice.Centres, "before", old.Scope)
 	}
+	f.engines = engines
 	f.removeUnlisted(engines)
 	if f.choice.Scope != follow.None {
 		f.Proxy.Update(func(v *fleet.View, _ time.Time) { v.NoteRelayReport(time.Time{}) })
@@ -151,6 +160,10 @@
 		_, ok := listed[a]
 		return ok
 	})
+	f.Kept.Retain(func(a netip.AddrPort) bool {
+		_, ok := listed[a]
+		return ok
+	})
 	maps.DeleteFunc(f.directUsed, func(a netip.AddrPort, _ map[string]bool) bool {
 		_, ok := listed[a]
 		return !ok
--- a/io/feed/poll.go
+++ b/io/feed/poll.go
@@ -39,7 +39,10 @@
 	// seenReady belong. asRelay is set if this entry was a relay itself at the last call;
 	// replies to relays hold more.
 	epoch, seen, seenReady uint64
-	asRelay                bool
+	// seenKept is the number of the last change of what the upstreams keep, and wantsTold that of
+	// the last wanted part that the relay has been told.
+	seenKept, wantsTold, wantsSent uint64
+	asRelay                        bool
 	// pending are arrivals that were not sent to the relay yet, used the adapters for
 	// which requests were sent to the hosts that it reports.
 	pending map[core.ModelName]demand.Arrivals
@@ -98,13 +101,14 @@
 	f.recordOwnUse(now)
 	asRelay := f.choice.Relay()
 	if asRelay != r.asRelay {
-		r.asRelay, r.seen = asRelay, 0
+		r.asRelay, r.seen, r.seenKept = asRelay, 0, 0
 	}
 	sent, r.pending = r.pending, map[core.ModelName]demand.Arrivals{}
 	in = &wire.DigestCall{
 		Entry: string(f.Self.Name), Relay: asRelay, Epoch: r.epoch, Seen: r.seen, SeenReady: r.seenReady, Wait: int64(wait),
-		Arrivals: encodeArrivals(sent), Waiting: encodeWaits(f.waiting(now)), Uses: f.encodeUses(now, r),
+		Arrivals: encodeArrivals(sent), Waiting: encodeWaits(f.waiting(now)), Uses: f.encodeUses(now, r), SeenKept: r.seenKept,
 	}
+	r.wantsSent, in.Wanted = f.Proxy.Wants().Since(r.wantsTold)
 	return in, sent
 }
 
@@ -141,8 +145,11 @@
 		return // another relay was chosen during the call
 	}
 	if reply.GetEpoch() != r.epoch {
-		r.epoch, r.seen, r.seenReady = reply.GetEpoch(), 0, 0
+		r.epoch, r.seen, r.seenReady, r.seenKept, r.wantsTold = reply.GetEpoch(), 0, 0, 0, 0
+	} else {
+		r.wantsTold = r.wantsSent
 	}
+	f.applyKept(r, in, reply)
 	sameCentre := f.choice.Relay() && f.choice.Follows(r.member.DataCentre)
 	if !sameCentre && (reply.GetChange() >= r.seen || in.GetSeen() == 0) {
 		r.seen = reply.GetChange()
@@ -155,6 +162,20 @@
 	f.notifyWaiters()
 }
 
+// applyKept applies what has changed of what the upstreams keep. If some change has been missed, the
+// next reply brings all. The caller holds mu.
+func (f *Feed) applyKept(r *relay, in *wire.DigestCall, reply *wire.DigestReply) {
+	if in.GetSeenKept() != r.seenKept && in.GetSeenKept() != 0 {
+		return // the changes before these are missing
+	}
+	r.seenKept = reply.GetKeptChange()
+	for _, k := range reply.GetKept() {
+		if address, ok := decodeAddress(k.GetAddress()); ok && !f.Kept.Apply(DecodeKept(address, k)) {
+			r.seenKept = 0
+		}
+	}
+}
+
 // applyHosts applies the hosts of a reply to the table and the view. The caller holds mu.
 func (f *Feed) applyHosts(now time.Time, r *relay, reply *wire.DigestReply) {
 	source := r.member.Name
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -59,6 +59,7 @@
 	if !p.relay && !f.choice.Relay() {
 		f.wakeChoose() // an entry that is polled becomes a relay
 	}
+	f.Proxy.Wants().Add(c.GetWanted())
 	f.recordDemand(now, name, c)
 	f.recordUses(now, name, c)
 }
@@ -162,6 +163,7 @@
 	for _, s := range stale {
 		out.Stale = append(out.Stale, &wire.StaleHost{Address: encodeAddress(s.Address), Age: age(now, s.Taken)})
 	}
+	f.addKept(c, out)
 	for _, u := range f.table.Since(f.seenBy(c), c.GetRelay()) {
 		out.Hosts = append(out.Hosts, encodeState(now, u, c.GetRelay()))
 	}
@@ -205,3 +207,19 @@
 	}
 	return out
 }
+
+// addKept adds to a reply what has changed of what the upstreams keep, to another relay only of those
+// that this one follows itself. The caller holds mu.
+func (f *Feed) addKept(c *wire.DigestCall, out *wire.DigestReply) {
+	seen := c.GetSeenKept()
+	if c.GetEpoch() != f.epoch {
+		seen = 0
+	}
+	last, updates := f.Kept.Since(seen)
+	out.KeptChange = last
+	for _, u := range updates {
+		if !c.GetRelay() || f.choice.Follows(f.engines[u.Address]) {
+			out.Kept = append(out.Kept, EncodeKept(u))
+		}
+	}
+}
--- a/io/meter/gauge.go
+++ b/io/meter/gauge.go
@@ -59,6 +59,11 @@
 	m.gauge(nameEnginePace, func() float64 { return read().ReadingEvent.Seconds() }, "while", "reading")
 }
 
+// KeptParts registers the gauge of the parts that an engine keeps.
+func (m *Meter) KeptParts(read func() int) {
+	m.gauge(nameKeptParts, func() float64 { return float64(read()) })
+}
+
 // HeldBytes registers the gauge of the bytes held for callers and upstreams.
 func (m *Meter) HeldBytes(read func() core.Bytes) {
 	m.gauge(nameHeldBytes, func() float64 { return float64(read()) })
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -131,6 +131,15 @@
 	m.count(nameAnswerTokens, "kind", "generated").Add(actual)
 }
 
+// PromptTokens counts the tokens of a prompt sent to an engine, of which it should read some.
+func (m *Meter) PromptTokens(all, read int) {
+	if m == nil {
+		return
+	}
+	m.count(nameReadTokens, "kind", "kept").Add(max(0, all-read))
+	m.count(nameReadTokens, "kind", "read").Add(read)
+}
+
 // Foresight records by how much the first event of a stream came later than foreseen, or sooner.
 func (m *Meter) Foresight(foreseen, actual time.Duration) {
 	if m == nil {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"radishwell/core/copies"
 	"radishwell/core/demand"
 	"radishwell/core/fleet"
+	"radishwell/core/kept"
 	"radishwell/core/length"
 	"radishwell/core/origin"
 	"radishwell/core/parts"
@@ -128,6 +129,9 @@
 	return p.keeper.Table() != nil && len(p.view.Hosts("")) > 0
 }
 
+// Wants returns the parts of prompts that requests begin with and others may.
+func (p *Proxy) Wants() *kept.Wants { return &p.view.Wants }
+
 // Table returns the routing table in force, or nil before there is one.
 func (p *Proxy) Table() *rtable.Table {
 	p.mu.Lock()
--- a/io/soak/part.go
+++ b/io/soak/part.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// partTokens is the size of each part of a prompt, large enough for agents to follow whether
+	// engines keep it.
+	partTokens = 600
 	// poisonPart begins the IDs of the parts of prompts that crash upstreams, and sharedPart is a
 	// part that all prompts have.
 	poisonPart, sharedPart = "dead", "aa"
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -52,6 +52,7 @@
 	PreferEntry
 	BusyEngine
 	SlowReaders
+	LoseKept
 	kindCount
 )
 
@@ -107,6 +108,7 @@
 	PreferEntry:     {"prefer-entry", 2, 6 * time.Second},
 	BusyEngine:      {"busy-engine", 4, 2 * time.Second},
 	SlowReaders:     {"slow-readers", 2, 3 * time.Second},
+	LoseKept:        {"lose-kept", 3, 0},
 }
 
 // String returns the name of the kind as in schedules.
