--- a/io/deploy/link.go
+++ b/io/deploy/link.go
@@ -196,7 +196,7 @@
 func (k *link) noteWantsTold(wants, epoch uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if epoch != k.keptEpoch {
+	if epoch != 0 && epoch != k.keptEpoch {
 		k.wantsSeen = 0
 		return
 	}
@@ -209,7 +209,10 @@
 func (l *links) applyKept(k *link, reply *wire.UpstreamReply) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if reply.GetKeptEpoch() == k.keptEpoch && reply.GetKeptChange() < k.keptSeen {
+	switch {
+	case reply.GetKeptEpoch() == 0:
+		return // nothing has changed
+	case reply.GetKeptEpoch() == k.keptEpoch && reply.GetKeptChange() < k.keptSeen:
 		return
 	}
 	k.keptSeen, k.keptEpoch = reply.GetKeptChange(), reply.GetKeptEpoch()
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -180,7 +180,7 @@
 	d.entries = map[string]*entryState{}
 	d.lastUsed = map[string]time.Time{}
 	d.sizes = map[core.ModelName]*wire.ModelSize{}
-	d.epoch = uint64(d.Clock.Now().UnixNano())
+	d.epoch = newEpoch(d.Clock.Now())
 	if !d.Remote {
 		d.Meter.KeptParts(d.KeptLen)
 		d.Meter.EnginePace(func() core.Pace {
--- a/io/driver/kept.go
+++ b/io/driver/kept.go
@@ -42,6 +42,10 @@
 	listAfter time.Time
 }
 
+// newEpoch returns a small number that differs from that of the process before with all likelihood; it
+// travels with each poll.
+func newEpoch(now time.Time) uint64 { return 1 + uint64(now.UnixMilli())%(1<<14) }
+
 // followKept follows what the upstream keeps until the context ends. It returns at once if the
 // upstream does not tell, or is on another host, where the calls would cost more than they gain.
 func (d *Driver) followKept(ctx context.Context) {
@@ -181,13 +185,13 @@
 // addKept adds to a reply what has changed since the caller's last one. The caller holds mu.
 func (d *Driver) addKept(c *wire.UpstreamCall, out *wire.UpstreamReply) {
 	seen := c.GetSeenKept()
-	if c.GetKeptEpoch() != d.epoch {
+	if c.GetKeptEpoch() != d.epoch || seen > d.kept.change {
 		seen = 0
 	}
-	out.KeptChange, out.KeptEpoch = d.kept.change, d.epoch
-	if !d.kept.known {
-		return
+	if !d.kept.known || seen == d.kept.change && seen != 0 {
+		return // nothing is sent, not even the numbers: there are many polls
 	}
+	out.KeptChange, out.KeptEpoch = d.kept.change, d.epoch
 	u := kept.Update{Delta: d.kept.set.Since(seen)}
 	u.ID, u.Born = d.incarnations.Current(), d.state.Born
 	if !u.Empty() {
--- a/io/driver/kept_test.go
+++ b/io/driver/kept_test.go
@@ -110,6 +110,9 @@
 	}
 	out, err := d.ServeUpstream(call)
 	assert.NilError(t, err)
+	if out.GetKeptEpoch() == 0 {
+		return // nothing has changed
+	}
 	r.seen, r.epoch = out.GetKeptChange(), out.GetKeptEpoch()
 	if k := out.GetKept(); k != nil {
 		r.engine = kept.Engine{ID: core.HostName(k.GetInstance()), Born: k.GetBorn()}
--- a/io/feed/poll.go
+++ b/io/feed/poll.go
@@ -165,8 +165,8 @@
 // applyKept applies what has changed of what the upstreams keep. If some change has been missed, the
 // next reply brings all. The caller holds mu.
 func (f *Feed) applyKept(r *relay, in *wire.DigestCall, reply *wire.DigestReply) {
-	if in.GetSeenKept() != r.seenKept && in.GetSeenKept() != 0 {
-		return // the changes before these are missing
+	if reply.GetKeptChange() == 0 || in.GetSeenKept() != r.seenKept && in.GetSeenKept() != 0 {
+		return // nothing has changed, or the changes before these are missing
 	}
 	r.seenKept = reply.GetKeptChange()
 	for _, k := range reply.GetKept() {
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -216,6 +216,9 @@
 		seen = 0
 	}
 	last, updates := f.Kept.Since(seen)
+	if last == seen {
+		return
+	}
 	out.KeptChange = last
 	for _, u := range updates {
 		if !c.GetRelay() || f.choice.Follows(f.engines[u.Address]) {
--- a/io/soak/caller.go
+++ b/io/soak/caller.go
@@ -194,7 +194,7 @@
 		head.LastEventID = strconv.Itoa(r.After)
 	}
 	if r.Route == Stream || r.Route == Resumed {
-		head.Model, head.Prompt, head.Answer = core.ModelName(model), 4 * partTokens, 50
+		head.Model, head.Prompt, head.Answer = core.ModelName(model), 4*partTokens, 50
 		for _, id := range r.requestParts() {
 			head.Parts = append(head.Parts, core.PromptPart{ID: id, Tokens: partTokens})
 		}
