--- a/io/peer/calls_test.go
+++ b/io/peer/calls_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/netip"
 	"net/rpc"
 	"sync/atomic"
@@ -18,6 +17,13 @@
 
 // serveCalls starts a server and returns its address and a function that stops it.
 func serveCalls(t *testing.T, h *Handler) (Target, context.CancelFunc) {
+	t.Helper()
+	s, stop := startServer(t, h)
+	return Target{Host: "up-1", Address: s.Address}, stop
+}
+
+// startServer starts a server and returns it and a function that stops it.
+func startServer(t *testing.T, h *Handler) (*Server, context.CancelFunc) {
 	t.Helper()
 	s := &Server{Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: h}
 	assert.NilError(t, s.Listen())
@@ -30,7 +36,7 @@
 		ended <- nil
 	}
 	t.Cleanup(once)
-	return Target{Host: "up-1", Address: s.Address}, once
+	return s, once
 }
 
 func TestCalls(t *testing.T) {
@@ -158,7 +164,7 @@
 func assertAnsweredAtStop(t *testing.T, further time.Duration) {
 	t.Helper()
 	begun, finish := make(chan struct{}), make(chan struct{})
-	to, stop := serveCalls(t, &Handler{Claim: func(*wire.ClaimCall) (*wire.ClaimReply, error) {
+	s, stop := startServer(t, &Handler{Claim: func(*wire.ClaimCall) (*wire.ClaimReply, error) {
 		close(begun)
 		<-finish
 		return &wire.ClaimReply{Won: true}, nil
@@ -171,7 +177,7 @@
 	}
 	responses := make(chan response, 1)
 	go func() {
-		reply, err := c.Claim(t.Context(), to, &wire.ClaimCall{})
+		reply, err := c.Claim(t.Context(), Target{Host: "up-1", Address: s.Address}, &wire.ClaimCall{})
 		responses <- response{reply, err}
 	}()
 	<-begun
@@ -181,11 +187,9 @@
 		close(stopped)
 	}()
 	spin(func() bool {
-		conn, err := net.Dial("tcp", to.Address.String())
-		if err == nil {
-			conn.Close()
-		}
-		return err != nil
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.stopping
 	})
 	time.Sleep(further)
 	close(finish)
