Encode what engines keep beside the other control messages

The agent's driver took the encoding from the package by which entries relay reports to each other. It now stands in io/peer beside those of paces and free memory; the feed adds the engine's address, which only it needs. No change in behaviour.

--- a/io/deploy/link.go
+++ b/io/deploy/link.go
@@ -12,6 +12,7 @@
 	"radishwell/io/events"
 	"radishwell/io/feed"
 	"radishwell/io/loop"
+	"radishwell/io/peer"
 	"radishwell/wire"
 )
 
@@ -216,7 +217,7 @@
 		return
 	}
 	k.keptSeen, k.keptEpoch = reply.GetKeptChange(), reply.GetKeptEpoch()
-	if reply.GetKept() != nil && !l.entry.kept.Apply(feed.DecodeKept(k.address, reply.GetKept())) {
+	if reply.GetKept() != nil && !l.entry.kept.Apply(peer.DecodeKept(k.address, reply.GetKept())) {
 		k.keptSeen = 0
 	}
 }
--- a/io/driver/kept.go
+++ b/io/driver/kept.go
@@ -8,8 +8,8 @@
 	"radishwell/core"
 	"radishwell/core/kept"
 	"radishwell/io/events"
-	"radishwell/io/feed"
 	"radishwell/io/loop"
+	"radishwell/io/peer"
 	"radishwell/wire"
 )
 
@@ -195,6 +195,6 @@
 	u := kept.Update{Delta: d.kept.set.Since(seen)}
 	u.ID, u.Born = d.incarnations.Current(), d.state.Born
 	if !u.Empty() {
-		out.Kept = feed.EncodeKept(u)
+		out.Kept = peer.EncodeKept(u)
 	}
 }
--- a/io/feed/encode.go
+++ b/io/feed/encode.go
@@ -8,7 +8,6 @@
 	"radishwell/core/demand"
 	"radishwell/core/digest"
 	"radishwell/core/fleet"
-	"radishwell/core/kept"
 	"radishwell/io/events"
 	"radishwell/io/peer"
 	"radishwell/wire"
@@ -160,20 +159,3 @@
 
 // age returns the time since at in milliseconds.
 func age(now, at time.Time) uint32 { return uint32(max(0, now.Sub(at).Milliseconds())) }
-
-// EncodeKept encodes a change of what an upstream keeps.
-func EncodeKept(u kept.Update) *wire.KeptParts {
-	out := &wire.KeptParts{Instance: string(u.ID), Born: u.Born, Whole: u.Whole, Added: u.Added, Dropped: u.Dropped}
-	if u.Address.IsValid() {
-		out.Address = encodeAddress(u.Address)
-	}
-	return out
-}
-
-// DecodeKept decodes a change of what the upstream at an address keeps.
-func DecodeKept(address netip.AddrPort, k *wire.KeptParts) kept.Update {
-	return kept.Update{
-		Engine: kept.Engine{Address: address, ID: core.HostName(k.GetInstance()), Born: k.GetBorn()},
-		Delta:  kept.Delta{Whole: k.GetWhole(), Added: k.GetAdded(), Dropped: k.GetDropped()},
-	}
-}
--- a/io/feed/poll.go
+++ b/io/feed/poll.go
@@ -170,7 +170,7 @@
 	}
 	r.seenKept = reply.GetKeptChange()
 	for _, k := range reply.GetKept() {
-		if address, ok := decodeAddress(k.GetAddress()); ok && !f.Kept.Apply(DecodeKept(address, k)) {
+		if address, ok := decodeAddress(k.GetAddress()); ok && !f.Kept.Apply(peer.DecodeKept(address, k)) {
 			r.seenKept = 0
 		}
 	}
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -222,7 +222,9 @@
 	out.KeptChange = last
 	for _, u := range updates {
 		if !c.GetRelay() || f.choice.Follows(f.engines[u.Address]) {
-			out.Kept = append(out.Kept, EncodeKept(u))
+			k := peer.EncodeKept(u)
+			k.Address = encodeAddress(u.Address)
+			out.Kept = append(out.Kept, k)
 		}
 	}
 }
