--- a/core/kept/book.go
+++ b/core/cached/book.go
@@ -1,4 +1,4 @@
-package kept
+package cached
 
 import (
 	"net/netip"
--- a/core/kept/kept_test.go
+++ b/core/cached/cached_test.go
@@ -1,4 +1,4 @@
-package kept_test
+package cached_test
 
 import (
 	"fmt"
@@ -9,19 +9,19 @@
 
 	"gotest.tools/v3/assert"
 
-	"radishwell/core/kept"
+	"radishwell/core/cached"
 )
 
-var engine = kept.Engine{Address: netip.MustParseAddrPort("10.0.0.1:80"), ID: "i-1", Born: 5}
+var engine = cached.Engine{Address: netip.MustParseAddrPort("10.0.0.1:80"), ID: "i-1", Born: 5}
 
-func hash(i int) uint64 { return kept.Hash("m", "", fmt.Sprint("part-", i)) }
+func hash(i int) uint64 { return cached.Hash("m", "", fmt.Sprint("part-", i)) }
 
 // wantSame asserts that two sets have the same of the first parts.
-func wantSame(t *testing.T, got, want *kept.Set, parts int) {
+func wantSame(t *testing.T, got, want *cached.Set, parts int) {
 	t.Helper()
 	assert.Equal(t, got.Len(), want.Len())
 	for i := range parts {
-		key := kept.Key(hash(i))
+		key := cached.Key(hash(i))
 		assert.Equal(t, got.Has(key), want.Has(key))
 	}
 }
@@ -32,11 +32,11 @@
 	const parts = 40
 	for seed := range uint64(30) {
 		r := rand.New(rand.NewPCG(seed, 7))
-		var from, to kept.Set
+		var from, to cached.Set
 		seen, number := uint64(0), uint64(0)
 		for range 3000 {
 			number++
-			key := kept.Key(hash(r.IntN(parts)))
+			key := cached.Key(hash(r.IntN(parts)))
 			switch r.IntN(40) {
 			case 0:
 				from.Reset(number)
@@ -54,7 +54,7 @@
 				wantSame(t, &to, &from, parts)
 			case 1:
 				if r.IntN(20) == 0 {
-					to, seen = kept.Set{}, 0
+					to, seen = cached.Set{}, 0
 				}
 			}
 		}
@@ -62,10 +62,10 @@
 }
 
 func TestBook(t *testing.T) {
-	whole := func(e kept.Engine, keys ...uint32) kept.Update {
-		return kept.Update{Engine: e, Delta: kept.Delta{Whole: true, Added: keys}}
+	whole := func(e cached.Engine, keys ...uint32) cached.Update {
+		return cached.Update{Engine: e, Delta: cached.Delta{Whole: true, Added: keys}}
 	}
-	leading := func(b *kept.Book, e kept.Engine, parts ...int) int {
+	leading := func(b *cached.Book, e cached.Engine, parts ...int) int {
 		var list []uint64
 		for _, i := range parts {
 			list = append(list, hash(i))
@@ -77,25 +77,25 @@
 		return n
 	}
 	t.Run("the parts that a prompt begins with", func(t *testing.T) {
-		b := &kept.Book{}
+		b := &cached.Book{}
 		assert.Equal(t, leading(b, engine, 0), -1)
-		b.Apply(whole(engine, kept.Key(hash(0)), kept.Key(hash(2))))
+		b.Apply(whole(engine, cached.Key(hash(0)), cached.Key(hash(2))))
 		assert.Equal(t, leading(b, engine, 0, 1, 2), 1)
 		assert.Equal(t, leading(b, engine, 1, 2), 0)
 	})
 	t.Run("told on", func(t *testing.T) {
-		var a, b kept.Book
-		a.Apply(whole(engine, kept.Key(hash(0))))
+		var a, b cached.Book
+		a.Apply(whole(engine, cached.Key(hash(0))))
 		last, list := a.Since(0)
 		assert.Assert(t, b.Apply(list[0]))
-		a.Apply(kept.Update{Engine: engine, Delta: kept.Delta{Dropped: []uint32{kept.Key(hash(0))}, Added: []uint32{kept.Key(hash(1))}}})
+		a.Apply(cached.Update{Engine: engine, Delta: cached.Delta{Dropped: []uint32{cached.Key(hash(0))}, Added: []uint32{cached.Key(hash(1))}}})
 		_, list = a.Since(last)
 		assert.Assert(t, len(list) == 1 && !list[0].Whole && b.Apply(list[0]))
 		assert.Assert(t, leading(&b, engine, 0) == 0 && leading(&b, engine, 1) == 1)
 	})
 	t.Run("engines that are gone", func(t *testing.T) {
-		b := &kept.Book{}
-		b.Apply(whole(engine, kept.Key(hash(0))))
+		b := &cached.Book{}
+		b.Apply(whole(engine, cached.Key(hash(0))))
 		b.Retain(func(netip.AddrPort) bool { return false })
 		assert.Equal(t, leading(b, engine, 0), -1)
 	})
@@ -107,11 +107,11 @@
 	next := engine
 	next.Born = 9
 	for _, late := range []bool{false, true} {
-		var b kept.Book
-		old := kept.Update{Engine: engine, Delta: kept.Delta{Whole: true, Added: []uint32{kept.Key(hash(0))}}}
+		var b cached.Book
+		old := cached.Update{Engine: engine, Delta: cached.Delta{Whole: true, Added: []uint32{cached.Key(hash(0))}}}
 		b.Apply(old)
-		assert.Assert(t, !b.Apply(kept.Update{Engine: next, Delta: kept.Delta{Added: []uint32{kept.Key(hash(1))}}}), "a part of the account is missing")
-		b.Apply(kept.Update{Engine: next, Delta: kept.Delta{Whole: true}})
+		assert.Assert(t, !b.Apply(cached.Update{Engine: next, Delta: cached.Delta{Added: []uint32{cached.Key(hash(1))}}}), "a part of the account is missing")
+		b.Apply(cached.Update{Engine: next, Delta: cached.Delta{Whole: true}})
 		if late {
 			b.Apply(old)
 		}
@@ -125,7 +125,7 @@
 // TestManyWants: callers name a new part with each request, by the thousand. What is told to agents at a
 // time, and kept, must not grow with them, and parts that are still wanted must come back.
 func TestManyWants(t *testing.T) {
-	var w kept.Wants
+	var w cached.Wants
 	seen, most := uint64(0), 0
 	for i := range 20_000 {
 		w.Note([]uint64{hash(100 + i), hash(1)})
@@ -139,16 +139,16 @@
 	assert.Assert(t, most <= 512 && len(keys) <= 512, "%d and %d parts", most, len(keys))
 	w.Note([]uint64{hash(1)})
 	_, keys = w.Since(0)
-	assert.Assert(t, slices.Contains(keys, kept.Key(hash(1))))
+	assert.Assert(t, slices.Contains(keys, cached.Key(hash(1))))
 }
 
 // FuzzApply: another process tells anything, which must be bounded and not end this one.
 func FuzzApply(f *testing.F) {
 	f.Add([]byte{1, 2, 3}, true)
 	f.Fuzz(func(t *testing.T, data []byte, whole bool) {
-		var s kept.Set
+		var s cached.Set
 		for i := range 600 {
-			var d kept.Delta
+			var d cached.Delta
 			for j, b := range data {
 				if j%2 == 0 {
 					d.Added = append(d.Added, uint32(i)<<8|uint32(b))
@@ -165,10 +165,10 @@
 
 // BenchmarkLeading is the cost of one host in a decision.
 func BenchmarkLeading(b *testing.B) {
-	var book kept.Book
-	u := kept.Update{Engine: engine, Delta: kept.Delta{Whole: true}}
+	var book cached.Book
+	u := cached.Update{Engine: engine, Delta: cached.Delta{Whole: true}}
 	for i := range 100 {
-		u.Added = append(u.Added, kept.Key(hash(i)))
+		u.Added = append(u.Added, cached.Key(hash(i)))
 	}
 	book.Apply(u)
 	parts := []uint64{hash(3), hash(1000)}
--- a/core/kept/set.go
+++ b/core/cached/set.go
@@ -1,4 +1,4 @@
-package kept
+package cached
 
 import (
 	"slices"
@@ -9,9 +9,9 @@
 )
 
 const (
-	// maxKept bounds the parts that are known of one engine, and maxLog the changes that are
+	// maxCached bounds the parts that are known of one engine, and maxLog the changes that are
 	// remembered: whoever has missed more is told all of it.
-	maxKept, maxLog = 512, 256
+	maxCached, maxLog = 512, 256
 )
 
 // Hash identifies a part of prompts of a model or adapter.
@@ -58,7 +58,7 @@
 
 // Put records that a part is kept. Numbers of changes grow.
 func (s *Set) Put(number uint64, key uint32) {
-	if s.has[key] || len(s.has) >= maxKept {
+	if s.has[key] || len(s.has) >= maxCached {
 		return
 	}
 	if s.has == nil {
--- a/core/kept/wants.go
+++ b/core/cached/wants.go
@@ -1,4 +1,4 @@
-package kept
+package cached
 
 import "sync"
 
@@ -37,7 +37,7 @@
 // the next requests.
 func (w *Wants) add(key uint32) {
 	w.last++
-	if w.set.Len() >= maxKept {
+	if w.set.Len() >= maxCached {
 		w.set.Reset(w.last)
 		w.last++
 	}
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"radishwell/core"
-	"radishwell/core/kept"
+	"radishwell/core/cached"
 	"radishwell/core/room"
 )
 
@@ -83,7 +83,7 @@
 	Origin *core.StreamOrigin
 }
 
-func (q *Query) key(part string) uint64 { return kept.Hash(q.Model, q.Adapter, part) }
+func (q *Query) key(part string) uint64 { return cached.Hash(q.Model, q.Adapter, part) }
 
 // appendKeys appends the keys of the shared parts of the prompt.
 func (q *Query) appendKeys(keys []uint64) []uint64 {
@@ -370,7 +370,7 @@
 		return 0
 	}
 	reported, ttl := 0, prefixTTL
-	if n, known := h.view.kept.Leading(kept.Engine{Address: h.Address, ID: h.ID, Born: h.Born}, keys); known && h.Fresh(now) {
+	if n, known := h.view.cached.Leading(cached.Engine{Address: h.Address, ID: h.ID, Born: h.Born}, keys); known && h.Fresh(now) {
 		reported, ttl = n, sentTTL
 	}
 	left := q.Tokens
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"radishwell/core"
-	"radishwell/core/kept"
+	"radishwell/core/cached"
 )
 
 const (
@@ -63,10 +63,10 @@
 	meanPrefill float64
 	// ignorePace is set if the measured paces and free memory of hosts do not affect the choice.
 	ignorePace bool
-	// kept holds which parts of prompts the hosts report to keep, nil if that is not used.
-	kept *kept.Book
+	// cached holds which parts of prompts the hosts report to keep, nil if that is not used.
+	cached *cached.Book
 	// Wants are the parts that requests begin with.
-	Wants kept.Wants
+	Wants cached.Wants
 	// comparePacesAt is when the paces of the hosts are compared again.
 	comparePacesAt time.Time
 }
@@ -84,9 +84,9 @@
 	}
 }
 
-// UseKept sets the book of which parts of prompts the hosts report to keep. With nil, the choice goes
+// UseCached sets the book of which parts of prompts the hosts report to keep. With nil, the choice goes
 // by what this process has sent.
-func (v *View) UseKept(book *kept.Book) { v.kept = book }
+func (v *View) UseCached(book *cached.Book) { v.cached = book }
 
 // Changes counts the changes after which waiting requests should look for a host again.
 func (v *View) Changes() uint64 { return v.changes }
--- a/core/manage.go
+++ b/core/manage.go
@@ -183,16 +183,16 @@
 	Ask(ctx context.Context, host HostName, ask RoomAsk) bool
 }
 
-// KeptMark is a place in an engine's account of what it keeps. The zero KeptMark is the beginning.
-type KeptMark struct {
+// CachedMark is a place in an engine's account of what it keeps. The zero CachedMark is the beginning.
+type CachedMark struct {
 	// Epoch identifies the account, which begins anew with each of the engine's incarnations.
 	Epoch string
 	Next  int64
 }
 
-// KeptPart is a part of prompts of a model or adapter that an engine begins to keep or, if Dropped
+// CachedPart is a part of prompts of a model or adapter that an engine begins to keep or, if Dropped
 // is set, has let go.
-type KeptPart struct {
+type CachedPart struct {
 	Model   ModelName
 	Adapter string
 	ID      string
@@ -201,21 +201,21 @@
 	Dropped bool
 }
 
-// KeptNews are parts that an engine has begun to keep or let go, up to the mark.
-type KeptNews struct {
-	Mark KeptMark
+// CachedNews are parts that an engine has begun to keep or let go, up to the mark.
+type CachedNews struct {
+	Mark CachedMark
 	// Gap is set if some changes before these are missing.
 	Gap   bool
-	Parts []KeptPart
+	Parts []CachedPart
 }
 
-// KeptReporter is a Managed that tells which parts of prompts it keeps. Not each upstream does.
-type KeptReporter interface {
-	// KeptSince returns what has changed since a mark. It waits for a short time until there is
+// CachedReporter is a Managed that tells which parts of prompts it keeps. Not each upstream does.
+type CachedReporter interface {
+	// CachedSince returns what has changed since a mark. It waits for a short time until there is
 	// something.
-	KeptSince(ctx context.Context, since KeptMark) (KeptNews, error)
-	// KeptAll returns all parts that are kept, which delays the engine's work.
-	KeptAll(ctx context.Context) (KeptNews, error)
+	CachedSince(ctx context.Context, since CachedMark) (CachedNews, error)
+	// CachedAll returns all parts that are kept, which delays the engine's work.
+	CachedAll(ctx context.Context) (CachedNews, error)
 }
 
 // Managed is an upstream on a managed platform, as its agent controls it. An
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -10,9 +10,9 @@
 
 	"radishwell/core"
 	"radishwell/core/admit"
+	"radishwell/core/cached"
 	"radishwell/core/fleet"
 	"radishwell/core/follow"
-	"radishwell/core/kept"
 	"radishwell/io/config"
 	"radishwell/io/feed"
 	"radishwell/io/httpd"
@@ -52,8 +52,8 @@
 	state   *peer.Store
 	members members
 	feed    *feed.Feed
-	// kept holds which parts of prompts the engines keep.
-	kept    kept.Book
+	// cached holds which parts of prompts the engines keep.
+	cached  cached.Book
 	quota   *quota.Quota
 	orderer *orderer
 	// origins exchanges with other entries where streams began.
@@ -119,18 +119,18 @@
 }
 
 // wants returns the parts of prompts that requests begin with and others may.
-func (e *entry) wants() *kept.Wants { return e.proxy.Wants() }
+func (e *entry) wants() *cached.Wants { return e.proxy.Wants() }
 
 // applySettings applies the settings that may change while the process runs. Requests that wait
 // keep their places.
 func (e *entry) applySettings(m config.Managed) {
 	e.proxy.UsePaces(m.EnginePace)
 	e.proxy.HoldForRoom(m.HoldForRoom)
-	var book *kept.Book
-	if m.KeptParts {
-		book = &e.kept
+	var book *cached.Book
+	if m.CachedParts {
+		book = &e.cached
 	}
-	e.proxy.Update(func(v *fleet.View, _ time.Time) { v.UseKept(book) })
+	e.proxy.Update(func(v *fleet.View, _ time.Time) { v.UseCached(book) })
 }
 
 // buildFeed sets up the membership and the exchange of reports and demand between entries.
@@ -148,7 +148,7 @@
 	}
 	e.feed = &feed.Feed{
 		Self: self, MaxDirect: s.Managed.DirectAgents, Clock: e.clock, Proxy: e.proxy, Digest: e.client.Digest, Ping: e.client.Ping,
-		Members: e.members.others, Engines: e.links.centres, OnPlanner: e.links.notifyAll, Kept: &e.kept,
+		Members: e.members.others, Engines: e.links.centres, OnPlanner: e.links.notifyAll, Cached: &e.cached,
 	}
 	e.feed.Start()
 	e.handler.Digest = e.feed.Serve
--- a/io/deploy/link.go
+++ b/io/deploy/link.go
@@ -36,9 +36,9 @@
 	// entriesExpire when it next requests the whole list.
 	entriesVersion uint64
 	entriesExpire  time.Time
-	// keptSeen is the number of the last change of what the upstream keeps that this entry has
-	// from the agent, in the agent's life keptEpoch.
-	keptSeen, keptEpoch uint64
+	// cachedSeen is the number of the last change of what the upstream keeps that this entry has
+	// from the agent, in the agent's life cachedEpoch.
+	cachedSeen, cachedEpoch uint64
 	// wantsSeen is the number of the last wanted part that the agent has been told in that life.
 	wantsSeen uint64
 	// incarnation is the upstream's incarnation that was last sent to the agent.
@@ -132,7 +132,7 @@
 	}
 	clear(k.used)
 	in.SeenEntries = k.entriesVersion
-	in.SeenKept, in.KeptEpoch = k.keptSeen, k.keptEpoch
+	in.SeenCached, in.CachedEpoch = k.cachedSeen, k.cachedEpoch
 	wants := uint64(0)
 	wants, in.Wanted = l.entry.wants().Since(k.wantsSeen)
 	if now := l.entry.clock.Now(); now.After(k.entriesExpire) {
@@ -146,7 +146,7 @@
 	reply, err := l.entry.client.Upstream(ctx, to, in)
 	k.recordResult(upstream == nil, err == nil)
 	if err == nil {
-		k.noteWantsTold(wants, reply.GetKeptEpoch())
+		k.noteWantsTold(wants, reply.GetCachedEpoch())
 	}
 	return reply, err
 }
@@ -180,7 +180,7 @@
 		k.others, k.othersReceived = reply.GetOthers(), now
 	}
 	k.mu.Unlock()
-	l.applyKept(k, reply)
+	l.applyCached(k, reply)
 	for _, e := range reply.GetEntries() {
 		if at, err := netip.ParseAddrPort(e.GetControl()); err == nil && e.GetName() != string(l.entry.Settings.Name) {
 			l.entry.members.addNamed(core.HostName(e.GetName()), at)
@@ -197,27 +197,27 @@
 func (k *link) noteWantsTold(wants, epoch uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if epoch != 0 && epoch != k.keptEpoch {
+	if epoch != 0 && epoch != k.cachedEpoch {
 		k.wantsSeen = 0
 		return
 	}
 	k.wantsSeen = max(k.wantsSeen, wants)
 }
 
-// applyKept applies what has changed of what the upstream keeps. If changes are missing, the next
+// applyCached applies what has changed of what the upstream keeps. If changes are missing, the next
 // reply brings all. Replies of two calls that overlap may come in either order: applying a change
 // twice does nothing, and one that is older than what is known is caught up with the next whole one.
-func (l *links) applyKept(k *link, reply *wire.UpstreamReply) {
+func (l *links) applyCached(k *link, reply *wire.UpstreamReply) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	switch {
-	case reply.GetKeptEpoch() == 0:
+	case reply.GetCachedEpoch() == 0:
 		return // nothing has changed
-	case reply.GetKeptEpoch() == k.keptEpoch && reply.GetKeptChange() < k.keptSeen:
+	case reply.GetCachedEpoch() == k.cachedEpoch && reply.GetCachedChange() < k.cachedSeen:
 		return
 	}
-	k.keptSeen, k.keptEpoch = reply.GetKeptChange(), reply.GetKeptEpoch()
-	if reply.GetKept() != nil && !l.entry.kept.Apply(peer.DecodeKept(k.address, reply.GetKept())) {
-		k.keptSeen = 0
+	k.cachedSeen, k.cachedEpoch = reply.GetCachedChange(), reply.GetCachedEpoch()
+	if reply.GetCached() != nil && !l.entry.cached.Apply(peer.DecodeCached(k.address, reply.GetCached())) {
+		k.cachedSeen = 0
 	}
 }
--- a/io/driver/kept.go
+++ b/io/driver/cached.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"radishwell/core"
-	"radishwell/core/kept"
+	"radishwell/core/cached"
 	"radishwell/io/events"
 	"radishwell/io/loop"
 	"radishwell/io/peer"
@@ -14,26 +14,26 @@
 )
 
 const (
-	// keptRetryPause is the pause after a failed call for what the engine keeps, and keptListPause
+	// cachedRetryPause is the pause after a failed call for what the engine keeps, and cachedListPause
 	// the least time between two lists of all of it, which delay its work.
-	keptRetryPause = 2 * time.Second
-	keptListPause  = 10 * time.Second
-	// keptRefusedPause is the pause after an upstream has refused to tell, as one that cannot does.
-	keptRefusedPause = 30 * time.Second
-	// minKeptTokens is the size from which a part is worth telling: a smaller one is read again in
+	cachedRetryPause = 2 * time.Second
+	cachedListPause  = 10 * time.Second
+	// cachedRefusedPause is the pause after an upstream has refused to tell, as one that cannot does.
+	cachedRefusedPause = 30 * time.Second
+	// minCachedTokens is the size from which a part is worth telling: a smaller one is read again in
 	// less time than entries differ by in what they know.
-	minKeptTokens = 512
+	minCachedTokens = 512
 	// maxParts bounds the parts that are remembered as kept, and as wanted.
 	maxParts = 4096
 )
 
-// keptParts is what the upstream's current incarnation keeps. Driver.mu guards it.
-type keptParts struct {
+// cachedParts is what the upstream's current incarnation keeps. Driver.mu guards it.
+type cachedParts struct {
 	// all are the parts that it keeps, wanted those that entries want, and set holds the parts that
 	// are in both, which are told.
 	all, wanted map[uint32]bool
-	set         kept.Set
-	mark        core.KeptMark
+	set         cached.Set
+	mark        core.CachedMark
 	// change numbers the changes, from the start of this process.
 	change uint64
 	// known is set once the upstream has told anything.
@@ -46,47 +46,47 @@
 // travels with each poll.
 func newEpoch(now time.Time) uint64 { return 1 + uint64(now.UnixMilli())%(1<<14) }
 
-// followKept follows what the upstream keeps until the context ends. It returns at once if the
+// followCached follows what the upstream keeps until the context ends. It returns at once if the
 // upstream does not tell, or is on another host, where the calls would cost more than they gain.
-func (d *Driver) followKept(ctx context.Context) {
-	reporter, ok := d.Upstream.(core.KeptReporter)
+func (d *Driver) followCached(ctx context.Context) {
+	reporter, ok := d.Upstream.(core.CachedReporter)
 	if !ok || d.Remote {
 		return
 	}
 	for ctx.Err() == nil {
-		err := d.updateKept(ctx, reporter)
+		err := d.updateCached(ctx, reporter)
 		var fault *core.EngineError
 		switch {
 		case errors.As(err, &fault) && fault.Fault == core.EngineRejected:
-			loop.Sleep(ctx, keptRefusedPause)
+			loop.Sleep(ctx, cachedRefusedPause)
 		case err != nil:
-			loop.Sleep(ctx, keptRetryPause)
+			loop.Sleep(ctx, cachedRetryPause)
 		}
 	}
 }
 
-// updateKept makes one call for news.
-func (d *Driver) updateKept(ctx context.Context, reporter core.KeptReporter) error {
+// updateCached makes one call for news.
+func (d *Driver) updateCached(ctx context.Context, reporter core.CachedReporter) error {
 	d.mu.Lock()
-	since := d.kept.mark
+	since := d.cached.mark
 	d.mu.Unlock()
-	news, err := reporter.KeptSince(ctx, since)
-	if err != nil || !d.applyKept(since, news) {
+	news, err := reporter.CachedSince(ctx, since)
+	if err != nil || !d.applyCached(since, news) {
 		return err
 	}
-	all, err := reporter.KeptAll(ctx)
+	all, err := reporter.CachedAll(ctx)
 	if err != nil {
 		return err
 	}
-	d.replaceKept(all)
+	d.replaceCached(all)
 	return nil
 }
 
-// applyKept records news that were asked for from a mark on, and reports whether all has to be listed.
-func (d *Driver) applyKept(since core.KeptMark, news core.KeptNews) (list bool) {
+// applyCached records news that were asked for from a mark on, and reports whether all has to be listed.
+func (d *Driver) applyCached(since core.CachedMark, news core.CachedNews) (list bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	k := &d.kept
+	k := &d.cached
 	if k.mark != since {
 		return false // the incarnation has ended during the call
 	}
@@ -101,28 +101,28 @@
 	if !gap || now.Before(k.listAfter) {
 		return false
 	}
-	k.listAfter = now.Add(keptListPause)
+	k.listAfter = now.Add(cachedListPause)
 	return true
 }
 
-// replaceKept records a list of all that the upstream keeps.
-func (d *Driver) replaceKept(all core.KeptNews) {
+// replaceCached records a list of all that the upstream keeps.
+func (d *Driver) replaceCached(all core.CachedNews) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	k := &d.kept
+	k := &d.cached
 	if all.Mark.Epoch != k.mark.Epoch {
 		return // of another incarnation; its events come next
 	}
 	k.clear()
 	k.mark = all.Mark
 	k.put(all.Parts)
-	events.Log(events.KeptListed, "parts", len(k.all))
+	events.Log(events.CachedListed, "parts", len(k.all))
 }
 
-func (k *keptParts) put(parts []core.KeptPart) {
+func (k *cachedParts) put(parts []core.CachedPart) {
 	for _, p := range parts {
-		key := kept.Key(kept.Hash(p.Model, p.Adapter, p.ID))
-		if p.Dropped || p.Tokens < minKeptTokens {
+		key := cached.Key(cached.Hash(p.Model, p.Adapter, p.ID))
+		if p.Dropped || p.Tokens < minCachedTokens {
 			delete(k.all, key)
 			k.set.Drop(k.change, key)
 			continue
@@ -139,7 +139,7 @@
 
 // want records parts that an entry wants. It reports false if there are too many: then all entries
 // have to tell again.
-func (k *keptParts) want(keys []uint32) bool {
+func (k *cachedParts) want(keys []uint32) bool {
 	k.change++
 	enough := true
 	for _, key := range keys {
@@ -156,45 +156,45 @@
 }
 
 // clear forgets what is kept.
-func (k *keptParts) clear() {
+func (k *cachedParts) clear() {
 	k.change++
 	k.set.Reset(k.change)
 	k.all = nil
 }
 
 // end forgets what an incarnation kept that has ended.
-func (k *keptParts) end() {
+func (k *cachedParts) end() {
 	k.clear()
-	k.mark, k.known = core.KeptMark{}, false
+	k.mark, k.known = core.CachedMark{}, false
 }
 
-// KeptLen returns the number of parts that the upstream is known to keep.
-func (d *Driver) KeptLen() int {
+// CachedLen returns the number of parts that the upstream is known to keep.
+func (d *Driver) CachedLen() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.kept.all)
+	return len(d.cached.all)
 }
 
 // recordWanted records the parts that an entry wants. The caller holds mu.
 func (d *Driver) recordWanted(c *wire.UpstreamCall) {
-	if len(c.GetWanted()) > 0 && !d.kept.want(c.GetWanted()) {
+	if len(c.GetWanted()) > 0 && !d.cached.want(c.GetWanted()) {
 		d.epoch++
 	}
 }
 
-// addKept adds to a reply what has changed since the caller's last one. The caller holds mu.
-func (d *Driver) addKept(c *wire.UpstreamCall, out *wire.UpstreamReply) {
-	seen := c.GetSeenKept()
-	if c.GetKeptEpoch() != d.epoch || seen > d.kept.change {
+// addCached adds to a reply what has changed since the caller's last one. The caller holds mu.
+func (d *Driver) addCached(c *wire.UpstreamCall, out *wire.UpstreamReply) {
+	seen := c.GetSeenCached()
+	if c.GetCachedEpoch() != d.epoch || seen > d.cached.change {
 		seen = 0
 	}
-	if !d.kept.known || seen == d.kept.change && seen != 0 {
+	if !d.cached.known || seen == d.cached.change && seen != 0 {
 		return // nothing is sent, not even the numbers: there are many polls
 	}
-	out.KeptChange, out.KeptEpoch = d.kept.change, d.epoch
-	u := kept.Update{Delta: d.kept.set.Since(seen)}
+	out.CachedChange, out.CachedEpoch = d.cached.change, d.epoch
+	u := cached.Update{Delta: d.cached.set.Since(seen)}
 	u.ID, u.Born = d.incarnations.Current(), d.state.Born
 	if !u.Empty() {
-		out.Kept = peer.EncodeKept(u)
+		out.Cached = peer.EncodeCached(u)
 	}
 }
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -110,9 +110,9 @@
 	goal           *goal
 	loading        loading
 	// pace measures the upstream's current incarnation.
-	pace pace.Meter
-	room roomKeeper
-	kept keptParts
+	pace   pace.Meter
+	room   roomKeeper
+	cached cachedParts
 	// epoch distinguishes the numbers of this process's changes from those of the one before.
 	epoch uint64
 	// notifiedQueue is the length of the upstream's queue that entries were last
@@ -182,7 +182,7 @@
 	d.sizes = map[core.ModelName]*wire.ModelSize{}
 	d.epoch = newEpoch(d.Clock.Now())
 	if !d.Remote {
-		d.Meter.KeptParts(d.KeptLen)
+		d.Meter.CachedParts(d.CachedLen)
 		d.Meter.EnginePace(func() core.Pace {
 			d.mu.Lock()
 			defer d.mu.Unlock()
@@ -197,7 +197,7 @@
 	followed := make(chan struct{})
 	go func() {
 		defer close(followed)
-		d.followKept(ctx)
+		d.followCached(ctx)
 	}()
 	defer func() { <-followed }()
 	for {
@@ -313,7 +313,7 @@
 func (d *Driver) endIncarnation(now time.Time) {
 	d.incarnations.End(now)
 	d.goal, d.loading, d.pace, d.room.account = nil, loading{}, pace.Meter{}, credit.Account{}
-	d.kept.end()
+	d.cached.end()
 	d.notify()
 }
 
--- a/io/driver/serve.go
+++ b/io/driver/serve.go
@@ -113,7 +113,7 @@
 	now := d.Clock.Now()
 	d.choosePlanner(now)
 	out := &wire.UpstreamReply{Change: d.change, Report: d.report(now), Planner: d.planner, PlannerControl: d.plannerControl}
-	d.addKept(c, out)
+	d.addCached(c, out)
 	out.EntriesVersion = d.entriesVersion
 	if c.GetSeenEntries() != d.entriesVersion {
 		for name, e := range d.entries {
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -107,7 +107,7 @@
 	UpstreamFieldUnknown
 	TableDecoded
 	StreamOriginUnknown
-	KeptListed
+	CachedListed
 	eventCount
 )
 
@@ -241,7 +241,7 @@
 	{Event: UpstreamFieldUnknown, Name: "upstream-field-unknown", Severity: Warning, Text: "Upstream's answer contains an unknown header field of the platform", Advice: "The platform's protocol was extended: find out what the field means. Each name is logged once."},
 	{Event: TableDecoded, Name: "table-decoded", Severity: Info, Text: "Routing table was decoded from its document", Advice: noAction},
 	{Event: StreamOriginUnknown, Name: "stream-origin-unknown", Severity: Warning, Sampled: true, Text: "Caller resumes a stream of which no entry knows the software version that began it", Advice: "Nothing just after entries were lost. If it recurs, check that entries can reach each other, and that callers name the attempt that brought the first event."},
-	{Event: KeptListed, Name: "kept-listed", Severity: Info, Text: "Agent listed all parts of prompts that its upstream keeps, since it had missed changes", Advice: "If it recurs every few seconds, the agent is too slow to follow: each list delays the upstream's work."},
+	{Event: CachedListed, Name: "cached-listed", Severity: Info, Text: "Agent listed all parts of prompts that its upstream keeps, since it had missed changes", Advice: "If it recurs every few seconds, the agent is too slow to follow: each list delays the upstream's work."},
 })
 
 // groups maps the first event of each group to its number. Each group starts at the next
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/cached"
 	"radishwell/core/demand"
 	"radishwell/core/digest"
 	"radishwell/core/fleet"
 	"radishwell/core/follow"
-	"radishwell/core/kept"
 	"radishwell/io/events"
 	"radishwell/io/loop"
 	"radishwell/io/peer"
@@ -51,8 +51,8 @@
 	// the registry that have agents, with their data centres.
 	Members func() follow.Ranked
 	Engines func() map[netip.AddrPort]core.DataCentre
-	// Kept holds which parts of prompts the upstreams keep. It may be nil.
-	Kept *kept.Book
+	// Cached holds which parts of prompts the upstreams keep. It may be nil.
+	Cached *cached.Book
 	// OnPlanner, if set, is called when the planner, which is the entry that places
 	// models, has changed. Each call has its own goroutine.
 	OnPlanner func()
@@ -100,8 +100,8 @@
 func (f *Feed) Start() {
 	now := f.Clock.Now()
 	f.epoch = uint64(now.UnixNano())
-	if f.Kept == nil {
-		f.Kept = &kept.Book{}
+	if f.Cached == nil {
+		f.Cached = &cached.Book{}
 	}
 	f.chooser = follow.Chooser{Self: f.Self, MaxDirect: f.MaxDirect, Started: now}
 	f.relays = map[core.HostName]*relay{}
@@ -160,7 +160,7 @@
 		_, ok := listed[a]
 		return ok
 	})
-	f.Kept.Retain(func(a netip.AddrPort) bool {
+	f.Cached.Retain(func(a netip.AddrPort) bool {
 		_, ok := listed[a]
 		return ok
 	})
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -14,10 +14,10 @@
 	"gotest.tools/v3/assert"
 
 	"radishwell/core"
+	"radishwell/core/cached"
 	"radishwell/core/digest"
 	"radishwell/core/fleet"
 	"radishwell/core/follow"
-	"radishwell/core/kept"
 	"radishwell/io/feed"
 	"radishwell/io/peer"
 	"radishwell/io/proxy"
@@ -215,37 +215,37 @@
 	})
 }
 
-// assertKept asserts which of two parts an entry knows a host to keep.
-func (c *cluster) assertKept(entry core.HostName, host int, want ...bool) {
+// assertCached asserts which of two parts an entry knows a host to keep.
+func (c *cluster) assertCached(entry core.HostName, host int, want ...bool) {
 	c.t.Helper()
 	for i, has := range want {
-		n, known := c.feeds[entry].Kept.Leading(kept.Engine{Address: hostAt(host), ID: hostID(host)}, []uint64{uint64(i)})
+		n, known := c.feeds[entry].Cached.Leading(cached.Engine{Address: hostAt(host), ID: hostID(host)}, []uint64{uint64(i)})
 		assert.Assert(c.t, known && n > 0 == has, "%s: part %d", entry, i)
 	}
 }
 
-// TestKeptReachesAllEntries: an engine begins to keep a part and lets another go. Entries of both data
+// TestCachedReachesAllEntries: an engine begins to keep a part and lets another go. Entries of both data
 // centres must learn of it though one of them follows the agent, also those that were silent meanwhile.
-func TestKeptReachesAllEntries(t *testing.T) {
+func TestCachedReachesAllEntries(t *testing.T) {
 	run(t, 8, func(c *cluster) {
-		at := kept.Engine{Address: hostAt(0), ID: hostID(0)}
+		at := cached.Engine{Address: hostAt(0), ID: hostID(0)}
 		c.report("e-0", 0, 0, "e-0")
 		c.report("e-1", 1, 0, "e-0")
-		c.feeds["e-0"].Kept.Apply(kept.Update{Engine: at, Delta: kept.Delta{Whole: true, Added: []uint32{0}}})
+		c.feeds["e-0"].Cached.Apply(cached.Update{Engine: at, Delta: cached.Delta{Whole: true, Added: []uint32{0}}})
 		c.report("e-0", 0, 1, "e-0")
 		time.Sleep(time.Second)
 		c.silent.Store(core.HostName("e-7"), true)
-		c.feeds["e-0"].Kept.Apply(kept.Update{Engine: at, Delta: kept.Delta{Added: []uint32{1}, Dropped: []uint32{0}}})
+		c.feeds["e-0"].Cached.Apply(cached.Update{Engine: at, Delta: cached.Delta{Added: []uint32{1}, Dropped: []uint32{0}}})
 		c.report("e-0", 0, 2, "e-0")
 		time.Sleep(time.Second)
 		for _, m := range c.members[1:7] {
-			c.assertKept(m.Name, 0, false, true)
+			c.assertCached(m.Name, 0, false, true)
 		}
-		c.assertKept("e-7", 0, true, false)
+		c.assertCached("e-7", 0, true, false)
 		c.silent.Delete(core.HostName("e-7"))
 		c.report("e-0", 0, 3, "e-0")
 		time.Sleep(5 * time.Second)
-		c.assertKept("e-7", 0, false, true)
+		c.assertCached("e-7", 0, false, true)
 	})
 }
 
--- a/io/feed/poll.go
+++ b/io/feed/poll.go
@@ -39,10 +39,10 @@
 	// seenReady belong. asRelay is set if this entry was a relay itself at the last call;
 	// replies to relays hold more.
 	epoch, seen, seenReady uint64
-	// seenKept is the number of the last change of what the upstreams keep, and wantsTold that of
+	// seenCached is the number of the last change of what the upstreams keep, and wantsTold that of
 	// the last wanted part that the relay has been told.
-	seenKept, wantsTold, wantsSent uint64
-	asRelay                        bool
+	seenCached, wantsTold, wantsSent uint64
+	asRelay                          bool
 	// pending are arrivals that were not sent to the relay yet, used the adapters for
 	// which requests were sent to the hosts that it reports.
 	pending map[core.ModelName]demand.Arrivals
@@ -101,12 +101,12 @@
 	f.recordOwnUse(now)
 	asRelay := f.choice.Relay()
 	if asRelay != r.asRelay {
-		r.asRelay, r.seen, r.seenKept = asRelay, 0, 0
+		r.asRelay, r.seen, r.seenCached = asRelay, 0, 0
 	}
 	sent, r.pending = r.pending, map[core.ModelName]demand.Arrivals{}
 	in = &wire.DigestCall{
 		Entry: string(f.Self.Name), Relay: asRelay, Epoch: r.epoch, Seen: r.seen, SeenReady: r.seenReady, Wait: int64(wait),
-		Arrivals: encodeArrivals(sent), Waiting: encodeWaits(f.waiting(now)), Uses: f.encodeUses(now, r), SeenKept: r.seenKept,
+		Arrivals: encodeArrivals(sent), Waiting: encodeWaits(f.waiting(now)), Uses: f.encodeUses(now, r), SeenCached: r.seenCached,
 	}
 	r.wantsSent, in.Wanted = f.Proxy.Wants().Since(r.wantsTold)
 	return in, sent
@@ -145,11 +145,11 @@
 		return // another relay was chosen during the call
 	}
 	if reply.GetEpoch() != r.epoch {
-		r.epoch, r.seen, r.seenReady, r.seenKept, r.wantsTold = reply.GetEpoch(), 0, 0, 0, 0
+		r.epoch, r.seen, r.seenReady, r.seenCached, r.wantsTold = reply.GetEpoch(), 0, 0, 0, 0
 	} else {
 		r.wantsTold = r.wantsSent
 	}
-	f.applyKept(r, in, reply)
+	f.applyCached(r, in, reply)
 	sameCentre := f.choice.Relay() && f.choice.Follows(r.member.DataCentre)
 	if !sameCentre && (reply.GetChange() >= r.seen || in.GetSeen() == 0) {
 		r.seen = reply.GetChange()
@@ -162,16 +162,16 @@
 	f.notifyWaiters()
 }
 
-// applyKept applies what has changed of what the upstreams keep. If some change has been missed, the
+// applyCached applies what has changed of what the upstreams keep. If some change has been missed, the
 // next reply brings all. The caller holds mu.
-func (f *Feed) applyKept(r *relay, in *wire.DigestCall, reply *wire.DigestReply) {
-	if reply.GetKeptChange() == 0 || in.GetSeenKept() != r.seenKept && in.GetSeenKept() != 0 {
+func (f *Feed) applyCached(r *relay, in *wire.DigestCall, reply *wire.DigestReply) {
+	if reply.GetCachedChange() == 0 || in.GetSeenCached() != r.seenCached && in.GetSeenCached() != 0 {
 		return // nothing has changed, or the changes before these are missing
 	}
-	r.seenKept = reply.GetKeptChange()
-	for _, k := range reply.GetKept() {
-		if address, ok := decodeAddress(k.GetAddress()); ok && !f.Kept.Apply(peer.DecodeKept(address, k)) {
-			r.seenKept = 0
+	r.seenCached = reply.GetCachedChange()
+	for _, k := range reply.GetCached() {
+		if address, ok := decodeAddress(k.GetAddress()); ok && !f.Cached.Apply(peer.DecodeCached(address, k)) {
+			r.seenCached = 0
 		}
 	}
 }
--- a/io/feed/serve.go
+++ b/io/feed/serve.go
@@ -163,7 +163,7 @@
 	for _, s := range stale {
 		out.Stale = append(out.Stale, &wire.StaleHost{Address: encodeAddress(s.Address), Age: age(now, s.Taken)})
 	}
-	f.addKept(c, out)
+	f.addCached(c, out)
 	for _, u := range f.table.Since(f.seenBy(c), c.GetRelay()) {
 		out.Hosts = append(out.Hosts, encodeState(now, u, c.GetRelay()))
 	}
@@ -208,23 +208,23 @@
 	return out
 }
 
-// addKept adds to a reply what has changed of what the upstreams keep, to another relay only of those
+// addCached adds to a reply what has changed of what the upstreams keep, to another relay only of those
 // that this one follows itself. The caller holds mu.
-func (f *Feed) addKept(c *wire.DigestCall, out *wire.DigestReply) {
-	seen := c.GetSeenKept()
+func (f *Feed) addCached(c *wire.DigestCall, out *wire.DigestReply) {
+	seen := c.GetSeenCached()
 	if c.GetEpoch() != f.epoch {
 		seen = 0
 	}
-	last, updates := f.Kept.Since(seen)
+	last, updates := f.Cached.Since(seen)
 	if last == seen {
 		return
 	}
-	out.KeptChange = last
+	out.CachedChange = last
 	for _, u := range updates {
 		if !c.GetRelay() || f.choice.Follows(f.engines[u.Address]) {
-			k := peer.EncodeKept(u)
+			k := peer.EncodeCached(u)
 			k.Address = encodeAddress(u.Address)
-			out.Kept = append(out.Kept, k)
+			out.Cached = append(out.Cached, k)
 		}
 	}
 }
--- a/io/meter/gauge.go
+++ b/io/meter/gauge.go
@@ -59,9 +59,9 @@
 	m.gauge(nameEnginePace, func() float64 { return read().ReadingEvent.Seconds() }, "while", "reading")
 }
 
-// KeptParts registers the gauge of the parts that an engine keeps.
-func (m *Meter) KeptParts(read func() int) {
-	m.gauge(nameKeptParts, func() float64 { return float64(read()) })
+// CachedParts registers the gauge of the parts that an engine keeps.
+func (m *Meter) CachedParts(read func() int) {
+	m.gauge(nameCachedParts, func() float64 { return float64(read()) })
 }
 
 // HeldBytes registers the gauge of the bytes held for callers and upstreams.
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -136,7 +136,7 @@
 	if m == nil {
 		return
 	}
-	m.count(nameReadTokens, "kind", "kept").Add(max(0, all-read))
+	m.count(nameReadTokens, "kind", "cached").Add(max(0, all-read))
 	m.count(nameReadTokens, "kind", "read").Add(read)
 }
 
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -69,7 +69,7 @@
 	m.Foresight(time.Second, 1200*time.Millisecond)
 	m.AnswerLength(200, 150)
 	m.PromptTokens(9000, 3000)
-	m.KeptParts(func() int { return 7 })
+	m.CachedParts(func() int { return 7 })
 	m.EnginePace(func() core.Pace { return core.Pace{Event: 30 * time.Millisecond, ReadingEvent: time.Second} })
 	m.RefusedParts(func() int { return 1 })
 	m.ConnectionRefused("busy")
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -65,7 +65,7 @@
 	nameWaiting          = "radishwell_waiting_requests"
 	nameForesight        = "radishwell_foresight_error_seconds"
 	nameAnswerTokens     = "radishwell_answer_tokens_total"
-	nameKeptParts        = "radishwell_kept_parts"
+	nameCachedParts      = "radishwell_cached_parts"
 	nameReadTokens       = "radishwell_prompt_tokens_total"
 	nameEnginePace       = "radishwell_engine_event_seconds"
 	nameReplicaLag       = "radishwell_replica_lag_seconds"
@@ -112,7 +112,7 @@
 	{nameWaiting, Gauge, nil, "", "Requests that wait for a host at an entry on a managed platform."},
 	{nameForesight, Histogram, []string{"direction"}, "seconds", "Difference between the foreseen and the actual time from sending a request to the first event of its stream, by whether that came sooner or later."},
 	{nameAnswerTokens, Counter, []string{"kind"}, "", "Foreseen and actual tokens of the streams that were served whole."},
-	{nameKeptParts, Gauge, nil, "", "Parts of prompts that the engine beside the agent is known to keep."},
+	{nameCachedParts, Gauge, nil, "", "Parts of prompts that the engine beside the agent is known to keep."},
 	{nameReadTokens, Counter, []string{"kind"}, "", "Prompt tokens of the requests sent to engines: those that the chosen engine should keep, and those that it should read."},
 	{nameEnginePace, Gauge, []string{"while"}, "seconds", "Time between two events of a stream, as the agent measures it while the engine reads prompts or is quiet; zero while unknown."},
 	{nameReplicaLag, Gauge, []string{"kind"}, "seconds", "Time for which the replica of a kind has lacked the oldest missing change that another process reported; zero if it lacks none."},
--- a/io/node/fleet_test.go
+++ b/io/node/fleet_test.go
@@ -320,7 +320,7 @@
 		"radishwell_turns_total": true, "radishwell_held_seconds": true, "radishwell_waiting_requests": true,
 		"radishwell_foresight_error_seconds": true, "radishwell_room_asks_total": true,
 		"radishwell_held_bytes": true, "radishwell_slow_callers_ended_total": true, "radishwell_engine_event_seconds": true,
-		"radishwell_answer_tokens_total": true, "radishwell_prompt_tokens_total": true, "radishwell_kept_parts": true,
+		"radishwell_answer_tokens_total": true, "radishwell_prompt_tokens_total": true, "radishwell_cached_parts": true,
 		// Sampled once a second; the request is shorter.
 		"radishwell_accelerator_busy_seconds_total": true,
 	}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -87,9 +87,9 @@
 	cost                            float64
 	expectedWait                    time.Duration
 	heldUp, pauseChance, fullChance float64
-	// promptKept is the number of the prompt's tokens that the host chosen last should keep.
-	promptKept int
-	signals    signals
+	// promptCached is the number of the prompt's tokens that the host chosen last should keep.
+	promptCached int
+	signals      signals
 	// tableVersion is the version of the routing table in force, and waitTime the time
 	// spent waiting for a host.
 	tableVersion int64
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -80,7 +80,7 @@
 		pairs = append(pairs, "held-up", round(c.heldUp), "pause-chance", round(c.pauseChance))
 	}
 	if c.query.Answer > 0 {
-		pairs = append(pairs, "prompt-kept", c.promptKept, "answer-foreseen", c.query.Answer, "events", c.events)
+		pairs = append(pairs, "prompt-cached", c.promptCached, "answer-foreseen", c.query.Answer, "events", c.events)
 	}
 	if c.fullChance > 0 {
 		pairs = append(pairs, "full-chance", round(c.fullChance))
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/cached"
 	"radishwell/core/copies"
 	"radishwell/core/demand"
 	"radishwell/core/fleet"
-	"radishwell/core/kept"
 	"radishwell/core/length"
 	"radishwell/core/origin"
 	"radishwell/core/parts"
@@ -130,7 +130,7 @@
 }
 
 // Wants returns the parts of prompts that requests begin with and others may.
-func (p *Proxy) Wants() *kept.Wants { return &p.view.Wants }
+func (p *Proxy) Wants() *cached.Wants { return &p.view.Wants }
 
 // Table returns the routing table in force, or nil before there is one.
 func (p *Proxy) Table() *rtable.Table {
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -171,7 +171,7 @@
 	}
 	h.NoteSent(now, &c.query)
 	if c.query.Model != "" {
-		c.promptKept = c.query.Tokens - t.prefillTokens
+		c.promptCached = c.query.Tokens - t.prefillTokens
 		p.Meter.PromptTokens(c.query.Tokens, t.prefillTokens)
 		p.view.NotePrompt(t.prefillTokens)
 	}
--- a/io/soak/inject.go
+++ b/io/soak/inject.go
@@ -95,8 +95,8 @@
 	case BusyEngine:
 		engine.SetReading(10_000 + s.Variant%60_000)
 		return func() { engine.SetReading(0) }
-	case LoseKept:
-		engine.LoseKeptEvents()
+	case LoseCached:
+		engine.LoseCachedEvents()
 	case SlowReaders:
 		return t.readSlowly(s)
 	case DropFraming:
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -52,7 +52,7 @@
 	PreferEntry
 	BusyEngine
 	SlowReaders
-	LoseKept
+	LoseCached
 	kindCount
 )
 
@@ -108,7 +108,7 @@
 	PreferEntry:     {"prefer-entry", 2, 6 * time.Second},
 	BusyEngine:      {"busy-engine", 4, 2 * time.Second},
 	SlowReaders:     {"slow-readers", 2, 3 * time.Second},
-	LoseKept:        {"lose-kept", 3, 0},
+	LoseCached:      {"lose-cached", 3, 0},
 }
 
 // String returns the name of the kind as in schedules.
