Remember per call which wanted parts a relay was told

Found by reading. A relay counted as told of the wanted parts of the newest call as soon as any call was answered. An extra poll runs beside the usual one; if it failed after the usual one was answered, the parts that only it carried were not told again until the relay restarted, and the relay's agents told nothing of them unless another entry wanted them too.

Each call now keeps its own number beside the arrivals that it carries, which are also told once; the state that the relay record held for it is gone.

--- a/io/feed/bench_test.go
+++ b/io/feed/bench_test.go
@@ -86,7 +86,7 @@
 				}
 				bytes += len(out)
 				entry.mu.Lock()
-				entry.applyReply(time.Now(), r, call, reply)
+				entry.applyReply(time.Now(), r, call, sentOnce{}, reply)
 				entry.mu.Unlock()
 			}
 			b.ReportMetric(float64(bytes)/float64(b.N), "B/answer")
--- a/io/feed/poll.go
+++ b/io/feed/poll.go
@@ -41,8 +41,8 @@
 	epoch, seen, seenReady uint64
 	// seenCached is the number of the last change of what the upstreams keep, and wantsTold that of
 	// the last wanted part that the relay has been told.
-	seenCached, wantsTold, wantsSent uint64
-	asRelay                          bool
+	seenCached, wantsTold uint64
+	asRelay               bool
 	// pending are arrivals that were not sent to the relay yet, used the adapters for
 	// which requests were sent to the hosts that it reports.
 	pending map[core.ModelName]demand.Arrivals
@@ -81,19 +81,26 @@
 		if ctx.Err() == nil {
 			events.Fail(events.PeerUnreachable, err, "address", r.member.Control)
 			f.chooser.NoteFailure(now, r.member.Name)
-			r.add(sent)
+			r.add(sent.arrivals)
 			r.seen = 0
 			f.wakeChoose()
 		}
 		return false
 	}
 	f.chooser.NoteResponse(now, r.member.Name)
-	f.applyReply(now, r, in, reply)
+	f.applyReply(now, r, in, sent, reply)
 	return true
 }
 
-// newCall returns the call that polls a relay, and the arrivals in it.
-func (f *Feed) newCall(r *relay, wait time.Duration) (in *wire.DigestCall, sent map[core.ModelName]demand.Arrivals) {
+// sentOnce is what a call tells a relay that it is not told again: arrivals, and wanted parts up to
+// a number.
+type sentOnce struct {
+	arrivals map[core.ModelName]demand.Arrivals
+	wants    uint64
+}
+
+// newCall returns the call that polls a relay, and what it tells once.
+func (f *Feed) newCall(r *relay, wait time.Duration) (in *wire.DigestCall, sent sentOnce) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock.Now()
@@ -103,12 +110,12 @@
 	if asRelay != r.asRelay {
 		r.asRelay, r.seen, r.seenCached = asRelay, 0, 0
 	}
-	sent, r.pending = r.pending, map[core.ModelName]demand.Arrivals{}
+	sent.arrivals, r.pending = r.pending, map[core.ModelName]demand.Arrivals{}
 	in = &wire.DigestCall{
 		Entry: string(f.Self.Name), Relay: asRelay, Epoch: r.epoch, Seen: r.seen, SeenReady: r.seenReady, Wait: int64(wait),
-		Arrivals: encodeArrivals(sent), Waiting: encodeWaits(f.waiting(now)), Uses: f.encodeUses(now, r), SeenCached: r.seenCached,
+		Arrivals: encodeArrivals(sent.arrivals), Waiting: encodeWaits(f.waiting(now)), Uses: f.encodeUses(now, r), SeenCached: r.seenCached,
 	}
-	r.wantsSent, in.Wanted = f.Proxy.Wants().Since(r.wantsTold)
+	sent.wants, in.Wanted = f.Proxy.Wants().Since(r.wantsTold)
 	return in, sent
 }
 
@@ -140,14 +147,14 @@
 }
 
 // applyReply applies a relay's reply. The caller holds mu.
-func (f *Feed) applyReply(now time.Time, r *relay, in *wire.DigestCall, reply *wire.DigestReply) {
+func (f *Feed) applyReply(now time.Time, r *relay, in *wire.DigestCall, sent sentOnce, reply *wire.DigestReply) {
 	if f.relays[r.member.Name] != r {
 		return // another relay was chosen during the call
 	}
 	if reply.GetEpoch() != r.epoch {
 		r.epoch, r.seen, r.seenReady, r.seenCached, r.wantsTold = reply.GetEpoch(), 0, 0, 0, 0
 	} else {
-		r.wantsTold = r.wantsSent
+		r.wantsTold = max(r.wantsTold, sent.wants)
 	}
 	f.applyCached(r, in, reply)
 	sameCentre := f.choice.Relay() && f.choice.Follows(r.member.DataCentre)
