Compute a host's backlog once a decision, and fold what was written twice

- Choice carries the prompt tokens that the chosen host has to process; the request for room and the start computed them again under the same lock.
- cached: what has changed back is left out as the log is read instead of by two more passes; parts that are known are left out in one place.
- The feed's three copies of "is it listed" are one; the entry's accessor that only called the proxy's is gone.

Behaviour stays, tests unchanged.

--- a/core/cached/book.go
+++ b/core/cached/book.go
@@ -41,16 +41,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.engines[u.Address]
-	switch {
-	case u.Empty(), r != nil && u.Born != 0 && u.Born < r.Born:
+	if u.Empty() || r != nil && u.Born != 0 && u.Born < r.Born {
 		return true // nothing new, or of an incarnation that has ended
-	case (r == nil || r.Engine != u.Engine) && !u.Whole:
-		return false
-	}
-	if b.engines == nil {
-		b.engines = map[netip.AddrPort]*record{}
 	}
 	if r == nil || r.Engine != u.Engine {
+		if !u.Whole {
+			return false
+		}
+		if b.engines == nil {
+			b.engines = map[netip.AddrPort]*record{}
+		}
 		r = &record{Engine: u.Engine}
 		b.engines[u.Address] = r
 	}
--- a/core/cached/set.go
+++ b/core/cached/set.go
@@ -104,19 +104,14 @@
 		return 1
 	})
 	for _, c := range s.log[at:] {
-		if c.dropped {
+		switch {
+		case c.dropped == s.has[c.key]: // it has changed back since
+		case c.dropped:
 			d.Dropped = append(d.Dropped, c.key)
-		} else {
+		default:
 			d.Added = append(d.Added, c.key)
 		}
 	}
-	return d.settle(s)
-}
-
-// settle leaves out what has changed back since.
-func (d Delta) settle(s *Set) Delta {
-	d.Added = slices.DeleteFunc(d.Added, func(key uint32) bool { return !s.has[key] })
-	d.Dropped = slices.DeleteFunc(d.Dropped, func(key uint32) bool { return s.has[key] })
 	return d
 }
 
--- a/core/cached/wants.go
+++ b/core/cached/wants.go
@@ -16,9 +16,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, hash := range parts {
-		if key := Key(hash); !w.set.Has(key) {
-			w.add(key)
-		}
+		w.add(Key(hash))
 	}
 }
 
@@ -27,15 +25,16 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, key := range keys {
-		if !w.set.Has(key) {
-			w.add(key)
-		}
+		w.add(key)
 	}
 }
 
-// add adds a part. If there are too many, it begins anew: those that are still wanted come back with
-// the next requests.
+// add adds a part that is not wanted yet. If there are too many, it begins anew: those that are still
+// wanted come back with the next requests.
 func (w *Wants) add(key uint32) {
+	if w.set.Has(key) {
+		return
+	}
 	w.last++
 	if w.set.Len() >= maxCached {
 		w.set.Reset(w.last)
@@ -48,8 +47,5 @@
 func (w *Wants) Since(number uint64) (last uint64, keys []uint32) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.last == number {
-		return w.last, nil
-	}
 	return w.last, w.set.Since(number).Added
 }
--- a/core/fleet/pace.go
+++ b/core/fleet/pace.go
@@ -141,10 +141,10 @@
 	}
 }
 
-// engine returns what the view knows of the host's engine.
-func (h *Host) engine(prefillTime float64) room.Engine {
+// engine returns what the view knows of the host's engine, given its backlog.
+func (h *Host) engine(backlog float64) room.Engine {
 	return room.Engine{
-		Pace: h.pace, Rate: h.rate(), Ahead: int(h.backlog(prefillTime) * h.rate()), Streams: h.Report.Running, Reading: h.reading,
+		Pace: h.pace, Rate: h.rate(), Ahead: int(backlog * h.rate()), Streams: h.Report.Running, Reading: h.reading,
 	}
 }
 
@@ -152,12 +152,12 @@
 type pauses struct{ heldUp, avoidable, own float64 }
 
 // pauses returns the pauses that sending a request to a host should cause, which has the given
-// number of its prompt tokens to process.
-func (v *View) pauses(now time.Time, h *Host, q *Query, tokens int) pauses {
+// number of its prompt tokens to process, behind the host's backlog.
+func (v *View) pauses(now time.Time, h *Host, q *Query, tokens int, backlog float64) pauses {
 	if q.Model == "" || q.Pause == 0 || !h.Fresh(now) || h.pace == (core.Pace{}) {
 		return pauses{}
 	}
-	e := h.engine(v.prefillTime())
+	e := h.engine(backlog)
 	r := room.Request{Prompt: tokens, Answer: q.Answer, Pause: q.Pause}
 	out := pauses{heldUp: e.HeldUp(r), own: e.PauseChance(r)}
 	if out.heldUp > 0 {
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -119,8 +119,10 @@
 	Cost float64
 	// Wait is the time until the host should give its first answer.
 	Wait time.Duration
-	// Own is the part of Wait in which the host processes the request's own prompt.
-	Own time.Duration
+	// Own is the part of Wait in which the host processes the request's own prompt, and Prefill the
+	// number of tokens that it processes (see Host.PrefillTokens).
+	Own     time.Duration
+	Prefill int
 	// Hosts is the number of hosts that take the request, now or later.
 	Hosts int
 	// RetryAt is when the first of the hosts takes requests again, zero if some host takes
@@ -206,22 +208,22 @@
 		if slices.Contains(q.Tried, h.ID) {
 			continue
 		}
-		tokens := h.prefillTokens(now, q, v.keys)
-		wait := h.wait(now, tokens, fetch, v.prefillTime())
-		p := v.pauses(now, h, q, tokens)
+		tokens, backlog := h.prefillTokens(now, q, v.keys), h.backlog(v.prefillTime())
+		wait := h.wait(now, tokens, fetch, backlog)
+		p := v.pauses(now, h, q, tokens, backlog)
 		full := v.fullChance(now, h, q)
 		cost := wait + h.cost(now, q, affinityKey) + (p.heldUp+p.own+full)*lateCost(q)
 		if best.Host == nil || cost < best.Cost || cost == best.Cost && h.ID < best.Host.ID {
 			best.Host, best.Fetch, best.Cost = h, fetch, cost
 			best.Wait, best.RateLimitDelay = time.Duration(wait*float64(time.Millisecond)), h.reservationDelay(now)
 			best.HeldUp, best.Avoidable, best.PauseChance, best.FullChance = p.heldUp, p.avoidable, p.own, full
-			best.Own = time.Duration(float64(tokens) / h.rate() * float64(time.Millisecond))
+			best.Own, best.Prefill = time.Duration(float64(tokens)/h.rate()*float64(time.Millisecond)), tokens
 		}
 	}
 	if !takes {
 		best.RetryAt = retryAt
 	}
-	best.Listed, best.Leaving = best.Hosts > 0, false
+	best.Listed = best.Hosts > 0
 	if !best.Listed {
 		best.Listed, best.Leaving = v.listed(now, q)
 	}
@@ -280,13 +282,12 @@
 
 // wait returns the time until the host should give its first answer, in milliseconds: the
 // prefill queued before the request and that of its own prompt, which has the given number of
-// tokens left to process. Some of this process's
-// outstanding requests are among those that the host reports as waiting, so the larger of
-// the two counts is used.
-func (h *Host) wait(now time.Time, tokens int, fetch bool, prefillTime float64) float64 {
+// tokens left to process. Some of this process's outstanding requests are among those that the
+// host reports as waiting, so the larger of the two counts is used.
+func (h *Host) wait(now time.Time, tokens int, fetch bool, backlog float64) float64 {
 	before := float64(h.pendingPrefill) / h.rate()
 	if h.Fresh(now) {
-		before = max(before, h.backlog(prefillTime))
+		before = max(before, backlog)
 	}
 	before += float64(h.reservationDelay(now)) / float64(time.Millisecond)
 	if fetch {
@@ -299,13 +300,20 @@
 // what was sent since. An entry knows only its own requests; if several entries send to the
 // same host, these alone would underestimate its queue.
 func (h *Host) backlog(prefillTime float64) float64 {
-	tokens := h.Report.Reading
+	sent, _ := h.sentSinceReport()
+	return (float64(h.Report.Waiting)*prefillTime*PrefillRate + float64(h.Report.Reading+sent)) / h.rate()
+}
+
+// sentSinceReport returns the sums of the prompts that were sent after the host's report was taken,
+// as in sentPrompt.
+func (h *Host) sentSinceReport() (tokens, memory int) {
 	for _, s := range h.sentPrompts {
 		if s.at.After(h.Report.Taken) {
 			tokens += s.tokens
+			memory += s.memory
 		}
 	}
-	return (float64(h.Report.Waiting)*prefillTime*PrefillRate + float64(tokens)) / h.rate()
+	return tokens, memory
 }
 
 // cost returns the cost of a host besides its wait, in milliseconds.
@@ -335,13 +343,8 @@
 	if v.ignorePace || q.Model == "" || !h.Report.Free.Known || !h.Fresh(now) {
 		return 0
 	}
-	free := h.Report.Free.Tokens
-	for _, s := range h.sentPrompts {
-		if s.at.After(h.Report.Taken) {
-			free -= int64(s.memory)
-		}
-	}
-	return room.FullChance(q.memory(), int(free))
+	_, sent := h.sentSinceReport()
+	return room.FullChance(q.memory(), int(h.Report.Free.Tokens)-sent)
 }
 
 // memory returns the number of tokens that the request holds in an engine's prompt memory at its
@@ -397,7 +400,7 @@
 // is the same in all processes for requests with the same affinityKey.
 func (h *Host) affinity(key uint64) float64 {
 	var room [64]byte
-	text := binary.LittleEndian.AppendUint64(append(room[:0], h.ID...), uint64(key))
+	text := binary.LittleEndian.AppendUint64(append(room[:0], h.ID...), key)
 	return float64(xxhash.Sum64(text)>>11) / (1 << 53)
 }
 
--- a/io/config/settings.go
+++ b/io/config/settings.go
@@ -40,8 +40,8 @@
 	Cores      int            `yaml:"cores" default:"1" min:"1" max:"1024" doc:"Number of processors that the process may use."`
 	Share      float64        `yaml:"share" default:"1" min:"0.001" max:"1" doc:"Fraction of each of these processors that the process may use. Entries with a larger share are preferred for tasks that one entry does for others."`
 	// EnginePace is set if entries choose hosts by the measured paces of engines, CachedParts if
-	// they choose by what engines report to keep, and
-	// HoldForRoom if requests wait at entries until hosts have room beside more urgent ones.
+	// they choose by what engines report to keep, and HoldForRoom if requests wait at entries
+	// until hosts have room beside more urgent ones.
 	EnginePace  bool `yaml:"engine-pace" default:"true" doc:"Whether entries choose hosts by the paces and the free prompt memory of engines that agents measure: prompts are kept away from hosts at which streams would pause for longer than callers accept. Read again on SIGHUP. Entry only."`
 	CachedParts bool `yaml:"cached-parts" default:"true" doc:"Whether entries choose hosts by which parts of prompts the engines report to keep. Otherwise they go by their own requests of the last minute. Read again on SIGHUP. Entry only."`
 	HoldForRoom bool `yaml:"hold-for-room" default:"true" doc:"Whether requests wait at the entry, in the order of their urgency and fair by customer, until a host has room for them beside more urgent ones. Otherwise they are sent or refused on arrival. Read again on SIGHUP. Entry only."`
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -118,9 +118,6 @@
 	}
 }
 
-// wants returns the parts of prompts that requests begin with and others may.
-func (e *entry) wants() *cached.Wants { return e.proxy.Wants() }
-
 // applySettings applies the settings that may change while the process runs. Requests that wait
 // keep their places.
 func (e *entry) applySettings(m config.Managed) {
--- a/io/deploy/link.go
+++ b/io/deploy/link.go
@@ -133,8 +133,8 @@
 	clear(k.used)
 	in.SeenEntries = k.entriesVersion
 	in.SeenCached, in.CachedEpoch = k.cachedSeen, k.cachedEpoch
-	wants := uint64(0)
-	wants, in.Wanted = l.entry.wants().Since(k.wantsSeen)
+	wants, wanted := l.entry.proxy.Wants().Since(k.wantsSeen)
+	in.Wanted = wanted
 	if now := l.entry.clock.Now(); now.After(k.entriesExpire) {
 		// Names of entries expire after maxNamedAge unless the agent sends them again.
 		k.entriesExpire = now.Add(maxNamedAge / 3)
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -138,7 +138,7 @@
 		events.Log(events.RelayChanged, "scope", f.choice.Scope, "centres", f.choice.Centres, "before", old.Scope)
 	}
 	f.engines = engines
-	f.removeUnlisted(engines)
+	f.removeUnlisted()
 	if f.choice.Scope != follow.None {
 		f.Proxy.Update(func(v *fleet.View, _ time.Time) { v.NoteRelayReport(time.Time{}) })
 	}
@@ -155,19 +155,14 @@
 
 // removeUnlisted removes hosts that are no longer listed. Otherwise every reply would
 // name them as stale for ever. The caller holds mu.
-func (f *Feed) removeUnlisted(listed map[netip.AddrPort]core.DataCentre) {
-	f.table.Retain(func(a netip.AddrPort) bool {
-		_, ok := listed[a]
+func (f *Feed) removeUnlisted() {
+	isListed := func(a netip.AddrPort) bool {
+		_, ok := f.engines[a]
 		return ok
-	})
-	f.Cached.Retain(func(a netip.AddrPort) bool {
-		_, ok := listed[a]
-		return ok
-	})
-	maps.DeleteFunc(f.directUsed, func(a netip.AddrPort, _ map[string]bool) bool {
-		_, ok := listed[a]
-		return !ok
-	})
+	}
+	f.table.Retain(isListed)
+	f.Cached.Retain(isListed)
+	maps.DeleteFunc(f.directUsed, func(a netip.AddrPort, _ map[string]bool) bool { return !isListed(a) })
 }
 
 // updateRelays starts polling the chosen relays and stops polling the others. The caller
--- a/io/proxy/room.go
+++ b/io/proxy/room.go
@@ -35,7 +35,7 @@
 	}
 	c := w.call
 	ask := roomAsk{host: next.choice.Host.ID, RoomAsk: core.RoomAsk{
-		Rank: c.rank, Tokens: next.choice.Host.PrefillTokens(now, &c.query), Reading: next.choice.Own, Ahead: next.ahead,
+		Rank: c.rank, Tokens: next.choice.Prefill, Reading: next.choice.Own, Ahead: next.ahead,
 	}}
 	if w.late {
 		ask.Rank = int(lateClass)
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -166,7 +166,7 @@
 	}
 	h := choice.Host
 	t = &target{
-		id: h.ID, born: h.Born, address: h.Address, host: h, prefillTokens: h.PrefillTokens(now, &c.query), limit: h.Limit(now),
+		id: h.ID, born: h.Born, address: h.Address, host: h, prefillTokens: choice.Prefill, limit: h.Limit(now),
 		origin: core.StreamOrigin{Service: h.Service, Software: h.Software, Host: h.ID, Born: h.Born},
 	}
 	h.NoteSent(now, &c.query)
