Log and count what tells a request that crashes engines from its neighbours

The code of a refused request came last in its line, and the users' record was cut before it. It now comes after the request's id. The line of a strike says whether the answer had begun, how long it had gone on, and how many attempts of the entry broke off at the host; the line of a quarantined request names the crashes held against it; the counter of strikes has the same distinction. Nothing is decided otherwise.

--- a/core/fleet/crash.go
+++ b/core/fleet/crash.go
@@ -22,6 +22,8 @@
 	// Parts are the shared parts of its prompt, nil if the attempt had begun some time before:
 	// the host has not crashed because of it.
 	Parts []parts.Name
+	// Began is when the first event of its answer arrived from the host, zero if none had.
+	Began time.Time
 	At    time.Time
 }
 
--- a/core/strike/book.go
+++ b/core/strike/book.go
@@ -193,6 +193,19 @@
 	return out
 }
 
+// CrashesOf returns the sources of the strikes that count against a fingerprint, in a stable
+// order.
+func (b *Book) CrashesOf(now time.Time, f core.Fingerprint) []core.HostName {
+	var out []core.HostName
+	mark := b.clearMarkExpiry(f)
+	for _, r := range b.RecordsOf(now, f) {
+		if r.Count > 0 && r.Expires.After(mark) {
+			out = append(out, r.Source)
+		}
+	}
+	return out
+}
+
 // List returns all fingerprints that are not clean, in a stable order.
 func (b *Book) List(now time.Time) []Finding {
 	var out []Finding
--- a/io/agent/drive.go
+++ b/io/agent/drive.go
@@ -399,7 +399,7 @@
 	for _, o := range lost {
 		o.strikes = records
 	}
-	a.Meter.Strike()
+	a.Meter.Strike(false)
 	events.Log(events.RequestStruck, "host", a.Host, "in-flight", len(fingerprints), "lost", r.id, "cause", err)
 	return records
 }
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -229,10 +230,10 @@
 	}
 }
 
-// Strike counts a strike against a request.
-func (m *Meter) Strike() {
+// Strike counts a strike against a request. began is set if its answer had begun.
+func (m *Meter) Strike(began bool) {
 	if m != nil {
-		m.count(nameStrikes).Inc()
+		m.count(nameStrikes, "began", strconv.FormatBool(began)).Inc()
 	}
 }
 
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -82,7 +82,7 @@
 	m.Peer("Sync", true)
 	m.Traffic(100, 2000)
 	m.SilentConnection()
-	m.Strike()
+	m.Strike(true)
 	m.Claim(meter.ClaimHeld)
 	m.Queue(core.Overnight, func() int { return 3 })
 	m.Running(core.Overnight, func() int { return 2 })
@@ -165,7 +165,7 @@
 
 func TestMetersAreApart(t *testing.T) {
 	one, two := meter.New(), meter.New()
-	one.Strike()
+	one.Strike(false)
 	assert.Equal(t, text(two), "")
 }
 
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -98,7 +98,7 @@
 	{namePeers, Counter, []string{"method", "result"}, "", "Calls between own processes."},
 	{namePeerBytes, Counter, []string{"direction"}, "bytes", "Bytes of calls between own processes."},
 	{nameSilent, Counter, nil, "", "Connections closed because they went silent."},
-	{nameStrikes, Counter, nil, "", "Strikes against requests that were in progress when an engine failed."},
+	{nameStrikes, Counter, []string{"began"}, "", "Strikes against requests that were in progress when an engine failed, by whether their answer had begun, as far as the process sees answers."},
 	{nameClaims, Counter, []string{"result"}, "", "Claims of idempotency keys."},
 	{nameSignalSends, Counter, []string{"signal"}, "", "Requests sent to upstreams that had announced in an answer that they are leaving, accept no requests for some time, or have a rate limit."},
 	{nameLimitedUpstreams, Gauge, nil, "", "Upstreams that have announced a rate limit, as far as this process knows."},
--- a/io/proxy/crash.go
+++ b/io/proxy/crash.go
@@ -59,7 +59,7 @@
 	if c.ran > 0 {
 		return c.lost()
 	}
-	events.Log(events.RequestQuarantined, "request", c.ask.ID, "fingerprint", c.fingerprint)
+	events.Log(events.RequestQuarantined, "request", c.ask.ID, "fingerprint", c.fingerprint, "crashes", c.proxy.book.CrashesOf(now, c.fingerprint))
 	return core.Refuse(core.CodeQuarantined, "this request has crashed several upstreams")
 }
 
@@ -91,7 +91,7 @@
 	case sent && isBrokenOff(err):
 		probe := false
 		p.Update(func(v *fleet.View, now time.Time) {
-			probe = v.NoteBrokenOff(now, inc, fleet.BrokenOff{Fingerprint: c.fingerprint, Parts: c.suspectParts(t), At: now})
+			probe = v.NoteBrokenOff(now, inc, fleet.BrokenOff{Fingerprint: c.fingerprint, Parts: c.suspectParts(t), Began: t.startedAt, At: now})
 		})
 		if probe && p.upstreams.refuses(ctx, t.address) {
 			p.noteRefused(inc)
@@ -114,8 +114,12 @@
 func (p *Proxy) strikeCrashed(now time.Time) (struck bool) {
 	for inc, attempts := range p.view.TakeCrashed(now) {
 		fingerprints := make([]core.Fingerprint, 0, len(attempts))
+		ran := map[core.Fingerprint]time.Duration{}
 		for _, a := range attempts {
 			fingerprints = append(fingerprints, a.Fingerprint)
+			if !a.Began.IsZero() {
+				ran[a.Fingerprint] = max(ran[a.Fingerprint], a.At.Sub(a.Began))
+			}
 			if p.parts.NoteCrash(now, parts.Crash{Upstream: incarnationName(inc), At: a.At}, a.Parts) {
 				struck = true
 				events.Log(events.PartsStruck, "host", inc.ID, "fingerprint", a.Fingerprint, "parts", a.Parts)
@@ -123,8 +127,12 @@
 		}
 		for _, r := range p.book.RecordIncarnationCrash(now, incarnationName(inc), fingerprints) {
 			struck = true
-			p.Meter.Strike()
-			events.Log(events.RequestStruck, "host", inc.ID, "fingerprint", r.Fingerprint, "strikes", p.book.Find(now, r.Fingerprint).Count)
+			_, began := ran[r.Fingerprint]
+			p.Meter.Strike(began)
+			events.Log(
+				events.RequestStruck, "host", inc.ID, "fingerprint", r.Fingerprint, "strikes", p.book.Find(now, r.Fingerprint).Count,
+				"began", began, "ran", ran[r.Fingerprint].Round(time.Millisecond), "together", len(attempts),
+			)
 		}
 	}
 	return struck
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -16,9 +16,13 @@
 	now := c.proxy.Clock.Now()
 	c.recordTurn(r)
 	c.proxy.Meter.Request(core.Interactive, r, c.arrived, c.firstEvent, now, c.waitTime > 0)
-	pairs := []any{
-		"request", c.ask.ID, "took", now.Sub(c.arrived).Round(time.Millisecond), "table", c.tableVersion, "sends", c.sends, "ran", c.ran,
+	pairs := []any{"request", c.ask.ID}
+	if r != nil {
+		pairs = append(pairs, "code", r.Code)
 	}
+	pairs = append(
+		pairs, "took", now.Sub(c.arrived).Round(time.Millisecond), "table", c.tableVersion, "sends", c.sends, "ran", c.ran,
+	)
 	if r != nil && c.service == nil && c.proxy.TableAge != nil {
 		// The routing table decided.
 		pairs = append(pairs, "table-age", c.proxy.TableAge().Round(time.Millisecond))
