Show proper requests refused for good, failing

Callers of proper requests get 422, which promises that the request will never be served, after upstreams fell that others had crashed.

No logic has been changed yet.

--- a/io/proxy/crash_test.go
+++ b/io/proxy/crash_test.go
@@ -114,6 +114,63 @@
 	assert.Equal(t, len(other.List(time.Now())), 0, "other entries clear it, too")
 }
 
+// Guards against a proper request that is refused for good since it was in progress at three
+// upstreams when another request crashed them.
+func TestNeighbourOfCrashesIsQuarantined(t *testing.T) {
+	const crashes = 3
+	r := newRig(t)
+	p := r.addProcess(t, "p-a", crashes, func() *stand.Worker { return &stand.Worker{Plain: true, Prefill: 100 * time.Millisecond} })
+	for n := range crashes {
+		for len(p.Workers()) <= n {
+			time.Sleep(time.Millisecond)
+		}
+		crashed := make(chan answer, 1)
+		req := r.post(t, "/once/x", fmt.Sprint("crash-", n), "crash")
+		go func() { crashed <- do(t, req) }()
+		time.Sleep(30 * time.Millisecond)
+		wantStatus(t, do(t, r.post(t, "/once/x", fmt.Sprint("proper-", n), "proper")), http.StatusBadGateway)
+		<-crashed
+	}
+	for len(p.Workers()) <= crashes {
+		time.Sleep(time.Millisecond)
+	}
+	status := http.StatusServiceUnavailable
+	for n := 0; n < 20 && status == http.StatusServiceUnavailable; n++ {
+		status = do(t, r.post(t, "/once/x", fmt.Sprint("repeated-", n), "proper")).status
+	}
+	assert.Equal(t, status, http.StatusOK)
+}
+
+// Guards against a proper request that is refused for good since another request, which shares
+// parts of its prompt, crashed three upstreams.
+func TestPartsOfCrashingRequestAreQuarantined(t *testing.T) {
+	const crashes = 3
+	r := newRig(t)
+	p := r.addProcess(t, "e-a", crashes, func() *stand.Worker { return &stand.Worker{Events: 3} })
+	prompt := func(id, body, parts string) *http.Request {
+		req := r.post(t, "/stream/x", id, body)
+		req.Header.Set("X-Radishwell-Model", "m")
+		req.Header.Set("X-Radishwell-Token-Usage", "30,3")
+		req.Header.Set("X-Radishwell-Prompt-Prefix", parts)
+		return req
+	}
+	for n := range crashes {
+		for len(p.Workers()) <= n {
+			time.Sleep(time.Millisecond)
+		}
+		wantStatus(t, do(t, prompt(fmt.Sprint("crash-", n), "crash", "shared:20,own-1:10")), http.StatusBadGateway)
+	}
+	for len(p.Workers()) <= crashes {
+		time.Sleep(time.Millisecond)
+	}
+	status := http.StatusServiceUnavailable
+	for n := 0; n < 50 && status == http.StatusServiceUnavailable; n++ {
+		time.Sleep(100 * time.Millisecond)
+		status = do(t, prompt(fmt.Sprint("proper-", n), "proper", "shared:20,own-2:10")).status
+	}
+	assert.Equal(t, status, http.StatusOK)
+}
+
 // Guards against a request that waits for a host when another entry reports that it crashes
 // upstreams, and is sent all the same.
 func TestWaitingRequestIsRefused(t *testing.T) {
