Refuse a request for good only for crashes in trials

Callers saw 422, which says that a request will never be served, for proper requests that had been at three upstreams when others crashed them or when they fell for other reasons.

Cause: on a managed platform a crash counted against each request in flight, and three were proof. Being there was taken for being the cause. No attempt told one from the other: the request that crashes upstreams and its neighbours were sent to the same few hosts of their model again and again, until both had three.

Now crashes in company make a request a suspect, however many they are. A suspect runs in trials only: its copies run nowhere else, and no other suspect runs at its upstream. Two crashes in trials are proof. A request with any strike runs in a trial if one is to be had at once, so that a request that crashes upstreams is still refused after three of them where nothing else disturbs. Suspects are in the store, too, and their crashes in trials, so that a restart of all entries forgets neither.

Ruled out: leaving out the crashes that a condemned request explains.

--- a/core/fleet/crash.go
+++ b/core/fleet/crash.go
@@ -22,9 +22,15 @@
 	// Parts are the shared parts of its prompt, nil if the attempt had begun some time before:
 	// the host has not crashed because of it.
 	Parts []parts.Name
-	// Began is when the first event of its answer arrived from the host, zero if none had.
+	// Began is when the first event of its answer arrived from the host, zero if none had. Late is
+	// set if the answer had gone on for some time since.
 	Began time.Time
-	At    time.Time
+	Late  bool
+	// Tried is set if the request ran in a trial, and TriedParts are the parts of its prompt that
+	// did.
+	Tried      bool
+	TriedParts []parts.Name
+	At         time.Time
 }
 
 // brokenOff holds the attempts that broke off at one incarnation of a host, until it is known
--- a/core/manage.go
+++ b/core/manage.go
@@ -183,6 +183,15 @@
 	Ask(ctx context.Context, host HostName, ask RoomAsk) bool
 }
 
+// Trials lets requests that may crash upstreams run apart from each other, over all entries.
+type Trials interface {
+	// Begin reports whether a request may run in a trial at an upstream, given by a name of the run
+	// of its process. keys name what may crash upstreams: the whole request or parts of it.
+	Begin(ctx context.Context, keys []string, upstream HostName) bool
+	// End reports that a trial that was granted has ended. It does not wait.
+	End(keys []string, upstream HostName)
+}
+
 // CachedMark is a place in an engine's account of what it keeps. The zero CachedMark is the beginning.
 type CachedMark struct {
 	// Epoch identifies the account, which begins anew with each of the engine's incarnations.
--- a/core/parts/record.go
+++ b/core/parts/record.go
@@ -45,6 +45,9 @@
 	// Upstream identifies one run of the upstream's process.
 	Upstream core.HostName
 	At       time.Time
+	// Tried is set if the request ran in a trial of the part: upstreams had no other request that
+	// may crash them.
+	Tried bool
 }
 
 // Record is what is known of a part that was in a crash.
@@ -74,13 +77,13 @@
 		c.At = now
 	}
 	i := slices.IndexFunc(r.Crashes, func(have Crash) bool { return have.Upstream == c.Upstream })
+	proof := i >= 0 && c.Tried && !r.Crashes[i].Tried
 	switch {
 	case now.Sub(c.At) >= TTL:
 		return false
-	case i >= 0 && !c.At.Before(r.Crashes[i].At):
-		return false
 	case i >= 0:
-		r.Crashes[i].At = c.At // seen sooner by another process
+		r.Crashes[i].At = core.Earlier(r.Crashes[i].At, c.At) // another process may see it sooner
+		r.Crashes[i].Tried = r.Crashes[i].Tried || c.Tried
 	default:
 		r.Crashes = append(r.Crashes, c)
 	}
@@ -88,7 +91,18 @@
 	if len(r.Crashes) > maxCrashes {
 		r.Crashes = slices.Delete(r.Crashes, 0, len(r.Crashes)-maxCrashes)
 	}
-	return i < 0
+	return i < 0 || proof
+}
+
+// isProven reports whether the part has crashed enough upstreams in trials since it was served.
+func (r *Record) isProven(now time.Time) bool {
+	n := 0
+	for _, c := range r.Crashes {
+		if c.Tried && c.At.After(r.ServedAt) && now.Sub(c.At) < TTL {
+			n++
+		}
+	}
+	return n >= provenCrashes
 }
 
 // lastCrash returns when the latest crash was, zero if there is none.
--- a/core/strike/book.go
+++ b/core/strike/book.go
@@ -19,6 +19,9 @@
 	Self core.HostName
 	// MaxRecords bounds the book; the records that expire first are evicted first.
 	MaxRecords int
+	// Incarnations is set if the source of each strike is one run of an upstream's process, and no
+	// process knows all requests at an upstream (RecordIncarnationCrash).
+	Incarnations bool
 
 	records map[core.Fingerprint][]Record
 	size    int
@@ -45,15 +48,33 @@
 	return out
 }
 
+// Attempt is a request that was in progress at an upstream when the upstream crashed.
+type Attempt struct {
+	Fingerprint core.Fingerprint
+	// Late is set if its answer had gone on for some time. Alone is set if it ran in a trial.
+	Late, Alone bool
+}
+
 // RecordIncarnationCrash gives a strike to each distinct fingerprint that this process had in
 // flight at an upstream that crashed, and returns the records that are new. The upstream's name
 // has to identify one run of its process: all processes that saw the crash produce the same
 // records, so that each counts once.
-func (b *Book) RecordIncarnationCrash(now time.Time, upstream core.HostName, inFlight []core.Fingerprint) []Record {
+func (b *Book) RecordIncarnationCrash(now time.Time, upstream core.HostName, attempts []Attempt) []Record {
 	var out []Record
-	for _, f := range distinct(inFlight) {
-		r := Record{Fingerprint: f, Source: upstream, Count: 1, Expires: core.Later(now.Add(TTL), b.clearMarkExpiry(f).Add(1))}
-		if b.upsert(r) {
+	for _, a := range attempts {
+		r := Record{Fingerprint: a.Fingerprint, Source: upstream, Count: 1, Expires: core.Later(now.Add(TTL), b.clearMarkExpiry(a.Fingerprint).Add(1))}
+		if a.Alone {
+			r.Alone = 1
+		}
+		if a.Late {
+			r.Late = 1
+		}
+		i := slices.IndexFunc(out, func(have Record) bool { return have.Fingerprint == a.Fingerprint })
+		switch {
+		case !b.upsert(r):
+		case i >= 0:
+			out[i] = r.join(out[i])
+		default:
 			out = append(out, r)
 		}
 	}
@@ -185,11 +206,16 @@
 		}
 		out.Count += r.Count
 		out.Alone += r.Alone
+		out.Late += r.Late
 		out.Passed += r.Passed
 		out.Known = out.Known || r.Count == 0 && r.Passed == 0
 		out.Expires = core.Later(out.Expires, r.Expires)
 	}
-	out.setStanding()
+	if b.Incarnations {
+		out.judge()
+	} else {
+		out.setStanding()
+	}
 	return out
 }
 
@@ -218,11 +244,11 @@
 	return out
 }
 
-// Quarantined returns the strikes against each quarantined fingerprint.
-func (b *Book) Quarantined(now time.Time) map[core.Fingerprint][]Record {
+// Restricted returns the strikes against each fingerprint that is quarantined or suspect.
+func (b *Book) Restricted(now time.Time) map[core.Fingerprint][]Record {
 	out := map[core.Fingerprint][]Record{}
 	for f := range b.records {
-		if b.Find(now, f).Standing == Quarantined {
+		if b.Find(now, f).Standing != Clean {
 			out[f] = b.RecordsOf(now, f)
 		}
 	}
@@ -258,6 +284,12 @@
 		if have[i].Source != r.Source {
 			continue
 		}
+		if b.Incarnations && r.Source != "" {
+			r = r.join(have[i])
+			changed := r != have[i]
+			have[i] = r
+			return changed
+		}
 		if !r.supersedes(have[i]) {
 			return false
 		}
--- a/core/strike/record.go
+++ b/core/strike/record.go
@@ -21,9 +21,10 @@
 	// Source is the host of the agent, or of the entry where it had ended well.
 	Source core.HostName
 	// Count is the number of engines that crashed with the fingerprint in flight,
-	// Alone the number of those with no other request in flight.
-	Count uint32
-	Alone uint32
+	// Alone the number of those with no other request in flight, or none that may crash
+	// engines (Trials), and Late the number of those where its answer had gone on for some
+	// time.
+	Count, Alone, Late uint32
 	// Passed is the number of times it ran alone and ended well.
 	Passed uint32
 	// Expires is TTL after the last of the strikes.
@@ -47,6 +48,17 @@
 	return r.Passed > old.Passed
 }
 
+// join returns what two records of one crash say together: processes that had copies of a request
+// at the upstream may have seen different things. It is commutative, associative and idempotent.
+func (r Record) join(old Record) Record {
+	r.Count = max(r.Count, old.Count)
+	r.Alone = max(r.Alone, old.Alone)
+	r.Late = min(r.Late, old.Late)
+	r.Passed = max(r.Passed, old.Passed)
+	r.Expires = core.Later(r.Expires, old.Expires)
+	return r
+}
+
 // Standing is the state of a fingerprint that results from its records.
 type Standing uint8
 
@@ -85,13 +97,17 @@
 
 // Finding is the sum of the records of one fingerprint.
 type Finding struct {
-	Fingerprint          core.Fingerprint
-	Standing             Standing
-	Count, Alone, Passed uint32
+	Fingerprint core.Fingerprint
+	Standing    Standing
+	// Count, Alone, Late and Passed are the sums of those of the records.
+	Count, Alone, Late, Passed uint32
 	// Known is set if it had ended well, alone or not, before its strikes. Otherwise
 	// three unrelated crashes would quarantine a prompt that many callers share,
 	// since it is in every batch.
 	Known bool
+	// MayTry is set if it is to run in a trial where one is granted at once (Trials), and TryLong if
+	// the trial lasts until its answer is complete. Both are for managed platforms.
+	MayTry, TryLong bool
 	// Expires is when the last strike expires.
 	Expires time.Time
 }
--- /dev/null
+++ b/core/strike/trial_test.go
@@ -0,0 +1,85 @@
+package strike
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+)
+
+// Guards against two requests that may crash upstreams in one trial, of which one is then refused
+// for the crash of the other.
+func TestTrialsAreApart(t *testing.T) {
+	begin := func(trials *Trials, after time.Duration, upstream core.HostName, keys ...string) bool {
+		return trials.Begin(start.Add(after), keys, upstream)
+	}
+	newTrials := func(t *testing.T) *Trials {
+		t.Helper()
+		trials := &Trials{MaxTrials: 10}
+		assert.Assert(t, begin(trials, 0, "i-1", "a", "part"))
+		return trials
+	}
+	t.Run("a copy elsewhere waits", func(t *testing.T) {
+		assert.Assert(t, !begin(newTrials(t), time.Second, "i-2", "a"))
+	})
+	t.Run("a request with the same part waits", func(t *testing.T) {
+		assert.Assert(t, !begin(newTrials(t), time.Second, "i-2", "b", "part"))
+	})
+	t.Run("another request at the upstream waits", func(t *testing.T) {
+		assert.Assert(t, !begin(newTrials(t), time.Second, "i-1", "b"))
+	})
+	t.Run("another request elsewhere runs", func(t *testing.T) {
+		assert.Assert(t, begin(newTrials(t), time.Second, "i-2", "b"))
+	})
+	t.Run("the next runs after the end", func(t *testing.T) {
+		trials := newTrials(t)
+		trials.End([]string{"a"}, "i-1")
+		assert.Assert(t, !begin(trials, time.Second, "i-1", "a"), "that was the end of another trial")
+		trials.End([]string{"a", "part"}, "i-1")
+		assert.Assert(t, begin(trials, time.Second, "i-1", "a"))
+	})
+	t.Run("the next runs after a trial whose end is lost", func(t *testing.T) {
+		assert.Assert(t, begin(newTrials(t), maxTrialTime, "i-1", "a"))
+	})
+	t.Run("trials are bounded", func(t *testing.T) {
+		trials := newTrials(t)
+		for n := range 20 {
+			begin(trials, 0, core.HostName(fmt.Sprint("host-", n)), fmt.Sprint("key-", n))
+		}
+		assert.Equal(t, len(trials.running), 10)
+	})
+}
+
+// Guards against requests that are refused for good for crashes that they only shared, and against
+// one that crashes upstreams and is not, at either stage of its answer.
+func TestOnlyTrialsAreProof(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		crashes []Attempt
+		want    Standing
+		try     bool
+	}{
+		{"one crash", []Attempt{{}}, Clean, true},
+		{"many crashes in company", []Attempt{{}, {}, {}, {}, {}, {}, {}, {}}, Suspect, true},
+		{"one trial", []Attempt{{}, {}, {}, {Alone: true}}, Suspect, true},
+		{"two trials", []Attempt{{}, {Alone: true}, {Alone: true}}, Quarantined, true},
+		{"two trials and no other crash", []Attempt{{Alone: true}, {Alone: true}}, Clean, true},
+		{"two crashes of answers that had gone on", []Attempt{{Late: true}, {Late: true}}, Clean, false},
+		{"three crashes of answers that had gone on", []Attempt{{Late: true}, {Late: true}, {Late: true}}, Suspect, true},
+		{"crashes at both stages", []Attempt{{}, {}, {Late: true}, {Late: true}}, Clean, true},
+		{"late crashes in trials", []Attempt{{Late: true}, {Late: true, Alone: true}, {Late: true, Alone: true}}, Quarantined, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			b := newEntryBook("edge-1")
+			for n, a := range row.crashes {
+				a.Fingerprint = 1
+				b.RecordIncarnationCrash(start, core.HostName(fmt.Sprint("i-", n)), []Attempt{a})
+			}
+			assertStanding(t, b, start, 1, row.want)
+			assert.Equal(t, b.Find(start, 1).MayTry, row.try)
+		})
+	}
+}
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -22,6 +22,7 @@
 	"radishwell/io/quota"
 	"radishwell/io/resume"
 	"radishwell/io/stale"
+	"radishwell/wire"
 )
 
 const (
@@ -81,6 +82,9 @@
 		RetrySpareFrom: p.clock.Now().Add(s.Managed.RetrySpan), TriesParts: e.triesParts, Entries: e.entryCount,
 		MaxHeld: core.Bytes(float64(s.Managed.Memory) * s.Managed.BufferShare),
 	}
+	granting := &trials{entry: e, ended: make(chan *wire.TrialCall, maxTrialEnds)}
+	e.proxy.Trials = granting
+	p.handler.Trial = granting.serve
 	e.proxy.Start()
 	e.applySettings(s.Managed)
 	p.onReload = e.applySettings
@@ -97,7 +101,7 @@
 	e.shareOrigins()
 	p.parts = append(
 		p.parts, e.proxy.Run, e.links.run, e.planner.run, e.planner.loadDemand, e.feed.Run, e.quota.Run, e.maintainRecord, e.orderer.run,
-		e.quarantine.run,
+		e.quarantine.run, granting.run,
 	)
 	p.addServer(&httpd.Server{Address: s.Managed.Readiness, Handler: http.HandlerFunc(e.serveReady)})
 	callers := &httpd.Server{
--- a/io/deploy/quarantine.go
+++ b/io/deploy/quarantine.go
@@ -30,14 +30,20 @@
 	changed chan struct{}
 	// loaded is set once the store has been read, or reading it has failed.
 	loaded atomic.Bool
-	// stored has the versions of the records in the store by name, as read in an era of it. Only
-	// run uses them.
-	stored map[string]core.Version
+	// stored has the records in the store by name, as read in an era of it. Only run uses them.
+	stored map[string]storedRecord
 	era    uint64
 }
 
-// quarantineJSON is the record of a quarantined request, whose name is its fingerprint, or of a
-// refused part of prompts, whose name is partPrefix and the hash of the part.
+// storedRecord is the version of a record in the store, and the number of crashes in trials that
+// it has.
+type storedRecord struct {
+	version core.Version
+	trials  int
+}
+
+// quarantineJSON is the record of a request that is quarantined or suspect, whose name is its
+// fingerprint, or of a refused part of prompts, whose name is partPrefix and the hash of the part.
 type quarantineJSON struct {
 	Fingerprint uint64       `json:"fingerprint,omitempty"`
 	Strikes     []strikeJSON `json:"strikes,omitempty"`
@@ -45,6 +51,18 @@
 	Crashes     []crashJSON  `json:"crashes,omitempty"`
 }
 
+// trials returns the number of crashes in trials.
+func (r *quarantineJSON) trials() int {
+	n := 0
+	for _, s := range r.Strikes {
+		n += int(countIf(s.Trial))
+	}
+	for _, c := range r.Crashes {
+		n += int(countIf(c.Trial))
+	}
+	return n
+}
+
 // partPrefix begins the names of the records of parts.
 const partPrefix = "part-"
 
@@ -52,6 +70,7 @@
 type crashJSON struct {
 	Upstream core.HostName `json:"upstream"`
 	At       time.Time     `json:"at"`
+	Trial    bool          `json:"trial,omitempty"`
 }
 
 // strikeJSON is a crash of an upstream, or the clear mark if Source is empty, as in
@@ -59,6 +78,9 @@
 type strikeJSON struct {
 	Source  core.HostName `json:"source"`
 	Expires time.Time     `json:"expires"`
+	// Trial is set if the request ran in a trial, and Late if its answer had gone on for some time.
+	Trial bool `json:"trial,omitempty"`
+	Late  bool `json:"late,omitempty"`
 }
 
 // run loads the records and keeps them up to date until the context ends.
@@ -96,14 +118,14 @@
 	if err != nil {
 		return err
 	}
-	q.stored, q.era = map[string]core.Version{}, list.Version.Era()
+	q.stored, q.era = map[string]storedRecord{}, list.Version.Era()
 	for _, o := range list.Objects {
 		var record quarantineJSON
 		if err := json.Unmarshal(o.Spec, &record); err != nil {
 			events.Fail(events.DecisionFailed, err, "kind", core.KindQuarantine, "name", o.Name)
 			continue
 		}
-		q.stored[o.Name] = o.Version
+		q.stored[o.Name] = storedRecord{o.Version, record.trials()}
 		q.apply(&record)
 	}
 	return nil
@@ -114,7 +136,9 @@
 	f := core.Fingerprint(record.Fingerprint)
 	strikes := make([]strike.Record, 0, len(record.Strikes))
 	for _, s := range record.Strikes {
-		strikes = append(strikes, strike.Record{Fingerprint: f, Source: s.Source, Count: 1, Expires: s.Expires})
+		strikes = append(strikes, strike.Record{
+			Fingerprint: f, Source: s.Source, Count: 1, Alone: countIf(s.Trial), Late: countIf(s.Late), Expires: s.Expires,
+		})
 	}
 	q.entry.proxy.MergeStrikes(strikes)
 	if record.Part == "" {
@@ -122,25 +146,32 @@
 	}
 	part := parts.Record{Part: record.Part}
 	for _, c := range record.Crashes {
-		part.Crashes = append(part.Crashes, parts.Crash{Upstream: c.Upstream, At: c.At})
+		part.Crashes = append(part.Crashes, parts.Crash{Upstream: c.Upstream, At: c.At, Tried: c.Trial})
 	}
 	q.entry.proxy.MergeParts([]parts.Record{part})
 }
 
+func countIf(b bool) uint32 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // wanted returns the records that the store should have, by name.
 func (q *quarantine) wanted() map[string]quarantineJSON {
 	out := map[string]quarantineJSON{}
-	for f, strikes := range q.entry.proxy.Quarantined() {
+	for f, strikes := range q.entry.proxy.Restricted() {
 		record := quarantineJSON{Fingerprint: uint64(f)}
 		for _, s := range strikes {
-			record.Strikes = append(record.Strikes, strikeJSON{Source: s.Source, Expires: s.Expires})
+			record.Strikes = append(record.Strikes, strikeJSON{Source: s.Source, Expires: s.Expires, Trial: s.Alone > 0, Late: s.Late > 0})
 		}
 		out[f.String()] = record
 	}
 	for _, r := range q.entry.proxy.RefusedParts() {
 		record := quarantineJSON{Part: r.Part}
 		for _, c := range r.Crashes {
-			record.Crashes = append(record.Crashes, crashJSON{Upstream: c.Upstream, At: c.At})
+			record.Crashes = append(record.Crashes, crashJSON{Upstream: c.Upstream, At: c.At, Trial: c.Tried})
 		}
 		out[partPrefix+core.FingerprintOf([]byte(r.Part)).String()] = record
 	}
@@ -163,33 +194,63 @@
 	ok := true
 	wanted := q.wanted()
 	for name, record := range wanted {
-		if _, exists := q.stored[name]; !exists {
+		switch have, exists := q.stored[name]; {
+		case !exists:
 			ok = q.create(ctx, name, &record) && ok
+		case record.trials() > have.trials:
+			ok = q.replace(ctx, name, &record, have.version) && ok
 		}
 	}
-	for name, version := range q.stored {
+	for name, have := range q.stored {
 		if _, exists := wanted[name]; !exists {
-			ok = q.remove(ctx, name, version) && ok
+			ok = q.remove(ctx, name, have.version) && ok
 		}
 	}
 	return ok
 }
 
+// replace writes a record that has further crashes in trials: without them, each restart of all
+// entries would cost further trials.
+func (q *quarantine) replace(ctx context.Context, name string, record *quarantineJSON, version core.Version) bool {
+	spec, err := json.Marshal(record)
+	if err != nil {
+		events.Fail(events.DecisionFailed, err, "kind", core.KindQuarantine)
+		return true // a retry would fail as well
+	}
+	made, err := q.entry.store.Update(ctx, core.Object{Kind: core.KindQuarantine, Name: name, Version: version, Spec: spec})
+	switch {
+	case isFault(err, core.Conflict) || isFault(err, core.NotFound):
+		delete(q.stored, name) // another entry has written it
+		return false
+	case err != nil:
+		events.Fail(events.DecisionFailed, err, "kind", core.KindQuarantine)
+		return false
+	}
+	q.stored[name] = storedRecord{made.Version, record.trials()}
+	return true
+}
+
 func (q *quarantine) create(ctx context.Context, name string, record *quarantineJSON) bool {
 	spec, err := json.Marshal(record)
 	if err != nil {
 		events.Fail(events.DecisionFailed, err, "kind", core.KindQuarantine)
 		return true // a retry would fail as well
 	}
+	trials := record.trials()
 	made, err := q.entry.store.Create(ctx, core.Object{Kind: core.KindQuarantine, Name: name, Spec: spec})
 	if isFault(err, core.Exists) {
 		made, err = q.entry.store.Get(ctx, core.KindQuarantine, name)
+		var have quarantineJSON
+		trials = 0
+		if err == nil && json.Unmarshal(made.Spec, &have) == nil {
+			trials = have.trials()
+		}
 	}
 	if err != nil {
 		events.Fail(events.DecisionFailed, err, "kind", core.KindQuarantine)
 		return false
 	}
-	q.stored[name] = made.Version
+	q.stored[name] = storedRecord{made.Version, trials}
 	return true
 }
 
--- /dev/null
+++ b/io/deploy/trials.go
@@ -0,0 +1,101 @@
+package deploy
+
+import (
+	"context"
+	"time"
+
+	"radishwell/core"
+	"radishwell/io/events"
+	"radishwell/io/peer"
+	"radishwell/wire"
+)
+
+const (
+	// trialCallTimeout bounds a call to the entry that grants trials. Entries are a few milliseconds
+	// apart.
+	trialCallTimeout = 150 * time.Millisecond
+	// maxTrialKeepers is the number of entries that are asked in turn until one responds.
+	maxTrialKeepers = 3
+	// maxTrialEnds bounds the ended trials that wait to be reported. Those beyond end by themselves.
+	maxTrialEnds = 256
+)
+
+// trials implements core.Trials by calls to the first entry by rank that responds, so that a
+// request that may crash upstreams runs once at a time, whichever entries it comes to. While an
+// entry reaches none of the first, it grants its own trials: a request then runs once at a time
+// in each part of the fleet.
+type trials struct {
+	entry *entry
+	// ended has the trials whose end is to be reported.
+	ended chan *wire.TrialCall
+}
+
+var _ core.Trials = (*trials)(nil)
+
+// Begin implements core.Trials.
+func (t *trials) Begin(ctx context.Context, keys []string, upstream core.HostName) bool {
+	return t.call(ctx, &wire.TrialCall{Keys: keys, Upstream: string(upstream)})
+}
+
+// End implements core.Trials.
+func (t *trials) End(keys []string, upstream core.HostName) {
+	select {
+	case t.ended <- &wire.TrialCall{Keys: keys, Upstream: string(upstream), Ended: true}:
+	default:
+	}
+}
+
+// run reports ended trials until the context ends.
+func (t *trials) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case c := <-t.ended:
+			t.call(ctx, c)
+		}
+	}
+}
+
+// call calls the entry that grants trials, which may be this one, and reports whether it grants one.
+func (t *trials) call(ctx context.Context, c *wire.TrialCall) (granted bool) {
+	e := t.entry
+	before, _ := e.members.predecessors()
+	c.Strikes, c.Parts = peer.EncodeStrikes(e.proxy.Strikes()), peer.EncodeParts(e.proxy.Parts())
+	for _, m := range before[:min(len(before), maxTrialKeepers)] {
+		bounded, stop := context.WithTimeout(ctx, trialCallTimeout)
+		reply, err := e.client.Trial(bounded, peer.Target{Host: m.Name, Address: m.Control}, c)
+		stop()
+		switch {
+		case err == nil:
+			e.joinStrikes(reply.GetStrikes())
+			e.joinParts(reply.GetParts())
+			return reply.GetGranted()
+		case ctx.Err() != nil:
+			return false
+		}
+		events.Fail(events.PeerUnreachable, err, "address", m.Control)
+	}
+	return t.apply(c)
+}
+
+// apply grants or ends a trial as the entry that all others ask.
+func (t *trials) apply(c *wire.TrialCall) (granted bool) {
+	p, upstream := t.entry.proxy, core.HostName(c.GetUpstream())
+	if c.GetEnded() {
+		p.CloseTrial(c.GetKeys(), upstream)
+		return false
+	}
+	return p.GrantTrial(c.GetKeys(), upstream)
+}
+
+// serve serves a call of another entry that considers this one the first.
+func (t *trials) serve(c *wire.TrialCall) (*wire.TrialReply, error) {
+	e := t.entry
+	e.joinStrikes(c.GetStrikes())
+	e.joinParts(c.GetParts())
+	granted := t.apply(c)
+	return &wire.TrialReply{
+		Granted: granted, Strikes: peer.EncodeStrikes(e.proxy.Strikes()), Parts: peer.EncodeParts(e.proxy.Parts()),
+	}, nil
+}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -237,6 +237,13 @@
 	}
 }
 
+// Trial counts a request for a trial of a request that may crash upstreams.
+func (m *Meter) Trial(granted bool) {
+	if m != nil {
+		m.count(nameTrials, "granted", strconv.FormatBool(granted)).Inc()
+	}
+}
+
 // ConnectionRefused counts a caller's connection that was closed unread.
 func (m *Meter) ConnectionRefused(reason string) {
 	if m != nil {
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -83,6 +83,7 @@
 	m.Traffic(100, 2000)
 	m.SilentConnection()
 	m.Strike(true)
+	m.Trial(true)
 	m.Claim(meter.ClaimHeld)
 	m.Queue(core.Overnight, func() int { return 3 })
 	m.Running(core.Overnight, func() int { return 2 })
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -52,6 +52,7 @@
 	namePeerBytes        = "radishwell_peer_bytes_total"
 	nameSilent           = "radishwell_silent_connections_total"
 	nameStrikes          = "radishwell_strikes_total"
+	nameTrials           = "radishwell_trials_total"
 	nameClaims           = "radishwell_claims_total"
 	nameSignalSends      = "radishwell_upstream_signal_sends_total"
 	nameLimitedUpstreams = "radishwell_limited_upstreams"
@@ -99,6 +100,7 @@
 	{namePeerBytes, Counter, []string{"direction"}, "bytes", "Bytes of calls between own processes."},
 	{nameSilent, Counter, nil, "", "Connections closed because they went silent."},
 	{nameStrikes, Counter, []string{"began"}, "", "Strikes against requests that were in progress when an engine failed, by whether their answer had begun, as far as the process sees answers."},
+	{nameTrials, Counter, []string{"granted"}, "", "Requests for a trial of a request that may crash engines, by whether it was granted."},
 	{nameClaims, Counter, []string{"result"}, "", "Claims of idempotency keys."},
 	{nameSignalSends, Counter, []string{"signal"}, "", "Requests sent to upstreams that had announced in an answer that they are leaving, accept no requests for some time, or have a rate limit."},
 	{nameLimitedUpstreams, Gauge, nil, "", "Upstreams that have announced a rate limit, as far as this process knows."},
--- a/io/peer/calls.go
+++ b/io/peer/calls.go
@@ -65,6 +65,11 @@
 	return call[wire.RoomReply](ctx, c, to, "Room", in)
 }
 
+// Trial asks the entry that grants trials for one, or reports the end of one.
+func (c *Client) Trial(ctx context.Context, to Target, in *wire.TrialCall) (*wire.TrialReply, error) {
+	return call[wire.TrialReply](ctx, c, to, "Trial", in)
+}
+
 // Adapter asks an agent to load an adapter.
 func (c *Client) Adapter(ctx context.Context, to Target, in *wire.AdapterCall) (*wire.AdapterReply, error) {
 	return call[wire.AdapterReply](ctx, c, to, "Adapter", in)
--- a/io/peer/part.go
+++ b/io/peer/part.go
@@ -17,7 +17,7 @@
 			r.ServedAt = time.Unix(0, at)
 		}
 		for _, c := range in.GetCrashes() {
-			r.Crashes = append(r.Crashes, parts.Crash{Upstream: core.HostName(c.GetUpstream()), At: time.Unix(0, c.GetAt())})
+			r.Crashes = append(r.Crashes, parts.Crash{Upstream: core.HostName(c.GetUpstream()), At: time.Unix(0, c.GetAt()), Tried: c.GetTried()})
 		}
 		out = append(out, r)
 	}
@@ -33,7 +33,7 @@
 			in.ServedAt = r.ServedAt.UnixNano()
 		}
 		for _, c := range r.Crashes {
-			in.Crashes = append(in.Crashes, &wire.PartCrash{Upstream: string(c.Upstream), At: c.At.UnixNano()})
+			in.Crashes = append(in.Crashes, &wire.PartCrash{Upstream: string(c.Upstream), At: c.At.UnixNano(), Tried: c.Tried})
 		}
 		out = append(out, in)
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -32,6 +32,7 @@
 	Goal     func(*wire.GoalCall) (*wire.GoalReply, error)
 	Adapter  func(*wire.AdapterCall) (*wire.AdapterReply, error)
 	Room     func(*wire.RoomCall) (*wire.RoomReply, error)
+	Trial    func(*wire.TrialCall) (*wire.TrialReply, error)
 	Plan     func(*wire.PlanCall) (*wire.PlanReply, error)
 	Digest   func(*wire.DigestCall) (*wire.DigestReply, error)
 	Allow    func(*wire.AllowanceCall) (*wire.AllowanceReply, error)
@@ -111,6 +112,11 @@
 	return handle("Room", s.handler.Room, c, out)
 }
 
+// Trial serves another entry's request for a trial, or its report that one has ended.
+func (s *service) Trial(c *wire.TrialCall, out *wire.TrialReply) error {
+	return handle("Trial", s.handler.Trial, c, out)
+}
+
 // Plan serves another entry's report of its demand for models.
 func (s *service) Plan(c *wire.PlanCall, out *wire.PlanReply) error {
 	return handle("Plan", s.handler.Plan, c, out)
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -59,8 +59,13 @@
 	fingerprint core.Fingerprint
 	// shared are the parts of the prompt that other requests may share. trial is set if the
 	// request tries refused parts again.
-	shared   []parts.Name
-	trial    bool
+	shared []parts.Name
+	trial  bool
+	// run is the trial in which the request runs, zero if it runs in none. trialBy is when it stops
+	// waiting for one, zero before it waits, and tries counts the trials granted to it.
+	run      trialRun
+	trialBy  time.Time
+	tries    int
 	deadline time.Time
 	query    fleet.Query
 
@@ -276,9 +281,11 @@
 	for {
 		t, refusal := c.acquire(ctx)
 		if refusal != nil {
+			c.endTrial()
 			return refusal
 		}
 		o := c.attempt(ctx, t)
+		c.endTrial()
 		if o.done {
 			return nil
 		}
--- a/io/proxy/crash.go
+++ b/io/proxy/crash.go
@@ -42,16 +42,16 @@
 	return true
 }
 
-// Quarantined returns the strikes against each request that is refused because it crashes
-// upstreams.
-func (p *Proxy) Quarantined() map[core.Fingerprint][]strike.Record {
+// Restricted returns the strikes against each request that is refused because it crashes
+// upstreams, or that runs in trials only because it may.
+func (p *Proxy) Restricted() map[core.Fingerprint][]strike.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.book.Quarantined(p.Clock.Now())
+	return p.book.Restricted(p.Clock.Now())
 }
 
-// refuseQuarantined refuses a request that has crashed several upstreams, or that has a part in
-// its prompt that has. The caller holds the proxy's mu.
+// refuseQuarantined refuses a request that is known to crash upstreams, or that has a part in its
+// prompt that does. The caller holds the proxy's mu.
 func (c *call) refuseQuarantined(now time.Time) *core.Refusal {
 	if c.proxy.book.Refuse(now, c.fingerprint) == nil {
 		return c.refuseParts(now)
@@ -67,11 +67,14 @@
 // proxy's mu.
 func (c *call) isQuarantined(now time.Time) bool {
 	p := c.proxy
-	return p.book.Refuse(now, c.fingerprint) != nil || !c.trial && len(p.parts.Check(now, c.shared).Parts) > 0
+	if p.book.Refuse(now, c.fingerprint) != nil {
+		return true
+	}
+	verdict := p.parts.Check(now, c.shared)
+	return len(verdict.Parts) > 0 && !verdict.Unproven && !c.trial
 }
 
-// checkQuarantine refuses a request that has crashed several upstreams before it counts
-// anywhere.
+// checkQuarantine refuses a request that is known to crash upstreams before it counts anywhere.
 func (c *call) checkQuarantine() *core.Refusal {
 	p := c.proxy
 	p.mu.Lock()
@@ -82,7 +85,7 @@
 // noteError records the error of an attempt as a sign of a crash of its host. sent is set if
 // the host may have received the request.
 func (c *call) noteError(ctx context.Context, t *target, sent bool, err error) {
-	p, inc := c.proxy, fleet.Incarnation{ID: t.id, Born: t.born}
+	p, inc := c.proxy, t.incarnation()
 	c.trial = false // it is over
 	switch {
 	case ctx.Err() != nil:
@@ -91,7 +94,10 @@
 	case sent && isBrokenOff(err):
 		probe := false
 		p.Update(func(v *fleet.View, now time.Time) {
-			probe = v.NoteBrokenOff(now, inc, fleet.BrokenOff{Fingerprint: c.fingerprint, Parts: c.suspectParts(t), Began: t.startedAt, At: now})
+			probe = v.NoteBrokenOff(now, inc, fleet.BrokenOff{
+				Fingerprint: c.fingerprint, Parts: c.suspectParts(t), Began: t.startedAt, Late: t.proven,
+				Tried: c.run.whole, TriedParts: c.run.parts, At: now,
+			})
 		})
 		if probe && p.upstreams.refuses(ctx, t.address) {
 			p.noteRefused(inc)
@@ -113,19 +119,22 @@
 // known to have crashed, and reports whether there are new strikes. The caller holds mu.
 func (p *Proxy) strikeCrashed(now time.Time) (struck bool) {
 	for inc, attempts := range p.view.TakeCrashed(now) {
-		fingerprints := make([]core.Fingerprint, 0, len(attempts))
+		list := make([]strike.Attempt, 0, len(attempts))
 		ran := map[core.Fingerprint]time.Duration{}
 		for _, a := range attempts {
-			fingerprints = append(fingerprints, a.Fingerprint)
+			list = append(list, strike.Attempt{Fingerprint: a.Fingerprint, Late: a.Late, Alone: a.Tried})
 			if !a.Began.IsZero() {
 				ran[a.Fingerprint] = max(ran[a.Fingerprint], a.At.Sub(a.Began))
 			}
-			if p.parts.NoteCrash(now, parts.Crash{Upstream: incarnationName(inc), At: a.At}, a.Parts) {
+			crash := parts.Crash{Upstream: incarnationName(inc), At: a.At}
+			news := p.parts.NoteCrash(now, crash, a.Parts)
+			crash.Tried = true
+			if p.parts.NoteCrash(now, crash, a.TriedParts) || news {
 				struck = true
 				events.Log(events.PartsStruck, "host", inc.ID, "fingerprint", a.Fingerprint, "parts", a.Parts)
 			}
 		}
-		for _, r := range p.book.RecordIncarnationCrash(now, incarnationName(inc), fingerprints) {
+		for _, r := range p.book.RecordIncarnationCrash(now, incarnationName(inc), list) {
 			struck = true
 			_, began := ran[r.Fingerprint]
 			p.Meter.Strike(began)
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -107,6 +107,9 @@
 	if c.signals.backoff {
 		pairs = append(pairs, "backoff", true)
 	}
+	if c.tries > 0 || !c.trialBy.IsZero() {
+		pairs = append(pairs, "trials", c.tries)
+	}
 	if c.lastErr != nil {
 		pairs = append(pairs, "cause", c.lastErr.Error())
 	}
--- a/io/proxy/parts.go
+++ b/io/proxy/parts.go
@@ -26,7 +26,7 @@
 	}
 	verdict := p.parts.Check(now, c.shared)
 	switch {
-	case len(verdict.Parts) == 0:
+	case len(verdict.Parts) == 0 || verdict.Unproven:
 		return nil
 	case c.sends == 0 && p.parts.Try(now, c.shared):
 		c.trial = true
@@ -54,7 +54,7 @@
 // checkProven records that the parts of the prompt crash no upstream, once a stream has gone on
 // for long enough.
 func (c *call) checkProven(t *target) {
-	if t.proven || len(c.shared) == 0 || c.lastEvent.Sub(t.startedAt) < provenTime {
+	if t.proven || c.lastEvent.Sub(t.startedAt) < provenTime {
 		return
 	}
 	c.notePartsServed(t)
@@ -62,10 +62,11 @@
 
 // notePartsServed records that the parts of the prompt crash no upstream.
 func (c *call) notePartsServed(t *target) {
-	if t.proven || len(c.shared) == 0 {
+	if t.proven {
 		return
 	}
 	t.proven = true
+	c.endEarlyTrial()
 	p := c.proxy
 	p.mu.Lock()
 	now, began := p.Clock.Now(), t.startedAt
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -32,7 +32,9 @@
 	// Rooms grants the room of engines to all entries; nil if this entry goes by what it knows
 	// itself.
 	Rooms core.Rooms
-	Meter *meter.Meter
+	// Trials grants trials of requests that may crash upstreams; nil if this entry grants its own.
+	Trials core.Trials
+	Meter  *meter.Meter
 	// Quotas counts customers' use of their allowances; nil if nothing is counted.
 	Quotas core.Quotas
 	// Pacer spaces requests to upstreams that name a rate limit; nil if they are not
@@ -104,6 +106,8 @@
 	unknownFields map[string]bool
 	// waiting receives a value when a request begins to wait for a model.
 	waiting chan struct{}
+	// trials are those that this entry has granted.
+	trials strike.Trials
 }
 
 // Start initialises the proxy. It is called once, before any other method.
@@ -118,7 +122,11 @@
 	p.held.account.Bound = p.MaxHeld
 	p.Meter.HeldBytes(p.HeldBytes)
 	p.origins = origin.Table{MaxRecords: maxOrigins}
-	p.book = strike.Book{Self: p.Self, MaxRecords: maxStrikes}
+	p.book = strike.Book{Self: p.Self, MaxRecords: maxStrikes, Incarnations: true}
+	p.trials = strike.Trials{MaxTrials: maxTrials}
+	if p.Trials == nil {
+		p.Trials = ownTrials{p}
+	}
 	p.parts = parts.Table{MaxRecords: maxParts, MaxServed: maxServedParts, TriesAgain: p.TriesParts}
 }
 
@@ -292,3 +300,6 @@
 	limit    core.RateLimit
 	reserved bool
 }
+
+// incarnation returns the incarnation that the attempt is sent to.
+func (t *target) incarnation() fleet.Incarnation { return fleet.Incarnation{ID: t.id, Born: t.born} }
--- a/io/proxy/signal.go
+++ b/io/proxy/signal.go
@@ -70,7 +70,7 @@
 	if head.ID != c.ask.ID {
 		return // the answer belongs to another request
 	}
-	p, inc := c.proxy, fleet.Incarnation{ID: t.id, Born: t.born}
+	p, inc := c.proxy, t.incarnation()
 	for _, name := range p.newFields(head.UnknownFields) {
 		events.Log(events.UpstreamFieldUnknown, "field", name, "host", t.id, "address", t.address, "request", c.ask.ID)
 	}
--- /dev/null
+++ b/io/proxy/trial_test.go
@@ -0,0 +1,98 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/core/strike"
+	"radishwell/platform/stand"
+)
+
+// fakeTrials grants trials or not, as the entry that all others ask.
+type fakeTrials struct {
+	mu            sync.Mutex
+	refuses       bool
+	asked         int
+	begun, closed []string
+}
+
+func (f *fakeTrials) Begin(_ context.Context, keys []string, upstream core.HostName) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked++
+	if !f.refuses {
+		f.begun = append(f.begun, fmt.Sprint(keys, upstream))
+	}
+	return !f.refuses
+}
+
+func (f *fakeTrials) End(keys []string, upstream core.HostName) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = append(f.closed, fmt.Sprint(keys, upstream))
+}
+
+func (f *fakeTrials) set(refuses bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refuses = refuses
+}
+
+// strikeTimes gives a request the strikes of some crashes of others, as another entry would send
+// them.
+func (r *rig) strikeTimes(f core.Fingerprint, crashes int) {
+	other := strike.Book{Self: "edge-2", MaxRecords: 10, Incarnations: true}
+	for n := range crashes {
+		other.RecordIncarnationCrash(time.Now(), core.HostName(fmt.Sprint("x-", n)), []strike.Attempt{{Fingerprint: f}})
+	}
+	r.MergeStrikes(other.Records(time.Now()))
+}
+
+// Guards against a suspect that is refused for good, or sent without a trial, while it has none.
+func TestSuspectRunsInTrialsOnly(t *testing.T) {
+	f := core.FingerprintOf(nil, []byte(http.MethodPost), []byte("a.example"), []byte("/once/x"), []byte("proper"))
+	newSuspect := func(t *testing.T, crashes int) (*rig, *fakeTrials, *stand.Worker) {
+		t.Helper()
+		r, trials := newRig(t), &fakeTrials{refuses: true}
+		r.Trials = trials
+		w := plain(t, r, "p-1")[0]
+		r.strikeTimes(f, crashes)
+		return r, trials, w
+	}
+	t.Run("no trial", func(t *testing.T) {
+		r, trials, w := newSuspect(t, 3)
+		a := do(t, r.post(t, "/once/x", "q-1", "proper"))
+		wantStatus(t, a, http.StatusServiceUnavailable)
+		assert.Assert(t, a.header.Get("Retry-After") != "")
+		assert.Assert(t, trials.asked > 1, "it asks again while it waits")
+		assert.Equal(t, w.Ran("q-1"), 0)
+	})
+	t.Run("a trial after a while", func(t *testing.T) {
+		r, trials, _ := newSuspect(t, 3)
+		time.AfterFunc(200*time.Millisecond, func() { trials.set(false) })
+		wantStatus(t, do(t, r.post(t, "/once/x", "q-1", "proper")), http.StatusOK)
+		assert.Equal(t, len(trials.begun), 1)
+		assert.Assert(t, slices.Equal(trials.begun, trials.closed), "%v, %v", trials.begun, trials.closed)
+	})
+	t.Run("served requests are no suspects", func(t *testing.T) {
+		r, trials, _ := newSuspect(t, 3)
+		trials.set(false)
+		wantStatus(t, do(t, r.post(t, "/once/x", "q-1", "proper")), http.StatusOK)
+		trials.set(true)
+		wantStatus(t, do(t, r.post(t, "/once/x", "q-2", "proper")), http.StatusOK)
+		assert.Equal(t, trials.asked, 1)
+	})
+	t.Run("fewer crashes need none", func(t *testing.T) {
+		r, trials, _ := newSuspect(t, 2)
+		wantStatus(t, do(t, r.post(t, "/once/x", "q-1", "proper")), http.StatusOK)
+		assert.Equal(t, trials.asked, 1, "it asks once")
+	})
+}
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -32,7 +32,13 @@
 			return nil, refusal
 		}
 		if c.reserve(ctx, t) && c.ensureAdapter(ctx, t, fetch) && c.stillAvailable(t) {
-			return t, c.recharge(ctx, t)
+			ready, refusal := c.beginTrial(ctx, t)
+			switch {
+			case refusal != nil:
+				return nil, refusal
+			case ready:
+				return t, c.recharge(ctx, t)
+			}
 		}
 		if ctx.Err() != nil {
 			return nil, c.expired(ctx)
