Refuse parts of prompts for good only for crashes in trials

Callers saw 422 for proper requests, though nothing in their prompts crashes upstreams: a part of them was in three crashes that another request, or the upstreams' own end, had caused.

Cause: the same as for whole requests. The judge of parts tells a part from others that were in the same crashes, but the crashes themselves counted as proof of some part.

The tests of a part that does crash upstreams (io/deploy, core/parts) pass unchanged.

--- a/core/parts/judge.go
+++ b/core/parts/judge.go
@@ -50,7 +50,7 @@
 // isFinal reports whether requests cannot be served later either. Those with parts with which
 // requests were served may be.
 func (r *refusal) isFinal(now time.Time) bool {
-	return now.Sub(r.since) >= finalTime && !r.entries[0].isKnown(now)
+	return now.Sub(r.since) >= finalTime && !r.entries[0].isKnown(now) && r.isProven(now)
 }
 
 // isProven reports whether a trial has shown that the parts crash upstreams.
