Check in the soak that proper requests are not refused for good

A step has upstreams crash for reasons of their own, up to three at once, while a caller sends the same proper request to all entries at once, again and again.

--- a/io/soak/inject.go
+++ b/io/soak/inject.go
@@ -90,6 +90,8 @@
 		t.startCrashing(s)
 	case CrashingPart:
 		t.startCrashingPart(s)
+	case FallingUpstreams:
+		return t.fall(s)
 	case PreferEntry:
 		return t.preferEntry(s)
 	case BusyEngine:
--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -83,6 +83,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	c.run(ctx, callerCount, r.Seed)
 	t.startCrashing = func(s Step) { c.repeatPoison(ctx, s) }
+	t.startProper = func(s Step) { c.repeatProper(ctx, s) }
 	t.startCrashingPart = func(s Step) { c.sendPoisonParts(ctx, s) }
 	t.preferEntry, t.readSlowly = c.preferEntry, c.readSlowly
 	t.runSteps(c.start, steps)
@@ -113,6 +114,7 @@
 	}
 	report.Breaches = append(check(c.results, ran), cutByStop(c.results, steps, ran)...)
 	report.Breaches = append(report.Breaches, overAllowance(c.results, ran)...)
+	report.Breaches = append(report.Breaches, denied(c.results)...)
 	checker := &signalChecker{start: c.start, steps: steps, results: map[string]*Result{}}
 	for i := range c.results {
 		checker.results[c.results[i].ID] = &c.results[i]
--- a/io/soak/testbed.go
+++ b/io/soak/testbed.go
@@ -85,6 +85,8 @@
 
 	// startCrashing starts a caller that repeats a request that crashes upstreams.
 	startCrashing func(Step)
+	// startProper starts a caller that repeats a proper request.
+	startProper func(Step)
 	// startCrashingPart starts a caller of requests with a part that crashes upstreams, and
 	// preferEntry has callers open most connections to one entry until the returned function is
 	// called.
