Name the counter of trials among those of managed platforms

TestMetricsAreExported asks a fleet of the product's own stack for each metric, and waits in vain for one that only entries on a managed platform count. io/meter checks it, as it does the others on that list.

--- a/io/node/fleet_test.go
+++ b/io/node/fleet_test.go
@@ -317,7 +317,7 @@
 		"radishwell_upstream_signal_sends_total": true, "radishwell_limited_upstreams": true, "radishwell_streams_continued_total": true,
 		"radishwell_refused_parts": true, "radishwell_refused_connections_total": true,
 		// Set on a managed platform only; io/meter checks them.
-		"radishwell_turns_total": true, "radishwell_held_seconds": true, "radishwell_waiting_requests": true,
+		"radishwell_turns_total": true, "radishwell_trials_total": true, "radishwell_held_seconds": true, "radishwell_waiting_requests": true,
 		"radishwell_foresight_error_seconds": true, "radishwell_room_asks_total": true,
 		"radishwell_held_bytes": true, "radishwell_slow_callers_ended_total": true, "radishwell_engine_event_seconds": true,
 		"radishwell_answer_tokens_total": true, "radishwell_prompt_tokens_total": true, "radishwell_cached_parts": true,
