Hold no number of crashes in company for proof in the product's own stack

The same fault as on managed platforms, found by looking for its cause: a request that was at three engines when they crashed was refused for good without ever having had its trial, unless an entry had seen it end well before. Three engines that go with one rack and copies of one prompt at each are enough.

A request is quarantined for a crash in which it ran alone and another one, and for nothing else. TestCrashesInCompanyAreNoProof failed before and passes.

--- a/core/strike/record.go
+++ b/core/strike/record.go
@@ -83,17 +83,11 @@
 	return standingNames[s]
 }
 
-const (
-	// quarantineCrashes is the number of crashes with a fingerprint in flight that
-	// quarantines it without a trial, unless it is known to end well. Since a suspect
-	// runs alone, only identical requests that were in flight on several engines
-	// before the first crash was known reach this number.
-	quarantineCrashes = 3
-	// quarantineCrashesAlone is the number of crashes that suffices if it was alone
-	// in one of them. A single crash doesn't suffice: hosts and engines die for other
-	// reasons, and an innocent long request would then be refused.
-	quarantineCrashesAlone = 2
-)
+// quarantineCrashesAlone is the number of crashes that quarantines a fingerprint if it was alone in
+// one of them. A single crash doesn't suffice: hosts and engines die for other reasons, and an
+// innocent long request would then be refused. Nor do any number in company: several engines may
+// die for one other reason, with copies of a request at each.
+const quarantineCrashesAlone = 2
 
 // Finding is the sum of the records of one fingerprint.
 type Finding struct {
@@ -101,9 +95,8 @@
 	Standing    Standing
 	// Count, Alone, Late and Passed are the sums of those of the records.
 	Count, Alone, Late, Passed uint32
-	// Known is set if it had ended well, alone or not, before its strikes. Otherwise
-	// three unrelated crashes would quarantine a prompt that many callers share,
-	// since it is in every batch.
+	// Known is set if it had ended well, alone or not, before its strikes. It counts as a pass:
+	// a prompt that many callers share is in every batch.
 	Known bool
 	// MayTry is set if it is to run in a trial where one is granted at once (Trials), and TryLong if
 	// the trial lasts until its answer is complete. Both are for managed platforms.
@@ -126,8 +119,6 @@
 	switch {
 	case f.Count >= quarantineCrashesAlone && f.Alone > 0:
 		f.Standing = Quarantined
-	case f.Count >= quarantineCrashes && passes == 0:
-		f.Standing = Quarantined
 	case passes < passesNeeded(f.Count):
 		f.Standing = Suspect
 	}
