--- a/core/strike/book_test.go
+++ b/core/strike/book_test.go
@@ -218,6 +218,35 @@
 	}
 }
 
+// Guards against entries that disagree on whether a request crashes upstreams, since they heard of
+// the same crashes from entries that had seen different things.
+func TestEntriesAgreeOnCrashes(t *testing.T) {
+	var all []Record
+	for _, a := range []Attempt{{}, {Late: true}, {Alone: true}} {
+		for n := range 4 {
+			b := newEntryBook("edge")
+			a.Fingerprint = 1
+			all = append(all, b.RecordIncarnationCrash(start.Add(time.Duration(len(all))*time.Millisecond), core.HostName("i-"+string(rune('a'+n))), []Attempt{a})...)
+		}
+	}
+	mark := newEntryBook("edge")
+	mark.Merge(start, all[:1])
+	all = append(all, mark.Clear(start.Add(2*time.Millisecond), 1))
+	var want []Record
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 50 {
+		b := newEntryBook("edge-2")
+		for _, i := range rng.Perm(len(all)) {
+			b.Merge(start, all[i:i+1])
+		}
+		assert.Equal(t, len(b.Merge(start, all)), 0, "nothing is new a second time")
+		if want == nil {
+			want = b.Records(start)
+		}
+		assert.DeepEqual(t, b.Records(start), want)
+	}
+}
+
 func TestBookIsBounded(t *testing.T) {
 	b := newBook("a")
 	for i := range 1000 {
--- a/core/strike/doc.go
+++ b/core/strike/doc.go
@@ -12,6 +12,9 @@
 // time is at risk, however many callers repeat the request and whichever entries
 // they use.
 //
+// On a managed platform no process sees all requests at an upstream. There a request runs in
+// trials (Trials), which one entry grants to all, and two crashes in trials are proof.
+//
 // The strikes are soft state: they spread between processes without the platform,
 // expire, are merged by maximum, and only ever refuse or delay requests. Losing
 // them costs at most the engines that crash until the request is identified again.
