Look at the host once more after the wait for a trial

Found in reading the diff. A host that began to leave meanwhile got the request all the same. TestHostLeavesBeforeTrial fails on the code before and passes. The check now comes after the trial was granted, and the trial ends if the host is not available any more.

The field of a request that tries proven parts again is called retriesParts, so that it is not taken for a trial.

--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -57,10 +57,10 @@
 	heldID uint64
 	// fingerprint is equal for repetitions of the request by the same customer.
 	fingerprint core.Fingerprint
-	// shared are the parts of the prompt that other requests may share. trial is set if the
-	// request tries refused parts again.
-	shared []parts.Name
-	trial  bool
+	// shared are the parts of the prompt that other requests may share. retriesParts is set if the
+	// request tries again parts that are proved to crash upstreams.
+	shared       []parts.Name
+	retriesParts bool
 	// run is the trial in which the request runs, zero if it runs in none. trialBy is when it stops
 	// waiting for one, zero before it waits, and tries counts the trials granted to it.
 	run      trialRun
--- a/io/proxy/crash.go
+++ b/io/proxy/crash.go
@@ -71,7 +71,7 @@
 		return true
 	}
 	verdict := p.parts.Check(now, c.shared)
-	return len(verdict.Parts) > 0 && !verdict.Unproven && !c.trial
+	return len(verdict.Parts) > 0 && !verdict.Unproven && !c.retriesParts
 }
 
 // checkQuarantine refuses a request that is known to crash upstreams before it counts anywhere.
@@ -86,7 +86,7 @@
 // the host may have received the request.
 func (c *call) noteError(ctx context.Context, t *target, sent bool, err error) {
 	p, inc := c.proxy, t.incarnation()
-	c.trial = false // it is over
+	c.retriesParts = false // it is over
 	switch {
 	case ctx.Err() != nil:
 	case !sent && errors.Is(err, syscall.ECONNREFUSED):
--- a/io/proxy/parts.go
+++ b/io/proxy/parts.go
@@ -21,7 +21,7 @@
 // holds the proxy's mu.
 func (c *call) refuseParts(now time.Time) *core.Refusal {
 	p := c.proxy
-	if c.trial {
+	if c.retriesParts {
 		return nil
 	}
 	verdict := p.parts.Check(now, c.shared)
@@ -29,7 +29,7 @@
 	case len(verdict.Parts) == 0 || verdict.Unproven:
 		return nil
 	case c.sends == 0 && p.parts.Try(now, c.shared):
-		c.trial = true
+		c.retriesParts = true
 		events.Log(events.PartTried, "request", c.ask.ID, "parts", verdict.Parts)
 		return nil
 	case c.ran > 0:
--- a/io/proxy/trial.go
+++ b/io/proxy/trial.go
@@ -47,7 +47,7 @@
 		out.whole, out.late, out.required = true, found.TryLong, found.Standing == strike.Suspect
 	}
 	verdict := p.parts.Check(now, c.shared)
-	if !verdict.Unproven || c.trial {
+	if !verdict.Unproven || c.retriesParts {
 		return out
 	}
 	out.required = true
--- a/io/proxy/trial_test.go
+++ b/io/proxy/trial_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"radishwell/core"
+	"radishwell/core/fleet"
 	"radishwell/core/strike"
 	"radishwell/platform/stand"
 )
@@ -22,9 +23,14 @@
 	refuses       bool
 	asked         int
 	begun, closed []string
+	// onBegin, if set, is called before a trial is granted.
+	onBegin func(upstream core.HostName)
 }
 
 func (f *fakeTrials) Begin(_ context.Context, keys []string, upstream core.HostName) bool {
+	if f.onBegin != nil {
+		f.onBegin(upstream)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked++
@@ -96,3 +102,25 @@
 		assert.Equal(t, trials.asked, 1, "it asks once")
 	})
 }
+
+// Guards against a request that is sent to a host that began to leave while the request waited for
+// its trial there.
+func TestHostLeavesBeforeTrial(t *testing.T) {
+	r, trials := newRig(t), &fakeTrials{}
+	workers := plain(t, r, "p-1", "p-2")
+	left := core.HostName("")
+	trials.onBegin = func(upstream core.HostName) {
+		if left == "" {
+			left = upstream
+			r.Update(func(v *fleet.View, now time.Time) { v.NoteLeaving(fleet.Incarnation{ID: upstream}, now) })
+		}
+	}
+	r.Trials = trials
+	r.strikeTimes(core.FingerprintOf(nil, []byte(http.MethodPost), []byte("a.example"), []byte("/once/x"), []byte("proper")), 3)
+	wantStatus(t, do(t, r.post(t, "/once/x", "q-1", "proper")), http.StatusOK)
+	for _, w := range workers {
+		assert.Assert(t, core.HostName(w.ID) != left || w.Ran("q-1") == 0, "%s had begun to leave", left)
+	}
+	assert.Equal(t, len(trials.begun), 2)
+	assert.DeepEqual(t, trials.begun, trials.closed)
+}
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -31,14 +31,15 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		if c.reserve(ctx, t) && c.ensureAdapter(ctx, t, fetch) && c.stillAvailable(t) {
+		if c.reserve(ctx, t) && c.ensureAdapter(ctx, t, fetch) {
 			ready, refusal := c.beginTrial(ctx, t)
 			switch {
 			case refusal != nil:
 				return nil, refusal
-			case ready:
+			case ready && c.stillAvailable(t):
 				return t, c.recharge(ctx, t)
 			}
+			c.endTrial()
 		}
 		if ctx.Err() != nil {
 			return nil, c.expired(ctx)
@@ -68,8 +69,8 @@
 }
 
 // stillAvailable reports whether the chosen host still accepts requests after the time
-// spent on reservations and adapters, and the request may still be sent. Otherwise the
-// choice is undone.
+// spent on reservations, adapters and trials, and the request may still be sent. Otherwise
+// the choice is undone.
 func (c *call) stillAvailable(t *target) bool {
 	p := c.proxy
 	p.mu.Lock()
