Take no crash for proof that comes with those of other upstreams

The soak found it: a caller repeated a proper request while up to three of four upstreams fell every 0.4 s. Trials keep other suspects away, and not what ends several upstreams at once.

A crash in a trial is proof only if no other upstream crashed within a second of it, except under copies of the request, and only once that second is over and all entries know. Without proof trials go on, at once after the first crash in one and then ever later: 8 s after the second, four times later after each further one. So a request that does crash upstreams, while others fall around it, still crashes few: three in company and trials at 0, 0, 8 and 40 s.

--- a/core/strike/book.go
+++ b/core/strike/book.go
@@ -210,6 +210,12 @@
 		out.Passed += r.Passed
 		out.Known = out.Known || r.Count == 0 && r.Passed == 0
 		out.Expires = core.Later(out.Expires, r.Expires)
+		if b.Incarnations && r.Alone > 0 {
+			out.noteTrialCrash(r.Expires.Add(-TTL))
+			if b.isSolitary(now, r) {
+				out.Proof++
+			}
+		}
 	}
 	if b.Incarnations {
 		out.judge()
--- a/core/strike/record.go
+++ b/core/strike/record.go
@@ -101,6 +101,10 @@
 	// MayTry is set if it is to run in a trial where one is granted at once (Trials), and TryLong if
 	// the trial lasts until its answer is complete. Both are for managed platforms.
 	MayTry, TryLong bool
+	// Proof is the number of crashes in trials that others do not explain, TryAt when the next trial
+	// may begin, and lastTrial when the last one crashed; all for managed platforms.
+	Proof            uint32
+	TryAt, lastTrial time.Time
 	// Expires is when the last strike expires.
 	Expires time.Time
 }
--- a/core/strike/trial.go
+++ b/core/strike/trial.go
@@ -14,6 +14,13 @@
 	// provenCrashes is the number of those in trials that quarantine it. One does not suffice, since
 	// the upstream may have crashed for another reason.
 	provenCrashes = 2
+	// solitaryTime is the time around a crash in a trial in which no other upstream may crash, and
+	// after which all processes know of those that did. Upstreams that crash together have another
+	// reason than a request that runs at one of them.
+	solitaryTime = time.Second
+	// retrialDelay is the time after the second crash in a trial at which the next may begin. It
+	// quadruples with each further one, so that a request without proof crashes few upstreams.
+	retrialDelay = 8 * time.Second
 )
 
 // judge sets the standing of a request where no process knows all requests at an upstream.
@@ -28,13 +35,47 @@
 	f.MayTry = early > 0 || f.TryLong
 	switch {
 	case max(early, f.Late) < suspectCrashes:
-	case f.Alone >= provenCrashes:
+	case f.Proof >= provenCrashes:
 		f.Standing = Quarantined
 	default:
 		f.Standing = Suspect
 	}
 }
 
+// noteTrialCrash adds a crash in a trial to the finding.
+func (f *Finding) noteTrialCrash(at time.Time) {
+	f.lastTrial = core.Later(f.lastTrial, at)
+	if f.Alone < provenCrashes {
+		return
+	}
+	delay := retrialDelay
+	for range min(f.Alone, 8) - provenCrashes {
+		delay *= 4
+	}
+	f.TryAt = f.lastTrial.Add(delay)
+}
+
+// isSolitary reports whether no other upstream crashed around a crash of a request, except under
+// copies of it, and whether that is known by now.
+func (b *Book) isSolitary(now time.Time, crash Record) bool {
+	at := crash.Expires.Add(-TTL)
+	if now.Sub(at) < solitaryTime {
+		return false
+	}
+	own := map[core.HostName]bool{}
+	for _, r := range b.records[crash.Fingerprint] {
+		own[r.Source] = true
+	}
+	for _, records := range b.records {
+		for _, r := range records {
+			if r.Count > 0 && !own[r.Source] && r.Expires.Add(-TTL).Sub(at).Abs() < solitaryTime {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // maxTrialTime bounds a trial whose end is not reported.
 const maxTrialTime = 10 * time.Second
 
--- a/io/soak/run_test.go
+++ b/io/soak/run_test.go
@@ -27,6 +27,7 @@
 	seeds := []uint64{
 		1, 2,
 		120205, // streams went on at an upstream that had started again under its ID at another version
+		730026, // a proper request was refused for good, since its upstreams fell in its trials, too
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
