--- a/io/proxy/trial_test.go
+++ b/io/proxy/trial_test.go
@@ -124,3 +124,19 @@
 	assert.Equal(t, len(trials.begun), 2)
 	assert.DeepEqual(t, trials.begun, trials.closed)
 }
+
+// Guards against a request that crashes upstreams in trial after trial, since the entries that it
+// comes to have not yet heard of the last ones.
+func TestTrialsPauseForAllEntries(t *testing.T) {
+	const tried, other = core.Fingerprint(1), core.Fingerprint(2)
+	r := newRig(t)
+	book := strike.Book{Self: "edge-2", MaxRecords: 10, Incarnations: true}
+	for _, upstream := range []core.HostName{"x-1", "x-2", "x-3"} {
+		assert.Assert(t, r.GrantTrial([]string{tried.String()}, upstream))
+		r.CloseTrial([]string{tried.String()}, upstream)
+		book.RecordIncarnationCrash(time.Now(), upstream, []strike.Attempt{{Fingerprint: tried, Alone: upstream != "x-1"}})
+		r.MergeStrikes(book.Records(time.Now()))
+	}
+	assert.Assert(t, !r.GrantTrial([]string{tried.String()}, "x-4"))
+	assert.Assert(t, r.GrantTrial([]string{other.String(), "llm/part"}, "x-4"))
+}
