Count a condition in one place

core/replic and the soak each had a function that turns a condition into 0 or 1, and the entry's record of quarantined requests got a third. core.CountIf serves all. Behaviour is the same.

--- a/core/compare.go
+++ b/core/compare.go
@@ -32,6 +32,14 @@
 	return 1
 }
 
+// CountIf returns 1 if a condition holds, otherwise 0.
+func CountIf(holds bool) int {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 // Decay returns the fraction that is left of a quantity after a time if it falls to half in each
 // half-life.
 func Decay(elapsed, halfLife time.Duration) float64 {
--- a/core/replic/replic.go
+++ b/core/replic/replic.go
@@ -102,7 +102,7 @@
 	}
 	r.byName[o.Name] = o
 	r.newest = max(r.newest, o.Version)
-	r.tombstoneCount += toInt(o.Deleted) - toInt(ok && held.Deleted)
+	r.tombstoneCount += core.CountIf(o.Deleted) - core.CountIf(ok && held.Deleted)
 	return ok && !held.Deleted || !o.Deleted
 }
 
@@ -214,10 +214,3 @@
 	}
 	return strings.Compare(a.Name, b.Name)
 }
-
-func toInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/io/deploy/quarantine.go
+++ b/io/deploy/quarantine.go
@@ -55,10 +55,10 @@
 func (r *quarantineJSON) trials() int {
 	n := 0
 	for _, s := range r.Strikes {
-		n += int(countIf(s.Trial))
+		n += core.CountIf(s.Trial)
 	}
 	for _, c := range r.Crashes {
-		n += int(countIf(c.Trial))
+		n += core.CountIf(c.Trial)
 	}
 	return n
 }
@@ -137,7 +137,7 @@
 	strikes := make([]strike.Record, 0, len(record.Strikes))
 	for _, s := range record.Strikes {
 		strikes = append(strikes, strike.Record{
-			Fingerprint: f, Source: s.Source, Count: 1, Alone: countIf(s.Trial), Late: countIf(s.Late), Expires: s.Expires,
+			Fingerprint: f, Source: s.Source, Count: 1, Alone: uint32(core.CountIf(s.Trial)), Late: uint32(core.CountIf(s.Late)), Expires: s.Expires,
 		})
 	}
 	q.entry.proxy.MergeStrikes(strikes)
@@ -151,13 +151,6 @@
 	q.entry.proxy.MergeParts([]parts.Record{part})
 }
 
-func countIf(b bool) uint32 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // wanted returns the records that the store should have, by name.
 func (q *quarantine) wanted() map[string]quarantineJSON {
 	out := map[string]quarantineJSON{}
--- a/io/soak/part.go
+++ b/io/soak/part.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"radishwell/core"
 	"radishwell/platform/stand"
 )
 
@@ -79,7 +80,7 @@
 		}
 		n.Sent++
 		events, _ := countEvents(r.Body, r.After)
-		n.Begun += count(events > 0)
+		n.Begun += core.CountIf(events > 0)
 	}
 	return n
 }
--- a/io/soak/prefer.go
+++ b/io/soak/prefer.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"radishwell/core"
 )
 
 const (
@@ -121,10 +123,10 @@
 		case disturbed(c.steps, r.Began-contactTime, r.Ended, PreferEntry), c.crashes(r.Ended):
 		case c.isPreferred(r.Began-contactTime, r.Began):
 			n.After++
-			n.ServedAfter += count(ok)
+			n.ServedAfter += core.CountIf(ok)
 		case !disturbed(c.steps, r.Began-contactTime, r.Ended):
 			n.Before++
-			n.ServedBefore += count(ok)
+			n.ServedBefore += core.CountIf(ok)
 		}
 	}
 	return n
--- a/io/soak/version.go
+++ b/io/soak/version.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"radishwell/core"
 )
 
 const (
@@ -185,22 +187,15 @@
 		switch {
 		case r.First == "":
 			n.New++
-			n.Begun += count(last > 0)
+			n.Begun += core.CountIf(last > 0)
 		case c.serving(versions[r.First], upstreams, r.Began, r.Ended) >= 2:
 			n.TakenUp++
-			n.WentOn += count(last > r.After)
+			n.WentOn += core.CountIf(last > r.After)
 		}
 	}
 	return n
 }
 
-func count(holds bool) int {
-	if holds {
-		return 1
-	}
-	return 0
-}
-
 // serving returns the number of engines that served at a version throughout a span of time.
 func (c *signalChecker) serving(version string, upstreams []*upstream, from, to time.Duration) (n int) {
 	for i, u := range upstreams[:engines] {
