Judge crashes in trials only where they decide

Each look at a request with a crash in a trial searched the whole book for crashes of others around it, though that matters only for suspects with two such crashes, and a message to another entry looked at all requests that way for their counts alone.

Said once what was written twice: which records count (Find, CrashesOf and ownRecord), how new records are taken in (Merge), and the pause that grows (retry.Backoff, at most the time that a strike counts, after which there is nothing left to try).

TestSharerSendsAllInTurn has its check of the standing again, beside that of the strikes.

--- a/core/strike/book.go
+++ b/core/strike/book.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"iter"
 	"slices"
 	"time"
 
@@ -56,30 +57,18 @@
 }
 
 // RecordIncarnationCrash gives a strike to each distinct fingerprint that this process had in
-// flight at an upstream that crashed, and returns the records that are new. The upstream's name
-// has to identify one run of its process: all processes that saw the crash produce the same
-// records, so that each counts once.
-func (b *Book) RecordIncarnationCrash(now time.Time, upstream core.HostName, attempts []Attempt) []Record {
-	var out []Record
+// flight at an upstream that crashed, and returns those with new strikes. The upstream's name has
+// to identify one run of its process: all processes that saw the crash produce the same records,
+// so that each counts once.
+func (b *Book) RecordIncarnationCrash(now time.Time, upstream core.HostName, attempts []Attempt) []core.Fingerprint {
+	records := make([]Record, 0, len(attempts))
 	for _, a := range attempts {
-		r := Record{Fingerprint: a.Fingerprint, Source: upstream, Count: 1, Expires: core.Later(now.Add(TTL), b.clearMarkExpiry(a.Fingerprint).Add(1))}
-		if a.Alone {
-			r.Alone = 1
-		}
-		if a.Late {
-			r.Late = 1
-		}
-		i := slices.IndexFunc(out, func(have Record) bool { return have.Fingerprint == a.Fingerprint })
-		switch {
-		case !b.upsert(r):
-		case i >= 0:
-			out[i] = r.join(out[i])
-		default:
-			out = append(out, r)
-		}
+		records = append(records, Record{
+			Fingerprint: a.Fingerprint, Source: upstream, Count: 1, Alone: uint32(core.CountIf(a.Alone)), Late: uint32(core.CountIf(a.Late)),
+			Expires: core.Later(now.Add(TTL), b.clearMarkExpiry(a.Fingerprint).Add(1)),
+		})
 	}
-	b.evict(now)
-	return out
+	return b.Merge(now, records)
 }
 
 func distinct(list []core.Fingerprint) []core.Fingerprint {
@@ -92,15 +81,12 @@
 // longer counts. The expiry of a new record starts from that of the clear mark, if
 // there is one.
 func (b *Book) ownRecord(now time.Time, f core.Fingerprint) Record {
-	r := Record{Fingerprint: f, Source: b.Self}
-	mark := b.clearMarkExpiry(f)
-	for _, have := range b.records[f] {
-		if have.Source == b.Self && have.Expires.After(now) && have.Expires.After(mark) {
+	for have := range b.counting(now, f) {
+		if have.Source == b.Self {
 			return have
 		}
 	}
-	r.Expires = mark
-	return r
+	return Record{Fingerprint: f, Source: b.Self, Expires: b.clearMarkExpiry(f)}
 }
 
 // RecordPass records that a suspect ran alone and ended well, and returns the
@@ -196,29 +182,31 @@
 	return cmp.Compare(a.Source, b.Source)
 }
 
+// counting yields the records that count for a fingerprint, which are neither expired nor cleared.
+func (b *Book) counting(now time.Time, f core.Fingerprint) iter.Seq[Record] {
+	return func(yield func(Record) bool) {
+		mark := b.clearMarkExpiry(f)
+		for _, r := range b.records[f] {
+			if r.Source != "" && r.Expires.After(now) && r.Expires.After(mark) && !yield(r) {
+				return
+			}
+		}
+	}
+}
+
 // Find returns the sum of the records that count for a fingerprint.
 func (b *Book) Find(now time.Time, f core.Fingerprint) Finding {
 	out := Finding{Fingerprint: f}
-	mark := b.clearMarkExpiry(f)
-	for _, r := range b.records[f] {
-		if r.Source == "" || !r.Expires.After(now) || !r.Expires.After(mark) {
-			continue
-		}
+	for r := range b.counting(now, f) {
 		out.Count += r.Count
 		out.Alone += r.Alone
 		out.Late += r.Late
 		out.Passed += r.Passed
 		out.Known = out.Known || r.Count == 0 && r.Passed == 0
 		out.Expires = core.Later(out.Expires, r.Expires)
-		if b.Incarnations && r.Alone > 0 {
-			out.noteTrialCrash(r.Expires.Add(-TTL))
-			if b.isSolitary(now, r) {
-				out.Proof++
-			}
-		}
 	}
 	if b.Incarnations {
-		out.judge()
+		b.judge(now, &out)
 	} else {
 		out.setStanding()
 	}
@@ -229,12 +217,12 @@
 // order.
 func (b *Book) CrashesOf(now time.Time, f core.Fingerprint) []core.HostName {
 	var out []core.HostName
-	mark := b.clearMarkExpiry(f)
-	for _, r := range b.RecordsOf(now, f) {
-		if r.Count > 0 && r.Expires.After(mark) {
+	for r := range b.counting(now, f) {
+		if r.Count > 0 {
 			out = append(out, r.Source)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
 
--- a/core/strike/book_test.go
+++ b/core/strike/book_test.go
@@ -91,6 +91,7 @@
 	assert.Equal(t, len(first), maxShared)
 	to.Merge(start, first)
 	assert.Equal(t, to.Find(start, 1).Alone, uint32(3), "those with the most strikes come first")
+	assertStanding(t, to, start.Add(2*solitaryTime), 1, Quarantined)
 	for range 299/maxSharedInTurn + 1 {
 		to.Merge(start, s.Next(start, from))
 	}
@@ -227,7 +228,8 @@
 		for n := range 4 {
 			b := newEntryBook("edge")
 			a.Fingerprint = 1
-			all = append(all, b.RecordIncarnationCrash(start.Add(time.Duration(len(all))*time.Millisecond), core.HostName("i-"+string(rune('a'+n))), []Attempt{a})...)
+			b.RecordIncarnationCrash(start.Add(time.Duration(len(all))*time.Millisecond), core.HostName("i-"+string(rune('a'+n))), []Attempt{a})
+			all = append(all, b.Records(start)...)
 		}
 	}
 	mark := newEntryBook("edge")
--- a/core/strike/record.go
+++ b/core/strike/record.go
@@ -59,6 +59,9 @@
 	return r
 }
 
+// crashedAt returns when the upstream crashed, for a record of one crash.
+func (r Record) crashedAt() time.Time { return r.Expires.Add(-TTL) }
+
 // Standing is the state of a fingerprint that results from its records.
 type Standing uint8
 
@@ -101,10 +104,8 @@
 	// MayTry is set if it is to run in a trial where one is granted at once (Trials), and TryLong if
 	// the trial lasts until its answer is complete. Both are for managed platforms.
 	MayTry, TryLong bool
-	// Proof is the number of crashes in trials that others do not explain, TryAt when the next trial
-	// may begin, and lastTrial when the last one crashed; all for managed platforms.
-	Proof            uint32
-	TryAt, lastTrial time.Time
+	// TryAt is when the next trial may begin, on managed platforms.
+	TryAt time.Time
 	// Expires is when the last strike expires.
 	Expires time.Time
 }
--- a/core/strike/share.go
+++ b/core/strike/share.go
@@ -33,7 +33,9 @@
 	}
 	counts := map[core.Fingerprint]uint32{}
 	for f := range b.records {
-		counts[f] = b.Find(now, f).Count
+		for r := range b.counting(now, f) {
+			counts[f] += r.Count
+		}
 	}
 	slices.SortStableFunc(all, func(x, y Record) int {
 		return cmp.Or(cmp.Compare(counts[y.Fingerprint], counts[x.Fingerprint]), y.Expires.Compare(x.Expires))
--- a/core/strike/trial.go
+++ b/core/strike/trial.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/retry"
 )
 
 const (
@@ -29,36 +30,46 @@
 //
 // Crashes before an answer began and those while it went on count apart: a request that crashes
 // upstreams does so at the same stage, and its neighbours are found at both.
-func (f *Finding) judge() {
+func (b *Book) judge(now time.Time, f *Finding) {
 	early := f.Count - f.Late
 	f.TryLong = f.Late >= suspectCrashes
 	f.MayTry = early > 0 || f.TryLong
+	if f.Alone >= provenCrashes {
+		f.TryAt = b.lastTrialCrash(now, f.Fingerprint).Add(retry.Backoff(retrialDelay, TTL, 2*int(f.Alone-provenCrashes)))
+	}
 	switch {
 	case max(early, f.Late) < suspectCrashes:
-	case f.Proof >= provenCrashes:
+	case f.Alone >= provenCrashes && b.countProofs(now, f.Fingerprint) >= provenCrashes:
 		f.Standing = Quarantined
 	default:
 		f.Standing = Suspect
 	}
 }
 
-// noteTrialCrash adds a crash in a trial to the finding.
-func (f *Finding) noteTrialCrash(at time.Time) {
-	f.lastTrial = core.Later(f.lastTrial, at)
-	if f.Alone < provenCrashes {
-		return
+// lastTrialCrash returns when a request last crashed an upstream in a trial.
+func (b *Book) lastTrialCrash(now time.Time, f core.Fingerprint) (last time.Time) {
+	for r := range b.counting(now, f) {
+		if r.Alone > 0 {
+			last = core.Later(last, r.crashedAt())
+		}
 	}
-	delay := retrialDelay
-	for range min(f.Alone, 8) - provenCrashes {
-		delay *= 4
+	return last
+}
+
+// countProofs returns the number of a request's crashes in trials that others do not explain.
+func (b *Book) countProofs(now time.Time, f core.Fingerprint) (n int) {
+	for r := range b.counting(now, f) {
+		if r.Alone > 0 && b.isSolitary(now, r) {
+			n++
+		}
 	}
-	f.TryAt = f.lastTrial.Add(delay)
+	return n
 }
 
 // isSolitary reports whether no other upstream crashed around a crash of a request, except under
-// copies of it, and whether that is known by now.
+// copies of it, and whether that is known by now. It looks at the whole book.
 func (b *Book) isSolitary(now time.Time, crash Record) bool {
-	at := crash.Expires.Add(-TTL)
+	at := crash.crashedAt()
 	if now.Sub(at) < solitaryTime {
 		return false
 	}
@@ -68,7 +79,7 @@
 	}
 	for _, records := range b.records {
 		for _, r := range records {
-			if r.Count > 0 && !own[r.Source] && r.Expires.Add(-TTL).Sub(at).Abs() < solitaryTime {
+			if r.Count > 0 && !own[r.Source] && r.crashedAt().Sub(at).Abs() < solitaryTime {
 				return false
 			}
 		}
--- a/io/proxy/crash.go
+++ b/io/proxy/crash.go
@@ -119,6 +119,7 @@
 // known to have crashed, and reports whether there are new strikes. The caller holds mu.
 func (p *Proxy) strikeCrashed(now time.Time) (struck bool) {
 	for inc, attempts := range p.view.TakeCrashed(now) {
+		upstream := incarnationName(inc)
 		list := make([]strike.Attempt, 0, len(attempts))
 		ran := map[core.Fingerprint]time.Duration{}
 		for _, a := range attempts {
@@ -126,7 +127,7 @@
 			if !a.Began.IsZero() {
 				ran[a.Fingerprint] = max(ran[a.Fingerprint], a.At.Sub(a.Began))
 			}
-			crash := parts.Crash{Upstream: incarnationName(inc), At: a.At}
+			crash := parts.Crash{Upstream: upstream, At: a.At}
 			news := p.parts.NoteCrash(now, crash, a.Parts)
 			crash.Tried = true
 			if p.parts.NoteCrash(now, crash, a.TriedParts) || news {
@@ -134,13 +135,13 @@
 				events.Log(events.PartsStruck, "host", inc.ID, "fingerprint", a.Fingerprint, "parts", a.Parts)
 			}
 		}
-		for _, r := range p.book.RecordIncarnationCrash(now, incarnationName(inc), list) {
+		for _, f := range p.book.RecordIncarnationCrash(now, upstream, list) {
 			struck = true
-			_, began := ran[r.Fingerprint]
+			_, began := ran[f]
 			p.Meter.Strike(began)
 			events.Log(
-				events.RequestStruck, "host", inc.ID, "fingerprint", r.Fingerprint, "strikes", p.book.Find(now, r.Fingerprint).Count,
-				"began", began, "ran", ran[r.Fingerprint].Round(time.Millisecond), "together", len(attempts),
+				events.RequestStruck, "host", inc.ID, "fingerprint", f, "strikes", p.book.Find(now, f).Count,
+				"began", began, "ran", ran[f].Round(time.Millisecond), "together", len(attempts),
 			)
 		}
 	}
