Use what is there for pauses, parsed fingerprints and verdicts on parts

- The pause of parts that grows with each episode is retry.Backoff, as that of trials is now.
It ends at the time that a crash counts, when nothing is left to try.
- How long a request waits for a trial is what retryAt works out.
- The entry that grants trials and the operators' interface parsed fingerprints each by itself: core.ParseFingerprint, beside String.
- Whether a verdict on parts refuses a request was worked out in two places, which had to change together: Verdict.Refuses.
Which crashes of a part count, too: Record.counts.

--- a/core/names.go
+++ b/core/names.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -89,6 +90,15 @@
 // String returns the fingerprint as operators see it.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
+// ParseFingerprint parses a fingerprint as String returns it, with or without leading zeros.
+func ParseFingerprint(text string) (Fingerprint, bool) {
+	f, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, false
+	}
+	return Fingerprint(f), true
+}
+
 // Names converts strings to names. It returns nil for an empty slice.
 func Names[N ~string](texts []string) []N { return convert[N](texts) }
 
--- a/core/parts/judge.go
+++ b/core/parts/judge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/retry"
 )
 
 const (
@@ -71,6 +72,9 @@
 	Unproven bool
 }
 
+// Refuses reports whether a request may not run, or only as a further try of proven parts.
+func (v *Verdict) Refuses() bool { return len(v.Parts) > 0 && !v.Unproven }
+
 // Check returns whether a request with the given parts is refused.
 func (t *Table) Check(now time.Time, list []Name) Verdict {
 	t.judge(now)
@@ -120,11 +124,7 @@
 }
 
 func (r *Record) trialDelay() time.Duration {
-	delay := trialDelay
-	for range r.episodes() - 1 {
-		delay *= 4
-	}
-	return delay
+	return retry.Backoff(trialDelay, TTL, 2*max(0, r.episodes()-1))
 }
 
 // suspect is a part with enough crashes to be refused.
--- a/core/parts/record.go
+++ b/core/parts/record.go
@@ -60,11 +60,16 @@
 	Crashes []Crash
 }
 
-// counting returns the upstreams of the crashes since a request with the part was served.
+// counts reports whether a crash counts: it came since a request with the part was served.
+func (r *Record) counts(now time.Time, c Crash) bool {
+	return c.At.After(r.ServedAt) && now.Sub(c.At) < TTL
+}
+
+// counting returns the upstreams of the crashes that count.
 func (r *Record) counting(now time.Time) []core.HostName {
 	var out []core.HostName
 	for _, c := range r.Crashes {
-		if c.At.After(r.ServedAt) && now.Sub(c.At) < TTL {
+		if r.counts(now, c) {
 			out = append(out, c.Upstream)
 		}
 	}
@@ -98,7 +103,7 @@
 func (r *Record) isProven(now time.Time) bool {
 	n := 0
 	for _, c := range r.Crashes {
-		if c.Tried && c.At.After(r.ServedAt) && now.Sub(c.At) < TTL {
+		if c.Tried && r.counts(now, c) {
 			n++
 		}
 	}
--- a/core/values_test.go
+++ b/core/values_test.go
@@ -41,3 +41,21 @@
 		assert.Equal(t, c.String(), text)
 	})
 }
+
+// FuzzFingerprint checks that a parsed fingerprint survives a round trip through its text, and that
+// text that is none is not taken for one.
+func FuzzFingerprint(f *testing.F) {
+	for _, text := range []string{"00000000000000ff", "ff", "0", "", "llm/part", "-1", "10000000000000000"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		got, ok := core.ParseFingerprint(text)
+		if !ok {
+			assert.Equal(t, got, core.Fingerprint(0))
+			return
+		}
+		again, ok := core.ParseFingerprint(got.String())
+		assert.Assert(t, ok)
+		assert.Equal(t, again, got)
+	})
+}
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -257,12 +257,12 @@
 			writeJSON(w, rows)
 		},
 		"DELETE /quarantine/{fingerprint}": func(w http.ResponseWriter, r *http.Request) {
-			f, err := strconv.ParseUint(r.PathValue("fingerprint"), 16, 64)
-			if err != nil {
+			f, ok := core.ParseFingerprint(r.PathValue("fingerprint"))
+			if !ok {
 				writeText(w, http.StatusBadRequest, "a fingerprint is hexadecimal, as GET /quarantine shows it")
 				return
 			}
-			e.ClearStrikes(core.Fingerprint(f))
+			e.ClearStrikes(f)
 			writeText(w, http.StatusOK, "cleared")
 		},
 	}
--- a/io/proxy/crash.go
+++ b/io/proxy/crash.go
@@ -71,7 +71,7 @@
 		return true
 	}
 	verdict := p.parts.Check(now, c.shared)
-	return len(verdict.Parts) > 0 && !verdict.Unproven && !c.retriesParts
+	return verdict.Refuses() && !c.retriesParts
 }
 
 // checkQuarantine refuses a request that is known to crash upstreams before it counts anywhere.
--- a/io/proxy/parts.go
+++ b/io/proxy/parts.go
@@ -26,7 +26,7 @@
 	}
 	verdict := p.parts.Check(now, c.shared)
 	switch {
-	case len(verdict.Parts) == 0 || verdict.Unproven:
+	case !verdict.Refuses():
 		return nil
 	case c.sends == 0 && p.parts.Try(now, c.shared):
 		c.retriesParts = true
--- a/io/proxy/trial.go
+++ b/io/proxy/trial.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"radishwell/core"
@@ -104,7 +103,7 @@
 func (c *call) awaitTrial(ctx context.Context, notBefore time.Time) *core.Refusal {
 	now := c.proxy.Clock.Now()
 	if c.trialBy.IsZero() {
-		c.trialBy = core.Earlier(now.Add(trialPatience), now.Add(c.deadline.Sub(now)/3))
+		c.trialBy = c.retryAt(trialPatience)
 	}
 	switch {
 	case c.sends > 0:
@@ -140,11 +139,11 @@
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	for _, key := range keys {
-		f, err := strconv.ParseUint(key, 16, 64)
-		if err != nil {
+		f, ok := core.ParseFingerprint(key)
+		if !ok {
 			continue // the key of a part
 		}
-		found := p.book.Find(now, core.Fingerprint(f))
+		found := p.book.Find(now, f)
 		if found.Standing == strike.Quarantined || now.Before(found.TryAt) {
 			return false
 		}
