Encode what an entry knows of crashes once, and only where it is sent

- The entry that grants trials to itself encoded its strikes and parts for a call that it does not make, with each trial and each end of one.
The next strikes and parts for a message stood in four places: nextStrikes and nextParts, beside what joins them.
- Records of quarantined requests are encoded in one place before they are created or replaced, instead of in each.

--- a/io/deploy/quarantine.go
+++ b/io/deploy/quarantine.go
@@ -187,11 +187,21 @@
 	ok := true
 	wanted := q.wanted()
 	for name, record := range wanted {
-		switch have, exists := q.stored[name]; {
-		case !exists:
-			ok = q.create(ctx, name, &record) && ok
-		case record.trials() > have.trials:
-			ok = q.replace(ctx, name, &record, have.version) && ok
+		have, exists := q.stored[name]
+		trials := record.trials()
+		if exists && trials <= have.trials {
+			continue
+		}
+		spec, err := json.Marshal(record)
+		if err != nil {
+			events.Fail(events.DecisionFailed, err, "kind", core.KindQuarantine)
+			continue // a retry would fail as well
+		}
+		o := core.Object{Kind: core.KindQuarantine, Name: name, Version: have.version, Spec: spec}
+		if exists {
+			ok = q.replace(ctx, o, trials) && ok
+		} else {
+			ok = q.create(ctx, o, trials) && ok
 		}
 	}
 	for name, have := range q.stored {
@@ -204,35 +214,25 @@
 
 // replace writes a record that has further crashes in trials: without them, each restart of all
 // entries would cost further trials.
-func (q *quarantine) replace(ctx context.Context, name string, record *quarantineJSON, version core.Version) bool {
-	spec, err := json.Marshal(record)
-	if err != nil {
-		events.Fail(events.DecisionFailed, err, "kind", core.KindQuarantine)
-		return true // a retry would fail as well
-	}
-	made, err := q.entry.store.Update(ctx, core.Object{Kind: core.KindQuarantine, Name: name, Version: version, Spec: spec})
+func (q *quarantine) replace(ctx context.Context, o core.Object, trials int) bool {
+	made, err := q.entry.store.Update(ctx, o)
 	switch {
 	case isFault(err, core.Conflict) || isFault(err, core.NotFound):
-		delete(q.stored, name) // another entry has written it
+		delete(q.stored, o.Name) // another entry has written it
 		return false
 	case err != nil:
 		events.Fail(events.DecisionFailed, err, "kind", core.KindQuarantine)
 		return false
 	}
-	q.stored[name] = storedRecord{made.Version, record.trials()}
+	q.stored[o.Name] = storedRecord{made.Version, trials}
 	return true
 }
 
-func (q *quarantine) create(ctx context.Context, name string, record *quarantineJSON) bool {
-	spec, err := json.Marshal(record)
-	if err != nil {
-		events.Fail(events.DecisionFailed, err, "kind", core.KindQuarantine)
-		return true // a retry would fail as well
-	}
-	trials := record.trials()
-	made, err := q.entry.store.Create(ctx, core.Object{Kind: core.KindQuarantine, Name: name, Spec: spec})
+// create writes a record, unless another entry has written it.
+func (q *quarantine) create(ctx context.Context, o core.Object, trials int) bool {
+	made, err := q.entry.store.Create(ctx, o)
 	if isFault(err, core.Exists) {
-		made, err = q.entry.store.Get(ctx, core.KindQuarantine, name)
+		made, err = q.entry.store.Get(ctx, core.KindQuarantine, o.Name)
 		var have quarantineJSON
 		trials = 0
 		if err == nil && json.Unmarshal(made.Spec, &have) == nil {
@@ -243,7 +243,7 @@
 		events.Fail(events.DecisionFailed, err, "kind", core.KindQuarantine)
 		return false
 	}
-	q.stored[name] = storedRecord{made.Version, trials}
+	q.stored[o.Name] = storedRecord{made.Version, trials}
 	return true
 }
 
--- a/io/deploy/signal.go
+++ b/io/deploy/signal.go
@@ -17,12 +17,8 @@
 func (e *entry) shareSignals() {
 	e.proxy.OnRateLimit, e.proxy.OnLeaving = e.broadcastLimit, e.broadcastLeaving
 	e.proxy.OnStrikes = e.broadcastStrikes
-	e.state.Strikes = peer.Gossip[*wire.Strike]{
-		Next: func() []*wire.Strike { return peer.EncodeStrikes(e.proxy.Strikes()) }, Join: e.joinStrikes,
-	}
-	e.state.Parts = peer.Gossip[*wire.PartRecord]{
-		Next: func() []*wire.PartRecord { return peer.EncodeParts(e.proxy.Parts()) }, Join: e.joinParts,
-	}
+	e.state.Strikes = peer.Gossip[*wire.Strike]{Next: e.nextStrikes, Join: e.joinStrikes}
+	e.state.Parts = peer.Gossip[*wire.PartRecord]{Next: e.nextParts, Join: e.joinParts}
 	e.state.OnMarks = e.applyMarks
 	e.meter.LimitedUpstreams(e.proxy.LimitedHosts)
 	e.meter.RefusedParts(func() int { return len(e.proxy.RefusedParts()) })
@@ -50,6 +46,12 @@
 	loop.Wake(e.quarantine.changed)
 }
 
+// nextStrikes returns the strikes for the next message to another entry, and nextParts the records
+// of parts of prompts.
+func (e *entry) nextStrikes() []*wire.Strike { return peer.EncodeStrikes(e.proxy.Strikes()) }
+
+func (e *entry) nextParts() []*wire.PartRecord { return peer.EncodeParts(e.proxy.Parts()) }
+
 // joinStrikes applies the strikes that another entry sent, and reports whether any was new.
 func (e *entry) joinStrikes(list []*wire.Strike) bool {
 	if !e.proxy.MergeStrikes(peer.DecodeStrikes(list)) {
--- a/io/deploy/trials.go
+++ b/io/deploy/trials.go
@@ -61,7 +61,9 @@
 func (t *trials) call(ctx context.Context, c *wire.TrialCall) (granted bool) {
 	e := t.entry
 	before, _ := e.members.predecessors()
-	c.Strikes, c.Parts = peer.EncodeStrikes(e.proxy.Strikes()), peer.EncodeParts(e.proxy.Parts())
+	if len(before) > 0 {
+		c.Strikes, c.Parts = e.nextStrikes(), e.nextParts()
+	}
 	for _, m := range before[:min(len(before), maxTrialKeepers)] {
 		bounded, stop := context.WithTimeout(ctx, trialCallTimeout)
 		reply, err := e.client.Trial(bounded, peer.Target{Host: m.Name, Address: m.Control}, c)
@@ -95,7 +97,5 @@
 	e.joinStrikes(c.GetStrikes())
 	e.joinParts(c.GetParts())
 	granted := t.apply(c)
-	return &wire.TrialReply{
-		Granted: granted, Strikes: peer.EncodeStrikes(e.proxy.Strikes()), Parts: peer.EncodeParts(e.proxy.Parts()),
-	}, nil
+	return &wire.TrialReply{Granted: granted, Strikes: e.nextStrikes(), Parts: e.nextParts()}, nil
 }
