Start repeating callers and give strikes in tests in one place each

The soak's caller of proper requests had the loop of those that crash upstreams once more: callers.repeat serves both. The tests of crashes and of trials each built another entry's strikes: rig.strike does. Their assertions are the same.

--- a/io/proxy/crash_test.go
+++ b/io/proxy/crash_test.go
@@ -56,16 +56,19 @@
 	return req
 }
 
-// strikeThrice gives a request the strikes of three crashes, two of them in trials, as another
-// entry would send them.
-func (r *rig) strikeThrice(f core.Fingerprint) {
+// strike gives a request the strikes of crashes some time ago, as another entry would send them. For
+// each, it is given whether the request ran in a trial.
+func (r *rig) strike(f core.Fingerprint, age time.Duration, trials ...bool) {
 	other := strike.Book{Self: "edge-2", MaxRecords: 10, Incarnations: true}
-	for _, upstream := range []core.HostName{"x-1", "x-2", "x-3"} {
-		other.RecordIncarnationCrash(time.Now().Add(-2*time.Second), upstream, []strike.Attempt{{Fingerprint: f, Alone: upstream != "x-1"}})
+	for n, trial := range trials {
+		other.RecordIncarnationCrash(time.Now().Add(-age), core.HostName(fmt.Sprint("x-", n)), []strike.Attempt{{Fingerprint: f, Alone: trial}})
 	}
 	r.MergeStrikes(other.Records(time.Now()))
 }
 
+// strikeThrice gives a request the strikes of three crashes, two of them in trials.
+func (r *rig) strikeThrice(f core.Fingerprint) { r.strike(f, 2*time.Second, false, true, true) }
+
 // Guards against a request that crashes plain services one after another: no agent reports
 // that they have crashed.
 func TestPlainServiceCrashIsRecognized(t *testing.T) {
--- a/io/proxy/trial_test.go
+++ b/io/proxy/trial_test.go
@@ -52,15 +52,8 @@
 	f.refuses = refuses
 }
 
-// strikeTimes gives a request the strikes of some crashes of others, as another entry would send
-// them.
-func (r *rig) strikeTimes(f core.Fingerprint, crashes int) {
-	other := strike.Book{Self: "edge-2", MaxRecords: 10, Incarnations: true}
-	for n := range crashes {
-		other.RecordIncarnationCrash(time.Now(), core.HostName(fmt.Sprint("x-", n)), []strike.Attempt{{Fingerprint: f}})
-	}
-	r.MergeStrikes(other.Records(time.Now()))
-}
+// strikeTimes gives a request the strikes of some crashes of others.
+func (r *rig) strikeTimes(f core.Fingerprint, crashes int) { r.strike(f, 0, make([]bool, crashes)...) }
 
 // Guards against a suspect that is refused for good, or sent without a trial, while it has none.
 func TestSuspectRunsInTrialsOnly(t *testing.T) {
--- a/io/soak/crash.go
+++ b/io/soak/crash.go
@@ -42,16 +42,22 @@
 // sendInTurn starts a caller that sends the requests that next returns, numbered from 0, to all
 // entries in turn, each on a connection of its own, until ctx ends.
 func (c *callers) sendInTurn(ctx context.Context, next func(n int) (q Result, model string)) {
-	c.wait.Add(1)
-	go func() {
-		defer c.wait.Done()
+	c.repeat(ctx, func(n int) {
+		q, model := next(n)
+		q.Entry, q.Key, q.Customer = n%len(c.entryAddrs), "key-free", "free"
+		c.add(c.sendNew(q, model))
+	})
+}
+
+// repeat starts a caller that sends again and again, with a pause after each, until ctx ends. n counts
+// from 0.
+func (c *callers) repeat(ctx context.Context, send func(n int)) {
+	c.wait.Go(func() {
 		for n := 0; ctx.Err() == nil; n++ {
-			q, model := next(n)
-			q.Entry, q.Key, q.Customer = n%len(c.entryAddrs), "key-free", "free"
-			c.add(c.sendNew(q, model))
+			send(n)
 			time.Sleep(poisonGap)
 		}
-	}()
+	})
 }
 
 // arrivalsBy returns the requests that upstreams received, by a key and in order of time. It leaves
--- a/io/soak/fall.go
+++ b/io/soak/fall.go
@@ -26,22 +26,17 @@
 // repeatProper starts a caller that sends the same proper request to all entries at once, again and
 // again, until ctx ends.
 func (c *callers) repeatProper(ctx context.Context, s Step) {
-	c.wait.Add(1)
-	go func() {
-		defer c.wait.Done()
-		for n := 0; ctx.Err() == nil; n++ {
-			var copies sync.WaitGroup
-			for entry := range c.entryAddrs {
-				q := Result{
-					ID: fmt.Sprintf("same-%d-%d-%d", s.Variant, n, entry), Route: Route(s.Target % int(routeCount)), Text: fmt.Sprint("same-", s.Variant),
-					Entry: entry, Key: "key-free", Customer: "free",
-				}
-				copies.Go(func() { c.add(c.sendNew(q, "m-1")) })
+	c.repeat(ctx, func(n int) {
+		var copies sync.WaitGroup
+		for entry := range c.entryAddrs {
+			q := Result{
+				ID: fmt.Sprintf("same-%d-%d-%d", s.Variant, n, entry), Route: Route(s.Target % int(routeCount)), Text: fmt.Sprint("same-", s.Variant),
+				Entry: entry, Key: "key-free", Customer: "free",
 			}
-			copies.Wait()
-			time.Sleep(poisonGap)
+			copies.Go(func() { c.add(c.sendNew(q, "m-1")) })
 		}
-	}()
+		copies.Wait()
+	})
 }
 
 // fall has upstreams crash for reasons of their own, several at once, while a caller repeats a
