Log and count what a retry budget was made of at each decision

A retry that was made left no line, so a play over the bound could not be told apart: whether young processes sent the excess, whether entries counted other requests than the platform, whether their parts of the spare retries summed to more than the whole, or whether upstreams got what nobody counted.

RW1514 and RW1515 tell each retry that is made or refused, with the requests and retries in the window, the spare part and the age of the process; radishwell_upstream_sends_total counts sends by first and repeat, and radishwell_spare_retries is this process's part. No decision changes.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -55,18 +55,28 @@
 
 // Remaining returns the number of retries that the budget allows now.
 func (w *Window) Remaining(now time.Time) float64 {
+	f := w.Figures(now)
+	return w.Ratio*f.Attempts + f.Spare - f.Retries
+}
+
+// Figures are what a budget is made of at one moment: the first attempts and the retries that
+// count in its window, and the further retries that it allows.
+type Figures struct{ Attempts, Retries, Spare float64 }
+
+// Figures returns what the budget is made of now.
+func (w *Window) Figures(now time.Time) Figures {
 	w.advance(now)
-	attempts, retries, spare := 0.0, 0.0, w.Spare
+	f := Figures{Spare: w.Spare}
 	if now.Before(w.SpareFrom) {
-		spare = 0
+		f.Spare = 0
 	}
 	for _, n := range w.attempts {
-		attempts += n
+		f.Attempts += n
 	}
 	for _, n := range w.retries {
-		retries += n
+		f.Retries += n
 	}
-	return w.Ratio*attempts + spare - retries
+	return f
 }
 
 // advance empties the buckets that have left the window.
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -65,6 +65,8 @@
 	ConnectionRefused
 	SlowCallerEnded
 	RequestTried
+	RequestRepeated
+	RepeatRefused
 
 	PlatformUnreachable
 	PlatformBack
@@ -200,6 +202,8 @@
 	{Event: ConnectionRefused, Name: "connection-refused", Severity: Warning, Sampled: true, Text: "Caller's connection is closed before its request is read", Advice: "With the reason busy more connections come than the processor can serve: look at how the load balancer spreads them. With full, raise the limit of descriptors."},
 	{Event: SlowCallerEnded, Name: "slow-caller-ended", Severity: Warning, Sampled: true, Text: "Caller that took nothing for seconds is ended, since the entry holds more than its bound", Advice: "If it recurs, find out why callers read slowly, or raise managed.buffer-share or the host's memory."},
 	{Event: RequestTried, Name: "request-tried", Severity: Warning, Sampled: true, Text: "Request that may crash engines, or has such a part in its prompt, runs apart from others like it", Advice: "Nothing: whether it crashes the engine decides."},
+	{Event: RequestRepeated, Name: "request-repeated", Severity: Info, Text: "Request is sent to one more upstream", Advice: "Nothing. Its figures are those of this process's retry budget for the service."},
+	{Event: RepeatRefused, Name: "repeat-refused", Severity: Warning, Sampled: true, Text: "Retry budget allows no further upstream for a request", Advice: "Find out why the service's upstreams fail; the budget protects them."},
 
 	{Event: PlatformUnreachable, Name: "platform-unreachable", Severity: Error, Text: "Platform cannot be reached", Advice: "Check the platform. Requests for models with a grant are still served; catalogue edits and moves of models wait."},
 	{Event: PlatformBack, Name: "platform-back", Severity: Info, Text: "Platform can be reached again", Advice: noAction},
--- a/io/meter/gauge.go
+++ b/io/meter/gauge.go
@@ -69,6 +69,9 @@
 	m.gauge(nameHeldBytes, func() float64 { return float64(read()) })
 }
 
+// SpareRetries registers the gauge of this process's part of the spare retries.
+func (m *Meter) SpareRetries(read func() float64) { m.gauge(nameSpareRetries, read) }
+
 // LimitedUpstreams registers the gauge of upstreams that have announced a rate limit.
 func (m *Meter) LimitedUpstreams(read func() int) {
 	m.gauge(nameLimitedUpstreams, func() float64 { return float64(read()) })
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -92,6 +92,19 @@
 	m.count(nameRetries, "result", label).Inc()
 }
 
+// Send counts a request that an upstream may have received. repeat is set if another send of the
+// same request came before it.
+func (m *Meter) Send(repeat bool) {
+	if m == nil {
+		return
+	}
+	label := "first"
+	if repeat {
+		label = "repeat"
+	}
+	m.count(nameSends, "kind", label).Inc()
+}
+
 // Turn counts a request by how it came to its turn at an entry, and the time that it was held
 // for room at a host, if it was.
 func (m *Meter) Turn(o TurnOutcome, held time.Duration) {
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -37,6 +37,8 @@
 	nameIdle             = "radishwell_accelerator_idle_seconds_total"
 	nameBusy             = "radishwell_accelerator_busy_seconds_total"
 	nameRetries          = "radishwell_retries_total"
+	nameSends            = "radishwell_upstream_sends_total"
+	nameSpareRetries     = "radishwell_spare_retries"
 	nameAnswers          = "radishwell_upstream_answers_total"
 	nameContinued        = "radishwell_streams_continued_total"
 	nameAnswerBytes      = "radishwell_answer_bytes_total"
@@ -85,6 +87,8 @@
 	{nameIdle, Counter, nil, "seconds", "Accelerator time with a model loaded and no request running."},
 	{nameBusy, Counter, nil, "seconds", "Accelerator time with requests running."},
 	{nameRetries, Counter, []string{"result"}, "", "Retries that were made or that the retry budget refused."},
+	{nameSends, Counter, []string{"kind"}, "", "Requests that upstreams may have received: the first send of each, and repeats."},
+	{nameSpareRetries, Gauge, nil, "", "Retries for each service that this process may make beside those that its requests earn."},
 	{nameAnswers, Counter, []string{"framing", "end"}, "", "Answers of upstreams, by how they show their end (length, chunks, or none but that of the connection) and by whether they arrived whole."},
 	{nameContinued, Counter, []string{"by", "software"}, "", "Streams that went on at an upstream host, by who asked for it (the entry or the caller) and by whether the host has the software version that began the stream: same, other or unknown."},
 	{nameAnswerBytes, Counter, nil, "bytes", "Bytes of answers' bodies that were passed on."},
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -52,6 +52,7 @@
 	c.sentAt = c.recordSend(t)
 	resp, sent, err := c.proxy.upstreams.send(ctx, c, t, c.lastEventID)
 	if sent {
+		c.proxy.Meter.Send(c.sends > 0)
 		c.sends++
 	}
 	if err != nil {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -108,6 +108,8 @@
 	waiting chan struct{}
 	// trials are those that this entry has granted.
 	trials strike.Trials
+	// startedAt is when the process started.
+	startedAt time.Time
 }
 
 // Start initialises the proxy. It is called once, before any other method.
@@ -115,12 +117,14 @@
 	p.waiting = make(chan struct{}, 1)
 	p.streams = map[*watchedStream]bool{}
 	p.unknownFields = map[string]bool{}
-	p.loaderSeen = p.Clock.Now()
+	p.startedAt = p.Clock.Now()
+	p.loaderSeen = p.startedAt
 	p.retries = map[core.ServiceName]*retry.Window{}
 	p.upstreams.start()
 	p.startWaitingRoom()
 	p.held.account.Bound = p.MaxHeld
 	p.Meter.HeldBytes(p.HeldBytes)
+	p.Meter.SpareRetries(p.spareRetries)
 	p.origins = origin.Table{MaxRecords: maxOrigins}
 	p.book = strike.Book{Self: p.Self, MaxRecords: maxStrikes, Incarnations: true}
 	p.trials = strike.Trials{MaxTrials: maxTrials}
@@ -269,6 +273,15 @@
 	}
 }
 
+func (p *Proxy) spareRetries() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.Clock.Now().Before(p.RetrySpareFrom) {
+		return 0
+	}
+	return p.RetrySpare
+}
+
 // window returns the retry budget of a service. The caller holds mu.
 func (p *Proxy) window(s core.ServiceName) *retry.Window {
 	w := p.retries[s]
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -9,6 +9,7 @@
 	"radishwell/core/fleet"
 	"radishwell/core/queue"
 	"radishwell/core/turn"
+	"radishwell/io/events"
 )
 
 const (
@@ -167,8 +168,7 @@
 // first. The caller holds the proxy's mu.
 func (c *call) start(now time.Time, choice fleet.Choice) (t *target, fetch bool, refusal *core.Refusal) {
 	p := c.proxy
-	if c.sends > 0 && !p.window(c.service.Name).Take(now) {
-		p.Meter.Retry(false)
+	if c.sends > 0 && !c.takeRetry(now) {
 		return nil, false, c.giveUp()
 	}
 	h := choice.Host
@@ -185,6 +185,25 @@
 	return t, choice.Fetch, nil
 }
 
+// takeRetry takes a further send of the request from the retry budget and reports whether there was
+// one. The caller holds the proxy's mu.
+func (c *call) takeRetry(now time.Time) bool {
+	p := c.proxy
+	w := p.window(c.service.Name)
+	figures := w.Figures(now)
+	taken := w.Take(now)
+	p.Meter.Retry(taken)
+	event := events.RequestRepeated
+	if !taken {
+		event = events.RepeatRefused
+	}
+	events.Log(
+		event, "request", c.ask.ID, "service", c.service.Name, "sends", c.sends, "last-host", c.lastHost, "attempts", figures.Attempts,
+		"retries", figures.Retries, "spare", round(figures.Spare), "process-age", now.Sub(p.startedAt).Round(time.Millisecond),
+	)
+	return taken
+}
+
 // recordChoice records, for the log, the figures behind a choice.
 func (c *call) recordChoice(now time.Time, choice fleet.Choice) {
 	h := choice.Host
