--- /dev/null
+++ b/core/retry/fleet_test.go
@@ -0,0 +1,330 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core/eventq"
+)
+
+// bound is the platform's bound of repeats for one service, over all entries together.
+type bound struct {
+	ratio, spare float64
+	span         time.Duration
+}
+
+// entryBudget is the retry budget of one entry's process.
+type entryBudget interface {
+	// recordFirst records a request that arrives at the entry, and that its caller sent no sooner
+	// than at sent.
+	recordFirst(now, sent time.Time)
+	// take takes one retry. settle and lose end it, with an answer and without one.
+	take(now time.Time) bool
+	settle(now time.Time)
+	lose(now time.Time)
+	// meet tells of a present exchange with all entries that are named.
+	meet(now time.Time, names []int)
+}
+
+// fleetEntry is an entry of a fleetPlay. Its process has none of its predecessor's memory.
+type fleetEntry struct {
+	name    int
+	budget  entryBudget
+	weight  float64
+	process int
+	// down, frozen and apart end the times in which the process does not run, stands still, and
+	// exchanges nothing with others.
+	down, frozen, apart time.Time
+}
+
+func (e *fleetEntry) isDown(now time.Time) bool { return now.Before(e.down) }
+
+// fleetPlay is a fleet whose entries use all the retries that they get while upstreams fail. It
+// counts what callers send and what upstreams receive.
+type fleetPlay struct {
+	bound    bound
+	newEntry func(now time.Time, name int, entries int) entryBudget
+	rng      *rand.Rand
+	rate     float64
+	end      time.Time
+	// latest is how late a send may arrive that the entry has no answer to.
+	latest  time.Duration
+	entries []*fleetEntry
+	joined  int
+	// load is the present multiple of the rate, failing the part of requests that are retried.
+	load, failing float64
+	events        eventq.Queue[func(now time.Time)]
+	sent, repeats []time.Time
+	wanted, made  int
+}
+
+func (p *fleetPlay) after(now time.Time, most time.Duration) time.Time {
+	return now.Add(time.Duration(p.rng.Int64N(int64(most) + 1)))
+}
+
+func (p *fleetPlay) join(now time.Time) {
+	p.joined++
+	e := &fleetEntry{name: p.joined, weight: 0.2 + p.rng.ExpFloat64()}
+	p.entries = append(p.entries, e)
+	p.start(now, e)
+}
+
+func (p *fleetPlay) start(now time.Time, e *fleetEntry) {
+	e.process++
+	e.budget = p.newEntry(now, e.name, len(p.entries))
+}
+
+func (p *fleetPlay) pick() *fleetEntry {
+	total := 0.0
+	for _, e := range p.entries {
+		total += e.weight
+	}
+	at := p.rng.Float64() * total
+	for _, e := range p.entries {
+		if at -= e.weight; at < 0 {
+			return e
+		}
+	}
+	return p.entries[0]
+}
+
+// request has a caller send a request, which arrives within 50 ms, or once its entry runs again.
+func (p *fleetPlay) request(now time.Time) {
+	p.sent = append(p.sent, now)
+	e := p.pick()
+	process := e.process
+	behind := now.Before(e.frozen)
+	p.events.Push(p.after(laterOf(now, e.frozen), 50*time.Millisecond), func(at time.Time) {
+		p.arrive(at, now, e, process, behind)
+	})
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func (p *fleetPlay) arrive(now, sent time.Time, e *fleetEntry, process int, behind bool) {
+	if now.Before(e.frozen) {
+		p.events.Push(e.frozen, func(at time.Time) { p.arrive(at, sent, e, process, true) })
+		return
+	}
+	if e.process != process || e.isDown(now) {
+		return
+	}
+	noSooner := now
+	if behind {
+		noSooner = sent // the process knows since when it stood still
+	}
+	e.budget.recordFirst(now, noSooner)
+	if p.rng.Float64() >= p.failing {
+		return
+	}
+	for range 4 {
+		p.repeat(now, e)
+	}
+}
+
+// repeat sends a request once more if the budget allows it.
+func (p *fleetPlay) repeat(now time.Time, e *fleetEntry) {
+	p.wanted++
+	if !e.budget.take(now) {
+		return
+	}
+	p.made++
+	arrives, settles := p.after(now, 20*time.Millisecond), true
+	if p.rng.IntN(8) == 0 {
+		arrives, settles = p.after(now, p.latest), p.rng.IntN(2) == 0
+	}
+	p.events.Push(arrives, func(at time.Time) { p.repeats = append(p.repeats, at) })
+	ends := p.after(arrives, 20*time.Millisecond)
+	if !settles {
+		ends = p.after(now, time.Second)
+	}
+	process := e.process
+	p.events.Push(ends, func(at time.Time) { p.settle(at, e, process, settles) })
+}
+
+func (p *fleetPlay) settle(now time.Time, e *fleetEntry, process int, answered bool) {
+	switch {
+	case e.process != process:
+	case now.Before(e.frozen):
+		p.events.Push(e.frozen, func(at time.Time) { p.settle(at, e, process, answered) })
+	case answered:
+		e.budget.settle(now)
+	default:
+		e.budget.lose(now)
+	}
+}
+
+// meet has the entries that run and are not apart exchange what they know.
+func (p *fleetPlay) meet(now time.Time) {
+	var names []int
+	for _, e := range p.entries {
+		names = append(names, e.name)
+	}
+	for _, e := range p.entries {
+		if !e.isDown(now) && now.After(e.frozen) && now.After(e.apart) {
+			e.budget.meet(now, names)
+		}
+	}
+}
+
+// storm has several things happen within about the span of the bound, with upstreams that fail,
+// after a calm in which budgets fill up.
+func (p *fleetPlay) storm(now time.Time) {
+	begins := p.after(now, 4*time.Second)
+	p.events.Push(begins, func(time.Time) { p.failing = 1 })
+	for range 2 + p.rng.IntN(6) {
+		p.events.Push(p.after(begins.Add(-2*time.Second), 13*time.Second), p.strike)
+	}
+	p.events.Push(begins.Add(p.bound.span), func(time.Time) { p.failing, p.load = 0, 1 })
+}
+
+// strike has one thing happen to entries, load or upstreams.
+func (p *fleetPlay) strike(now time.Time) {
+	some := p.rng.Float64()
+	if p.rng.IntN(3) == 0 {
+		some = 1
+	}
+	each := func(do func(*fleetEntry)) {
+		for _, e := range p.entries {
+			if p.rng.Float64() < some {
+				do(e)
+			}
+		}
+	}
+	switch p.rng.IntN(8) {
+	case 0, 1:
+		each(func(e *fleetEntry) { p.kill(now, e) })
+	case 2:
+		each(func(e *fleetEntry) { e.frozen = p.after(now, 4*time.Second) })
+	case 3:
+		each(func(e *fleetEntry) { e.apart = p.after(now, 20*time.Second) })
+	case 4:
+		if p.joined < 2*len(p.entries) {
+			p.join(now)
+		}
+	case 5:
+		p.load = []float64{0, 0.2, 1, 1, 3, 10}[p.rng.IntN(6)]
+	default:
+		p.failing = []float64{0, 0, 0, 0.1, 1, 1}[p.rng.IntN(5)]
+	}
+}
+
+func (p *fleetPlay) kill(now time.Time, e *fleetEntry) {
+	e.process++
+	process := e.process
+	e.down = p.after(now, 2*time.Second)
+	p.events.Push(e.down, func(at time.Time) {
+		if e.process == process {
+			p.start(at, e)
+		}
+	})
+}
+
+// run plays a series of faults, drawn from the play's seed.
+func (p *fleetPlay) run(now time.Time, entries int) {
+	p.load = 1
+	for range entries {
+		p.join(now)
+	}
+	p.every(now, 100*time.Millisecond, p.meet)
+	p.every(now.Add(12*time.Second), 24*time.Second, p.storm)
+	p.arrivals(now)
+	for p.events.Len() > 0 {
+		at, do := p.events.Pop()
+		do(at)
+	}
+}
+
+func (p *fleetPlay) every(at time.Time, gap time.Duration, do func(time.Time)) {
+	if at.After(p.end) {
+		return
+	}
+	p.events.Push(at, func(now time.Time) {
+		do(now)
+		p.every(now.Add(gap), gap, do)
+	})
+}
+
+func (p *fleetPlay) arrivals(now time.Time) {
+	if now.After(p.end) {
+		return
+	}
+	const idle = 100 * time.Millisecond
+	gap := idle
+	if p.load > 0 {
+		gap = min(idle, time.Duration(p.rng.ExpFloat64()/(p.rate*p.load)*float64(time.Second)))
+	}
+	p.events.Push(now.Add(gap), func(at time.Time) {
+		if gap < idle {
+			p.request(at)
+		}
+		p.arrivals(at)
+	})
+}
+
+// worst returns by how many the repeats of some window are over the bound, as the platform counts
+// them; it is negative if they never are.
+func (p *fleetPlay) worst(start time.Time) float64 {
+	sent, repeats := newTally(start, p.sent), newTally(start, p.repeats)
+	over := -p.bound.spare
+	for at := start.Add(-p.bound.span); at.Before(p.end.Add(2 * p.bound.span)); at = at.Add(time.Millisecond) {
+		until, half := at.Add(p.bound.span), p.bound.span/2
+		requests := max(sent.in(at, until), sent.in(at.Add(-half), until.Add(-half)), sent.in(at.Add(-p.bound.span), at))
+		over = max(over, float64(repeats.in(at, until))-p.bound.ratio*float64(requests)-p.bound.spare)
+	}
+	return over
+}
+
+// tally counts events up to each millisecond.
+type tally struct {
+	start time.Time
+	until []int
+}
+
+func newTally(start time.Time, events []time.Time) tally {
+	t := tally{start: start, until: make([]int, 200_000)}
+	for _, at := range events {
+		t.until[t.index(at)]++
+	}
+	for i := 1; i < len(t.until); i++ {
+		t.until[i] += t.until[i-1]
+	}
+	return t
+}
+
+func (t *tally) index(at time.Time) int {
+	return min(max(0, int(at.Sub(t.start)/time.Millisecond)+1), len(t.until)-1)
+}
+
+// in returns the number of events from one time up to another.
+func (t *tally) in(from, to time.Time) int { return t.until[t.index(to)] - t.until[t.index(from)] }
+
+var jhinuk = bound{ratio: 0.2, spare: 58, span: 10 * time.Second}
+
+func newFleetPlay(seed uint64, b bound, newEntry func(now time.Time, name, entries int) entryBudget) *fleetPlay {
+	return &fleetPlay{
+		bound: b, newEntry: newEntry, rng: rand.New(rand.NewPCG(seed, 7)), rate: 81, end: t0.Add(80 * time.Second), latest: b.span / 2,
+	}
+}
+
+// Guards against entries that together send more repeats than the platform allows, whatever happens
+// to them: processes that die forget what they sent, and each pays from requests of its own window.
+func TestFleetKeepsRetryBound(t *testing.T) {
+	made := 0
+	for seed := range uint64(60) {
+		p := newFleetPlay(seed, jhinuk, newEntryBudget)
+		p.run(t0, 3+int(seed%8))
+		made += p.made
+		over := p.worst(t0)
+		assert.Check(t, over <= 0, "seed %d: %.1f repeats over the bound, of %d", seed, over, p.made)
+	}
+	assert.Assert(t, made > 0)
+}
