Keep the platform's bound of repeats whatever happens to entries

Cause: each entry paid retries from the requests of its own last 10 s, and forgot with its process what was paid. The platform counts over all entries, in windows of its own. A restart, callers that move to other entries, or two bursts of load in one window were each paid twice. The parts of the spare retries came from the entries that each knew, so entries that did not know each other had more than the whole.

A window now pays half of the ratio from the requests of the platform's window and half from those of the one before it, for every window that a retry may arrive in. The bound allows the larger of the two numbers, so the halves never sum to more, whichever requests came to which entry and when; a process that starts needs no memory, since its predecessor was paid from other requests. A retry counts from when it is taken until it is answered, or for half a span after it was lost; it is taken just before the send, so waits for adapters, reservations and trials use none. The spare retries are divided in core/share: an entry has a part once all others count it, and none once its list of the entries is old. The margins on ratio and spare retries are gone.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -1,75 +1,122 @@
 package retry
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// windowBuckets is the number of buckets into which a Window divides its span.
-	windowBuckets = 20
-	// retryBuckets is the number of buckets over which retries count: the span, the bucket in
-	// progress, and the time from when a retry is taken until it arrives at its upstream, which
-	// may be that of a connection and of loading an adapter.
-	retryBuckets = windowBuckets + 1 + windowBuckets/4
+	windowBuckets = 100
+	// lateBuckets is how many buckets later than it was taken a retry without an answer may
+	// arrive.
+	lateBuckets = windowBuckets / 2
+	// transitBuckets is how many buckets after it was sent a request may be recorded.
+	transitBuckets = 2
+	// attemptBuckets and retryBuckets are the numbers of buckets kept.
+	attemptBuckets = 2 * windowBuckets
+	retryBuckets   = windowBuckets + lateBuckets + 1
 )
 
-// Window is a retry budget over a sliding window: a ratio of the first attempts
-// in the window plus a fixed number. Without a budget, requests that fail
-// together are each sent several times, and the repeats take up the remaining
-// capacity of the upstream. A platform that counts the retries of all processes
-// together gives each process a part of the fixed number.
+// Window is one process's part of a retry budget that a platform counts over all processes and in
+// sliding windows: a ratio of the requests, and a fixed number. Without a budget, requests that fail
+// together are each sent several times, and the repeats take up the remaining capacity of the
+// upstream.
+//
+// The platform counts the requests of the window itself, or of the one before it if there are more.
+// A Window uses half of each. The sum of the parts is then within the bound whichever requests came
+// to which process and when, and a process that starts need not know what its predecessor used: that
+// was paid from requests that the new one has not seen.
 //
-// No span of that length at the upstreams has more retries than the budget: a retry counts for
-// a quarter of the span longer than a first attempt.
+// A retry counts in all windows in which it may arrive: from when it is taken until it is settled, or
+// half of the span after it was lost.
 //
-// The exported fields are set before use. A Window is not safe for concurrent
-// use.
+// The exported fields are set before use. A Window is not safe for concurrent use.
 type Window struct {
-	// Ratio is the number of retries per first attempt, and Spare the fixed
-	// number of further retries.
-	Ratio, Spare float64
-	// Span is the length of the window.
+	// Ratio is the number of retries per request over all processes.
+	Ratio float64
+	// Span is the length of the platform's window.
 	Span time.Duration
-	// SpareFrom is when Spare begins to apply. A process that has just started does not know
-	// what its predecessor spent, so for one Span it has only what its own requests earn.
-	SpareFrom time.Time
+	// Spare is this process's part of the fixed number, which several windows may share.
+	Spare *Spare
 
-	attempts [windowBuckets]float64
+	// attempts and retries are rings by bucket. A retry is in the bucket of the latest time at which
+	// it can have arrived.
+	attempts [attemptBuckets]float64
 	retries  [retryBuckets]float64
+	// inFlight counts the retries that are neither settled nor lost.
+	inFlight float64
 	// newest is the number of the newest bucket, counted from the Unix epoch.
 	newest int64
 }
 
-// RecordFirst records a first attempt.
-func (w *Window) RecordFirst(now time.Time) {
+// RecordFirst records a request, which its caller sent no sooner than at the given time.
+func (w *Window) RecordFirst(now, sent time.Time) {
 	w.advance(now)
-	w.attempts[w.newest%windowBuckets]++
+	if at := w.bucket(sent); at > w.newest-attemptBuckets {
+		w.attempts[min(at, w.newest)%attemptBuckets]++
+	}
 }
 
-// Take takes one retry from the budget and reports whether there was one.
+// Take takes one retry from the budget and reports whether there was one. Each retry that was taken
+// is ended by one of Return, Settle and Lose.
 func (w *Window) Take(now time.Time) bool {
 	if w.Remaining(now) < 1 {
 		return false
 	}
-	w.retries[w.newest%retryBuckets]++
+	w.inFlight++
 	return true
 }
 
-// Remaining returns the number of retries that the budget allows now.
+// Return gives back a retry that was not sent.
+func (w *Window) Return(now time.Time) {
+	w.advance(now)
+	w.inFlight--
+}
+
+// Settle ends a retry that has arrived, since it was answered.
+func (w *Window) Settle(now time.Time) { w.end(now, 0) }
+
+// Lose ends a retry without an answer, which may yet arrive.
+func (w *Window) Lose(now time.Time) { w.end(now, lateBuckets) }
+
+func (w *Window) end(now time.Time, late int64) {
+	w.advance(now)
+	w.inFlight--
+	w.retries[(w.newest+late)%retryBuckets]++
+}
+
+// Remaining returns the number of retries that the budget allows now: the least that is left in any
+// window that a retry may arrive in.
 func (w *Window) Remaining(now time.Time) float64 {
-	f := w.Figures(now)
-	return w.Ratio*f.Attempts + f.Spare - f.Retries
+	w.advance(now)
+	w.Spare.advance(w.newest)
+	// A window that begins in a bucket has, with the one before it, all requests from the following
+	// bucket of the window before on.
+	const firstOffset = 1 + transitBuckets - windowBuckets
+	attempts, retries, least := 0.0, w.inFlight, math.Inf(1)
+	for at := w.newest + lateBuckets + firstOffset + 1; at <= w.newest; at++ {
+		attempts += w.attempts[at%attemptBuckets]
+	}
+	for at := w.newest + lateBuckets; at >= w.newest-windowBuckets; at-- {
+		retries += w.retries[at%retryBuckets]
+		if first := at + firstOffset; first <= w.newest {
+			attempts += w.attempts[first%attemptBuckets]
+		}
+		least = min(least, w.Ratio/2*attempts+w.Spare.at(at)-retries)
+	}
+	return least
 }
 
-// Figures are what a budget is made of at one moment: the first attempts and the retries that
-// count in its window, and the further retries that it allows.
+// Figures are what a budget is made of at one moment: the requests of the window and of the one before
+// it, the retries that may be in the window, and the fixed number for it.
 type Figures struct{ Attempts, Retries, Spare float64 }
 
-// Figures returns what the budget is made of now.
+// Figures returns what the budget is made of now, for the window that ends now.
 func (w *Window) Figures(now time.Time) Figures {
 	w.advance(now)
-	f := Figures{Spare: w.Spare}
-	if now.Before(w.SpareFrom) {
-		f.Spare = 0
-	}
+	w.Spare.advance(w.newest)
+	f := Figures{Retries: w.inFlight, Spare: w.Spare.at(w.newest - windowBuckets)}
 	for _, n := range w.attempts {
 		f.Attempts += n
 	}
@@ -79,12 +126,19 @@
 	return f
 }
 
-// advance empties the buckets that have left the window.
+func (w *Window) bucket(at time.Time) int64 { return bucketOf(at, w.Span) }
+
+func bucketOf(at time.Time, span time.Duration) int64 {
+	return at.UnixNano() / int64(span/windowBuckets)
+}
+
+// advance empties the buckets that have left the windows.
 func (w *Window) advance(now time.Time) {
-	bucket := now.UnixNano() / int64(w.Span/windowBuckets)
-	for n := 0; w.newest < bucket && n < retryBuckets; n++ {
+	bucket := w.bucket(now)
+	w.newest = max(w.newest, bucket-attemptBuckets)
+	for w.newest < bucket {
 		w.newest++
-		w.attempts[w.newest%windowBuckets], w.retries[w.newest%retryBuckets] = 0, 0
+		w.attempts[w.newest%attemptBuckets] = 0
+		w.retries[(w.newest+lateBuckets)%retryBuckets] = 0
 	}
-	w.newest = max(w.newest, bucket)
 }
--- /dev/null
+++ b/core/share/share.go
@@ -0,0 +1,81 @@
+package share
+
+import (
+	"time"
+
+	"radishwell/core"
+)
+
+const (
+	// MaxAge is the age up to which a process uses its part by its list of the processes.
+	MaxAge = 30 * time.Second
+	// joinTime is how long a process that joins waits for those that do not respond. It is longer than
+	// MaxAge by how late a process that stood still may read the list.
+	joinTime = 2 * MaxAge
+)
+
+// Share is one process's part of a whole. Processes that are gone keep counting in it, since they may
+// only be out of touch. The exported fields are set before use. A Share is not safe for concurrent use.
+type Share struct {
+	Self  core.HostName
+	Whole float64
+
+	// others are the other processes that were ever known; true if they count this one, as those do
+	// that joined after it.
+	others map[core.HostName]bool
+	// listed is when the list of the processes last had no newer change, and joined when that was
+	// first so and the list had this process; zero before.
+	listed, joined time.Time
+}
+
+// Count counts another process, whoever named it.
+func (s *Share) Count(other core.HostName) {
+	if other == s.Self || other == "" {
+		return
+	}
+	if s.others == nil {
+		s.others = map[core.HostName]bool{}
+	}
+	if _, ok := s.others[other]; !ok {
+		s.others[other] = !s.joined.IsZero()
+	}
+}
+
+// List records that all processes that had joined by the given time are counted, this one among
+// them.
+func (s *Share) List(at time.Time) {
+	if s.joined.IsZero() {
+		s.joined = at
+	}
+	s.listed = core.Later(s.listed, at)
+}
+
+// Confirm records that another process counts this one.
+func (s *Share) Confirm(other core.HostName) {
+	if _, ok := s.others[other]; ok {
+		s.others[other] = true
+	}
+}
+
+// Uncounted returns the processes that are not known to count this one, in no particular order.
+func (s *Share) Uncounted() []core.HostName {
+	var out []core.HostName
+	for name, counts := range s.others {
+		if !counts {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Part returns this process's part now, zero while others may not count it or it may not know all
+// others.
+func (s *Share) Part(now time.Time) float64 {
+	switch {
+	case s.joined.IsZero(), now.Sub(s.listed) > MaxAge:
+		return 0
+	case now.Sub(s.joined) <= joinTime && len(s.Uncounted()) > 0:
+		return 0
+	}
+	return s.Whole / float64(len(s.others)+1)
+}
--- a/io/deploy/deploy_test.go
+++ b/io/deploy/deploy_test.go
@@ -40,6 +40,9 @@
 	peers     []netip.AddrPort
 	// maxDirect is the number of agents up to which entries poll all agents themselves.
 	maxDirect int
+	// retrySpan and retrySpare are settings of entries; zero means the defaults.
+	retrySpan  time.Duration
+	retrySpare float64
 }
 
 // serve serves a handler on a free port until the test ends.
@@ -95,6 +98,9 @@
 	s.Managed.Enabled, s.Managed.PlainPeers, s.Managed.AgentPort = true, true, f.agentPort
 	s.Managed.StopGrace = 5 * time.Second
 	s.Managed.DirectAgents = f.maxDirect
+	if f.retrySpan > 0 {
+		s.Managed.RetrySpan, s.Managed.RetrySpare = f.retrySpan, f.retrySpare
+	}
 	return s
 }
 
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -13,6 +13,7 @@
 	"radishwell/core/cached"
 	"radishwell/core/fleet"
 	"radishwell/core/follow"
+	"radishwell/core/share"
 	"radishwell/io/config"
 	"radishwell/io/feed"
 	"radishwell/io/httpd"
@@ -26,15 +27,8 @@
 )
 
 const (
-	// spareRetryShare is the fraction of the platform's spare retries that all entries together
-	// use. The platform limits their sum, and for some seconds an entry may know fewer other
-	// entries than there are.
-	spareRetryShare = 0.8
 	// assumedEntries is the assumed number of entries while no other entry is known.
 	assumedEntries = 10
-	// retryRatioShare is the fraction of the platform's retry ratio that is used. The rest is a
-	// margin, since the platform counts the requests of other windows than this process.
-	retryRatioShare = 0.9
 	// drainDelay is how long a stopping entry still accepts requests. The platform's load
 	// balancer needs two failed health checks, a second apart, to send new connections
 	// elsewhere.
@@ -52,7 +46,9 @@
 	planner *planner
 	state   *peer.Store
 	members members
-	feed    *feed.Feed
+	// spare is this entry's part of the spare retries.
+	spare *spareRetries
+	feed  *feed.Feed
 	// cached holds which parts of prompts the engines keep.
 	cached  cached.Book
 	quota   *quota.Quota
@@ -76,10 +72,12 @@
 	s := p.Settings
 	e := &entry{Process: p, recordChanged: make(chan struct{}, 1)}
 	e.buildLinks()
+	e.spare = &spareRetries{entry: e, share: share.Share{Self: s.Name, Whole: s.Managed.RetrySpare}}
+	p.handler.Count = e.spare.serve
 	e.proxy = &proxy.Proxy{
 		Self: s.Name, DataCentre: s.DataCentre, Clock: p.clock, Protocol: protocol, Adapters: e.links, Rooms: rooms{e.links}, Meter: p.meter,
-		RetryRatio: s.Managed.RetryRatio * retryRatioShare, RetrySpare: spareRetries(s.Managed.RetrySpare, 0), RetrySpan: s.Managed.RetrySpan,
-		RetrySpareFrom: p.clock.Now().Add(s.Managed.RetrySpan), TriesParts: e.triesParts, Entries: e.entryCount,
+		RetryRatio: s.Managed.RetryRatio, RetrySpan: s.Managed.RetrySpan, SpareRetries: e.spare.part, TriesParts: e.triesParts,
+		Entries: e.entryCount,
 		MaxHeld: core.Bytes(float64(s.Managed.Memory) * s.Managed.BufferShare),
 	}
 	granting := &trials{entry: e, ended: make(chan *wire.TrialCall, maxTrialEnds)}
@@ -101,7 +99,7 @@
 	e.shareOrigins()
 	p.parts = append(
 		p.parts, e.proxy.Run, e.links.run, e.planner.run, e.planner.loadDemand, e.feed.Run, e.quota.Run, e.maintainRecord, e.orderer.run,
-		e.quarantine.run, granting.run,
+		e.quarantine.run, granting.run, e.spare.run,
 	)
 	p.addServer(&httpd.Server{Address: s.Managed.Readiness, Handler: http.HandlerFunc(e.serveReady)})
 	callers := &httpd.Server{
@@ -190,15 +188,6 @@
 	return c.Allowance, true
 }
 
-// spareRetries returns one entry's share of the spare retries; entries is zero if their
-// number is not known.
-func spareRetries(all float64, entries int) float64 {
-	if entries == 0 {
-		entries = assumedEntries
-	}
-	return all * spareRetryShare / float64(entries)
-}
-
 // serveReady is the health check of the platform's load balancer. It fails while no new
 // connections are wanted.
 func (e *entry) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -47,7 +47,6 @@
 func (l *links) run(ctx context.Context) error {
 	for {
 		l.reconcile(ctx)
-		l.entry.proxy.ShareRetries(spareRetries(l.entry.Settings.Managed.RetrySpare, l.entry.members.count()))
 		if !loop.Sleep(ctx, linkInterval) {
 			return nil
 		}
--- a/io/deploy/members.go
+++ b/io/deploy/members.go
@@ -152,6 +152,21 @@
 	return m.ranked
 }
 
+// addresses returns the addresses of all other entries that are known by name.
+func (m *members) addresses() map[core.HostName]netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[core.HostName]netip.AddrPort, len(m.listed))
+	for at, name := range m.named {
+		out[name] = at
+	}
+	for name, e := range m.listed {
+		out[name] = e.Control
+	}
+	delete(out, m.self.Name)
+	return out
+}
+
 // predecessors returns the other entries that precede this one by rank, in order; false while no
 // records are known.
 func (m *members) predecessors() ([]follow.Member, bool) {
--- a/io/deploy/retry_test.go
+++ b/io/deploy/retry_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -33,3 +35,23 @@
 	}
 	assert.Equal(t, arrived()-before, requests)
 }
+
+// Guards against entries whose parts of the spare retries are together more than the platform allows,
+// and against entries that have none though all others respond.
+func TestEntriesShareSpareRetries(t *testing.T) {
+	f := newFleet(t)
+	f.retrySpan, f.retrySpare = time.Second, 30
+	f.addUpstream(t, 1, stand.Held{Name: "m-1"})
+	var entries []running
+	for n, want := range []string{"30", "15", "10"} {
+		entries = append(entries, f.addEntry(t, fmt.Sprint("edge-", n)))
+		until(t, want+" spare retries for each entry", func() bool {
+			for _, e := range entries {
+				if _, text := get(t, e.operators, "/metrics"); !strings.Contains(text, "radishwell_spare_retries "+want+"\n") {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
--- a/io/peer/calls.go
+++ b/io/peer/calls.go
@@ -65,6 +65,11 @@
 	return call[wire.RoomReply](ctx, c, to, "Room", in)
 }
 
+// Count asks another entry to count this one among those that share a number of the whole fleet.
+func (c *Client) Count(ctx context.Context, to Target, in *wire.CountCall) (*wire.Empty, error) {
+	return call[wire.Empty](ctx, c, to, "Count", in)
+}
+
 // Trial asks the entry that grants trials for one, or reports the end of one.
 func (c *Client) Trial(ctx context.Context, to Target, in *wire.TrialCall) (*wire.TrialReply, error) {
 	return call[wire.TrialReply](ctx, c, to, "Trial", in)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -33,6 +33,7 @@
 	Adapter  func(*wire.AdapterCall) (*wire.AdapterReply, error)
 	Room     func(*wire.RoomCall) (*wire.RoomReply, error)
 	Trial    func(*wire.TrialCall) (*wire.TrialReply, error)
+	Count    func(*wire.CountCall) (*wire.Empty, error)
 	Plan     func(*wire.PlanCall) (*wire.PlanReply, error)
 	Digest   func(*wire.DigestCall) (*wire.DigestReply, error)
 	Allow    func(*wire.AllowanceCall) (*wire.AllowanceReply, error)
@@ -112,6 +113,11 @@
 	return handle("Room", s.handler.Room, c, out)
 }
 
+// Count serves another entry's request to be counted.
+func (s *service) Count(c *wire.CountCall, out *wire.Empty) error {
+	return handle("Count", s.handler.Count, c, out)
+}
+
 // Trial serves another entry's request for a trial, or its report that one has ended.
 func (s *service) Trial(c *wire.TrialCall, out *wire.TrialReply) error {
 	return handle("Trial", s.handler.Trial, c, out)
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -64,12 +64,12 @@
 	TableAge func() time.Duration
 	// Entries, if set, returns the number of entries.
 	Entries func() int
-	// RetryRatio, RetrySpare and RetrySpan are this process's share of the platform's
-	// retry budget for each service.
+	// RetryRatio and RetrySpan are those of the platform's retry budget for each service, and
+	// RetrySpare is this process's part of the spare retries from its start on.
 	RetryRatio, RetrySpare float64
 	RetrySpan              time.Duration
-	// RetrySpareFrom is when RetrySpare begins to apply.
-	RetrySpareFrom time.Time
+	// SpareRetries, if set, returns this process's part of the spare retries now.
+	SpareRetries func(now time.Time) float64
 
 	// MaxHeld bounds the bytes that are held for callers and upstreams; zero means no bound.
 	MaxHeld core.Bytes
@@ -81,6 +81,7 @@
 	view    fleet.View
 	keeper  rtable.Keeper
 	retries map[core.ServiceName]*retry.Window
+	spare   retry.Spare
 	demand  demand.Tracker
 	lengths length.Tracker
 	// book has the strikes against requests, and sharer chooses those for messages.
@@ -120,6 +121,7 @@
 	p.startedAt = p.Clock.Now()
 	p.loaderSeen = p.startedAt
 	p.retries = map[core.ServiceName]*retry.Window{}
+	p.spare = retry.Spare{Span: p.RetrySpan, Initial: p.RetrySpare}
 	p.upstreams.start()
 	p.startWaitingRoom()
 	p.held.account.Bound = p.MaxHeld
@@ -262,31 +264,27 @@
 // Kick wakes the receiver of Waiting.
 func (p *Proxy) Kick() { loop.Wake(p.waiting) }
 
-// ShareRetries sets this process's share of the spare retries, which changes with the
-// number of entries.
-func (p *Proxy) ShareRetries(spare float64) {
+// spareRetries returns this process's part of the spare retries now.
+func (p *Proxy) spareRetries() float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.RetrySpare = spare
-	for _, w := range p.retries {
-		w.Spare = spare
-	}
+	now := p.Clock.Now()
+	p.updateSpare(now)
+	return p.spare.At(now)
 }
 
-func (p *Proxy) spareRetries() float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.Clock.Now().Before(p.RetrySpareFrom) {
-		return 0
+// updateSpare updates this process's part of the spare retries. The caller holds mu.
+func (p *Proxy) updateSpare(now time.Time) {
+	if p.SpareRetries != nil {
+		p.spare.Set(now, p.SpareRetries(now))
 	}
-	return p.RetrySpare
 }
 
 // window returns the retry budget of a service. The caller holds mu.
 func (p *Proxy) window(s core.ServiceName) *retry.Window {
 	w := p.retries[s]
 	if w == nil {
-		w = &retry.Window{Ratio: p.RetryRatio, Spare: p.RetrySpare, Span: p.RetrySpan, SpareFrom: p.RetrySpareFrom}
+		w = &retry.Window{Ratio: p.RetryRatio, Span: p.RetrySpan, Spare: &p.spare}
 		p.retries[s] = w
 	}
 	return w
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -9,7 +9,6 @@
 	"radishwell/core/fleet"
 	"radishwell/core/queue"
 	"radishwell/core/turn"
-	"radishwell/io/events"
 )
 
 const (
@@ -38,7 +37,7 @@
 			case refusal != nil:
 				return nil, refusal
 			case ready && c.stillAvailable(t):
-				return t, c.recharge(ctx, t)
+				return t, c.prepareSend(ctx, t)
 			}
 			c.endTrial()
 		}
@@ -48,6 +47,19 @@
 	}
 }
 
+// prepareSend takes what the send of the request is charged for, just before it is sent, and
+// undoes the choice of its host if it is refused.
+func (c *call) prepareSend(ctx context.Context, t *target) *core.Refusal {
+	if refusal := c.recharge(ctx, t); refusal != nil {
+		return refusal
+	}
+	if c.sends > 0 && !c.takeRetry() {
+		c.abandon(t)
+		return c.giveUp()
+	}
+	return nil
+}
+
 // ensureAdapter loads the adapter if the host lacks it. A host at which that fails is
 // not tried again before the others.
 func (c *call) ensureAdapter(ctx context.Context, t *target, fetch bool) bool {
@@ -168,7 +180,7 @@
 // first. The caller holds the proxy's mu.
 func (c *call) start(now time.Time, choice fleet.Choice) (t *target, fetch bool, refusal *core.Refusal) {
 	p := c.proxy
-	if c.sends > 0 && !c.takeRetry(now) {
+	if c.sends > 0 && !c.mayRetry(now) {
 		return nil, false, c.giveUp()
 	}
 	h := choice.Host
@@ -185,25 +197,6 @@
 	return t, choice.Fetch, nil
 }
 
-// takeRetry takes a further send of the request from the retry budget and reports whether there was
-// one. The caller holds the proxy's mu.
-func (c *call) takeRetry(now time.Time) bool {
-	p := c.proxy
-	w := p.window(c.service.Name)
-	figures := w.Figures(now)
-	taken := w.Take(now)
-	p.Meter.Retry(taken)
-	event := events.RequestRepeated
-	if !taken {
-		event = events.RepeatRefused
-	}
-	events.Log(
-		event, "request", c.ask.ID, "service", c.service.Name, "sends", c.sends, "last-host", c.lastHost, "attempts", figures.Attempts,
-		"retries", figures.Retries, "spare", round(figures.Spare), "process-age", now.Sub(p.startedAt).Round(time.Millisecond),
-	)
-	return taken
-}
-
 // recordChoice records, for the log, the figures behind a choice.
 func (c *call) recordChoice(now time.Time, choice fleet.Choice) {
 	h := choice.Host
