Take no bytes without events for an answer in a stream

An upstream in trouble may send bytes that are no answer without end. Where a stream's events were due, lines without a blank one were kept as one event: the bound of an event was checked only for a line longer than the read buffer, so the entry's memory grew until the request's timeout, and the caller got 504 after 20 s. Blank lines and pieces without a field were passed on as empty events, with status 200, until then.

The bound now holds for whatever is kept, and a piece without an event's field goes with the next event; one that never comes makes the answer spoilt, so the caller gets another host's answer or 502 at once. TestEndlessStreamIsNoAnswer failed for short lines, blank lines and pieces without fields. Heads, whole bodies and rejections without end had their bounds already (TestEndlessHeadIsNoAnswer, TestEndlessBodyIsCutOff, TestEndlessRejectionIsARejection passed before).

--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -62,17 +63,18 @@
 	out := http.NewResponseController(c.writer)
 	defer c.flush(out)
 	var pending []byte
-	id := ""
+	id, whole := "", false
 	resumed := c.started
 	for {
 		line, err := in.ReadSlice('\n')
 		pending = append(pending, line...)
 		c.partialEvent = len(pending)
+		if len(pending) > maxEvent {
+			return &SpoiltError{Reason: "an event is larger than " + strconv.Itoa(maxEvent) + " bytes"}
+		}
+		whole = whole || isEventField(line)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(pending) > maxEvent {
-				return &SpoiltError{Reason: "an event is larger than " + strconv.Itoa(maxEvent) + " bytes"}
-			}
 			continue
 		case errors.Is(err, io.EOF):
 			return c.endStream(ctx, t, resp, pending)
@@ -82,8 +84,8 @@
 		if text, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(text))
 		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
-			continue
+		if !whole || len(bytes.TrimRight(line, "\r\n")) > 0 {
+			continue // what is no event goes with the next one
 		}
 		if resumed && id != "" && !follows(c.lastEventID, id) {
 			return &OrderError{After: c.lastEventID, Got: id}
@@ -97,7 +99,7 @@
 		if id != "" {
 			c.lastEventID = id
 		}
-		pending, id = pending[:0], ""
+		pending, id, whole = pending[:0], "", false
 		c.partialEvent = 0
 		if hasEvent(in) {
 			continue // the event is flushed with the next one, which is buffered
@@ -108,6 +110,15 @@
 	}
 }
 
+// eventFields are the fields without one of which there is no event.
+var eventFields = [][]byte{[]byte("data"), []byte("id"), []byte("event")}
+
+// isEventField reports whether a line of a stream begins with one of the eventFields.
+func isEventField(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	return slices.ContainsFunc(eventFields, func(f []byte) bool { return bytes.Equal(bytes.TrimRight(name, "\r\n"), f) })
+}
+
 // endStream ends a stream that the upstream has ended. rest is what came after its last whole
 // event. It returns an error if the stream may not be passed on as complete.
 func (c *call) endStream(ctx context.Context, t *target, resp *http.Response, rest []byte) error {
