Bound what an engine's report, its response to an order and their heads may take

A report or a response to an order without end took the agent's memory and time until its call was cancelled. The heads of responses of engines and of the platform are bounded at 64 KiB, as those of answers are, instead of 10 MB.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -34,6 +34,11 @@
 	// connection that the server is closing.
 	idleTimeout  = 10 * time.Second
 	maxIdleConns = 256
+	// maxHeader, maxState and maxOrderAnswer bound the head of a response, a state report and the
+	// response to an order, in bytes.
+	maxHeader      = 64 << 10
+	maxState       = 4 << 20
+	maxOrderAnswer = 64 << 10
 )
 
 // Header names of requests to an engine.
@@ -64,11 +69,12 @@
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
 	return &Client{Address: address, TLS: conf, dialer: dialer, transport: &http.Transport{
-		DialContext:         dialer.dial,
-		TLSClientConfig:     conf,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            dialer.dial,
+		TLSClientConfig:        conf,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeader,
 	}}
 }
 
@@ -103,7 +109,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return st, &core.EngineError{Fault: core.EngineRejected, Status: resp.StatusCode}
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&st); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxState)).Decode(&st); err != nil {
 		return st, &core.EngineError{Fault: core.EngineLost, Cause: err}
 	}
 	return st, nil
@@ -143,7 +149,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, resp.Body)
+	_, _ = io.CopyN(io.Discard, resp.Body, maxOrderAnswer)
 	return orderError(resp.StatusCode)
 }
 
--- a/io/objapi/trans.go
+++ b/io/objapi/trans.go
@@ -20,6 +20,8 @@
 	unackedTimeout    = 3 * time.Second
 	idleTimeout       = 90 * time.Second
 	maxIdlePerHost    = 8
+	// maxHeader bounds the head of a response, in bytes.
+	maxHeader = 64 << 10
 )
 
 // tcpUserTimeout is the number of Linux's socket option TCP_USER_TIMEOUT (RFC 5482), for
@@ -40,11 +42,12 @@
 		Control: LimitUnacked,
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		TLSClientConfig:     conf,
-		TLSHandshakeTimeout: dialTimeout,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
+		DialContext:            dialer.DialContext,
+		TLSClientConfig:        conf,
+		TLSHandshakeTimeout:    dialTimeout,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeader,
 	}
 }
 
