--- a/core/retry/fleet_test.go
+++ b/core/retry/fleet_test.go
@@ -57,6 +57,10 @@
 	joined  int
 	// load is the present multiple of the rate, failing the part of requests that are retried.
 	load, failing float64
+	// failsAt, if set, reports whether requests fail at an entry. once is set if a request is repeated
+	// once instead of four times.
+	failsAt       func(*fleetEntry) bool
+	once          bool
 	events        eventq.Queue[func(now time.Time)]
 	sent, repeats []time.Time
 	wanted, made  int
@@ -123,11 +127,14 @@
 		noSooner = sent // the process knows since when it stood still
 	}
 	e.budget.recordFirst(now, noSooner)
-	if p.rng.Float64() >= p.failing {
+	if p.rng.Float64() >= p.failing || p.failsAt != nil && !p.failsAt(e) {
 		return
 	}
-	for range 4 {
-		p.repeat(now, e)
+	p.repeat(now, e)
+	for range 3 {
+		if !p.once {
+			p.repeat(now, e)
+		}
 	}
 }
 
@@ -251,6 +258,11 @@
 	p.every(now, 100*time.Millisecond, p.meet)
 	p.every(now.Add(12*time.Second), 24*time.Second, p.storm)
 	p.arrivals(now)
+	p.play()
+}
+
+// play plays all events.
+func (p *fleetPlay) play() {
 	for p.events.Len() > 0 {
 		at, do := p.events.Pop()
 		do(at)
