Count repeats against the budget in the soak, as the platform does

The soak counted runs, crashes and refusals, and no check looked at the repeats of all entries together.

--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -115,6 +115,7 @@
 	report.Breaches = append(check(c.results, ran), cutByStop(c.results, steps, ran)...)
 	report.Breaches = append(report.Breaches, overAllowance(c.results, ran)...)
 	report.Breaches = append(report.Breaches, denied(c.results)...)
+	report.Breaches = append(report.Breaches, t.overRetryBudgets(c.start, c.results)...)
 	checker := &signalChecker{start: c.start, steps: steps, results: map[string]*Result{}}
 	for i := range c.results {
 		checker.results[c.results[i].ID] = &c.results[i]
--- a/io/soak/testbed.go
+++ b/io/soak/testbed.go
@@ -264,7 +264,7 @@
 		"listen":   map[string]string{"control": at[0].String(), "callers": at[1].String(), "operators": at[2].String()},
 		"platform": map[string]any{"urls": []string{"http://" + store.String()}},
 		"peers":    seeds,
-		"managed":  map[string]any{"enabled": true, "plain-peers": true, "readiness": at[3].String(), "agent-port": agentPort, "stop-grace": "3s", "direct-agents": t.maxDirect, "quota-ratio": 0, "quota-slack": limitedSlack, "memory": entryMemory, "buffer-share": bufferShare},
+		"managed":  map[string]any{"enabled": true, "plain-peers": true, "readiness": at[3].String(), "agent-port": agentPort, "stop-grace": "3s", "direct-agents": t.maxDirect, "quota-ratio": 0, "quota-slack": limitedSlack, "retry-ratio": retryRatio, "retry-spare": retrySpare, "retry-span": retrySpan.String(), "memory": entryMemory, "buffer-share": bufferShare},
 	})
 	t.entries = append(t.entries, p)
 	t.entryAddrs = append(t.entryAddrs, at[1])
