Lend retries to entries that have used up their parts

A lender takes them from its own window, no more than half of what is left, and counts them as lost: they may arrive until half a span after the second in which the borrower has to send them.

--- a/core/manage.go
+++ b/core/manage.go
@@ -192,6 +192,13 @@
 	End(keys []string, upstream HostName)
 }
 
+// RetryLenders are other entries that lend retries of their parts of the retry budget.
+type RetryLenders interface {
+	// Borrow asks for n retries of a service, and returns how many are lent. They end
+	// retry.LoanTime after the call began.
+	Borrow(ctx context.Context, service ServiceName, n int) int
+}
+
 // CachedMark is a place in an engine's account of what it keeps. The zero CachedMark is the beginning.
 type CachedMark struct {
 	// Epoch identifies the account, which begins anew with each of the engine's incarnations.
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -8,9 +8,12 @@
 const (
 	// windowBuckets is the number of buckets into which a Window divides its span.
 	windowBuckets = 100
+	// loanBuckets is the number of buckets within which a process sends the retries that another
+	// lent it.
+	loanBuckets = windowBuckets / 10
 	// lateBuckets is how many buckets later than it was taken a retry without an answer may
-	// arrive.
-	lateBuckets = windowBuckets / 2
+	// arrive: half of the span after it was sent.
+	lateBuckets = windowBuckets/2 + loanBuckets
 	// transitBuckets is how many buckets after it was sent a request may be recorded.
 	transitBuckets = 2
 	// attemptBuckets and retryBuckets are the numbers of buckets kept.
@@ -29,7 +32,8 @@
 // was paid from requests that the new one has not seen.
 //
 // A retry counts in all windows in which it may arrive: from when it is taken until it is settled, or
-// half of the span after it was lost.
+// for more than half of the span after it was lost. What a process does not need it may lend, so that
+// failures at few processes can use what is earned at all.
 //
 // The exported fields are set before use. A Window is not safe for concurrent use.
 type Window struct {
@@ -80,6 +84,20 @@
 // Lose ends a retry without an answer, which may yet arrive.
 func (w *Window) Lose(now time.Time) { w.end(now, lateBuckets) }
 
+// Lend takes up to n retries, but no more than half of what is left, for another process, which
+// sends them within LoanTime of its ask. It returns how many.
+func (w *Window) Lend(now time.Time, n int) int {
+	lent := 0
+	for most := min(n, int(w.Remaining(now)/2)); lent < most && w.Take(now); lent++ {
+		w.Lose(now)
+	}
+	return lent
+}
+
+// LoanTime returns how long after it asked for them a process may send the retries that another lent it,
+// given the span of the platform's window.
+func LoanTime(span time.Duration) time.Duration { return span * loanBuckets / windowBuckets }
+
 func (w *Window) end(now time.Time, late int64) {
 	w.advance(now)
 	w.inFlight--
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -73,11 +73,11 @@
 	e := &entry{Process: p, recordChanged: make(chan struct{}, 1)}
 	e.buildLinks()
 	e.spare = &spareRetries{entry: e, share: share.Share{Self: s.Name, Whole: s.Managed.RetrySpare}}
-	p.handler.Count = e.spare.serve
+	p.handler.Count, p.handler.Lend = e.spare.serve, e.serveLend
 	e.proxy = &proxy.Proxy{
 		Self: s.Name, DataCentre: s.DataCentre, Clock: p.clock, Protocol: protocol, Adapters: e.links, Rooms: rooms{e.links}, Meter: p.meter,
-		RetryRatio: s.Managed.RetryRatio, RetrySpan: s.Managed.RetrySpan, SpareRetries: e.spare.part, TriesParts: e.triesParts,
-		Entries: e.entryCount,
+		RetryRatio: s.Managed.RetryRatio, RetrySpan: s.Managed.RetrySpan, SpareRetries: e.spare.part, Lenders: lenders{e},
+		TriesParts: e.triesParts, Entries: e.entryCount,
 		MaxHeld: core.Bytes(float64(s.Managed.Memory) * s.Managed.BufferShare),
 	}
 	granting := &trials{entry: e, ended: make(chan *wire.TrialCall, maxTrialEnds)}
--- a/io/deploy/retry_test.go
+++ b/io/deploy/retry_test.go
@@ -55,3 +55,27 @@
 		})
 	}
 }
+
+// Guards against failures at one entry that use its own part of the retry budget only, while the parts
+// of the others are not used.
+func TestEntryBorrowsRetries(t *testing.T) {
+	f := newFleet(t)
+	f.retrySpan, f.retrySpare = time.Second, 30
+	for n := range 2 {
+		f.addUpstream(t, n+1, stand.Held{Name: "m-1"}).SetFault(stand.Shed)
+	}
+	failing, idle := f.addEntry(t, "edge-1"), f.addEntry(t, "edge-2")
+	failing.waitReady(t)
+	until(t, "the idle entry has a part of the spare retries", func() bool {
+		_, text := get(t, idle.operators, "/metrics")
+		return strings.Contains(text, "radishwell_spare_retries 15\n")
+	})
+	n := 0
+	until(t, "the failing entry has borrowed", func() bool {
+		n++
+		status, _ := sendChat(t, failing, fmt.Sprint("q-", n), "m-1")
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		_, text := get(t, failing.operators, "/metrics")
+		return strings.Contains(text, "radishwell_retries_borrowed_total")
+	})
+}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -92,6 +92,13 @@
 	m.count(nameRetries, "result", label).Inc()
 }
 
+// RetriesBorrowed counts retries that another entry lent.
+func (m *Meter) RetriesBorrowed(n int) {
+	if m != nil {
+		m.count(nameBorrowed).Add(n)
+	}
+}
+
 // Send counts a request that an upstream may have received. repeat is set if another send of the
 // same request came before it.
 func (m *Meter) Send(repeat bool) {
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -67,6 +67,7 @@
 	m.SpareRetries(func() float64 { return 1 })
 	m.SlowCallerEnded()
 	m.Send(true)
+	m.RetriesBorrowed(3)
 	m.Turn(meter.TurnHeld, 200*time.Millisecond)
 	m.Foresight(time.Second, 1200*time.Millisecond)
 	m.AnswerLength(200, 150)
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -38,6 +38,7 @@
 	nameBusy             = "radishwell_accelerator_busy_seconds_total"
 	nameRetries          = "radishwell_retries_total"
 	nameSends            = "radishwell_upstream_sends_total"
+	nameBorrowed         = "radishwell_retries_borrowed_total"
 	nameSpareRetries     = "radishwell_spare_retries"
 	nameAnswers          = "radishwell_upstream_answers_total"
 	nameContinued        = "radishwell_streams_continued_total"
@@ -88,6 +89,7 @@
 	{nameBusy, Counter, nil, "seconds", "Accelerator time with requests running."},
 	{nameRetries, Counter, []string{"result"}, "", "Retries that were made or that the retry budget refused."},
 	{nameSends, Counter, []string{"kind"}, "", "Requests that upstreams may have received: the first send of each, and repeats."},
+	{nameBorrowed, Counter, nil, "", "Retries that other entries lent this one from their parts of the retry budget."},
 	{nameSpareRetries, Gauge, nil, "", "Retries for each service that this process may make beside those that its requests earn."},
 	{nameAnswers, Counter, []string{"framing", "end"}, "", "Answers of upstreams, by how they show their end (length, chunks, or none but that of the connection) and by whether they arrived whole."},
 	{nameContinued, Counter, []string{"by", "software"}, "", "Streams that went on at an upstream host, by who asked for it (the entry or the caller) and by whether the host has the software version that began the stream: same, other or unknown."},
--- a/io/peer/calls.go
+++ b/io/peer/calls.go
@@ -70,6 +70,11 @@
 	return call[wire.Empty](ctx, c, to, "Count", in)
 }
 
+// Lend asks another entry for retries from its part of a service's retry budget.
+func (c *Client) Lend(ctx context.Context, to Target, in *wire.LendCall) (*wire.LendReply, error) {
+	return call[wire.LendReply](ctx, c, to, "Lend", in)
+}
+
 // Trial asks the entry that grants trials for one, or reports the end of one.
 func (c *Client) Trial(ctx context.Context, to Target, in *wire.TrialCall) (*wire.TrialReply, error) {
 	return call[wire.TrialReply](ctx, c, to, "Trial", in)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -34,6 +34,7 @@
 	Room     func(*wire.RoomCall) (*wire.RoomReply, error)
 	Trial    func(*wire.TrialCall) (*wire.TrialReply, error)
 	Count    func(*wire.CountCall) (*wire.Empty, error)
+	Lend     func(*wire.LendCall) (*wire.LendReply, error)
 	Plan     func(*wire.PlanCall) (*wire.PlanReply, error)
 	Digest   func(*wire.DigestCall) (*wire.DigestReply, error)
 	Allow    func(*wire.AllowanceCall) (*wire.AllowanceReply, error)
@@ -118,6 +119,11 @@
 	return handle("Count", s.handler.Count, c, out)
 }
 
+// Lend serves another entry's request for retries.
+func (s *service) Lend(c *wire.LendCall, out *wire.LendReply) error {
+	return handle("Lend", s.handler.Lend, c, out)
+}
+
 // Trial serves another entry's request for a trial, or its report that one has ended.
 func (s *service) Trial(c *wire.TrialCall, out *wire.TrialReply) error {
 	return handle("Trial", s.handler.Trial, c, out)
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -77,7 +77,8 @@
 	// sends counts the hosts that received any part of the request, ran those that may
 	// have run it.
 	sends, ran int
-	// retrying is set while a send of the request is taken from the retry budget and not ended.
+	// retrying is set while a send of the request is taken from the process's own retry budget and not
+	// ended.
 	retrying bool
 	// The fields from here to longestPause are written to the log line; some are used
 	// elsewhere, too. lastErr and lastHost are the error and the host of the last
@@ -304,7 +305,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	p.window(c.service.Name).RecordFirst(now, c.arrived)
+	p.budget(c.service.Name).window.RecordFirst(now, c.arrived)
 	if p.ranks[c.service.Name] == nil {
 		p.ranks[c.service.Name] = &turn.Ranks{}
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -68,6 +68,8 @@
 	// RetrySpare is this process's part of the spare retries from its start on.
 	RetryRatio, RetrySpare float64
 	RetrySpan              time.Duration
+	// Lenders lends retries of other entries' parts of the budget; nil if there are none.
+	Lenders core.RetryLenders
 	// SpareRetries, if set, returns this process's part of the spare retries now.
 	SpareRetries func(now time.Time) float64
 
@@ -80,7 +82,7 @@
 	mu      sync.Mutex
 	view    fleet.View
 	keeper  rtable.Keeper
-	retries map[core.ServiceName]*retry.Window
+	retries map[core.ServiceName]*retryBudget
 	spare   retry.Spare
 	demand  demand.Tracker
 	lengths length.Tracker
@@ -120,7 +122,7 @@
 	p.unknownFields = map[string]bool{}
 	p.startedAt = p.Clock.Now()
 	p.loaderSeen = p.startedAt
-	p.retries = map[core.ServiceName]*retry.Window{}
+	p.retries = map[core.ServiceName]*retryBudget{}
 	p.spare = retry.Spare{Span: p.RetrySpan, Initial: p.RetrySpare}
 	p.upstreams.start()
 	p.startWaitingRoom()
@@ -280,16 +282,6 @@
 	}
 }
 
-// window returns the retry budget of a service. The caller holds mu.
-func (p *Proxy) window(s core.ServiceName) *retry.Window {
-	w := p.retries[s]
-	if w == nil {
-		w = &retry.Window{Ratio: p.RetryRatio, Span: p.RetrySpan, Spare: &p.spare}
-		p.retries[s] = w
-	}
-	return w
-}
-
 // target is the host that an attempt is sent to.
 type target struct {
 	id core.HostName
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -53,7 +53,7 @@
 	if refusal := c.recharge(ctx, t); refusal != nil {
 		return refusal
 	}
-	if c.sends > 0 && !c.takeRetry() {
+	if c.sends > 0 && !c.takeRetry(ctx) {
 		c.abandon(t)
 		return c.giveUp()
 	}
