Count requests that were sent while an entry stood still in the windows of that time

An entry that was frozen reads what came meanwhile when it runs again, and counted it as sent then: up to the length of the freeze later than the platform does, so requests of an earlier window paid retries of a later one. Requests that are read after a standstill now count from its beginning.

--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -305,7 +305,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	p.budget(c.service.Name).window.RecordFirst(now, c.arrived)
+	p.budget(c.service.Name).window.RecordFirst(now, core.Earlier(c.arrived, p.standstill.SentSince(c.arrived)))
 	if p.ranks[c.service.Name] == nil {
 		p.ranks[c.service.Name] = &turn.Ranks{}
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -84,8 +84,10 @@
 	keeper  rtable.Keeper
 	retries map[core.ServiceName]*retryBudget
 	spare   retry.Spare
-	demand  demand.Tracker
-	lengths length.Tracker
+	// standstill tells when requests that are read now may have been sent.
+	standstill retry.Standstill
+	demand     demand.Tracker
+	lengths    length.Tracker
 	// book has the strikes against requests, and sharer chooses those for messages.
 	book   strike.Book
 	sharer strike.Sharer
--- a/io/proxy/silent.go
+++ b/io/proxy/silent.go
@@ -124,6 +124,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
+	p.standstill.Run(now)
 	for w := range p.streams {
 		silent := now.Sub(time.Unix(0, w.lastEvent.Load())) >= w.timeout
 		if !silent || !w.host.Silent(p.view.ReferenceTime(now)) {
