Count the time in which a machine was suspended

The steady clock leaves out the time in which a machine is suspended. An entry that wakes took its last 10 s for those of the platform, so requests of up to twice the window paid retries, and took what others had left with it for a time, such as their parts of customers' allowances and of rate limits, for still its own. TestClockCountsSuspension.

--- a/io/deploy/process.go
+++ b/io/deploy/process.go
@@ -27,14 +27,6 @@
 // The rest is for stacks, the C library and socket buffers.
 const memoryShare = 0.7
 
-// Clock is a monotonic clock that starts at the wall-clock time of the process start. It
-// does not follow later steps of the wall clock, which would shorten or extend all
-// timeouts.
-type Clock struct{ start time.Time }
-
-// Now implements core.Clock.
-func (c Clock) Now() time.Time { return c.start.Add(time.Since(c.start)) }
-
 // Process is one process of a managed platform. Set the exported fields before
 // Run.
 type Process struct {
@@ -71,7 +63,7 @@
 	if err := control.Listen(); err != nil {
 		return oops.In("deploy").With("address", control.Address).Wrapf(err, "listen")
 	}
-	p.parts = append(p.parts, control.Run, p.reload)
+	p.parts = append(p.parts, control.Run, p.reload, p.clock.run)
 	for _, s := range p.servers {
 		if err := s.Listen(); err != nil {
 			return err
@@ -83,7 +75,7 @@
 // prepare sets the limits of the Go runtime and builds what entries and agents have in
 // common.
 func (p *Process) prepare() {
-	p.clock = Clock{start: time.Now()}
+	p.clock = newClock()
 	p.meter = meter.New()
 	m := p.Settings.Managed
 	runtime.GOMAXPROCS(m.Cores)
