--- a/io/deploy/links_test.go
+++ b/io/deploy/links_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -19,7 +18,7 @@
 // while the goroutine of the links created it. On a busy machine the race detector aborted
 // one start in some dozens.
 func TestLinksExistBeforeRun(t *testing.T) {
-	e := &entry{Process: &Process{clock: Clock{start: time.Now()}}, proxy: &proxy.Proxy{Clock: Clock{start: time.Now()}}}
+	e := &entry{Process: &Process{clock: newClock()}, proxy: &proxy.Proxy{Clock: newClock()}}
 	e.proxy.Start()
 	e.buildLinks()
 	ctx, stop := context.WithCancel(t.Context())
--- a/io/deploy/outage_test.go
+++ b/io/deploy/outage_test.go
@@ -18,7 +18,7 @@
 // another entry has just reported a response of the store.
 func afterFailedRead(t *testing.T, reported bool) *fleet.Host {
 	t.Helper()
-	clock := Clock{start: time.Now()}
+	clock := newClock()
 	e := &entry{
 		Process: &Process{clock: clock}, proxy: &proxy.Proxy{Clock: clock},
 		state: &peer.Store{Kinds: []core.Kind{core.KindRegistry}, Clock: clock},
@@ -52,7 +52,7 @@
 
 // Guards against taking entries that a restored store lacks for hosts that were removed.
 func TestEntryLostInRestoreIsNoRemoval(t *testing.T) {
-	clock := Clock{start: time.Now()}
+	clock := newClock()
 	e := &entry{Process: &Process{clock: clock}, proxy: &proxy.Proxy{Clock: clock}}
 	e.proxy.Start()
 	host := core.Object{
--- a/io/deploy/retry_test.go
+++ b/io/deploy/retry_test.go
@@ -34,6 +34,8 @@
 		assert.Equal(t, status, http.StatusServiceUnavailable)
 	}
 	assert.Equal(t, arrived()-before, requests)
+	_, text := get(t, e.operators, "/metrics")
+	assert.Assert(t, strings.Contains(text, fmt.Sprintf("radishwell_upstream_sends_total{kind=\"first\"} %d\n", arrived())), text)
 }
 
 // Guards against entries whose parts of the spare retries are together more than the platform allows,
--- a/io/node/fleet_test.go
+++ b/io/node/fleet_test.go
@@ -313,7 +313,8 @@
 	absent := map[string]bool{
 		"radishwell_silent_connections_total": true, "radishwell_strikes_total": true, "radishwell_claims_total": true,
 		"radishwell_retries_total": true, "radishwell_unloads_total": true,
-		// Set on a managed platform only; the tests of limits, of versions and of parts in io/deploy check them.
+		// Set on a managed platform only; the tests of limits, of retries, of versions and of parts in io/deploy check them.
+		"radishwell_upstream_sends_total": true, "radishwell_retries_borrowed_total": true, "radishwell_spare_retries": true,
 		"radishwell_upstream_signal_sends_total": true, "radishwell_limited_upstreams": true, "radishwell_streams_continued_total": true,
 		"radishwell_refused_parts": true, "radishwell_refused_connections_total": true,
 		// Set on a managed platform only; io/meter checks them.
