Keep the proxy's forecasts apart from the feed's

The planner hands one map of forecasts to the proxy and to the feed; a reply that the feed applies writes to it while the proxy reads it under another lock. Without the detector such a write may end the process. The proxy now keeps a copy.

--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -199,7 +200,7 @@
 func (p *Proxy) SetForecasts(ready map[core.ModelName]time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.forecasts = ready
+	p.forecasts = maps.Clone(ready) // the caller keeps changing its map
 	p.wake()
 }
 
