Test that the proxy keeps its forecasts when the feed changes its own

A caller that left its model's forecast to another goroutine got another answer: with the map shared again, the subtest gets 200 instead of 503 with the time of return. The comment now names who changes the map.

--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -200,7 +200,7 @@
 func (p *Proxy) SetForecasts(ready map[core.ModelName]time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.forecasts = maps.Clone(ready) // the caller keeps changing its map
+	p.forecasts = maps.Clone(ready) // the feed has the same map and changes it
 	p.wake()
 }
 
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -581,7 +581,9 @@
 		table.Match("a.example", "/stream/x").SilenceTimeout = 4 * time.Second
 		r.Offer(table)
 		w := empty(t, r)
-		r.SetForecasts(map[core.ModelName]time.Time{"m": time.Now().Add(6 * time.Second)})
+		forecasts := map[core.ModelName]time.Time{"m": time.Now().Add(6 * time.Second)}
+		r.SetForecasts(forecasts)
+		delete(forecasts, "m") // guards against forecasts that another goroutine changes meanwhile
 		a := do(t, stream(r, "q"))
 		wantStatus(t, a, http.StatusServiceUnavailable)
 		back, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
