Call other entries within a time limit in one place

Asks for trials, for retries and to be counted each had the same bounded call with its log line. One function serves them; an ask to be counted that is cut by the process's end is no longer logged as a peer that cannot be reached, like the other two.

--- a/io/deploy/lend.go
+++ b/io/deploy/lend.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"radishwell/core"
-	"radishwell/io/events"
 	"radishwell/io/peer"
 	"radishwell/wire"
 )
@@ -29,17 +28,14 @@
 // Borrow implements core.RetryLenders.
 func (l lenders) Borrow(ctx context.Context, service core.ServiceName, n int) int {
 	for _, to := range l.choose() {
-		bounded, stop := context.WithTimeout(ctx, lendCallTimeout)
-		reply, err := l.entry.client.Lend(bounded, to, &wire.LendCall{Service: string(service), Retries: uint32(n)})
-		stop()
-		if err == nil && reply.GetRetries() > 0 {
-			return min(n, int(reply.GetRetries()))
-		}
-		if ctx.Err() != nil {
-			return 0
-		}
-		if err != nil {
-			events.Fail(events.PeerUnreachable, err, "address", to.Address)
+		lent := 0
+		callWithin(ctx, lendCallTimeout, to, func(ctx context.Context) error {
+			reply, err := l.entry.client.Lend(ctx, to, &wire.LendCall{Service: string(service), Retries: uint32(n)})
+			lent = min(n, int(reply.GetRetries()))
+			return err
+		})
+		if lent > 0 || ctx.Err() != nil {
+			return lent
 		}
 	}
 	return 0
--- a/io/deploy/spare.go
+++ b/io/deploy/spare.go
@@ -7,7 +7,6 @@
 
 	"radishwell/core"
 	"radishwell/core/share"
-	"radishwell/io/events"
 	"radishwell/io/loop"
 	"radishwell/io/peer"
 	"radishwell/wire"
@@ -102,10 +101,11 @@
 }
 
 func (s *spareRetries) ask(ctx context.Context, to peer.Target) {
-	ctx, stop := context.WithTimeout(ctx, countTimeout)
-	defer stop()
-	if _, err := s.entry.client.Count(ctx, to, &wire.CountCall{Entry: string(s.entry.Settings.Name)}); err != nil {
-		events.Fail(events.PeerUnreachable, err, "address", to.Address)
+	counted := callWithin(ctx, countTimeout, to, func(ctx context.Context) error {
+		_, err := s.entry.client.Count(ctx, to, &wire.CountCall{Entry: string(s.share.Self)})
+		return err
+	})
+	if !counted {
 		return
 	}
 	s.mu.Lock()
--- a/io/deploy/trials.go
+++ b/io/deploy/trials.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"radishwell/core"
-	"radishwell/io/events"
 	"radishwell/io/peer"
 	"radishwell/wire"
 )
@@ -65,18 +64,20 @@
 		c.Strikes, c.Parts = e.nextStrikes(), e.nextParts()
 	}
 	for _, m := range before[:min(len(before), maxTrialKeepers)] {
-		bounded, stop := context.WithTimeout(ctx, trialCallTimeout)
-		reply, err := e.client.Trial(bounded, peer.Target{Host: m.Name, Address: m.Control}, c)
-		stop()
+		to := peer.Target{Host: m.Name, Address: m.Control}
+		var reply *wire.TrialReply
+		answered := callWithin(ctx, trialCallTimeout, to, func(ctx context.Context) (err error) {
+			reply, err = e.client.Trial(ctx, to, c)
+			return err
+		})
 		switch {
-		case err == nil:
+		case answered:
 			e.joinStrikes(reply.GetStrikes())
 			e.joinParts(reply.GetParts())
 			return reply.GetGranted()
 		case ctx.Err() != nil:
 			return false
 		}
-		events.Fail(events.PeerUnreachable, err, "address", m.Control)
 	}
 	return t.apply(c)
 }
