Log and count what an entry that lacks a routing table waits for

Callers saw requests served by a table that six newer ones had replaced.

New: table-lacks and table-lacks-for on a request's line, RW1615 for each table that reaches an entry (its way, and the ages of its steps), exchange-age, exchanges-failed and the download in progress on RW1611, the version on RW1821, radishwell_replica_arrival_seconds. No logic changes.

--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -171,6 +171,7 @@
 	e.handler.Allow = e.quota.Serve
 	e.proxy.Quotas, e.proxy.Pacer = e.quota, e.quota
 	e.proxy.TableAge = func() time.Duration { return stale.Age(e.state, core.KindTable) }
+	e.proxy.Missing = func() (core.Version, time.Duration) { return e.state.Missing(core.KindTable) }
 	e.proxy.Behind = func() bool {
 		return e.state.Lag(core.KindTable) > 0 || stale.IsOlder(e.state, core.KindTable, m.ApplyTime-applyMargin)
 	}
--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -113,11 +113,13 @@
 	}
 	began := e.clock.Now()
 	table, err := plat.DecodeTable(o.Spec)
-	events.Log(events.TableDecoded, "revision", o.Version, "bytes", len(o.Spec), "took", e.clock.Now().Sub(began))
+	pairs := []any{"revision", o.Version, "bytes", len(o.Spec), "took", e.clock.Now().Sub(began)}
 	if err != nil {
+		events.Log(events.TableDecoded, pairs...)
 		events.Fail(events.TableRejected, err, "revision", o.Version)
 		return
 	}
+	events.Log(events.TableDecoded, append(pairs, "version", table.Version)...)
 	e.proxy.Offer(table)
 }
 
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -82,6 +82,7 @@
 	ReplicaCaughtUp
 	ListOlder
 	StoreRestored
+	ChangeArrived
 
 	CertificateLoaded
 	CertificateInvalid
@@ -219,6 +220,7 @@
 	{Event: ReplicaCaughtUp, Name: "replica-caught-up", Severity: Info, Text: "Replica has received the change that it lacked", Advice: noAction},
 	{Event: ListOlder, Name: "list-older", Severity: Warning, Sampled: true, Text: "Platform listed an older state than the replica holds", Advice: "Nothing if it happens once. If it recurs, the platform has lost changes that it had acknowledged: look for store-restored."},
 	{Event: StoreRestored, Name: "store-restored", Severity: Warning, Text: "Platform's store has been restored from a copy; what was written since the copy is lost", Advice: "Check that operators' latest changes are in the store."},
+	{Event: ChangeArrived, Name: "change-arrived", Severity: Info, Text: "Change has reached the replica", Advice: "If its ages are over a second, they tell which step took long: until a peer named it, until it was offered for download, its turn, its transfer."},
 
 	{Event: CertificateLoaded, Name: "certificate-loaded", Severity: Info, Text: "TLS files are in use", Advice: noAction},
 	{Event: CertificateInvalid, Name: "certificate-invalid", Severity: Error, Text: "Changed TLS files cannot be used; the previous ones stay in use", Advice: "Fix the files. Replace all of them before the old certificate expires."},
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -264,6 +264,14 @@
 	}
 }
 
+// ReplicaArrival records the time from when another process first named a change that the replica
+// of a kind lacked until it arrived, and the way on which it came.
+func (m *Meter) ReplicaArrival(k core.Kind, way string, named, arrived time.Time) {
+	if m != nil {
+		m.observe(nameReplicaArrival, shortBounds, named, arrived, "kind", string(k), "way", way)
+	}
+}
+
 // ConnectionRefused counts a caller's connection that was closed unread.
 func (m *Meter) ConnectionRefused(reason string) {
 	if m != nil {
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -78,6 +78,7 @@
 	m.ConnectionRefused("busy")
 	m.ReplicaLag(core.KindTable, func() time.Duration { return 2 * time.Second })
 	m.ReplicaAge(core.KindTable, func() time.Duration { return time.Second })
+	m.ReplicaArrival(core.KindTable, "download", began, after(2*time.Second))
 	m.UpstreamAnswer(core.Unframed, false)
 	m.StreamContinued(true, core.SoftwareSame)
 	m.AnswerBytes(120)
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -74,6 +74,7 @@
 	nameEnginePace       = "radishwell_engine_event_seconds"
 	nameReplicaLag       = "radishwell_replica_lag_seconds"
 	nameReplicaAge       = "radishwell_replica_age_seconds"
+	nameReplicaArrival   = "radishwell_replica_arrival_seconds"
 )
 
 var table = []Row{
@@ -125,6 +126,7 @@
 	{nameEnginePace, Gauge, []string{"while"}, "seconds", "Time between two events of a stream, as the agent measures it while the engine reads prompts or is quiet; zero while unknown."},
 	{nameReplicaLag, Gauge, []string{"kind"}, "seconds", "Time for which the replica of a kind has lacked the oldest missing change that another process reported; zero if it lacks none."},
 	{nameReplicaAge, Gauge, []string{"kind"}, "seconds", "Time since the platform last confirmed that the replica of a kind is complete; negative if there was no confirmation."},
+	{nameReplicaArrival, Histogram, []string{"kind", "way"}, "seconds", "Time from when another process first named a change that the replica of a kind lacked until it arrived; zero if no process had."},
 }
 
 // Rows returns the table of all metrics.
--- a/io/peer/fetch.go
+++ b/io/peer/fetch.go
@@ -8,6 +8,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -46,6 +47,11 @@
 	version core.Version
 }
 
+// String returns the payload's name in logs.
+func (id payloadID) String() string {
+	return string(id.kind) + "/" + id.name + "@" + strconv.FormatUint(uint64(id.version), 10)
+}
+
 // download is a payload that is being downloaded.
 type download struct {
 	id payloadID
@@ -57,6 +63,8 @@
 	total, sum uint64
 	// sources are the peers that offered the payload, in the order in which they are asked.
 	sources []Target
+	// offered is when a peer first offered the payload, began when its first part was requested.
+	offered, began time.Time
 	// expires is when the download is abandoned.
 	expires time.Time
 }
@@ -110,7 +118,7 @@
 		return
 	}
 	if s.fillOmitted(from, kind, delta.Objects, d.GetItems()) {
-		s.join(kind, delta)
+		s.join(kind, delta, Arrival{Way: WayExchange, From: from.Host})
 		return
 	}
 	var complete []core.Object
@@ -119,7 +127,7 @@
 			complete = append(complete, delta.Objects[i])
 		}
 	}
-	s.join(kind, replic.Delta{Objects: complete})
+	s.join(kind, replic.Delta{Objects: complete}, Arrival{Way: WayExchange, From: from.Host})
 }
 
 // fillOmitted completes objects whose specifications were omitted, as far as the replica
@@ -154,12 +162,12 @@
 	if s.kinds[id.kind] == nil {
 		return
 	}
-	d := s.downloads[id]
+	d, now := s.downloads[id], s.Clock.Now()
 	if d == nil {
-		d = &download{id: id, object: o}
+		d = &download{id: id, object: o, offered: now}
 		s.downloads[id] = d
 	}
-	d.expires = s.Clock.Now().Add(downloadTTL)
+	d.expires = now.Add(downloadTTL)
 	if !slices.Contains(d.sources, from) && len(d.sources) < maxSources {
 		d.sources = append(d.sources, from)
 	}
@@ -204,6 +212,10 @@
 			next = d
 		}
 	}
+	if next != nil && next.began.IsZero() {
+		next.began = now
+	}
+	s.downloading = next
 	return next
 }
 
@@ -334,7 +346,9 @@
 	s.mu.Unlock()
 	if d.id.name != "" {
 		d.object.Spec = data
-		s.join(d.id.kind, replic.Delta{Objects: []core.Object{d.object}})
+		s.join(d.id.kind, replic.Delta{Objects: []core.Object{d.object}}, Arrival{
+			Way: WayDownload, From: from.Host, Offered: d.offered, Began: d.began, Received: len(d.data),
+		})
 		return nil
 	}
 	delta := &wire.KindDelta{}
--- a/io/peer/fuzz_test.go
+++ b/io/peer/fuzz_test.go
@@ -66,9 +66,9 @@
 		}
 		s := &Store{Kinds: []core.Kind{core.KindModel}}
 		s.init()
-		s.join(core.KindModel, fromWire(&d))
+		s.join(core.KindModel, fromWire(&d), Arrival{})
 		before := s.Status(core.KindModel)
-		if s.join(core.KindModel, fromWire(&d)) || s.Status(core.KindModel) != before {
+		if s.join(core.KindModel, fromWire(&d), Arrival{}) || s.Status(core.KindModel) != before {
 			t.Error("joining a delta a second time changed the replica")
 		}
 	})
--- a/io/peer/lag.go
+++ b/io/peer/lag.go
@@ -18,6 +18,14 @@
 	// Since is when Missing was first reported. FreshAt is when the platform last
 	// confirmed, to this process or a peer, that the replica lacked nothing.
 	Since, FreshAt time.Time
+	// ExchangedAt is when the last exchange with a peer succeeded, zero if none did, and
+	// FailedExchanges the number of those that have failed since.
+	ExchangedAt     time.Time
+	FailedExchanges int
+	// Downloading names the payload that is being downloaded, and DownloadingSince is when its
+	// first part was requested; empty and zero if there is none.
+	Downloading      string
+	DownloadingSince time.Time
 	// CaughtUp is set once the replica has the change.
 	CaughtUp bool
 }
@@ -49,7 +57,13 @@
 		return
 	}
 	now, held, wasReported := s.Clock.Now(), k.Newest(), l.reported
-	lag := Lag{Kind: kind, Held: held, Missing: l.missing, Since: l.since, FreshAt: k.freshAt, CaughtUp: held >= l.missing}
+	lag := Lag{
+		Kind: kind, Held: held, Missing: l.missing, Since: l.since, FreshAt: k.freshAt, CaughtUp: held >= l.missing,
+		ExchangedAt: s.exchangedAt, FailedExchanges: s.failedExchanges,
+	}
+	if d := s.downloading; d != nil {
+		lag.Downloading, lag.DownloadingSince = d.id.String(), d.began
+	}
 	if lag.CaughtUp {
 		l.since, l.reported = time.Time{}, false
 		l.observe(l.newest, held, now)
@@ -64,12 +78,19 @@
 // Lag returns how long the replica of a kind has lacked a change that another process
 // reported; zero if it lacks none.
 func (s *Store) Lag(kind core.Kind) time.Duration {
+	_, lag := s.Missing(kind)
+	return lag
+}
+
+// Missing returns the newest version that another process reported and the replica of a kind
+// lacks, and how long the replica has lacked a change; zero if it lacks none.
+func (s *Store) Missing(kind core.Kind) (core.Version, time.Duration) {
 	s.init()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.kinds[kind]
 	if k == nil || k.lag.since.IsZero() {
-		return 0
+		return 0, 0
 	}
-	return s.Clock.Now().Sub(k.lag.since)
+	return k.lag.newest, s.Clock.Now().Sub(k.lag.since)
 }
--- a/io/peer/lag_test.go
+++ b/io/peer/lag_test.go
@@ -42,7 +42,7 @@
 
 // receive joins a version of the object.
 func (l *lagFixture) receive(v core.Version) {
-	l.join(core.KindModel, replic.Delta{Objects: []core.Object{{Kind: core.KindModel, Name: "qalam", Version: v}}})
+	l.join(core.KindModel, replic.Delta{Objects: []core.Object{{Kind: core.KindModel, Name: "qalam", Version: v}}}, Arrival{})
 }
 
 func TestLag(t *testing.T) {
--- a/io/peer/reflector.go
+++ b/io/peer/reflector.go
@@ -167,7 +167,11 @@
 	if r.OnReceived != nil {
 		r.OnReceived()
 	}
-	r.join(r.kind, d)
+	way := WayWatch
+	if d.Full {
+		way = WayList
+	}
+	r.join(r.kind, d, Arrival{Way: way})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.kinds[r.kind]
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -65,6 +65,9 @@
 	// OnError, if set, is called for each failed call with a PlatformError or an error of
 	// Client, and for each payload that arrived corrupt with a CorruptError.
 	OnError func(error)
+	// OnArrival, if set, is called for each change that reaches a replica. It must not call
+	// back into the Store.
+	OnArrival func(Arrival)
 	// OnLag, if set, is called for each replica that has lacked a change for
 	// lagThreshold, and again, with Lag.CaughtUp set, once the replica has the change. It
 	// must not call back into the Store.
@@ -76,6 +79,10 @@
 	dirty map[core.Kind]map[string]bool
 	soft  softState
 	peers peerView
+	// exchangedAt is when the last exchange with a peer succeeded, and failedExchanges the number
+	// of those that have failed since.
+	exchangedAt     time.Time
+	failedExchanges int
 	// firstSync is closed when the first exchange with peers is over.
 	firstSync chan struct{}
 	// changeWake and syncWake wake the goroutines of Run that report changes and exchange
@@ -87,6 +94,8 @@
 	// downloads them.
 	downloads    map[payloadID]*download
 	downloadWake chan struct{}
+	// downloading is the download in progress; nil if there is none.
+	downloading *download
 	// payloads caches payloads served to peers.
 	payloads map[payloadID]*payload
 }
@@ -228,12 +237,13 @@
 	s.init()
 	for _, o := range objects {
 		d := replic.Delta{From: o.Version, Through: o.Version, Objects: []core.Object{o}}
-		s.join(o.Kind, d)
+		s.join(o.Kind, d, Arrival{})
 	}
 }
 
-// join joins a delta of a kind and reports whether any object changed.
-func (s *Store) join(kind core.Kind, d replic.Delta) bool {
+// join joins a delta of a kind and reports whether any object changed. The arrival says on which
+// way the delta came.
+func (s *Store) join(kind core.Kind, d replic.Delta, way Arrival) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.kinds[kind]
@@ -241,6 +251,9 @@
 		return false
 	}
 	changed := k.Join(d)
+	for _, o := range changed {
+		s.arrived(way, o, &k.lag)
+	}
 	s.updateLag(kind, k)
 	if len(changed) == 0 {
 		return false
--- a/io/peer/sync.go
+++ b/io/peer/sync.go
@@ -113,12 +113,16 @@
 	if err != nil {
 		s.mu.Lock()
 		s.peers.drop(p)
+		s.failedExchanges++
 		s.mu.Unlock()
 		if s.OnError != nil && context.Cause(ctx) != context.Canceled {
 			s.OnError(err)
 		}
 		return
 	}
+	s.mu.Lock()
+	s.exchangedAt, s.failedExchanges = s.Clock.Now(), 0
+	s.mu.Unlock()
 	for _, d := range reply.GetDeltas() {
 		s.joinWireDelta(p, d)
 	}
--- a/io/peer/view_test.go
+++ b/io/peer/view_test.go
@@ -100,7 +100,7 @@
 	assert.Assert(t, !r.isWatcher(), "the test needs a process that is not a watcher")
 	assert.Assert(t, r.needed(clock.at), "the replica is empty")
 
-	s.join(core.KindModel, replic.Delta{Full: true, Through: 5})
+	s.join(core.KindModel, replic.Delta{Full: true, Through: 5}, Arrival{})
 	joinDigest := func(version uint64, age time.Duration) {
 		s.joinDigest([]*wire.Through{{Kind: string(core.KindModel), Version: version, Age: int64(age)}}, clock.at)
 	}
@@ -119,7 +119,7 @@
 	s := newIdleStore(clock, 500)
 	s.Confirm = []core.Kind{core.KindModel}
 	r := &reflector{Store: s, kind: core.KindModel}
-	s.join(core.KindModel, replic.Delta{Full: true, Through: 5})
+	s.join(core.KindModel, replic.Delta{Full: true, Through: 5}, Arrival{})
 	s.joinDigest([]*wire.Through{{Kind: string(core.KindModel), Version: 5}}, clock.at)
 	assert.Assert(t, r.needed(clock.at), "a peer's copy is not a confirmation by the platform")
 	r.apply(replic.Delta{Full: true, Through: 4}, clock.at)
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -27,6 +27,11 @@
 		// The routing table decided.
 		pairs = append(pairs, "table-age", c.proxy.TableAge().Round(time.Millisecond))
 	}
+	if c.proxy.Missing != nil {
+		if revision, since := c.proxy.Missing(); revision > 0 {
+			pairs = append(pairs, "table-lacks", revision, "table-lacks-for", since.Round(time.Millisecond))
+		}
+	}
 	if c.route != nil {
 		pairs = append(pairs, "route", c.route.Name, "target", c.route.Target)
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -63,6 +63,9 @@
 	// TableAge, if set, returns the time since the platform last confirmed that there was no
 	// newer routing table; negative if it never did.
 	TableAge func() time.Duration
+	// Missing, if set, returns the platform's version of the newest routing table that another
+	// entry has named and this one lacks, and how long it has lacked one; zero if it lacks none.
+	Missing func() (core.Version, time.Duration)
 	// Entries, if set, returns the number of entries.
 	Entries func() int
 	// RetryRatio and RetrySpan are those of the platform's retry budget for each service, and
--- a/io/stale/stale.go
+++ b/io/stale/stale.go
@@ -1,6 +1,7 @@
 package stale
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -14,6 +15,10 @@
 // are behind. It must be called before the store is used.
 func Export(m *meter.Meter, s *peer.Store) {
 	s.OnLag = func(l peer.Lag) { logLag(s.Clock.Now(), l) }
+	s.OnArrival = func(a peer.Arrival) {
+		m.ReplicaArrival(a.Kind, a.Way.String(), cmp.Or(a.Named, a.At), a.At)
+		logArrival(a)
+	}
 	for _, kind := range s.Kinds {
 		m.ReplicaLag(kind, func() time.Duration { return s.Lag(kind) })
 		m.ReplicaAge(kind, func() time.Duration { return Age(s, kind) })
@@ -25,8 +30,30 @@
 		events.Log(events.ReplicaCaughtUp, "kind", l.Kind, "revision", l.Held, "after", now.Sub(l.Since))
 		return
 	}
-	events.Log(events.ReplicaBehind, "kind", l.Kind, "revision", l.Held, "named", l.Missing, "since", now.Sub(l.Since),
-		"platform-word-age", ageOf(l.FreshAt, now))
+	pairs := []any{
+		"kind", l.Kind, "revision", l.Held, "named", l.Missing, "since", now.Sub(l.Since), "platform-word-age", ageOf(l.FreshAt, now),
+		"exchange-age", ageOf(l.ExchangedAt, now), "exchanges-failed", l.FailedExchanges,
+	}
+	if l.Downloading != "" {
+		pairs = append(pairs, "downloading", l.Downloading, "downloading-for", now.Sub(l.DownloadingSince))
+	}
+	events.Log(events.ReplicaBehind, pairs...)
+}
+
+// logArrival logs the way of a routing table, from when another process named it, step by step.
+// The other kinds change too often for a line each.
+func logArrival(a peer.Arrival) {
+	if a.Kind != core.KindTable {
+		return
+	}
+	pairs := []any{"kind", a.Kind, "revision", a.Version, "way", a.Way, "from", a.From, "bytes", a.Size}
+	if !a.Named.IsZero() {
+		pairs = append(pairs, "named", a.At.Sub(a.Named))
+	}
+	if !a.Offered.IsZero() {
+		pairs = append(pairs, "offered", a.At.Sub(a.Offered), "downloading-for", a.At.Sub(a.Began), "received", a.Received)
+	}
+	events.Log(events.ChangeArrived, pairs...)
 }
 
 // LogFailure logs a failed call to a peer. If data arrived on the connection during the
