--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -70,6 +70,8 @@
 	// TLS returns the configuration for calls to a host, or nil for none. An empty host
 	// name stands for any process of this system.
 	TLS func(core.HostName) *tls.Config
+	// Dial, if set, opens connections instead of TCP.
+	Dial func(context.Context, Target) (net.Conn, error)
 	// OnSilent, if set, is called for each connection that is closed because it went
 	// silent.
 	OnSilent func(Target)
@@ -292,6 +294,9 @@
 }
 
 func (c *Client) open(ctx context.Context, to Target) (net.Conn, error) {
+	if c.Dial != nil {
+		return c.Dial(ctx, to)
+	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	var conf *tls.Config
 	if c.TLS != nil {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -181,6 +181,8 @@
 	Handler *Handler
 	// OnRefused, if set, is called for each client whose TLS handshake failed.
 	OnRefused func(caller netip.AddrPort, cause error)
+	// Listener, if set, accepts connections instead of a TCP listener on Address.
+	Listener net.Listener
 
 	listener net.Listener
 	rpc      *rpc.Server
@@ -194,12 +196,15 @@
 // Listen opens the listener. It is separate from Run so that a second process on the same
 // address fails at once.
 func (s *Server) Listen() error {
-	lis, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(s.Address))
-	if err != nil {
-		return err
+	s.listener = s.Listener
+	if s.listener == nil {
+		lis, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(s.Address))
+		if err != nil {
+			return err
+		}
+		s.Address = lis.Addr().(*net.TCPAddr).AddrPort()
+		s.listener = lis
 	}
-	s.Address = lis.Addr().(*net.TCPAddr).AddrPort()
-	s.listener = lis
 	s.conns = map[*meteredConn]bool{}
 	s.rpc = rpc.NewServer()
 	return s.rpc.RegisterName(serviceName, &service{handler: s.Handler})
