Use replies of exchanges whenever they arrive, and wait for no silent peer

The entries took 0.55 s and more to read a request, so their processors were full; an exchange with another such entry takes over a second there and back.

Cause: an exchange between entries ended after one second whatever was on its way, its reply was thrown away, and the next one began from nothing with another peer. Besides, a round of exchanges lasted as long as its slowest one, a peer that did not answer was drawn again in the next round, and an idle connection was closed if a ping over it took half a second. An entry whose round trips take over a second never had an exchange that ended well.

Now exchanges go on side by side, one for each peer, for as long as the connection carries anything (5 s at most). After 0.3 s another peer is asked in place of a slow one. Peers that failed are not chosen for 5 s. A peer that names a newer table is asked at once. Exchanges and downloads, which may be repeated, need no ping before.

The world of TestChangeIsInForceInTime is corrected: a host that stood still blocked the links of those it had written to.

--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -36,7 +36,7 @@
 		Self: peer.Target{Host: s.Name, Address: s.Listen.Control},
 		// All kinds are listed from the store at once, without waiting for a first exchange
 		// with peers: after all processes have been killed, no peer responds.
-		Kinds: kinds, Confirm: kinds, Platform: e.store, Client: e.client, Clock: e.clock,
+		Kinds: kinds, Confirm: kinds, Urgent: []core.Kind{core.KindTable}, Platform: e.store, Client: e.client, Clock: e.clock,
 		Peers: e.members.peers, Near: e.members.isNear, Watchers: watchers, Seed: rand.Uint64(), MaxRetry: maxStoreRetry,
 		OnChange: e.applyChanges, OnReceived: e.storeReached, OnError: e.readFailed, OnOlderList: logOlderList,
 	}
--- a/io/peer/calls.go
+++ b/io/peer/calls.go
@@ -11,12 +11,12 @@
 // Sync exchanges replica digests and soft state with a process, and returns the changes
 // that this process lacks.
 func (c *Client) Sync(ctx context.Context, to Target, in *wire.SyncCall) (*wire.SyncReply, error) {
-	return call[wire.SyncReply](ctx, c, to, "Sync", in)
+	return callRepeatable[wire.SyncReply](ctx, c, to, "Sync", in)
 }
 
 // Fetch downloads a part of a payload from a process.
 func (c *Client) Fetch(ctx context.Context, to Target, in *wire.FetchCall) (*wire.FetchReply, error) {
-	return call[wire.FetchReply](ctx, c, to, "Fetch", in)
+	return callRepeatable[wire.FetchReply](ctx, c, to, "Fetch", in)
 }
 
 // Probe asks an agent for its load.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -107,18 +107,41 @@
 	*A
 	proto.Message
 }](ctx context.Context, c *Client, to Target, method string, in proto.Message) (P, error) {
-	out, err := callOnce[A, P](ctx, c, to, method, in)
+	out, err := callOnce[A, P](ctx, c, to, method, in, c.acquire)
 	if c.OnCall != nil {
 		c.OnCall(method, err == nil)
 	}
 	return out, err
 }
 
-func callOnce[A any, P interface {
+// callRepeatable makes a call that the other side may serve twice. An idle connection is not
+// pinged before, which would delay the call by a round trip or, at a slow process, cost the
+// connection; if the connection turns out to be closed, the call is repeated on a new one.
+func callRepeatable[A any, P interface {
 	*A
 	proto.Message
 }](ctx context.Context, c *Client, to Target, method string, in proto.Message) (P, error) {
-	conn, err := c.acquire(ctx, to)
+	idle := false
+	acquire := func(ctx context.Context, to Target) (conn *clientConn, err error) {
+		conn, idle, err = c.getOrDial(ctx, to)
+		return conn, err
+	}
+	out, err := callOnce[A, P](ctx, c, to, method, in, acquire)
+	var failed *CallError
+	if idle && ctx.Err() == nil && errors.As(err, &failed) {
+		out, err = callOnce[A, P](ctx, c, to, method, in, acquire)
+	}
+	if c.OnCall != nil {
+		c.OnCall(method, err == nil)
+	}
+	return out, err
+}
+
+func callOnce[A any, P interface {
+	*A
+	proto.Message
+}](ctx context.Context, c *Client, to Target, method string, in proto.Message, acquire func(context.Context, Target) (*clientConn, error)) (P, error) {
+	conn, err := acquire(ctx, to)
 	if err != nil {
 		return nil, &CallError{Method: method, Cause: err}
 	}
@@ -158,6 +181,12 @@
 		case <-timer.C:
 		}
 		if err := conn.ping(ctx, silenceTimeout); err != nil {
+			var silent *SilentError
+			if errors.As(err, &silent) && conn.transport.readSince(time.Now().Add(-silenceTimeout)) {
+				// What arrives is the other data of a full link.
+				timer.Reset(0)
+				continue
+			}
 			// A server that shuts down responds to the call and not to the ping.
 			select {
 			case <-pending.Done:
--- a/io/peer/fetch.go
+++ b/io/peer/fetch.go
@@ -174,10 +174,19 @@
 	loop.Wake(s.downloadWake)
 }
 
-// runDownloads downloads payloads as peers offer them. Those offered in the first
-// exchange are downloaded by runSync.
+// runDownloads downloads payloads as peers offer them. The first exchange counts as over once
+// what it offered has been downloaded.
 func (s *Store) runDownloads(ctx context.Context) error {
-	s.awaitFirstSync(ctx)
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-s.exchanged:
+	}
+	fetchCtx, stop := context.WithTimeout(ctx, firstFetchTimeout)
+	s.downloadAll(fetchCtx)
+	stop()
+	close(s.firstSync)
+	loop.Wake(s.downloadWake)
 	for {
 		select {
 		case <-ctx.Done():
--- a/io/peer/inforce_test.go
+++ b/io/peer/inforce_test.go
@@ -59,10 +59,9 @@
 	case 2:
 		host.cut(for_)
 	case 3:
-		if host.process == nil {
+		if !host.stop() {
 			return
 		}
-		host.stop()
 		time.Sleep(for_ / 4)
 		host.mu.Lock()
 		host.disturb(0)
@@ -121,9 +120,7 @@
 	}
 	time.Sleep(5 * time.Second)
 	for _, h := range w.hosts {
-		if h.process != nil {
-			h.stop()
-		}
+		h.stop()
 	}
 	time.Sleep(time.Minute)
 	return watch
@@ -185,6 +182,9 @@
 	h.mu.Lock()
 	p := h.process
 	h.mu.Unlock()
+	if p == nil {
+		return "its process has ended"
+	}
 	missing, lag := p.store.Missing(core.KindTable)
 	s := p.store
 	s.mu.Lock()
@@ -194,7 +194,9 @@
 	if d := s.downloading; d != nil {
 		text += fmt.Sprintf(", downloads %s for %v: %d of %d bytes", d.id, time.Since(d.began), len(d.data), d.total)
 	}
-	return text
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fmt.Sprintf("%s; last failure: %v", text, p.failure)
 }
 
 // TestChangeIsInForceInTime guards against entries that go on with an old table although they can
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -25,7 +25,10 @@
 	// Confirm are the kinds that this process itself lists from the platform as soon as
 	// it can, even if peers have sent them. Agents name grants here. Other kinds are
 	// listed only if peers do not send them.
-	Confirm  []core.Kind
+	Confirm []core.Kind
+	// Urgent are the kinds whose changes are fetched from peers at once, without waiting for other
+	// changes.
+	Urgent   []core.Kind
 	Platform core.Platform
 	Client   *Client
 	// Clock is the clock for ages; nil means the system clock.
@@ -83,13 +86,18 @@
 	// of those that have failed since.
 	exchangedAt     time.Time
 	failedExchanges int
-	// firstSync is closed when the first exchange with peers is over.
+	// firstSync is closed when the first exchanges with peers are over, and what they offered is
+	// downloaded.
 	firstSync chan struct{}
+	// firstExchanged ends the first exchanges.
+	firstExchanged func()
+	// exchanged is closed by firstExchanged.
+	exchanged chan struct{}
 	// changeWake and syncWake wake the goroutines of Run that report changes and exchange
 	// with peers. pulls queues peers to exchange with in the next round.
 	changeWake chan struct{}
 	syncWake   chan struct{}
-	pulls      chan Target
+	pulls      chan pull
 	// downloads are the payloads in transit; downloadWake wakes the goroutine that
 	// downloads them.
 	downloads    map[payloadID]*download
@@ -134,9 +142,12 @@
 	s.kinds = map[core.Kind]*kindState{}
 	s.dirty = map[core.Kind]map[string]bool{}
 	s.firstSync = make(chan struct{})
+	exchanged := make(chan struct{})
+	s.firstExchanged = sync.OnceFunc(func() { close(exchanged) })
+	s.exchanged = exchanged
 	s.changeWake = make(chan struct{}, 1)
 	s.syncWake = make(chan struct{}, 1)
-	s.pulls = make(chan Target, maxQueuedPulls)
+	s.pulls = make(chan pull, maxQueuedPulls)
 	s.downloadWake = make(chan struct{}, 1)
 	s.downloads, s.payloads = map[payloadID]*download{}, map[payloadID]*payload{}
 	r := s.rand(0)
--- a/io/peer/sync.go
+++ b/io/peer/sync.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"radishwell/core"
@@ -11,16 +10,6 @@
 )
 
 const (
-	// syncPeriod is how often each process exchanges digests, and syncPeers with how many
-	// peers. This alone brings a change to all processes within a few seconds.
-	syncPeriod = time.Second
-	syncPeers  = 2
-	// minSyncGap is the least time between two exchanges that a process starts early
-	// because it has news. A change or mark crosses the fleet at one hop per gap.
-	minSyncGap  = 200 * time.Millisecond
-	syncTimeout = time.Second
-	// maxQueuedPulls bounds the queue of peers that have newer objects.
-	maxQueuedPulls = 8
 	// maxReplySize bounds the size in bytes of the objects in one reply; the rest follows
 	// in later exchanges.
 	maxReplySize = 8 << 20
@@ -28,91 +17,15 @@
 	unknownAge = -1
 )
 
-// runSync exchanges with peers every syncPeriod, or sooner if there is news. The first
-// exchange starts at once.
-func (s *Store) runSync(ctx context.Context) error {
-	r := s.rand(1)
-	s.syncRound(ctx, s.chooseTargets())
-	fetchCtx, stop := context.WithTimeout(ctx, firstFetchTimeout)
-	s.downloadAll(fetchCtx)
-	stop()
-	close(s.firstSync)
-	for s.waitNextRound(ctx, jitter(r, syncPeriod)) {
-		s.syncRound(ctx, s.chooseTargets())
-	}
-	return nil
-}
-
-// waitNextRound waits for d, or only for minSyncGap if there is news. It reports false if
-// ctx has ended.
-func (s *Store) waitNextRound(ctx context.Context, d time.Duration) bool {
-	sleep(ctx, minSyncGap)
-	timer := time.NewTimer(d - minSyncGap)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-s.syncWake:
-	case p := <-s.pulls:
-		s.queuePull(p)
-	}
-	return ctx.Err() == nil
-}
-
-// queuePull queues a peer that has newer objects for the next round. If the queue is
-// full, the peer is dropped, and its news arrives with a later exchange.
-func (s *Store) queuePull(p Target) {
-	select {
-	case s.pulls <- p:
-	default:
-	}
-}
-
-// chooseTargets returns the peers for one round: the queued ones and a few at random.
-func (s *Store) chooseTargets() []Target {
-	var known []Target
-	if s.Peers != nil {
-		known = s.Peers()
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	known = slices.DeleteFunc(slices.Clone(known), func(p Target) bool { return p.Host == s.Self.Host })
-	s.peers.update(known, s.Clock.Now())
-	targets := s.peers.pick(syncPeers)
-	for {
-		select {
-		case p := <-s.pulls:
-			if !slices.Contains(targets, p) {
-				targets = append(targets, p)
-			}
-		default:
-			return targets
-		}
-	}
-}
-
-// syncRound exchanges with some peers concurrently.
-func (s *Store) syncRound(ctx context.Context, targets []Target) {
-	ended := make(chan struct{})
-	for _, p := range targets {
-		go func() {
-			s.exchange(ctx, p)
-			ended <- struct{}{}
-		}()
-	}
-	for range targets {
-		<-ended
-	}
-}
-
+// exchange exchanges with one peer.
 func (s *Store) exchange(ctx context.Context, p Target) {
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	began := s.Clock.Now()
 	reply, err := s.Client.Sync(ctx, p, s.syncCall())
 	if err != nil {
 		s.mu.Lock()
-		s.peers.drop(p)
+		s.peers.drop(p, s.Clock.Now())
 		s.failedExchanges++
 		s.mu.Unlock()
 		if s.OnError != nil && context.Cause(ctx) != context.Canceled {
@@ -209,23 +122,31 @@
 	s.Departed.join(s, call.GetDeparted())
 	strikes, parts, departed := s.Strikes.next(), s.Parts.next(), s.Departed.next()
 	s.joinDigest(call.GetThrough(), s.Clock.Now())
+	reply := s.syncReply(call)
+	reply.Strikes, reply.Parts, reply.Departed = strikes, parts, departed
+	return reply, nil
+}
+
+// syncReply returns the changes that a peer lacks. If the peer has newer objects, an exchange with
+// it follows.
+func (s *Store) syncReply(call *wire.SyncCall) *wire.SyncReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reply := &wire.SyncReply{
-		Strikes:  strikes,
-		Marks:    s.soft.wire(s.Clock.Now()),
-		Parts:    parts,
-		Departed: departed,
-		Through:  s.digest(),
+		Marks:   s.soft.wire(s.Clock.Now()),
+		Through: s.digest(),
 	}
 	left := maxReplySize
-	callerAhead := false
+	callerAhead, urgent := false, false
 	for _, t := range call.GetThrough() {
 		k := s.kinds[core.Kind(t.GetKind())]
 		if k == nil {
 			continue
 		}
-		callerAhead = callerAhead || t.GetNewest() > uint64(k.Newest())
+		if t.GetNewest() > uint64(k.Newest()) {
+			callerAhead = true
+			urgent = urgent || s.isUrgent(core.Kind(t.GetKind()))
+		}
 		d := k.Since(core.Version(t.GetVersion()))
 		if d.Empty() || left <= 0 {
 			continue
@@ -239,9 +160,9 @@
 		reply.Deltas = append(reply.Deltas, out)
 	}
 	if p, ok := s.peers.find(call.GetFrom()); ok && callerAhead {
-		s.queuePull(p)
+		s.queuePull(pull{from: p, urgent: urgent})
 	}
-	return reply, nil
+	return reply
 }
 
 // deltaSize returns the approximate size of a delta in bytes.
--- a/io/peer/view.go
+++ b/io/peer/view.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -15,6 +16,9 @@
 	rotatePeriod = 10 * time.Second
 	// farPeers is how many of them are chosen without regard to their data centre.
 	farPeers = 1
+	// avoidTime is how long a peer that did not respond is not chosen while there are enough
+	// others.
+	avoidTime = 5 * time.Second
 )
 
 // peerView chooses the peers to exchange with: a few active ones out of all that are
@@ -25,6 +29,8 @@
 	near   func(Target) bool
 	known  []Target
 	active []Target
+	// avoided holds the peers that did not respond, and until when others are preferred.
+	avoided map[Target]time.Time
 	// nextRotation is when the next active peer is replaced.
 	nextRotation time.Time
 }
@@ -37,6 +43,7 @@
 		listed[p] = true
 	}
 	v.active = slices.DeleteFunc(v.active, func(p Target) bool { return !listed[p] })
+	maps.DeleteFunc(v.avoided, func(p Target, until time.Time) bool { return !listed[p] || !now.Before(until) })
 	if !now.Before(v.nextRotation) {
 		v.nextRotation = now.Add(rotatePeriod)
 		v.evictRandom()
@@ -70,25 +77,50 @@
 // candidates returns the peers to choose from: the near ones if there are enough, but all
 // for the last farPeers places, which keep the data centres connected.
 func (v *peerView) candidates() []Target {
+	known := v.known
+	if len(v.known)-len(v.avoided) >= viewSize {
+		known = slices.DeleteFunc(slices.Clone(known), func(p Target) bool { return !v.avoided[p].IsZero() })
+	}
 	if v.near == nil || len(v.active) >= viewSize-farPeers {
-		return v.known
+		return known
 	}
-	near := slices.DeleteFunc(slices.Clone(v.known), func(p Target) bool { return !v.near(p) })
+	near := slices.DeleteFunc(slices.Clone(known), func(p Target) bool { return !v.near(p) })
 	if len(near) < 2*viewSize {
-		return v.known
+		return known
 	}
 	return near
 }
 
-// drop removes a peer that did not respond.
-func (v *peerView) drop(p Target) {
+// drop removes a peer that did not respond, and avoids it for avoidTime.
+func (v *peerView) drop(p Target, now time.Time) {
 	v.active = slices.DeleteFunc(v.active, func(q Target) bool { return p == q })
+	if v.avoided == nil {
+		v.avoided = map[Target]time.Time{}
+	}
+	v.avoided[p] = now.Add(avoidTime)
 }
 
-// pick returns up to n random active peers.
-func (v *peerView) pick(n int) []Target {
+// pick returns up to n random peers that are not busy: active ones, and others once all of these
+// are busy.
+func (v *peerView) pick(n int, busy func(Target) bool) []Target {
 	v.rand.Shuffle(len(v.active), func(i, j int) { v.active[i], v.active[j] = v.active[j], v.active[i] })
-	return slices.Clone(v.active[:min(n, len(v.active))])
+	var picked []Target
+	add := func(p Target) {
+		if len(picked) < n && !busy(p) && !slices.Contains(picked, p) {
+			picked = append(picked, p)
+		}
+	}
+	for _, p := range v.active {
+		add(p)
+	}
+	if len(picked) == n || len(v.known) == len(v.active) {
+		return picked
+	}
+	first := v.rand.IntN(len(v.known))
+	for i := range v.known {
+		add(v.known[(first+i)%len(v.known)])
+	}
+	return picked
 }
 
 // find returns the known peer of a host name.
--- a/io/peer/view_test.go
+++ b/io/peer/view_test.go
@@ -24,21 +24,45 @@
 
 func TestPeerView(t *testing.T) {
 	now := time.Unix(1_000, 0)
+	idle := func(Target) bool { return false }
 	newView := func() *peerView { return &peerView{rand: rand.New(rand.NewPCG(1, 2))} }
 	t.Run("few peers are all active", func(t *testing.T) {
 		v := newView()
 		v.update(targets(3), now)
-		assert.Equal(t, len(v.pick(8)), 3)
+		assert.Equal(t, len(v.pick(8, idle)), 3)
 	})
 	t.Run("a peer that does not respond is replaced", func(t *testing.T) {
 		v := newView()
 		v.update(targets(100), now)
 		lost := v.active[0]
-		v.drop(lost)
+		v.drop(lost, now)
 		assert.Equal(t, len(v.active), viewSize-1)
 		v.update(targets(100), now)
 		assert.Equal(t, len(v.active), viewSize)
 	})
+	t.Run("a peer that does not respond is not chosen again soon", func(t *testing.T) {
+		v := newView()
+		v.update(targets(viewSize+1), now)
+		lost := v.active[0]
+		v.drop(lost, now)
+		for range 20 {
+			v.update(targets(viewSize+1), now)
+			assert.Assert(t, !slices.Contains(v.active, lost))
+		}
+		v.evictRandom()
+		v.update(targets(viewSize+1), now.Add(avoidTime))
+		assert.Equal(t, len(v.avoided), 0)
+	})
+	t.Run("busy peers are passed over", func(t *testing.T) {
+		v := newView()
+		v.update(targets(100), now)
+		busy := slices.Clone(v.active)
+		picked := v.pick(2, func(p Target) bool { return slices.Contains(busy, p) })
+		assert.Equal(t, len(picked), 2)
+		for _, p := range picked {
+			assert.Assert(t, !slices.Contains(busy, p))
+		}
+	})
 	t.Run("a peer no longer listed is dropped", func(t *testing.T) {
 		v := newView()
 		v.update(targets(100), now)
--- a/io/peer/world_test.go
+++ b/io/peer/world_test.go
@@ -69,6 +69,8 @@
 	mu     sync.Mutex
 	// held are the versions of the table that came into force, with the times of that.
 	held []heldTable
+	// failure is the last failed call.
+	failure error
 }
 
 type heldTable struct {
@@ -113,6 +115,7 @@
 	p.client = &Client{Dial: h.dial}
 	p.store = &Store{
 		Self: h.self, Kinds: []core.Kind{core.KindTable, core.KindRegistry}, Confirm: []core.Kind{core.KindTable, core.KindRegistry},
+		Urgent:   []core.Kind{core.KindTable},
 		Platform: &worldClient{host: h}, Client: p.client, Peers: h.peers, Watchers: 8, Seed: uint64(h.intN(1 << 62)), MaxRetry: 500 * time.Millisecond,
 		OnChange: func(objects []core.Object) {
 			for _, o := range objects {
@@ -126,6 +129,11 @@
 			}
 		},
 	}
+	p.store.OnError = func(err error) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.failure = err
+	}
 	p.server = &Server{Listener: l, Handler: &Handler{Sync: p.store.ServeSync, Fetch: p.store.ServeFetch}}
 	_ = p.server.Listen() // does not fail with a listener
 	ctx, cancel := context.WithCancel(context.Background())
@@ -137,12 +145,15 @@
 	h.listener, h.process = l, p
 }
 
-// stop kills the host's process.
-func (h *worldHost) stop() {
+// stop kills the host's process, and reports whether there was one.
+func (h *worldHost) stop() bool {
 	h.mu.Lock()
 	p := h.process
 	h.process, h.listener = nil, nil
 	h.mu.Unlock()
+	if p == nil {
+		return false
+	}
 	p.cancel()
 	for range 2 {
 		if err := <-p.ended; err != nil {
@@ -151,6 +162,7 @@
 	}
 	p.server.closeConns()
 	p.client.Close()
+	return true
 }
 
 // peers returns all hosts, which a process knows from its records.
@@ -221,18 +233,21 @@
 	return *busy
 }
 
-// transit returns when bytes that are sent now have been received.
+// transit returns when the process of another host reads bytes that are sent now.
 func (h *worldHost) transit(to *worldHost, n int) time.Time {
+	now := time.Now()
 	h.mu.Lock()
-	from := time.Now()
-	if from.Before(h.thaws) {
-		from = h.thaws
+	due := occupy(&h.sent, now, n, h.rate)
+	if due.Before(h.thaws) {
+		due = h.thaws
 	}
-	departs := occupy(&h.sent, from, n, h.rate)
 	h.mu.Unlock()
 	to.mu.Lock()
 	defer to.mu.Unlock()
-	return occupy(&to.received, departs.Add(latency), n, to.rate).Add(to.delay)
+	if received := occupy(&to.received, now, n, to.rate); received.After(due) {
+		due = received
+	}
+	return due.Add(latency + to.delay)
 }
 
 // dial opens a connection to another host.
