Send a change of a large object at its own size

A routing table is 0.4 MB, 30 KB compressed, whichever route changed, and goes whole to each entry for each change. At an entry of 10 Mbit/s whose round trips take a second, that made its download, in parts and after those of older tables, the longest step after the exchange itself.

Processes keep the versions of large objects that were replaced lately (16, 6 MB a kind). A peer that holds one of them gets a patch (core/patch): inside the exchange up to 4 KB, as a download beyond that. A patch for another base is noticed by its hash, and the whole is downloaded; processes that know no patches go on as before.

TestChangeOfLargeObjectCostsItsSize holds the bytes.

--- a/io/peer/fetch.go
+++ b/io/peer/fetch.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"radishwell/core"
+	"radishwell/core/patch"
 	"radishwell/core/replic"
 	"radishwell/io/loop"
 	"radishwell/wire"
@@ -45,6 +46,8 @@
 	kind    core.Kind
 	name    string
 	version core.Version
+	// base is the version that the receiver of a patch holds; zero for the whole payload.
+	base core.Version
 }
 
 // String returns the payload's name in logs.
@@ -61,6 +64,10 @@
 	// its hash. Data of different sums cannot be combined.
 	data       []byte
 	total, sum uint64
+	// base is the version of the object that the replica held when the download began. The payload
+	// is a patch for it if patched is set.
+	base    core.Object
+	patched bool
 	// sources are the peers that offered the payload, in the order in which they are asked.
 	sources []Target
 	// offered is when a peer first offered the payload, began when its first part was requested.
@@ -82,7 +89,7 @@
 // sum discards the data received so far.
 func (d *download) addPart(offset uint64, part *wire.FetchReply) bool {
 	if d.total != part.GetSize() || d.sum != part.GetSum() {
-		d.data, d.total, d.sum = nil, part.GetSize(), part.GetSum()
+		d.data, d.total, d.sum, d.patched = nil, part.GetSize(), part.GetSum(), part.GetPatch()
 	}
 	if offset == uint64(len(d.data)) {
 		d.data = append(d.data, part.GetData()...)
@@ -123,7 +130,7 @@
 	}
 	var complete []core.Object
 	for i, item := range d.GetItems() {
-		if item.GetSize() == 0 {
+		if item.GetSize() == 0 || len(delta.Objects[i].Spec) > 0 {
 			complete = append(complete, delta.Objects[i])
 		}
 	}
@@ -149,6 +156,9 @@
 		if held, _ := k.Get(o.Name); held.Version >= o.Version {
 			objects[i] = held
 			continue
+		} else if spec, ok := patched(held, item); ok {
+			objects[i].Spec = spec
+			continue
 		}
 		complete = false
 		s.addSource(from, payloadID{kind: kind, name: o.Name, version: o.Version}, o)
@@ -156,6 +166,20 @@
 	return complete
 }
 
+// patched returns the specification of an item that has a patch for the held version of its object.
+// If the patch does not fit, the specification is downloaded.
+func patched(held core.Object, item *wire.Item) ([]byte, bool) {
+	if len(item.GetPatch()) == 0 || held.Version == 0 || uint64(held.Version) != item.GetBase() || item.GetPatchSize() > maxPayload {
+		return nil, false
+	}
+	data, err := decompress(item.GetPatch(), item.GetPatchSize())
+	if err != nil {
+		return nil, false
+	}
+	spec, err := patch.Apply(held.Spec, data, maxPayload)
+	return spec, err == nil
+}
+
 // addSource adds a peer as a source of a download, which starts if it is new. The caller
 // holds mu.
 func (s *Store) addSource(from Target, id payloadID, o core.Object) {
@@ -242,8 +266,11 @@
 // data.
 func (s *Store) downloadPart(ctx context.Context, d *download) {
 	offset := uint64(len(d.data))
+	if offset == 0 && d.id.name != "" {
+		d.base, _ = s.Get(d.id.kind, d.id.name)
+	}
 	r := s.requestPart(ctx, d, &wire.FetchCall{
-		Kind: string(d.id.kind), Name: d.id.name, Version: uint64(d.id.version), Offset: offset,
+		Kind: string(d.id.kind), Name: d.id.name, Version: uint64(d.id.version), Offset: offset, Base: uint64(d.base.Version),
 	})
 	if r.part == nil {
 		return
@@ -344,9 +371,12 @@
 }
 
 // complete joins a payload of which all parts have arrived. Its error is one of package
-// flate, io or proto.
+// flate, io, patch or proto.
 func (s *Store) complete(d *download, from Target, size uint64) error {
 	data, err := decompress(d.data, size)
+	if err == nil && d.patched {
+		data, err = patch.Apply(d.base.Spec, data, maxPayload)
+	}
 	if err != nil {
 		return err
 	}
--- a/io/peer/fetch_test.go
+++ b/io/peer/fetch_test.go
@@ -99,7 +99,7 @@
 
 func TestFetch(t *testing.T) {
 	spec := largeDocument(100 << 10)
-	p := &payload{build: func() []byte { return spec }}
+	p := &payload{build: func() ([]byte, int) { return spec, len(spec) }}
 	p.compress()
 	always := func(*wire.FetchCall) bool { return true }
 	once := func(c *wire.FetchCall) bool { return c.GetOffset() == 0 }
--- a/io/peer/fuzz_test.go
+++ b/io/peer/fuzz_test.go
@@ -76,7 +76,7 @@
 
 // FuzzPart joins arbitrary parts of a payload.
 func FuzzPart(f *testing.F) {
-	p := &payload{build: func() []byte { return []byte(`{"text":"qalam"}`) }}
+	p := &payload{build: func() ([]byte, int) { return []byte(`{"text":"qalam"}`), 16 }}
 	p.compress()
 	f.Add(p.data, p.size, p.sum, uint64(0))
 	f.Add(p.data[:3], p.size, p.sum, uint64(2))
--- a/io/peer/large_test.go
+++ b/io/peer/large_test.go
@@ -187,3 +187,27 @@
 	far := f.startRemoteProcess(16 << 10)
 	far.wait("the object", far.has("qalam"))
 }
+
+// TestChangeOfLargeObjectCostsItsSize: a few bytes of a large object change. Peers that have the
+// version before must not be sent all of it again.
+func TestChangeOfLargeObjectCostsItsSize(t *testing.T) {
+	f, spec := startLarge(t, 800<<10, 2)
+	far := f.startRemoteProcess(4 << 20)
+	far.wait("the object", far.has("qalam"))
+	_, before := far.client.Traffic()
+	for i := range 3 {
+		o, _ := far.Get(core.KindModel, "qalam")
+		spec = slices.Concat(spec[:1000*i+500], []byte("changed"), spec[1000*i+510:])
+		o.Spec = spec
+		o, err := f.platform().Update(context.Background(), o)
+		assert.NilError(t, err)
+		far.wait("the change", func() bool {
+			held, _ := far.Get(core.KindModel, "qalam")
+			return held.Version >= o.Version
+		})
+	}
+	got, _ := far.Get(core.KindModel, "qalam")
+	assert.Equal(t, string(got.Spec), string(spec))
+	_, after := far.client.Traffic()
+	assert.Assert(t, after-before < 64<<10, "received %d bytes for three small changes", after-before)
+}
--- a/io/peer/payload.go
+++ b/io/peer/payload.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"radishwell/core"
+	"radishwell/core/patch"
 	"radishwell/wire"
 )
 
@@ -26,7 +27,9 @@
 	partSize = 32 << 10
 	// maxCachedPayloads bounds the cached payloads. Peers may still be downloading older
 	// versions.
-	maxCachedPayloads = 8
+	maxCachedPayloads = 24
+	// maxInlinePatch bounds the patches in exchanges, in compressed bytes.
+	maxInlinePatch = 4 << 10
 	// deltaCacheTTL is how long a cached delta is offered to new downloads.
 	deltaCacheTTL = 2 * time.Second
 )
@@ -35,8 +38,10 @@
 type payload struct {
 	once sync.Once
 	// build returns the payload before compression; it is nil once the payload is
-	// compressed.
-	build func() []byte
+	// compressed. plain is the size of what the payload stands for.
+	build func() (data []byte, plain int)
+	// worthwhile is set if the payload is much shorter than what it stands for.
+	worthwhile bool
 	// data is the compressed payload, sum its hash and size its size before compression.
 	data      []byte
 	size, sum uint64
@@ -45,8 +50,9 @@
 }
 
 func (p *payload) compress() {
-	data := p.build()
+	data, plain := p.build()
 	p.size, p.build = uint64(len(data)), nil
+	p.worthwhile = len(data) < plain/2
 	var out bytes.Buffer
 	// No call fails: the level is valid, and writes to a bytes.Buffer succeed.
 	w, _ := flate.NewWriter(&out, flate.BestSpeed)
@@ -59,7 +65,12 @@
 func (s *Store) ServeFetch(call *wire.FetchCall) (*wire.FetchReply, error) {
 	s.init()
 	id := payloadID{kind: core.Kind(call.GetKind()), name: call.GetName(), version: core.Version(call.GetVersion())}
-	p := s.payload(id, call.GetOffset() == 0)
+	first := call.GetOffset() == 0
+	p := s.patchFrom(core.Version(call.GetBase()), id, first)
+	patched := p != nil
+	if p == nil {
+		p = s.payload(id, first)
+	}
 	if p == nil {
 		return &wire.FetchReply{}, nil
 	}
@@ -67,7 +78,25 @@
 	total := uint64(len(p.data))
 	begin := min(call.GetOffset(), total)
 	end := min(begin+partSize, total)
-	return &wire.FetchReply{Data: p.data[begin:end], Size: total, Sum: p.sum, Unpacked: p.size}, nil
+	return &wire.FetchReply{Data: p.data[begin:end], Size: total, Sum: p.sum, Unpacked: p.size, Patch: patched}, nil
+}
+
+// patchFrom returns a payload's patch for a peer that holds the object's base version; nil if there
+// is none, or if it is hardly shorter.
+func (s *Store) patchFrom(base core.Version, id payloadID, first bool) *payload {
+	if base == 0 || id.name == "" {
+		return nil
+	}
+	id.base = base
+	p := s.payload(id, first)
+	if p == nil {
+		return nil
+	}
+	p.once.Do(p.compress)
+	if !p.worthwhile {
+		return nil
+	}
+	return p
 }
 
 // payload returns a payload from the cache or the replica; nil if neither holds it. A
@@ -97,22 +126,62 @@
 
 // builder returns a function that returns a payload, or nil if the replica does not hold
 // it. The caller holds mu.
-func (s *Store) builder(id payloadID) func() []byte {
+func (s *Store) builder(id payloadID) func() ([]byte, int) {
 	k := s.kinds[id.kind]
 	if k == nil {
 		return nil
 	}
 	if id.name == "" {
 		delta := k.Since(id.version)
-		return func() []byte {
+		return func() ([]byte, int) {
 			// Marshalling fails only for invalid UTF-8, which the platform's names exclude.
 			data, _ := proto.Marshal(toWire(string(id.kind), delta, true))
-			return data
+			return data, len(data)
 		}
 	}
-	o, ok := k.Get(id.name)
-	if !ok || o.Version != id.version {
+	o, ok := k.version(id.name, id.version)
+	if !ok {
 		return nil
 	}
-	return func() []byte { return o.Spec }
+	if id.base == 0 {
+		return func() ([]byte, int) { return o.Spec, len(o.Spec) }
+	}
+	base, ok := k.version(id.name, id.base)
+	if !ok {
+		return nil
+	}
+	return func() ([]byte, int) { return patch.Make(base.Spec, o.Spec), len(o.Spec) }
+}
+
+// inlinePatch is an omitted specification of a message that a patch may replace.
+type inlinePatch struct {
+	item *wire.Item
+	id   payloadID
+}
+
+// omitted returns the omitted specifications of a delta for a peer that has all objects up to the
+// newest version. The caller holds mu.
+func (k *kindState) omitted(d *wire.KindDelta, newest core.Version) []inlinePatch {
+	var list []inlinePatch
+	for _, item := range d.GetItems() {
+		if item.GetSize() == 0 {
+			continue
+		}
+		if base := k.lastBefore(item.GetName(), newest); base > 0 {
+			id := payloadID{kind: core.Kind(d.GetKind()), name: item.GetName(), version: core.Version(item.GetVersion()), base: base}
+			list = append(list, inlinePatch{item: item, id: id})
+		}
+	}
+	return list
+}
+
+// addPatches adds the patches that are short enough to omitted specifications.
+func (s *Store) addPatches(list []inlinePatch) {
+	for _, in := range list {
+		base := in.id.base
+		in.id.base = 0
+		if p := s.patchFrom(base, in.id, false); p != nil && len(p.data) <= maxInlinePatch {
+			in.item.Patch, in.item.PatchSize, in.item.Base = p.data, p.size, uint64(base)
+		}
+	}
 }
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -111,6 +111,7 @@
 // kindState is the replica of one kind with its age.
 type kindState struct {
 	replic.Replica
+	history history
 	// confirmed is set once the platform itself has listed the kind to this process.
 	confirmed bool
 	// freshAt is when the platform last confirmed, to this process or to a peer, that the
@@ -261,6 +262,7 @@
 	if k == nil {
 		return false
 	}
+	k.history.keep(&k.Replica, d)
 	changed := k.Join(d)
 	for _, o := range changed {
 		s.arrived(way, o, &k.lag)
--- a/io/peer/sync.go
+++ b/io/peer/sync.go
@@ -122,17 +122,18 @@
 	s.Departed.join(s, call.GetDeparted())
 	strikes, parts, departed := s.Strikes.next(), s.Parts.next(), s.Departed.next()
 	s.joinDigest(call.GetThrough(), s.Clock.Now())
-	reply := s.syncReply(call)
+	reply, omitted := s.syncReply(call)
 	reply.Strikes, reply.Parts, reply.Departed = strikes, parts, departed
+	s.addPatches(omitted)
 	return reply, nil
 }
 
-// syncReply returns the changes that a peer lacks. If the peer has newer objects, an exchange with
-// it follows.
-func (s *Store) syncReply(call *wire.SyncCall) *wire.SyncReply {
+// syncReply returns the changes that a peer lacks, and the specifications that are omitted from
+// them. If the peer has newer objects, an exchange with it follows.
+func (s *Store) syncReply(call *wire.SyncCall) (reply *wire.SyncReply, omitted []inlinePatch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply := &wire.SyncReply{
+	reply = &wire.SyncReply{
 		Marks:   s.soft.wire(s.Clock.Now()),
 		Through: s.digest(),
 	}
@@ -156,13 +157,14 @@
 			out.Items, out.Apart = nil, true
 		} else {
 			left -= n
+			omitted = append(omitted, k.omitted(out, core.Version(t.GetNewest()))...)
 		}
 		reply.Deltas = append(reply.Deltas, out)
 	}
 	if p, ok := s.peers.find(call.GetFrom()); ok && callerAhead {
 		s.queuePull(pull{from: p, urgent: urgent})
 	}
-	return reply
+	return reply, omitted
 }
 
 // deltaSize returns the approximate size of a delta in bytes.
