Bound how many exchanges bring the same changes

With exchanges that go on side by side, an entry whose link is full asked ever more peers, each of which sent it the same registry changes.

Exchanges in place of slow ones, and those with peers that name a newer table, are now about urgent kinds only, and six at most of those that began within a second are about all kinds.

--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -25,6 +25,8 @@
 	firstSyncTimeout = time.Second
 	// maxExchanges bounds the exchanges in progress that this process has started.
 	maxExchanges = 64
+	// maxFullExchanges bounds those of all kinds that began within the last syncPeriod.
+	maxFullExchanges = 6
 	// maxQueuedPulls bounds the queue of peers that have newer objects.
 	maxQueuedPulls = 64
 )
@@ -32,7 +34,16 @@
 // pull is a peer to exchange with because it has newer objects.
 type pull struct {
 	from Target
-	// urgent is set if the exchange must not wait for the next round.
+	// urgent is set if the peer has newer objects of urgent kinds. The exchange then does not wait
+	// for the next round.
+	urgent bool
+}
+
+// exchangeID identifies an exchange in progress.
+type exchangeID struct {
+	with Target
+	// urgent is set for an exchange of urgent kinds only. It is short however much else is new, so
+	// it may be repeated with several peers.
 	urgent bool
 }
 
@@ -41,18 +52,19 @@
 type exchanger struct {
 	*Store
 	rand *rand.Rand
-	// running holds the exchanges in progress, one for each peer at most.
-	running map[Target]*runningExchange
+	// running holds the exchanges in progress.
+	running map[exchangeID]*runningExchange
 	// queue holds the peers to exchange with in the next round, besides those chosen at random.
-	queue []pull
-	// ended receives the peers whose exchanges are over.
-	ended chan Target
+	queue []Target
+	// ended receives the exchanges that are over.
+	ended chan exchangeID
 	// nextRound is when the next round starts, lastRound when the last one did.
 	nextRound, lastRound time.Time
 }
 
 // runningExchange is an exchange in progress.
 type runningExchange struct {
+	began time.Time
 	// slowAt is when another peer is asked as well; zero if that has happened or is not due.
 	slowAt time.Time
 	// again is set if the peer has had news since the exchange began.
@@ -62,7 +74,7 @@
 // runSync exchanges with peers every syncPeriod, or sooner if there is news. The first
 // exchanges start at once.
 func (s *Store) runSync(ctx context.Context) error {
-	x := &exchanger{Store: s, rand: s.rand(1), running: map[Target]*runningExchange{}, ended: make(chan Target)}
+	x := &exchanger{Store: s, rand: s.rand(1), running: map[exchangeID]*runningExchange{}, ended: make(chan exchangeID)}
 	x.round(ctx)
 	first := time.AfterFunc(firstSyncTimeout, s.firstExchanged)
 	defer first.Stop()
@@ -79,8 +91,8 @@
 				delete(x.running, <-x.ended)
 			}
 			return nil
-		case p := <-x.ended:
-			x.end(p)
+		case id := <-x.ended:
+			x.end(id)
 		case <-s.syncWake:
 			x.hasten()
 		case p := <-s.pulls:
@@ -101,19 +113,19 @@
 // pull exchanges with a peer that has newer objects, now or in the next round.
 func (x *exchanger) pull(ctx context.Context, p pull) {
 	if p.urgent {
-		x.start(ctx, p.from, time.Time{})
+		x.start(ctx, exchangeID{with: p.from, urgent: true}, time.Time{})
 		return
 	}
-	x.queue = append(x.queue, p)
+	x.queue = append(x.queue, p.from)
 	x.hasten()
 }
 
-// end notes that the exchange with a peer is over.
-func (x *exchanger) end(p Target) {
-	e := x.running[p]
-	delete(x.running, p)
+// end notes that an exchange is over.
+func (x *exchanger) end(id exchangeID) {
+	e := x.running[id]
+	delete(x.running, id)
 	if e.again {
-		x.queue = append(x.queue, pull{from: p})
+		x.queue = append(x.queue, id.with)
 		x.hasten()
 	}
 }
@@ -143,7 +155,7 @@
 		}
 	}
 	if slow > 0 {
-		x.startRandom(ctx, slow)
+		x.startRandom(ctx, slow, len(x.Urgent) > 0)
 	}
 }
 
@@ -152,36 +164,56 @@
 	x.lastRound = time.Now()
 	x.nextRound = x.lastRound.Add(jitter(x.rand, syncPeriod))
 	for _, p := range x.queue {
-		x.start(ctx, p.from, time.Time{})
+		x.start(ctx, exchangeID{with: p}, time.Time{})
 	}
 	x.queue = nil
-	x.startRandom(ctx, syncPeers)
+	x.startRandom(ctx, syncPeers, false)
 }
 
 // startRandom starts exchanges with n peers that have none in progress.
-func (x *exchanger) startRandom(ctx context.Context, n int) {
-	for _, p := range x.chooseTargets(n, func(p Target) bool { return x.running[p] != nil }) {
-		x.start(ctx, p, time.Now().Add(slowExchange))
+func (x *exchanger) startRandom(ctx context.Context, n int, urgent bool) {
+	busy := func(p Target) bool {
+		return x.running[exchangeID{with: p}] != nil || x.running[exchangeID{with: p, urgent: true}] != nil
+	}
+	for _, p := range x.chooseTargets(n, busy) {
+		x.start(ctx, exchangeID{with: p, urgent: urgent}, time.Now().Add(slowExchange))
 	}
 }
 
-// start starts an exchange with a peer. One that is in progress is repeated once it is over, since
-// its reply may lack the latest news.
-func (x *exchanger) start(ctx context.Context, p Target, slowAt time.Time) {
-	if e := x.running[p]; e != nil {
+// start starts an exchange. One that is in progress is repeated once it is over, since its reply
+// may lack the latest news. While several exchanges are in progress, which would bring the same
+// changes, others are of urgent kinds only.
+func (x *exchanger) start(ctx context.Context, id exchangeID, slowAt time.Time) {
+	now := time.Now()
+	if !id.urgent && x.countFull(now) >= maxFullExchanges {
+		if len(x.Urgent) == 0 {
+			return
+		}
+		id.urgent = true
+	}
+	if e := x.running[id]; e != nil {
 		e.again = true
 		return
 	}
 	if len(x.running) >= maxExchanges {
 		return
 	}
-	x.running[p] = &runningExchange{slowAt: slowAt}
+	x.running[id] = &runningExchange{began: now, slowAt: slowAt}
 	go func() {
-		x.exchange(ctx, p)
-		x.ended <- p
+		x.exchange(ctx, id)
+		x.ended <- id
 	}()
 }
 
+// countFull returns the number of exchanges of all kinds in progress that may soon be over.
+func (x *exchanger) countFull(now time.Time) int {
+	n := 0
+	for id, e := range x.running {
+		n += core.CountIf(!id.urgent && now.Sub(e.began) < syncPeriod)
+	}
+	return n
+}
+
 // queuePull queues a peer that has newer objects. If the queue is full, the peer is dropped, and
 // its news arrives with a later exchange.
 func (s *Store) queuePull(p pull) {
--- a/io/peer/sync.go
+++ b/io/peer/sync.go
@@ -18,11 +18,12 @@
 )
 
 // exchange exchanges with one peer.
-func (s *Store) exchange(ctx context.Context, p Target) {
+func (s *Store) exchange(ctx context.Context, id exchangeID) {
+	p := id.with
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	began := s.Clock.Now()
-	reply, err := s.Client.Sync(ctx, p, s.syncCall())
+	reply, err := s.Client.Sync(ctx, p, s.syncCall(id.urgent))
 	if err != nil {
 		s.mu.Lock()
 		s.peers.drop(p, s.Clock.Now())
@@ -47,14 +48,19 @@
 }
 
 // syncCall returns the call that sends this process's digest, marks and other soft state to a
-// peer.
-func (s *Store) syncCall() *wire.SyncCall {
+// peer. If urgent is set, it has the digests of urgent kinds only.
+func (s *Store) syncCall(urgent bool) *wire.SyncCall {
+	if urgent {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return &wire.SyncCall{From: string(s.Self.Host), Through: s.digest(s.Urgent), Apart: true}
+	}
 	strikes, parts, departed := s.Strikes.next(), s.Parts.next(), s.Departed.next()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return &wire.SyncCall{
 		From:     string(s.Self.Host),
-		Through:  s.digest(),
+		Through:  s.digest(s.Kinds),
 		Strikes:  strikes,
 		Marks:    s.soft.wire(s.Clock.Now()),
 		Parts:    parts,
@@ -63,11 +69,11 @@
 	}
 }
 
-// digest returns the version and age of each replica. The caller holds mu.
-func (s *Store) digest() []*wire.Through {
+// digest returns the version and age of the replicas of some kinds. The caller holds mu.
+func (s *Store) digest(kinds []core.Kind) []*wire.Through {
 	now := s.Clock.Now()
-	digest := make([]*wire.Through, 0, len(s.Kinds))
-	for _, kind := range s.Kinds {
+	digest := make([]*wire.Through, 0, len(kinds))
+	for _, kind := range kinds {
 		k := s.kinds[kind]
 		t := &wire.Through{
 			Kind:    string(kind),
@@ -135,7 +141,7 @@
 	defer s.mu.Unlock()
 	reply = &wire.SyncReply{
 		Marks:   s.soft.wire(s.Clock.Now()),
-		Through: s.digest(),
+		Through: s.digest(s.Kinds),
 	}
 	left := maxReplySize
 	callerAhead, urgent := false, false
