Let no download wait for those of other kinds or for superseded ones

Downloads had one turn for all kinds: a routing table waited for the registry's, and for a source that says nothing 1.8 s if others waited and 5 s if not, also when the replica had the change from elsewhere by then. Each kind now has its own turn, a silent source keeps it for 1.2 s at most while others wait, and a download ends within 0.1 s of the replica having what it brings.

--- a/io/peer/fetch.go
+++ b/io/peer/fetch.go
@@ -27,6 +27,9 @@
 	// same part. The first call stays open: its response may be in transit on a slow
 	// link.
 	hedgeDelay = 600 * time.Millisecond
+	// neededPeriod is how often a download looks whether the replica has the payload from
+	// elsewhere.
+	neededPeriod = 100 * time.Millisecond
 	// partTimeout bounds all calls for one part together.
 	partTimeout = 5 * time.Second
 	// maxSources bounds the peers remembered as sources of a download, and those asked for
@@ -195,37 +198,40 @@
 	if !slices.Contains(d.sources, from) && len(d.sources) < maxSources {
 		d.sources = append(d.sources, from)
 	}
-	loop.Wake(s.downloadWake)
+	loop.Wake(s.downloadWakes[id.kind])
 }
 
-// runDownloads downloads payloads as peers offer them. The first exchange counts as over once
-// what it offered has been downloaded.
-func (s *Store) runDownloads(ctx context.Context) error {
+// runDownloads downloads the payloads of a kind as peers offer them, so that no kind waits for the
+// downloads of others. The first exchange counts as over once what it offered has been downloaded.
+func (s *Store) runDownloads(ctx context.Context, kind core.Kind) error {
 	select {
 	case <-ctx.Done():
 		return nil
 	case <-s.exchanged:
 	}
 	fetchCtx, stop := context.WithTimeout(ctx, firstFetchTimeout)
-	s.downloadAll(fetchCtx)
+	s.downloadAll(fetchCtx, kind)
 	stop()
-	close(s.firstSync)
-	loop.Wake(s.downloadWake)
+	if s.firstFetches.Add(-1) == 0 {
+		close(s.firstSync)
+	}
+	wake := s.downloadWakes[kind]
+	loop.Wake(wake)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-s.downloadWake:
+		case <-wake:
 		}
-		s.downloadAll(ctx)
+		s.downloadAll(ctx, kind)
 	}
 }
 
-// downloadAll continues downloads, one part after the other, until none has a source
+// downloadAll continues downloads of a kind, one part after the other, until none has a source
 // left.
-func (s *Store) downloadAll(ctx context.Context) {
+func (s *Store) downloadAll(ctx context.Context, kind core.Kind) {
 	for ctx.Err() == nil {
-		d := s.nextDownload()
+		d := s.nextDownload(kind)
 		if d == nil {
 			return
 		}
@@ -233,22 +239,22 @@
 	}
 }
 
-// nextDownload returns the download to continue, or nil if none has a source.
-func (s *Store) nextDownload() *download {
+// nextDownload returns the download of a kind to continue, or nil if none has a source.
+func (s *Store) nextDownload(kind core.Kind) *download {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Clock.Now()
 	maps.DeleteFunc(s.downloads, func(id payloadID, d *download) bool { return s.has(id) || !now.Before(d.expires) })
 	var next *download
-	for _, d := range s.downloads {
-		if len(d.sources) > 0 && (next == nil || d.precedes(next)) {
+	for id, d := range s.downloads {
+		if id.kind == kind && len(d.sources) > 0 && (next == nil || d.precedes(next)) {
 			next = d
 		}
 	}
 	if next != nil && next.began.IsZero() {
 		next.began = now
 	}
-	s.downloading = next
+	s.kinds[kind].downloading = next
 	return next
 }
 
@@ -303,9 +309,15 @@
 	responses := make(chan partResponse, maxSources)
 	next := time.NewTimer(0)
 	defer next.Stop()
+	look := time.NewTicker(neededPeriod)
+	defer look.Stop()
 	var asked []Target
 	for pending, rounds := 0, 0; ; {
 		select {
+		case <-look.C:
+			if !s.isNeeded(d) {
+				return partResponse{}
+			}
 		case <-next.C:
 			rounds++
 			from, ok := s.nextSource(d, asked)
@@ -316,7 +328,7 @@
 				go func() { responses <- s.requestPartFrom(ctx, call, from) }()
 			case pending == 0:
 				return partResponse{}
-			case rounds > len(asked)+1 && s.othersPending(d):
+			case rounds > len(asked) && s.othersPending(d):
 				s.removeSources(d, asked...)
 				return partResponse{}
 			}
@@ -343,12 +355,19 @@
 	return d.sources[i], true
 }
 
-// othersPending reports whether another download has sources.
+// isNeeded reports whether the replica still lacks what a download brings.
+func (s *Store) isNeeded(d *download) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.has(d.id)
+}
+
+// othersPending reports whether another download of the kind has sources.
 func (s *Store) othersPending(d *download) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, other := range s.downloads {
-		if other != d && len(other.sources) > 0 && !s.has(id) {
+		if other != d && id.kind == d.id.kind && len(other.sources) > 0 && !s.has(id) {
 			return true
 		}
 	}
--- a/io/peer/fetch_test.go
+++ b/io/peer/fetch_test.go
@@ -66,7 +66,7 @@
 	for _, p := range peers {
 		s.joinWireDelta(p.Target, deltaNaming(size, 7))
 	}
-	s.downloadAll(t.Context())
+	s.downloadAll(t.Context(), core.KindModel)
 	return s
 }
 
@@ -83,7 +83,7 @@
 	s.joinWireDelta(first.Target, deltaNaming(int(p.size), 7))
 	fetched := make(chan struct{})
 	go func() {
-		s.downloadAll(t.Context())
+		s.downloadAll(t.Context(), core.KindModel)
 		close(fetched)
 	}()
 	<-asked
@@ -114,7 +114,7 @@
 		s := fetchFrom(t, len(spec), first)
 		assert.Equal(t, heldSpec(s), "")
 		s.joinWireDelta(second.Target, deltaNaming(len(spec), 7))
-		s.downloadAll(t.Context())
+		s.downloadAll(t.Context(), core.KindModel)
 		assert.Equal(t, heldSpec(s), string(spec))
 		assert.Equal(t, second.requestedOffsets()[0], uint64(partSize))
 	})
--- a/io/peer/inforce_test.go
+++ b/io/peer/inforce_test.go
@@ -15,7 +15,10 @@
 	"radishwell/core"
 )
 
-var inForceSeeds = flag.Int("in-force-seeds", 3, "number of seeds that TestChangeIsInForceInTime plays")
+var (
+	inForceSeeds = flag.Int("in-force-seeds", 3, "number of seeds that TestChangeIsInForceInTime plays")
+	inForceHosts = flag.Int("in-force-hosts", 25, "number of hosts in TestChangeIsInForceInTime")
+)
 
 // The time within which the platform wants a change to be in force in fleets like that of
 // TestChangeIsInForceInTime, and the time without trouble after which it counts a process as in
@@ -191,7 +194,7 @@
 	defer s.mu.Unlock()
 	text := fmt.Sprintf("%.0f bytes a second, messages wait for %v; it lacks %d since %v, exchanged %v ago, %d exchanges failed since",
 		h.rate, h.delay, missing, lag, time.Since(s.exchangedAt), s.failedExchanges)
-	if d := s.downloading; d != nil {
+	if d := s.kinds[core.KindTable].downloading; d != nil {
 		text += fmt.Sprintf(", downloads %s for %v: %d of %d bytes", d.id, time.Since(d.began), len(d.data), d.total)
 	}
 	p.mu.Lock()
@@ -206,7 +209,7 @@
 	for seed := range uint64(*inForceSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(seed, 25)
+				w := newWorld(seed, *inForceHosts)
 				check := w.play(40 * time.Second)
 				broken := check.broken
 				t.Logf("a process in touch lacked a change for %v at most", check.worst)
--- a/io/peer/lag.go
+++ b/io/peer/lag.go
@@ -61,7 +61,7 @@
 		Kind: kind, Held: held, Missing: l.missing, Since: l.since, FreshAt: k.freshAt, CaughtUp: held >= l.missing,
 		ExchangedAt: s.exchangedAt, FailedExchanges: s.failedExchanges,
 	}
-	if d := s.downloading; d != nil {
+	if d := k.downloading; d != nil {
 		lag.Downloading, lag.DownloadingSince = d.id.String(), d.began
 	}
 	if lag.CaughtUp {
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"radishwell/core"
@@ -98,12 +99,11 @@
 	changeWake chan struct{}
 	syncWake   chan struct{}
 	pulls      chan pull
-	// downloads are the payloads in transit; downloadWake wakes the goroutine that
-	// downloads them.
-	downloads    map[payloadID]*download
-	downloadWake chan struct{}
-	// downloading is the download in progress; nil if there is none.
-	downloading *download
+	// downloads are the payloads in transit; downloadWakes wakes the goroutines that download
+	// them. firstFetches counts those that still download what the first exchanges offered.
+	downloads     map[payloadID]*download
+	downloadWakes map[core.Kind]chan struct{}
+	firstFetches  atomic.Int32
 	// payloads caches payloads served to peers.
 	payloads map[payloadID]*payload
 }
@@ -121,6 +121,8 @@
 	// although it is not one of its watchers.
 	fallbackDelay time.Duration
 	lag           lagState
+	// downloading is the download in progress; nil if there is none.
+	downloading *download
 }
 
 type realClock struct{}
@@ -149,7 +151,10 @@
 	s.changeWake = make(chan struct{}, 1)
 	s.syncWake = make(chan struct{}, 1)
 	s.pulls = make(chan pull, maxQueuedPulls)
-	s.downloadWake = make(chan struct{}, 1)
+	s.downloadWakes = map[core.Kind]chan struct{}{}
+	for _, kind := range s.Kinds {
+		s.downloadWakes[kind] = make(chan struct{}, 1)
+	}
 	s.downloads, s.payloads = map[payloadID]*download{}, map[payloadID]*payload{}
 	r := s.rand(0)
 	s.peers = peerView{rand: r, near: s.Near}
@@ -169,12 +174,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ended := make(chan error)
-	running := 3
+	running := 2
 	go func() { ended <- s.runNotify(ctx) }()
-	go func() { ended <- s.runDownloads(ctx) }()
 	go func() { ended <- s.runSync(ctx) }()
+	s.firstFetches.Store(int32(len(s.Kinds)))
 	for i, kind := range s.Kinds {
-		running++
+		running += 2
+		go func() { ended <- s.runDownloads(ctx, kind) }()
 		go func() { ended <- s.runReflector(ctx, kind, s.rand(uint64(i)+2)) }()
 	}
 	var failed error
