Take no older list for the platform's word, and watch once a change may be late

A list that is older than the replica counted as the platform's word that nothing was lacking, so that an entry neither watched itself nor asked for more time for unknown paths (TestOlderListConfirmsNothing, which failed before). And where none of the eight entries that watch the table hears the store, the others began to watch after 5 to 10 s, while changes have to be in force after 2 to 4 s: the delay is now that bound, and as much again at random.

--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -38,7 +38,8 @@
 		// with peers: after all processes have been killed, no peer responds.
 		Kinds: kinds, Confirm: kinds, Urgent: []core.Kind{core.KindTable}, Platform: e.store, Client: e.client, Clock: e.clock,
 		Peers: e.members.peers, Near: e.members.isNear, Watchers: watchers, Seed: rand.Uint64(), MaxRetry: maxStoreRetry,
-		OnChange: e.applyChanges, OnReceived: e.storeReached, OnError: e.readFailed, OnOlderList: logOlderList,
+		FallbackDelay: s.Managed.ApplyTime,
+		OnChange:      e.applyChanges, OnReceived: e.storeReached, OnError: e.readFailed, OnOlderList: logOlderList,
 	}
 	stale.Export(e.meter, e.state)
 	e.handler.Sync, e.handler.Fetch = e.state.ServeSync, e.state.ServeFetch
--- a/io/peer/reflector.go
+++ b/io/peer/reflector.go
@@ -21,14 +21,14 @@
 	// defaultWatchers is large enough that watchers remain on each side of most network
 	// splits and when 16 hosts fail at once, and is still only one in 65 processes.
 	defaultWatchers = 16
-	// fallbackDelay is how long a process that is not a watcher goes without fresh data
+	// defaultFallbackDelay is how long a process that is not a watcher goes without fresh data
 	// before it watches itself; a random part of up to the same length is added. The
 	// platform sends bookmarks each second, and with a hundred processes the replicas
 	// were at most two seconds old. If all watchers are lost at once, an edit still takes
 	// effect within eight seconds.
-	fallbackDelay = 5 * time.Second
+	defaultFallbackDelay = 5 * time.Second
 	// fallbackWatchTime is how long such a process then watches: long enough that
-	// fallbackDelay is small compared with it, short enough that a fleet that lost its
+	// the delay is small compared with it, short enough that a fleet that lost its
 	// watchers returns to a few of them within a minute.
 	fallbackWatchTime = 30 * time.Second
 	// checkPeriod is how often a process checks whether it has to watch.
@@ -116,8 +116,11 @@
 		if err != nil {
 			return err
 		}
-		if held := r.Status(r.kind).Through; l.Version < held && r.OnOlderList != nil {
-			r.OnOlderList(r.kind, l.Version, held)
+		if held := r.Status(r.kind).Through; l.Version < held {
+			if r.OnOlderList != nil {
+				r.OnOlderList(r.kind, l.Version, held)
+			}
+			began = time.Time{} // the platform confirms nothing
 		}
 		r.apply(replic.ListDelta(l), began) // the list may have changed since
 		r.relist = false
@@ -161,7 +164,7 @@
 }
 
 // apply joins a delta that the platform itself has sent, and that lacked nothing at the given
-// time.
+// time, if it is not zero.
 func (r *reflector) apply(d replic.Delta, at time.Time) {
 	r.received = true
 	if r.OnReceived != nil {
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -43,6 +43,10 @@
 	// Watchers is the number of processes that watch each kind; zero means
 	// defaultWatchers.
 	Watchers int
+	// FallbackDelay is how long a process that is not a watcher goes without fresh data before it
+	// watches itself; a random part of up to the same length is added. Zero means
+	// defaultFallbackDelay.
+	FallbackDelay time.Duration
 	// MaxRetry bounds the delay after a failed read of the platform; zero means maxRetry.
 	MaxRetry time.Duration
 	// Seed seeds the choice of peers and all jitter.
@@ -156,10 +160,13 @@
 		s.downloadWakes[kind] = make(chan struct{}, 1)
 	}
 	s.downloads, s.payloads = map[payloadID]*download{}, map[payloadID]*payload{}
+	if s.FallbackDelay <= 0 {
+		s.FallbackDelay = defaultFallbackDelay
+	}
 	r := s.rand(0)
 	s.peers = peerView{rand: r, near: s.Near}
 	for _, kind := range s.Kinds {
-		s.kinds[kind] = &kindState{fallbackDelay: fallbackDelay + time.Duration(r.Int64N(int64(fallbackDelay)))}
+		s.kinds[kind] = &kindState{fallbackDelay: s.FallbackDelay + time.Duration(r.Int64N(int64(s.FallbackDelay)))}
 	}
 }
 
--- a/io/peer/view_test.go
+++ b/io/peer/view_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -130,7 +131,7 @@
 	}
 	joinDigest(5, time.Second)
 	assert.Assert(t, !r.needed(clock.at))
-	clock.at = clock.at.Add(2 * fallbackDelay)
+	clock.at = clock.at.Add(2 * defaultFallbackDelay)
 	assert.Assert(t, r.needed(clock.at), "the replica has not been confirmed for long")
 	joinDigest(6, 0)
 	assert.Assert(t, r.needed(clock.at), "the confirmed version is not held here")
@@ -227,3 +228,28 @@
 	s.joinDigest(digest, began)
 	wantFresh(began.Add(500 * time.Millisecond))
 }
+
+// laggingPlatform lists a state from before the replica's.
+type laggingPlatform struct{ core.Platform }
+
+// List implements core.Platform.
+func (laggingPlatform) List(context.Context, core.Kind) (core.Listing, error) {
+	return core.Listing{Version: 3}, nil
+}
+
+// Watch implements core.Platform.
+func (laggingPlatform) Watch(context.Context, core.Kind, core.Version) (core.Watch, error) {
+	return nil, &core.PlatformError{Fault: core.Unavailable}
+}
+
+// TestOlderListConfirmsNothing: a platform that lists old states must not keep a process from
+// watching itself, nor have it call unknown what a newer table has.
+func TestOlderListConfirmsNothing(t *testing.T) {
+	clock := &settableClock{at: time.Unix(1_000, 0)}
+	s := newIdleStore(clock, 500)
+	s.Platform = laggingPlatform{}
+	s.join(core.KindModel, replic.Delta{Full: true, Through: 5}, Arrival{})
+	r := &reflector{Store: s, kind: core.KindModel, relist: true}
+	_ = r.run(t.Context()) // the watch fails
+	assert.Assert(t, s.Status(core.KindModel).FreshAt.IsZero())
+}
