Check in the soak that tables are in force in time

Each entry is asked for the route that only the newest table has, five times a second. One that calls it unknown while another has had it for 3 s breaks a promise, unless either was restarted or paused, or the store came back from a copy. Faults of the store are no excuse: the other entries have the table.

--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -82,6 +82,7 @@
 	c := &callers{entryAddrs: t.entryAddrs, start: time.Now(), preferred: preference{entry: -1}}
 	ctx, stop := context.WithCancel(context.Background())
 	c.run(ctx, callerCount, r.Seed)
+	c.probeTables(ctx, t.newestPath)
 	t.startCrashing = func(s Step) { c.repeatPoison(ctx, s) }
 	t.startProper = func(s Step) { c.repeatProper(ctx, s) }
 	t.startCrashingPart = func(s Step) { c.sendPoisonParts(ctx, s) }
@@ -140,6 +141,7 @@
 	report.Breaches = append(report.Breaches, report.Sound.lost()...)
 	report.Breaches = append(report.Breaches, report.Preferred.lost()...)
 	var err error
+	report.Breaches = append(report.Breaches, checker.lateTables(c.results)...)
 	report.Panics, err = panics(r.Dir)
 	return report, err
 }
