Keep the soak's requests for the newest table out of its other promises

Their route comes and goes with the tables, so an answer of 404 says nothing about DENIED, and they would have made its total and those of preferred entries larger.

--- a/io/soak/fall.go
+++ b/io/soak/fall.go
@@ -87,12 +87,17 @@
 // denied returns a breach if too many proper requests were refused for good.
 func denied(results []Result) []Breach {
 	var found []Result
+	counted := 0
 	for _, r := range results {
+		if r.isProbe() {
+			continue // its route comes and goes with the tables
+		}
+		counted++
 		if r.isProper() && r.deniesForGood() {
 			found = append(found, r)
 		}
 	}
-	if float64(len(found)) <= maxDenied+deniedShare*float64(len(results)) {
+	if float64(len(found)) <= maxDenied+deniedShare*float64(counted) {
 		return nil
 	}
 	return []Breach{{Promise: "proper requests are not refused for good", Result: found[0], Ran: len(found)}}
--- a/io/soak/part.go
+++ b/io/soak/part.go
@@ -74,7 +74,7 @@
 	}
 	until := c.lastPoisonPart(results)
 	for _, r := range results {
-		sound := isStream(r.Route) && r.Customer == "free" && r.First == "" && r.Text == "" && len(r.Parts) == 0
+		sound := isStream(r.Route) && r.Customer == "free" && !r.isProbe() && r.First == "" && r.Text == "" && len(r.Parts) == 0
 		if !sound || r.Began < from || r.Began > until || disturbed(c.steps, r.Began-contactTime, r.Ended, CrashingPart, PreferEntry) {
 			continue
 		}
--- a/io/soak/prefer.go
+++ b/io/soak/prefer.go
@@ -115,7 +115,7 @@
 func (c *signalChecker) preferredShares(results []Result) (n Preferred) {
 	for _, r := range results {
 		wasRead := r.Status != 0 || r.Ended-r.Began >= callerTimeout
-		if !wasRead || r.Customer != "free" || r.Text != "" || len(r.Parts) > 0 || r.LeaveAfter > 0 || r.First != "" {
+		if !wasRead || r.isProbe() || r.Customer != "free" || r.Text != "" || len(r.Parts) > 0 || r.LeaveAfter > 0 || r.First != "" {
 			continue
 		}
 		ok := r.Status == 200 && (r.Complete || r.Unframed)
--- a/io/soak/table.go
+++ b/io/soak/table.go
@@ -40,6 +40,9 @@
 	}
 }
 
+// isProbe reports whether a request asks for the newest table's route.
+func (r *Result) isProbe() bool { return strings.HasPrefix(r.ID, probePrefix) }
+
 // lateTables returns breaches for entries in touch that call a route unknown which another entry in
 // touch has had for applyTime.
 func (c *signalChecker) lateTables(results []Result) []Breach {
@@ -49,7 +52,7 @@
 	}
 	// had is when each entry was first seen to have a table.
 	had := map[table]time.Duration{}
-	probes := slices.DeleteFunc(slices.Clone(results), func(r Result) bool { return !strings.HasPrefix(r.ID, probePrefix) })
+	probes := slices.DeleteFunc(slices.Clone(results), func(r Result) bool { return !r.isProbe() })
 	slices.SortFunc(probes, func(a, b Result) int { return cmp.Compare(a.Ended, b.Ended) })
 	var breaches []Breach
 	for _, r := range probes {
