--- a/io/peer/inforce_test.go
+++ b/io/peer/inforce_test.go
@@ -223,3 +223,78 @@
 		})
 	}
 }
+
+// TestChangeInCalmFleet tells how long a change takes from the first process to the last, and how
+// many bytes each process receives for it, if it is of all routes or of one.
+func TestChangeInCalmFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, *inForceHosts)
+		table := make(tableRoutes, 1450)
+		w.store.write(core.KindTable, "main", table.spec())
+		for _, h := range w.hosts {
+			h.start()
+		}
+		defer func() {
+			for _, h := range w.hosts {
+				h.stop()
+			}
+			time.Sleep(time.Minute)
+		}()
+		time.Sleep(12 * time.Second)
+		const span = 4 * time.Second
+		atRest := w.received(span)
+		for name, change := range map[string]func(){
+			"one route": func() { table[700]++ },
+			"all routes": func() {
+				for i := range table {
+					table[i]++
+				}
+			},
+		} {
+			change()
+			version := w.store.write(core.KindTable, "main", table.spec())
+			bytes := w.received(span)
+			first, last := w.inForce(version)
+			t.Logf("%d processes, %s: %v from the first to the last; each receives %d bytes for it, watchers from peers as well",
+				len(w.hosts), name, last.Sub(first), (bytes-atRest)/len(w.hosts))
+			assert.Assert(t, last.Sub(first) < applyTime)
+		}
+	})
+}
+
+// received returns the number of bytes that all processes receive from others within a time.
+func (w *world) received(d time.Duration) int {
+	count := func() (n int) {
+		for _, h := range w.hosts {
+			_, replies := h.process.client.Traffic()
+			_, calls := h.process.server.Traffic()
+			n += int(replies + calls)
+		}
+		return n
+	}
+	before := count()
+	time.Sleep(d)
+	return count() - before
+}
+
+// inForce returns when a version came into force at the first and at the last process; the last is
+// never if one lacks it.
+func (w *world) inForce(version core.Version) (first, last time.Time) {
+	for _, h := range w.hosts {
+		h.process.mu.Lock()
+		held := slices.Clone(h.process.held)
+		h.process.mu.Unlock()
+		i := slices.IndexFunc(held, func(t heldTable) bool { return t.version >= version })
+		if i < 0 {
+			return first, time.Now().Add(time.Hour)
+		}
+		at := held[i].at
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	return first, last
+}
