--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -83,7 +83,9 @@
 		}
 		return r.Status != http.StatusUnauthorized
 	}},
-	{"a request that exists is not called unknown", func(r *Result, _ int) bool { return r.Status != http.StatusNotFound }},
+	{"a request that exists is not called unknown", func(r *Result, _ int) bool {
+		return r.Status != http.StatusNotFound || r.isProbe()
+	}},
 }
 
 func isStream(r Route) bool { return r == Stream || r == Resumed }
