--- a/io/peer/doc.go
+++ b/io/peer/doc.go
@@ -9,8 +9,10 @@
 // Store keeps a replica of each kind of platform object that the process uses. A few
 // processes watch a kind on the platform; the others get its changes from peers. In an
 // exchange, which is one Sync call, a process sends a peer the digest of its replicas,
-// that is, the version and age of each, and gets the changes that it lacks. The
-// specifications of large objects and large sets of changes, called payloads, are
-// downloaded in parts by Fetch calls. Exchanges also carry soft state: marks, which
+// that is, the version and age of each, and gets the changes that it lacks. Exchanges with
+// several peers go on side by side, so that none waits for a peer that is slow. The
+// specifications of large objects and large sets of changes, called payloads, are left out. If
+// the receiver holds an earlier version of an object, it gets a patch for that one, and otherwise
+// downloads the payload in parts by Fetch calls. Exchanges also carry soft state: marks, which
 // expire, and strikes, which package core/strike defines.
 package peer
--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"radishwell/core"
@@ -246,11 +247,4 @@
 }
 
 // isUrgent reports whether changes of a kind must not wait for others.
-func (s *Store) isUrgent(kind core.Kind) bool {
-	for _, k := range s.Urgent {
-		if k == kind {
-			return true
-		}
-	}
-	return false
-}
+func (s *Store) isUrgent(kind core.Kind) bool { return slices.Contains(s.Urgent, kind) }
