--- a/io/peer/fetch.go
+++ b/io/peer/fetch.go
@@ -328,7 +328,7 @@
 				go func() { responses <- s.requestPartFrom(ctx, call, from) }()
 			case pending == 0:
 				return partResponse{}
-			case rounds > len(asked) && s.othersPending(d):
+			case rounds > len(asked)+1 && s.othersPending(d):
 				s.removeSources(d, asked...)
 				return partResponse{}
 			}
