--- a/io/peer/payload.go
+++ b/io/peer/payload.go
@@ -66,7 +66,9 @@
 	s.init()
 	id := payloadID{kind: core.Kind(call.GetKind()), name: call.GetName(), version: core.Version(call.GetVersion())}
 	first := call.GetOffset() == 0
-	p := s.patchFrom(core.Version(call.GetBase()), id, first)
+	fromBase := id
+	fromBase.base = core.Version(call.GetBase())
+	p := s.worthwhilePatch(fromBase, first)
 	patched := p != nil
 	if p == nil {
 		p = s.payload(id, first)
@@ -81,13 +83,12 @@
 	return &wire.FetchReply{Data: p.data[begin:end], Size: total, Sum: p.sum, Unpacked: p.size, Patch: patched}, nil
 }
 
-// patchFrom returns a payload's patch for a peer that holds the object's base version; nil if there
+// worthwhilePatch returns the patch of an object for a peer that holds the base version; nil if there
 // is none, or if it is hardly shorter.
-func (s *Store) patchFrom(base core.Version, id payloadID, first bool) *payload {
-	if base == 0 || id.name == "" {
+func (s *Store) worthwhilePatch(id payloadID, first bool) *payload {
+	if id.base == 0 || id.name == "" {
 		return nil
 	}
-	id.base = base
 	p := s.payload(id, first)
 	if p == nil {
 		return nil
@@ -178,10 +179,8 @@
 // addPatches adds the patches that are short enough to omitted specifications.
 func (s *Store) addPatches(list []inlinePatch) {
 	for _, in := range list {
-		base := in.id.base
-		in.id.base = 0
-		if p := s.patchFrom(base, in.id, false); p != nil && len(p.data) <= maxInlinePatch {
-			in.item.Patch, in.item.PatchSize, in.item.Base = p.data, p.size, uint64(base)
+		if p := s.worthwhilePatch(in.id, false); p != nil && len(p.data) <= maxInlinePatch {
+			in.item.Patch, in.item.PatchSize, in.item.Base = p.data, p.size, uint64(in.id.base)
 		}
 	}
 }
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -149,9 +149,8 @@
 	s.kinds = map[core.Kind]*kindState{}
 	s.dirty = map[core.Kind]map[string]bool{}
 	s.firstSync = make(chan struct{})
-	exchanged := make(chan struct{})
-	s.firstExchanged = sync.OnceFunc(func() { close(exchanged) })
-	s.exchanged = exchanged
+	s.exchanged = make(chan struct{})
+	s.firstExchanged = sync.OnceFunc(func() { close(s.exchanged) })
 	s.changeWake = make(chan struct{}, 1)
 	s.syncWake = make(chan struct{}, 1)
 	s.pulls = make(chan pull, maxQueuedPulls)
--- a/io/soak/table.go
+++ b/io/soak/table.go
@@ -58,8 +58,8 @@
 	for _, r := range probes {
 		switch r.Status {
 		case http.StatusOK:
-			if at, ok := had[table{r.Path, r.Entry}]; !ok || r.Ended < at {
-				had[table{r.Path, r.Entry}] = r.Ended
+			if t := (table{r.Path, r.Entry}); had[t] == 0 {
+				had[t] = r.Ended // the probes are in order of time
 			}
 		case http.StatusNotFound:
 			for t, at := range had {
