--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -4,12 +4,13 @@
 
 import (
 	"bufio"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"regexp"
 	"strings"
 	"sync"
 	"time"
@@ -76,58 +77,6 @@
 	}
 }
 
-// runLate opens channels, sends a request for a stream on each after a pause, and reports those
-// that were passed on and whose channel ended without a complete answer.
-func runLate(args []string) int {
-	flags := flag.NewFlagSet("late", flag.ExitOnError)
-	entry := flags.String("entry", "", "address of the entry")
-	path := flags.String("path", "", "path")
-	n := flags.Int("n", 8, "number of streams")
-	events := flags.Int("events", 0, "events of a whole stream")
-	pause := flags.Duration("pause", 0, "time from the opening of a channel to its request")
-	whole := flags.Bool("whole", false, "the case cannot be judged unless all streams are complete")
-	_ = flags.Parse(args)
-	var wait sync.WaitGroup
-	var mu sync.Mutex
-	served, cut := 0, 0
-	for i := range *n {
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			id := fmt.Sprintf("q-%d", i)
-			conn, err := connect(*entry)
-			if err != nil {
-				logLine("no channel for %s: %v", id, err)
-				return
-			}
-			defer conn.Close()
-			logLine("channel for %s to %s", id, *entry)
-			time.Sleep(*pause)
-			logLine("sent %s", id)
-			a := exchange(conn, http.MethodPost, *path, "a.example", id, "prompt of "+id, 15*time.Second, streamHeader(i)...)
-			got := strings.Count(a.body, "\n\n")
-			logLine("answer %s: status %d, signed %v, end marked by %s, %d of %d events, error %v", id, a.status, a.signed, a.framing, got, *events, a.end)
-			mu.Lock()
-			defer mu.Unlock()
-			switch {
-			case a.status == http.StatusOK && a.end != nil:
-				cut++
-			case a.status == http.StatusOK && got == *events:
-				served++
-			}
-		}()
-	}
-	wait.Wait()
-	logLine("%d streams, %d complete, %d begun and cut", *n, served, cut)
-	switch {
-	case cut > 0:
-		return broken
-	case *whole && served < *n:
-		return cannotRun
-	}
-	return held
-}
-
 // runStreams sends streams at the same time and reports those that ended as complete before their
 // last event.
 func runStreams(args []string) int {
@@ -174,19 +123,31 @@
 	return held
 }
 
-// runPaths sends requests and reports those that a worker answered.
+// runPaths sends a request for each target and reports those that a worker ran with another path
+// or host.
 func runPaths(args []string) int {
 	flags := flag.NewFlagSet("paths", flag.ExitOnError)
 	entry := flags.String("entry", "", "address of the entry")
-	method := flags.String("method", http.MethodPost, "method")
+	log := flags.String("log", "", "file with the lines that the worker prints")
 	_ = flags.Parse(args)
+	const host = "b.example"
 	status := held
 	for i, target := range flags.Args() {
 		id := fmt.Sprintf("q-%d", i)
-		logLine("sent %s: %s, target %q, host %q", id, *method, target, "a.example")
-		a := send(*entry, *method, target, "a.example", id, "body", 1500*time.Millisecond)
+		logLine("sent %s: POST, target %q, host %q", id, target, host)
+		a := send(*entry, http.MethodPost, target, host, id, "body", 1500*time.Millisecond)
 		logLine("answer %s: status %d, signed %v, error %v", id, a.status, a.signed, a.end)
-		if a.status != http.StatusOK || !a.signed || errors.Is(a.end, io.ErrUnexpectedEOF) {
+		lines, err := os.ReadFile(*log)
+		if err != nil {
+			return fail(err)
+		}
+		ran := regexp.MustCompile(`: ` + id + ` (.*)`).FindSubmatch(lines)
+		want := fmt.Sprintf("path %q, host %q", target, host)
+		switch {
+		case ran != nil && !strings.HasSuffix(string(ran[1]), want):
+			logLine("%s ran as %s", id, ran[1])
+			status = broken
+		case ran == nil && status == held:
 			status = cannotRun
 		}
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,9 +21,9 @@
 )
 
 func main() {
-	commands := map[string]func([]string) int{"store": runStore, "worker": runWorker, "ports": listPorts, "ready": checkReady, "streams": runStreams, "late": runLate, "paths": runPaths}
+	commands := map[string]func([]string) int{"store": runStore, "worker": runWorker, "ports": listPorts, "ready": checkReady, "streams": runStreams, "paths": runPaths}
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "stand store|worker|ports|ready|streams|late|paths")
+		fmt.Fprintln(os.Stderr, "stand store|worker|ports|ready|streams|paths")
 		os.Exit(cannotRun)
 	}
 	os.Exit(commands[os.Args[1]](os.Args[2:]))
@@ -136,7 +136,7 @@
 	}
 	return fail(serve(*listen, http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("X-Radishwell-Request-Id") != "" {
-			logLine("ran at %s: %s %s, target %q, host %q", *id, r.Header.Get("X-Radishwell-Request-Id"), r.Method, r.RequestURI, r.Host)
+			logLine("ran at %s: %s %s, target %q, path %q, host %q", *id, r.Header.Get("X-Radishwell-Request-Id"), r.Method, r.RequestURI, r.URL.RequestURI(), r.Host)
 			defer func() { logLine("end at %s: %s", *id, r.Header.Get("X-Radishwell-Request-Id")) }()
 		}
 		w.ServeHTTP(out, r)
