--- a/review/common.sh
+++ b/review/common.sh
@@ -71,8 +71,8 @@
 
 # start_fleet EVENTS WORKER-FLAG...: starts a store, two model workers with their agents, whose
 # streams have EVENTS events 100 ms apart, a worker of an application service, and two entries.
-# The ids of entries and model workers are in the lists entry and workers, the addresses of the
-# entries for clients in callers_at.
+# The ids of entries and agents are in the lists entry and agents, the addresses of the entries
+# for clients in callers_at.
 start_fleet() {
 	local events=$1 i at
 	shift
@@ -86,6 +86,7 @@
 	cat >"$dir/table" <<END
 {"version":7,"routes":[
  {"name":"r-1","host":"a.example","path_prefix":"/draft/","route_kind":"streaming","timeout_ms":15000,"target_latency_ms":2500,"gap_aim_ms":600,"priority":1,"service":"qalam","max_attempts":1,"sticky":true,"resumable":false},
+ {"name":"r-3","host":"a.example","path_prefix":"/match/","route_kind":"streaming","timeout_ms":15000,"target_latency_ms":2000,"gap_aim_ms":600,"priority":0,"service":"qalam","max_attempts":2,"sticky":true,"resumable":true},
  {"name":"r-2","host":"b.example","path_prefix":"/","route_kind":"non_idempotent","timeout_ms":800,"target_latency_ms":300,"priority":2,"service":"sijill","max_attempts":1}],
  "services":[{"name":"qalam","health_path":"/healthz","max_connections":370,"engine":{"slots":64,"kv_cache_tokens":263794,"weights_mb":200000,"adapter_slots":8,"loads_per_s":1.6,
   "models":[{"name":"m-1","weights_mb":72700,"load_s":6,"adapters":0,"adapter_mb":66,"warm_s":0.63,"disk_s":0.84}]}},
@@ -104,18 +105,16 @@
 END
 	objects+=("servers/i-3=$dir/worker-3")
 	start store "$stands" store -listen "$store_at" "${objects[@]}"
-	workers=()
+	agents=()
 	for i in 1 2; do
-		sed 's/"state":"ready"/"state":"draining","remaining_ms":2000/' "$dir/worker-$i" >"$dir/leaving-$i"
-		start "worker-$i" "$stands" worker -listen "127.0.1.$i:$worker_port" -id "i-$i" -events "$events" -gap 100ms -model m-1 \
-			-leaves "http://$store_at/-/objects/servers/i-$i=$dir/leaving-$i" "${worker_flags[@]}"
-		workers+=("$started")
+		start "worker-$i" "$stands" worker -listen "127.0.1.$i:$worker_port" -id "i-$i" -events "$events" -gap 100ms -model m-1 "${worker_flags[@]}"
 	done
 	start worker-3 "$stands" worker -listen "127.0.1.3:$worker_port" -id i-3
 	sleep 0.3
 	for i in 1 2; do
 		settings agent "side-charguia-$i" "$dir/agent-$i.yaml" "127.0.1.$i:$agent_port" "127.0.1.$i:$agent_operators" "127.0.1.$i:$worker_port"
 		start "agent-$i" "$program" agent "$dir/agent-$i.yaml"
+		agents+=("$started")
 	done
 	entry=() callers_at=()
 	for i in 0 1; do
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -70,10 +70,10 @@
 }
 
 // streamHeader returns the header fields of the nth request for a stream.
-func streamHeader(n int) []string {
+func streamHeader(n, prompt int) []string {
 	return []string{
-		"X-Radishwell-Model", "m-1", "X-Radishwell-Token-Usage", "100,40",
-		"X-Radishwell-Prompt-Prefix", fmt.Sprintf("0a:60,%02x:40", 0x10+n),
+		"X-Radishwell-Model", "m-1", "X-Radishwell-Token-Usage", fmt.Sprintf("%d,40", prompt),
+		"X-Radishwell-Prompt-Prefix", fmt.Sprintf("0a:60,%04x:%d", 0x1000+n, prompt-60),
 	}
 }
 
@@ -86,18 +86,22 @@
 	n := flags.Int("n", 8, "number of streams")
 	events := flags.Int("events", 0, "events of a whole stream")
 	limit := flags.Duration("limit", 15*time.Second, "time budget")
+	prompt := flags.Int("prompt", 100, "tokens of a prompt")
+	gap := flags.Duration("gap", 0, "time between two requests")
+	prefix := flags.String("prefix", "q", "beginning of the requests' ids")
 	whole := flags.Bool("whole", false, "the case cannot be judged unless all streams are complete")
 	_ = flags.Parse(args)
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	served, early := 0, 0
 	for i := range *n {
+		time.Sleep(*gap)
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			id := fmt.Sprintf("q-%d", i)
+			id := fmt.Sprintf("%s-%d", *prefix, i)
 			logLine("sent %s to %s", id, *entry)
-			a := send(*entry, http.MethodPost, *path, "a.example", id, "prompt of "+id, *limit, streamHeader(i)...)
+			a := send(*entry, http.MethodPost, *path, "a.example", id, "prompt of "+id, *limit, streamHeader(i, *prompt)...)
 			got := strings.Count(a.body, "\n\n")
 			logLine("answer %s: status %d, signed %v, end marked by %s, %d of %d events, error %v", id, a.status, a.signed, a.framing, got, *events, a.end)
 			mu.Lock()
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -5,15 +5,16 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
+	"strconv"
 	"strings"
-	"syscall"
+	"sync"
 	"time"
 
 	"radishwell/io/fakes/ports"
@@ -21,9 +22,9 @@
 )
 
 func main() {
-	commands := map[string]func([]string) int{"store": runStore, "worker": runWorker, "ports": listPorts, "ready": checkReady, "streams": runStreams, "paths": runPaths}
+	commands := map[string]func([]string) int{"store": runStore, "worker": runWorker, "ports": listPorts, "ready": checkReady, "streams": runStreams, "twice": findTwice, "paths": runPaths}
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "stand store|worker|ports|ready|streams|paths")
+		fmt.Fprintln(os.Stderr, "stand store|worker|ports|ready|streams|twice|paths")
 		os.Exit(cannotRun)
 	}
 	os.Exit(commands[os.Args[1]](os.Args[2:]))
@@ -124,49 +125,65 @@
 	gap := flags.Duration("gap", 100*time.Millisecond, "pause between two events")
 	model := flags.String("model", "", "model that the worker holds")
 	unframed := flags.Bool("unframed", false, "answers have no length and end with their channel")
-	leaves := flags.String("leaves", "", "URL=FILE of the registry entry that the worker writes on SIGUSR1, as it is about to leave")
+	rate := flags.Float64("prefill", 0, "prompt tokens that the worker reads in a millisecond; it reads one prompt after the other")
+	goesOn := flags.Bool("goes-on", false, "a request goes on when its channel is closed")
 	_ = flags.Parse(args)
-	if url, file, ok := strings.Cut(*leaves, "="); ok {
-		go writeOnSignal(url, file)
-	}
 	w := &stand.Worker{ID: *id, Events: *events, Gap: *gap, Plain: *events == 0}
 	w.SetUnframed(*unframed)
 	if *model != "" {
 		w.SetModels(stand.Held{Name: *model, Version: 1, Adapters: []string{}})
 	}
+	var prompts prompts
 	return fail(serve(*listen, http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("X-Radishwell-Request-Id") != "" {
 			logLine("ran at %s: %s %s, target %q, path %q, host %q", *id, r.Header.Get("X-Radishwell-Request-Id"), r.Method, r.RequestURI, r.URL.RequestURI(), r.Host)
 			defer func() { logLine("end at %s: %s", *id, r.Header.Get("X-Radishwell-Request-Id")) }()
+			out = &beginWriter{ResponseWriter: out, worker: *id, request: r.Header.Get("X-Radishwell-Request-Id")}
+		}
+		if *rate > 0 {
+			prompts.read(r.Header.Get("X-Radishwell-Token-Usage"), *rate)
+		}
+		if *goesOn {
+			r = r.WithContext(context.WithoutCancel(r.Context()))
 		}
 		w.ServeHTTP(out, r)
 	})))
 }
 
-// writeOnSignal writes an object of the store once the process gets SIGUSR1.
-func writeOnSignal(url, file string) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGUSR1)
-	<-signals
-	spec, err := os.ReadFile(file)
-	if err != nil {
-		logLine("cannot write the registry entry: %v", err)
-		return
-	}
-	req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(`{"metadata":{},"spec":`+string(spec)+`}`))
+// prompts are those that a worker reads, one after the other.
+type prompts struct{ mu sync.Mutex }
+
+// read takes the time to read the prompt of a request.
+func (p *prompts) read(usage string, rate float64) {
+	text, _, _ := strings.Cut(usage, ",")
+	tokens, err := strconv.Atoi(text)
 	if err != nil {
-		logLine("cannot write the registry entry: %v", err)
 		return
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		logLine("cannot write the registry entry: %v", err)
-		return
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	time.Sleep(time.Duration(float64(tokens) / rate * float64(time.Millisecond)))
+}
+
+// beginWriter prints when a request begins to run, which is with the first bytes of its answer.
+type beginWriter struct {
+	http.ResponseWriter
+	worker, request string
+	begun           bool
+}
+
+// Write implements http.ResponseWriter.
+func (w *beginWriter) Write(data []byte) (int, error) {
+	if !w.begun {
+		w.begun = true
+		logLine("begun at %s: %s", w.worker, w.request)
 	}
-	defer resp.Body.Close()
-	logLine("registry entry written, status %d: %s", resp.StatusCode, strings.TrimSpace(string(spec)))
+	return w.ResponseWriter.Write(data)
 }
 
+// Unwrap returns the wrapped writer, for http.ResponseController.
+func (w *beginWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // logLine prints a line with the time.
 func logLine(format string, args ...any) {
 	fmt.Println(time.Now().Format("15:04:05.000"), fmt.Sprintf(format, args...))
