--- a/review/common.sh
+++ b/review/common.sh
@@ -1,6 +1,6 @@
 # Functions of the cases' scripts, which source this file. A script sets "here" to its folder.
 # Each process that it starts is ended at its end, by its id.
-set -euo pipefail
+set -Eeuo pipefail
 root=$(cd "$here/../.." && pwd)
 cd "$root"
 program=target/radishwell
@@ -23,6 +23,7 @@
 	note "cannot run: $*"
 	exit 2
 }
+trap 'cannot_run "a command failed"' ERR
 
 [ -x "$program" ] && [ -x "$stands" ] || { echo "build the program and review/build.sh first" >&2; exit 2; }
 : >"$record"
