Reset callers' unframed answers when the entry's process ends first

The entry had been killed.

Cause: an answer without framing ends with the caller's connection. The entry resets it where it breaks such an answer off, but nothing does once its process has ended: the system closes the connections of a process in order if nothing is unread on them. A planned stop whose grace period is shorter than the stream, and callers of HTTP/1.0, get the same.

The connection is set to reset when it is closed (SO_LINGER of zero) before the header of an answer without framing, and set back once the answer was handed to the system whole.

TestEndOfProcessDoesNotEndStream fails in its four cases of kills and stops on the code before, and passes.

Weighed: chunks for callers of HTTP/1.1 whose last one follows the upstream's orderly end.

--- a/io/accept/accept.go
+++ b/io/accept/accept.go
@@ -154,6 +154,21 @@
 	return ctx
 }
 
+// SetUnfinished sets whether a connection carries a response without framing that has not ended.
+// While it does, the connection ends with a reset, also when the process is killed and the system
+// closes it: an orderly end would make the response look complete. ctx is a request's context.
+func SetUnfinished(ctx context.Context, unfinished bool) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return
+	}
+	linger := -1 // the system's default
+	if unfinished {
+		linger = 0
+	}
+	_ = c.SetLinger(linger) // it fails only if the connection has ended already
+}
+
 // Understood tells the listener that a request has been understood, or answered. ctx is the
 // request's context.
 func Understood(ctx context.Context) {
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -13,6 +13,7 @@
 	"radishwell/core/fleet"
 	"radishwell/core/queue"
 	"radishwell/core/rtable"
+	"radishwell/io/httpd"
 	"radishwell/io/reply"
 )
 
@@ -306,5 +307,8 @@
 	default:
 		c.unframed = !c.request.ProtoAtLeast(1, 1)
 	}
+	if c.unframed {
+		httpd.BeginUnframed(c.request)
+	}
 	c.writer.WriteHeader(status)
 }
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -174,6 +174,7 @@
 	}
 	c.log(refusal)
 	if refusal == nil {
+		c.endAnswer()
 		return
 	}
 	if c.started || refusal.Code == core.CodeCancelled {
@@ -185,11 +186,19 @@
 	}
 	if c.failure != nil {
 		c.writeFailure()
+		c.endAnswer()
 		return
 	}
 	c.writeRefusal(refusal)
 }
 
+// endAnswer ends an answer that was written whole.
+func (c *call) endAnswer() {
+	if c.unframed {
+		httpd.EndUnframed(c.writer, c.request)
+	}
+}
+
 // prepare reads the request and finds its customer, route, service and deadline.
 func (c *call) prepare() *core.Refusal {
 	p := c.proxy
