Reset unframed answers of the product's own stack when their connection is closed early

TestClosedConnectionDoesNotEndAnswer fails in both versions of HTTP on the code before, and passes. The tests' server accepts connections as the entry's does.

--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -73,6 +73,7 @@
 // call of Fail alone.
 type Answer struct {
 	w     http.ResponseWriter
+	r     *http.Request
 	flush *http.ResponseController
 	id    core.RequestID
 	clock core.Clock
@@ -83,8 +84,9 @@
 	events      bool
 	headWritten bool
 	// unframed is set if the upstream's answer has no framing, and chunks if the caller
-	// knows chunks, which HTTP/1.0 does not.
-	unframed, chunks bool
+	// knows chunks, which HTTP/1.0 does not. open is set while the answer that is written has
+	// neither a length nor chunks.
+	unframed, chunks, open bool
 	ended            bool
 	buffered         []byte
 	status           int
@@ -138,6 +140,9 @@
 // streamed: its outcome isn't known yet and follows in a trailer.
 func (a *Answer) writeHead(open bool) {
 	a.headWritten = true
+	if a.open = a.unframed || open && !a.chunks; a.open {
+		httpd.BeginUnframed(a.r)
+	}
 	h := a.w.Header()
 	for name, values := range a.header {
 		if name == HeaderOutcome || name == HeaderRequestID {
@@ -168,6 +173,7 @@
 		return
 	}
 	a.ended = true
+	defer a.end()
 	if a.headWritten {
 		if !a.unframed {
 			a.w.Header().Set(HeaderOutcome, core.Done.String())
@@ -178,6 +184,13 @@
 	_, _ = a.w.Write(a.buffered)
 }
 
+// end ends an answer that was written whole.
+func (a *Answer) end() {
+	if a.open {
+		httpd.EndUnframed(a.w, a.r)
+	}
+}
+
 // Fail ends the answer with a refusal; it does nothing after Done or Fail. If
 // part of the answer of a model was already sent, the refusal becomes the last
 // event of the stream and the outcome a trailer. The answer of a plain service is
@@ -194,8 +207,9 @@
 	}
 	a.w.Header().Set(HeaderOutcome, r.Outcome.String())
 	if !a.events {
-		httpd.Abort(a.w, a.unframed || !a.chunks)
+		httpd.Abort(a.w, a.open)
 		return
 	}
 	_, _ = a.w.Write(append(append([]byte("data: "), encodeRefusal(r, a.id)...), "\n\n"...))
+	a.end()
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -193,7 +193,7 @@
 	q.Size = core.Bytes(len(c.Body))
 	q.Fingerprint = core.FingerprintOf([]byte(q.Target.Name()), []byte(c.Method), []byte(c.Path), c.Body)
 	c.Answer = &Answer{
-		w: p.w, flush: http.NewResponseController(p.w), id: p.id, clock: p.handler.Clock,
+		w: p.w, r: p.r, flush: http.NewResponseController(p.w), id: p.id, clock: p.handler.Clock,
 		stream: stream, events: q.Target.Model != "", chunks: p.r.ProtoAtLeast(1, 1),
 	}
 	p.handler.Serve(p.r.Context(), c)
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -8,10 +8,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,6 +23,7 @@
 
 	"radishwell/core"
 	"radishwell/core/catlog"
+	"radishwell/io/accept"
 	"radishwell/io/front"
 )
 
@@ -61,6 +64,11 @@
 
 // serveWith starts a Handler that answers requests with serve and returns its URL.
 func serveWith(t *testing.T, serve func(*front.Call)) string {
+	t.Helper()
+	return startServer(t, serve).URL
+}
+
+func startServer(t *testing.T, serve func(*front.Call)) *httptest.Server {
 	t.Helper()
 	var view catlog.View
 	digest := sha256.Sum256([]byte(testKey))
@@ -70,15 +78,18 @@
 		objects[i].Version, objects[i].UID = core.Version(i+1), strconv.Itoa(i)
 	}
 	view.Apply(objects...)
-	srv := httptest.NewServer(&front.Handler{
+	srv := httptest.NewUnstartedServer(&front.Handler{
 		Clock: fixedClock{}, Snapshot: view.Snapshot, MaxBody: core.KiB,
 		Serve:    func(_ context.Context, c *front.Call) { serve(c) },
 		Refused:  func(core.RequestID, *core.Refusal) {},
 		Deadline: func(_ core.Class, at time.Time) time.Time { return at.Add(time.Minute) },
 		NewID:    func() core.RequestID { return "id-1" },
 	})
+	srv.Listener = &accept.Listener{Listener: srv.Listener}
+	srv.Config.ConnContext = accept.WithConn
+	srv.Start()
 	t.Cleanup(srv.Close)
-	return srv.URL
+	return srv
 }
 
 func neverServe(t *testing.T) func(*front.Call) {
@@ -298,3 +309,44 @@
 	assert.Assert(t, err != nil)
 	assert.Equal(t, calls, 1)
 }
+
+// Guards against an answer without framing that looks complete to its caller since the entry's
+// connection was closed before the answer ended.
+func TestClosedConnectionDoesNotEndAnswer(t *testing.T) {
+	const event = "data: first\n\n"
+	for _, version := range []string{"1.0", "1.1"} {
+		t.Run("HTTP/"+version, func(t *testing.T) {
+			begun, closed := make(chan struct{}), make(chan struct{})
+			srv := startServer(t, func(c *front.Call) {
+				c.Answer.Head(http.StatusOK, http.Header{}, version == "1.1")
+				assert.Check(t, c.Answer.Data([]byte(event)))
+				close(begun)
+				<-closed
+				c.Answer.Done()
+			})
+			conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+			assert.NilError(t, err)
+			defer conn.Close()
+			body := strings.Replace(goodBody, "{", `{"stream":true,`, 1)
+			_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/%s\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+				version, testKey, len(body), body)
+			assert.NilError(t, err)
+			<-begun
+			srv.CloseClientConnections()
+			close(closed)
+			text, err := io.ReadAll(conn)
+			assert.ErrorIs(t, err, syscall.ECONNRESET)
+			assert.Assert(t, strings.HasSuffix(string(text), event), "%q", text)
+		})
+	}
+	t.Run("a whole answer ends in order", func(t *testing.T) {
+		url := serveWith(t, func(c *front.Call) {
+			c.Answer.Head(http.StatusOK, http.Header{}, true)
+			assert.Check(t, c.Answer.Data([]byte(event)))
+			c.Answer.Done()
+		})
+		raw, err := io.ReadAll(call(t, url, "POST", "/v1/chat/completions", strings.Replace(goodBody, "{", `{"stream":true,`, 1)).Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(raw), event)
+	})
+}
