--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -87,10 +87,10 @@
 	// knows chunks, which HTTP/1.0 does not. open is set while the answer that is written has
 	// neither a length nor chunks.
 	unframed, chunks, open bool
-	ended            bool
-	buffered         []byte
-	status           int
-	header           http.Header
+	ended                  bool
+	buffered               []byte
+	status                 int
+	header                 http.Header
 }
 
 // Begun reports whether any part of the answer has been written to the caller,
