Break off unframed answers of hosts that are gone at short notice

The host had said that it would be gone in 2 s, whatever it ran, and was.

Cause: the entry does not ask a host that is leaving whether it still accepts connections after an answer without framing has ended, since a planned end waits for the host's work. An end at short notice does not wait. Attempts that its end breaks off give no strikes.

TestEndAtShortNoticeBreaksOffAnswer fails in its four cases on the code before, and passes.

--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -25,6 +25,8 @@
 	// entry that cannot be read never yields a usable host.
 	Usable  bool
 	Leaving bool
+	// ShortNotice is set if the host ends at a stated time, whatever it runs then.
+	ShortNotice bool
 	// Slots is the number of requests that the host runs at once.
 	Slots int
 	// Orders counts the orders that the host has accepted.
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -140,7 +140,7 @@
 	}
 	// A host does not return from leaving within one incarnation; an entry that says so is
 	// an outdated read.
-	e.Leaving = e.Leaving || h.Entry.Leaving
+	e.Leaving, e.ShortNotice = e.Leaving || h.Entry.Leaving, e.ShortNotice || h.ShortNotice
 	e.Software = cmp.Or(e.Software, h.Software) // an entry without it does not undo it
 	if h.Service != e.Service {
 		v.noteDeparture(h)
--- a/io/proxy/crash.go
+++ b/io/proxy/crash.go
@@ -94,6 +94,9 @@
 	case sent && isBrokenOff(err):
 		probe := false
 		p.Update(func(v *fleet.View, now time.Time) {
+			if t.host.ShortNotice {
+				return // the request is not the reason
+			}
 			probe = v.NoteBrokenOff(now, inc, fleet.BrokenOff{
 				Fingerprint: c.fingerprint, Parts: c.suspectParts(t), Began: t.startedAt, Late: t.proven,
 				Tried: c.run.whole, TriedParts: c.run.parts, At: now,
@@ -191,16 +194,18 @@
 
 // checkCrash returns a CrashedError if an answer without framing has ended because its host
 // crashed: the system of a process that has ended closes its connections in order. A host that
-// is leaving, or that the registry has removed already, may end after a complete answer.
+// is leaving, or that the registry has removed already, may end after a complete answer, but not
+// one that ends at a stated time, whatever it runs.
 func (c *call) checkCrash(ctx context.Context, t *target) error {
 	if c.framing != core.Unframed {
 		return nil
 	}
 	p := c.proxy
 	p.mu.Lock()
+	shortNotice := t.host.ShortNotice
 	ends := p.view.Host(t.id) == nil || t.host.IsLeaving(p.Clock.Now())
 	p.mu.Unlock()
-	if ends || !p.upstreams.refuses(ctx, t.address) {
+	if ends && !shortNotice || !p.upstreams.refuses(ctx, t.address) {
 		return nil
 	}
 	return &CrashedError{Host: t.id}
--- a/io/proxy/crash_test.go
+++ b/io/proxy/crash_test.go
@@ -225,6 +225,51 @@
 	})
 }
 
+// Guards against an answer without framing that is taken as complete although its host, which had
+// announced its end at short notice, was gone in the middle of it; and against a strike for it.
+func TestEndAtShortNoticeBreaksOffAnswer(t *testing.T) {
+	for _, removed := range []bool{false, true} {
+		t.Run(fmt.Sprint("removed from the registry ", removed), func(t *testing.T) {
+			start := func(t *testing.T, events int) (*rig, *stand.Process) {
+				r := newRig(t)
+				p := r.addProcess(t, "i-a", 1, func() *stand.Worker {
+					w := &stand.Worker{Plain: events == 0, Events: events, LateCrash: true}
+					w.SetUnframed(true)
+					return w
+				})
+				p.BeforeCrash = func() {
+					r.Update(func(v *fleet.View, now time.Time) {
+						e := v.Host("i-a-1").Entry
+						e.Leaving, e.ShortNotice = true, true
+						v.Apply(e)
+						if removed {
+							v.Remove(now, e.ID)
+						}
+					})
+				}
+				return r, p
+			}
+			t.Run("a whole answer", func(t *testing.T) {
+				r, _ := start(t, 0)
+				wantStatus(t, do(t, r.post(t, "/once/x", "q", "crash")), http.StatusBadGateway)
+				assert.Equal(t, len(r.Strikes()), 0)
+			})
+			t.Run("a stream is continued", func(t *testing.T) {
+				r, p := start(t, 8)
+				r.add(t, "llm", &stand.Worker{ID: "i-b", Events: 8})
+				for n := 0; p.Crashes() == 0; n++ {
+					req := r.post(t, "/resumed/x", fmt.Sprint("q-", n), "crash")
+					req.Header.Set("X-Radishwell-Model", "m")
+					a := do(t, req)
+					wantStatus(t, a, http.StatusOK)
+					assert.Equal(t, a.body, eventsOf(8))
+				}
+				assert.Equal(t, len(r.Strikes()), 0)
+			})
+		})
+	}
+}
+
 // Guards against a complete answer without framing that is thrown away since its host, which was
 // leaving or had been removed from the registry, ended after it.
 func TestPlannedEndIsNoCrash(t *testing.T) {
