Keep where streams began, and at which versions, beyond the end of all entries

What callers saw: two software versions serve, or the older one's hosts have just left, and all entries are killed. Streams that are taken up again are refused while both are listed (LOST), and joined at the other version once one has gone (ORDER), with nothing in the answer to show it.

Cause: the records of where streams began are held by entries only, and so is which versions have gone; both end with all of them. An entry that has just started took the listed versions for all.

Agents outlive the entries. They hold copies of the records: three beside hosts of the stream's version, whose record is of use only while one of them is there, and one beside each other version. Records are sent again when agents come or go. The platform's store holds the versions: one is written before the first event of a stream from there is forwarded, and removed five minutes after its last host went. An entry reads the object at its start, and before it continues a stream without a record because it knows of one version only. Both cost the same at any size: 4 to 5 small calls for a stream while there are several versions, one write for a version.

--- a/core/fleet/restore.go
+++ b/core/fleet/restore.go
@@ -32,6 +32,7 @@
 func (v *View) NoteRestore(now time.Time, era uint64) {
 	v.init()
 	v.era, v.restoredAt, v.lastStoreFailure = era, now, now
+	clear(v.recorded)
 }
 
 // remember remembers that the entry of an incarnation was removed.
--- a/core/fleet/software.go
+++ b/core/fleet/software.go
@@ -27,14 +27,60 @@
 	}
 }
 
-// keepDepartures keeps the versions of the hosts that have gone since the last call.
+// keepDepartures keeps the versions of the hosts that have gone since the last call. The platform's
+// record of a version may end once no host has it, so a later host has to be recorded again.
 func (v *View) keepDepartures(now time.Time) {
 	for _, s := range v.departures {
 		v.NoteDeparted(s, now.Add(SoftwareTTL))
+		if !v.lists(s) {
+			delete(v.recorded, s)
+		}
 	}
 	v.departures = nil
 }
 
+// NoteRecorded records which versions the platform's record has. One that this process has never
+// known is that of hosts that had gone before it started.
+func (v *View) NoteRecorded(now time.Time, list []Software) {
+	v.init()
+	for _, s := range list {
+		if v.lists(s) {
+			v.recorded[s] = true
+		} else if _, known := v.departed[s]; !known {
+			v.NoteDeparted(s, now.Add(SoftwareTTL))
+		}
+	}
+}
+
+// IsRecorded reports whether the platform's record has the version of a listed host.
+func (v *View) IsRecorded(s Software) bool { return v.recorded[s] }
+
+// InService returns the versions at which streams may have begun.
+func (v *View) InService(now time.Time) map[Software]bool {
+	out := map[Software]bool{}
+	for _, h := range v.hosts {
+		if h.Service != "" {
+			out[h.softwareID()] = true
+		}
+	}
+	for s, until := range v.departed {
+		if now.Before(until) {
+			out[s] = true
+		}
+	}
+	return out
+}
+
+// lists reports whether a listed host has a version.
+func (v *View) lists(s Software) bool {
+	for _, h := range v.hosts {
+		if h.softwareID() == s {
+			return true
+		}
+	}
+	return false
+}
+
 // NoteDeparted records a version of hosts that have gone, at which streams may have begun
 // that are in progress until the given time.
 func (v *View) NoteDeparted(s Software, until time.Time) {
@@ -49,11 +95,11 @@
 func (v *View) Departed(now time.Time) map[Software]time.Time {
 	out := map[Software]time.Time{}
 	for s, until := range v.departed {
-		if !now.Before(until) {
-			delete(v.departed, s)
-			continue
+		if now.Before(until) {
+			out[s] = until
+		} else if now.Sub(until) >= SoftwareTTL {
+			delete(v.departed, s) // the platform's record has ended by now
 		}
-		out[s] = until
 	}
 	for _, h := range v.hosts {
 		delete(out, h.softwareID())
--- a/core/fleet/software_test.go
+++ b/core/fleet/software_test.go
@@ -74,6 +74,40 @@
 	})
 }
 
+// Guards against an entry that has just started and takes the versions that are listed for all at
+// which streams may have begun.
+func TestRecordedVersions(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v1, v2 := fleet.Software{Service: "llm", Version: "v1"}, fleet.Software{Service: "llm", Version: "v2"}
+	t.Run("include those that went before it started", func(t *testing.T) {
+		v := softwareView(now, software("i-2", "v2", true))
+		v.NoteRecorded(now, []fleet.Software{v1, v2})
+		wantVersions(t, v, now, "v1", "v2")
+		wantVersions(t, v, now.Add(fleet.SoftwareTTL), "v2")
+		assert.Assert(t, v.IsRecorded(v2) && !v.IsRecorded(v1))
+	})
+	t.Run("are not kept for longer than streams may last", func(t *testing.T) {
+		v := softwareView(now, software("i-1", "v1", true), software("i-2", "v2", true))
+		v.Remove(now, "i-1")
+		v.Tick(now)
+		later := now.Add(fleet.SoftwareTTL)
+		v.NoteRecorded(later, []fleet.Software{v1, v2})
+		wantVersions(t, v, later, "v2")
+		assert.DeepEqual(t, v.InService(later), map[fleet.Software]bool{v2: true})
+	})
+	t.Run("are written again once a version has gone, and after a restore", func(t *testing.T) {
+		v := softwareView(now, software("i-1", "v1", true), software("i-2", "v2", true))
+		v.NoteRecorded(now, []fleet.Software{v1, v2})
+		assert.Assert(t, v.IsRecorded(v1) && v.IsRecorded(v2))
+		v.Remove(now, "i-1")
+		v.Tick(now)
+		v.Apply(software("i-1", "v1", true))
+		assert.Assert(t, !v.IsRecorded(v1) && v.IsRecorded(v2))
+		v.NoteRestore(now, 2)
+		assert.Assert(t, !v.IsRecorded(v2))
+	})
+}
+
 // Guards against callers who wait for a host of another version, or of a version that has left.
 func TestDiscontinued(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -55,6 +55,8 @@
 	// streams may be in progress that began there. departures are those to be added.
 	departed   map[Software]time.Time
 	departures []Software
+	// recorded holds the versions of listed hosts that the platform's record has.
+	recorded map[Software]bool
 	// lastRelayReport is when the relay that forwards the agents' reports last sent one,
 	// zero if the agents report to this process directly.
 	lastRelayReport time.Time
@@ -81,6 +83,7 @@
 		v.brokenOff = map[Incarnation]*brokenOff{}
 		v.gone = map[Incarnation]goneHost{}
 		v.departed = map[Software]time.Time{}
+		v.recorded = map[Software]bool{}
 	}
 }
 
--- a/core/object.go
+++ b/core/object.go
@@ -21,7 +21,8 @@
 // Kinds of a managed platform: its routing table and its registry of upstream
 // hosts, and the records that radishwell maintains: each agent's start, the
 // demand for models, the address of each entry, for each data centre the leases
-// on the engines without agents, and the requests that crash upstreams.
+// on the engines without agents, the requests that crash upstreams, and the
+// software versions at which streams may have begun.
 const (
 	KindTable      Kind = "config"
 	KindRegistry   Kind = "servers"
@@ -30,6 +31,7 @@
 	KindEntry      Kind = "radishwell-entries"
 	KindOrders     Kind = "radishwell-orders"
 	KindQuarantine Kind = "radishwell-quarantine"
+	KindSoftware   Kind = "radishwell-software"
 )
 
 // CatalogueKinds lists the kinds that operators edit.
--- a/core/origin.go
+++ b/core/origin.go
@@ -51,16 +51,30 @@
 	// Versions are the software versions at which streams of the service may have begun, as
 	// far as the entries asked know.
 	Versions []SoftwareVersion
-	// Answered is set if any entry that was asked has answered, and Complete if all have; both
-	// are set if there are no other entries.
+	// Recorded is set if Versions include those of the platform's record.
+	Recorded bool
+	// Answered is set if any entry that was asked has answered, and Complete if all processes that
+	// were asked have; both are set if there are none.
 	Answered, Complete bool
 }
 
-// StreamOrigins exchanges with other entries where streams began.
+// SoftwareRecord is the platform's record of the software versions at which streams may have begun.
+// It outlives all processes.
+type SoftwareRecord interface {
+	// Add returns once the record has a version of a service, and reports whether it has. It
+	// returns false at once while the platform cannot be written.
+	Add(ctx context.Context, service ServiceName, version SoftwareVersion) bool
+	// Refresh reads the record, and reports whether it could be read since Refresh was called.
+	Refresh(ctx context.Context) bool
+	// Loaded reports whether the record has been read since this process started.
+	Loaded() bool
+}
+
+// StreamOrigins exchanges with other entries, and with agents, where streams began.
 type StreamOrigins interface {
 	// Share has the new records of this entry sent to others at once.
 	Share()
-	// Find asks other entries where the stream of a service began whose first event an
+	// Find asks other processes where the stream of a service began whose first event an
 	// attempt brought.
 	Find(ctx context.Context, attempt RequestID, service ServiceName) OriginAnswer
 }
--- a/core/origin/table.go
+++ b/core/origin/table.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"slices"
 	"time"
 
 	"radishwell/core"
@@ -32,10 +33,11 @@
 	pruneAt int
 }
 
-// entry is a record in the table. unshared is set if no other entry has been told of it.
+// entry is a record in the table. running is set for a stream of this entry that has not ended, and
+// unshared if no other process has been told of it.
 type entry struct {
 	Record
-	unshared bool
+	running, unshared bool
 }
 
 // Put stores a record. The latest one of a key counts: a stream may be begun anew at another
@@ -44,7 +46,9 @@
 
 // PutOwn stores a record of a stream that began at this entry, which TakeUnshared returns
 // later.
-func (t *Table) PutOwn(now time.Time, r Record) { t.put(now, entry{Record: r, unshared: true}) }
+func (t *Table) PutOwn(now time.Time, r Record) {
+	t.put(now, entry{Record: r, running: true, unshared: true})
+}
 
 func (t *Table) put(now time.Time, e entry) {
 	if t.records == nil {
@@ -94,11 +98,33 @@
 // record is kept: the end of the answer may not reach the caller.
 func (t *Table) MarkEnded(key core.Fingerprint) {
 	if e, ok := t.records[key]; ok {
-		e.unshared = false
+		e.running, e.unshared = false, false
 		t.records[key] = e
 	}
 }
 
+// Reshare has TakeUnshared return the records of this entry's streams that have not ended once more.
+// It is called when other processes are to hold them.
+func (t *Table) Reshare() {
+	for key, e := range t.records {
+		if e.running && !e.unshared {
+			e.unshared = true
+			t.records[key] = e
+		}
+	}
+}
+
+// Versions returns the software versions at which streams of a service began, sorted.
+func (t *Table) Versions(now time.Time, service core.ServiceName) (out []core.SoftwareVersion) {
+	for _, e := range t.records {
+		if e.Origin.Service == service && now.Before(e.Until) && !slices.Contains(out, e.Origin.Software) {
+			out = append(out, e.Origin.Software)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Len returns the number of records, expired ones included.
 func (t *Table) Len() int { return len(t.records) }
 
--- a/io/deploy/agent.go
+++ b/io/deploy/agent.go
@@ -14,6 +14,7 @@
 	"radishwell/io/events"
 	"radishwell/io/loop"
 	"radishwell/io/objapi"
+	"radishwell/io/resume"
 	plat "radishwell/platform"
 )
 
@@ -53,6 +54,8 @@
 		Upstream: &plat.Upstream{Address: p.Settings.Managed.Upstream, Client: &http.Client{Transport: objapi.Transport(nil)}},
 	}
 	d.Start()
+	streams := &resume.Holder{Clock: p.clock}
+	p.handler.Keep, p.handler.Find = streams.ServeKeep, streams.ServeFind
 	p.handler.Upstream, p.handler.Goal, p.handler.Adapter, p.handler.Room = d.ServeUpstream, d.ServeGoal, d.ServeAdapter, d.ServeRoom
 	p.parts = append(p.parts, d.Run, func(ctx context.Context) error { return p.takeFence(ctx, f) })
 }
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -54,8 +54,10 @@
 	cached  cached.Book
 	quota   *quota.Quota
 	orderer *orderer
-	// origins exchanges with other entries where streams began.
-	origins *resume.Exchange
+	// origins exchanges with other entries and agents where streams began, and software keeps the
+	// platform's record of the versions at which they may have.
+	origins  *resume.Exchange
+	software *software
 	// quarantine keeps the requests that crash upstreams in the store.
 	quarantine *quarantine
 	// ordersEngines is set while this entry orders engines. A value is sent on recordChanged
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -13,6 +13,7 @@
 	"radishwell/io/events"
 	"radishwell/io/loop"
 	"radishwell/io/peer"
+	"radishwell/io/resume"
 )
 
 const (
@@ -89,6 +90,7 @@
 type engine struct {
 	centre      core.DataCentre
 	incarnation fleet.Incarnation
+	software    core.SoftwareVersion
 }
 
 // engines returns the upstreams of services with models, by address.
@@ -101,7 +103,7 @@
 	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) {
 		for _, h := range v.Hosts("") {
 			if s := table.Services[h.Service]; h.Usable && s != nil && s.HasModels() {
-				out[h.Address] = engine{centre: h.DataCentre, incarnation: v.Newest(h.Address)}
+				out[h.Address] = engine{centre: h.DataCentre, incarnation: v.Newest(h.Address), software: h.Software}
 			}
 		}
 	})
@@ -141,6 +143,21 @@
 	return peer.Target{Address: netip.AddrPortFrom(address.Addr(), uint16(l.entry.Settings.Managed.AgentPort))}
 }
 
+// agents returns the agents of the upstreams of services with models, apart from those in a data
+// centre where an entry orders upstreams in place of agents: it is not known which of them have one.
+func (l *links) agents() []resume.Agent {
+	var out []resume.Agent
+	for address, e := range l.engines() {
+		if _, ok := l.entry.members.ordererOf(e.centre); ok && !l.agentResponded(address) {
+			continue
+		}
+		to := l.agentTarget(address)
+		to.Host = core.HostName(to.Address.String())
+		out = append(out, resume.Agent{Target: to, Software: e.software})
+	}
+	return out
+}
+
 // target returns the target of calls to the agent of an upstream. If this entry has not had
 // a response from that agent, and an entry orders upstreams of the data centre, the target is
 // that entry, and upstream is the encoded address that identifies the upstream in the call.
--- a/io/deploy/origin.go
+++ b/io/deploy/origin.go
@@ -16,16 +16,17 @@
 // hosts count as known. Confirmations pass from entry to entry within some seconds.
 const maxRegistryAge = 5 * time.Second
 
-// shareOrigins sets up the exchange between entries of where streams began, by which a stream
-// that its caller resumes at another entry continues at its software version.
+// shareOrigins sets up the exchange with entries and agents of where streams began, by which a
+// stream that its caller resumes at another entry continues at its software version.
 func (e *entry) shareOrigins() {
-	e.origins = &resume.Exchange{Clock: e.clock, Caller: e.client, Records: e.proxy, Members: e.members.all}
+	e.origins = &resume.Exchange{Clock: e.clock, Caller: e.client, Records: e.proxy, Members: e.members.all, Agents: e.links.agents}
 	e.origins.Start()
-	e.proxy.Origins = e.origins
+	e.software = &software{entry: e, wake: make(chan struct{}, 1)}
+	e.proxy.Origins, e.proxy.Software = e.origins, e.software
 	e.proxy.RegistryStale = func() bool { return stale.IsOlder(e.state, core.KindRegistry, maxRegistryAge) }
 	e.handler.Keep, e.handler.Find = e.origins.ServeKeep, e.origins.ServeFind
 	e.state.Departed = peer.Gossip[*wire.DepartedSoftware]{Next: e.departedSoftware, Join: e.joinDeparted}
-	e.parts = append(e.parts, e.origins.Run)
+	e.parts = append(e.parts, e.origins.Run, e.software.run)
 }
 
 // all returns the other entries with a record in the store.
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -112,6 +112,8 @@
 	TableDecoded
 	StreamOriginUnknown
 	CachedListed
+	SoftwareRecorded
+	SoftwareUnrecorded
 	eventCount
 )
 
@@ -250,6 +252,8 @@
 	{Event: TableDecoded, Name: "table-decoded", Severity: Info, Text: "Routing table was decoded from its document", Advice: noAction},
 	{Event: StreamOriginUnknown, Name: "stream-origin-unknown", Severity: Warning, Sampled: true, Text: "Caller resumes a stream of which no entry knows the software version that began it", Advice: "Nothing just after entries were lost. If it recurs, check that entries can reach each other, and that callers name the attempt that brought the first event."},
 	{Event: CachedListed, Name: "cached-listed", Severity: Info, Text: "Agent listed all parts of prompts that its upstream keeps, since it had missed changes", Advice: "If it recurs every few seconds, the agent is too slow to follow: each list delays the upstream's work."},
+	{Event: SoftwareRecorded, Name: "software-recorded", Severity: Info, Text: "Platform's record of software versions was written", Advice: noAction},
+	{Event: SoftwareUnrecorded, Name: "software-unrecorded", Severity: Warning, Sampled: true, Text: "Stream began at a software version that could not be recorded in the platform", Advice: "Nothing during an outage of the platform's store. If all entries are lost before the record is written and the version has gone by then, such streams may be continued at another version."},
 })
 
 // groups maps the first event of each group to its number. Each group starts at the next
--- a/io/proxy/origin.go
+++ b/io/proxy/origin.go
@@ -42,25 +42,28 @@
 		c.continueAt(found)
 		return nil
 	}
-	if len(versions) == 1 && !stale {
-		c.continueAt(core.StreamOrigin{Service: c.service.Name, Software: versions[0]})
+	known := origin.Known{Versions: versions, Confirmed: !stale, Loaded: true}
+	if p.Software != nil {
+		known = c.refreshVersions(ctx, known)
+	}
+	if version, ok := known.Single(); ok {
+		c.continueAt(core.StreamOrigin{Service: c.service.Name, Software: version})
 		return nil
 	}
 	var asked core.OriginAnswer
-	if p.Origins != nil && (c.ask.FirstAttempt != "" || len(versions) == 1) {
+	if p.Origins != nil && (c.ask.FirstAttempt != "" || len(known.Versions) == 1) {
 		asked = p.Origins.Find(ctx, c.ask.FirstAttempt, c.service.Name)
 	}
-	versions = slices.Compact(slices.Sorted(slices.Values(append(versions, asked.Versions...))))
-	switch {
-	case asked.Found:
+	if asked.Found {
 		c.continueAt(asked.Origin)
 		return nil
-	case len(versions) == 1 && asked.Answered:
-		c.continueAt(core.StreamOrigin{Service: c.service.Name, Software: versions[0]})
+	}
+	if version, ok := known.Join(asked); ok {
+		c.continueAt(core.StreamOrigin{Service: c.service.Name, Software: version})
 		return nil
 	}
 	events.Log(events.StreamOriginUnknown, "request", c.ask.ID, "first-attempt", c.ask.FirstAttempt, "service", c.service.Name,
-		"versions", versions, "registry-stale", stale, "all-answered", asked.Complete)
+		"versions", known.Versions, "others-know", asked.Versions, "confirmed", known.Confirmed, "registry-stale", stale, "all-answered", asked.Complete)
 	refusal := core.Refuse(core.CodeNoHost, "the software version at which the stream began is not known")
 	if c.ask.FirstAttempt != "" && !asked.Complete {
 		refusal.RetryAt = c.retryAt(unknownOriginRetry)
@@ -68,6 +71,18 @@
 	return refusal
 }
 
+// refreshVersions confirms a single version by the platform's record, since another entry may have
+// begun the stream at a version that this one has not seen listed.
+func (c *call) refreshVersions(ctx context.Context, known origin.Known) origin.Known {
+	p := c.proxy
+	known.Confirmed = len(known.Versions) == 1 && p.Software.Refresh(ctx)
+	known.Loaded = p.Software.Loaded()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known.Versions = p.view.Versions(p.Clock.Now(), c.service.Name)
+	return known
+}
+
 // continueAt restricts the request to hosts that can continue a stream. Of the services of
 // the route, the one where the stream began is used.
 func (c *call) continueAt(o core.StreamOrigin) {
@@ -127,6 +142,7 @@
 func (c *call) beginStream(t *target) {
 	c.origin = t.origin
 	c.query.Origin = &c.origin
+	c.recordSoftware()
 	attempt := c.firstAttempt()
 	if attempt == "" {
 		return
@@ -142,6 +158,22 @@
 	}
 }
 
+// recordSoftware waits until the platform's record has the version at which the stream begins, or
+// until it is known that it cannot be written now.
+func (c *call) recordSoftware() {
+	p := c.proxy
+	if p.Software == nil {
+		return
+	}
+	begun := fleet.Software{Service: c.origin.Service, Version: c.origin.Software}
+	p.mu.Lock()
+	recorded := p.view.IsRecorded(begun)
+	p.mu.Unlock()
+	if !recorded && !p.Software.Add(c.request.Context(), begun.Service, begun.Version) {
+		events.Log(events.SoftwareUnrecorded, "request", c.ask.ID, "service", begun.Service, "version", begun.Version)
+	}
+}
+
 // noteStreamEnd records that a stream was forwarded whole.
 func (c *call) noteStreamEnd() {
 	p := c.proxy
@@ -174,6 +206,13 @@
 	})
 }
 
+// ReshareOrigins has TakeUnsharedOrigins return the records of the streams in progress once more.
+func (p *Proxy) ReshareOrigins() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.origins.Reshare()
+}
+
 // KeepOrigins stores records that another entry sends.
 func (p *Proxy) KeepOrigins(records []origin.Record) {
 	p.mu.Lock()
@@ -190,7 +229,10 @@
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	o, ok := p.origins.Find(now, key)
-	return core.OriginAnswer{Origin: o, Found: ok, Versions: p.view.Versions(now, service), Answered: true, Complete: true}
+	return core.OriginAnswer{
+		Origin: o, Found: ok, Versions: p.view.Versions(now, service), Answered: true, Complete: true,
+		Recorded: p.Software != nil && p.Software.Loaded(),
+	}
 }
 
 // Departed returns the software versions of hosts that have gone, at which streams may have
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -53,8 +53,10 @@
 	// TriesParts, if set, reports whether this entry is the one that tries refused parts of
 	// prompts again.
 	TriesParts func() bool
-	// Origins exchanges with other entries where streams began; nil if there are none.
-	Origins core.StreamOrigins
+	// Origins exchanges with other entries where streams began; nil if there are none. Software is the
+	// platform's record of software versions; nil if there is none.
+	Origins  core.StreamOrigins
+	Software core.SoftwareRecord
 	// RegistryStale, if set, reports whether the registry may list hosts that this entry does
 	// not know.
 	RegistryStale func() bool
--- a/io/resume/codec.go
+++ b/io/resume/codec.go
@@ -32,3 +32,19 @@
 		Service: core.ServiceName(o.GetService()), Software: core.SoftwareVersion(o.GetSoftware()), Host: core.HostName(o.GetHost()), Born: o.GetBorn(),
 	}
 }
+
+func decodeAll(now time.Time, in *wire.KeepCall) []origin.Record {
+	out := make([]origin.Record, 0, len(in.GetOrigins()))
+	for _, o := range in.GetOrigins() {
+		out = append(out, decode(now, o))
+	}
+	return out
+}
+
+func encodeAnswer(a core.OriginAnswer) *wire.FindReply {
+	out := &wire.FindReply{Versions: core.Strings(a.Versions), Recorded: a.Recorded}
+	if a.Found {
+		out.Origin = encodeOrigin(a.Origin)
+	}
+	return out
+}
--- a/io/resume/resume.go
+++ b/io/resume/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -16,11 +17,20 @@
 )
 
 const (
-	// copies is the number of other entries to which a record is sent, and asked the number
-	// of those that are asked for it. It is larger, since entries may differ in the members
-	// that they know or avoid.
-	copies = 4
-	asked  = copies + 2
+	// entryCopies and agentCopies are the numbers of other entries and of agents to which a record
+	// is sent, and loneCopies that of entries in a fleet without agents. Agents outlive all
+	// entries. Those beside hosts of the stream's version are chosen, since the record is of use
+	// only as long as one of these hosts is there; and otherCopies beside hosts of each other
+	// version, for entries whose registry does not list the stream's version yet.
+	entryCopies = 2
+	agentCopies = 3
+	otherCopies = 1
+	loneCopies  = 4
+	// askedMore is by how much more processes of each kind are asked for a record, since entries may
+	// differ in those that they know or avoid. If none of these has it, askedLast further ones
+	// are asked: hosts of a version may have started since the record was sent.
+	askedMore = 2
+	askedLast = 8
 	// callTimeout bounds a call. The callers of Find wait for it.
 	callTimeout = 200 * time.Millisecond
 	// avoidTime is how long an entry that did not answer is passed over.
@@ -41,24 +51,34 @@
 // Records are an entry's records of where streams began.
 type Records interface {
 	TakeUnsharedOrigins() []origin.Record
+	ReshareOrigins()
 	KeepOrigins([]origin.Record)
 	FindOrigin(key core.Fingerprint, service core.ServiceName) core.OriginAnswer
 }
 
+// Agent is an agent and the software version of the host beside it.
+type Agent struct {
+	peer.Target
+	Software core.SoftwareVersion
+}
+
 // Exchange is one entry's exchange. Set the exported fields before Start; its methods may be
 // called from several goroutines.
 type Exchange struct {
 	Clock   core.Clock
 	Caller  Caller
 	Records Records
-	// Members returns the other entries.
+	// Members returns the other entries, and Agents the agents. Agents is nil if there are none.
 	Members func() []follow.Member
+	Agents  func() []Agent
 
 	wake   chan struct{}
 	mu     sync.Mutex
 	queues map[core.HostName]*queue
 	// unsent are the records that no entry could be sent.
 	unsent []origin.Record
+	// agents are those at the last look, by name.
+	agents map[core.HostName]bool
 	// avoided holds the entries that did not answer, with the time until which they are
 	// passed over.
 	avoided map[core.HostName]time.Time
@@ -116,26 +136,46 @@
 		case <-x.wake:
 		case <-ticker.C:
 			x.distribute(x.takeUnsent())
+			if x.agentsChanged() {
+				x.Records.ReshareOrigins()
+			}
 		case <-ended:
 			calls--
 		}
 	}
 }
 
+// agentsChanged reports whether there are other agents than at the last call.
+func (x *Exchange) agentsChanged() bool {
+	if x.Agents == nil {
+		return false
+	}
+	now := map[core.HostName]bool{}
+	for _, a := range x.Agents() {
+		now[a.Host] = true
+	}
+	changed := x.agents != nil && !maps.Equal(now, x.agents)
+	x.agents = now
+	return changed
+}
+
 // distribute queues records for their holders.
 func (x *Exchange) distribute(records []origin.Record) {
 	if len(records) == 0 {
 		return
 	}
-	members := x.members()
+	groups := x.groups()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, r := range records {
-		holders := x.holders(r.Key, members, copies)
-		for _, name := range holders {
-			x.add(r, members[name])
+		sent := 0
+		for _, g := range groups {
+			for _, to := range x.holders(r.Key, g, g.copiesOf(r)) {
+				x.add(r, to)
+				sent++
+			}
 		}
-		if len(holders) == 0 {
+		if sent == 0 {
 			x.keepUnsent(r)
 		}
 	}
@@ -172,25 +212,63 @@
 	}
 }
 
-// members returns the other entries by name.
-func (x *Exchange) members() map[core.HostName]peer.Target {
-	out := map[core.HostName]peer.Target{}
+// group is processes of one kind that may hold copies, by name, and the largest number of them that
+// hold one of a record.
+type group struct {
+	members map[core.HostName]peer.Target
+	copies  int
+	// agents is set for a group of agents, which are beside hosts of the given version.
+	agents   bool
+	software core.SoftwareVersion
+}
+
+// copiesOf returns the number of processes of the group that hold copies of a record.
+func (g group) copiesOf(r origin.Record) int {
+	if g.agents && g.software != r.Origin.Software {
+		return otherCopies
+	}
+	return g.copies
+}
+
+// groups returns the other entries, and the agents by the software versions of their hosts.
+func (x *Exchange) groups() []group {
+	entries := group{members: map[core.HostName]peer.Target{}, copies: loneCopies}
 	for _, m := range x.Members() {
-		out[m.Name] = peer.Target{Host: m.Name, Address: m.Control}
+		entries.members[m.Name] = peer.Target{Host: m.Name, Address: m.Control}
 	}
-	return out
+	if x.Agents == nil {
+		return []group{entries}
+	}
+	agents := map[core.SoftwareVersion]group{}
+	for _, a := range x.Agents() {
+		g, ok := agents[a.Software]
+		if !ok {
+			g = group{members: map[core.HostName]peer.Target{}, copies: agentCopies, agents: true, software: a.Software}
+			agents[a.Software] = g
+		}
+		g.members[a.Host] = a.Target
+	}
+	if len(agents) > 0 {
+		entries.copies = entryCopies
+	}
+	return append([]group{entries}, slices.Collect(maps.Values(agents))...)
 }
 
-// holders returns the first n holders of a record that are not avoided. The caller holds mu.
-func (x *Exchange) holders(key core.Fingerprint, members map[core.HostName]peer.Target, n int) []core.HostName {
+// holders returns the first n holders of a record in a group that are not avoided. The caller
+// holds mu.
+func (x *Exchange) holders(key core.Fingerprint, g group, n int) []peer.Target {
 	now := x.Clock.Now()
-	names := make([]core.HostName, 0, len(members))
-	for name := range members {
+	names := make([]core.HostName, 0, len(g.members))
+	for name := range g.members {
 		if !now.Before(x.avoided[name]) {
 			names = append(names, name)
 		}
 	}
-	return origin.Holders(key, names, n)
+	var out []peer.Target
+	for _, name := range origin.Holders(key, names, n) {
+		out = append(out, g.members[name])
+	}
+	return out
 }
 
 // takeReady returns the records of each queue that has some and no call in progress.
@@ -228,18 +306,30 @@
 		return
 	}
 	x.noteFailure(b.to, err)
-	members := x.members()
+	groups := x.groups()
 	for _, r := range append(b.records, b.waiting...) {
-		switch next := x.holders(r.Key, members, copies); len(next) {
-		case 0:
-			x.keepUnsent(r)
-		case copies:
-			x.add(r, members[next[copies-1]])
-		}
+		x.replaceHolder(r, b.to, groups)
 	}
 	b.waiting = nil
 }
 
+// replaceHolder queues a record for the next holder in place of one that does not answer. The caller
+// holds mu.
+func (x *Exchange) replaceHolder(r origin.Record, failed peer.Target, groups []group) {
+	left := 0
+	for _, g := range groups {
+		copies := g.copiesOf(r)
+		next := x.holders(r.Key, g, copies)
+		left += len(next)
+		if _, ok := g.members[failed.Host]; ok && len(next) == copies {
+			x.add(r, next[copies-1])
+		}
+	}
+	if left == 0 {
+		x.keepUnsent(r)
+	}
+}
+
 // noteFailure has an entry that did not answer passed over for some time. The caller holds mu.
 func (x *Exchange) noteFailure(to peer.Target, err error) {
 	events.Fail(events.PeerUnreachable, err, "host", to.Host, "address", to.Address)
@@ -252,37 +342,75 @@
 	x.avoided[to.Host] = now.Add(avoidTime)
 }
 
-// Find implements core.StreamOrigins. It returns the first record that an entry has.
+// Find implements core.StreamOrigins. It returns the first record that a process has.
 func (x *Exchange) Find(ctx context.Context, attempt core.RequestID, service core.ServiceName) core.OriginAnswer {
 	key := origin.KeyOf(attempt)
-	members := x.members()
-	x.mu.Lock()
-	holders := x.holders(key, members, asked)
-	x.mu.Unlock()
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
-	answers := make(chan *wire.FindReply, len(holders))
-	for _, name := range holders {
-		go func() { answers <- x.ask(ctx, members[name], key, service) }()
+	first, last, out := x.toAsk(key)
+	x.askAll(ctx, first, key, service, &out)
+	if !out.Found {
+		x.askAll(ctx, last, key, service, &out)
 	}
-	out := core.OriginAnswer{Answered: len(members) == 0, Complete: len(holders) > 0 || len(members) == 0}
-	for range holders {
+	return out
+}
+
+// asked is a process that is asked for a record.
+type asked struct {
+	peer.Target
+	agent bool
+}
+
+// toAsk returns the processes that are asked for a record first and last, and what is known before
+// they are: the answer cannot be complete if all processes of a kind are avoided.
+func (x *Exchange) toAsk(key core.Fingerprint) (first, last []asked, out core.OriginAnswer) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out.Complete = true
+	for _, g := range x.groups() {
+		holders := x.holders(key, g, g.copies+askedMore+askedLast)
+		out.Complete = out.Complete && (len(holders) > 0 || len(g.members) == 0)
+		out.Answered = out.Answered || !g.agents && len(g.members) == 0
+		for i, to := range holders {
+			if i < g.copies+askedMore {
+				first = append(first, asked{to, g.agents})
+			} else if g.agents {
+				last = append(last, asked{to, true})
+			}
+		}
+	}
+	return first, last, out
+}
+
+// askAll asks processes at the same time, and adds their answers to out until one has the record.
+func (x *Exchange) askAll(ctx context.Context, to []asked, key core.Fingerprint, service core.ServiceName, out *core.OriginAnswer) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	type answer struct {
+		*wire.FindReply
+		asked
+	}
+	answers := make(chan answer, len(to))
+	for _, a := range to {
+		go func() { answers <- answer{x.ask(ctx, a.Target, key, service), a} }()
+	}
+	for range to {
 		reply := <-answers
-		if reply == nil {
+		if reply.FindReply == nil {
 			out.Complete = false
 			continue
 		}
-		out.Answered = true
+		out.Answered = out.Answered || !reply.agent
+		out.Recorded = out.Recorded || reply.GetRecorded()
 		out.Versions = append(out.Versions, core.Names[core.SoftwareVersion](reply.GetVersions())...)
 		if o := reply.GetOrigin(); o != nil {
 			out.Origin, out.Found = decodeOrigin(o), true
-			return out
+			return
 		}
 	}
-	return out
 }
 
-// ask returns the answer of one entry, nil if it does not answer.
+// ask returns the answer of one process, nil if it does not answer.
 func (x *Exchange) ask(ctx context.Context, to peer.Target, key core.Fingerprint, service core.ServiceName) *wire.FindReply {
 	reply, err := x.Caller.Find(ctx, to, &wire.FindCall{Key: uint64(key), Service: string(service)})
 	if err == nil {
@@ -298,22 +426,11 @@
 
 // ServeKeep serves the records of another entry.
 func (x *Exchange) ServeKeep(in *wire.KeepCall) (*wire.Empty, error) {
-	now := x.Clock.Now()
-	records := make([]origin.Record, 0, len(in.GetOrigins()))
-	for _, o := range in.GetOrigins() {
-		records = append(records, decode(now, o))
-	}
-	x.Records.KeepOrigins(records)
+	x.Records.KeepOrigins(decodeAll(x.Clock.Now(), in))
 	return &wire.Empty{}, nil
 }
 
 // ServeFind serves another entry's question where a stream began.
 func (x *Exchange) ServeFind(in *wire.FindCall) (*wire.FindReply, error) {
-	key := core.Fingerprint(in.GetKey())
-	answer := x.Records.FindOrigin(key, core.ServiceName(in.GetService()))
-	reply := &wire.FindReply{Versions: core.Strings(answer.Versions)}
-	if answer.Found {
-		reply.Origin = encodeOrigin(answer.Origin)
-	}
-	return reply, nil
+	return encodeAnswer(x.Records.FindOrigin(core.Fingerprint(in.GetKey()), core.ServiceName(in.GetService()))), nil
 }
--- a/io/resume/resume_test.go
+++ b/io/resume/resume_test.go
@@ -44,6 +44,12 @@
 	return r.table.TakeUnshared(time.Now(), func(core.ServiceName) bool { return true })
 }
 
+func (r *records) ReshareOrigins() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Reshare()
+}
+
 func (r *records) KeepOrigins(list []origin.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -269,3 +275,141 @@
 		n.waitCopies(t, first, core.RequestID(fmt.Sprint("q-", i)), 4)
 	}
 }
+
+// agents are the agents of a fleet, by name.
+type agents struct {
+	*net
+	holders map[core.HostName]*resume.Holder
+	list    []resume.Agent
+}
+
+// newAgents adds agents beside hosts of two versions to a net, half of them each.
+func newAgents(n *net, count int) *agents {
+	a := &agents{net: n, holders: map[core.HostName]*resume.Holder{}}
+	for i := range count {
+		name := core.HostName(fmt.Sprint("side-", i))
+		a.holders[name] = &resume.Holder{Clock: realClock{}}
+		a.list = append(a.list, resume.Agent{Target: peer.Target{Host: name}, Software: []core.SoftwareVersion{"v1", "v2"}[i%2]})
+	}
+	for _, e := range n.entries {
+		e.Caller, e.Agents = a, a.agents
+	}
+	return a
+}
+
+func (a *agents) agents() []resume.Agent {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.list
+}
+
+func (a *agents) holder(to peer.Target) (*resume.Holder, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.down[to.Host] {
+		return nil, errDown
+	}
+	return a.holders[to.Host], nil
+}
+
+// Keep implements resume.Caller.
+func (a *agents) Keep(ctx context.Context, to peer.Target, in *wire.KeepCall) (*wire.Empty, error) {
+	switch h, err := a.holder(to); {
+	case err != nil:
+		return nil, err
+	case h != nil:
+		return h.ServeKeep(in)
+	}
+	return a.net.Keep(ctx, to, in)
+}
+
+// Find implements resume.Caller.
+func (a *agents) Find(ctx context.Context, to peer.Target, in *wire.FindCall) (*wire.FindReply, error) {
+	switch h, err := a.holder(to); {
+	case err != nil:
+		return nil, err
+	case h != nil:
+		return h.ServeFind(in)
+	}
+	return a.net.Find(ctx, to, in)
+}
+
+// held returns the agents that hold a record.
+func (a *agents) held(t *testing.T, attempt core.RequestID) (out []core.HostName) {
+	t.Helper()
+	for name, h := range a.holders {
+		reply, err := h.ServeFind(&wire.FindCall{Key: uint64(origin.KeyOf(attempt))})
+		assert.NilError(t, err)
+		if reply.GetOrigin() != nil {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// waitHeld waits until n agents hold a record.
+func (a *agents) waitHeld(t *testing.T, attempt core.RequestID, n int) []core.HostName {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); len(a.held(t, attempt)) < n && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	held := a.held(t, attempt)
+	assert.Equal(t, len(held), n)
+	return held
+}
+
+// Guards against losing a stream's version with all entries.
+func TestRecordOutlivesAllEntries(t *testing.T) {
+	n := newNet(t, 4)
+	a := newAgents(n, 12)
+	first := n.entries["edge-0"]
+	first.run(t)
+	n.begin(t, first, "q", 2)
+	beside := map[core.SoftwareVersion]int{}
+	for _, name := range a.waitHeld(t, "q", 4) {
+		for _, g := range a.agents() {
+			if g.Host == name {
+				beside[g.Software]++
+			}
+		}
+	}
+	assert.DeepEqual(t, beside, map[core.SoftwareVersion]int{"v1": 3, "v2": 1})
+	for name := range n.entries {
+		n.setDown(name)
+	}
+	again := &entry{}
+	again.Exchange = &resume.Exchange{Clock: realClock{}, Caller: a, Records: &again.records, Members: func() []follow.Member { return nil }, Agents: a.agents}
+	again.Start()
+	found := again.Find(t.Context(), "q", "llm")
+	assert.Assert(t, found.Found && found.Origin == began, "%+v", found)
+	t.Run("also where agents have come since", func(t *testing.T) {
+		a.mu.Lock()
+		for i := 12; i < 22; i++ {
+			name := core.HostName(fmt.Sprint("side-", i))
+			a.holders[name] = &resume.Holder{Clock: realClock{}}
+			a.list = append(a.list, resume.Agent{Target: peer.Target{Host: name}, Software: "v1"})
+		}
+		a.mu.Unlock()
+		found := again.Find(t.Context(), "q", "llm")
+		assert.Assert(t, found.Found && found.Origin == began, "%+v", found)
+	})
+	t.Run("a stream that began unknown to agents is not made up", func(t *testing.T) {
+		found := again.Find(t.Context(), "other", "llm")
+		assert.Assert(t, !found.Found && found.Complete && !found.Recorded, "%+v", found)
+		assert.DeepEqual(t, slices.Compact(slices.Sorted(slices.Values(found.Versions))), []core.SoftwareVersion{"v1"})
+	})
+}
+
+// Guards against losing a stream's version with agents that were replaced while it went on.
+func TestRecordsFollowTheAgents(t *testing.T) {
+	n := newNet(t, 2)
+	a := newAgents(n, 12)
+	first := n.entries["edge-0"]
+	first.run(t)
+	n.begin(t, first, "q", 1)
+	held := a.waitHeld(t, "q", 4)
+	time.Sleep(time.Second) // the exchange looks at the agents
+	a.mu.Lock()
+	a.list = slices.DeleteFunc(slices.Clone(a.list), func(g resume.Agent) bool { return slices.Contains(held, g.Host) })
+	a.mu.Unlock()
+	a.waitHeld(t, "q", 8)
+}
