Kill all entries at once in the soak, and check how unframed streams end

Streams that such a loss alone broke off have to go on as new ones begin, if two upstreams of their version serve. A stream without framing may end in order only after its upstream has ended it. Callers go on trying while no entry answers.

--- a/io/cmds/soak.go
+++ b/io/cmds/soak.go
@@ -17,6 +17,7 @@
 	Seed    uint64        `default:"1" help:"The first seed."`
 	Seeds   int           `default:"1" help:"Number of seeds to run, one after the other."`
 	Length  time.Duration `default:"12s" help:"Time from the start of a run until its faults end."`
+	Lose    bool          `name:"lose-entries" help:"Kill all entries at once, again and again, besides the other faults."`
 	Keep    string        `default:"target/soak-runs" help:"Directory for the logs and schedules of runs that failed." type:"path"`
 }
 
@@ -52,7 +53,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return false, &soak.StartError{What: dir, Cause: err}
 	}
-	report, err := (&soak.Run{Seed: seed, Length: c.Length, Program: []string{program}, Dir: dir}).Execute()
+	report, err := (&soak.Run{Seed: seed, Length: c.Length, LoseEntries: c.Lose, Program: []string{program}, Dir: dir}).Execute()
 	if err != nil {
 		return false, err
 	}
@@ -61,6 +62,9 @@
 	n := report.Resumptions
 	_, _ = fmt.Fprintf(out, "   of %d streams taken up again %d went on, of %d new ones %d began; %d hold events of several versions\n",
 		n.TakenUp, n.WentOn, n.New, n.Begun, report.Mixed)
+	if c.Lose {
+		_, _ = fmt.Fprintln(out, "   after losses of all entries:", report.AfterLoss)
+	}
 	s, p := report.Sound, report.Preferred
 	_, _ = fmt.Fprintf(out, "   of %d requests that share parts with crashing ones %d began; of %d that entries read %d were served, of %d while one entry got most connections %d\n",
 		s.Sent, s.Begun, p.Before, p.ServedBefore, p.After, p.ServedAfter)
--- a/io/soak/inject.go
+++ b/io/soak/inject.go
@@ -24,6 +24,8 @@
 		for _, p := range t.procs() {
 			p.Signal(syscall.SIGKILL)
 		}
+	case KillEntries:
+		t.killEntries(s.Variant)
 	case StopEntry:
 		entry.Signal(syscall.SIGTERM)
 	case StopAgent:
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -54,6 +54,7 @@
 	SlowReaders
 	LoseCached
 	FallingUpstreams
+	KillEntries
 	kindCount
 )
 
@@ -111,6 +112,7 @@
 	SlowReaders:      {"slow-readers", 2, 3 * time.Second},
 	LoseCached:       {"lose-cached", 3, 0},
 	FallingUpstreams: {"falling-upstreams", 3, 3 * time.Second},
+	KillEntries:      {"kill-entries", 0, 0}, // drawn apart, so that schedules of earlier seeds stay
 }
 
 // String returns the name of the kind as in schedules.
--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -25,6 +25,8 @@
 	Seed uint64
 	// Length is the time from the start until all faults have ended.
 	Length time.Duration
+	// LoseEntries is set if all entries are killed at once, again and again, besides the schedule.
+	LoseEntries bool
 	// Program is the command of entries and agents. The role and the settings file are
 	// appended as arguments.
 	Program []string
@@ -44,6 +46,8 @@
 	// events of several versions.
 	Resumptions Resumptions
 	Mixed       int
+	// AfterLoss are those that a loss of all entries broke off.
+	AfterLoss Resumptions
 	// Sound are the requests that share parts with crashing ones, and Preferred those before and
 	// while an entry got most connections.
 	Sound     Sound
@@ -68,6 +72,9 @@
 // the run found are not errors; they are in the Report.
 func (r *Run) Execute() (*Report, error) {
 	steps := Draw(r.Seed, r.Length)
+	if r.LoseEntries {
+		steps = addLosses(steps, r.Seed, r.Length)
+	}
 	if err := os.WriteFile(filepath.Join(r.Dir, "schedule.txt"), []byte(lines(steps)), 0o644); err != nil {
 		return nil, &StartError{What: "the run", Cause: err}
 	}
@@ -130,7 +137,10 @@
 	report.Mixed = len(mixed(c.results))
 	report.Resumptions = checker.resumptions(c.results, t.upstreams)
 	report.Breaches = append(report.Breaches, mixedVersions(c.results)...)
+	report.AfterLoss = checker.resumedAfterLoss(c.results, t.upstreams)
 	report.Breaches = append(report.Breaches, report.Resumptions.lost()...)
+	report.Breaches = append(report.Breaches, report.AfterLoss.lost()...)
+	report.Breaches = append(report.Breaches, endedByEntry(c.results, seen)...)
 	report.Breaches = append(report.Breaches, unframedByEntry(c.results, seen)...)
 	report.Breaches = append(report.Breaches, checker.crashing(arrivalsBy(t.upstreams, poisonedBody), maxCrashes,
 		"a request that has crashed upstreams is sent no more")...)
--- a/io/soak/signal.go
+++ b/io/soak/signal.go
@@ -174,7 +174,7 @@
 		switch s.Kind {
 		case KillEntry, StopEntry, PauseEntry:
 			return s.Target%entries == entry && s.Begin < to && s.End+settleTime > from
-		case KillAll:
+		case KillAll, KillEntries:
 			return s.Begin < to && s.End+settleTime > from
 		}
 		return false
--- a/io/soak/version.go
+++ b/io/soak/version.go
@@ -14,8 +14,12 @@
 )
 
 const (
-	// maxTakeUps is how often a caller resumes a stream that broke off.
-	maxTakeUps = 3
+	// maxTakeUps is how often a caller resumes a stream that broke off, and maxUnanswered how many
+	// further times it tries, since no entry answers. takeUpPause is the pause after an attempt
+	// that was not answered with events.
+	maxTakeUps    = 3
+	maxUnanswered = 10
+	takeUpPause   = 200 * time.Millisecond
 	// leaveShare is the share of streams that their callers leave to resume them at once.
 	leaveShare = 0.5
 	// maxMixed is the number of streams of a run that may hold events of two versions.
@@ -74,7 +78,8 @@
 // other entries until it is complete.
 func (c *callers) takeUp(ctx context.Context, transport *http.Transport, r Result, model string, rng *rand.Rand) {
 	first := r.ID
-	for n := range maxTakeUps {
+	answered := 0
+	for n := 0; answered < maxTakeUps && n < maxTakeUps+maxUnanswered; n++ {
 		last, _ := countEvents(r.Body, r.After)
 		if ctx.Err() != nil || r.Route != Resumed || r.Complete || r.Unframed || last <= 0 || last >= streamEvents {
 			return
@@ -84,6 +89,10 @@
 			Key: r.Key, Customer: r.Customer, Text: "body of " + first, After: last, First: first,
 		}, model)
 		c.add(r)
+		answered += core.CountIf(r.Status != 0)
+		if len(r.Body) == 0 {
+			time.Sleep(takeUpPause)
+		}
 	}
 }
 
