Look up the holders of records outside the exchange's lock, and read the versions less often in an outage

Found in reading the diff: the exchange held its lock while it looked up entries and agents, which takes those of the proxy and the members; and an entry that started in an outage of the store read the record of versions twice a second until it was over.

--- a/io/deploy/software.go
+++ b/io/deploy/software.go
@@ -122,22 +122,23 @@
 func (s *software) run(ctx context.Context) error {
 	ticker := time.NewTicker(softwareInterval)
 	defer ticker.Stop()
+	retry := maxStoreRetry
 	for {
 		s.mu.Lock()
 		calls := s.asked
 		s.asked = nil
 		s.mu.Unlock()
 		s.update(ctx, calls)
-		pause := softwareGap
 		if !s.loaded.Load() {
-			pause = maxStoreRetry
+			if !loop.Sleep(ctx, retry) {
+				return nil
+			}
+			retry = min(2*retry, softwareInterval)
+			continue
 		}
-		if !loop.Sleep(ctx, pause) {
+		if !loop.Sleep(ctx, softwareGap) {
 			return nil
 		}
-		if !s.loaded.Load() {
-			continue
-		}
 		select {
 		case <-ctx.Done():
 			return nil
--- a/io/resume/resume.go
+++ b/io/resume/resume.go
@@ -299,6 +299,10 @@
 	callCtx, stop := context.WithTimeout(ctx, callTimeout)
 	_, err := x.Caller.Keep(callCtx, b.to, in)
 	stop()
+	var groups []group
+	if err != nil {
+		groups = x.groups()
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	b.calling = false
@@ -306,7 +310,6 @@
 		return
 	}
 	x.noteFailure(b.to, err)
-	groups := x.groups()
 	for _, r := range append(b.records, b.waiting...) {
 		x.replaceHolder(r, b.to, groups)
 	}
@@ -364,10 +367,11 @@
 // toAsk returns the processes that are asked for a record first and last, and what is known before
 // they are: the answer cannot be complete if all processes of a kind are avoided.
 func (x *Exchange) toAsk(key core.Fingerprint) (first, last []asked, out core.OriginAnswer) {
+	groups := x.groups()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	out.Complete = true
-	for _, g := range x.groups() {
+	for _, g := range groups {
 		holders := x.holders(key, g, g.copies+askedMore+askedLast)
 		out.Complete = out.Complete && (len(holders) > 0 || len(g.members) == 0)
 		out.Answered = out.Answered || !g.agents && len(g.members) == 0
