Read the record of versions at once for the first streams of a burst

A caller that took a stream up waited up to 0.2 s for the read if another had come just before. Up to five reads come at once now; the rate over a second stays.

--- a/io/deploy/software.go
+++ b/io/deploy/software.go
@@ -20,9 +20,11 @@
 	softwareObject = "versions"
 	// softwareTimeout bounds a read and a write of the record. The callers of streams wait for it.
 	softwareTimeout = 250 * time.Millisecond
-	// softwareGap is the least time between two reads of the record, so that the entries of a large
-	// fleet do not use up the store's calls when all streams are resumed at once.
-	softwareGap = 200 * time.Millisecond
+	// softwareGap is the least mean time between two reads of the record, of which softwareBurst may
+	// come at once, so that the entries of a large fleet do not use up the store's calls when all
+	// streams are resumed.
+	softwareGap   = 200 * time.Millisecond
+	softwareBurst = 5
 	// softwareInterval is the interval at which versions are looked for that the record needs no more.
 	softwareInterval = 5 * time.Second
 	// softwareWriters is the number of entries that remove versions from the record.
@@ -123,6 +125,7 @@
 	ticker := time.NewTicker(softwareInterval)
 	defer ticker.Stop()
 	retry := maxStoreRetry
+	var next time.Time // when the record may be read again
 	for {
 		s.mu.Lock()
 		calls := s.asked
@@ -136,7 +139,9 @@
 			retry = min(2*retry, softwareInterval)
 			continue
 		}
-		if !loop.Sleep(ctx, softwareGap) {
+		now := s.entry.clock.Now()
+		next = core.Later(next, now.Add(-softwareBurst*softwareGap)).Add(softwareGap)
+		if !loop.Sleep(ctx, next.Sub(now)) {
 			return nil
 		}
 		select {
