Write a damaged record of versions anew

Found in reading the diff: a record that could not be decoded was said to be replaced, but was written only once a further version came. TestDamagedRecordOfVersionsIsReplaced.

--- a/io/deploy/reborn_test.go
+++ b/io/deploy/reborn_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -162,3 +163,17 @@
 		})
 	}
 }
+
+// Guards against a record of versions that cannot be read and is never written again.
+func TestDamagedRecordOfVersionsIsReplaced(t *testing.T) {
+	f := newFleet(t)
+	f.addVersion(t, 1, "v1")
+	f.store.Put(string(core.KindSoftware), "versions", `{"services":7}`)
+	e := f.addEntry(t, "edge-1")
+	e.waitReady(t)
+	until(t, "the record can be read", func() bool {
+		leaveAfterFirst(t, e, fmt.Sprint("q-", time.Now().UnixNano()))
+		_, text := get(t, f.storeAt, "/-/objects/"+string(core.KindSoftware)+"/versions")
+		return strings.Contains(text, `"llm":["v1"]`)
+	})
+}
--- a/io/deploy/software.go
+++ b/io/deploy/software.go
@@ -45,9 +45,11 @@
 	asked []*softwareCall
 	// retryAt is when the record is read again after a call has failed.
 	retryAt time.Time
-	// record and version are the object as last read, zero if there is none. Only run uses them.
+	// record and version are the object as last read, zero if there is none; damaged is set if it
+	// could not be decoded. Only run uses them.
 	record  softwareJSON
 	version core.Version
+	damaged bool
 }
 
 var _ core.SoftwareRecord = (*software)(nil)
@@ -166,7 +168,7 @@
 			list = append(list, *c.add)
 		}
 	}
-	written := read && (len(list) == len(s.record.list()) || s.write(ctx, list))
+	written := read && (len(list) == len(s.record.list()) && !s.damaged || s.write(ctx, list))
 	for _, c := range calls {
 		c.done <- read && (c.add == nil || written)
 	}
@@ -183,6 +185,7 @@
 	defer stop()
 	o, err := s.entry.store.Get(ctx, core.KindSoftware, softwareObject)
 	record := softwareJSON{}
+	s.damaged = false
 	switch {
 	case isFault(err, core.NotFound):
 		o.Version = 0
@@ -193,7 +196,7 @@
 		if err := json.Unmarshal(o.Spec, &record); err != nil {
 			// It is written anew with the versions that this entry knows.
 			events.Fail(events.DecisionFailed, err, "kind", core.KindSoftware)
-			record = encodeSoftware(s.inService())
+			record, s.damaged = encodeSoftware(s.inService()), true
 		}
 	}
 	s.apply(record, o.Version)
@@ -229,6 +232,7 @@
 		stop()
 		if err == nil {
 			events.Log(events.SoftwareRecorded, "services", record.Services, "revision", made.Version)
+			s.damaged = false
 			s.apply(record, made.Version)
 			return true
 		}
