--- a/core/origin/property_test.go
+++ b/core/origin/property_test.go
@@ -313,7 +313,13 @@
 	if h.chance(0.1) {
 		h.storeTil = h.seconds(6)
 	}
-	all := h.chance(0.1)
+	all, withAgents := h.chance(0.1), h.chance(0.03)
+	all = all || withAgents
+	for _, id := range slices.Sorted(maps.Keys(h.hosts)) {
+		if withAgents || h.chance(0.02) {
+			h.hosts[id].held = origin.Table{} // its agent has started again
+		}
+	}
 	for _, e := range h.entries {
 		if all || h.chance(0.1) {
 			e.downTil = h.seconds(3)
@@ -358,8 +364,8 @@
 }
 
 // Guards against streams that go on at another version, and against those that are refused although
-// their version serves and an agent has their record, over kills of all entries, hosts and versions
-// that come and go, cuts, and outages of the store.
+// their version serves and an agent has their record, over kills of all entries and of all agents with
+// them, hosts and versions that come and go, cuts, and outages of the store.
 func TestStreamsKeepTheirVersionInRandomHistories(t *testing.T) {
 	seeds := []int{27, 813} // entries that do not read the platform's record join streams there
 	more := 40
