Check the schedules with losses of all entries as well

TestDraw asked that Draw draw every kind of fault. It now asks that Draw draw all others, and that the schedules with losses have every kind, with the same checks of each step.

--- a/io/soak/check_test.go
+++ b/io/soak/check_test.go
@@ -104,16 +104,25 @@
 
 func TestDraw(t *testing.T) {
 	const length = 10 * time.Second
+	withLosses := func(seed uint64) []Step { return addLosses(Draw(seed, length), seed, length) }
 	seen := map[Kind]bool{}
-	for seed := range uint64(200) {
-		steps := Draw(seed, length)
-		assert.DeepEqual(t, steps, Draw(seed, length))
+	check := func(steps, again []Step) {
+		t.Helper()
+		assert.DeepEqual(t, steps, again)
 		for _, s := range steps {
 			seen[s.Kind] = true
 			assert.Assert(t, s.Begin >= startupTime && s.Begin <= s.End && s.End <= length, "%v", s)
 			assert.Assert(t, s.String() != "" && s.Kind.String() != "unknown")
 		}
 	}
+	for seed := range uint64(200) {
+		check(Draw(seed, length), Draw(seed, length))
+	}
+	assert.Assert(t, !seen[KillEntries])
+	assert.Equal(t, len(seen), int(kindCount)-1)
+	for seed := range uint64(200) {
+		check(withLosses(seed), withLosses(seed))
+	}
 	assert.Equal(t, len(seen), int(kindCount))
 }
 
