Share the check that a stream is continued after a crash

Found in reading the change once more: two tests had the same loop. It now also fails after 20 requests that did not reach the process, instead of going on for ever.

--- a/io/proxy/crash_test.go
+++ b/io/proxy/crash_test.go
@@ -190,6 +190,21 @@
 	wantStatus(t, <-ended, http.StatusUnprocessableEntity)
 }
 
+// wantContinued sends requests for a stream of eight events that crashes a process, until it has
+// reached the process, and checks that another upstream continues it.
+func (r *rig) wantContinued(t *testing.T, p *stand.Process) {
+	t.Helper()
+	r.add(t, "llm", &stand.Worker{ID: "i-b", Events: 8})
+	for n := 0; p.Crashes() == 0; n++ {
+		assert.Assert(t, n < 20, "no request reached the process")
+		req := r.post(t, "/resumed/x", fmt.Sprint("q-", n), "crash")
+		req.Header.Set("X-Radishwell-Model", "m")
+		a := do(t, req)
+		wantStatus(t, a, http.StatusOK)
+		assert.Equal(t, a.body, eventsOf(8))
+	}
+}
+
 // Guards against an answer without framing that is taken as complete, and as a sign that its
 // request is harmless, although its upstream crashed in the middle of it.
 func TestCrashEndsUnframedAnswer(t *testing.T) {
@@ -214,14 +229,7 @@
 	t.Run("a stream is continued", func(t *testing.T) {
 		r := newRig(t)
 		p := r.addProcess(t, "i-a", 1, start(8))
-		r.add(t, "llm", &stand.Worker{ID: "i-b", Events: 8})
-		for n := 0; p.Crashes() == 0; n++ {
-			req := r.post(t, "/resumed/x", fmt.Sprint("q-", n), "crash")
-			req.Header.Set("X-Radishwell-Model", "m")
-			a := do(t, req)
-			wantStatus(t, a, http.StatusOK)
-			assert.Equal(t, a.body, eventsOf(8))
-		}
+		r.wantContinued(t, p)
 	})
 }
 
@@ -256,14 +264,7 @@
 			})
 			t.Run("a stream is continued", func(t *testing.T) {
 				r, p := start(t, 8)
-				r.add(t, "llm", &stand.Worker{ID: "i-b", Events: 8})
-				for n := 0; p.Crashes() == 0; n++ {
-					req := r.post(t, "/resumed/x", fmt.Sprint("q-", n), "crash")
-					req.Header.Set("X-Radishwell-Model", "m")
-					a := do(t, req)
-					wantStatus(t, a, http.StatusOK)
-					assert.Equal(t, a.body, eventsOf(8))
-				}
+				r.wantContinued(t, p)
 				assert.Equal(t, len(r.Strikes()), 0)
 			})
 		})
