--- a/core/origin/log.go
+++ b/core/origin/log.go
@@ -8,15 +8,19 @@
 	"radishwell/core"
 )
 
-// LogWriters is the number of entries of a fleet that keep records in the platform.
-const LogWriters = 16
+// Of so many entries one keeps records in the platform, within bounds.
+const (
+	entriesPerWriter = 12
+	minWriters       = 2
+	maxWriters       = 32
+)
 
 // writersKey is the key by which the entries that keep records in the platform are chosen.
 const writersKey core.Fingerprint = 0x6f726967696e73
 
 // Writers returns the entries that keep records in the platform, of all entries of a fleet.
 func Writers(entries []core.HostName) []core.HostName {
-	return Holders(writersKey, entries, LogWriters)
+	return Holders(writersKey, entries, min(max(len(entries)/entriesPerWriter, minWriters), maxWriters))
 }
 
 // Log keeps the records of one process in a ring of objects in the platform, from which they are read
--- a/io/cmds/soak.go
+++ b/io/cmds/soak.go
@@ -18,6 +18,7 @@
 	Seeds   int           `default:"1" help:"Number of seeds to run, one after the other."`
 	Length  time.Duration `default:"12s" help:"Time from the start of a run until its faults end."`
 	Lose    bool          `name:"lose-entries" help:"Kill all entries at once, again and again, besides the other faults."`
+	Agents  bool          `name:"lose-agents" help:"Kill all agents with them, and have streams last longer."`
 	Keep    string        `default:"target/soak-runs" help:"Directory for the logs and schedules of runs that failed." type:"path"`
 }
 
@@ -53,7 +54,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return false, &soak.StartError{What: dir, Cause: err}
 	}
-	report, err := (&soak.Run{Seed: seed, Length: c.Length, LoseEntries: c.Lose, Program: []string{program}, Dir: dir}).Execute()
+	report, err := (&soak.Run{Seed: seed, Length: c.Length, LoseEntries: c.Lose, LoseAgents: c.Agents, Program: []string{program}, Dir: dir}).Execute()
 	if err != nil {
 		return false, err
 	}
--- a/io/soak/loss.go
+++ b/io/soak/loss.go
@@ -19,6 +19,9 @@
 	lossGap = 6 * time.Second
 	// lossSettle is how long after such a loss the streams that it broke off are taken up again.
 	lossSettle = 3 * time.Second
+	// saveTime is the age from which a stream goes on after the agents are lost as well: before, the
+	// platform may lack its record.
+	saveTime = time.Second
 )
 
 // addLosses adds losses of all entries at once to a schedule drawn from the same seed. During every
@@ -42,13 +45,19 @@
 	return steps
 }
 
-// killEntries kills all entries at once. By variant, the oldest version in service leaves just before,
+// killEntries kills all entries at once, and all agents in runs that lose them as well. By variant, the oldest version in service leaves just before,
 // or while they are away.
 func (t *testbed) killEntries(variant int) {
 	kill := func() {
 		for _, p := range t.entries {
 			p.Signal(syscall.SIGKILL)
 		}
+		if !t.loseAgents {
+			return
+		}
+		for _, p := range t.agents {
+			p.Signal(syscall.SIGKILL)
+		}
 	}
 	switch variant % 3 {
 	case 0:
@@ -78,7 +87,7 @@
 // brokenByLoss returns the loss of all entries that broke a stream off, if nothing else did.
 func (c *signalChecker) brokenByLoss(r *Result) (Step, bool) {
 	for _, s := range c.steps {
-		if s.Kind == KillEntries && r.Began < s.Begin && s.Begin <= r.Ended &&
+		if s.Kind == KillEntries && r.Began < s.Begin-c.saved && s.Begin <= r.Ended &&
 			!disturbed(c.steps, s.Begin-settleTime, s.Begin+lossSettle, KillEntries) {
 			return s, true
 		}
--- a/io/soak/loss_test.go
+++ b/io/soak/loss_test.go
@@ -39,6 +39,10 @@
 		c := &signalChecker{start: start, steps: []Step{loss}}
 		assert.Equal(t, c.resumedAfterLoss(results, hosts), Resumptions{TakenUp: 1, WentOn: 1, New: 1, Begun: 1})
 	})
+	t.Run("not before it is saved", func(t *testing.T) {
+		c := &signalChecker{start: start, steps: []Step{loss}, saved: time.Second}
+		assert.Equal(t, c.resumedAfterLoss(results, hosts).TakenUp, 0)
+	})
 	t.Run("not without a loss", func(t *testing.T) {
 		c := &signalChecker{start: start}
 		assert.Equal(t, c.resumedAfterLoss(results, hosts), Resumptions{})
--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -27,6 +27,8 @@
 	Length time.Duration
 	// LoseEntries is set if all entries are killed at once, again and again, besides the schedule.
 	LoseEntries bool
+	// LoseAgents is set if all agents are killed with them, as when all machines lose power.
+	LoseAgents bool
 	// Program is the command of entries and agents. The role and the settings file are
 	// appended as arguments.
 	Program []string
@@ -78,7 +80,11 @@
 	if err := os.WriteFile(filepath.Join(r.Dir, "schedule.txt"), []byte(lines(steps)), 0o644); err != nil {
 		return nil, &StartError{What: "the run", Cause: err}
 	}
-	t := &testbed{dir: r.Dir, program: r.Program, maxDirect: allDirect}
+	t := &testbed{dir: r.Dir, program: r.Program, maxDirect: allDirect, gap: eventGap}
+	var saved time.Duration
+	if r.LoseAgents {
+		t.loseAgents, t.gap, saved = true, longGap, saveTime
+	}
 	if r.Seed%2 == 1 {
 		t.maxDirect = 0
 	}
@@ -124,7 +130,7 @@
 	report.Breaches = append(report.Breaches, overAllowance(c.results, ran)...)
 	report.Breaches = append(report.Breaches, denied(c.results)...)
 	report.Breaches = append(report.Breaches, t.overRetryBudgets(c.start, c.results)...)
-	checker := &signalChecker{start: c.start, steps: steps, results: map[string]*Result{}}
+	checker := &signalChecker{start: c.start, steps: steps, results: map[string]*Result{}, saved: saved}
 	for i := range c.results {
 		checker.results[c.results[i].ID] = &c.results[i]
 	}
--- a/io/soak/signal.go
+++ b/io/soak/signal.go
@@ -42,6 +42,8 @@
 	start   time.Time
 	results map[string]*Result
 	steps   []Step
+	// saved is the age from which a stream goes on after a loss of all entries.
+	saved time.Duration
 }
 
 // check returns the violations of the signals of one upstream by requests that it
--- a/io/soak/testbed.go
+++ b/io/soak/testbed.go
@@ -31,6 +31,8 @@
 	// most faults.
 	streamEvents = 12
 	eventGap     = 40 * time.Millisecond
+	// longGap is the gap in runs in which streams have to outlast the time until they are saved.
+	longGap = 200 * time.Millisecond
 	// limitedRate is the rate limit of one of the customers, in requests per second. It
 	// is below the rate at which its callers send.
 	limitedRate = 4
@@ -71,8 +73,12 @@
 	program []string
 	// maxDirect is the number of agents that each entry follows itself.
 	maxDirect int
-	store     *stand.Store
-	storeAt   netip.AddrPort
+	// gap is the pause between two events of a stream.
+	gap time.Duration
+	// loseAgents is set if all agents are killed with all entries.
+	loseAgents bool
+	store      *stand.Store
+	storeAt    netip.AddrPort
 
 	upstreams []*upstream
 	entries   []*Proc
@@ -213,7 +219,7 @@
 	u.OnCrash = func() { t.restart(u) }
 	u.Restart(u.started)
 	if !u.Plain {
-		u.Events, u.Gap = streamEvents, eventGap
+		u.Events, u.Gap = streamEvents, t.gap
 		u.SetModels(stand.Held{Name: fmt.Sprintf("m-%d", 1+i%2), Version: 1})
 		u.setVersion(softwareVersions[i*2/engines])
 	}
