Give callers a time to come back while the platform's records cannot be read

A caller who takes a stream up whose version only the platform's records tell got a refusal without Retry-After where these could not be read, as just after a loss of all processes. Reading them may succeed a moment later, so it now gets the time that it gets while other entries do not answer. TestTakeUpByThePlatformsRecords, cannot be read, fails with the condition as it was.

--- a/core/origin.go
+++ b/core/origin.go
@@ -81,7 +81,7 @@
 
 // SavedOrigins are the platform's records of where streams began. They outlive all processes.
 type SavedOrigins interface {
-	// Find reads where the stream began whose first event an attempt brought. It returns false
-	// at once while the platform cannot be read.
-	Find(ctx context.Context, attempt RequestID) (StreamOrigin, bool)
+	// Find reads where the stream began whose first event an attempt brought. The answer is
+	// complete if the platform could be read; while it cannot, Find returns at once.
+	Find(ctx context.Context, attempt RequestID) OriginAnswer
 }
--- a/io/deploy/origlog.go
+++ b/io/deploy/origlog.go
@@ -47,7 +47,7 @@
 	// loaded is set once the versions of this entry's objects are known.
 	loaded bool
 	// reads are ended with the next read, and readFrom is when the next may begin.
-	reads []chan struct{}
+	reads []chan bool
 	// retryAt is when the store is called again after a call has failed.
 	retryAt time.Time
 	// found are the origins in the store as of the last read.
@@ -137,15 +137,15 @@
 }
 
 // Find implements core.SavedOrigins.
-func (l *originLog) Find(ctx context.Context, attempt core.RequestID) (core.StreamOrigin, bool) {
+func (l *originLog) Find(ctx context.Context, attempt core.RequestID) core.OriginAnswer {
 	key := origin.KeyOf(attempt)
-	if o, ok := l.find(key); ok {
-		return o, true
+	o, ok := l.find(key)
+	if ok {
+		return core.OriginAnswer{Origin: o, Found: true, Complete: true}
 	}
-	if !l.awaitRead(ctx) {
-		return core.StreamOrigin{}, false
-	}
-	return l.find(key)
+	read := l.awaitRead(ctx)
+	o, ok = l.find(key)
+	return core.OriginAnswer{Origin: o, Found: ok, Complete: read}
 }
 
 func (l *originLog) find(key core.Fingerprint) (core.StreamOrigin, bool) {
@@ -155,10 +155,10 @@
 	return o, ok
 }
 
-// awaitRead waits until the store has been read, or reading it has failed. It returns false at once
-// while the store cannot be read.
+// awaitRead waits until the store has been read, or reading it has failed, and reports whether it
+// was. It returns false at once while the store cannot be read.
 func (l *originLog) awaitRead(ctx context.Context) bool {
-	done := make(chan struct{})
+	done := make(chan bool, 1)
 	l.mu.Lock()
 	failing := l.entry.clock.Now().Before(l.retryAt)
 	if !failing {
@@ -172,8 +172,8 @@
 	timer := time.NewTimer(originReadGap + 2*originReadTimeout)
 	defer timer.Stop()
 	select {
-	case <-done:
-		return true
+	case ok := <-done:
+		return ok
 	case <-ctx.Done():
 	case <-timer.C:
 	}
@@ -192,9 +192,9 @@
 		reads := l.reads
 		l.reads = nil
 		l.mu.Unlock()
-		l.read(ctx)
+		_, ok := l.read(ctx)
 		for _, done := range reads {
-			close(done)
+			done <- ok
 		}
 		if !loop.Sleep(ctx, originReadGap) {
 			return nil
--- a/io/proxy/origin.go
+++ b/io/proxy/origin.go
@@ -62,14 +62,15 @@
 		c.continueAt(core.StreamOrigin{Service: c.service.Name, Software: version})
 		return nil
 	}
-	if saved, ok := c.findSaved(ctx); ok {
-		c.continueAt(saved)
+	saved := c.findSaved(ctx)
+	if saved.Found {
+		c.continueAt(saved.Origin)
 		return nil
 	}
 	events.Log(events.StreamOriginUnknown, "request", c.ask.ID, "first-attempt", c.ask.FirstAttempt, "service", c.service.Name,
-		"versions", known.Versions, "others-know", asked.Versions, "confirmed", known.Confirmed, "registry-stale", stale, "all-answered", asked.Complete)
+		"versions", known.Versions, "others-know", asked.Versions, "confirmed", known.Confirmed, "registry-stale", stale, "all-answered", asked.Complete, "platform-read", saved.Complete)
 	refusal := core.Refuse(core.CodeNoHost, "the software version at which the stream began is not known")
-	if c.ask.FirstAttempt != "" && !asked.Complete {
+	if c.ask.FirstAttempt != "" && !(asked.Complete && saved.Complete) {
 		refusal.RetryAt = c.retryAt(unknownOriginRetry)
 	}
 	return refusal
@@ -77,16 +78,16 @@
 
 // findSaved finds where the stream began in the platform's records, for when all processes have ended
 // that knew it.
-func (c *call) findSaved(ctx context.Context) (core.StreamOrigin, bool) {
+func (c *call) findSaved(ctx context.Context) core.OriginAnswer {
 	p := c.proxy
 	if p.SavedOrigins == nil || c.ask.FirstAttempt == "" {
-		return core.StreamOrigin{}, false
+		return core.OriginAnswer{Complete: true}
 	}
-	found, ok := p.SavedOrigins.Find(ctx, c.ask.FirstAttempt)
-	if ok {
-		events.Log(events.StreamOriginRead, "request", c.ask.ID, "first-attempt", c.ask.FirstAttempt, "service", found.Service, "version", found.Software)
+	saved := p.SavedOrigins.Find(ctx, c.ask.FirstAttempt)
+	if saved.Found {
+		events.Log(events.StreamOriginRead, "request", c.ask.ID, "first-attempt", c.ask.FirstAttempt, "service", saved.Origin.Service, "version", saved.Origin.Software)
 	}
-	return found, ok
+	return saved
 }
 
 // refreshVersions confirms a single version by the platform's record, since another entry may have
--- a/io/proxy/version_test.go
+++ b/io/proxy/version_test.go
@@ -269,3 +269,41 @@
 		assert.Equal(t, len(r.Demands()["m"].Continuing), 0)
 	})
 }
+
+// savedOrigins are platform's records of where streams began, that name one origin for all.
+type savedOrigins core.OriginAnswer
+
+// Find implements core.SavedOrigins.
+func (s savedOrigins) Find(context.Context, core.RequestID) core.OriginAnswer {
+	return core.OriginAnswer(s)
+}
+
+// Guards against streams that are refused for good, or go on anywhere, since only the platform knows
+// where they began.
+func TestTakeUpByThePlatformsRecords(t *testing.T) {
+	takeUp := func(t *testing.T, saved savedOrigins) answer {
+		t.Helper()
+		r := newRig(t)
+		r.addVersion(t, "i-1", "v1", stand.NoFault)
+		r.addVersion(t, "i-2", "v2", stand.NoFault)
+		r.Origins, r.SavedOrigins = &otherEntries{OriginAnswer: core.OriginAnswer{Answered: true, Complete: true}}, saved
+		return r.takeUp(t, "next", "first")
+	}
+	for _, version := range []core.SoftwareVersion{"v1", "v2"} {
+		t.Run("began at "+string(version), func(t *testing.T) {
+			a := takeUp(t, savedOrigins{Origin: core.StreamOrigin{Service: "llm", Software: version}, Found: true, Complete: true})
+			wantStatus(t, a, http.StatusOK)
+			assert.Equal(t, a.header.Get("X-Radishwell-Server-Signature"), "signed-by-i-"+string(version[1:]))
+		})
+	}
+	t.Run("the platform does not know", func(t *testing.T) {
+		a := takeUp(t, savedOrigins{Complete: true})
+		wantStatus(t, a, http.StatusServiceUnavailable)
+		assert.Equal(t, a.header.Get("Retry-After"), "")
+	})
+	t.Run("the platform cannot be read", func(t *testing.T) {
+		a := takeUp(t, savedOrigins{})
+		wantStatus(t, a, http.StatusServiceUnavailable)
+		assert.Assert(t, a.header.Get("Retry-After") != "")
+	})
+}
