Check the first event of a stream that its caller takes up

What callers saw: a stream that a caller took up with Last-Event-Id 4 was forwarded from whatever event the upstream began at. If that was 1 or 4, the caller had events twice; if it was 6, one was missing. The answer had status 200 and ended as complete.

Cause: forwardStream compared ids only where a stream goes on within one answer, as the part before was written by this entry. For the first part of an answer nothing was compared, though the last event is known from the request.

Change: on routes whose streams may be resumed, the first event of a take-up has to follow Last-Event-Id as well. Another answer counts as spoilt: nothing of it is forwarded, and another upstream may be tried. Ids that are no numbers are not compared, and events without ids are forwarded as before. Routes without resumable are left alone, as an upstream may take such a request for a new run.

The same comparison was missing nowhere else: a second upstream of the same attempt has been checked since streams move.

--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -63,7 +63,7 @@
 	defer c.flush(out)
 	var pending []byte
 	id, whole := "", false
-	resumed := c.started
+	resumed := c.started || c.route.Resumable && c.lastEventID != ""
 	for {
 		line, err := in.ReadSlice('\n')
 		pending = append(pending, line...)
