Take no versions from an entry that stood still during a release

What callers saw: an entry is paused for two seconds while a release replaces all upstreams; then all other entries are lost and the store goes down. An entry that starts now gets its state from the paused one, which has woken.

Cause: while the store is down, one version counts as the only one if an entry that has read the record of versions confirms it. That it had read the record was true once and for all, but the paused entry has missed what was written meanwhile.

Change: a process that stood still for more than a second counts as one that has not read the record, until it has read it again, which it does at once. A read whose answer arrives after a standstill does not count.

The same cause elsewhere: an entry that was cut off from the store and from all others, instead of paused, misses the same; it cannot tell that from an outage of the store and is not covered. Agents are never taken for complete, so one that was paused cannot vouch for versions.

--- a/core/origin.go
+++ b/core/origin.go
@@ -66,7 +66,8 @@
 	Add(ctx context.Context, service ServiceName, version SoftwareVersion) bool
 	// Refresh reads the record, and reports whether it could be read since Refresh was called.
 	Refresh(ctx context.Context) bool
-	// Loaded reports whether the record has been read since this process started.
+	// Loaded reports whether the record has been read since this process started, and since it last
+	// stood still: versions may have come meanwhile that it does not know.
 	Loaded() bool
 }
 
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -104,7 +104,7 @@
 	e.shareOrigins()
 	p.parts = append(
 		p.parts, e.proxy.Run, e.links.run, e.planner.run, e.planner.loadDemand, e.feed.Run, e.quota.Run, e.maintainRecord, e.orderer.run,
-		e.quarantine.run, granting.run, e.spare.run,
+		e.quarantine.run, granting.run, e.spare.run, e.software.followStandstills,
 	)
 	p.addServer(&httpd.Server{Address: s.Managed.Readiness, Handler: http.HandlerFunc(e.serveReady)})
 	callers := &httpd.Server{
--- a/io/deploy/loss_test.go
+++ b/io/deploy/loss_test.go
@@ -21,6 +21,8 @@
 	same, other int
 	// refused were refused and did not run. refusedServed are those whose version still serves.
 	refused, refusedServed int
+	// cut were not answered, or not to the end.
+	cut int
 }
 
 // versionFleet is a fleet with upstreams of two software versions, whose entries have begun streams
--- a/io/deploy/software.go
+++ b/io/deploy/software.go
@@ -31,6 +31,11 @@
 	softwareWriters = 3
 	// softwareBackoff is how long nobody waits for the record after a call for it has failed.
 	softwareBackoff = time.Second
+	// maxStandstill is the longest time for which this process may stand still without reading the record
+	// again, and standstillInterval the interval at which it notes that it runs. Hosts of versions that
+	// it does not know may have come and gone meanwhile.
+	maxStandstill      = time.Second
+	standstillInterval = 200 * time.Millisecond
 )
 
 // software keeps in the store at which software versions streams may have begun. A version is in the
@@ -45,6 +50,10 @@
 	asked []*softwareCall
 	// retryAt is when the record is read again after a call has failed.
 	retryAt time.Time
+	// ranAt is when this process last noted that it runs, and standstills counts how often it has stood
+	// still for longer than maxStandstill.
+	ranAt       time.Time
+	standstills int
 	// record and version are the object as last read, zero if there is none; damaged is set if it
 	// could not be decoded. Only run uses them.
 	record  softwareJSON
@@ -89,7 +98,33 @@
 }
 
 // Loaded implements core.SoftwareRecord.
-func (s *software) Loaded() bool { return s.loaded.Load() }
+func (s *software) Loaded() bool {
+	s.noteRuns()
+	return s.loaded.Load()
+}
+
+// noteRuns notes that this process runs, and returns how often it has stood still. The record counts as
+// not read after that.
+func (s *software) noteRuns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.entry.clock.Now()
+	if !s.ranAt.IsZero() && now.Sub(s.ranAt) > maxStandstill {
+		s.standstills++
+		s.loaded.Store(false)
+		loop.Wake(s.wake)
+	}
+	s.ranAt = now
+	return s.standstills
+}
+
+// followStandstills notes that this process runs until the context ends.
+func (s *software) followStandstills(ctx context.Context) error {
+	for loop.Sleep(ctx, standstillInterval) {
+		s.noteRuns()
+	}
+	return nil
+}
 
 // Add implements core.SoftwareRecord.
 func (s *software) Add(ctx context.Context, service core.ServiceName, version core.SoftwareVersion) bool {
@@ -141,6 +176,7 @@
 			retry = min(2*retry, softwareInterval)
 			continue
 		}
+		retry = maxStoreRetry
 		now := s.entry.clock.Now()
 		next = core.Later(next, now.Add(-softwareBurst*softwareGap)).Add(softwareGap)
 		if !loop.Sleep(ctx, next.Sub(now)) {
@@ -183,7 +219,11 @@
 func (s *software) read(ctx context.Context) bool {
 	ctx, stop := context.WithTimeout(ctx, softwareTimeout)
 	defer stop()
+	standstills := s.noteRuns()
 	o, err := s.entry.store.Get(ctx, core.KindSoftware, softwareObject)
+	if s.noteRuns() != standstills {
+		return false // the answer may be as old as the standstill
+	}
 	record := softwareJSON{}
 	s.damaged = false
 	switch {
