Record the versions in service again after the store was restored

What callers saw: the store is restored from a copy that is older than the record of a version. No new stream begins there, its upstreams are replaced and all entries are lost: streams of the old version that are taken up then went on at the new one, 24 of 24.

Cause: a version is written to the record only when a stream begins at it. A restore made entries forget that it was recorded, so that the next stream writes it; streams that are in progress had no such stream after them.

Change: the first entries by rank, which also remove versions, read the record once they learn of a restore and add the versions in service that it lacks, also those whose upstreams have gone of late.

Evidence: the last case of TestStreamsOfReplacedVersionAreRefused failed before (24 joined, with a pause of two seconds in place of the wait for the record) and passes now. Its other cases, all upstreams replaced while the entries are away, with a store that answers, is down or is silent when they come back, passed before: all 24 streams are refused and none runs.

The same cause elsewhere: records of members, agents and quarantine are already written again after a restore.

--- a/io/deploy/software.go
+++ b/io/deploy/software.go
@@ -59,6 +59,10 @@
 	record  softwareJSON
 	version core.Version
 	damaged bool
+	// era is the highest era of the store in which the record was found to have all versions in service,
+	// and hasRead is set once it was read at all. Only run uses them.
+	era     uint64
+	hasRead bool
 }
 
 var _ core.SoftwareRecord = (*software)(nil)
@@ -194,11 +198,17 @@
 
 // update reads the record, adds the versions that calls want, and ends the calls.
 func (s *software) update(ctx context.Context, calls []*softwareCall) {
-	if len(calls) == 0 && s.loaded.Load() {
+	era, loaded := s.entry.storeEra(), s.loaded.Load()
+	restored := s.hasRead && era > s.era && !s.leavesWrites()
+	if len(calls) == 0 && loaded && !restored {
 		return
 	}
 	read := s.read(ctx)
 	list := s.record.list()
+	if restored {
+		// The copy may lack versions at which streams are in progress.
+		list = append(list, s.missing()...)
+	}
 	for _, c := range calls {
 		if c.add != nil && !slices.Contains(list, *c.add) {
 			list = append(list, *c.add)
@@ -208,6 +218,12 @@
 	for _, c := range calls {
 		c.done <- read && (c.add == nil || written)
 	}
+	if read && !s.hasRead {
+		s.era, s.hasRead = s.entry.storeEra(), true
+	}
+	if written && restored {
+		s.era = era
+	}
 	if !written {
 		s.mu.Lock()
 		s.retryAt = s.entry.clock.Now().Add(softwareBackoff)
@@ -309,7 +325,7 @@
 // prune removes the versions from the record at which no stream may be in progress, unless other
 // entries do.
 func (s *software) prune(ctx context.Context) {
-	if before, _ := s.entry.members.predecessors(); len(before) >= softwareWriters || s.entry.storeOut() {
+	if s.leavesWrites() || s.entry.storeOut() {
 		return
 	}
 	// What another entry has added since the last read is in service.
@@ -321,6 +337,18 @@
 	}
 }
 
+// leavesWrites reports whether other entries keep the record in accordance with the registry.
+func (s *software) leavesWrites() bool {
+	before, _ := s.entry.members.predecessors()
+	return len(before) >= softwareWriters
+}
+
+// missing returns the versions in service that are not in the record.
+func (s *software) missing() []fleet.Software {
+	list := s.record.list()
+	return slices.DeleteFunc(s.inService(), func(v fleet.Software) bool { return slices.Contains(list, v) })
+}
+
 // needed returns the versions in the record that are in service.
 func (s *software) needed() []fleet.Software {
 	inService := s.inService()
--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -61,6 +61,7 @@
 	}
 	if e.applyRegistry(objects) {
 		loop.Wake(e.quarantine.changed)
+		loop.Wake(e.software.wake)
 	}
 	e.feed.RegistryChanged()
 }
