List streams joined after a restore while all entries were away

An entry that starts takes the copy's record for whole. It could name the store's era in which it was last known to be so, and refuse what nobody has a record of after a restore; how long, and at what cost in refusals, is not decided.

--- a/io/deploy/replaced_test.go
+++ b/io/deploy/replaced_test.go
@@ -82,3 +82,14 @@
 		wantRefused(t, f, f.startAgain(t))
 	})
 }
+
+// Guards against streams that go on at the version that has replaced theirs, since the store was restored from a copy
+// without their version while all entries were away.
+func TestRestoreWhileEntriesAreAwayJoinsNoStreams(t *testing.T) {
+	f, held := newReplaced(t)
+	f.stopEntries()
+	f.store.Restore(held)
+	f.replace(t)
+	n := f.takeUpAtOnce(t, f.startAgain(t), "v1", func() {})
+	assert.Equal(t, n, taken{refused: len(f.began)})
+}
