End streams that break off after an event without an id

What callers saw: an upstream sends events without ids, or one after the last event with an id, and breaks off. The entry went on at another upstream in the same answer, from the last id or from the beginning: the events without ids came twice, and the answer ended as complete.

Cause: the id that the next upstream is given is that of the last event that had one, and events without ids are not compared.

Change: once an event without an id has been forwarded, and until the next one with an id, the stream does not move: neither after it broke off, when its caller sees a broken answer, nor since its host and agent are silent.

--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -149,6 +149,9 @@
 	failure *failure
 	// lastEventID is the id of the last event that the caller has received.
 	lastEventID string
+	// unnamed is set if events without ids were forwarded since: nothing tells another host after which
+	// event to go on.
+	unnamed bool
 	// origin is where the stream began whose events are in the answer or that the caller
 	// resumes, and software the version at the host chosen last.
 	origin   core.StreamOrigin
@@ -335,7 +338,7 @@
 	if errors.As(o.cause, &gone) {
 		return &core.Refusal{Code: core.CodeCancelled, Outcome: core.MayHaveRun, Reason: gone.Error()}
 	}
-	if c.started && c.route.Kind != rtable.Stream {
+	if c.started && (c.route.Kind != rtable.Stream || c.unnamed) {
 		return c.lost()
 	}
 	if !o.rejected && o.sent && !c.mayRepeat() {
--- a/io/proxy/silent.go
+++ b/io/proxy/silent.go
@@ -45,6 +45,8 @@
 	callerLeaves time.Time
 	// started is set once an event has been forwarded to the caller.
 	started atomic.Bool
+	// unnamed is set while the latest event had no id: the stream cannot move then.
+	unnamed atomic.Bool
 	// lastEvent is when the latest event was forwarded, or the attempt began, in
 	// nanoseconds since the Unix epoch.
 	lastEvent atomic.Int64
@@ -127,7 +129,7 @@
 	p.standstill.Run(now)
 	for w := range p.streams {
 		silent := now.Sub(time.Unix(0, w.lastEvent.Load())) >= w.timeout
-		if !silent || !w.host.Silent(p.view.ReferenceTime(now)) {
+		if !silent || w.unnamed.Load() || !w.host.Silent(p.view.ReferenceTime(now)) {
 			continue
 		}
 		if w.started.Load() {
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -95,9 +95,7 @@
 		}
 		c.recordEvent()
 		c.checkProven(t)
-		if id != "" {
-			c.lastEventID = id
-		}
+		c.noteEventID(id)
 		pending, id, whole = pending[:0], "", false
 		c.partialEvent = 0
 		if hasEvent(in) {
@@ -128,6 +126,17 @@
 	return c.write(rest)
 }
 
+// noteEventID records the id of an event that was forwarded, empty if it has none.
+func (c *call) noteEventID(id string) {
+	c.unnamed = id == ""
+	if id != "" {
+		c.lastEventID = id
+	}
+	if c.watched != nil {
+		c.watched.unnamed.Store(c.unnamed)
+	}
+}
+
 // recordEvent records that an event, or a whole answer, was forwarded.
 func (c *call) recordEvent() {
 	now := c.proxy.Clock.Now()
--- a/io/proxy/takeup_test.go
+++ b/io/proxy/takeup_test.go
@@ -36,7 +36,14 @@
 func (r *rig) addFixed(t *testing.T, id, events string) *fixed {
 	t.Helper()
 	f := &fixed{id: id, events: events}
-	srv := httptest.NewServer(f)
+	r.register(t, id, f)
+	return f
+}
+
+// register starts an upstream with models and registers it.
+func (r *rig) register(t *testing.T, id string, h http.Handler) {
+	t.Helper()
+	srv := httptest.NewServer(h)
 	t.Cleanup(srv.Close)
 	r.Update(func(v *fleet.View, _ time.Time) {
 		v.Apply(fleet.Entry{
@@ -44,7 +51,6 @@
 			Slots: 6, Models: []core.HeldModel{{Model: "m"}},
 		})
 	})
-	return f
 }
 
 // eventsBetween returns the events with the ids from first to last.
@@ -111,3 +117,84 @@
 		assert.Equal(t, a.body, eventsOf(8))
 	})
 }
+
+// breaking is an upstream that sends some bytes of a stream and resets the connection, whatever the caller
+// resumes.
+type breaking struct{ id, beginning string }
+
+// ServeHTTP implements http.Handler.
+func (b breaking) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Radishwell-Request-Id", r.Header.Get("X-Radishwell-Request-Id"))
+	w.Header().Set("X-Radishwell-Server-Signature", "signed-by-"+b.id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = w.Write([]byte(b.beginning))
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// Guards against events that come twice since a stream goes on elsewhere after events without ids: its next host
+// cannot know that its caller has them.
+func TestStreamGoesOnOnlyAfterAnID(t *testing.T) {
+	const id4 = "id: 4\ndata: event 4\n\n"
+	for name, beginning := range map[string]string{
+		"no event had an id":       "data: a\n\ndata: b\n\n",
+		"the last event had none":  eventsOf(4) + "data: a\n\n",
+		"the last events had none": eventsOf(4) + "data: a\n\nevent: b\n\n",
+	} {
+		t.Run("not where "+name, func(t *testing.T) {
+			r := newRig(t)
+			r.register(t, "i-1", breaking{"i-1", beginning})
+			r.addFixed(t, "i-2", eventsBetween(5, 8))
+			broken := 0
+			for range 8 {
+				a := do(t, r.askStream(t, "/resumed/x", "q"))
+				if a.header.Get("X-Radishwell-Server-Signature") == "signed-by-i-1" {
+					assert.Assert(t, a.cut && a.body == beginning, "%+v", a)
+					broken++
+				}
+			}
+			assert.Assert(t, broken > 0)
+		})
+	}
+	for name, beginning := range map[string]string{
+		"lines end with CRLF":                 strings.ReplaceAll(eventsOf(4), "\n", "\r\n"),
+		"an event without an id came before":  eventsBetween(1, 3) + "data: a\n\n" + id4,
+		"a comment came after the last event": eventsOf(4) + ": waiting\n",
+	} {
+		t.Run("also where "+name, func(t *testing.T) {
+			r := newRig(t)
+			r.register(t, "i-1", breaking{"i-1", beginning})
+			r.addFixed(t, "i-2", eventsBetween(5, 8))
+			whole := strings.TrimSuffix(beginning, ": waiting\n") + eventsBetween(5, 8)
+			continued := 0
+			for range 8 {
+				a := do(t, r.askStream(t, "/resumed/x", "q"))
+				if a.header.Get("X-Radishwell-Server-Signature") == "signed-by-i-1" {
+					wantStatus(t, a, http.StatusOK)
+					assert.Equal(t, a.body, whole)
+					continued++
+				}
+			}
+			assert.Assert(t, continued > 0)
+		})
+	}
+	t.Run("a stream whose lines end with CR only is forwarded at its end", func(t *testing.T) {
+		r := newRig(t)
+		text := strings.ReplaceAll(eventsOf(8), "\n", "\r")
+		r.addFixed(t, "i-1", text)
+		a := do(t, r.askStream(t, "/resumed/x", "q"))
+		wantStatus(t, a, http.StatusOK)
+		assert.Equal(t, a.body, text)
+	})
+	t.Run("a stream whose lines end with CR only and that breaks off is run anew", func(t *testing.T) {
+		r := newRig(t)
+		r.register(t, "i-1", breaking{"i-1", strings.ReplaceAll(eventsOf(4), "\n", "\r")})
+		text := strings.ReplaceAll(eventsOf(8), "\n", "\r")
+		r.addFixed(t, "i-2", text)
+		for range 8 {
+			a := do(t, r.askStream(t, "/resumed/x", "q"))
+			wantStatus(t, a, http.StatusOK)
+			assert.Equal(t, a.body, text)
+		}
+	})
+}
