--- a/io/deploy/software.go
+++ b/io/deploy/software.go
@@ -31,6 +31,11 @@
 	softwareWriters = 3
 	// softwareBackoff is how long nobody waits for the record after a call for it has failed.
 	softwareBackoff = time.Second
+	// maxStandstill is the longest time for which this process may stand still without reading the record
+	// again, and standstillInterval the interval at which it notes that it runs. Hosts of versions that
+	// it does not know may have come and gone meanwhile.
+	maxStandstill      = time.Second
+	standstillInterval = 200 * time.Millisecond
 )
 
 // software keeps in the store at which software versions streams may have begun. A version is in the
@@ -45,11 +50,19 @@
 	asked []*softwareCall
 	// retryAt is when the record is read again after a call has failed.
 	retryAt time.Time
+	// ranAt is when this process last noted that it runs, and standstills counts how often it has stood
+	// still for longer than maxStandstill.
+	ranAt       time.Time
+	standstills int
 	// record and version are the object as last read, zero if there is none; damaged is set if it
 	// could not be decoded. Only run uses them.
 	record  softwareJSON
 	version core.Version
 	damaged bool
+	// era is the highest era of the store in which the record was found to have all versions in service,
+	// and hasRead is set once it was read at all. Only run uses them.
+	era     uint64
+	hasRead bool
 }
 
 var _ core.SoftwareRecord = (*software)(nil)
@@ -89,7 +102,33 @@
 }
 
 // Loaded implements core.SoftwareRecord.
-func (s *software) Loaded() bool { return s.loaded.Load() }
+func (s *software) Loaded() bool {
+	s.noteRuns()
+	return s.loaded.Load()
+}
+
+// noteRuns notes that this process runs, and returns how often it has stood still. The record counts as
+// not read after that.
+func (s *software) noteRuns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.entry.clock.Now()
+	if !s.ranAt.IsZero() && now.Sub(s.ranAt) > maxStandstill {
+		s.standstills++
+		s.loaded.Store(false)
+		loop.Wake(s.wake)
+	}
+	s.ranAt = now
+	return s.standstills
+}
+
+// followStandstills notes that this process runs until the context ends.
+func (s *software) followStandstills(ctx context.Context) error {
+	for loop.Sleep(ctx, standstillInterval) {
+		s.noteRuns()
+	}
+	return nil
+}
 
 // Add implements core.SoftwareRecord.
 func (s *software) Add(ctx context.Context, service core.ServiceName, version core.SoftwareVersion) bool {
@@ -141,6 +180,7 @@
 			retry = min(2*retry, softwareInterval)
 			continue
 		}
+		retry = maxStoreRetry
 		now := s.entry.clock.Now()
 		next = core.Later(next, now.Add(-softwareBurst*softwareGap)).Add(softwareGap)
 		if !loop.Sleep(ctx, next.Sub(now)) {
@@ -158,11 +198,17 @@
 
 // update reads the record, adds the versions that calls want, and ends the calls.
 func (s *software) update(ctx context.Context, calls []*softwareCall) {
-	if len(calls) == 0 && s.loaded.Load() {
+	era, loaded := s.entry.storeEra(), s.loaded.Load()
+	restored := s.hasRead && era > s.era && !s.leavesWrites()
+	if len(calls) == 0 && loaded && !restored {
 		return
 	}
 	read := s.read(ctx)
 	list := s.record.list()
+	if restored {
+		// The copy may lack versions at which streams are in progress.
+		list = append(list, s.missing()...)
+	}
 	for _, c := range calls {
 		if c.add != nil && !slices.Contains(list, *c.add) {
 			list = append(list, *c.add)
@@ -172,6 +218,12 @@
 	for _, c := range calls {
 		c.done <- read && (c.add == nil || written)
 	}
+	if read && !s.hasRead {
+		s.era, s.hasRead = s.entry.storeEra(), true
+	}
+	if written && restored {
+		s.era = era
+	}
 	if !written {
 		s.mu.Lock()
 		s.retryAt = s.entry.clock.Now().Add(softwareBackoff)
@@ -183,7 +235,11 @@
 func (s *software) read(ctx context.Context) bool {
 	ctx, stop := context.WithTimeout(ctx, softwareTimeout)
 	defer stop()
+	standstills := s.noteRuns()
 	o, err := s.entry.store.Get(ctx, core.KindSoftware, softwareObject)
+	if s.noteRuns() != standstills {
+		return false // the answer may be as old as the standstill
+	}
 	record := softwareJSON{}
 	s.damaged = false
 	switch {
@@ -269,7 +325,7 @@
 // prune removes the versions from the record at which no stream may be in progress, unless other
 // entries do.
 func (s *software) prune(ctx context.Context) {
-	if before, _ := s.entry.members.predecessors(); len(before) >= softwareWriters || s.entry.storeOut() {
+	if s.leavesWrites() || s.entry.storeOut() {
 		return
 	}
 	// What another entry has added since the last read is in service.
@@ -281,6 +337,18 @@
 	}
 }
 
+// leavesWrites reports whether other entries keep the record in accordance with the registry.
+func (s *software) leavesWrites() bool {
+	before, _ := s.entry.members.predecessors()
+	return len(before) >= softwareWriters
+}
+
+// missing returns the versions in service that are not in the record.
+func (s *software) missing() []fleet.Software {
+	list := s.record.list()
+	return slices.DeleteFunc(s.inService(), func(v fleet.Software) bool { return slices.Contains(list, v) })
+}
+
 // needed returns the versions in the record that are in service.
 func (s *software) needed() []fleet.Software {
 	inService := s.inService()
