Forward paths that begin with two slashes as they were sent

"POST //dues/post?member=7" with "Host: b.example", on the route with the prefix "/", ran at the upstream as "POST http://dues/post?member=7" with "Host: dues", and the caller got the signed answer. "//a%2Fb" was answered with 502, as its host cannot be parsed.

Cause: the proxy gave the target to net/http as the opaque part of a URL. URL.RequestURI writes the scheme before an opaque part that begins with two slashes, since it takes that for a host and a path, and servers then ignore the Host header.

Such targets now go out by the URL's path with its raw form, which has no such reading. Before a request is matched, it is checked that the URL is written as the target was sent. The one case in which it is not, two slashes and characters that have to be percent-encoded, is refused with 400.

Ruled out: the absolute form with the caller's Host, which every server has to take, but it is not the target that was sent; requests written without net/http, which would give up its handling of cancelled and early answers.

--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -12,6 +12,7 @@
 	"radishwell/core"
 	"radishwell/core/fleet"
 	"radishwell/core/parts"
+	"radishwell/core/rawurl"
 	"radishwell/core/rtable"
 	"radishwell/core/turn"
 	"radishwell/io/accept"
@@ -47,6 +48,7 @@
 	arrived time.Time
 
 	ask      core.RequestHead
+	target   rawurl.Target
 	route    *rtable.Route
 	customer *rtable.Customer
 	// rank is the request's priority; zero is the most urgent.
@@ -211,6 +213,9 @@
 		return refusal
 	}
 	c.tableVersion = table.Version
+	if c.target, refusal = rawurl.Read(c.request.RequestURI); refusal != nil {
+		return refusal
+	}
 	c.route = table.Match(c.request.Host, c.request.URL.EscapedPath())
 	if c.route == nil {
 		return p.refusePath(c.arrived)
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -81,7 +81,7 @@
 	return t
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	t.Helper()
 	r := &rig{adapters: &adapterLoader{}}
 	r.Proxy = &proxy.Proxy{
@@ -98,7 +98,7 @@
 }
 
 // runProxy runs a proxy until the end of the test.
-func runProxy(t *testing.T, p *proxy.Proxy) {
+func runProxy(t testing.TB, p *proxy.Proxy) {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"time"
 
 	"radishwell/core"
@@ -66,9 +65,7 @@
 		hop.Customer = c.customer.Name
 	}
 	req := (&http.Request{
-		Method: c.request.Method, Host: c.request.Host,
-		// Opaque keeps the path and query as the caller wrote them.
-		URL:   &url.URL{Scheme: "http", Host: t.address.String(), Opaque: c.request.RequestURI},
+		Method: c.request.Method, Host: c.request.Host, URL: c.target.URL("http", t.address.String()),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: c.proxy.Protocol.ForwardHeader(c.request.Header, hop),
 	}).WithContext(ctx)
