Refuse request targets that are not a path of the named host

What callers saw: "POST http://root.example/x" with "Host: t.example" ran by the route of root.example, with that as its Host; ftp://t.example/x and "http:/open/x" ran with these targets; "OPTIONS *" was answered with 200 and no signature, though nothing had run; a "#", a CONNECT to a path and bytes that are not UTF-8 were forwarded, for each upstream to read in its own way.

Cause: net/http's server takes the host of an absolute target for the request's and drops the Host header, which PROTOCOL.md has select the route. It answers "OPTIONS *" itself. The proxy forwarded whatever net/http had accepted.

A target now has to be in origin form, without a fragment and in UTF-8; others get 400 and are not run. An absolute target with the host of the Host header is refused too: the two can't be compared, since the header is gone. RFC 9112 has servers accept that form, which clients send to forward proxies only.

Evidence: TestTargetIsRefused, 13 new rows failed before over HTTP/1.0 and 1.1 and pass; the rows that net/http refuses itself passed before.

--- a/core/rawurl/target.go
+++ b/core/rawurl/target.go
@@ -3,17 +3,28 @@
 import (
 	"net/url"
 	"strings"
+	"unicode/utf8"
 
 	"radishwell/core"
 )
 
-// Target is a request's target as it was sent.
+// Target is a request's target in origin form (RFC 9112, section 3.2.1), as it was sent: a path
+// that begins with a slash, and what follows it from the first question mark on.
 type Target string
 
-// Read returns the target of a request. It refuses what can't be forwarded as it was sent.
-func Read(target string) (Target, *core.Refusal) {
+// Read returns the target of a request. It refuses the other forms of a target, and what can't be
+// forwarded as it was sent or is read in different ways by servers.
+func Read(method, target string) (Target, *core.Refusal) {
 	t := Target(target)
-	if t.URL("http", "").RequestURI() != target {
+	switch {
+	case method == "CONNECT" || !strings.HasPrefix(target, "/"):
+		// net/http drops the Host header for an absolute target, so the two can't be compared.
+		return "", core.Refuse(core.CodeBadRequest, "the target has to be a path, without scheme and host")
+	case strings.Contains(target, "#"):
+		return "", core.Refuse(core.CodeBadRequest, "the target has a fragment")
+	case !utf8.ValidString(target):
+		return "", core.Refuse(core.CodeBadRequest, "the target is not in UTF-8")
+	case t.URL("http", "").RequestURI() != target:
 		return "", core.Refuse(core.CodeBadRequest, "the path has characters that have to be percent-encoded")
 	}
 	return t, nil
--- a/core/rawurl/target_test.go
+++ b/core/rawurl/target_test.go
@@ -12,10 +12,10 @@
 // Guards against targets that net/http writes otherwise than they were sent.
 func FuzzRead(f *testing.F) {
 	for _, target := range []string{"/", "//a/b", "//a|b", "/a%zz", "//a%2Fb?", "/a/%2e%2e", "*", "http://a/", "/#", "/\xff"} {
-		f.Add(target)
+		f.Add("GET", target)
 	}
-	f.Fuzz(func(t *testing.T, target string) {
-		got, refusal := rawurl.Read(target)
+	f.Fuzz(func(t *testing.T, method, target string) {
+		got, refusal := rawurl.Read(method, target)
 		if refusal != nil {
 			assert.Equal(t, refusal.Code, core.CodeBadRequest)
 			assert.Equal(t, refusal.Outcome, core.NotRun)
--- a/io/httpd/server.go
+++ b/io/httpd/server.go
@@ -83,6 +83,7 @@
 	s.server.ReadHeaderTimeout = readHeaderTimeout
 	s.server.IdleTimeout = idleTimeout
 	s.server.ConnContext = accept.WithConn
+	s.server.DisableGeneralOptionsHandler = true // the handler refuses a target of "*" as other forms
 	s.server.ErrorLog = events.Logger(events.ConnectionFailed)
 	if s.Peers {
 		var protocols http.Protocols
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -213,7 +213,7 @@
 		return refusal
 	}
 	c.tableVersion = table.Version
-	if c.target, refusal = rawurl.Read(c.request.RequestURI); refusal != nil {
+	if c.target, refusal = rawurl.Read(c.request.Method, c.request.RequestURI); refusal != nil {
 		return refusal
 	}
 	c.route = table.Match(c.request.Host, c.request.URL.EscapedPath())
--- a/io/proxy/target_test.go
+++ b/io/proxy/target_test.go
@@ -171,7 +171,26 @@
 func TestTargetIsRefused(t *testing.T) {
 	g := newTargetRig(t)
 	for _, c := range []struct{ name, method, target, host string }{
+		{"absolute", "POST", "http://t.example/open/x", "t.example"},
+		{"absolute with another host", "POST", "http://root.example/open/x", "t.example"},
+		{"absolute with another scheme", "POST", "ftp://t.example/x", "t.example"},
+		{"absolute without a path", "POST", "http://t.example", "t.example"},
+		{"absolute without a host", "POST", "http:/open/x", "t.example"},
+		{"opaque", "POST", "http:open/x", "t.example"},
+		{"asterisk", "OPTIONS", "*", "t.example"},
+		{"asterisk of another method", "POST", "*", "t.example"},
+		{"authority", "CONNECT", "t.example:80", "t.example"},
+		{"path to connect to", "CONNECT", "/open/x", "t.example"},
+		{"no slash", "POST", "open/x", "t.example"},
+		{"fragment", "POST", "/open/x#y", "t.example"},
+		{"fragment in a query", "POST", "/open/x?y#z", "t.example"},
+		{"encoding cut short", "POST", "/open/%4", "t.example"},
+		{"invalid encoding", "POST", "/open/%zz", "t.example"},
+		{"invalid UTF-8", "POST", "/open/\xff", "t.example"},
+		{"control character", "POST", "/open/\x01", "t.example"},
+		{"space", "POST", "/open/a b", "t.example"},
 		{"two slashes with characters to be encoded", "POST", "//a|b", "root.example"},
+		{"two hosts", "POST", "/x", "t.example\r\nHost: root.example"},
 	} {
 		t.Run(c.name, func(t *testing.T) { g.assertSent(t, c.method, c.target, c.host, "", http.StatusBadRequest) })
 	}
