Match paths as they are sent, and refuse those that belong to another route for upstreams

What callers saw: "/open%2Fa|b" ran by the route with the prefix /open/, though the path that was sent begins with the prefix / only. "/open/../x", "/open/%2e%2E/x", "//open/x" and "/%6fpen/x" were forwarded by one route while an upstream that resolves dots, merges slashes or decodes paths serves what is another route's: a caller could pass that route's keys, kind and rank where both have the same service.

Cause: the route was matched on URL.EscapedPath, which encodes the decoded path anew if the raw one has characters that have to be encoded, so that an encoded slash became a real one; the raw target was forwarded. And nothing looked at the readings that upstreams may have.

The path that is matched is now the part of the sent target before the first question mark. Paths with a segment of dots, encoded or not, are refused with 400 on every route. A path that has another, longer prefix once it is decoded and its slashes are merged is refused with 400; prefixes are read in the same way. All others, with empty segments and encodings, go by the literal prefix, unchanged.

Ruled out: resolving dots before matching and forwarding, which changes the path; looking at the routes of resolved paths only, since partial readings (dots before decoding, or without merging) differ.

--- a/core/rawurl/target.go
+++ b/core/rawurl/target.go
@@ -12,8 +12,8 @@
 // that begins with a slash, and what follows it from the first question mark on.
 type Target string
 
-// Read returns the target of a request. It refuses the other forms of a target, and what can't be
-// forwarded as it was sent or is read in different ways by servers.
+// Read returns the target of a request. It refuses what cannot be matched and forwarded as sent:
+// the other forms of a target, and those that servers read in different ways.
 func Read(method, target string) (Target, *core.Refusal) {
 	t := Target(target)
 	switch {
@@ -24,12 +24,36 @@
 		return "", core.Refuse(core.CodeBadRequest, "the target has a fragment")
 	case !utf8.ValidString(target):
 		return "", core.Refuse(core.CodeBadRequest, "the target is not in UTF-8")
+	case hasDotSegment(t.Path()):
+		return "", core.Refuse(core.CodeBadRequest, "the path has a segment of dots")
 	case t.URL("http", "").RequestURI() != target:
 		return "", core.Refuse(core.CodeBadRequest, "the path has characters that have to be percent-encoded")
 	}
 	return t, nil
 }
 
+// hasDotSegment reports whether a path has a segment that is "." or "..", which servers resolve
+// before or after they decode the path, or not at all.
+func hasDotSegment(path string) bool {
+	decoded, err := url.PathUnescape(path)
+	if err != nil {
+		return false // no server decodes it
+	}
+	for segment := range strings.SplitSeq(decoded, "/") {
+		segment, _, _ = strings.Cut(segment, ";") // some servers read parameters of segments
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+// Path returns the part of the target before the first question mark.
+func (t Target) Path() string {
+	path, _, _ := strings.Cut(string(t), "?")
+	return path
+}
+
 // URL returns a URL of a host. net/http writes t into the request line, unchanged if Read has
 // returned t.
 func (t Target) URL(scheme, host string) *url.URL {
@@ -45,3 +69,14 @@
 	}
 	return u
 }
+
+// Normal returns a path as servers read it that decode it and merge slashes.
+func Normal(path string) string {
+	if decoded, err := url.PathUnescape(path); err == nil {
+		path = decoded
+	}
+	for strings.Contains(path, "//") {
+		path = strings.ReplaceAll(path, "//", "/")
+	}
+	return path
+}
--- a/core/rawurl/target_test.go
+++ b/core/rawurl/target_test.go
@@ -9,6 +9,26 @@
 	"radishwell/core/rawurl"
 )
 
+func TestPath(t *testing.T) {
+	for target, want := range map[string]string{
+		"/": "/", "/a/b?c": "/a/b", "/a?": "/a", "/a?b?c/": "/a", "//a%3Fb?c": "//a%3Fb", "/?": "/",
+	} {
+		t.Run(target, func(t *testing.T) {
+			got, refusal := rawurl.Read("GET", target)
+			assert.Assert(t, refusal == nil)
+			assert.Equal(t, got.Path(), want)
+		})
+	}
+}
+
+func TestNormal(t *testing.T) {
+	for path, want := range map[string]string{
+		"/a/b": "/a/b", "//a///b//": "/a/b/", "/%61%2Fb": "/a/b", "/%2F%2f/": "/", "/%2561": "/%61", "/%c3%A9": "/é", "/%zz//": "/%zz/",
+	} {
+		t.Run(path, func(t *testing.T) { assert.Equal(t, rawurl.Normal(path), want) })
+	}
+}
+
 // Guards against targets that net/http writes otherwise than they were sent.
 func FuzzRead(f *testing.F) {
 	for _, target := range []string{"/", "//a/b", "//a|b", "/a%zz", "//a%2Fb?", "/a/%2e%2e", "*", "http://a/", "/#", "/\xff"} {
--- a/core/rtable/table.go
+++ b/core/rtable/table.go
@@ -1,11 +1,13 @@
 package rtable
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/rawurl"
 )
 
 // Kind says whether the requests of a route may be repeated.
@@ -214,10 +216,7 @@
 // Match returns the route of the host name with the longest prefix of the path, nil if
 // there is none. A port in host is ignored.
 func (t *Table) Match(host, path string) *Route {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 {
-		host = host[:i]
-	}
-	for _, r := range t.hosts[strings.ToLower(host)] {
+	for _, r := range t.routesOf(host) {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
@@ -225,6 +224,28 @@
 	return nil
 }
 
+func (t *Table) routesOf(host string) []*Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	return t.hosts[strings.ToLower(host)]
+}
+
+// Ambiguous reports whether a path that r matches belongs to another route for servers that
+// decode paths or merge slashes (see rawurl.Normal). Its caller could reach there by r what only
+// the other route is for.
+func (t *Table) Ambiguous(host, path string, r *Route) bool {
+	if !strings.Contains(path, "%") && !strings.Contains(path, "//") {
+		return false
+	}
+	path = rawurl.Normal(path)
+	length := len(rawurl.Normal(r.Prefix))
+	return slices.ContainsFunc(t.routesOf(host), func(other *Route) bool {
+		prefix := rawurl.Normal(other.Prefix)
+		return len(prefix) > length && strings.HasPrefix(path, prefix)
+	})
+}
+
 // Len returns the number of routes.
 func (t *Table) Len() int { return t.count }
 
--- a/core/rtable/table_test.go
+++ b/core/rtable/table_test.go
@@ -48,6 +48,33 @@
 	}
 }
 
+// Guards against a caller that reaches by one route what only another one is for, since the upstream
+// reads the path in another way.
+func TestAmbiguous(t *testing.T) {
+	table := build(t, 1, route("all", "a.example", "/", "s"), route("x", "a.example", "/x/", "s"),
+		route("xy", "a.example", "/x/y/", "s"), route("encoded", "a.example", "/%C3%A9/", "s"), route("alone", "b.example", "/", "s"))
+	for _, c := range []struct {
+		host, path string
+		want       bool
+	}{
+		{"a.example", "/x/y/", false},
+		{"a.example", "/z//x/", false},
+		{"a.example", "/%C3%A9/", false},
+		{"a.example", "/x/a%2Fy/", false},
+		{"a.example", "/x%2F", true},
+		{"a.example", "//x/y", true},
+		{"a.example", "/%78/", true},
+		{"a.example", "/x//y/", true},
+		{"A.Example:80", "/x/%79/", true},
+		{"a.example", "/%c3%a9/", true},
+		{"b.example", "//x/%79", false},
+	} {
+		t.Run(c.host+c.path, func(t *testing.T) {
+			assert.Equal(t, table.Ambiguous(c.host, c.path, table.Match(c.host, c.path)), c.want)
+		})
+	}
+}
+
 func TestShares(t *testing.T) {
 	r := route("r", "a", "/", "s", "t") // weights 10 and 20
 	for number, want := range map[float64]core.ServiceName{0: "s", 0.33: "s", 0.34: "t", 0.999: "t"} {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -216,10 +216,13 @@
 	if c.target, refusal = rawurl.Read(c.request.Method, c.request.RequestURI); refusal != nil {
 		return refusal
 	}
-	c.route = table.Match(c.request.Host, c.request.URL.EscapedPath())
+	c.route = table.Match(c.request.Host, c.target.Path())
 	if c.route == nil {
 		return p.refusePath(c.arrived)
 	}
+	if table.Ambiguous(c.request.Host, c.target.Path(), c.route) {
+		return core.Refuse(core.CodeBadRequest, "the path may be read as one of another route")
+	}
 	if refusal := c.identify(table); refusal != nil {
 		return refusal
 	}
--- a/io/proxy/target_test.go
+++ b/io/proxy/target_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 
 	"radishwell/core"
 	"radishwell/core/fleet"
+	"radishwell/core/rawurl"
 	"radishwell/core/rtable"
 	"radishwell/io/httpd"
 	"radishwell/platform/stand"
@@ -132,7 +134,8 @@
 	}
 }
 
-// Guards against requests that run with another path or host than was asked.
+// Guards against requests that run with another path or host than was asked, and against those that
+// reach an upstream by a route that does not hold for the path as the upstream reads it.
 func TestTargetIsSentAsMatched(t *testing.T) {
 	g := newTargetRig(t)
 	for _, c := range []struct{ name, target, host, service string }{
@@ -167,7 +170,7 @@
 	}
 }
 
-// Guards against requests that run although their target can't be forwarded as sent.
+// Guards against requests that run although their target can't be matched and forwarded as sent.
 func TestTargetIsRefused(t *testing.T) {
 	g := newTargetRig(t)
 	for _, c := range []struct{ name, method, target, host string }{
@@ -189,6 +192,17 @@
 		{"invalid UTF-8", "POST", "/open/\xff", "t.example"},
 		{"control character", "POST", "/open/\x01", "t.example"},
 		{"space", "POST", "/open/a b", "t.example"},
+		{"dots out of a prefix", "POST", "/open/../x", "t.example"},
+		{"dots at the end", "POST", "/open/..", "t.example"},
+		{"dot", "POST", "/open/./x", "t.example"},
+		{"encoded dots", "POST", "/open/%2e%2E/x", "t.example"},
+		{"dots between encoded slashes", "POST", "/open%2F..%2fx", "t.example"},
+		{"dots with a parameter", "POST", "/open/..;a=b/x", "t.example"},
+		{"two slashes before a prefix", "POST", "//open/x", "t.example"},
+		{"encoded letter of a prefix", "POST", "/%6fpen/x", "t.example"},
+		{"encoded letter of a longer prefix", "POST", "/open/%69n/x", "t.example"},
+		{"encoded slash in a prefix", "POST", "/open%2fin/x", "t.example"},
+		{"encoded slash among characters to be encoded", "POST", "/open%2Fa|b", "t.example"},
 		{"two slashes with characters to be encoded", "POST", "//a|b", "root.example"},
 		{"two hosts", "POST", "/x", "t.example\r\nHost: root.example"},
 	} {
@@ -198,3 +212,40 @@
 		g.assertSent(t, http.MethodPost, "//x", "other.example", "", http.StatusNotFound)
 	})
 }
+
+// FuzzTarget compares the route of a target, as the rule reads it, with what upstreams receive.
+func FuzzTarget(f *testing.F) {
+	for _, target := range []string{"/", "//", "/open/x", "//open//in/", "/open%2Fin/?a#b", "http://t.example/x", "*", "/open/../x", "/open/\xff", "//[::1]/x", "/a?"} {
+		f.Add(target, false, true)
+		f.Add(target, true, false)
+	}
+	g := newTargetRig(f)
+	f.Fuzz(func(t *testing.T, target string, root, old bool) {
+		if strings.ContainsAny(target, " \r\n") {
+			t.Skip("the line has other parts")
+		}
+		host, version := "t.example", "1.1"
+		if root {
+			host = "root.example"
+		}
+		if old {
+			version = "1.0"
+		}
+		status, run, ran := g.send(t, version, http.MethodPost, target, host)
+		if !ran {
+			assert.Equal(t, status, http.StatusBadRequest)
+			return
+		}
+		path, _, _ := strings.Cut(target, "?")
+		want := "/"
+		for _, prefix := range targetPrefixes {
+			if !root && strings.HasPrefix(path, prefix) && len(prefix) > len(want) {
+				want = prefix
+			}
+		}
+		assert.Equal(t, run, received{want, http.MethodPost, target, host})
+		if !root {
+			assert.Equal(t, strings.HasPrefix(rawurl.Normal(path), "/open/"), strings.HasPrefix(want, "/open/"))
+		}
+	})
+}
