Pass targets on as they were sent on the own stack too

What callers saw: /services/ledger/a%2Fb|c reached the service as /a/b%7Cc, /x? as /x and a "#" as %23 or, in a query, as its end; /v1/chat/completions?x lost its query and /v1%2Fchat/completions was served as another path; an absolute target was served whatever its host. A query that is not UTF-8 got 503 after 13.7 s, with the code host-unreached.

The entry dispatched on the decoded path and put the forwarded one together from net/url's parts, which encodes some paths anew; the agent's client parsed the result once more, as a URL with a fragment. The hand-over to agents holds UTF-8 only.

The entry now reads the target as it was sent (rawurl.Read), dispatches on its path and hands over the rest of it; the agent's client writes it unchanged. Names of models under /v1/models/ may still be encoded.

--- a/core/engine.go
+++ b/core/engine.go
@@ -128,9 +128,10 @@
 
 // EngineWork is a request as it is sent to an engine or plain service.
 type EngineWork struct {
-	ID       RequestID
-	Model    ModelName
-	Method   string
+	ID     RequestID
+	Model  ModelName
+	Method string
+	// Path is the path and the query as the caller sent them.
 	Path     string
 	Header   map[string][]string
 	Body     []byte
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"radishwell/core"
+	"radishwell/core/rawurl"
 	"radishwell/io/awake"
 	"radishwell/io/reply"
 )
@@ -202,17 +203,18 @@
 // do sends a request once. Its error is an EngineError. The fault is
 // EngineUnreached only if no byte of the request was written, EngineLost if the
 // upstream may have received it.
-func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
+func (c *Client) do(ctx context.Context, method, target string, header http.Header, body []byte) (*http.Response, error) {
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		// GotConn runs before any byte of the request is written, so a request
 		// that was written is never reported as not sent.
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	})
-	req, err := http.NewRequestWithContext(ctx, method, c.base()+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, c.base(), nil)
 	if err != nil {
 		return nil, &core.EngineError{Fault: core.EngineRejected, Cause: err}
 	}
+	req.URL = rawurl.Target(target).URL(req.URL.Scheme, req.URL.Host)
 	if header != nil {
 		req.Header = header
 	}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -185,7 +185,7 @@
 		Owner: string(r.Owner), Caller: string(r.Caller), Class: uint32(r.Class),
 		Arrived: r.Arrived.UnixNano(), Deadline: r.Deadline.UnixNano(), Repeatable: r.Repeatable, Key: r.Key,
 		Fingerprint: uint64(r.Fingerprint), Tokens: int64(r.Tokens), Stream: r.Stream,
-		Method: j.call.Method, Path: j.call.Path, Trace: j.span.Traceparent(), BodySize: int64(len(j.call.Body)),
+		Method: j.call.Method, Path: string(j.call.Target), Trace: j.span.Traceparent(), BodySize: int64(len(j.call.Body)),
 		Incarnation: uint64(incarnation), Entry: string(j.e.Name), Prefixes: r.Prefixes, HandOver: j.handOvers,
 	}
 	head.Strikes, head.Trial = j.e.strikesAgainst(r.Fingerprint)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -9,6 +9,7 @@
 
 	"radishwell/core"
 	"radishwell/core/catlog"
+	"radishwell/core/rawurl"
 )
 
 // Call is one request that has passed all checks.
@@ -18,9 +19,9 @@
 	Entry *catlog.Entry
 	// Account is the account of the owner whose key the caller sent.
 	Account *catlog.Account
-	// Method, Path, Header and Body form the request that the upstream receives.
+	// Method, Target, Header and Body form the request that the upstream receives.
 	Method string
-	Path   string
+	Target rawurl.Target
 	Header http.Header
 	Body   []byte
 	// Trace is the caller's W3C traceparent field.
@@ -61,6 +62,10 @@
 	if refusal := checkSingle(r.Header); refusal != nil {
 		return refusal
 	}
+	target, refusal := rawurl.Read(r.Method, r.RequestURI)
+	if refusal != nil {
+		return refusal
+	}
 	snapshot := f.Snapshot()
 	if snapshot == nil {
 		return core.RefuseUntil(core.CodeNotReady, "the catalogue has not arrived yet", arrived.Add(time.Second))
@@ -69,7 +74,7 @@
 	if refusal != nil {
 		return refusal
 	}
-	p := inbound{handler: f, w: w, r: r, id: id, arrived: arrived, snapshot: snapshot, caller: caller}
+	p := inbound{handler: f, w: w, r: r, target: target, id: id, arrived: arrived, snapshot: snapshot, caller: caller}
 	return p.dispatch()
 }
 
@@ -90,6 +95,7 @@
 	handler  *Handler
 	w        http.ResponseWriter
 	r        *http.Request
+	target   rawurl.Target
 	id       core.RequestID
 	arrived  time.Time
 	snapshot *catlog.Snapshot
@@ -97,7 +103,7 @@
 }
 
 func (p *inbound) dispatch() *core.Refusal {
-	path := p.r.URL.Path
+	path := p.target.Path()
 	switch {
 	case path == "/v1/chat/completions":
 		return p.serveModel(true)
@@ -106,7 +112,7 @@
 	case path == "/v1/models":
 		return p.listModels()
 	case strings.HasPrefix(path, "/v1/models/"):
-		return p.showModel(core.ModelName(strings.TrimPrefix(path, "/v1/models/")))
+		return p.showModel(core.ModelName(strings.TrimPrefix(p.r.URL.Path, "/v1/models/")))
 	case strings.HasPrefix(path, "/services/"):
 		return p.serveService()
 	}
@@ -139,14 +145,14 @@
 	if !ok {
 		return core.Refuse(core.CodeUnknownModel, "no model "+string(parsed.model)+" is in force")
 	}
-	c := &Call{Entry: entry, Method: http.MethodPost, Path: p.r.URL.Path, Body: raw}
+	c := &Call{Entry: entry, Method: http.MethodPost, Target: p.target, Body: raw}
 	c.Request.Tokens, c.Request.Stream, c.Request.Prefixes = parsed.tokens, parsed.stream, parsed.prefixes
 	return p.forward(c, parsed.stream)
 }
 
 // serveService serves a request to a plain service.
 func (p *inbound) serveService() *core.Refusal {
-	name, below, ok := splitServicePath(p.r.URL.EscapedPath())
+	name, below, ok := splitServiceTarget(p.target)
 	if !ok {
 		return core.Refuse(core.CodeUnknownPath, "name a service, as in /services/NAME/")
 	}
@@ -154,17 +160,18 @@
 	if !ok {
 		return core.Refuse(core.CodeUnknownModel, "no service "+string(name)+" is in force")
 	}
-	if p.r.Header.Get("Upgrade") != "" || p.r.Method == http.MethodConnect {
+	if p.r.Header.Get("Upgrade") != "" {
 		return core.Refuse(core.CodeMethod, "protocol upgrades are not relayed")
 	}
-	raw, refusal := readAll(p.w, p.r, p.handler.MaxBody)
+	target, refusal := rawurl.Read(p.r.Method, below)
 	if refusal != nil {
 		return refusal
 	}
-	if p.r.URL.RawQuery != "" {
-		below += "?" + p.r.URL.RawQuery
+	raw, refusal := readAll(p.w, p.r, p.handler.MaxBody)
+	if refusal != nil {
+		return refusal
 	}
-	c := &Call{Entry: entry, Method: p.r.Method, Path: below, Body: raw}
+	c := &Call{Entry: entry, Method: p.r.Method, Target: target, Body: raw}
 	c.Request.Stream = true
 	return p.forward(c, true)
 }
@@ -191,7 +198,7 @@
 	q.Arrived, q.Deadline = p.arrived, due
 	q.Repeatable = c.Entry.Repeats(c.Method)
 	q.Size = core.Bytes(len(c.Body))
-	q.Fingerprint = core.FingerprintOf([]byte(q.Target.Name()), []byte(c.Method), []byte(c.Path), c.Body)
+	q.Fingerprint = core.FingerprintOf([]byte(q.Target.Name()), []byte(c.Method), []byte(c.Target), c.Body)
 	c.Answer = &Answer{
 		w: p.w, r: p.r, flush: http.NewResponseController(p.w), id: p.id, clock: p.handler.Clock,
 		stream: stream, events: q.Target.Model != "", chunks: p.r.ProtoAtLeast(1, 1),
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -94,7 +94,7 @@
 
 func neverServe(t *testing.T) func(*front.Call) {
 	return func(c *front.Call) {
-		t.Errorf("a bad request was run: %s", c.Path)
+		t.Errorf("a bad request was run: %s", c.Target)
 		c.Answer.Fail(core.Refuse(core.CodeInternal, "unexpected"))
 	}
 }
--- a/io/front/fuzz_test.go
+++ b/io/front/fuzz_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"radishwell/core"
+	"radishwell/core/rawurl"
 )
 
 func FuzzParseCompletion(f *testing.F) {
@@ -27,14 +28,14 @@
 	})
 }
 
-func FuzzSplitServicePath(f *testing.F) {
-	for _, seed := range []string{"/services/a/b", "/services/", "/services//x", "/services/a", "/services/a//b"} {
+func FuzzSplitServiceTarget(f *testing.F) {
+	for _, seed := range []string{"/services/a/b", "/services/", "/services//x", "/services/a", "/services/a//b", "/services/a?b/c", "/services/?a"} {
 		f.Add(seed)
 	}
-	f.Fuzz(func(t *testing.T, path string) {
-		name, below, ok := splitServicePath(path)
+	f.Fuzz(func(t *testing.T, target string) {
+		name, below, ok := splitServiceTarget(rawurl.Target(target))
 		if ok && (name == "" || below == "" || below[0] != '/') {
-			t.Errorf("%q gives %q and %q", path, name, below)
+			t.Errorf("%q gives %q and %q", target, name, below)
 		}
 	})
 }
--- a/io/front/parse.go
+++ b/io/front/parse.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"radishwell/core"
+	"radishwell/core/rawurl"
 )
 
 // completionRequest holds the members of a chat or text completion request that
@@ -171,13 +172,20 @@
 	return out
 }
 
-// splitServicePath splits a path below /services/ into the name of the service and
-// the path that the upstream receives.
-func splitServicePath(path string) (core.ServiceName, string, bool) {
-	rest, ok := strings.CutPrefix(path, "/services/")
+// splitServiceTarget splits a target below /services/ into the name of the service and the target
+// that the upstream receives.
+func splitServiceTarget(t rawurl.Target) (core.ServiceName, string, bool) {
+	rest, ok := strings.CutPrefix(string(t), "/services/")
 	if !ok {
 		return "", "", false
 	}
-	name, below, _ := strings.Cut(rest, "/")
-	return core.ServiceName(name), "/" + below, name != ""
+	end := strings.IndexAny(rest, "/?")
+	if end < 0 {
+		end = len(rest)
+	}
+	name, below := rest[:end], rest[end:]
+	if !strings.HasPrefix(below, "/") {
+		below = "/" + below
+	}
+	return core.ServiceName(name), below, name != ""
 }
