Catch signals from the start of the program

What operators saw: a SIGHUP in the first milliseconds of a process ended it, and a SIGTERM ended it without a planned stop and its exit status.

Cause: SIGTERM was caught once the command line was read, SIGHUP in a goroutine that starts last, after the settings were read and the parts built. Until then Go's runtime ends the process. The initialization of the libraries alone takes 5 to 10 ms.

Package trap now catches the signals when it is initialized, and main hands them on. Go initializes packages in the order of their import paths once their imports are, and this one imports so little that it comes before the libraries: 0.9 ms after the runtime's start, main some 6 ms later. A SIGHUP that comes before the settings are read has them read once more. Only main packages import it, so that tests can still be interrupted. Commands with nothing to reload end on SIGHUP as before, now in order, and not with nohup.

What remains: the system loads the program for 3 to 5 ms before Go's runtime starts, more on a busy machine, and no code of ours runs then. The parent can hold that span for SIGHUP by starting it with SIGHUP ignored, which Go leaves so until it is caught.

--- a/cmd/hosted/radishwell/main.go
+++ b/cmd/hosted/radishwell/main.go
@@ -6,6 +6,10 @@
 	"os"
 
 	"radishwell/io/hosted"
+	"radishwell/io/trap"
 )
 
-func main() { os.Exit(hosted.Radishwell(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	signals := hosted.Signals{Stop: trap.Stop, Reload: trap.Reload, HangupIgnored: trap.HangupIgnored}
+	os.Exit(hosted.Radishwell(os.Args[1:], os.Stdout, os.Stderr, signals))
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,6 +6,11 @@
 	"os"
 
 	"radishwell/io/cmds"
+	"radishwell/io/hosted"
+	"radishwell/io/trap"
 )
 
-func main() { os.Exit(cmds.Standin(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	signals := hosted.Signals{Stop: trap.Stop, Reload: trap.Reload, HangupIgnored: trap.HangupIgnored}
+	os.Exit(cmds.Standin(os.Args[1:], os.Stdout, os.Stderr, signals))
+}
--- a/io/cmds/radishwell.go
+++ b/io/cmds/radishwell.go
@@ -22,9 +22,9 @@
 }
 
 // Radishwell runs the command line of radishwell and returns the exit status.
-func Radishwell(args []string, out, errs io.Writer) int {
+func Radishwell(args []string, out, errs io.Writer, signals hosted.Signals) int {
 	own := hosted.OwnRunner(func(ctx context.Context, s config.Settings) error { return (&node.Node{Settings: s}).Run(ctx) })
-	return hosted.Run(&radishwellCLI{}, "radishwell", hosted.About, args, out, errs, own)
+	return hosted.Run(&radishwellCLI{}, "radishwell", hosted.About, args, out, errs, signals, own)
 }
 
 type keysCommand struct {
--- a/io/cmds/script_test.go
+++ b/io/cmds/script_test.go
@@ -16,12 +16,13 @@
 	"gotest.tools/v3/assert"
 
 	"radishwell/io/cmds"
+	"radishwell/io/hosted"
 )
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"radishwell": func() { os.Exit(cmds.Radishwell(os.Args[1:], os.Stdout, os.Stderr)) },
-		"standin":    func() { os.Exit(cmds.Standin(os.Args[1:], os.Stdout, os.Stderr)) },
+		"radishwell": func() { os.Exit(cmds.Radishwell(os.Args[1:], os.Stdout, os.Stderr, hosted.CatchSignals())) },
+		"standin":    func() { os.Exit(cmds.Standin(os.Args[1:], os.Stdout, os.Stderr, hosted.CatchSignals())) },
 	})
 }
 
--- a/io/cmds/soak.go
+++ b/io/cmds/soak.go
@@ -22,8 +22,8 @@
 }
 
 // Soak runs the command line of the soak test and returns the exit status.
-func Soak(args []string, out, errs io.Writer) int {
-	return hosted.Run(&soakCLI{}, "soak", "Runs of the real programs under faults from outside.", args, out, errs)
+func Soak(args []string, out, errs io.Writer, signals hosted.Signals) int {
+	return hosted.Run(&soakCLI{}, "soak", "Runs of the real programs under faults from outside.", args, out, errs, signals)
 }
 
 // Run runs all seeds. It fails if any of them found a violation.
--- a/io/cmds/standin.go
+++ b/io/cmds/standin.go
@@ -27,9 +27,9 @@
 }
 
 // Standin runs the command line of the stand-ins and returns the exit status.
-func Standin(args []string, out, errs io.Writer) int {
+func Standin(args []string, out, errs io.Writer, signals hosted.Signals) int {
 	var c standinCLI
-	return hosted.Run(&c, "standin", "Stand-ins of the systems that radishwell works with, for trials and tests.", args, out, errs)
+	return hosted.Run(&c, "standin", "Stand-ins of the systems that radishwell works with, for trials and tests.", args, out, errs, signals)
 }
 
 type standinPlatform struct {
--- a/io/deploy/process.go
+++ b/io/deploy/process.go
@@ -5,10 +5,8 @@
 	"errors"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/samber/oops"
@@ -31,8 +29,9 @@
 // Run.
 type Process struct {
 	Settings config.Settings
-	// File is the settings file, which is reloaded on SIGHUP.
-	File string
+	// File is the settings file, which is reloaded on each signal from Reload.
+	File   string
+	Reload <-chan os.Signal
 
 	clock   Clock
 	meter   *meter.Meter
@@ -156,18 +155,15 @@
 	}
 }
 
-// reload reloads the settings on SIGHUP. The log verbosity takes effect, and what onReload
+// reload reloads the settings on a signal. The log verbosity takes effect, and what onReload
 // applies; addresses and the like are fixed at the start of a process. An invalid file is logged
 // and changes nothing.
 func (p *Process) reload(ctx context.Context) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-signals:
+		case <-p.Reload:
 		}
 		settings, err := config.Load(p.File)
 		if err != nil {
--- a/io/hosted/commands.go
+++ b/io/hosted/commands.go
@@ -46,8 +46,8 @@
 
 // Radishwell runs the command line of the binary for managed platforms and returns the
 // exit status.
-func Radishwell(args []string, out, errs io.Writer) int {
-	return Run(&Commands{}, "radishwell", About, args, out, errs, OwnRunner(nil))
+func Radishwell(args []string, out, errs io.Writer, signals Signals) int {
+	return Run(&Commands{}, "radishwell", About, args, out, errs, signals, OwnRunner(nil))
 }
 
 // About is the description of radishwell in its help text.
@@ -66,8 +66,8 @@
 }
 
 // Run runs an entry until the process receives a signal to stop.
-func (c *entryCommand) Run(ctx context.Context, own OwnRunner) error {
-	return serve(ctx, c.Settings, config.Entry, own)
+func (c *entryCommand) Run(signals Signals, own OwnRunner) error {
+	return serve(signals, c.Settings, config.Entry, own)
 }
 
 type agentCommand struct {
@@ -75,8 +75,8 @@
 }
 
 // Run runs an agent until the process receives a signal to stop.
-func (c *agentCommand) Run(ctx context.Context, own OwnRunner) error {
-	return serve(ctx, c.Settings, config.Agent, own)
+func (c *agentCommand) Run(signals Signals, own OwnRunner) error {
+	return serve(signals, c.Settings, config.Agent, own)
 }
 
 // RoleError reports settings whose role is not that of the command.
@@ -91,7 +91,7 @@
 }
 
 // serve runs a process with the settings in a file, which must have the given role.
-func serve(ctx context.Context, file string, role config.Role, own OwnRunner) error {
+func serve(signals Signals, file string, role config.Role, own OwnRunner) error {
 	settings, err := config.Load(file)
 	if err != nil {
 		events.Fail(events.SettingsInvalid, err, "file", file)
@@ -112,8 +112,12 @@
 	}
 	defer stop()
 	if settings.Managed.Enabled {
-		return (&deploy.Process{Settings: settings, File: file}).Run(ctx)
+		ctx, cancel := signals.context()
+		defer cancel()
+		return (&deploy.Process{Settings: settings, File: file, Reload: signals.Reload}).Run(ctx)
 	}
+	ctx, cancel := signals.contextOfAll()
+	defer cancel()
 	return own(ctx, settings)
 }
 
--- a/io/hosted/commands_test.go
+++ b/io/hosted/commands_test.go
@@ -25,7 +25,7 @@
 	file := filepath.Join(t.TempDir(), "entry.yaml")
 	assert.NilError(t, os.WriteFile(file, []byte(entrySettings), 0o600))
 	var out, errs bytes.Buffer
-	assert.Equal(t, Radishwell([]string{"entry", file}, &out, &errs), exitFailed)
+	assert.Equal(t, Radishwell([]string{"entry", file}, &out, &errs, Signals{}), exitFailed)
 	assert.Assert(t, strings.Contains(errs.String(), "managed platforms only"), errs.String())
 }
 
@@ -33,7 +33,7 @@
 // demo.
 func TestCommands(t *testing.T) {
 	var out, errs bytes.Buffer
-	assert.Equal(t, Radishwell([]string{"--help"}, &out, &errs), exitOK)
+	assert.Equal(t, Radishwell([]string{"--help"}, &out, &errs, Signals{}), exitOK)
 	for _, name := range []string{"entry", "agent", "check", "explain", "version"} {
 		assert.Assert(t, strings.Contains(out.String(), "\n  "+name+" "), name)
 	}
--- a/io/hosted/logs_test.go
+++ b/io/hosted/logs_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"radishwell/io/cmds"
+	"radishwell/io/hosted"
 )
 
 const entryLog = `I0704 21:06:30.000000   12 proxy.go:92] "Routing table is in force" event="RW1801" version=7 routes=17
@@ -33,7 +34,7 @@
 	explain := func(want int, args ...string) string {
 		t.Helper()
 		var out, errs bytes.Buffer
-		status := cmds.Radishwell(append([]string{"explain"}, args...), &out, &errs)
+		status := cmds.Radishwell(append([]string{"explain"}, args...), &out, &errs, hosted.Signals{})
 		assert.Equal(t, status, want, errs.String())
 		return out.String()
 	}
@@ -62,7 +63,7 @@
 	file := filepath.Join(t.TempDir(), "edge-1.log")
 	assert.NilError(t, os.WriteFile(file, []byte(lossesLog), 0o600))
 	var out, errs bytes.Buffer
-	assert.Equal(t, cmds.Radishwell([]string{"losses", file}, &out, &errs), 0, errs.String())
+	assert.Equal(t, cmds.Radishwell([]string{"losses", file}, &out, &errs, hosted.Signals{}), 0, errs.String())
 	assert.Equal(t, out.String(), `route  cause                                      requests  of the route's
 r-1    in time                                    1         33.3%
 r-1    late: no copy of the model, or on its way  1         33.3%
--- a/io/hosted/run.go
+++ b/io/hosted/run.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"io"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 )
@@ -22,10 +20,10 @@
 // or --version, leaves Parse.
 type exitStatus int
 
-// Run parses a command line, runs its command, and returns the exit status. The command's
-// context ends on SIGINT or SIGTERM. The values of more are passed to the Run methods of
-// commands by type.
-func Run(cli any, name, about string, args []string, out, errs io.Writer, more ...any) (status int) {
+// Run parses a command line, runs its command, and returns the exit status. The Run method of a
+// command may take signals, or a context that ends on any of them. The values of more are passed
+// to Run methods by type.
+func Run(cli any, name, about string, args []string, out, errs io.Writer, signals Signals, more ...any) (status int) {
 	defer func() {
 		switch s := recover().(type) {
 		case nil:
@@ -40,7 +38,7 @@
 	parser, err := kong.New(cli, kong.Name(name), kong.Description(about), kong.Writers(out, errs),
 		kong.UsageOnError(), kong.Vars{"version": version()},
 		kong.Exit(func(code int) { panic(exitStatus(code)) }),
-		kong.BindTo(out, (*io.Writer)(nil)), kong.Bind(more...),
+		kong.BindTo(out, (*io.Writer)(nil)), kong.Bind(signals), kong.Bind(more...),
 	)
 	if err != nil {
 		panic(err) // the definition of the command line is invalid
@@ -50,9 +48,15 @@
 		_, _ = io.WriteString(errs, name+": "+err.Error()+"\n")
 		return exitUsage
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	parsed.BindTo(ctx, (*context.Context)(nil))
+	var stop context.CancelFunc = func() {}
+	defer func() { stop() }()
+	err = parsed.BindSingletonProvider(func() (ctx context.Context, err error) {
+		ctx, stop = signals.contextOfAll()
+		return ctx, nil
+	})
+	if err != nil {
+		panic(err) // the provider has a wrong type
+	}
 	if err := parsed.Run(); err != nil {
 		var quiet *ReportedError
 		if !errors.As(err, &quiet) {
--- a/io/hosted/run_test.go
+++ b/io/hosted/run_test.go
@@ -24,7 +24,7 @@
 // message.
 func TestPanicIsNoSuccess(t *testing.T) {
 	var out, errs bytes.Buffer
-	call := func(args ...string) int { return Run(&brokenCLI{}, "broken", "", args, &out, &errs) }
+	call := func(args ...string) int { return Run(&brokenCLI{}, "broken", "", args, &out, &errs, Signals{}) }
 	assert.Equal(t, call("--help"), exitOK)
 	assert.Equal(t, call("--nonsense"), exitUsage)
 	defer func() { assert.Assert(t, recover() != nil) }()
--- a/io/soak/run_test.go
+++ b/io/soak/run_test.go
@@ -15,7 +15,7 @@
 // TestMain runs the tests, or the program itself if a soak run started this binary.
 func TestMain(m *testing.M) {
 	if len(os.Args) > 1 && (os.Args[1] == "entry" || os.Args[1] == "agent") {
-		os.Exit(hosted.Radishwell(os.Args[1:], os.Stdout, os.Stderr))
+		os.Exit(hosted.Radishwell(os.Args[1:], os.Stdout, os.Stderr, hosted.CatchSignals()))
 	}
 	os.Exit(m.Run())
 }
