Take names in settings as text, also where YAML reads another type

What operators saw: with a data centre called 1 or null, `check` refused the settings that the platform had rendered, and the process would not start.

Cause: the template wrote names unquoted, and the decoder refuses a number, a boolean or null for text.

Fields that hold a name have a tag for it; there the decoder takes such a value as the text that is written: 007 stays 007, null is the name null. A key without any value is still refused, as are lists, mappings, tags and anchors, and other text fields stay as strict as they were.

What remains: names in catalogue entries have no tag; `check` asks for quotes there, as before.

--- a/core/strict/decode.go
+++ b/core/strict/decode.go
@@ -126,8 +126,10 @@
 		dec.addProblem(n, key, "anchors, aliases and tags are not accepted")
 		return
 	case *ast.NullNode, nil:
-		dec.null(v, n, key)
-		return
+		if _, ok := nameText(n, tag); !ok {
+			dec.null(v, n, key)
+			return
+		}
 	}
 	if v.Type() == rawValueType {
 		v.Set(reflect.ValueOf(RawValue{doc: dec.doc, root: n, key: join(dec.doc.prefix, key)}))
--- a/core/strict/doc.go
+++ b/core/strict/doc.go
@@ -10,6 +10,8 @@
 //	default:"30s"      the value if the key is absent
 //	min:"1s" max:"1h"  the range, both ends included
 //	required:"true"    the key must be present
+//	name:"true"        the value is a name: text, also where YAML reads a number,
+//	                   a boolean or null
 //	doc:"..."          a sentence for the reference page
 //
 // Anchors, aliases, merge keys and tags are refused: with them a small document can
--- a/core/strict/scalar.go
+++ b/core/strict/scalar.go
@@ -22,6 +22,10 @@
 // scalar decodes a single value and checks it against the range of its tag.
 func (dec *decoder) scalar(v reflect.Value, n ast.Node, key string, tag reflect.StructTag) {
 	fresh := reflect.New(v.Type()).Elem()
+	if text, ok := nameText(n, tag); ok {
+		v.SetString(text)
+		return
+	}
 	if reason := decodeScalar(fresh, n); reason != "" {
 		dec.addProblem(n, key, reason)
 		return
@@ -33,6 +37,20 @@
 	v.Set(fresh)
 }
 
+// nameText returns the text of a name that YAML reads as a value of another type, as it is written.
+// It reports false for other values, and for those that are not written at all.
+func nameText(n ast.Node, tag reflect.StructTag) (string, bool) {
+	if tag.Get("name") != "true" {
+		return "", false
+	}
+	switch n.(type) {
+	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode, *ast.InfinityNode, *ast.NanNode, *ast.NullNode:
+		at := n.GetToken()
+		return at.Value, at.Type != token.ImplicitNullType
+	}
+	return "", false
+}
+
 // decodeScalar sets v from a node. It returns the fault of the value, or "" if there is
 // none; so do the functions for the single types.
 func decodeScalar(v reflect.Value, n ast.Node) string {
--- a/io/config/settings.go
+++ b/io/config/settings.go
@@ -10,9 +10,9 @@
 // Settings are the settings of one process.
 type Settings struct {
 	Role       Role            `yaml:"role" required:"true" doc:"What the process does: an entry takes callers' requests, an agent runs beside an upstream."`
-	Name       core.HostName   `yaml:"name" required:"true" doc:"Name of the host, as in the platform's list of hosts."`
-	DataCentre core.DataCentre `yaml:"data-centre" required:"true" doc:"Name of the data centre of the host."`
-	Region     core.Region     `yaml:"region" doc:"Name of the region of the data centre."`
+	Name       core.HostName   `yaml:"name" name:"true" required:"true" doc:"Name of the host, as in the platform's list of hosts."`
+	DataCentre core.DataCentre `yaml:"data-centre" name:"true" required:"true" doc:"Name of the data centre of the host."`
+	Region     core.Region     `yaml:"region" name:"true" doc:"Name of the region of the data centre."`
 	Listen     Listen          `yaml:"listen"`
 	// Peers are control addresses to try if the platform cannot be reached at the start.
 	Peers     []netip.AddrPort `yaml:"peers" doc:"Control addresses of a few other processes, which are asked for the catalogue if the platform is down at the start. They may include the process's own."`
@@ -81,7 +81,7 @@
 type Engine struct {
 	Address Origin           `yaml:"address" doc:"Base address of the upstream, as in http://127.0.0.1:9000. Agent only, required there."`
 	Type    core.ServiceType `yaml:"type" default:"engine" doc:"Either engine, which loads models when ordered to, or plain, a service without models. Agent only."`
-	Service core.ServiceName `yaml:"service" doc:"Name of the service in the catalogue to which the upstream belongs. Agent only, required there."`
+	Service core.ServiceName `yaml:"service" name:"true" doc:"Name of the service in the catalogue to which the upstream belongs. Agent only, required there."`
 }
 
 // TLS names the files for mutual TLS between own processes. Relative paths are resolved
