--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -81,12 +81,18 @@
 	return t
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
+	t.Helper()
+	return newRigWith(t, 10)
+}
+
+// newRigWith is newRig, with a number of spare retries.
+func newRigWith(t testing.TB, spareRetries float64) *rig {
 	t.Helper()
 	r := &rig{adapters: &adapterLoader{}}
 	r.Proxy = &proxy.Proxy{
 		Self: "edge-1", DataCentre: "dc-1", Clock: realClock{}, Protocol: plat.Headers{}, Adapters: r.adapters,
-		RetryRatio: 0.2, RetrySpare: 10, RetrySpan: 10 * time.Second,
+		RetryRatio: 0.2, RetrySpare: spareRetries, RetrySpan: 10 * time.Second,
 	}
 	r.Start()
 	runProxy(t, r.Proxy)
@@ -98,7 +104,7 @@
 }
 
 // runProxy runs a proxy until the end of the test.
-func runProxy(t *testing.T, p *proxy.Proxy) {
+func runProxy(t testing.TB, p *proxy.Proxy) {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
