Take no answer of another major HTTP version

A caller gets a 200 that is framed as whole, with the part of the body that its upstream wrote before it closed the connection. The upstream's status line says HTTP/2.0 (or 3.0) on a connection of HTTP/1, and its answer has neither a length nor chunks. net/http's client accepts each version of one digit. reply.Framing takes a major version above 1 for HTTP/2, whose frames tell the end, so the end of the connection was the end of the answer, and the entry put a length or a last chunk of its own on it. The product's own stack does the same in io/engine.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -220,7 +220,10 @@
 	req.ContentLength = int64(len(body))
 	resp, err := c.transport.RoundTrip(req)
 	if err == nil {
-		return resp, nil
+		if err = reply.Check(resp); err == nil {
+			return resp, nil
+		}
+		resp.Body.Close()
 	}
 	if !sent.Load() {
 		return nil, &core.EngineError{Fault: core.EngineUnreached, Cause: err}
--- a/io/proxy/cut_test.go
+++ b/io/proxy/cut_test.go
@@ -269,3 +269,27 @@
 		})
 	}
 }
+
+// wantSpoilt checks that answers are not passed on.
+func wantSpoilt(t *testing.T, answers ...string) {
+	t.Helper()
+	r := newRawRig(t)
+	for _, text := range answers {
+		for _, path := range cutRoutes {
+			t.Run(fmt.Sprintf("%.20q%s", text, path), func(t *testing.T) {
+				r.answer(rawtcp.Answer{Bytes: text})
+				a := r.askRaw(t, rawRequest(path, "1.1", ""))[0]
+				assert.Equal(t, a.Status, http.StatusBadGateway, "%+v", a)
+				wantNoSuccess(t, a, "")
+			})
+		}
+	}
+}
+
+// Guards against an answer that ends with its connection and reaches its caller as whole: its status
+// line names HTTP/2, whose frames would tell the end.
+func TestAnswerOfOtherMajorVersionIsSpoilt(t *testing.T) {
+	for _, version := range []string{"HTTP/2.0", "HTTP/3.0", "HTTP/0.9"} {
+		wantSpoilt(t, version+" 200 OK\r\n"+signedFields+"\r\n"+eventsOf(2))
+	}
+}
--- a/io/reply/reply.go
+++ b/io/reply/reply.go
@@ -18,3 +18,18 @@
 	}
 	return core.Unframed
 }
+
+// VersionError reports a response of an HTTP version that is not 1.x.
+type VersionError struct{ Version string }
+
+// Error implements error.
+func (e *VersionError) Error() string { return "it is in " + e.Version }
+
+// Check returns a VersionError if a response that was read as HTTP/1 states another major version.
+// net/http accepts it, and its framing can't be relied on.
+func Check(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return &VersionError{Version: resp.Proto}
+	}
+	return nil
+}
