Take no answer whose status is none of a final one

An upstream answers with status 101 and the right ID and signature: its caller gets the 101 as the answer, on a connection that then has no end of the message. With a status below 100 (000, 099, or +20, which net/http's client reads as a number) the handler panics in WriteHeader: the caller's connection is closed without an answer, and the attempt's end is not recorded, so the host counts one request in progress more from then on.

Cause: the client hands out each status of three characters that is a number, and 101 as a final response, and both paths pass on what it gives. Neither forwards a caller's Upgrade, so no upstream may switch protocols (RFC 9110, 15.2.2). reply.Check refuses statuses below 200 on both paths.

--- a/io/engine/cut_test.go
+++ b/io/engine/cut_test.go
@@ -34,3 +34,14 @@
 		})
 	}
 }
+
+// Guards against a status that is none of a final answer and reaches the entry, where net/http
+// panics on one below 100.
+func TestAnswerWithoutFinalStatusIsLost(t *testing.T) {
+	for _, status := range []string{"101", "000", "099", "+20"} {
+		t.Run(status, func(t *testing.T) {
+			_, err := answered(t, "HTTP/1.1 "+status+" Status\r\nContent-Length: 0\r\n\r\n")
+			assertFault(t, err, core.EngineLost)
+		})
+	}
+}
--- a/io/proxy/cut_test.go
+++ b/io/proxy/cut_test.go
@@ -293,3 +293,11 @@
 		wantSpoilt(t, version+" 200 OK\r\n"+signedFields+"\r\n"+eventsOf(2))
 	}
 }
+
+// Guards against a status that is none of a final answer: 101 leaves the caller without an end, and
+// net/http panics on one below 100.
+func TestAnswerWithoutFinalStatusIsSpoilt(t *testing.T) {
+	for _, status := range []string{"101", "000", "099", "+20"} {
+		wantSpoilt(t, "HTTP/1.1 "+status+" Status\r\n"+signedFields+"Content-Length: 0\r\n\r\n")
+	}
+}
--- a/io/reply/reply.go
+++ b/io/reply/reply.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 
 	"radishwell/core"
 )
@@ -25,11 +26,22 @@
 // Error implements error.
 func (e *VersionError) Error() string { return "it is in " + e.Version }
 
-// Check returns a VersionError if a response that was read as HTTP/1 states another major version.
-// net/http accepts it, and its framing can't be relied on.
+// StatusError reports a response whose status is none of a final response.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string { return "it is not final, status " + strconv.Itoa(e.Status) }
+
+// Check returns an error if a response that was read as HTTP/1 is one that net/http accepts and
+// that can't be passed on: a VersionError if its framing can't be relied on, since it states
+// another major version, or a StatusError. Status 101 is not final either, since no request asks
+// for another protocol.
 func Check(resp *http.Response) error {
-	if resp.ProtoMajor != 1 {
+	switch {
+	case resp.ProtoMajor != 1:
 		return &VersionError{Version: resp.Proto}
+	case resp.StatusCode < http.StatusOK:
+		return &StatusError{Status: resp.StatusCode}
 	}
 	return nil
 }
