--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -222,7 +222,10 @@
 	req.ContentLength = int64(len(body))
 	resp, err := c.transport.RoundTrip(req)
 	if err == nil {
-		return resp, nil
+		if err = reply.Check(resp); err == nil {
+			return resp, nil
+		}
+		resp.Body.Close()
 	}
 	if !sent.Load() {
 		return nil, &core.EngineError{Fault: core.EngineUnreached, Cause: err}
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -82,11 +82,17 @@
 }
 
 func newRig(t testing.TB) *rig {
+	t.Helper()
+	return newRigWith(t, 10)
+}
+
+// newRigWith is newRig, with a number of spare retries.
+func newRigWith(t testing.TB, spareRetries float64) *rig {
 	t.Helper()
 	r := &rig{adapters: &adapterLoader{}}
 	r.Proxy = &proxy.Proxy{
 		Self: "edge-1", DataCentre: "dc-1", Clock: realClock{}, Protocol: plat.Headers{}, Adapters: r.adapters,
-		RetryRatio: 0.2, RetrySpare: 10, RetrySpan: 10 * time.Second,
+		RetryRatio: 0.2, RetrySpare: spareRetries, RetrySpan: 10 * time.Second,
 	}
 	r.Start()
 	runProxy(t, r.Proxy)
@@ -236,7 +242,7 @@
 // answer to its first run was lost.
 func TestLostAnswers(t *testing.T) {
 	t.Run("a request that may run once", func(t *testing.T) {
-		for _, fault := range []stand.WorkerFault{stand.NoResponse, stand.WrongID, stand.Unsigned, stand.Ambiguous, stand.Truncated} {
+		for _, fault := range []stand.WorkerFault{stand.NoResponse, stand.WrongID, stand.Unsigned, stand.Ambiguous, stand.Truncated, stand.EndsInsideHead} {
 			t.Run(fmt.Sprint(fault), func(t *testing.T) {
 				r := newRig(t)
 				ws := plain(t, r, "p-1", "p-2", "p-3")
