--- a/io/deploy/origlog.go
+++ b/io/deploy/origlog.go
@@ -51,7 +51,7 @@
 	// retryAt is when the store is called again after a call has failed.
 	retryAt time.Time
 	// found are the origins in the store as of the last read.
-	found map[core.Fingerprint]core.StreamOrigin
+	found map[core.Fingerprint]*core.StreamOrigin
 }
 
 var _ core.SavedOrigins = (*originLog)(nil)
@@ -92,13 +92,13 @@
 }
 
 // decodeOrigins adds the origins of an object to a map.
-func decodeOrigins(spec []byte, to map[core.Fingerprint]core.StreamOrigin) error {
+func decodeOrigins(spec []byte, to map[core.Fingerprint]*core.StreamOrigin) error {
 	var object originsJSON
 	if err := json.Unmarshal(spec, &object); err != nil {
 		return err
 	}
 	for _, o := range object.Origins {
-		began := core.StreamOrigin{Service: o.Service, Software: o.Software, Host: o.Host, Born: o.Born}
+		began := &core.StreamOrigin{Service: o.Service, Software: o.Software, Host: o.Host, Born: o.Born}
 		for key := range slices.Chunk(o.Keys, 8) {
 			if len(key) == 8 {
 				to[core.Fingerprint(binary.BigEndian.Uint64(key))] = began
@@ -139,20 +139,21 @@
 // Find implements core.SavedOrigins.
 func (l *originLog) Find(ctx context.Context, attempt core.RequestID) core.OriginAnswer {
 	key := origin.KeyOf(attempt)
-	o, ok := l.find(key)
-	if ok {
+	if o, ok := l.find(key); ok {
 		return core.OriginAnswer{Origin: o, Found: true, Complete: true}
 	}
 	read := l.awaitRead(ctx)
-	o, ok = l.find(key)
+	o, ok := l.find(key)
 	return core.OriginAnswer{Origin: o, Found: ok, Complete: read}
 }
 
 func (l *originLog) find(key core.Fingerprint) (core.StreamOrigin, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	o, ok := l.found[key]
-	return o, ok
+	if o, ok := l.found[key]; ok {
+		return *o, true
+	}
+	return core.StreamOrigin{}, false
 }
 
 // awaitRead waits until the store has been read, or reading it has failed, and reports whether it
@@ -211,7 +212,7 @@
 		l.noteFailure(err)
 		return nil, false
 	}
-	found := map[core.Fingerprint]core.StreamOrigin{}
+	found := map[core.Fingerprint]*core.StreamOrigin{}
 	own := map[int]core.Version{}
 	for _, o := range list.Objects {
 		if err := decodeOrigins(o.Spec, found); err != nil {
