Hold what take-ups do beside cuts, kills in series and old addresses

Tests of hypotheses on streams out of order that were refuted.

- TestTakeUpWithoutChunks: callers of HTTP/1.0 see a reset where the stream that they took up breaks off and no upstream of its version is left.
- TestStreamGoesOnAtNoSuccessor: what runs now at an address of an upstream that has gone is asked and runs nothing.
- TestReusedIDNamesItsLastStream: an id that a caller uses again at the same entry names the later stream.
- TestTakeUpBesideTheFirstAnswer: the first answer moves to another upstream while its caller has taken it up; both are whole and at one version.
- TestUpstreamEndsItsStream: a stream that its upstream ends in order, with chunks, is complete.

--- a/io/deploy/paused_test.go
+++ b/io/deploy/paused_test.go
@@ -156,6 +156,7 @@
 				n.refused++
 				if f.versions[first] != gone {
 					n.refusedServed++
+					t.Logf("%s is refused although its version serves: %s", next, body)
 				}
 			}
 		})
--- a/io/proxy/takeup_test.go
+++ b/io/proxy/takeup_test.go
@@ -1,11 +1,15 @@
 package proxy_test
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -198,3 +202,143 @@
 		}
 	})
 }
+
+// takeUpRaw sends a take-up in HTTP/1.0, whose callers know no chunks, and reads the connection to its end.
+func (r *rig) takeUpRaw(t *testing.T, id, first string) (string, error) {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /resumed/x HTTP/1.0\r\nHost: a.example\r\nX-Radishwell-Request-Id: "+id+
+		"\r\nX-Radishwell-Model: m\r\nLast-Event-Id: 2\r\nResumes: "+first+"\r\n\r\n")
+	assert.NilError(t, err)
+	text, err := io.ReadAll(conn)
+	return string(text), err
+}
+
+// Guards against a stream that a caller of HTTP/1.0 takes up and that looks complete, or goes on at another version,
+// after its upstream broke off.
+func TestTakeUpWithoutChunks(t *testing.T) {
+	t.Run("is whole", func(t *testing.T) {
+		r := newRig(t)
+		r.addVersion(t, "i-1", "v1", stand.NoFault)
+		text, err := r.takeUpRaw(t, "next", "first")
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasSuffix(text, "\r\n\r\n"+eventsBetween(3, 8)), "%q", text)
+	})
+	for _, other := range []core.SoftwareVersion{"", "v1", "v2"} {
+		t.Run(fmt.Sprintf("is cut where another upstream has version %q", other), func(t *testing.T) {
+			r := newRig(t)
+			first := r.addVersion(t, "i-1", "v1", stand.NoFault)
+			a, id := r.begun(t, first)
+			wantStatus(t, a, http.StatusOK)
+			first.SetFault(stand.Truncated)
+			if other != "" {
+				r.addVersion(t, "i-2", other, stand.NoFault)
+			}
+			for n := range 4 {
+				text, err := r.takeUpRaw(t, fmt.Sprint("next-", n), id)
+				if err == nil {
+					assert.Equal(t, other, core.SoftwareVersion("v1"))
+					assert.Assert(t, strings.HasSuffix(text, "\r\n\r\n"+eventsBetween(3, 8)), "%q", text)
+					continue
+				}
+				assert.ErrorIs(t, err, syscall.ECONNRESET)
+				assert.Assert(t, strings.HasSuffix(text, "\r\n\r\n"+eventsBetween(3, 4)), "%q", text)
+			}
+		})
+	}
+}
+
+// Guards against a stream that goes on at whatever runs now at the address of an upstream that has gone.
+func TestStreamGoesOnAtNoSuccessor(t *testing.T) {
+	r := newRig(t)
+	first, same := r.addVersion(t, "i-1", "v1", stand.Truncated), r.addVersion(t, "i-2", "v1", stand.NoFault)
+	_, id := r.begun(t, first)
+	successor := &stand.Worker{ID: "i-9", Events: 8}
+	successor.SetModels(stand.Held{Name: "m"})
+	srv := httptest.NewServer(successor)
+	t.Cleanup(srv.Close)
+	r.Update(func(v *fleet.View, _ time.Time) {
+		e := v.Host("i-1").Entry
+		e.Address = netip.MustParseAddrPort(srv.Listener.Addr().String())
+		v.Apply(e)
+	})
+	for i := range 8 {
+		next := fmt.Sprint("next-", i)
+		a := r.takeUp(t, next, id)
+		wantStatus(t, a, http.StatusOK)
+		assert.Equal(t, eventsOf(4)+a.body, eventsOf(8))
+		assert.Assert(t, successor.Ran(next) == 0 && same.Ran(next) == 1)
+	}
+	assert.Assert(t, len(successor.Requests()) > 0, "no request was sent to the address")
+}
+
+// Guards against a take-up that goes on at the version of an earlier stream whose attempt had the same id.
+func TestReusedIDNamesItsLastStream(t *testing.T) {
+	r := newRig(t)
+	first := r.addVersion(t, "i-1", "v1", stand.NoFault)
+	wantStatus(t, do(t, r.askPrompt(t, "q")), http.StatusOK)
+	first.SetFault(stand.Shed)
+	second := r.addVersion(t, "i-2", "v2", stand.NoFault)
+	wantStatus(t, do(t, r.askPrompt(t, "q")), http.StatusOK)
+	assert.Equal(t, second.Ran("q"), 1)
+	first.SetFault(stand.NoFault)
+	for i := range 6 {
+		next := fmt.Sprint("next-", i)
+		wantStatus(t, r.takeUp(t, next, "q"), http.StatusOK)
+		assert.Assert(t, first.Ran(next) == 0 && second.Ran(next) == 1)
+	}
+}
+
+// Guards against a take-up that disturbs the answer that its caller still gets, also where that moves to another
+// upstream meanwhile.
+func TestTakeUpBesideTheFirstAnswer(t *testing.T) {
+	r := newRig(t)
+	first, other := r.addVersion(t, "i-1", "v1", stand.Truncated), r.addVersion(t, "i-2", "v2", stand.NoFault)
+	first.Gap, other.Gap = 50*time.Millisecond, 50*time.Millisecond
+	var resp *http.Response
+	id := ""
+	for n := 0; id == ""; n++ {
+		assert.Assert(t, n < 20, "no stream began at "+first.ID)
+		var err error
+		resp, err = http.DefaultClient.Do(r.askPrompt(t, fmt.Sprint("q-", n)))
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		if resp.Header.Get("X-Radishwell-Server-Signature") == "signed-by-"+first.ID {
+			id = fmt.Sprint("q-", n)
+		}
+	}
+	beginning := make([]byte, len(eventsOf(2)))
+	_, err := io.ReadFull(resp.Body, beginning)
+	assert.NilError(t, err)
+	same := r.addVersion(t, "i-3", "v1", stand.NoFault)
+	ended := make(chan answer, 1)
+	go func() {
+		req := r.askPrompt(t, "next")
+		req.Header.Set("Last-Event-Id", "2")
+		req.Header.Set("Resumes", id)
+		ended <- do(t, req)
+	}()
+	rest, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(beginning)+string(rest), eventsOf(8))
+	a := <-ended
+	wantStatus(t, a, http.StatusOK)
+	assert.Equal(t, a.body, eventsBetween(3, 8))
+	assert.Assert(t, same.Ran(id) == 1, "the first answer has not moved")
+	assert.Equal(t, other.Ran(id)+other.Ran("next"), 0)
+}
+
+// Guards against a complete answer that is held back or cut: an upstream that ends a stream with chunks in order has
+// ended it, whichever event was its last.
+func TestUpstreamEndsItsStream(t *testing.T) {
+	r := newRig(t)
+	r.addStream(t, "i-1", false, stand.EndsAfterEvent)
+	for _, path := range []string{"/stream/x", "/resumed/x"} {
+		a := do(t, r.askStream(t, path, "q"))
+		wantStatus(t, a, http.StatusOK)
+		assert.Equal(t, a.body, eventsOf(4))
+		assert.Equal(t, a.framing, core.FramedByChunks)
+	}
+}
