Take a model's document as whole only at the end of its object

A caller of the product's own stack gets a 200 with the outcome done and a length (or a last chunk), and half of a JSON document. The engine's answer has neither a length nor chunks, or chunks that end properly, and the engine closes the connection right after a brace that closes an inner object, as in ..."message":{...}.

Cause: the agent takes a document as whole if its last byte is a closing brace. Each inner object ends with one, and so may a string. As the terminator counts as certain, the entry gave the answer framing and called it done.

core/stream.Document follows the depth of objects and arrays, and strings. The answer is whole only behind the outermost object; otherwise the agent resumes it at the engine, or it is lost.

TestCutAnswerIsNotDone cuts engines' and plain services' answers at each byte of head and body (length, chunks after an interim head and with a trailer, none, HTTP/1.0 with folded lines and bare LF; callers of both versions; orderly ends and resets).

--- a/core/stream/doc.go
+++ b/core/stream/doc.go
@@ -1,3 +1,4 @@
 // Package stream tells whether a stream of server-sent events ends between two events. One
-// that ends inside an event was broken off, however its response was framed.
+// that ends inside an event was broken off, however its response was framed. The same holds for a
+// JSON document that ends inside its object.
 package stream
--- a/io/agent/tail.go
+++ b/io/agent/tail.go
@@ -15,7 +15,6 @@
 	tailSize = 64
 	// doneMark is the last event of an OpenAI stream.
 	doneMark = "data: [DONE]"
-	bodyEnd  = "}"
 )
 
 // tail detects answers of an engine that were cut off.
@@ -23,11 +22,14 @@
 // An engine that is being stopped may close its connections properly midway
 // through an answer. HTTP then shows a regular end, and the caller would get half
 // an answer marked as complete. Answers in the OpenAI formats have their own
-// terminator: the last event of a stream, the closing brace of an object. Answers
+// terminator: the last event of a stream, the brace that closes the outermost object. Answers
 // of a plain service have none besides HTTP's, but its streams end between two events.
 type tail struct {
 	want string
 	last []byte
+	// isDocument is set if the answer is a JSON object, and document where it has been read to.
+	isDocument bool
+	document   stream.Document
 	// events is set if the answer is a stream of a plain service, and position where its
 	// events have been read to.
 	events   bool
@@ -47,19 +49,22 @@
 		}
 		return tail{want: doneMark}
 	case kind == "application/json" && !plain:
-		return tail{want: bodyEnd}
+		return tail{isDocument: true}
 	}
 	return tail{}
 }
 
 // ends reports whether the answer's format has a terminator.
-func (t *tail) ends() bool { return t.want != "" }
+func (t *tail) ends() bool { return t.want != "" || t.isDocument }
 
 // add appends the answer's next bytes.
 func (t *tail) add(p []byte) {
 	if t.events {
 		t.position.Add(p)
 	}
+	if t.isDocument {
+		t.document.Add(p)
+	}
 	if t.want == "" {
 		return
 	}
@@ -72,6 +77,8 @@
 	switch {
 	case t.events && t.position.InsideEvent():
 		return &UnfinishedError{Want: "the end of its last event"}
+	case t.isDocument && !t.document.ObjectEnds():
+		return &UnfinishedError{Want: "the end of its object"}
 	case bytes.HasSuffix(bytes.TrimSpace(t.last), []byte(t.want)):
 		return nil
 	}
--- /dev/null
+++ b/io/entry/cut_test.go
@@ -0,0 +1,150 @@
+package entry_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/core"
+	"radishwell/io/fakes/llmsrv"
+	"radishwell/io/fakes/plain"
+	"radishwell/io/fakes/rawtcp"
+	"radishwell/io/front"
+)
+
+// rawUpstream answers work with given bytes, and resumes no stream. A stand-in answers the rest.
+type rawUpstream struct {
+	http.Handler
+
+	mu     sync.Mutex
+	answer rawtcp.Answer
+}
+
+func (u *rawUpstream) set(a rawtcp.Answer) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.answer = a
+}
+
+// ServeHTTP implements http.Handler.
+func (u *rawUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/streams/") {
+		http.NotFound(w, r)
+		return
+	}
+	if !strings.HasPrefix(r.URL.Path, "/v1/") && r.URL.Path != "/raw" {
+		u.Handler.ServeHTTP(w, r)
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_, _ = io.Copy(io.Discard, r.Body)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, u.answer.Bytes)
+	if u.answer.Reset {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+}
+
+// cutCase is a request, and the content and type of its whole answer.
+type cutCase struct {
+	name, path, body, kind, content string
+}
+
+const (
+	documentText = `{"id":"x","choices":[{"index":0,"message":{"content":"}"},"finish_reason":"stop"}],"usage":{"total_tokens":2}}`
+	askDocument  = `{"model":"alpha","messages":[{"role":"user","content":"%d"}]}`
+)
+
+var cutCases = []cutCase{
+	{"a model's document", "/v1/chat/completions", askDocument, "application/json", documentText},
+	{"a plain service's document", "/services/ledger/raw", "%d", "application/json", documentText},
+	{"a plain service's stream", "/services/ledger/raw", "%d", "text/event-stream", "data: first\n\ndata: second\n\n"},
+}
+
+// wantHonest checks a reply to a request whose upstream wrote a part of an answer. Only complete
+// answers may be called done, or end as complete without an error document.
+func wantHonest(t *testing.T, a rawtcp.Reply, c cutCase, headless, whole, unframed bool) {
+	t.Helper()
+	outcome := a.Trailer.Get(front.HeaderOutcome)
+	if outcome == "" {
+		outcome = a.Header.Get(front.HeaderOutcome)
+	}
+	switch {
+	case whole || a.Whole && a.Body == c.content:
+		assert.Assert(t, a.Whole && a.Status == http.StatusOK, "%+v", a)
+		assert.Equal(t, a.Body, c.content)
+	case a.Status != http.StatusOK || !a.Whole:
+		assert.Assert(t, a.Status == 0 || a.Status == http.StatusOK || strings.HasPrefix(a.Body, `{"error":`), "%+v", a)
+	case strings.HasSuffix(a.Body, "\"}}\n\n") && strings.Contains(a.Body, `data: {"error":`):
+		assert.Assert(t, outcome != core.Done.String(), "%+v", a)
+	default:
+		assert.Assert(t, unframed && !headless, "%+v", a)
+		assert.Equal(t, a.Framing, core.Unframed, "%+v", a)
+		assert.Assert(t, outcome != core.Done.String(), "%+v", a)
+		assert.Assert(t, strings.HasPrefix(c.content, a.Body), "%+v", a)
+	}
+}
+
+// Guards against an answer that is called done, or looks whole, although the upstream's broke off in
+// its head or body.
+func TestCutAnswerIsNotDone(t *testing.T) {
+	for i, c := range cutCases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			up := &rawUpstream{Handler: (&llmsrv.Server{Capacity: []core.Bytes{4 * core.GiB}}).Handler()}
+			service, isPlain := core.ServiceName("pool"), strings.HasPrefix(c.path, "/services/")
+			if isPlain {
+				up.Handler, service = (&plain.Server{}).Handler(), "ledger"
+			}
+			h := f.host("up-1", service, up, isPlain)
+			if isPlain {
+				h.plain = &plain.Server{}
+			}
+			address := strings.TrimPrefix(f.entryHost(), "http://")
+			count := 0
+			ask := func(t *testing.T, version string, a rawtcp.Answer) rawtcp.Reply {
+				t.Helper()
+				up.set(a)
+				caller, err := rawtcp.Dial(address)
+				assert.NilError(t, err)
+				defer caller.Close()
+				count++
+				body := fmt.Sprintf(c.body, count)
+				reply, err := caller.Ask(http.MethodPost, fmt.Sprintf("POST %s HTTP/%s\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", c.path, version, callerKey, len(body), body))
+				assert.NilError(t, err)
+				return reply
+			}
+			for name, form := range map[string]struct{ head, body string }{
+				"length":        {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n", len(c.content)), c.content},
+				"chunks":        {"HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\nX-Sum: 1\r\n\r\n", len(c.content), c.content)},
+				"none":          {"HTTP/1.1 200 OK\r\n", c.content},
+				"none HTTP/1.0": {"HTTP/1.0 200 OK\nX-Folded: a\n b\n", c.content},
+			} {
+				t.Run(name, func(t *testing.T) {
+					head := form.head + "Content-Type: " + c.kind + "\r\n\r\n"
+					text := head + form.body
+					for n := range len(text) + 1 {
+						version, reset := []string{"1.1", "1.0"}[(n+i)%2], n/2%2 == 1
+						t.Run(fmt.Sprintf("%d bytes HTTP %s reset %t", n, version, reset), func(t *testing.T) {
+							a := ask(t, version, rawtcp.Answer{Bytes: text[:n], Reset: reset})
+							whole := n == len(text) && !reset
+							wantHonest(t, a, c, n < len(head), whole, strings.HasPrefix(name, "none") && !reset)
+						})
+					}
+				})
+			}
+		})
+	}
+}
--- a/io/fakes/rawtcp/rawtcp.go
+++ b/io/fakes/rawtcp/rawtcp.go
@@ -166,6 +166,7 @@
 type Reply struct {
 	Status  int
 	Header  http.Header
+	Trailer http.Header
 	Body    string
 	Framing core.Framing
 	// Whole is set if the reply ended as a complete one does: with its length, its last chunk, or
@@ -190,7 +191,7 @@
 	}
 	body, err := io.ReadAll(resp.Body)
 	return Reply{
-		Status: resp.StatusCode, Header: resp.Header, Body: string(body),
+		Status: resp.StatusCode, Header: resp.Header, Trailer: resp.Trailer, Body: string(body),
 		Framing: reply.Framing(resp), Whole: err == nil,
 	}, late(err)
 }
