Take a model's stream as whole only behind its last event

A caller of the product's own stack gets a 200 with the outcome done and a last chunk, and half of a stream. The engine's answer has neither a length nor chunks, or chunks that end properly, and the engine closes the connection while a token's text is "data: [DONE]", as in answers about such streams; or it closes the connection in the blank line behind the mark, so that readers of server-sent events never see the last event.

Cause: the agent takes a stream as whole if its last bytes, but for white space, are the mark, wherever they stand. As the terminator counts as certain, the entry gave the answer framing and called it done. Streams of plain services are read as events already.

Now the mark has to be a line of its own, and the blank line that ends its event has to follow. Otherwise the agent resumes the stream at the engine, or it is lost.

--- a/io/agent/tail.go
+++ b/io/agent/tail.go
@@ -30,8 +30,7 @@
 	// isDocument is set if the answer is a JSON object, and document where it has been read to.
 	isDocument bool
 	document   stream.Document
-	// events is set if the answer is a stream of a plain service, and position where its
-	// events have been read to.
+	// events is set if the answer is a stream, and position where its events have been read to.
 	events   bool
 	position stream.Position
 }
@@ -47,7 +46,7 @@
 		if plain {
 			return tail{events: true}
 		}
-		return tail{want: doneMark}
+		return tail{events: true, want: doneMark}
 	case kind == "application/json" && !plain:
 		return tail{isDocument: true}
 	}
@@ -79,12 +78,19 @@
 		return &UnfinishedError{Want: "the end of its last event"}
 	case t.isDocument && !t.document.ObjectEnds():
 		return &UnfinishedError{Want: "the end of its object"}
-	case bytes.HasSuffix(bytes.TrimSpace(t.last), []byte(t.want)):
+	case t.endsWithMark():
 		return nil
 	}
 	return &UnfinishedError{Want: t.want}
 }
 
+// endsWithMark reports whether the last line that is not blank is the one that is wanted. The text of
+// a line before may contain it.
+func (t *tail) endsWithMark() bool {
+	rest, ok := bytes.CutSuffix(bytes.TrimSpace(t.last), []byte(t.want))
+	return ok && (t.want == "" || len(rest) == 0 || bytes.HasSuffix(rest, []byte("\n")) || bytes.HasSuffix(rest, []byte("\r")))
+}
+
 // UnfinishedError reports an answer that ended without its format's terminator.
 type UnfinishedError struct{ Want string }
 
