Call no answer done whose resumed part has an end that tells nothing

A caller of the product's own stack gets a 200 with the outcome done and a length or a last chunk, and a part of a body. The engine's answer has chunks and is neither a document nor a stream of events with status 200, so that nothing but framing tells its end. Its connection breaks off, the agent resumes it at the engine, and that answer has neither a length nor chunks and closes early, even before its first byte.

Cause: whether the end of an answer tells is read from its first head alone, and promised to the caller, while an answer goes on over further connections. It is the fault of streams that another host continues without framing (io/proxy has UnconfirmedEndError for it).

Now the framing of each connection counts. If the caller was promised an end that tells, one without framing does not end the answer: the agent resumes it once more, or it is lost.

TestResumedAnswerWithoutFramingIsNotDone ends the resumed part at each byte.

--- a/io/agent/run.go
+++ b/io/agent/run.go
@@ -157,8 +157,13 @@
 		if err == nil {
 			err = r.tail.check()
 		}
-		if err == nil && unframed {
+		switch {
+		case err != nil || answer.Framing != core.Unframed || r.tail.ends():
+		case unframed:
 			err = r.checkCrash(ctx)
+		default:
+			// The caller was promised an end that tells.
+			err = &UnfinishedError{Want: "a length or chunks"}
 		}
 		r.agent.Meter.UpstreamAnswer(answer.Framing, err == nil)
 		if err == nil {
--- a/io/entry/cut_test.go
+++ b/io/entry/cut_test.go
@@ -18,40 +18,56 @@
 	"radishwell/io/front"
 )
 
-// rawUpstream answers work with given bytes, and resumes no stream. A stand-in answers the rest.
+// rawUpstream answers work with given bytes. A stand-in answers the rest.
 type rawUpstream struct {
 	http.Handler
 
 	mu     sync.Mutex
 	answer rawtcp.Answer
+	// resumed is the answer to the next request to resume one. Others find none.
+	resumed *rawtcp.Answer
 }
 
-func (u *rawUpstream) set(a rawtcp.Answer) {
+func (u *rawUpstream) set(a rawtcp.Answer, resumed *rawtcp.Answer) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.answer = a
+	u.answer, u.resumed = a, resumed
+}
+
+// next returns the answer to a request, and whether there is one.
+func (u *rawUpstream) next(path string) (rawtcp.Answer, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !strings.HasPrefix(path, "/streams/") {
+		return u.answer, true
+	}
+	a := u.resumed
+	u.resumed = nil
+	if a == nil {
+		return rawtcp.Answer{}, false
+	}
+	return *a, true
 }
 
 // ServeHTTP implements http.Handler.
 func (u *rawUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if strings.HasPrefix(r.URL.Path, "/streams/") {
-		http.NotFound(w, r)
+	if !strings.HasPrefix(r.URL.Path, "/v1/") && !strings.HasPrefix(r.URL.Path, "/streams/") && r.URL.Path != "/raw" {
+		u.Handler.ServeHTTP(w, r)
 		return
 	}
-	if !strings.HasPrefix(r.URL.Path, "/v1/") && r.URL.Path != "/raw" {
-		u.Handler.ServeHTTP(w, r)
+	a, ok := u.next(r.URL.Path)
+	if !ok {
+		http.NotFound(w, r)
 		return
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
 	_, _ = io.Copy(io.Discard, r.Body)
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	defer conn.Close()
-	_, _ = io.WriteString(conn, u.answer.Bytes)
-	if u.answer.Reset {
+	_, _ = io.WriteString(conn, a.Bytes)
+	if a.Reset {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	}
 }
@@ -99,36 +115,50 @@
 	}
 }
 
+// rawFleet is an entry before a host whose upstream writes given bytes.
+type rawFleet struct {
+	upstream *rawUpstream
+	address  string
+	// count makes requests differ.
+	count int
+}
+
+func newRawFleet(t *testing.T, isPlain bool) *rawFleet {
+	t.Helper()
+	f := newFleet(t)
+	up := &rawUpstream{Handler: (&llmsrv.Server{Capacity: []core.Bytes{4 * core.GiB}}).Handler()}
+	service := core.ServiceName("pool")
+	if isPlain {
+		up.Handler, service = (&plain.Server{}).Handler(), "ledger"
+	}
+	h := f.host("up-1", service, up, isPlain)
+	if isPlain {
+		h.plain = &plain.Server{}
+	}
+	return &rawFleet{upstream: up, address: strings.TrimPrefix(f.entryHost(), "http://")}
+}
+
+func (f *rawFleet) ask(t *testing.T, c cutCase, version string) rawtcp.Reply {
+	t.Helper()
+	caller, err := rawtcp.Dial(f.address)
+	assert.NilError(t, err)
+	defer caller.Close()
+	f.count++
+	body := fmt.Sprintf(c.body, f.count)
+	a, err := caller.Ask(http.MethodPost, fmt.Sprintf(
+		"POST %s HTTP/%s\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		c.path, version, callerKey, len(body), body))
+	assert.NilError(t, err)
+	return a
+}
+
 // Guards against an answer that is called done, or looks whole, although the upstream's broke off in
 // its head or body.
 func TestCutAnswerIsNotDone(t *testing.T) {
 	for i, c := range cutCases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t)
-			up := &rawUpstream{Handler: (&llmsrv.Server{Capacity: []core.Bytes{4 * core.GiB}}).Handler()}
-			service, isPlain := core.ServiceName("pool"), strings.HasPrefix(c.path, "/services/")
-			if isPlain {
-				up.Handler, service = (&plain.Server{}).Handler(), "ledger"
-			}
-			h := f.host("up-1", service, up, isPlain)
-			if isPlain {
-				h.plain = &plain.Server{}
-			}
-			address := strings.TrimPrefix(f.entryHost(), "http://")
-			count := 0
-			ask := func(t *testing.T, version string, a rawtcp.Answer) rawtcp.Reply {
-				t.Helper()
-				up.set(a)
-				caller, err := rawtcp.Dial(address)
-				assert.NilError(t, err)
-				defer caller.Close()
-				count++
-				body := fmt.Sprintf(c.body, count)
-				reply, err := caller.Ask(http.MethodPost, fmt.Sprintf("POST %s HTTP/%s\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", c.path, version, callerKey, len(body), body))
-				assert.NilError(t, err)
-				return reply
-			}
+			f := newRawFleet(t, strings.HasPrefix(c.path, "/services/"))
 			for name, form := range map[string]struct{ head, body string }{
 				"length":        {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n", len(c.content)), c.content},
 				"chunks":        {"HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\nX-Sum: 1\r\n\r\n", len(c.content), c.content)},
@@ -144,7 +174,8 @@
 							version = "1.0"
 						}
 						t.Run(fmt.Sprintf("%d bytes HTTP %s reset %t", n, version, reset), func(t *testing.T) {
-							a := ask(t, version, rawtcp.Answer{Bytes: text[:n], Reset: reset})
+							f.upstream.set(rawtcp.Answer{Bytes: text[:n], Reset: reset}, nil)
+							a := f.ask(t, c, version)
 							wantHonest(t, a, c, n < len(head), n == len(text) && !reset, strings.HasPrefix(name, "none") && !reset)
 						})
 					}
@@ -159,3 +190,30 @@
 		})
 	}
 }
+
+// Guards against an answer that is called done although the connection on which it was resumed ended
+// without a length or chunks, and nothing else tells whether the rest came.
+func TestResumedAnswerWithoutFramingIsNotDone(t *testing.T) {
+	t.Parallel()
+	f := newRawFleet(t, false)
+	for _, c := range []cutCase{
+		cutCases[0], cutCases[1],
+		{"another stream", "/v1/chat/completions", askStream, "text/plain", "some text of another type"},
+		{"another document", "/v1/chat/completions", askDocument, "text/plain", "some text of another type"},
+	} {
+		const begun = 9
+		first := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", c.kind, begun, c.content[:begun])
+		for n := begun; n <= len(c.content); n++ {
+			t.Run(fmt.Sprintf("%s %d bytes", c.name, n), func(t *testing.T) {
+				f.upstream.set(rawtcp.Answer{Bytes: first}, &rawtcp.Answer{Bytes: "HTTP/1.1 200 OK\r\n\r\n" + c.content[begun:n]})
+				a := f.ask(t, c, "1.1")
+				if c.kind == "text/plain" || n < len(c.content) {
+					wantHonest(t, a, c, false, false, false)
+					assert.Assert(t, a.Body != c.content || a.Trailer.Get(front.HeaderOutcome) != core.Done.String(), "%+v", a)
+					return
+				}
+				wantHonest(t, a, c, false, true, false)
+			})
+		}
+	}
+}
