Leave the length in an answer to HEAD as the upstream states it

A caller that asks by HEAD gets a 200 (or a kept failure) with Content-Length: 0 for each whole answer on the managed platform's path, whatever its upstream states, or nothing: an empty body, framed as whole.

Cause: a whole answer is read to its end before it is forwarded, and gets the length of what was read. The answer to HEAD has no body to read. The product's own stack passes the upstream's field on.

The length is now that of the upstream's answer for HEAD, and there is none where the upstream states none; for kept failures as well. Streams had none and keep that.

TestAnswerToHeadKeepsLength failed before in 12 of its 16 cases.

--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -164,6 +164,7 @@
 	status  int
 	header  map[string][]string
 	body    []byte
+	length  int
 	framing core.Framing
 }
 
@@ -183,7 +184,9 @@
 		resp.Body = &replayedBody{Reader: io.MultiReader(bytes.NewReader(body), resp.Body), Closer: resp.Body}
 		return false
 	}
-	c.failure = &failure{status: resp.StatusCode, header: c.proxy.Protocol.ReplyHeader(resp.Header), body: body, framing: c.framing}
+	c.failure = &failure{
+		status: resp.StatusCode, header: c.proxy.Protocol.ReplyHeader(resp.Header), body: body, length: c.lengthOf(resp, body), framing: c.framing,
+	}
 	return true
 }
 
@@ -195,7 +198,7 @@
 
 // writeFailure answers the caller with the kept failure.
 func (c *call) writeFailure() {
-	c.writeHead(c.failure.status, c.failure.header, c.failure.framing, len(c.failure.body))
+	c.writeHead(c.failure.status, c.failure.header, c.failure.framing, c.failure.length)
 	// An error means that the caller has left.
 	_, _ = c.writer.Write(c.failure.body)
 }
@@ -267,7 +270,7 @@
 	if err != nil {
 		return err
 	}
-	length := len(body)
+	length := c.lengthOf(resp, body)
 	if !whole {
 		length = unknownLength
 	} else if err := c.checkCrash(ctx, t); err != nil {
@@ -289,6 +292,15 @@
 	return c.checkCrash(ctx, t)
 }
 
+// lengthOf returns the length of an answer whose body was read to its end. The answer to HEAD states
+// that of a body that does not come, or unknownLength.
+func (c *call) lengthOf(resp *http.Response, body []byte) int {
+	if c.request.Method == http.MethodHead {
+		return int(resp.ContentLength)
+	}
+	return len(body)
+}
+
 // unknownLength is the length of a body that is forwarded as it arrives.
 const unknownLength = -1
 
--- a/io/proxy/cut_test.go
+++ b/io/proxy/cut_test.go
@@ -301,3 +301,22 @@
 		wantSpoilt(t, "HTTP/1.1 "+status+" Status\r\n"+signedFields+"Content-Length: 0\r\n\r\n")
 	}
 }
+
+// Guards against an answer to HEAD that states an empty body: the length of what was read of it, which
+// is nothing, was put over the upstream's.
+func TestAnswerToHeadKeepsLength(t *testing.T) {
+	r := newRawRig(t)
+	for _, status := range []string{"200 OK", "500 Failed"} {
+		for field, want := range map[string]string{"Content-Length: 14\r\n": "14", "Content-Length: 0\r\n": "0", "Transfer-Encoding: chunked\r\n": "", "": ""} {
+			for _, path := range cutRoutes[:2] {
+				t.Run(fmt.Sprintf("%s %.14q%s", status, field, path), func(t *testing.T) {
+					r.answer(rawtcp.Answer{Bytes: "HTTP/1.1 " + status + "\r\n" + signedFields + field + "\r\n"})
+					a := do(t, r.ask(t, http.MethodHead, path+strconv.FormatInt(requestCount.Add(1), 10), "q"))
+					assert.Assert(t, !a.cut)
+					assert.Equal(t, strconv.Itoa(a.status), status[:3])
+					assert.Equal(t, a.header.Get("Content-Length"), want)
+				})
+			}
+		}
+	}
+}
