Cut a second answer on an engine's kept connection at each byte

The product's own stack keeps connections to engines and plain services. A second answer on one, cut at each byte of head, chunks and trailer, is lost and not asked for again.

--- a/io/engine/cut_test.go
+++ b/io/engine/cut_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"io"
 	"net/http"
 	"testing"
 
@@ -45,3 +46,34 @@
 		})
 	}
 }
+
+// Guards against a cut answer on a kept connection that is taken for a whole one, is asked for once
+// more, or is made whole by what came before.
+func TestCutAnswerOnKeptConnectionIsLost(t *testing.T) {
+	for name, text := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+		"chunks": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-A: b\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s rawtcp.Server
+			defer s.Close()
+			at, err := s.Listen()
+			assert.NilError(t, err)
+			for n := range len(text) {
+				s.SetAnswers(rawtcp.Answer{Bytes: text, Keep: true}, rawtcp.Answer{Bytes: text[:n], Reset: n%2 == 1})
+				c := engine.New(at, nil)
+				for i := range 2 {
+					a, err := c.Run(t.Context(), core.EngineWork{ID: "r1", Method: http.MethodGet, Path: "/"})
+					var body []byte
+					if err == nil {
+						body, err = io.ReadAll(a.Body)
+						a.Body.Close()
+					}
+					assert.Equal(t, err == nil, i == 0, "%d bytes: %q, %v", n, body, err)
+				}
+				c.Close()
+				assert.Equal(t, s.Requests(), 2)
+			}
+		})
+	}
+}
