Send each request to an upstream on a connection of its own in the own stack

A caller of the product's own stack gets the answer to another request. An engine or plain service writes a second answer after its first, or more bytes than the length that it states, which look like one. The agent keeps the connection. net/http notices bytes on an idle connection, but a request that takes the connection first reads them as its answer: 5 of 2000 requests after such an answer did (trial with io/engine's client on loopback).

Cause: a connection that is used again may hold what belongs to the request before, and nothing in these answers names the request. io/proxy gives each request its own connection for this reason. io/engine does so now for requests and resumed answers; reports and orders keep theirs.

TestSecondAnswerReachesNoRequest failed before: two of three runs of 500 rounds had a stale answer, the third had one connection for two requests. It passed in three runs since.

Cost, BenchmarkWarm/through on a busy machine (load 14), 2 s each: before 1.34 ms and 585 allocations (one value, log lines hid two), after 1.64, 1.62 and 1.67 ms and 651 to 654; direct, which this does not touch, went from 0.25-0.28 to 0.27-0.29 ms. examples/capacity was not run, nor TLS to upstreams measured, where each request has a handshake now.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -59,8 +59,10 @@
 	// any request to it is a call that it carries out, so State only dials it.
 	Plain bool
 
-	dialer    *dialer
-	transport *http.Transport
+	dialer *dialer
+	// control carries reports and orders. work carries requests, each on a connection of its own:
+	// one that is used again may hold a second answer to the request before.
+	control, work *http.Transport
 }
 
 // New returns a client of the upstream at address. It uses TLS if conf is not nil.
@@ -68,14 +70,17 @@
 	dialer := &dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
-	return &Client{Address: address, TLS: conf, dialer: dialer, transport: &http.Transport{
+	control := &http.Transport{
 		DialContext:            dialer.dial,
 		TLSClientConfig:        conf,
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeader,
-	}}
+	}
+	work := control.Clone()
+	work.DisableKeepAlives = true
+	return &Client{Address: address, TLS: conf, dialer: dialer, control: control, work: work}
 }
 
 // dialer makes connections, each within dialTimeout.
@@ -92,7 +97,7 @@
 }
 
 // Close closes connections that are not in use.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() { c.control.CloseIdleConnections() }
 
 // State implements core.Engine. For a plain service it returns an empty state and
 // only checks that the service accepts connections.
@@ -101,7 +106,7 @@
 	if c.Plain {
 		return st, c.dial(ctx)
 	}
-	resp, err := c.do(ctx, http.MethodGet, "/state", nil, nil)
+	resp, err := c.do(ctx, c.control, http.MethodGet, "/state", nil, nil)
 	if err != nil {
 		return st, err
 	}
@@ -144,7 +149,7 @@
 	if err != nil {
 		return &core.EngineError{Fault: core.EngineRejected, Cause: err}
 	}
-	resp, err := c.do(ctx, http.MethodPost, path, http.Header{"Content-Type": {"application/json"}}, body)
+	resp, err := c.do(ctx, c.control, http.MethodPost, path, http.Header{"Content-Type": {"application/json"}}, body)
 	if err != nil {
 		return err
 	}
@@ -177,13 +182,13 @@
 	if w.Trace != "" {
 		header.Set(headerTrace, w.Trace)
 	}
-	return c.answer(c.do(ctx, w.Method, w.Path, header, w.Body))
+	return c.answer(c.do(ctx, c.work, w.Method, w.Path, header, w.Body))
 }
 
 // Resume implements core.Engine.
 func (c *Client) Resume(ctx context.Context, id core.RequestID, offset int64) (core.Answer, error) {
 	path := "/streams/" + url.PathEscape(string(id)) + "?offset=" + strconv.FormatInt(offset, 10)
-	answer, err := c.answer(c.do(ctx, http.MethodGet, path, nil, nil))
+	answer, err := c.answer(c.do(ctx, c.work, http.MethodGet, path, nil, nil))
 	if err == nil && answer.Status != http.StatusOK {
 		answer.Body.Close()
 		return core.Answer{}, &core.EngineError{Fault: core.EngineRejected, Status: answer.Status}
@@ -199,10 +204,10 @@
 	return core.Answer{Status: resp.StatusCode, Header: resp.Header, Framing: reply.Framing(resp), Body: resp.Body}, nil
 }
 
-// do sends a request once. Its error is an EngineError. The fault is
+// do sends a request once over a transport. Its error is an EngineError. The fault is
 // EngineUnreached only if no byte of the request was written, EngineLost if the
 // upstream may have received it.
-func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
+func (c *Client) do(ctx context.Context, over *http.Transport, method, path string, header http.Header, body []byte) (*http.Response, error) {
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		// GotConn runs before any byte of the request is written, so a request
@@ -218,7 +223,7 @@
 	}
 	req.Body = oneShotBody{bytes.NewReader(body)}
 	req.ContentLength = int64(len(body))
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := over.RoundTrip(req)
 	if err == nil {
 		if err = reply.Check(resp); err == nil {
 			return resp, nil
--- a/io/engine/cut_test.go
+++ b/io/engine/cut_test.go
@@ -77,3 +77,28 @@
 		})
 	}
 }
+
+// Guards against a request that gets a second answer to the one before: it came with the first, and
+// lay unread on the connection that the next request used.
+func TestSecondAnswerReachesNoRequest(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+	var s rawtcp.Server
+	defer s.Close()
+	at, err := s.Listen()
+	assert.NilError(t, err)
+	c := engine.New(at, nil)
+	defer c.Close()
+	const rounds = 500
+	for range rounds {
+		s.SetAnswers(rawtcp.Answer{Bytes: text + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale", Keep: true}, rawtcp.Answer{Bytes: text, Keep: true})
+		for range 2 {
+			a, err := c.Run(t.Context(), core.EngineWork{ID: "r1", Method: http.MethodGet, Path: "/"})
+			assert.NilError(t, err)
+			body, err := io.ReadAll(a.Body)
+			a.Body.Close()
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), "body")
+		}
+	}
+	assert.Equal(t, s.Accepted(), 2*rounds, "each request has a connection of its own")
+}
--- a/io/fakes/rawtcp/rawtcp.go
+++ b/io/fakes/rawtcp/rawtcp.go
@@ -36,6 +36,8 @@
 	mu       sync.Mutex
 	answers  []Answer
 	requests int
+	// accepted counts connections, and conns has those that are open.
+	accepted int
 	conns    map[net.Conn]bool
 	closed   bool
 	// listeners are those of all addresses.
@@ -84,6 +86,13 @@
 	return s.requests
 }
 
+// Accepted returns the number of connections that were accepted.
+func (s *Server) Accepted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accepted
+}
+
 func (s *Server) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
@@ -105,6 +114,7 @@
 	if s.conns == nil {
 		s.conns = map[net.Conn]bool{}
 	}
+	s.accepted++
 	s.conns[conn] = !s.closed
 	return !s.closed
 }
