--- a/io/agent/tail.go
+++ b/io/agent/tail.go
@@ -15,7 +15,6 @@
 	tailSize = 64
 	// doneMark is the last event of an OpenAI stream.
 	doneMark = "data: [DONE]"
-	bodyEnd  = "}"
 )
 
 // tail detects answers of an engine that were cut off.
@@ -23,13 +22,15 @@
 // An engine that is being stopped may close its connections properly midway
 // through an answer. HTTP then shows a regular end, and the caller would get half
 // an answer marked as complete. Answers in the OpenAI formats have their own
-// terminator: the last event of a stream, the closing brace of an object. Answers
+// terminator: the last event of a stream, the brace that closes the outermost object. Answers
 // of a plain service have none besides HTTP's, but its streams end between two events.
 type tail struct {
 	want string
 	last []byte
-	// events is set if the answer is a stream of a plain service, and position where its
-	// events have been read to.
+	// isDocument is set if the answer is a JSON object, and document where it has been read to.
+	isDocument bool
+	document   stream.Document
+	// events is set if the answer is a stream, and position where its events have been read to.
 	events   bool
 	position stream.Position
 }
@@ -45,21 +46,24 @@
 		if plain {
 			return tail{events: true}
 		}
-		return tail{want: doneMark}
+		return tail{events: true, want: doneMark}
 	case kind == "application/json" && !plain:
-		return tail{want: bodyEnd}
+		return tail{isDocument: true}
 	}
 	return tail{}
 }
 
 // ends reports whether the answer's format has a terminator.
-func (t *tail) ends() bool { return t.want != "" }
+func (t *tail) ends() bool { return t.want != "" || t.isDocument }
 
 // add appends the answer's next bytes.
 func (t *tail) add(p []byte) {
 	if t.events {
 		t.position.Add(p)
 	}
+	if t.isDocument {
+		t.document.Add(p)
+	}
 	if t.want == "" {
 		return
 	}
@@ -72,12 +76,21 @@
 	switch {
 	case t.events && t.position.InsideEvent():
 		return &UnfinishedError{Want: "the end of its last event"}
-	case bytes.HasSuffix(bytes.TrimSpace(t.last), []byte(t.want)):
+	case t.isDocument && !t.document.ObjectEnds():
+		return &UnfinishedError{Want: "the end of its object"}
+	case t.endsWithMark():
 		return nil
 	}
 	return &UnfinishedError{Want: t.want}
 }
 
+// endsWithMark reports whether the last line that is not blank is the one that is wanted. The text of
+// a line before may contain it.
+func (t *tail) endsWithMark() bool {
+	rest, ok := bytes.CutSuffix(bytes.TrimSpace(t.last), []byte(t.want))
+	return ok && (t.want == "" || len(rest) == 0 || bytes.HasSuffix(rest, []byte("\n")) || bytes.HasSuffix(rest, []byte("\r")))
+}
+
 // UnfinishedError reports an answer that ended without its format's terminator.
 type UnfinishedError struct{ Want string }
 
--- a/io/fakes/rawtcp/rawtcp.go
+++ b/io/fakes/rawtcp/rawtcp.go
@@ -36,6 +36,8 @@
 	mu       sync.Mutex
 	answers  []Answer
 	requests int
+	// accepted counts connections, and conns has those that are open.
+	accepted int
 	conns    map[net.Conn]bool
 	closed   bool
 	// listeners are those of all addresses.
@@ -84,6 +86,13 @@
 	return s.requests
 }
 
+// Accepted returns the number of connections that were accepted.
+func (s *Server) Accepted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accepted
+}
+
 func (s *Server) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
@@ -105,6 +114,7 @@
 	if s.conns == nil {
 		s.conns = map[net.Conn]bool{}
 	}
+	s.accepted++
 	s.conns[conn] = !s.closed
 	return !s.closed
 }
@@ -166,6 +176,7 @@
 type Reply struct {
 	Status  int
 	Header  http.Header
+	Trailer http.Header
 	Body    string
 	Framing core.Framing
 	// Whole is set if the reply ended as a complete one does: with its length, its last chunk, or
@@ -190,7 +201,7 @@
 	}
 	body, err := io.ReadAll(resp.Body)
 	return Reply{
-		Status: resp.StatusCode, Header: resp.Header, Body: string(body),
+		Status: resp.StatusCode, Header: resp.Header, Trailer: resp.Trailer, Body: string(body),
 		Framing: reply.Framing(resp), Whole: err == nil,
 	}, late(err)
 }
