Ask a silent engine itself before its streams are moved

What callers saw: an agent is killed for 1.2 s while resumable streams wait for their first event at its engine. They are sent to another engine within a second; one that does not notice the closed connection works on beside it. Those for which no retry is left get 502.

Cause: Proxy.moveSilent took the silence of the agent, with that of the stream, for the end of the engine.

TestKilledAgentMovesNoStream failed before in all four cases; TestFrozenEngineLosesStreams holds that frozen and replaced engines still lose their streams.

Why it works: the engine is asked for its report, with 250 ms in which this process runs. An engine that answers keeps its streams. One that does not, or that is another one at the address, loses them as before. There is one probe of an engine at a time, and its result counts for a second.

--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -106,6 +106,7 @@
 	// overrides its reports.
 	missing map[core.ModelName]time.Time
 	indexed indexed
+	probe   probe
 	// view is the View that the host is in.
 	view *View
 	*signals
--- a/core/fleet/incarnation.go
+++ b/core/fleet/incarnation.go
@@ -25,6 +25,12 @@
 	Born int64
 }
 
+// Matches reports whether an upstream that states its id and start time may be this incarnation:
+// either may not be known.
+func (i Incarnation) Matches(id core.HostName, born int64) bool {
+	return (id == "" || id == i.ID) && (born == 0 || i.Born == 0 || born == i.Born)
+}
+
 // IncarnationTracker tracks the running incarnation of a host, from the entries that the
 // registry lists, for the agent of a host whose own reports do not name it.
 //
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -81,6 +81,7 @@
 	p.handler.Count, p.handler.Lend = e.spare.serve, e.serveLend
 	e.proxy = &proxy.Proxy{
 		Self: s.Name, DataCentre: s.DataCentre, Clock: p.clock, Protocol: protocol, Adapters: e.links, Rooms: rooms{e.links}, Meter: p.meter,
+		Managed:    managed(),
 		RetryRatio: s.Managed.RetryRatio, RetrySpan: s.Managed.RetrySpan, SpareRetries: e.spare.part, Lenders: lenders{e},
 		TriesParts: e.triesParts, Entries: e.entryCount,
 		MaxHeld: core.Bytes(float64(s.Managed.Memory) * s.Managed.BufferShare),
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -114,6 +114,7 @@
 	CachedListed
 	SoftwareRecorded
 	SoftwareUnrecorded
+	UpstreamProbed
 	eventCount
 )
 
@@ -254,6 +255,7 @@
 	{Event: CachedListed, Name: "cached-listed", Severity: Info, Text: "Agent listed all parts of prompts that its upstream keeps, since it had missed changes", Advice: "If it recurs every few seconds, the agent is too slow to follow: each list delays the upstream's work."},
 	{Event: SoftwareRecorded, Name: "software-recorded", Severity: Info, Text: "Platform's record of software versions was written", Advice: noAction},
 	{Event: SoftwareUnrecorded, Name: "software-unrecorded", Severity: Warning, Sampled: true, Text: "Stream began at a software version that could not be recorded in the platform", Advice: "Nothing during an outage of the platform's store. If all entries are lost before the record is written and the version has gone by then, such streams may be continued at another version."},
+	{Event: UpstreamProbed, Name: "upstream-probed", Severity: Info, Sampled: true, Text: "Entry asked an upstream with a silent agent, and with streams that have paused, whether it responds", Advice: "Nothing if it recurs for a few seconds. If an upstream responds for longer while its agent is silent, find out why the agent does not run."},
 })
 
 // groups maps the first event of each group to its number. Each group starts at the next
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -33,6 +33,10 @@
 	// Rooms grants the room of engines to all entries; nil if this entry goes by what it knows
 	// itself.
 	Rooms core.Rooms
+	// Managed, if set, returns the control interface of the upstream at an address, which is asked
+	// whether the upstream responds while its agent is silent. If it is nil, an upstream counts as
+	// silent when its agent is.
+	Managed func(netip.AddrPort) core.Managed
 	// Trials grants trials of requests that may crash upstreams; nil if this entry grants its own.
 	Trials core.Trials
 	Meter  *meter.Meter
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -87,6 +87,9 @@
 	r.Proxy = &proxy.Proxy{
 		Self: "edge-1", DataCentre: "dc-1", Clock: realClock{}, Protocol: plat.Headers{}, Adapters: r.adapters,
 		RetryRatio: 0.2, RetrySpare: 10, RetrySpan: 10 * time.Second,
+		Managed: func(at netip.AddrPort) core.Managed {
+			return &plat.Upstream{Address: at, Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+		},
 	}
 	r.Start()
 	runProxy(t, r.Proxy)
@@ -112,7 +115,13 @@
 // add starts a fake upstream and registers it.
 func (r *rig) add(t *testing.T, service core.ServiceName, w *stand.Worker) *stand.Worker {
 	t.Helper()
-	srv := httptest.NewServer(w)
+	return r.addServed(t, service, w, w)
+}
+
+// addServed starts a fake upstream whose requests a handler serves, and registers it.
+func (r *rig) addServed(t *testing.T, service core.ServiceName, w *stand.Worker, h http.Handler) *stand.Worker {
+	t.Helper()
+	srv := httptest.NewServer(h)
 	t.Cleanup(srv.Close)
 	w.Plain = service == "plain"
 	at := netip.MustParseAddrPort(srv.Listener.Addr().String())
--- a/io/proxy/silent.go
+++ b/io/proxy/silent.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -9,7 +11,8 @@
 	"radishwell/core"
 	"radishwell/core/fleet"
 	"radishwell/core/rtable"
-	"radishwell/io/loop"
+	"radishwell/io/awake"
+	"radishwell/io/events"
 )
 
 const (
@@ -22,9 +25,13 @@
 	silencePauses = 2
 	// watchInterval is how often the streams in progress are checked.
 	watchInterval = 200 * time.Millisecond
+	// reportTimeout bounds the probe of a host whose agent is silent. Hosts report within
+	// milliseconds, and the callers of its streams wait meanwhile.
+	reportTimeout = 250 * time.Millisecond
 )
 
-// SilentError reports a stream that was silent while its host's agent was silent too.
+// SilentError reports a stream that was silent while its host and the host's agent did not
+// respond.
 type SilentError struct{ Host core.HostName }
 
 // Error implements error.
@@ -34,8 +41,11 @@
 
 // watchedStream is a stream in progress that may move to another host.
 type watchedStream struct {
-	host  *fleet.Host
-	query fleet.Query
+	host *fleet.Host
+	// incarnation and address are those that the attempt is sent to.
+	incarnation fleet.Incarnation
+	address     netip.AddrPort
+	query       fleet.Query
 	// origin is that of the stream once it has started.
 	origin core.StreamOrigin
 	// timeout is how long the stream may be silent.
@@ -59,14 +69,15 @@
 // but carry nothing, the registry lists the host for seconds more, and callers leave
 // after two; once the host resumes, it continues requests that nobody waits for.
 // Silence of the agent alone does not count, since its host's streams continue; nor
-// does that of a stream alone, which may wait in the engine's queue.
+// does that of a stream alone, which may wait in the engine's queue. If both are silent, the
+// agent alone may have ended, so the host itself is asked.
 func (p *Proxy) watch(ctx context.Context, c *call, t *target) (context.Context, func()) {
 	if c.route.Kind != rtable.Stream || !c.mayMove() {
 		return ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watchedStream{
-		host: t.host, query: c.query, origin: t.origin, latencyTarget: c.route.Target, cancel: cancel,
+		host: t.host, incarnation: t.incarnation(), address: t.address, query: c.query, origin: t.origin, latencyTarget: c.route.Target, cancel: cancel,
 		timeout: max(silenceTimeout, silencePauses*c.route.Pause), callerLeaves: c.callerLeavesAt(),
 	}
 	w.started.Store(c.started)
@@ -97,14 +108,49 @@
 		defer close(ended)
 		p.takeTurns(ctx)
 	}()
-	for loop.Sleep(ctx, watchInterval) {
-		p.moveSilent()
-		p.endSlowest()
-	}
+	p.watchStreams(ctx)
 	<-ended
 	return nil
 }
 
+// probe asks a host with a silent agent whether it responds.
+type probe struct {
+	host        *fleet.Host
+	incarnation fleet.Incarnation
+	address     netip.AddrPort
+	// responds is the result.
+	responds bool
+}
+
+// watchStreams moves streams away from silent hosts and ends callers that are too slow, until the
+// context ends.
+func (p *Proxy) watchStreams(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	results := make(chan probe)
+	running := 0
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case r := <-results:
+			running--
+			p.endProbe(r)
+		case <-ticker.C:
+			p.endSlowest()
+		}
+		for _, r := range p.moveSilent() {
+			running++
+			go func() {
+				r.responds = p.responds(ctx, r)
+				results <- r
+			}()
+		}
+	}
+	for range running {
+		<-results
+	}
+}
+
 // canMove reports whether a stream may move to the host next. Before the first event, a
 // late answer is better than none. After it, the stream may still continue at its present
 // host, so it moves only to a host that is not overloaded.
@@ -119,8 +165,9 @@
 }
 
 // moveSilent cancels the attempts at streams of silent hosts so that the streams continue
-// elsewhere. Streams that no other host can take now stay at their hosts.
-func (p *Proxy) moveSilent() {
+// elsewhere. Streams that no other host can take now stay at their hosts. It returns the
+// probes to make first.
+func (p *Proxy) moveSilent() (probes []probe) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
@@ -136,6 +183,37 @@
 		if !w.canMove(now, p.view.Pick(now, &w.query)) {
 			continue
 		}
-		w.cancel(&SilentError{Host: w.host.ID})
+		switch {
+		case p.Managed == nil || w.host.HasEnded() || w.host.IsUnresponsive(now):
+			w.cancel(&SilentError{Host: w.host.ID})
+		case w.host.StartProbe(now):
+			probes = append(probes, probe{host: w.host, incarnation: w.incarnation, address: w.address})
+		}
 	}
+	return probes
+}
+
+// responds reports whether a host responds. A process that has frozen still accepts connections,
+// so the host has to report.
+func (p *Proxy) responds(ctx context.Context, r probe) bool {
+	ctx, stop := awake.WithTimeout(ctx, reportTimeout)
+	defer stop()
+	s, err := p.Managed(r.address).State(ctx)
+	if err == nil {
+		return r.incarnation.Matches(s.ID, s.Born)
+	}
+	var fault *core.EngineError
+	return errors.As(err, &fault) && fault.Fault == core.EngineRejected
+}
+
+// endProbe records the result of a probe.
+func (p *Proxy) endProbe(r probe) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	r.host.EndProbe(now, r.responds)
+	events.Log(
+		events.UpstreamProbed, "host", r.incarnation.ID, "address", r.address, "responds", r.responds,
+		"report-age", now.Sub(r.host.Report.Taken).Round(time.Millisecond),
+	)
 }
