Keep silent streams at their engine while no retry is left

What callers saw: a stream whose engine and agent were silent got 502 at once, with another engine free, though its engine might have gone on with it.

Cause: Proxy.moveSilent cancelled the attempt whatever the retry budget allowed; the call then asked the budget for a further send, got none and gave up.

Evidence: two new cases of TestSilentStreams, none left and one left for two streams, failed without the check and pass with it. The test's proxy now has a budget, since the others need one to be moved; their checks are unchanged.

Why it works: as many streams are cancelled at once as the budget, with loans, has further sends; one if another entry may yet lend some.

--- a/io/proxy/repeat.go
+++ b/io/proxy/repeat.go
@@ -59,6 +59,18 @@
 	return false
 }
 
+// retriesLeft returns how many further sends of a service's requests are allowed now. If there are none
+// but another entry may lend some, it is one, with which that entry is asked. The caller holds mu.
+func (p *Proxy) retriesLeft(now time.Time, s core.ServiceName) int {
+	p.updateSpare(now)
+	b := p.budget(s)
+	left := int(b.window.Remaining(now)) + b.loans.Left(now)
+	if left <= 0 && p.Lenders != nil && b.asking == nil && b.loans.Ask(now) > 0 {
+		return 1
+	}
+	return left
+}
+
 // takeRetry takes a further send of the request from the retry budget, or from a loan, and reports
 // whether there was one.
 func (c *call) takeRetry(ctx context.Context) bool {
--- a/io/proxy/silent.go
+++ b/io/proxy/silent.go
@@ -164,14 +164,28 @@
 	return !next.Overloaded(w.latencyTarget)
 }
 
+// moves counts the streams of each service that may be moved at once.
+type moves map[core.ServiceName]int
+
+// take reports whether one more stream may be moved, and counts it. The caller holds the proxy's mu.
+func (m moves) take(p *Proxy, now time.Time, s core.ServiceName) bool {
+	if _, ok := m[s]; !ok {
+		m[s] = p.retriesLeft(now, s)
+	}
+	m[s]--
+	return m[s] >= 0
+}
+
 // moveSilent cancels the attempts at streams of silent hosts so that the streams continue
-// elsewhere. Streams that no other host can take now stay at their hosts. It returns the
+// elsewhere. Streams that no other host can take now, or for which the retry budget has no further
+// send, stay at their hosts: these may yet go on. It returns the
 // probes to make first.
 func (p *Proxy) moveSilent() (probes []probe) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	p.standstill.Run(now)
+	allowed := moves{}
 	for w := range p.streams {
 		silent := now.Sub(time.Unix(0, w.lastEvent.Load())) >= w.timeout
 		if !silent || !w.host.Silent(p.view.ReferenceTime(now)) {
@@ -185,7 +199,9 @@
 		}
 		switch {
 		case p.Managed == nil || w.host.HasEnded() || w.host.IsUnresponsive(now):
-			w.cancel(&SilentError{Host: w.host.ID})
+			if allowed.take(p, now, w.query.Service) {
+				w.cancel(&SilentError{Host: w.host.ID})
+			}
 		case w.host.StartProbe(now):
 			probes = append(probes, probe{host: w.host, incarnation: w.incarnation, address: w.address})
 		}
--- a/io/proxy/silent_test.go
+++ b/io/proxy/silent_test.go
@@ -29,10 +29,11 @@
 		call  *call
 		ctx   context.Context
 	}
+	retries := 10.0
 	begin := func(t *testing.T, route rtable.Route, hosts ...core.HostName) *rig {
 		t.Helper()
 		r := &rig{clock: &stepClock{now: time.Unix(1000, 0)}}
-		r.Proxy = &Proxy{Clock: r.clock}
+		r.Proxy = &Proxy{Clock: r.clock, RetrySpare: retries, RetrySpan: 10 * time.Second}
 		r.Start()
 		for _, id := range hosts {
 			r.view.Apply(fleet.Entry{ID: id, Service: "llm", Usable: true, Models: []core.HeldModel{{Model: "m"}}})
@@ -121,4 +122,19 @@
 		r.clock.now = r.clock.now.Add(1500 * time.Millisecond)
 		assert.Assert(t, !moved(r))
 	})
+	t.Run("stay where the retry budget allows no further send", func(t *testing.T) {
+		retries = 0
+		r := begin(t, resumable, "i-1", "i-2")
+		r.clock.now = r.clock.now.Add(1500 * time.Millisecond)
+		assert.Assert(t, !moved(r))
+	})
+	t.Run("move as many as the retry budget allows", func(t *testing.T) {
+		retries = 1
+		r := begin(t, resumable, "i-1", "i-2")
+		second, done := r.watch(t.Context(), r.call, &target{id: "i-1", host: r.view.Host("i-1")})
+		t.Cleanup(done)
+		r.clock.now = r.clock.now.Add(1500 * time.Millisecond)
+		first := moved(r)
+		assert.Equal(t, (second.Err() != nil), !first)
+	})
 }
