Ask agents before their engines are taken for ones without

Cause: an entry behind a relay polls no agents, so none had ever responded to it, and it went by the agents' records alone. The lease that it writes makes each agent wait 11.5 s for its fence, at every start and after every restore.

Why it works: before it reads the records, the entry asks the agents that have not responded to it, at once and for 500 ms. One that answers counts as having responded. Orders that rest on a reading which expires meanwhile end first.

--- a/core/orphan/tracker.go
+++ b/core/orphan/tracker.go
@@ -97,12 +97,18 @@
 	if now.Sub(t.listed) < interval {
 		return false
 	}
+	return len(t.Unresponsive(now)) > 0
+}
+
+// Unresponsive returns the engines that may have no agent: none has responded for long enough, and none
+// has a record that is known.
+func (t *Tracker) Unresponsive(now time.Time) (out []netip.AddrPort) {
 	for e, at := range t.unresponsiveSince {
 		if now.Sub(at) >= agentStartGrace && !t.agents[e] {
-			return true
+			out = append(out, e)
 		}
 	}
-	return false
+	return out
 }
 
 // WithoutAgent returns the engines that have no agent, sorted by address.
--- a/io/deploy/orderer.go
+++ b/io/deploy/orderer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"math"
 	"net/http"
 	"net/netip"
@@ -16,6 +17,7 @@
 	"radishwell/core"
 	"radishwell/core/lease"
 	"radishwell/core/orphan"
+	"radishwell/io/awake"
 	"radishwell/io/driver"
 	"radishwell/io/events"
 	"radishwell/io/loop"
@@ -30,6 +32,8 @@
 	// such engines. If all did, all would read the lease and the agents' records from the
 	// store.
 	maxOrderers = 3
+	// agentPingTimeout bounds asking agents whether they respond.
+	agentPingTimeout = 500 * time.Millisecond
 )
 
 // orderer orders the engines in this entry's data centre that have no agent, that is, it has
@@ -48,6 +52,8 @@
 	// store. Only run and what it calls use them.
 	tracker orphan.Tracker
 	era     uint64
+	// answered are the engines whose agents have answered this entry when it asked them.
+	answered map[netip.AddrPort]bool
 }
 
 // orderedEngine is an engine that this entry orders.
@@ -74,7 +80,7 @@
 func (e *entry) buildOrderer() {
 	s := e.Settings
 	e.orderer = &orderer{
-		entry: e, driven: map[netip.AddrPort]*orderedEngine{},
+		entry: e, driven: map[netip.AddrPort]*orderedEngine{}, answered: map[netip.AddrPort]bool{},
 		lease: lease.Lease{
 			Host: s.Name, Incarnation: core.Incarnation(time.Now().UnixNano()), Kind: core.KindOrders, Name: string(s.DataCentre),
 			Term: orphan.LeaseTerm, Margin: orphan.LeaseMargin,
@@ -101,9 +107,15 @@
 		r.era = era
 		r.tracker.NoteRestore()
 	}
-	r.tracker.SetEngines(now, engines, r.entry.links.agentResponded)
+	maps.DeleteFunc(r.answered, func(address netip.AddrPort, _ bool) bool { return !slices.Contains(engines, address) })
+	responded := func(address netip.AddrPort) bool { return r.answered[address] || r.entry.links.agentResponded(address) }
+	r.tracker.SetEngines(now, engines, responded)
 	_, holdsLease := r.fence()
 	if r.eligible() && r.tracker.MustReadRecords(now, holdsLease) {
+		r.stopOrdering(r.tracker.WithoutAgent(now.Add(agentPingTimeout))) // the records read may expire meanwhile
+		r.pingAgents(ctx, r.tracker.Unresponsive(now))
+		now = bootTime()
+		r.tracker.SetEngines(now, engines, responded)
 		r.listAgents(ctx, now)
 	}
 	r.mu.Lock()
@@ -143,6 +155,27 @@
 	return before < maxOrderers
 }
 
+// pingAgents asks the agents of engines whether they respond. An entry that gets its reports from a relay
+// polls no agents itself, and their records may be lost or name another address of the engine.
+func (r *orderer) pingAgents(ctx context.Context, engines []netip.AddrPort) {
+	ctx, stop := awake.WithTimeout(ctx, agentPingTimeout)
+	defer stop()
+	answers := make(chan netip.AddrPort, len(engines))
+	for _, address := range engines {
+		go func() {
+			if r.entry.client.Ping(ctx, r.entry.links.agentTarget(address)) != nil {
+				address = netip.AddrPort{} // there may be no agent
+			}
+			answers <- address
+		}()
+	}
+	for range engines {
+		if address := <-answers; address.IsValid() {
+			r.answered[address] = true
+		}
+	}
+}
+
 // listAgents reads from the store which engines have agents.
 func (r *orderer) listAgents(ctx context.Context, now time.Time) {
 	all, err := r.entry.store.List(ctx, core.KindAgent)
