Count all versions in the platform's record when it was just read

What callers saw: a version comes back between five and ten minutes after its last host went. An entry begins a stream there and is lost; another, whose registry does not list the version yet, reads the platform's record, which names two versions, and goes on at the other one.

Cause: NoteRecorded leaves out a version that the entry has known and whose time is over, since the record names it until it is removed. That a later host has it again cannot be told from that.

Change: when one version is to be confirmed by a read, all that the record names count. What is removed from the record goes by the time as before.

Evidence: TestVersionThatCameBackIsTakenFromTheRecord failed before where the record has both, and passes now.

--- a/core/fleet/software.go
+++ b/core/fleet/software.go
@@ -43,6 +43,7 @@
 // known is that of hosts that had gone before it started.
 func (v *View) NoteRecorded(now time.Time, list []Software) {
 	v.init()
+	v.record = list
 	for _, s := range list {
 		if v.lists(s) {
 			v.recorded[s] = true
@@ -52,6 +53,17 @@
 	}
 }
 
+// RecordedVersions returns the versions of a service in the platform's record, as of the last read.
+// Among them may be one that has come back and is not listed yet.
+func (v *View) RecordedVersions(service core.ServiceName) (out []core.SoftwareVersion) {
+	for _, s := range v.record {
+		if s.Service == service {
+			out = append(out, s.Version)
+		}
+	}
+	return out
+}
+
 // IsRecorded reports whether the platform's record has the version of a listed host.
 func (v *View) IsRecorded(s Software) bool { return v.recorded[s] }
 
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -57,6 +57,8 @@
 	departures []Software
 	// recorded holds the versions of listed hosts that the platform's record has.
 	recorded map[Software]bool
+	// record holds all versions in the platform's record, as of the last read.
+	record []Software
 	// lastRelayReport is when the relay that forwards the agents' reports last sent one,
 	// zero if the agents report to this process directly.
 	lastRelayReport time.Time
--- a/io/proxy/origin.go
+++ b/io/proxy/origin.go
@@ -99,6 +99,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known.Versions = p.view.Versions(p.Clock.Now(), c.service.Name)
+	if known.Confirmed {
+		known.Versions = append(known.Versions, p.view.RecordedVersions(c.service.Name)...)
+		slices.Sort(known.Versions)
+		known.Versions = slices.Compact(known.Versions)
+	}
 	return known
 }
 
--- a/io/proxy/version_test.go
+++ b/io/proxy/version_test.go
@@ -307,3 +307,40 @@
 		assert.Assert(t, a.header.Get("Retry-After") != "")
 	})
 }
+
+// readRecord is the platform's record of software versions, which names some at each read.
+type readRecord struct {
+	*rig
+	versions []core.SoftwareVersion
+}
+
+func (readRecord) Add(context.Context, core.ServiceName, core.SoftwareVersion) bool { return true }
+func (readRecord) Loaded() bool                                                     { return true }
+
+// Refresh implements core.SoftwareRecord.
+func (s readRecord) Refresh(context.Context) bool {
+	var list []fleet.Software
+	for _, v := range s.versions {
+		list = append(list, fleet.Software{Service: "llm", Version: v})
+	}
+	s.Update(func(v *fleet.View, now time.Time) { v.NoteRecorded(now, list) })
+	return true
+}
+
+// Guards against a stream that goes on at another version, since its own has come back after its time and
+// this entry does not see it listed yet.
+func TestVersionThatCameBackIsTakenFromTheRecord(t *testing.T) {
+	for _, versions := range [][]core.SoftwareVersion{{"v1"}, {"v1", "v2"}} {
+		t.Run(fmt.Sprint("the record has ", versions), func(t *testing.T) {
+			r := newRig(t)
+			w := r.addVersion(t, "i-1", "v1", stand.NoFault)
+			r.Update(func(v *fleet.View, now time.Time) {
+				v.NoteDeparted(fleet.Software{Service: "llm", Version: "v2"}, now.Add(-time.Minute))
+			})
+			r.Software = readRecord{r, versions}
+			a := r.takeUp(t, "next", "first")
+			assert.Equal(t, w.Ran("next") == 1, len(versions) == 1)
+			assert.Equal(t, a.status == http.StatusOK, len(versions) == 1)
+		})
+	}
+}
