Continue streams at the service where they began only

What callers saw: a route for streams that may be resumed goes to two services, or a new routing table moves it from one to another.

Cause: only versions were compared, and the versions of the drawn service were taken for all at which the stream may have begun. Where each service had one version, records were not sent to other entries either.

Change: a host has to be of the stream's service.

--- a/core/fleet/software.go
+++ b/core/fleet/software.go
@@ -169,9 +169,9 @@
 	return false
 }
 
-// continues reports whether a host has the version that began a stream. Hosts whose versions
+// continues reports whether a host has the service and the version that began a stream. Hosts whose versions
 // are not known may differ, so among several versions only the run of the host that began it does
 // then.
 func (h *Host) continues(o *core.StreamOrigin, oneVersion bool) bool {
-	return h.Software == o.Software && (o.Software != "" || oneVersion || h.ID == o.Host && h.Born == o.Born)
+	return h.Service == o.Service && h.Software == o.Software && (o.Software != "" || oneVersion || h.ID == o.Host && h.Born == o.Born)
 }
--- a/core/rtable/table.go
+++ b/core/rtable/table.go
@@ -146,6 +146,8 @@
 	// keys and byName index the customers. keys is nil if callers need no keys.
 	keys   map[core.KeyDigest]*Customer
 	byName map[core.OwnerName]*Customer
+	// split are the services of routes whose streams may be resumed and that go to several.
+	split map[core.ServiceName]bool
 	// ranks are the combined urgencies of customers and routes.
 	ranks ranks
 }
@@ -176,7 +178,7 @@
 	t := &Table{
 		Version: version, Limits: limits,
 		Services: make(map[core.ServiceName]*Service, len(services)), hosts: map[string][]*Route{},
-		count: len(routes),
+		count: len(routes), split: map[core.ServiceName]bool{},
 	}
 	for _, s := range services {
 		t.Services[s.Name] = s
@@ -187,6 +189,9 @@
 		}
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
+		if len(r.Shares) > 1 && r.resumesStreams() {
+			t.addServices(t.split, r)
+		}
 	}
 	for _, list := range t.hosts {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
@@ -198,6 +203,35 @@
 	return t, nil
 }
 
+func (r *Route) resumesStreams() bool { return r.Kind == Stream && r.Resumable }
+
+// addServices adds the services of a route to a set.
+func (t *Table) addServices(to map[core.ServiceName]bool, r *Route) {
+	for _, s := range r.Shares {
+		to[s.Service] = true
+	}
+}
+
+// IsSplit reports whether a route whose streams may be resumed goes to a service and to others.
+func (t *Table) IsSplit(s core.ServiceName) bool { return t.split[s] }
+
+// Moved returns the services, in this table and in an earlier one, of the routes whose streams may be
+// resumed and that go to other services than there.
+func (t *Table) Moved(from *Table) map[core.ServiceName]bool {
+	out := map[core.ServiceName]bool{}
+	for host, list := range t.hosts {
+		for _, r := range list {
+			before := from.Match(host, r.Prefix)
+			if !r.resumesStreams() || before == nil || slices.EqualFunc(before.Shares, r.Shares, func(a, b Share) bool { return a.Service == b.Service }) {
+				continue
+			}
+			t.addServices(out, before)
+			t.addServices(out, r)
+		}
+	}
+	return out
+}
+
 func (t *Table) check(r *Route) error {
 	switch {
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
--- a/io/proxy/origin.go
+++ b/io/proxy/origin.go
@@ -36,6 +36,7 @@
 	p.mu.Lock()
 	now := p.Clock.Now()
 	versions := p.view.Versions(now, c.service.Name)
+	mixed := slices.ContainsFunc(c.route.Shares, func(s rtable.Share) bool { return p.isMixed(now, s.Service) })
 	found, ok := p.origins.Find(now, origin.KeyOf(c.ask.FirstAttempt))
 	p.mu.Unlock()
 	if ok && c.ask.FirstAttempt != "" {
@@ -43,7 +44,10 @@
 		return nil
 	}
 	known := origin.Known{Versions: versions, Confirmed: !stale, Loaded: true}
-	if p.Software != nil {
+	switch {
+	case mixed: // the versions of one service tell nothing
+		known = origin.Known{}
+	case p.Software != nil:
 		known = c.refreshVersions(ctx, known)
 	}
 	if version, ok := known.Single(); ok {
@@ -58,7 +62,7 @@
 		c.continueAt(asked.Origin)
 		return nil
 	}
-	if version, ok := known.Join(asked); ok {
+	if version, ok := known.Join(asked); ok && !mixed {
 		c.continueAt(core.StreamOrigin{Service: c.service.Name, Software: version})
 		return nil
 	}
@@ -90,6 +94,31 @@
 	return saved
 }
 
+// noteMoved records that routes have moved to or from some services. The caller holds mu.
+func (p *Proxy) noteMoved(services map[core.ServiceName]bool) {
+	if p.movedUntil == nil {
+		p.movedUntil = map[core.ServiceName]time.Time{}
+	}
+	for s := range services {
+		p.movedUntil[s] = p.Clock.Now().Add(fleet.SoftwareTTL)
+	}
+	if len(services) > 0 && p.Origins != nil {
+		p.Origins.Share()
+	}
+}
+
+// isMixed reports whether a stream of a route that goes to a service may have begun at another one. The
+// caller holds mu.
+func (p *Proxy) isMixed(now time.Time, s core.ServiceName) bool {
+	return p.keeper.Table().IsSplit(s) || now.Before(p.movedUntil[s])
+}
+
+// differs reports whether a stream of a service does not go on at each host that its caller's next attempt
+// may be sent to, so that other entries have to know where it began. The caller holds mu.
+func (p *Proxy) differs(now time.Time, s core.ServiceName) bool {
+	return p.isMixed(now, s) || p.view.HasSeveralVersions(now, s)
+}
+
 // refreshVersions confirms a single version by the platform's record, since another entry may have
 // begun the stream at a version that this one has not seen listed.
 func (c *call) refreshVersions(ctx context.Context, known origin.Known) origin.Known {
@@ -177,7 +206,7 @@
 	now := p.Clock.Now()
 	until := core.Later(c.deadline, core.Later(c.ask.Deadline, now.Add(minOriginTime)))
 	p.origins.PutOwn(now, origin.Record{Key: origin.KeyOf(attempt), Origin: c.origin, Until: until.Add(originMargin)})
-	if p.Origins != nil && p.view.HasSeveralVersions(now, t.origin.Service) {
+	if p.Origins != nil && p.differs(now, t.origin.Service) {
 		p.Origins.Share()
 	}
 }
@@ -216,7 +245,7 @@
 }
 
 // TakeUnsharedOrigins returns the records of where streams began at this entry that other
-// entries have not been told, of the services that have several software versions.
+// entries have not been told, of the services whose streams may have begun at different hosts.
 func (p *Proxy) TakeUnsharedOrigins() []origin.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -224,7 +253,7 @@
 	several := map[core.ServiceName]bool{}
 	return p.origins.TakeUnshared(now, func(s core.ServiceName) bool {
 		if _, known := several[s]; !known {
-			several[s] = p.view.HasSeveralVersions(now, s)
+			several[s] = p.differs(now, s)
 		}
 		return several[s]
 	})
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -109,6 +109,9 @@
 	// origins has the records of where streams began: those of this entry and those that it
 	// holds for others.
 	origins origin.Table
+	// movedUntil is until when streams may be in progress that began before a route was moved to or
+	// from a service.
+	movedUntil map[core.ServiceName]time.Time
 	waitingRoom
 	// loaderSeen is when an agent or entry that can order loads of models was last
 	// known.
@@ -173,9 +176,13 @@
 func (p *Proxy) Offer(t *rtable.Table) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := p.keeper.Table()
 	if !p.keeper.Offer(t) {
 		return
 	}
+	if before != nil {
+		p.noteMoved(t.Moved(before))
+	}
 	events.Log(events.TableInForce, "version", t.Version, "routes", t.Len())
 	p.wake()
 }
