Take no empty unframed stream for whole on routes that are not resumed

What callers saw: on a route whose streams may not be resumed, a request with a Last-Event-Id got status 200 and no event when its upstream closed the connection after the head of an answer without framing. Without that field it gets 502, as nothing may be whole there but a stream with events.

Cause: the field was taken for a take-up, which may find nothing left to send. On such routes it names nothing.

Evidence: the new case of TestBrokenUnframedAnswerIsReset failed before and passes now.

--- a/io/proxy/ending_test.go
+++ b/io/proxy/ending_test.go
@@ -152,6 +152,13 @@
 		r.addStream(t, "i-1", true, stand.EndsAfterEvent).Events = 1
 		wantStatus(t, do(t, r.askStream(t, "/stream/x", "q")), http.StatusBadGateway)
 	})
+	t.Run("a stream before its first event, whose caller names one", func(t *testing.T) {
+		r := newRig(t)
+		r.addStream(t, "i-1", true, stand.EndsAfterEvent).Events = 1
+		req := r.askStream(t, "/stream/x", "q")
+		req.Header.Set("Last-Event-Id", "4")
+		wantStatus(t, do(t, req), http.StatusBadGateway)
+	})
 	t.Run("a whole answer", func(t *testing.T) {
 		r := newRig(t)
 		w := plain(t, r, "p-1")[0]
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -112,7 +112,7 @@
 func (c *call) endStream(ctx context.Context, t *target, resp *http.Response, rest []byte) error {
 	var end stream.Position
 	end.Add(rest)
-	empty := c.lastEventID == "" && !c.started
+	empty := !c.started && (c.lastEventID == "" || !c.route.Resumable)
 	if end.InsideEvent() || empty && c.framing == core.Unframed {
 		return &UnfinishedError{Bytes: len(rest)}
 	}
