--- a/core/stream/document.go
+++ b/core/stream/document.go
@@ -1,7 +1,5 @@
 package stream
 
-import "bytes"
-
 // Document is a place in a JSON document that is read in parts. The zero value is its beginning.
 type Document struct {
 	// depth is the number of objects and arrays that are open.
@@ -27,7 +25,7 @@
 		case b == '}' || b == ']':
 			d.depth--
 		}
-		if bytes.IndexByte([]byte(" \t\r\n"), b) < 0 {
+		if b != ' ' && b != '\t' && b != '\r' && b != '\n' {
 			d.last = b
 		}
 	}
--- a/io/agent/tail.go
+++ b/io/agent/tail.go
@@ -30,7 +30,8 @@
 	// isDocument is set if the answer is a JSON object, and document where it has been read to.
 	isDocument bool
 	document   stream.Document
-	// events is set if the answer is a stream, and position where its events have been read to.
+	// events is set if the answer is a stream of a plain service, and position where its
+	// events have been read to.
 	events   bool
 	position stream.Position
 }
@@ -46,7 +47,7 @@
 		if plain {
 			return tail{events: true}
 		}
-		return tail{events: true, want: doneMark}
+		return tail{want: doneMark}
 	case kind == "application/json" && !plain:
 		return tail{isDocument: true}
 	}
@@ -78,17 +79,23 @@
 		return &UnfinishedError{Want: "the end of its last event"}
 	case t.isDocument && !t.document.ObjectEnds():
 		return &UnfinishedError{Want: "the end of its object"}
-	case t.endsWithMark():
-		return nil
+	case t.want != "" && !t.endsWithMark():
+		return &UnfinishedError{Want: t.want}
 	}
-	return &UnfinishedError{Want: t.want}
+	return nil
 }
 
-// endsWithMark reports whether the last line that is not blank is the one that is wanted. The text of
-// a line before may contain it.
+// endsWithMark reports whether the last event is the one that is wanted, to its blank line. The text
+// of an event may contain it, but no line end.
 func (t *tail) endsWithMark() bool {
-	rest, ok := bytes.CutSuffix(bytes.TrimSpace(t.last), []byte(t.want))
-	return ok && (t.want == "" || len(rest) == 0 || bytes.HasSuffix(rest, []byte("\n")) || bytes.HasSuffix(rest, []byte("\r")))
+	at := bytes.LastIndex(t.last, []byte(t.want))
+	if at < 0 || at > 0 && t.last[at-1] != '\n' && t.last[at-1] != '\r' {
+		return false
+	}
+	var end stream.Position
+	end.Add(t.last[at:])
+	rest := bytes.TrimSpace(t.last[at+len(t.want):])
+	return len(rest) == 0 && !end.InsideEvent()
 }
 
 // UnfinishedError reports an answer that ended without its format's terminator.
