Move no stream after an event whose ID cannot be sent in a field

What callers saw: a resumable stream breaks off after an event whose ID has a control character. Its answer stays open until the route's time is over, with another host free, and sound hosts count as ones that cannot be reached.

Cause: the ID goes to the next host as Last-Event-Id, which net/http refuses to send, so each attempt counts as not sent. Found by FuzzUpstreamAnswer.

Change: such an event counts as one without an ID, after which a stream does not move: its caller sees a broken answer at once.

Evidence: the new case of TestStreamGoesOnOnlyAfterAnID failed before and passes now.

--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -8,7 +8,9 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
+	"unicode"
 
 	"radishwell/core"
 	"radishwell/core/fleet"
@@ -126,10 +128,11 @@
 	return c.write(rest)
 }
 
-// noteEventID records the id of an event that was forwarded, empty if it has none.
+// noteEventID records the id of an event that was forwarded, empty if it has none. One that cannot be sent in a
+// header field tells another host nothing either.
 func (c *call) noteEventID(id string) {
-	c.unnamed = id == ""
-	if id != "" {
+	c.unnamed = id == "" || strings.ContainsFunc(id, unicode.IsControl)
+	if !c.unnamed {
 		c.lastEventID = id
 	}
 	if c.watched != nil {
--- a/io/proxy/takeup_test.go
+++ b/io/proxy/takeup_test.go
@@ -141,9 +141,10 @@
 func TestStreamGoesOnOnlyAfterAnID(t *testing.T) {
 	const id4 = "id: 4\ndata: event 4\n\n"
 	for name, beginning := range map[string]string{
-		"no event had an id":       "data: a\n\ndata: b\n\n",
-		"the last event had none":  eventsOf(4) + "data: a\n\n",
-		"the last events had none": eventsOf(4) + "data: a\n\nevent: b\n\n",
+		"no event had an id":        "data: a\n\ndata: b\n\n",
+		"the last event had none":   eventsOf(4) + "data: a\n\n",
+		"the last events had none":  eventsOf(4) + "data: a\n\nevent: b\n\n",
+		"the last id fits no field": eventsOf(4) + "id: 5\x01\ndata: a\n\n",
 	} {
 		t.Run("not where "+name, func(t *testing.T) {
 			r := newRig(t)
