Limit the weight store's loads over planners that follow each other

What operators saw: all entries and agents lose power while models' copies are missing.

Cause: the planner kept the moments of its loads in memory, and its successor began with none, after a restart, a change of planner or a loss of all.

Change: a token bucket of nine tenths of the store's rate with room for three loads, which is empty when an entry begins to plan. All planners in a row fill one bucket, so the bound holds whoever plans.

--- a/core/copies/place.go
+++ b/core/copies/place.go
@@ -135,7 +135,9 @@
 	}
 	if best.from == core.TierStore {
 		w.storeLoads++
-		w.storeStarts = append(w.storeStarts, w.now)
+		if rate := w.service.LoadsPerSecond; rate > 0 {
+			w.budget.take(w.now, storeInterval(rate))
+		}
 	}
 }
 
@@ -200,7 +202,7 @@
 		return false
 	}
 	rate := w.service.LoadsPerSecond
-	return rate <= 0 || float64(len(w.storeStarts)+1) <= max(1, rate*storeWindow.Seconds()*storeShare)
+	return rate <= 0 || w.budget.any(w.now, storeInterval(rate))
 }
 
 // mayUseStore reports whether a model is worth a load from the weight store. Models without
--- a/core/copies/plan.go
+++ b/core/copies/plan.go
@@ -46,11 +46,6 @@
 	// deliveryTime is the longest time that a move takes to reach its agent on a healthy
 	// network.
 	deliveryTime = 100 * time.Millisecond
-	// storeShare is the fraction of the weight store's rate that is used, since hosts that
-	// this process cannot see use the store too.
-	storeShare = 0.9
-	// storeWindow is the window over which that rate is measured.
-	storeWindow = 5 * time.Second
 	// minHoldTime is how long a new copy is exempt from eviction, so that the requests that
 	// waited for it have started. A longer time would block models that other callers wait
 	// for.
@@ -177,11 +172,14 @@
 	// Parallel is the assumed number of loads that the weight store serves at once at full
 	// speed until one has been measured.
 	Parallel int
+	// Since is when this process last became the planner, zero if it has no predecessors. They
+	// may have ordered all loads that the weight store allowed until then.
+	Since time.Time
 
 	width Width
 
-	moves       map[core.HostName]Move
-	storeStarts []time.Time
+	moves  map[core.HostName]Move
+	budget storeBudget
 	// since is when each copy was first seen.
 	since map[copyKey]time.Time
 	ready map[core.ModelName]time.Time
@@ -247,6 +245,9 @@
 // Plan returns the moves to make now. It is deterministic: equal inputs give equal moves.
 func (p *Planner) Plan(now time.Time, s *rtable.Service, hosts []*Host, demand map[core.ModelName]Demand) []Move {
 	p.expireMoves(now, hosts)
+	if rate := s.LoadsPerSecond; rate > 0 {
+		p.budget.empty(p.Since, storeInterval(rate))
+	}
 	p.noteCopies(now, hosts)
 	p.width.First = float64(p.Parallel)
 	p.width.Note(now, hosts, func(m core.ModelName) time.Duration { return s.Models[m].Load })
@@ -298,7 +299,6 @@
 			delete(p.moves, id)
 		}
 	}
-	p.storeStarts = slices.DeleteFunc(p.storeStarts, func(at time.Time) bool { return now.Sub(at) >= storeWindow })
 }
 
 // recordWaits records whether any requests wait, and since when they have waited for models
--- a/io/deploy/planner.go
+++ b/io/deploy/planner.go
@@ -53,7 +53,9 @@
 	reported map[string]reportedDemand
 	// leading is set while this entry plans.
 	leading bool
-	saved   savedDemand
+	// since is when it last began to plan.
+	since time.Time
+	saved savedDemand
 }
 
 // start initialises the planner. It is called before all other methods.
@@ -114,7 +116,7 @@
 	if len(followers)+len(others) > 0 {
 		p.entry.proxy.NoteLoader()
 	}
-	p.setLeading(len(followers) > 0)
+	p.setLeading(now, len(followers) > 0)
 	if len(followers) > 0 {
 		p.plan(ctx, now, followers)
 		return
@@ -127,7 +129,7 @@
 // wait, it reports the demand to the relays at once.
 func (p *planner) decideWithRelays(ctx context.Context, now time.Time) {
 	plans := p.entry.feed.CurrentPlanner().Name == p.entry.Settings.Name
-	p.setLeading(plans)
+	p.setLeading(now, plans)
 	if p.entry.feed.HasFollowers(reportTimeout) {
 		p.entry.proxy.NoteLoader()
 	}
@@ -172,13 +174,14 @@
 }
 
 // setLeading records whether this entry plans.
-func (p *planner) setLeading(now bool) {
+func (p *planner) setLeading(now time.Time, leads bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now && !p.leading {
+	if leads && !p.leading {
+		p.since = now
 		events.Log(events.PlannerChanged, "planner", p.entry.Settings.Name)
 	}
-	p.leading = now
+	p.leading = leads
 }
 
 // totalDemand returns the sum of the demands of all entries.
@@ -230,6 +233,7 @@
 			c.AdoptWidth(p.saved.width)
 			p.services[s.Name] = c
 		}
+		c.Since = p.since
 		moves := c.Plan(now, s, hosts, demand)
 		for name := range s.Models {
 			if at, ok := c.Ready(name); ok {
