--- a/io/deploy/origlog.go
+++ b/io/deploy/origlog.go
@@ -49,7 +49,7 @@
 	log origin.Log
 	// loaded is set once the versions of this entry's objects are known.
 	loaded bool
-	// reads are ended with the next read. reading is when the read in progress began, zero if there is
+	// reads are callers that wait for the next read. reading is when the read in progress began, zero if there is
 	// none, and readAt when the last that succeeded did.
 	reads           []chan bool
 	reading, readAt time.Time
@@ -250,14 +250,14 @@
 			own[place] = o.Version
 		}
 	}
-	l.endRead(began)
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.found = found
 	if !l.loaded {
 		l.log.Load(own)
 		l.loaded = true
 	}
+	l.mu.Unlock()
+	l.endRead(began)
 	return list.Objects, true
 }
 
