Join versions of streams in one place, and have routes add their own services

Known.Add is what Join and the read of the platform's record both did; the services of a route are added by the route, since the table had no part in it. Behaviour stays.

--- a/core/origin/known.go
+++ b/core/origin/known.go
@@ -26,11 +26,16 @@
 	return k.Versions[0], true
 }
 
+// Add adds versions at which the stream may have begun.
+func (k *Known) Add(versions []core.SoftwareVersion) {
+	k.Versions = slices.Compact(slices.Sorted(slices.Values(slices.Concat(k.Versions, versions))))
+}
+
 // Join returns the version at which the stream began if only one is possible, with what others have
 // answered that have no record either. If the platform cannot be read, the answer of another entry
 // confirms the versions, and the agents' records tell those that both do not see listed yet.
 func (k Known) Join(asked core.OriginAnswer) (core.SoftwareVersion, bool) {
-	k.Versions = slices.Compact(slices.Sorted(slices.Values(slices.Concat(k.Versions, asked.Versions))))
+	k.Add(asked.Versions)
 	k.Confirmed = asked.Answered && (k.Loaded || asked.Recorded)
 	return k.Single()
 }
--- a/core/rtable/table.go
+++ b/core/rtable/table.go
@@ -190,7 +190,7 @@
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
 		if len(r.Shares) > 1 && r.resumesStreams() {
-			t.addServices(t.split, r)
+			r.addServices(t.split)
 		}
 	}
 	for _, list := range t.hosts {
@@ -205,8 +205,8 @@
 
 func (r *Route) resumesStreams() bool { return r.Kind == Stream && r.Resumable }
 
-// addServices adds the services of a route to a set.
-func (t *Table) addServices(to map[core.ServiceName]bool, r *Route) {
+// addServices adds the services of the route to a set.
+func (r *Route) addServices(to map[core.ServiceName]bool) {
 	for _, s := range r.Shares {
 		to[s.Service] = true
 	}
@@ -225,8 +225,8 @@
 			if !r.resumesStreams() || before == nil || slices.EqualFunc(before.Shares, r.Shares, func(a, b Share) bool { return a.Service == b.Service }) {
 				continue
 			}
-			t.addServices(out, before)
-			t.addServices(out, r)
+			before.addServices(out)
+			r.addServices(out)
 		}
 	}
 	return out
--- a/io/proxy/origin.go
+++ b/io/proxy/origin.go
@@ -129,9 +129,7 @@
 	defer p.mu.Unlock()
 	known.Versions = p.view.Versions(p.Clock.Now(), c.service.Name)
 	if known.Confirmed {
-		known.Versions = append(known.Versions, p.view.RecordedVersions(c.service.Name)...)
-		slices.Sort(known.Versions)
-		known.Versions = slices.Compact(known.Versions)
+		known.Add(p.view.RecordedVersions(c.service.Name))
 	}
 	return known
 }
