Send no retry that was taken before a standstill

Cause: an entry that stands still between taking a retry from the budget and writing it, for longer than half of the span, sends it after the windows that the retry was paid from. One that was lent is not counted by its lender then either.

Fix: a retry is sent within the time of a loan after it was taken, or before the loan ends.

--- a/core/retry/loan.go
+++ b/core/retry/loan.go
@@ -34,6 +34,9 @@
 	return true
 }
 
+// Until returns when the loan ends.
+func (l *Loans) Until() time.Time { return l.until }
+
 // Ask returns for how many retries to ask another process now, zero if this one is not to ask.
 func (l *Loans) Ask(now time.Time) int {
 	if now.Before(l.askAgain) {
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -63,7 +63,11 @@
 		} else {
 			c.release(t)
 		}
-		c.recordEnd(t, func(h *fleet.Host, now time.Time) { c.recordFailure(ctx, h, now, sent) })
+		c.recordEnd(t, func(h *fleet.Host, now time.Time) {
+			if !isLate(err) {
+				c.recordFailure(ctx, h, now, sent)
+			}
+		})
 		c.noteError(ctx, t, sent, err)
 		return outcome{sent: sent, cause: causeOf(ctx, err)}
 	}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -80,8 +80,10 @@
 	// sends counts the hosts that received any part of the request, ran those that may
 	// have run it.
 	sends, ran int
-	// retry is what the present send of the request is taken from.
-	retry retrySource
+	// retry is what the present send of the request is taken from, and retryBy the time by which it has
+	// to be sent then.
+	retry   retrySource
+	retryBy time.Time
 	// unread are the sends that may be read yet, and held counts the retries that are held for them.
 	unread []retry.Unread
 	held   int
--- a/io/proxy/late_test.go
+++ b/io/proxy/late_test.go
@@ -5,11 +5,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"radishwell/core"
 	"radishwell/core/fleet"
 	"radishwell/platform/stand"
 )
@@ -82,3 +84,38 @@
 	}
 	return n
 }
+
+// suspendedProtocol has its process stand still while the header of the second send is made, which is after
+// that was taken from the retry budget.
+type suspendedProtocol struct {
+	core.Protocol
+	sends   atomic.Int64
+	suspend func()
+}
+
+func (p *suspendedProtocol) ForwardHeader(header map[string][]string, hop core.Hop) map[string][]string {
+	if p.sends.Add(1) == 2 {
+		p.suspend()
+	}
+	return p.Protocol.ForwardHeader(header, hop)
+}
+
+// steppedClock is a clock that a test moves forward.
+type steppedClock struct{ offset atomic.Int64 }
+
+func (c *steppedClock) Now() time.Time { return time.Now().Add(time.Duration(c.offset.Load())) }
+
+// Guards against retries that are sent when they count in no window any more, since their entry stood still
+// between taking and sending them.
+func TestRetryTakenBeforeStandstillIsNotSent(t *testing.T) {
+	clock := &steppedClock{}
+	r := newRig(t)
+	r.Clock = clock
+	r.Protocol = &suspendedProtocol{Protocol: r.Protocol, suspend: func() { clock.offset.Store(int64(8 * time.Second)) }}
+	hosts := plain(t, r, "p-1", "p-2")
+	for _, w := range hosts {
+		w.SetFault(stand.Shed)
+	}
+	do(t, r.ask(t, http.MethodGet, "/again/x", "q", "X-Radishwell-Deadline-Ms", "2000"))
+	assert.Equal(t, len(hosts[0].Requests())+len(hosts[1].Requests()), 1)
+}
--- a/io/proxy/repeat.go
+++ b/io/proxy/repeat.go
@@ -46,6 +46,15 @@
 	return noRetry
 }
 
+// sendBy returns the time by which a retry that is taken now has to be sent, so that it arrives in the
+// windows in which it counts.
+func (b *retryBudget) sendBy(now time.Time, from retrySource) time.Time {
+	if from == lentRetry {
+		return b.loans.Until()
+	}
+	return now.Add(retry.LoanTime(b.window.Span))
+}
+
 // budget returns the retry budget of a service, without retries whose hosts have read them by now. The
 // caller holds mu.
 func (p *Proxy) budget(s core.ServiceName) *retryBudget {
@@ -108,6 +117,7 @@
 		p.borrow(ctx, c.service.Name, b)
 		c.retry = b.take(p.Clock.Now())
 	}
+	c.retryBy = b.sendBy(p.Clock.Now(), c.retry)
 	c.noteRetry(p.Clock.Now(), b, c.retry != noRetry)
 	return c.retry != noRetry
 }
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -50,15 +51,53 @@
 		Control: objapi.LimitUnacked,
 	}
 	u.transport = &http.Transport{
-		DialContext: u.dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+		DialContext: u.dial, DisableKeepAlives: true, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHeader,
 	}
 }
 
+func (u *upstreams) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := u.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &timedConn{Conn: conn}, nil
+}
+
+// LateError reports a retry that was not sent, since this process stood still after it was taken from the
+// retry budget: the upstream would receive it in a window in which it does not count.
+type LateError struct{}
+
+// Error implements error.
+func (*LateError) Error() string { return "the retry was not sent in time" }
+
+// timedConn is a connection on which nothing is sent unless it begins in time.
+type timedConn struct {
+	net.Conn
+	clock core.Clock
+	// by is the time by which the first bytes are sent, zero if there is none.
+	by    time.Time
+	begun bool
+}
+
+// Write implements net.Conn.
+func (c *timedConn) Write(b []byte) (int, error) {
+	if !c.begun && !c.by.IsZero() && c.clock.Now().After(c.by) {
+		return 0, &LateError{}
+	}
+	c.begun = true
+	return c.Conn.Write(b)
+}
+
 // send sends the request to a host and returns the header of its answer. sent reports
 // whether the host may have received any of the request.
 func (u *upstreams) send(ctx context.Context, c *call, t *target, lastEventID string) (resp *http.Response, sent bool, err error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		sent = true
+		if conn, ok := info.Conn.(*timedConn); ok && c.retry != noRetry {
+			conn.clock, conn.by = c.proxy.Clock, c.retryBy
+		}
+	}}
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	hop := core.Hop{Incarnation: t.id, Remaining: c.deadline.Sub(c.proxy.Clock.Now()), Priority: c.rank, LastEventID: lastEventID}
 	if c.customer != nil {
@@ -77,5 +116,10 @@
 		req.ContentLength = int64(len(c.body))
 	}
 	resp, err = u.transport.RoundTrip(req)
-	return resp, sent, err
+	return resp, sent && !isLate(err), err
+}
+
+func isLate(err error) bool {
+	var late *LateError
+	return errors.As(err, &late)
 }
