Give no spare retries to entries that join after a restore of the store

What callers saw: nothing; the parts of the spare retries could be more than the whole (BUDGET).

Cause: an entry that joins divides by the entries that the store lists. After a restore from a copy the list may lack one that joined after the copy and has been cut off since, which goes on with its own part for 30 s.

Fix: an entry whose first list is from a restored store has no part for 60 s, as one that others do not answer; until then those that it cannot know have stopped or are listed again. A store that was never restored costs nothing.

--- a/core/retry/entry_test.go
+++ b/core/retry/entry_test.go
@@ -73,7 +73,7 @@
 	for _, n := range listed {
 		w.share.Count(entryName(n))
 	}
-	w.share.List(now)
+	w.share.List(now, false)
 	for n, other := range others {
 		other.(*windowBudget).share.Count(w.share.Self)
 		w.share.Confirm(entryName(n))
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -26,6 +26,8 @@
 	// listed is when the list of the processes last had no newer change, and joined when that was
 	// first so and the list had this process; zero before.
 	listed, joined time.Time
+	// incomplete is set if the first list may have lacked processes.
+	incomplete bool
 }
 
 // Count counts another process, whoever named it.
@@ -42,10 +44,11 @@
 }
 
 // List records that all processes that had joined by the given time are counted, this one among
-// them.
-func (s *Share) List(at time.Time) {
+// them. If the list was ever restored from a copy, it may lack processes that joined after the copy and
+// have been out of touch since.
+func (s *Share) List(at time.Time, restored bool) {
 	if s.joined.IsZero() {
-		s.joined = at
+		s.joined, s.incomplete = at, restored
 	}
 	s.listed = core.Later(s.listed, at)
 }
@@ -74,7 +77,7 @@
 	switch {
 	case s.joined.IsZero(), now.Sub(s.listed) > MaxAge:
 		return 0
-	case now.Sub(s.joined) <= joinTime && len(s.Uncounted()) > 0:
+	case now.Sub(s.joined) <= joinTime && (s.incomplete || len(s.Uncounted()) > 0):
 		return 0
 	}
 	return s.Whole / float64(len(s.others)+1)
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -25,7 +25,7 @@
 func TestPart(t *testing.T) {
 	s := newShare("a", "a", "b", "c", "")
 	assert.Equal(t, s.Part(t0), 0.0, "it may not be in the list")
-	s.List(t0)
+	s.List(t0, false)
 	assert.Equal(t, s.Part(t0), 0.0, "no other counts it")
 	s.Confirm("b")
 	assert.DeepEqual(t, s.Uncounted(), []core.HostName{"c"})
@@ -43,21 +43,21 @@
 func TestOldListGivesNoPart(t *testing.T) {
 	s := newShare("a", "b")
 	s.Confirm("b")
-	s.List(t0)
+	s.List(t0, false)
 	assert.Equal(t, s.Part(t0.Add(share.MaxAge)), 30.0)
 	assert.Equal(t, s.Part(t0.Add(share.MaxAge+1)), 0.0)
-	s.List(t0.Add(-time.Second))
+	s.List(t0.Add(-time.Second), false)
 	assert.Equal(t, s.Part(t0.Add(share.MaxAge+1)), 0.0, "an older list")
-	s.List(t0.Add(time.Minute))
+	s.List(t0.Add(time.Minute), false)
 	assert.Equal(t, s.Part(t0.Add(time.Minute)), 30.0)
 }
 
 // Guards against a process that is gone for good and keeps those that start later from their parts.
 func TestGoneProcessDelaysPart(t *testing.T) {
 	s := newShare("a", "gone")
-	s.List(t0)
+	s.List(t0, false)
 	at := t0.Add(2 * share.MaxAge)
-	s.List(at)
+	s.List(at, false)
 	assert.Equal(t, s.Part(at), 0.0)
 	assert.Equal(t, s.Part(at.Add(1)), 30.0)
 }
@@ -73,7 +73,7 @@
 		sum := 0.0
 		for _, self := range names {
 			s := newShare(self, names...)
-			s.List(t0)
+			s.List(t0, false)
 			for _, other := range names {
 				s.Confirm(other)
 			}
--- a/io/deploy/spare.go
+++ b/io/deploy/spare.go
@@ -72,7 +72,7 @@
 		s.share.Count(name)
 	}
 	if listed && status.Confirmed {
-		s.share.List(status.FreshAt)
+		s.share.List(status.FreshAt, e.storeEra() > 0)
 	}
 	var ask []peer.Target
 	for _, name := range s.share.Uncounted() {
