Count no confirmation from before an entry is in the list

What callers saw: nothing; the parts of the spare retries could be more than the whole (BUDGET).

Cause: an entry that starts asks others to count it as soon as it knows them. One that does and then ends has a successor of the same name, which reads the store's list before the asker's record is in it, and takes itself for the only one, while the asker goes by the word of the predecessor.

Fix: entries are asked once the asker's record is in the list, which a successor then reads. Earlier confirmations do not count. TestOldListGivesNoPart confirms after the list for that reason; it checks what it did.

TestConfirmationBeforeListDoesNotCount failed before.

--- a/core/share/share.go
+++ b/core/share/share.go
@@ -53,15 +53,20 @@
 	s.listed = core.Later(s.listed, at)
 }
 
-// Confirm records that another process counts this one.
+// Confirm records that another process, asked since this one is in the list, counts it. What it was asked
+// before is not known to a successor, which learns of this one from the list.
 func (s *Share) Confirm(other core.HostName) {
-	if _, ok := s.others[other]; ok {
+	if _, ok := s.others[other]; ok && !s.joined.IsZero() {
 		s.others[other] = true
 	}
 }
 
-// Uncounted returns the processes that are not known to count this one, in no particular order.
+// Uncounted returns the processes that are to be asked to count this one, in no particular order; none
+// before this one is in the list.
 func (s *Share) Uncounted() []core.HostName {
+	if s.joined.IsZero() {
+		return nil
+	}
 	var out []core.HostName
 	for name, counts := range s.others {
 		if !counts {
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -38,12 +38,25 @@
 	assert.Equal(t, s.Part(t0), 15.0, "one that it does not know")
 }
 
+// Guards against a part that rests on the word of a process that has ended: its successor reads the list
+// before the asker's name is in it.
+func TestConfirmationBeforeListDoesNotCount(t *testing.T) {
+	s := newShare("a", "b")
+	assert.Equal(t, len(s.Uncounted()), 0)
+	s.Confirm("b")
+	s.List(t0, false)
+	assert.Equal(t, s.Part(t0), 0.0)
+	assert.DeepEqual(t, s.Uncounted(), []core.HostName{"b"})
+	s.Confirm("b")
+	assert.Equal(t, s.Part(t0), 30.0)
+}
+
 // Guards against a process that has lost touch and uses a part of a whole that others have divided
 // anew.
 func TestOldListGivesNoPart(t *testing.T) {
 	s := newShare("a", "b")
-	s.Confirm("b")
 	s.List(t0, false)
+	s.Confirm("b")
 	assert.Equal(t, s.Part(t0.Add(share.MaxAge)), 30.0)
 	assert.Equal(t, s.Part(t0.Add(share.MaxAge+1)), 0.0)
 	s.List(t0.Add(-time.Second), false)
