Read each object of the store by itself

What callers saw: one registry entry of another writer, nested 9,997 levels deep, kept each starting entry from getting ready; those that ran went on with the old list, so hosts registered later got no requests and removed ones did.

Cause: a page of the store, and a response with changes, was decoded as a whole. encoding/json gives a text up that is nested more than 10,000 levels deep in any place, and a number out of range in one object's metadata or an object without a name ended the poll for changes, which then asked for the same again. A page none of whose objects could be read was asked for without end.

An object whose name or revision cannot be read is left out and logged.

--- a/io/deploy/process.go
+++ b/io/deploy/process.go
@@ -83,6 +83,9 @@
 		Address: p.Settings.Platform.URLs[0].Addr, Client: &http.Client{Transport: objapi.Transport(nil)},
 		WatchWaits: map[core.Kind]time.Duration{core.KindEntry: recordWatchWait},
 		OnEra:      func(era uint64) { events.Log(events.StoreRestored, "era", era) },
+		OnUnreadable: func(kind core.Kind, err error) {
+			events.Fail(events.RegistryEntryUnusable, err, "kind", kind)
+		},
 	}
 	p.client = &peer.Client{
 		OnCall:   p.meter.Peer,
