Confirm a single version only in touch with the greater part of the fleet

Cause: where the store cannot be read, one answer of any entry confirmed that there is one version, and an entry that knows no others counted as having its own. What is known of versions is as old as the cut then, and who is cut off together knows no more than each.

Fix: the answers confirm the version if they come from the greater part of the entries and of the agents that are asked, those that have just not answered among them; without agents all entries have to answer. While the store is out for all, streams of one version go on as before.

--- a/core/origin.go
+++ b/core/origin.go
@@ -53,8 +53,8 @@
 	Versions []SoftwareVersion
 	// Recorded is set if Versions include those of the platform's record.
 	Recorded bool
-	// Answered is set if any entry that was asked has answered, and Complete if all processes that
-	// were asked have; both are set if there are none.
+	// Answered is set if so many of the processes that were asked have answered that the asker is in touch
+	// with the fleet, and Complete if all have.
 	Answered, Complete bool
 }
 
--- a/core/origin/known.go
+++ b/core/origin/known.go
@@ -32,8 +32,8 @@
 }
 
 // Join returns the version at which the stream began if only one is possible, with what others have
-// answered that have no record either. If the platform cannot be read, the answer of another entry
-// confirms the versions, and the agents' records tell those that both do not see listed yet.
+// answered that have no record either. If the platform cannot be read, the answers of the greater part of
+// the fleet confirm the versions, and the agents' records tell those that both do not see listed yet.
 func (k Known) Join(asked core.OriginAnswer) (core.SoftwareVersion, bool) {
 	k.Add(asked.Versions)
 	k.Confirmed = asked.Answered && (k.Loaded || asked.Recorded)
--- a/io/resume/resume.go
+++ b/io/resume/resume.go
@@ -381,11 +381,12 @@
 	key := origin.KeyOf(attempt)
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
-	first, last, out := x.toAsk(key)
-	x.askAll(ctx, first, key, service, &out)
+	first, last, count, out := x.toAsk(key)
+	x.askAll(ctx, first, key, service, &count, &out)
 	if !out.Found {
-		x.askAll(ctx, last, key, service, &out)
+		x.askAll(ctx, last, key, service, &count, &out)
 	}
+	out.Answered = count.IsInTouch()
 	return out
 }
 
@@ -395,18 +396,21 @@
 	agent bool
 }
 
-// toAsk returns the processes that are asked for a record first and last, and what is known before
-// they are: the answer cannot be complete if all processes of a kind are avoided.
-func (x *Exchange) toAsk(key core.Fingerprint) (first, last []asked, out core.OriginAnswer) {
+// toAsk returns the processes that are asked for a record first and last, how many are to be heard, and
+// what is known before they are: the answer cannot be complete if all processes of a kind are avoided.
+func (x *Exchange) toAsk(key core.Fingerprint) (first, last []asked, count origin.Count, out core.OriginAnswer) {
 	groups := x.groups()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	out.Complete = true
-	alone := true
 	for _, g := range groups {
+		most := g.copies + askedMore
+		if g.agents {
+			most += askedLast
+		}
+		count.Ask(g.agents, min(most, len(g.members)))
 		holders := x.holders(key, g, g.copies+askedMore+askedLast)
 		out.Complete = out.Complete && (len(holders) > 0 || len(g.members) == 0)
-		alone = alone && (g.agents || len(g.members) == 0)
 		for i, to := range holders {
 			if i < g.copies+askedMore {
 				first = append(first, asked{to, g.agents})
@@ -415,12 +419,11 @@
 			}
 		}
 	}
-	out.Answered = alone
-	return first, last, out
+	return first, last, count, out
 }
 
 // askAll asks processes at the same time, and adds their answers to out until one has the record.
-func (x *Exchange) askAll(ctx context.Context, to []asked, key core.Fingerprint, service core.ServiceName, out *core.OriginAnswer) {
+func (x *Exchange) askAll(ctx context.Context, to []asked, key core.Fingerprint, service core.ServiceName, count *origin.Count, out *core.OriginAnswer) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	type answer struct {
@@ -437,7 +440,7 @@
 			out.Complete = false
 			continue
 		}
-		out.Answered = out.Answered || !reply.agent
+		count.Hear(reply.agent)
 		out.Recorded = out.Recorded || reply.GetRecorded()
 		out.Versions = append(out.Versions, core.Names[core.SoftwareVersion](reply.GetVersions())...)
 		if o := reply.GetOrigin(); o != nil {
