Leave objects out of the own platform's lists that cannot be decoded

What callers saw: nothing yet; on the own stack one object that is nested more than 10,000 levels deep, or whose name is no text, kept all others of its kind from being listed, as in the managed platform's store.

Cause: the list was decoded as a whole.

Fix: it is split at its objects, and those that cannot be decoded are left out.

--- a/io/objapi/call.go
+++ b/io/objapi/call.go
@@ -102,7 +102,11 @@
 	if op.into == nil {
 		return nil
 	}
-	if err := json.Unmarshal(data, op.into); err != nil {
+	decode := func() error { return json.Unmarshal(data, op.into) }
+	if list, ok := op.into.(*listJSON); ok {
+		decode = func() error { return list.decode(data) }
+	}
+	if err := decode(); err != nil {
 		return op.fail(core.Unknown, err)
 	}
 	return nil
--- a/io/objapi/format.go
+++ b/io/objapi/format.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"radishwell/core"
+	"radishwell/core/jscan"
 )
 
 const apiVersion = "radishwell.example/v1"
@@ -28,8 +29,33 @@
 }
 
 type listJSON struct {
-	Metadata metaJSON     `json:"metadata"`
-	Items    []objectJSON `json:"items"`
+	Metadata metaJSON
+	Items    []objectJSON
+}
+
+// decode decodes a list. Objects that cannot be decoded, as they are nested too deeply, or state no version, are left out: they
+// do not keep the others from being read.
+func (l *listJSON) decode(data []byte) error {
+	fields, ok := jscan.Fields(data)
+	if !ok {
+		return &FormatError{Detail: "list is no object"}
+	}
+	if err := json.Unmarshal(fields["metadata"], &l.Metadata); err != nil {
+		return err
+	}
+	if text := fields["items"]; len(text) > 0 && string(text) != "null" {
+		items, ok := jscan.Items(text)
+		if !ok {
+			return &FormatError{Detail: "items are no array"}
+		}
+		for _, text := range items {
+			var o objectJSON
+			if json.Unmarshal(text, &o) == nil && o.Metadata.ResourceVersion != "" {
+				l.Items = append(l.Items, o)
+			}
+		}
+	}
+	return nil
 }
 
 type statusJSON struct {
