--- a/io/deploy/odd_test.go
+++ b/io/deploy/odd_test.go
@@ -63,3 +63,22 @@
 		})
 	}
 }
+
+// Guards against an entry of another writer at the address of a sound host, which takes that host for ended.
+func TestEntryAtAddressOfSoundHostEndsNoService(t *testing.T) {
+	f := newFleet(t)
+	_, at := f.startEngine(t, 1, stand.Held{Name: "m-1"})
+	f.addAgent(t, 1, at)
+	e := f.addEntry(t, "edge-1")
+	e.waitReady(t)
+	wantChat(t, e, "q-0", "m-1")
+	f.store.Put("servers", "odd", fmt.Sprintf(`{"service":"llm","address":%q,"zone":"dc-1","slots":64,"state":"ready","sequence":0,"models":[{"name":"m-1"}]}`, at))
+	served := 0
+	for n := range 10 {
+		status, _ := sendChat(t, e, fmt.Sprint("q-", n+1), "m-1")
+		if status == http.StatusOK {
+			served++
+		}
+	}
+	assert.Equal(t, served, 10)
+}
