--- a/io/events/table.go
+++ b/io/events/table.go
@@ -211,7 +211,7 @@
 	{Event: RequestTried, Name: "request-tried", Severity: Warning, Sampled: true, Text: "Request that may crash engines, or has such a part in its prompt, runs apart from others like it", Advice: "Nothing: whether it crashes the engine decides."},
 	{Event: RequestRepeated, Name: "request-repeated", Severity: Info, Text: "Request is sent to one more upstream", Advice: "Nothing. Its figures are those of this process's retry budget for the service."},
 	{Event: RepeatRefused, Name: "repeat-refused", Severity: Warning, Sampled: true, Text: "Retry budget allows no further upstream for a request", Advice: "Find out why the service's upstreams fail; the budget protects them."},
-	{Event: SendUnread, Name: "send-unread", Severity: Info, Text: "Upstream was sent a request and closed no connection, but has not answered; it may read the request later", Advice: "Nothing. The send counts in the retry budget until the upstream is known to run, if the request was or is sent elsewhere."},
+	{Event: SendUnread, Name: "send-unread", Severity: Info, Text: "Upstream has not answered a request that was given up, and may read it later", Advice: "Nothing. The send counts in the retry budget until the upstream is known to run, if the request was or is sent elsewhere."},
 
 	{Event: PlatformUnreachable, Name: "platform-unreachable", Severity: Error, Text: "Platform cannot be reached", Advice: "Check the platform. Requests for models with a grant are still served; catalogue edits and moves of models wait."},
 	{Event: PlatformBack, Name: "platform-back", Severity: Info, Text: "Platform can be reached again", Advice: noAction},
