Draw the seeds of random histories in one place

Tests and one comment only: both plays of histories took their seeds by a loop of their own, and the one of parts kept a time that nothing read. The same seeds are played, with the same checks.

--- a/core/origin/property_test.go
+++ b/core/origin/property_test.go
@@ -482,10 +482,8 @@
 	assert.Equal(t, h.joined, 0)
 }
 
-// Guards against entries that are cut off together from the platform and all others during a release, and
-// confirm to each other that there is one version.
-func TestEntriesCutOffTogetherJoinNoStreams(t *testing.T) {
-	seeds := []int{1697, 1801, 1957}
+// historySeeds returns the given seeds, those of a short play, and those of a long one if it is asked for.
+func historySeeds(seeds ...int) []int {
 	more := 40
 	if os.Getenv("RADISHWELL_SCHEDULES") != "" {
 		more = 2000
@@ -493,6 +491,13 @@
 	for seed := range more {
 		seeds = append(seeds, seed)
 	}
+	return seeds
+}
+
+// Guards against entries that are cut off together from the platform and all others during a release, and
+// confirm to each other that there is one version.
+func TestEntriesCutOffTogetherJoinNoStreams(t *testing.T) {
+	seeds := historySeeds(1697, 1801, 1957)
 	var all history
 	for _, seed := range seeds {
 		h := newHistory(uint64(seed))
@@ -509,14 +514,7 @@
 // their version serves and an agent has their record, over kills of all entries and of all agents with
 // them, hosts and versions that come and go, cuts, and outages of the store.
 func TestStreamsKeepTheirVersionInRandomHistories(t *testing.T) {
-	seeds := []int{774, 819} // entries that do not read the platform's record join streams there
-	more := 40
-	if os.Getenv("RADISHWELL_SCHEDULES") != "" {
-		more = 2000
-	}
-	for seed := range more {
-		seeds = append(seeds, seed)
-	}
+	seeds := historySeeds(774, 819) // entries that do not read the platform's record join streams there
 	var all history
 	for _, seed := range seeds {
 		if seed == outageSeed {
--- a/core/share/history_test.go
+++ b/core/share/history_test.go
@@ -27,8 +27,8 @@
 	name  core.HostName
 	share share.Share
 	parts []float64
-	// began is when it began, ended when it ended; zero while it runs.
-	began, ended time.Time
+	// ended is when it ended, zero while it runs.
+	ended time.Time
 	// apart is until when it reaches neither the list nor others, and unwritten until when its name is
 	// not in the list after a restore.
 	apart, unwritten time.Time
@@ -59,7 +59,7 @@
 }
 
 func (h *history) start(name core.HostName) {
-	p := &process{name: name, share: share.Share{Self: name, Whole: 60}, began: h.now}
+	p := &process{name: name, share: share.Share{Self: name, Whole: 60}}
 	h.running, h.all = append(h.running, p), append(h.all, p)
 }
 
--- a/io/objapi/format.go
+++ b/io/objapi/format.go
@@ -33,8 +33,8 @@
 	Items    []objectJSON
 }
 
-// decode decodes a list. Objects that cannot be decoded, as they are nested too deeply, or state no version, are left out: they
-// do not keep the others from being read.
+// decode decodes a list. Objects that cannot be decoded, as they are nested too deeply, or that state no
+// version, are left out: they do not keep the others from being read.
 func (l *listJSON) decode(data []byte) error {
 	fields, ok := jscan.Fields(data)
 	if !ok {
