--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -80,7 +80,7 @@
 	if err := os.WriteFile(filepath.Join(r.Dir, "schedule.txt"), []byte(lines(steps)), 0o644); err != nil {
 		return nil, &StartError{What: "the run", Cause: err}
 	}
-	t := &testbed{dir: r.Dir, program: r.Program, maxDirect: allDirect, gap: eventGap}
+	t := &testbed{dir: r.Dir, program: r.Program, size: size{entries, engines, services}, budget: soakBudget, memory: entryMemory, maxDirect: allDirect, gap: eventGap}
 	var saved time.Duration
 	if r.LoseAgents {
 		t.loseAgents, t.gap, saved = true, longGap, saveTime
--- /dev/null
+++ b/io/soak/standstill.go
@@ -0,0 +1,192 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"syscall"
+	"time"
+
+	"radishwell/io/fakes/midbox"
+	"radishwell/io/loop"
+)
+
+// Span is a time from one point of a run to another, both since its start.
+type Span struct{ From, Until time.Duration }
+
+// Standstill is a run in which upstreams stand still under load and read what they were sent once they run
+// again, when the load has fallen. The exported fields have to be set before Execute.
+type Standstill struct {
+	// Program and Dir are as in Run.
+	Program []string
+	Dir     string
+	Seed    uint64
+	// Entries, Engines and Services are the numbers of entries, engines and upstreams of the plain service.
+	Entries, Engines, Services int
+	// Ratio and Spare are the retry budget of 10 seconds.
+	Ratio, Spare float64
+	// Plain is set if callers send requests for the plain service, which may be repeated, instead of
+	// streams that may be resumed.
+	Plain bool
+	// Rate is the number of requests a second during Load, and Rest the number outside of it.
+	Rate, Rest float64
+	Load       []Span
+	// Stopped is the number of upstreams of the service that stand still during Stops. If Links is set, the
+	// relays before them do instead.
+	Stopped int
+	Links   bool
+	Stops   []Span
+	// Kills are the times at which all entries are killed.
+	Kills []time.Duration
+	// Length is the time until callers send no more.
+	Length time.Duration
+}
+
+// StandstillReport holds the results of a Standstill.
+type StandstillReport struct {
+	Requests, Served int
+	// Repeats counts the requests that upstreams received beyond the first of each, and Worst is the window
+	// in which most were over the bound.
+	Repeats int
+	Worst   RepeatWindow
+	Panics  []string
+}
+
+// String describes the results in one line.
+func (r *StandstillReport) String() string {
+	return fmt.Sprintf("%d requests, %d served, %d repeats; %d in the worst window, from %v on, of %.1f that are allowed", r.Requests, r.Served, r.Repeats, r.Worst.Repeats, r.Worst.From.Round(time.Millisecond), r.Worst.Allowed)
+}
+
+// settleStart is the time without load in which the processes start.
+const settleStart = 5 * time.Second
+
+// Execute runs the play and returns the results. Its error is a StartError.
+func (s *Standstill) Execute() (*StandstillReport, error) {
+	t := &testbed{
+		dir: s.Dir, program: s.Program, maxDirect: allDirect, gap: eventGap,
+		size:   size{entries: s.Entries, engines: s.Engines, services: s.Services},
+		budget: repeatBudget{ratio: s.Ratio, spare: s.Spare, span: soakBudget.span}, memory: "256MiB",
+	}
+	defer t.close()
+	if err := t.build(); err != nil {
+		return nil, err
+	}
+	c := &callers{entryAddrs: t.entryAddrs, start: time.Now().Add(settleStart), preferred: preference{entry: -1}}
+	time.Sleep(settleStart)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		t.playFaults(c.start, s.faults(t))
+	}()
+	s.sendAll(ctx, c)
+	<-ended
+	c.wait.Wait()
+	time.Sleep(time.Second) // for what upstreams read last
+	report := &StandstillReport{Requests: len(c.results)}
+	for _, r := range c.results {
+		if r.Status == 200 && r.Complete {
+			report.Served++
+		}
+	}
+	windows := t.repeatWindows(c.start, c.results)
+	report.Worst = windows[0]
+	if s.Plain {
+		report.Worst = windows[1]
+	}
+	seen := map[string]int{}
+	for _, u := range t.upstreams {
+		for _, r := range u.Requests() {
+			if id := r.Header.Get("X-Radishwell-Request-Id"); !strings.HasPrefix(id, "probe-") {
+				seen[id]++
+			}
+		}
+	}
+	for _, n := range seen {
+		report.Repeats += n - 1
+	}
+	var err error
+	report.Panics, err = panics(s.Dir)
+	return report, err
+}
+
+// timedFault is a fault at one moment of a run.
+type timedFault struct {
+	at time.Duration
+	do func()
+}
+
+// faults returns what happens to the processes, in no particular order.
+func (s *Standstill) faults(t *testbed) []timedFault {
+	upstreams := t.upstreams[:s.Engines]
+	if s.Plain {
+		upstreams = t.upstreams[s.Engines:]
+	}
+	var out []timedFault
+	for _, u := range upstreams[:s.Stopped] {
+		stop, run := u.process.Stop, u.process.Continue
+		if s.Links {
+			stop = func() {
+				u.box.Cut(midbox.ToServer)
+				u.box.Cut(midbox.ToClient)
+			}
+			run = u.box.Heal
+		}
+		for _, span := range s.Stops {
+			out = append(out, timedFault{span.From, stop}, timedFault{span.Until, run})
+		}
+	}
+	for _, at := range s.Kills {
+		out = append(out, timedFault{at, func() {
+			for _, p := range t.entries {
+				p.Signal(syscall.SIGKILL)
+			}
+		}})
+	}
+	return out
+}
+
+// playFaults has each fault happen at its time, and returns after the last one.
+func (t *testbed) playFaults(start time.Time, faults []timedFault) {
+	ended := make(chan struct{}, len(faults))
+	for _, f := range faults {
+		go func() {
+			time.Sleep(time.Until(start.Add(f.at)))
+			f.do()
+			ended <- struct{}{}
+		}()
+	}
+	for range faults {
+		<-ended
+	}
+}
+
+// rateAt returns the number of requests a second at a time.
+func (s *Standstill) rateAt(at time.Duration) float64 {
+	for _, span := range s.Load {
+		if at >= span.From && at < span.Until {
+			return s.Rate
+		}
+	}
+	return s.Rest
+}
+
+// sendAll has callers send requests, each on a connection of its own, at the rates of the run.
+func (s *Standstill) sendAll(ctx context.Context, c *callers) {
+	rng := rand.New(rand.NewPCG(s.Seed, 3))
+	route := Resumed
+	if s.Plain {
+		route = Again
+	}
+	for n := 0; ; n++ {
+		now := time.Since(c.start)
+		if now >= s.Length || !loop.Sleep(ctx, time.Duration(rng.ExpFloat64()/s.rateAt(now)*float64(time.Second))) {
+			return
+		}
+		q := Result{ID: fmt.Sprint("still-", s.Seed, "-", n), Route: route, Entry: rng.IntN(s.Entries), Key: "key-free", Customer: "free"}
+		model := fmt.Sprint("m-", 1+rng.IntN(2))
+		c.wait.Go(func() { c.add(c.sendNew(q, model)) })
+	}
+}
--- /dev/null
+++ b/io/soak/standstill_test.go
@@ -0,0 +1,51 @@
+package soak_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"radishwell/io/soak"
+)
+
+func seconds(n ...float64) (out []time.Duration) {
+	for _, s := range n {
+		out = append(out, time.Duration(s*float64(time.Second)))
+	}
+	return out
+}
+
+// spans returns the spans between pairs of times, in seconds.
+func spans(n ...float64) (out []soak.Span) {
+	at := seconds(n...)
+	for i := 0; i+1 < len(at); i += 2 {
+		out = append(out, soak.Span{From: at[i], Until: at[i+1]})
+	}
+	return out
+}
+
+// Guards against repeats beyond the bound once upstreams that stood still under load read what they were
+// sent, after the load has fallen.
+func TestStandstillsKeepRetryBound(t *testing.T) {
+	self, err := os.Executable()
+	assert.NilError(t, err)
+	for name, play := range map[string]soak.Standstill{
+		"engines":                 {Entries: 5, Engines: 9, Services: 2, Stopped: 7, Rate: 150, Load: spans(0, 12), Stops: spans(8, 30), Length: 32 * time.Second},
+		"engines, entries killed": {Entries: 5, Engines: 9, Services: 2, Stopped: 7, Rate: 150, Load: spans(0, 12), Stops: spans(8, 34), Kills: seconds(11, 13), Length: 36 * time.Second},
+		"plain":                   {Entries: 2, Engines: 2, Services: 24, Stopped: 20, Plain: true, Rate: 300, Load: spans(0, 14), Stops: spans(8, 30), Length: 32 * time.Second},
+		"plain, entries killed, for more than a minute": {Entries: 2, Engines: 2, Services: 24, Stopped: 20, Plain: true, Rate: 300, Load: spans(0, 14), Stops: spans(8, 75), Kills: seconds(16), Length: 77 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play.Program, play.Dir, play.Seed, play.Ratio, play.Spare, play.Rest = []string{self}, t.TempDir(), 1, 0.2, 56, 2
+			report, err := play.Execute()
+			assert.NilError(t, err)
+			t.Log(report)
+			assert.Assert(t, report.Worst.Over() <= 0, report)
+			assert.Equal(t, len(report.Panics), 0)
+			assert.Assert(t, report.Served > 0)
+		})
+	}
+}
--- a/io/soak/testbed.go
+++ b/io/soak/testbed.go
@@ -15,6 +15,7 @@
 
 	"radishwell/io/fakes/midbox"
 	"radishwell/io/fakes/ports"
+	"radishwell/io/fakes/still"
 	"radishwell/platform/stand"
 )
 
@@ -47,9 +48,14 @@
 	loadTime = 200 * time.Millisecond
 )
 
+// size is the numbers of entries, engines and upstreams of a plain service.
+type size struct{ entries, engines, services int }
+
 // upstream is a stand-in of an upstream host, with the boxes in front of it.
 type upstream struct {
 	*stand.Worker
+	// process stops and continues the host's process.
+	process *still.Listener
 
 	ip string
 	// at is the address at which the host itself listens. The registry has the address
@@ -71,6 +77,11 @@
 type testbed struct {
 	dir     string
 	program []string
+	size    size
+	// memory is the limit of an entry's memory.
+	memory string
+	// budget bounds the repeats that the upstreams of a service receive.
+	budget repeatBudget
 	// maxDirect is the number of agents that each entry follows itself.
 	maxDirect int
 	// gap is the pause between two events of a stream.
@@ -118,15 +129,16 @@
 	}
 }
 
-func (t *testbed) serve(on string, h http.Handler) (netip.AddrPort, error) {
-	lis, err := net.Listen("tcp", on)
+func (t *testbed) serve(on string, h http.Handler) (netip.AddrPort, *still.Listener, error) {
+	tcp, err := net.Listen("tcp", on)
 	if err != nil {
-		return netip.AddrPort{}, &StartError{What: "a stand-in on " + on, Cause: err}
+		return netip.AddrPort{}, nil, &StartError{What: "a stand-in on " + on, Cause: err}
 	}
+	lis := still.New(tcp)
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	go func() { _ = srv.Serve(lis) }() // it ends with Close
 	t.closers = append(t.closers, func() { _ = srv.Close() })
-	return lis.Addr().(*net.TCPAddr).AddrPort(), nil
+	return lis.Addr().(*net.TCPAddr).AddrPort(), lis, nil
 }
 
 // newBox starts a box that relays connections between two processes.
@@ -143,25 +155,25 @@
 func (t *testbed) build() error {
 	var err error
 	t.store = &stand.Store{}
-	if t.storeAt, err = t.serve("127.0.0.1:0", t.store); err != nil {
+	if t.storeAt, _, err = t.serve("127.0.0.1:0", t.store); err != nil {
 		return err
 	}
-	free, err := ports.FreeOn(ports.Host(entryHost), 3+4*entries)
+	free, err := ports.FreeOn(ports.Host(entryHost), 3+4*t.size.entries)
 	if err != nil {
 		return &StartError{What: "the test bed", Cause: err}
 	}
 	agent := agentPorts{box: free[0].Port(), own: free[1].Port(), operators: free[2].Port()}
 	t.writeTable()
-	for i := range engines + services {
+	for i := range t.size.engines + t.size.services {
 		if err := t.addUpstream(i, agent); err != nil {
 			return err
 		}
 	}
 	seeds := []string{}
-	for i := range entries {
+	for i := range t.size.entries {
 		seeds = append(seeds, free[3+4*i].String())
 	}
-	for i := range entries {
+	for i := range t.size.entries {
 		if err := t.addEntry(i, free[3+4*i:7+4*i], agent.box, seeds); err != nil {
 			return err
 		}
@@ -215,16 +227,16 @@
 type agentPorts struct{ box, own, operators uint16 }
 
 func (t *testbed) addUpstream(i int, agent agentPorts) error {
-	u := &upstream{Worker: &stand.Worker{ID: fmt.Sprintf("i-%d", i), LoadTime: loadTime, Plain: i >= engines, Poison: poisonPrefix, PoisonPart: poisonPart}, ip: ports.Host(i + 1).String(), started: 1}
+	u := &upstream{Worker: &stand.Worker{ID: fmt.Sprintf("i-%d", i), LoadTime: loadTime, Plain: i >= t.size.engines, Poison: poisonPrefix, PoisonPart: poisonPart}, ip: ports.Host(i + 1).String(), started: 1}
 	u.OnCrash = func() { t.restart(u) }
 	u.Restart(u.started)
 	if !u.Plain {
 		u.Events, u.Gap = streamEvents, t.gap
 		u.SetModels(stand.Held{Name: fmt.Sprintf("m-%d", 1+i%2), Version: 1})
-		u.setVersion(softwareVersions[i*2/engines])
+		u.setVersion(softwareVersions[i*2/t.size.engines])
 	}
 	var err error
-	if u.at, err = t.serve(u.ip+":0", u.Worker); err != nil {
+	if u.at, u.process, err = t.serve(u.ip+":0", u.Worker); err != nil {
 		return err
 	}
 	if u.box, err = t.newBox(netip.AddrPortFrom(u.at.Addr(), 0), u.at); err != nil {
@@ -270,7 +282,7 @@
 		"listen":   map[string]string{"control": at[0].String(), "callers": at[1].String(), "operators": at[2].String()},
 		"platform": map[string]any{"urls": []string{"http://" + store.String()}},
 		"peers":    seeds,
-		"managed":  map[string]any{"enabled": true, "plain-peers": true, "readiness": at[3].String(), "agent-port": agentPort, "stop-grace": "3s", "direct-agents": t.maxDirect, "quota-ratio": 0, "quota-slack": limitedSlack, "retry-ratio": retryRatio, "retry-spare": retrySpare, "retry-span": retrySpan.String(), "memory": entryMemory, "buffer-share": bufferShare},
+		"managed":  map[string]any{"enabled": true, "plain-peers": true, "readiness": at[3].String(), "agent-port": agentPort, "stop-grace": "3s", "direct-agents": t.maxDirect, "quota-ratio": 0, "quota-slack": limitedSlack, "retry-ratio": t.budget.ratio, "retry-spare": t.budget.spare, "retry-span": t.budget.span.String(), "memory": t.memory, "buffer-share": bufferShare},
 	})
 	t.entries = append(t.entries, p)
 	t.entryAddrs = append(t.entryAddrs, at[1])
