--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -260,14 +260,39 @@
 	v.index.update(h)
 }
 
-// HasRunSince reports whether an incarnation is known to have run after a time, or to have ended: nothing
-// waits then to be read that reached it before.
-func (v *View) HasRunSince(inc Incarnation, at time.Time) bool {
+// Sign is how it is known that an incarnation of a host has run after a time.
+type Sign uint8
+
+// Signs.
+const (
+	// NoSign: it is not known.
+	NoSign Sign = iota
+	// SignEnded: the incarnation has ended.
+	SignEnded
+	// SignReported: its agent has reported since.
+	SignReported
+	// SignAnswered: it has answered a request that was sent since.
+	SignAnswered
+)
+
+// String returns the name of the sign as in logs.
+func (s Sign) String() string { return [...]string{"none", "ended", "reported", "answered"}[s] }
+
+// SignSince returns how it is known that an incarnation has run after a time, or has ended: nothing waits
+// then to be read that reached it before.
+func (v *View) SignSince(inc Incarnation, at time.Time) Sign {
 	h := v.hosts[inc.ID]
-	if h == nil {
-		return false
+	switch {
+	case h == nil:
+		return NoSign
+	case !inc.Matches(h.ID, h.Born) || h.HasEnded():
+		return SignEnded
+	case h.answeredSince.After(at):
+		return SignAnswered
+	case h.Report.Taken.After(at):
+		return SignReported
 	}
-	return !inc.Matches(h.ID, h.Born) || h.HasEnded() || h.Report.Taken.After(at) || h.answeredSince.After(at)
+	return NoSign
 }
 
 // NoteUnreachable records that the agent at an address cannot reach its host. The registry
--- a/core/retry/late.go
+++ b/core/retry/late.go
@@ -31,9 +31,13 @@
 // last.
 func (h *Held) Hold(sends []Unread) { h.retries = append(h.retries, sends) }
 
-// Release ends the retries none of whose sends may be unread. hasRun reports whether a send's host is
-// known to have run, or ended, since the send ended.
-func (h *Held) Release(now time.Time, w *Window, hasRun func(Unread) bool) {
+// Len returns the number of retries that are held.
+func (h *Held) Len() int { return len(h.retries) }
+
+// Release ends the retries none of whose sends may be unread, and returns their number. hasRun reports
+// whether a send's host is known to have run, or ended, since the send ended.
+func (h *Held) Release(now time.Time, w *Window, hasRun func(Unread) bool) int {
+	before := len(h.retries)
 	h.retries = slices.DeleteFunc(h.retries, func(sends []Unread) bool {
 		for _, s := range sends {
 			if now.Sub(s.Ended) < maxUnread && !hasRun(s) {
@@ -43,4 +47,5 @@
 		w.Lose(now)
 		return true
 	})
+	return before - len(h.retries)
 }
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -132,14 +132,15 @@
 }
 
 // Figures are what a budget is made of at one moment: the requests of the window and of the one before
-// it, the retries that may be in the window, and the fixed number for it.
-type Figures struct{ Attempts, Retries, Spare float64 }
+// it, the retries that may be in the window and those of them that are neither settled nor lost, and the
+// fixed number for it.
+type Figures struct{ Attempts, Retries, InFlight, Spare float64 }
 
 // Figures returns what the budget is made of now, for the window that ends now.
 func (w *Window) Figures(now time.Time) Figures {
 	w.advance(now)
 	w.Spare.advance(w.newest)
-	f := Figures{Retries: w.inFlight, Spare: w.Spare.at(w.newest - windowBuckets)}
+	f := Figures{Retries: w.inFlight, InFlight: w.inFlight, Spare: w.Spare.at(w.newest - windowBuckets)}
 	for _, n := range w.attempts {
 		f.Attempts += n
 	}
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -68,6 +68,7 @@
 	RequestRepeated
 	RepeatRefused
 	SendUnread
+	RetriesReleased
 
 	PlatformUnreachable
 	PlatformBack
@@ -212,6 +213,7 @@
 	{Event: RequestRepeated, Name: "request-repeated", Severity: Info, Text: "Request is sent to one more upstream", Advice: "Nothing. Its figures are those of this process's retry budget for the service."},
 	{Event: RepeatRefused, Name: "repeat-refused", Severity: Warning, Sampled: true, Text: "Retry budget allows no further upstream for a request", Advice: "Find out why the service's upstreams fail; the budget protects them."},
 	{Event: SendUnread, Name: "send-unread", Severity: Info, Text: "Upstream has not answered a request that was given up, and may read it later", Advice: "Nothing. The send counts in the retry budget until the upstream is known to run, if the request was or is sent elsewhere."},
+	{Event: RetriesReleased, Name: "retries-released", Severity: Info, Text: "Upstreams are known to have run since they were sent requests that they may not have read", Advice: "Nothing. The retries of these requests count as arrived by now."},
 
 	{Event: PlatformUnreachable, Name: "platform-unreachable", Severity: Error, Text: "Platform cannot be reached", Advice: "Check the platform. Requests for models with a grant are still served; catalogue edits and moves of models wait."},
 	{Event: PlatformBack, Name: "platform-back", Severity: Info, Text: "Platform can be reached again", Advice: noAction},
--- a/io/proxy/repeat.go
+++ b/io/proxy/repeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"syscall"
@@ -63,12 +64,27 @@
 		b = &retryBudget{window: retry.Window{Ratio: p.RetryRatio, Span: p.RetrySpan, Spare: &p.spare}}
 		p.retries[s] = b
 	}
-	b.held.Release(p.Clock.Now(), &b.window, func(u retry.Unread) bool {
-		return p.view.HasRunSince(fleet.Incarnation{ID: u.Host, Born: u.Born}, u.Ended)
-	})
+	p.release(s, b)
 	return b
 }
 
+// release ends the held retries of a service's budget whose hosts are known to have run. The caller holds
+// mu.
+func (p *Proxy) release(s core.ServiceName, b *retryBudget) {
+	now := p.Clock.Now()
+	signs := map[core.HostName]fleet.Sign{}
+	released := b.held.Release(now, &b.window, func(u retry.Unread) bool {
+		sign := p.view.SignSince(fleet.Incarnation{ID: u.Host, Born: u.Born}, u.Ended)
+		if sign != fleet.NoSign {
+			signs[u.Host] = sign
+		}
+		return sign != fleet.NoSign
+	})
+	if released > 0 {
+		events.Log(events.RetriesReleased, "service", s, "released", released, "held", b.held.Len(), "signs", fmt.Sprint(signs))
+	}
+}
+
 // LendRetries takes up to n retries of a service from this process's budget for another entry, and
 // returns how many.
 func (p *Proxy) LendRetries(s core.ServiceName, n int) int {
@@ -219,6 +235,6 @@
 	f := b.window.Figures(now)
 	events.Log(
 		event, "request", c.ask.ID, "service", c.service.Name, "sends", c.sends, "last-host", c.lastHost, "attempts", f.Attempts,
-		"retries", f.Retries, "spare", round(f.Spare), "lent", c.retry == lentRetry, "process-age", now.Sub(p.startedAt).Round(time.Millisecond),
+		"retries", f.Retries, "in-flight", f.InFlight, "held", b.held.Len(), "spare", round(f.Spare), "lent", c.retry == lentRetry, "process-age", now.Sub(p.startedAt).Round(time.Millisecond),
 	)
 }
