Let entries that are out of touch, and those that join beside them, use half of their parts

An entry whose list of entries was not confirmed for 30 s had no spare retries, and one that joined beside an entry that did not respond had its whole part after 60 s. The parts are about to bound all retries in flight, and a store that is away for 30 s must not end them.

Halves of both sum to no more than the whole with the parts of those that know all: k of n out of touch at 1/2n, m that joined at 1/2(n+m), the rest at 1/(n+m).

--- a/core/share/doc.go
+++ b/core/share/doc.go
@@ -3,6 +3,6 @@
 //
 // Each process takes the whole divided by the number of processes that it knows of. A process
 // that joins therefore has no part until all others count it. It asks them; one that does not
-// respond stops using its own part once its list of the processes is older than MaxAge, and the new
-// process waits for twice as long.
+// respond uses half of its part once its list of the processes is older than MaxAge, and the new
+// process waits for twice as long and uses half of its own part then.
 package share
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// MaxAge is the age up to which a process uses its part by its list of the processes.
+	// MaxAge is the age of its list of the processes up to which a process uses its whole part.
 	MaxAge = 30 * time.Second
 	// joinTime is how long a process that joins waits for those that do not respond. It is longer than
 	// MaxAge by how late a process that stood still may read the list.
@@ -76,14 +76,18 @@
 	return out
 }
 
-// Part returns this process's part now, zero while others may not count it or it may not know all
-// others.
+// Part returns this process's part now. It is zero until all others count this process or may not be in
+// touch. It is half of the whole divided by all that are known, while this process may not know all others or
+// one that is not in touch may not count it: the halves of both, and the parts of those that know all, sum to
+// no more than the whole.
 func (s *Share) Part(now time.Time) float64 {
+	part := s.Whole / float64(len(s.others)+1)
+	uncertain := s.incomplete || len(s.Uncounted()) > 0
 	switch {
-	case s.joined.IsZero(), now.Sub(s.listed) > MaxAge:
-		return 0
-	case now.Sub(s.joined) <= joinTime && (s.incomplete || len(s.Uncounted()) > 0):
+	case s.joined.IsZero(), uncertain && now.Sub(s.joined) <= joinTime:
 		return 0
+	case uncertain, now.Sub(s.listed) > MaxAge:
+		return part / 2
 	}
-	return s.Whole / float64(len(s.others)+1)
+	return part
 }
