Ask hosts that send nothing whether they can be reached, though their agents report

Callers of streams at engines behind a broken link waited until their deadlines and got 504, while other engines were idle: the entry hears of the engine from its agent, which is reached another way, and went on choosing it.

A sign of life counts for the way it came. A host with silent streams of which the entry has heard nothing on any connection is now asked on the way of the requests; it is avoided after one probe without a response, its streams move after two, and probes go on until it responds. Engines with silent agents are asked as before.

--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -130,7 +130,9 @@
 func TestLateEndOfLentRetryCounts(t *testing.T) {
 	w := newWindow(0, 3)
 	now := time.Unix(5000, 0)
-	assert.Assert(t, w.Charge(now) && w.Charge(now))
+	for range 2 {
+		assert.Assert(t, w.Charge(now))
+	}
 	w.EndLent(now.Add(5*time.Second), now)
 	assert.Equal(t, w.Remaining(now), 2.0)
 	w.EndLent(now.Add(5*time.Second+1), now)
--- a/io/proxy/lostagent_test.go
+++ b/io/proxy/lostagent_test.go
@@ -10,6 +10,7 @@
 
 	"radishwell/core"
 	"radishwell/core/fleet"
+	"radishwell/io/loop"
 	"radishwell/platform/stand"
 )
 
@@ -19,7 +20,9 @@
 	// after is the number of events before the pause.
 	after int
 	// report serves probes; nil if the worker does.
-	report         http.HandlerFunc
+	report http.HandlerFunc
+	// agent is set if the engine's agent goes on reporting.
+	agent          bool
 	paused, resume chan struct{}
 	pauses         sync.Once
 	// probed receives a value after each probe was served.
@@ -68,9 +71,22 @@
 	e.paused, e.resume, e.probed = make(chan struct{}), make(chan struct{}), make(chan struct{})
 	r := newRig(t)
 	r.addServed(t, "llm", e.Worker, e)
-	r.Update(func(v *fleet.View, now time.Time) {
-		v.Report(fleet.Report{ID: "i-1", Taken: now, Reachable: true, Models: []core.HeldModel{{Model: "m"}}})
-	})
+	report := func() {
+		r.Update(func(v *fleet.View, now time.Time) {
+			v.Report(fleet.Report{ID: "i-1", Taken: now, Reachable: true, Models: []core.HeldModel{{Model: "m"}}})
+		})
+	}
+	report()
+	if e.agent {
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			for loop.Sleep(t.Context(), 100*time.Millisecond) {
+				report()
+			}
+		}()
+		t.Cleanup(func() { <-ended })
+	}
 	answers = make(chan answer, 1)
 	ask := r.ask(t, http.MethodPost, "/resumed/x", "q", "X-Radishwell-Model", "m")
 	go func() { answers <- do(t, ask) }()
@@ -80,7 +96,13 @@
 
 // Guards against streams that are sent to a second engine, or broken off, while the first still works
 // on them, since its agent was killed.
-func TestKilledAgentMovesNoStream(t *testing.T) {
+func TestKilledAgentMovesNoStream(t *testing.T) { testStreamStays(t, false) }
+
+// Guards against streams that are sent to a second engine while they wait at the first, which responds.
+func TestReportingEngineKeepsStreams(t *testing.T) { testStreamStays(t, true) }
+
+// testStreamStays has a stream pause at an engine that responds, whose agent reports or not.
+func testStreamStays(t *testing.T, agent bool) {
 	reports := map[string]http.HandlerFunc{
 		"reports": nil,
 		"rejects": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
@@ -89,7 +111,7 @@
 		for stage, after := range map[string]int{"waits": 0, "is in progress": 2} {
 			t.Run("the stream "+stage+" and the engine "+name, func(t *testing.T) {
 				t.Parallel()
-				e := &pausingEngine{after: after, report: report}
+				e := &pausingEngine{after: after, report: report, agent: agent}
 				next, answers := pauseWithoutAgent(t, e)
 				for range 2 { // the result of the first has counted before the second
 					select {
@@ -139,3 +161,29 @@
 		}
 	}
 }
+
+// Guards against streams that wait until their deadline at an engine that cannot be reached, since its agent,
+// which is reached another way, goes on reporting.
+func TestBrokenWayToEngineLosesStreams(t *testing.T) {
+	for stage, after := range map[string]int{"waits": 0, "is in progress": 2} {
+		t.Run("the stream "+stage, func(t *testing.T) {
+			t.Parallel()
+			e := &pausingEngine{after: after, agent: true, report: func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }}
+			next, answers := pauseWithoutAgent(t, e)
+			probes := 0
+			for moved := false; !moved; {
+				select {
+				case <-e.probed:
+					probes++
+				case a := <-answers:
+					moved = true
+					close(e.resume)
+					wantStatus(t, a, http.StatusOK)
+					assert.Equal(t, a.body, eventsOf(4))
+				}
+			}
+			assert.Equal(t, next.Ran("q"), 1)
+			assert.Assert(t, probes >= 2, "one probe may be lost")
+		})
+	}
+}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -122,6 +122,8 @@
 	drainAt time.Time
 	// streams are the streams in progress that may move to another host.
 	streams map[*watchedStream]bool
+	// suspects are the hosts that are avoided since they do not respond, with their last probes.
+	suspects map[fleet.Incarnation]probe
 	// unknownFields are the names of unknown fields of upstreams' answers that have
 	// been logged.
 	unknownFields map[string]bool
@@ -137,6 +139,7 @@
 func (p *Proxy) Start() {
 	p.waiting = make(chan struct{}, 1)
 	p.streams = map[*watchedStream]bool{}
+	p.suspects = map[fleet.Incarnation]probe{}
 	p.unknownFields = map[string]bool{}
 	p.startedAt = p.Clock.Now()
 	p.loaderSeen = p.startedAt
--- a/io/proxy/silent.go
+++ b/io/proxy/silent.go
@@ -73,7 +73,8 @@
 // after two; once the host resumes, it continues requests that nobody waits for.
 // Silence of the agent alone does not count, since its host's streams continue; nor
 // does that of a stream alone, which may wait in the engine's queue. If both are silent, the
-// agent alone may have ended, so the host itself is asked.
+// agent alone may have ended, so the host itself is asked. It is asked as well if it has sent
+// nothing on any connection: its agent is reached another way, which may work while its own is broken.
 func (p *Proxy) watch(ctx context.Context, c *call, t *target) (context.Context, func()) {
 	if c.route.Kind != rtable.Stream || !c.mayMove() {
 		return ctx, func() {}
@@ -121,7 +122,9 @@
 	host        *fleet.Host
 	incarnation fleet.Incarnation
 	address     netip.AddrPort
-	result      fleet.ProbeResult
+	// avoid is set if the host is to be avoided unless it responds: requests wait there, or have been moved.
+	avoid  bool
+	result fleet.ProbeResult
 }
 
 // watchStreams moves streams away from silent hosts and ends callers that are too slow, until the
@@ -140,7 +143,7 @@
 		case <-ticker.C:
 			p.endSlowest()
 		}
-		for _, r := range slices.Concat(p.moveSilent(), p.probeUnread(), p.probeGates()) {
+		for _, r := range slices.Concat(p.moveSilent(), p.probeUnread(), p.probeSuspects(), p.probeGates()) {
 			running++
 			go func() {
 				r.result = p.probe(ctx, r)
@@ -187,10 +190,11 @@
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	p.standstill.Run(now)
-	allowed := moves{}
+	allowed, heard := moves{}, p.heard()
 	for w := range p.streams {
 		silent := now.Sub(time.Unix(0, w.lastEvent.Load())) >= w.timeout
-		if !silent || w.unnamed.Load() || !w.host.Silent(p.view.ReferenceTime(now)) {
+		agentSilent := w.host.Silent(p.view.ReferenceTime(now))
+		if !silent || w.unnamed.Load() || !agentSilent && (p.Managed == nil || now.Sub(heard[w.host]) < w.timeout) {
 			continue
 		}
 		if w.started.Load() {
@@ -200,17 +204,30 @@
 			continue
 		}
 		switch {
-		case p.Managed == nil || w.host.HasEnded() || w.host.IsUnresponsive(now):
+		case p.Managed == nil, w.host.HasEnded(), agentSilent && w.host.IsUnresponsive(now), w.host.CannotBeReached(now):
 			if allowed.take(p, now, w.query.Service) {
 				w.cancel(&SilentError{Host: w.host.ID})
 			}
 		case w.host.StartProbe(now):
-			probes = append(probes, probe{host: w.host, incarnation: w.incarnation, address: w.address})
+			probes = append(probes, probe{host: w.host, incarnation: w.incarnation, address: w.address, avoid: true})
 		}
 	}
 	return probes
 }
 
+// heard returns when each host with streams last sent something, as far as that is known. The caller holds mu.
+func (p *Proxy) heard() map[*fleet.Host]time.Time {
+	out := map[*fleet.Host]time.Time{}
+	for w := range p.streams {
+		at := core.Later(out[w.host], w.host.AnsweredSince())
+		if w.started.Load() {
+			at = core.Later(at, time.Unix(0, w.lastEvent.Load()))
+		}
+		out[w.host] = at
+	}
+	return out
+}
+
 // probe asks a host. A process that has frozen still accepts connections, so the host has to report.
 func (p *Proxy) probe(ctx context.Context, r probe) fleet.ProbeResult {
 	ctx, stop := awake.WithTimeout(ctx, reportTimeout)
@@ -232,6 +249,13 @@
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	r.host.EndProbe(now, r.result)
+	switch {
+	case r.result != fleet.ProbeSilent:
+		delete(p.suspects, r.incarnation)
+	case r.avoid:
+		r.host.NoteUnresponsive(now)
+		p.suspects[r.incarnation] = r
+	}
 	events.Log(
 		events.UpstreamProbed, "host", r.incarnation.ID, "address", r.address, "result", r.result,
 		"report-age", now.Sub(r.host.Report.Taken).Round(time.Millisecond),
--- a/io/proxy/unread.go
+++ b/io/proxy/unread.go
@@ -15,7 +15,7 @@
 	// unlistedTime is how long a send may be unread whose host the registry does not list: nothing tells
 	// whether a machine that cannot be reached is gone.
 	unlistedTime = 10 * time.Minute
-	// maxGateProbes bounds the probes in progress that open a gate.
+	// maxGateProbes bounds the probes that are started at once to open a gate.
 	maxGateProbes = 16
 )
 
@@ -82,13 +82,30 @@
 				continue
 			}
 			if h.StartProbe(now) {
-				probes = append(probes, probe{host: h, incarnation: inc, address: u.Address})
+				probes = append(probes, probe{host: h, incarnation: inc, address: u.Address, avoid: true})
 			}
 		}
 	}
 	return probes
 }
 
+// probeSuspects returns probes of the hosts that are avoided since they do not respond, while their agents report
+// that they run: no request is to find out whether they can be reached again.
+func (p *Proxy) probeSuspects() (probes []probe) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	for inc, r := range p.suspects {
+		switch {
+		case p.view.Host(inc.ID) != r.host || r.host.HasEnded() || r.host.Silent(p.view.ReferenceTime(now)):
+			delete(p.suspects, inc)
+		case r.host.StartProbe(now):
+			probes = append(probes, r)
+		}
+	}
+	return probes
+}
+
 // haveRun reports whether all hosts of a service are known to have run, or ended, since a time. The caller
 // holds mu.
 func (p *Proxy) haveRun(s core.ServiceName, since time.Time) bool {
@@ -120,11 +137,11 @@
 func (p *Proxy) probeGate(now time.Time, s core.ServiceName) (probes []probe) {
 	p.updateSpare(now, s)
 	since, waits := p.budget(s).gate.Since()
-	if !waits || p.Managed == nil {
+	if !waits || p.Managed == nil || !now.After(since) {
 		return nil
 	}
 	for _, h := range p.view.Hosts(s) {
-		if !p.knows(h.SignSince(h.Incarnation(), since)) && h.StartProbe(now) {
+		if len(probes) < maxGateProbes && !p.knows(h.SignSince(h.Incarnation(), since)) && h.StartProbe(now) {
 			probes = append(probes, probe{host: h, incarnation: h.Incarnation(), address: h.Address})
 		}
 	}
@@ -166,13 +183,10 @@
 	b.opening = opening
 	p.mu.Unlock()
 	ended := make(chan struct{}, len(probes))
-	free := make(chan struct{}, maxGateProbes)
 	for _, r := range probes {
-		free <- struct{}{}
 		go func() {
 			r.result = p.probe(ctx, r)
 			p.endProbe(r)
-			<-free
 			ended <- struct{}{}
 		}()
 	}
--- a/io/soak/standstill.go
+++ b/io/soak/standstill.go
@@ -51,6 +51,8 @@
 // StandstillReport holds the results of a Standstill.
 type StandstillReport struct {
 	Requests, Served int
+	// Unserved are the times at which callers sent the requests that were not served.
+	Unserved []time.Duration
 	// Repeats counts the requests that upstreams received beyond the first of each, and Worst is the window
 	// in which most were over the bound.
 	Repeats int
@@ -111,8 +113,8 @@
 	return s
 }
 
-// settleStart is the time without load in which the processes start.
-const settleStart = 5 * time.Second
+// settleStart is the time without load in which the processes start and their parts of the budget apply.
+const settleStart = 20 * time.Second
 
 // Execute runs the play and returns the results. Its error is a StartError.
 func (s *Standstill) Execute() (*StandstillReport, error) {
@@ -142,6 +144,8 @@
 	for _, r := range c.results {
 		if r.Status == 200 && r.Complete {
 			report.Served++
+		} else {
+			report.Unserved = append(report.Unserved, r.Began)
 		}
 	}
 	windows := t.repeatWindows(c.start, c.results)
--- a/io/soak/standstill_test.go
+++ b/io/soak/standstill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,3 +51,22 @@
 		})
 	}
 }
+
+// Guards against streams that wait until their deadlines at engines that cannot be reached, while their agents
+// report that they run.
+func TestBrokenWaysToEnginesLoseNoStreams(t *testing.T) {
+	self, err := os.Executable()
+	assert.NilError(t, err)
+	t.Parallel()
+	const begins, detected = 8 * time.Second, 3 * time.Second
+	play := soak.Standstill{
+		Program: []string{self}, Dir: t.TempDir(), Seed: 1, Ratio: 0.2, Spare: 56, Rest: 40, Links: true,
+		Entries: 5, Engines: 9, Services: 2, Stopped: 7, Stops: spans(8, 60), Length: 30 * time.Second,
+	}
+	report, err := play.Execute()
+	assert.NilError(t, err)
+	t.Log(report)
+	late := slices.DeleteFunc(report.Unserved, func(at time.Duration) bool { return at < begins+detected })
+	assert.Assert(t, len(late) <= report.Requests/100, "%d sent more than %v after engines could not be reached", len(late), detected)
+	assert.Assert(t, report.Worst.Over() <= 0, report)
+}
