Keep the hosts that may read requests later in the entry's record

Callers see nothing. An entry that starts uses its part of the fixed number once the listed hosts have run since.

What nothing answers for keeps a part back for ten minutes. Entries of the registry that cannot be read keep none back.

--- a/core/share/history_test.go
+++ b/core/share/history_test.go
@@ -52,6 +52,8 @@
 	copied   map[core.HostName]bool
 	restored bool
 	names    int
+	// cuts are until when what a process sends to another is lost.
+	cuts map[[2]core.HostName]time.Time
 }
 
 func (h *history) chance(perSecond float64) bool {
@@ -71,6 +73,9 @@
 		h.names++
 		h.start(core.HostName(fmt.Sprint("edge-", h.names)))
 	}
+	if h.chance(0.2) {
+		h.cut()
+	}
 	if h.chance(1) {
 		h.copied = maps.Clone(h.list)
 	}
@@ -94,6 +99,21 @@
 	}
 }
 
+// cut cuts a process off from another in one way or both, while both reach the list.
+func (h *history) cut() {
+	a, b := h.running[h.rng.IntN(len(h.running))].name, h.running[h.rng.IntN(len(h.running))].name
+	until := h.now.Add(time.Duration(h.rng.Float64() * float64(90*time.Second)))
+	h.cuts[[2]core.HostName{a, b}] = until
+	if h.rng.IntN(2) == 0 {
+		h.cuts[[2]core.HostName{b, a}] = until
+	}
+}
+
+// reaches reports whether what a process sends to another arrives.
+func (h *history) reaches(from, to core.HostName) bool {
+	return !h.now.Before(h.cuts[[2]core.HostName{from, to}])
+}
+
 // meet has a process write its name, read the list and ask others to count it.
 func (h *history) meet(p *process) {
 	if !h.touch(p) {
@@ -114,8 +134,11 @@
 	}
 	for _, name := range p.share.Uncounted() {
 		for _, o := range h.running {
-			if o.name == name && h.touch(o) {
-				o.share.Count(p.name)
+			if o.name != name || !h.touch(o) || !h.reaches(p.name, name) {
+				continue
+			}
+			o.share.Count(p.name)
+			if h.reaches(name, p.name) {
 				p.share.Confirm(name)
 			}
 		}
@@ -123,10 +146,10 @@
 }
 
 // Guards against parts in use that are together more than the whole, while processes start, end, lose
-// touch, and the list of them is restored from a copy that lacks some.
+// touch with the list and with each other, in one way or both, and the list of them is restored from a copy that lacks some.
 func TestPartsStayWithinWholeInRandomHistories(t *testing.T) {
 	for seed := range uint64(100) {
-		h := &history{rng: rand.New(rand.NewPCG(seed, 3)), now: t0, list: map[core.HostName]bool{}, copied: map[core.HostName]bool{}}
+		h := &history{rng: rand.New(rand.NewPCG(seed, 3)), now: t0, list: map[core.HostName]bool{}, copied: map[core.HostName]bool{}, cuts: map[[2]core.HostName]time.Time{}}
 		for range 3 {
 			h.names++
 			h.start(core.HostName(fmt.Sprint("edge-", h.names)))
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -64,6 +64,8 @@
 	// when it changes.
 	ordersEngines atomic.Bool
 	recordChanged chan struct{}
+	// unread are the upstreams that may read requests later, which are in the record.
+	unread unreadRecord
 	// leaving is set once the process stops.
 	leaving atomic.Bool
 	// tables decodes routing tables. Only the goroutine that applies changes uses it.
@@ -105,7 +107,7 @@
 	e.shareOrigins()
 	p.parts = append(
 		p.parts, e.proxy.Run, e.links.run, e.planner.run, e.planner.loadDemand, e.feed.Run, e.quota.Run, e.maintainRecord, e.orderer.run,
-		e.quarantine.run, granting.run, e.spare.run, e.software.followStandstills,
+		e.quarantine.run, granting.run, e.spare.run, e.recordUnread, e.software.followStandstills,
 	)
 	p.addServer(&httpd.Server{Address: s.Managed.Readiness, Handler: http.HandlerFunc(e.serveReady)})
 	callers := &httpd.Server{
--- a/io/deploy/members.go
+++ b/io/deploy/members.go
@@ -37,6 +37,12 @@
 	// Orders is set if the entry orders engines, those of its data centre that have no
 	// agent.
 	Orders bool `json:"orders,omitempty"`
+	// Unread are the upstreams that may read requests later which the entry has sent elsewhere.
+	Unread []unreadJSON `json:"unread,omitempty"`
+}
+
+func (r memberJSON) equal(o memberJSON) bool {
+	return r.Control == o.Control && r.DataCentre == o.DataCentre && r.Capacity == o.Capacity && r.Orders == o.Orders && slices.Equal(r.Unread, o.Unread)
 }
 
 // members are the other entries: those in the settings, those with a record in the store,
@@ -133,7 +139,14 @@
 func (m *members) isListed(record memberJSON) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.own == record
+	return m.own.equal(record)
+}
+
+// ownUnread returns the upstreams in this entry's record in the store.
+func (m *members) ownUnread() []unreadJSON {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.own.Unread
 }
 
 // ordererOf returns the entry that orders the engines without agents in a data centre; false if
@@ -244,6 +257,7 @@
 			return nil
 		}
 	}
+	e.unread.adopt(e.proxy, e.members.ownUnread())
 	listed := e.members.isListed(e.ownRecord())
 	for {
 		if err := e.writeRecord(ctx, listed); err != nil {
@@ -265,7 +279,7 @@
 // ownRecord returns the current content of this entry's record.
 func (e *entry) ownRecord() memberJSON {
 	self := e.members.self
-	return memberJSON{Control: self.Control, DataCentre: self.DataCentre, Capacity: self.Capacity, Orders: e.ordersEngines.Load()}
+	return memberJSON{Control: self.Control, DataCentre: self.DataCentre, Capacity: self.Capacity, Orders: e.ordersEngines.Load(), Unread: e.unread.current()}
 }
 
 // writeRecord writes this entry's record, unless listed reports that the store has it.
--- a/io/deploy/spare.go
+++ b/io/deploy/spare.go
@@ -61,6 +61,9 @@
 	status := e.state.Status(core.KindEntry)
 	records := e.state.All(core.KindEntry)
 	addresses := e.members.addresses()
+	if status.Confirmed {
+		e.unread.adopt(e.proxy, e.members.ownUnread()) // before this entry has a part
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	listed := false
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -263,7 +263,7 @@
 	{Event: SoftwareUnrecorded, Name: "software-unrecorded", Severity: Warning, Sampled: true, Text: "Stream began at a software version that could not be recorded in the platform", Advice: "Nothing during an outage of the platform's store. If all entries are lost before the record is written and the version has gone by then, such streams may be continued at another version."},
 	{Event: OriginsSaved, Name: "origins-saved", Severity: Info, Sampled: true, Text: "Records of where streams began were written to the platform", Advice: noAction},
 	{Event: StreamOriginRead, Name: "stream-origin-read", Severity: Info, Sampled: true, Text: "Caller resumes a stream whose software version is known from the platform's records only", Advice: "Nothing just after entries and agents were lost. If it recurs, check that entries can reach each other and the agents."},
-	{Event: UpstreamProbed, Name: "upstream-probed", Severity: Info, Sampled: true, Text: "Entry asked an upstream whether it runs: its streams have paused, it may not have read requests, or the entry has started", Advice: "If it is silent while its agent reports, check the network between the entry and the upstream."},
+	{Event: UpstreamProbed, Name: "upstream-probed", Severity: Info, Sampled: true, Text: "Entry asked an upstream whether it runs: its streams have paused, it may not have read requests, or the entry has started", Advice: "Nothing if it recurs for a few seconds. If an upstream responds for longer while its agent is silent, find out why the agent does not run; if it is silent while its agent reports, check the network between the entry and the upstream."},
 })
 
 // groups maps the first event of each group to its number. Each group starts at the next
--- a/io/proxy/late_test.go
+++ b/io/proxy/late_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 
 	"radishwell/core"
 	"radishwell/core/fleet"
+	"radishwell/io/proxy"
 	"radishwell/platform/stand"
 )
 
@@ -73,6 +75,8 @@
 		r.Update(func(v *fleet.View, now time.Time) { v.Report(fleet.Report{ID: "p-1", Taken: now, Reachable: true}) })
 	}
 	do(t, r.ask(t, http.MethodGet, "/again/x", "q-between", "X-Radishwell-Deadline-Ms", "1000"))
+	at := netip.MustParseAddrPort(frozen.Addr().String())
+	assert.Assert(t, slices.Equal(r.UnreadHosts(), []proxy.UnreadHost{{Service: "plain", Incarnation: fleet.Incarnation{ID: "p-1"}, Address: at}}))
 	time.Sleep(4 * span)
 	sound.SetFault(stand.Shed)
 	do(t, r.ask(t, http.MethodGet, "/again/x", "q-2", "X-Radishwell-Deadline-Ms", "200"))
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -97,6 +97,8 @@
 	view    fleet.View
 	keeper  rtable.Keeper
 	retries map[core.ServiceName]*retryBudget
+	// inherited are the hosts that may read requests of this process's predecessor.
+	inherited []*fleet.Host
 	// standstill tells when requests that are read now may have been sent.
 	standstill retry.Standstill
 	demand     demand.Tracker
--- a/io/proxy/unread.go
+++ b/io/proxy/unread.go
@@ -1,8 +1,11 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"net/netip"
+	"slices"
 	"time"
 
 	"radishwell/core"
@@ -12,9 +15,10 @@
 )
 
 const (
-	// unlistedTime is how long a send may be unread whose host the registry does not list: nothing tells
-	// whether a machine that cannot be reached is gone.
+	// unlistedTime is how long a send may be unread whose host the registry does not list, and gateTime how
+	// long hosts may keep a gate closed: nothing tells whether a machine that cannot be reached is gone.
 	unlistedTime = 10 * time.Minute
+	gateTime     = 10 * time.Minute
 	// maxGateProbes bounds the probes that are started at once to open a gate.
 	maxGateProbes = 16
 )
@@ -109,12 +113,74 @@
 // haveRun reports whether all hosts of a service are known to have run, or ended, since a time. The caller
 // holds mu.
 func (p *Proxy) haveRun(s core.ServiceName, since time.Time) bool {
-	for _, h := range p.view.Hosts(s) {
-		if !p.knows(h.SignSince(h.Incarnation(), since)) {
-			return false
+	return len(p.unknown(s, since)) == 0 || p.Clock.Now().Sub(since) >= gateTime
+}
+
+// unknown returns the hosts of a service, and those that a predecessor has sent requests to, that are not known
+// to have run, or ended, since a time. The caller holds mu.
+func (p *Proxy) unknown(s core.ServiceName, since time.Time) []*fleet.Host {
+	return slices.DeleteFunc(append(p.view.Hosts(s), p.inheritedHosts(s)...), func(h *fleet.Host) bool {
+		return !h.Usable || p.knows(h.SignSince(h.Incarnation(), since))
+	})
+}
+
+// inheritedHosts returns the hosts that a predecessor has sent requests of a service to and that are neither
+// listed nor followed by another at their addresses. The caller holds mu.
+func (p *Proxy) inheritedHosts(s core.ServiceName) (out []*fleet.Host) {
+	for _, h := range p.inherited {
+		inc := h.Incarnation()
+		if h.Service == s && p.view.Host(inc.ID) == nil && p.view.SignSince(inc, h.Address, p.startedAt) == fleet.NoSign {
+			out = append(out, h)
 		}
 	}
-	return true
+	return out
+}
+
+// UnreadHost is a host that may read requests of a service later which have been sent elsewhere.
+type UnreadHost struct {
+	Service     core.ServiceName
+	Incarnation fleet.Incarnation
+	Address     netip.AddrPort
+}
+
+func (h UnreadHost) compare(o UnreadHost) int {
+	return cmp.Or(
+		cmp.Compare(h.Service, o.Service), cmp.Compare(h.Incarnation.ID, o.Incarnation.ID), cmp.Compare(h.Incarnation.Born, o.Incarnation.Born),
+		h.Address.Compare(o.Address),
+	)
+}
+
+// Inherit records a host that may read requests of this process's predecessor. It is called before this process
+// has a part of the spare retries.
+func (p *Proxy) Inherit(h UnreadHost) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inherited = append(p.inherited, &fleet.Host{Entry: fleet.Entry{
+		ID: h.Incarnation.ID, Born: h.Incarnation.Born, Service: h.Service, Address: h.Address, Usable: true,
+	}})
+}
+
+// UnreadHosts returns the hosts that may read requests of this process or its predecessor later, in order.
+func (p *Proxy) UnreadHosts() []UnreadHost {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []UnreadHost
+	for s, b := range p.retries {
+		for u := range b.held.All() {
+			if !p.knows(p.signSince(b, u)) {
+				out = append(out, UnreadHost{Service: s, Incarnation: fleet.Incarnation{ID: u.Host, Born: u.Born}, Address: u.Address})
+			}
+		}
+	}
+	if p.Clock.Now().Sub(p.startedAt) < gateTime {
+		for _, h := range p.inherited {
+			if sign := p.view.SignSince(h.Incarnation(), h.Address, p.startedAt); !p.knows(sign) && !p.knows(h.SignSince(h.Incarnation(), p.startedAt)) {
+				out = append(out, UnreadHost{Service: h.Service, Incarnation: h.Incarnation(), Address: h.Address})
+			}
+		}
+	}
+	slices.SortFunc(out, UnreadHost.compare)
+	return slices.Compact(out)
 }
 
 // probeGates returns probes of the hosts that keep the gates of the routing table's services closed.
@@ -140,8 +206,8 @@
 	if !waits || p.Managed == nil || !now.After(since) {
 		return nil
 	}
-	for _, h := range p.view.Hosts(s) {
-		if len(probes) < maxGateProbes && !p.knows(h.SignSince(h.Incarnation(), since)) && h.StartProbe(now) {
+	for _, h := range p.unknown(s, since) {
+		if len(probes) < maxGateProbes && h.StartProbe(now) {
 			probes = append(probes, probe{host: h, incarnation: h.Incarnation(), address: h.Address})
 		}
 	}
@@ -154,12 +220,7 @@
 	if !waits || p.Managed == nil {
 		return false
 	}
-	for _, h := range p.view.Hosts(s) {
-		if !p.knows(h.SignSince(h.Incarnation(), since)) && h.IsUnresponsive(now) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(p.unknown(s, since), func(h *fleet.Host) bool { return h.IsUnresponsive(now) })
 }
 
 // openGate asks the hosts that keep the gate of a service's budget closed, or waits while they are being
