--- a/core/retry/fleet_test.go
+++ b/core/retry/fleet_test.go
@@ -429,6 +429,7 @@
 // Guards against retries that stop counting before they arrive, since their hosts stand still for longer
 // than half of the span.
 func TestFrozenHostsKeepRetryBound(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(40) {
 		p := newFleetPlay(seed, jhinuk, newEntryBudget)
 		p.freezes, p.steady = true, true
@@ -441,6 +442,7 @@
 // Guards against retries that were earned by one load and arrive in windows of a lower one, from entries that
 // hold them and from ones that were killed meanwhile.
 func TestFrozenHostsKeepRetryBoundAsLoadFalls(t *testing.T) {
+	t.Parallel()
 	made := 0
 	for seed := range uint64(60) {
 		p := newFleetPlay(seed, jhinuk, newEntryBudget)
@@ -451,7 +453,6 @@
 		assert.Check(t, over <= 0, "seed %d: %.1f repeats over the bound, of %d", seed, over, p.made)
 	}
 	assert.Assert(t, made > 0)
-	t.Log(made)
 }
 
 func newFleetPlay(seed uint64, b bound, newEntry func(now time.Time, name int, b bound) entryBudget) *fleetPlay {
@@ -463,6 +464,7 @@
 // Guards against entries that together send more repeats than the platform allows, whatever happens
 // to them: processes that die forget what they sent, and each pays from requests of its own window.
 func TestFleetKeepsRetryBound(t *testing.T) {
+	t.Parallel()
 	made := 0
 	for seed := range uint64(60) {
 		p := newFleetPlay(seed, jhinuk, newEntryBudget)
--- a/core/retry/ways_test.go
+++ b/core/retry/ways_test.go
@@ -206,6 +206,7 @@
 // TestWays compares ways to keep the platform's bound: the second attempts that are made of those that
 // are wanted, and how many are over the bound.
 func TestWays(t *testing.T) {
+	t.Parallel()
 	for _, machines := range []int{30, 100, 300} {
 		b := bound{ratio: 0.2, spare: 50 + float64(machines)/2, span: 10 * time.Second}
 		for _, tr := range troubles {
