Probe hosts for a retry also if its caller leaves, and name the proofs of reads

A probe that ended with its request counted as one without a response, and a host with a silent agent could lose its streams for that. The rest are names: InFlightLeft, proves, withoutSign.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -74,16 +74,16 @@
 // Charge takes a retry that another process has lent, if this one may have one more in flight, and reports
 // whether it may. It is ended as one that Take took.
 func (w *Window) Charge(now time.Time) bool {
-	if w.FlightsLeft(now) < 1 {
+	if w.InFlightLeft(now) < 1 {
 		return false
 	}
 	w.inFlight++
 	return true
 }
 
-// FlightsLeft returns the number of further retries that may be neither settled nor lost: each of them may
+// InFlightLeft returns the number of further retries that may be neither settled nor lost: each of them may
 // arrive in any later window, however few requests that has.
-func (w *Window) FlightsLeft(now time.Time) float64 {
+func (w *Window) InFlightLeft(now time.Time) float64 {
 	w.Spare.advance(w.bucket(now))
 	return w.Spare.later() - w.inFlight
 }
--- a/io/proxy/repeat.go
+++ b/io/proxy/repeat.go
@@ -99,7 +99,7 @@
 	p := c.proxy
 	p.updateSpare(now, c.service.Name)
 	b := p.budget(c.service.Name)
-	if b.window.Remaining(now) >= 1 || b.window.FlightsLeft(now) >= 1 && b.mayBorrow(now, p.Lenders) || p.mayOpen(now, c.service.Name, b) {
+	if b.window.Remaining(now) >= 1 || b.window.InFlightLeft(now) >= 1 && b.mayBorrow(now, p.Lenders) || p.mayOpen(now, c.service.Name, b) {
 		return true
 	}
 	c.noteRetry(now, b, false)
@@ -115,7 +115,7 @@
 	if left <= 0 && p.Lenders != nil && b.asking == nil && b.loans.Ask(now) > 0 {
 		left = 1
 	}
-	return min(left, int(b.window.FlightsLeft(now)))
+	return min(left, int(b.window.InFlightLeft(now)))
 }
 
 // mayBorrow reports whether others have lent retries, or may.
@@ -133,7 +133,7 @@
 	p.updateSpare(p.Clock.Now(), c.service.Name)
 	p.openGate(ctx, c.service.Name, b)
 	c.retry = b.take(p.Clock.Now())
-	if c.retry == noRetry && p.Lenders != nil && b.window.FlightsLeft(p.Clock.Now()) >= 1 {
+	if c.retry == noRetry && p.Lenders != nil && b.window.InFlightLeft(p.Clock.Now()) >= 1 {
 		p.borrow(ctx, c.service.Name, b)
 		c.retry = b.take(p.Clock.Now())
 	}
--- a/io/proxy/unread.go
+++ b/io/proxy/unread.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// unlistedTime is how long a send may be unread whose host the registry does not list, and gateTime how
-	// long hosts may keep a gate closed: nothing tells whether a machine that cannot be reached is gone.
+	// unlistedTime is how long a send may be unread whose host the registry does not list. gateTime is how
+	// long hosts may keep a gate closed. Nothing tells whether a machine that cannot be reached is gone.
 	unlistedTime = 10 * time.Minute
 	gateTime     = 10 * time.Minute
 	// maxGateProbes bounds the probes that are started at once to open a gate.
@@ -26,9 +26,9 @@
 // unreadHosts are the hosts of sends that may be unread, also once the registry lists them no more.
 type unreadHosts map[fleet.Incarnation]*fleet.Host
 
-// knows reports whether a sign is known to be that of what is sent to a host. A report of its agent went another
-// way: it counts only if the host cannot be asked.
-func (p *Proxy) knows(s fleet.Sign) bool {
+// proves reports whether a sign shows that a host has read what it was sent before. A report of its agent goes
+// another way than requests: it counts only if the host cannot be asked.
+func (p *Proxy) proves(s fleet.Sign) bool {
 	return s == fleet.SignEnded || s == fleet.SignAnswered || s == fleet.SignReported && p.Managed == nil
 }
 
@@ -51,7 +51,7 @@
 	signs := map[core.HostName]fleet.Sign{}
 	released := b.held.Release(now, &b.window, func(u retry.Unread) bool {
 		sign := p.signSince(b, u)
-		if p.knows(sign) {
+		if p.proves(sign) {
 			signs[u.Host] = sign
 			return true
 		}
@@ -82,7 +82,7 @@
 			if h == nil {
 				h = b.unread[inc]
 			}
-			if h == nil || p.knows(p.signSince(b, u)) || h.Silent(p.view.ReferenceTime(now)) && !h.Report.Taken.After(u.Ended) {
+			if h == nil || p.proves(p.signSince(b, u)) || h.Silent(p.view.ReferenceTime(now)) && !h.Report.Taken.After(u.Ended) {
 				continue
 			}
 			if h.StartProbe(now) {
@@ -113,14 +113,14 @@
 // haveRun reports whether all hosts of a service are known to have run, or ended, since a time. The caller
 // holds mu.
 func (p *Proxy) haveRun(s core.ServiceName, since time.Time) bool {
-	return len(p.unknown(s, since)) == 0 || p.Clock.Now().Sub(since) >= gateTime
+	return len(p.withoutSign(s, since)) == 0 || p.Clock.Now().Sub(since) >= gateTime
 }
 
-// unknown returns the hosts of a service, and those that a predecessor has sent requests to, that are not known
+// withoutSign returns the hosts of a service, and those that a predecessor has sent requests to, that are not known
 // to have run, or ended, since a time. The caller holds mu.
-func (p *Proxy) unknown(s core.ServiceName, since time.Time) []*fleet.Host {
+func (p *Proxy) withoutSign(s core.ServiceName, since time.Time) []*fleet.Host {
 	return slices.DeleteFunc(append(p.view.Hosts(s), p.inheritedHosts(s)...), func(h *fleet.Host) bool {
-		return !h.Usable || p.knows(h.SignSince(h.Incarnation(), since))
+		return !h.Usable || p.proves(h.SignSince(h.Incarnation(), since))
 	})
 }
 
@@ -167,14 +167,14 @@
 	var out []UnreadHost
 	for s, b := range p.retries {
 		for u := range b.held.All() {
-			if !p.knows(p.signSince(b, u)) {
+			if !p.proves(p.signSince(b, u)) {
 				out = append(out, UnreadHost{Service: s, Incarnation: fleet.Incarnation{ID: u.Host, Born: u.Born}, Address: u.Address})
 			}
 		}
 	}
 	if p.Clock.Now().Sub(p.startedAt) < gateTime {
 		for _, h := range p.inherited {
-			if sign := p.view.SignSince(h.Incarnation(), h.Address, p.startedAt); !p.knows(sign) && !p.knows(h.SignSince(h.Incarnation(), p.startedAt)) {
+			if sign := p.view.SignSince(h.Incarnation(), h.Address, p.startedAt); !p.proves(sign) && !p.proves(h.SignSince(h.Incarnation(), p.startedAt)) {
 				out = append(out, UnreadHost{Service: h.Service, Incarnation: h.Incarnation(), Address: h.Address})
 			}
 		}
@@ -206,7 +206,7 @@
 	if !waits || p.Managed == nil || !now.After(since) {
 		return nil
 	}
-	for _, h := range p.unknown(s, since) {
+	for _, h := range p.withoutSign(s, since) {
 		if len(probes) < maxGateProbes && h.StartProbe(now) {
 			probes = append(probes, probe{host: h, incarnation: h.Incarnation(), address: h.Address})
 		}
@@ -220,7 +220,7 @@
 	if !waits || p.Managed == nil {
 		return false
 	}
-	return !slices.ContainsFunc(p.unknown(s, since), func(h *fleet.Host) bool { return h.IsUnresponsive(now) })
+	return !slices.ContainsFunc(p.withoutSign(s, since), func(h *fleet.Host) bool { return h.IsUnresponsive(now) })
 }
 
 // openGate asks the hosts that keep the gate of a service's budget closed, or waits while they are being
@@ -246,7 +246,7 @@
 	ended := make(chan struct{}, len(probes))
 	for _, r := range probes {
 		go func() {
-			r.result = p.probe(ctx, r)
+			r.result = p.probe(context.WithoutCancel(ctx), r) // a caller that leaves says nothing of the host
 			p.endProbe(r)
 			ended <- struct{}{}
 		}()
