--- a/io/proxy/late_test.go
+++ b/io/proxy/late_test.go
@@ -125,9 +125,10 @@
 // between taking and sending them.
 func TestRetryTakenBeforeStandstillIsNotSent(t *testing.T) {
 	clock := &steppedClock{}
-	r := newRig(t)
-	r.Clock = clock
-	r.Protocol = &suspendedProtocol{Protocol: r.Protocol, suspend: func() { clock.offset.Store(int64(8 * time.Second)) }}
+	r := newRigSet(t, 10, 10*time.Second, func(p *proxy.Proxy) {
+		p.Clock = clock
+		p.Protocol = &suspendedProtocol{Protocol: p.Protocol, suspend: func() { clock.offset.Store(int64(8 * time.Second)) }}
+	})
 	hosts := plain(t, r, "p-1", "p-2")
 	for _, w := range hosts {
 		w.SetFault(stand.Shed)
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -94,6 +94,12 @@
 
 // newRigSpan is newRigWith, with the span in which the retries are counted.
 func newRigSpan(t testing.TB, spareRetries float64, span time.Duration) *rig {
+	t.Helper()
+	return newRigSet(t, spareRetries, span, func(*proxy.Proxy) {})
+}
+
+// newRigSet is newRigSpan, and has set change the proxy before it runs.
+func newRigSet(t testing.TB, spareRetries float64, span time.Duration, set func(*proxy.Proxy)) *rig {
 	t.Helper()
 	r := &rig{adapters: &adapterLoader{}}
 	r.Proxy = &proxy.Proxy{
@@ -103,6 +109,7 @@
 			return &plat.Upstream{Address: at, Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 		},
 	}
+	set(r.Proxy)
 	r.Start()
 	runProxy(t, r.Proxy)
 	srv := httptest.NewServer(r.Proxy)
