Share the waits and the proofs of reads, and guard when a silent host is given up

Read again as a newcomer would. No decision changes.

- openGate waited as borrow does: both call await.
- Three places combined the registry's sign with that of a host that it does not list: signOf.
The hosts that a predecessor left need no list of their own.
- One constant for the ten minutes; fleet.Host.MayProbe is gone, as nothing else used it.
- The plays of standstills kill entries and cut links by the soak's own faults, and take the number of repeats from its count, which reads IDs through platform/.
- The comment of maxGateProbes said that it bounds the probes in progress; it bounds those that one look starts.

--- a/core/fleet/probe.go
+++ b/core/fleet/probe.go
@@ -36,14 +36,10 @@
 	endedSince time.Time
 }
 
-// MayProbe reports whether the host may be asked now: there is no probe in progress, and the last result
-// counts no longer.
-func (h *Host) MayProbe(now time.Time) bool { return !h.probe.running && !now.Before(h.probe.until) }
-
 // StartProbe reports whether the host is to be asked now whether it responds, and records that
 // it is. There is one probe of a host at a time, and none while the last result counts.
 func (h *Host) StartProbe(now time.Time) bool {
-	if !h.MayProbe(now) {
+	if h.probe.running || now.Before(h.probe.until) {
 		return false
 	}
 	h.probe.running, h.probe.began = true, now
--- a/io/proxy/repeat.go
+++ b/io/proxy/repeat.go
@@ -147,12 +147,7 @@
 func (p *Proxy) borrow(ctx context.Context, s core.ServiceName, b *retryBudget) {
 	asked := p.Clock.Now()
 	if asking := b.asking; asking != nil {
-		p.mu.Unlock()
-		defer p.mu.Lock()
-		select {
-		case <-asking:
-		case <-ctx.Done():
-		}
+		p.await(ctx, asking)
 		return
 	}
 	n := b.loans.Ask(asked)
@@ -170,6 +165,16 @@
 	p.Meter.RetriesBorrowed(lent)
 }
 
+// await waits until something is done or the context ends. The caller holds mu, which is released meanwhile.
+func (p *Proxy) await(ctx context.Context, done <-chan struct{}) {
+	p.mu.Unlock()
+	defer p.mu.Lock()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // sendEnd is how a send of a request has ended, as far as its retry is concerned.
 type sendEnd uint8
 
--- a/io/proxy/silent_test.go
+++ b/io/proxy/silent_test.go
@@ -10,6 +10,7 @@
 
 	"radishwell/core"
 	"radishwell/core/fleet"
+	"radishwell/core/retry"
 	"radishwell/core/rtable"
 )
 
@@ -138,3 +139,40 @@
 		assert.Equal(t, (second.Err() != nil), !first)
 	})
 }
+
+// Guards against a retry that counts for ever since its host is gone for good, and against one that counts no
+// longer although the registry lists its host, which stands still.
+func TestOnlyUnlistedHostIsGivenUp(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		clock := &stepClock{now: time.Unix(1000, 0)}
+		p := &Proxy{Clock: clock, RetrySpare: 1, RetrySpan: 10 * time.Second}
+		p.Start()
+		if listed {
+			p.view.Apply(fleet.Entry{ID: "i-1", Service: "llm", Usable: true})
+		}
+		b := p.budget("llm")
+		assert.Assert(t, b.window.Take(clock.now))
+		b.held.Hold([]retry.Unread{{Host: "i-1", Ended: clock.now}})
+		clock.now = clock.now.Add(goneTime - 1)
+		assert.Equal(t, p.budget("llm").held.Len(), 1)
+		clock.now = clock.now.Add(1)
+		assert.Equal(t, p.budget("llm").held.Len() == 1, listed)
+	}
+}
+
+// Guards against an entry that never retries again, since a host that its registry lists never answers.
+func TestSilentHostKeepsGateClosedForATime(t *testing.T) {
+	clock := &stepClock{now: time.Unix(1000, 0)}
+	p := &Proxy{Clock: clock, RetrySpan: 10 * time.Second, SpareRetries: func(time.Time) float64 { return 3 }}
+	p.Start()
+	p.view.Apply(fleet.Entry{ID: "i-1", Service: "llm", Usable: true})
+	left := func() float64 {
+		p.updateSpare(clock.now, "llm")
+		return p.budget("llm").window.InFlightLeft(clock.now)
+	}
+	assert.Equal(t, left(), 0.0)
+	clock.now = clock.now.Add(goneTime - 1)
+	assert.Equal(t, left(), 0.0)
+	clock.now = clock.now.Add(1)
+	assert.Equal(t, left(), 3.0)
+}
--- a/io/proxy/unread.go
+++ b/io/proxy/unread.go
@@ -15,11 +15,10 @@
 )
 
 const (
-	// unlistedTime is how long a send may be unread whose host the registry does not list. gateTime is how
-	// long hosts may keep a gate closed. Nothing tells whether a machine that cannot be reached is gone.
-	unlistedTime = 10 * time.Minute
-	gateTime     = 10 * time.Minute
-	// maxGateProbes bounds the probes that are started at once to open a gate.
+	// goneTime is how long a host that the registry does not list counts as standing still, and how long any
+	// host keeps a gate closed. Nothing tells whether a machine that cannot be reached is gone.
+	goneTime = 10 * time.Minute
+	// maxGateProbes bounds the probes of one service that one look at its gate starts.
 	maxGateProbes = 16
 )
 
@@ -35,9 +34,16 @@
 // signSince returns how it is known that a send was read. The caller holds mu.
 func (p *Proxy) signSince(b *retryBudget, u retry.Unread) fleet.Sign {
 	inc := fleet.Incarnation{ID: u.Host, Born: u.Born}
-	sign := p.view.SignSince(inc, u.Address, u.Ended)
-	if h := b.unread[inc]; sign == fleet.NoSign && h != nil {
-		return h.SignSince(inc, u.Ended)
+	return p.signOf(b.unread[inc], inc, u.Address, u.Ended)
+}
+
+// signOf returns how it is known that an incarnation at an address has run, or has ended, since a time: by the
+// registry's hosts, or by h, if it is not nil, which has been asked while the registry does not list it. The
+// caller holds mu.
+func (p *Proxy) signOf(h *fleet.Host, inc fleet.Incarnation, address netip.AddrPort, at time.Time) fleet.Sign {
+	sign := p.view.SignSince(inc, address, at)
+	if sign == fleet.NoSign && h != nil {
+		return h.SignSince(inc, at)
 	}
 	return sign
 }
@@ -55,7 +61,7 @@
 			signs[u.Host] = sign
 			return true
 		}
-		return p.view.Host(u.Host) == nil && now.Sub(u.Ended) >= unlistedTime
+		return p.view.Host(u.Host) == nil && now.Sub(u.Ended) >= goneTime
 	})
 	if b.held.Len() == 0 {
 		clear(b.unread)
@@ -113,27 +119,21 @@
 // haveRun reports whether all hosts of a service are known to have run, or ended, since a time. The caller
 // holds mu.
 func (p *Proxy) haveRun(s core.ServiceName, since time.Time) bool {
-	return len(p.withoutSign(s, since)) == 0 || p.Clock.Now().Sub(since) >= gateTime
+	return len(p.withoutSign(s, since)) == 0 || p.Clock.Now().Sub(since) >= goneTime
 }
 
 // withoutSign returns the hosts of a service, and those that a predecessor has sent requests to, that are not known
 // to have run, or ended, since a time. The caller holds mu.
 func (p *Proxy) withoutSign(s core.ServiceName, since time.Time) []*fleet.Host {
-	return slices.DeleteFunc(append(p.view.Hosts(s), p.inheritedHosts(s)...), func(h *fleet.Host) bool {
-		return !h.Usable || p.proves(h.SignSince(h.Incarnation(), since))
-	})
-}
-
-// inheritedHosts returns the hosts that a predecessor has sent requests of a service to and that are neither
-// listed nor followed by another at their addresses. The caller holds mu.
-func (p *Proxy) inheritedHosts(s core.ServiceName) (out []*fleet.Host) {
+	hosts := p.view.Hosts(s)
 	for _, h := range p.inherited {
-		inc := h.Incarnation()
-		if h.Service == s && p.view.Host(inc.ID) == nil && p.view.SignSince(inc, h.Address, p.startedAt) == fleet.NoSign {
-			out = append(out, h)
+		if h.Service == s && p.view.Host(h.ID) == nil {
+			hosts = append(hosts, h)
 		}
 	}
-	return out
+	return slices.DeleteFunc(hosts, func(h *fleet.Host) bool {
+		return !h.Usable || p.proves(p.signOf(h, h.Incarnation(), h.Address, since))
+	})
 }
 
 // UnreadHost is a host that may read requests of a service later which have been sent elsewhere.
@@ -172,9 +172,9 @@
 			}
 		}
 	}
-	if p.Clock.Now().Sub(p.startedAt) < gateTime {
+	if p.Clock.Now().Sub(p.startedAt) < goneTime {
 		for _, h := range p.inherited {
-			if sign := p.view.SignSince(h.Incarnation(), h.Address, p.startedAt); !p.proves(sign) && !p.proves(h.SignSince(h.Incarnation(), p.startedAt)) {
+			if !p.proves(p.signOf(h, h.Incarnation(), h.Address, p.startedAt)) {
 				out = append(out, UnreadHost{Service: h.Service, Incarnation: h.Incarnation(), Address: h.Address})
 			}
 		}
@@ -231,12 +231,7 @@
 		return
 	}
 	if opening := b.opening; opening != nil {
-		p.mu.Unlock()
-		defer p.mu.Lock()
-		select {
-		case <-opening:
-		case <-ctx.Done():
-		}
+		p.await(ctx, opening)
 		return
 	}
 	probes := p.probeGate(now, s)
--- a/io/soak/repeat.go
+++ b/io/soak/repeat.go
@@ -24,8 +24,10 @@
 	From    time.Duration
 	Repeats int
 	Allowed float64
-	// last is the request of the latest repeat up to the beginning of the window.
-	last string
+	// All is the number of repeats in the whole run.
+	All int
+	// first is the request of the first repeat in the window.
+	first string
 }
 
 // Over returns by how many the repeats are over the bound; it is negative if they are not.
@@ -55,8 +57,8 @@
 	for i, from := range repeats {
 		n, _ := slices.BinarySearch(repeats, from+b.span)
 		requests := max(in(from), in(from-b.span/2), in(from-b.span))
-		w := RepeatWindow{From: from, Repeats: n - i, Allowed: b.ratio*float64(requests) + b.spare, last: ids[i]}
-		if w.Over() > worst.Over() {
+		w := RepeatWindow{From: from, Repeats: n - i, Allowed: b.ratio*float64(requests) + b.spare, All: len(repeats), first: ids[i]}
+		if i == 0 || w.Over() > worst.Over() {
 			worst = w
 		}
 	}
@@ -68,7 +70,7 @@
 	var out []Breach
 	for _, w := range t.repeatWindows(start, results) {
 		if w.Over() > 0 {
-			out = append(out, Breach{Promise: "a service receives no more repeats than its budget", Result: Result{ID: w.last, Began: w.From}, Ran: w.Repeats})
+			out = append(out, Breach{Promise: "a service receives no more repeats than its budget", Result: Result{ID: w.first, Began: w.From}, Ran: w.Repeats})
 		}
 	}
 	return out
--- a/io/soak/standstill.go
+++ b/io/soak/standstill.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"strings"
-	"syscall"
 	"time"
 
 	"radishwell/io/fakes/midbox"
@@ -53,16 +51,14 @@
 	Requests, Served int
 	// Unserved are the times at which callers sent the requests that were not served.
 	Unserved []time.Duration
-	// Repeats counts the requests that upstreams received beyond the first of each, and Worst is the window
-	// in which most were over the bound.
-	Repeats int
-	Worst   RepeatWindow
-	Panics  []string
+	// Worst is the window in which most repeats were over the bound.
+	Worst  RepeatWindow
+	Panics []string
 }
 
 // String describes the results in one line.
 func (r *StandstillReport) String() string {
-	return fmt.Sprintf("%d requests, %d served, %d repeats; %d in the worst window, from %v on, of %.1f that are allowed", r.Requests, r.Served, r.Repeats, r.Worst.Repeats, r.Worst.From.Round(time.Millisecond), r.Worst.Allowed)
+	return fmt.Sprintf("%d requests, %d served, %d repeats; %d in the worst window, from %v on, of %.1f that are allowed", r.Requests, r.Served, r.Worst.All, r.Worst.Repeats, r.Worst.From.Round(time.Millisecond), r.Worst.Allowed)
 }
 
 // Bounds of what DrawStandstill draws.
@@ -113,6 +109,12 @@
 	return s
 }
 
+// wideMemory is an entry's memory where it is not to be short.
+const wideMemory = "256MiB"
+
+// Variants of faults that happen to processes or links alone: see cut and killEntries.
+const cutBoth, killOnly = 2, 0
+
 // settleStart is the time without load in which the processes start and their parts of the budget apply.
 const settleStart = 20 * time.Second
 
@@ -121,7 +123,7 @@
 	t := &testbed{
 		dir: s.Dir, program: s.Program, maxDirect: allDirect, gap: eventGap,
 		size:   size{entries: s.Entries, engines: s.Engines, services: s.Services},
-		budget: repeatBudget{ratio: s.Ratio, spare: s.Spare, span: soakBudget.span}, memory: "256MiB",
+		budget: repeatBudget{ratio: s.Ratio, spare: s.Spare, span: soakBudget.span}, memory: wideMemory,
 	}
 	defer t.close()
 	if err := t.build(); err != nil {
@@ -153,17 +155,6 @@
 	if s.Plain {
 		report.Worst = windows[1]
 	}
-	seen := map[string]int{}
-	for _, u := range t.upstreams {
-		for _, r := range u.Requests() {
-			if id := r.Header.Get("X-Radishwell-Request-Id"); !strings.HasPrefix(id, "probe-") {
-				seen[id]++
-			}
-		}
-	}
-	for _, n := range seen {
-		report.Repeats += n - 1
-	}
 	var err error
 	report.Panics, err = panics(s.Dir)
 	return report, err
@@ -185,11 +176,7 @@
 	for _, u := range upstreams[:s.Stopped] {
 		stop, run := u.process.Stop, u.process.Continue
 		if s.Links {
-			stop = func() {
-				u.box.Cut(midbox.ToServer)
-				u.box.Cut(midbox.ToClient)
-			}
-			run = u.box.Heal
+			stop, run = func() { cut(u.box, cutBoth) }, u.box.Heal
 		}
 		for _, span := range s.Stops {
 			out = append(out, timedFault{span.From, stop}, timedFault{span.Until, run})
@@ -204,11 +191,7 @@
 		out = append(out, timedFault{at, func() { t.eachBox((*midbox.Box).Reset) }})
 	}
 	for _, at := range s.Kills {
-		out = append(out, timedFault{at, func() {
-			for _, p := range t.entries {
-				p.Signal(syscall.SIGKILL)
-			}
-		}})
+		out = append(out, timedFault{at, func() { t.killEntries(killOnly) }})
 	}
 	return out
 }
