--- a/io/soak/standstill.go
+++ b/io/soak/standstill.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/netip"
 	"time"
 
 	"radishwell/io/fakes/midbox"
@@ -40,6 +42,18 @@
 	// which all connections are reset.
 	Shed   []Span
 	Resets []time.Duration
+	// Breaks are the times in which upstreams of the service reset BreakShare of the requests that they read.
+	Breaks     []Span
+	BreakShare float64
+	// Holds are the times in which the links between callers and entries hold what callers send. Squeezes are those
+	// in which these links together carry SqueezeRate bytes a second to the entries.
+	Holds       []Span
+	Squeezes    []Span
+	SqueezeRate float64
+	// Work is the time from when an upstream reads a request until it begins to answer.
+	Work time.Duration
+	// Kept is set if callers keep their connections for further requests; else each request has its own.
+	Kept bool
 	// Kills are the times at which all entries are killed.
 	Kills []time.Duration
 	// Length is the time until callers send no more.
@@ -113,7 +127,10 @@
 const wideMemory = "256MiB"
 
 // Variants of faults that happen to processes or links alone: see cut and killEntries.
-const cutBoth, killOnly = 2, 0
+const cutToServer, cutBoth, killOnly = 0, 2, 0
+
+// maxKept bounds the connections to each entry that callers keep while they do not use them.
+const maxKept = 256
 
 // settleStart is the time without load in which the processes start and their parts of the budget apply.
 const settleStart = 20 * time.Second
@@ -129,6 +146,10 @@
 	if err := t.build(); err != nil {
 		return nil, err
 	}
+	links, err := s.linkCallers(t)
+	if err != nil {
+		return nil, err
+	}
 	c := &callers{entryAddrs: t.entryAddrs, start: time.Now().Add(settleStart), preferred: preference{entry: -1}}
 	time.Sleep(settleStart)
 	ctx, stop := context.WithCancel(context.Background())
@@ -136,7 +157,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		t.playFaults(c.start, s.faults(t))
+		t.playFaults(c.start, append(s.faults(t), s.linkFaults(links)...))
 	}()
 	s.sendAll(ctx, c)
 	<-ended
@@ -155,7 +176,6 @@
 	if s.Plain {
 		report.Worst = windows[1]
 	}
-	var err error
 	report.Panics, err = panics(s.Dir)
 	return report, err
 }
@@ -173,6 +193,15 @@
 		upstreams = t.upstreams[s.Engines:]
 	}
 	var out []timedFault
+	for _, u := range upstreams {
+		u.Prefill = s.Work
+		for _, span := range s.Breaks {
+			out = append(
+				out, timedFault{span.From, func() { u.SetFaultOfShare(stand.NoResponse, s.BreakShare) }},
+				timedFault{span.Until, func() { u.SetFault(stand.NoFault) }},
+			)
+		}
+	}
 	for _, u := range upstreams[:s.Stopped] {
 		stop, run := u.process.Stop, u.process.Continue
 		if s.Links {
@@ -196,6 +225,41 @@
 	return out
 }
 
+// linkCallers puts a relay before each entry, if faults happen to the links between callers and entries, and
+// returns the relays.
+func (s *Standstill) linkCallers(t *testbed) ([]*midbox.Box, error) {
+	if len(s.Holds)+len(s.Squeezes) == 0 {
+		return nil, nil
+	}
+	var links []*midbox.Box
+	for i, at := range t.entryAddrs {
+		box, err := t.newBox(netip.AddrPortFrom(at.Addr(), 0), at)
+		if err != nil {
+			return nil, err
+		}
+		links, t.entryAddrs[i] = append(links, box), box.At()
+	}
+	return links, nil
+}
+
+// linkFaults returns what happens to the links between callers and entries, in no particular order.
+func (s *Standstill) linkFaults(links []*midbox.Box) []timedFault {
+	var out []timedFault
+	narrow := &midbox.Link{Rate: s.SqueezeRate}
+	for _, box := range links {
+		for _, span := range s.Holds {
+			out = append(out, timedFault{span.From, func() { cut(box, cutToServer) }}, timedFault{span.Until, box.Heal})
+		}
+		for _, span := range s.Squeezes {
+			out = append(
+				out, timedFault{span.From, func() { box.Limit(midbox.ToServer, narrow) }},
+				timedFault{span.Until, func() { box.Limit(midbox.ToServer, nil) }},
+			)
+		}
+	}
+	return out
+}
+
 // playFaults has each fault happen at its time, and returns after the last one.
 func (t *testbed) playFaults(start time.Time, faults []timedFault) {
 	ended := make(chan struct{}, len(faults))
@@ -221,13 +285,15 @@
 	return s.Rest
 }
 
-// sendAll has callers send requests, each on a connection of its own, at the rates of the run.
+// sendAll has callers send requests at the rates of the run.
 func (s *Standstill) sendAll(ctx context.Context, c *callers) {
 	rng := rand.New(rand.NewPCG(s.Seed, 3))
 	route := Resumed
 	if s.Plain {
 		route = Again
 	}
+	kept := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: maxKept}
+	defer kept.CloseIdleConnections()
 	for n := 0; ; n++ {
 		now := time.Since(c.start)
 		if now >= s.Length || !loop.Sleep(ctx, time.Duration(rng.ExpFloat64()/s.rateAt(now)*float64(time.Second))) {
@@ -235,6 +301,12 @@
 		}
 		q := Result{ID: fmt.Sprint("still-", s.Seed, "-", n), Route: route, Entry: rng.IntN(s.Entries), Key: "key-free", Customer: "free"}
 		model := fmt.Sprint("m-", 1+rng.IntN(2))
-		c.wait.Go(func() { c.add(c.sendNew(q, model)) })
+		c.wait.Go(func() {
+			if s.Kept {
+				c.add(c.send(kept, q, model))
+				return
+			}
+			c.add(c.sendNew(q, model))
+		})
 	}
 }
--- a/io/soak/standstill_test.go
+++ b/io/soak/standstill_test.go
@@ -52,6 +52,52 @@
 	}
 }
 
+// Guards against retries that are paid from requests which were sent in other windows than those in which
+// entries read them, since a link held them.
+func TestHeldRequestsKeepRetryBound(t *testing.T) {
+	self, err := os.Executable()
+	assert.NilError(t, err)
+	for name, play := range map[string]soak.Standstill{
+		"the load falls while links hold": {Services: 12, Rate: 150, Rest: 60, Load: spans(0, 26), Holds: spans(20, 32), Breaks: spans(36.5, 50), BreakShare: 0.45},
+		"kept connections":                {Services: 12, Rate: 150, Rest: 60, Load: spans(0, 26), Holds: spans(20, 32), Breaks: spans(36.5, 50), BreakShare: 0.45, Kept: true},
+		"links are squeezed":              {Services: 12, Rate: 150, Rest: 20, Load: spans(0, 26), Squeezes: spans(14, 45), SqueezeRate: 20_000, Breaks: spans(38, 50), BreakShare: 0.55},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play.Program, play.Dir, play.Seed, play.Ratio, play.Spare = []string{self}, t.TempDir(), 1, 0.2, 56
+			play.Entries, play.Engines, play.Plain, play.Length = 5, 2, true, 52*time.Second
+			report, err := play.Execute()
+			assert.NilError(t, err)
+			t.Log(report)
+			assert.Assert(t, report.Worst.Over() <= 0, report)
+			assert.Equal(t, len(report.Panics), 0)
+			assert.Assert(t, report.Served > 0)
+		})
+	}
+}
+
+// Guards against entries that give up sound upstreams which need more than half of a request's time, and spend the
+// retry budget on it.
+func TestSlowSoundUpstreamsServeAll(t *testing.T) {
+	self, err := os.Executable()
+	assert.NilError(t, err)
+	for name, play := range map[string]soak.Standstill{
+		"few":  {Services: 3, Rest: 10},
+		"many": {Services: 12, Rest: 30},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play.Program, play.Dir, play.Seed, play.Ratio, play.Spare = []string{self}, t.TempDir(), 1, 0.2, 56
+			play.Entries, play.Engines, play.Plain, play.Work, play.Length = 5, 2, true, 2200*time.Millisecond, 20*time.Second
+			report, err := play.Execute()
+			assert.NilError(t, err)
+			t.Log(report)
+			assert.Equal(t, report.Served, report.Requests)
+			assert.Equal(t, report.Worst.All, 0)
+		})
+	}
+}
+
 // Guards against streams that wait until their deadlines at engines that cannot be reached, while their agents
 // report that they run.
 func TestBrokenWaysToEnginesLoseNoStreams(t *testing.T) {
