Note since when a request may have been sent, and log it

A caller sends the next request on a connection once it has the response to the one before: the time at which that was written bounds the time on the way, whatever held it. Connections note it; the line of a request has it as sent-within. Requests that are the first on their connection, and callers that do not wait for responses, have none.

--- a/io/accept/accept.go
+++ b/io/accept/accept.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"sync/atomic"
+
+	"radishwell/core"
 )
 
 // Listener accepts connections while the server keeps up with them, and resets the others unread.
@@ -19,6 +21,8 @@
 	// OnRefuse, if set, is called for each connection that is refused, by the goroutine that
 	// accepts.
 	OnRefuse func(Reason)
+	// Clock, if set, has the connections note when responses are written, for SentSince.
+	Clock core.Clock
 
 	waiting, open atomic.Int64
 }
@@ -57,7 +61,7 @@
 		default:
 			l.open.Add(1)
 			l.waiting.Add(1)
-			return &conn{Conn: c, listener: l, waits: true}, nil
+			return &conn{Conn: c, listener: l, waits: true, exchange: exchange{clock: l.Clock}}, nil
 		}
 	}
 }
@@ -85,6 +89,7 @@
 type conn struct {
 	net.Conn
 	listener *Listener
+	exchange exchange
 	// understood is set once the first request has been understood. The connection counts no
 	// longer then.
 	understood atomic.Bool
@@ -99,15 +104,25 @@
 func (c *conn) Read(p []byte) (int, error) {
 	// net/http reads a single byte in the background to notice that a caller leaves, while the
 	// request waits for the processor.
-	if c.understood.Load() || len(p) <= 1 {
-		return c.Conn.Read(p)
+	ahead := len(p) <= 1
+	if c.understood.Load() || ahead {
+		n, err := c.Conn.Read(p)
+		c.exchange.noteRead(n, ahead)
+		return n, err
 	}
 	c.setWaits(false)
 	n, err := c.Conn.Read(p)
+	c.exchange.noteRead(n, ahead)
 	c.setWaits(n > 0)
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.exchange.noteWrite()
+	return c.Conn.Write(p)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.closed.Do(func() {
@@ -145,10 +160,14 @@
 
 // WithConn returns a context for the requests of a connection, for http.Server.ConnContext.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
-	if secure, ok := c.(*tls.Conn); ok {
+	secure, isTLS := c.(*tls.Conn)
+	if isTLS {
 		c = secure.NetConn()
 	}
 	if c, ok := c.(*conn); ok {
+		if isTLS {
+			c.exchange.setUnordered() // handshakes and alerts are written, too
+		}
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	return ctx
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -111,7 +111,7 @@
 	)
 	p.addServer(&httpd.Server{Address: s.Managed.Readiness, Handler: http.HandlerFunc(e.serveReady)})
 	callers := &httpd.Server{
-		Address: s.Listen.Callers, Handler: e.closeWhileLeaving(e.proxy), OnRefuse: e.connectionRefused,
+		Address: s.Listen.Callers, Handler: e.closeWhileLeaving(e.proxy), OnRefuse: e.connectionRefused, Clock: p.clock,
 		MaxWaiting: maxWaiting(float64(s.Managed.Cores) * s.Managed.Share), MaxOpen: maxOpen(),
 	}
 	p.addServer(callers)
--- a/io/httpd/server.go
+++ b/io/httpd/server.go
@@ -16,6 +16,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/samber/oops"
 
+	"radishwell/core"
 	"radishwell/io/accept"
 	"radishwell/io/events"
 )
@@ -50,6 +51,8 @@
 	// OnRefuse is called for the others. Zero means no bound.
 	MaxWaiting, MaxOpen int
 	OnRefuse            func(accept.Reason)
+	// Clock is that of accept.Listener.
+	Clock core.Clock
 
 	listener net.Listener
 	server   *khttp.Server
@@ -67,7 +70,7 @@
 	if err != nil {
 		return oops.In("httpd").With("address", s.Address).Wrapf(err, "listen")
 	}
-	bounded := &accept.Listener{Listener: lis, MaxWaiting: s.MaxWaiting, MaxOpen: s.MaxOpen, OnRefuse: s.OnRefuse}
+	bounded := &accept.Listener{Listener: lis, MaxWaiting: s.MaxWaiting, MaxOpen: s.MaxOpen, OnRefuse: s.OnRefuse, Clock: s.Clock}
 	s.listener = bounded
 	s.Address = lis.Addr().(*net.TCPAddr).AddrPort()
 	// The filter bypasses the router of kratos, which would clean paths and answer
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -47,6 +47,8 @@
 	writer  http.ResponseWriter
 	request *http.Request
 	arrived time.Time
+	// sentSince is a time before which the caller cannot have sent the request, zero if nothing tells.
+	sentSince time.Time
 
 	ask      core.RequestHead
 	target   rawurl.Target
@@ -172,6 +174,9 @@
 // ServeHTTP implements http.Handler.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{proxy: p, writer: w, request: r, arrived: p.Clock.Now()}
+	if at, ok := accept.SentSince(r.Context()); ok {
+		c.sentSince = at
+	}
 	c.heldID = p.held.open(w)
 	defer p.held.close(c.heldID)
 	refusal := c.prepare()
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -23,6 +23,9 @@
 	pairs = append(
 		pairs, "took", now.Sub(c.arrived).Round(time.Millisecond), "table", c.tableVersion, "sends", c.sends, "ran", c.ran,
 	)
+	if !c.sentSince.IsZero() {
+		pairs = append(pairs, "sent-within", c.arrived.Sub(c.sentSince).Round(time.Millisecond))
+	}
 	if r != nil && c.service == nil && c.proxy.TableAge != nil {
 		// The routing table decided.
 		pairs = append(pairs, "table-age", c.proxy.TableAge().Round(time.Millisecond))
