Pay retries only from requests that are known to have been sent in the windows

What callers saw: repeats beyond the bound once a link between callers and entries has held requests, the load has fallen meanwhile and upstreams fail; nobody is killed.

Cause: the platform counts a request when its caller sends it. An entry counted it when it read it, less 0.2 s for the way, and less the time for which the entry itself stood still. What a cut, a lossy or narrow link, a queue or a relay had held paid retries in windows to which it does not belong.

Now a request pays only while both windows are known to have it: it was sent after the previous response on its connection was written. The first request on a connection pays nothing, nor do those whose callers do not wait for responses.

--- a/core/retry/entry_test.go
+++ b/core/retry/entry_test.go
@@ -31,9 +31,16 @@
 	return w
 }
 
-func (w *windowBudget) recordFirst(now, sent time.Time) { w.RecordFirst(now, sent) }
-func (w *windowBudget) settle(now time.Time)            { w.Settle(now) }
-func (w *windowBudget) lose(now time.Time)              { w.Lose(now) }
+func (w *windowBudget) recordFirst(now, sentSince time.Time) {
+	if sentSince.IsZero() {
+		w.RecordUnknown(now)
+		return
+	}
+	w.RecordFirst(now, sentSince)
+}
+
+func (w *windowBudget) settle(now time.Time) { w.Settle(now) }
+func (w *windowBudget) lose(now time.Time)   { w.Lose(now) }
 
 func (w *windowBudget) abandon(now, runs time.Time) {
 	if w.runs == nil {
--- a/core/retry/fleet_test.go
+++ b/core/retry/fleet_test.go
@@ -20,9 +20,9 @@
 
 // entryBudget is the retry budget of one entry's process.
 type entryBudget interface {
-	// recordFirst records a request that arrives at the entry, and that its caller sent no sooner
-	// than at sent.
-	recordFirst(now, sent time.Time)
+	// recordFirst records a request that arrives at the entry, and that its caller is known to have sent since
+	// a time, zero if nothing tells.
+	recordFirst(now, sentSince time.Time)
 	// take takes one retry, of the process's own or of one that was lent. settle and lose end one of
 	// its own, with an answer and without one.
 	take(now time.Time) (ok, own bool)
@@ -57,8 +57,8 @@
 	weight  float64
 	process int
 	// down, frozen and apart end the times in which the process does not run, stands still, and
-	// exchanges nothing with others.
-	down, frozen, apart time.Time
+	// exchanges nothing with others; held ends that in which the link from callers holds what they send.
+	down, frozen, apart, held time.Time
 }
 
 func (e *fleetEntry) isDown(now time.Time) bool { return now.Before(e.down) }
@@ -82,11 +82,17 @@
 	load, failing float64
 	// failsAt, if set, reports whether requests fail at an entry. once is set if a request is repeated
 	// once instead of four times.
-	failsAt       func(*fleetEntry) bool
-	once          bool
-	events        eventq.Queue[func(now time.Time)]
-	sent, repeats []time.Time
-	wanted, made  int
+	failsAt func(*fleetEntry) bool
+	once    bool
+	// holds is set if links from callers hold requests while the load falls. newConnections is the share of requests
+	// that are the first on their connection, and idle the mean time for which the connection of another one was
+	// not used before.
+	holds          bool
+	newConnections float64
+	idle           time.Duration
+	events         eventq.Queue[func(now time.Time)]
+	sent, repeats  []time.Time
+	wanted, made   int
 }
 
 func (p *fleetPlay) after(now time.Time, most time.Duration) time.Time {
@@ -122,30 +128,30 @@
 	return p.entries[0]
 }
 
-// request has a caller send a request, which arrives within 50 ms, or once its entry runs again.
+// request has a caller send a request, which arrives within 50 ms, or once its entry runs again and its link
+// holds it no more.
 func (p *fleetPlay) request(now time.Time) {
 	p.sent = append(p.sent, now)
 	e := p.pick()
 	process := e.process
-	behind := now.Before(e.frozen)
-	p.events.Push(p.after(core.Later(now, e.frozen), 50*time.Millisecond), func(at time.Time) {
-		p.arrive(at, now, e, process, behind)
+	var since time.Time
+	if p.newConnections == 0 || p.rng.Float64() >= p.newConnections {
+		since = now.Add(-time.Duration(p.idle.Seconds() * p.rng.ExpFloat64() * float64(time.Second)))
+	}
+	p.events.Push(p.after(core.Later(now, core.Later(e.frozen, e.held)), 50*time.Millisecond), func(at time.Time) {
+		p.arrive(at, since, e, process)
 	})
 }
 
-func (p *fleetPlay) arrive(now, sent time.Time, e *fleetEntry, process int, behind bool) {
+func (p *fleetPlay) arrive(now, since time.Time, e *fleetEntry, process int) {
 	if now.Before(e.frozen) {
-		p.events.Push(e.frozen, func(at time.Time) { p.arrive(at, sent, e, process, true) })
+		p.events.Push(e.frozen, func(at time.Time) { p.arrive(at, since, e, process) })
 		return
 	}
 	if e.process != process || e.isDown(now) {
 		return
 	}
-	noSooner := now
-	if behind {
-		noSooner = sent // the process knows since when it stood still
-	}
-	e.budget.recordFirst(now, noSooner)
+	e.budget.recordFirst(now, since)
 	if p.rng.Float64() >= p.failing || p.failsAt != nil && !p.failsAt(e) {
 		return
 	}
@@ -278,6 +284,23 @@
 	})
 }
 
+// hold has the links of some entries hold requests while the load falls, and upstreams fail after that.
+func (p *fleetPlay) hold(now time.Time) {
+	begins := p.after(now, time.Second)
+	falls, until := p.after(begins, 3*time.Second), p.after(begins.Add(9*time.Second), 3*time.Second)
+	fails := p.after(until, 3*time.Second)
+	p.events.Push(begins, func(time.Time) {
+		for _, e := range p.entries {
+			if p.rng.IntN(4) > 0 {
+				e.held = until
+			}
+		}
+	})
+	p.events.Push(falls, func(time.Time) { p.load = 0.1 + 0.3*p.rng.Float64() })
+	p.events.Push(fails, func(time.Time) { p.failing = 1 })
+	p.events.Push(fails.Add(span/2), func(time.Time) { p.failing, p.load = 0, 4 })
+}
+
 // strike has one thing happen to entries, load or upstreams.
 func (p *fleetPlay) strike(now time.Time) {
 	some := p.rng.Float64()
@@ -347,7 +370,11 @@
 		p.join(now)
 	}
 	p.every(now, 100*time.Millisecond, p.meet)
-	p.every(now.Add(12*time.Second), stormInterval, p.storm)
+	storm := p.storm
+	if p.holds {
+		storm = p.hold
+	}
+	p.every(now.Add(12*time.Second), stormInterval, storm)
 	p.arrivals(now)
 	p.play()
 }
@@ -455,6 +482,22 @@
 	assert.Assert(t, made > 0)
 }
 
+// Guards against retries that are paid from requests which links held, in windows other than those in which
+// callers sent them.
+func TestHeldRequestsKeepRetryBound(t *testing.T) {
+	t.Parallel()
+	made := 0
+	for seed := range uint64(60) {
+		p := newFleetPlay(seed, jhinuk, newEntryBudget)
+		p.holds, p.newConnections, p.idle = true, 0.3*float64(seed%4), time.Duration(seed%5)*time.Second
+		p.run(t0, 3+int(seed%8))
+		made += p.made
+		over := p.worst(t0)
+		assert.Check(t, over <= 0, "seed %d: %.1f repeats over the bound, of %d", seed, over, p.made)
+	}
+	assert.Assert(t, made > 0)
+}
+
 func newFleetPlay(seed uint64, b bound, newEntry func(now time.Time, name int, b bound) entryBudget) *fleetPlay {
 	return &fleetPlay{
 		bound: b, newEntry: newEntry, rng: rand.New(rand.NewPCG(seed, 7)), rate: 81, ends: t0.Add(80 * time.Second), latest: b.span / 2,
--- a/core/retry/ways_test.go
+++ b/core/retry/ways_test.go
@@ -14,6 +14,9 @@
 type way struct {
 	name     string
 	newEntry func() func(now time.Time, name int, b bound) entryBudget
+	// newConnections and idle are those of the play.
+	newConnections float64
+	idle           time.Duration
 }
 
 // ownWindow pays retries from the requests of the entry's own last span, and a part of the spare ones
@@ -120,19 +123,22 @@
 }
 
 var ways = []way{
-	{"own windows", func() func(time.Time, int, bound) entryBudget {
+	{name: "own windows", newEntry: func() func(time.Time, int, bound) entryBudget {
 		return func(now time.Time, _ int, b bound) entryBudget {
 			return &ownWindow{bound: b, spareFrom: now.Add(b.span)}
 		}
 	}},
-	{"token buckets", func() func(time.Time, int, bound) entryBudget {
+	{name: "token buckets", newEntry: func() func(time.Time, int, bound) entryBudget {
 		return func(_ time.Time, _ int, b bound) entryBudget { return &bucket{bound: b} }
 	}},
-	{"halves", func() func(time.Time, int, bound) entryBudget {
+	{name: "halves", newEntry: func() func(time.Time, int, bound) entryBudget {
 		return func(now time.Time, name int, b bound) entryBudget { return alone{newEntryBudget(now, name, b)} }
 	}},
-	{"halves and loans", func() func(time.Time, int, bound) entryBudget { return newEntryBudget }},
-	{"one count of halves", func() func(time.Time, int, bound) entryBudget {
+	{name: "halves and loans", newEntry: shared},
+	{name: "halves and loans, connections used each 2 s", newEntry: shared, idle: 2 * time.Second},
+	{name: "halves and loans, half of the requests on new connections", newEntry: shared, newConnections: 0.5, idle: 2 * time.Second},
+	{name: "halves and loans, all requests on new connections", newEntry: shared, newConnections: 1},
+	{name: "one count of halves", newEntry: func() func(time.Time, int, bound) entryBudget {
 		var all entryBudget
 		return func(now time.Time, _ int, b bound) entryBudget {
 			if all == nil {
@@ -141,7 +147,7 @@
 			return sharedBudget{all}
 		}
 	}},
-	{"one count", func() func(time.Time, int, bound) entryBudget {
+	{name: "one count", newEntry: func() func(time.Time, int, bound) entryBudget {
 		var all *counter
 		return func(_ time.Time, _ int, b bound) entryBudget {
 			if all == nil {
@@ -152,6 +158,8 @@
 	}},
 }
 
+func shared() func(now time.Time, name int, b bound) entryBudget { return newEntryBudget }
+
 // alone is the budget of an entry that neither borrows nor lends.
 type alone struct{ entryBudget }
 
@@ -214,6 +222,7 @@
 				p := newFleetPlay(1, b, w.newEntry())
 				p.rng = rand.New(rand.NewPCG(uint64(machines), 3))
 				p.rate, p.once = 5.4*float64(machines), true
+				p.newConnections, p.idle = w.newConnections, w.idle
 				begins := t0.Add(40 * time.Second)
 				p.ends = begins.Add(30 * time.Second)
 				p.load = 1
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -11,8 +11,6 @@
 	// lateBuckets is how many buckets later than it was taken a retry without an answer may
 	// arrive: half of the span after it was sent.
 	lateBuckets = windowBuckets/2 + loanBuckets
-	// transitBuckets is how many buckets after it was sent a request may be recorded.
-	transitBuckets = 2
 	// attemptBuckets and retryBuckets are the numbers of buckets kept.
 	attemptBuckets = 2 * windowBuckets
 	retryBuckets   = windowBuckets + lateBuckets + 1
@@ -47,18 +45,28 @@
 	// it can have arrived.
 	attempts [attemptBuckets]float64
 	retries  [retryBuckets]float64
+	// unknown is a ring by bucket of the requests that pay none.
+	unknown [attemptBuckets]float64
 	// inFlight counts the retries that are neither settled nor lost.
 	inFlight float64
 	// newest is the number of the newest bucket, counted from the Unix epoch.
 	newest int64
 }
 
-// RecordFirst records a request, which its caller sent no sooner than at the given time.
-func (w *Window) RecordFirst(now, sent time.Time) {
+// RecordFirst records a request that is known to have been sent between a time and now.
+func (w *Window) RecordFirst(now, sentSince time.Time) {
 	w.advance(now)
-	if at := w.bucket(sent); at > w.newest-attemptBuckets {
+	if at := w.bucket(sentSince); at > w.newest-attemptBuckets {
 		w.attempts[min(at, w.newest)%attemptBuckets]++
+		return
 	}
+	w.unknown[w.newest%attemptBuckets]++
+}
+
+// RecordUnknown records a request that may have been sent at any time. It pays no retries.
+func (w *Window) RecordUnknown(now time.Time) {
+	w.advance(now)
+	w.unknown[w.newest%attemptBuckets]++
 }
 
 // Take takes one retry from the budget and reports whether there was one. Each retry that was taken
@@ -138,7 +146,7 @@
 	w.Spare.advance(w.newest)
 	// A window that begins in a bucket has, with the one before it, all requests from the following
 	// bucket of the window before on.
-	const firstOffset = 1 + transitBuckets - windowBuckets
+	const firstOffset = 1 - windowBuckets
 	attempts, retries, least := 0.0, w.inFlight, w.Spare.later()-w.inFlight
 	for at := w.newest + lateBuckets + firstOffset + 1; at <= w.newest; at++ {
 		attempts += w.attempts[at%attemptBuckets]
@@ -153,18 +161,19 @@
 	return least
 }
 
-// Figures are what a budget is made of at one moment: the requests of the window and of the one before
-// it, the retries that may be in the window and those of them that are neither settled nor lost, and the
-// fixed number for it.
-type Figures struct{ Attempts, Retries, InFlight, Spare float64 }
+// Figures are what a budget is made of at one moment: the requests known to have been sent in the window and in the
+// one before it, those read in them of which it is not known, the retries that may be in the window and those of them
+// that are neither settled nor lost, and the fixed number for it.
+type Figures struct{ Attempts, Unknown, Retries, InFlight, Spare float64 }
 
 // Figures returns what the budget is made of now, for the window that ends now.
 func (w *Window) Figures(now time.Time) Figures {
 	w.advance(now)
 	w.Spare.advance(w.newest)
 	f := Figures{Retries: w.inFlight, InFlight: w.inFlight, Spare: w.Spare.at(w.newest - windowBuckets)}
-	for _, n := range w.attempts {
+	for i, n := range w.attempts {
 		f.Attempts += n
+		f.Unknown += w.unknown[i]
 	}
 	for _, n := range w.retries {
 		f.Retries += n
@@ -184,7 +193,7 @@
 	w.newest = max(w.newest, bucket-attemptBuckets)
 	for w.newest < bucket {
 		w.newest++
-		w.attempts[w.newest%attemptBuckets] = 0
+		w.attempts[w.newest%attemptBuckets], w.unknown[w.newest%attemptBuckets] = 0, 0
 		w.retries[(w.newest+lateBuckets)%retryBuckets] = 0
 	}
 }
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -335,7 +335,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	p.budget(c.service.Name).window.RecordFirst(now, core.Earlier(c.arrived, p.standstill.SentSince(c.arrived)))
+	if w := &p.budget(c.service.Name).window; c.sentSince.IsZero() {
+		w.RecordUnknown(now)
+	} else {
+		w.RecordFirst(now, c.sentSince)
+	}
 	if p.ranks[c.service.Name] == nil {
 		p.ranks[c.service.Name] = &turn.Ranks{}
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -15,7 +15,6 @@
 	"radishwell/core/length"
 	"radishwell/core/origin"
 	"radishwell/core/parts"
-	"radishwell/core/retry"
 	"radishwell/core/rtable"
 	"radishwell/core/strike"
 	"radishwell/io/events"
@@ -99,10 +98,8 @@
 	retries map[core.ServiceName]*retryBudget
 	// inherited are the hosts that may read requests of this process's predecessor.
 	inherited []*fleet.Host
-	// standstill tells when requests that are read now may have been sent.
-	standstill retry.Standstill
-	demand     demand.Tracker
-	lengths    length.Tracker
+	demand    demand.Tracker
+	lengths   length.Tracker
 	// book has the strikes against requests, and sharer chooses those for messages.
 	book   strike.Book
 	sharer strike.Sharer
--- a/io/proxy/repeat.go
+++ b/io/proxy/repeat.go
@@ -243,6 +243,6 @@
 	f := b.window.Figures(now)
 	events.Log(
 		event, "request", c.ask.ID, "service", c.service.Name, "sends", c.sends, "last-host", c.lastHost, "attempts", f.Attempts,
-		"retries", f.Retries, "in-flight", f.InFlight, "held", b.held.Len(), "spare", round(f.Spare), "lent", c.retry == lentRetry, "process-age", now.Sub(p.startedAt).Round(time.Millisecond),
+		"sent-unknown", f.Unknown, "retries", f.Retries, "in-flight", f.InFlight, "held", b.held.Len(), "spare", round(f.Spare), "lent", c.retry == lentRetry, "process-age", now.Sub(p.startedAt).Round(time.Millisecond),
 	)
 }
--- a/io/proxy/silent.go
+++ b/io/proxy/silent.go
@@ -189,7 +189,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	p.standstill.Run(now)
 	allowed, heard := moves{}, p.heard()
 	for w := range p.streams {
 		silent := now.Sub(time.Unix(0, w.lastEvent.Load())) >= w.timeout
