Let an attempt go on while a second one is made or refused, and make one only where it is likely to be sooner

What callers saw: where sound upstreams need longer than half of a request's time, no request that may be repeated was served (502 and 504), each was sent twice until the retry budget was used up, and then others had none. The same upstreams served all requests that may not be repeated.

Cause: an attempt was given up after half of the remaining time, whether or not another host was free, better, or allowed by the budget. The class: a fixed part of a time limit in place of what the service shows.

Now the first attempt goes on. From half of its time on a second one is made beside it if it is likely to be answered sooner, by the service's own latest latencies, if a host has room and the budget has one; the first answer counts and the other attempt is cancelled.

--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -477,6 +477,11 @@
 	h.failedAt = now
 }
 
+// HasRoom reports whether the host may run one more of this process's requests at once, and is not avoided.
+func (h *Host) HasRoom(now time.Time) bool {
+	return (h.Slots == 0 || h.inFlight < h.Slots) && !now.Before(h.avoidUntil)
+}
+
 // NoteConnectFailure records that the host accepted no connection.
 func (h *Host) NoteConnectFailure(now time.Time) {
 	h.NoteFailure(now)
--- /dev/null
+++ b/core/retry/latency.go
@@ -0,0 +1,66 @@
+package retry
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxLatencies is the number of latencies kept, and minLatencies that from which on they tell anything.
+	maxLatencies, minLatencies = 64, 8
+)
+
+// Latencies are those of a service's latest answers. The zero value is ready for use. It is not safe for
+// concurrent use.
+type Latencies struct {
+	ring [maxLatencies]time.Duration
+	n    int
+}
+
+// Add adds the time from when a request was sent until it was answered.
+func (l *Latencies) Add(d time.Duration) {
+	l.ring[l.n%maxLatencies] = d
+	l.n++
+}
+
+// Hope is what can be expected of a second attempt at a request whose first has no answer yet.
+type Hope uint8
+
+// Hopes.
+const (
+	// Unknown: too few requests were answered.
+	Unknown Hope = iota
+	// Slower: the first attempt is as likely to be answered sooner, or the second would be too late.
+	Slower
+	// Sooner: the second attempt is likely to be answered sooner.
+	Sooner
+)
+
+// String returns the hope's name.
+func (h Hope) String() string {
+	switch h {
+	case Slower:
+		return "slower"
+	case Sooner:
+		return "sooner"
+	}
+	return "unknown"
+}
+
+// Second returns what can be expected of a second attempt now: the first was sent some time ago, and the caller
+// leaves after the time that is left. It compares the chances of either to be answered within the median latency.
+func (l *Latencies) Second(waited, left time.Duration) Hope {
+	n := min(l.n, maxLatencies)
+	if n < minLatencies {
+		return Unknown
+	}
+	sorted := slices.Clone(l.ring[:n])
+	slices.Sort(sorted)
+	median := sorted[n/2]
+	over, _ := slices.BinarySearch(sorted, waited+1)
+	within, _ := slices.BinarySearch(sorted, waited+median+1)
+	if left < median || 2*(within-over) >= n-over && over < n {
+		return Slower
+	}
+	return Sooner
+}
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -43,22 +43,72 @@
 	return "the upstream did not run the request: status " + strconv.Itoa(e.Status)
 }
 
-// attempt sends the request to one host and forwards its answer.
-func (c *call) attempt(ctx context.Context, t *target) outcome {
+// exchange is the request as it was sent to one host, with what has come back.
+type exchange struct {
+	target *target
+	// lastEventID is the ID of the event after which a stream goes on.
+	lastEventID string
+	// retry is what the send is taken from, and retryBy the time by which it has to be sent then. counted is set once
+	// it counts among the sends.
+	retry   retrySource
+	retryBy time.Time
+	counted bool
+	cancel  context.CancelFunc
+
+	// The fields below are set by the goroutine that sends it. sentAt is when it began, endedAt when it had an answer,
+	// or an error.
+	sentAt, endedAt time.Time
+	resp            *http.Response
+	state           sendState
+	err             error
+	// ahead is what was read of the body, nil if nothing was.
+	ahead *readAhead
+}
+
+// begin begins an exchange with a host.
+func (c *call) begin(t *target) *exchange {
+	c.lastHost = t.id
+	t.sentAt = c.recordSend(t)
+	x := &exchange{target: t, lastEventID: c.lastEventID, retry: c.retry, retryBy: c.retryBy, sentAt: t.sentAt, cancel: func() {}}
+	c.retry = noRetry
+	return x
+}
+
+// countSend counts an exchange among the sends of the request.
+func (c *call) countSend(x *exchange) {
+	if x.counted {
+		return
+	}
+	x.counted = true
+	c.proxy.Meter.Send(c.sends > 0)
+	c.sends++
+}
+
+// attempt sends the request to one host, or to two, and forwards the answer. It returns the host whose answer, or
+// failure, came last.
+func (c *call) attempt(ctx context.Context, t *target) (*target, outcome) {
 	ctx, stop := context.WithDeadline(ctx, c.attemptDeadline())
 	defer stop()
+	if c.mayHaveSecond() {
+		return c.attemptTwice(ctx, t)
+	}
 	ctx, done := c.proxy.watch(ctx, c, t)
 	defer done()
-	c.lastHost = t.id
-	c.sentAt = c.recordSend(t)
-	resp, state, err := c.proxy.upstreams.send(ctx, c, t, c.lastEventID)
-	sent := state.sent
+	x := c.begin(t)
+	x.resp, x.state, x.err = c.proxy.upstreams.send(ctx, c, x)
+	x.endedAt = c.proxy.Clock.Now()
+	return t, c.finish(ctx, x)
+}
+
+// finish ends an exchange and forwards its answer, if there is one.
+func (c *call) finish(ctx context.Context, x *exchange) outcome {
+	t, resp, err := x.target, x.resp, x.err
+	sent := x.state.sent
 	if sent {
-		c.proxy.Meter.Send(c.sends > 0)
-		c.sends++
+		c.countSend(x)
 	}
 	if err != nil {
-		c.endSend(t, endOfFailed(state, err))
+		c.endSend(x, endOfFailed(x.state, err))
 		if sent {
 			c.ran++
 		} else {
@@ -76,11 +126,11 @@
 	c.framing, c.partialEvent = reply.Framing(resp), 0
 	head := c.proxy.Protocol.ParseAnswer(resp.Header, resp.StatusCode, c.proxy.Clock.Now())
 	if head.ID == c.ask.ID {
-		c.endSend(t, answered)
+		c.endSend(x, answered)
 	} else {
-		c.endSend(t, closed)
+		c.endSend(x, closed)
 	}
-	c.applySignals(t, head, c.sentAt)
+	c.applySignals(t, head, x.sentAt)
 	if head.ID == c.ask.ID && (head.NotRun || resp.StatusCode == http.StatusMisdirectedRequest) {
 		c.recordEnd(t, func(h *fleet.Host, now time.Time) { c.recordRejection(h, now, resp.StatusCode) })
 		return outcome{sent: true, rejected: true, cause: &RejectedError{Status: resp.StatusCode}}
@@ -102,7 +152,7 @@
 	case c.started:
 		err = &SpoiltError{Reason: "a stream goes on with status " + strconv.Itoa(resp.StatusCode)}
 	default:
-		err = c.forwardWhole(ctx, t, resp)
+		err = c.forwardWhole(ctx, x)
 	}
 	c.proxy.Meter.UpstreamAnswer(c.framing, err == nil)
 	if err != nil {
@@ -126,6 +176,7 @@
 	if resp.StatusCode < http.StatusInternalServerError {
 		c.noteServed()
 		c.notePartsServed(t)
+		c.noteLatency(x)
 	}
 	if isStream {
 		c.noteStreamEnd()
@@ -143,17 +194,11 @@
 	return err
 }
 
-// attemptDeadline returns when an attempt is given up. A host that was cut off accepts
-// requests and never answers, so an attempt at a request that may run again uses only
-// half of the remaining time and leaves the rest for another host. If a failure is kept
-// as the answer, the attempt ends early enough for the caller to receive it.
+// attemptDeadline returns when an attempt is given up. If a failure is kept as the answer, the attempt ends
+// early enough for the caller to receive it.
 func (c *call) attemptDeadline() time.Time {
-	switch {
-	case c.failure != nil:
+	if c.failure != nil {
 		return c.deadline.Add(-failureMargin)
-	case c.route.Kind == rtable.Repeatable && c.ran+1 < c.route.MaxHosts:
-		now := c.proxy.Clock.Now()
-		return now.Add(c.deadline.Sub(now) / 2)
 	}
 	return c.deadline
 }
@@ -274,10 +319,14 @@
 
 // forwardWhole reads an answer to its end and then forwards it. An answer that breaks
 // off is not forwarded at all, unless it is larger than what is buffered.
-func (c *call) forwardWhole(ctx context.Context, t *target, resp *http.Response) error {
-	body, whole, err := c.readAnswer(resp.Body)
-	if err != nil {
-		return err
+func (c *call) forwardWhole(ctx context.Context, x *exchange) error {
+	t, resp := x.target, x.resp
+	if x.ahead == nil {
+		x.ahead = c.readAhead(resp.Body)
+	}
+	body, whole := x.ahead.body, x.ahead.whole
+	if x.ahead.err != nil {
+		return x.ahead.err
 	}
 	length := c.lengthOf(resp, body)
 	if !whole {
@@ -295,7 +344,7 @@
 	if whole {
 		return nil
 	}
-	if _, err = io.Copy(heldWriter{c}, resp.Body); err != nil {
+	if _, err := io.Copy(heldWriter{c}, resp.Body); err != nil {
 		return err
 	}
 	return c.checkCrash(ctx, t)
--- a/io/proxy/buffer.go
+++ b/io/proxy/buffer.go
@@ -142,25 +142,35 @@
 // answerChunk is the size of the pieces in which an answer is read, in bytes.
 const answerChunk = 16 << 10
 
-// readAnswer reads an answer to its end, or until it is larger than what is buffered of one. whole
-// is set in the former case. As the entry's memory fills, less is buffered, so that the upstream
+// readAhead is what was read of an answer's body before any of it is forwarded. whole is set if it is all, err if the
+// body broke off.
+type readAhead struct {
+	body  []byte
+	whole bool
+	err   error
+}
+
+// readAhead reads the body of an answer to its end, or until it is larger than what is buffered of one.
+// As the entry's memory fills, less is buffered, so that the upstream
 // waits until the caller has taken what came before.
-func (c *call) readAnswer(from io.Reader) (body []byte, whole bool, err error) {
-	held := &c.proxy.held
-	for len(body) <= maxBufferedAnswer && held.mayBuffer(answerChunk) {
-		at := len(body)
-		body = append(body, make([]byte, answerChunk)...)
-		n, err := from.Read(body[at:])
-		body = body[:at+n]
+func (c *call) readAhead(from io.Reader) *readAhead {
+	held, out := &c.proxy.held, &readAhead{}
+	for len(out.body) <= maxBufferedAnswer && held.mayBuffer(answerChunk) {
+		at := len(out.body)
+		out.body = append(out.body, make([]byte, answerChunk)...)
+		n, err := from.Read(out.body[at:])
+		out.body = out.body[:at+n]
 		held.add(c.heldID, n)
 		switch {
 		case errors.Is(err, io.EOF):
-			return body, true, nil
+			out.whole = true
+			return out
 		case err != nil:
-			return nil, false, err
+			out.err = err
+			return out
 		}
 	}
-	return body, false, nil
+	return out
 }
 
 // heldWriter writes to the caller and records while it takes nothing.
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -82,7 +82,7 @@
 	// sends counts the hosts that received any part of the request, ran those that may
 	// have run it.
 	sends, ran int
-	// retry is what the present send of the request is taken from, and retryBy the time by which it has
+	// retry is what the next send of the request is taken from, and retryBy the time by which it has
 	// to be sent then.
 	retry   retrySource
 	retryBy time.Time
@@ -128,8 +128,6 @@
 	// requests that it allowed for, and own the time in which the host should process the prompt.
 	verdict     turn.Verdict
 	urgent, own time.Duration
-	// sentAt is when the request was last sent to a host.
-	sentAt time.Time
 	// pacingTime is the time spent waiting for reservations at hosts that name a rate
 	// limit.
 	pacingTime time.Duration
@@ -317,7 +315,7 @@
 			c.endTrial()
 			return refusal
 		}
-		o := c.attempt(ctx, t)
+		t, o := c.attempt(ctx, t)
 		c.endTrial()
 		if o.done {
 			return nil
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -316,6 +316,8 @@
 	// prefillTokens is the number of prompt tokens that the host has to process for the
 	// request.
 	prefillTokens int
+	// sentAt is when the request was sent to the host.
+	sentAt time.Time
 	// startedAt is when the first event of a stream arrived from the host, zero before. proven is
 	// set once the stream has gone on for long enough to speak for the parts of its prompt.
 	startedAt time.Time
--- a/io/proxy/repeat.go
+++ b/io/proxy/repeat.go
@@ -27,6 +27,8 @@
 	opening chan struct{}
 	// asking is closed once the ask for a loan that is in progress has ended, nil if there is none.
 	asking chan struct{}
+	// latencies are those of the service's plain answers.
+	latencies retry.Latencies
 }
 
 // retrySource is whose part of the retry budget a send of a request is taken from.
@@ -203,18 +205,18 @@
 
 // endSend ends what a send to a host was charged for. If earlier sends may be unread, one of them may
 // arrive as the request's last in place of this one, so a retry is held for each.
-func (c *call) endSend(t *target, end sendEnd) {
-	p := c.proxy
+func (c *call) endSend(x *exchange, end sendEnd) {
+	p, t := c.proxy, x.target
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, b := p.Clock.Now(), p.budget(c.service.Name)
 	if end == unread {
 		c.unread = append(c.unread, retry.Unread{Host: t.id, Born: t.incarnation().Born, Address: t.address, Ended: now})
 		b.unread[t.incarnation()] = t.host
-		events.Log(events.SendUnread, "request", c.ask.ID, "service", c.service.Name, "host", t.id, "sends", c.sends, "sent-ago", now.Sub(c.sentAt).Round(time.Millisecond))
+		events.Log(events.SendUnread, "request", c.ask.ID, "service", c.service.Name, "host", t.id, "sends", c.sends, "sent-ago", now.Sub(x.sentAt).Round(time.Millisecond))
 	}
-	from := c.retry
-	c.retry = noRetry
+	from := x.retry
+	x.retry = noRetry
 	switch {
 	case from == noRetry:
 	case end == notSent:
@@ -223,7 +225,7 @@
 		b.held.Hold(slices.Clone(c.unread))
 		c.held++
 	case from == lentRetry:
-		b.window.EndLent(now, c.retryBy)
+		b.window.EndLent(now, x.retryBy)
 	case end == answered:
 		b.window.Settle(now)
 	default:
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -93,20 +93,21 @@
 // sendState is what a host may have received of a request, and whether it has sent anything back.
 type sendState struct{ sent, heard bool }
 
-// send sends the request to a host and returns the header of its answer.
-func (u *upstreams) send(ctx context.Context, c *call, t *target, lastEventID string) (resp *http.Response, state sendState, err error) {
+// send sends the request to a host and returns the header of its answer. It changes nothing of the call.
+func (u *upstreams) send(ctx context.Context, c *call, x *exchange) (resp *http.Response, state sendState, err error) {
 	var heard atomic.Bool
+	t := x.target
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			state.sent = true
-			if conn, ok := info.Conn.(*timedConn); ok && c.retry != noRetry {
-				conn.clock, conn.by = c.proxy.Clock, c.retryBy
+			if conn, ok := info.Conn.(*timedConn); ok && x.retry != noRetry {
+				conn.clock, conn.by = c.proxy.Clock, x.retryBy
 			}
 		},
 		GotFirstResponseByte: func() { heard.Store(true) },
 	}
 	ctx = httptrace.WithClientTrace(ctx, trace)
-	hop := core.Hop{Incarnation: t.id, Remaining: c.deadline.Sub(c.proxy.Clock.Now()), Priority: c.rank, LastEventID: lastEventID}
+	hop := core.Hop{Incarnation: t.id, Remaining: c.deadline.Sub(c.proxy.Clock.Now()), Priority: c.rank, LastEventID: x.lastEventID}
 	if c.customer != nil {
 		hop.Customer = c.customer.Name
 	}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -198,7 +198,7 @@
 		t.startedAt = c.proxy.Clock.Now()
 		c.proxy.Update(func(_ *fleet.View, _ time.Time) { t.host.NoteAnswerStart(t.prefillTokens) })
 		c.endTurn(queue.Served)
-		c.proxy.Meter.Foresight(c.expectedWait, t.startedAt.Sub(c.sentAt))
+		c.proxy.Meter.Foresight(c.expectedWait, t.startedAt.Sub(t.sentAt))
 		c.recordContinuation(t)
 	}
 	if c.started {
