--- a/io/soak/proc.go
+++ b/io/soak/proc.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -116,6 +118,21 @@
 	return p.starts
 }
 
+// peakMemory returns the most memory in bytes that the process has had, zero if it does not run or the system does not
+// state it.
+func (p *Proc) peakMemory() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.process == nil {
+		return 0
+	}
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.process.Pid))
+	_, after, _ := strings.Cut(string(status), "VmHWM:")
+	var kib int64
+	_, _ = fmt.Sscan(after, &kib)
+	return kib << 10
+}
+
 // Close kills the process and waits until it has ended. It isn't restarted.
 func (p *Proc) Close() {
 	p.mu.Lock()
--- a/io/soak/standstill.go
+++ b/io/soak/standstill.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -42,9 +43,11 @@
 	// which all connections are reset.
 	Shed   []Span
 	Resets []time.Duration
-	// Breaks are the times in which upstreams of the service reset BreakShare of the requests that they read.
+	// Breaks are the times in which upstreams of the service answer BreakShare of the requests that they read as
+	// BreakFault has it; they close the connection if it is NoFault.
 	Breaks     []Span
 	BreakShare float64
+	BreakFault stand.WorkerFault
 	// Holds are the times in which the links between callers and entries hold what callers send. Squeezes are those
 	// in which these links together carry SqueezeRate bytes a second to the entries.
 	Holds       []Span
@@ -68,6 +71,10 @@
 	// Worst is the window in which most repeats were over the bound.
 	Worst  RepeatWindow
 	Panics []string
+	// Starts is the number of times that entries were started, and PeakMemory the most memory in bytes that one of them
+	// had at the end of the run since it was started.
+	Starts     int
+	PeakMemory int64
 }
 
 // String describes the results in one line.
@@ -164,6 +171,10 @@
 	c.wait.Wait()
 	time.Sleep(time.Second) // for what upstreams read last
 	report := &StandstillReport{Requests: len(c.results)}
+	for _, e := range t.entries {
+		report.Starts += e.Starts()
+		report.PeakMemory = max(report.PeakMemory, e.peakMemory())
+	}
 	for _, r := range c.results {
 		if r.Status == 200 && r.Complete {
 			report.Served++
@@ -197,7 +208,7 @@
 		u.Prefill = s.Work
 		for _, span := range s.Breaks {
 			out = append(
-				out, timedFault{span.From, func() { u.SetFaultOfShare(stand.NoResponse, s.BreakShare) }},
+				out, timedFault{span.From, func() { u.SetFaultOfShare(cmp.Or(s.BreakFault, stand.NoResponse), s.BreakShare) }},
 				timedFault{span.Until, func() { u.SetFault(stand.NoFault) }},
 			)
 		}
--- a/io/soak/standstill_test.go
+++ b/io/soak/standstill_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"radishwell/io/soak"
+	"radishwell/platform/stand"
 )
 
 func seconds(n ...float64) (out []time.Duration) {
@@ -98,6 +99,29 @@
 	}
 }
 
+// Guards against entries that keep what many faulty upstreams send without end, run out of memory, and end with the
+// requests of others.
+func TestEndlessAnswersEndNoEntry(t *testing.T) {
+	self, err := os.Executable()
+	assert.NilError(t, err)
+	for name, fault := range map[string]stand.WorkerFault{"in heads": stand.EndlessHead, "in bodies": stand.EndlessBody} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play := soak.Standstill{
+				Program: []string{self}, Dir: t.TempDir(), Seed: 1, Ratio: 0.2, Spare: 56, Entries: 2, Engines: 2, Services: 6, Plain: true,
+				Rest: 40, Breaks: spans(1, 12), BreakShare: 0.5, BreakFault: fault, Length: 14 * time.Second,
+			}
+			report, err := play.Execute()
+			assert.NilError(t, err)
+			t.Log(report, report.PeakMemory>>20, "MiB")
+			const limit = 284 << 20
+			assert.Assert(t, report.PeakMemory > 0 && report.PeakMemory <= limit, "%d MiB", report.PeakMemory>>20)
+			assert.Equal(t, report.Starts, play.Entries, "an entry ended by itself")
+			assert.Assert(t, report.Served >= report.Requests*4/10, report)
+		})
+	}
+}
+
 // Guards against streams that wait until their deadlines at engines that cannot be reached, while their agents
 // report that they run.
 func TestBrokenWaysToEnginesLoseNoStreams(t *testing.T) {
--- a/io/soak/version.go
+++ b/io/soak/version.go
@@ -99,7 +99,11 @@
 // readEvents reads the body of a stream up to its nth event, or to its end if n is zero.
 func readEvents(body io.Reader, n int) ([]byte, error) {
 	if n == 0 {
-		return io.ReadAll(body)
+		out, err := io.ReadAll(io.LimitReader(body, maxBody))
+		if err == nil && len(out) == maxBody {
+			return out, errLeft
+		}
+		return out, err
 	}
 	var out []byte
 	buffer := make([]byte, 512)
@@ -115,6 +119,9 @@
 	}
 }
 
+// maxBody is the size of a body in bytes, larger than that of any sound answer, at which a caller leaves.
+const maxBody = 4 << 20
+
 // leftError reports that the caller left a stream.
 type leftError struct{}
 
