Let hosts that respond slowly to probes open the gate of a retry budget

What callers saw: an entry that starts made no retry at all for a service whose hosts, all sound, take longer than 250 ms to answer a probe, for ten minutes, unless they answer requests meanwhile.

Cause: the bound of probes for which callers wait also applied to the proof that a host has run since, which has no hurry.

Now such a probe has 3 s, and a caller whose retry needs the gate waits for it no longer than before. TestSlowProbesOpenTheGate: no retry in 20 s before, one after 1.4 s now.

--- a/io/proxy/silent.go
+++ b/io/proxy/silent.go
@@ -29,6 +29,8 @@
 	// reportTimeout bounds the probe of a host. Hosts report within
 	// milliseconds, and the callers of its streams wait meanwhile.
 	reportTimeout = 250 * time.Millisecond
+	// provenTimeout bounds the probe of a host for which nobody waits, and whose response shows that it has run.
+	provenTimeout = 3 * time.Second
 )
 
 // SilentError reports a stream that was silent while its host and the host's agent did not
@@ -123,7 +125,9 @@
 	incarnation fleet.Incarnation
 	address     netip.AddrPort
 	// avoid is set if the host is to be avoided unless it responds: requests wait there, or have been moved.
-	avoid  bool
+	avoid bool
+	// proves is set if any response serves, as a proof that the host has run.
+	proves bool
 	result fleet.ProbeResult
 }
 
@@ -229,7 +233,11 @@
 
 // probe asks a host. A process that has frozen still accepts connections, so the host has to report.
 func (p *Proxy) probe(ctx context.Context, r probe) fleet.ProbeResult {
-	ctx, stop := awake.WithTimeout(ctx, reportTimeout)
+	limit := reportTimeout
+	if r.proves {
+		limit = provenTimeout
+	}
+	ctx, stop := awake.WithTimeout(ctx, limit)
 	defer stop()
 	s, err := p.Managed(r.address).State(ctx)
 	var fault *core.EngineError
--- a/io/proxy/unread.go
+++ b/io/proxy/unread.go
@@ -11,6 +11,7 @@
 	"radishwell/core"
 	"radishwell/core/fleet"
 	"radishwell/core/retry"
+	"radishwell/io/awake"
 	"radishwell/io/events"
 )
 
@@ -208,7 +209,7 @@
 	}
 	for _, h := range p.withoutSign(s, since) {
 		if len(probes) < maxGateProbes && h.StartProbe(now) {
-			probes = append(probes, probe{host: h, incarnation: h.Incarnation(), address: h.Address})
+			probes = append(probes, probe{host: h, incarnation: h.Incarnation(), address: h.Address, proves: true})
 		}
 	}
 	return probes
@@ -223,25 +224,30 @@
 	return !slices.ContainsFunc(p.withoutSign(s, since), func(h *fleet.Host) bool { return h.IsUnresponsive(now) })
 }
 
-// openGate asks the hosts that keep the gate of a service's budget closed, or waits while they are being
-// asked. The caller holds mu, which is released meanwhile.
+// openGate asks the hosts that keep the gate of a service's budget closed, and waits for a short time while they are
+// being asked. The caller holds mu, which is released meanwhile.
 func (p *Proxy) openGate(ctx context.Context, s core.ServiceName, b *retryBudget) {
 	now := p.Clock.Now()
 	if !p.mayOpen(now, s, b) {
 		return
 	}
-	if opening := b.opening; opening != nil {
-		p.await(ctx, opening)
-		return
+	if b.opening == nil {
+		b.opening = make(chan struct{})
+		// A caller that leaves says nothing of the hosts.
+		go p.probeAll(context.WithoutCancel(ctx), b, p.probeGate(now, s))
 	}
-	probes := p.probeGate(now, s)
-	opening := make(chan struct{})
-	b.opening = opening
-	p.mu.Unlock()
+	ctx, stop := awake.WithTimeout(ctx, reportTimeout)
+	defer stop()
+	p.await(ctx, b.opening)
+	p.updateSpare(p.Clock.Now(), s)
+}
+
+// probeAll asks hosts that keep the gate of a budget closed, and closes b.opening once all have been asked.
+func (p *Proxy) probeAll(ctx context.Context, b *retryBudget, probes []probe) {
 	ended := make(chan struct{}, len(probes))
 	for _, r := range probes {
 		go func() {
-			r.result = p.probe(context.WithoutCancel(ctx), r) // a caller that leaves says nothing of the host
+			r.result = p.probe(ctx, r)
 			p.endProbe(r)
 			ended <- struct{}{}
 		}()
@@ -250,7 +256,7 @@
 		<-ended
 	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(b.opening)
 	b.opening = nil
-	close(opening)
-	p.updateSpare(p.Clock.Now(), s)
 }
