Draw links that hold requests in runs with standstills, and end a second attempt whose first is forwarded

Runs with standstills now draw links that hold or carry little, connections that callers keep, and upstreams that break off requests later.

Read in the diff of second attempts, not seen: a failure too large to keep is forwarded while the second attempt runs, which was not ended then; and a third attempt after a kept failure would have been cancelled at half of its time.

--- a/core/retry/latency_test.go
+++ b/core/retry/latency_test.go
@@ -40,7 +40,7 @@
 		"later than all, too late for another":      {steady(420 * ms), 500 * ms, 300 * ms, retry.Slower},
 		"some need long, a second one is faster":    {tail, 100 * ms, 700 * ms, retry.Sooner},
 		"some need long, this one is about to come": {tail, 460 * ms, 700 * ms, retry.Slower},
-		"just sent":                                 {tail, 0, 800 * ms, retry.Slower},
+		"just sent": {tail, 0, 800 * ms, retry.Slower},
 	} {
 		t.Run(name, func(t *testing.T) { assert.Equal(t, test.latencies.Second(test.waited, test.left), test.want) })
 	}
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -103,6 +103,7 @@
 // finish ends an exchange and forwards its answer, if there is one.
 func (c *call) finish(ctx context.Context, x *exchange) outcome {
 	t, resp, err := x.target, x.resp, x.err
+	c.lastHost = t.id
 	sent := x.state.sent
 	if sent {
 		c.countSend(x)
--- a/io/proxy/second.go
+++ b/io/proxy/second.go
@@ -32,6 +32,7 @@
 	left := c.deadline.Sub(first.sentAt)
 	timer := time.NewTimer(left / 2)
 	defer timer.Stop()
+	failed := false
 	for {
 		select {
 		case x := <-ends:
@@ -42,15 +43,19 @@
 			}
 			o := c.finish(ctx, x)
 			x.cancel()
+			if o.done {
+				c.endOthers(x, running, ends)
+			}
 			if o.done || len(running) == 0 {
 				return x.target, o
 			}
 			c.query.Tried = append(c.query.Tried, x.target.id)
 			if c.failure != nil {
-				timer.Reset(c.deadline.Add(-failureMargin).Sub(c.proxy.Clock.Now()))
+				failed = true
+				timer.Reset(c.attemptDeadline().Sub(c.proxy.Clock.Now()))
 			}
 		case <-timer.C:
-			if c.failure != nil {
+			if failed {
 				running[0].cancel() // the failure is the answer
 				continue
 			}
--- a/io/soak/standstill.go
+++ b/io/soak/standstill.go
@@ -87,12 +87,14 @@
 	maxLoads, maxStops, maxShed, maxKills, maxResets = 3, 3, 2, 4, 2
 	// longestStop is longer than what a host is waited for by any part of the system.
 	longestStop = 70 * time.Second
+	// maxHolds and longestHold bound the times in which links hold what callers send.
+	maxHolds, longestHold = 3, 14 * time.Second
 	// restTime is how long the load has fallen at the end of a drawn run.
 	restTime = 4 * time.Second
 )
 
 // DrawStandstill returns a run at the size and the retry budget of a small deployment, with loads, standstills,
-// kills, resets and rejections that are drawn from a seed and overlap.
+// kills, resets, rejections, and links to entries that hold requests, which are drawn from a seed and overlap.
 func DrawStandstill(seed uint64) *Standstill {
 	rng := rand.New(rand.NewPCG(seed, 5))
 	upTo := func(most time.Duration) time.Duration { return time.Duration(rng.Float64() * float64(most)) }
@@ -127,9 +129,29 @@
 	for range rng.IntN(maxResets + 1) {
 		s.Resets = append(s.Resets, upTo(at))
 	}
+	s.drawLinks(rng, at)
 	return s
 }
 
+// drawLinks draws what happens to the links between callers and entries until a time, and how many requests fail
+// afterwards.
+func (s *Standstill) drawLinks(rng *rand.Rand, until time.Duration) {
+	upTo := func(most time.Duration) time.Duration { return time.Duration(rng.Float64() * float64(most)) }
+	s.Kept, s.BreakShare, s.SqueezeRate = rng.IntN(2) == 0, 0.3+0.5*rng.Float64(), 5_000+30_000*rng.Float64()
+	for range rng.IntN(maxHolds + 1) {
+		from := upTo(until)
+		span := Span{From: from, Until: from + time.Second + upTo(longestHold)}
+		if rng.IntN(3) == 0 {
+			s.Squeezes = append(s.Squeezes, span)
+		} else {
+			s.Holds = append(s.Holds, span)
+		}
+		breaks := span.Until + upTo(6*time.Second)
+		s.Breaks = append(s.Breaks, Span{From: breaks, Until: breaks + 2*time.Second + upTo(10*time.Second)})
+		s.Length = max(s.Length, breaks+restTime)
+	}
+}
+
 // wideMemory is an entry's memory where it is not to be short.
 const wideMemory = "256MiB"
 
