Have the test of frozen engines count the probes that come, not those that have ended

Cause, now shown: the stand-in told the test of a probe only once its handler had noticed that the prober had gone, and the stream was moved and answered meanwhile. The check is as strict: a probe must have come to the engine before the answer.

--- a/io/proxy/lostagent_test.go
+++ b/io/proxy/lostagent_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,11 +26,15 @@
 	agent          bool
 	paused, resume chan struct{}
 	pauses         sync.Once
-	// probed receives a value after each probe was served.
+	// probed receives a value after each probe was served, asked counts those that have come.
 	probed chan struct{}
+	asked  atomic.Int64
 }
 
 func (e *pausingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/-/report" {
+		e.asked.Add(1)
+	}
 	switch {
 	case r.URL.Path != "/-/report":
 		e.Worker.ServeHTTP(&pausingWriter{ResponseWriter: w, engine: e, left: e.after}, r)
@@ -146,14 +151,16 @@
 				t.Parallel()
 				e := &pausingEngine{after: after, report: report}
 				next, answers := pauseWithoutAgent(t, e)
-				select {
-				case <-e.probed:
-				case a := <-answers:
-					close(e.resume)
-					t.Fatalf("the stream was moved before the engine was asked: %+v", a)
+				var a answer
+				for moved := false; !moved; {
+					select {
+					case <-e.probed:
+					case a = <-answers:
+						moved = true
+					}
 				}
-				a := <-answers
 				close(e.resume)
+				assert.Assert(t, e.asked.Load() > 0, "the stream was moved before the engine was asked: %+v", a)
 				wantStatus(t, a, http.StatusOK)
 				assert.Equal(t, a.body, eventsOf(4))
 				assert.Equal(t, next.Ran("q"), 1)
