Set the work of a play's upstreams before they serve, and let tests wait for what they need

Tests of second attempts and of the time since which a request was sent waited for a fixed time where they can wait for the event.

--- a/io/proxy/second_test.go
+++ b/io/proxy/second_test.go
@@ -10,14 +10,21 @@
 	"radishwell/platform/stand"
 )
 
-// twoHosts has a request with a deadline of one second sent to the first worker, while it is the only one, adds the
+// twoHosts has a request with a deadline of four seconds sent to the first worker, while it is the only one, adds the
 // second, and returns the answer.
 func twoHosts(t *testing.T, r *rig, first, second *stand.Worker) answer {
 	t.Helper()
-	r.add(t, "plain", first)
+	sent := make(chan struct{}, 1)
+	r.addServed(t, "plain", first, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/again/x" {
+			sent <- struct{}{}
+		}
+		first.ServeHTTP(w, req)
+	}))
 	out := make(chan answer, 1)
-	go func() { out <- do(t, r.ask(t, http.MethodGet, "/again/x", "q", "X-Radishwell-Deadline-Ms", "1000")) }()
-	time.Sleep(100 * time.Millisecond) // until it was sent
+	ask := r.ask(t, http.MethodGet, "/again/x", "q", "X-Radishwell-Deadline-Ms", "4000")
+	go func() { out <- do(t, ask) }()
+	<-sent
 	r.add(t, "plain", second)
 	return <-out
 }
@@ -25,7 +32,7 @@
 // Guards against attempts that are given up, though their hosts are about to answer, for ones that are refused, fail
 // or take longer.
 func TestAttemptGoesOnBesideSecond(t *testing.T) {
-	const early, late = 600 * time.Millisecond, 900 * time.Millisecond
+	const early, late = 2400 * time.Millisecond, 3400 * time.Millisecond
 	hangs := func() *stand.Worker {
 		w := &stand.Worker{ID: "p-2"}
 		w.SetFault(stand.Hang)
@@ -50,7 +57,7 @@
 		"the second one is rejected":  {10, late, rejects, true},
 		"the second one fails":        {10, late, fails, true},
 		"the second one breaks off":   {10, late, breaks, true},
-		"the second one takes longer": {10, late, &stand.Worker{ID: "p-2", Prefill: time.Second}, true},
+		"the second one takes longer": {10, late, &stand.Worker{ID: "p-2", Prefill: 4 * time.Second}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -82,7 +89,7 @@
 // Guards against a caller who gets no answer though the host failed the request in time and the second one hangs.
 func TestFailureIsAnsweredWhileSecondHangs(t *testing.T) {
 	r := newRig(t)
-	first, second := &stand.Worker{ID: "p-1", Prefill: 850 * time.Millisecond}, &stand.Worker{ID: "p-2"}
+	first, second := &stand.Worker{ID: "p-1", Prefill: 3400 * time.Millisecond}, &stand.Worker{ID: "p-2"}
 	first.SetFault(stand.ServerError)
 	second.SetFault(stand.Hang)
 	a := twoHosts(t, r, first, second)
--- a/io/soak/standstill.go
+++ b/io/soak/standstill.go
@@ -169,7 +169,7 @@
 	t := &testbed{
 		dir: s.Dir, program: s.Program, maxDirect: allDirect, gap: eventGap,
 		size:   size{entries: s.Entries, engines: s.Engines, services: s.Services},
-		budget: repeatBudget{ratio: s.Ratio, spare: s.Spare, span: soakBudget.span}, memory: wideMemory,
+		budget: repeatBudget{ratio: s.Ratio, spare: s.Spare, span: soakBudget.span}, memory: wideMemory, work: s.Work,
 	}
 	defer t.close()
 	if err := t.build(); err != nil {
@@ -227,7 +227,6 @@
 	}
 	var out []timedFault
 	for _, u := range upstreams {
-		u.Prefill = s.Work
 		for _, span := range s.Breaks {
 			out = append(
 				out, timedFault{span.From, func() { u.SetFaultOfShare(cmp.Or(s.BreakFault, stand.NoResponse), s.BreakShare) }},
--- a/io/soak/testbed.go
+++ b/io/soak/testbed.go
@@ -84,8 +84,9 @@
 	budget repeatBudget
 	// maxDirect is the number of agents that each entry follows itself.
 	maxDirect int
-	// gap is the pause between two events of a stream.
-	gap time.Duration
+	// gap is the pause between two events of a stream, and work the time from when an upstream reads a request until it
+	// begins to answer.
+	gap, work time.Duration
 	// loseAgents is set if all agents are killed with all entries.
 	loseAgents bool
 	store      *stand.Store
@@ -227,7 +228,7 @@
 type agentPorts struct{ box, own, operators uint16 }
 
 func (t *testbed) addUpstream(i int, agent agentPorts) error {
-	u := &upstream{Worker: &stand.Worker{ID: fmt.Sprintf("i-%d", i), LoadTime: loadTime, Plain: i >= t.size.engines, Poison: poisonPrefix, PoisonPart: poisonPart}, ip: ports.Host(i + 1).String(), started: 1}
+	u := &upstream{Worker: &stand.Worker{ID: fmt.Sprintf("i-%d", i), LoadTime: loadTime, Prefill: t.work, Plain: i >= t.size.engines, Poison: poisonPrefix, PoisonPart: poisonPart}, ip: ports.Host(i + 1).String(), started: 1}
 	u.OnCrash = func() { t.restart(u) }
 	u.Restart(u.started)
 	if !u.Plain {
