--- a/io/deploy/crash_test.go
+++ b/io/deploy/crash_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"radishwell/core"
 	"radishwell/io/fakes/ports"
 	"radishwell/platform/stand"
 )
@@ -28,10 +29,17 @@
 // addCrashing starts an upstream with its agent. It crashes when it runs the poison and is
 // started again under a new id.
 func (f *fleet) addCrashing(t *testing.T, n int) *stand.Process {
+	t.Helper()
+	return f.addCrashingAs(t, n, func(*stand.Worker) {})
+}
+
+// addCrashingAs is addCrashing, with a function that sets up each worker.
+func (f *fleet) addCrashingAs(t *testing.T, n int, setUp func(*stand.Worker)) *stand.Process {
 	t.Helper()
 	p := &stand.Process{Downtime: 300 * time.Millisecond}
 	p.Start = func(start int, at netip.AddrPort) *stand.Worker {
 		w := &stand.Worker{ID: fmt.Sprintf("i-%d-%d", n, start), Events: 5, LoadTime: 100 * time.Millisecond, Poison: poison, PoisonPart: poisonPart}
+		setUp(w)
 		if start == 1 {
 			w.SetModels(stand.Held{Name: "m-1"})
 		} else {
@@ -171,6 +179,18 @@
 	}
 }
 
+// repeatBeside calls send with a pause, whether the last call has returned or not, until ctx ends.
+// It returns once all have.
+func (c *partCallers) repeatBeside(ctx context.Context, pause time.Duration, send func(n int)) {
+	var sent sync.WaitGroup
+	repeat(ctx, pause, func(n int) { sent.Go(func() { send(n) }) })
+	sent.Wait()
+}
+
+// minSoundShare is the share of the requests without a crashing part that have to be served once
+// the part is known.
+const minSoundShare = 0.5
+
 // sound sends a request without a crashing part and keeps its result.
 func (c *partCallers) sound(n int) {
 	at := time.Now()
@@ -218,10 +238,34 @@
 	return arrived, crashed
 }
 
+// contact is the time within which all entries have to know of a crash, and maxLate the number of
+// requests with a part that may begin later than that after its fifth crash.
+const (
+	contact = 3 * time.Second
+	maxLate = 3
+)
+
+// checkLate checks that few requests with a part begin at upstreams later than contact after its
+// fifth crash, and returns when that was, or the last crash if there were fewer.
+func checkLate(t *testing.T, upstreams []*stand.Process, part string) (fifth time.Time) {
+	t.Helper()
+	arrived, crashed := arrivals(upstreams, part)
+	if len(crashed) == 0 {
+		t.Errorf("the part %s crashed no upstream", part)
+		return time.Time{}
+	}
+	fifth = crashed[min(4, len(crashed)-1)]
+	late := 0
+	for _, at := range arrived {
+		late += core.CountIf(len(crashed) >= 5 && at.After(fifth.Add(contact)))
+	}
+	assert.Check(t, late <= maxLate, "requests with the part %s began at upstreams %d times later than %v after the fifth crash; it crashed %d", part, late, contact, len(crashed))
+	return fifth
+}
+
 // Guards against a part of prompts that crashes one upstream after another, in requests that have
 // nothing else in common, and against refusing the requests that share their other parts.
 func TestPartThatCrashesUpstreamsIsRefused(t *testing.T) {
-	const contact = 3 * time.Second // within which all entries have to know of the fifth crash
 	f := newFleet(t)
 	var upstreams []*stand.Process
 	for n := range 4 {
@@ -251,24 +295,64 @@
 	end := time.Now()
 	last := injected
 	for part := range crashing {
-		arrived, crashed := arrivals(upstreams, part)
-		if len(crashed) == 0 {
-			t.Errorf("the part %s crashed no upstream", part)
-			continue
-		}
-		fifth := crashed[min(4, len(crashed)-1)]
-		if fifth.After(last) {
+		if fifth := checkLate(t, upstreams, part); fifth.After(last) {
 			last = fifth
 		}
-		late := slices.IndexFunc(arrived, func(at time.Time) bool { return at.After(fifth.Add(contact)) })
-		if late >= 0 && len(crashed) >= 5 {
-			assert.Check(t, len(arrived)-late <= 3, "requests with the part %s reached upstreams %d times later than %v after the fifth crash; it crashed %d", part, len(arrived)-late, contact, len(crashed))
-		}
 	}
 	before, after := c.share(began, injected), c.share(last.Add(2*contact), end)
 	assert.Check(t, after >= before/2, "sound requests were served at %.2f, before at %.2f", after, before)
 }
 
+// Guards against a part of prompts that is taken for sound since streams on it go on for a time
+// before their upstreams crash.
+func TestPartThatCrashesUpstreamsAfterEventsIsRefused(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		// queue is the time until a request begins, gap the pause between its events, and after the
+		// time from its first event to the crash.
+		queue, gap, after time.Duration
+	}{
+		{"at once", 0, 20 * time.Millisecond, 0},
+		{"after 0.3 s", 0, 20 * time.Millisecond, 300 * time.Millisecond},
+		{"after 0.8 s", 0, 20 * time.Millisecond, 800 * time.Millisecond},
+		{"after 1.5 s", 0, 20 * time.Millisecond, 1500 * time.Millisecond},
+		{"after two events 0.7 s apart", 0, 700 * time.Millisecond, 710 * time.Millisecond},
+		{"after a queue of 2 s", 2 * time.Second, 20 * time.Millisecond, 0},
+		{"after a queue of 5 s and 0.8 s of events", 5 * time.Second, 20 * time.Millisecond, 800 * time.Millisecond},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			var upstreams []*stand.Process
+			for n := range 6 {
+				upstreams = append(upstreams, f.addCrashingAs(t, n+1, func(w *stand.Worker) {
+					w.Queue, w.Gap, w.CrashAfter = row.queue, row.gap, row.after
+				}))
+			}
+			c := &partCallers{entries: []running{f.addEntry(t, "edge-1"), f.addEntry(t, "edge-2")}}
+			for _, e := range c.entries {
+				e.waitReady(t)
+			}
+			until(t, "sound requests are served", func() bool { return c.send("aa", "bb0") == http.StatusOK })
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			var callers sync.WaitGroup
+			callers.Go(func() { c.repeatBeside(ctx, 100*time.Millisecond, c.sound) })
+			time.Sleep(2*time.Second + row.queue)
+			callers.Go(func() { c.repeatBeside(ctx, 400*time.Millisecond, func(int) { c.send("aa", poisonPart) }) })
+			until(t, "five upstreams crashed", func() bool { _, crashed := arrivals(upstreams, poisonPart); return len(crashed) >= 5 })
+			time.Sleep(contact + 5*time.Second + row.queue)
+			end := time.Now()
+			time.Sleep(row.queue + row.after + time.Second) // the last requests end
+			stop()
+			callers.Wait()
+			fifth := checkLate(t, upstreams, poisonPart)
+			share := c.share(fifth.Add(contact), end)
+			assert.Check(t, share >= minSoundShare, "sound requests were served at %.2f", share)
+		})
+	}
+}
+
 // Guards against a part of prompts that crashes upstreams again after all entries were killed,
 // since only they knew of it.
 func TestRefusedPartOutlivesEntries(t *testing.T) {
