Read responses through one transport that refuses heads and trailers that are none of HTTP

Cause: net/http accepts these heads, and each reader of responses checked what it thought of: the proxy after it had believed what the head states, the engine's client the status alone, the store's client and the probes nothing. reply.Transport now decides for all of them whether a head is well formed, before anybody sees it, and checks the trailer at the end of a body. A malformed response is an error of the call: the request may have run, and its head states nothing.

Control bytes were refused already; the check stays, as it costs little.

--- a/io/deploy/agent.go
+++ b/io/deploy/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -14,6 +13,7 @@
 	"radishwell/io/events"
 	"radishwell/io/loop"
 	"radishwell/io/objapi"
+	"radishwell/io/reply"
 	"radishwell/io/resume"
 	plat "radishwell/platform"
 )
@@ -51,7 +51,7 @@
 	f := &fence{restored: make(chan struct{}, 1)}
 	d := &driver.Driver{
 		Self: p.Settings.Name, Clock: p.clock, Meter: p.meter, Fence: f.get, OnRestore: f.noteRestore,
-		Upstream: &plat.Upstream{Address: p.Settings.Managed.Upstream, Client: &http.Client{Transport: objapi.Transport(nil)}},
+		Upstream: &plat.Upstream{Address: p.Settings.Managed.Upstream, Client: reply.NewClient(objapi.Transport(nil))},
 	}
 	d.Start()
 	streams := &resume.Holder{Clock: p.clock}
--- a/io/deploy/orderer.go
+++ b/io/deploy/orderer.go
@@ -6,7 +6,6 @@
 	"errors"
 	"maps"
 	"math"
-	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -22,6 +21,7 @@
 	"radishwell/io/events"
 	"radishwell/io/loop"
 	"radishwell/io/objapi"
+	"radishwell/io/reply"
 	plat "radishwell/platform"
 )
 
@@ -222,7 +222,7 @@
 			}
 			return r.fence()
 		},
-		Upstream: &plat.Upstream{Address: address, Client: &http.Client{Transport: objapi.Transport(nil)}},
+		Upstream: &plat.Upstream{Address: address, Client: reply.NewClient(objapi.Transport(nil))},
 	}}
 	h.driver.Start()
 	r.driven[address] = h
--- a/io/deploy/probe.go
+++ b/io/deploy/probe.go
@@ -1,11 +1,11 @@
 package deploy
 
 import (
-	"net/http"
 	"net/netip"
 
 	"radishwell/core"
 	"radishwell/io/objapi"
+	"radishwell/io/reply"
 	plat "radishwell/platform"
 )
 
@@ -15,6 +15,6 @@
 func managed() func(netip.AddrPort) core.Managed {
 	transport := objapi.Transport(nil)
 	transport.DisableKeepAlives = true
-	client := &http.Client{Transport: transport}
+	client := reply.NewClient(transport)
 	return func(address netip.AddrPort) core.Managed { return &plat.Upstream{Address: address, Client: client} }
 }
--- a/io/deploy/process.go
+++ b/io/deploy/process.go
@@ -17,6 +17,7 @@
 	"radishwell/io/httpd"
 	"radishwell/io/meter"
 	"radishwell/io/objapi"
+	"radishwell/io/reply"
 	"radishwell/io/peer"
 	plat "radishwell/platform"
 )
@@ -80,7 +81,7 @@
 	runtime.GOMAXPROCS(m.Cores)
 	debug.SetMemoryLimit(int64(float64(m.Memory) * memoryShare))
 	p.store = &plat.Store{
-		Address: p.Settings.Platform.URLs[0].Addr, Client: &http.Client{Transport: objapi.Transport(nil)},
+		Address: p.Settings.Platform.URLs[0].Addr, Client: reply.NewClient(objapi.Transport(nil)),
 		WatchWaits: map[core.Kind]time.Duration{core.KindEntry: recordWatchWait},
 		OnEra:      func(era uint64) { events.Log(events.StoreRestored, "era", era) },
 		OnUnreadable: func(kind core.Kind, err error) {
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -63,7 +63,7 @@
 	dialer *dialer
 	// control carries reports and orders. work carries requests, each on a connection of its own:
 	// one that is used again may hold a second answer to the request before.
-	control, work *http.Transport
+	control, work *reply.Transport
 }
 
 // New returns a client of the upstream at address. It uses TLS if conf is not nil.
@@ -81,7 +81,7 @@
 	}
 	work := control.Clone()
 	work.DisableKeepAlives = true
-	return &Client{Address: address, TLS: conf, dialer: dialer, control: control, work: work}
+	return &Client{Address: address, TLS: conf, dialer: dialer, control: &reply.Transport{Base: control}, work: &reply.Transport{Base: work}}
 }
 
 // dialer makes connections, each within dialTimeout.
@@ -208,7 +208,7 @@
 // do sends a request once over a transport. Its error is an EngineError. The fault is
 // EngineUnreached only if no byte of the request was written, EngineLost if the
 // upstream may have received it.
-func (c *Client) do(ctx context.Context, over *http.Transport, method, target string, header http.Header, body []byte) (*http.Response, error) {
+func (c *Client) do(ctx context.Context, over *reply.Transport, method, target string, header http.Header, body []byte) (*http.Response, error) {
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		// GotConn runs before any byte of the request is written, so a request
@@ -227,10 +227,7 @@
 	req.ContentLength = int64(len(body))
 	resp, err := over.RoundTrip(req)
 	if err == nil {
-		if err = reply.Check(resp); err == nil {
-			return resp, nil
-		}
-		resp.Body.Close()
+		return resp, nil
 	}
 	if !sent.Load() {
 		return nil, &core.EngineError{Fault: core.EngineUnreached, Cause: err}
--- a/io/engine/cut_test.go
+++ b/io/engine/cut_test.go
@@ -39,7 +39,7 @@
 // Guards against a status that is none of a final answer and reaches the entry, where net/http
 // panics on one below 100.
 func TestAnswerWithoutFinalStatusIsLost(t *testing.T) {
-	for _, status := range []string{"101", "000", "099", "+20"} {
+	for _, status := range []string{"101", "000", "099", "+20", "600"} {
 		t.Run(status, func(t *testing.T) {
 			_, err := answered(t, "HTTP/1.1 "+status+" Status\r\nContent-Length: 0\r\n\r\n")
 			assertFault(t, err, core.EngineLost)
@@ -47,6 +47,16 @@
 	}
 }
 
+// Guards against an answer with a field that is none of HTTP, which reaches the caller with another body.
+func TestAnswerWithMalformedFieldIsLost(t *testing.T) {
+	for _, field := range []string{"X Y: z", "Content-Length : 0", "X-Y: a\x01"} {
+		t.Run(field, func(t *testing.T) {
+			_, err := answered(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\nbody")
+			assertFault(t, err, core.EngineLost)
+		})
+	}
+}
+
 // Guards against a cut answer on a kept connection that is taken for a whole one, is asked for once
 // more, or is made whole by what came before.
 func TestCutAnswerOnKeptConnectionIsLost(t *testing.T) {
--- a/io/objapi/client.go
+++ b/io/objapi/client.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"radishwell/core"
+	"radishwell/io/reply"
 )
 
 // Default budgets of one process, in calls per second. The platform can handle about
@@ -87,7 +88,7 @@
 		scheme = "https"
 	}
 	c.base = scheme + "://" + c.Address.String() + "/apis/" + apiVersion + "/"
-	c.http = &http.Client{Transport: Transport(c.TLS)}
+	c.http = reply.NewClient(Transport(c.TLS))
 	c.reads = c.Reads.limiter(defaultReads, defaultReadBurst)
 	c.writes = c.Writes.limiter(defaultWrites, defaultWriteBurst)
 	if c.WatchSilence <= 0 {
--- a/io/objapi/odd_test.go
+++ b/io/objapi/odd_test.go
@@ -11,8 +11,24 @@
 	"gotest.tools/v3/assert"
 
 	"radishwell/core"
+	"radishwell/io/fakes/rawtcp"
 )
 
+// Guards against a malformed response that is read as a list: it may be another than the platform's.
+func TestMalformedResponseIsNoList(t *testing.T) {
+	list := `{"metadata":{"resourceVersion":"9"},"items":[]}`
+	for _, head := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/9.9 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n", "HTTP/1.1 200 OK\r\nX Y: z\r\n"} {
+		var s rawtcp.Server
+		defer s.Close()
+		at, err := s.Listen()
+		assert.NilError(t, err)
+		s.SetAnswers(rawtcp.Answer{Bytes: head + "\r\n" + list})
+		c := &Client{Address: at}
+		_, err = c.List(t.Context(), core.KindModel)
+		assert.Assert(t, err != nil, "%q", head)
+	}
+}
+
 // Guards against one object that is nested too deeply and keeps all others of its kind from being read.
 func TestOddObjectHidesNoOthers(t *testing.T) {
 	sound := func(name string) string {
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -324,10 +324,7 @@
 
 // check returns an error if a response cannot be forwarded as the answer to the request.
 func (c *call) check(resp *http.Response, head core.AnswerHead) error {
-	malformed := reply.Check(resp)
 	switch {
-	case malformed != nil:
-		return &SpoiltError{Reason: malformed.Error()}
 	case head.ID != c.ask.ID:
 		return &SpoiltError{Reason: "it is for the request " + strconv.Quote(string(head.ID))}
 	case !head.Signed:
--- a/io/proxy/cut_test.go
+++ b/io/proxy/cut_test.go
@@ -297,11 +297,62 @@
 // Guards against a status that is none of a final answer: 101 leaves the caller without an end, and
 // net/http panics on one below 100.
 func TestAnswerWithoutFinalStatusIsSpoilt(t *testing.T) {
-	for _, status := range []string{"101", "000", "099", "+20"} {
+	for _, status := range []string{"101", "000", "099", "+20", "600", "999"} {
 		wantSpoilt(t, "HTTP/1.1 "+status+" Status\r\n"+signedFields+"Content-Length: 0\r\n\r\n")
 	}
 }
 
+// malformedHeads are answers that net/http accepts and whose heads are none of HTTP/1.
+func malformedHeads(fields string) (out []string) {
+	for _, status := range []string{"HTTP/1.1 000 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 600 Trouble", "HTTP/1.1 999 Trouble", "HTTP/9.9 200 OK", "HTTP/9.9 503 Trouble"} {
+		out = append(out, status+"\r\n"+fields+"\r\n")
+	}
+	for _, field := range []string{
+		"X Y: z", "Content-Length : 0", "Content-Length : 3", "Transfer-Encoding : chunked", "X(Y): z", "X\xc3\xa9: z", "X-Y: a\x00b", "X-Y: a\x01b", "X-Y: a\x7fb", "X-Y: a\rb",
+	} {
+		for _, status := range []string{"200 OK", "503 Trouble"} {
+			out = append(out, "HTTP/1.1 "+status+"\r\n"+fields+field+"\r\n\r\n")
+		}
+	}
+	return out
+}
+
+// Guards against an answer with a field that is none of HTTP, which is passed on with that field, or
+// with another body than the upstream's.
+func TestAnswerWithMalformedHeadIsSpoilt(t *testing.T) {
+	for _, text := range malformedHeads(signedFields) {
+		wantSpoilt(t, text+eventsOf(2))
+	}
+}
+
+// Guards against a trailer that is none of HTTP, of an answer that is passed on as whole.
+func TestAnswerWithMalformedTrailerIsCut(t *testing.T) {
+	r := newRawRig(t)
+	for _, trailer := range []string{"X Y: z", "X-Y : z", "X-Y: a\x01b"} {
+		for _, path := range cutRoutes {
+			t.Run(fmt.Sprintf("%q%s", trailer, path), func(t *testing.T) {
+				content := eventsOf(2)
+				r.answer(rawtcp.Answer{Bytes: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + signedFields + "\r\n" + chunked(content) + trailer + "\r\n\r\n"})
+				wantNoSuccess(t, r.askRaw(t, rawRequest(path, "1.1", ""))[0], content)
+			})
+		}
+	}
+}
+
+// Guards against an unsafe request that is sent again and again, since heads that are none of HTTP are
+// believed when they state that it did not run.
+func TestMalformedHeadStatesNothing(t *testing.T) {
+	r := newRawRig(t)
+	for _, text := range malformedHeads(signedFields + "X-Radishwell-Not-Executed: 1\r\nServer-Leaving: 1\r\n") {
+		t.Run(fmt.Sprintf("%.50q", text), func(t *testing.T) {
+			r.answer(rawtcp.Answer{Bytes: text})
+			a := r.askRaw(t, rawRequest("/once/x", "1.1", ""))[0]
+			assert.Equal(t, a.Status, http.StatusBadGateway, "%+v", a)
+			assert.Equal(t, r.upstream.Requests(), 1)
+		})
+	}
+}
+
 // Guards against an answer to HEAD that states an empty body: the length of what was read of it, which
 // is nothing, was put over the upstream's.
 func TestAnswerToHeadKeepsLength(t *testing.T) {
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -13,6 +13,7 @@
 
 	"radishwell/core"
 	"radishwell/io/objapi"
+	"radishwell/io/reply"
 )
 
 const (
@@ -40,7 +41,7 @@
 // millisecond and avoids both.
 type upstreams struct {
 	dialer    *net.Dialer
-	transport *http.Transport
+	transport *reply.Transport
 }
 
 func (u *upstreams) start() {
@@ -51,10 +52,10 @@
 		},
 		Control: objapi.LimitUnacked,
 	}
-	u.transport = &http.Transport{
+	u.transport = &reply.Transport{Base: &http.Transport{
 		DialContext: u.dial, DisableKeepAlives: true, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHeader,
-	}
+	}}
 }
 
 func (u *upstreams) dial(ctx context.Context, network, address string) (net.Conn, error) {
--- a/io/reply/doc.go
+++ b/io/reply/doc.go
@@ -1,2 +1,3 @@
-// Package reply tells how the HTTP response of an upstream shows its end.
+// Package reply reads the HTTP responses of upstreams and of the platform: it decides whether a
+// response is well formed, and tells how it shows its end.
 package reply
--- a/io/reply/reply.go
+++ b/io/reply/reply.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 
 	"radishwell/core"
 )
@@ -26,22 +27,57 @@
 // Error implements error.
 func (e *VersionError) Error() string { return "it is in " + e.Version }
 
-// StatusError reports a response whose status is none of a final response.
+// StatusError reports a response whose status is none of a final response of HTTP.
 type StatusError struct{ Status int }
 
 // Error implements error.
-func (e *StatusError) Error() string { return "it is not final, status " + strconv.Itoa(e.Status) }
+func (e *StatusError) Error() string {
+	return "its status " + strconv.Itoa(e.Status) + " is not that of a final response"
+}
+
+// FieldError reports a field in the header or trailer of a response whose name or value is none of HTTP.
+type FieldError struct{ Name string }
+
+// Error implements error.
+func (e *FieldError) Error() string { return "its field " + strconv.Quote(e.Name) + " is malformed" }
+
+// maxStatus is the largest status of HTTP (RFC 9110, section 15).
+const maxStatus = 599
 
-// Check returns an error if a response that was read as HTTP/1 is one that net/http accepts and
-// that can't be passed on: a VersionError if its framing can't be relied on, since it states
-// another major version, or a StatusError. Status 101 is not final either, since no request asks
-// for another protocol.
-func Check(resp *http.Response) error {
+// check returns an error if the header of a response is one that net/http accepts and that is not well
+// formed: a VersionError if its framing can't be relied on, since it states another major version, a
+// StatusError or a FieldError. Status 101 is not final either, since no request asks for another
+// protocol.
+func check(resp *http.Response) error {
+	major := 1
+	if resp.TLS != nil && resp.TLS.NegotiatedProtocol == "h2" {
+		major = 2
+	}
 	switch {
-	case resp.ProtoMajor != 1:
+	case resp.ProtoMajor != major:
 		return &VersionError{Version: resp.Proto}
-	case resp.StatusCode < http.StatusOK:
+	case resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus:
 		return &StatusError{Status: resp.StatusCode}
 	}
+	return checkFields(resp.Header)
+}
+
+// checkFields returns a FieldError if a field is malformed: its name has to be a token, and its value
+// has no control bytes but tabs (RFC 9110, section 5).
+func checkFields(fields http.Header) error {
+	for name, values := range fields {
+		if name == "" || strings.ContainsFunc(name, func(r rune) bool { return !isTokenRune(r) }) {
+			return &FieldError{Name: name}
+		}
+		for _, value := range values {
+			if strings.ContainsFunc(value, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
+				return &FieldError{Name: name}
+			}
+		}
+	}
 	return nil
 }
+
+func isTokenRune(r rune) bool {
+	return 'a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || '0' <= r && r <= '9' || strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+}
