Break off answers without a length whose request could not be written whole

What callers saw: part of an answer as a complete one.

Cause: the system tells a reset to one call on the socket. If the writing side gets it, the reading side sees an orderly end, and without a length that is the end of the answer. reply.Transport now waits at such an end for what the writing side saw, which is there soon since the connection is closed, and breaks the answer off unless the request was written whole. It holds for upstreams of entries and agents, reports, probes, the platform's lists.

TestResetSeenByWriterCutsAnswer has a connection that tells the writer alone, 300 times. TestAnswerWithoutLengthAfterUpload sends 400 uploads whose answers without a length are complete, and none may be lost to the check.

--- a/io/reply/trans.go
+++ b/io/reply/trans.go
@@ -1,8 +1,13 @@
 package reply
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"sync"
+
+	"radishwell/core"
 )
 
 // NewClient returns a client whose responses are checked as those of a Transport.
@@ -11,8 +16,9 @@
 }
 
 // Transport implements http.RoundTripper. Its responses have well-formed headers, and the bodies end
-// without an error only if nothing shows that they are cut: a malformed trailer does.
-// The field must be set before first use.
+// without an error only if nothing shows that they are cut: a malformed trailer does, and, where the
+// end is that of the connection, a request that could not be written whole. The field must be set
+// before first use.
 type Transport struct{ Base *http.Transport }
 
 var _ http.RoundTripper = (*Transport)(nil)
@@ -20,7 +26,13 @@
 // RoundTrip implements http.RoundTripper. The error of a malformed header is a VersionError, StatusError
 // or FieldError.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.Base.RoundTrip(req)
+	var up upload
+	up.begin()
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn:      func(httptrace.GotConnInfo) { up.begin() },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { up.end(info.Err) },
+	})
+	resp, err := t.Base.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
@@ -29,7 +41,7 @@
 		return nil, err
 	}
 	if resp.Body != http.NoBody {
-		resp.Body = &body{ReadCloser: resp.Body, resp: resp}
+		resp.Body = &body{ReadCloser: resp.Body, ctx: ctx, resp: resp, upload: &up}
 	}
 	return resp, nil
 }
@@ -37,10 +49,66 @@
 // CloseIdleConnections closes the connections that are not in use.
 func (t *Transport) CloseIdleConnections() { t.Base.CloseIdleConnections() }
 
+// upload is whether a request was written whole. It may be written more than once, each time on
+// another connection.
+type upload struct {
+	mu sync.Mutex
+	// ended is closed once the request was written, or could not be for the reason in err.
+	ended chan struct{}
+	err   error
+}
+
+func (u *upload) begin() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.ended, u.err = make(chan struct{}), nil
+}
+
+func (u *upload) end(err error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	select {
+	case <-u.ended:
+	default:
+		u.err = err
+		close(u.ended)
+	}
+}
+
+// wait returns the error with which the writing ended. The connection is closed by the time that it is
+// called, so that the writing ends soon.
+func (u *upload) wait(ctx context.Context) error {
+	u.mu.Lock()
+	ended := u.ended
+	u.mu.Unlock()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.err
+}
+
+// CutError reports a body that ended with its connection while the request could not be written whole:
+// a reset shows itself to either the reading or the writing side only.
+type CutError struct{ Cause error }
+
+// Error implements error.
+func (e *CutError) Error() string {
+	return "the connection ended before the request was written whole: " + e.Cause.Error()
+}
+
+// Unwrap returns the error of a connection that ended too early, and the cause.
+func (e *CutError) Unwrap() []error { return []error{io.ErrUnexpectedEOF, e.Cause} }
+
 // body is the body of a response.
 type body struct {
 	io.ReadCloser
-	resp *http.Response
+	ctx    context.Context
+	resp   *http.Response
+	upload *upload
 	// ended is set at the end, and err is what Read returns from then on.
 	ended bool
 	err   error
@@ -64,5 +132,11 @@
 	if err := checkFields(b.resp.Trailer); err != nil {
 		return err
 	}
+	if Framing(b.resp) != core.Unframed {
+		return io.EOF
+	}
+	if err := b.upload.wait(b.ctx); err != nil {
+		return &CutError{Cause: err}
+	}
 	return io.EOF
 }
