--- a/io/cmds/soak.go
+++ b/io/cmds/soak.go
@@ -20,6 +20,7 @@
 	Lose    bool          `name:"lose-entries" help:"Kill all entries at once, again and again, besides the other faults."`
 	Agents  bool          `name:"lose-agents" help:"Kill all agents with them, and have streams last longer."`
 	Still   bool          `name:"standstills" help:"Have upstreams stand still under load instead, and check the retry budget."`
+	After   time.Duration `name:"crash-after" help:"Time from the first event until a request crashes its upstream."`
 	Keep    string        `default:"target/soak-runs" help:"Directory for the logs and schedules of runs that failed." type:"path"`
 }
 
@@ -87,7 +88,7 @@
 	if err != nil {
 		return false, err
 	}
-	report, err := (&soak.Run{Seed: seed, Length: c.Length, LoseEntries: c.Lose, LoseAgents: c.Agents, Program: []string{program}, Dir: dir}).Execute()
+	report, err := (&soak.Run{Seed: seed, Length: c.Length, LoseEntries: c.Lose, LoseAgents: c.Agents, CrashAfter: c.After, Program: []string{program}, Dir: dir}).Execute()
 	if err != nil {
 		return false, err
 	}
--- a/io/soak/crash.go
+++ b/io/soak/crash.go
@@ -101,26 +101,35 @@
 // sentAfterCrashes checks the arrivals of requests that crash upstreams, in order of time. They may
 // crash so many upstreams before they have to be known.
 func (c *signalChecker) sentAfterCrashes(seen []stand.ReceivedRequest, maxCrashes int) (Breach, bool) {
-	crashes, late := 0, 0
-	var quarantinedAt time.Duration
+	crashes := crashTimes(seen)
+	if len(crashes) < maxCrashes {
+		return Breach{}, false
+	}
+	known, late := crashes[maxCrashes-1].Sub(c.start)+contactTime, 0
 	for _, r := range seen {
 		at := r.At.Sub(c.start)
 		id, _, _ := plat.Origin(r.Header)
 		result := c.results[string(id)]
-		if result != nil && crashes >= maxCrashes && at > quarantinedAt+contactTime && !c.outOfTouch(result.Entry, at-contactTime, at) {
+		if result != nil && at > known && !c.outOfTouch(result.Entry, at-contactTime, at) {
 			if late++; late > maxLate {
 				return Breach{Result: *result, Ran: len(seen)}, true
 			}
 		}
-		if r.Crashed {
-			if crashes++; crashes == maxCrashes {
-				quarantinedAt = at
-			}
-		}
 	}
 	return Breach{}, false
 }
 
+// crashTimes returns when requests crashed their upstreams, in order.
+func crashTimes(seen []stand.ReceivedRequest) (out []time.Time) {
+	for _, r := range seen {
+		if !r.CrashedAt.IsZero() {
+			out = append(out, r.CrashedAt)
+		}
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
 // outOfTouch reports whether an entry, or its connection to the store, was disturbed in a span
 // of time.
 func (c *signalChecker) outOfTouch(entry int, from, to time.Duration) bool {
--- a/io/soak/part.go
+++ b/io/soak/part.go
@@ -59,14 +59,8 @@
 func (c *signalChecker) sound(results []Result, arrivals map[string][]stand.ReceivedRequest) (n Sound) {
 	from := time.Duration(0)
 	for _, seen := range arrivals {
-		var crashes []time.Duration
-		for _, r := range seen {
-			if r.Crashed {
-				crashes = append(crashes, r.At.Sub(c.start))
-			}
-		}
-		if len(crashes) > 0 {
-			from = max(from, crashes[min(maxPartCrashes, len(crashes))-1]+2*contactTime)
+		if crashes := crashTimes(seen); len(crashes) > 0 {
+			from = max(from, crashes[min(maxPartCrashes, len(crashes))-1].Sub(c.start)+2*contactTime)
 		}
 	}
 	if from == 0 {
--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -29,6 +29,8 @@
 	LoseEntries bool
 	// LoseAgents is set if all agents are killed with them, as when all machines lose power.
 	LoseAgents bool
+	// CrashAfter is the time from the first event until a request crashes its upstream.
+	CrashAfter time.Duration
 	// Program is the command of entries and agents. The role and the settings file are
 	// appended as arguments.
 	Program []string
@@ -80,7 +82,7 @@
 	if err := os.WriteFile(filepath.Join(r.Dir, "schedule.txt"), []byte(lines(steps)), 0o644); err != nil {
 		return nil, &StartError{What: "the run", Cause: err}
 	}
-	t := &testbed{dir: r.Dir, program: r.Program, size: size{entries, engines, services}, budget: soakBudget, memory: entryMemory, maxDirect: allDirect, gap: eventGap}
+	t := &testbed{dir: r.Dir, program: r.Program, size: size{entries, engines, services}, budget: soakBudget, memory: entryMemory, maxDirect: allDirect, gap: eventGap, crashAfter: r.CrashAfter}
 	var saved time.Duration
 	if r.LoseAgents {
 		t.loseAgents, t.gap, saved = true, longGap, saveTime
--- a/io/soak/testbed.go
+++ b/io/soak/testbed.go
@@ -87,6 +87,8 @@
 	// gap is the pause between two events of a stream, and work the time from when an upstream reads a request until it
 	// begins to answer.
 	gap, work time.Duration
+	// crashAfter is the time from the first event until a request crashes its upstream.
+	crashAfter time.Duration
 	// loseAgents is set if all agents are killed with all entries.
 	loseAgents bool
 	store      *stand.Store
@@ -228,7 +230,7 @@
 type agentPorts struct{ box, own, operators uint16 }
 
 func (t *testbed) addUpstream(i int, agent agentPorts) error {
-	u := &upstream{Worker: &stand.Worker{ID: fmt.Sprintf("i-%d", i), LoadTime: loadTime, Prefill: t.work, Plain: i >= t.size.engines, Poison: poisonPrefix, PoisonPart: poisonPart}, ip: ports.Host(i + 1).String(), started: 1}
+	u := &upstream{Worker: &stand.Worker{ID: fmt.Sprintf("i-%d", i), LoadTime: loadTime, Prefill: t.work, Plain: i >= t.size.engines, Poison: poisonPrefix, PoisonPart: poisonPart, CrashAfter: t.crashAfter}, ip: ports.Host(i + 1).String(), started: 1}
 	u.OnCrash = func() { t.restart(u) }
 	u.Restart(u.started)
 	if !u.Plain {
