--- a/io/deploy/process.go
+++ b/io/deploy/process.go
@@ -17,8 +17,8 @@
 	"radishwell/io/httpd"
 	"radishwell/io/meter"
 	"radishwell/io/objapi"
-	"radishwell/io/reply"
 	"radishwell/io/peer"
+	"radishwell/io/reply"
 	plat "radishwell/platform"
 )
 
