--- a/core/parts/table_test.go
+++ b/core/parts/table_test.go
@@ -366,6 +366,22 @@
 	assert.Assert(t, len(known) > 40 && len(known) <= 100, "%d records in turn", len(known))
 }
 
+// Guards against a part whose crashes other processes do not learn of in time, since hundreds of parts
+// were in one crash each beside it.
+func TestPartWithMostCrashesIsSentFirst(t *testing.T) {
+	table := &parts.Table{MaxRecords: 1024, MaxServed: 16384}
+	for n := range 4 {
+		table.NoteBegun(start, []parts.Name{"x"})
+		crash(table, n, "x")
+		for m := range 100 {
+			crash(table, n, parts.Name(fmt.Sprint("p-", n, "-", m)))
+		}
+	}
+	first := table.Next(after(time.Second))
+	assert.Equal(t, first[0].Part, parts.Name("x"))
+	assert.Equal(t, len(first[0].Crashes), 4)
+}
+
 // BenchmarkTable measures what a request costs: a check before it is sent, and a note once it is
 // served, beside parts that were in crashes.
 func BenchmarkTable(b *testing.B) {
--- a/core/strike/trial_test.go
+++ b/core/strike/trial_test.go
@@ -125,3 +125,28 @@
 		assert.Equal(t, b.Find(at(20*time.Second), 1).TryAt, at(20*time.Second+4*retrialDelay))
 	})
 }
+
+// Guards against a crash in a trial that counts as proof after all processes have ended, since only they
+// knew that another upstream ended beside it.
+func TestStoredCrashBesideOthersIsNoProof(t *testing.T) {
+	const tried, other = core.Fingerprint(1), core.Fingerprint(2)
+	for _, beside := range []bool{false, true} {
+		book := newEntryBook("edge-1")
+		for n := range 3 {
+			at := start.Add(time.Duration(n) * 3 * time.Second)
+			book.RecordIncarnationCrash(at, core.HostName(fmt.Sprint("i-", n)), []Attempt{{Fingerprint: tried, Alone: n > 0}})
+			if beside {
+				book.RecordIncarnationCrash(at, core.HostName(fmt.Sprint("other-", n)), []Attempt{{Fingerprint: other}})
+			}
+		}
+		now := start.Add(20 * time.Second)
+		restarted := newEntryBook("edge-1")
+		restarted.Merge(now, book.Restricted(now)[tried])
+		want := Quarantined
+		if beside {
+			want = Suspect
+		}
+		assert.Equal(t, book.Find(now, tried).Standing, want)
+		assert.Equal(t, restarted.Find(now, tried).Standing, want)
+	}
+}
