--- a/core/parts/judge.go
+++ b/core/parts/judge.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"radishwell/core"
-	"radishwell/core/retry"
 )
 
 const (
@@ -29,18 +28,6 @@
 	finalTime = 2 * time.Second
 	// recheckInterval is the interval at which time alone may change what is refused.
 	recheckInterval = 500 * time.Millisecond
-	// boundCrashes is the number of crashes after which all that is sent with a part counts, and
-	// maxLateTries bounds that: a part that is sound is cleared by as many whole answers.
-	boundCrashes, maxLateTries = 5, 3
-	// retryDelay is the time from the last crash until the last of these tries, if another one crashed
-	// its upstream. It quadruples with each further try of a part without proof.
-	retryDelay = 30 * time.Second
-	// answerDoubt is what a whole answer adds to the doubt that a part is to blame. A crash with one
-	// request that has just begun adds 1.
-	answerDoubt = 2.
-	// boundDoubt is the doubt for each crash up to which there is little: one or two requests with the
-	// part, whose answers had gone on for seconds at most.
-	boundDoubt = 4.
 	// maxRefusals bounds the refusals, and so the time to work them out. Callers could otherwise
 	// fill it with parts that share upstreams with a crashing one.
 	maxRefusals = 32
@@ -129,114 +116,6 @@
 	return out
 }
 
-// countTries returns the number of tries that count against maxLateTries: those since the crash
-// number boundCrashes, and one that was granted before and may have begun later.
-func (r *Record) countTries(now time.Time) int {
-	crashes := r.counting(now)
-	from := r.clearedAt()
-	if n := len(crashes); n >= boundCrashes && n < maxCrashes {
-		from = crashes[boundCrashes-1].At
-	}
-	earlier, later := 0, 0
-	for _, t := range r.Tries {
-		switch {
-		case t.Void || !t.At.After(r.clearedAt()) || now.Sub(t.At) >= TTL:
-		case t.At.After(from):
-			later++
-		default:
-			earlier = 1
-		}
-	}
-	return earlier + later
-}
-
-// nextTry returns when a request with the part may be tried next. ok is not set if none may: the part is
-// proven, and all its tries are used up. Without proof further ones follow with ever longer pauses, since
-// the part may be sound, and without a pause once one was answered.
-func (r *Record) nextTry(now time.Time, proven bool) (at time.Time, ok bool) {
-	tries := r.countTries(now)
-	last := core.Later(r.lastCrash(), r.lastTry())
-	switch bound := len(r.counting(now)) >= boundCrashes; {
-	case proven && tries >= maxLateTries:
-		return time.Time{}, false
-	case proven:
-		return last.Add(retryDelay), true
-	case !bound || r.wasAnswered():
-		return time.Time{}, true
-	case tries >= maxLateTries, tries == maxLateTries-1 && r.lastCrash().After(r.lastTry()):
-		return last.Add(retry.Backoff(retryDelay, TTL, 2*max(0, tries-maxLateTries))), true
-	}
-	return time.Time{}, true
-}
-
-// wasAnswered reports whether the latest try was answered whole.
-func (r *Record) wasAnswered() bool {
-	return slices.ContainsFunc(r.Answers, func(a Answer) bool { return a.Tried && a.At.After(r.lastTry()) })
-}
-
-// lastTry returns when the latest try was granted, zero if there is none.
-func (r *Record) lastTry() time.Time {
-	if len(r.Tries) == 0 {
-		return time.Time{}
-	}
-	return r.Tries[len(r.Tries)-1].At
-}
-
-// Grant grants a trial to a request with suspected parts, or does not, as the process that all
-// others ask.
-func (t *Table) Grant(now time.Time, list []Name) bool {
-	t.judge(now)
-	for _, name := range list {
-		e := t.records[name]
-		if e == nil {
-			continue
-		}
-		proven := slices.ContainsFunc(t.refusals, func(r refusal) bool { return r.proven && slices.Contains(r.parts, name) })
-		if at, ok := e.nextTry(now, proven); !ok || now.Before(at) {
-			return false
-		}
-	}
-	t.noteTry(now, list, Try{At: now})
-	return true
-}
-
-// Void records that the request of a trial that was granted at a time did not run.
-func (t *Table) Void(now, granted time.Time, list []Name) {
-	t.noteTry(now, list, Try{At: granted, Void: true})
-}
-
-func (t *Table) noteTry(now time.Time, list []Name, try Try) {
-	for _, name := range list {
-		if e := t.records[name]; e != nil && e.addTry(now, try) {
-			t.noteChange(now, e)
-		}
-	}
-}
-
-// suspect is a part with enough crashes to be refused.
-type suspect struct {
-	*entry
-	crashes []Crash
-	needed  int
-	// answers is the weight of the whole answers since the first of the crashes.
-	answers int
-	refused bool
-}
-
-// doubt returns a number that is higher the more speaks against the guilt of a part for its crashes
-// that are not in a set: answers, several requests with the part in one crash, and requests whose
-// answers had gone on for long.
-func (s *suspect) doubt(explained upstreamSet) float64 {
-	sum := answerDoubt * float64(s.answers)
-	for _, c := range s.crashes {
-		if !explained[c.Upstream] {
-			requests := float64(max(1, c.Requests))
-			sum += requests*requests + c.Ran.Seconds()
-		}
-	}
-	return sum
-}
-
 // judge works out which parts are refused, unless that was done lately and nothing has changed.
 // It takes the part with the best score first, leaves those crashes out for the others, and so
 // on: a sound part is in crashes of a guilty one, but not in others. All processes with the same
@@ -321,61 +200,3 @@
 	}
 	return true
 }
-
-// isEnough reports whether a suspect's crashes that are not explained suffice to refuse the part. Any
-// number does once it has boundCrashes in all with little doubt, and nobody was answered with it since
-// the first: that another part explains them may be chance.
-func (s *suspect) isEnough(explained upstreamSet) bool {
-	return explained.countOthers(s.crashes) >= s.needed || s.answers == 0 && s.isBound()
-}
-
-// isBound reports whether all that is sent with the part counts, and there is little doubt that it is
-// to blame.
-func (s *suspect) isBound() bool {
-	return len(s.crashes) >= boundCrashes && s.doubt(nil) <= boundDoubt*float64(len(s.crashes))
-}
-
-// compareGuilt returns a positive number if s is more likely to be to blame than other, by the crashes
-// that are not explained: parts with which nobody was answered since their first crash come first,
-// then those with more crashes and less doubt. All requests may share a part, and have it in each crash.
-func (s *suspect) compareGuilt(other *suspect, explained upstreamSet) int {
-	score := func(s *suspect) float64 {
-		n := float64(explained.countOthers(s.crashes))
-		return n * n / max(1, s.doubt(explained))
-	}
-	return cmp.Or(core.CompareBool(other.answers > 0, s.answers > 0), cmp.Compare(score(s), score(other)))
-}
-
-// guiltiest returns the suspect that most likely is to blame for crashes that are not explained, with
-// those that were in the same requests in all crashes but for one: that one may have had another
-// cause. The list is empty if no suspect has enough crashes.
-func guiltiest(suspects []suspect, explained upstreamSet) []suspect {
-	var best *suspect
-	for i := range suspects {
-		if s := &suspects[i]; !s.refused && s.isEnough(explained) && (best == nil || s.compareGuilt(best, explained) > 0) {
-			best = s
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	best.refused = true
-	group := []suspect{*best}
-	for i := range suspects {
-		s := &suspects[i]
-		similar := !s.refused && s.isEnough(explained) && len(s.crashes) >= len(best.crashes)-1 && (s.answers > 0) == (best.answers > 0)
-		if similar && s.isInSameRequests(best) {
-			s.refused = true
-			group = append(group, *s)
-		}
-	}
-	return group
-}
-
-// isInSameRequests reports whether as many requests had a part as had another, in each of its crashes.
-func (s *suspect) isInSameRequests(other *suspect) bool {
-	return !slices.ContainsFunc(s.crashes, func(c Crash) bool {
-		i := slices.IndexFunc(other.crashes, func(o Crash) bool { return o.Upstream == c.Upstream })
-		return i < 0 || other.crashes[i].Requests != c.Requests || other.crashes[i].Ran != c.Ran
-	})
-}
--- /dev/null
+++ b/core/parts/try.go
@@ -0,0 +1,102 @@
+package parts
+
+import (
+	"slices"
+	"time"
+
+	"radishwell/core"
+	"radishwell/core/retry"
+)
+
+const (
+	// boundCrashes is the number of crashes after which all that is sent with a part counts, and
+	// maxLateTries bounds that: a part that is sound is cleared by as many whole answers.
+	boundCrashes, maxLateTries = 5, 3
+	// retryDelay is the time from the last crash until the last of these tries, if another one crashed
+	// its upstream. It quadruples with each further try of a part without proof.
+	retryDelay = 30 * time.Second
+)
+
+// countTries returns the number of tries that count against maxLateTries: those since the crash
+// number boundCrashes, and one that was granted before and may have begun later.
+func (r *Record) countTries(now time.Time) int {
+	crashes := r.counting(now)
+	from := r.clearedAt()
+	if n := len(crashes); n >= boundCrashes && n < maxCrashes {
+		from = crashes[boundCrashes-1].At
+	}
+	earlier, later := 0, 0
+	for _, t := range r.Tries {
+		switch {
+		case t.Void || !t.At.After(r.clearedAt()) || now.Sub(t.At) >= TTL:
+		case t.At.After(from):
+			later++
+		default:
+			earlier = 1
+		}
+	}
+	return earlier + later
+}
+
+// nextTry returns when a request with the part may be tried next. ok is not set if none may: the part is
+// proven, and all its tries are used up. Without proof further ones follow with ever longer pauses, since
+// the part may be sound, and without a pause once one was answered.
+func (r *Record) nextTry(now time.Time, proven bool) (at time.Time, ok bool) {
+	tries := r.countTries(now)
+	last := core.Later(r.lastCrash(), r.lastTry())
+	switch bound := len(r.counting(now)) >= boundCrashes; {
+	case proven && tries >= maxLateTries:
+		return time.Time{}, false
+	case proven:
+		return last.Add(retryDelay), true
+	case !bound || r.wasAnswered():
+		return time.Time{}, true
+	case tries >= maxLateTries, tries == maxLateTries-1 && r.lastCrash().After(r.lastTry()):
+		return last.Add(retry.Backoff(retryDelay, TTL, 2*max(0, tries-maxLateTries))), true
+	}
+	return time.Time{}, true
+}
+
+// wasAnswered reports whether the latest try was answered whole.
+func (r *Record) wasAnswered() bool {
+	return slices.ContainsFunc(r.Answers, func(a Answer) bool { return a.Tried && a.At.After(r.lastTry()) })
+}
+
+// lastTry returns when the latest try was granted, zero if there is none.
+func (r *Record) lastTry() time.Time {
+	if len(r.Tries) == 0 {
+		return time.Time{}
+	}
+	return r.Tries[len(r.Tries)-1].At
+}
+
+// Grant grants a trial to a request with suspected parts, or does not, as the process that all
+// others ask.
+func (t *Table) Grant(now time.Time, list []Name) bool {
+	t.judge(now)
+	for _, name := range list {
+		e := t.records[name]
+		if e == nil {
+			continue
+		}
+		proven := slices.ContainsFunc(t.refusals, func(r refusal) bool { return r.proven && slices.Contains(r.parts, name) })
+		if at, ok := e.nextTry(now, proven); !ok || now.Before(at) {
+			return false
+		}
+	}
+	t.noteTry(now, list, Try{At: now})
+	return true
+}
+
+// Void records that the request of a trial that was granted at a time did not run.
+func (t *Table) Void(now, granted time.Time, list []Name) {
+	t.noteTry(now, list, Try{At: granted, Void: true})
+}
+
+func (t *Table) noteTry(now time.Time, list []Name, try Try) {
+	for _, name := range list {
+		if e := t.records[name]; e != nil && e.addTry(now, try) {
+			t.noteChange(now, e)
+		}
+	}
+}
--- a/io/proxy/withdraw.go
+++ b/io/proxy/withdraw.go
@@ -28,7 +28,7 @@
 type sentParts struct {
 	request core.RequestID
 	shared  []parts.Name
-	// begun is set once its answer has begun.
+	// begun is set once the upstream's answer has begun.
 	begun  atomic.Bool
 	cancel context.CancelCauseFunc
 }
@@ -42,7 +42,6 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	s := &sentParts{request: c.ask.ID, shared: c.shared, cancel: cancel}
-	s.begun.Store(c.started)
 	p.mu.Lock()
 	p.sentParts[s] = true
 	p.mu.Unlock()
