--- a/core/parts/guilt.go
+++ b/core/parts/guilt.go
@@ -11,9 +11,9 @@
 	// answerDoubt is what a whole answer adds to the doubt that a part is to blame. A crash with one
 	// request that has just begun adds 1.
 	answerDoubt = 2.
-	// boundDoubt is the doubt for each crash up to which there is little: one or two requests with the
-	// part, whose answers had gone on for seconds at most.
-	boundDoubt = 4.
+	// boundDoubt is the number of requests in a crash, and of seconds for which the answer to one of them
+	// had gone on, up to which there is little doubt.
+	boundDoubt = 3.
 )
 
 // suspect is a part with enough crashes to be refused.
@@ -48,9 +48,14 @@
 }
 
 // isBound reports whether all that is sent with the part counts, and there is little doubt that it is
-// to blame.
+// to blame. Several requests in a crash raise that no further than their number: a part that comes
+// often is in many, whether it is to blame or not.
 func (s *suspect) isBound() bool {
-	return len(s.crashes) >= boundCrashes && s.doubt(nil) <= boundDoubt*float64(len(s.crashes))
+	sum := 0.
+	for _, c := range s.crashes {
+		sum += float64(max(1, c.Requests)) + c.Ran.Seconds()
+	}
+	return len(s.crashes) >= boundCrashes && sum <= boundDoubt*float64(len(s.crashes))
 }
 
 // compareGuilt returns a positive number if s is more likely to be to blame than other, by the crashes
--- a/core/parts/play_test.go
+++ b/core/parts/play_test.go
@@ -404,7 +404,13 @@
 	}
 }
 
-func (p *play) soundShare() float64 { return float64(p.soundRun) / float64(max(1, p.sound)) }
+// soundShare returns the share of the sound requests that ran, 1 if the play ended before any counted.
+func (p *play) soundShare() float64 {
+	if p.sound == 0 {
+		return 1
+	}
+	return float64(p.soundRun) / float64(p.sound)
+}
 
 // scenes are the ways in which requests run in TestWays. Upstreams are slow in some.
 var scenes = []scene{
