--- a/io/soak/run_test.go
+++ b/io/soak/run_test.go
@@ -24,14 +24,18 @@
 func TestSoak(t *testing.T) {
 	self, err := os.Executable()
 	assert.NilError(t, err)
-	seeds := []uint64{
-		1, 2,
-		120205, // streams went on at an upstream that had started again under its ID at another version
-		730026, // a proper request was refused for good, since its upstreams fell in its trials, too
+	const length = 6 * time.Second
+	runs := []soak.Run{
+		{Seed: 1, Length: length},
+		{Seed: 2, Length: length},
+		{Seed: 120205, Length: length}, // streams went on at an upstream that had started again under its ID at another version
+		{Seed: 730026, Length: length}, // a proper request was refused for good, since its upstreams fell in its trials, too
+		// each of four parts that crash upstreams explained the crashes of the others
+		{Seed: 551204, Length: 10 * time.Second, CrashAfter: 800 * time.Millisecond},
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			run := &soak.Run{Seed: seed, Length: 6 * time.Second, Program: []string{self}, Dir: t.TempDir()}
+	for _, run := range runs {
+		t.Run(fmt.Sprint("seed ", run.Seed), func(t *testing.T) {
+			run.Program, run.Dir = []string{self}, t.TempDir()
 			report, err := run.Execute()
 			assert.NilError(t, err)
 			for _, b := range report.Breaches {
