Merge answers and grants of parts by one function, and look once for when crashes stopped to count

Both lists hold items that are identified by their time and marked for good by whichever process knows; each had its own copy of the merge. Two comments are made clearer.

--- a/core/parts/judge.go
+++ b/core/parts/judge.go
@@ -18,7 +18,7 @@
 	// solitaryTime is the time around a crash in a trial in which no upstream may crash without the
 	// part, and after which all processes know of those that did.
 	solitaryTime = time.Second
-	// knownTime is how long a served request speaks for its parts against crashes after it.
+	// knownTime is how long a part counts as known after a request with it was served.
 	knownTime = 10 * time.Minute
 	// settleTime is the time from a known part's last needed crash until it is refused. If several
 	// upstreams end for another reason, answers with their common parts end within it.
--- a/core/parts/record.go
+++ b/core/parts/record.go
@@ -162,40 +162,47 @@
 	}
 }
 
-// addAnswer adds the end of an answer and reports whether it was new.
-func (r *Record) addAnswer(now time.Time, a Answer) bool {
+// addAnswer adds the end of an answer, or marks the one of the same time as one in a trial.
+func (r *Record) addAnswer(now time.Time, a Answer) {
 	a.At = notAfter(now, a.At)
-	i := slices.IndexFunc(r.Answers, func(have Answer) bool { return have.At.Equal(a.At) })
-	switch {
-	case i >= 0 && r.Answers[i].Tried || i >= 0 && !a.Tried:
-		return false
-	case i >= 0:
-		r.Answers[i].Tried = true
-	case len(r.Answers) == maxAnswers && !a.At.After(r.Answers[0].At):
-		return false
-	default:
-		r.Answers = append(r.Answers, a)
-	}
-	r.Answers = keepLatest(r.Answers, maxAnswers, func(a Answer) time.Time { return a.At })
-	return true
+	r.Answers, _ = addMoment(r.Answers, a, maxAnswers)
 }
 
 // addTry adds a grant, or voids the one of the same time, and reports whether anything was new.
-func (r *Record) addTry(now time.Time, t Try) bool {
+func (r *Record) addTry(now time.Time, t Try) (added bool) {
 	t.At = notAfter(now, t.At)
-	i := slices.IndexFunc(r.Tries, func(have Try) bool { return have.At.Equal(t.At) })
+	r.Tries, added = addMoment(r.Tries, t, maxTries)
+	return added
+}
+
+// moment is an item of a record that is identified by its time. marked is set for good once any process
+// has set it.
+type moment interface {
+	at() time.Time
+	marked() bool
+}
+
+func (a Answer) at() time.Time { return a.At }
+func (a Answer) marked() bool  { return a.Tried }
+func (t Try) at() time.Time    { return t.At }
+func (t Try) marked() bool     { return t.Void }
+
+// addMoment adds an item to a list in order of time that keeps the n latest, or replaces the one of the
+// same time by a marked one. It reports whether anything was new.
+func addMoment[T moment](list []T, item T, n int) ([]T, bool) {
+	i := slices.IndexFunc(list, func(have T) bool { return have.at().Equal(item.at()) })
 	switch {
-	case i >= 0 && (r.Tries[i].Void || !t.Void):
-		return false
+	case i >= 0 && (list[i].marked() || !item.marked()):
+		return list, false
 	case i >= 0:
-		r.Tries[i].Void = true
-	case len(r.Tries) == maxTries && !t.At.After(r.Tries[0].At):
-		return false
-	default:
-		r.Tries = append(r.Tries, t)
+		list[i] = item
+		return list, true
+	case len(list) == n && !item.at().After(list[0].at()):
+		return list, false
 	}
-	r.Tries = keepLatest(r.Tries, maxTries, func(t Try) time.Time { return t.At })
-	return true
+	list = append(list, item)
+	slices.SortStableFunc(list, func(a, b T) int { return a.at().Compare(b.at()) })
+	return slices.Delete(list, 0, max(0, len(list)-n)), true
 }
 
 // notAfter returns at, or now if the clock of the process that stated at is wrong.
@@ -206,12 +213,6 @@
 	return at
 }
 
-// keepLatest sorts a list by time and returns the n latest items.
-func keepLatest[T any](list []T, n int, at func(T) time.Time) []T {
-	slices.SortStableFunc(list, func(a, b T) int { return at(a).Compare(at(b)) })
-	return slices.Delete(list, 0, max(0, len(list)-n))
-}
-
 // join merges another process's record of the part and reports whether a crash or try was new.
 func (r *Record) join(now time.Time, other *Record) (added bool) {
 	for _, c := range other.Crashes {
--- a/core/parts/try.go
+++ b/core/parts/try.go
@@ -20,15 +20,15 @@
 // countTries returns the number of tries that count against maxLateTries: those since the crash
 // number boundCrashes, and one that was granted before and may have begun later.
 func (r *Record) countTries(now time.Time) int {
-	crashes := r.counting(now)
-	from := r.clearedAt()
+	crashes, cleared := r.counting(now), r.clearedAt()
+	from := cleared
 	if n := len(crashes); n >= boundCrashes && n < maxCrashes {
 		from = crashes[boundCrashes-1].At
 	}
 	earlier, later := 0, 0
 	for _, t := range r.Tries {
 		switch {
-		case t.Void || !t.At.After(r.clearedAt()) || now.Sub(t.At) >= TTL:
+		case t.Void || !t.At.After(cleared) || now.Sub(t.At) >= TTL:
 		case t.At.After(from):
 			later++
 		default:
--- a/io/proxy/trial.go
+++ b/io/proxy/trial.go
@@ -27,7 +27,7 @@
 	keys     []string
 	upstream core.HostName
 	// whole is set if the request itself may crash upstreams, and parts are those of its prompt that
-	// may. A crash is proof against the request only if both may.
+	// may. If both may, a crash is proof against the request only.
 	whole bool
 	parts []parts.Name
 	// proven is set if the parts are proved to crash upstreams, and are tried once more.
