Leave the few tries of a part to requests that crash nothing by themselves

What callers saw: a third of all requests, and streams that were taken up again, refused for 30 s or more after two requests that crash upstreams had come beside other falls: sound parts that the crashing requests share used up their tries.

Cause: the trial of a request that is a suspect itself counts against the tries of its parts, though its crash proves nothing against them. And any crash after a try, under a request that was sent before or elsewhere, was taken for the end of that try and led to the pause of 30 s.

The new rows of TestRefusedPartIsTriedAgain and TestSuspectRequestsLeaveTriesOfPartsToOthers fail before: Grant knew nothing of the request.

--- a/core/parts/play_test.go
+++ b/core/parts/play_test.go
@@ -41,7 +41,7 @@
 
 func (e *explaining) check(now time.Time, list []parts.Name) parts.Verdict { return e.Check(now, list) }
 
-func (e *explaining) grants(now time.Time, list []parts.Name) bool  { return e.Grant(now, list) }
+func (e *explaining) grants(now time.Time, list []parts.Name) bool  { return e.Grant(now, list, false) }
 func (e *explaining) records(now time.Time) []parts.Record          { return e.Next(now) }
 func (e *explaining) merge(now time.Time, list []parts.Record) bool { return e.Merge(now, list) }
 
--- a/core/parts/table_test.go
+++ b/core/parts/table_test.go
@@ -167,7 +167,7 @@
 		}
 		for n := range trials {
 			at := after(100 * time.Millisecond)
-			assert.Assert(t, table.Grant(at, []parts.Name{"x"}))
+			assert.Assert(t, table.Grant(at, []parts.Name{"x"}, false))
 			table.NoteCrash(at, parts.Crash{Upstream: core.HostName(fmt.Sprint("trial-", n)), At: at, Tried: true}, []parts.Name{"x"})
 		}
 		return table
@@ -236,74 +236,89 @@
 	t.Run("until it has crashed five upstreams", func(t *testing.T) {
 		table := newSuspect(3)
 		for n := range 10 {
-			assert.Assert(t, table.Grant(after(time.Duration(n+1)*time.Second), list))
+			assert.Assert(t, table.Grant(after(time.Duration(n+1)*time.Second), list, false))
 		}
 	})
 	t.Run("then three times at most, the last after a pause", func(t *testing.T) {
 		table := newSuspect(5)
 		for n := range 2 {
 			at := after(time.Duration(n+1) * time.Second)
-			assert.Assert(t, table.Grant(at, list))
+			assert.Assert(t, table.Grant(at, list, false))
 			table.NoteCrash(at, parts.Crash{Upstream: core.HostName(fmt.Sprint("trial-", n)), At: at.Add(time.Second), Tried: true}, list)
 		}
-		assert.Assert(t, !table.Grant(after(4*time.Second), list))
+		assert.Assert(t, !table.Grant(after(4*time.Second), list, false))
 		assert.Assert(t, !table.Check(after(4*time.Second), list).MayTry)
-		assert.Assert(t, table.Grant(after(34*time.Second), list))
+		assert.Assert(t, table.Grant(after(34*time.Second), list, false))
 		table.NoteCrash(after(35*time.Second), parts.Crash{Upstream: "trial-3", At: after(35 * time.Second), Tried: true}, list)
 		for _, d := range []time.Duration{time.Minute, 10 * time.Minute, 29 * time.Minute} {
-			assert.Assert(t, !table.Grant(after(d), list))
+			assert.Assert(t, !table.Grant(after(d), list, false))
 			assert.Assert(t, !table.Check(after(d), list).MayTry)
 		}
 	})
+	t.Run("without a pause after a crash outside its tries", func(t *testing.T) {
+		table := newSuspect(5)
+		for n := range 2 {
+			assert.Assert(t, table.Grant(after(time.Duration(n+1)*time.Second), list, false))
+		}
+		table.NoteCrash(after(3*time.Second), parts.Crash{Upstream: "other", At: after(3 * time.Second)}, list)
+		assert.Assert(t, table.Grant(after(4*time.Second), list, false))
+	})
+	t.Run("not by requests that crash upstreams themselves", func(t *testing.T) {
+		table := newSuspect(5)
+		assert.Assert(t, !table.Grant(after(time.Second), list, true))
+		assert.Assert(t, table.Grant(after(time.Second), list, false))
+		assert.Assert(t, !table.Grant(after(30*time.Second), list, true))
+		assert.Assert(t, table.Grant(after(32*time.Second), list, true))
+	})
 	t.Run("one that may have begun after the fifth crash counts", func(t *testing.T) {
 		table := newSuspect(4)
-		assert.Assert(t, table.Grant(after(350*time.Millisecond), list))
+		assert.Assert(t, table.Grant(after(350*time.Millisecond), list, false))
 		crash(table, 4, "x")
-		assert.Assert(t, table.Grant(after(time.Second), list))
-		assert.Assert(t, table.Grant(after(2*time.Second), list))
-		assert.Assert(t, !table.Grant(after(3*time.Second), list))
+		assert.Assert(t, table.Grant(after(time.Second), list, false))
+		assert.Assert(t, table.Grant(after(2*time.Second), list, false))
+		assert.Assert(t, !table.Grant(after(3*time.Second), list, false))
 	})
 	t.Run("with pauses if they show nothing", func(t *testing.T) {
 		table := newSuspect(5)
 		for n := range 3 {
-			assert.Assert(t, table.Grant(after(time.Duration(n+1)*time.Second), list))
+			assert.Assert(t, table.Grant(after(time.Duration(n+1)*time.Second), list, false))
 		}
-		assert.Assert(t, !table.Grant(after(30*time.Second), list))
-		assert.Assert(t, table.Grant(after(33*time.Second), list))
-		assert.Assert(t, !table.Grant(after(2*time.Minute), list))
-		assert.Assert(t, table.Grant(after(154*time.Second), list))
+		assert.Assert(t, !table.Grant(after(30*time.Second), list, false))
+		assert.Assert(t, table.Grant(after(33*time.Second), list, false))
+		assert.Assert(t, !table.Grant(after(2*time.Minute), list, false))
+		assert.Assert(t, table.Grant(after(154*time.Second), list, false))
 	})
 	t.Run("without a pause after a whole answer", func(t *testing.T) {
 		table := newSuspect(9)
 		for n := range 3 {
-			assert.Assert(t, table.Grant(after(time.Duration(n+1)*time.Second), list))
+			assert.Assert(t, table.Grant(after(time.Duration(n+1)*time.Second), list, false))
 		}
-		assert.Assert(t, table.Grant(after(33*time.Second), list))
+		assert.Assert(t, table.Grant(after(33*time.Second), list, false))
 		table.NoteAnswered(after(34*time.Second), after(33*time.Second), list, list)
-		assert.Assert(t, table.Grant(after(35*time.Second), list))
+		assert.Assert(t, table.Grant(after(35*time.Second), list, false))
 	})
 	t.Run("one that did not run does not count", func(t *testing.T) {
 		table := newSuspect(5)
 		for n := range 10 {
 			at := after(time.Duration(n+1) * time.Second)
-			assert.Assert(t, table.Grant(at, list))
+			assert.Assert(t, table.Grant(at, list, false))
 			table.Void(at.Add(time.Millisecond), at, list)
 		}
 	})
 	t.Run("other processes know of tries", func(t *testing.T) {
 		table, peer := newSuspect(5), newTable()
 		for n := range 3 {
-			assert.Assert(t, table.Grant(after(time.Duration(n+1)*time.Second), list))
+			assert.Assert(t, table.Grant(after(time.Duration(n+1)*time.Second), list, false))
 		}
 		peer.Merge(after(4*time.Second), table.Next(after(4*time.Second)))
-		assert.Assert(t, !peer.Grant(after(5*time.Second), list))
+		assert.Assert(t, !peer.Grant(after(5*time.Second), list, false))
 	})
 	t.Run("three whole answers in trials clear it", func(t *testing.T) {
 		table := newSuspect(6)
 		for n := range 3 {
 			at := after(time.Duration(n+2) * time.Second)
 			assertRefused(t, table, at, true, "x")
-			assert.Assert(t, table.Grant(at, list))
+			assert.Assert(t, table.Grant(at, list, false))
 			table.NoteAnswered(at.Add(time.Millisecond), at, list, list)
 		}
 		assertRefused(t, table, after(5*time.Second), false, "x")
@@ -325,7 +340,7 @@
 				source.NoteAnswered(at, at, list[:1], list[:rng.IntN(2)])
 			}
 			if rng.IntN(4) == 0 {
-				source.Grant(after(time.Duration(rng.IntN(1200))*time.Millisecond), list[:1])
+				source.Grant(after(time.Duration(rng.IntN(1200))*time.Millisecond), list[:1], false)
 			}
 			all = append(all, source.Next(after(2*time.Second))...)
 		}
--- a/core/parts/try.go
+++ b/core/parts/try.go
@@ -51,7 +51,7 @@
 		return last.Add(retryDelay), true
 	case !bound || r.wasAnswered():
 		return time.Time{}, true
-	case tries >= maxLateTries, tries == maxLateTries-1 && r.lastCrash().After(r.lastTry()):
+	case tries >= maxLateTries, tries == maxLateTries-1 && r.lastTriedCrash().After(r.lastTry()):
 		return last.Add(retry.Backoff(retryDelay, TTL, 2*max(0, tries-maxLateTries))), true
 	}
 	return time.Time{}, true
@@ -70,9 +70,20 @@
 	return r.Tries[len(r.Tries)-1].At
 }
 
+// lastTriedCrash returns when the part last crashed an upstream in a trial, zero if it has not.
+func (r *Record) lastTriedCrash() (last time.Time) {
+	for _, c := range r.Crashes {
+		if c.Tried {
+			last = c.At
+		}
+	}
+	return last
+}
+
 // Grant grants a trial to a request with suspected parts, or does not, as the process that all
-// others ask.
-func (t *Table) Grant(now time.Time, list []Name) bool {
+// others ask. suspect is set if the request is known to have crashed upstreams by itself: its crash would
+// prove nothing against the parts, so it leaves their few tries to others.
+func (t *Table) Grant(now time.Time, list []Name, suspect bool) bool {
 	t.judge(now)
 	for _, name := range list {
 		e := t.records[name]
@@ -80,7 +91,11 @@
 			continue
 		}
 		proven := slices.ContainsFunc(t.refusals, func(r refusal) bool { return r.proven && slices.Contains(r.parts, name) })
-		if at, ok := e.nextTry(now, proven); !ok || now.Before(at) {
+		at, ok := e.nextTry(now, proven)
+		if suspect && len(e.counting(now)) >= boundCrashes {
+			at = core.Later(at, core.Later(e.lastCrash(), e.lastTry()).Add(retryDelay))
+		}
+		if !ok || now.Before(at) {
 			return false
 		}
 	}
--- a/io/proxy/trial.go
+++ b/io/proxy/trial.go
@@ -158,6 +158,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
+	suspect := false
 	for _, key := range keys {
 		f, ok := core.ParseFingerprint(key)
 		if !ok {
@@ -167,11 +168,12 @@
 		if found.Standing == strike.Quarantined || now.Before(found.TryAt) {
 			return false
 		}
+		suspect = suspect || found.Standing == strike.Suspect
 	}
 	if !p.trials.Begin(now, keys, upstream, until) {
 		return false
 	}
-	if !p.parts.Grant(now, partsOf(keys)) {
+	if !p.parts.Grant(now, partsOf(keys), suspect) {
 		p.trials.End(keys, upstream)
 		return false
 	}
--- a/io/proxy/trial_test.go
+++ b/io/proxy/trial_test.go
@@ -13,6 +13,7 @@
 
 	"radishwell/core"
 	"radishwell/core/fleet"
+	"radishwell/core/parts"
 	"radishwell/core/strike"
 	"radishwell/platform/stand"
 )
@@ -133,3 +134,25 @@
 	assert.Assert(t, !r.GrantTrial([]string{tried.String()}, "x-4", time.Now().Add(time.Minute)))
 	assert.Assert(t, r.GrantTrial([]string{other.String(), "llm/part"}, "x-4", time.Now().Add(time.Minute)))
 }
+
+// Guards against a sound part whose few tries go to requests that crash upstreams themselves.
+func TestSuspectRequestsLeaveTriesOfPartsToOthers(t *testing.T) {
+	const suspect, other = core.Fingerprint(1), core.Fingerprint(2)
+	r := newRig(t)
+	now := time.Now()
+	book := strike.Book{Self: "edge-2", MaxRecords: 10, Incarnations: true}
+	record := parts.Record{Part: "llm/part"}
+	for n := range 5 {
+		upstream := core.HostName(fmt.Sprint("x-", n))
+		at := now.Add(time.Duration(n-5) * time.Second)
+		record.Crashes = append(record.Crashes, parts.Crash{Upstream: upstream, At: at, Requests: 1})
+		book.RecordIncarnationCrash(at, upstream, []strike.Attempt{{Fingerprint: suspect}})
+	}
+	r.MergeStrikes(book.Records(now))
+	r.MergeParts([]parts.Record{record})
+	grants := func(f core.Fingerprint, upstream core.HostName) bool {
+		return r.GrantTrial([]string{f.String(), "llm/part"}, upstream, now.Add(time.Minute))
+	}
+	assert.Assert(t, !grants(suspect, "y-1"))
+	assert.Assert(t, grants(other, "y-2"))
+}
