Keep crashes in the store for which nothing is refused yet

What callers saw: a request or a part of prompts that crashes upstreams went on to do so while all entries were killed again and again. Each time entries began to count anew, so up to two crashes of a request and four of a part were forgotten, without a bound on how often.

Cause: only the records of what is refused were stored; a crash was known to processes that all can end at once.

The last whole answer of a part is stored as well: without it a sound part would look as if nobody had been answered with it.

--- a/core/object.go
+++ b/core/object.go
@@ -21,8 +21,8 @@
 // Kinds of a managed platform: its routing table and its registry of upstream
 // hosts, and the records that radishwell maintains: each agent's start, the
 // demand for models, the address of each entry, for each data centre the leases
-// on the engines without agents, the requests that crash upstreams, the
-// software versions at which streams may have begun, and where streams began
+// on the engines without agents, the requests that crash upstreams, the latest
+// crashes, the software versions at which streams may have begun, and where streams began
 // while there were several versions.
 const (
 	KindTable      Kind = "config"
@@ -32,6 +32,7 @@
 	KindEntry      Kind = "radishwell-entries"
 	KindOrders     Kind = "radishwell-orders"
 	KindQuarantine Kind = "radishwell-quarantine"
+	KindCrashes    Kind = "radishwell-crashes"
 	KindSoftware   Kind = "radishwell-software"
 	KindOrigins    Kind = "radishwell-origins"
 )
--- a/core/parts/table.go
+++ b/core/parts/table.go
@@ -219,6 +219,26 @@
 	return out
 }
 
+// Crashed returns the records with crashes that count, n at most: those with the most crashes, and the
+// latest of these.
+func (t *Table) Crashed(now time.Time, n int) []Record {
+	counts := t.countAll(now)
+	var all []*entry
+	for e, count := range counts {
+		if count > 0 {
+			all = append(all, e)
+		}
+	}
+	slices.SortFunc(all, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), b.lastCrash().Compare(a.lastCrash()), cmp.Compare(a.Part, b.Part))
+	})
+	out := make([]Record, 0, min(n, len(all)))
+	for _, e := range all[:min(n, len(all))] {
+		out = append(out, e.clone())
+	}
+	return out
+}
+
 // upstreamSet is a set of upstreams that crashed.
 type upstreamSet map[core.HostName]bool
 
--- a/core/strike/book.go
+++ b/core/strike/book.go
@@ -256,6 +256,30 @@
 	return out
 }
 
+// Crashed returns the records of the fingerprints with strikes that count, n fingerprints at most: those
+// with the most strikes, and the latest of these.
+func (b *Book) Crashed(now time.Time, n int) [][]Record {
+	var all []Finding
+	for f := range b.records {
+		found := Finding{Fingerprint: f}
+		for r := range b.counting(now, f) {
+			found.Count += r.Count
+			found.Expires = core.Later(found.Expires, r.Expires)
+		}
+		if found.Count > 0 {
+			all = append(all, found)
+		}
+	}
+	slices.SortFunc(all, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), b.Expires.Compare(a.Expires), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	out := make([][]Record, 0, min(n, len(all)))
+	for _, found := range all[:min(n, len(all))] {
+		out = append(out, b.RecordsOf(now, found.Fingerprint))
+	}
+	return out
+}
+
 // Refuse returns the refusal of a quarantined fingerprint, or nil. Entries call it
 // before they queue a request, agents before they run it.
 func (b *Book) Refuse(now time.Time, f core.Fingerprint) *core.Refusal {
--- a/io/deploy/crash_test.go
+++ b/io/deploy/crash_test.go
@@ -353,6 +353,40 @@
 	}
 }
 
+// Guards against requests and parts that crash upstreams without end, since all entries are killed before they
+// have enough crashes.
+func TestCrashesOutliveEntries(t *testing.T) {
+	check := func(maxCrashes int, send func(t *testing.T, e running) int) func(t *testing.T) {
+		return func(t *testing.T) {
+			f := newFleet(t)
+			upstream := f.addCrashing(t, 1)
+			for range 9 {
+				entry := f.addEntry(t, "edge-1")
+				entry.waitReady(t)
+				until(t, "the upstream crashes, or the request is refused for good", func() bool {
+					before := upstream.Crashes()
+					return send(t, entry) == http.StatusUnprocessableEntity || upstream.Crashes() > before
+				})
+				time.Sleep(300 * time.Millisecond) // the record of the crash is written
+				entry.stop()
+				f.peers = nil
+			}
+			assert.Assert(t, upstream.Crashes() <= maxCrashes, "%d crashes", upstream.Crashes())
+		}
+	}
+	n := 0
+	t.Run("request", check(3+3, func(t *testing.T, e running) int {
+		n++
+		status, _ := sendBody(t, e, fmt.Sprint("poison-", n), "m-1", poison)
+		return status
+	}))
+	c := &partCallers{}
+	t.Run("part", check(5+3, func(_ *testing.T, e running) int {
+		c.entries = []running{e}
+		return c.send("aa", poisonPart)
+	}))
+}
+
 // Guards against a part of prompts that crashes upstreams again after all entries were killed,
 // since only they knew of it.
 func TestRefusedPartOutlivesEntries(t *testing.T) {
--- a/io/deploy/entry.go
+++ b/io/deploy/entry.go
@@ -60,6 +60,8 @@
 	software *software
 	// quarantine keeps the requests that crash upstreams in the store.
 	quarantine *quarantine
+	// crashes keeps the latest crashes there.
+	crashes *crashLog
 	// ordersEngines is set while this entry orders engines. A value is sent on recordChanged
 	// when it changes.
 	ordersEngines atomic.Bool
@@ -103,11 +105,12 @@
 	e.orderer.serve()
 	e.buildState()
 	e.quarantine = &quarantine{entry: e, changed: make(chan struct{}, 1)}
+	e.crashes = &crashLog{entry: e, changed: make(chan struct{}, 1)}
 	e.shareSignals()
 	e.shareOrigins()
 	p.parts = append(
 		p.parts, e.proxy.Run, e.links.run, e.planner.run, e.planner.loadDemand, e.feed.Run, e.quota.Run, e.maintainRecord, e.orderer.run,
-		e.quarantine.run, granting.run, e.spare.run, e.recordUnread, e.software.followStandstills,
+		e.quarantine.run, e.crashes.run, granting.run, e.spare.run, e.recordUnread, e.software.followStandstills,
 	)
 	p.addServer(&httpd.Server{Address: s.Managed.Readiness, Handler: http.HandlerFunc(e.serveReady)})
 	callers := &httpd.Server{
@@ -202,7 +205,7 @@
 // connections are wanted.
 func (e *entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	status := http.StatusOK
-	if e.leaving.Load() || !e.proxy.Ready() || !e.quarantine.loaded.Load() {
+	if e.leaving.Load() || !e.proxy.Ready() || !e.quarantine.loaded.Load() || !e.crashes.loaded.Load() {
 		status = http.StatusServiceUnavailable
 	}
 	w.WriteHeader(status)
--- a/io/deploy/odd_test.go
+++ b/io/deploy/odd_test.go
@@ -16,7 +16,7 @@
 	deep := strings.Repeat("[", 9997) + strings.Repeat("]", 9997)
 	for _, kind := range []string{
 		"config", "servers", "radishwell-agents", "radishwell-demand", "radishwell-entries", "radishwell-orders",
-		"radishwell-quarantine", "radishwell-software", "radishwell-origins",
+		"radishwell-quarantine", "radishwell-crashes", "radishwell-software", "radishwell-origins",
 	} {
 		f.store.Put(kind, prefix+"-deep", `{"x":`+deep+`}`)
 		f.store.Put(kind, prefix+"-number", `{"slots":1e400,"born":9223372036854775808}`)
--- a/io/deploy/quarantine.go
+++ b/io/deploy/quarantine.go
@@ -52,9 +52,35 @@
 	Strikes     []strikeJSON `json:"strikes,omitempty"`
 	Part        parts.Name   `json:"part,omitempty"`
 	Crashes     []crashJSON  `json:"crashes,omitempty"`
-	// Served is when a request with the part was last served, and Tries are the grants of trials.
-	Served time.Time `json:"served,omitzero"`
-	Tries  []tryJSON `json:"tries,omitempty"`
+	// Served is when a request with the part was last served, Answered when one was last answered whole, and
+	// Tries are the grants of trials.
+	Served   time.Time `json:"served,omitzero"`
+	Answered time.Time `json:"answered,omitzero"`
+	Tries    []tryJSON `json:"tries,omitempty"`
+}
+
+// encodeStrikes returns the record of a request.
+func encodeStrikes(f core.Fingerprint, strikes []strike.Record) quarantineJSON {
+	record := quarantineJSON{Fingerprint: uint64(f)}
+	for _, s := range strikes {
+		record.Strikes = append(record.Strikes, strikeJSON{Source: s.Source, Expires: s.Expires, Trial: s.Alone > 0, Late: s.Late > 0})
+	}
+	return record
+}
+
+// encodePart returns the record of a part of prompts.
+func encodePart(r *parts.Record) quarantineJSON {
+	record := quarantineJSON{Part: r.Part, Served: r.ServedAt}
+	for _, c := range r.Crashes {
+		record.Crashes = append(record.Crashes, crashJSON{Upstream: c.Upstream, At: c.At, Trial: c.Tried, Requests: c.Requests, RanMS: c.Ran.Milliseconds()})
+	}
+	for _, a := range r.Answers {
+		record.Answered = a.At
+	}
+	for _, t := range r.Tries {
+		record.Tries = append(record.Tries, tryJSON(t))
+	}
+	return record
 }
 
 // trials returns the number of trials, granted ones and crashes in them.
@@ -146,13 +172,13 @@
 			continue
 		}
 		q.stored[o.Name] = storedRecord{o.Version, record.trials()}
-		q.apply(&record)
+		q.entry.joinStored(&record)
 	}
 	return nil
 }
 
-// apply merges what a record holds.
-func (q *quarantine) apply(record *quarantineJSON) {
+// joinStored merges a record of the store.
+func (e *entry) joinStored(record *quarantineJSON) {
 	f := core.Fingerprint(record.Fingerprint)
 	strikes := make([]strike.Record, 0, len(record.Strikes))
 	for _, s := range record.Strikes {
@@ -160,7 +186,7 @@
 			Fingerprint: f, Source: s.Source, Count: 1, Alone: uint32(core.CountIf(s.Trial)), Late: uint32(core.CountIf(s.Late)), Expires: s.Expires,
 		})
 	}
-	q.entry.proxy.MergeStrikes(strikes)
+	e.proxy.MergeStrikes(strikes)
 	if record.Part == "" {
 		return
 	}
@@ -169,31 +195,23 @@
 		ran := time.Duration(c.RanMS) * time.Millisecond
 		part.Crashes = append(part.Crashes, parts.Crash{Upstream: c.Upstream, At: c.At, Tried: c.Trial, Requests: c.Requests, Ran: ran})
 	}
+	if !record.Answered.IsZero() {
+		part.Answers = []parts.Answer{{At: record.Answered}}
+	}
 	for _, t := range record.Tries {
 		part.Tries = append(part.Tries, parts.Try(t))
 	}
-	q.entry.proxy.MergeParts([]parts.Record{part})
+	e.proxy.MergeParts([]parts.Record{part})
 }
 
 // wanted returns the records that the store should have, by name.
 func (q *quarantine) wanted() map[string]quarantineJSON {
 	out := map[string]quarantineJSON{}
 	for f, strikes := range q.entry.proxy.Restricted() {
-		record := quarantineJSON{Fingerprint: uint64(f)}
-		for _, s := range strikes {
-			record.Strikes = append(record.Strikes, strikeJSON{Source: s.Source, Expires: s.Expires, Trial: s.Alone > 0, Late: s.Late > 0})
-		}
-		out[f.String()] = record
+		out[f.String()] = encodeStrikes(f, strikes)
 	}
 	for _, r := range q.entry.proxy.RefusedParts() {
-		record := quarantineJSON{Part: r.Part, Served: r.ServedAt}
-		for _, c := range r.Crashes {
-			record.Crashes = append(record.Crashes, crashJSON{Upstream: c.Upstream, At: c.At, Trial: c.Tried, Requests: c.Requests, RanMS: c.Ran.Milliseconds()})
-		}
-		for _, t := range r.Tries {
-			record.Tries = append(record.Tries, tryJSON(t))
-		}
-		out[partPrefix+core.FingerprintOf([]byte(r.Part)).String()] = record
+		out[partPrefix+core.FingerprintOf([]byte(r.Part)).String()] = encodePart(&r)
 	}
 	return out
 }
--- a/io/deploy/signal.go
+++ b/io/deploy/signal.go
@@ -43,7 +43,13 @@
 // broadcastStrikes sends this entry's new strikes to other entries.
 func (e *entry) broadcastStrikes() {
 	e.state.SyncNow()
+	e.wakeQuarantine()
+}
+
+// wakeQuarantine has the records of crashes and of what they restrict written to the store.
+func (e *entry) wakeQuarantine() {
 	loop.Wake(e.quarantine.changed)
+	loop.Wake(e.crashes.changed)
 }
 
 // nextStrikes returns the strikes for the next message to another entry, and nextParts the records
@@ -57,7 +63,7 @@
 	if !e.proxy.MergeStrikes(peer.DecodeStrikes(list)) {
 		return false
 	}
-	loop.Wake(e.quarantine.changed)
+	e.wakeQuarantine()
 	return true
 }
 
@@ -67,7 +73,7 @@
 	if !e.proxy.MergeParts(peer.DecodeParts(list)) {
 		return false
 	}
-	loop.Wake(e.quarantine.changed)
+	e.wakeQuarantine()
 	return true
 }
 
--- a/io/deploy/watch.go
+++ b/io/deploy/watch.go
@@ -60,7 +60,7 @@
 		}
 	}
 	if e.applyRegistry(objects) {
-		loop.Wake(e.quarantine.changed)
+		e.wakeQuarantine()
 		loop.Wake(e.software.wake)
 	}
 	e.feed.RegistryChanged()
--- a/io/proxy/crash.go
+++ b/io/proxy/crash.go
@@ -51,6 +51,15 @@
 	return p.book.Restricted(p.Clock.Now())
 }
 
+// Crashed returns the strikes against requests, and the records of parts of prompts, that were in the
+// most crashes: of n requests and n parts at most.
+func (p *Proxy) Crashed(n int) (requests [][]strike.Record, shared []parts.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	return p.book.Crashed(now, n), p.parts.Crashed(now, n)
+}
+
 // refuseQuarantined refuses a request that is known to crash upstreams, or that has a part in its
 // prompt that does. The caller holds the proxy's mu.
 func (c *call) refuseQuarantined(now time.Time) *core.Refusal {
