Try a part again without a pause if others explain the crash of its last trial

What callers saw: a sound part refused for 30 s, since the upstream of its second trial fell to another request or was started again.

Cause: any crash in a trial led to the pause before the third one, also one that is no proof, since an upstream ended within a second of it without the part.

The new row of TestRefusedPartIsTriedAgain fails before. The three tries of the bound stay three.

--- a/core/parts/judge.go
+++ b/core/parts/judge.go
@@ -105,7 +105,7 @@
 		out.Withdraw = out.Withdraw || r.proven || r.withdraws
 		out.RetryAt = core.Later(out.RetryAt, core.Later(r.since.Add(finalTime), now.Add(recheckInterval)))
 		for _, e := range r.entries {
-			at, ok := e.nextTry(now, r.proven)
+			at, ok := t.nextTry(now, e, r.proven)
 			out.MayTry = out.MayTry && ok && !now.Before(at)
 		}
 	}
--- a/core/parts/table_test.go
+++ b/core/parts/table_test.go
@@ -263,6 +263,17 @@
 		table.NoteCrash(after(3*time.Second), parts.Crash{Upstream: "other", At: after(3 * time.Second)}, list)
 		assert.Assert(t, table.Grant(after(4*time.Second), list, false))
 	})
+	t.Run("without a pause after a crash that others explain", func(t *testing.T) {
+		table := newSuspect(5)
+		for n := range 2 {
+			assert.Assert(t, table.Grant(after(time.Duration(n+1)*time.Second), list, false))
+		}
+		at := after(3 * time.Second)
+		table.NoteCrash(at, parts.Crash{Upstream: "trial", At: at, Tried: true}, list)
+		table.NoteCrash(at, parts.Crash{Upstream: "other", At: at.Add(100 * time.Millisecond)}, []parts.Name{"y"})
+		assert.Assert(t, !table.Grant(at.Add(500*time.Millisecond), list, false))
+		assert.Assert(t, table.Grant(at.Add(1100*time.Millisecond), list, false))
+	})
 	t.Run("not by requests that crash upstreams themselves", func(t *testing.T) {
 		table := newSuspect(5)
 		assert.Assert(t, !table.Grant(after(time.Second), list, true))
--- a/core/parts/try.go
+++ b/core/parts/try.go
@@ -41,7 +41,7 @@
 // nextTry returns when a request with the part may be tried next. ok is not set if none may: the part is
 // proven, and all its tries are used up. Without proof further ones follow with ever longer pauses, since
 // the part may be sound, and without a pause once one was answered.
-func (r *Record) nextTry(now time.Time, proven bool) (at time.Time, ok bool) {
+func (t *Table) nextTry(now time.Time, r *Record, proven bool) (at time.Time, ok bool) {
 	tries := r.countTries(now)
 	last := core.Later(r.lastCrash(), r.lastTry())
 	switch bound := len(r.counting(now)) >= boundCrashes; {
@@ -51,7 +51,7 @@
 		return last.Add(retryDelay), true
 	case !bound || r.wasAnswered():
 		return time.Time{}, true
-	case tries >= maxLateTries, tries == maxLateTries-1 && r.lastTriedCrash().After(r.lastTry()):
+	case tries >= maxLateTries, tries == maxLateTries-1 && t.lastProof(now, r).After(r.lastTry()):
 		return last.Add(retry.Backoff(retryDelay, TTL, 2*max(0, tries-maxLateTries))), true
 	}
 	return time.Time{}, true
@@ -70,10 +70,11 @@
 	return r.Tries[len(r.Tries)-1].At
 }
 
-// lastTriedCrash returns when the part last crashed an upstream in a trial, zero if it has not.
-func (r *Record) lastTriedCrash() (last time.Time) {
+// lastProof returns when the part last crashed an upstream in a trial, zero if it has not. One that others
+// explain is left out.
+func (t *Table) lastProof(now time.Time, r *Record) (last time.Time) {
 	for _, c := range r.Crashes {
-		if c.Tried {
+		if c.Tried && (now.Sub(c.At) < solitaryTime || t.isSolitary(now, r, c)) {
 			last = c.At
 		}
 	}
@@ -91,7 +92,7 @@
 			continue
 		}
 		proven := slices.ContainsFunc(t.refusals, func(r refusal) bool { return r.proven && slices.Contains(r.parts, name) })
-		at, ok := e.nextTry(now, proven)
+		at, ok := t.nextTry(now, &e.Record, proven)
 		if suspect && len(e.counting(now)) >= boundCrashes {
 			at = core.Later(at, core.Later(e.lastCrash(), e.lastTry()).Add(retryDelay))
 		}
