--- a/io/deploy/crashlog.go
+++ b/io/deploy/crashlog.go
@@ -45,15 +45,8 @@
 
 // run loads the objects and keeps one of them up to date until the context ends.
 func (l *crashLog) run(ctx context.Context) error {
-	for {
-		err := l.load(ctx)
-		l.loaded.Store(true)
-		if err == nil {
-			break
-		}
-		if !loop.Sleep(ctx, maxStoreRetry) {
-			return nil
-		}
+	if !loadFirst(ctx, &l.loaded, l.load) {
+		return nil
 	}
 	for {
 		pause := crashWriteGap
--- a/io/deploy/quarantine.go
+++ b/io/deploy/quarantine.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"radishwell/core"
-	"radishwell/core/parts"
-	"radishwell/core/strike"
 	"radishwell/io/events"
 	"radishwell/io/loop"
 )
@@ -38,6 +36,9 @@
 	era    uint64
 }
 
+// partPrefix begins the names of the records of parts.
+const partPrefix = "part-"
+
 // storedRecord is the version of a record in the store, and the number of trials that it has, granted
 // ones and crashes in them.
 type storedRecord struct {
@@ -45,95 +46,10 @@
 	trials  int
 }
 
-// quarantineJSON is the record of a request that is quarantined or suspect, whose name is its
-// fingerprint, or of a refused part of prompts, whose name is partPrefix and the hash of the part.
-type quarantineJSON struct {
-	Fingerprint uint64       `json:"fingerprint,omitempty"`
-	Strikes     []strikeJSON `json:"strikes,omitempty"`
-	Part        parts.Name   `json:"part,omitempty"`
-	Crashes     []crashJSON  `json:"crashes,omitempty"`
-	// Served is when a request with the part was last served, Answered when one was last answered whole, and
-	// Tries are the grants of trials.
-	Served   time.Time `json:"served,omitzero"`
-	Answered time.Time `json:"answered,omitzero"`
-	Tries    []tryJSON `json:"tries,omitempty"`
-}
-
-// encodeStrikes returns the record of a request.
-func encodeStrikes(f core.Fingerprint, strikes []strike.Record) quarantineJSON {
-	record := quarantineJSON{Fingerprint: uint64(f)}
-	for _, s := range strikes {
-		record.Strikes = append(record.Strikes, strikeJSON{Source: s.Source, Expires: s.Expires, Trial: s.Alone > 0, Late: s.Late > 0})
-	}
-	return record
-}
-
-// encodePart returns the record of a part of prompts.
-func encodePart(r *parts.Record) quarantineJSON {
-	record := quarantineJSON{Part: r.Part, Served: r.ServedAt}
-	for _, c := range r.Crashes {
-		record.Crashes = append(record.Crashes, crashJSON{Upstream: c.Upstream, At: c.At, Trial: c.Tried, Requests: c.Requests, RanMS: c.Ran.Milliseconds()})
-	}
-	for _, a := range r.Answers {
-		record.Answered = a.At
-	}
-	for _, t := range r.Tries {
-		record.Tries = append(record.Tries, tryJSON(t))
-	}
-	return record
-}
-
-// trials returns the number of trials, granted ones and crashes in them.
-func (r *quarantineJSON) trials() int {
-	n := 0
-	for _, s := range r.Strikes {
-		n += core.CountIf(s.Trial)
-	}
-	for _, c := range r.Crashes {
-		n += core.CountIf(c.Trial)
-	}
-	return n + len(r.Tries)
-}
-
-// partPrefix begins the names of the records of parts.
-const partPrefix = "part-"
-
-// crashJSON is a crash of an upstream, as in parts.Crash.
-type crashJSON struct {
-	Upstream core.HostName `json:"upstream"`
-	At       time.Time     `json:"at"`
-	Trial    bool          `json:"trial,omitempty"`
-	Requests int           `json:"requests,omitempty"`
-	RanMS    int64         `json:"ran-ms,omitempty"`
-}
-
-// tryJSON is the grant of a trial, as in parts.Try.
-type tryJSON struct {
-	At   time.Time `json:"at"`
-	Void bool      `json:"void,omitempty"`
-}
-
-// strikeJSON is a crash of an upstream, or the clear mark if Source is empty, as in
-// strike.Record.
-type strikeJSON struct {
-	Source  core.HostName `json:"source"`
-	Expires time.Time     `json:"expires"`
-	// Trial is set if the request ran in a trial, and Late if its answer had gone on for some time.
-	Trial bool `json:"trial,omitempty"`
-	Late  bool `json:"late,omitempty"`
-}
-
 // run loads the records and keeps them up to date until the context ends.
 func (q *quarantine) run(ctx context.Context) error {
-	for {
-		err := q.load(ctx)
-		q.loaded.Store(true)
-		if err == nil {
-			break
-		}
-		if !loop.Sleep(ctx, maxStoreRetry) {
-			return nil
-		}
+	if !loadFirst(ctx, &q.loaded, q.load) {
+		return nil
 	}
 	changed := false
 	for {
@@ -158,6 +74,21 @@
 	}
 }
 
+// loadFirst loads records until that succeeds, and reports whether it has before the context ended. loaded is
+// set after the first attempt: entries do not wait for a store that cannot be read.
+func loadFirst(ctx context.Context, loaded *atomic.Bool, load func(context.Context) error) bool {
+	for {
+		err := load(ctx)
+		loaded.Store(true)
+		if err == nil {
+			return true
+		}
+		if !loop.Sleep(ctx, maxStoreRetry) {
+			return false
+		}
+	}
+}
+
 // load reads the records and merges their strikes.
 func (q *quarantine) load(ctx context.Context) error {
 	list, err := q.entry.store.List(ctx, core.KindQuarantine)
@@ -177,33 +108,6 @@
 	return nil
 }
 
-// joinStored merges a record of the store.
-func (e *entry) joinStored(record *quarantineJSON) {
-	f := core.Fingerprint(record.Fingerprint)
-	strikes := make([]strike.Record, 0, len(record.Strikes))
-	for _, s := range record.Strikes {
-		strikes = append(strikes, strike.Record{
-			Fingerprint: f, Source: s.Source, Count: 1, Alone: uint32(core.CountIf(s.Trial)), Late: uint32(core.CountIf(s.Late)), Expires: s.Expires,
-		})
-	}
-	e.proxy.MergeStrikes(strikes)
-	if record.Part == "" {
-		return
-	}
-	part := parts.Record{Part: record.Part, ServedAt: record.Served}
-	for _, c := range record.Crashes {
-		ran := time.Duration(c.RanMS) * time.Millisecond
-		part.Crashes = append(part.Crashes, parts.Crash{Upstream: c.Upstream, At: c.At, Tried: c.Trial, Requests: c.Requests, Ran: ran})
-	}
-	if !record.Answered.IsZero() {
-		part.Answers = []parts.Answer{{At: record.Answered}}
-	}
-	for _, t := range record.Tries {
-		part.Tries = append(part.Tries, parts.Try(t))
-	}
-	e.proxy.MergeParts([]parts.Record{part})
-}
-
 // wanted returns the records that the store should have, by name.
 func (q *quarantine) wanted() map[string]quarantineJSON {
 	out := map[string]quarantineJSON{}
