Do not blame a part for the crashes of one request that crashes upstreams by itself

What callers saw: a third of all requests refused for 30 s, since they share a part with one request that was sent again and again and crashed five upstreams. The three tries of the part showed nothing: its callers left, and entries were killed.

Cause: parts were judged by themselves. That one request, which is refused on its own, explains all the crashes of a part was not asked. A part of which all requests may be repeated looks the same, so the rule holds for parts only with which a request was answered whole within ten minutes.

TestRepeatedRequestExplainsCrashesOfItsParts fails without the rule; the plays of core/parts as before.

--- a/core/parts/guilt.go
+++ b/core/parts/guilt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"radishwell/core"
 )
@@ -58,6 +59,27 @@
 	return len(s.crashes) >= boundCrashes && sum <= boundDoubt*float64(len(s.crashes))
 }
 
+// requests returns the upstreams that each request has crashed by itself.
+func (t *Table) requests(now time.Time) (out []upstreamSet) {
+	if t.Requests == nil {
+		return nil
+	}
+	for _, list := range t.Requests(now) {
+		set := upstreamSet{}
+		for _, upstream := range list {
+			set[upstream] = true
+		}
+		out = append(out, set)
+	}
+	return out
+}
+
+// isExplainedByOne reports whether one of the requests explains the crashes of a part, but for fewer than
+// would make a new part a suspect. That request is refused by itself.
+func (s *suspect) isExplainedByOne(requests []upstreamSet) bool {
+	return slices.ContainsFunc(requests, func(r upstreamSet) bool { return r.countOthers(s.crashes) < newCrashes })
+}
+
 // compareGuilt returns a positive number if s is more likely to be to blame than other, by the crashes
 // that are not explained: parts with which nobody was answered since their first crash come first,
 // then those with more crashes and less doubt. All requests may share a part, and have it in each crash.
--- a/core/parts/judge.go
+++ b/core/parts/judge.go
@@ -126,6 +126,7 @@
 	}
 	t.recheckAt = now.Add(recheckInterval)
 	var suspects []suspect
+	requests := t.requests(now)
 	for name, e := range t.records {
 		if now.Sub(e.lastCrash()) >= TTL {
 			delete(t.records, name)
@@ -135,7 +136,7 @@
 		if e.isKnown(now) {
 			s.needed = knownCrashes
 		}
-		if len(s.crashes) < s.needed {
+		if len(s.crashes) < s.needed || e.isAnswered(now) && s.isExplainedByOne(requests) {
 			e.since = time.Time{}
 			continue
 		}
--- a/core/parts/table.go
+++ b/core/parts/table.go
@@ -15,6 +15,9 @@
 	// MaxRecords bounds the parts with crashes, and MaxServed those that were served and were in
 	// none.
 	MaxRecords, MaxServed int
+	// Requests, if set, returns for each request that has crashed several upstreams by itself which these
+	// were.
+	Requests func(now time.Time) [][]core.HostName
 
 	records map[Name]*entry
 	// served has the parts without a record with which requests were served; older holds those of
--- a/core/parts/table_test.go
+++ b/core/parts/table_test.go
@@ -430,3 +430,36 @@
 		})
 	}
 }
+
+// Guards against a common part that is refused since one request that has it crashes upstreams by itself.
+func TestRepeatedRequestExplainsCrashesOfItsParts(t *testing.T) {
+	var upstreams []core.HostName
+	newSuspect := func(answered bool, crashes int) *parts.Table {
+		table := newTable()
+		table.Requests = func(time.Time) [][]core.HostName { return [][]core.HostName{{"other"}, upstreams} }
+		if answered {
+			table.NoteAnswered(start, start, []parts.Name{"x"}, nil)
+		}
+		for n := range crashes {
+			crash(table, n, "x")
+		}
+		return table
+	}
+	for n := range 5 {
+		upstreams = append(upstreams, core.HostName(fmt.Sprint("i-", n)))
+	}
+	for _, row := range []struct {
+		name              string
+		answered, refused bool
+		crashes           int
+	}{
+		{"all of them", true, false, 5},
+		{"but for two", true, false, 7},
+		{"but for three", true, true, 8},
+		{"of a part with which nobody was answered", false, true, 5},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			assertRefused(t, newSuspect(row.answered, row.crashes), after(10*time.Second), row.refused, "x")
+		})
+	}
+}
--- a/core/strike/trial.go
+++ b/core/strike/trial.go
@@ -46,6 +46,19 @@
 	}
 }
 
+// Repeated returns, for each request with enough crashes to be a suspect, the upstreams that it has crashed.
+func (b *Book) Repeated(now time.Time) (out [][]core.HostName) {
+	for f, records := range b.records {
+		if len(records) < suspectCrashes {
+			continue
+		}
+		if crashes := b.CrashesOf(now, f); len(crashes) >= suspectCrashes {
+			out = append(out, crashes)
+		}
+	}
+	return out
+}
+
 // lastTrialCrash returns when a request last crashed an upstream in a trial.
 func (b *Book) lastTrialCrash(now time.Time, f core.Fingerprint) (last time.Time) {
 	for r := range b.counting(now, f) {
--- a/core/strike/trial_test.go
+++ b/core/strike/trial_test.go
@@ -150,3 +150,18 @@
 		assert.Equal(t, restarted.Find(now, tried).Standing, want)
 	}
 }
+
+// Guards against parts of prompts that are blamed for the crashes of one request, or for its copies at few upstreams.
+func TestRepeatedRequestsHaveTheirCrashes(t *testing.T) {
+	book := Book{Self: "edge-1", MaxRecords: 10, Incarnations: true}
+	for n, upstream := range []core.HostName{"x-1", "x-2", "x-3"} {
+		attempts := []Attempt{{Fingerprint: 1}}
+		if n > 0 {
+			attempts = append(attempts, Attempt{Fingerprint: 2})
+		}
+		book.RecordIncarnationCrash(start, upstream, attempts)
+	}
+	assert.DeepEqual(t, book.Repeated(start), [][]core.HostName{{"x-1", "x-2", "x-3"}})
+	book.Clear(start, 1)
+	assert.Equal(t, len(book.Repeated(start)), 0)
+}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -158,7 +158,7 @@
 	if p.Trials == nil {
 		p.Trials = ownTrials{p}
 	}
-	p.parts = parts.Table{MaxRecords: maxParts, MaxServed: maxServedParts}
+	p.parts = parts.Table{MaxRecords: maxParts, MaxServed: maxServedParts, Requests: p.book.Repeated}
 }
 
 // Ready reports whether requests can be served, which needs a routing table and hosts.
