Do not take crashes in trials that others explain for proof once they are stored

Two such crashes would have a sound request or part refused for good after a restart of all entries. Records of what is refused have been stored without such marks before; both go one way now.

TestStoredCrashBesideOthersIsNoProof (of core/strike, now for both ways) failed before: quarantined where it should be suspect. TestStoredCrashBesideOthersProvesNoPart is its counterpart for parts.

--- a/core/parts/table.go
+++ b/core/parts/table.go
@@ -205,25 +205,31 @@
 }
 
 // Refused returns the records of the refused parts. A crash in a trial that others may explain is
-// not marked as one, since the records of the others are not returned.
+// not marked as one.
 func (t *Table) Refused(now time.Time) []Record {
 	t.judge(now)
 	var out []Record
 	for _, r := range t.refusals {
 		for _, e := range r.entries {
-			record := e.clone()
-			for i, c := range record.Crashes {
-				record.Crashes[i].Tried = c.Tried && t.isSolitary(now, e, c)
-			}
-			out = append(out, record)
+			out = append(out, t.storable(now, e))
 		}
 	}
 	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Part, b.Part) })
 	return out
 }
 
+// storable returns a record for a store that lacks others: a crash in a trial that those may explain is
+// not marked as one.
+func (t *Table) storable(now time.Time, r *Record) Record {
+	out := r.clone()
+	for i, c := range out.Crashes {
+		out.Crashes[i].Tried = c.Tried && t.isSolitary(now, r, c)
+	}
+	return out
+}
+
 // Crashed returns the records with crashes that count, n at most: those with the most crashes, and the
-// latest of these.
+// latest of these. Crashes in trials are marked as by Refused.
 func (t *Table) Crashed(now time.Time, n int) []Record {
 	counts := t.countAll(now)
 	var all []*entry
@@ -237,7 +243,7 @@
 	})
 	out := make([]Record, 0, min(n, len(all)))
 	for _, e := range all[:min(n, len(all))] {
-		out = append(out, e.clone())
+		out = append(out, t.storable(now, &e.Record))
 	}
 	return out
 }
--- a/core/parts/table_test.go
+++ b/core/parts/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -463,3 +464,24 @@
 		})
 	}
 }
+
+// Guards against crashes in trials that are proof once they come from the store, which lacks the crashes beside them.
+func TestStoredCrashBesideOthersProvesNoPart(t *testing.T) {
+	for _, beside := range []bool{false, true} {
+		table := newTable()
+		for n := range 4 {
+			at := after(time.Duration(n) * 3 * time.Second)
+			table.NoteCrash(at, parts.Crash{Upstream: core.HostName(fmt.Sprint("i-", n)), At: at, Tried: n > 1}, []parts.Name{"x"})
+			if beside {
+				table.NoteCrash(at, parts.Crash{Upstream: core.HostName(fmt.Sprint("other-", n)), At: at}, []parts.Name{"y"})
+			}
+		}
+		now := after(20 * time.Second)
+		stored := table.Crashed(now, 2)
+		stored = slices.DeleteFunc(stored, func(r parts.Record) bool { return r.Part != "x" })
+		restarted := newTable()
+		restarted.Merge(now, stored)
+		v := restarted.Check(now, []parts.Name{"x"})
+		assert.Equal(t, v.Proven, !beside, "beside others: %v", beside)
+	}
+}
--- a/core/strike/book.go
+++ b/core/strike/book.go
@@ -239,25 +239,31 @@
 }
 
 // Restricted returns the strikes against each fingerprint that is quarantined or suspect. A crash in
-// a trial that others may explain is not marked as one, since the strikes of the others are not
-// returned.
+// a trial that others may explain is not marked as one.
 func (b *Book) Restricted(now time.Time) map[core.Fingerprint][]Record {
 	out := map[core.Fingerprint][]Record{}
 	for f := range b.records {
 		if b.Find(now, f).Standing != Clean {
-			out[f] = b.RecordsOf(now, f)
-			for i, r := range out[f] {
-				if b.Incarnations && r.Alone > 0 && !b.isSolitary(now, r) {
-					out[f][i].Alone = 0
-				}
-			}
+			out[f] = b.storable(now, f)
+		}
+	}
+	return out
+}
+
+// storable returns the records of a fingerprint for a store that lacks others. A crash in a trial that those may
+// explain is not marked as one.
+func (b *Book) storable(now time.Time, f core.Fingerprint) []Record {
+	out := b.RecordsOf(now, f)
+	for i, r := range out {
+		if b.Incarnations && r.Alone > 0 && !b.isSolitary(now, r) {
+			out[i].Alone = 0
 		}
 	}
 	return out
 }
 
 // Crashed returns the records of the fingerprints with strikes that count, n fingerprints at most: those
-// with the most strikes, and the latest of these.
+// with the most strikes, and the latest of these. Crashes in trials are marked as by Restricted.
 func (b *Book) Crashed(now time.Time, n int) [][]Record {
 	var all []Finding
 	for f := range b.records {
@@ -275,7 +281,7 @@
 	})
 	out := make([][]Record, 0, min(n, len(all)))
 	for _, found := range all[:min(n, len(all))] {
-		out = append(out, b.RecordsOf(now, found.Fingerprint))
+		out = append(out, b.storable(now, found.Fingerprint))
 	}
 	return out
 }
--- a/core/strike/trial_test.go
+++ b/core/strike/trial_test.go
@@ -140,14 +140,16 @@
 			}
 		}
 		now := start.Add(20 * time.Second)
-		restarted := newEntryBook("edge-1")
-		restarted.Merge(now, book.Restricted(now)[tried])
 		want := Quarantined
 		if beside {
 			want = Suspect
 		}
 		assert.Equal(t, book.Find(now, tried).Standing, want)
-		assert.Equal(t, restarted.Find(now, tried).Standing, want)
+		for _, stored := range [][]Record{book.Restricted(now)[tried], book.Crashed(now, 1)[0]} {
+			restarted := newEntryBook("edge-1")
+			restarted.Merge(now, stored)
+			assert.Equal(t, restarted.Find(now, tried).Standing, want)
+		}
 	}
 }
 
--- a/io/deploy/crashlog.go
+++ b/io/deploy/crashlog.go
@@ -49,16 +49,20 @@
 		return nil
 	}
 	for {
-		pause := crashWriteGap
-		if err := l.update(ctx); err != nil {
+		gap, next := crashWriteGap, quarantineInterval
+		wrote, err := l.update(ctx)
+		if err != nil {
 			events.Fail(events.DecisionFailed, err, "kind", core.KindCrashes)
-			pause = recordRetryPause
+			gap = recordRetryPause
 			loop.Wake(l.changed)
 		}
-		if !loop.Sleep(ctx, pause) {
+		if wrote {
+			next = quarantineRecheck
+		}
+		if !loop.Sleep(ctx, gap) {
 			return nil
 		}
-		timer := time.NewTimer(quarantineInterval)
+		timer := time.NewTimer(next)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -96,26 +100,27 @@
 	}
 }
 
-// update writes this entry's object if there are other crashes than when it was last written.
-func (l *crashLog) update(ctx context.Context) error {
+// update writes this entry's object if there are other crashes than when it was last written, and reports
+// whether it has.
+func (l *crashLog) update(ctx context.Context) (wrote bool, err error) {
 	before, _ := l.entry.members.predecessors()
 	if len(before) >= crashWriters {
-		return nil
+		return false, nil
 	}
 	if l.entry.storeEra() > l.era {
 		// The restored store may lack crashes.
 		if err := l.load(ctx); err != nil {
-			return err
+			return false, err
 		}
 	}
 	name := "rank-" + strconv.Itoa(len(before))
 	have, exists := l.stored[name]
 	spec, err := l.encode()
 	if err != nil {
-		return err
+		return false, err
 	}
 	if bytes.Equal(spec, have.Spec) || !exists && string(spec) == "{}" {
-		return nil
+		return false, nil
 	}
 	o := core.Object{Kind: core.KindCrashes, Name: name, Version: have.Version, Spec: spec}
 	if exists {
@@ -126,13 +131,13 @@
 	switch {
 	case isFault(err, core.Conflict) || isFault(err, core.NotFound) || isFault(err, core.Exists):
 		loop.Wake(l.changed) // another entry had the same rank
-		return l.load(ctx)
+		return false, l.load(ctx)
 	case err != nil:
-		return err
+		return false, err
 	}
 	o.Spec = spec
 	l.stored[name] = o
-	return nil
+	return true, nil
 }
 
 // encode returns this entry's object.
