--- a/io/deploy/software.go
+++ b/io/deploy/software.go
@@ -174,7 +174,7 @@
 		s.mu.Unlock()
 		s.update(ctx, calls)
 		if !s.loaded.Load() {
-			if !s.awaitWake(ctx, retry) {
+			if _, running := loop.Wait(ctx, s.wake, retry); !running {
 				return nil
 			}
 			retry = min(2*retry, softwareInterval)
@@ -196,20 +196,6 @@
 	}
 }
 
-// awaitWake waits until a call wants the record, or for a pause at most. It returns false if the context has
-// ended.
-func (s *software) awaitWake(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-s.wake:
-	case <-timer.C:
-	}
-	return true
-}
-
 // update reads the record, adds the versions that calls want, and ends the calls.
 func (s *software) update(ctx context.Context, calls []*softwareCall) {
 	era, loaded := s.entry.storeEra(), s.loaded.Load()
--- a/io/driver/driver.go
+++ b/io/driver/driver.go
@@ -11,6 +11,7 @@
 	"radishwell/core/fleet"
 	"radishwell/core/pace"
 	"radishwell/io/events"
+	"radishwell/io/loop"
 	"radishwell/io/meter"
 	"radishwell/wire"
 )
@@ -205,14 +206,8 @@
 		if d.advanceGoal(ctx) {
 			continue // the goal's next order does not wait for the poll interval
 		}
-		timer := time.NewTimer(d.pollInterval())
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if _, running := loop.Wait(ctx, d.wake, d.pollInterval()); !running {
 			return nil
-		case <-timer.C:
-		case <-d.wake:
-			timer.Stop()
 		}
 	}
 }
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -35,6 +35,21 @@
 	}
 }
 
+// Wait waits until wake receives, which it reports as woken, for d at most, or until the end of the context. It
+// reports whether the context is still running.
+func Wait(ctx context.Context, wake <-chan struct{}, d time.Duration) (woken, running bool) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false, false
+	case <-wake:
+		return true, true
+	case <-timer.C:
+		return false, true
+	}
+}
+
 // Run calls step until the context ends: at the time that the last call returned, when
 // wake receives, and at least once per maxInterval. The zero time means that the step has
 // no next time. Run returns nil.
--- a/io/loop/loop_test.go
+++ b/io/loop/loop_test.go
@@ -46,3 +46,23 @@
 		assert.DeepEqual(t, calls, []time.Duration{0, time.Second, 1200 * time.Millisecond, 1300 * time.Millisecond})
 	})
 }
+
+func TestWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		wake := make(chan struct{}, 1)
+		check := func(wantWoken, wantRunning bool, wantTime time.Duration) {
+			t.Helper()
+			start := time.Now()
+			woken, running := loop.Wait(ctx, wake, time.Second)
+			assert.Equal(t, woken, wantWoken)
+			assert.Equal(t, running, wantRunning)
+			assert.Equal(t, time.Since(start), wantTime)
+		}
+		check(false, true, time.Second)
+		loop.Wake(wake)
+		check(true, true, 0)
+		stop()
+		check(false, false, 0)
+	})
+}
