Merge what the store has of crashes at once, not record by record

At an entry's start and after a restore each record was merged by itself, and each merge judged all parts anew under the proxy's lock. Both logs share the wait and the number of entries that write. No behaviour changes: merging does not depend on the order.

--- a/io/deploy/crashjson.go
+++ b/io/deploy/crashjson.go
@@ -83,29 +83,43 @@
 	return record
 }
 
-// joinStored merges a record of the store.
-func (e *entry) joinStored(record *quarantineJSON) {
-	f := core.Fingerprint(record.Fingerprint)
-	strikes := make([]strike.Record, 0, len(record.Strikes))
-	for _, s := range record.Strikes {
-		strikes = append(strikes, strike.Record{
-			Fingerprint: f, Source: s.Source, Count: 1, Alone: uint32(core.CountIf(s.Trial)), Late: uint32(core.CountIf(s.Late)), Expires: s.Expires,
+// decodeStrikes returns the strikes of the record of a request.
+func (r *quarantineJSON) decodeStrikes() (out []strike.Record) {
+	for _, s := range r.Strikes {
+		out = append(out, strike.Record{
+			Fingerprint: core.Fingerprint(r.Fingerprint), Source: s.Source, Count: 1,
+			Alone: uint32(core.CountIf(s.Trial)), Late: uint32(core.CountIf(s.Late)), Expires: s.Expires,
 		})
 	}
-	e.proxy.MergeStrikes(strikes)
-	if record.Part == "" {
-		return
-	}
-	part := parts.Record{Part: record.Part, ServedAt: record.Served}
-	for _, c := range record.Crashes {
+	return out
+}
+
+// decodePart returns what the record of a part of prompts holds.
+func (r *quarantineJSON) decodePart() parts.Record {
+	out := parts.Record{Part: r.Part, ServedAt: r.Served}
+	for _, c := range r.Crashes {
 		ran := time.Duration(c.RanMS) * time.Millisecond
-		part.Crashes = append(part.Crashes, parts.Crash{Upstream: c.Upstream, At: c.At, Tried: c.Trial, Requests: c.Requests, Ran: ran})
+		out.Crashes = append(out.Crashes, parts.Crash{Upstream: c.Upstream, At: c.At, Tried: c.Trial, Requests: c.Requests, Ran: ran})
 	}
-	if !record.Answered.IsZero() {
-		part.Answers = []parts.Answer{{At: record.Answered}}
+	if !r.Answered.IsZero() {
+		out.Answers = []parts.Answer{{At: r.Answered}}
 	}
-	for _, t := range record.Tries {
-		part.Tries = append(part.Tries, parts.Try(t))
+	for _, t := range r.Tries {
+		out.Tries = append(out.Tries, parts.Try(t))
 	}
-	e.proxy.MergeParts([]parts.Record{part})
+	return out
+}
+
+// joinStored merges records of the store.
+func (e *entry) joinStored(records []quarantineJSON) {
+	var strikes []strike.Record
+	var shared []parts.Record
+	for _, r := range records {
+		strikes = append(strikes, r.decodeStrikes()...)
+		if r.Part != "" {
+			shared = append(shared, r.decodePart())
+		}
+	}
+	e.proxy.MergeStrikes(strikes)
+	e.proxy.MergeParts(shared)
 }
--- a/io/deploy/crashlog.go
+++ b/io/deploy/crashlog.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// crashWriters is the number of entries that write the latest crashes, each to an object of its own, as
-	// one may not reach the store.
-	crashWriters = 3
 	// maxCrashRecords bounds the requests in an object, and the parts of prompts in it.
 	maxCrashRecords = 64
 	// crashWriteGap is the least time between two writes of an entry.
@@ -24,7 +21,8 @@
 )
 
 // crashLog keeps the latest crashes in the store, for which nothing may be refused yet. Without them all
-// entries would begin to count anew whenever all of them have been killed.
+// entries would begin to count anew whenever all of them have been killed. Each entry that writes has an
+// object of its own.
 type crashLog struct {
 	entry *entry
 	// changed receives a value when there may be new crashes.
@@ -48,7 +46,7 @@
 	if !loadFirst(ctx, &l.loaded, l.load) {
 		return nil
 	}
-	for {
+	for running := true; running; {
 		gap, next := crashWriteGap, quarantineInterval
 		wrote, err := l.update(ctx)
 		if err != nil {
@@ -62,16 +60,9 @@
 		if !loop.Sleep(ctx, gap) {
 			return nil
 		}
-		timer := time.NewTimer(next)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return nil
-		case <-l.changed:
-		case <-timer.C:
-		}
-		timer.Stop()
+		_, running = loop.Wait(ctx, l.changed, next)
 	}
+	return nil
 }
 
 // load reads the objects and merges their records.
@@ -81,30 +72,25 @@
 		return err
 	}
 	l.stored, l.era = map[string]core.Object{}, list.Version.Era()
+	var records []quarantineJSON
 	for _, o := range list.Objects {
-		l.join(o)
+		l.stored[o.Name] = o
+		var object crashesJSON
+		if err := json.Unmarshal(o.Spec, &object); err != nil {
+			events.Fail(events.DecisionFailed, err, "kind", core.KindCrashes, "name", o.Name)
+			continue
+		}
+		records = append(append(records, object.Requests...), object.Parts...)
 	}
+	l.entry.joinStored(records)
 	return nil
 }
 
-// join merges the records of an object.
-func (l *crashLog) join(o core.Object) {
-	l.stored[o.Name] = o
-	var object crashesJSON
-	if err := json.Unmarshal(o.Spec, &object); err != nil {
-		events.Fail(events.DecisionFailed, err, "kind", core.KindCrashes, "name", o.Name)
-		return
-	}
-	for _, r := range append(object.Requests, object.Parts...) {
-		l.entry.joinStored(&r)
-	}
-}
-
 // update writes this entry's object if there are other crashes than when it was last written, and reports
 // whether it has.
 func (l *crashLog) update(ctx context.Context) (wrote bool, err error) {
 	before, _ := l.entry.members.predecessors()
-	if len(before) >= crashWriters {
+	if len(before) >= quarantineWriters {
 		return false, nil
 	}
 	if l.entry.storeEra() > l.era {
--- a/io/deploy/quarantine.go
+++ b/io/deploy/quarantine.go
@@ -13,7 +13,7 @@
 
 const (
 	// quarantineWriters is the number of entries that write to the store which requests are
-	// quarantined. Several do, since one may not reach the store.
+	// quarantined, and the latest crashes. Several do, since one may not reach the store.
 	quarantineWriters = 3
 	// quarantineInterval is the interval at which expired records are looked for, and
 	// quarantineRecheck the time after a change at which records are looked at once more: whether
@@ -51,8 +51,7 @@
 	if !loadFirst(ctx, &q.loaded, q.load) {
 		return nil
 	}
-	changed := false
-	for {
+	for changed, running := false, true; running; {
 		pause := quarantineInterval
 		if changed {
 			pause = quarantineRecheck
@@ -60,18 +59,9 @@
 		if !q.update(ctx) {
 			pause = recordRetryPause
 		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return nil
-		case <-q.changed:
-			changed = true
-		case <-timer.C:
-			changed = false
-		}
-		timer.Stop()
+		changed, running = loop.Wait(ctx, q.changed, pause)
 	}
+	return nil
 }
 
 // loadFirst loads records until that succeeds, and reports whether it has before the context ended. loaded is
@@ -96,6 +86,7 @@
 		return err
 	}
 	q.stored, q.era = map[string]storedRecord{}, list.Version.Era()
+	var records []quarantineJSON
 	for _, o := range list.Objects {
 		var record quarantineJSON
 		if err := json.Unmarshal(o.Spec, &record); err != nil {
@@ -103,8 +94,9 @@
 			continue
 		}
 		q.stored[o.Name] = storedRecord{o.Version, record.trials()}
-		q.entry.joinStored(&record)
+		records = append(records, record)
 	}
+	q.entry.joinStored(records)
 	return nil
 }
 
