Look for requests that explain crashes only where a part would be suspect

The judgement of parts, which requests ask for every half second, went through the whole book of strikes each time, also while no part was in any crash. The sum of a fingerprint's records and the order of parts by crashes are each in one place now, where storing the latest crashes had written them again. Of parts with as many crashes at the same time the later name is stored first now.

--- a/core/parts/judge.go
+++ b/core/parts/judge.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 	"time"
 
 	"radishwell/core"
@@ -126,7 +127,7 @@
 	}
 	t.recheckAt = now.Add(recheckInterval)
 	var suspects []suspect
-	requests := t.requests(now)
+	requests := sync.OnceValue(func() []upstreamSet { return t.requests(now) })
 	for name, e := range t.records {
 		if now.Sub(e.lastCrash()) >= TTL {
 			delete(t.records, name)
@@ -136,7 +137,7 @@
 		if e.isKnown(now) {
 			s.needed = knownCrashes
 		}
-		if len(s.crashes) < s.needed || e.isAnswered(now) && s.isExplainedByOne(requests) {
+		if len(s.crashes) < s.needed || e.isAnswered(now) && s.isExplainedByOne(requests()) {
 			e.since = time.Time{}
 			continue
 		}
--- a/core/parts/table.go
+++ b/core/parts/table.go
@@ -144,16 +144,22 @@
 	if len(t.records) <= t.MaxRecords {
 		return
 	}
-	all := slices.Collect(maps.Values(t.records))
-	counts := t.countAll(now)
-	slices.SortFunc(all, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(counts[a], counts[b]), a.lastCrash().Compare(b.lastCrash()), cmp.Compare(a.Part, b.Part))
-	})
-	for _, e := range all[:len(all)-t.MaxRecords*3/4] {
+	ranked, _ := t.ranked(now)
+	for _, e := range ranked[:len(ranked)-t.MaxRecords*3/4] {
 		delete(t.records, e.Part)
 	}
 }
 
+// ranked returns the records with the fewest crashes that count first, the oldest of these first, and the
+// number of these crashes for each.
+func (t *Table) ranked(now time.Time) (ranked []*entry, counts map[*entry]int) {
+	ranked, counts = slices.Collect(maps.Values(t.records)), t.countAll(now)
+	slices.SortFunc(ranked, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(counts[a], counts[b]), a.lastCrash().Compare(b.lastCrash()), cmp.Compare(a.Part, b.Part))
+	})
+	return ranked, counts
+}
+
 // countAll returns the number of crashes that count, for each record.
 func (t *Table) countAll(now time.Time) map[*entry]int {
 	out := make(map[*entry]int, len(t.records))
@@ -230,19 +236,12 @@
 
 // Crashed returns the records with crashes that count, n at most: those with the most crashes, and the
 // latest of these. Crashes in trials are marked as by Refused.
-func (t *Table) Crashed(now time.Time, n int) []Record {
-	counts := t.countAll(now)
-	var all []*entry
-	for e, count := range counts {
-		if count > 0 {
-			all = append(all, e)
+func (t *Table) Crashed(now time.Time, n int) (out []Record) {
+	ranked, counts := t.ranked(now)
+	for _, e := range slices.Backward(ranked) {
+		if len(out) == n || counts[e] == 0 {
+			break
 		}
-	}
-	slices.SortFunc(all, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(counts[b], counts[a]), b.lastCrash().Compare(a.lastCrash()), cmp.Compare(a.Part, b.Part))
-	})
-	out := make([]Record, 0, min(n, len(all)))
-	for _, e := range all[:min(n, len(all))] {
 		out = append(out, t.storable(now, &e.Record))
 	}
 	return out
--- a/core/strike/book.go
+++ b/core/strike/book.go
@@ -194,8 +194,19 @@
 	}
 }
 
-// Find returns the sum of the records that count for a fingerprint.
+// Find returns the sum of the records that count for a fingerprint, and its standing.
 func (b *Book) Find(now time.Time, f core.Fingerprint) Finding {
+	out := b.sum(now, f)
+	if b.Incarnations {
+		b.judge(now, &out)
+	} else {
+		out.setStanding()
+	}
+	return out
+}
+
+// sum returns the sum of the records that count for a fingerprint.
+func (b *Book) sum(now time.Time, f core.Fingerprint) Finding {
 	out := Finding{Fingerprint: f}
 	for r := range b.counting(now, f) {
 		out.Count += r.Count
@@ -205,11 +216,6 @@
 		out.Known = out.Known || r.Count == 0 && r.Passed == 0
 		out.Expires = core.Later(out.Expires, r.Expires)
 	}
-	if b.Incarnations {
-		b.judge(now, &out)
-	} else {
-		out.setStanding()
-	}
 	return out
 }
 
@@ -267,12 +273,7 @@
 func (b *Book) Crashed(now time.Time, n int) [][]Record {
 	var all []Finding
 	for f := range b.records {
-		found := Finding{Fingerprint: f}
-		for r := range b.counting(now, f) {
-			found.Count += r.Count
-			found.Expires = core.Later(found.Expires, r.Expires)
-		}
-		if found.Count > 0 {
+		if found := b.sum(now, f); found.Count > 0 {
 			all = append(all, found)
 		}
 	}
