Track attempts in progress by one function, and split the keys of a trial once

Streams that may move and requests that may be withdrawn were entered into their sets and taken out alike. The keys of a trial were read twice for a grant, each time for one kind of them. No behaviour changes.

--- a/io/proxy/silent.go
+++ b/io/proxy/silent.go
@@ -89,19 +89,27 @@
 	w.started.Store(c.started)
 	w.query.Tried = append(slices.Clone(c.query.Tried), t.id)
 	w.lastEvent.Store(p.Clock.Now().UnixNano())
-	p.mu.Lock()
-	p.streams[w] = true
-	p.mu.Unlock()
+	untrack := track(p, p.streams, w)
 	c.watched = w
 	return ctx, func() {
-		p.mu.Lock()
-		delete(p.streams, w)
-		p.mu.Unlock()
+		untrack()
 		c.watched = nil
 		cancel(nil)
 	}
 }
 
+// track adds an attempt to a set of those in progress, until the returned function is called.
+func track[T any](p *Proxy, set map[*T]bool, attempt *T) (untrack func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	set[attempt] = true
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(set, attempt)
+	}
+}
+
 // mayMove reports whether the request may be sent to another host after the attempt
 // that begins now.
 func (c *call) mayMove() bool { return c.route.Repeats() && c.ran+1 < c.route.MaxHosts }
--- a/io/proxy/trial.go
+++ b/io/proxy/trial.go
@@ -134,36 +134,36 @@
 	c.run = trialRun{}
 }
 
-// partsOf returns the keys of a trial that name parts of prompts.
-func partsOf(keys []string) (out []parts.Name) {
+// splitKeys returns the requests and the parts of prompts that the keys of a trial name.
+func splitKeys(keys []string) (requests []core.Fingerprint, shared []parts.Name) {
 	for _, key := range keys {
-		if _, ok := core.ParseFingerprint(key); !ok {
-			out = append(out, parts.Name(key))
+		if f, ok := core.ParseFingerprint(key); ok {
+			requests = append(requests, f)
+		} else {
+			shared = append(shared, parts.Name(key))
 		}
 	}
-	return out
+	return requests, shared
 }
 
 // GrantTrial grants a trial to an entry, or does not, as the one that all entries ask. The entry may
 // not know of the latest crashes.
 func (p *Proxy) GrantTrial(keys []string, upstream core.HostName, until time.Time) bool {
-	granted := p.grantTrial(keys, upstream, until)
-	if granted && len(partsOf(keys)) > 0 {
+	requests, shared := splitKeys(keys)
+	granted := p.grantTrial(keys, requests, shared, upstream, until)
+	if granted && len(shared) > 0 {
 		p.sendStrikes() // if this entry ends, the next one knows of the trial
 	}
 	return granted
 }
 
-func (p *Proxy) grantTrial(keys []string, upstream core.HostName, until time.Time) bool {
+// grantTrial is GrantTrial for the requests and parts that the keys name.
+func (p *Proxy) grantTrial(keys []string, requests []core.Fingerprint, shared []parts.Name, upstream core.HostName, until time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	suspect := false
-	for _, key := range keys {
-		f, ok := core.ParseFingerprint(key)
-		if !ok {
-			continue // the key of a part
-		}
+	for _, f := range requests {
 		found := p.book.Find(now, f)
 		if found.Standing == strike.Quarantined || now.Before(found.TryAt) {
 			return false
@@ -173,7 +173,7 @@
 	if !p.trials.Begin(now, keys, upstream, until) {
 		return false
 	}
-	if !p.parts.Grant(now, partsOf(keys), suspect) {
+	if !p.parts.Grant(now, shared, suspect) {
 		p.trials.End(keys, upstream)
 		return false
 	}
@@ -185,7 +185,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if granted := p.trials.End(keys, upstream); !ran && !granted.IsZero() {
-		p.parts.Void(p.Clock.Now(), granted, partsOf(keys))
+		_, shared := splitKeys(keys)
+		p.parts.Void(p.Clock.Now(), granted, shared)
 	}
 }
 
--- a/io/proxy/withdraw.go
+++ b/io/proxy/withdraw.go
@@ -42,14 +42,10 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	s := &sentParts{request: c.ask.ID, shared: c.shared, cancel: cancel}
-	p.mu.Lock()
-	p.sentParts[s] = true
-	p.mu.Unlock()
+	untrack := track(p, p.sentParts, s)
 	c.sentParts = s
 	return ctx, func() {
-		p.mu.Lock()
-		delete(p.sentParts, s)
-		p.mu.Unlock()
+		untrack()
 		c.sentParts = nil
 		cancel(nil)
 	}
