--- a/io/deploy/crash_test.go
+++ b/io/deploy/crash_test.go
@@ -263,19 +263,27 @@
 	return fifth
 }
 
-// Guards against a part of prompts that crashes one upstream after another, in requests that have
-// nothing else in common, and against refusing the requests that share their other parts.
-func TestPartThatCrashesUpstreamsIsRefused(t *testing.T) {
+// newPartFleet starts a fleet of two entries and some upstreams that crash, set up by a function, and returns the
+// upstreams and callers that have been served.
+func newPartFleet(t *testing.T, size int, setUp func(*stand.Worker)) ([]*stand.Process, *partCallers) {
+	t.Helper()
 	f := newFleet(t)
 	var upstreams []*stand.Process
-	for n := range 4 {
-		upstreams = append(upstreams, f.addCrashing(t, n+1))
+	for n := range size {
+		upstreams = append(upstreams, f.addCrashingAs(t, n+1, setUp))
 	}
 	c := &partCallers{entries: []running{f.addEntry(t, "edge-1"), f.addEntry(t, "edge-2")}}
 	for _, e := range c.entries {
 		e.waitReady(t)
 	}
 	until(t, "sound requests are served", func() bool { return c.send("aa", "bb0") == http.StatusOK })
+	return upstreams, c
+}
+
+// Guards against a part of prompts that crashes one upstream after another, in requests that have
+// nothing else in common, and against refusing the requests that share their other parts.
+func TestPartThatCrashesUpstreamsIsRefused(t *testing.T) {
+	upstreams, c := newPartFleet(t, 4, func(*stand.Worker) {})
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var callers sync.WaitGroup
@@ -322,18 +330,7 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t)
-			var upstreams []*stand.Process
-			for n := range 6 {
-				upstreams = append(upstreams, f.addCrashingAs(t, n+1, func(w *stand.Worker) {
-					w.Queue, w.Gap, w.CrashAfter = row.queue, row.gap, row.after
-				}))
-			}
-			c := &partCallers{entries: []running{f.addEntry(t, "edge-1"), f.addEntry(t, "edge-2")}}
-			for _, e := range c.entries {
-				e.waitReady(t)
-			}
-			until(t, "sound requests are served", func() bool { return c.send("aa", "bb0") == http.StatusOK })
+			upstreams, c := newPartFleet(t, 6, func(w *stand.Worker) { w.Queue, w.Gap, w.CrashAfter = row.queue, row.gap, row.after })
 			ctx, stop := context.WithCancel(context.Background())
 			defer stop()
 			var callers sync.WaitGroup
