Read answers in trials of parts to their end if their callers leave

An attempt in a trial of parts now goes on until its answer ends or the request's time does.

Evidence: TestTrialOfPartOutlastsItsCaller, two of three rows fail before.

--- a/io/events/table.go
+++ b/io/events/table.go
@@ -70,6 +70,7 @@
 	SendUnread
 	RetriesReleased
 	RequestWithdrawn
+	PartTrialEnded
 
 	PlatformUnreachable
 	PlatformBack
@@ -216,6 +217,7 @@
 	{Event: SendUnread, Name: "send-unread", Severity: Info, Text: "Upstream has not answered a request that was given up, and may read it later", Advice: "Nothing. The send counts in the retry budget until the upstream is known to run, if the request was or is sent elsewhere."},
 	{Event: RetriesReleased, Name: "retries-released", Severity: Info, Text: "Upstreams are known to have run since they were sent requests that they may not have read", Advice: "Nothing. The retries of these requests count as arrived by now."},
 	{Event: RequestWithdrawn, Name: "request-withdrawn", Severity: Warning, Sampled: true, Text: "Request is withdrawn from its upstream before an answer began, since a part of its prompt crashes engines", Advice: "Find the callers by the part, and report it to the engine's developers."},
+	{Event: PartTrialEnded, Name: "part-trial-ended", Severity: Info, Sampled: true, Text: "Request that ran apart from others, since a part of its prompt may crash engines, has ended", Advice: "Nothing: a trial that shows nothing is used up all the same."},
 
 	{Event: PlatformUnreachable, Name: "platform-unreachable", Severity: Error, Text: "Platform cannot be reached", Advice: "Check the platform. Requests for models with a grant are still served; catalogue edits and moves of models wait."},
 	{Event: PlatformBack, Name: "platform-back", Severity: Info, Text: "Platform can be reached again", Advice: noAction},
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -113,6 +113,9 @@
 // attempt sends the request to one host, or to two, and forwards the answer. It returns the host whose answer, or
 // failure, came last.
 func (c *call) attempt(ctx context.Context, t *target) (*target, outcome) {
+	if len(c.run.parts) > 0 {
+		ctx = context.WithoutCancel(ctx) // the trial goes on if the caller leaves
+	}
 	ctx, stop := context.WithDeadline(ctx, c.attemptDeadline())
 	defer stop()
 	ctx, unfollow := c.proxy.followParts(ctx, c)
@@ -206,6 +209,9 @@
 		c.noteStreamEnd()
 	}
 	c.noteTimes(x)
+	if c.gone != nil {
+		return outcome{sent: true, cause: c.gone}
+	}
 	return outcome{done: true}
 }
 
@@ -361,13 +367,13 @@
 	c.endTurn(queue.Served)
 	c.recordEvent()
 	c.writeHead(resp.StatusCode, c.proxy.Protocol.ReplyHeader(resp.Header), c.framing, length)
-	if _, err := (heldWriter{c}).Write(body); err != nil {
+	if err := c.write(body); err != nil {
 		return err
 	}
 	if whole {
 		return nil
 	}
-	if _, err := io.Copy(heldWriter{c}, resp.Body); err != nil {
+	if _, err := io.Copy(answerWriter{c}, resp.Body); err != nil {
 		return err
 	}
 	return c.checkCrash(ctx, t)
--- a/io/proxy/buffer.go
+++ b/io/proxy/buffer.go
@@ -173,18 +173,14 @@
 	return out
 }
 
-// heldWriter writes to the caller and records while it takes nothing.
-type heldWriter struct{ c *call }
-
-// Write implements io.Writer.
-func (w heldWriter) Write(data []byte) (int, error) {
-	c := w.c
-	defer c.proxy.held.block(c.proxy.Clock.Now(), c.heldID, len(data))()
-	return c.writer.Write(data)
-}
-
 // flushEvents sends the caller what was written.
 func (c *call) flushEvents(out *http.ResponseController) error {
+	if c.gone != nil {
+		return nil
+	}
 	defer c.proxy.held.block(c.proxy.Clock.Now(), c.heldID, 0)()
-	return out.Flush()
+	if err := out.Flush(); err != nil {
+		return c.noteGone(err)
+	}
+	return nil
 }
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -151,6 +151,8 @@
 	// started is set once part of an answer has been sent to the caller. unframed is set if
 	// that answer has neither a length nor chunks.
 	started, unframed bool
+	// gone is set once the caller takes no more of an answer that is read to its end all the same.
+	gone *GoneError
 	// failure is an upstream's failed answer, kept in case no other host answers
 	// better.
 	failure *failure
--- a/io/proxy/crash.go
+++ b/io/proxy/crash.go
@@ -100,6 +100,7 @@
 	case !sent && errors.Is(err, syscall.ECONNREFUSED):
 		p.noteRefused(inc)
 	case sent && isBrokenOff(err):
+		c.run.shows = showsBrokenOff
 		probe := false
 		p.Update(func(v *fleet.View, now time.Time) {
 			if t.host.ShortNotice {
--- a/io/proxy/parts.go
+++ b/io/proxy/parts.go
@@ -70,6 +70,7 @@
 	if began.IsZero() {
 		began = now
 	}
+	c.run.shows = showsWhole
 	news := p.parts.NoteAnswered(now, began, c.shared, c.run.parts)
 	if news {
 		p.wake()
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -104,7 +104,7 @@
 			continue // the event is flushed with the next one, which is buffered
 		}
 		if err := c.flushEvents(out); err != nil {
-			return &GoneError{Cause: err}
+			return err
 		}
 	}
 }
@@ -181,16 +181,40 @@
 
 func (e *GoneError) Unwrap() error { return e.Cause }
 
+// write sends the caller a piece of its answer.
 func (c *call) write(data []byte) error {
-	if len(data) == 0 {
+	if len(data) == 0 || c.gone != nil {
 		return nil
 	}
-	if _, err := (heldWriter{c}).Write(data); err != nil {
-		return &GoneError{Cause: err}
+	defer c.proxy.held.block(c.proxy.Clock.Now(), c.heldID, len(data))()
+	if _, err := c.writer.Write(data); err != nil {
+		return c.noteGone(err)
+	}
+	return nil
+}
+
+// noteGone records that the caller takes no more of its answer. It returns an error unless the answer is
+// read to its end all the same, as in a trial of parts of the prompt, which shows something only then.
+func (c *call) noteGone(cause error) error {
+	gone := &GoneError{Cause: cause}
+	if len(c.run.parts) == 0 {
+		return gone
 	}
+	c.gone = gone
 	return nil
 }
 
+// answerWriter writes to the caller as call.write does.
+type answerWriter struct{ c *call }
+
+// Write implements io.Writer.
+func (w answerWriter) Write(data []byte) (int, error) {
+	if err := w.c.write(data); err != nil {
+		return 0, err
+	}
+	return len(data), nil
+}
+
 // openStream writes the header of the answer before its first event. A stream that
 // continues at another host keeps the header of the first.
 func (c *call) openStream(t *target, resp *http.Response) {
--- a/io/proxy/trial.go
+++ b/io/proxy/trial.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -38,8 +39,19 @@
 	// begin.
 	required  bool
 	notBefore time.Time
+	// shows is what the trial has shown.
+	shows trialResult
 }
 
+// trialResult is what a trial has shown of the parts of a prompt.
+type trialResult string
+
+const (
+	showsNothing   trialResult = "nothing"
+	showsWhole     trialResult = "whole-answer"
+	showsBrokenOff trialResult = "broken-off"
+)
+
 // provenParts returns the parts against which a crash is proof.
 func (r *trialRun) provenParts() []parts.Name {
 	if r.whole {
@@ -131,6 +143,9 @@
 		return
 	}
 	c.proxy.Trials.End(c.run.keys, c.run.upstream, ran)
+	if len(c.run.parts) > 0 {
+		events.Log(events.PartTrialEnded, "request", c.ask.ID, "parts", c.run.parts, "host", c.run.upstream, "ran", ran, "shows", cmp.Or(c.run.shows, showsNothing))
+	}
 	c.run = trialRun{}
 }
 
--- a/io/proxy/trial_test.go
+++ b/io/proxy/trial_test.go
@@ -156,3 +156,40 @@
 	assert.Assert(t, !grants(suspect, "y-1"))
 	assert.Assert(t, grants(other, "y-2"))
 }
+
+// Guards against a sound part that stays refused, since the callers of its few trials leave before the answer has ended.
+func TestTrialOfPartOutlastsItsCaller(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		queue  time.Duration
+		tried  bool
+		served bool
+	}{
+		{"after the first event", 0, true, true},
+		{"before the first event", 600 * time.Millisecond, true, true},
+		{"without a trial", 0, false, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			r := newRig(t)
+			r.Trials = &fakeTrials{}
+			w := &stand.Worker{ID: "i-1", Events: 8, Queue: row.queue, Gap: 100 * time.Millisecond}
+			r.add(t, "llm", w)
+			if row.tried {
+				r.mergeCrashes("llm/bad", 5)
+			}
+			ctx, leave := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer leave()
+			req := r.askStream(t, "/stream/x", "q-1")
+			req.Header.Set("X-Radishwell-Prompt-Prefix", "bad:100,own:100")
+			assert.Assert(t, do(t, req.WithContext(ctx)).cut)
+			time.Sleep(1600 * time.Millisecond)
+			r.mergeCrashes("llm/bad", 5) // the part has a record, which answers are in
+			records := r.Parts()
+			assert.Equal(t, len(records), 1)
+			assert.Equal(t, len(records[0].Answers) > 0, row.served, "%+v", records[0].Answers)
+			for _, a := range records[0].Answers {
+				assert.Equal(t, a.Tried, row.tried)
+			}
+		})
+	}
+}
