Leave crashes in trials of other parts out of the pauses between tries of a part

The trial says which part to blame.

TestRefusedPartIsTriedAgain/without a pause after a crash in a trial of another part.

--- a/core/parts/judge.go
+++ b/core/parts/judge.go
@@ -130,12 +130,18 @@
 	}
 	t.recheckAt = now.Add(recheckInterval)
 	var suspects []suspect
+	t.tried = upstreamSet{}
 	requests := sync.OnceValue(func() []upstreamSet { return t.requests(now) })
 	for name, e := range t.records {
 		if now.Sub(e.lastCrash()) >= TTL {
 			delete(t.records, name)
 			continue
 		}
+		for _, c := range e.Crashes {
+			if c.Tried {
+				t.tried[c.Upstream] = true
+			}
+		}
 		s := suspect{entry: e, crashes: e.counting(now), needed: newCrashes}
 		if e.isKnown(now) {
 			s.needed = knownCrashes
--- a/core/parts/play_test.go
+++ b/core/parts/play_test.go
@@ -23,7 +23,7 @@
 	crashed(now time.Time, c parts.Crash, list []parts.Name) bool
 	check(now time.Time, list []parts.Name) parts.Verdict
 	grants(now time.Time, list []parts.Name) bool
-	mayShare(name parts.Name) bool
+	mayShare(now time.Time, name parts.Name) bool
 	records(now time.Time) []parts.Record
 	merge(now time.Time, list []parts.Record) bool
 }
@@ -44,7 +44,7 @@
 func (e *explaining) check(now time.Time, list []parts.Name) parts.Verdict { return e.Check(now, list) }
 
 func (e *explaining) grants(now time.Time, list []parts.Name) bool  { return e.Grant(now, list, false) }
-func (e *explaining) mayShare(name parts.Name) bool                 { return e.MayShare(name) }
+func (e *explaining) mayShare(now time.Time, name parts.Name) bool  { return e.MayShare(now, name) }
 func (e *explaining) records(now time.Time) []parts.Record          { return e.Next(now) }
 func (e *explaining) merge(now time.Time, list []parts.Record) bool { return e.Merge(now, list) }
 
@@ -182,7 +182,7 @@
 	p.entries[0].merge(p.now, p.entries[r.entry].records(p.now))
 	for _, u := range p.upstreams {
 		for _, o := range u.inFlight {
-			if slices.ContainsFunc(o.tried, func(n parts.Name) bool { return slices.Contains(v.Parts, n) && !p.entries[0].mayShare(n) }) {
+			if slices.ContainsFunc(o.tried, func(n parts.Name) bool { return slices.Contains(v.Parts, n) && !p.entries[0].mayShare(p.now, n) }) {
 				return false
 			}
 		}
--- a/core/parts/table.go
+++ b/core/parts/table.go
@@ -27,6 +27,8 @@
 	refusals  []refusal
 	refused   map[Name]bool
 	recheckAt time.Time
+	// tried are the upstreams that crashed in trials, as of then.
+	tried upstreamSet
 	// next is the position of the next record that is sent in turn.
 	next int
 }
--- a/core/parts/table_test.go
+++ b/core/parts/table_test.go
@@ -281,6 +281,15 @@
 		assert.Assert(t, !table.Grant(at.Add(2900*time.Millisecond), list, false))
 		assert.Assert(t, table.Grant(at.Add(3*time.Second), list, false))
 	})
+	t.Run("without a pause after a crash in a trial of another part", func(t *testing.T) {
+		table := newSuspect(5)
+		grant(t, table, 2)
+		crashed := parts.Crash{Upstream: "trial", At: after(7 * time.Second)}
+		table.NoteCrash(after(7*time.Second), crashed, list)
+		crashed.Tried = true
+		table.NoteCrash(after(7*time.Second), crashed, []parts.Name{"y"})
+		assert.Assert(t, table.Grant(after(8*time.Second), list, false))
+	})
 	t.Run("not by requests that crash upstreams themselves", func(t *testing.T) {
 		table := newSuspect(5)
 		assert.Assert(t, !table.Grant(after(2*time.Second), list, true))
@@ -308,9 +317,9 @@
 		table := newSuspect(9)
 		grant(t, table, 3)
 		assert.Assert(t, table.Grant(after(38*time.Second), list, false))
-		assert.Assert(t, !table.MayShare("x"))
+		assert.Assert(t, !table.MayShare(after(39*time.Second), "x"))
 		table.NoteAnswered(after(39*time.Second), after(38*time.Second), list, list)
-		assert.Assert(t, table.MayShare("x"))
+		assert.Assert(t, table.MayShare(after(39*time.Second), "x"))
 		for n := range 3 {
 			assert.Assert(t, table.Grant(after(40*time.Second+time.Duration(n)*time.Millisecond), list, false))
 		}
@@ -321,7 +330,7 @@
 		grant(t, table, 1)
 		table.NoteAnswered(after(3*time.Second), after(2*time.Second), list, list)
 		table.NoteCrash(after(4*time.Second), parts.Crash{Upstream: "other", At: after(4 * time.Second)}, list)
-		assert.Assert(t, !table.MayShare("x"))
+		assert.Assert(t, !table.MayShare(after(5*time.Second), "x"))
 		assert.Assert(t, table.Grant(after(5*time.Second), list, false))
 		assert.Assert(t, !table.Grant(after(7900*time.Millisecond), list, false))
 	})
--- a/core/parts/try.go
+++ b/core/parts/try.go
@@ -48,13 +48,13 @@
 // the part may be sound.
 func (t *Table) nextTry(now time.Time, r *Record, proven bool) (at time.Time, ok bool) {
 	tries := r.countTries(now)
-	last := core.Later(r.lastCrash(), r.lastTry())
+	last := core.Later(t.lastBlame(r), r.lastTry())
 	switch bound := len(r.counting(now)) >= boundCrashes; {
 	case proven && tries >= maxLateTries:
 		return time.Time{}, false
 	case proven:
 		return last.Add(retryDelay), true
-	case !bound || tries < maxLateTries && r.isCalm():
+	case !bound || tries < maxLateTries && t.isCalm(r):
 		return time.Time{}, true
 	case tries >= maxLateTries, tries == maxLateTries-1 && t.lastProof(now, r).After(r.lastTry()):
 		return last.Add(retry.Backoff(retryDelay, TTL, 2*max(0, tries-maxLateTries))), true
@@ -63,7 +63,18 @@
 }
 
 // isCalm reports whether a request with the part was answered whole in a trial since its last crash.
-func (r *Record) isCalm() bool { return r.lastWholeTry().After(r.lastCrash()) }
+func (t *Table) isCalm(r *Record) bool { return r.lastWholeTry().After(t.lastBlame(r)) }
+
+// lastBlame returns when the part's last crash was, zero if there is none. Those in trials of other parts are
+// left out.
+func (t *Table) lastBlame(r *Record) (last time.Time) {
+	for _, c := range r.Crashes {
+		if c.Tried || !t.tried[c.Upstream] {
+			last = c.At
+		}
+	}
+	return last
+}
 
 // lastWholeTry returns when the latest request was answered whole in a trial, zero if none was.
 func (r *Record) lastWholeTry() (last time.Time) {
@@ -77,9 +88,10 @@
 
 // MayShare reports whether trials of a part may run side by side: it has shown that it does not crash
 // each upstream.
-func (t *Table) MayShare(name Name) bool {
+func (t *Table) MayShare(now time.Time, name Name) bool {
+	t.judge(now)
 	e := t.records[name]
-	return e != nil && e.isCalm()
+	return e != nil && t.isCalm(&e.Record)
 }
 
 // lastTry returns when the latest try that is not void was granted, zero if there is none.
@@ -116,7 +128,7 @@
 		proven := slices.ContainsFunc(t.refusals, func(r refusal) bool { return r.proven && slices.Contains(r.parts, name) })
 		at, ok := t.nextTry(now, &e.Record, proven)
 		if suspect && len(e.counting(now)) >= boundCrashes {
-			at = core.Later(at, core.Later(e.lastCrash(), e.lastTry()).Add(retryDelay))
+			at = core.Later(at, core.Later(t.lastBlame(&e.Record), e.lastTry()).Add(retryDelay))
 		}
 		if !ok || now.Before(at) {
 			return false
--- a/io/proxy/trial.go
+++ b/io/proxy/trial.go
@@ -187,7 +187,7 @@
 		}
 		suspect = suspect || found.Standing == strike.Suspect
 	}
-	alone := slices.DeleteFunc(slices.Clone(keys), func(key string) bool { return p.parts.MayShare(parts.Name(key)) })
+	alone := slices.DeleteFunc(slices.Clone(keys), func(key string) bool { return p.parts.MayShare(now, parts.Name(key)) })
 	if !p.trials.Begin(now, keys, alone, upstream, until) {
 		return false
 	}
