Bound requests that crash upstreams by the trials granted, not the crashes that come back

Cause, by reading: the pause before a further trial counted crashes in trials. A crash that is not known yet, or was known only to an entry that ended, let the next entry that grants trials grant two more at once. A grant is now a strike record of its upstream without a crash: it spreads at once, is stored, and counts until the request is served or is known not to have run.

Evidence: TestNextEntryKnowsOfGrantedTrials and TestGrantedTrialsCount; the first fails before.

--- a/core/strike/book.go
+++ b/core/strike/book.go
@@ -71,6 +71,35 @@
 	return b.Merge(now, records)
 }
 
+// RecordTrial records that a trial of a request was granted at an upstream, named as for
+// RecordIncarnationCrash.
+func (b *Book) RecordTrial(now time.Time, f core.Fingerprint, upstream core.HostName) {
+	r := b.trialRecord(now, f, upstream)
+	r.Alone++
+	if r.Count == 0 {
+		r.Expires = core.Later(r.Expires, now.Add(TTL))
+	}
+	b.Merge(now, []Record{r})
+}
+
+// VoidTrial records that the request did not run in a trial that RecordTrial recorded.
+func (b *Book) VoidTrial(now time.Time, f core.Fingerprint, upstream core.HostName) {
+	if r := b.trialRecord(now, f, upstream); r.Alone > r.Passed {
+		r.Passed++
+		b.Merge(now, []Record{r})
+	}
+}
+
+// trialRecord returns the record of a request at an upstream, a new one if none counts.
+func (b *Book) trialRecord(now time.Time, f core.Fingerprint, upstream core.HostName) Record {
+	for have := range b.counting(now, f) {
+		if have.Source == upstream {
+			return have
+		}
+	}
+	return Record{Fingerprint: f, Source: upstream, Expires: core.Later(now.Add(TTL), b.clearMarkExpiry(f).Add(1))}
+}
+
 func distinct(list []core.Fingerprint) []core.Fingerprint {
 	list = slices.Clone(list)
 	slices.Sort(list)
@@ -210,10 +239,14 @@
 	out := Finding{Fingerprint: f}
 	for r := range b.counting(now, f) {
 		out.Count += r.Count
-		out.Alone += r.Alone
+		if b.Incarnations {
+			out.Alone += r.trials()
+		} else {
+			out.Alone += r.Alone
+		}
 		out.Late += r.Late
 		out.Passed += r.Passed
-		out.Known = out.Known || r.Count == 0 && r.Passed == 0
+		out.Known = out.Known || r.Count == 0 && r.Alone == 0 && r.Passed == 0
 		out.Expires = core.Later(out.Expires, r.Expires)
 	}
 	return out
@@ -261,7 +294,7 @@
 func (b *Book) storable(now time.Time, f core.Fingerprint) []Record {
 	out := b.RecordsOf(now, f)
 	for i, r := range out {
-		if b.Incarnations && r.Alone > 0 && !b.isSolitary(now, r) {
+		if b.Incarnations && r.Count > 0 && r.Alone > 0 && !b.isSolitary(now, r) {
 			out[i].Alone = 0
 		}
 	}
--- a/core/strike/company_test.go
+++ b/core/strike/company_test.go
@@ -134,6 +134,9 @@
 			// The entry that grants trials goes by what it knows itself.
 			granting := p.entries[0].Find(p.now, r.fingerprint)
 			r.tried = !p.now.Before(core.Later(found.TryAt, granting.TryAt)) && p.trials.Begin(p.now, []string{r.fingerprint.String()}, []string{r.fingerprint.String()}, p.name(host), p.now.Add(maxTrialTime))
+			if r.tried && granting.Standing == Suspect {
+				p.entries[0].RecordTrial(p.now, r.fingerprint, p.name(host))
+			}
 			if !r.tried && p.way.must(found) {
 				if r.trialBy.IsZero() {
 					r.trialBy = p.now.Add(time.Second)
--- a/core/strike/record.go
+++ b/core/strike/record.go
@@ -24,13 +24,22 @@
 	// Alone the number of those with no other request in flight, or none that may crash
 	// engines (Trials), and Late the number of those where its answer had gone on for some
 	// time.
+	//
+	// On managed platforms Alone is the number of trials granted there, which counts before any crash
+	// is known, or one for a crash in a trial.
 	Count, Alone, Late uint32
-	// Passed is the number of times it ran alone and ended well.
+	// Passed is the number of times it ran alone and ended well, on managed platforms that of the trials
+	// there in which it did not run.
 	Passed uint32
-	// Expires is TTL after the last of the strikes.
+	// Expires is TTL after the last of the strikes, or of the trials granted.
 	Expires time.Time
 }
 
+// trials returns the number of trials at an upstream in which the request may have run.
+func (r Record) trials() uint32 {
+	return max(r.Alone-min(r.Alone, r.Passed), min(r.Count, r.Alone))
+}
+
 // supersedes reports whether r replaces old, which has the same fingerprint and
 // source. Only its source changes a record, and each change has a later expiry. So
 // the maximum is the latest record, in whatever order they arrive, and a count
@@ -96,7 +105,8 @@
 type Finding struct {
 	Fingerprint core.Fingerprint
 	Standing    Standing
-	// Count, Alone, Late and Passed are the sums of those of the records.
+	// Count, Alone, Late and Passed are the sums of those of the records. On managed platforms Alone is that
+	// of the trials in which the request may have run.
 	Count, Alone, Late, Passed uint32
 	// Known is set if it had ended well, alone or not, before its strikes. It counts as a pass:
 	// a prompt that many callers share is in every batch.
--- a/core/strike/trial.go
+++ b/core/strike/trial.go
@@ -19,8 +19,10 @@
 	// after which all processes know of those that did. Upstreams that crash together have another
 	// reason than a request that runs at one of them.
 	solitaryTime = time.Second
-	// retrialDelay is the time after the second crash in a trial at which the next may begin. It
-	// quadruples with each further one, so that a request without proof crashes few upstreams.
+	// freeTrials is the number of trials that may follow at once, and retrialDelay the time after the last
+	// of them, or its crash, at which the next may begin. It quadruples with each further one, so that a request
+	// without proof crashes few upstreams. What is granted counts, and not the crashes that come back.
+	freeTrials   = 2
 	retrialDelay = 8 * time.Second
 )
 
@@ -34,8 +36,8 @@
 	early := f.Count - f.Late
 	f.TryLong = f.Late >= suspectCrashes
 	f.MayTry = early > 0 || f.TryLong
-	if f.Alone >= provenCrashes {
-		f.TryAt = b.lastTrialCrash(now, f.Fingerprint).Add(retry.Backoff(retrialDelay, TTL, 2*int(f.Alone-provenCrashes)))
+	if f.Alone >= freeTrials {
+		f.TryAt = b.lastTrial(now, f.Fingerprint).Add(retry.Backoff(retrialDelay, TTL, 2*int(f.Alone-freeTrials)))
 	}
 	switch {
 	case max(early, f.Late) < suspectCrashes:
@@ -59,10 +61,10 @@
 	return out
 }
 
-// lastTrialCrash returns when a request last crashed an upstream in a trial.
-func (b *Book) lastTrialCrash(now time.Time, f core.Fingerprint) (last time.Time) {
+// lastTrial returns when the last trial of a request was granted or crashed its upstream.
+func (b *Book) lastTrial(now time.Time, f core.Fingerprint) (last time.Time) {
 	for r := range b.counting(now, f) {
-		if r.Alone > 0 {
+		if r.trials() > 0 {
 			last = core.Later(last, r.crashedAt())
 		}
 	}
@@ -72,7 +74,7 @@
 // countProofs returns the number of a request's crashes in trials that others do not explain.
 func (b *Book) countProofs(now time.Time, f core.Fingerprint) (n int) {
 	for r := range b.counting(now, f) {
-		if r.Alone > 0 && b.isSolitary(now, r) {
+		if r.Count > 0 && r.Alone > 0 && b.isSolitary(now, r) {
 			n++
 		}
 	}
--- a/core/strike/trial_test.go
+++ b/core/strike/trial_test.go
@@ -176,3 +176,58 @@
 	book.Clear(start, 1)
 	assert.Equal(t, len(book.Repeated(start)), 0)
 }
+
+// Guards against a request that crashes upstreams in trial after trial, since only crashes that have come back count:
+// those of a trial whose entry ends, or whose upstream is slow, come late or never.
+func TestGrantedTrialsCount(t *testing.T) {
+	newSuspect := func() *Book {
+		b := newEntryBook("edge-1")
+		for n := range 3 {
+			b.RecordIncarnationCrash(start, core.HostName(fmt.Sprint("i-", n)), []Attempt{{Fingerprint: 1}})
+		}
+		return b
+	}
+	tryAt := func(b *Book) time.Time { return b.Find(start, 1).TryAt }
+	t.Run("without crashes", func(t *testing.T) {
+		b := newSuspect()
+		b.RecordTrial(start, 1, "j-1")
+		assert.Assert(t, tryAt(b).IsZero())
+		b.RecordTrial(start, 1, "j-2")
+		assert.Equal(t, tryAt(b), start.Add(retrialDelay))
+		b.RecordTrial(start.Add(retrialDelay), 1, "j-2")
+		assert.Equal(t, tryAt(b), start.Add(5*retrialDelay))
+		assertStanding(t, b, start, 1, Suspect)
+	})
+	t.Run("with their crashes once", func(t *testing.T) {
+		b := newSuspect()
+		b.RecordTrial(start, 1, "j-1")
+		b.RecordIncarnationCrash(start, "j-1", []Attempt{{Fingerprint: 1, Alone: true}})
+		assert.Assert(t, tryAt(b).IsZero())
+	})
+	t.Run("not if the request did not run", func(t *testing.T) {
+		b := newSuspect()
+		for range 3 {
+			b.RecordTrial(start, 1, "j-1")
+			b.VoidTrial(start, 1, "j-1")
+		}
+		b.VoidTrial(start, 1, "j-1")
+		assert.Assert(t, tryAt(b).IsZero())
+		b.RecordTrial(start, 1, "j-1")
+		b.RecordTrial(start, 1, "j-2")
+		assert.Equal(t, tryAt(b), start.Add(retrialDelay))
+	})
+	t.Run("at other processes", func(t *testing.T) {
+		b, peer := newSuspect(), newSuspect()
+		b.RecordTrial(start, 1, "j-1")
+		b.RecordTrial(start, 1, "j-2")
+		peer.Merge(start, b.Records(start))
+		assert.Equal(t, tryAt(peer), start.Add(retrialDelay))
+	})
+	t.Run("until the request is served", func(t *testing.T) {
+		b := newSuspect()
+		b.RecordTrial(start, 1, "j-1")
+		b.RecordTrial(start, 1, "j-2")
+		b.Clear(start, 1)
+		assert.Assert(t, tryAt(b).IsZero())
+	})
+}
--- a/io/deploy/crashjson.go
+++ b/io/deploy/crashjson.go
@@ -49,7 +49,7 @@
 	Void bool      `json:"void,omitempty"`
 }
 
-// strikeJSON is a crash of an upstream, or the clear mark if Source is empty, as in
+// strikeJSON is a crash of an upstream, trials there, or the clear mark if Source is empty, as in
 // strike.Record.
 type strikeJSON struct {
 	Source  core.HostName `json:"source"`
@@ -57,13 +57,20 @@
 	// Trial is set if the request ran in a trial, and Late if its answer had gone on for some time.
 	Trial bool `json:"trial,omitempty"`
 	Late  bool `json:"late,omitempty"`
+	// Granted and Void are the numbers of trials granted there and of those in which it did not run, and Runs is
+	// set if the upstream is not known to have crashed.
+	Granted uint32 `json:"granted,omitempty"`
+	Void    uint32 `json:"void,omitempty"`
+	Runs    bool   `json:"runs,omitempty"`
 }
 
 // encodeStrikes returns the record of a request.
 func encodeStrikes(f core.Fingerprint, strikes []strike.Record) quarantineJSON {
 	record := quarantineJSON{Fingerprint: uint64(f)}
 	for _, s := range strikes {
-		record.Strikes = append(record.Strikes, strikeJSON{Source: s.Source, Expires: s.Expires, Trial: s.Alone > 0, Late: s.Late > 0})
+		record.Strikes = append(record.Strikes, strikeJSON{
+			Source: s.Source, Expires: s.Expires, Trial: s.Alone > 0, Late: s.Late > 0, Granted: s.Alone, Void: s.Passed, Runs: s.Count == 0,
+		})
 	}
 	return record
 }
@@ -87,8 +94,8 @@
 func (r *quarantineJSON) decodeStrikes() (out []strike.Record) {
 	for _, s := range r.Strikes {
 		out = append(out, strike.Record{
-			Fingerprint: core.Fingerprint(r.Fingerprint), Source: s.Source, Count: 1,
-			Alone: uint32(core.CountIf(s.Trial)), Late: uint32(core.CountIf(s.Late)), Expires: s.Expires,
+			Fingerprint: core.Fingerprint(r.Fingerprint), Source: s.Source, Count: uint32(core.CountIf(!s.Runs)),
+			Alone: max(uint32(core.CountIf(s.Trial)), s.Granted), Passed: s.Void, Late: uint32(core.CountIf(s.Late)), Expires: s.Expires,
 		})
 	}
 	return out
--- a/io/proxy/trial.go
+++ b/io/proxy/trial.go
@@ -168,7 +168,7 @@
 func (p *Proxy) GrantTrial(keys []string, upstream core.HostName, until time.Time) bool {
 	requests, shared := splitKeys(keys)
 	granted := p.grantTrial(keys, requests, shared, upstream, until)
-	if granted && len(shared) > 0 {
+	if granted {
 		p.sendStrikes() // if this entry ends, the next one knows of the trial
 	}
 	return granted
@@ -195,6 +195,11 @@
 		p.trials.End(keys, upstream)
 		return false
 	}
+	for _, f := range requests {
+		if p.book.Find(now, f).Standing == strike.Suspect {
+			p.book.RecordTrial(now, f, upstream)
+		}
+	}
 	return true
 }
 
@@ -203,8 +208,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if granted := p.trials.End(keys, upstream); !ran && !granted.IsZero() {
-		_, shared := splitKeys(keys)
-		p.parts.Void(p.Clock.Now(), granted, shared)
+		now := p.Clock.Now()
+		requests, shared := splitKeys(keys)
+		p.parts.Void(now, granted, shared)
+		for _, f := range requests {
+			p.book.VoidTrial(now, f, upstream)
+		}
 	}
 }
 
--- a/io/proxy/trial_test.go
+++ b/io/proxy/trial_test.go
@@ -135,6 +135,30 @@
 	assert.Assert(t, r.GrantTrial([]string{other.String(), "llm/part"}, "x-4", time.Now().Add(time.Minute)))
 }
 
+// Guards against a request that crashes upstreams in one trial more for each entry that grants trials and ends before it
+// knows what came of them.
+func TestNextEntryKnowsOfGrantedTrials(t *testing.T) {
+	f := core.Fingerprint(1)
+	first, next := newRig(t), newRig(t)
+	told := 0
+	first.OnStrikes = func() { told++ }
+	first.strikeTimes(f, 3)
+	next.strikeTimes(f, 3)
+	grant := func(r *rig, upstream core.HostName) bool {
+		return r.GrantTrial([]string{f.String()}, upstream, time.Now().Add(time.Minute))
+	}
+	assert.Assert(t, grant(first, "j-1"))
+	first.CloseTrial([]string{f.String()}, "j-1", false) // it did not run
+	for _, upstream := range []core.HostName{"j-2", "j-3"} {
+		assert.Assert(t, grant(first, upstream))
+		first.CloseTrial([]string{f.String()}, upstream, true)
+	}
+	assert.Assert(t, !grant(first, "j-4"))
+	assert.Equal(t, told, 3)
+	next.MergeStrikes(first.Strikes())
+	assert.Assert(t, !grant(next, "j-4"))
+}
+
 // Guards against a sound part whose few tries go to requests that crash upstreams themselves.
 func TestSuspectRequestsLeaveTriesOfPartsToOthers(t *testing.T) {
 	const suspect, other = core.Fingerprint(1), core.Fingerprint(2)
