--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -113,10 +113,7 @@
 // attempt sends the request to one host, or to two, and forwards the answer. It returns the host whose answer, or
 // failure, came last.
 func (c *call) attempt(ctx context.Context, t *target) (*target, outcome) {
-	if len(c.run.parts) > 0 {
-		ctx = context.WithoutCancel(ctx) // the trial goes on if the caller leaves
-	}
-	ctx, stop := context.WithDeadline(ctx, c.attemptDeadline())
+	ctx, stop := c.limitAttempt(ctx)
 	defer stop()
 	ctx, unfollow := c.proxy.followParts(ctx, c)
 	defer unfollow()
@@ -130,6 +127,17 @@
 	return t, c.finish(ctx, x)
 }
 
+// limitAttempt returns the context of an attempt, which ends with the request. In a trial of parts of the prompt an
+// answer that has begun may go on without its caller, and after the request's time.
+func (c *call) limitAttempt(ctx context.Context) (context.Context, func()) {
+	if len(c.run.parts) == 0 {
+		return context.WithDeadline(ctx, c.attemptDeadline())
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline.Add(trialGrace))
+	c.run.unbegun = time.AfterFunc(time.Until(c.attemptDeadline()), cancel)
+	return ctx, cancel
+}
+
 // finish ends an exchange and forwards its answer, if there is one.
 func (c *call) finish(ctx context.Context, x *exchange) outcome {
 	t, resp, err := x.target, x.resp, x.err
--- a/io/proxy/withdraw.go
+++ b/io/proxy/withdraw.go
@@ -53,6 +53,9 @@
 
 // noteAnswerBegun records that the answer to the request has begun.
 func (c *call) noteAnswerBegun() {
+	if c.run.unbegun != nil {
+		c.run.unbegun.Stop()
+	}
 	if c.sentParts != nil {
 		c.sentParts.begun.Store(true)
 	}
