--- a/core/parts/try.go
+++ b/core/parts/try.go
@@ -17,6 +17,9 @@
 	retryDelay = 30 * time.Second
 )
 
+// otherDelay is how much later requests are tried that have another suspect part, so that others come first.
+const otherDelay = 2 * time.Second
+
 // tryDelays are the times from the part's last crash, or try, until the next of these tries, unless the one
 // before was answered. As long as upstreams end for other reasons, tries of a sound part are wasted.
 var tryDelays = [maxLateTries]time.Duration{time.Second, 3 * time.Second, 3 * time.Second}
@@ -62,6 +65,21 @@
 	return last.Add(tryDelays[tries]), true
 }
 
+// hasOtherSuspect reports whether a request with a refused part has another one that was in fewer crashes, and with
+// which nobody was answered since. That one may be to blame for all of its crashes, so that a trial of
+// the request would tell nothing of the refused part.
+func (t *Table) hasOtherSuspect(now time.Time, r *Record, refused, list []Name) bool {
+	n := len(r.counting(now))
+	return slices.ContainsFunc(list, func(name Name) bool {
+		e := t.records[name]
+		if e == nil || slices.Contains(refused, name) {
+			return false
+		}
+		crashes := e.counting(now)
+		return len(crashes) > 0 && len(crashes) < n && !slices.ContainsFunc(e.Answers, func(a Answer) bool { return a.At.After(crashes[0].At) })
+	})
+}
+
 // isCalm reports whether a request with the part was answered whole in a trial since its last crash.
 func (t *Table) isCalm(r *Record) bool { return r.lastWholeTry().After(t.lastBlame(r)) }
 
