--- a/core/parts/judge.go
+++ b/core/parts/judge.go
@@ -199,7 +199,8 @@
 // isHarmless reports whether a request with the part was answered whole in a trial since its last crash, and none has
 // crashed its upstream in one. The next crash ends that.
 func (t *Table) isHarmless(r *Record) bool {
-	return t.isCalm(r) && !slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Tried && c.At.After(r.clearedAt()) })
+	cleared := r.clearedAt()
+	return t.isCalm(r) && !slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Tried && c.At.After(cleared) })
 }
 
 // isProven reports whether a part has crashed enough upstreams in trials, which no others explain.
--- a/core/parts/try.go
+++ b/core/parts/try.go
@@ -15,11 +15,11 @@
 	// retryDelay is the time from the last crash until the last of these tries, if another one crashed
 	// its upstream. It quadruples with each further try of a part without proof.
 	retryDelay = 30 * time.Second
+	// otherDelay is how much later requests are tried that have another suspect part, so that others
+	// come first.
+	otherDelay = 2 * time.Second
 )
 
-// otherDelay is how much later requests are tried that have another suspect part, so that others come first.
-const otherDelay = 2 * time.Second
-
 // tryDelays are the times from the part's last crash, or try, until the next of these tries, unless the one
 // before was answered. As long as upstreams end for other reasons, tries of a sound part are wasted.
 var tryDelays = [maxLateTries]time.Duration{time.Second, 3 * time.Second, 3 * time.Second}
@@ -28,15 +28,15 @@
 // number boundCrashes and since one was answered, and one that was granted before that crash and may have begun
 // later.
 func (r *Record) countTries(now time.Time) int {
-	crashes, cleared := r.counting(now), core.Later(r.clearedAt(), r.lastWholeTry())
-	from := cleared
+	crashes, answered := r.counting(now), core.Later(r.clearedAt(), r.lastWholeTry())
+	from := answered
 	if n := len(crashes); n >= boundCrashes && n < maxCrashes {
 		from = core.Later(from, crashes[boundCrashes-1].At)
 	}
 	earlier, later := 0, 0
 	for _, t := range r.Tries {
 		switch {
-		case t.Void || !t.At.After(cleared) || now.Sub(t.At) >= TTL:
+		case t.Void || !t.At.After(answered) || now.Sub(t.At) >= TTL:
 		case t.At.After(from):
 			later++
 		default:
