Keep the grants of trials apart from crashes in strike records

The first grant at an upstream also hid that its crash was a late one.

Grants have fields of their own now, in the record, on the wire and in the store; older entries ignore them. Crashes mean what they meant before, and the trials of crashes beside others are stored, too.

--- a/core/strike/book.go
+++ b/core/strike/book.go
@@ -74,30 +74,28 @@
 // RecordTrial records that a trial of a request was granted at an upstream, named as for
 // RecordIncarnationCrash.
 func (b *Book) RecordTrial(now time.Time, f core.Fingerprint, upstream core.HostName) {
-	r := b.trialRecord(now, f, upstream)
-	r.Alone++
-	if r.Count == 0 {
-		r.Expires = core.Later(r.Expires, now.Add(TTL))
-	}
+	r := b.grants(now, f, upstream)
+	r.Granted++
 	b.Merge(now, []Record{r})
 }
 
 // VoidTrial records that the request did not run in a trial that RecordTrial recorded.
 func (b *Book) VoidTrial(now time.Time, f core.Fingerprint, upstream core.HostName) {
-	if r := b.trialRecord(now, f, upstream); r.Alone > r.Passed {
-		r.Passed++
+	if r := b.grants(now, f, upstream); r.Granted > r.Void {
+		r.Void++
 		b.Merge(now, []Record{r})
 	}
 }
 
-// trialRecord returns the record of a request at an upstream, a new one if none counts.
-func (b *Book) trialRecord(now time.Time, f core.Fingerprint, upstream core.HostName) Record {
+// grants returns a record of now with the grants of a request at an upstream that count.
+func (b *Book) grants(now time.Time, f core.Fingerprint, upstream core.HostName) Record {
+	r := Record{Fingerprint: f, Source: upstream, Expires: core.Later(now.Add(TTL), b.clearMarkExpiry(f).Add(1))}
 	for have := range b.counting(now, f) {
 		if have.Source == upstream {
-			return have
+			r.Granted, r.Void = have.Granted, have.Void
 		}
 	}
-	return Record{Fingerprint: f, Source: upstream, Expires: core.Later(now.Add(TTL), b.clearMarkExpiry(f).Add(1))}
+	return r
 }
 
 func distinct(list []core.Fingerprint) []core.Fingerprint {
@@ -239,14 +237,11 @@
 	out := Finding{Fingerprint: f}
 	for r := range b.counting(now, f) {
 		out.Count += r.Count
-		if b.Incarnations {
-			out.Alone += r.trials()
-		} else {
-			out.Alone += r.Alone
-		}
+		out.Alone += r.Alone
+		out.Trials += r.trials()
 		out.Late += r.Late
 		out.Passed += r.Passed
-		out.Known = out.Known || r.Count == 0 && r.Alone == 0 && r.Passed == 0
+		out.Known = out.Known || r.Count == 0 && r.Passed == 0 && r.Granted == 0
 		out.Expires = core.Later(out.Expires, r.Expires)
 	}
 	return out
@@ -294,7 +289,7 @@
 func (b *Book) storable(now time.Time, f core.Fingerprint) []Record {
 	out := b.RecordsOf(now, f)
 	for i, r := range out {
-		if b.Incarnations && r.Count > 0 && r.Alone > 0 && !b.isSolitary(now, r) {
+		if b.Incarnations && r.Alone > 0 && !b.isSolitary(now, r) {
 			out[i].Alone = 0
 		}
 	}
--- a/core/strike/record.go
+++ b/core/strike/record.go
@@ -24,21 +24,18 @@
 	// Alone the number of those with no other request in flight, or none that may crash
 	// engines (Trials), and Late the number of those where its answer had gone on for some
 	// time.
-	//
-	// On managed platforms Alone is the number of trials granted there, which counts before any crash
-	// is known, or one for a crash in a trial.
 	Count, Alone, Late uint32
-	// Passed is the number of times it ran alone and ended well, on managed platforms that of the trials
-	// there in which it did not run.
+	// Passed is the number of times it ran alone and ended well.
 	Passed uint32
+	// Granted is the number of trials granted at the upstream, and Void that of those in which the request did
+	// not run, on managed platforms.
+	Granted, Void uint32
 	// Expires is TTL after the last of the strikes, or of the trials granted.
 	Expires time.Time
 }
 
 // trials returns the number of trials at an upstream in which the request may have run.
-func (r Record) trials() uint32 {
-	return max(r.Alone-min(r.Alone, r.Passed), min(r.Count, r.Alone))
-}
+func (r Record) trials() uint32 { return max(r.Granted-min(r.Granted, r.Void), r.Alone) }
 
 // supersedes reports whether r replaces old, which has the same fingerprint and
 // source. Only its source changes a record, and each change has a later expiry. So
@@ -57,14 +54,20 @@
 	return r.Passed > old.Passed
 }
 
-// join returns what two records of one crash say together: processes that had copies of a request
-// at the upstream may have seen different things. It is commutative, associative and idempotent.
+// join returns what two records of one upstream say together: processes that had copies of a request
+// there may have seen different things, and not all know of a crash. It is commutative, associative and idempotent.
 func (r Record) join(old Record) Record {
+	if r.Count == 0 && old.Count > 0 {
+		r, old = old, r
+	}
+	if old.Count > 0 || r.Count == 0 { // otherwise the time and the stage are those of the crash
+		r.Late = min(r.Late, old.Late)
+		r.Expires = core.Later(r.Expires, old.Expires)
+	}
 	r.Count = max(r.Count, old.Count)
 	r.Alone = max(r.Alone, old.Alone)
-	r.Late = min(r.Late, old.Late)
 	r.Passed = max(r.Passed, old.Passed)
-	r.Expires = core.Later(r.Expires, old.Expires)
+	r.Granted, r.Void = max(r.Granted, old.Granted), max(r.Void, old.Void)
 	return r
 }
 
@@ -105,9 +108,9 @@
 type Finding struct {
 	Fingerprint core.Fingerprint
 	Standing    Standing
-	// Count, Alone, Late and Passed are the sums of those of the records. On managed platforms Alone is that
-	// of the trials in which the request may have run.
-	Count, Alone, Late, Passed uint32
+	// Count, Alone, Late and Passed are the sums of those of the records, and Trials is that of the trials in
+	// which the request may have run.
+	Count, Alone, Late, Passed, Trials uint32
 	// Known is set if it had ended well, alone or not, before its strikes. It counts as a pass:
 	// a prompt that many callers share is in every batch.
 	Known bool
--- a/core/strike/trial.go
+++ b/core/strike/trial.go
@@ -36,8 +36,8 @@
 	early := f.Count - f.Late
 	f.TryLong = f.Late >= suspectCrashes
 	f.MayTry = early > 0 || f.TryLong
-	if f.Alone >= freeTrials {
-		f.TryAt = b.lastTrial(now, f.Fingerprint).Add(retry.Backoff(retrialDelay, TTL, 2*int(f.Alone-freeTrials)))
+	if f.Trials >= freeTrials {
+		f.TryAt = b.lastTrial(now, f.Fingerprint).Add(retry.Backoff(retrialDelay, TTL, 2*int(f.Trials-freeTrials)))
 	}
 	switch {
 	case max(early, f.Late) < suspectCrashes:
@@ -74,7 +74,7 @@
 // countProofs returns the number of a request's crashes in trials that others do not explain.
 func (b *Book) countProofs(now time.Time, f core.Fingerprint) (n int) {
 	for r := range b.counting(now, f) {
-		if r.Count > 0 && r.Alone > 0 && b.isSolitary(now, r) {
+		if r.Alone > 0 && b.isSolitary(now, r) {
 			n++
 		}
 	}
--- a/core/strike/trial_test.go
+++ b/core/strike/trial_test.go
@@ -216,6 +216,23 @@
 		b.RecordTrial(start, 1, "j-2")
 		assert.Equal(t, tryAt(b), start.Add(retrialDelay))
 	})
+	t.Run("not as proof if the upstream had crashed before", func(t *testing.T) {
+		b := newSuspect()
+		for _, upstream := range []core.HostName{"i-0", "i-1"} {
+			b.RecordTrial(start, 1, upstream)
+			b.VoidTrial(start, 1, upstream)
+		}
+		assertStanding(t, b, start.Add(time.Minute), 1, Suspect)
+	})
+	t.Run("without a change of the stage of a crash", func(t *testing.T) {
+		b := newEntryBook("edge-1")
+		for n := range 3 {
+			upstream := core.HostName(fmt.Sprint("i-", n))
+			b.RecordTrial(start, 1, upstream)
+			b.RecordIncarnationCrash(start, upstream, []Attempt{{Fingerprint: 1, Late: true, Alone: true}})
+		}
+		assert.Equal(t, b.Find(start, 1).Late, uint32(3))
+	})
 	t.Run("at other processes", func(t *testing.T) {
 		b, peer := newSuspect(), newSuspect()
 		b.RecordTrial(start, 1, "j-1")
--- a/io/deploy/crashjson.go
+++ b/io/deploy/crashjson.go
@@ -13,8 +13,10 @@
 type quarantineJSON struct {
 	Fingerprint uint64       `json:"fingerprint,omitempty"`
 	Strikes     []strikeJSON `json:"strikes,omitempty"`
-	Part        parts.Name   `json:"part,omitempty"`
-	Crashes     []crashJSON  `json:"crashes,omitempty"`
+	// Granted are the trials of the request at upstreams.
+	Granted []grantJSON `json:"granted,omitempty"`
+	Part    parts.Name  `json:"part,omitempty"`
+	Crashes []crashJSON `json:"crashes,omitempty"`
 	// Served is when a request with the part was last served, Answered when one was last answered whole, and
 	// Tries are the grants of trials.
 	Served   time.Time `json:"served,omitzero"`
@@ -28,6 +30,9 @@
 	for _, s := range r.Strikes {
 		n += core.CountIf(s.Trial)
 	}
+	for _, g := range r.Granted {
+		n += int(g.Granted)
+	}
 	for _, c := range r.Crashes {
 		n += core.CountIf(c.Trial)
 	}
@@ -49,7 +54,7 @@
 	Void bool      `json:"void,omitempty"`
 }
 
-// strikeJSON is a crash of an upstream, trials there, or the clear mark if Source is empty, as in
+// strikeJSON is a crash of an upstream, or the clear mark if Source is empty, as in
 // strike.Record.
 type strikeJSON struct {
 	Source  core.HostName `json:"source"`
@@ -57,20 +62,26 @@
 	// Trial is set if the request ran in a trial, and Late if its answer had gone on for some time.
 	Trial bool `json:"trial,omitempty"`
 	Late  bool `json:"late,omitempty"`
-	// Granted and Void are the numbers of trials granted there and of those in which it did not run, and Runs is
-	// set if the upstream is not known to have crashed.
-	Granted uint32 `json:"granted,omitempty"`
-	Void    uint32 `json:"void,omitempty"`
-	Runs    bool   `json:"runs,omitempty"`
+}
+
+// grantJSON is what strike.Record has of the trials of a request at an upstream.
+type grantJSON struct {
+	Source  core.HostName `json:"source"`
+	Expires time.Time     `json:"expires"`
+	Granted uint32        `json:"granted"`
+	Void    uint32        `json:"void,omitempty"`
 }
 
 // encodeStrikes returns the record of a request.
 func encodeStrikes(f core.Fingerprint, strikes []strike.Record) quarantineJSON {
 	record := quarantineJSON{Fingerprint: uint64(f)}
 	for _, s := range strikes {
-		record.Strikes = append(record.Strikes, strikeJSON{
-			Source: s.Source, Expires: s.Expires, Trial: s.Alone > 0, Late: s.Late > 0, Granted: s.Alone, Void: s.Passed, Runs: s.Count == 0,
-		})
+		if s.Count > 0 || s.Source == "" {
+			record.Strikes = append(record.Strikes, strikeJSON{Source: s.Source, Expires: s.Expires, Trial: s.Alone > 0, Late: s.Late > 0})
+		}
+		if s.Granted > 0 {
+			record.Granted = append(record.Granted, grantJSON{Source: s.Source, Expires: s.Expires, Granted: s.Granted, Void: s.Void})
+		}
 	}
 	return record
 }
@@ -92,12 +103,16 @@
 
 // decodeStrikes returns the strikes of the record of a request.
 func (r *quarantineJSON) decodeStrikes() (out []strike.Record) {
+	f := core.Fingerprint(r.Fingerprint)
 	for _, s := range r.Strikes {
 		out = append(out, strike.Record{
-			Fingerprint: core.Fingerprint(r.Fingerprint), Source: s.Source, Count: uint32(core.CountIf(!s.Runs)),
-			Alone: max(uint32(core.CountIf(s.Trial)), s.Granted), Passed: s.Void, Late: uint32(core.CountIf(s.Late)), Expires: s.Expires,
+			Fingerprint: f, Source: s.Source, Count: 1,
+			Alone: uint32(core.CountIf(s.Trial)), Late: uint32(core.CountIf(s.Late)), Expires: s.Expires,
 		})
 	}
+	for _, g := range r.Granted {
+		out = append(out, strike.Record{Fingerprint: f, Source: g.Source, Granted: g.Granted, Void: g.Void, Expires: g.Expires})
+	}
 	return out
 }
 
--- a/io/peer/strike.go
+++ b/io/peer/strike.go
@@ -14,7 +14,8 @@
 	for _, s := range list {
 		out = append(out, strike.Record{
 			Fingerprint: core.Fingerprint(s.GetFingerprint()), Source: core.HostName(s.GetSource()),
-			Count: s.GetCount(), Alone: s.GetAlone(), Late: s.GetLate(), Passed: s.GetPassed(), Expires: time.Unix(0, s.GetExpires()),
+			Count: s.GetCount(), Alone: s.GetAlone(), Late: s.GetLate(), Passed: s.GetPassed(),
+			Granted: s.GetGranted(), Void: s.GetVoid(), Expires: time.Unix(0, s.GetExpires()),
 		})
 	}
 	return out
@@ -26,7 +27,8 @@
 	for _, r := range list {
 		out = append(out, &wire.Strike{
 			Fingerprint: uint64(r.Fingerprint), Source: string(r.Source),
-			Count: r.Count, Alone: r.Alone, Late: r.Late, Passed: r.Passed, Expires: r.Expires.UnixNano(),
+			Count: r.Count, Alone: r.Alone, Late: r.Late, Passed: r.Passed,
+			Granted: r.Granted, Void: r.Void, Expires: r.Expires.UnixNano(),
 		})
 	}
 	return out
