--- a/review/rig/pieces.go
+++ b/review/rig/pieces.go
@@ -22,8 +22,10 @@
 	lineBytes = 4096
 	// lineGap is the pause after each line of data: a worker sends it as it is generated.
 	lineGap = 60 * time.Millisecond
+	// streamWorkers is the number of workers, of which one in five crashes.
+	streamWorkers = 5
 	// streamClients is the number of clients that read streams, one after the other.
-	streamClients = 12
+	streamClients = 20
 	// crashAt is when a worker crashes, crashFor how long it is down, and streamsEnd when the run ends.
 	crashAt, crashFor, streamsEnd = 8 * time.Second, 4 * time.Second, 20 * time.Second
 	// streamTime is the time budget of a stream.
@@ -215,17 +217,17 @@
 	return out
 }
 
-// playPieces lets one of three workers crash while it sends events with a line of 4,096 bytes.
+// playPieces lets one of five workers crash while it sends events with a line of 4,096 bytes.
 func playPieces(b *bed, trouble bool) (bool, error) { return playStreams(b, trouble, 1) }
 
-// playSteps lets one of three workers crash whose events have ids that rise by more than one.
+// playSteps lets one of five workers crash whose events have ids that rise by more than one.
 func playSteps(b *bed, trouble bool) (bool, error) { return playStreams(b, trouble, 4) }
 
 func playStreams(b *bed, trouble bool, step int) (bool, error) {
 	route := routeOf("/chat/", "streaming", "chat", streamTime, 2, `,"resumable":true,"gap_aim_ms":600`)
 	b.writeTable(`"routes":[` + route + `],"services":[{"name":"chat","max_connections":370}]`)
 	var first *process
-	for i := range 3 {
+	for i := range streamWorkers {
 		s := &streamer{id: fmt.Sprintf("i-%d", i), step: step, record: b.record}
 		p, err := startProcess(s, "127.0.0.1:0")
 		if err != nil {
