--- a/review/rig/bed.go
+++ b/review/rig/bed.go
@@ -123,7 +123,17 @@
 // entry is an entry process.
 type entry struct {
 	callers, readiness string
-	process            *os.Process
+	// ended is closed once the process has ended.
+	ended chan struct{}
+}
+
+func (e *entry) hasEnded() bool {
+	select {
+	case <-e.ended:
+		return true
+	default:
+		return false
+	}
 }
 
 // startEntry starts an entry as the deploy file says, with settings as its template renders them.
@@ -166,15 +176,14 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	e := &entry{callers: at[0], readiness: at[3], process: cmd.Process}
-	ended := make(chan struct{})
+	e := &entry{callers: at[0], readiness: at[3], ended: make(chan struct{})}
 	go func() {
 		_ = cmd.Wait()
-		close(ended)
+		close(e.ended)
 	}()
 	b.onClose(func() {
 		_ = cmd.Process.Signal(syscall.SIGKILL)
-		<-ended
+		<-e.ended
 		_ = log.Close()
 		if keep := os.Getenv("KEEP_LOG"); keep != "" {
 			if text, err := os.ReadFile(log.Name()); err == nil {
