--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,7 +22,7 @@
 // was broken.
 type play func(b *bed, trouble bool) (bool, error)
 
-var plays = map[string]play{"burst": playBurst, "pieces": playPieces, "foreign": playForeign, "writers": playWriters}
+var plays = map[string]play{"burst": playBurst, "pieces": playPieces, "steps": playSteps, "foreign": playForeign, "writers": playWriters}
 
 var errUsage = errors.New("usage: rig CASE PROGRAM RECORD")
 
