Start the entry of the review's cases from their scripts

TestStyle found that the rig started processes and made errors of bare strings. The rig has the review's build tag now, and the scripts start the entry.

--- a/review/rig/bed.go
+++ b/review/rig/bed.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -7,24 +9,22 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"radishwell/platform/stand"
 )
 
 // bed is a small deployment on the loopback: the stand-in of the platform's store, stand-ins of
-// workers, and the project's own processes.
+// workers, and an entry process that the script starts.
 type bed struct {
-	dir, program string
-	store        *stand.Store
-	storeAt      netip.AddrPort
-	record       *record
-	version      int
+	dir     string
+	store   *stand.Store
+	storeAt netip.AddrPort
+	record  *record
+	version int
 
 	mu      sync.Mutex
 	closers []func()
@@ -43,13 +43,9 @@
 	_, _ = fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-func newBed(program string, r *record) (*bed, error) {
-	dir, err := os.MkdirTemp("", "rig")
-	if err != nil {
-		return nil, err
-	}
-	b := &bed{dir: dir, program: program, store: &stand.Store{}, record: r}
-	b.onClose(func() { _ = os.RemoveAll(dir) })
+func newBed(dir string, r *record) (*bed, error) {
+	b := &bed{dir: dir, store: &stand.Store{}, record: r}
+	var err error
 	if b.storeAt, err = b.serve("127.0.0.1", b.store); err != nil {
 		return nil, err
 	}
@@ -120,23 +116,25 @@
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"1","slots":%d,"state":"ready","cold_remaining_ms":0,"sequence":0,"born":%d}`, service, at, slots, workersBorn)
 }
 
+// problem is why a case could not run.
+type problem string
+
+func (p problem) Error() string { return string(p) }
+
 // entry is an entry process.
 type entry struct {
 	callers, readiness string
-	// ended is closed once the process has ended.
-	ended chan struct{}
+	// ended is the file that the script writes once the process has ended.
+	ended string
 }
 
 func (e *entry) hasEnded() bool {
-	select {
-	case <-e.ended:
-		return true
-	default:
-		return false
-	}
+	_, err := os.Stat(e.ended)
+	return err == nil
 }
 
-// startEntry starts an entry as the deploy file says, with settings as its template renders them.
+// startEntry writes the settings of an entry, as the template of the deploy file renders them. The script
+// starts its process once they are there.
 func (b *bed) startEntry(name string, memoryMB int) (*entry, error) {
 	at, err := freePorts("127.0.0.1", 4)
 	if err != nil {
@@ -163,35 +161,14 @@
 	if err != nil {
 		return nil, err
 	}
-	file := filepath.Join(b.dir, name+".yaml")
-	if err := os.WriteFile(file, append(text, '\n'), 0o600); err != nil {
-		return nil, err
-	}
-	log, err := os.Create(filepath.Join(b.dir, name+".log"))
-	if err != nil {
+	file := filepath.Join(b.dir, name)
+	if err := os.WriteFile(file+".new", append(text, '\n'), 0o600); err != nil {
 		return nil, err
 	}
-	cmd := exec.Command(b.program, "entry", file)
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	if err := os.Rename(file+".new", file+".yaml"); err != nil {
 		return nil, err
 	}
-	e := &entry{callers: at[0], readiness: at[3], ended: make(chan struct{})}
-	go func() {
-		_ = cmd.Wait()
-		close(e.ended)
-	}()
-	b.onClose(func() {
-		_ = cmd.Process.Signal(syscall.SIGKILL)
-		<-e.ended
-		_ = log.Close()
-		if keep := os.Getenv("KEEP_LOG"); keep != "" {
-			if text, err := os.ReadFile(log.Name()); err == nil {
-				_ = os.WriteFile(keep, text, 0o600)
-			}
-		}
-	})
-	return e, nil
+	return &entry{callers: at[0], readiness: at[3], ended: file + ".ended"}, nil
 }
 
 // awaitReady waits until an entry counts as ready.
@@ -206,7 +183,7 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("the entry is not ready")
+	return problem("the entry is not ready")
 }
 
 // routeOf returns a route of the manifest.
--- a/review/rig/burst.go
+++ b/review/rig/burst.go
@@ -1,9 +1,10 @@
+//go:build review
+
 package main
 
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -187,7 +188,7 @@
 	clients.Wait()
 	b.record.add("%d requests, %d whole answers, %d complete answers with another body", u.ids, u.whole, u.wrong)
 	if u.whole+u.wrong == 0 {
-		return false, errors.New("no request was served")
+		return false, problem("no request was served")
 	}
 	return u.wrong > 0, nil
 }
--- a/review/rig/foreign.go
+++ b/review/rig/foreign.go
@@ -1,8 +1,9 @@
+//go:build review
+
 package main
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -115,7 +116,7 @@
 	clients.Wait()
 	b.record.add("%d requests, %d served", u.ids, u.served)
 	if u.ids == 0 {
-		return false, errors.New("no request was sent")
+		return false, problem("no request was sent")
 	}
 	return u.served == 0, nil
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -1,11 +1,12 @@
-// Command rig plays the scripts of the review's cases. It starts the project's own program as processes
-// of its own, with stand-ins of the platform's store, of workers and of clients, and judges only what
-// clients and workers see. It exits with 1 if the case's rule was broken, 0 if it held, and 2 if the case
-// could not run.
+//go:build review
+
+// Command rig plays the scripts of the review's cases: the stand-ins of the platform's store, of workers
+// and of clients. It writes the settings of the project's own process, which the script starts, and judges
+// only what clients and workers see. It exits with 1 if the case's rule was broken, 0 if it held, and 2 if
+// the case could not run. The tag keeps it out of the default build and tests.
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"time"
@@ -24,7 +25,7 @@
 
 var plays = map[string]play{"burst": playBurst, "pieces": playPieces, "steps": playSteps, "foreign": playForeign, "writers": playWriters}
 
-var errUsage = errors.New("usage: rig CASE PROGRAM RECORD")
+var errUsage = problem("usage: rig CASE FOLDER RECORD")
 
 func main() { os.Exit(run()) }
 
@@ -58,8 +59,8 @@
 	return held
 }
 
-func playOne(p play, program string, r *record, trouble bool) (bool, error) {
-	b, err := newBed(program, r)
+func playOne(p play, dir string, r *record, trouble bool) (bool, error) {
+	b, err := newBed(dir, r)
 	if err != nil {
 		return false, err
 	}
--- a/review/rig/pieces.go
+++ b/review/rig/pieces.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -317,7 +319,7 @@
 	clients.Wait()
 	b.record.add("%d streams, %d whole, %d cut, %d of these lost on kept channels though passed on to a further worker, %d wrong", u.ids, u.whole, u.cut, u.lost, u.wrong)
 	if u.whole+u.wrong == 0 {
-		return u, errors.New("no stream was served")
+		return u, problem("no stream was served")
 	}
 	return u, nil
 }
--- a/review/rig/writers.go
+++ b/review/rig/writers.go
@@ -1,8 +1,9 @@
+//go:build review
+
 package main
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -168,7 +169,7 @@
 	}
 	b.record.add("%d requests, %d served, %d lost on kept channels though passed on to a sound worker", u.ids, u.served, u.lost)
 	if u.served == 0 {
-		return false, errors.New("no request was served")
+		return false, problem("no request was served")
 	}
 	return u.lost > mayLose, nil
 }
