--- a/review/rig/bed.go
+++ b/review/rig/bed.go
@@ -5,11 +5,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -77,24 +79,19 @@
 	return lis.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
-// freePorts returns free ports of an address.
-func freePorts(ip string, n int) ([]string, error) {
+// freePorts returns free ports of an address, below those that the system gives to channels.
+func freePorts(ip string, n int) []string {
 	var out []string
-	var open []net.Listener
-	defer func() {
-		for _, l := range open {
-			_ = l.Close()
-		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", ip+":0")
-		if err != nil {
-			return nil, err
+	for len(out) < n {
+		at := fmt.Sprintf("%s:%d", ip, 15000+rand.N(15000))
+		l, err := net.Listen("tcp", at)
+		if err != nil || slices.Contains(out, at) {
+			continue
 		}
-		open = append(open, l)
-		out = append(out, l.Addr().String())
+		_ = l.Close()
+		out = append(out, at)
 	}
-	return out, nil
+	return out
 }
 
 // writeTable writes the next version of the manifest, without its version.
@@ -136,15 +133,8 @@
 // startEntry writes the settings of an entry, as the template of the deploy file renders them. The script
 // starts its process once they are there.
 func (b *bed) startEntry(name string, memoryMB int) (*entry, error) {
-	at, err := freePorts("127.0.0.1", 4)
-	if err != nil {
-		return nil, err
-	}
-	agent, err := freePorts("127.0.0.1", 1)
-	if err != nil {
-		return nil, err
-	}
-	agentPort := netip.MustParseAddrPort(agent[0]).Port()
+	at := freePorts("127.0.0.1", 5)
+	agentPort := netip.MustParseAddrPort(at[4]).Port()
 	settings := map[string]any{
 		"role": "entry", "name": name, "data-centre": "a", "region": "r",
 		"listen":   map[string]string{"callers": at[0], "control": at[1], "operators": at[2]},
@@ -174,6 +164,9 @@
 // awaitReady waits until an entry counts as ready.
 func (e *entry) awaitReady() error {
 	for until := time.Now().Add(20 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if e.hasEnded() {
+			return problem("the entry has ended")
+		}
 		resp, err := http.Get("http://" + e.readiness + "/-/readyz")
 		if err != nil {
 			continue
