--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -26,7 +26,7 @@
 	record  *record
 }
 
-var cases = map[string]func(*play) int{"body": playBody}
+var cases = map[string]func(*play) int{"body": playBody, "event": playEvent}
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
