--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -1,6 +1,8 @@
-// Command drive plays the cases of a review that are scripts: it serves a stand-in of the platform's
-// store and of plain workers, writes the settings of the entries, which the script starts, sends
-// requests as clients, and judges the answers.
+//go:build review
+
+// Command drive plays a script of the review's cases beside those of review/rig: the stand-ins of the platform's
+// store, of workers, of clients and of the network to the store. It writes the settings of the entries, which the
+// script starts, and judges the answers. The tag keeps it out of the default build and tests.
 package main
 
 import (
@@ -26,7 +28,7 @@
 	record  *record
 }
 
-var cases = map[string]func(*play) int{"body": playBody, "event": playEvent}
+var cases = map[string]func(*play) int{"silent": playSilent}
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
--- a/review/play-3.sh
+++ b/review/play-3.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# play-3.sh CASE FOLDER plays a case of target/review-drive: it starts the entries whose settings that program
-# writes, by the command of deploy/system.toml, restarts none, and ends all that it has started.
+# play-3.sh CASE N: plays a case in review/N, and exits with 1 if its rule was broken, 0 if it held, 2 if it could
+# not run. It starts the stand-ins, and the entries by the command of the deploy file once their settings are written,
+# and ends all that it has started.
 set -u
 cd "$(dirname "$0")/.." || exit 2
 dir=$(mktemp -d) || exit 2
@@ -11,10 +12,9 @@
 	rm -rf "$dir"
 }
 trap finish EXIT
-[ -x target/radishwell ] || exit 2
-[ -x target/review-drive ] || review/build-3.sh >&2 || exit 2
+[ -x target/radishwell ] && [ -x target/review-2/drive ] || exit 2
 ulimit -n 4100 2>/dev/null
-timeout -k 1 115 target/review-drive "$1" "$dir" "$2/record.txt" &
+timeout -k 1 115 target/review-2/drive "$1" "$dir" "review/$2/record.txt" &
 drive=$!
 pids+=("$drive")
 started=" "
