Leave entries of services that are not served out of who runs at an address

Cause: of the entries at an address the latest counts as the incarnation that runs there, whichever service it states. The same order gave agents the foreign id, and made SignSince call an incarnation ended that may stand still.

The view now knows the services of the routing table in force, and entries of others take part in no decision on their address. It decides anew with each table, as services come and go.

--- a/core/fleet/sign.go
+++ b/core/fleet/sign.go
@@ -31,7 +31,7 @@
 	if h := v.hosts[inc.ID]; h != nil {
 		return h.SignSince(inc, at)
 	}
-	if slices.ContainsFunc(v.byAddress[address], func(h *Host) bool { return h.Usable && !h.HasEnded() }) {
+	if slices.ContainsFunc(v.byAddress[address], func(h *Host) bool { return v.mayRun(h) && !h.superseded }) {
 		return SignEnded
 	}
 	return NoSign
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -32,8 +32,10 @@
 	// keys is reused by each decision.
 	keys []uint64
 	// byAddress holds the incarnations that the registry lists at an address: one, except
-	// in the seconds after a restart.
+	// in the seconds after a restart, or if entries of other writers name the address.
 	byAddress map[netip.AddrPort][]*Host
+	// served holds the services of the routing table, nil before there is one.
+	served map[core.ServiceName]bool
 	// lapsed holds the hosts whose entry disappeared around an outage of the store, with
 	// the time at which they are dropped.
 	lapsed map[core.HostName]time.Time
@@ -93,6 +95,27 @@
 // by what this process has sent.
 func (v *View) UseCached(book *cached.Book) { v.cached = book }
 
+// SetServices sets the services of the routing table in force. Entries of other services, which any
+// writer may leave in the registry, do not affect which host is taken to run at an address. Before the
+// first call the entries of all services do.
+func (v *View) SetServices(names []core.ServiceName) {
+	v.init()
+	v.changes++
+	v.served = make(map[core.ServiceName]bool, len(names))
+	for _, name := range names {
+		v.served[name] = true
+	}
+	for address := range v.byAddress {
+		v.supersede(address)
+	}
+}
+
+// mayRun reports whether an entry may be that of the host that runs at its address: it is usable, of a
+// service that is served, and its incarnation is not known to have ended.
+func (v *View) mayRun(h *Host) bool {
+	return h.Usable && !h.ended && (v.served == nil || v.served[h.Service])
+}
+
 // Changes counts the changes after which waiting requests should look for a host again.
 func (v *View) Changes() uint64 { return v.changes }
 
@@ -296,8 +319,8 @@
 	}
 }
 
-// Newest returns the newest incarnation that the registry lists at an address and that is
-// not known to have ended, the zero value if there is none. All processes that have read
+// Newest returns the newest incarnation of a served service that the registry lists at an address and
+// that is not known to have ended, the zero value if there is none. All processes that have read
 // the same registry return the same one.
 func (v *View) Newest(address netip.AddrPort) Incarnation {
 	if best := v.newest(address); best != nil {
@@ -308,7 +331,7 @@
 
 func (v *View) newest(address netip.AddrPort) (best *Host) {
 	for _, h := range v.byAddress[address] {
-		if !h.Usable || h.ended {
+		if !v.mayRun(h) {
 			continue
 		}
 		// An ended incarnation no longer writes its entry, so the higher revision is the
--- a/io/deploy/deploy_test.go
+++ b/io/deploy/deploy_test.go
@@ -46,6 +46,8 @@
 	// agents are the settings of the agents that run, and stopAgents ends each of them.
 	agents     []config.Settings
 	stopAgents []func()
+	// sent counts the requests of countServed.
+	sent int
 }
 
 // serve serves a handler on a free port until the test ends.
--- a/io/deploy/leave_test.go
+++ b/io/deploy/leave_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 
@@ -15,6 +16,13 @@
 // addPlain starts an upstream of a service without models, which becomes the only service
 // in the routing table.
 func (f *fleet) addPlain(t *testing.T, n int) *stand.Worker {
+	t.Helper()
+	w, _ := f.startOnlyPlain(t, n)
+	return w
+}
+
+// startOnlyPlain is addPlain, and returns the upstream's address as well.
+func (f *fleet) startOnlyPlain(t *testing.T, n int) (*stand.Worker, netip.AddrPort) {
 	t.Helper()
 	w := &stand.Worker{ID: fmt.Sprintf("i-%d", n), Plain: true}
 	at := serve(t, ports.Host(n).String(), w)
@@ -22,7 +30,7 @@
 	f.store.Put("config", "main", `{"version":2,"routes":[
 	 {"name":"r-1","host":"a.example","path_prefix":"/chat/","route_kind":"non_idempotent","timeout_ms":30000,"target_latency_ms":800,"service":"plain","max_attempts":1}],
 	 "services":[{"name":"plain"}]}`)
-	return w
+	return w, at
 }
 
 // Guards against entries that do not notify each other of an upstream that announces in a
--- a/io/deploy/links.go
+++ b/io/deploy/links.go
@@ -102,9 +102,11 @@
 	}
 	l.entry.proxy.Update(func(v *fleet.View, _ time.Time) {
 		for _, h := range v.Hosts("") {
-			if s := table.Services[h.Service]; h.Usable && s != nil && s.HasModels() {
-				out[h.Address] = engine{centre: h.DataCentre, incarnation: v.Newest(h.Address), software: h.Software}
+			s, newest := table.Services[h.Service], v.Newest(h.Address)
+			if _, known := out[h.Address]; !h.Usable || s == nil || !s.HasModels() || known && h.ID != newest.ID {
+				continue
 			}
+			out[h.Address] = engine{centre: h.DataCentre, incarnation: newest, software: h.Software}
 		}
 	})
 	return out
--- a/io/deploy/odd_test.go
+++ b/io/deploy/odd_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 
@@ -64,6 +65,56 @@
 	}
 }
 
+// putBeside registers another host at the address of one, of a service and in a state.
+func (f *fleet) putBeside(at netip.AddrPort, service, state string) {
+	f.store.Put("servers", "odd", fmt.Sprintf(`{"service":%q,"address":%q,"zone":"dc-1","slots":64,"state":%q,"sequence":0}`, service, at, state))
+}
+
+// foreignEntries are entries whose services no routing table names, as service and state.
+var foreignEntries = map[string][2]string{"unknown service": {"other", "ready"}, "leaving": {"other", "draining"}, "empty service": {"", "ready"}}
+
+// Guards against entries of services that no routing table names at the addresses of all hosts: no request was
+// served while they stood there.
+func TestEntriesOfUnservedServiceEndNoService(t *testing.T) {
+	for name, entry := range foreignEntries {
+		t.Run("plain service, "+name, func(t *testing.T) {
+			f := newFleet(t)
+			_, at := f.startOnlyPlain(t, 1)
+			f.putBeside(at, entry[0], entry[1])
+			e := f.addEntry(t, "edge-1")
+			e.waitReady(t)
+			assert.Equal(t, f.countServed(t, e, ""), 10, "there from the start")
+			f.store.Remove("servers", "odd")
+			assert.Equal(t, f.countServed(t, e, ""), 10, "without the entry")
+			f.putBeside(at, entry[0], entry[1])
+			assert.Equal(t, f.countServed(t, e, ""), 10, "added")
+		})
+		t.Run("service with models, "+name, func(t *testing.T) {
+			f := newFleet(t)
+			w, at := f.startEngine(t, 1, stand.Held{Name: "m-1"})
+			w.Unnamed = true
+			f.putBeside(at, entry[0], entry[1])
+			f.addAgent(t, 1, at)
+			e := f.addEntry(t, "edge-1")
+			e.waitReady(t)
+			assert.Equal(t, f.countServed(t, e, "m-1"), 10)
+			wantChat(t, e, "q-load", "m-2")
+		})
+	}
+}
+
+// countServed sends ten requests to an entry, one after the other, and returns how many are served.
+func (f *fleet) countServed(t *testing.T, e running, model string) (served int) {
+	t.Helper()
+	for range 10 {
+		f.sent++
+		if status, _ := sendChat(t, e, fmt.Sprint("q-", f.sent), model); status == http.StatusOK {
+			served++
+		}
+	}
+	return served
+}
+
 // Guards against an entry of another writer at the address of a sound host, which takes that host for ended.
 func TestEntryAtAddressOfSoundHostEndsNoService(t *testing.T) {
 	f := newFleet(t)
@@ -73,12 +124,5 @@
 	e.waitReady(t)
 	wantChat(t, e, "q-0", "m-1")
 	f.store.Put("servers", "odd", fmt.Sprintf(`{"service":"llm","address":%q,"zone":"dc-1","slots":64,"state":"ready","sequence":0,"models":[{"name":"m-1"}]}`, at))
-	served := 0
-	for n := range 10 {
-		status, _ := sendChat(t, e, fmt.Sprint("q-", n+1), "m-1")
-		if status == http.StatusOK {
-			served++
-		}
-	}
-	assert.Equal(t, served, 10)
+	assert.Equal(t, f.countServed(t, e, "m-1"), 10)
 }
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -190,6 +191,7 @@
 		p.noteMoved(t.Moved(before))
 	}
 	p.forgetDurations(t)
+	p.view.SetServices(slices.Collect(maps.Keys(t.Services)))
 	events.Log(events.TableInForce, "version", t.Version, "routes", t.Len())
 	p.wake()
 }
