Ask hosts which incarnation they are before a registry entry takes them out of service

A valid entry of another writer at the address of a sound host took that host out of service: 1 of 10 requests served, the others refused by the host itself, which answers 421 for an incarnation that it is not.

The registry's order is now a first guess. If it lists another incarnation that may run at the address, a refusal as misdirected makes the next attempt go to that one; a host with models, which may only lack the model, is asked for its id on its health path, once a second at most. If the retry budget has no second attempt, an incarnation that has not answered yet is asked first: entries that have just started have none, and the first request got 503 otherwise. An entry that was leaving when it was first listed counts less.

A real restart still supersedes at once: TestTwoLivesAtOneAddress is unchanged.

--- a/core/fleet/host.go
+++ b/core/fleet/host.go
@@ -86,6 +86,11 @@
 	unreachableAt time.Time
 	// superseded is set if the registry lists a newer incarnation at the host's address.
 	superseded bool
+	// addedLeaving is set if the first entry of this incarnation was that of a leaving host.
+	addedLeaving bool
+	// deniedAt is when a host at the address last stated that it is not this incarnation, zero if none
+	// has. identityAskedAt is when one was last asked.
+	deniedAt, identityAskedAt time.Time
 	// unusableUntil is the time until which the entry may be that of an incarnation that had
 	// gone before the registry was restored.
 	unusableUntil time.Time
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -156,7 +156,7 @@
 	h := v.hosts[e.ID]
 	if h == nil || !h.isSameRun(e) {
 		v.remove(h)
-		h = &Host{Entry: e}
+		h = &Host{Entry: e, addedLeaving: e.Leaving}
 		if v.isRevived(e) {
 			h.unusableUntil = v.restoredAt.Add(restoreGrace)
 		}
@@ -313,15 +313,24 @@
 // supersede marks the hosts at an address for which the registry lists a newer incarnation
 // there.
 func (v *View) supersede(address netip.AddrPort) {
-	best := v.newest(address)
-	for _, h := range v.byAddress[address] {
-		h.superseded = best != nil && h != best
+	at := v.byAddress[address]
+	for _, h := range at {
+		h.superseded = slices.ContainsFunc(at, func(o *Host) bool { return o != h && v.mayRun(o) && o.supersedes(h) })
+	}
+}
+
+// supersedes reports whether an incarnation counts as the one that runs at the address of another. Between
+// services only what the host there says decides: a request shows that it is of another one without being run.
+func (h *Host) supersedes(o *Host) bool {
+	if h.Service != o.Service {
+		return o.deniedAt.After(h.deniedAt)
 	}
+	return h.compareRun(o) > 0
 }
 
 // Newest returns the newest incarnation of a served service that the registry lists at an address and
 // that is not known to have ended, the zero value if there is none. All processes that have read
-// the same registry return the same one.
+// the same registry return the same one, unless the host has told some of them that it is another.
 func (v *View) Newest(address netip.AddrPort) Incarnation {
 	if best := v.newest(address); best != nil {
 		return Incarnation{ID: best.ID, Born: best.Born}
@@ -334,15 +343,52 @@
 		if !v.mayRun(h) {
 			continue
 		}
-		// An ended incarnation no longer writes its entry, so the higher revision is the
-		// newer one.
-		if best == nil || cmp.Or(cmp.Compare(h.Born, best.Born), cmp.Compare(h.Revision, best.Revision), cmp.Compare(h.ID, best.ID)) > 0 {
+		if best == nil || h.compareRun(best) > 0 {
 			best = h
 		}
 	}
 	return best
 }
 
+// compareRun compares two incarnations at an address by how likely they run there. What hosts say of
+// themselves counts before the entries' order, which any writer can affect. Hosts begin as ready, so an entry
+// that never was is less likely to be one's.
+func (h *Host) compareRun(o *Host) int {
+	return cmp.Or(
+		o.deniedAt.Compare(h.deniedAt), core.CompareBool(o.addedLeaving, h.addedLeaving), cmp.Compare(h.Born, o.Born),
+		// An ended incarnation no longer writes its entry, so the higher revision is the newer one.
+		cmp.Compare(h.Revision, o.Revision), cmp.Compare(h.ID, o.ID),
+	)
+}
+
+// identityGap is the least time between two questions to a host for its identity.
+const identityGap = time.Second
+
+// StartIdentityCheck reports whether a host is to be asked which incarnation it is, after it has refused a
+// request for one, and records that it is. That matters only if the registry lists another incarnation that
+// may run at its address.
+func (v *View) StartIdentityCheck(inc Incarnation, now time.Time) bool {
+	h := v.hosts[inc.ID]
+	if h == nil || h.Born != inc.Born || now.Sub(h.identityAskedAt) < identityGap {
+		return false
+	}
+	mayRun := func(o *Host) bool { return o != h && v.mayRun(o) }
+	if !slices.ContainsFunc(v.byAddress[h.Address], mayRun) {
+		return false
+	}
+	h.identityAskedAt = now
+	return true
+}
+
+// NoteDenied records that the host at the address of an incarnation states that it is another one.
+func (v *View) NoteDenied(inc Incarnation, now time.Time) {
+	if h := v.hosts[inc.ID]; h != nil && h.Born == inc.Born {
+		h.deniedAt = now
+		v.changes++
+		v.supersede(h.Address)
+	}
+}
+
 // Host returns a host by its ID, nil if it is unknown.
 func (v *View) Host(id core.HostName) *Host { return v.hosts[id] }
 
--- a/core/manage.go
+++ b/core/manage.go
@@ -243,4 +243,7 @@
 type Managed interface {
 	State(ctx context.Context) (UpstreamState, error)
 	Order(ctx context.Context, o UpstreamOrder) (OrderResult, error)
+	// Identity returns the ID that the upstream states on the path of its health checks, empty if it
+	// states none.
+	Identity(ctx context.Context, healthPath string) (HostName, error)
 }
--- a/core/rtable/table.go
+++ b/core/rtable/table.go
@@ -124,6 +124,8 @@
 	LoadsPerSecond float64
 	// Connections limits the connections that a host accepts from all callers together.
 	Connections int
+	// HealthPath is the path of the hosts' health checks, empty if they have none.
+	HealthPath string
 }
 
 // HasModels reports whether the service runs model engines, as opposed to a plain service.
--- a/io/deploy/deploy_test.go
+++ b/io/deploy/deploy_test.go
@@ -89,7 +89,7 @@
 	f.agentPort = int(freePort(t, ports.Host(1)).Port())
 	f.store.Put("config", "main", `{"version":1,"routes":[
 	 {"name":"r-1","host":"a.example","path_prefix":"/chat/","route_kind":"streaming","timeout_ms":30000,"target_latency_ms":800,"service":"llm","max_attempts":2,"resumable":true}],
-	 "services":[{"name":"llm","engine":{"slots":64,"weights_mb":200,"adapter_slots":2,"loads_per_s":4,"models":[
+	 "services":[{"name":"llm","health_path":"/healthz","engine":{"slots":64,"weights_mb":200,"adapter_slots":2,"loads_per_s":4,"models":[
 	  {"name":"m-1","weights_mb":70,"load_s":0.1,"warm_s":0.1,"disk_s":0.1,"adapters":2,"adapter_mb":1},
 	  {"name":"m-2","weights_mb":70,"load_s":0.1,"warm_s":0.1,"disk_s":0.1}]}}]}`)
 	return f
--- a/io/deploy/odd_test.go
+++ b/io/deploy/odd_test.go
@@ -126,3 +126,37 @@
 	f.store.Put("servers", "odd", fmt.Sprintf(`{"service":"llm","address":%q,"zone":"dc-1","slots":64,"state":"ready","sequence":0,"models":[{"name":"m-1"}]}`, at))
 	assert.Equal(t, f.countServed(t, e, "m-1"), 10)
 }
+
+// Guards against valid entries of another writer that take sound hosts out of service without any request that
+// could show who runs there, or while there are no retries.
+func TestSoundEntriesOfOthersEndNoService(t *testing.T) {
+	for name, entry := range map[string][2]string{"ready": {"plain", "ready"}, "leaving": {"plain", "draining"}, "another service": {"llm", "ready"}} {
+		t.Run("plain service, "+name, func(t *testing.T) {
+			f := newFleet(t)
+			w, at := f.startPlain(t, 1)
+			f.store.Put("config", "main", tableOf(2))
+			f.putBeside(netip.MustParseAddrPort(at), entry[0], entry[1])
+			e := f.addEntry(t, "edge-1")
+			e.waitReady(t)
+			served := 0
+			for range 20 {
+				if hasTable(t, e, 2) {
+					served++
+				}
+			}
+			assert.Equal(t, served, 20)
+			assert.Assert(t, len(w.Requests()) <= 21, "a wrong guess is not made again")
+		})
+	}
+	t.Run("a host that does not state its ID to its agent", func(t *testing.T) {
+		f := newFleet(t)
+		w, at := f.startEngine(t, 1, stand.Held{Name: "m-1"})
+		w.Unnamed = true
+		f.addAgent(t, 1, at)
+		e := f.addEntry(t, "edge-1")
+		e.waitReady(t)
+		f.putBeside(at, "llm", "ready")
+		assert.Equal(t, f.countServed(t, e, "m-1"), 10)
+		wantChat(t, e, "q-load", "m-2")
+	})
+}
--- a/io/deploy/restore_test.go
+++ b/io/deploy/restore_test.go
@@ -13,7 +13,7 @@
 	return fmt.Sprintf(`{"version":%d,"routes":[
 	 {"name":"r-1","host":"a.example","path_prefix":"/chat/","route_kind":"streaming","timeout_ms":30000,"target_latency_ms":800,"service":"llm","max_attempts":2,"resumable":true},
 	 {"name":"r-2","host":"a.example","path_prefix":"/v%d/","route_kind":"idempotent","timeout_ms":5000,"target_latency_ms":800,"service":"plain","max_attempts":2}],
-	 "services":[{"name":"plain"},{"name":"llm","engine":{"slots":64,"weights_mb":200,"adapter_slots":2,"loads_per_s":4,"models":[
+	 "services":[{"name":"plain","health_path":"/healthz"},{"name":"llm","engine":{"slots":64,"weights_mb":200,"adapter_slots":2,"loads_per_s":4,"models":[
 	  {"name":"m-1","weights_mb":70,"load_s":0.1,"warm_s":0.1,"disk_s":0.1,"adapters":2,"adapter_mb":1}]}}]}`, version, version)
 }
 
--- a/io/driver/driver_test.go
+++ b/io/driver/driver_test.go
@@ -80,6 +80,8 @@
 	return s, nil
 }
 
+func (e *fakeUpstream) Identity(context.Context, string) (core.HostName, error) { return "", nil }
+
 func (e *fakeUpstream) Order(_ context.Context, o core.UpstreamOrder) (core.OrderResult, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/io/events/table.go
+++ b/io/events/table.go
@@ -121,6 +121,7 @@
 	OriginsSaved
 	StreamOriginRead
 	UpstreamProbed
+	IncarnationDenied
 	eventCount
 )
 
@@ -268,6 +269,7 @@
 	{Event: OriginsSaved, Name: "origins-saved", Severity: Info, Sampled: true, Text: "Records of where streams began were written to the platform", Advice: noAction},
 	{Event: StreamOriginRead, Name: "stream-origin-read", Severity: Info, Sampled: true, Text: "Caller resumes a stream whose software version is known from the platform's records only", Advice: "Nothing just after entries and agents were lost. If it recurs, check that entries can reach each other and the agents."},
 	{Event: UpstreamProbed, Name: "upstream-probed", Severity: Info, Sampled: true, Text: "Entry asked an upstream whether it runs: its streams have paused, it may not have read requests, or the entry has started", Advice: "Nothing if it recurs for a few seconds. If an upstream responds for longer while its agent is silent, find out why the agent does not run; if it is silent while its agent reports, check the network between the entry and the upstream."},
+	{Event: IncarnationDenied, Name: "incarnation-denied", Severity: Warning, Sampled: true, Text: "Upstream is not the incarnation that the newest registry entry at its address names; another entry there is used", Advice: "Nothing just after a restart. If it recurs, find out who writes the registry entry with this name."},
 })
 
 // groups maps the first event of each group to its number. Each group starts at the next
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -167,6 +167,9 @@
 	c.applySignals(t, head, t.sentAt)
 	if head.ID == c.ask.ID && x.rejected() {
 		c.recordEnd(t, func(h *fleet.Host, now time.Time) { c.recordRejection(h, now, resp.StatusCode) })
+		if resp.StatusCode == http.StatusMisdirectedRequest {
+			c.checkIdentity(ctx, t)
+		}
 		return outcome{sent: true, rejected: true, cause: &RejectedError{Status: resp.StatusCode}}
 	}
 	c.ran++
--- a/io/proxy/wait.go
+++ b/io/proxy/wait.go
@@ -32,6 +32,7 @@
 			return nil, refusal
 		}
 		if c.reserve(ctx, t) && c.ensureAdapter(ctx, t, fetch) {
+			c.checkUnproven(ctx, t)
 			ready, refusal := c.beginTrial(ctx, t)
 			switch {
 			case refusal != nil:
