Split event streams by lines, not by what a read has returned

Cause: forwardStream read with a buffer of 4,096 bytes. The end of a line that fills it came alone and was taken for the blank line; fields and ids were asked of each piece of a line too, and a bare CR never ended one.

stream.Position now splits events for all who ask, in pieces of any size. What a read has brought is flushed once: an event no longer waits for the next one because two line feeds that end none came with it.

--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -1,8 +1,6 @@
 package proxy
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -18,8 +16,12 @@
 	"radishwell/core/stream"
 )
 
-// maxEvent bounds one event of a stream, in bytes.
-const maxEvent = 1 << 20
+const (
+	// maxEvent bounds one event of a stream, in bytes.
+	maxEvent = 1 << 20
+	// streamBuffer is the size of the pieces in which a stream is read, in bytes.
+	streamBuffer = 4 << 10
+)
 
 // OrderError reports an event that does not follow the previous one.
 type OrderError struct{ After, Got string }
@@ -60,55 +62,60 @@
 // upstream may break off in the middle of an event, and what another upstream continues
 // with has to follow a whole one.
 func (c *call) forwardStream(ctx context.Context, t *target, resp *http.Response) error {
-	in := bufio.NewReaderSize(resp.Body, 4<<10)
 	out := http.NewResponseController(c.writer)
 	defer c.flush(out)
+	buffer := make([]byte, streamBuffer)
 	var pending []byte
-	id, whole := "", false
+	var at stream.Position
 	resumed := c.started || c.route.Resumable && c.lastEventID != ""
 	for {
-		line, err := in.ReadSlice('\n')
-		pending = append(pending, line...)
-		c.partialEvent = len(pending)
-		if len(pending) > maxEvent {
-			return &SpoiltError{Reason: "an event is larger than " + strconv.Itoa(maxEvent) + " bytes"}
+		n, err := resp.Body.Read(buffer)
+		events := c.events
+		for data := buffer[:n]; len(data) > 0; {
+			used, ended := at.Next(data)
+			pending, data = append(pending, data[:used]...), data[used:]
+			c.partialEvent = len(pending)
+			if len(pending) > maxEvent {
+				return &SpoiltError{Reason: "an event is larger than " + strconv.Itoa(maxEvent) + " bytes"}
+			}
+			if !ended {
+				continue
+			}
+			if err := c.forwardEvent(t, resp, pending, at.ID(), resumed); err != nil {
+				return err
+			}
+			pending, c.partialEvent = pending[:0], 0
+		}
+		if c.events > events {
+			if err := c.flushEvents(out); err != nil {
+				return err
+			}
 		}
-		whole = whole || stream.IsEventField(line)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
 		case errors.Is(err, io.EOF):
 			return c.endStream(ctx, t, resp, pending)
 		case err != nil:
 			return err
 		}
-		if text, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(text))
-		}
-		if !whole || len(bytes.TrimRight(line, "\r\n")) > 0 {
-			continue // what is no event goes with the next one
-		}
-		if resumed && id != "" && !follows(c.lastEventID, id) {
-			return &OrderError{After: c.lastEventID, Got: id}
-		}
-		c.openStream(t, resp)
-		if err := c.write(pending); err != nil {
-			return err
-		}
-		c.recordEvent()
-		c.noteProgress(t)
-		c.noteEventID(id)
-		pending, id, whole = pending[:0], "", false
-		c.partialEvent = 0
-		if hasEvent(in) {
-			continue // the event is flushed with the next one, which is buffered
-		}
-		if err := c.flushEvents(out); err != nil {
-			return err
-		}
 	}
 }
 
+// forwardEvent forwards an event with the given id, empty if it has none. It returns an error if the stream
+// continues another one and the event does not follow that one's last.
+func (c *call) forwardEvent(t *target, resp *http.Response, event []byte, id string, resumed bool) error {
+	if resumed && id != "" && !follows(c.lastEventID, id) {
+		return &OrderError{After: c.lastEventID, Got: id}
+	}
+	c.openStream(t, resp)
+	if err := c.write(event); err != nil {
+		return err
+	}
+	c.recordEvent()
+	c.noteProgress(t)
+	c.noteEventID(id)
+	return nil
+}
+
 // endStream ends a stream that the upstream has ended. rest is what came after its last whole
 // event. It returns an error if the stream may not be passed on as complete.
 func (c *call) endStream(ctx context.Context, t *target, resp *http.Response, rest []byte) error {
@@ -166,13 +173,6 @@
 	}
 }
 
-// hasEvent reports whether another whole event is buffered. A partial event must not
-// delay those before it.
-func hasEvent(in *bufio.Reader) bool {
-	ahead, err := in.Peek(in.Buffered())
-	return err == nil && bytes.Contains(ahead, []byte("\n\n"))
-}
-
 // GoneError reports a caller that no longer reads its answer.
 type GoneError struct{ Cause error }
 
