Forward what was read ahead of an answer once

Cause: an attempt that may have a second one beside it put what it had read ahead before the rest of the body again, and forwardWhole wrote both. keepFailure replaced the body in its own way.

What was read is now in the exchange alone, and the body has what follows.

--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -61,7 +60,7 @@
 	head  core.AnswerHead
 	state sendState
 	err   error
-	// ahead is what was read of the body, nil if nothing was. endedAt is when there was that, a header, or an error.
+	// ahead is what was read of the body, nil if nothing was; resp.Body has what follows. endedAt is when there was that, a header, or an error.
 	ahead   *readAhead
 	endedAt time.Time
 }
@@ -177,7 +176,7 @@
 		c.recordEnd(t, (*fleet.Host).NoteFailure)
 		return outcome{sent: true, cause: err}
 	}
-	if c.keepFailure(ctx, t, resp) {
+	if c.keepFailure(ctx, x) {
 		c.recordEnd(t, (*fleet.Host).NoteFailure)
 		return outcome{sent: true, cause: &FailedError{Status: resp.StatusCode}}
 	}
@@ -266,19 +265,21 @@
 
 // keepFailure reports whether an answer is a failure after which another host is tried.
 // It keeps the failure if it could be read.
-func (c *call) keepFailure(ctx context.Context, t *target, resp *http.Response) bool {
+func (c *call) keepFailure(ctx context.Context, x *exchange) bool {
+	resp := x.resp
 	if c.route.Kind != rtable.Repeatable || resp.StatusCode < http.StatusInternalServerError || c.ran >= c.route.MaxHosts {
 		return false
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer+1))
+	if x.ahead == nil {
+		x.ahead = &readAhead{}
+	}
+	body, err := x.ahead.upTo(maxBufferedAnswer+1, resp.Body)
 	switch {
 	case err != nil:
-		c.noteError(ctx, t, true, err)
+		c.noteError(ctx, x.target, true, err)
 		return true // the answer broke off and cannot be kept
 	case len(body) > maxBufferedAnswer:
-		// The answer is too large to keep, so it is forwarded from its beginning.
-		resp.Body = &replayedBody{Reader: io.MultiReader(bytes.NewReader(body), resp.Body), Closer: resp.Body}
-		return false
+		return false // the answer is too large to keep, so it is forwarded
 	}
 	c.failure = &failure{
 		status: resp.StatusCode, header: c.proxy.Protocol.ReplyHeader(resp.Header), body: body, length: c.lengthOf(resp, body), framing: c.framing,
@@ -286,12 +287,6 @@
 	return true
 }
 
-// replayedBody reads the buffered beginning of a body again, then the rest.
-type replayedBody struct {
-	io.Reader
-	io.Closer
-}
-
 // writeFailure answers the caller with the kept failure.
 func (c *call) writeFailure() {
 	c.writeHead(c.failure.status, c.failure.header, c.failure.framing, c.failure.length)
--- a/io/proxy/buffer.go
+++ b/io/proxy/buffer.go
@@ -173,6 +173,16 @@
 	return out
 }
 
+// upTo reads more of the body from the reader of its rest until there are n bytes, or the body ends, and returns them.
+func (a *readAhead) upTo(n int, rest io.Reader) ([]byte, error) {
+	if a.err != nil {
+		return nil, a.err
+	}
+	more, err := io.ReadAll(io.LimitReader(rest, int64(max(0, n-len(a.body)))))
+	a.body = append(a.body, more...)
+	return a.body, err
+}
+
 // flushEvents sends the caller what was written.
 func (c *call) flushEvents(out *http.ResponseController) error {
 	if c.gone != nil {
--- a/io/proxy/second.go
+++ b/io/proxy/second.go
@@ -1,9 +1,7 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -82,7 +80,6 @@
 		c.exchange(ctx, x)
 		if x.err == nil {
 			x.ahead = c.readAhead(x.resp.Body)
-			x.resp.Body = &replayedBody{Reader: io.MultiReader(bytes.NewReader(x.ahead.body), x.resp.Body), Closer: x.resp.Body}
 			x.endedAt = c.proxy.Clock.Now()
 		}
 		ends <- x
