Keep the signals of a host that returns to the registry

Cause: the list of the incarnations that are not listed held each one as often as it had not been, and listed ones too. When one returned whose place was the oldest, its new signals were deleted, and its next removal dereferenced nil.

The list now holds each incarnation that is not listed once, and none that is.

--- a/core/fleet/signal.go
+++ b/core/fleet/signal.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxUnlisted bounds the incarnations that the registry does not list whose signals are
 // kept.
@@ -69,11 +72,20 @@
 	if s == nil {
 		s = &signals{}
 		v.signals[inc] = s
-		v.retain(inc)
+		if h := v.hosts[inc.ID]; h == nil || h.Born != inc.Born {
+			v.retain(inc)
+		}
 	}
 	return s
 }
 
+// list returns the signals of an incarnation that the registry lists from now on. They are kept until unlist.
+func (v *View) list(inc Incarnation) *signals {
+	s := v.signalsOf(inc)
+	v.unlisted = slices.DeleteFunc(v.unlisted, func(o Incarnation) bool { return o == inc })
+	return s
+}
+
 // unlist drops the signals of an incarnation that the registry no longer lists, unless some
 // are set, since its entry may come back.
 func (v *View) unlist(inc Incarnation) {
@@ -84,16 +96,12 @@
 	v.retain(inc)
 }
 
-// retain keeps the signals of an incarnation as long as it is among the last maxUnlisted
-// that were not listed.
+// retain keeps the signals of an incarnation that is not listed, as long as it is among the last maxUnlisted
+// of these.
 func (v *View) retain(inc Incarnation) {
 	v.unlisted = append(v.unlisted, inc)
-	if len(v.unlisted) <= maxUnlisted {
-		return
-	}
-	oldest := v.unlisted[0]
-	v.unlisted = v.unlisted[1:]
-	if h := v.hosts[oldest.ID]; h == nil || h.Born != oldest.Born {
-		delete(v.signals, oldest)
+	if len(v.unlisted) > maxUnlisted {
+		delete(v.signals, v.unlisted[0])
+		v.unlisted = v.unlisted[1:]
 	}
 }
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -39,8 +39,8 @@
 	// lapsed holds the hosts whose entry disappeared around an outage of the store, with
 	// the time at which they are dropped.
 	lapsed map[core.HostName]time.Time
-	// signals holds the signals of each incarnation. unlisted holds the incarnations that
-	// were not listed in the registry at some time, oldest first.
+	// signals holds the signals of each incarnation that is listed in the registry, and of those in
+	// unlisted, which are not, oldest first.
 	signals  map[Incarnation]*signals
 	unlisted []Incarnation
 	// brokenOff holds the attempts that broke off recently.
@@ -210,7 +210,7 @@
 }
 
 func (v *View) add(h *Host) {
-	h.signals = v.signalsOf(h.Incarnation())
+	h.signals = v.list(h.Incarnation())
 	h.view = v
 	v.hosts[h.ID] = h
 	v.index.add(h)
