Give up kept connections to the store when one was silent

Cause: the poll for changes ended in time, but the list after it was sent on a connection that net/http had kept, which was as silent, and waited for another 1.5 s.

A call that ends since the other side was silent now closes the connections that are kept.

--- a/io/objapi/call.go
+++ b/io/objapi/call.go
@@ -87,6 +87,11 @@
 	}
 	answer := stall.Start(ctx, timeout)
 	defer answer.Stop()
+	defer func() {
+		if answer.IsSilent() {
+			c.http.CloseIdleConnections() // they may be as silent, and the next attempt would wait on one
+		}
+	}()
 	resp, failed := c.send(answer.Context, op, nil)
 	if failed != nil {
 		return failed
--- a/io/objapi/watch.go
+++ b/io/objapi/watch.go
@@ -18,9 +18,11 @@
 // watch is a running watch. A goroutine decodes events, and a timer closes the connection
 // if it is silent for too long.
 type watch struct {
-	op      *operation
-	cancel  context.CancelFunc
-	changes chan core.Change
+	op     *operation
+	cancel context.CancelFunc
+	// onSilence is called if the connection is silent for too long.
+	onSilence func()
+	changes   chan core.Change
 	// ended receives the error that ended the watch, and is then closed.
 	ended chan error
 }
@@ -52,10 +54,12 @@
 		return nil, op.statusError(resp)
 	}
 	w := &watch{
-		op:      op,
-		cancel:  cancel,
-		changes: make(chan core.Change, maxBufferedEvents),
-		ended:   make(chan error, 1),
+		op:     op,
+		cancel: cancel,
+		// They may be as silent, and the next call would wait on one.
+		onSilence: c.http.CloseIdleConnections,
+		changes:   make(chan core.Change, maxBufferedEvents),
+		ended:     make(chan error, 1),
 	}
 	go w.run(ctx, resp, c.WatchSilence)
 	return w, nil
@@ -92,6 +96,7 @@
 	silent := make(chan struct{})
 	timer := time.AfterFunc(silence, func() {
 		close(silent)
+		w.onSilence()
 		w.cancel()
 	})
 	dec := json.NewDecoder(resp.Body)
--- a/io/stall/stall.go
+++ b/io/stall/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"time"
 )
@@ -37,6 +38,12 @@
 	return c
 }
 
+// IsSilent reports whether the other side has been silent for too long.
+func (c *Call) IsSilent() bool {
+	var silent *SilenceError
+	return errors.As(context.Cause(c.Context), &silent)
+}
+
 // Stop ends the call and releases its resources.
 func (c *Call) Stop() {
 	c.timer.Stop()
