--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -70,7 +70,7 @@
 	resumed := c.started || c.route.Resumable && c.lastEventID != ""
 	for {
 		n, err := resp.Body.Read(buffer)
-		events := c.events
+		before := c.events
 		for data := buffer[:n]; len(data) > 0; {
 			used, ended := at.Next(data)
 			pending, data = append(pending, data[:used]...), data[used:]
@@ -86,7 +86,7 @@
 			}
 			pending, c.partialEvent = pending[:0], 0
 		}
-		if c.events > events {
+		if c.events > before {
 			if err := c.flushEvents(out); err != nil {
 				return err
 			}
