--- a/io/cmds/soak.go
+++ b/io/cmds/soak.go
@@ -21,6 +21,7 @@
 	Agents  bool          `name:"lose-agents" help:"Kill all agents with them, and have streams last longer."`
 	Still   bool          `name:"standstills" help:"Have upstreams stand still under load instead, and check the retry budget."`
 	After   time.Duration `name:"crash-after" help:"Time from the first event until a request crashes its upstream."`
+	Foreign bool          `name:"foreign-entries" help:"Have another writer register hosts at the addresses of upstreams, besides the other faults."`
 	Keep    string        `default:"target/soak-runs" help:"Directory for the logs and schedules of runs that failed." type:"path"`
 }
 
@@ -88,7 +89,7 @@
 	if err != nil {
 		return false, err
 	}
-	report, err := (&soak.Run{Seed: seed, Length: c.Length, LoseEntries: c.Lose, LoseAgents: c.Agents, CrashAfter: c.After, Program: []string{program}, Dir: dir}).Execute()
+	report, err := (&soak.Run{Seed: seed, Length: c.Length, LoseEntries: c.Lose, LoseAgents: c.Agents, CrashAfter: c.After, ForeignEntries: c.Foreign, Program: []string{program}, Dir: dir}).Execute()
 	if err != nil {
 		return false, err
 	}
--- a/io/soak/inject.go
+++ b/io/soak/inject.go
@@ -109,6 +109,8 @@
 		t.release(engine)
 	case MisstateVersion:
 		return t.misstateVersion(engine, s.Variant)
+	case ForeignEntry:
+		return t.addForeignEntry(host, s.Variant)
 	case RestoreStore:
 		held := t.store.Copy()
 		return func() { t.restoreStore(held) }
--- a/io/soak/plan.go
+++ b/io/soak/plan.go
@@ -55,6 +55,8 @@
 	LoseCached
 	FallingUpstreams
 	KillEntries
+	// ForeignEntry: another writer registers a host at the address of one.
+	ForeignEntry
 	kindCount
 )
 
@@ -113,6 +115,7 @@
 	LoseCached:       {"lose-cached", 3, 0},
 	FallingUpstreams: {"falling-upstreams", 3, 3 * time.Second},
 	KillEntries:      {"kill-entries", 0, 0}, // drawn apart, so that schedules of earlier seeds stay
+	ForeignEntry:     {"foreign-entry", 0, maxForeign},
 }
 
 // String returns the name of the kind as in schedules.
--- a/io/soak/run.go
+++ b/io/soak/run.go
@@ -31,6 +31,8 @@
 	LoseAgents bool
 	// CrashAfter is the time from the first event until a request crashes its upstream.
 	CrashAfter time.Duration
+	// ForeignEntries is set if another writer registers hosts at the addresses of upstreams, besides the schedule.
+	ForeignEntries bool
 	// Program is the command of entries and agents. The role and the settings file are
 	// appended as arguments.
 	Program []string
@@ -79,6 +81,9 @@
 	if r.LoseEntries {
 		steps = addLosses(steps, r.Seed, r.Length)
 	}
+	if r.ForeignEntries {
+		steps = addForeign(steps, r.Seed, r.Length)
+	}
 	if err := os.WriteFile(filepath.Join(r.Dir, "schedule.txt"), []byte(lines(steps)), 0o644); err != nil {
 		return nil, &StartError{What: "the run", Cause: err}
 	}
--- a/io/soak/testbed.go
+++ b/io/soak/testbed.go
@@ -217,7 +217,7 @@
 	for i := range t.extra {
 		routes = append(routes, route(fmt.Sprintf("more-%d-%x", i, rand.Uint64()), "idempotent", "plain", 2, ""))
 	}
-	t.table = fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"plain"},{"name":"llm","engine":{"slots":64,"weights_mb":200,"adapter_slots":2,"loads_per_s":20,
+	t.table = fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"plain","health_path":"/healthz"},{"name":"llm","health_path":"/healthz","engine":{"slots":64,"weights_mb":200,"adapter_slots":2,"loads_per_s":20,
 	 "models":[{"name":"m-1","weights_mb":70,"load_s":0.2,"warm_s":0.2,"disk_s":0.2},{"name":"m-2","weights_mb":70,"load_s":0.2,"warm_s":0.2,"disk_s":0.2}]}}],
 	 "tenants":[{"name":"free","api_keys":["key-free"]},{"name":"limited","api_keys":["key-limited"],"rate_per_s":%d,"burst":%d}]}`,
 		t.version, strings.Join(routes, ","), limitedRate, limitedRate)
@@ -267,13 +267,17 @@
 	return err
 }
 
-// register writes the registry entry of an upstream.
-func (t *testbed) register(u *upstream) {
-	service := "llm"
+// service returns the name of the upstream's service.
+func (u *upstream) service() string {
 	if u.Plain {
-		service = "plain"
+		return "plain"
 	}
-	t.store.Put("servers", u.ID, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"dc-1","slots":64,"state":"ready","sequence":0,"born":%d,"version":%s}`, service, u.box.At(), u.started, u.quoted()))
+	return "llm"
+}
+
+// register writes the registry entry of an upstream.
+func (t *testbed) register(u *upstream) {
+	t.store.Put("servers", u.ID, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"dc-1","slots":64,"state":"ready","sequence":0,"born":%d,"version":%s}`, u.service(), u.box.At(), u.started, u.quoted()))
 }
 
 func (t *testbed) addEntry(i int, at []netip.AddrPort, agentPort uint16, seeds []string) error {
