--- a/core/fleet/doc.go
+++ b/core/fleet/doc.go
@@ -7,7 +7,9 @@
 // requests, and the models that a host holds are taken from the fresher of the two.
 //
 // An incarnation is one run of an upstream host, from its start to its end. The state of a
-// host in a View belongs to one incarnation and does not carry over to the next. A rate
+// host in a View belongs to one incarnation and does not carry over to the next. Which one
+// runs at an address is guessed from the order of the registry's entries, to which any
+// writer may add, until the host there says that it is another (address.go). A rate
 // limit that a host sets applies to all entries together: they reserve a time for each
 // request with one of them, the keeper (see core/admit).
 package fleet
