--- a/io/soak/check_test.go
+++ b/io/soak/check_test.go
@@ -118,11 +118,15 @@
 	for seed := range uint64(200) {
 		check(Draw(seed, length), Draw(seed, length))
 	}
-	assert.Assert(t, !seen[KillEntries])
-	assert.Equal(t, len(seen), int(kindCount)-1)
+	assert.Assert(t, !seen[KillEntries] && !seen[ForeignEntry])
+	assert.Equal(t, len(seen), int(kindCount)-2)
 	for seed := range uint64(200) {
 		check(withLosses(seed), withLosses(seed))
 	}
+	assert.Equal(t, len(seen), int(kindCount)-1)
+	for seed := range uint64(200) {
+		check(addForeign(withLosses(seed), seed, length), addForeign(withLosses(seed), seed, length))
+	}
 	assert.Equal(t, len(seen), int(kindCount))
 }
 
